Each front starts its look for an engine elsewhere, so that ties fall apart

It should also cover a front that restarts and has only its list. It could harm nothing but a fleet whose list is ordered by worth.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -102,6 +102,7 @@
     shares: Vec<(f64, Micros)>, // tokens of each customer's share, and when last counted
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
+    first_look: f64, // where in the list of engines the next choice looks first
 }
 
 impl Front {
@@ -109,11 +110,14 @@
         let customers = agreed.customers.len().max(1);
         let classes = agreed.workloads.len() * customers * 2;
         let fresh = Learned { work_bias: 1.0, memory_bias: 1.0, ..Learned::default() };
+        let mut chance = Chance(seed.wrapping_mul(2).wrapping_add(1));
+        chance.next(); // a small seed shows in the first number alone
         Front {
+            first_look: chance.next(),
             classes: (0..classes).map(|_| ServiceClass::default()).collect(),
             learned: vec![fresh; agreed.workloads.len()],
             shares: vec![(f64::INFINITY, 0); agreed.customers.len()],
-            chance: Chance(seed.wrapping_mul(2).wrapping_add(1)),
+            chance,
             agreed,
             ..Front::default()
         }
@@ -513,7 +517,10 @@
         let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
-        for e in 0..self.engines.open.len() {
+        let count = self.engines.open.len();
+        // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
+        let first = (self.first_look * count as f64) as usize;
+        for e in (0..count).map(|i| (i + first) % count) {
             let trusted = s.executions.is_empty() || self.engines.credit[e] >= TRUSTED;
             if !trusted || self.engines.rests_until[e] > self.now || !self.may_execute(id, e) {
                 continue;
@@ -600,6 +607,7 @@
 
     fn execute(&mut self, id: StatementId, e: EngineId) {
         self.unhold(id);
+        self.first_look = self.chance.next();
         let (now, priority) = (self.now, self.priority(id));
         let s = &self.statements[&id];
         let (class, load, latest) = (s.class, s.load, self.latest_start(s));
