Among many fronts the bound is read against reports of the whole engine

Where a front's share of an engine holds no whole statement, the bound stands for the engine's whole and is compared with what reports say others hold; news of one engine fades to what the fleet usually holds; a cold engine's share is a turn drawn by chance.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,6 +45,7 @@
 const REMEMBERED: f64 = 0.99; // share of those given up that may still come back, at each arrival
 const SAME_TRY: Micros = 20_000; // microseconds less time than a first try has that mark a later one
 const FORGETTING: f64 = 0.993; // factor each look on what reports told of others: half is gone in about 10 s
+const OUTDATED: f64 = 0.04; // share of what one engine told that each look turns into the usual: half in 2 s
 
 impl ServiceClass {
     fn fade(&mut self, now: Micros) {
@@ -102,6 +103,10 @@
     shares: Vec<(f64, Micros)>, // tokens of each customer's share, and when last counted
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
+    many: bool, // more fronts than an engine's bound holds statements: the bound is read against reports
+    usual: Vec<Load>, // what other fronts hold for each core, by kind of engine
+    asked_work: f64,  // mean work of a statement taken, in microseconds on one thread
+    ran: Load,        // what a statement usually holds while it runs
     first_look: f64, // where in the list of engines the next choice looks first
 }
 
@@ -112,8 +117,13 @@
         let fresh = Learned { work_bias: 1.0, memory_bias: 1.0, ..Learned::default() };
         let mut chance = Chance(seed.wrapping_mul(2).wrapping_add(1));
         chance.next(); // a small seed shows in the first number alone
+        let widest = agreed.workloads.iter().map(|w| w.threads).fold(1.0, f64::max);
+        let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
         Front {
             first_look: chance.next(),
+            many: THREADS_PER_CORE * smallest / agreed.fronts < widest && agreed.report.active.is_some(),
+            usual: vec![Load::default(); agreed.cores.len().max(1)],
+            ran: Load { threads: 1.0, memory: 0.0 },
             classes: (0..classes).map(|_| ServiceClass::default()).collect(),
             learned: vec![fresh; agreed.workloads.len()],
             shares: vec![(f64::INFINITY, 0); agreed.customers.len()],
@@ -176,16 +186,18 @@
                 let cores = of_kind(&self.agreed.cores).unwrap_or(1.0);
                 let memory = of_kind(&self.agreed.memory_mb).unwrap_or(f64::INFINITY);
                 self.engines.size[e] = Load { threads: cores, memory };
-                self.engines.bound[e] = THREADS_PER_CORE * cores / self.agreed.fronts;
+                let sharers = if self.many { 1.0 } else { self.agreed.fronts };
+                self.engines.bound[e] = THREADS_PER_CORE * cores / sharers;
             }
             if let Some(start) = entry.started.filter(|_| restarted) {
-                self.engines.cold_until[e] = start + self.agreed.warm_within;
                 self.engines.credit[e] = TRUSTED;
                 self.engines.rests_until[e] = 0;
+                self.engines.others[e] = Load::default();
                 // What an earlier life of this front has sent is not known: it counts as all it might.
                 let forgotten =
                     if self.started == Some(self.now) { f64::INFINITY } else { self.engines.pushed[e].0 };
                 self.engines.pushed[e] = (forgotten, self.now);
+                self.found_cold(e, start + self.agreed.warm_within);
             }
             self.engines.open[e] = entry.mode == Mode::Ready;
             self.engines.listed[e] = Some(entry);
@@ -261,6 +273,10 @@
         if let Some(key) = a.key {
             self.turns.entry(key).or_default().line.push_back(a.statement);
         }
+        let work = either(a.work * learned.work_bias, learned.work);
+        if work > 0.0 {
+            blend(&mut self.asked_work, work);
+        }
         let (id, ends) = (a.statement, self.now + a.time_left);
         let (first_asked, priority, executions) = (self.now - spent, 1, Vec::new());
         let load = Load { threads: workload.threads, memory };
@@ -335,15 +351,29 @@
                 self.actions.extend(open.map(|engine| Action::Probe { engine }));
             }
             if self.sweeps.is_multiple_of(SWEEPS_PER_LOOK) {
+                let forget = |usual: &mut Load| usual.add(*usual, FORGETTING - 1.0);
+                self.usual.iter_mut().for_each(forget);
                 for e in 0..self.engines.open.len() {
-                    let others = self.engines.others[e];
-                    self.engines.others[e].add(others, FORGETTING - 1.0);
+                    let (others, usual) = (self.engines.others[e], self.usual(e));
+                    if self.many {
+                        self.engines.others[e].add(others, -OUTDATED);
+                        self.engines.others[e].add(usual, OUTDATED);
+                    } else {
+                        self.engines.others[e].add(others, FORGETTING - 1.0);
+                    }
                     self.listen(e);
                 }
             }
         }
     }
 
+    /// What other fronts usually hold of an engine like this one.
+    fn usual(&self, e: EngineId) -> Load {
+        let kind = self.engines.listed[e].as_ref().map_or(0, |entry| entry.kind);
+        let (each, cores) = (self.usual.get(kind).copied().unwrap_or_default(), self.engines.size[e].threads);
+        Load { threads: each.threads * cores, memory: each.memory * cores }
+    }
+
     /// Learns from a load report what an engine holds that is not of this front.
     fn reported(&mut self, e: EngineId, report: &Report) {
         let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
@@ -355,8 +385,21 @@
         let all = self.engines.size[e].memory;
         let memory = read(self.agreed.report.memory_granted).map(|share| (share * all - own.memory).max(0.0));
         self.engines.seen[e] = own;
+        let mut seen = Load { threads: threads.unwrap_or(0.0), memory: memory.unwrap_or(0.0) };
+        if self.many {
+            let active = read(self.agreed.report.active).map_or(0.0, |active| (active - count).max(0.0));
+            seen.threads = active * self.ran.threads;
+            seen.memory = memory.unwrap_or(active * self.ran.memory);
+            self.engines.others[e] = seen;
+            let cores = self.engines.size[e].threads;
+            let kind = self.engines.listed[e].as_ref().map_or(0, |entry| entry.kind);
+            if let Some(usual) = self.usual.get_mut(kind) {
+                blend(&mut usual.threads, seen.threads / cores);
+                blend(&mut usual.memory, seen.memory / cores);
+            }
+            return;
+        }
         let others = &mut self.engines.others[e];
-        let seen = Load { threads: threads.unwrap_or(0.0), memory: memory.unwrap_or(0.0) };
         *others = Load {
             threads: (others.threads + seen.threads) / 2.0,
             memory: (others.memory + seen.memory) / 2.0,
@@ -447,6 +490,16 @@
         1.0 - (1.0 - self.agreed.cold_from) * left.clamp(0.0, 1.0)
     }
 
+    /// Where a front's share of a cold engine holds no whole statement, each front waits for a turn of its own,
+    /// drawn by chance: together they send what all the shares add up to.
+    fn found_cold(&mut self, e: EngineId, until: Micros) {
+        self.engines.cold_until[e] = until;
+        if self.many {
+            let turn = self.chance.next() * either(self.asked_work, SECOND as f64);
+            self.engines.pushed[e] = (turn, self.now);
+        }
+    }
+
     /// Work pushed at a cold engine and not yet worked off, and how much of it there may be. It drains at
     /// this front's share of what the engine can do by now: any window holds less than the overload factor.
     fn pushed(&self, e: EngineId) -> (f64, f64) {
@@ -454,6 +507,7 @@
         let window = self.agreed.fall_window as f64;
         let most = (self.agreed.overload_factor * COLD_MARGIN - 0.5).max(0.1) * rate * window;
         let (pushed, at) = self.engines.pushed[e];
+        let most = if self.many { f64::INFINITY } else { most };
         ((pushed.min(most) - rate * (self.now - at) as f64).max(0.0), most)
     }
 
@@ -472,7 +526,7 @@
             return false;
         }
         let (pushed, most) = self.pushed(e);
-        if self.cold(e) && pushed + self.learned[s.asked.workload].work > most {
+        if self.cold(e) && if self.many { pushed > 0.0 } else { pushed + self.learned[s.asked.workload].work > most } {
             return false;
         }
         s.executions.is_empty() || self.may_repeat(s, Some(entry))
@@ -537,18 +591,21 @@
             }
             let Some(entry) = &self.engines.listed[e] else { continue };
             let (size, own) = (self.engines.size[e], self.engines.own[e]);
-            let bound = self.engines.bound[e] * self.engines.credit[e].max(0.01) * self.warmth(e);
+            let credit = if self.many { (self.engines.credit[e] / TRUSTED).min(1.0) } else { self.engines.credit[e] };
+            let bound = self.engines.bound[e] * credit.max(0.01) * self.warmth(e);
             let memory = size.memory * MEMORY_USED * (bound / (THREADS_PER_CORE * size.threads)).min(1.0);
             let whole = MOST_PER_CORE * size.threads * self.warmth(e);
             // What this front has added since the last report, the others are taken to have added too.
             let (mut others, mut added) = (self.engines.others[e], own);
             added.add(self.engines.seen[e], -1.0);
-            others.add(added, self.agreed.fronts - 1.0);
-            let room = bound.min(whole - others.threads) - own.threads;
+            others.add(added, if self.many { 0.0 } else { self.agreed.fronts - 1.0 });
+            let room = if self.many { bound - others.threads } else { bound.min(whole - others.threads) };
+            let room = room - own.threads;
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
-            let fits = room >= workload.threads && taken <= memory && !full;
-            let idle = self.engines.out[e].is_empty() && room > 0.0 && !full;
+            let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
+            let alone = self.many && self.classes.iter().all(|c| c.out.is_empty());
+            let idle = alone || !self.many && self.engines.out[e].is_empty() && room > 0.0 && !full;
             let needs = |w: &Workload| is_bound(w) && Self::placed(w, entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
             let room = if scarce { room - SCARCE * size.threads } else { room };
@@ -612,7 +669,8 @@
         let s = &self.statements[&id];
         let (class, load, latest) = (s.class, s.load, self.latest_start(s));
         if self.cold(e) {
-            self.engines.pushed[e] = (self.pushed(e).0 + self.learned[s.asked.workload].work, now);
+            let work = either(self.learned[s.asked.workload].work, SECOND as f64);
+            self.engines.pushed[e] = (self.pushed(e).0 + work, now);
         }
         let most = self.engines.size[e].memory * self.agreed.largest_grant;
         let asks = self.agreed.grants && s.asked.memory_mb > 0.0;
@@ -677,7 +735,7 @@
         }
         if x.outcome != Outcome::NoRoute && self.engines.unreached[e] {
             // Back after it could not be reached: it may have restarted before the list says so.
-            self.engines.cold_until[e] = now + self.agreed.warm_within;
+            self.found_cold(e, now + self.agreed.warm_within);
         }
         self.engines.unreached[e] = x.outcome == Outcome::NoRoute;
         x.report.iter().for_each(|report| self.reported(e, report));
@@ -710,9 +768,28 @@
 
     /// Lowers the bound of an engine that answers late, by the threads that were late.
     fn shrink(&mut self, e: EngineId, threads: f64) {
+        if self.many {
+            return self.deepen(-SHRINK * threads / self.pool());
+        }
         self.engines.bound[e] = (self.engines.bound[e] - SHRINK * threads).max(LEAST_BOUND);
     }
 
+    /// The threads that are this front's share of the whole fleet, or what it has out if that is more.
+    fn pool(&self) -> f64 {
+        let open = (0..self.engines.open.len()).filter(|e| self.engines.open[*e]);
+        let (bound, own) = open.fold((0.0, 0.0), |(bound, own), e| {
+            (bound + self.engines.bound[e], own + self.engines.own[e].threads)
+        });
+        (bound / self.agreed.fronts).max(own).max(1.0)
+    }
+
+    /// Changes all bounds alike: a front among many hears too seldom of each engine to know its own bound.
+    fn deepen(&mut self, by: f64) {
+        for (bound, size) in self.engines.bound.iter_mut().zip(&self.engines.size) {
+            *bound = (*bound * (1.0 + by.max(-0.5))).clamp(0.25 * size.threads, MOST_PER_CORE * size.threads);
+        }
+    }
+
     /// Learns from a good answer: the engine's credit and bound, the workload's means.
     fn completed(&mut self, x: &Ended, threads: f64) {
         let (now, e, took) = (self.now, x.engine, x.took as f64);
@@ -724,8 +801,15 @@
         self.engines.heard[e] = now;
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
         let bound = self.engines.bound[e];
+        if self.many {
+            let weight = (took / SECOND as f64).min(1.0) * LEARNING;
+            self.ran.threads += (threads - self.ran.threads) * weight;
+            self.ran.memory += (s.load.memory - self.ran.memory) * weight;
+        }
         let in_use = self.engines.own[e].threads + 2.0 * threads >= bound;
-        if took <= slo * QUICK && in_use {
+        if took <= slo * QUICK && self.many {
+            self.deepen(threads * took / SECOND as f64 / self.pool() / bound.max(1.0));
+        } else if took <= slo * QUICK && in_use {
             let most = MOST_PER_CORE * self.engines.size[e].threads;
             self.engines.bound[e] = (bound + threads * took / SECOND as f64 / bound.max(1.0)).min(most);
         } else if took > slo {
