--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,6 +18,8 @@
 const MOST_PER_CORE: f64 = 3.0; // threads a core that all fronts may use at most; some of them read
 const MEMORY_USED: f64 = 0.9; // share of memory promised at the starting bound; the rest covers low estimates
 const QUICK: f64 = 0.35; // share of the SLO time; answers within it say that there is room left
+const GROWTH: f64 = 0.25; // threads gained
+const LEAST_SHARE: f64 = 0.25;
 const SHRINK: f64 = 0.2; // threads lost for each thread of a late answer: a jam is all late
 const LEARNING: f64 = 0.05; // weight of the newest sample in learned means: some twenty statements
 const EARNED: f64 = 0.1; // credit for each answer: full credit takes ten good answers
@@ -43,6 +45,7 @@
 const GRANTED: f64 = 1.25; // memory granted against the need expected: a quarter over, as engines do
 const COME_BACK: f64 = 0.3; // seconds after which a rejected client may try again, spread by half
 const REMEMBERED: f64 = 0.99; // share of those given up that may still come back, at each arrival
+const STOOD_STILL: Micros = 4 * SWEEP; // microseconds between two calls after which a front has missed its turns
 const SAME_TRY: Micros = 20_000; // microseconds less time than a first try has that mark a later one
 const FORGETTING: f64 = 0.993; // factor each look on what reports told of others: half is gone in about 10 s
 const OUTDATED: f64 = 0.04; // share of what one engine told that each look turns into the usual: half in 2 s
@@ -88,6 +91,7 @@
     agreed: Agreement,
     chance: Chance,
     now: Micros,
+    awake: Micros, // since when this front has had its turns without standing still
     started: Option<Micros>,
     wake: Micros,
     sweeps: u32,
@@ -117,11 +121,11 @@
         let fresh = Learned { work_bias: 1.0, memory_bias: 1.0, ..Learned::default() };
         let mut chance = Chance(seed.wrapping_mul(2).wrapping_add(1));
         chance.next(); // a small seed shows in the first number alone
-        let widest = agreed.workloads.iter().map(|w| w.threads).fold(1.0, f64::max);
+        let narrowest = agreed.workloads.iter().map(|w| w.threads).fold(f64::INFINITY, f64::min);
         let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
         Front {
             first_look: chance.next(),
-            many: THREADS_PER_CORE * smallest / agreed.fronts < widest && agreed.report.active.is_some(),
+            many: THREADS_PER_CORE * smallest / agreed.fronts < narrowest && agreed.report.active.is_some(),
             usual: vec![Load::default(); agreed.cores.len().max(1)],
             ran: Load { threads: 1.0, memory: 0.0 },
             classes: (0..classes).map(|_| ServiceClass::default()).collect(),
@@ -135,7 +139,12 @@
 
     /// Takes what has happened by `now` and returns what is to be done, in order.
     pub fn decide(&mut self, now: Micros, happened: impl IntoIterator<Item = Event>) -> Vec<Action> {
+        // Guards against a front that stood still: what it finds is old, and its silence is nobody's fault.
+        let gap = now - self.now;
         self.now = now;
+        if gap > STOOD_STILL {
+            self.awake = now;
+        }
         if self.started.is_none() && self.agreed.subscribe {
             self.actions.push(Action::Subscribe);
         }
@@ -145,7 +154,7 @@
                 Event::Engines { whole, entries } => self.list(whole, entries),
                 Event::ListFailed if self.agreed.subscribe => self.actions.push(Action::Subscribe),
                 Event::ListFailed | Event::Woken => {}
-                Event::Arrived(arrival) => self.arrive(arrival),
+                Event::Arrived(arrival) => self.arrive(arrival, gap),
                 Event::Ended(ended) => self.ended(ended),
                 Event::Noted { statement: s, execution: n, engine: e, note } => self.noted(s, n, e, note),
                 Event::Left(id) => self.close(id, false),
@@ -186,8 +195,7 @@
                 let cores = of_kind(&self.agreed.cores).unwrap_or(1.0);
                 let memory = of_kind(&self.agreed.memory_mb).unwrap_or(f64::INFINITY);
                 self.engines.size[e] = Load { threads: cores, memory };
-                let sharers = if self.many { 1.0 } else { self.agreed.fronts };
-                self.engines.bound[e] = THREADS_PER_CORE * cores / sharers;
+                self.engines.bound[e] = THREADS_PER_CORE * cores / self.agreed.fronts;
             }
             if let Some(start) = entry.started.filter(|_| restarted) {
                 self.engines.credit[e] = TRUSTED;
@@ -251,7 +259,7 @@
         s.ends - self.learned[s.asked.workload].run as Micros
     }
 
-    fn arrive(&mut self, mut a: Arrival) {
+    fn arrive(&mut self, mut a: Arrival, gap: Micros) {
         let customers = self.agreed.customers.len().max(1);
         let class = (a.workload * customers + a.customer.min(customers - 1)) * 2;
         let class = class + usize::from(self.over_share(a.customer));
@@ -261,7 +269,12 @@
         // A later try has less time left and follows one given up: its SLO time runs from the first.
         let later = a.time_left < learned.first_try - SAME_TRY && learned.given_up >= 1.0;
         learned.given_up = learned.given_up * REMEMBERED - f64::from(u8::from(later));
-        let spent = if later { (workload.statement_timeout - a.time_left).max(0) } else { 0 };
+        let missing = learned.first_try - a.time_left;
+        let spent = match () {
+            _ if self.awake == self.now && missing <= gap => missing,
+            _ if later => (workload.statement_timeout - a.time_left).max(0),
+            _ => 0,
+        };
         if a.work > 0.0 {
             blend(&mut learned.work, a.work * learned.work_bias);
         }
@@ -417,7 +430,7 @@
             let usual = SILENCE + (SILENCE_RUNS * self.learned[s.asked.workload].run) as Micros;
             let patience = if noted > 0 { (SILENT_NOTES * noted as f64) as Micros } else { usual };
             let heard = if noted > 0 { x.heard } else { x.sent.max(self.engines.heard[e]) };
-            !x.quiet && self.now - heard > patience
+            !x.quiet && self.now - heard.max(self.awake) > patience
         };
         let stuck: Vec<_> = self.engines.out[e].iter().filter(quiet).copied().collect();
         for (id, n) in stuck {
@@ -571,6 +584,10 @@
         let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
+        let (pool, out) = if self.many { self.pool() } else { (0.0, 0.0) };
+        if self.many && out > 0.0 && out + workload.threads > pool {
+            return None;
+        }
         let count = self.engines.open.len();
         // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
         let first = (self.first_look * count as f64) as usize;
@@ -599,12 +616,13 @@
             let (mut others, mut added) = (self.engines.others[e], own);
             added.add(self.engines.seen[e], -1.0);
             others.add(added, if self.many { 0.0 } else { self.agreed.fronts - 1.0 });
-            let room = if self.many { bound - others.threads } else { bound.min(whole - others.threads) };
-            let room = room - own.threads;
+            let bound = if self.many { f64::INFINITY } else { bound };
+            let whole = if self.many { whole * credit } else { whole };
+            let room = bound.min(whole - others.threads) - own.threads;
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
             let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
-            let alone = self.many && self.classes.iter().all(|c| c.out.is_empty());
+            let alone = self.many && out <= 0.0;
             let idle = alone || !self.many && self.engines.out[e].is_empty() && room > 0.0 && !full;
             let needs = |w: &Workload| is_bound(w) && Self::placed(w, entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
@@ -769,24 +787,25 @@
     /// Lowers the bound of an engine that answers late, by the threads that were late.
     fn shrink(&mut self, e: EngineId, threads: f64) {
         if self.many {
-            return self.deepen(-SHRINK * threads / self.pool());
+            return self.deepen(-SHRINK * threads);
         }
         self.engines.bound[e] = (self.engines.bound[e] - SHRINK * threads).max(LEAST_BOUND);
     }
 
-    /// The threads that are this front's share of the whole fleet, or what it has out if that is more.
-    fn pool(&self) -> f64 {
+    /// The threads that this front may have out on all engines together, and those that it has.
+    fn pool(&self) -> (f64, f64) {
         let open = (0..self.engines.open.len()).filter(|e| self.engines.open[*e]);
-        let (bound, own) = open.fold((0.0, 0.0), |(bound, own), e| {
-            (bound + self.engines.bound[e], own + self.engines.own[e].threads)
-        });
-        (bound / self.agreed.fronts).max(own).max(1.0)
+        open.fold((0.0, 0.0), |(bound, own), e| {
+            (bound + self.engines.bound[e] * self.warmth(e), own + self.engines.own[e].threads)
+        })
     }
 
     /// Changes all bounds alike: a front among many hears too seldom of each engine to know its own bound.
-    fn deepen(&mut self, by: f64) {
+    fn deepen(&mut self, threads: f64) {
+        let factor = 1.0 + (threads / self.pool().0.max(0.01)).max(-0.5);
+        let fair = THREADS_PER_CORE / self.agreed.fronts;
         for (bound, size) in self.engines.bound.iter_mut().zip(&self.engines.size) {
-            *bound = (*bound * (1.0 + by.max(-0.5))).clamp(0.25 * size.threads, MOST_PER_CORE * size.threads);
+            *bound = (*bound * factor).clamp(LEAST_SHARE * fair * size.threads, MOST_PER_CORE * size.threads);
         }
     }
 
@@ -807,8 +826,9 @@
             self.ran.memory += (s.load.memory - self.ran.memory) * weight;
         }
         let in_use = self.engines.own[e].threads + 2.0 * threads >= bound;
-        if took <= slo * QUICK && self.many {
-            self.deepen(threads * took / SECOND as f64 / self.pool() / bound.max(1.0));
+        if self.many && took <= slo * QUICK {
+            let (pool, own) = self.pool();
+            self.deepen(if own + 2.0 * threads >= pool { GROWTH * threads * took / SECOND as f64 } else { 0.0 });
         } else if took <= slo * QUICK && in_use {
             let most = MOST_PER_CORE * self.engines.size[e].threads;
             self.engines.bound[e] = (bound + threads * took / SECOND as f64 / bound.max(1.0)).min(most);
