--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,7 +18,7 @@
 const MOST_PER_CORE: f64 = 3.0; // threads a core that all fronts may use at most; some of them read
 const MEMORY_USED: f64 = 0.9; // share of memory promised at the starting bound; the rest covers low estimates
 const QUICK: f64 = 0.35; // share of the SLO time; answers within it say that there is room left
-const GROWTH: f64 = 0.25; // threads gained
+const GROWTH: f64 = 0.15; // threads gained
 const LEAST_SHARE: f64 = 0.25;
 const SHRINK: f64 = 0.2; // threads lost for each thread of a late answer: a jam is all late
 const LEARNING: f64 = 0.05; // weight of the newest sample in learned means: some twenty statements
@@ -615,7 +615,7 @@
             // What this front has added since the last report, the others are taken to have added too.
             let (mut others, mut added) = (self.engines.others[e], own);
             added.add(self.engines.seen[e], -1.0);
-            others.add(added, if self.many { 0.0 } else { self.agreed.fronts - 1.0 });
+            others.add(added, self.agreed.fronts - 1.0);
             let bound = if self.many { f64::INFINITY } else { bound };
             let whole = if self.many { whole * credit } else { whole };
             let room = bound.min(whole - others.threads) - own.threads;
@@ -768,6 +768,7 @@
             // A crash resets all that an engine holds at once; single resets are the network's.
             Outcome::Error | Outcome::TimedOut | Outcome::Reset => self.spend(e, SPENT_ERROR),
             Outcome::NoRoute => self.spend(e, SPENT_LOST),
+            Outcome::NoRoom if self.many => { self.engines.others[e].threads = MOST_PER_CORE * self.engines.size[e].threads; self.shrink(e, load.threads) }
             Outcome::NoRoom | Outcome::Cancelled | Outcome::NotSent => {}
         }
         if was_over {
