--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,7 +36,9 @@
 const SWEEP: Micros = 25_000; // microseconds between looks at what is due; finer than any slack agreed
 const LAST_CALL: Micros = 40_000; // microseconds before the client's time is up when a held statement ends
 const SWEEPS_PER_LOOK: u32 = 4; // sweeps between looks at silent engines, which walk all executions out
-const SWEEPS_PER_PROBE: u32 = 20; // sweeps between probes where only they bring reports: twice a second
+const PROBE_GAP: Micros = SECOND / 2; // least time between probes of an engine, where only they bring reports
+const PROBES: f64 = 1.0; // probes that each statement taken pays for
+const MOST_PROBES: f64 = 8.0; // probes that may be saved up
 const HEADS: usize = 8; // statements tried of a class, the overdue or the late: the next mostly need as much
 const LAST_CHOICE: f64 = 1000.0; // threads taken off the room of an engine already tried: it comes last
 const ENOUGH: f64 = 0.99; // factor on the memory need learned when one had enough and no cost is told
@@ -111,6 +113,8 @@
     usual: Vec<Load>, // what other fronts hold for each core, by kind of engine
     asked_work: f64,  // mean work of a statement taken, in microseconds on one thread
     ran: Load,        // what a statement usually holds while it runs
+    may_probe: f64, // probes that statements have paid for
+    asks_next: usize, // engine whose turn it is to be probed
     first_look: f64, // where in the list of engines the next choice looks first
 }
 
@@ -125,6 +129,7 @@
         let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
         Front {
             first_look: chance.next(),
+            asks_next: (chance.next() * 256.0) as usize,
             many: THREADS_PER_CORE * smallest / agreed.fronts < narrowest && agreed.report.active.is_some(),
             usual: vec![Load::default(); agreed.cores.len().max(1)],
             ran: Load { threads: 1.0, memory: 0.0 },
@@ -281,6 +286,7 @@
         let memory = either(a.memory_mb * learned.memory_bias, learned.memory);
         let engine_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
         let memory = memory.min(engine_mb * self.agreed.largest_grant);
+        self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
         self.taken.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
         if let Some(key) = a.key {
@@ -358,11 +364,7 @@
         }
         if self.wake <= self.now {
             self.sweeps += 1;
-            let asks = self.agreed.report_on_probe && self.agreed.probes;
-            if asks && self.sweeps.is_multiple_of(SWEEPS_PER_PROBE) {
-                let open = (0..self.engines.open.len()).filter(|e| self.engines.open[*e]);
-                self.actions.extend(open.map(|engine| Action::Probe { engine }));
-            }
+            self.probe();
             if self.sweeps.is_multiple_of(SWEEPS_PER_LOOK) {
                 let forget = |usual: &mut Load| usual.add(*usual, FORGETTING - 1.0);
                 self.usual.iter_mut().for_each(forget);
@@ -380,6 +382,26 @@
         }
     }
 
+    /// Asks engines for their load where only probes bring it, in turn, as often as statements pay for.
+    fn probe(&mut self) {
+        let count = self.engines.open.len();
+        if !self.agreed.report_on_probe || !self.agreed.probes || count == 0 {
+            return;
+        }
+        for _ in 0..count {
+            let e = self.asks_next % count;
+            if self.may_probe < 1.0 || self.engines.probed[e] > self.now - PROBE_GAP {
+                return;
+            }
+            self.asks_next = e + 1;
+            if self.engines.open[e] {
+                self.may_probe -= 1.0;
+                self.engines.probed[e] = self.now;
+                self.actions.push(Action::Probe { engine: e });
+            }
+        }
+    }
+
     /// What other fronts usually hold of an engine like this one.
     fn usual(&self, e: EngineId) -> Load {
         let kind = self.engines.listed[e].as_ref().map_or(0, |entry| entry.kind);
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,6 +116,7 @@
     pub unreached: Vec<bool>,
     pub rests_until: Vec<Micros>,
     pub heard: Vec<Micros>,
+    pub probed: Vec<Micros>,
 }
 
 impl Engines {
@@ -137,5 +138,6 @@
         self.unreached.resize(count, false);
         self.rests_until.resize(count, 0);
         self.heard.resize(count, 0);
+        self.probed.resize(count, 0);
     }
 }
