--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,7 +21,8 @@
 const GROWTH: f64 = 0.15; // threads gained
 const LEAST_SHARE: f64 = 0.25;
 const SHRINK: f64 = 0.2; // threads lost for each thread of a late answer: a jam is all late
-const LEARNING: f64 = 0.05; // weight of the newest sample in learned means: some twenty statements
+const LEARNING: f64 = 0.05; // least weight of the newest sample in learned means: some twenty statements
+const GUESSED: f64 = 4.0; // samples that an estimate's good faith counts for until answers tell its bias
 const EARNED: f64 = 0.1; // credit for each answer: full credit takes ten good answers
 const SPENT_ERROR: f64 = 0.8; // factor on credit for an execution that failed: half failing leaves a quarter
 const SPENT_LOST: f64 = 0.2; // factor on credit for no route or whole silence: the process may be gone
@@ -78,14 +79,16 @@
     cost.max(gain).powi(2) * delta
 }
 
-fn blend(mean: &mut f64, sample: f64) {
-    *mean = if *mean == 0.0 { sample } else { *mean + (sample - *mean) * LEARNING };
+fn blend(mean: &mut Mean, sample: f64) {
+    mean.seen += 1.0;
+    mean.value += (sample - mean.value) * LEARNING.max(1.0 / mean.seen);
 }
 
 /// The same for ratios, as a geometric mean: estimates scatter by factors.
-fn blend_ratio(mean: &mut f64, sample: f64) {
-    let sample = sample.max(1e-6);
-    *mean = if *mean == 0.0 { sample } else { *mean * (sample / *mean).powf(LEARNING) };
+fn blend_ratio(mean: &mut Mean, sample: f64) {
+    let (sample, value) = (sample.max(1e-6), either(mean.value, 1.0));
+    mean.seen += 1.0;
+    mean.value = value * (sample / value).powf(LEARNING.max(1.0 / mean.seen));
 }
 
 #[derive(Default)]
@@ -111,7 +114,7 @@
     further: VecDeque<Micros>,
     many: bool, // more fronts than an engine's bound holds statements: the bound is read against reports
     usual: Vec<Load>, // what other fronts hold for each core, by kind of engine
-    asked_work: f64,  // mean work of a statement taken, in microseconds on one thread
+    asked_work: Mean, // mean work of a statement taken, in microseconds on one thread
     ran: Load,        // what a statement usually holds while it runs
     may_probe: f64, // probes that statements have paid for
     asks_next: usize, // engine whose turn it is to be probed
@@ -122,7 +125,8 @@
     pub fn new(agreed: Agreement, seed: u64) -> Self {
         let customers = agreed.customers.len().max(1);
         let classes = agreed.workloads.len() * customers * 2;
-        let fresh = Learned { work_bias: 1.0, memory_bias: 1.0, ..Learned::default() };
+        let guess = Mean { value: 1.0, seen: GUESSED };
+        let fresh = Learned { work_bias: guess, memory_bias: guess, ..Learned::default() };
         let mut chance = Chance(seed.wrapping_mul(2).wrapping_add(1));
         chance.next(); // a small seed shows in the first number alone
         let narrowest = agreed.workloads.iter().map(|w| w.threads).fold(f64::INFINITY, f64::min);
@@ -235,7 +239,7 @@
 
     fn expected_work(&self, s: &Statement) -> f64 {
         let learned = &self.learned[s.asked.workload];
-        either(s.asked.work * learned.work_bias, learned.work)
+        either(s.asked.work * learned.work_bias.value, learned.work.value)
     }
 
     /// What a learned pace is multiplied with to expect a run time.
@@ -246,7 +250,7 @@
     /// When a statement can no longer be answered within its SLO time if it starts later.
     fn last_timely_start(&self, s: &Statement) -> Micros {
         let slo = self.slo_time(s, None);
-        let run = self.learned[s.asked.workload].pace * self.basis(s) * SLOW_RUN;
+        let run = self.learned[s.asked.workload].pace.value * self.basis(s) * SLOW_RUN;
         // While few of its class run, half the time may be waited: else a jam's run times shut it out.
         let few = self.classes[s.class].out.len() < self.engines.open.iter().filter(|o| **o).count();
         s.first_asked + slo - if few { (run as Micros).min(slo / 2) } else { run as Micros }
@@ -261,7 +265,7 @@
     }
 
     fn latest_start(&self, s: &Statement) -> Micros {
-        s.ends - self.learned[s.asked.workload].run as Micros
+        s.ends - self.learned[s.asked.workload].run.value as Micros
     }
 
     fn arrive(&mut self, mut a: Arrival, gap: Micros) {
@@ -281,9 +285,9 @@
             _ => 0,
         };
         if a.work > 0.0 {
-            blend(&mut learned.work, a.work * learned.work_bias);
+            blend(&mut learned.work, a.work * learned.work_bias.value);
         }
-        let memory = either(a.memory_mb * learned.memory_bias, learned.memory);
+        let memory = either(a.memory_mb * learned.memory_bias.value, learned.memory.value);
         let engine_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
         let memory = memory.min(engine_mb * self.agreed.largest_grant);
         self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
@@ -292,7 +296,7 @@
         if let Some(key) = a.key {
             self.turns.entry(key).or_default().line.push_back(a.statement);
         }
-        let work = either(a.work * learned.work_bias, learned.work);
+        let work = either(a.work * learned.work_bias.value, learned.work.value);
         if work > 0.0 {
             blend(&mut self.asked_work, work);
         }
@@ -429,8 +433,8 @@
             let cores = self.engines.size[e].threads;
             let kind = self.engines.listed[e].as_ref().map_or(0, |entry| entry.kind);
             if let Some(usual) = self.usual.get_mut(kind) {
-                blend(&mut usual.threads, seen.threads / cores);
-                blend(&mut usual.memory, seen.memory / cores);
+                usual.add(*usual, -LEARNING);
+                usual.add(seen, LEARNING / cores);
             }
             return;
         }
@@ -449,7 +453,7 @@
         let quiet = |(id, n): &&(StatementId, usize)| {
             let s = &self.statements[id];
             let x = &s.executions[*n];
-            let usual = SILENCE + (SILENCE_RUNS * self.learned[s.asked.workload].run) as Micros;
+            let usual = SILENCE + (SILENCE_RUNS * self.learned[s.asked.workload].run.value) as Micros;
             let patience = if noted > 0 { (SILENT_NOTES * noted as f64) as Micros } else { usual };
             let heard = if noted > 0 { x.heard } else { x.sent.max(self.engines.heard[e]) };
             !x.quiet && self.now - heard.max(self.awake) > patience
@@ -466,7 +470,7 @@
     /// Cancels an execution so that another can be tried, if that other would be allowed and in time.
     fn stop(&mut self, id: StatementId, n: usize) {
         let s = &self.statements[&id];
-        let in_time = self.now + (self.learned[s.asked.workload].run as Micros) < s.ends;
+        let in_time = self.now + (self.learned[s.asked.workload].run.value as Micros) < s.ends;
         let again = self.workload(s).effect == Effect::Idempotent && self.tries_left(s) && in_time;
         if again && self.agreed.cancel && !s.over {
             self.actions.push(Action::Cancel { statement: id, execution: n });
@@ -489,7 +493,7 @@
         }
         if let (Note::WaitsForData, Some(data_set)) = (note, s.asked.data_set) {
             // Another front's load holds the data set there: guards against standing still behind it.
-            let run = self.learned.iter().map(|l| l.run).fold(0.0, f64::max);
+            let run = self.learned.iter().map(|l| l.run.value).fold(0.0, f64::max);
             self.engines.held[e].retain(|(d, until)| *d != data_set && *until > self.now);
             self.engines.held[e].push((data_set, self.now + run as Micros));
             return self.stop(id, n);
@@ -497,7 +501,7 @@
         if let Note::ShareDone(done) = note {
             let run = (self.now - execution.sent) as f64;
             let s = &self.statements[&id];
-            let expected = self.learned[s.asked.workload].pace * self.basis(s);
+            let expected = self.learned[s.asked.workload].pace.value * self.basis(s);
             // Guards against a bad plan, drawn anew at each execution, not against a long statement.
             let first = s.executions.len() == 1;
             if first && expected > 0.0 && run / done.max(0.001) > BAD_PLAN * expected && run > expected {
@@ -530,7 +534,7 @@
     fn found_cold(&mut self, e: EngineId, until: Micros) {
         self.engines.cold_until[e] = until;
         if self.many {
-            let turn = self.chance.next() * either(self.asked_work, SECOND as f64);
+            let turn = self.chance.next() * either(self.asked_work.value, SECOND as f64);
             self.engines.pushed[e] = (turn, self.now);
         }
     }
@@ -561,7 +565,7 @@
             return false;
         }
         let (pushed, most) = self.pushed(e);
-        if self.cold(e) && if self.many { pushed > 0.0 } else { pushed + self.learned[s.asked.workload].work > most } {
+        if self.cold(e) && if self.many { pushed > 0.0 } else { pushed + self.learned[s.asked.workload].work.value > most } {
             return false;
         }
         s.executions.is_empty() || self.may_repeat(s, Some(entry))
@@ -692,7 +696,7 @@
     fn delta(&self, class: usize) -> f64 {
         let w = class / 2 / self.agreed.customers.len().max(1);
         let share = if class % 2 == 1 { self.agreed.over_share } else { 1.0 };
-        let work = self.learned[w].work.max(1000.0) / SECOND as f64;
+        let work = self.learned[w].work.value.max(1000.0) / SECOND as f64;
         self.agreed.workloads[w].importance * share / work
     }
 
@@ -709,7 +713,7 @@
         let s = &self.statements[&id];
         let (class, load, latest) = (s.class, s.load, self.latest_start(s));
         if self.cold(e) {
-            let work = either(self.learned[s.asked.workload].work, SECOND as f64);
+            let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
             self.engines.pushed[e] = (self.pushed(e).0 + work, now);
         }
         let most = self.engines.size[e].memory * self.agreed.largest_grant;
@@ -861,7 +865,7 @@
         let learned = &mut self.learned[w];
         blend(&mut learned.run, took);
         blend_ratio(&mut learned.pace, took / basis);
-        learned.memory_bias *= if x.cost.is_none() && !spilled { ENOUGH } else { 1.0 };
+        learned.memory_bias.value *= if x.cost.is_none() && !spilled { ENOUGH } else { 1.0 };
         if let Some(cost) = x.cost {
             let (work, memory) = (cost.work.max(1.0), cost.memory_mb.max(1.0));
             blend_ratio(&mut learned.work_bias, work / either(estimate, work));
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,15 +35,22 @@
     pub out: BTreeSet<StatementId>,
 }
 
+/// A learned mean and how many samples it has taken.
+#[derive(Default, Clone, Copy)]
+pub struct Mean {
+    pub value: f64,
+    pub seen: f64,
+}
+
 /// What has been learned of a workload.
 #[derive(Default, Clone)]
 pub struct Learned {
-    pub work: f64,         // mean microseconds on one thread
-    pub run: f64,          // mean microseconds from execution to answer
-    pub pace: f64, // run time over the estimate's share for each thread, or over one second; geometric mean
-    pub work_bias: f64, // true work over its estimate
-    pub memory_bias: f64, // true need over its estimate
-    pub memory: f64, // mean need in MB
+    pub work: Mean,         // mean microseconds on one thread
+    pub run: Mean,          // mean microseconds from execution to answer
+    pub pace: Mean, // run time over the estimate's share for each thread, or over one second; geometric mean
+    pub work_bias: Mean, // true work over its estimate
+    pub memory_bias: Mean, // true need over its estimate
+    pub memory: Mean, // mean need in MB
     pub given_up: f64, // statements given up whose clients may ask again
     pub first_try: Micros, // the most time that a statement had left on arrival: what a first try gets
 }
