--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,6 +20,7 @@
 const QUICK: f64 = 0.35; // share of the SLO time; answers within it say that there is room left
 const GROWTH: f64 = 0.15; // threads gained
 const LEAST_SHARE: f64 = 0.25;
+const IDLE: f64 = 0.6; // threads a core up to which
 const SHRINK: f64 = 0.2; // threads lost for each thread of a late answer: a jam is all late
 const LEARNING: f64 = 0.05; // least weight of the newest sample in learned means: some twenty statements
 const GUESSED: f64 = 4.0; // samples that an estimate's good faith counts for until answers tell its bias
@@ -51,7 +52,7 @@
 const STOOD_STILL: Micros = 4 * SWEEP; // microseconds between two calls after which a front has missed its turns
 const SAME_TRY: Micros = 20_000; // microseconds less time than a first try has that mark a later one
 const FORGETTING: f64 = 0.993; // factor each look on what reports told of others: half is gone in about 10 s
-const OUTDATED: f64 = 0.04; // share of what one engine told that each look turns into the usual: half in 2 s
+const OUTDATED: f64 = 0.02; // share of what one engine told that each look turns into the usual: half in 3.5 s
 
 impl ServiceClass {
     fn fade(&mut self, now: Micros) {
@@ -611,9 +612,7 @@
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
         let (pool, out) = if self.many { self.pool() } else { (0.0, 0.0) };
-        if self.many && out > 0.0 && out + workload.threads > pool {
-            return None;
-        }
+        let over = self.many && out > 0.0 && out + workload.threads > pool;
         let count = self.engines.open.len();
         // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
         let first = (self.first_look * count as f64) as usize;
@@ -649,6 +648,10 @@
             let full = taken + others.memory > size.memory;
             let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
             let alone = self.many && out <= 0.0;
+            let spare = IDLE * size.threads * credit * self.warmth(e) - others.threads - own.threads;
+            if over && (spare < workload.threads || self.usual(e).threads <= 0.0) {
+                continue;
+            }
             let idle = alone || !self.many && self.engines.out[e].is_empty() && room > 0.0 && !full;
             let needs = |w: &Workload| is_bound(w) && Self::placed(w, entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
