--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,6 +21,7 @@
 const GROWTH: f64 = 0.15; // threads gained
 const LEAST_SHARE: f64 = 0.25;
 const IDLE: f64 = 0.6; // threads a core up to which
+const FRESH: Micros = 2 * SECOND; // age up to which
 const SHRINK: f64 = 0.2; // threads lost for each thread of a late answer: a jam is all late
 const LEARNING: f64 = 0.05; // least weight of the newest sample in learned means: some twenty statements
 const GUESSED: f64 = 4.0; // samples that an estimate's good faith counts for until answers tell its bias
@@ -431,6 +432,7 @@
             seen.threads = active * self.ran.threads;
             seen.memory = memory.unwrap_or(active * self.ran.memory);
             self.engines.others[e] = seen;
+            self.engines.told[e] = self.now;
             let cores = self.engines.size[e].threads;
             let kind = self.engines.listed[e].as_ref().map_or(0, |entry| entry.kind);
             if let Some(usual) = self.usual.get_mut(kind) {
@@ -612,7 +614,7 @@
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
         let (pool, out) = if self.many { self.pool() } else { (0.0, 0.0) };
-        let over = self.many && out > 0.0 && out + workload.threads > pool;
+        let over = self.many && !self.classes[s.class].out.is_empty() && out + workload.threads > pool;
         let count = self.engines.open.len();
         // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
         let first = (self.first_look * count as f64) as usize;
@@ -647,9 +649,9 @@
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
             let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
-            let alone = self.many && out <= 0.0;
+            let alone = self.many && self.classes[s.class].out.is_empty();
             let spare = IDLE * size.threads * credit * self.warmth(e) - others.threads - own.threads;
-            if over && (spare < workload.threads || self.usual(e).threads <= 0.0) {
+            if over && (spare < workload.threads || self.engines.told[e] < self.now - FRESH) {
                 continue;
             }
             let idle = alone || !self.many && self.engines.out[e].is_empty() && room > 0.0 && !full;
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,7 @@
     pub rests_until: Vec<Micros>,
     pub heard: Vec<Micros>,
     pub probed: Vec<Micros>,
+    pub told: Vec<Micros>, // when its last report came
 }
 
 impl Engines {
@@ -146,5 +147,6 @@
         self.rests_until.resize(count, 0);
         self.heard.resize(count, 0);
         self.probed.resize(count, 0);
+        self.told.resize(count, 0);
     }
 }
