--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,7 +3,7 @@
 //! in order. Nothing else goes in or out: no clock, no input or output, and chance only from the seed.
 //! The types stand in `interface.rs`; docs/design.md says what is the paper's and what is ours.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 use crate::state::*;
@@ -52,7 +52,7 @@
 const REMEMBERED: f64 = 0.99; // share of those given up that may still come back, at each arrival
 const STOOD_STILL: Micros = 4 * SWEEP; // microseconds between two calls after which a front has missed its turns
 const SAME_TRY: Micros = 20_000; // microseconds less time than a first try has that mark a later one
-const FORGETTING: f64 = 0.993; // factor each look on what reports told of others: half is gone in about 10 s
+const FORGOTTEN: f64 = 0.007; // share of what reports told that each look forgets: half is gone in about 10 s
 const OUTDATED: f64 = 0.02; // share of what one engine told that each look turns into the usual: half in 3.5 s
 
 impl ServiceClass {
@@ -81,18 +81,6 @@
     cost.max(gain).powi(2) * delta
 }
 
-fn blend(mean: &mut Mean, sample: f64) {
-    mean.seen += 1.0;
-    mean.value += (sample - mean.value) * LEARNING.max(1.0 / mean.seen);
-}
-
-/// The same for ratios, as a geometric mean: estimates scatter by factors.
-fn blend_ratio(mean: &mut Mean, sample: f64) {
-    let (sample, value) = (sample.max(1e-6), either(mean.value, 1.0));
-    mean.seen += 1.0;
-    mean.value = value * (sample / value).powf(LEARNING.max(1.0 / mean.seen));
-}
-
 #[derive(Default)]
 pub struct Front {
     agreed: Agreement,
@@ -112,15 +100,15 @@
     late: BTreeSet<StatementId>,
     turns: BTreeMap<KeyId, Turn>,
     shares: Vec<(f64, Micros)>, // tokens of each customer's share, and when last counted
-    taken: VecDeque<Micros>,
-    further: VecDeque<Micros>,
-    many: bool, // more fronts than an engine's bound holds statements: the bound is read against reports
+    taken: Times,
+    further: Times,
+    many: bool,       // so many fronts that a share of one engine's bound holds no statement
     usual: Vec<Load>, // what other fronts hold for each core, by kind of engine
-    asked_work: Mean, // mean work of a statement taken, in microseconds on one thread
+    asked_work: Mean, // work of a statement taken, in microseconds on one thread
     ran: Load,        // what a statement usually holds while it runs
-    may_probe: f64, // probes that statements have paid for
+    may_probe: f64,   // probes that statements have paid for
     asks_next: usize, // engine whose turn it is to be probed
-    first_look: f64, // where in the list of engines the next choice looks first
+    first_look: f64,  // where in the list of engines the next choice looks first
 }
 
 impl Front {
@@ -151,11 +139,8 @@
     /// Takes what has happened by `now` and returns what is to be done, in order.
     pub fn decide(&mut self, now: Micros, happened: impl IntoIterator<Item = Event>) -> Vec<Action> {
         // Guards against a front that stood still: what it finds is old, and its silence is nobody's fault.
-        let gap = now - self.now;
-        self.now = now;
-        if gap > STOOD_STILL {
-            self.awake = now;
-        }
+        let gap = now - std::mem::replace(&mut self.now, now);
+        self.awake = if gap > STOOD_STILL { now } else { self.awake };
         if self.started.is_none() && self.agreed.subscribe {
             self.actions.push(Action::Subscribe);
         }
@@ -181,9 +166,8 @@
         self.sweep();
         self.release();
         if let Some(budget) = self.agreed.further {
-            let old = |t: &Micros| *t < now - budget.window;
-            self.taken.drain(..self.taken.partition_point(old));
-            self.further.drain(..self.further.partition_point(old));
+            self.taken.forget(now - budget.window);
+            self.further.forget(now - budget.window);
         }
         if self.wake <= now {
             self.wake = now + SWEEP;
@@ -202,23 +186,20 @@
             let known = self.engines.listed[e].as_ref();
             let restarted = known.is_none_or(|k| k.started != entry.started);
             if known.is_none() {
-                let of_kind = |list: &[f64]| list.get(entry.kind).copied();
-                let cores = of_kind(&self.agreed.cores).unwrap_or(1.0);
-                let memory = of_kind(&self.agreed.memory_mb).unwrap_or(f64::INFINITY);
-                self.engines.size[e] = Load { threads: cores, memory };
-                self.engines.bound[e] = THREADS_PER_CORE * cores / self.agreed.fronts;
+                let of_kind = |list: &[f64], other| list.get(entry.kind).copied().unwrap_or(other);
+                let threads = of_kind(&self.agreed.cores, 1.0);
+                let memory = of_kind(&self.agreed.memory_mb, f64::INFINITY);
+                self.engines.size[e] = Load { threads, memory };
+                self.engines.bound[e] = THREADS_PER_CORE * threads / self.agreed.fronts;
             }
             if let Some(start) = entry.started.filter(|_| restarted) {
                 self.engines.credit[e] = TRUSTED;
                 self.engines.rests_until[e] = 0;
                 self.engines.others[e] = Load::default();
-                // What an earlier life of this front has sent is not known: it counts as all it might.
-                let forgotten =
-                    if self.started == Some(self.now) { f64::INFINITY } else { self.engines.pushed[e].0 };
-                self.engines.pushed[e] = (forgotten, self.now);
                 self.found_cold(e, start + self.agreed.warm_within);
             }
             self.engines.open[e] = entry.mode == Mode::Ready;
+            self.engines.kind[e] = entry.kind;
             self.engines.listed[e] = Some(entry);
         }
     }
@@ -287,20 +268,21 @@
             _ => 0,
         };
         if a.work > 0.0 {
-            blend(&mut learned.work, a.work * learned.work_bias.value);
+            learned.work.take(LEARNING, a.work * learned.work_bias.value);
         }
         let memory = either(a.memory_mb * learned.memory_bias.value, learned.memory.value);
         let engine_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
         let memory = memory.min(engine_mb * self.agreed.largest_grant);
-        self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
-        self.taken.extend(self.agreed.further.map(|_| self.now));
+        let probes = self.agreed.report_on_probe && self.agreed.probes;
+        self.may_probe = if probes { (self.may_probe + PROBES).min(MOST_PROBES) } else { 0.0 };
+        self.taken.0.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
         if let Some(key) = a.key {
             self.turns.entry(key).or_default().line.push_back(a.statement);
         }
         let work = either(a.work * learned.work_bias.value, learned.work.value);
         if work > 0.0 {
-            blend(&mut self.asked_work, work);
+            self.asked_work.take(LEARNING, work);
         }
         let (id, ends) = (a.statement, self.now + a.time_left);
         let (first_asked, priority, executions) = (self.now - spent, 1, Vec::new());
@@ -372,16 +354,11 @@
             self.sweeps += 1;
             self.probe();
             if self.sweeps.is_multiple_of(SWEEPS_PER_LOOK) {
-                let forget = |usual: &mut Load| usual.add(*usual, FORGETTING - 1.0);
-                self.usual.iter_mut().for_each(forget);
+                self.usual.iter_mut().for_each(|usual| usual.blend(Load::default(), FORGOTTEN));
                 for e in 0..self.engines.open.len() {
-                    let (others, usual) = (self.engines.others[e], self.usual(e));
-                    if self.many {
-                        self.engines.others[e].add(others, -OUTDATED);
-                        self.engines.others[e].add(usual, OUTDATED);
-                    } else {
-                        self.engines.others[e].add(others, FORGETTING - 1.0);
-                    }
+                    let (news, share) =
+                        if self.many { (self.usual(e), OUTDATED) } else { (Load::default(), FORGOTTEN) };
+                    self.engines.others[e].blend(news, share);
                     self.listen(e);
                 }
             }
@@ -391,9 +368,6 @@
     /// Asks engines for their load where only probes bring it, in turn, as often as statements pay for.
     fn probe(&mut self) {
         let count = self.engines.open.len();
-        if !self.agreed.report_on_probe || !self.agreed.probes || count == 0 {
-            return;
-        }
         for _ in 0..count {
             let e = self.asks_next % count;
             if self.may_probe < 1.0 || self.engines.probed[e] > self.now - PROBE_GAP {
@@ -410,42 +384,27 @@
 
     /// What other fronts usually hold of an engine like this one.
     fn usual(&self, e: EngineId) -> Load {
-        let kind = self.engines.listed[e].as_ref().map_or(0, |entry| entry.kind);
-        let (each, cores) = (self.usual.get(kind).copied().unwrap_or_default(), self.engines.size[e].threads);
-        Load { threads: each.threads * cores, memory: each.memory * cores }
+        self.usual
+            .get(self.engines.kind[e])
+            .map_or(Load::default(), |u| u.times(self.engines.size[e].threads))
     }
 
     /// Learns from a load report what an engine holds that is not of this front.
     fn reported(&mut self, e: EngineId, report: &Report) {
         let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
-        let (own, count) = (self.engines.own[e], self.engines.out[e].len() as f64);
-        let threads = read(self.agreed.report.active).map(|active| {
-            let each = if count > 0.0 { own.threads / count } else { 1.0 };
-            (active - count).max(0.0) * each
-        });
-        let all = self.engines.size[e].memory;
-        let memory = read(self.agreed.report.memory_granted).map(|share| (share * all - own.memory).max(0.0));
-        self.engines.seen[e] = own;
-        let mut seen = Load { threads: threads.unwrap_or(0.0), memory: memory.unwrap_or(0.0) };
-        if self.many {
-            let active = read(self.agreed.report.active).map_or(0.0, |active| (active - count).max(0.0));
-            seen.threads = active * self.ran.threads;
-            seen.memory = memory.unwrap_or(active * self.ran.memory);
-            self.engines.others[e] = seen;
-            self.engines.told[e] = self.now;
-            let cores = self.engines.size[e].threads;
-            let kind = self.engines.listed[e].as_ref().map_or(0, |entry| entry.kind);
-            if let Some(usual) = self.usual.get_mut(kind) {
-                usual.add(*usual, -LEARNING);
-                usual.add(seen, LEARNING / cores);
-            }
-            return;
+        let (own, count, size) =
+            (self.engines.own[e], self.engines.out[e].len() as f64, self.engines.size[e]);
+        let active = read(self.agreed.report.active).map_or(0.0, |active| (active - count).max(0.0));
+        let each = if self.many { self.ran.threads } else { either(own.threads, 1.0) / count.max(1.0) };
+        let need = if self.many { self.ran.memory } else { 0.0 };
+        let granted =
+            read(self.agreed.report.memory_granted).map(|x| (x * size.memory - own.memory).max(0.0));
+        let told = Load { threads: active * each, memory: granted.unwrap_or(active * need) };
+        (self.engines.seen[e], self.engines.told[e]) = (own, self.now);
+        self.engines.others[e].blend(told, if self.many { 1.0 } else { 0.5 });
+        if let Some(usual) = self.usual.get_mut(self.engines.kind[e]) {
+            usual.blend(told.times(1.0 / size.threads), LEARNING);
         }
-        let others = &mut self.engines.others[e];
-        *others = Load {
-            threads: (others.threads + seen.threads) / 2.0,
-            memory: (others.memory + seen.memory) / 2.0,
-        };
     }
 
     /// Guards against executions that are taken and never answered, whatever the cause: a hung engine,
@@ -492,7 +451,7 @@
         if let Note::SpillsMb(missing) = note {
             execution.spilled = true;
             let need = (s.load.memory * GRANTED + missing) / s.asked.memory_mb.max(1.0);
-            blend_ratio(&mut self.learned[s.asked.workload].memory_bias, need);
+            self.learned[s.asked.workload].memory_bias.take_ratio(LEARNING, need);
         }
         if let (Note::WaitsForData, Some(data_set)) = (note, s.asked.data_set) {
             // Another front's load holds the data set there: guards against standing still behind it.
@@ -516,9 +475,8 @@
     fn further_allowed(&self) -> bool {
         self.agreed.further.is_none_or(|budget| {
             let since = self.now - budget.window;
-            let used = self.further.iter().filter(|t| **t >= since).count() as f64;
-            let taken = self.taken.len() - self.taken.partition_point(|t| *t <= since);
-            used + 1.0 <= (budget.spare + budget.ratio * taken as f64).floor()
+            let used = self.further.after(since - 1);
+            used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
         })
     }
 
@@ -532,14 +490,15 @@
         1.0 - (1.0 - self.agreed.cold_from) * left.clamp(0.0, 1.0)
     }
 
-    /// Where a front's share of a cold engine holds no whole statement, each front waits for a turn of its own,
-    /// drawn by chance: together they send what all the shares add up to.
+    /// What an earlier life of this front has sent is not known: it counts as all it might. Where a share holds no
+    /// whole statement, each front waits for a turn drawn by chance: together they send what the shares add up to.
     fn found_cold(&mut self, e: EngineId, until: Micros) {
-        self.engines.cold_until[e] = until;
-        if self.many {
-            let turn = self.chance.next() * either(self.asked_work.value, SECOND as f64);
-            self.engines.pushed[e] = (turn, self.now);
-        }
+        let pushed = match () {
+            _ if self.many => self.chance.next() * either(self.asked_work.value, SECOND as f64),
+            _ if self.started == Some(self.now) => f64::INFINITY,
+            _ => self.engines.pushed[e].0,
+        };
+        (self.engines.cold_until[e], self.engines.pushed[e]) = (until, (pushed, self.now));
     }
 
     /// Work pushed at a cold engine and not yet worked off, and how much of it there may be. It drains at
@@ -568,7 +527,13 @@
             return false;
         }
         let (pushed, most) = self.pushed(e);
-        if self.cold(e) && if self.many { pushed > 0.0 } else { pushed + self.learned[s.asked.workload].work.value > most } {
+        if self.cold(e)
+            && if self.many {
+                pushed > 0.0
+            } else {
+                pushed + self.learned[s.asked.workload].work.value > most
+            }
+        {
             return false;
         }
         s.executions.is_empty() || self.may_repeat(s, Some(entry))
@@ -613,8 +578,8 @@
         let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
-        let (pool, out) = if self.many { self.pool() } else { (0.0, 0.0) };
-        let over = self.many && !self.classes[s.class].out.is_empty() && out + workload.threads > pool;
+        let ((pool, out), alone) = (self.pool(), self.classes[s.class].out.is_empty());
+        let over = self.many && !alone && out + workload.threads > pool;
         let count = self.engines.open.len();
         // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
         let first = (self.first_look * count as f64) as usize;
@@ -635,26 +600,25 @@
             }
             let Some(entry) = &self.engines.listed[e] else { continue };
             let (size, own) = (self.engines.size[e], self.engines.own[e]);
-            let credit = if self.many { (self.engines.credit[e] / TRUSTED).min(1.0) } else { self.engines.credit[e] };
-            let bound = self.engines.bound[e] * credit.max(0.01) * self.warmth(e);
+            let (credit, warmth, many) = (self.engines.credit[e], self.warmth(e), self.many);
+            let credit = if many { (credit / TRUSTED).min(1.0) } else { credit };
+            let bound = self.engines.bound[e] * credit.max(0.01) * warmth;
             let memory = size.memory * MEMORY_USED * (bound / (THREADS_PER_CORE * size.threads)).min(1.0);
-            let whole = MOST_PER_CORE * size.threads * self.warmth(e);
             // What this front has added since the last report, the others are taken to have added too.
             let (mut others, mut added) = (self.engines.others[e], own);
             added.add(self.engines.seen[e], -1.0);
             others.add(added, self.agreed.fronts - 1.0);
-            let bound = if self.many { f64::INFINITY } else { bound };
-            let whole = if self.many { whole * credit } else { whole };
-            let room = bound.min(whole - others.threads) - own.threads;
+            let whole = size.threads * warmth * if many { credit } else { 1.0 };
+            let room = MOST_PER_CORE * whole - others.threads;
+            let room = if many { room } else { bound.min(room) } - own.threads;
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
-            let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
-            let alone = self.many && self.classes[s.class].out.is_empty();
-            let spare = IDLE * size.threads * credit * self.warmth(e) - others.threads - own.threads;
+            let fits = room >= workload.threads && (taken <= memory || many) && !full;
+            let idle = if many { alone } else { self.engines.out[e].is_empty() && room > 0.0 && !full };
+            let spare = IDLE * whole - others.threads - own.threads;
             if over && (spare < workload.threads || self.engines.told[e] < self.now - FRESH) {
                 continue;
             }
-            let idle = alone || !self.many && self.engines.out[e].is_empty() && room > 0.0 && !full;
             let needs = |w: &Workload| is_bound(w) && Self::placed(w, entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
             let room = if scarce { room - SCARCE * size.threads } else { room };
@@ -729,7 +693,7 @@
         }
         self.actions.push(Action::Execute { statement: id, engine: e });
         let Some(s) = self.statements.get_mut(&id) else { return };
-        self.further.extend((!s.executions.is_empty()).then_some(now));
+        self.further.0.extend((!s.executions.is_empty()).then_some(now));
         self.engines.out[e].insert((id, s.executions.len()));
         self.engines.own[e].add(load, 1.0);
         s.priority = priority;
@@ -795,11 +759,14 @@
             Outcome::Completed => self.completed(&x, load.threads),
             // At the client's own limit the statement may be to blame; an engine that hangs shows by silence.
             Outcome::TimedOut if quiet => {}
-            Outcome::TimedOut if now >= ends - SWEEP => self.shrink(e, load.threads),
+            Outcome::TimedOut if now >= ends - SWEEP => self.sway(e, -SHRINK * load.threads),
             // A crash resets all that an engine holds at once; single resets are the network's.
             Outcome::Error | Outcome::TimedOut | Outcome::Reset => self.spend(e, SPENT_ERROR),
             Outcome::NoRoute => self.spend(e, SPENT_LOST),
-            Outcome::NoRoom if self.many => { self.engines.others[e].threads = MOST_PER_CORE * self.engines.size[e].threads; self.shrink(e, load.threads) }
+            Outcome::NoRoom if self.many => {
+                self.engines.others[e].threads = MOST_PER_CORE * self.engines.size[e].threads;
+                self.sway(e, -SHRINK * load.threads);
+            }
             Outcome::NoRoom | Outcome::Cancelled | Outcome::NotSent => {}
         }
         if was_over {
@@ -816,14 +783,6 @@
         }
     }
 
-    /// Lowers the bound of an engine that answers late, by the threads that were late.
-    fn shrink(&mut self, e: EngineId, threads: f64) {
-        if self.many {
-            return self.deepen(-SHRINK * threads);
-        }
-        self.engines.bound[e] = (self.engines.bound[e] - SHRINK * threads).max(LEAST_BOUND);
-    }
-
     /// The threads that this front may have out on all engines together, and those that it has.
     fn pool(&self) -> (f64, f64) {
         let open = (0..self.engines.open.len()).filter(|e| self.engines.open[*e]);
@@ -832,12 +791,18 @@
         })
     }
 
-    /// Changes all bounds alike: a front among many hears too seldom of each engine to know its own bound.
-    fn deepen(&mut self, threads: f64) {
+    /// Moves an engine's bound, or all alike: a front among many hears too seldom of each to know its own.
+    fn sway(&mut self, e: EngineId, threads: f64) {
         let factor = 1.0 + (threads / self.pool().0.max(0.01)).max(-0.5);
-        let fair = THREADS_PER_CORE / self.agreed.fronts;
-        for (bound, size) in self.engines.bound.iter_mut().zip(&self.engines.size) {
-            *bound = (*bound * factor).clamp(LEAST_SHARE * fair * size.threads, MOST_PER_CORE * size.threads);
+        let most = |size: &Load| MOST_PER_CORE * size.threads;
+        let least = |size: &Load| LEAST_SHARE * THREADS_PER_CORE * size.threads / self.agreed.fronts;
+        if self.many {
+            for (bound, size) in self.engines.bound.iter_mut().zip(&self.engines.size) {
+                *bound = (*bound * factor).clamp(least(size), most(size));
+            }
+        } else {
+            let bound = self.engines.bound[e] + threads;
+            self.engines.bound[e] = bound.clamp(LEAST_BOUND, most(&self.engines.size[e]));
         }
     }
 
@@ -851,32 +816,26 @@
         let slo = self.slo_time(s, x.cost) as f64;
         self.engines.heard[e] = now;
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
-        let bound = self.engines.bound[e];
-        if self.many {
-            let weight = (took / SECOND as f64).min(1.0) * LEARNING;
-            self.ran.threads += (threads - self.ran.threads) * weight;
-            self.ran.memory += (s.load.memory - self.ran.memory) * weight;
-        }
-        let in_use = self.engines.own[e].threads + 2.0 * threads >= bound;
-        if self.many && took <= slo * QUICK {
-            let (pool, own) = self.pool();
-            self.deepen(if own + 2.0 * threads >= pool { GROWTH * threads * took / SECOND as f64 } else { 0.0 });
-        } else if took <= slo * QUICK && in_use {
-            let most = MOST_PER_CORE * self.engines.size[e].threads;
-            self.engines.bound[e] = (bound + threads * took / SECOND as f64 / bound.max(1.0)).min(most);
+        let share = (took / SECOND as f64).min(1.0) * LEARNING;
+        self.ran.blend(Load { threads, memory: s.load.memory }, share);
+        let (bound, held) =
+            if self.many { self.pool() } else { (self.engines.bound[e], self.engines.own[e].threads) };
+        if took <= slo * QUICK && held + 2.0 * threads >= bound {
+            let growth = if self.many { GROWTH } else { 1.0 / bound.max(1.0) };
+            self.sway(e, threads * took / SECOND as f64 * growth);
         } else if took > slo {
-            self.shrink(e, threads);
+            self.sway(e, -SHRINK * threads);
         }
         let learned = &mut self.learned[w];
-        blend(&mut learned.run, took);
-        blend_ratio(&mut learned.pace, took / basis);
+        learned.run.take(LEARNING, took);
+        learned.pace.take_ratio(LEARNING, took / basis);
         learned.memory_bias.value *= if x.cost.is_none() && !spilled { ENOUGH } else { 1.0 };
         if let Some(cost) = x.cost {
             let (work, memory) = (cost.work.max(1.0), cost.memory_mb.max(1.0));
-            blend_ratio(&mut learned.work_bias, work / either(estimate, work));
-            blend_ratio(&mut learned.memory_bias, memory / either(estimated_mb, memory));
-            blend(&mut learned.work, work);
-            blend(&mut learned.memory, memory);
+            learned.work_bias.take_ratio(LEARNING, work / either(estimate, work));
+            learned.memory_bias.take_ratio(LEARNING, memory / either(estimated_mb, memory));
+            learned.work.take(LEARNING, work);
+            learned.memory.take(LEARNING, memory);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,11 +42,40 @@
     pub seen: f64,
 }
 
+impl Mean {
+    /// Takes a sample; the weight of the newest is its share of all, but not under the least given.
+    pub fn take(&mut self, least: f64, sample: f64) {
+        self.seen += 1.0;
+        self.value += (sample - self.value) * least.max(1.0 / self.seen);
+    }
+
+    /// The same for ratios, as a geometric mean.
+    pub fn take_ratio(&mut self, least: f64, sample: f64) {
+        let (sample, value) = (sample.max(1e-6), either(self.value, 1.0));
+        self.seen += 1.0;
+        self.value = value * (sample / value).powf(least.max(1.0 / self.seen));
+    }
+}
+
+/// Times of events, oldest first.
+#[derive(Default)]
+pub struct Times(pub VecDeque<Micros>);
+
+impl Times {
+    pub fn after(&self, time: Micros) -> f64 {
+        (self.0.len() - self.0.partition_point(|t| *t <= time)) as f64
+    }
+
+    pub fn forget(&mut self, before: Micros) {
+        self.0.drain(..self.0.partition_point(|t| *t < before));
+    }
+}
+
 /// What has been learned of a workload.
 #[derive(Default, Clone)]
 pub struct Learned {
-    pub work: Mean,         // mean microseconds on one thread
-    pub run: Mean,          // mean microseconds from execution to answer
+    pub work: Mean,        // mean microseconds on one thread
+    pub run: Mean,         // mean microseconds from execution to answer
     pub pace: Mean, // run time over the estimate's share for each thread, or over one second; geometric mean
     pub work_bias: Mean, // true work over its estimate
     pub memory_bias: Mean, // true need over its estimate
@@ -99,6 +128,15 @@
 }
 
 impl Load {
+    pub fn times(self, factor: f64) -> Load {
+        Load { threads: self.threads * factor, memory: self.memory * factor }
+    }
+
+    pub fn blend(&mut self, other: Load, share: f64) {
+        self.threads += (other.threads - self.threads) * share;
+        self.memory += (other.memory - self.memory) * share;
+    }
+
     pub fn add(&mut self, other: Load, times: f64) {
         self.threads = (self.threads + other.threads * times).max(0.0);
         self.memory = (self.memory + other.memory * times).max(0.0);
@@ -111,6 +149,7 @@
     pub open: Vec<bool>,
     pub listed: Vec<Option<Listed>>,
     pub size: Vec<Load>, // cores and memory
+    pub kind: Vec<usize>,
     pub cold_until: Vec<Micros>,
     pub pushed: Vec<(f64, Micros)>, // work counted against a cold engine's budget, and when
     pub own: Vec<Load>,
@@ -134,6 +173,7 @@
         self.open.resize(count, false);
         self.listed.resize(count, None);
         self.size.resize(count, Load { threads: 1.0, memory: f64::INFINITY });
+        self.kind.resize(count, 0);
         self.cold_until.resize(count, 0);
         self.pushed.resize(count, (0.0, 0));
         self.own.resize(count, Load::default());
