--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,14 +14,14 @@
 const HALF_LIFE: f64 = 10.0; // seconds until a count of conformance has halved; the design page's value
 const UNSEEN: f64 = 0.05; // statements, counted as timely on top, so that an unseen class has conformance 1
 const THREADS_PER_CORE: f64 = 2.0; // threads a core that all fronts may use at start; the design page's value
-const LEAST_BOUND: f64 = 1.0; // threads; the bound stays above nothing, so no engine is given up for good
 const MOST_PER_CORE: f64 = 3.0; // threads a core that all fronts may use at most; some of them read
 const MEMORY_USED: f64 = 0.9; // share of memory promised at the starting bound; the rest covers low estimates
 const QUICK: f64 = 0.35; // share of the SLO time; answers within it say that there is room left
 const GROWTH: f64 = 0.15; // threads gained
-const LEAST_SHARE: f64 = 0.25;
-const IDLE: f64 = 0.6; // threads a core up to which
-const FRESH: Micros = 2 * SECOND; // age up to which
+const LEAST_BOUND: f64 = 1.0; // threads; the bound stays above nothing, so no engine is given up for good
+const LEAST_SHARE: f64 = 0.5;
+const IDLE: f64 = 1.0; // threads a core up to which fresh news lets a front among many beyond its share
+const FRESH: Micros = SECOND; // age of such news; reports are refreshed about once a second
 const SHRINK: f64 = 0.2; // threads lost for each thread of a late answer: a jam is all late
 const LEARNING: f64 = 0.05; // least weight of the newest sample in learned means: some twenty statements
 const GUESSED: f64 = 4.0; // samples that an estimate's good faith counts for until answers tell its bias
@@ -30,7 +30,6 @@
 const SPENT_LOST: f64 = 0.2; // factor on credit for no route or whole silence: the process may be gone
 const TRUSTED: f64 = 0.5; // credit from which further executions go to an engine, and which a new one has
 const LOST_REST: Micros = SECOND; // rest of an engine that seems gone: a try a second finds it soon
-const SILENCE: Micros = SECOND; // without notes an engine with executions out may say nothing for so long
 const SILENCE_RUNS: f64 = 4.0; // and for so many of the usual run times of what is out there
 const SILENT_NOTES: f64 = 1.5; // gaps between notes of progress, where agreed, that one may be silent for
 const BAD_PLAN: f64 = 6.0; // times the expected run time that an execution must head for to be given up
@@ -50,8 +49,8 @@
 const GRANTED: f64 = 1.25; // memory granted against the need expected: a quarter over, as engines do
 const COME_BACK: f64 = 0.3; // seconds after which a rejected client may try again, spread by half
 const REMEMBERED: f64 = 0.99; // share of those given up that may still come back, at each arrival
-const STOOD_STILL: Micros = 4 * SWEEP; // microseconds between two calls after which a front has missed its turns
 const SAME_TRY: Micros = 20_000; // microseconds less time than a first try has that mark a later one
+const STOOD_STILL: Micros = 4 * SWEEP; // microseconds between two calls after which a front has missed its turns
 const FORGOTTEN: f64 = 0.007; // share of what reports told that each look forgets: half is gone in about 10 s
 const OUTDATED: f64 = 0.02; // share of what one engine told that each look turns into the usual: half in 3.5 s
 
@@ -99,7 +98,7 @@
     overdue: BTreeSet<StatementId>,
     late: BTreeSet<StatementId>,
     turns: BTreeMap<KeyId, Turn>,
-    shares: Vec<(f64, Micros)>, // tokens of each customer's share, and when last counted
+    shares: Vec<Bucket>, // of each customer
     taken: Times,
     further: Times,
     many: bool,       // so many fronts that a share of one engine's bound holds no statement
@@ -129,14 +128,13 @@
             ran: Load { threads: 1.0, memory: 0.0 },
             classes: (0..classes).map(|_| ServiceClass::default()).collect(),
             learned: vec![fresh; agreed.workloads.len()],
-            shares: vec![(f64::INFINITY, 0); agreed.customers.len()],
+            shares: vec![Bucket { left: f64::INFINITY, at: 0 }; agreed.customers.len()],
             chance,
             agreed,
             ..Front::default()
         }
     }
 
-    /// Takes what has happened by `now` and returns what is to be done, in order.
     pub fn decide(&mut self, now: Micros, happened: impl IntoIterator<Item = Event>) -> Vec<Action> {
         // Guards against a front that stood still: what it finds is old, and its silence is nobody's fault.
         let gap = now - std::mem::replace(&mut self.now, now);
@@ -156,9 +154,7 @@
                 Event::Left(id) => self.close(id, false),
                 Event::Probed { engine, alive, report } => {
                     self.engines.know(engine, TRUSTED);
-                    if !alive {
-                        self.spend(engine, SPENT_ERROR);
-                    }
+                    self.engines.credit[engine] *= if alive { 1.0 } else { SPENT_ERROR };
                     report.iter().for_each(|r| self.reported(engine, r));
                 }
             }
@@ -204,17 +200,10 @@
         }
     }
 
-    /// Executions of a statement that its outcomes do not prove to have been without effect.
-    fn may_have_run(s: &Statement) -> impl Iterator<Item = &Execution> {
-        let unseen = [Outcome::NoRoom, Outcome::NoRoute, Outcome::NotSent];
-        s.executions.iter().filter(move |x| x.outcome.is_none_or(|o| !unseen.contains(&o)))
-    }
-
     fn workload(&self, s: &Statement) -> &Workload {
         &self.agreed.workloads[s.asked.workload]
     }
 
-    /// Time from arrival within which the statement is to be answered, by its told cost or the work expected.
     fn slo_time(&self, s: &Statement, cost: Option<Cost>) -> Micros {
         let (workload, work) = (self.workload(s), cost.map_or(self.expected_work(s), |c| c.work));
         workload.slo_time + (workload.slo_stretch * work / workload.threads) as Micros
@@ -225,7 +214,6 @@
         either(s.asked.work * learned.work_bias.value, learned.work.value)
     }
 
-    /// What a learned pace is multiplied with to expect a run time.
     fn basis(&self, s: &Statement) -> f64 {
         either(s.asked.work / self.workload(s).threads, SECOND as f64)
     }
@@ -254,56 +242,40 @@
     fn arrive(&mut self, mut a: Arrival, gap: Micros) {
         let customers = self.agreed.customers.len().max(1);
         let class = (a.workload * customers + a.customer.min(customers - 1)) * 2;
-        let class = class + usize::from(self.over_share(a.customer));
+        let rate = self.agreed.customers.get(a.customer).map_or(f64::INFINITY, |r| r / self.agreed.fronts);
+        let bucket = self.shares.get_mut(a.customer);
+        let class = class + usize::from(bucket.is_some_and(|bucket| !bucket.take(rate, self.now)));
         let workload = &self.agreed.workloads[a.workload];
         let learned = &mut self.learned[a.workload];
         learned.first_try = learned.first_try.max(a.time_left);
-        // A later try has less time left and follows one given up: its SLO time runs from the first.
-        let later = a.time_left < learned.first_try - SAME_TRY && learned.given_up >= 1.0;
-        learned.given_up = learned.given_up * REMEMBERED - f64::from(u8::from(later));
+        // What a front that stood still finds has waited; what first tries have left tells how long.
         let missing = learned.first_try - a.time_left;
-        let spent = match () {
-            _ if self.awake == self.now && missing <= gap => missing,
-            _ if later => (workload.statement_timeout - a.time_left).max(0),
-            _ => 0,
-        };
+        let later = missing > SAME_TRY && learned.given_up >= 1.0;
+        learned.given_up = learned.given_up * REMEMBERED - f64::from(u8::from(later));
+        let stood = self.awake == self.now && missing <= gap;
+        let past = if later { (workload.statement_timeout - a.time_left).max(0) } else { 0 };
+        let spent = if stood { missing } else { past };
         if a.work > 0.0 {
             learned.work.take(LEARNING, a.work * learned.work_bias.value);
         }
         let memory = either(a.memory_mb * learned.memory_bias.value, learned.memory.value);
         let engine_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
         let memory = memory.min(engine_mb * self.agreed.largest_grant);
-        let probes = self.agreed.report_on_probe && self.agreed.probes;
-        self.may_probe = if probes { (self.may_probe + PROBES).min(MOST_PROBES) } else { 0.0 };
+        self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
         self.taken.0.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
         if let Some(key) = a.key {
             self.turns.entry(key).or_default().line.push_back(a.statement);
         }
         let work = either(a.work * learned.work_bias.value, learned.work.value);
-        if work > 0.0 {
-            self.asked_work.take(LEARNING, work);
-        }
+        self.asked_work.take(LEARNING, either(work, SECOND as f64));
         let (id, ends) = (a.statement, self.now + a.time_left);
-        let (first_asked, priority, executions) = (self.now - spent, 1, Vec::new());
         let load = Load { threads: workload.threads, memory };
-        let s = Statement { asked: a, class, first_asked, ends, load, priority, executions, over: false };
+        let s = Statement::new(a, class, self.now - spent, ends, load);
         self.statements.insert(id, s);
         self.hold(id);
     }
 
-    /// Whether a customer now asks for more than its share, counted over a second.
-    fn over_share(&mut self, customer: usize) -> bool {
-        let rate = self.agreed.customers.get(customer).map_or(f64::INFINITY, |r| r / self.agreed.fronts);
-        let Some((tokens, at)) = self.shares.get_mut(customer) else { return false };
-        let gained = rate * (self.now - *at) as f64 / SECOND as f64;
-        *tokens = (*tokens + gained).min(rate.max(1.0));
-        *at = self.now;
-        let over = *tokens < 1.0;
-        *tokens -= if over { 0.0 } else { 1.0 };
-        over
-    }
-
     /// Puts a statement among those that may leave, if its order key lets it, and notes when that changes.
     fn hold(&mut self, id: StatementId) {
         let Some(s) = self.statements.get(&id).filter(|s| !s.over && !s.is_out()) else { return };
@@ -334,7 +306,6 @@
         self.overdue.remove(&id);
     }
 
-    /// Looks at what time alone has changed.
     fn sweep(&mut self) {
         while let Some(&(at, id)) = self.due.first().filter(|(at, _)| *at <= self.now) {
             self.due.remove(&(at, id));
@@ -352,13 +323,14 @@
         }
         if self.wake <= self.now {
             self.sweeps += 1;
-            self.probe();
+            if self.agreed.report_on_probe && self.agreed.probes {
+                self.probe();
+            }
             if self.sweeps.is_multiple_of(SWEEPS_PER_LOOK) {
                 self.usual.iter_mut().for_each(|usual| usual.blend(Load::default(), FORGOTTEN));
                 for e in 0..self.engines.open.len() {
-                    let (news, share) =
-                        if self.many { (self.usual(e), OUTDATED) } else { (Load::default(), FORGOTTEN) };
-                    self.engines.others[e].blend(news, share);
+                    let usual = if self.many { self.usual(e) } else { Load::default() };
+                    self.engines.others[e].blend(usual, if self.many { OUTDATED } else { FORGOTTEN });
                     self.listen(e);
                 }
             }
@@ -382,24 +354,20 @@
         }
     }
 
-    /// What other fronts usually hold of an engine like this one.
     fn usual(&self, e: EngineId) -> Load {
-        self.usual
-            .get(self.engines.kind[e])
-            .map_or(Load::default(), |u| u.times(self.engines.size[e].threads))
+        let each = self.usual.get(self.engines.kind[e]).copied().unwrap_or_default();
+        each.times(self.engines.size[e].threads)
     }
 
-    /// Learns from a load report what an engine holds that is not of this front.
     fn reported(&mut self, e: EngineId, report: &Report) {
         let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
-        let (own, count, size) =
-            (self.engines.own[e], self.engines.out[e].len() as f64, self.engines.size[e]);
+        let (own, size) = (self.engines.own[e], self.engines.size[e]);
+        let count = self.engines.out[e].len() as f64;
         let active = read(self.agreed.report.active).map_or(0.0, |active| (active - count).max(0.0));
         let each = if self.many { self.ran.threads } else { either(own.threads, 1.0) / count.max(1.0) };
         let need = if self.many { self.ran.memory } else { 0.0 };
-        let granted =
-            read(self.agreed.report.memory_granted).map(|x| (x * size.memory - own.memory).max(0.0));
-        let told = Load { threads: active * each, memory: granted.unwrap_or(active * need) };
+        let granted = read(self.agreed.report.memory_granted).map(|x| x * size.memory - own.memory);
+        let told = Load { threads: active * each, memory: granted.unwrap_or(active * need).max(0.0) };
         (self.engines.seen[e], self.engines.told[e]) = (own, self.now);
         self.engines.others[e].blend(told, if self.many { 1.0 } else { 0.5 });
         if let Some(usual) = self.usual.get_mut(self.engines.kind[e]) {
@@ -415,7 +383,7 @@
         let quiet = |(id, n): &&(StatementId, usize)| {
             let s = &self.statements[id];
             let x = &s.executions[*n];
-            let usual = SILENCE + (SILENCE_RUNS * self.learned[s.asked.workload].run.value) as Micros;
+            let usual = SECOND + (SILENCE_RUNS * self.learned[s.asked.workload].run.value) as Micros;
             let patience = if noted > 0 { (SILENT_NOTES * noted as f64) as Micros } else { usual };
             let heard = if noted > 0 { x.heard } else { x.sent.max(self.engines.heard[e]) };
             !x.quiet && self.now - heard.max(self.awake) > patience
@@ -440,7 +408,12 @@
     }
 
     fn tries_left(&self, s: &Statement) -> bool {
-        s.executions.len() < self.agreed.most_executions && self.further_allowed()
+        let within = self.agreed.further.is_none_or(|budget| {
+            let since = self.now - budget.window;
+            let used = self.further.after(since - 1);
+            used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
+        });
+        within && s.executions.len() < self.agreed.most_executions
     }
 
     fn noted(&mut self, id: StatementId, n: usize, e: EngineId, note: Note) {
@@ -472,14 +445,6 @@
         }
     }
 
-    fn further_allowed(&self) -> bool {
-        self.agreed.further.is_none_or(|budget| {
-            let since = self.now - budget.window;
-            let used = self.further.after(since - 1);
-            used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
-        })
-    }
-
     fn cold(&self, e: EngineId) -> bool {
         self.now < self.engines.cold_until[e]
     }
@@ -505,11 +470,11 @@
     /// this front's share of what the engine can do by now: any window holds less than the overload factor.
     fn pushed(&self, e: EngineId) -> (f64, f64) {
         let rate = self.warmth(e) * self.engines.size[e].threads / self.agreed.fronts;
-        let window = self.agreed.fall_window as f64;
-        let most = (self.agreed.overload_factor * COLD_MARGIN - 0.5).max(0.1) * rate * window;
+        let burst = (self.agreed.overload_factor * COLD_MARGIN - 0.5).max(0.1) * rate;
+        let most = if self.many { 0.0 } else { burst * self.agreed.fall_window as f64 };
         let (pushed, at) = self.engines.pushed[e];
-        let most = if self.many { f64::INFINITY } else { most };
-        ((pushed.min(most) - rate * (self.now - at) as f64).max(0.0), most)
+        let pushed = if self.many { pushed } else { pushed.min(most) };
+        ((pushed - rate * (self.now - at) as f64).max(0.0), most)
     }
 
     /// The one gate: whether the rules let this statement be sent to this engine now; never a second copy.
@@ -518,25 +483,14 @@
         let workload = self.workload(s);
         let entry = self.engines.listed[e].as_ref().filter(|_| self.engines.open[e]);
         let Some(entry) = entry else { return false };
-        if s.over
-            || !Self::placed(workload, entry)
-            || s.is_out()
-            || self.now >= s.ends
-            || !self.has_turn(id, s)
-        {
-            return false;
-        }
+        let open = !s.over && !s.is_out() && Self::placed(workload, entry);
         let (pushed, most) = self.pushed(e);
-        if self.cold(e)
-            && if self.many {
-                pushed > 0.0
-            } else {
-                pushed + self.learned[s.asked.workload].work.value > most
-            }
-        {
-            return false;
-        }
-        s.executions.is_empty() || self.may_repeat(s, Some(entry))
+        let work = if self.many { 0.0 } else { self.learned[s.asked.workload].work.value };
+        let bears = !self.cold(e) || pushed + work <= most;
+        open && bears
+            && self.now < s.ends
+            && self.has_turn(id, s)
+            && (s.executions.is_empty() || self.may_repeat(s, Some(entry)))
     }
 
     fn placed(workload: &Workload, entry: &Listed) -> bool {
@@ -556,7 +510,7 @@
             });
             same && self.now - x.sent < workload.dedup_window
         };
-        let harmless = Self::may_have_run(s).all(|x| match workload.effect {
+        let harmless = s.may_have_run().all(|x| match workload.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
             Effect::Deduplicated => dropped(x),
@@ -600,25 +554,24 @@
             }
             let Some(entry) = &self.engines.listed[e] else { continue };
             let (size, own) = (self.engines.size[e], self.engines.own[e]);
-            let (credit, warmth, many) = (self.engines.credit[e], self.warmth(e), self.many);
-            let credit = if many { (credit / TRUSTED).min(1.0) } else { credit };
-            let bound = self.engines.bound[e] * credit.max(0.01) * warmth;
+            let credit = (self.engines.credit[e] / TRUSTED).min(1.0);
+            let bound = self.engines.bound[e] * credit.max(0.01) * self.warmth(e);
             let memory = size.memory * MEMORY_USED * (bound / (THREADS_PER_CORE * size.threads)).min(1.0);
             // What this front has added since the last report, the others are taken to have added too.
             let (mut others, mut added) = (self.engines.others[e], own);
             added.add(self.engines.seen[e], -1.0);
             others.add(added, self.agreed.fronts - 1.0);
-            let whole = size.threads * warmth * if many { credit } else { 1.0 };
-            let room = MOST_PER_CORE * whole - others.threads;
-            let room = if many { room } else { bound.min(room) } - own.threads;
-            let taken = own.memory + s.load.memory;
-            let full = taken + others.memory > size.memory;
-            let fits = room >= workload.threads && (taken <= memory || many) && !full;
-            let idle = if many { alone } else { self.engines.out[e].is_empty() && room > 0.0 && !full };
-            let spare = IDLE * whole - others.threads - own.threads;
-            if over && (spare < workload.threads || self.engines.told[e] < self.now - FRESH) {
+            let whole = MOST_PER_CORE * size.threads * self.warmth(e);
+            let share = if self.many { whole * credit } else { bound };
+            let room = share.min(whole - others.threads) - own.threads;
+            let seldom = whole * IDLE / MOST_PER_CORE - others.threads - own.threads;
+            if over && (seldom < workload.threads || self.engines.told[e] < self.now - FRESH) {
                 continue;
             }
+            let taken = own.memory + s.load.memory;
+            let full = taken + others.memory > size.memory;
+            let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
+            let idle = if self.many { alone } else { self.engines.out[e].is_empty() && room > 0.0 && !full };
             let needs = |w: &Workload| is_bound(w) && Self::placed(w, entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
             let room = if scarce { room - SCARCE * size.threads } else { room };
@@ -633,7 +586,8 @@
     /// Lets held statements leave: those past their latest start, then by penalty, ties by arrival.
     fn release(&mut self) {
         let deltas: Vec<f64> = (0..self.classes.len()).map(|c| self.delta(c)).collect();
-        for id in self.overdue.iter().copied().take(HEADS).collect::<Vec<_>>() {
+        let heads = |held: &BTreeSet<StatementId>| held.iter().copied().take(HEADS).collect::<Vec<_>>();
+        for id in heads(&self.overdue) {
             self.try_release(id);
         }
         let mut waiting: Vec<usize> = (0..self.classes.len()).collect();
@@ -650,15 +604,12 @@
                 a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
             });
             let Some(class) = first else { break };
-            // One that needs much memory does not stop those behind it.
-            let heads: Vec<_> = self.classes[class].ready.iter().copied().take(HEADS).collect();
-            if !heads.into_iter().any(|id| self.try_release(id)) {
+            if !heads(&self.classes[class].ready).into_iter().any(|id| self.try_release(id)) {
                 waiting.retain(|c| *c != class);
             }
         }
-        let unasked = self.classes.iter().all(|c| c.ready.is_empty());
-        for id in self.late.iter().copied().take(HEADS).filter(|_| unasked).collect::<Vec<_>>() {
-            self.try_release(id);
+        if self.classes.iter().all(|c| c.ready.is_empty()) {
+            heads(&self.late).into_iter().for_each(|id| _ = self.try_release(id));
         }
     }
 
@@ -711,7 +662,6 @@
         }
     }
 
-    /// Sets the priority of a statement that runs anew, if its standing has changed.
     fn prioritise(&mut self, id: StatementId) {
         let priority = self.priority(id);
         let Some(s) = self.statements.get_mut(&id).filter(|s| !s.over) else { return };
@@ -721,7 +671,6 @@
         }
     }
 
-    /// Takes credit from an engine, and rests it where it seems gone.
     fn spend(&mut self, e: EngineId, left: f64) {
         self.engines.credit[e] *= left;
         if left <= SPENT_LOST {
@@ -733,8 +682,8 @@
         let (now, e) = (self.now, x.engine);
         self.engines.know(e, TRUSTED);
         let Some(s) = self.statements.get_mut(&x.statement) else { return };
-        let out = |x: &&mut Execution| x.outcome.is_none();
-        let Some(execution) = s.executions.get_mut(x.execution).filter(out) else { return };
+        let execution = s.executions.get_mut(x.execution).filter(|x| x.outcome.is_none());
+        let Some(execution) = execution else { return };
         execution.outcome = Some(x.outcome);
         let quiet = execution.quiet;
         let (key, was_over, ends, load) = (s.asked.key, s.over, s.ends, s.load);
@@ -783,7 +732,6 @@
         }
     }
 
-    /// The threads that this front may have out on all engines together, and those that it has.
     fn pool(&self) -> (f64, f64) {
         let open = (0..self.engines.open.len()).filter(|e| self.engines.open[*e]);
         open.fold((0.0, 0.0), |(bound, own), e| {
@@ -793,26 +741,21 @@
 
     /// Moves an engine's bound, or all alike: a front among many hears too seldom of each to know its own.
     fn sway(&mut self, e: EngineId, threads: f64) {
-        let factor = 1.0 + (threads / self.pool().0.max(0.01)).max(-0.5);
-        let most = |size: &Load| MOST_PER_CORE * size.threads;
-        let least = |size: &Load| LEAST_SHARE * THREADS_PER_CORE * size.threads / self.agreed.fronts;
-        if self.many {
-            for (bound, size) in self.engines.bound.iter_mut().zip(&self.engines.size) {
-                *bound = (*bound * factor).clamp(least(size), most(size));
-            }
-        } else {
-            let bound = self.engines.bound[e] + threads;
-            self.engines.bound[e] = bound.clamp(LEAST_BOUND, most(&self.engines.size[e]));
+        let moved = if self.many { 0..self.engines.open.len() } else { e..e + 1 };
+        let all: f64 = self.engines.bound[moved.clone()].iter().sum();
+        for e in moved {
+            let cores = self.engines.size[e].threads;
+            let least = LEAST_BOUND.min(LEAST_SHARE * THREADS_PER_CORE * cores / self.agreed.fronts);
+            let bound = self.engines.bound[e] * (1.0 + threads / all.max(0.01)).max(0.5);
+            self.engines.bound[e] = bound.clamp(least, MOST_PER_CORE * cores);
         }
     }
 
-    /// Learns from a good answer: the engine's credit and bound, the workload's means.
     fn completed(&mut self, x: &Ended, threads: f64) {
         let (now, e, took) = (self.now, x.engine, x.took as f64);
         let s = &self.statements[&x.statement];
-        let spilled = s.executions[x.execution].spilled;
-        let (w, basis, estimate, estimated_mb) =
-            (s.asked.workload, self.basis(s), s.asked.work, s.asked.memory_mb);
+        let (w, spilled, basis) = (s.asked.workload, s.executions[x.execution].spilled, self.basis(s));
+        let (estimate, estimated_mb) = (s.asked.work, s.asked.memory_mb);
         let slo = self.slo_time(s, x.cost) as f64;
         self.engines.heard[e] = now;
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
@@ -842,9 +785,9 @@
     /// Ends a statement unanswered: a rejection where trying again is harmless, else an abort.
     fn give_up(&mut self, id: StatementId) {
         let s = &self.statements[&id];
-        let (w, workload) = (s.asked.workload, self.workload(s));
-        let first = s.first_asked == s.ends - s.asked.time_left;
-        let ran = Self::may_have_run(s).next().is_some();
+        let workload = self.workload(s);
+        let ran = s.may_have_run().next().is_some();
+        let (w, first) = (s.asked.workload, s.first_asked == s.ends - s.asked.time_left);
         let harmless = match workload.effect {
             Effect::Idempotent => true,
             Effect::Deduplicated => !ran || workload.dedup_group == DedupGroup::All,
@@ -857,7 +800,7 @@
         } else {
             self.actions.push(Action::Abort { statement: id });
         }
-        self.learned[w].given_up += if first { 1.0 } else { 0.0 };
+        self.learned[w].given_up += f64::from(u8::from(first));
         self.close(id, false);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,23 @@
     }
 }
 
+/// Tokens that come at a rate, up to one second's worth or one.
+#[derive(Default, Clone)]
+pub struct Bucket {
+    pub left: f64,
+    pub at: Micros,
+}
+
+impl Bucket {
+    pub fn take(&mut self, rate: f64, now: Micros) -> bool {
+        self.left = (self.left + rate * (now - self.at) as f64 / 1e6).min(rate.max(1.0));
+        self.at = now;
+        let had = self.left >= 1.0;
+        self.left -= f64::from(u8::from(had));
+        had
+    }
+}
+
 /// Times of events, oldest first.
 #[derive(Default)]
 pub struct Times(pub VecDeque<Micros>);
@@ -106,6 +123,16 @@
 }
 
 impl Statement {
+    pub fn new(asked: Arrival, class: usize, first_asked: Micros, ends: Micros, load: Load) -> Self {
+        Statement { asked, class, first_asked, ends, load, priority: 1, executions: Vec::new(), over: false }
+    }
+
+    /// Executions that their outcomes do not prove to have been without effect.
+    pub fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
+        let unseen = [Outcome::NoRoom, Outcome::NoRoute, Outcome::NotSent];
+        self.executions.iter().filter(move |x| x.outcome.is_none_or(|o| !unseen.contains(&o)))
+    }
+
     pub fn is_out(&self) -> bool {
         self.executions.iter().any(|e| e.outcome.is_none())
     }
