--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,15 +3,15 @@
 //! in order. Nothing else goes in or out: no clock, no input or output, and chance only from the seed.
 //! The types stand in `interface.rs`; docs/design.md says what is the paper's and what is ours.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
 use crate::state::*;
 
 const SECOND: Micros = 1_000_000; // microseconds
-/// Conformance that opens each service level; the design page's values.
-const BOUNDARIES: [f64; 4] = [1.0, 0.9, 0.8, 0.0];
-const HALF_LIFE: f64 = 10.0; // seconds until a count of conformance has halved; the design page's value
+const BOUNDARIES: [f64; 4] = [1.0, 0.9, 0.8, 0.0]; // conformance that opens each level; the design page's
+const HALF_LIFE: Micros = 10 * SECOND; // time until a count of conformance has halved; the design page's value
 const UNSEEN: f64 = 0.05; // statements, counted as timely on top, so that an unseen class has conformance 1
 const THREADS_PER_CORE: f64 = 2.0; // threads a core that all fronts may use at start; the design page's value
 const MOST_PER_CORE: f64 = 3.0; // threads a core that all fronts may use at most; some of them read
@@ -55,11 +55,6 @@
 const OUTDATED: f64 = 0.02; // share of what one engine told that each look turns into the usual: half in 3.5 s
 
 impl ServiceClass {
-    fn fade(&mut self, now: Micros) {
-        let left = 0.5f64.powf((now - self.at) as f64 / SECOND as f64 / HALF_LIFE);
-        (self.timely, self.counted, self.at) = (self.timely * left, self.counted * left, now);
-    }
-
     fn conformance(&self) -> f64 {
         (self.timely + UNSEEN) / (self.counted + UNSEEN)
     }
@@ -161,10 +156,9 @@
         }
         self.sweep();
         self.release();
-        if let Some(budget) = self.agreed.further {
-            self.taken.forget(now - budget.window);
-            self.further.forget(now - budget.window);
-        }
+        let window = self.agreed.further.map_or(0, |budget| budget.window);
+        self.taken.forget(now - window);
+        self.further.forget(now - window);
         if self.wake <= now {
             self.wake = now + SWEEP;
             self.actions.push(Action::Wake { at: self.wake });
@@ -218,7 +212,6 @@
         either(s.asked.work / self.workload(s).threads, SECOND as f64)
     }
 
-    /// When a statement can no longer be answered within its SLO time if it starts later.
     fn last_timely_start(&self, s: &Statement) -> Micros {
         let slo = self.slo_time(s, None);
         let run = self.learned[s.asked.workload].pace.value * self.basis(s) * SLOW_RUN;
@@ -279,12 +272,11 @@
     /// Puts a statement among those that may leave, if its order key lets it, and notes when that changes.
     fn hold(&mut self, id: StatementId) {
         let Some(s) = self.statements.get(&id).filter(|s| !s.over && !s.is_out()) else { return };
-        let (class, ends) = (s.class, s.ends - LAST_CALL);
-        let (timely, latest) = (self.last_timely_start(s), self.latest_start(s));
+        let (class, timely, latest) = (s.class, self.last_timely_start(s), self.latest_start(s));
         let rests_until = s.asked.key.and_then(|key| self.turns.get(&key)).map_or(0, |t| t.rests_until);
         let has_turn = self.has_turn(id, s);
         // Once it is to be given up it is due now; till then at the next turn of its standing.
-        let ends = if self.hopeless(s) { self.now } else { ends };
+        let ends = if self.hopeless(s) { self.now } else { s.ends - LAST_CALL };
         let next = [timely, latest, rests_until].into_iter().filter(|t| *t > self.now).min();
         self.due.insert((next.map_or(ends, |t| t.min(ends)), id));
         self.unhold(id);
@@ -311,8 +303,8 @@
             self.due.remove(&(at, id));
             let Some(s) = self.statements.get(&id).filter(|s| !s.over) else { continue };
             // Past its latest start one goes ahead of all, unless others wait that can still be in time.
-            let pressed =
-                self.now >= self.latest_start(s) && self.classes.iter().any(|c| !c.ready.is_empty());
+            let others_wait = || self.classes.iter().any(|c| !c.ready.is_empty());
+            let pressed = self.now >= self.latest_start(s) && others_wait();
             if s.is_out() {
                 self.prioritise(id);
             } else if self.now >= s.ends - LAST_CALL || self.hopeless(s) || pressed {
@@ -379,14 +371,17 @@
     /// answers lost on the way, a statement stuck in a sound engine. Where notes of progress are agreed, each
     /// execution must be heard of; else its engine. It could stop executions whose notes alone are lost.
     fn listen(&mut self, e: EngineId) {
-        let noted = self.agreed.progress_every;
         let quiet = |(id, n): &&(StatementId, usize)| {
             let s = &self.statements[id];
             let x = &s.executions[*n];
-            let usual = SECOND + (SILENCE_RUNS * self.learned[s.asked.workload].run.value) as Micros;
-            let patience = if noted > 0 { (SILENT_NOTES * noted as f64) as Micros } else { usual };
-            let heard = if noted > 0 { x.heard } else { x.sent.max(self.engines.heard[e]) };
-            !x.quiet && self.now - heard.max(self.awake) > patience
+            let (heard, patience) = match self.agreed.progress_every {
+                0 => (
+                    x.sent.max(self.engines.heard[e]),
+                    SECOND as f64 + SILENCE_RUNS * self.learned[s.asked.workload].run.value,
+                ),
+                every => (x.heard, SILENT_NOTES * every as f64),
+            };
+            !x.quiet && (self.now - heard.max(self.awake)) as f64 > patience
         };
         let stuck: Vec<_> = self.engines.out[e].iter().filter(quiet).copied().collect();
         for (id, n) in stuck {
@@ -483,7 +478,7 @@
         let workload = self.workload(s);
         let entry = self.engines.listed[e].as_ref().filter(|_| self.engines.open[e]);
         let Some(entry) = entry else { return false };
-        let open = !s.over && !s.is_out() && Self::placed(workload, entry);
+        let open = !s.over && !s.is_out() && workload.allows(entry);
         let (pushed, most) = self.pushed(e);
         let work = if self.many { 0.0 } else { self.learned[s.asked.workload].work.value };
         let bears = !self.cold(e) || pushed + work <= most;
@@ -493,21 +488,13 @@
             && (s.executions.is_empty() || self.may_repeat(s, Some(entry)))
     }
 
-    fn placed(workload: &Workload, entry: &Listed) -> bool {
-        let named = |list: &Option<Vec<usize>>, place| list.as_ref().is_none_or(|l| l.contains(&place));
-        named(&workload.locations, entry.location) && named(&workload.kinds, entry.kind)
-    }
-
-    /// Whether a statement may get a further execution, at a given engine or anywhere.
     fn may_repeat(&self, s: &Statement, at: Option<&Listed>) -> bool {
         let workload = self.workload(s);
         let dropped = |x: &Execution| {
             let earlier = self.engines.listed[x.engine].as_ref();
-            let same = at.zip(earlier).is_none_or(|(at, earlier)| match workload.dedup_group {
-                DedupGroup::All => true,
-                DedupGroup::Location => at.location == earlier.location,
-                DedupGroup::Cell => at.cell == earlier.cell,
-            });
+            let same = at
+                .zip(earlier)
+                .is_none_or(|(at, earlier)| at.drops_repeats_of(earlier, workload.dedup_group));
             same && self.now - x.sent < workload.dedup_window
         };
         let harmless = s.may_have_run().all(|x| match workload.effect {
@@ -518,14 +505,12 @@
         harmless && self.tries_left(s)
     }
 
-    /// Whether a statement is at the head of its order key, with nothing earlier out and the key rested.
     fn has_turn(&self, id: StatementId, s: &Statement) -> bool {
         let rested = |t: &Turn| t.rests_until <= self.now || !s.executions.is_empty();
         let turn = s.asked.key.and_then(|key| self.turns.get(&key));
         turn.is_none_or(|t| t.line.front() == Some(&id) && t.astray == 0 && rested(t))
     }
 
-    /// The roomiest engine that is allowed, sound and has room.
     fn place(&self, id: StatementId) -> Option<EngineId> {
         let s = &self.statements[&id];
         let workload = self.workload(s);
@@ -564,19 +549,17 @@
             let whole = MOST_PER_CORE * size.threads * self.warmth(e);
             let share = if self.many { whole * credit } else { bound };
             let room = share.min(whole - others.threads) - own.threads;
-            let seldom = whole * IDLE / MOST_PER_CORE - others.threads - own.threads;
-            if over && (seldom < workload.threads || self.engines.told[e] < self.now - FRESH) {
-                continue;
-            }
+            let spare = whole * IDLE / MOST_PER_CORE - others.threads - own.threads;
+            let within = !over || spare >= workload.threads && self.engines.told[e] >= self.now - FRESH;
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
             let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
             let idle = if self.many { alone } else { self.engines.out[e].is_empty() && room > 0.0 && !full };
-            let needs = |w: &Workload| is_bound(w) && Self::placed(w, entry);
+            let needs = |w: &Workload| is_bound(w) && w.allows(entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
             let room = if scarce { room - SCARCE * size.threads } else { room };
             let room = if tried { room - LAST_CHOICE } else { room };
-            if (idle || fits) && room > best_room {
+            if (idle || fits && within) && room > best_room {
                 (best, best_room) = (Some(e), room);
             }
         }
@@ -585,27 +568,24 @@
 
     /// Lets held statements leave: those past their latest start, then by penalty, ties by arrival.
     fn release(&mut self) {
-        let deltas: Vec<f64> = (0..self.classes.len()).map(|c| self.delta(c)).collect();
         let heads = |held: &BTreeSet<StatementId>| held.iter().copied().take(HEADS).collect::<Vec<_>>();
         for id in heads(&self.overdue) {
             self.try_release(id);
         }
-        let mut waiting: Vec<usize> = (0..self.classes.len()).collect();
-        let now = self.now;
-        waiting.iter().for_each(|c| self.classes[*c].fade(now));
-        loop {
-            waiting.retain(|c| !self.classes[*c].ready.is_empty());
-            let standing = |c: &usize| {
-                let class = &self.classes[*c];
-                (penalty(class.conformance(), deltas[*c]), class.ready.first().copied())
+        let mut waiting: Vec<(f64, usize)> = Vec::new();
+        for class in 0..self.classes.len() {
+            self.classes[class].fade(self.now, HALF_LIFE);
+            waiting.push((penalty(self.classes[class].conformance(), self.delta(class)), class));
+        }
+        while !waiting.is_empty() {
+            let oldest = |class: usize| Reverse(self.classes[class].ready.first().copied());
+            let order = |a: &(f64, usize), b: &(f64, usize)| {
+                a.0.total_cmp(&b.0).then_with(|| oldest(a.1).cmp(&oldest(b.1)))
             };
-            let first = waiting.iter().copied().max_by(|a, b| {
-                let (a, b) = (standing(a), standing(b));
-                a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))
-            });
-            let Some(class) = first else { break };
-            if !heads(&self.classes[class].ready).into_iter().any(|id| self.try_release(id)) {
-                waiting.retain(|c| *c != class);
+            let Some(&(_, class)) = waiting.iter().max_by(|a, b| order(a, b)) else { break };
+            let left = heads(&self.classes[class].ready).into_iter().any(|id| self.try_release(id));
+            if !left || self.classes[class].ready.is_empty() {
+                waiting.retain(|w| w.1 != class);
             }
         }
         if self.classes.iter().all(|c| c.ready.is_empty()) {
@@ -818,7 +798,7 @@
         let counts = &mut self.classes[class];
         counts.out.remove(&id);
         let before = counts.on_top();
-        counts.fade(now);
+        counts.fade(now, HALF_LIFE);
         counts.counted += 1.0;
         counts.timely += f64::from(u8::from(timely));
         if counts.on_top() != before {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,6 +46,14 @@
     pub kinds: Option<Vec<usize>>,
 }
 
+impl Workload {
+    /// Whether the engine is of a location and a kind that the workload is agreed to run on.
+    pub fn allows(&self, at: &Listed) -> bool {
+        let named = |list: &Option<Vec<usize>>, place| list.as_ref().is_none_or(|l| l.contains(&place));
+        named(&self.locations, at.location) && named(&self.kinds, at.kind)
+    }
+}
+
 /// Which load figures the engines' reports hold, by their place in the report.
 #[derive(Clone, Debug, Default)]
 pub struct ReportPlaces {
@@ -110,6 +118,17 @@
     pub started: Option<Micros>,
 }
 
+impl Listed {
+    /// Whether both engines are in one group that drops the repeats of a statement.
+    pub fn drops_repeats_of(&self, other: &Listed, group: DedupGroup) -> bool {
+        match group {
+            DedupGroup::All => true,
+            DedupGroup::Location => self.location == other.location,
+            DedupGroup::Cell => self.cell == other.cell,
+        }
+    }
+}
+
 /// A load report: the figures in the order the agreement names.
 pub type Report = Vec<f64>;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,14 @@
     pub out: BTreeSet<StatementId>,
 }
 
+impl ServiceClass {
+    /// Lets the counts halve with each half-life since the last call.
+    pub fn fade(&mut self, now: Micros, half_life: Micros) {
+        let left = 0.5f64.powf((now - self.at) as f64 / half_life as f64);
+        (self.timely, self.counted, self.at) = (self.timely * left, self.counted * left, now);
+    }
+}
+
 /// A learned mean and how many samples it has taken.
 #[derive(Default, Clone, Copy)]
 pub struct Mean {
