--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,15 +11,14 @@
 
 const SECOND: Micros = 1_000_000; // microseconds
 const BOUNDARIES: [f64; 4] = [1.0, 0.9, 0.8, 0.0]; // conformance that opens each level; the design page's
-const HALF_LIFE: Micros = 10 * SECOND; // time until a count of conformance has halved; the design page's value
+const HALF_LIFE: Micros = 10 * SECOND; // until a count of conformance has halved; the design page's value
 const UNSEEN: f64 = 0.05; // statements, counted as timely on top, so that an unseen class has conformance 1
 const THREADS_PER_CORE: f64 = 2.0; // threads a core that all fronts may use at start; the design page's value
 const MOST_PER_CORE: f64 = 3.0; // threads a core that all fronts may use at most; some of them read
 const MEMORY_USED: f64 = 0.9; // share of memory promised at the starting bound; the rest covers low estimates
 const QUICK: f64 = 0.35; // share of the SLO time; answers within it say that there is room left
-const GROWTH: f64 = 0.15; // threads gained
-const LEAST_BOUND: f64 = 1.0; // threads; the bound stays above nothing, so no engine is given up for good
-const LEAST_SHARE: f64 = 0.5;
+const GROWTH: f64 = 0.15; // threads gained among many fronts for each thread-second answered quickly
+const LEAST_SHARE: f64 = 0.06; // of the bound at start; one thread of eight cores: no engine is given up
 const IDLE: f64 = 1.0; // threads a core up to which fresh news lets a front among many beyond its share
 const FRESH: Micros = SECOND; // age of such news; reports are refreshed about once a second
 const SHRINK: f64 = 0.2; // threads lost for each thread of a late answer: a jam is all late
@@ -30,7 +29,7 @@
 const SPENT_LOST: f64 = 0.2; // factor on credit for no route or whole silence: the process may be gone
 const TRUSTED: f64 = 0.5; // credit from which further executions go to an engine, and which a new one has
 const LOST_REST: Micros = SECOND; // rest of an engine that seems gone: a try a second finds it soon
-const SILENCE_RUNS: f64 = 4.0; // and for so many of the usual run times of what is out there
+const SILENCE_RUNS: f64 = 4.0; // usual run times, and a second, that one may be silent for without notes
 const SILENT_NOTES: f64 = 1.5; // gaps between notes of progress, where agreed, that one may be silent for
 const BAD_PLAN: f64 = 6.0; // times the expected run time that an execution must head for to be given up
 const LATE_WORTH: f64 = 0.25; // late share under which a statement that must be late is given up at once
@@ -42,7 +41,6 @@
 const PROBES: f64 = 1.0; // probes that each statement taken pays for
 const MOST_PROBES: f64 = 8.0; // probes that may be saved up
 const HEADS: usize = 8; // statements tried of a class, the overdue or the late: the next mostly need as much
-const LAST_CHOICE: f64 = 1000.0; // threads taken off the room of an engine already tried: it comes last
 const ENOUGH: f64 = 0.99; // factor on the memory need learned when one had enough and no cost is told
 const SLOW_RUN: f64 = 2.0; // times the usual run that a start still counts as timely for: half run longer
 const SCARCE: f64 = 1.0; // threads a core an engine counts as fuller where bound workloads need it
@@ -50,9 +48,9 @@
 const COME_BACK: f64 = 0.3; // seconds after which a rejected client may try again, spread by half
 const REMEMBERED: f64 = 0.99; // share of those given up that may still come back, at each arrival
 const SAME_TRY: Micros = 20_000; // microseconds less time than a first try has that mark a later one
-const STOOD_STILL: Micros = 4 * SWEEP; // microseconds between two calls after which a front has missed its turns
+const STOOD_STILL: Micros = 4 * SWEEP; // between two calls; a front that waits so long has missed its turns
 const FORGOTTEN: f64 = 0.007; // share of what reports told that each look forgets: half is gone in about 10 s
-const OUTDATED: f64 = 0.02; // share of what one engine told that each look turns into the usual: half in 3.5 s
+const OUTDATED: f64 = 0.02; // share of what one engine told that a look turns into the usual: half in 3.5 s
 
 impl ServiceClass {
     fn conformance(&self) -> f64 {
@@ -97,7 +95,6 @@
     taken: Times,
     further: Times,
     many: bool,       // so many fronts that a share of one engine's bound holds no statement
-    usual: Vec<Load>, // what other fronts hold for each core, by kind of engine
     asked_work: Mean, // work of a statement taken, in microseconds on one thread
     ran: Load,        // what a statement usually holds while it runs
     may_probe: f64,   // probes that statements have paid for
@@ -111,15 +108,14 @@
         let classes = agreed.workloads.len() * customers * 2;
         let guess = Mean { value: 1.0, seen: GUESSED };
         let fresh = Learned { work_bias: guess, memory_bias: guess, ..Learned::default() };
-        let mut chance = Chance(seed.wrapping_mul(2).wrapping_add(1));
-        chance.next(); // a small seed shows in the first number alone
+        let mut chance = Chance::new(seed);
         let narrowest = agreed.workloads.iter().map(|w| w.threads).fold(f64::INFINITY, f64::min);
         let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
         Front {
             first_look: chance.next(),
             asks_next: (chance.next() * 256.0) as usize,
             many: THREADS_PER_CORE * smallest / agreed.fronts < narrowest && agreed.report.active.is_some(),
-            usual: vec![Load::default(); agreed.cores.len().max(1)],
+            engines: Engines { usual: vec![Load::default(); agreed.cores.len()], ..Engines::default() },
             ran: Load { threads: 1.0, memory: 0.0 },
             classes: (0..classes).map(|_| ServiceClass::default()).collect(),
             learned: vec![fresh; agreed.workloads.len()],
@@ -176,20 +172,17 @@
             let known = self.engines.listed[e].as_ref();
             let restarted = known.is_none_or(|k| k.started != entry.started);
             if known.is_none() {
-                let of_kind = |list: &[f64], other| list.get(entry.kind).copied().unwrap_or(other);
-                let threads = of_kind(&self.agreed.cores, 1.0);
-                let memory = of_kind(&self.agreed.memory_mb, f64::INFINITY);
+                let of = |list: &[f64], other| list.get(entry.kind).copied().unwrap_or(other);
+                let (threads, memory) = (of(&self.agreed.cores, 1.0), of(&self.agreed.memory_mb, f64::MAX));
                 self.engines.size[e] = Load { threads, memory };
                 self.engines.bound[e] = THREADS_PER_CORE * threads / self.agreed.fronts;
             }
             if let Some(start) = entry.started.filter(|_| restarted) {
-                self.engines.credit[e] = TRUSTED;
-                self.engines.rests_until[e] = 0;
+                (self.engines.credit[e], self.engines.rests_until[e]) = (TRUSTED, 0);
                 self.engines.others[e] = Load::default();
                 self.found_cold(e, start + self.agreed.warm_within);
             }
-            self.engines.open[e] = entry.mode == Mode::Ready;
-            self.engines.kind[e] = entry.kind;
+            (self.engines.open[e], self.engines.kind[e]) = (entry.mode == Mode::Ready, entry.kind);
             self.engines.listed[e] = Some(entry);
         }
     }
@@ -245,15 +238,14 @@
         let missing = learned.first_try - a.time_left;
         let later = missing > SAME_TRY && learned.given_up >= 1.0;
         learned.given_up = learned.given_up * REMEMBERED - f64::from(u8::from(later));
-        let stood = self.awake == self.now && missing <= gap;
         let past = if later { (workload.statement_timeout - a.time_left).max(0) } else { 0 };
-        let spent = if stood { missing } else { past };
+        let spent = if self.awake == self.now && missing <= gap { missing } else { past };
         if a.work > 0.0 {
             learned.work.take(LEARNING, a.work * learned.work_bias.value);
         }
         let memory = either(a.memory_mb * learned.memory_bias.value, learned.memory.value);
-        let engine_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
-        let memory = memory.min(engine_mb * self.agreed.largest_grant);
+        let least_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
+        let memory = memory.min(least_mb * self.agreed.largest_grant);
         self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
         self.taken.0.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
@@ -269,7 +261,6 @@
         self.hold(id);
     }
 
-    /// Puts a statement among those that may leave, if its order key lets it, and notes when that changes.
     fn hold(&mut self, id: StatementId) {
         let Some(s) = self.statements.get(&id).filter(|s| !s.over && !s.is_out()) else { return };
         let (class, timely, latest) = (s.class, self.last_timely_start(s), self.latest_start(s));
@@ -315,13 +306,11 @@
         }
         if self.wake <= self.now {
             self.sweeps += 1;
-            if self.agreed.report_on_probe && self.agreed.probes {
-                self.probe();
-            }
+            self.probe();
             if self.sweeps.is_multiple_of(SWEEPS_PER_LOOK) {
-                self.usual.iter_mut().for_each(|usual| usual.blend(Load::default(), FORGOTTEN));
+                self.engines.usual.iter_mut().for_each(|usual| usual.blend(Load::default(), FORGOTTEN));
                 for e in 0..self.engines.open.len() {
-                    let usual = if self.many { self.usual(e) } else { Load::default() };
+                    let usual = if self.many { self.engines.usual(e) } else { Load::default() };
                     self.engines.others[e].blend(usual, if self.many { OUTDATED } else { FORGOTTEN });
                     self.listen(e);
                 }
@@ -331,10 +320,10 @@
 
     /// Asks engines for their load where only probes bring it, in turn, as often as statements pay for.
     fn probe(&mut self) {
-        let count = self.engines.open.len();
+        let (count, asks) = (self.engines.open.len(), self.agreed.report_on_probe && self.agreed.probes);
         for _ in 0..count {
             let e = self.asks_next % count;
-            if self.may_probe < 1.0 || self.engines.probed[e] > self.now - PROBE_GAP {
+            if !asks || self.may_probe < 1.0 || self.engines.probed[e] > self.now - PROBE_GAP {
                 return;
             }
             self.asks_next = e + 1;
@@ -346,11 +335,6 @@
         }
     }
 
-    fn usual(&self, e: EngineId) -> Load {
-        let each = self.usual.get(self.engines.kind[e]).copied().unwrap_or_default();
-        each.times(self.engines.size[e].threads)
-    }
-
     fn reported(&mut self, e: EngineId, report: &Report) {
         let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
         let (own, size) = (self.engines.own[e], self.engines.size[e]);
@@ -362,7 +346,7 @@
         let told = Load { threads: active * each, memory: granted.unwrap_or(active * need).max(0.0) };
         (self.engines.seen[e], self.engines.told[e]) = (own, self.now);
         self.engines.others[e].blend(told, if self.many { 1.0 } else { 0.5 });
-        if let Some(usual) = self.usual.get_mut(self.engines.kind[e]) {
+        if let Some(usual) = self.engines.usual.get_mut(self.engines.kind[e]) {
             usual.blend(told.times(1.0 / size.threads), LEARNING);
         }
     }
@@ -392,7 +376,6 @@
         }
     }
 
-    /// Cancels an execution so that another can be tried, if that other would be allowed and in time.
     fn stop(&mut self, id: StatementId, n: usize) {
         let s = &self.statements[&id];
         let in_time = self.now + (self.learned[s.asked.workload].run.value as Micros) < s.ends;
@@ -433,32 +416,29 @@
             let s = &self.statements[&id];
             let expected = self.learned[s.asked.workload].pace.value * self.basis(s);
             // Guards against a bad plan, drawn anew at each execution, not against a long statement.
-            let first = s.executions.len() == 1;
-            if first && expected > 0.0 && run / done.max(0.001) > BAD_PLAN * expected && run > expected {
+            let bad = expected > 0.0 && run > expected && run / done.max(0.001) > BAD_PLAN * expected;
+            if bad && s.executions.len() == 1 {
                 self.stop(id, n);
             }
         }
     }
 
-    fn cold(&self, e: EngineId) -> bool {
-        self.now < self.engines.cold_until[e]
-    }
-
     /// Work an engine can do by now, as a share of what it can do when warm.
     fn warmth(&self, e: EngineId) -> f64 {
         let left = (self.engines.cold_until[e] - self.now) as f64 / self.agreed.warm_within.max(1) as f64;
         1.0 - (1.0 - self.agreed.cold_from) * left.clamp(0.0, 1.0)
     }
 
-    /// What an earlier life of this front has sent is not known: it counts as all it might. Where a share holds no
-    /// whole statement, each front waits for a turn drawn by chance: together they send what the shares add up to.
+    /// What an earlier life of this front has sent is not known and counts as all it might. Where a share
+    /// holds no statement, each front waits for a turn drawn by chance: they send what the shares add up to.
     fn found_cold(&mut self, e: EngineId, until: Micros) {
+        self.engines.cold_until[e] = until;
         let pushed = match () {
             _ if self.many => self.chance.next() * either(self.asked_work.value, SECOND as f64),
-            _ if self.started == Some(self.now) => f64::INFINITY,
+            _ if self.started == Some(self.now) => self.pushed(e).1,
             _ => self.engines.pushed[e].0,
         };
-        (self.engines.cold_until[e], self.engines.pushed[e]) = (until, (pushed, self.now));
+        self.engines.pushed[e] = (pushed, self.now);
     }
 
     /// Work pushed at a cold engine and not yet worked off, and how much of it there may be. It drains at
@@ -468,7 +448,6 @@
         let burst = (self.agreed.overload_factor * COLD_MARGIN - 0.5).max(0.1) * rate;
         let most = if self.many { 0.0 } else { burst * self.agreed.fall_window as f64 };
         let (pushed, at) = self.engines.pushed[e];
-        let pushed = if self.many { pushed } else { pushed.min(most) };
         ((pushed - rate * (self.now - at) as f64).max(0.0), most)
     }
 
@@ -480,8 +459,9 @@
         let Some(entry) = entry else { return false };
         let open = !s.over && !s.is_out() && workload.allows(entry);
         let (pushed, most) = self.pushed(e);
-        let work = if self.many { 0.0 } else { self.learned[s.asked.workload].work.value };
-        let bears = !self.cold(e) || pushed + work <= most;
+        let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
+        let bears =
+            self.now >= self.engines.cold_until[e] || pushed + if self.many { 0.0 } else { work } <= most;
         open && bears
             && self.now < s.ends
             && self.has_turn(id, s)
@@ -517,7 +497,7 @@
         let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
-        let ((pool, out), alone) = (self.pool(), self.classes[s.class].out.is_empty());
+        let ((pool, out), alone) = (self.engines.open_totals(), self.classes[s.class].out.is_empty());
         let over = self.many && !alone && out + workload.threads > pool;
         let count = self.engines.open.len();
         // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
@@ -527,7 +507,6 @@
             if !trusted || self.engines.rests_until[e] > self.now || !self.may_execute(id, e) {
                 continue;
             }
-            let tried = s.executions.iter().any(|x| x.engine == e);
             let locked = |(other, _): &(StatementId, usize)| {
                 let other = &self.statements[other];
                 self.workload(other).holds_data && other.asked.data_set == s.asked.data_set
@@ -558,7 +537,6 @@
             let needs = |w: &Workload| is_bound(w) && w.allows(entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
             let room = if scarce { room - SCARCE * size.threads } else { room };
-            let room = if tried { room - LAST_CHOICE } else { room };
             if (idle || fits && within) && room > best_room {
                 (best, best_room) = (Some(e), room);
             }
@@ -612,13 +590,13 @@
         let (now, priority) = (self.now, self.priority(id));
         let s = &self.statements[&id];
         let (class, load, latest) = (s.class, s.load, self.latest_start(s));
-        if self.cold(e) {
+        if now < self.engines.cold_until[e] {
             let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
             self.engines.pushed[e] = (self.pushed(e).0 + work, now);
         }
         let most = self.engines.size[e].memory * self.agreed.largest_grant;
-        let asks = self.agreed.grants && s.asked.memory_mb > 0.0;
-        let grant_mb = if asks { (s.load.memory * GRANTED).min(most) } else { 0.0 };
+        let grants = self.agreed.grants && s.asked.memory_mb > 0.0;
+        let grant_mb = if grants { (s.load.memory * GRANTED).min(most) } else { 0.0 };
         if self.agreed.priorities || grant_mb > 0.0 {
             self.actions.push(Action::Terms { statement: id, grant_mb, priority });
         }
@@ -692,11 +670,12 @@
             // A crash resets all that an engine holds at once; single resets are the network's.
             Outcome::Error | Outcome::TimedOut | Outcome::Reset => self.spend(e, SPENT_ERROR),
             Outcome::NoRoute => self.spend(e, SPENT_LOST),
-            Outcome::NoRoom if self.many => {
+            // One that turns work away is full, whatever its last report said, until it reports again.
+            Outcome::NoRoom => {
                 self.engines.others[e].threads = MOST_PER_CORE * self.engines.size[e].threads;
                 self.sway(e, -SHRINK * load.threads);
             }
-            Outcome::NoRoom | Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::Cancelled | Outcome::NotSent => {}
         }
         if was_over {
             self.forget(x.statement);
@@ -712,20 +691,13 @@
         }
     }
 
-    fn pool(&self) -> (f64, f64) {
-        let open = (0..self.engines.open.len()).filter(|e| self.engines.open[*e]);
-        open.fold((0.0, 0.0), |(bound, own), e| {
-            (bound + self.engines.bound[e] * self.warmth(e), own + self.engines.own[e].threads)
-        })
-    }
-
     /// Moves an engine's bound, or all alike: a front among many hears too seldom of each to know its own.
     fn sway(&mut self, e: EngineId, threads: f64) {
         let moved = if self.many { 0..self.engines.open.len() } else { e..e + 1 };
         let all: f64 = self.engines.bound[moved.clone()].iter().sum();
         for e in moved {
             let cores = self.engines.size[e].threads;
-            let least = LEAST_BOUND.min(LEAST_SHARE * THREADS_PER_CORE * cores / self.agreed.fronts);
+            let least = LEAST_SHARE * THREADS_PER_CORE * cores / self.agreed.fronts;
             let bound = self.engines.bound[e] * (1.0 + threads / all.max(0.01)).max(0.5);
             self.engines.bound[e] = bound.clamp(least, MOST_PER_CORE * cores);
         }
@@ -741,8 +713,11 @@
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
         let share = (took / SECOND as f64).min(1.0) * LEARNING;
         self.ran.blend(Load { threads, memory: s.load.memory }, share);
-        let (bound, held) =
-            if self.many { self.pool() } else { (self.engines.bound[e], self.engines.own[e].threads) };
+        let (bound, held) = if self.many {
+            self.engines.open_totals()
+        } else {
+            (self.engines.bound[e], self.engines.own[e].threads)
+        };
         if took <= slo * QUICK && held + 2.0 * threads >= bound {
             let growth = if self.many { GROWTH } else { 1.0 / bound.max(1.0) };
             self.sway(e, threads * took / SECOND as f64 * growth);
--- a/src/state.rs
+++ b/src/state.rs
@@ -9,6 +9,12 @@
 pub struct Chance(pub u64);
 
 impl Chance {
+    pub fn new(seed: u64) -> Self {
+        let mut chance = Chance(seed.wrapping_mul(2).wrapping_add(1));
+        chance.next(); // a small seed shows in the first number alone
+        chance
+    }
+
     pub fn next(&mut self) -> f64 {
         let old = self.0;
         self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
@@ -185,6 +191,7 @@
     pub listed: Vec<Option<Listed>>,
     pub size: Vec<Load>, // cores and memory
     pub kind: Vec<usize>,
+    pub usual: Vec<Load>, // what other fronts hold for each core, by kind
     pub cold_until: Vec<Micros>,
     pub pushed: Vec<(f64, Micros)>, // work counted against a cold engine's budget, and when
     pub own: Vec<Load>,
@@ -202,6 +209,17 @@
 }
 
 impl Engines {
+    /// The bounds of all open engines added up, and the threads that this front has out there.
+    pub fn open_totals(&self) -> (f64, f64) {
+        let open = (0..self.open.len()).filter(|e| self.open[*e]);
+        open.fold((0.0, 0.0), |(bound, own), e| (bound + self.bound[e], own + self.own[e].threads))
+    }
+
+    /// What other fronts usually hold of an engine like this one.
+    pub fn usual(&self, e: EngineId) -> Load {
+        self.usual.get(self.kind[e]).copied().unwrap_or_default().times(self.size[e].threads)
+    }
+
     /// Makes room for an engine; one that is new starts with the credit given.
     pub fn know(&mut self, engine: EngineId, credit: f64) {
         let count = self.open.len().max(engine + 1);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //! - `at MS` moves the clock; the lines below it, up to the next, happen together at that time.
 //! - `> ...` is an action expected since the previous such line, in order; any other action fails the file.
 //!   Wakes are played at their time and not listed.
+//! - `stall MS` moves the clock with no wakes, as for a front that stands still.
 //! - `penalty C DELTA = VALUE` asks for the penalty at a conformance.
 
 use std::collections::BTreeMap;
@@ -236,6 +237,10 @@
             }
             ["restart"] => (self.front, self.wake) = (None, None),
             ["at", time] => self.run_to(micros(time)),
+            ["stall", time] => {
+                self.run_to(self.now);
+                self.now = micros(time);
+            }
             ["penalty", c, delta, "=", value] => {
                 let got = penalty(number(c), number(delta));
                 if (got - number(value)).abs() > 1e-9 {
