Among many fronts an engine that lets work run into the client's limit is full

It also covers answers lost on the way; it could keep one front from a sound engine with one endless statement for some seconds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -533,7 +533,8 @@
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
             let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
-            let idle = if self.many { alone } else { self.engines.out[e].is_empty() && room > 0.0 && !full };
+            let idle =
+                if self.many { out <= 0.0 } else { self.engines.out[e].is_empty() && room > 0.0 && !full };
             let needs = |w: &Workload| is_bound(w) && w.allows(entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
             let room = if scarce { room - SCARCE * size.threads } else { room };
@@ -643,8 +644,7 @@
         let execution = s.executions.get_mut(x.execution).filter(|x| x.outcome.is_none());
         let Some(execution) = execution else { return };
         execution.outcome = Some(x.outcome);
-        let quiet = execution.quiet;
-        let (key, was_over, ends, load) = (s.asked.key, s.over, s.ends, s.load);
+        let (quiet, key, was_over, ends, load) = (execution.quiet, s.asked.key, s.over, s.ends, s.load);
         self.engines.out[e].remove(&(x.statement, x.execution));
         self.engines.own[e].add(load, -1.0);
         if let Some(turn) = key.and_then(|key| self.turns.get_mut(&key)) {
@@ -664,17 +664,18 @@
         }
         match x.outcome {
             Outcome::Completed => self.completed(&x, load.threads),
-            // At the client's own limit the statement may be to blame; an engine that hangs shows by silence.
-            Outcome::TimedOut if quiet => {}
-            Outcome::TimedOut if now >= ends - SWEEP => self.sway(e, -SHRINK * load.threads),
-            // A crash resets all that an engine holds at once; single resets are the network's.
-            Outcome::Error | Outcome::TimedOut | Outcome::Reset => self.spend(e, SPENT_ERROR),
-            Outcome::NoRoute => self.spend(e, SPENT_LOST),
-            // One that turns work away is full, whatever its last report said, until it reports again.
-            Outcome::NoRoom => {
-                self.engines.others[e].threads = MOST_PER_CORE * self.engines.size[e].threads;
+            Outcome::TimedOut if quiet => {} // an engine that hangs has been charged for its silence
+            // Guards against jams no answer tells of: one that turns work away or, among many fronts, lets it
+            // run into the client's limit is full until it reports again, whatever it said before.
+            Outcome::NoRoom | Outcome::TimedOut => {
+                if self.many || x.outcome == Outcome::NoRoom {
+                    self.engines.others[e].threads = MOST_PER_CORE * self.engines.size[e].threads;
+                }
                 self.sway(e, -SHRINK * load.threads);
             }
+            // A crash resets all that an engine holds at once; single resets are the network's.
+            Outcome::Error | Outcome::Reset => self.spend(e, SPENT_ERROR),
+            Outcome::NoRoute => self.spend(e, SPENT_LOST),
             Outcome::Cancelled | Outcome::NotSent => {}
         }
         if was_over {
@@ -711,8 +712,8 @@
         let slo = self.slo_time(s, x.cost) as f64;
         self.engines.heard[e] = now;
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
-        let share = (took / SECOND as f64).min(1.0) * LEARNING;
-        self.ran.blend(Load { threads, memory: s.load.memory }, share);
+        let seconds = took / SECOND as f64;
+        self.ran.blend(Load { threads, memory: s.load.memory }, LEARNING * seconds.min(1.0));
         let (bound, held) = if self.many {
             self.engines.open_totals()
         } else {
@@ -720,7 +721,7 @@
         };
         if took <= slo * QUICK && held + 2.0 * threads >= bound {
             let growth = if self.many { GROWTH } else { 1.0 / bound.max(1.0) };
-            self.sway(e, threads * took / SECOND as f64 * growth);
+            self.sway(e, threads * seconds * growth);
         } else if took > slo {
             self.sway(e, -SHRINK * threads);
         }
@@ -740,8 +741,7 @@
     /// Ends a statement unanswered: a rejection where trying again is harmless, else an abort.
     fn give_up(&mut self, id: StatementId) {
         let s = &self.statements[&id];
-        let workload = self.workload(s);
-        let ran = s.may_have_run().next().is_some();
+        let (workload, ran) = (self.workload(s), s.may_have_run().next().is_some());
         let (w, first) = (s.asked.workload, s.first_asked == s.ends - s.asked.time_left);
         let harmless = match workload.effect {
             Effect::Idempotent => true,
