Expected work, kind of engine and spare room written once

arrive wrote the expected work again beside expected_work; an array of kinds repeated what the listed entry says; the spare room took a detour through the bound.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -182,7 +182,7 @@
                 self.engines.others[e] = Load::default();
                 self.found_cold(e, start + self.agreed.warm_within);
             }
-            (self.engines.open[e], self.engines.kind[e]) = (entry.mode == Mode::Ready, entry.kind);
+            self.engines.open[e] = entry.mode == Mode::Ready;
             self.engines.listed[e] = Some(entry);
         }
     }
@@ -252,11 +252,10 @@
         if let Some(key) = a.key {
             self.turns.entry(key).or_default().line.push_back(a.statement);
         }
-        let work = either(a.work * learned.work_bias.value, learned.work.value);
-        self.asked_work.take(LEARNING, either(work, SECOND as f64));
         let (id, ends) = (a.statement, self.now + a.time_left);
         let load = Load { threads: workload.threads, memory };
         let s = Statement::new(a, class, self.now - spent, ends, load);
+        self.asked_work.take(LEARNING, either(self.expected_work(&s), SECOND as f64));
         self.statements.insert(id, s);
         self.hold(id);
     }
@@ -346,7 +345,7 @@
         let told = Load { threads: active * each, memory: granted.unwrap_or(active * need).max(0.0) };
         (self.engines.seen[e], self.engines.told[e]) = (own, self.now);
         self.engines.others[e].blend(told, if self.many { 1.0 } else { 0.5 });
-        if let Some(usual) = self.engines.usual.get_mut(self.engines.kind[e]) {
+        if let Some(usual) = self.engines.usual_of_kind(e) {
             usual.blend(told.times(1.0 / size.threads), LEARNING);
         }
     }
@@ -525,10 +524,11 @@
             let (mut others, mut added) = (self.engines.others[e], own);
             added.add(self.engines.seen[e], -1.0);
             others.add(added, self.agreed.fronts - 1.0);
-            let whole = MOST_PER_CORE * size.threads * self.warmth(e);
+            let cores = size.threads * self.warmth(e);
+            let whole = MOST_PER_CORE * cores;
             let share = if self.many { whole * credit } else { bound };
             let room = share.min(whole - others.threads) - own.threads;
-            let spare = whole * IDLE / MOST_PER_CORE - others.threads - own.threads;
+            let spare = IDLE * cores - others.threads - own.threads;
             let within = !over || spare >= workload.threads && self.engines.told[e] >= self.now - FRESH;
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 
 /// A permuted congruential generator (PCG-XSH-RR).
 #[derive(Default)]
-pub struct Chance(pub u64);
+pub struct Chance(u64);
 
 impl Chance {
     pub fn new(seed: u64) -> Self {
@@ -189,8 +189,7 @@
 pub struct Engines {
     pub open: Vec<bool>,
     pub listed: Vec<Option<Listed>>,
-    pub size: Vec<Load>, // cores and memory
-    pub kind: Vec<usize>,
+    pub size: Vec<Load>,  // cores and memory
     pub usual: Vec<Load>, // what other fronts hold for each core, by kind
     pub cold_until: Vec<Micros>,
     pub pushed: Vec<(f64, Micros)>, // work counted against a cold engine's budget, and when
@@ -217,7 +216,14 @@
 
     /// What other fronts usually hold of an engine like this one.
     pub fn usual(&self, e: EngineId) -> Load {
-        self.usual.get(self.kind[e]).copied().unwrap_or_default().times(self.size[e].threads)
+        let each = self.listed[e].as_ref().and_then(|entry| self.usual.get(entry.kind));
+        each.copied().unwrap_or_default().times(self.size[e].threads)
+    }
+
+    /// The same for each core, to be learned from its reports.
+    pub fn usual_of_kind(&mut self, e: EngineId) -> Option<&mut Load> {
+        let kind = self.listed[e].as_ref()?.kind;
+        self.usual.get_mut(kind)
     }
 
     /// Makes room for an engine; one that is new starts with the credit given.
@@ -226,7 +232,6 @@
         self.open.resize(count, false);
         self.listed.resize(count, None);
         self.size.resize(count, Load { threads: 1.0, memory: f64::INFINITY });
-        self.kind.resize(count, 0);
         self.cold_until.resize(count, 0);
         self.pushed.resize(count, (0.0, 0));
         self.own.resize(count, Load::default());
