--- a/crates/drill/src/options.rs
+++ b/crates/agreement/src/settings.rs
@@ -1,12 +1,20 @@
-//! Decodes the start message's settings into the agreement that the module reads.
+//! Decodes the settings object into the agreement that the module reads and what the network code needs.
 
 use hallmux::interface::{Agreement, DedupGroup, Effect, FurtherBudget, Micros, ReportPlaces, Workload};
 use serde::Deserialize;
 
+const DIAL_TIMEOUT_MS: f64 = 250.0; // milliseconds, where the settings are silent; a few round trips and more
+const KEEPALIVE_MS: f64 = 15_000.0; // milliseconds, where the settings are silent; what most servers use
+const MOST_HELD: usize = 20_000; // statements, where the settings are silent; some 10 MB of small ones
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Options {
     instances: f64,
+    #[serde(default)]
+    areas: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
     request_classes: Vec<Class>,
     #[serde(default)]
     customers: Vec<Customer>,
@@ -26,6 +34,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Class {
+    #[serde(default)]
+    name: String,
     aim_ms: f64,
     #[serde(default)]
     aim_stretch: f64,
@@ -47,6 +57,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Customer {
+    #[serde(default)]
+    name: String,
     allowance_per_s: Option<f64>,
 }
 
@@ -54,6 +66,10 @@
 #[serde(rename_all = "camelCase", default)]
 struct Bounds {
     cancelling: bool,
+    dial_timeout_ms: Option<f64>,
+    keepalive_ms: Option<f64>,
+    streams_per_conn: Option<usize>,
+    most_held: Option<usize>,
     probes: bool,
     retry_after: bool,
     max_retry_after_ms: Option<f64>,
@@ -64,6 +80,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct Extra {
     class_waits: Vec<bool>,
+    cost_in_answers: bool,
     writes_tables: Vec<bool>,
     parallelism: Vec<f64>,
     grants_count: bool,
@@ -115,9 +132,58 @@
     found.map(|(_, meaning)| *meaning).ok_or_else(|| format!("{field}: unknown word '{value}'"))
 }
 
-/// Reads the settings' JSON text.
+/// The names that the settings give to what the module knows by its place.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub workloads: Vec<String>,
+    pub customers: Vec<String>,
+    pub locations: Vec<String>,
+    pub kinds: Vec<String>,
+    pub report: Vec<String>,
+}
+
+/// What the settings allow the network code; nothing here is weighed, only kept.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    /// A connection that is not up by then never will be.
+    pub dial_timeout: Micros,
+    /// Engines close connections that have been idle for so long.
+    pub keepalive: Micros,
+    pub executions_per_connection: usize,
+    pub most_held: usize,
+    pub cost_in_answers: bool,
+}
+
+/// All that the settings object tells.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub agreement: Agreement,
+    pub names: Names,
+    pub allowance: Allowance,
+}
+
+/// Reads the settings' JSON text for the module alone.
 pub fn agreement(text: &str) -> Result<Agreement, String> {
+    Ok(settings(text)?.agreement)
+}
+
+/// Reads the settings' JSON text.
+pub fn settings(text: &str) -> Result<Settings, String> {
     let read: Options = serde_json::from_str(text).map_err(|e| format!("options: {e}"))?;
+    let names = Names {
+        workloads: read.request_classes.iter().map(|c| c.name.clone()).collect(),
+        customers: read.customers.iter().map(|c| c.name.clone()).collect(),
+        locations: read.areas.clone(),
+        kinds: read.kinds.clone(),
+        report: read.report.names.clone(),
+    };
+    let allowance = Allowance {
+        dial_timeout: micros(read.bounds.dial_timeout_ms.unwrap_or(DIAL_TIMEOUT_MS)),
+        keepalive: micros(read.bounds.keepalive_ms.unwrap_or(KEEPALIVE_MS)),
+        executions_per_connection: read.bounds.streams_per_conn.unwrap_or(1).max(1),
+        most_held: read.bounds.most_held.unwrap_or(MOST_HELD),
+        cost_in_answers: read.extra.cost_in_answers,
+    };
     let flag = |list: &[bool], i: usize| list.get(i).copied().unwrap_or(false);
     let mut workloads = Vec::new();
     for (i, class) in read.request_classes.into_iter().enumerate() {
@@ -157,7 +223,7 @@
         place("x0").filter(|_| means(&read.extra.report_x0)).or(x1)
     };
     let further = read.rules.further_ratio.zip(read.rules.budget_span_ms);
-    Ok(Agreement {
+    let agreement = Agreement {
         workloads,
         customers: read.customers.iter().map(|c| c.allowance_per_s.unwrap_or(f64::INFINITY)).collect(),
         over_share: read.over_share_worth,
@@ -186,5 +252,6 @@
             ratio,
             window: micros(span),
         }),
-    })
+    };
+    Ok(Settings { agreement, names, allowance })
 }
--- /dev/null
+++ b/crates/codec/src/statement.rs
@@ -0,0 +1,229 @@
+//! What clients say and hear: Thrift in frames, strict binary. The `thrift` crate reads within the limits
+//! given here; the frame is taken apart before, so that it reads from whole messages only.
+
+use std::collections::BTreeMap;
+
+use thrift::protocol::{
+    TBinaryInputProtocol, TBinaryOutputProtocol, TFieldIdentifier, TInputProtocol, TMapIdentifier,
+    TMessageIdentifier, TMessageType, TOutputProtocol, TStructIdentifier, TType,
+};
+use thrift::{ApplicationError, ApplicationErrorKind, TConfiguration};
+
+use crate::Unreadable;
+
+const LONGEST_FRAME: usize = 1 << 20; // bytes; statements take some hundred, the longest some ten thousand
+const MOST_FIELDS: usize = 64; // of a statement; a dozen are known
+const DEEPEST: usize = 8; // structs within structs that are passed over
+const PREFIX: usize = 4; // bytes of a frame's length
+
+/// What a client asks.
+#[derive(Debug, PartialEq)]
+pub enum Asked {
+    Serve(Call),
+    Forget(i32),
+    IsWell,
+    Unknown(String),
+}
+
+/// A statement and its fields, as they came.
+#[derive(Debug, Default, PartialEq)]
+pub struct Call {
+    pub id: String,
+    pub workload: String,
+    pub customer: String,
+    pub time_left_ms: f64,
+    pub dedup_key: Option<String>,
+    pub order_key: Option<String>,
+    pub work_ms: f64,
+    pub memory_mb: f64,
+    pub statement: Vec<u8>,
+    /// The first field that is missing or can't be used.
+    pub unfit: Option<&'static str>,
+}
+
+/// Takes the next whole message from the start of `input`: its length in bytes, sequence number and content.
+pub fn read(input: &[u8]) -> Result<Option<(usize, i32, Asked)>, Unreadable> {
+    let Some(prefix) = input.first_chunk::<PREFIX>() else { return Ok(None) };
+    let len = i32::from_be_bytes(*prefix);
+    let len = usize::try_from(len).ok().filter(|len| *len <= LONGEST_FRAME);
+    let len = len.ok_or_else(|| Unreadable::new("a frame longer than agreed, or negative"))?;
+    let Some(frame) = input[PREFIX..].get(..len) else { return Ok(None) };
+    let (seqid, asked) = message(frame).map_err(Unreadable::new)?;
+    Ok(Some((PREFIX + len, seqid, asked)))
+}
+
+fn message(frame: &[u8]) -> thrift::Result<(i32, Asked)> {
+    let limits = TConfiguration::builder()
+        .max_message_size(Some(LONGEST_FRAME))
+        .max_frame_size(Some(LONGEST_FRAME))
+        .max_string_size(Some(frame.len()))
+        .max_container_size(Some(MOST_FIELDS))
+        .max_recursion_depth(Some(DEEPEST))
+        .build()?;
+    let mut input = TBinaryInputProtocol::with_config(frame, true, limits);
+    let head = input.read_message_begin()?;
+    let mut fields = BTreeMap::new();
+    let (mut statement, mut number) = (None, None);
+    input.read_struct_begin()?;
+    loop {
+        let field = input.read_field_begin()?;
+        match (head.name.as_str(), field.id, field.field_type) {
+            (_, _, TType::Stop) => break,
+            ("serve", Some(1), TType::Map) => fields = read_fields(&mut input)?,
+            ("serve", Some(2), TType::String) => statement = Some(input.read_bytes()?),
+            ("forget", Some(1), TType::I32) => number = Some(input.read_i32()?),
+            (_, _, other) => input.skip(other)?,
+        }
+    }
+    let asked = match (head.name.as_str(), head.message_type) {
+        ("serve", TMessageType::Call) => Asked::Serve(Call::new(&fields, statement)),
+        ("forget", TMessageType::OneWay | TMessageType::Call) => Asked::Forget(number.unwrap_or(0)),
+        ("isWell", TMessageType::Call) => Asked::IsWell,
+        (_, TMessageType::Call | TMessageType::OneWay) => Asked::Unknown(head.name),
+        _ => return Err("a client that answers".into()),
+    };
+    Ok((head.sequence_number, asked))
+}
+
+fn read_fields(input: &mut TBinaryInputProtocol<&[u8]>) -> thrift::Result<BTreeMap<String, String>> {
+    let map = input.read_map_begin()?;
+    let mut fields = BTreeMap::new();
+    if map.size > 0 && (map.key_type, map.value_type) != (Some(TType::String), Some(TType::String)) {
+        return Err("fields that are no text".into());
+    }
+    for _ in 0..map.size {
+        fields.insert(input.read_string()?, input.read_string()?);
+    }
+    Ok(fields)
+}
+
+/// Whether a word can stand in an engine's line as it is.
+fn is_word(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|c| c.is_ascii_graphic() && c != b',' && c != b'=')
+}
+
+impl Call {
+    fn new(fields: &BTreeMap<String, String>, statement: Option<Vec<u8>>) -> Call {
+        let mut unfit = None;
+        let mut note = |name: &'static str, bad: bool| unfit = unfit.or(bad.then_some(name));
+        let text = |name: &str| fields.get(name).cloned();
+        let number = |name: &str| fields.get(name).map(|v| v.parse::<f64>().unwrap_or(f64::NAN));
+        let bad = |n: f64| !n.is_finite() || n < 0.0;
+        let call = Call {
+            id: text("txn").unwrap_or_default(),
+            workload: text("verb").unwrap_or_default(),
+            customer: text("team").unwrap_or_default(),
+            time_left_ms: number("limit").unwrap_or(f64::NAN),
+            dedup_key: text("unique"),
+            order_key: text("item"),
+            work_ms: number("cpu").unwrap_or(0.0),
+            memory_mb: number("heap_mb").unwrap_or(0.0),
+            statement: statement.unwrap_or_default(),
+            unfit: None,
+        };
+        note("txn", call.id.len() != 16 || !call.id.bytes().all(|c| c.is_ascii_hexdigit()));
+        note("verb", !is_word(&call.workload));
+        note("limit", bad(call.time_left_ms) || call.time_left_ms > 1e9);
+        note("unique", call.dedup_key.as_deref().is_some_and(|key| !is_word(key)));
+        note("cpu", bad(call.work_ms));
+        note("heap_mb", bad(call.memory_mb));
+        Call { unfit, ..call }
+    }
+}
+
+/// What a client hears.
+pub enum Reply<'a> {
+    Completed(&'a [u8]),
+    Rejected {
+        retry_after_ms: Option<i64>,
+    },
+    Aborted,
+    /// Whether this front takes statements.
+    Well(bool),
+    UnknownMethod(&'a str),
+    Unfit(&'a str),
+}
+
+/// Writes a reply as one frame.
+pub fn write(output: &mut Vec<u8>, seqid: i32, reply: &Reply) {
+    let start = output.len();
+    output.extend([0; PREFIX]);
+    let written = write_message(&mut TBinaryOutputProtocol::new(&mut *output, true), seqid, reply);
+    debug_assert!(written.is_ok(), "writing to memory cannot fail");
+    let len = (output.len() - start - PREFIX) as u32;
+    output[start..start + PREFIX].copy_from_slice(&len.to_be_bytes());
+}
+
+fn write_message(out: &mut impl TOutputProtocol, seqid: i32, reply: &Reply) -> thrift::Result<()> {
+    let name = if matches!(reply, Reply::Well(_)) { "isWell" } else { "serve" };
+    let failed = |kind, message: String| Some(ApplicationError { kind, message });
+    let exception = match reply {
+        Reply::UnknownMethod(name) => {
+            failed(ApplicationErrorKind::UnknownMethod, format!("unknown method '{name}'"))
+        }
+        Reply::Unfit(field) => failed(
+            ApplicationErrorKind::ProtocolError,
+            format!("field '{field}' is missing or can't be used"),
+        ),
+        _ => None,
+    };
+    if let Some(exception) = exception {
+        let name = if let Reply::UnknownMethod(name) = reply { name } else { name };
+        out.write_message_begin(&TMessageIdentifier::new(name, TMessageType::Exception, seqid))?;
+        thrift::Error::write_application_error_to_out_protocol(&exception, out)?;
+        return out.write_message_end();
+    }
+    out.write_message_begin(&TMessageIdentifier::new(name, TMessageType::Reply, seqid))?;
+    out.write_struct_begin(&TStructIdentifier::new("result"))?;
+    match reply {
+        Reply::Completed(body) => write_answer(out, body, true)?,
+        Reply::Well(good) => write_answer(out, b"", *good)?,
+        Reply::Rejected { retry_after_ms } => {
+            let later = retry_after_ms.map(|ms| ms.to_string());
+            write_exception(out, 1, later.iter().map(|ms| ("later", ms.as_str())))?;
+        }
+        _ => write_exception(out, 2, std::iter::empty())?,
+    }
+    out.write_field_stop()?;
+    out.write_struct_end()?;
+    out.write_message_end()
+}
+
+fn write_answer(out: &mut impl TOutputProtocol, body: &[u8], good: bool) -> thrift::Result<()> {
+    out.write_field_begin(&TFieldIdentifier::new("success", TType::Struct, 0))?;
+    out.write_struct_begin(&TStructIdentifier::new("Answer"))?;
+    out.write_field_begin(&TFieldIdentifier::new("body", TType::String, 1))?;
+    out.write_bytes(body)?;
+    write_fields(out, 2, std::iter::empty())?;
+    out.write_field_begin(&TFieldIdentifier::new("good", TType::Bool, 3))?;
+    out.write_bool(good)?;
+    out.write_field_stop()?;
+    out.write_struct_end()
+}
+
+fn write_exception<'a>(
+    out: &mut impl TOutputProtocol,
+    id: i16,
+    fields: impl Iterator<Item = (&'a str, &'a str)>,
+) -> thrift::Result<()> {
+    out.write_field_begin(&TFieldIdentifier::new("exception", TType::Struct, id))?;
+    out.write_struct_begin(&TStructIdentifier::new("exception"))?;
+    write_fields(out, 1, fields)?;
+    out.write_field_stop()?;
+    out.write_struct_end()
+}
+
+fn write_fields<'a>(
+    out: &mut impl TOutputProtocol,
+    id: i16,
+    fields: impl Iterator<Item = (&'a str, &'a str)>,
+) -> thrift::Result<()> {
+    let fields: Vec<_> = fields.collect();
+    out.write_field_begin(&TFieldIdentifier::new("fields", TType::Map, id))?;
+    out.write_map_begin(&TMapIdentifier::new(TType::String, TType::String, fields.len() as i32))?;
+    for (name, value) in fields {
+        out.write_string(name)?;
+        out.write_string(value)?;
+    }
+    out.write_map_end()
+}
--- /dev/null
+++ b/crates/codec/src/tables.rs
@@ -0,0 +1,102 @@
+//! The group of tables that a statement reads or writes, from the name of its schema.
+
+const SCRATCH: &[u8] = b"staging"; // the schema that does not count
+
+/// The number behind the underscore in the first schema that has one: 17 in `sales_17.orders`.
+pub fn group(statement: &[u8]) -> Option<u32> {
+    let mut rest = statement;
+    while let Some(&first) = rest.first() {
+        rest = match first {
+            b'\'' => after_quote(rest, b'\''),
+            b'-' if rest.starts_with(b"--") => after(rest, b"\n", 2),
+            b'/' if rest.starts_with(b"/*") => after_comment(rest),
+            b'"' | b'`' => {
+                let behind = after_quote(rest, first);
+                let name = &rest[1..rest.len() - behind.len()];
+                match schema(name.strip_suffix(&[first]).unwrap_or(name), behind) {
+                    Some(number) => return Some(number),
+                    None => behind,
+                }
+            }
+            c if in_name(c) => {
+                let len = rest.iter().position(|c| !in_name(*c)).unwrap_or(rest.len());
+                match schema(&rest[..len], &rest[len..]) {
+                    Some(number) => return Some(number),
+                    None => &rest[len..],
+                }
+            }
+            _ => &rest[1..],
+        };
+    }
+    None
+}
+
+fn in_name(c: u8) -> bool {
+    c.is_ascii_alphanumeric() || c == b'_' || c == b'$' || c >= 0x80
+}
+
+/// The number of the name, if what follows makes it a schema's.
+fn schema(name: &[u8], behind: &[u8]) -> Option<u32> {
+    let dot = behind.trim_ascii_start().strip_prefix(b".")?;
+    let qualifies = dot.trim_ascii_start().first().is_some_and(|c| in_name(*c) || matches!(c, b'"' | b'`'));
+    let at = name.iter().rposition(|c| *c == b'_')?;
+    let digits = std::str::from_utf8(&name[at + 1..]).ok()?;
+    let plain = !digits.is_empty() && digits.bytes().all(|c| c.is_ascii_digit());
+    (qualifies && plain && !name[..at].eq_ignore_ascii_case(SCRATCH)).then(|| digits.parse().ok())?
+}
+
+fn after<'a>(text: &'a [u8], end: &[u8], from: usize) -> &'a [u8] {
+    let found = text[from..].windows(end.len()).position(|w| w == end);
+    found.map_or(&[], |at| &text[from + at + end.len()..])
+}
+
+/// Behind a quoted part; a quote within it is written twice.
+fn after_quote(text: &[u8], quote: u8) -> &[u8] {
+    let mut rest = after(text, &[quote], 1);
+    while rest.first() == Some(&quote) {
+        rest = after(rest, &[quote], 1);
+    }
+    rest
+}
+
+/// Behind a comment; comments stand within comments.
+fn after_comment(text: &[u8]) -> &[u8] {
+    let (mut rest, mut depth) = (&text[2..], 1);
+    while depth > 0 && !rest.is_empty() {
+        let step = if rest.starts_with(b"/*") {
+            depth += 1;
+            2
+        } else if rest.starts_with(b"*/") {
+            depth -= 1;
+            2
+        } else {
+            1
+        };
+        rest = &rest[step..];
+    }
+    rest
+}
+
+#[cfg(test)]
+mod tests {
+    use super::group;
+
+    #[test]
+    fn the_schema_outside_of_strings_and_comments_counts() {
+        for (statement, found) in [
+            ("select * from sales_17.orders", Some(17)),
+            ("select 'it''s a_1.b' from s_2.t", Some(2)),
+            ("-- a_1.b\nselect 1 from x_3.y", Some(3)),
+            ("/* a_1.b /* c_2.d */ e_5.f */ select 1 from x_4.y", Some(4)),
+            ("insert into staging.t select * from staging_9.u join us_er_6.v", Some(6)),
+            ("select x from \"s_8\".\"t\"", Some(8)),
+            ("select a_1, 7.5 from t", None),
+            ("select 'a_1.b", None),
+            ("/* a_1.b", None),
+            ("select * from s_99999999999.t", None),
+            ("", None),
+        ] {
+            assert_eq!(group(statement.as_bytes()), found, "{statement}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/ending.rs
@@ -0,0 +1,53 @@
+//! Every way in which an execution can end on the network, and what each means to the module.
+
+use hallmux::interface::Outcome;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The whole result is here.
+    Answered,
+    /// The engine says that it failed.
+    EngineFailed,
+    /// A page of the result is lost: the engine no longer knows it, or words it otherwise than it began.
+    PageLost,
+    /// The engine turned it away unseen.
+    TurnedAway,
+    /// The engine found its time over before it began.
+    Stale,
+    /// The machine refused the connection.
+    Refused,
+    /// The connection was not up in time.
+    NeverUp,
+    /// No descriptor or buffer could be had for a connection.
+    NoMeans,
+    /// It was given up, or its engine drains, before its first byte left.
+    Withdrawn,
+    /// The connection broke before its last byte left: no engine has it whole.
+    HalfWritten,
+    /// The connection was reset with the execution out.
+    Reset,
+    /// The engine closed the connection with the execution out.
+    Closed,
+    /// What came over the connection can't be read, so it was closed from here.
+    Unreadable,
+    /// The client's time is up.
+    TimeUp,
+    /// Given up by decision.
+    GivenUp,
+}
+
+impl Ending {
+    /// The one table of what an ending proves. `NoRoom`, `NoRoute` and `NotSent` say that nothing ran.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Ending::Answered => Outcome::Completed,
+            Ending::EngineFailed | Ending::PageLost => Outcome::Error,
+            Ending::TurnedAway => Outcome::NoRoom,
+            Ending::Refused | Ending::NeverUp | Ending::NoMeans => Outcome::NoRoute,
+            Ending::Stale | Ending::Withdrawn | Ending::HalfWritten => Outcome::NotSent,
+            Ending::Reset | Ending::Closed | Ending::Unreadable => Outcome::Reset,
+            Ending::TimeUp => Outcome::TimedOut,
+            Ending::GivenUp => Outcome::Cancelled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/lib.rs
@@ -0,0 +1,393 @@
+//! A small facade in blocking style over the decision module. `pick` asks for an engine for a statement,
+//! `report` says how an execution ended, `tick` decides on all that was told since and returns what the
+//! network is to do. Whoever calls it knows neither the module's events nor its actions.
+
+mod ending;
+
+use std::collections::{BTreeSet, HashMap};
+
+use hallmux::interface::{Action, Arrival, Ended, Event, KeyId, Listed, Report, StatementId};
+use hallmux::Front;
+use hallmux_agreement::{Names, Settings};
+
+pub use ending::Ending;
+pub use hallmux::interface::{Cost, Micros, Mode, Note};
+
+/// A statement as this front knows it, from `pick` until it is over and nothing is out for it.
+pub type Ticket = StatementId;
+/// An engine as this front knows it.
+pub type Place = usize;
+
+/// What a statement asks for.
+#[derive(Clone, Debug, Default)]
+pub struct Ask<'a> {
+    pub workload: &'a str,
+    pub customer: &'a str,
+    pub key: Option<&'a str>,
+    pub time_left: Micros,
+    /// Microseconds on one thread, 0 where it is not told.
+    pub work: f64,
+    /// 0 where it is not told.
+    pub memory_mb: f64,
+    pub data_set: Option<u32>,
+}
+
+/// Why a statement was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    Workload,
+    Customer,
+}
+
+/// A line of the engine list, by the names that the settings use.
+#[derive(Clone, Debug)]
+pub struct Listing<'a> {
+    pub id: &'a str,
+    pub location: &'a str,
+    pub kind: &'a str,
+    pub cell: usize,
+    pub mode: Mode,
+    pub started: Option<Micros>,
+}
+
+/// What the network is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Send {
+        ticket: Ticket,
+        execution: usize,
+        place: Place,
+        ends: Micros,
+        grant_mb: f64,
+        priority: u8,
+    },
+    Hurry {
+        ticket: Ticket,
+        execution: usize,
+        priority: u8,
+    },
+    /// Give the execution up and report it: as told, or as withdrawn where it never left.
+    Stop {
+        ticket: Ticket,
+        execution: usize,
+        ending: Ending,
+    },
+    /// Final: trying again is harmless.
+    Reject {
+        ticket: Ticket,
+        retry_after: Option<Micros>,
+    },
+    /// Final: nothing is promised.
+    Abort {
+        ticket: Ticket,
+    },
+    Probe {
+        place: Place,
+    },
+}
+
+struct Execution {
+    place: Place,
+    sent: Micros,
+    out: bool,
+}
+
+struct Statement {
+    ends: Micros,
+    over: bool,
+    key: Option<String>,
+    grant_mb: f64,
+    priority: u8,
+    executions: Vec<Execution>,
+}
+
+/// An order key while statements of it are held or out, and for the rest that was agreed.
+struct Key {
+    id: KeyId,
+    statements: usize,
+}
+
+/// An engine's id, while it is listed or has executions out.
+struct Engine {
+    id: String,
+    entry: Listed,
+    out: usize,
+}
+
+pub struct Dispatcher {
+    front: Front,
+    names: Names,
+    turn_gap: Micros,
+    wake: Micros,
+    told: Vec<Event>,
+    next_ticket: Ticket,
+    statements: HashMap<Ticket, Statement>,
+    ends: BTreeSet<(Micros, Ticket)>,
+    keys: HashMap<String, Key>,
+    free_keys: Vec<KeyId>,
+    resting: BTreeSet<(Micros, String)>,
+    engines: Vec<Engine>,
+}
+
+impl Dispatcher {
+    pub fn new(settings: &Settings, seed: u64) -> Self {
+        Dispatcher {
+            front: Front::new(settings.agreement.clone(), seed),
+            names: settings.names.clone(),
+            turn_gap: settings.agreement.turn_gap,
+            wake: 0,
+            told: Vec::new(),
+            next_ticket: 0,
+            statements: HashMap::new(),
+            ends: BTreeSet::new(),
+            keys: HashMap::new(),
+            free_keys: Vec::new(),
+            resting: BTreeSet::new(),
+            engines: Vec::new(),
+        }
+    }
+
+    /// Statements that are not over, or that something is still out for.
+    pub fn held(&self) -> usize {
+        self.statements.len()
+    }
+
+    /// Asks for an engine; the answer comes with a later `tick`.
+    pub fn pick(&mut self, now: Micros, ask: &Ask) -> Result<Ticket, Unfit> {
+        let place = |list: &[String], name: &str| list.iter().position(|n| n == name);
+        let workload = place(&self.names.workloads, ask.workload).ok_or(Unfit::Workload)?;
+        let customer = match place(&self.names.customers, ask.customer) {
+            None if !self.names.customers.is_empty() => return Err(Unfit::Customer),
+            found => found.unwrap_or(0),
+        };
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let key = ask.key.map(|key| self.key(key));
+        self.told.push(Event::Arrived(Arrival {
+            statement: ticket,
+            workload,
+            customer,
+            key,
+            time_left: ask.time_left,
+            work: ask.work,
+            memory_mb: ask.memory_mb,
+            data_set: ask.data_set,
+        }));
+        let ends = now + ask.time_left;
+        self.ends.insert((ends, ticket));
+        let key = ask.key.map(str::to_string);
+        let statement =
+            Statement { ends, over: false, key, grant_mb: 0.0, priority: 1, executions: Vec::new() };
+        self.statements.insert(ticket, statement);
+        Ok(ticket)
+    }
+
+    fn key(&mut self, name: &str) -> KeyId {
+        let next = self.keys.len() as KeyId;
+        let free = &mut self.free_keys;
+        let key = self
+            .keys
+            .entry(name.to_string())
+            .or_insert_with(|| Key { id: free.pop().unwrap_or(next), statements: 0 });
+        key.statements += 1;
+        key.id
+    }
+
+    /// Says how an execution ended. True if this ends its statement: its answer now goes to the client.
+    pub fn report(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        execution: usize,
+        ending: Ending,
+        report: Option<Report>,
+        cost: Option<Cost>,
+    ) -> bool {
+        let Some(s) = self.statements.get_mut(&ticket) else { return false };
+        let Some(x) = s.executions.get_mut(execution).filter(|x| x.out) else { return false };
+        x.out = false;
+        self.engines[x.place].out -= 1;
+        let answers = ending == Ending::Answered && !s.over;
+        s.over |= answers;
+        self.told.push(Event::Ended(Ended {
+            statement: ticket,
+            execution,
+            engine: x.place,
+            outcome: ending.outcome(),
+            took: now - x.sent,
+            settled: s.over,
+            cost,
+            report,
+        }));
+        self.forget(now, ticket);
+        answers
+    }
+
+    /// Word on an execution that is still out.
+    pub fn note(&mut self, ticket: Ticket, execution: usize, note: Note) {
+        let Some(s) = self.statements.get(&ticket) else { return };
+        let Some(x) = s.executions.get(execution).filter(|x| x.out) else { return };
+        self.told.push(Event::Noted { statement: ticket, execution, engine: x.place, note });
+    }
+
+    /// The client no longer waits.
+    pub fn left(&mut self, now: Micros, ticket: Ticket) {
+        let Some(s) = self.statements.get_mut(&ticket).filter(|s| !s.over) else { return };
+        s.over = true;
+        self.told.push(Event::Left(ticket));
+        self.forget(now, ticket);
+    }
+
+    pub fn probed(&mut self, place: Place, alive: bool, report: Option<Report>) {
+        self.told.push(Event::Probed { engine: place, alive, report });
+    }
+
+    /// Takes a change of the engine list and gives each line's place back, in order.
+    pub fn list(&mut self, whole: bool, listings: &[Listing]) -> Vec<Place> {
+        let mut places = Vec::new();
+        let mut entries = Vec::new();
+        if whole {
+            self.engines.iter_mut().for_each(|e| e.entry.mode = Mode::Gone);
+        }
+        for listing in listings {
+            let named =
+                |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(list.len());
+            let mut entry = Listed {
+                engine: 0,
+                location: named(&self.names.locations, listing.location),
+                kind: named(&self.names.kinds, listing.kind),
+                cell: listing.cell,
+                mode: listing.mode,
+                started: listing.started,
+            };
+            entry.engine = self.place(listing.id, &entry);
+            let engine = Engine { id: listing.id.to_string(), entry: entry.clone(), out: 0 };
+            match self.engines.get_mut(entry.engine) {
+                Some(known) => *known = Engine { out: known.out, ..engine },
+                None => self.engines.push(engine),
+            }
+            places.push(entry.engine);
+            entries.push(entry);
+        }
+        self.told.push(Event::Engines { whole, entries });
+        places
+    }
+
+    /// The place of an engine: its own, that of one like it that is gone with nothing out, or a new one.
+    /// The module starts an engine with a start of its own afresh, so only such a one may follow another.
+    fn place(&self, id: &str, entry: &Listed) -> Place {
+        let like = |e: &Engine| {
+            let same = |of: &Listed| (of.location, of.kind, of.cell);
+            e.entry.mode == Mode::Gone && e.out == 0 && same(&e.entry) == same(entry)
+        };
+        let follows = entry.started.is_some();
+        let own = self.engines.iter().position(|e| e.id == id);
+        own.or_else(|| self.engines.iter().position(|e| follows && like(e))).unwrap_or(self.engines.len())
+    }
+
+    /// When `tick` is next due, whatever happens.
+    pub fn wake(&self) -> Micros {
+        if !self.told.is_empty() {
+            return 0;
+        }
+        self.ends.first().map_or(self.wake, |(ends, _)| self.wake.min(*ends))
+    }
+
+    /// Decides on all that was told since the last call.
+    pub fn tick(&mut self, now: Micros) -> Vec<Order> {
+        let mut orders = Vec::new();
+        while let Some(&(ends, ticket)) = self.ends.first().filter(|(ends, _)| *ends <= now) {
+            self.ends.remove(&(ends, ticket));
+            let Some(s) = self.statements.get(&ticket) else { continue };
+            let out = s.executions.iter().enumerate().filter(|(_, x)| x.out);
+            orders.extend(out.map(|(execution, _)| Order::Stop {
+                ticket,
+                execution,
+                ending: Ending::TimeUp,
+            }));
+        }
+        if self.told.is_empty() && now < self.wake {
+            return orders;
+        }
+        if self.wake <= now {
+            self.told.push(Event::Woken);
+        }
+        let told = std::mem::take(&mut self.told);
+        for action in self.front.decide(now, told) {
+            self.order(now, action, &mut orders);
+        }
+        self.rest(now);
+        orders
+    }
+
+    fn order(&mut self, now: Micros, action: Action, orders: &mut Vec<Order>) {
+        match action {
+            Action::Terms { statement: ticket, grant_mb, priority } => {
+                let Some(s) = self.statements.get_mut(&ticket) else { return };
+                (s.grant_mb, s.priority) = (grant_mb, priority);
+                let out = s.executions.iter().enumerate().filter(|(_, x)| x.out);
+                orders.extend(out.map(|(execution, _)| Order::Hurry { ticket, execution, priority }));
+            }
+            Action::Execute { statement: ticket, engine: place } => {
+                let Some(s) = self.statements.get_mut(&ticket) else { return };
+                let (execution, ends) = (s.executions.len(), s.ends);
+                s.executions.push(Execution { place, sent: now, out: true });
+                self.engines[place].out += 1;
+                let (grant_mb, priority) = (s.grant_mb, s.priority);
+                orders.push(Order::Send { ticket, execution, place, ends, grant_mb, priority });
+            }
+            Action::Cancel { statement: ticket, execution } => {
+                orders.push(Order::Stop { ticket, execution, ending: Ending::GivenUp });
+            }
+            Action::Reject { statement: ticket, retry_after } => {
+                orders.push(Order::Reject { ticket, retry_after });
+                self.over(now, ticket);
+            }
+            Action::Abort { statement: ticket } => {
+                orders.push(Order::Abort { ticket });
+                self.over(now, ticket);
+            }
+            Action::Probe { engine: place } => orders.push(Order::Probe { place }),
+            Action::Wake { at } => self.wake = at,
+            // The coordinator is followed all the time, asked for or not.
+            Action::Subscribe => {}
+        }
+    }
+
+    fn over(&mut self, now: Micros, ticket: Ticket) {
+        if let Some(s) = self.statements.get_mut(&ticket) {
+            s.over = true;
+        }
+        self.forget(now, ticket);
+    }
+
+    /// Lets go of a statement that is over with nothing out; its key rests as long as was agreed.
+    fn forget(&mut self, now: Micros, ticket: Ticket) {
+        let Some(s) = self.statements.get(&ticket) else { return };
+        if !s.over || s.executions.iter().any(|x| x.out) {
+            return;
+        }
+        self.ends.remove(&(s.ends, ticket));
+        let Some(s) = self.statements.remove(&ticket) else { return };
+        let Some((name, key)) = s.key.and_then(|name| self.keys.get_mut(&name).map(|key| (name, key))) else {
+            return;
+        };
+        key.statements -= 1;
+        if key.statements == 0 {
+            self.resting.insert((now + self.turn_gap, name));
+        }
+    }
+
+    /// Frees the keys that have rested. The module has been told of their last ending by then.
+    fn rest(&mut self, now: Micros) {
+        while let Some((at, name)) = self.resting.pop_first() {
+            if at >= now {
+                self.resting.insert((at, name));
+                return;
+            }
+            if self.keys.get(&name).is_some_and(|key| key.statements == 0) {
+                self.free_keys.extend(self.keys.remove(&name).map(|key| key.id));
+            }
+        }
+    }
+}
--- a/crates/drill/src/instance.rs
+++ b/crates/drill/src/instance.rs
@@ -29,7 +29,7 @@
                 "Gone" => Mode::Gone,
                 other => return Err(format!("mode: unknown word '{other}'")),
             },
-            started: (started > 0.0).then(|| crate::options::micros(started)),
+            started: (started > 0.0).then(|| hallmux_agreement::micros(started)),
         };
         Ok(Listing { name: line.field("engine")?, entry })
     }
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,7 +1,6 @@
 //! Plays hallmux on the simulator's wire: batches of events in, one reply for each out.
 
 mod instance;
-mod options;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -50,7 +49,7 @@
                 self.filling = (entries > 0).then_some((list, entries));
             }
             "ATTACH" => {
-                let agreement = options::agreement(line.text("options")?)?;
+                let agreement = hallmux_agreement::agreement(line.text("options")?)?;
                 let fresh = Instance::new(agreement, line.field("randomSeed")?);
                 self.instances.insert(line.field("who")?, fresh);
             }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -5,7 +5,7 @@
 
 use hallmux::interface::{Action, Micros, Report};
 
-use crate::options::micros;
+use hallmux_agreement::micros;
 
 /// One line, taken apart into its message and its fields.
 pub struct Line<'a> {
--- /dev/null
+++ b/crates/front/src/coordinator.rs
@@ -0,0 +1,128 @@
+//! The connection to the coordinator: one question after the other for what has changed since the last.
+
+use std::net::SocketAddr;
+
+use calloop::LoopHandle;
+use hallmux_codec::coordinator::{self as codec, Stream};
+use hallmux_dispatcher::Micros;
+
+use crate::front::{Front, Party};
+use crate::link::Link;
+
+const WAIT_MS: i64 = 1000; // milliseconds a question is left open; silence shows soon after
+const SILENCE: Micros = 750_000; // microseconds beyond that until the connection is given up for silent
+const AGAIN: Micros = 200_000; // microseconds until the next try after one that failed
+
+pub struct Coordinator {
+    handle: LoopHandle<'static, Front>,
+    at: Option<SocketAddr>,
+    link: Option<Link>,
+    number: u64, // of the connection
+    asked: bool,
+    due: Micros, // until when an answer is awaited, or when to try again
+    pub follow: u64,
+    failing: bool,
+}
+
+impl Coordinator {
+    pub fn new(handle: LoopHandle<'static, Front>, at: Option<SocketAddr>, follow: u64) -> Self {
+        Coordinator { handle, at, link: None, number: 0, asked: false, due: 0, follow, failing: false }
+    }
+
+    pub fn due(&self) -> Micros {
+        if self.at.is_some() {
+            self.due
+        } else {
+            Micros::MAX
+        }
+    }
+
+    /// Tries again, or gives up a connection that has been silent.
+    pub fn expire(&mut self, now: Micros) {
+        let Some(at) = self.at.filter(|_| self.due <= now) else { return };
+        if self.link.is_some() {
+            return self.failed(now, "silent");
+        }
+        self.number += 1;
+        match Link::dial(at, &self.handle, Party::Coordinator(self.number)) {
+            Ok(link) => {
+                (self.link, self.asked) = (Some(link), false);
+                self.due = now + SILENCE;
+            }
+            Err(e) => self.failed(now, &e.to_string()),
+        }
+    }
+
+    fn failed(&mut self, now: Micros, why: &str) {
+        if !std::mem::replace(&mut self.failing, true) {
+            log::warn!("coordinator: {why}; the engine list stands still until it answers");
+        }
+        (self.link, self.due) = (None, now + AGAIN);
+    }
+
+    fn ask(&mut self, now: Micros) {
+        if let (Some(link), Some(at)) = (&mut self.link, self.at) {
+            let request = codec::request(&at.to_string(), self.follow, WAIT_MS);
+            link.output().extend_from_slice(request.as_bytes());
+            (self.asked, self.due) = (true, now + WAIT_MS * 1000 + SILENCE);
+        }
+    }
+
+    /// The connection has changed; what it brought, if anything.
+    pub fn read(&mut self, now: Micros, number: u64) -> Option<Stream> {
+        let link = self.link.as_mut().filter(|_| number == self.number)?;
+        if !self.asked {
+            match link.is_up() {
+                Ok(false) => return None,
+                Ok(true) => self.ask(now),
+                Err(e) => {
+                    self.failed(now, &e.to_string());
+                    return None;
+                }
+            }
+        }
+        let link = self.link.as_mut()?;
+        let (_, broken) = link.read();
+        let answer = match codec::read(&link.input, broken.is_some()) {
+            Ok(Some(answer)) => answer,
+            Ok(None) if broken.is_some() => {
+                self.failed(now, "connection over");
+                return None;
+            }
+            Ok(None) => return None,
+            Err(what) => {
+                self.failed(now, &what.to_string());
+                return None;
+            }
+        };
+        link.taken(answer.len);
+        let read = match answer.status {
+            200 => codec::stream(&answer.body).map_err(|what| what.to_string()),
+            status => Err(format!("status {status}")),
+        };
+        match read {
+            Err(why) => {
+                self.failed(now, &why);
+                None
+            }
+            Ok(stream) => {
+                if std::mem::replace(&mut self.failing, false) {
+                    log::info!("coordinator: answers again");
+                }
+                self.follow = self.follow.max(stream.index);
+                if answer.stays && broken.is_none() {
+                    self.ask(now);
+                } else {
+                    (self.link, self.due) = (None, now);
+                }
+                Some(stream)
+            }
+        }
+    }
+
+    pub fn flush(&mut self, now: Micros) {
+        if let Some(Err(_)) = self.link.as_mut().map(Link::flush) {
+            self.failed(now, "connection over");
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/engines.rs
@@ -0,0 +1,491 @@
+//! Connections to query engines: executions out, answers put together from their pages.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use calloop::LoopHandle;
+use hallmux_agreement::{Allowance, Names};
+use hallmux_codec::engine::{self, Command, Line, Said, Want};
+use hallmux_codec::statement::Call;
+use hallmux_dispatcher::{Cost, Ending, Micros, Note, Place, Ticket};
+
+use crate::front::{Front, Party};
+use crate::link::{Broken, Link};
+
+const MOST_PAGES: usize = 256; // of a result; those agreed have eight
+const LONGEST_RESULT: usize = 1 << 20; // bytes; those agreed have 48,000
+const IDLE_MARGIN: Micros = 1_000_000; // microseconds by which a connection is closed before its engine would
+const MOST_GIVEN_UP: usize = 1024; // ids that a connection remembers; then it takes no more executions
+
+type LinkId = u64;
+/// An execution: its statement and its number.
+pub type Sent = (Ticket, usize);
+
+/// What engines have said, and how executions have ended.
+pub enum Told {
+    Ended { sent: Sent, ending: Ending, report: Option<Vec<f64>>, cost: Option<Cost>, result: Vec<u8> },
+    Noted { sent: Sent, note: Note },
+    Probed { place: Place, alive: bool, report: Option<Vec<f64>> },
+}
+
+struct Engine {
+    id: String,
+    at: SocketAddr,
+    started: f64,
+    links: Vec<LinkId>,
+}
+
+#[derive(Default)]
+struct Pages {
+    bytes: Vec<Option<Vec<u8>>>,
+    missing: usize,
+    held: usize,
+    report: Option<Vec<f64>>,
+    cost: Option<Cost>,
+}
+
+#[derive(PartialEq)]
+enum Stage {
+    /// Not a byte of it has left.
+    Queued,
+    /// It is the one being written.
+    Leaving,
+    Out,
+}
+
+struct Execution {
+    link: LinkId,
+    call: Rc<Call>,
+    ends: Micros,
+    grant_mb: f64,
+    priority: u8,
+    stage: Stage,
+    sent: Micros,
+    pages: Option<Pages>,
+}
+
+struct EngineLink {
+    link: Link,
+    place: Place,
+    up: bool,
+    /// It takes no more executions: its engine is another by now, or it was silent too long.
+    old: bool,
+    dial_by: Micros,
+    heard: Micros,
+    idle_since: Micros,
+    queue: VecDeque<Sent>,
+    leaving: Option<Sent>,
+    open: HashMap<String, Sent>,
+    given_up: HashSet<String>,
+    probes: HashMap<String, Micros>,
+}
+
+pub struct Engines {
+    handle: LoopHandle<'static, Front>,
+    allowed: Allowance,
+    report: Vec<String>,
+    engines: BTreeMap<Place, Engine>,
+    links: BTreeMap<LinkId, EngineLink>,
+    executions: HashMap<Sent, Execution>,
+    next: u64,
+    pub told: Vec<Told>,
+}
+
+impl Engines {
+    pub fn new(handle: LoopHandle<'static, Front>, allowed: Allowance, names: &Names) -> Self {
+        Engines {
+            handle,
+            allowed,
+            report: names.report.clone(),
+            engines: BTreeMap::new(),
+            links: BTreeMap::new(),
+            executions: HashMap::new(),
+            next: 0,
+            told: Vec::new(),
+        }
+    }
+
+    fn ended(&mut self, sent: Sent, ending: Ending) {
+        self.executions.remove(&sent);
+        self.told.push(Told::Ended { sent, ending, report: None, cost: None, result: Vec::new() });
+    }
+
+    /// An engine of the list: where it is, and whether anything may still be sent to it.
+    pub fn list(&mut self, place: Place, id: &str, at: SocketAddr, started: f64, up: bool) {
+        let known = self.engines.get(&place);
+        let same = known.is_some_and(|e| e.id == id && e.at == at && e.started == started);
+        if !same || !up {
+            self.retire(place);
+        }
+        let links = self.engines.remove(&place).map(|e| e.links).unwrap_or_default();
+        self.engines.insert(place, Engine { id: id.to_string(), at, started, links });
+    }
+
+    /// A whole list has come: engines that it does not name are gone.
+    pub fn retire_but(&mut self, listed: &[Place]) {
+        let places: Vec<Place> = self.engines.keys().copied().filter(|p| !listed.contains(p)).collect();
+        places.into_iter().for_each(|place| self.retire(place));
+    }
+
+    /// What has not left for an engine stays here; what is out may still be answered.
+    pub fn retire(&mut self, place: Place) {
+        let links = self.engines.get(&place).map(|e| e.links.clone()).unwrap_or_default();
+        for id in links {
+            let Some(link) = self.links.get_mut(&id) else { continue };
+            link.old = true;
+            for sent in std::mem::take(&mut link.queue) {
+                self.withdraw(id, sent);
+            }
+        }
+    }
+
+    fn withdraw(&mut self, link: LinkId, sent: Sent) {
+        if let (Some(link), Some(x)) = (self.links.get_mut(&link), self.executions.get(&sent)) {
+            link.open.remove(&x.call.id);
+        }
+        self.ended(sent, Ending::Withdrawn);
+    }
+
+    /// Sends an execution over a connection that has room for it, a new one if need be.
+    #[allow(clippy::too_many_arguments)]
+    pub fn send(
+        &mut self,
+        now: Micros,
+        sent: Sent,
+        place: Place,
+        call: Rc<Call>,
+        ends: Micros,
+        grant_mb: f64,
+        priority: u8,
+    ) {
+        let Some(id) = self.link_for(now, place, &call.id) else {
+            return self.ended(sent, Ending::NoMeans);
+        };
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.open.insert(call.id.clone(), sent);
+        link.queue.push_back(sent);
+        let stage = Stage::Queued;
+        let x = Execution { link: id, call, ends, grant_mb, priority, stage, sent: now, pages: None };
+        self.executions.insert(sent, x);
+    }
+
+    fn link_for(&mut self, now: Micros, place: Place, id: &str) -> Option<LinkId> {
+        let most = self.allowed.executions_per_connection;
+        let engine = self.engines.get(&place)?;
+        let fits = |link: &&LinkId| {
+            self.links.get(link).is_some_and(|l| {
+                let known = l.open.contains_key(id) || l.given_up.contains(id);
+                !l.old && !known && l.open.len() + l.probes.len() < most && l.given_up.len() < MOST_GIVEN_UP
+            })
+        };
+        let ready = |link: &&LinkId| self.links[link].up && self.links[link].link.unsent() == 0;
+        let mut fitting = engine.links.iter().filter(fits);
+        let found = fitting.clone().find(ready).or_else(|| fitting.next()).copied();
+        found.or_else(|| self.dial(now, place))
+    }
+
+    fn dial(&mut self, now: Micros, place: Place) -> Option<LinkId> {
+        let engine = self.engines.get_mut(&place)?;
+        self.next += 1;
+        let id = self.next;
+        let link = match Link::dial(engine.at, &self.handle, Party::Engine(id)) {
+            Ok(link) => link,
+            Err(e) => {
+                log::warn!("engine {}: no connection can be made: {e}", engine.id);
+                return None;
+            }
+        };
+        engine.links.push(id);
+        let link = EngineLink {
+            link,
+            place,
+            up: false,
+            old: false,
+            dial_by: now + self.allowed.dial_timeout,
+            heard: now,
+            idle_since: now,
+            queue: VecDeque::new(),
+            leaving: None,
+            open: HashMap::new(),
+            given_up: HashSet::new(),
+            probes: HashMap::new(),
+        };
+        self.links.insert(id, link);
+        Some(id)
+    }
+
+    pub fn hurry(&mut self, sent: Sent, priority: u8) {
+        let Some(x) = self.executions.get_mut(&sent) else { return };
+        x.priority = priority;
+        if x.stage != Stage::Queued && x.pages.is_none() {
+            if let Some(link) = self.links.get_mut(&x.link) {
+                engine::write(link.link.output(), &Command::Hurry(&x.call.id, priority));
+            }
+        }
+    }
+
+    /// Gives an execution up. It ends as told, or as withdrawn where nothing of it has left.
+    pub fn stop(&mut self, sent: Sent, ending: Ending) {
+        let Some(x) = self.executions.get(&sent) else { return };
+        let (id, name) = (x.link, x.call.id.clone());
+        let Some(link) = self.links.get_mut(&id) else { return };
+        match x.stage {
+            Stage::Queued => {
+                link.queue.retain(|other| *other != sent);
+                self.withdraw(id, sent);
+            }
+            // It would reach its engine whole after its end: rather the connection goes.
+            Stage::Leaving => self.end(id, Ending::Reset),
+            Stage::Out => {
+                let command = match x.pages {
+                    Some(_) => Command::NoMorePages(&name),
+                    None => Command::NeverMind(&name),
+                };
+                engine::write(link.link.output(), &command);
+                link.old |= link.heard < x.sent;
+                link.open.remove(&name);
+                link.given_up.insert(name);
+                self.ended(sent, ending);
+            }
+        }
+    }
+
+    pub fn probe(&mut self, now: Micros, place: Place) {
+        self.next += 1;
+        let tag = format!("p{}", self.next);
+        let Some(link) = self.link_for(now, place, &tag).and_then(|id| self.links.get_mut(&id)) else {
+            return self.told.push(Told::Probed { place, alive: false, report: None });
+        };
+        if link.up {
+            engine::write(link.link.output(), &Command::Probe(&tag));
+        }
+        link.probes.insert(tag, now + self.allowed.dial_timeout);
+    }
+
+    /// A connection has changed; true if there is more for another turn.
+    pub fn read(&mut self, now: Micros, id: LinkId) -> bool {
+        let Some(link) = self.links.get_mut(&id) else { return false };
+        if !link.up {
+            match link.link.is_up() {
+                Ok(false) => return false,
+                Ok(true) => {
+                    link.up = true;
+                    for tag in link.probes.keys() {
+                        engine::write(link.link.output(), &Command::Probe(tag));
+                    }
+                }
+                Err(e) => {
+                    let refused = e.kind() == ErrorKind::ConnectionRefused;
+                    self.end(id, if refused { Ending::Refused } else { Ending::NeverUp });
+                    return false;
+                }
+            }
+        }
+        let (more, broken) = link.link.read();
+        let input = std::mem::take(&mut link.link.input);
+        let mut at = 0;
+        let unreadable = loop {
+            match engine::read(&input[at..], &self.report) {
+                Ok(None) => break None,
+                Err(what) => break Some(what),
+                Ok(Some((len, line))) => {
+                    at += len;
+                    self.said(now, id, line);
+                }
+            }
+        };
+        if let Some(what) = unreadable {
+            log::warn!("engine {}: {what}; its connection is closed", self.name(id));
+            self.end(id, Ending::Unreadable);
+        } else if let Some(link) = self.links.get_mut(&id) {
+            link.link.input = input;
+            link.link.taken(at);
+        }
+        match broken {
+            Some(Broken::Closed) => self.end(id, Ending::Closed),
+            Some(Broken::Reset) => self.end(id, Ending::Reset),
+            None => {}
+        }
+        more
+    }
+
+    fn name(&self, link: LinkId) -> &str {
+        let engine = self.links.get(&link).and_then(|l| self.engines.get(&l.place));
+        engine.map_or("?", |e| &e.id)
+    }
+
+    fn said(&mut self, now: Micros, id: LinkId, line: Line) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.heard = now;
+        if let Said::Probed { alive } = line.said {
+            if link.probes.remove(line.id).is_some() {
+                self.told.push(Told::Probed { place: link.place, alive, report: line.report });
+            }
+            return;
+        }
+        // What is said of an execution that was given up or is unknown means nothing any more.
+        let Some(&sent) = link.open.get(line.id) else { return };
+        let Some(x) = self.executions.get_mut(&sent).filter(|x| x.stage == Stage::Out) else { return };
+        let cost = line.cost.filter(|_| self.allowed.cost_in_answers);
+        let cost = cost.map(|(ms, memory_mb)| Cost { work: ms * 1000.0, memory_mb });
+        let ending = match line.said {
+            Said::First { pages } if x.pages.is_none() && pages <= MOST_PAGES => {
+                let mut first =
+                    Pages { missing: pages, report: line.report.clone(), cost, ..Pages::default() };
+                first.bytes.resize(pages, None);
+                x.pages = Some(first);
+                for page in 1..pages {
+                    engine::write(link.link.output(), &Command::Page(line.id, page));
+                }
+                x.page(0, line.bytes)
+            }
+            Said::First { .. } => Some(Ending::PageLost),
+            Said::Page { number } => x.page(number, line.bytes),
+            Said::TurnedAway if x.pages.is_none() => Some(Ending::TurnedAway),
+            Said::Stale if x.pages.is_none() => Some(Ending::Stale),
+            Said::Failed if x.pages.is_none() => Some(Ending::EngineFailed),
+            Said::TurnedAway | Said::Stale | Said::Failed => Some(Ending::PageLost),
+            Said::ShareDone(share) => return self.note(sent, Note::ShareDone(share)),
+            Said::SpillsMb(mb) => return self.note(sent, Note::SpillsMb(mb)),
+            Said::WaitsForMemory => return self.note(sent, Note::WaitsForMemory),
+            Said::WaitsForData => return self.note(sent, Note::WaitsForData),
+            Said::Nothing | Said::Probed { .. } => None,
+        };
+        let Some(ending) = ending else { return };
+        link.open.remove(line.id);
+        link.idle_since = now;
+        let pages = self.executions.remove(&sent).and_then(|x| x.pages).unwrap_or_default();
+        if ending == Ending::PageLost {
+            engine::write(link.link.output(), &Command::NoMorePages(line.id));
+            link.given_up.insert(line.id.to_string());
+        }
+        let (report, cost) = (line.report.or(pages.report), cost.or(pages.cost));
+        let result = match ending {
+            Ending::Answered => pages.bytes.into_iter().flatten().flatten().collect(),
+            _ => Vec::new(),
+        };
+        self.told.push(Told::Ended { sent, ending, report, cost, result });
+    }
+
+    fn note(&mut self, sent: Sent, note: Note) {
+        self.told.push(Told::Noted { sent, note });
+    }
+
+    /// A connection is over: each execution on it ends by how much of it has left.
+    fn end(&mut self, id: LinkId, ending: Ending) {
+        let Some(link) = self.links.remove(&id) else { return };
+        let name = match self.engines.get_mut(&link.place) {
+            Some(engine) => {
+                engine.links.retain(|other| *other != id);
+                engine.id.clone()
+            }
+            None => String::new(),
+        };
+        if !link.open.is_empty() || !link.up {
+            log::info!("engine {name}: connection over with {} executions: {ending:?}", link.open.len());
+        }
+        let mut open: Vec<Sent> = link.open.into_values().collect();
+        open.sort_unstable();
+        for sent in open {
+            let ending = match self.executions.get(&sent).map(|x| &x.stage) {
+                Some(Stage::Queued) if link.up => Ending::Withdrawn,
+                Some(Stage::Leaving) => Ending::HalfWritten,
+                Some(_) => ending,
+                None => continue,
+            };
+            self.ended(sent, ending);
+        }
+        for _ in link.probes {
+            self.told.push(Told::Probed { place: link.place, alive: false, report: None });
+        }
+    }
+
+    /// Sends what is to leave. Of what is queued only as much is begun as the network takes.
+    pub fn flush(&mut self, now: Micros) {
+        let ids: Vec<LinkId> = self.links.keys().copied().collect();
+        for id in ids {
+            if self.pump(now, id).is_err() {
+                self.end(id, Ending::Reset);
+            }
+        }
+    }
+
+    fn pump(&mut self, now: Micros, id: LinkId) -> Result<(), Broken> {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.up) else { return Ok(()) };
+        loop {
+            link.link.flush()?;
+            if link.link.unsent() > 0 {
+                return Ok(());
+            }
+            if let Some(x) = link.leaving.take().and_then(|sent| self.executions.get_mut(&sent)) {
+                x.stage = Stage::Out;
+            }
+            let Some(sent) = link.queue.pop_front() else { return Ok(()) };
+            let Some(x) = self.executions.get_mut(&sent) else { continue };
+            let want = Want {
+                id: &x.call.id,
+                workload: &x.call.workload,
+                dedup_key: x.call.dedup_key.as_deref(),
+                wait_ms: ((x.ends - now) / 1000).max(1),
+                grant_mb: x.grant_mb,
+                priority: x.priority,
+                statement: &x.call.statement,
+            };
+            engine::write(link.link.output(), &Command::Want(want));
+            (x.stage, x.sent, link.leaving) = (Stage::Leaving, now, Some(sent));
+        }
+    }
+
+    /// When `expire` is next due.
+    pub fn due(&self) -> Micros {
+        let due = |link: &EngineLink| {
+            let dial = if link.up { Micros::MAX } else { link.dial_by };
+            let probe = link.probes.values().copied().min().unwrap_or(Micros::MAX);
+            dial.min(probe).min(self.idle_until(link).unwrap_or(Micros::MAX))
+        };
+        self.links.values().map(due).min().unwrap_or(Micros::MAX)
+    }
+
+    fn idle_until(&self, link: &EngineLink) -> Option<Micros> {
+        let idle = link.up && link.open.is_empty() && link.probes.is_empty();
+        let keep = if link.old { 0 } else { (self.allowed.keepalive - IDLE_MARGIN).max(IDLE_MARGIN) };
+        idle.then_some(link.idle_since + keep)
+    }
+
+    /// Ends what has waited too long: connections not up, probes not answered, idle connections.
+    pub fn expire(&mut self, now: Micros) {
+        let ids: Vec<LinkId> = self.links.keys().copied().collect();
+        for id in ids {
+            let Some(link) = self.links.get_mut(&id) else { continue };
+            if !link.up && link.dial_by <= now {
+                self.end(id, Ending::NeverUp);
+                continue;
+            }
+            let place = link.place;
+            let before = link.probes.len();
+            link.probes.retain(|_, due| *due > now);
+            for _ in link.probes.len()..before {
+                self.told.push(Told::Probed { place, alive: false, report: None });
+            }
+            if self.idle_until(&self.links[&id]).is_some_and(|until| until <= now) {
+                self.end(id, Ending::Withdrawn);
+            }
+        }
+    }
+}
+
+impl Execution {
+    /// Takes a page; the last one missing answers the execution.
+    fn page(&mut self, number: usize, bytes: &[u8]) -> Option<Ending> {
+        let Some(pages) = &mut self.pages else { return Some(Ending::PageLost) };
+        pages.held += bytes.len();
+        match pages.bytes.get_mut(number) {
+            Some(page @ None) if pages.held <= LONGEST_RESULT => *page = Some(bytes.to_vec()),
+            _ => return Some(Ending::PageLost),
+        }
+        pages.missing -= 1;
+        (pages.missing == 0).then_some(Ending::Answered)
+    }
+}
--- /dev/null
+++ b/crates/front/src/front.rs
@@ -0,0 +1,318 @@
+//! What one front does in a turn: it takes in all that is there, decides once, and sends what follows.
+
+use std::io::ErrorKind;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use hallmux_agreement::Station;
+use hallmux_codec::coordinator::{State, Stream};
+use hallmux_codec::statement::{Call, Reply};
+use hallmux_codec::tables;
+use hallmux_dispatcher::{Ask, Dispatcher, Listing, Micros, Mode as EngineMode, Order, Unfit};
+
+use crate::clients::{self, ClientId, Clients};
+use crate::coordinator::Coordinator;
+use crate::engines::{self, Engines};
+use crate::link::Link;
+use crate::shutdown::Shutdown;
+
+const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
+const ACCEPT_AGAIN: Micros = 50_000; // microseconds until the next try after one without descriptors
+
+/// Whom a connection is to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Party {
+    Client(ClientId),
+    Engine(u64),
+    Coordinator(u64),
+}
+
+pub struct Front {
+    handle: LoopHandle<'static, Front>,
+    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    accept_at: Option<Micros>,
+    dispatcher: Dispatcher,
+    most_held: usize,
+    clients: Clients,
+    engines: Engines,
+    coordinator: Coordinator,
+    shutdown: Shutdown,
+    now: Micros,
+    /// Connections with more to read than one turn takes.
+    unfinished: Vec<Party>,
+}
+
+impl Front {
+    pub fn new(
+        station: &Station,
+        known: &Stream,
+        listener: TcpListener,
+        handle: LoopHandle<'static, Front>,
+    ) -> std::io::Result<Front> {
+        listener.set_nonblocking(true)?;
+        let listener = Rc::new(listener);
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
+        let accept = handle.insert_source(source, |_, _, front: &mut Front| {
+            front.accept_at = Some(0);
+            Ok(PostAction::Continue)
+        });
+        let token = accept.map_err(|e| std::io::Error::other(e.error.to_string()))?;
+        let settings = &station.settings;
+        let mut front = Front {
+            listener: Some((listener, token)),
+            accept_at: Some(0),
+            dispatcher: Dispatcher::new(settings, station.seed),
+            most_held: settings.allowance.most_held,
+            clients: Clients::default(),
+            engines: Engines::new(handle.clone(), settings.allowance.clone(), &settings.names),
+            coordinator: Coordinator::new(handle.clone(), station.coordinator, 0),
+            shutdown: Shutdown::default(),
+            now: 0,
+            unfinished: Vec::new(),
+            handle,
+        };
+        front.look_at_clock();
+        front.follow(known, 0);
+        front.coordinator.follow = known.index;
+        Ok(front)
+    }
+
+    /// The system's Unix clock, but never back.
+    fn look_at_clock(&mut self) {
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        self.now = self.now.max(since.as_micros() as Micros);
+    }
+
+    /// How long nothing is due.
+    pub fn idle(&mut self) -> Duration {
+        self.look_at_clock();
+        if !self.unfinished.is_empty() {
+            return Duration::ZERO;
+        }
+        let due = [
+            self.dispatcher.wake(),
+            self.engines.due(),
+            self.coordinator.due(),
+            self.accept_at.unwrap_or(Micros::MAX),
+            self.shutdown.due(self.now),
+        ];
+        let due = due.into_iter().min().unwrap_or(self.now);
+        Duration::from_micros((due - self.now).max(0) as u64)
+    }
+
+    /// A connection has changed: takes what is there.
+    pub fn ready(&mut self, party: Party) {
+        self.look_at_clock();
+        let more = match party {
+            Party::Client(id) => {
+                self.clients.writable(id);
+                self.read_client(id)
+            }
+            Party::Engine(id) => self.engines.read(self.now, id),
+            Party::Coordinator(number) => {
+                let before = self.coordinator.follow;
+                if let Some(stream) = self.coordinator.read(self.now, number) {
+                    self.follow(&stream, before);
+                }
+                false
+            }
+        };
+        if more {
+            self.unfinished.push(party);
+        }
+    }
+
+    fn read_client(&mut self, id: ClientId) -> bool {
+        let mut told = Vec::new();
+        let more = self.clients.read(id, !self.shutdown.asked(), &mut told);
+        self.take(told);
+        more
+    }
+
+    fn take(&mut self, told: Vec<clients::Told>) {
+        for told in told {
+            match told {
+                clients::Told::Left(ticket) => self.dispatcher.left(self.now, ticket),
+                clients::Told::Asked { client, seqid, call } => self.asked(client, seqid, *call),
+            }
+        }
+    }
+
+    fn asked(&mut self, client: ClientId, seqid: i32, call: Call) {
+        if self.dispatcher.held() >= self.most_held {
+            return self.clients.refuse(client, seqid, &Reply::Rejected { retry_after_ms: None });
+        }
+        let ask = Ask {
+            workload: &call.workload,
+            customer: &call.customer,
+            key: call.order_key.as_deref(),
+            time_left: (call.time_left_ms * 1000.0) as Micros,
+            work: call.work_ms * 1000.0,
+            memory_mb: call.memory_mb,
+            data_set: tables::group(&call.statement),
+        };
+        match self.dispatcher.pick(self.now, &ask) {
+            Ok(ticket) => self.clients.opened(client, seqid, ticket, call),
+            Err(Unfit::Workload) => self.clients.refuse(client, seqid, &Reply::Unfit("verb")),
+            Err(Unfit::Customer) => self.clients.refuse(client, seqid, &Reply::Unfit("team")),
+        }
+    }
+
+    /// Takes in the coordinator's events that come after the one given.
+    fn follow(&mut self, stream: &Stream, after: u64) {
+        for update in stream.updates.iter().filter(|u| u.index > after) {
+            let Some(list) = &update.endpoints else { continue };
+            let listing = |s: &'_ hallmux_codec::coordinator::Server| {
+                (s.id.clone(), s.zone.clone(), s.kind.clone(), s.cell, s.state, s.started_ms)
+            };
+            let lines: Vec<_> = list.servers.iter().map(listing).collect();
+            let listings: Vec<Listing> = lines
+                .iter()
+                .map(|(id, location, kind, cell, state, started_ms)| Listing {
+                    id,
+                    location,
+                    kind,
+                    cell: *cell,
+                    mode: match state {
+                        State::Up => EngineMode::Ready,
+                        State::Draining => EngineMode::Draining,
+                        State::Removed => EngineMode::Gone,
+                    },
+                    started: (*started_ms > 0.0).then_some((started_ms * 1000.0) as Micros),
+                })
+                .collect();
+            let places = self.dispatcher.list(list.full, &listings);
+            if list.full {
+                self.engines.retire_but(&places);
+            }
+            for (server, place) in list.servers.iter().zip(places) {
+                log::info!("engine {}: {:?} at {} ({})", server.id, server.state, server.addr, server.kind);
+                match server.addr.parse() {
+                    Ok(at) => {
+                        let up = server.state == State::Up;
+                        self.engines.list(place, &server.id, at, server.started_ms, up);
+                    }
+                    Err(_) if server.state != State::Up => self.engines.retire(place),
+                    Err(e) => log::error!("engine {}: address '{}': {e}", server.id, server.addr),
+                }
+            }
+        }
+    }
+
+    /// Decides on all that was taken in, and sends what follows.
+    pub fn turn(&mut self) {
+        self.look_at_clock();
+        for party in std::mem::take(&mut self.unfinished) {
+            self.ready(party);
+        }
+        self.accept();
+        self.engines.expire(self.now);
+        self.coordinator.expire(self.now);
+        for _ in 0..ROUNDS {
+            self.heard();
+            let orders = self.dispatcher.tick(self.now);
+            if orders.is_empty() {
+                break;
+            }
+            for order in orders {
+                self.obey(order);
+            }
+            // Stops go out before what they make room for.
+            self.engines.flush(self.now);
+        }
+        self.engines.flush(self.now);
+        self.heard();
+        self.coordinator.flush(self.now);
+        let mut told = Vec::new();
+        self.clients.flush(&mut told);
+        self.take(told);
+        if self.shutdown.closes(self.now) {
+            if let Some((_, token)) = self.listener.take() {
+                self.handle.remove(token);
+                log::info!("no more connections are taken; {} clients are connected", self.clients.len());
+            }
+            self.clients.close_idle();
+        }
+    }
+
+    /// The end was asked for.
+    pub fn end(&mut self) {
+        self.look_at_clock();
+        self.shutdown.ask(self.now);
+    }
+
+    /// Whether all is answered after the end was asked for.
+    pub fn is_done(&self) -> bool {
+        self.listener.is_none() && self.clients.len() == 0
+    }
+
+    fn accept(&mut self) {
+        if self.accept_at.is_none_or(|at| at > self.now) {
+            return;
+        }
+        self.accept_at = None;
+        let Some((listener, _)) = self.listener.clone() else { return };
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let id = self.clients.next_id();
+                    match Link::new(stream, &self.handle, Party::Client(id)) {
+                        Ok(link) => {
+                            self.clients.accept(id, link);
+                            self.ready(Party::Client(id));
+                        }
+                        Err(e) => log::warn!("a client's connection can't be served: {e}"),
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    log::warn!("no connection can be taken for now: {e}");
+                    self.accept_at = Some(self.now + ACCEPT_AGAIN);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Passes on what engines have said.
+    fn heard(&mut self) {
+        for told in std::mem::take(&mut self.engines.told) {
+            match told {
+                engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
+                    if self.dispatcher.report(self.now, ticket, execution, ending, report, cost) {
+                        self.clients.answer(ticket, &Reply::Completed(&result));
+                    }
+                }
+                engines::Told::Noted { sent: (ticket, execution), note } => {
+                    self.dispatcher.note(ticket, execution, note);
+                }
+                engines::Told::Probed { place, alive, report } => {
+                    self.dispatcher.probed(place, alive, report);
+                }
+            }
+        }
+    }
+
+    fn obey(&mut self, order: Order) {
+        match order {
+            Order::Send { ticket, execution, place, ends, grant_mb, priority } => {
+                let Some(call) = self.clients.call(ticket) else { return };
+                self.engines.send(self.now, (ticket, execution), place, call, ends, grant_mb, priority);
+            }
+            Order::Hurry { ticket, execution, priority } => {
+                self.engines.hurry((ticket, execution), priority);
+            }
+            Order::Stop { ticket, execution, ending } => self.engines.stop((ticket, execution), ending),
+            Order::Reject { ticket, retry_after } => {
+                let retry_after_ms = retry_after.map(|time| time / 1000);
+                self.clients.answer(ticket, &Reply::Rejected { retry_after_ms });
+            }
+            Order::Abort { ticket } => self.clients.answer(ticket, &Reply::Aborted),
+            Order::Probe { place } => self.engines.probe(self.now, place),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/link.rs
@@ -0,0 +1,135 @@
+//! One connection: a socket that never blocks, what has come over it and what is still to leave.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::front::{Front, Party};
+
+const CHUNK: usize = 64 << 10; // bytes taken at once
+const ONE_TURN: usize = 1 << 20; // bytes taken before other connections have their turn
+
+/// How a connection ended from the other side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    Closed,
+    Reset,
+}
+
+pub struct Link {
+    stream: Rc<TcpStream>,
+    token: RegistrationToken,
+    handle: LoopHandle<'static, Front>,
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    left: usize, // bytes of output that have left
+}
+
+impl Link {
+    /// Serves a connection that is up or coming up; the loop tells of it under the name given.
+    pub fn new(
+        stream: TcpStream,
+        handle: &LoopHandle<'static, Front>,
+        party: Party,
+    ) -> std::io::Result<Link> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let stream = Rc::new(stream);
+        // Told once for each change, so that a connection which is not read for now costs nothing.
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let token = handle
+            .insert_source(source, move |_, _, front| {
+                front.ready(party);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| std::io::Error::other(e.error.to_string()))?;
+        let handle = handle.clone();
+        Ok(Link { stream, token, handle, input: Vec::new(), output: Vec::new(), left: 0 })
+    }
+
+    /// Begins a connection.
+    pub fn dial(to: SocketAddr, handle: &LoopHandle<'static, Front>, party: Party) -> std::io::Result<Link> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Err(e) if e.raw_os_error() != Some(IN_PROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
+            _ => Link::new(socket.into(), handle, party),
+        }
+    }
+
+    /// Whether a dialled connection is up by now, or why it never will be.
+    pub fn is_up(&self) -> std::io::Result<bool> {
+        if let Some(error) = self.stream.take_error()? {
+            return Err(error);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Takes what is readable; true if there is more for another turn.
+    pub fn read(&mut self) -> (bool, Option<Broken>) {
+        let mut chunk = [0; CHUNK];
+        let mut taken = 0;
+        while taken < ONE_TURN {
+            match (&*self.stream).read(&mut chunk) {
+                Ok(0) => return (false, Some(Broken::Closed)),
+                Ok(n) => {
+                    self.input.extend_from_slice(&chunk[..n]);
+                    taken += n;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return (false, None),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return (false, Some(Broken::Reset)),
+            }
+        }
+        (true, None)
+    }
+
+    /// What is to leave with the next `flush`.
+    pub fn output(&mut self) -> &mut Vec<u8> {
+        &mut self.output
+    }
+
+    pub fn unsent(&self) -> usize {
+        self.output.len() - self.left
+    }
+
+    /// Sends as much as the network takes.
+    pub fn flush(&mut self) -> Result<(), Broken> {
+        while self.unsent() > 0 {
+            match (&*self.stream).write(&self.output[self.left..]) {
+                Ok(n) => self.left += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(Broken::Reset),
+            }
+        }
+        self.output.clear();
+        self.output.shrink_to(CHUNK);
+        self.left = 0;
+        Ok(())
+    }
+
+    /// Lets go of the first bytes of the input.
+    pub fn taken(&mut self, len: usize) {
+        self.input.drain(..len);
+        if self.input.is_empty() {
+            self.input.shrink_to(CHUNK);
+        }
+    }
+}
+
+const IN_PROGRESS: i32 = 115; // EINPROGRESS, which the standard library has no kind for
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.handle.remove(self.token);
+    }
+}
--- /dev/null
+++ b/crates/front/src/logger.rs
@@ -0,0 +1,37 @@
+//! A logger of a few lines: each record is one line on standard error, with the time and the front's name.
+
+use std::io::Write;
+use std::time::SystemTime;
+
+use log::{LevelFilter, Log, Metadata, Record};
+
+struct Logger {
+    name: String,
+}
+
+/// Sends all records up to a level to standard error from now on.
+pub fn start(name: &str, level: LevelFilter) {
+    let logger = Box::new(Logger { name: name.to_string() });
+    if log::set_boxed_logger(logger).is_ok() {
+        log::set_max_level(level);
+    }
+}
+
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.level() <= log::max_level()
+    }
+
+    fn log(&self, record: &Record) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let (s, ms) = (since.as_secs(), since.subsec_millis());
+        let level = record.level().as_str().to_ascii_lowercase();
+        // A log that nobody takes is no reason to stop.
+        let _ = writeln!(std::io::stderr().lock(), "{s}.{ms:03} {} {level}: {}", self.name, record.args());
+    }
+
+    fn flush(&self) {}
+}
--- /dev/null
+++ b/crates/front/src/main.rs
@@ -0,0 +1,51 @@
+//! hallmux on real sockets: one thread that serves clients, query engines and the coordinator.
+
+mod clients;
+mod coordinator;
+mod engines;
+mod front;
+mod link;
+mod logger;
+mod shutdown;
+
+use std::net::TcpListener;
+use std::process::ExitCode;
+
+use calloop::signals::{Signal, Signals};
+use calloop::EventLoop;
+use hallmux_agreement::Station;
+
+use front::Front;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("hallmux-front: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let station = Station::read(&std::env::vars().collect())?;
+    logger::start(&station.name, station.log_level);
+    let known = hallmux_codec::coordinator::stream(station.known.as_bytes());
+    let known = known.map_err(|what| format!("known: {what}"))?;
+    let mut event_loop: EventLoop<'static, Front> = EventLoop::try_new().map_err(|e| e.to_string())?;
+    let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| e.to_string())?;
+    let asked = |_, _: &mut (), front: &mut Front| front.end();
+    event_loop.handle().insert_source(signals, asked).map_err(|e| e.to_string())?;
+    let listener =
+        TcpListener::bind(station.listen).map_err(|e| format!("listen: {}: {e}", station.listen))?;
+    let front = Front::new(&station, &known, listener, event_loop.handle());
+    let mut front = front.map_err(|e| format!("listen: {}: {e}", station.listen))?;
+    log::info!("takes statements at {}", station.listen);
+    while !front.is_done() {
+        let idle = front.idle();
+        event_loop.dispatch(idle, &mut front).map_err(|e| e.to_string())?;
+        front.turn();
+    }
+    log::info!("all is answered");
+    Ok(())
+}
