What waited for a front that stood still is seen as late; bounded memory; socket tests

Read over the first front: a forget read together with its statement was lost, a number used twice in one read opened two statements, whole lists could give a listed engine's place away, and statements found after a stall counted as fresh.

--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -11,6 +11,7 @@
 
 const MEMORY_MB: u64 = 192; // MB, where the file is silent; the least that the operators grant
 const SOCKETS: usize = 1024; // descriptors, where the file is silent; the least that the operators grant
+const NOTHING_KNOWN: &str = r#"{"index":0,"updates":[]}"#; // the coordinator tells all that has been since
 const LEVEL: &str = "info"; // log level; one line for each change worth waking for
 
 #[derive(Deserialize)]
@@ -86,7 +87,7 @@
             seed: u64::from_str_radix(&seed, 16).map_err(|e| format!("seed: '{seed}': {e}"))?,
             limits: Limits { memory_bytes: limits.memory_mb << 20, sockets: limits.sockets },
             coordinator: file.coordinator.map(|at| read("coordinator", &at)).transpose()?,
-            known: file.known.map_or_else(|| "{}".to_string(), |raw| raw.get().to_string()),
+            known: file.known.map_or_else(|| NOTHING_KNOWN.to_string(), |raw| raw.get().to_string()),
             settings: settings(settings_text.get()).map_err(|e| format!("settings: {e}"))?,
             log_level: read("HALLMUX_LOG", level)?,
         })
--- a/crates/codec/src/statement.rs
+++ b/crates/codec/src/statement.rs
@@ -11,7 +11,7 @@
 
 use crate::Unreadable;
 
-const LONGEST_FRAME: usize = 1 << 20; // bytes; statements take some hundred, the longest some ten thousand
+const LONGEST_FRAME: usize = 128 << 10; // bytes; statements take some hundred, the longest some ten thousand
 const MOST_FIELDS: usize = 64; // of a statement; a dozen are known
 const DEEPEST: usize = 8; // structs within structs that are passed over
 const PREFIX: usize = 4; // bytes of a frame's length
@@ -103,6 +103,11 @@
 }
 
 impl Call {
+    /// Bytes that it takes in memory, near enough.
+    pub fn size(&self) -> usize {
+        std::mem::size_of::<Call>() + self.statement.len() + self.id.len() + self.workload.len()
+    }
+
     fn new(fields: &BTreeMap<String, String>, statement: Option<Vec<u8>>) -> Call {
         let mut unfit = None;
         let mut note = |name: &'static str, bad: bool| unfit = unfit.or(bad.then_some(name));
@@ -227,3 +232,80 @@
     }
     out.write_map_end()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A `serve` frame with the fields given.
+    fn frame(fields: &[(&str, &str)], statement: &[u8]) -> Vec<u8> {
+        let mut frame = vec![0; PREFIX];
+        let mut out = TBinaryOutputProtocol::new(&mut frame, true);
+        out.write_message_begin(&TMessageIdentifier::new("serve", TMessageType::Call, 7)).unwrap();
+        write_fields(&mut out, 1, fields.iter().copied()).unwrap();
+        out.write_field_begin(&TFieldIdentifier::new("body", TType::String, 2)).unwrap();
+        out.write_bytes(statement).unwrap();
+        out.write_field_stop().unwrap();
+        let len = (frame.len() - PREFIX) as u32;
+        frame[..PREFIX].copy_from_slice(&len.to_be_bytes());
+        frame
+    }
+
+    const FIELDS: [(&str, &str); 4] =
+        [("txn", "9b1f03aa5c7e2d41"), ("verb", "report"), ("limit", "1500"), ("team", "acme")];
+
+    #[test]
+    fn a_frame_is_read_once_it_is_whole_and_keeps_its_bytes() {
+        let frame = frame(&FIELDS, b"select '\xff'");
+        for len in 0..frame.len() {
+            assert_eq!(read(&frame[..len]), Ok(None));
+        }
+        let Ok(Some((len, 7, Asked::Serve(call)))) = read(&frame) else { panic!() };
+        assert_eq!((len, call.unfit, call.time_left_ms), (frame.len(), None, 1500.0));
+        assert_eq!(call.statement, b"select '\xff'");
+    }
+
+    #[test]
+    fn broken_frames_are_errors_and_no_panics() {
+        let whole = frame(&FIELDS, b"select 1");
+        for at in PREFIX..whole.len() {
+            for byte in [0x00, 0x7f, 0x80, 0xff] {
+                let mut broken = whole.clone();
+                broken[at] = byte;
+                let _ = read(&broken);
+            }
+            // The length says that it is whole, but it is not.
+            let mut cut = whole[..at].to_vec();
+            cut[..PREFIX].copy_from_slice(&((at - PREFIX) as u32).to_be_bytes());
+            assert!(read(&cut).is_err());
+        }
+        let mut nested = frame(&FIELDS, b"");
+        nested.pop();
+        nested.extend([12, 0, 9].repeat(1000));
+        let len = (nested.len() - PREFIX) as u32;
+        nested[..PREFIX].copy_from_slice(&len.to_be_bytes());
+        assert!(read(&nested).is_err());
+        for prefix in [&[0xff, 0xff, 0xff, 0xff], &[0x7f, 0xff, 0xff, 0xff], &[0, 2, 0, 1]] {
+            assert!(read(prefix).is_err());
+        }
+    }
+
+    #[test]
+    fn the_first_unfit_field_is_named() {
+        for (name, value) in [
+            ("txn", "short"),
+            ("txn", "9b1f03aa5c7e2d4,"),
+            ("verb", "a b"),
+            ("limit", "-1"),
+            ("limit", "nan"),
+            ("unique", "a\r\nb"),
+            ("cpu", "x"),
+            ("heap_mb", "inf"),
+        ] {
+            let mut fields: Vec<_> = FIELDS.iter().copied().filter(|(known, _)| *known != name).collect();
+            fields.push((name, value));
+            let Ok(Some((_, _, Asked::Serve(call)))) = read(&frame(&fields, b"")) else { panic!() };
+            assert_eq!(call.unfit, Some(name), "{value}");
+        }
+    }
+}
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -246,8 +246,9 @@
     pub fn list(&mut self, whole: bool, listings: &[Listing]) -> Vec<Place> {
         let mut places = Vec::new();
         let mut entries = Vec::new();
-        if whole {
-            self.engines.iter_mut().for_each(|e| e.entry.mode = Mode::Gone);
+        let named = |e: &Engine| listings.iter().any(|l| l.id == e.id);
+        for missing in self.engines.iter_mut().filter(|e| whole && !named(e)) {
+            missing.entry.mode = Mode::Gone;
         }
         for listing in listings {
             let named =
@@ -391,3 +392,145 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SETTINGS: &str = r#"{"instances": 1, "areas": ["here"], "kinds": ["std"],
+        "customers": [{"name": "acme", "allowancePerS": 1000}],
+        "bounds": {"cancelling": true, "mostTries": 3, "retryAfter": true},
+        "extra": {"sizeCores": [8], "memoryByKindMb": [16384], "takesPriority": true},
+        "requestClasses": [
+            {"name": "lookup", "aimMs": 1000, "deadlineMs": 5000, "repeat": "repeatable"},
+            {"name": "load", "aimMs": 1000, "deadlineMs": 5000, "repeat": "by_key", "group": "all",
+             "dedupWindowMs": 9000, "inTurn": true},
+            {"name": "pay", "aimMs": 1000, "deadlineMs": 5000, "repeat": "once"}],
+        "rules": {"turnGapMs": 50}}"#;
+
+    fn dispatcher() -> Dispatcher {
+        Dispatcher::new(&hallmux_agreement::settings(SETTINGS).unwrap(), 7)
+    }
+
+    fn listing(id: &str, mode: Mode, started: Option<Micros>) -> Listing<'_> {
+        Listing { id, location: "here", kind: "std", cell: 0, mode, started }
+    }
+
+    fn ask<'a>(workload: &'a str, key: Option<&'a str>) -> Ask<'a> {
+        Ask { workload, customer: "acme", key, time_left: 4_000_000, ..Ask::default() }
+    }
+
+    fn sent(orders: &[Order]) -> Vec<(Ticket, usize)> {
+        let send = |o: &Order| match o {
+            Order::Send { ticket, execution, .. } => Some((*ticket, *execution)),
+            _ => None,
+        };
+        orders.iter().filter_map(send).collect()
+    }
+
+    #[test]
+    fn only_endings_that_prove_it_let_a_non_idempotent_statement_go_again() {
+        for (ending, again) in [
+            (Ending::TurnedAway, true),
+            (Ending::Stale, true),
+            (Ending::Refused, true),
+            (Ending::NeverUp, true),
+            (Ending::NoMeans, true),
+            (Ending::Withdrawn, true),
+            (Ending::HalfWritten, true),
+            (Ending::EngineFailed, false),
+            (Ending::PageLost, false),
+            (Ending::Reset, false),
+            (Ending::Closed, false),
+            (Ending::Unreadable, false),
+            (Ending::GivenUp, false),
+        ] {
+            let mut d = dispatcher();
+            d.list(true, &[listing("a", Mode::Ready, None), listing("b", Mode::Ready, None)]);
+            let ticket = d.pick(1_000_000, &ask("pay", None)).unwrap();
+            assert_eq!(sent(&d.tick(1_000_000)), [(ticket, 0)]);
+            assert!(!d.report(1_010_000, ticket, 0, ending, None, None));
+            let mut next = d.tick(1_010_000);
+            // An engine that could not be reached rests for a while.
+            next.extend(d.tick(2_200_000));
+            assert_eq!(sent(&next) == [(ticket, 1)], again, "{ending:?}: {next:?}");
+            assert_eq!(next.contains(&Order::Abort { ticket }), !again, "{ending:?}: {next:?}");
+        }
+    }
+
+    #[test]
+    fn the_first_answer_counts_and_nothing_follows_it() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        let ticket = d.pick(0, &ask("lookup", None)).unwrap();
+        d.tick(0);
+        assert!(d.report(5_000, ticket, 0, Ending::Answered, None, None));
+        assert!(!d.report(5_000, ticket, 0, Ending::Answered, None, None));
+        assert_eq!((d.tick(5_000), d.held()), (vec![], 0));
+        let other = d.pick(6_000, &ask("lookup", None)).unwrap();
+        d.tick(6_000);
+        d.left(7_000, other);
+        let stop = Order::Stop { ticket: other, execution: 0, ending: Ending::GivenUp };
+        assert_eq!(d.tick(7_000), [stop]);
+        assert!(!d.report(7_000, other, 0, Ending::Answered, None, None));
+        assert_eq!((d.tick(7_000), d.held()), (vec![], 0));
+    }
+
+    #[test]
+    fn what_is_out_when_the_time_is_up_is_stopped_then_ended() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        let ticket = d.pick(0, &ask("pay", None)).unwrap();
+        d.tick(0);
+        let stop = Order::Stop { ticket, execution: 0, ending: Ending::TimeUp };
+        assert!(d.tick(4_000_000).contains(&stop));
+        d.report(4_000_000, ticket, 0, Ending::TimeUp, None, None);
+        assert_eq!(d.tick(4_000_000), [Order::Abort { ticket }]);
+        assert_eq!(d.held(), 0);
+    }
+
+    #[test]
+    fn unknown_names_are_unfit() {
+        let mut d = dispatcher();
+        assert_eq!(d.pick(0, &ask("unheard", None)), Err(Unfit::Workload));
+        assert_eq!(d.pick(0, &Ask { customer: "unheard", ..ask("pay", None) }), Err(Unfit::Customer));
+        assert_eq!(d.held(), 0);
+    }
+
+    #[test]
+    fn nothing_is_kept_of_statements_keys_and_engines_that_are_over() {
+        let mut d = dispatcher();
+        let mut now = 0;
+        for i in 0..3_000 {
+            now += 100_000;
+            let (id, key) = (format!("e{i}"), format!("k{i}"));
+            d.list(false, &[listing(&id, Mode::Ready, Some(now - 60_000_000))]);
+            let ticket = d.pick(now, &ask("load", Some(&key))).unwrap();
+            assert_eq!(sent(&d.tick(now)), [(ticket, 0)]);
+            d.report(now + 10_000, ticket, 0, Ending::Answered, None, None);
+            d.list(false, &[listing(&id, Mode::Gone, Some(now - 60_000_000))]);
+            d.tick(now + 10_000);
+        }
+        let kept =
+            (d.held(), d.ends.len(), d.keys.len(), d.free_keys.len(), d.resting.len(), d.engines.len());
+        assert!(kept.0 == 0 && kept.1 == 0 && kept.2 <= 2 && kept.3 <= 2 && kept.4 <= 2, "{kept:?}");
+        assert_eq!(kept.5, 1);
+    }
+
+    #[test]
+    fn a_key_keeps_its_rest_when_its_statements_are_over() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        let first = d.pick(0, &ask("load", Some("k"))).unwrap();
+        d.tick(0);
+        d.left(1_000, first);
+        d.tick(1_000);
+        d.report(1_000, first, 0, Ending::GivenUp, None, None);
+        d.tick(1_000);
+        let second = d.pick(2_000, &ask("load", Some("k"))).unwrap();
+        assert_eq!(sent(&d.tick(2_000)), []);
+        assert_eq!(sent(&d.tick(50_000)), []);
+        let at = d.wake();
+        assert_eq!(sent(&d.tick(at)), [(second, 0)]);
+    }
+}
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -9,7 +9,7 @@
 use crate::link::{Broken, Link};
 
 const MOST_OPEN: usize = 32; // statements open on a connection, as the protocol has it
-const MOST_UNSENT: usize = 2 << 20; // bytes that a client may leave untaken; all it can have open, and a quarter
+const MOST_UNSENT: usize = 64 << 10; // bytes that a client may leave untaken before it is no longer read
 
 pub type ClientId = u64;
 
@@ -29,15 +29,17 @@
 pub struct Clients {
     clients: HashMap<ClientId, Client>,
     open: HashMap<Ticket, Open>,
+    held: usize,
     next: ClientId,
     dirty: BTreeSet<ClientId>,
     /// Not read for now: they do not take their answers.
-    pub waiting: BTreeSet<ClientId>,
+    waiting: BTreeSet<ClientId>,
 }
 
 /// What clients have said.
 pub enum Told {
     Asked { client: ClientId, seqid: i32, call: Box<Call> },
+    Forgets { client: ClientId, seqid: i32 },
     Left(Ticket),
 }
 
@@ -75,18 +77,7 @@
                     match asked {
                         Asked::IsWell => answer(Reply::Well(well)),
                         Asked::Unknown(name) => answer(Reply::UnknownMethod(&name)),
-                        Asked::Forget(which) => {
-                            if let Some(ticket) = client.open.remove(&which) {
-                                self.open.remove(&ticket);
-                                told.push(Told::Left(ticket));
-                            }
-                        }
-                        Asked::Serve(_) if client.open.contains_key(&seqid) => {
-                            log::debug!("client {id}: statement {seqid} is open already");
-                        }
-                        Asked::Serve(_) if client.open.len() >= MOST_OPEN => {
-                            answer(Reply::Rejected { retry_after_ms: None });
-                        }
+                        Asked::Forget(seqid) => told.push(Told::Forgets { client: id, seqid }),
                         Asked::Serve(call) => match call.unfit {
                             Some(field) => answer(Reply::Unfit(field)),
                             None => told.push(Told::Asked { client: id, seqid, call: Box::new(call) }),
@@ -106,21 +97,63 @@
     }
 
     /// A client's connection is over: nobody waits for what is open on it.
-    fn end(&mut self, id: ClientId, told: &mut Vec<Told>) {
+    pub fn end(&mut self, id: ClientId, told: &mut Vec<Told>) {
         let Some(client) = self.clients.remove(&id) else { return };
         for ticket in client.open.values() {
-            self.open.remove(ticket);
+            self.let_go(*ticket);
             told.push(Told::Left(*ticket));
         }
         self.waiting.remove(&id);
         // What was asked just now, and is not open yet, is answered to nobody.
-        told.retain(|t| !matches!(t, Told::Asked { client, .. } if *client == id));
+        told.retain(
+            |t| !matches!(t, Told::Asked { client, .. } | Told::Forgets { client, .. } if *client == id),
+        );
+    }
+
+    /// Whether a statement can be taken from a connection. A number that is open already is no second one.
+    pub fn has_room(&mut self, id: ClientId, seqid: i32) -> bool {
+        match self.clients.get(&id) {
+            Some(client) if client.open.contains_key(&seqid) => {
+                log::debug!("client {id}: statement {seqid} is open already");
+                false
+            }
+            Some(client) if client.open.len() >= MOST_OPEN => {
+                self.refuse(id, seqid, &Reply::Rejected { retry_after_ms: None });
+                false
+            }
+            client => client.is_some(),
+        }
+    }
+
+    /// The client no longer waits for a statement.
+    pub fn forget(&mut self, id: ClientId, seqid: i32) -> Option<Ticket> {
+        let ticket = self.clients.get_mut(&id)?.open.remove(&seqid)?;
+        self.let_go(ticket);
+        Some(ticket)
+    }
+
+    fn let_go(&mut self, ticket: Ticket) -> Option<Open> {
+        let open = self.open.remove(&ticket)?;
+        self.held -= open.call.size();
+        Some(open)
+    }
+
+    /// Bytes of the statements that clients wait for.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Bytes of the answers that clients have not taken yet, and the client that has left most.
+    pub fn untaken(&self) -> (usize, Option<ClientId>) {
+        let most = self.clients.iter().max_by_key(|(_, c)| c.link.unsent()).map(|(id, _)| *id);
+        (self.clients.values().map(|c| c.link.unsent()).sum(), most)
     }
 
     /// A statement is taken under a ticket.
     pub fn opened(&mut self, client: ClientId, seqid: i32, ticket: Ticket, call: Call) {
         if let Some(c) = self.clients.get_mut(&client) {
             c.open.insert(seqid, ticket);
+            self.held += call.size();
             self.open.insert(ticket, Open { client, seqid, call: Rc::new(call) });
         }
     }
@@ -139,7 +172,7 @@
 
     /// Gives a statement its final answer.
     pub fn answer(&mut self, ticket: Ticket, reply: &Reply) {
-        let Some(open) = self.open.remove(&ticket) else { return };
+        let Some(open) = self.let_go(ticket) else { return };
         if let Some(client) = self.clients.get_mut(&open.client) {
             client.open.remove(&open.seqid);
         }
@@ -156,10 +189,18 @@
         }
     }
 
-    /// Sends on as a connection takes more again; true if it was not read for so long.
-    pub fn writable(&mut self, id: ClientId) -> bool {
+    /// Sends on as a connection takes more again.
+    pub fn writable(&mut self, id: ClientId) {
         self.dirty.insert(id);
-        self.waiting.remove(&id)
+    }
+
+    /// Connections that are to be read again, as they have taken their answers.
+    pub fn caught_up(&mut self) -> Vec<ClientId> {
+        let behind = |id: &ClientId| self.clients.get(id).is_some_and(|c| c.link.unsent() > MOST_UNSENT);
+        let (waiting, ready): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(behind);
+        self.waiting.extend(waiting);
+        ready
     }
 
     /// Closes the connections that have nothing open and nothing on the way.
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -82,7 +82,12 @@
             }
         }
         let link = self.link.as_mut()?;
-        let (_, broken) = link.read();
+        let broken = loop {
+            let (more, broken) = link.read();
+            if !more || link.input.len() > codec::LONGEST_BODY {
+                break broken;
+            }
+        };
         let answer = match codec::read(&link.input, broken.is_some()) {
             Ok(Some(answer)) => answer,
             Ok(None) if broken.is_some() => {
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -14,8 +14,9 @@
 use crate::front::{Front, Party};
 use crate::link::{Broken, Link};
 
-const MOST_PAGES: usize = 256; // of a result; those agreed have eight
-const LONGEST_RESULT: usize = 1 << 20; // bytes; those agreed have 48,000
+const MOST_PAGES: usize = 64; // of a result; those agreed have eight
+const LONGEST_RESULT: usize = 64 << 10; // bytes; those agreed have 48,000
+const MOST_UNSENT: usize = 1 << 20; // bytes that an engine may leave untaken: a thousand small statements
 const IDLE_MARGIN: Micros = 1_000_000; // microseconds by which a connection is closed before its engine would
 const MOST_GIVEN_UP: usize = 1024; // ids that a connection remembers; then it takes no more executions
 
@@ -227,7 +228,7 @@
     }
 
     /// Gives an execution up. It ends as told, or as withdrawn where nothing of it has left.
-    pub fn stop(&mut self, sent: Sent, ending: Ending) {
+    pub fn stop(&mut self, now: Micros, sent: Sent, ending: Ending) {
         let Some(x) = self.executions.get(&sent) else { return };
         let (id, name) = (x.link, x.call.id.clone());
         let Some(link) = self.links.get_mut(&id) else { return };
@@ -244,7 +245,9 @@
                     None => Command::NeverMind(&name),
                 };
                 engine::write(link.link.output(), &command);
+                // A connection that is silent since then may be to a machine that is no more.
                 link.old |= link.heard < x.sent;
+                link.idle_since = now;
                 link.open.remove(&name);
                 link.given_up.insert(name);
                 self.ended(sent, ending);
@@ -416,7 +419,9 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.up) else { return Ok(()) };
         loop {
             link.link.flush()?;
-            if link.link.unsent() > 0 {
+            if link.link.unsent() > MOST_UNSENT {
+                return Err(Broken::Reset);
+            } else if link.link.unsent() > 0 {
                 return Ok(());
             }
             if let Some(x) = link.leaving.take().and_then(|sent| self.executions.get_mut(&sent)) {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -11,15 +11,17 @@
 use hallmux_codec::coordinator::{State, Stream};
 use hallmux_codec::statement::{Call, Reply};
 use hallmux_codec::tables;
-use hallmux_dispatcher::{Ask, Dispatcher, Listing, Micros, Mode as EngineMode, Order, Unfit};
+use hallmux_dispatcher::{Ask, Dispatcher, Ending, Listing, Micros, Mode as EngineMode, Order, Unfit};
 
 use crate::clients::{self, ClientId, Clients};
+use crate::clock::Clock;
 use crate::coordinator::Coordinator;
 use crate::engines::{self, Engines};
 use crate::link::Link;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
+const MEMORY_PART: u64 = 4; // statements held may take one part of so many, untaken answers another
 const ACCEPT_AGAIN: Micros = 50_000; // microseconds until the next try after one without descriptors
 
 /// Whom a connection is to.
@@ -36,11 +38,13 @@
     accept_at: Option<Micros>,
     dispatcher: Dispatcher,
     most_held: usize,
+    most_bytes: usize,
+    full: bool,
     clients: Clients,
     engines: Engines,
     coordinator: Coordinator,
     shutdown: Shutdown,
-    now: Micros,
+    clock: Clock,
     /// Connections with more to read than one turn takes.
     unfinished: Vec<Party>,
 }
@@ -66,30 +70,27 @@
             accept_at: Some(0),
             dispatcher: Dispatcher::new(settings, station.seed),
             most_held: settings.allowance.most_held,
+            most_bytes: (station.limits.memory_bytes / MEMORY_PART) as usize,
+            full: false,
             clients: Clients::default(),
             engines: Engines::new(handle.clone(), settings.allowance.clone(), &settings.names),
             coordinator: Coordinator::new(handle.clone(), station.coordinator, 0),
             shutdown: Shutdown::default(),
-            now: 0,
+            clock: Clock::default(),
             unfinished: Vec::new(),
             handle,
         };
-        front.look_at_clock();
+        front.clock.look();
         front.follow(known, 0);
         front.coordinator.follow = known.index;
         Ok(front)
     }
 
-    /// The system's Unix clock, but never back.
-    fn look_at_clock(&mut self) {
-        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        self.now = self.now.max(since.as_micros() as Micros);
-    }
-
     /// How long nothing is due.
     pub fn idle(&mut self) -> Duration {
-        self.look_at_clock();
+        self.clock.look();
         if !self.unfinished.is_empty() {
+            self.clock.sleep(self.clock.now);
             return Duration::ZERO;
         }
         let due = [
@@ -97,24 +98,26 @@
             self.engines.due(),
             self.coordinator.due(),
             self.accept_at.unwrap_or(Micros::MAX),
-            self.shutdown.due(self.now),
+            self.shutdown.due(self.clock.now),
         ];
-        let due = due.into_iter().min().unwrap_or(self.now);
-        Duration::from_micros((due - self.now).max(0) as u64)
+        let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
+        self.clock.sleep(due);
+        Duration::from_micros((due - self.clock.now) as u64)
     }
 
     /// A connection has changed: takes what is there.
     pub fn ready(&mut self, party: Party) {
-        self.look_at_clock();
+        self.clock.look();
+        self.clock.woke();
         let more = match party {
             Party::Client(id) => {
                 self.clients.writable(id);
                 self.read_client(id)
             }
-            Party::Engine(id) => self.engines.read(self.now, id),
+            Party::Engine(id) => self.engines.read(self.clock.now, id),
             Party::Coordinator(number) => {
                 let before = self.coordinator.follow;
-                if let Some(stream) = self.coordinator.read(self.now, number) {
+                if let Some(stream) = self.coordinator.read(self.clock.now, number) {
                     self.follow(&stream, before);
                 }
                 false
@@ -135,26 +138,41 @@
     fn take(&mut self, told: Vec<clients::Told>) {
         for told in told {
             match told {
-                clients::Told::Left(ticket) => self.dispatcher.left(self.now, ticket),
                 clients::Told::Asked { client, seqid, call } => self.asked(client, seqid, *call),
+                clients::Told::Forgets { client, seqid } => {
+                    let ticket = self.clients.forget(client, seqid);
+                    ticket.into_iter().for_each(|ticket| self.dispatcher.left(self.clock.now, ticket));
+                }
+                clients::Told::Left(ticket) => self.dispatcher.left(self.clock.now, ticket),
             }
         }
     }
 
     fn asked(&mut self, client: ClientId, seqid: i32, call: Call) {
-        if self.dispatcher.held() >= self.most_held {
+        if !self.clients.has_room(client, seqid) {
+            return;
+        }
+        let full = self.clients.held() > self.most_bytes;
+        if full != std::mem::replace(&mut self.full, full) {
+            log::warn!(
+                "statements held take {} bytes; {}",
+                self.clients.held(),
+                if full { "more are rejected" } else { "taken again" }
+            );
+        }
+        if full || self.dispatcher.held() >= self.most_held {
             return self.clients.refuse(client, seqid, &Reply::Rejected { retry_after_ms: None });
         }
         let ask = Ask {
             workload: &call.workload,
             customer: &call.customer,
             key: call.order_key.as_deref(),
-            time_left: (call.time_left_ms * 1000.0) as Micros,
+            time_left: (call.time_left_ms * 1000.0) as Micros - self.clock.waited(),
             work: call.work_ms * 1000.0,
             memory_mb: call.memory_mb,
             data_set: tables::group(&call.statement),
         };
-        match self.dispatcher.pick(self.now, &ask) {
+        match self.dispatcher.pick(self.clock.now, &ask) {
             Ok(ticket) => self.clients.opened(client, seqid, ticket, call),
             Err(Unfit::Workload) => self.clients.refuse(client, seqid, &Reply::Unfit("verb")),
             Err(Unfit::Customer) => self.clients.refuse(client, seqid, &Reply::Unfit("team")),
@@ -204,16 +222,17 @@
 
     /// Decides on all that was taken in, and sends what follows.
     pub fn turn(&mut self) {
-        self.look_at_clock();
+        self.clock.look();
+        self.clock.woke();
         for party in std::mem::take(&mut self.unfinished) {
             self.ready(party);
         }
         self.accept();
-        self.engines.expire(self.now);
-        self.coordinator.expire(self.now);
+        self.engines.expire(self.clock.now);
+        self.coordinator.expire(self.clock.now);
         for _ in 0..ROUNDS {
             self.heard();
-            let orders = self.dispatcher.tick(self.now);
+            let orders = self.dispatcher.tick(self.clock.now);
             if orders.is_empty() {
                 break;
             }
@@ -221,15 +240,24 @@
                 self.obey(order);
             }
             // Stops go out before what they make room for.
-            self.engines.flush(self.now);
+            self.engines.flush(self.clock.now);
         }
-        self.engines.flush(self.now);
+        self.engines.flush(self.clock.now);
         self.heard();
-        self.coordinator.flush(self.now);
+        self.coordinator.flush(self.clock.now);
         let mut told = Vec::new();
         self.clients.flush(&mut told);
+        if let (untaken, Some(client)) = self.clients.untaken() {
+            if untaken > self.most_bytes {
+                log::warn!("client {client}: takes no answers, {untaken} bytes wait in all; its connection is closed");
+                self.clients.end(client, &mut told);
+            }
+        }
         self.take(told);
-        if self.shutdown.closes(self.now) {
+        for client in self.clients.caught_up() {
+            self.unfinished.push(Party::Client(client));
+        }
+        if self.shutdown.closes(self.clock.now) {
             if let Some((_, token)) = self.listener.take() {
                 self.handle.remove(token);
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
@@ -240,8 +268,8 @@
 
     /// The end was asked for.
     pub fn end(&mut self) {
-        self.look_at_clock();
-        self.shutdown.ask(self.now);
+        self.clock.look();
+        self.shutdown.ask(self.clock.now);
     }
 
     /// Whether all is answered after the end was asked for.
@@ -250,7 +278,7 @@
     }
 
     fn accept(&mut self) {
-        if self.accept_at.is_none_or(|at| at > self.now) {
+        if self.accept_at.is_none_or(|at| at > self.clock.now) {
             return;
         }
         self.accept_at = None;
@@ -271,7 +299,7 @@
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     log::warn!("no connection can be taken for now: {e}");
-                    self.accept_at = Some(self.now + ACCEPT_AGAIN);
+                    self.accept_at = Some(self.clock.now + ACCEPT_AGAIN);
                     return;
                 }
             }
@@ -283,7 +311,7 @@
         for told in std::mem::take(&mut self.engines.told) {
             match told {
                 engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
-                    if self.dispatcher.report(self.now, ticket, execution, ending, report, cost) {
+                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
                         self.clients.answer(ticket, &Reply::Completed(&result));
                     }
                 }
@@ -300,19 +328,24 @@
     fn obey(&mut self, order: Order) {
         match order {
             Order::Send { ticket, execution, place, ends, grant_mb, priority } => {
-                let Some(call) = self.clients.call(ticket) else { return };
-                self.engines.send(self.now, (ticket, execution), place, call, ends, grant_mb, priority);
+                let Some(call) = self.clients.call(ticket) else {
+                    self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
+                    return;
+                };
+                self.engines.send(self.clock.now, (ticket, execution), place, call, ends, grant_mb, priority);
             }
             Order::Hurry { ticket, execution, priority } => {
                 self.engines.hurry((ticket, execution), priority);
             }
-            Order::Stop { ticket, execution, ending } => self.engines.stop((ticket, execution), ending),
+            Order::Stop { ticket, execution, ending } => {
+                self.engines.stop(self.clock.now, (ticket, execution), ending)
+            }
             Order::Reject { ticket, retry_after } => {
                 let retry_after_ms = retry_after.map(|time| time / 1000);
                 self.clients.answer(ticket, &Reply::Rejected { retry_after_ms });
             }
             Order::Abort { ticket } => self.clients.answer(ticket, &Reply::Aborted),
-            Order::Probe { place } => self.engines.probe(self.now, place),
+            Order::Probe { place } => self.engines.probe(self.clock.now, place),
         }
     }
 }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,6 +1,7 @@
 //! hallmux on real sockets: one thread that serves clients, query engines and the coordinator.
 
 mod clients;
+mod clock;
 mod coordinator;
 mod engines;
 mod front;
@@ -38,9 +39,10 @@
     event_loop.handle().insert_source(signals, asked).map_err(|e| e.to_string())?;
     let listener =
         TcpListener::bind(station.listen).map_err(|e| format!("listen: {}: {e}", station.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
     let front = Front::new(&station, &known, listener, event_loop.handle());
     let mut front = front.map_err(|e| format!("listen: {}: {e}", station.listen))?;
-    log::info!("takes statements at {}", station.listen);
+    log::info!("takes statements at {address}");
     while !front.is_done() {
         let idle = front.idle();
         event_loop.dispatch(idle, &mut front).map_err(|e| e.to_string())?;
