--- a/crates/agreement/src/settings.rs
+++ b/crates/agreement/src/contract.rs
@@ -156,7 +156,7 @@
 
 /// All that the settings object tells.
 #[derive(Clone, Debug)]
-pub struct Settings {
+pub struct Contract {
     pub agreement: Agreement,
     pub names: Names,
     pub allowance: Allowance,
@@ -164,11 +164,11 @@
 
 /// Reads the settings' JSON text for the module alone.
 pub fn agreement(text: &str) -> Result<Agreement, String> {
-    Ok(settings(text)?.agreement)
+    Ok(contract(text)?.agreement)
 }
 
 /// Reads the settings' JSON text.
-pub fn settings(text: &str) -> Result<Settings, String> {
+pub fn contract(text: &str) -> Result<Contract, String> {
     let read: Options = serde_json::from_str(text).map_err(|e| format!("options: {e}"))?;
     let names = Names {
         workloads: read.request_classes.iter().map(|c| c.name.clone()).collect(),
@@ -253,5 +253,5 @@
             window: micros(span),
         }),
     };
-    Ok(Settings { agreement, names, allowance })
+    Ok(Contract { agreement, names, allowance })
 }
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -1,8 +1,8 @@
 //! The one place where configuration is read, checked and given defaults: the settings object, for the
 //! simulator's adapter and the front alike, and what a front finds in its variables and `NODE_CONFIG`.
 
-mod settings;
+mod contract;
 mod station;
 
-pub use settings::{agreement, micros, settings, Allowance, Names, Settings};
+pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
 pub use station::{Limits, Station};
--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::settings::{settings, Settings};
+use crate::contract::{contract, Contract};
 
 const MEMORY_MB: u64 = 192; // MB, where the file is silent; the least that the operators grant
 const SOCKETS: usize = 1024; // descriptors, where the file is silent; the least that the operators grant
@@ -55,7 +55,7 @@
     pub coordinator: Option<SocketAddr>,
     /// The coordinator's events so far, as it words them.
     pub known: String,
-    pub settings: Settings,
+    pub contract: Contract,
     pub log_level: log::LevelFilter,
 }
 
@@ -79,7 +79,7 @@
             Some(raw) => serde_json::from_str(raw.get()).map_err(|e| format!("limits: {e}"))?,
             None => FileLimits::default(),
         };
-        let settings_text = file.settings.ok_or("settings: missing in NODE_CONFIG")?;
+        let settings = file.settings.ok_or("settings: missing in NODE_CONFIG")?;
         let level = variables.get("HALLMUX_LOG").map_or(LEVEL, String::as_str);
         Ok(Station {
             name: said("NODE_NAME", "name", file.name)?,
@@ -88,7 +88,7 @@
             limits: Limits { memory_bytes: limits.memory_mb << 20, sockets: limits.sockets },
             coordinator: file.coordinator.map(|at| read("coordinator", &at)).transpose()?,
             known: file.known.map_or_else(|| NOTHING_KNOWN.to_string(), |raw| raw.get().to_string()),
-            settings: settings(settings_text.get()).map_err(|e| format!("settings: {e}"))?,
+            contract: contract(settings.get()).map_err(|e| format!("settings: {e}"))?,
             log_level: read("HALLMUX_LOG", level)?,
         })
     }
--- a/crates/codec/src/coordinator.rs
+++ b/crates/codec/src/coordinator.rs
@@ -100,28 +100,31 @@
 #[derive(Debug, Deserialize)]
 pub struct Update {
     pub index: u64,
-    pub endpoints: Option<Endpoints>,
+    #[serde(rename = "endpoints")]
+    pub list: Option<EngineList>,
 }
 
 #[derive(Debug, Deserialize)]
-pub struct Endpoints {
-    #[serde(default)]
-    pub full: bool,
-    pub servers: Vec<Server>,
+pub struct EngineList {
+    #[serde(rename = "full", default)]
+    pub whole: bool,
+    #[serde(rename = "servers")]
+    pub engines: Vec<Engine>,
 }
 
 #[derive(Debug, Deserialize)]
-pub struct Server {
+pub struct Engine {
     pub id: String,
-    #[serde(default)]
-    pub addr: String,
-    #[serde(default)]
-    pub zone: String,
+    #[serde(rename = "addr", default)]
+    pub address: String,
+    #[serde(rename = "zone", default)]
+    pub location: String,
     #[serde(default)]
     pub kind: String,
     #[serde(default)]
     pub cell: usize,
     pub state: State,
+    /// Its Unix millisecond, where the start is late enough to be told; else 0.
     #[serde(default)]
     pub started_ms: f64,
 }
--- a/crates/codec/src/statement.rs
+++ b/crates/codec/src/statement.rs
@@ -16,6 +16,10 @@
 const DEEPEST: usize = 8; // structs within structs that are passed over
 const PREFIX: usize = 4; // bytes of a frame's length
 
+/// The fields that name the workload and the customer.
+pub const WORKLOAD: &str = "verb";
+pub const CUSTOMER: &str = "team";
+
 /// What a client asks.
 #[derive(Debug, PartialEq)]
 pub enum Asked {
@@ -116,8 +120,8 @@
         let bad = |n: f64| !n.is_finite() || n < 0.0;
         let call = Call {
             id: text("txn").unwrap_or_default(),
-            workload: text("verb").unwrap_or_default(),
-            customer: text("team").unwrap_or_default(),
+            workload: text(WORKLOAD).unwrap_or_default(),
+            customer: text(CUSTOMER).unwrap_or_default(),
             time_left_ms: number("limit").unwrap_or(f64::NAN),
             dedup_key: text("unique"),
             order_key: text("item"),
@@ -127,7 +131,7 @@
             unfit: None,
         };
         note("txn", call.id.len() != 16 || !call.id.bytes().all(|c| c.is_ascii_hexdigit()));
-        note("verb", !is_word(&call.workload));
+        note(WORKLOAD, !is_word(&call.workload));
         note("limit", bad(call.time_left_ms) || call.time_left_ms > 1e9);
         note("unique", call.dedup_key.as_deref().is_some_and(|key| !is_word(key)));
         note("cpu", bad(call.work_ms));
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -8,7 +8,7 @@
 
 use hallmux::interface::{Action, Arrival, Ended, Event, KeyId, Listed, Report, StatementId};
 use hallmux::Front;
-use hallmux_agreement::{Names, Settings};
+use hallmux_agreement::{Contract, Names};
 
 pub use ending::Ending;
 pub use hallmux::interface::{Cost, Micros, Mode, Note};
@@ -130,11 +130,11 @@
 }
 
 impl Dispatcher {
-    pub fn new(settings: &Settings, seed: u64) -> Self {
+    pub fn new(contract: &Contract, seed: u64) -> Self {
         Dispatcher {
-            front: Front::new(settings.agreement.clone(), seed),
-            names: settings.names.clone(),
-            turn_gap: settings.agreement.turn_gap,
+            front: Front::new(contract.agreement.clone(), seed),
+            names: contract.names.clone(),
+            turn_gap: contract.agreement.turn_gap,
             wake: 0,
             told: Vec::new(),
             next_ticket: 0,
@@ -409,7 +409,7 @@
         "rules": {"turnGapMs": 50}}"#;
 
     fn dispatcher() -> Dispatcher {
-        Dispatcher::new(&hallmux_agreement::settings(SETTINGS).unwrap(), 7)
+        Dispatcher::new(&hallmux_agreement::contract(SETTINGS).unwrap(), 7)
     }
 
     fn listing(id: &str, mode: Mode, started: Option<Micros>) -> Listing<'_> {
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -21,7 +21,7 @@
 /// A statement that a client waits for.
 struct Open {
     client: ClientId,
-    seqid: i32,
+    number: i32,
     call: Rc<Call>,
 }
 
@@ -38,8 +38,8 @@
 
 /// What clients have said.
 pub enum Told {
-    Asked { client: ClientId, seqid: i32, call: Box<Call> },
-    Forgets { client: ClientId, seqid: i32 },
+    Asked { client: ClientId, number: i32, call: Box<Call> },
+    Forgets { client: ClientId, number: i32 },
     Left(Ticket),
 }
 
@@ -71,16 +71,16 @@
             match statement::read(&client.link.input[at..]) {
                 Ok(None) => break None,
                 Err(what) => break Some(what),
-                Ok(Some((len, seqid, asked))) => {
+                Ok(Some((len, number, asked))) => {
                     at += len;
-                    let mut answer = |reply: Reply| statement::write(client.link.output(), seqid, &reply);
+                    let mut answer = |reply: Reply| statement::write(client.link.output(), number, &reply);
                     match asked {
                         Asked::IsWell => answer(Reply::Well(well)),
                         Asked::Unknown(name) => answer(Reply::UnknownMethod(&name)),
-                        Asked::Forget(seqid) => told.push(Told::Forgets { client: id, seqid }),
+                        Asked::Forget(number) => told.push(Told::Forgets { client: id, number }),
                         Asked::Serve(call) => match call.unfit {
                             Some(field) => answer(Reply::Unfit(field)),
-                            None => told.push(Told::Asked { client: id, seqid, call: Box::new(call) }),
+                            None => told.push(Told::Asked { client: id, number, call: Box::new(call) }),
                         },
                     }
                 }
@@ -111,14 +111,14 @@
     }
 
     /// Whether a statement can be taken from a connection. A number that is open already is no second one.
-    pub fn has_room(&mut self, id: ClientId, seqid: i32) -> bool {
+    pub fn has_room(&mut self, id: ClientId, number: i32) -> bool {
         match self.clients.get(&id) {
-            Some(client) if client.open.contains_key(&seqid) => {
-                log::debug!("client {id}: statement {seqid} is open already");
+            Some(client) if client.open.contains_key(&number) => {
+                log::debug!("client {id}: statement {number} is open already");
                 false
             }
             Some(client) if client.open.len() >= MOST_OPEN => {
-                self.refuse(id, seqid, &Reply::Rejected { retry_after_ms: None });
+                self.refuse(id, number, &Reply::Rejected { retry_after_ms: None });
                 false
             }
             client => client.is_some(),
@@ -126,8 +126,8 @@
     }
 
     /// The client no longer waits for a statement.
-    pub fn forget(&mut self, id: ClientId, seqid: i32) -> Option<Ticket> {
-        let ticket = self.clients.get_mut(&id)?.open.remove(&seqid)?;
+    pub fn forget(&mut self, id: ClientId, number: i32) -> Option<Ticket> {
+        let ticket = self.clients.get_mut(&id)?.open.remove(&number)?;
         self.let_go(ticket);
         Some(ticket)
     }
@@ -150,11 +150,11 @@
     }
 
     /// A statement is taken under a ticket.
-    pub fn opened(&mut self, client: ClientId, seqid: i32, ticket: Ticket, call: Call) {
+    pub fn opened(&mut self, client: ClientId, number: i32, ticket: Ticket, call: Call) {
         if let Some(c) = self.clients.get_mut(&client) {
-            c.open.insert(seqid, ticket);
+            c.open.insert(number, ticket);
             self.held += call.size();
-            self.open.insert(ticket, Open { client, seqid, call: Rc::new(call) });
+            self.open.insert(ticket, Open { client, number, call: Rc::new(call) });
         }
     }
 
@@ -163,9 +163,9 @@
     }
 
     /// Answers a statement that was not taken.
-    pub fn refuse(&mut self, id: ClientId, seqid: i32, reply: &Reply) {
+    pub fn refuse(&mut self, id: ClientId, number: i32, reply: &Reply) {
         if let Some(client) = self.clients.get_mut(&id) {
-            statement::write(client.link.output(), seqid, reply);
+            statement::write(client.link.output(), number, reply);
             self.dirty.insert(id);
         }
     }
@@ -174,9 +174,9 @@
     pub fn answer(&mut self, ticket: Ticket, reply: &Reply) {
         let Some(open) = self.let_go(ticket) else { return };
         if let Some(client) = self.clients.get_mut(&open.client) {
-            client.open.remove(&open.seqid);
+            client.open.remove(&open.number);
         }
-        self.refuse(open.client, open.seqid, reply);
+        self.refuse(open.client, open.number, reply);
     }
 
     /// Sends what is to leave.
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -4,6 +4,7 @@
 
 use hallmux_dispatcher::Micros;
 
+const STILL: Micros = 250_000; // microseconds late that are worth a line in the log
 const PROMPT: Micros = 10_000; // microseconds late that are no standing still; a busy machine's usual delays
 
 #[derive(Default)]
@@ -45,6 +46,9 @@
         // they are, and may be given up though they could have been in time.
         let late = self.sleeps - looked > PROMPT || self.now - self.until > PROMPT;
         self.since = Some(if late { looked } else { self.now });
+        if self.waited() > STILL {
+            log::warn!("stood still for {} ms", self.waited() / 1000);
+        }
     }
 
     /// How long what is found now may have waited.
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -36,6 +36,8 @@
     at: SocketAddr,
     started: f64,
     links: Vec<LinkId>,
+    /// Its last connection did not come up.
+    failing: bool,
 }
 
 #[derive(Default)]
@@ -117,11 +119,12 @@
     pub fn list(&mut self, place: Place, id: &str, at: SocketAddr, started: f64, up: bool) {
         let known = self.engines.get(&place);
         let same = known.is_some_and(|e| e.id == id && e.at == at && e.started == started);
+        let failing = same && known.is_some_and(|e| e.failing);
         if !same || !up {
             self.retire(place);
         }
         let links = self.engines.remove(&place).map(|e| e.links).unwrap_or_default();
-        self.engines.insert(place, Engine { id: id.to_string(), at, started, links });
+        self.engines.insert(place, Engine { id: id.to_string(), at, started, links, failing });
     }
 
     /// A whole list has come: engines that it does not name are gone.
@@ -275,6 +278,10 @@
                 Ok(false) => return false,
                 Ok(true) => {
                     link.up = true;
+                    if let Some(engine) = self.engines.get_mut(&link.place).filter(|e| e.failing) {
+                        engine.failing = false;
+                        log::info!("engine {}: reached again", engine.id);
+                    }
                     for tag in link.probes.keys() {
                         engine::write(link.link.output(), &Command::Probe(tag));
                     }
@@ -379,15 +386,14 @@
     /// A connection is over: each execution on it ends by how much of it has left.
     fn end(&mut self, id: LinkId, ending: Ending) {
         let Some(link) = self.links.remove(&id) else { return };
-        let name = match self.engines.get_mut(&link.place) {
-            Some(engine) => {
-                engine.links.retain(|other| *other != id);
-                engine.id.clone()
+        if let Some(engine) = self.engines.get_mut(&link.place) {
+            engine.links.retain(|other| *other != id);
+            if !link.up && !std::mem::replace(&mut engine.failing, true) {
+                log::warn!("engine {}: can't be reached: {ending:?}", engine.id);
+            } else if link.up && !link.open.is_empty() {
+                let count = link.open.len();
+                log::warn!("engine {}: connection lost with {count} executions: {ending:?}", engine.id);
             }
-            None => String::new(),
-        };
-        if !link.open.is_empty() || !link.up {
-            log::info!("engine {name}: connection over with {} executions: {ending:?}", link.open.len());
         }
         let mut open: Vec<Sent> = link.open.into_values().collect();
         open.sort_unstable();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -8,8 +8,8 @@
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use hallmux_agreement::Station;
-use hallmux_codec::coordinator::{State, Stream};
-use hallmux_codec::statement::{Call, Reply};
+use hallmux_codec::coordinator::{Engine, State, Stream};
+use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Ask, Dispatcher, Ending, Listing, Micros, Mode as EngineMode, Order, Unfit};
 
@@ -64,16 +64,16 @@
             Ok(PostAction::Continue)
         });
         let token = accept.map_err(|e| std::io::Error::other(e.error.to_string()))?;
-        let settings = &station.settings;
+        let contract = &station.contract;
         let mut front = Front {
             listener: Some((listener, token)),
             accept_at: Some(0),
-            dispatcher: Dispatcher::new(settings, station.seed),
-            most_held: settings.allowance.most_held,
+            dispatcher: Dispatcher::new(contract, station.seed),
+            most_held: contract.allowance.most_held,
             most_bytes: (station.limits.memory_bytes / MEMORY_PART) as usize,
             full: false,
             clients: Clients::default(),
-            engines: Engines::new(handle.clone(), settings.allowance.clone(), &settings.names),
+            engines: Engines::new(handle.clone(), contract.allowance.clone(), &contract.names),
             coordinator: Coordinator::new(handle.clone(), station.coordinator, 0),
             shutdown: Shutdown::default(),
             clock: Clock::default(),
@@ -138,9 +138,9 @@
     fn take(&mut self, told: Vec<clients::Told>) {
         for told in told {
             match told {
-                clients::Told::Asked { client, seqid, call } => self.asked(client, seqid, *call),
-                clients::Told::Forgets { client, seqid } => {
-                    let ticket = self.clients.forget(client, seqid);
+                clients::Told::Asked { client, number, call } => self.asked(client, number, *call),
+                clients::Told::Forgets { client, number } => {
+                    let ticket = self.clients.forget(client, number);
                     ticket.into_iter().for_each(|ticket| self.dispatcher.left(self.clock.now, ticket));
                 }
                 clients::Told::Left(ticket) => self.dispatcher.left(self.clock.now, ticket),
@@ -148,8 +148,8 @@
         }
     }
 
-    fn asked(&mut self, client: ClientId, seqid: i32, call: Call) {
-        if !self.clients.has_room(client, seqid) {
+    fn asked(&mut self, client: ClientId, number: i32, call: Call) {
+        if !self.clients.has_room(client, number) {
             return;
         }
         let full = self.clients.held() > self.most_bytes;
@@ -161,7 +161,7 @@
             );
         }
         if full || self.dispatcher.held() >= self.most_held {
-            return self.clients.refuse(client, seqid, &Reply::Rejected { retry_after_ms: None });
+            return self.clients.refuse(client, number, &Reply::Rejected { retry_after_ms: None });
         }
         let ask = Ask {
             workload: &call.workload,
@@ -173,48 +173,28 @@
             data_set: tables::group(&call.statement),
         };
         match self.dispatcher.pick(self.clock.now, &ask) {
-            Ok(ticket) => self.clients.opened(client, seqid, ticket, call),
-            Err(Unfit::Workload) => self.clients.refuse(client, seqid, &Reply::Unfit("verb")),
-            Err(Unfit::Customer) => self.clients.refuse(client, seqid, &Reply::Unfit("team")),
+            Ok(ticket) => self.clients.opened(client, number, ticket, call),
+            Err(Unfit::Workload) => self.clients.refuse(client, number, &Reply::Unfit(statement::WORKLOAD)),
+            Err(Unfit::Customer) => self.clients.refuse(client, number, &Reply::Unfit(statement::CUSTOMER)),
         }
     }
 
     /// Takes in the coordinator's events that come after the one given.
     fn follow(&mut self, stream: &Stream, after: u64) {
         for update in stream.updates.iter().filter(|u| u.index > after) {
-            let Some(list) = &update.endpoints else { continue };
-            let listing = |s: &'_ hallmux_codec::coordinator::Server| {
-                (s.id.clone(), s.zone.clone(), s.kind.clone(), s.cell, s.state, s.started_ms)
-            };
-            let lines: Vec<_> = list.servers.iter().map(listing).collect();
-            let listings: Vec<Listing> = lines
-                .iter()
-                .map(|(id, location, kind, cell, state, started_ms)| Listing {
-                    id,
-                    location,
-                    kind,
-                    cell: *cell,
-                    mode: match state {
-                        State::Up => EngineMode::Ready,
-                        State::Draining => EngineMode::Draining,
-                        State::Removed => EngineMode::Gone,
-                    },
-                    started: (*started_ms > 0.0).then_some((started_ms * 1000.0) as Micros),
-                })
-                .collect();
-            let places = self.dispatcher.list(list.full, &listings);
-            if list.full {
+            let Some(list) = &update.list else { continue };
+            let listings: Vec<Listing> = list.engines.iter().map(listing).collect();
+            let places = self.dispatcher.list(list.whole, &listings);
+            if list.whole {
                 self.engines.retire_but(&places);
             }
-            for (server, place) in list.servers.iter().zip(places) {
-                log::info!("engine {}: {:?} at {} ({})", server.id, server.state, server.addr, server.kind);
-                match server.addr.parse() {
-                    Ok(at) => {
-                        let up = server.state == State::Up;
-                        self.engines.list(place, &server.id, at, server.started_ms, up);
-                    }
-                    Err(_) if server.state != State::Up => self.engines.retire(place),
-                    Err(e) => log::error!("engine {}: address '{}': {e}", server.id, server.addr),
+            for (engine, place) in list.engines.iter().zip(places) {
+                let Engine { id, address, kind, state, .. } = engine;
+                log::info!("engine {id}: {state:?} at {address} ({kind})");
+                match address.parse() {
+                    Ok(at) => self.engines.list(place, id, at, engine.started_ms, *state == State::Up),
+                    Err(_) if *state != State::Up => self.engines.retire(place),
+                    Err(e) => log::error!("engine {id}: address '{address}': {e}"),
                 }
             }
         }
@@ -349,3 +329,18 @@
         }
     }
 }
+
+fn listing(engine: &Engine) -> Listing<'_> {
+    Listing {
+        id: &engine.id,
+        location: &engine.location,
+        kind: &engine.kind,
+        cell: engine.cell,
+        mode: match engine.state {
+            State::Up => EngineMode::Ready,
+            State::Draining => EngineMode::Draining,
+            State::Removed => EngineMode::Gone,
+        },
+        started: (engine.started_ms > 0.0).then_some((engine.started_ms * 1000.0) as Micros),
+    }
+}
