Nothing is given up at engines where cancelling is not allowed; long idle clients are closed

Read over against the settings of all three sites: a time-out wrote never_mind also where cancelling is not allowed, and a client that vanished without a word kept its descriptor for ever. The terms of an execution go as one value; untaken answers are added up only over clients that are behind.

--- a/crates/agreement/src/contract.rs
+++ b/crates/agreement/src/contract.rs
@@ -152,6 +152,8 @@
     pub executions_per_connection: usize,
     pub most_held: usize,
     pub cost_in_answers: bool,
+    /// Engines may be told to give an execution up.
+    pub cancel: bool,
 }
 
 /// All that the settings object tells.
@@ -183,6 +185,7 @@
         executions_per_connection: read.bounds.streams_per_conn.unwrap_or(1).max(1),
         most_held: read.bounds.most_held.unwrap_or(MOST_HELD),
         cost_in_answers: read.extra.cost_in_answers,
+        cancel: read.bounds.cancelling,
     };
     let flag = |list: &[bool], i: usize| list.get(i).copied().unwrap_or(false);
     let mut workloads = Vec::new();
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -50,6 +50,16 @@
     pub started: Option<Micros>,
 }
 
+/// What holds for an execution.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// When its client's time is up.
+    pub ends: Micros,
+    /// 0 leaves it to the engine.
+    pub grant_mb: f64,
+    pub priority: u8,
+}
+
 /// What the network is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
@@ -57,9 +67,7 @@
         ticket: Ticket,
         execution: usize,
         place: Place,
-        ends: Micros,
-        grant_mb: f64,
-        priority: u8,
+        terms: Terms,
     },
     Hurry {
         ticket: Ticket,
@@ -93,11 +101,9 @@
 }
 
 struct Statement {
-    ends: Micros,
+    terms: Terms,
     over: bool,
     key: Option<String>,
-    grant_mb: f64,
-    priority: u8,
     executions: Vec<Execution>,
 }
 
@@ -176,8 +182,8 @@
         let ends = now + ask.time_left;
         self.ends.insert((ends, ticket));
         let key = ask.key.map(str::to_string);
-        let statement =
-            Statement { ends, over: false, key, grant_mb: 0.0, priority: 1, executions: Vec::new() };
+        let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
+        let statement = Statement { terms, over: false, key, executions: Vec::new() };
         self.statements.insert(ticket, statement);
         Ok(ticket)
     }
@@ -325,17 +331,16 @@
         match action {
             Action::Terms { statement: ticket, grant_mb, priority } => {
                 let Some(s) = self.statements.get_mut(&ticket) else { return };
-                (s.grant_mb, s.priority) = (grant_mb, priority);
+                s.terms = Terms { grant_mb, priority, ..s.terms };
                 let out = s.executions.iter().enumerate().filter(|(_, x)| x.out);
                 orders.extend(out.map(|(execution, _)| Order::Hurry { ticket, execution, priority }));
             }
             Action::Execute { statement: ticket, engine: place } => {
                 let Some(s) = self.statements.get_mut(&ticket) else { return };
-                let (execution, ends) = (s.executions.len(), s.ends);
+                let (execution, terms) = (s.executions.len(), s.terms);
                 s.executions.push(Execution { place, sent: now, out: true });
                 self.engines[place].out += 1;
-                let (grant_mb, priority) = (s.grant_mb, s.priority);
-                orders.push(Order::Send { ticket, execution, place, ends, grant_mb, priority });
+                orders.push(Order::Send { ticket, execution, place, terms });
             }
             Action::Cancel { statement: ticket, execution } => {
                 orders.push(Order::Stop { ticket, execution, ending: Ending::GivenUp });
@@ -368,7 +373,7 @@
         if !s.over || s.executions.iter().any(|x| x.out) {
             return;
         }
-        self.ends.remove(&(s.ends, ticket));
+        self.ends.remove(&(s.terms.ends, ticket));
         let Some(s) = self.statements.remove(&ticket) else { return };
         let Some((name, key)) = s.key.and_then(|name| self.keys.get_mut(&name).map(|key| (name, key))) else {
             return;
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 
 use hallmux_codec::statement::{self, Asked, Call, Reply};
-use hallmux_dispatcher::Ticket;
+use hallmux_dispatcher::{Micros, Ticket};
 
-use crate::link::{Broken, Link};
+use crate::link::Link;
 
 const MOST_OPEN: usize = 32; // statements open on a connection, as the protocol has it
+const IDLE: Micros = 30_000_000; // microseconds; clients close after 4 s, so what is idle longer is gone
+const LOOK: Micros = 1_000_000; // microseconds between looks at idle connections
 const MOST_UNSENT: usize = 64 << 10; // bytes that a client may leave untaken before it is no longer read
 
 pub type ClientId = u64;
@@ -16,6 +18,7 @@
 struct Client {
     link: Link,
     open: HashMap<i32, Ticket>,
+    heard: Micros,
 }
 
 /// A statement that a client waits for.
@@ -31,7 +34,10 @@
     open: HashMap<Ticket, Open>,
     held: usize,
     next: ClientId,
+    look: Micros,
     dirty: BTreeSet<ClientId>,
+    /// They have not taken all that is to leave.
+    behind: BTreeSet<ClientId>,
     /// Not read for now: they do not take their answers.
     waiting: BTreeSet<ClientId>,
 }
@@ -49,8 +55,8 @@
         self.next
     }
 
-    pub fn accept(&mut self, id: ClientId, link: Link) {
-        self.clients.insert(id, Client { link, open: HashMap::new() });
+    pub fn accept(&mut self, now: Micros, id: ClientId, link: Link) {
+        self.clients.insert(id, Client { link, open: HashMap::new(), heard: now });
     }
 
     pub fn len(&self) -> usize {
@@ -58,9 +64,10 @@
     }
 
     /// Takes what a client has said; true if there is more for another turn.
-    pub fn read(&mut self, id: ClientId, well: bool, told: &mut Vec<Told>) -> bool {
+    pub fn read(&mut self, now: Micros, id: ClientId, well: bool, told: &mut Vec<Told>) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
         self.dirty.insert(id);
+        client.heard = now;
         if client.link.unsent() > MOST_UNSENT {
             self.waiting.insert(id);
             return false;
@@ -104,6 +111,7 @@
             told.push(Told::Left(*ticket));
         }
         self.waiting.remove(&id);
+        self.behind.remove(&id);
         // What was asked just now, and is not open yet, is answered to nobody.
         told.retain(
             |t| !matches!(t, Told::Asked { client, .. } | Told::Forgets { client, .. } if *client == id),
@@ -118,7 +126,7 @@
                 false
             }
             Some(client) if client.open.len() >= MOST_OPEN => {
-                self.refuse(id, number, &Reply::Rejected { retry_after_ms: None });
+                self.say(id, number, &Reply::Rejected { retry_after_ms: None });
                 false
             }
             client => client.is_some(),
@@ -145,8 +153,8 @@
 
     /// Bytes of the answers that clients have not taken yet, and the client that has left most.
     pub fn untaken(&self) -> (usize, Option<ClientId>) {
-        let most = self.clients.iter().max_by_key(|(_, c)| c.link.unsent()).map(|(id, _)| *id);
-        (self.clients.values().map(|c| c.link.unsent()).sum(), most)
+        let unsent = |id: &ClientId| self.clients.get(id).map_or(0, |c| c.link.unsent());
+        (self.behind.iter().map(unsent).sum(), self.behind.iter().copied().max_by_key(unsent))
     }
 
     /// A statement is taken under a ticket.
@@ -162,8 +170,8 @@
         self.open.get(&ticket).map(|open| open.call.clone())
     }
 
-    /// Answers a statement that was not taken.
-    pub fn refuse(&mut self, id: ClientId, number: i32, reply: &Reply) {
+    /// Writes a reply; of itself, to a statement that was not taken.
+    pub fn say(&mut self, id: ClientId, number: i32, reply: &Reply) {
         if let Some(client) = self.clients.get_mut(&id) {
             statement::write(client.link.output(), number, reply);
             self.dirty.insert(id);
@@ -176,15 +184,17 @@
         if let Some(client) = self.clients.get_mut(&open.client) {
             client.open.remove(&open.number);
         }
-        self.refuse(open.client, open.number, reply);
+        self.say(open.client, open.number, reply);
     }
 
     /// Sends what is to leave.
     pub fn flush(&mut self, told: &mut Vec<Told>) {
         for id in std::mem::take(&mut self.dirty) {
             let Some(client) = self.clients.get_mut(&id) else { continue };
-            if let Err(Broken::Reset | Broken::Closed) = client.link.flush() {
-                self.end(id, told);
+            match client.link.flush() {
+                Err(_) => self.end(id, told),
+                Ok(()) if client.link.unsent() > 0 => _ = self.behind.insert(id),
+                Ok(()) => _ = self.behind.remove(&id),
             }
         }
     }
@@ -203,6 +213,14 @@
         ready
     }
 
+    /// Closes connections whose clients are long gone without a word.
+    pub fn expire(&mut self, now: Micros) {
+        if now >= self.look {
+            self.look = now + LOOK;
+            self.clients.retain(|_, c| !c.open.is_empty() || c.heard + IDLE > now);
+        }
+    }
+
     /// Closes the connections that have nothing open and nothing on the way.
     pub fn close_idle(&mut self) {
         self.clients.retain(|_, c| !c.open.is_empty() || c.link.unsent() > 0 || !c.link.input.is_empty());
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -9,7 +9,7 @@
 use hallmux_agreement::{Allowance, Names};
 use hallmux_codec::engine::{self, Command, Line, Said, Want};
 use hallmux_codec::statement::Call;
-use hallmux_dispatcher::{Cost, Ending, Micros, Note, Place, Ticket};
+use hallmux_dispatcher::{Cost, Ending, Micros, Note, Place, Terms, Ticket};
 
 use crate::front::{Front, Party};
 use crate::link::{Broken, Link};
@@ -61,9 +61,7 @@
 struct Execution {
     link: LinkId,
     call: Rc<Call>,
-    ends: Micros,
-    grant_mb: f64,
-    priority: u8,
+    terms: Terms,
     stage: Stage,
     sent: Micros,
     pages: Option<Pages>,
@@ -153,17 +151,7 @@
     }
 
     /// Sends an execution over a connection that has room for it, a new one if need be.
-    #[allow(clippy::too_many_arguments)]
-    pub fn send(
-        &mut self,
-        now: Micros,
-        sent: Sent,
-        place: Place,
-        call: Rc<Call>,
-        ends: Micros,
-        grant_mb: f64,
-        priority: u8,
-    ) {
+    pub fn send(&mut self, now: Micros, sent: Sent, place: Place, call: Rc<Call>, terms: Terms) {
         let Some(id) = self.link_for(now, place, &call.id) else {
             return self.ended(sent, Ending::NoMeans);
         };
@@ -171,7 +159,7 @@
         link.open.insert(call.id.clone(), sent);
         link.queue.push_back(sent);
         let stage = Stage::Queued;
-        let x = Execution { link: id, call, ends, grant_mb, priority, stage, sent: now, pages: None };
+        let x = Execution { link: id, call, terms, stage, sent: now, pages: None };
         self.executions.insert(sent, x);
     }
 
@@ -222,7 +210,7 @@
 
     pub fn hurry(&mut self, sent: Sent, priority: u8) {
         let Some(x) = self.executions.get_mut(&sent) else { return };
-        x.priority = priority;
+        x.terms.priority = priority;
         if x.stage != Stage::Queued && x.pages.is_none() {
             if let Some(link) = self.links.get_mut(&x.link) {
                 engine::write(link.link.output(), &Command::Hurry(&x.call.id, priority));
@@ -243,11 +231,13 @@
             // It would reach its engine whole after its end: rather the connection goes.
             Stage::Leaving => self.end(id, Ending::Reset),
             Stage::Out => {
-                let command = match x.pages {
-                    Some(_) => Command::NoMorePages(&name),
-                    None => Command::NeverMind(&name),
-                };
-                engine::write(link.link.output(), &command);
+                match x.pages {
+                    Some(_) => engine::write(link.link.output(), &Command::NoMorePages(&name)),
+                    None if self.allowed.cancel => {
+                        engine::write(link.link.output(), &Command::NeverMind(&name))
+                    }
+                    None => {}
+                }
                 // A connection that is silent since then may be to a machine that is no more.
                 link.old |= link.heard < x.sent;
                 link.idle_since = now;
@@ -439,9 +429,9 @@
                 id: &x.call.id,
                 workload: &x.call.workload,
                 dedup_key: x.call.dedup_key.as_deref(),
-                wait_ms: ((x.ends - now) / 1000).max(1),
-                grant_mb: x.grant_mb,
-                priority: x.priority,
+                wait_ms: ((x.terms.ends - now) / 1000).max(1),
+                grant_mb: x.terms.grant_mb,
+                priority: x.terms.priority,
                 statement: &x.call.statement,
             };
             engine::write(link.link.output(), &Command::Want(want));
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -130,7 +130,7 @@
 
     fn read_client(&mut self, id: ClientId) -> bool {
         let mut told = Vec::new();
-        let more = self.clients.read(id, !self.shutdown.asked(), &mut told);
+        let more = self.clients.read(self.clock.now, id, !self.shutdown.asked(), &mut told);
         self.take(told);
         more
     }
@@ -161,7 +161,7 @@
             );
         }
         if full || self.dispatcher.held() >= self.most_held {
-            return self.clients.refuse(client, number, &Reply::Rejected { retry_after_ms: None });
+            return self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
         }
         let ask = Ask {
             workload: &call.workload,
@@ -174,8 +174,8 @@
         };
         match self.dispatcher.pick(self.clock.now, &ask) {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
-            Err(Unfit::Workload) => self.clients.refuse(client, number, &Reply::Unfit(statement::WORKLOAD)),
-            Err(Unfit::Customer) => self.clients.refuse(client, number, &Reply::Unfit(statement::CUSTOMER)),
+            Err(Unfit::Workload) => self.clients.say(client, number, &Reply::Unfit(statement::WORKLOAD)),
+            Err(Unfit::Customer) => self.clients.say(client, number, &Reply::Unfit(statement::CUSTOMER)),
         }
     }
 
@@ -208,6 +208,7 @@
             self.ready(party);
         }
         self.accept();
+        self.clients.expire(self.clock.now);
         self.engines.expire(self.clock.now);
         self.coordinator.expire(self.clock.now);
         for _ in 0..ROUNDS {
@@ -269,7 +270,7 @@
                     let id = self.clients.next_id();
                     match Link::new(stream, &self.handle, Party::Client(id)) {
                         Ok(link) => {
-                            self.clients.accept(id, link);
+                            self.clients.accept(self.clock.now, id, link);
                             self.ready(Party::Client(id));
                         }
                         Err(e) => log::warn!("a client's connection can't be served: {e}"),
@@ -307,12 +308,12 @@
 
     fn obey(&mut self, order: Order) {
         match order {
-            Order::Send { ticket, execution, place, ends, grant_mb, priority } => {
+            Order::Send { ticket, execution, place, terms } => {
                 let Some(call) = self.clients.call(ticket) else {
                     self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
                     return;
                 };
-                self.engines.send(self.clock.now, (ticket, execution), place, call, ends, grant_mb, priority);
+                self.engines.send(self.clock.now, (ticket, execution), place, call, terms);
             }
             Order::Hurry { ticket, execution, priority } => {
                 self.engines.hurry((ticket, execution), priority);
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -11,7 +11,7 @@
 use crate::front::{Front, Party};
 
 const CHUNK: usize = 64 << 10; // bytes taken at once
-const ONE_TURN: usize = 1 << 20; // bytes taken before other connections have their turn
+const ONE_TURN: usize = 256 << 10; // bytes taken before other connections have their turn
 
 /// How a connection ended from the other side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,8 +120,8 @@
     /// Lets go of the first bytes of the input.
     pub fn taken(&mut self, len: usize) {
         self.input.drain(..len);
-        if self.input.is_empty() {
-            self.input.shrink_to(CHUNK);
+        if self.input.capacity() > self.input.len() + 2 * CHUNK {
+            self.input.shrink_to(self.input.len() + CHUNK);
         }
     }
 }
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -2,6 +2,7 @@
 //! the system gives. Each line waits for what it names and for nothing else; a wait that takes too long fails.
 //!
 //!     agreed KEY JSON          a value of the settings object, in place of the usual one
+//!     told KEY JSON            a value of the configuration itself, in place of the usual one, for one `fails`
 //!     engine NAME [gone]       an engine of the list at start; `gone` listens no more
 //!     start                    starts the front and waits until it takes statements
 //!     fails TEXT               starts it and waits until it ends with a complaint that holds TEXT
@@ -56,6 +57,8 @@
 #[derive(Default)]
 struct Play {
     settings: Value,
+    told_otherwise: Vec<(String, Value)>,
+    files: Vec<std::path::PathBuf>,
     engines: HashMap<String, Engine>,
     clients: HashMap<String, TcpStream>,
     statements: HashMap<String, String>,
@@ -119,14 +122,18 @@
         let known = json!({"index": 1, "endpoints": {"version": 1, "full": true, "servers": servers}});
         self.told.0.lock().unwrap().updates.push(known.clone());
         self.serve_list();
-        let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "coordinator": self.coordinator.map(|at| at.to_string()),
             "known": {"index": 1, "updates": [known]}, "settings": self.settings});
+        for (key, value) in &self.told_otherwise {
+            config[key] = value.clone();
+        }
         let number =
             std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
         let path = std::env::temp_dir().join(format!("hallmux-play-{}-{number}.json", std::process::id()));
         std::fs::write(&path, config.to_string()).unwrap();
+        self.files.push(path.clone());
         let mut command = Command::new(env!("CARGO_BIN_EXE_hallmux-front"));
         command.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_NAME");
         command.stderr(Stdio::piped()).spawn().unwrap()
@@ -346,6 +353,9 @@
                 }
                 at[last] = serde_json::from_str(&rest(2)).unwrap();
             }
+            ["told", key, ..] => {
+                self.told_otherwise.push((key.to_string(), serde_json::from_str(&rest(2)).unwrap()));
+            }
             ["engine", name, ..] => {
                 let mut engine = Engine::new();
                 if words.get(2) == Some(&"gone") {
@@ -359,6 +369,7 @@
                 let output = self.spawn().wait_with_output().unwrap();
                 let said = String::from_utf8_lossy(&output.stderr).into_owned();
                 assert!(!output.status.success() && said.contains(&rest(1)), "{said}");
+                self.told_otherwise.clear();
             }
             ["list", name, state, ..] => {
                 if !self.engines.contains_key(name) {
@@ -452,6 +463,9 @@
             let _ = front.kill();
             let _ = front.wait();
         }
+        for path in &self.files {
+            let _ = std::fs::remove_file(path);
+        }
     }
 }
 
