--- a/crates/agreement/src/contract.rs
+++ b/crates/agreement/src/contract.rs
@@ -103,6 +103,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Rules {
+    #[serde(default)]
+    answer_slack_ms: f64,
     #[serde(default = "one")]
     cold_from: f64,
     #[serde(default)]
@@ -152,6 +154,8 @@
     pub executions_per_connection: usize,
     pub most_held: usize,
     pub cost_in_answers: bool,
+    /// How long after the client's time is up a final answer still counts.
+    pub answer_slack: Micros,
     /// Engines may be told to give an execution up.
     pub cancel: bool,
 }
@@ -185,6 +189,7 @@
         executions_per_connection: read.bounds.streams_per_conn.unwrap_or(1).max(1),
         most_held: read.bounds.most_held.unwrap_or(MOST_HELD),
         cost_in_answers: read.extra.cost_in_answers,
+        answer_slack: micros(read.rules.answer_slack_ms),
         cancel: read.bounds.cancelling,
     };
     let flag = |list: &[bool], i: usize| list.get(i).copied().unwrap_or(false);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -37,6 +37,7 @@
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     accept_at: Option<Micros>,
     dispatcher: Dispatcher,
+    answer_slack: Micros,
     most_held: usize,
     most_bytes: usize,
     full: bool,
@@ -69,6 +70,7 @@
             listener: Some((listener, token)),
             accept_at: Some(0),
             dispatcher: Dispatcher::new(contract, station.seed),
+            answer_slack: contract.allowance.answer_slack,
             most_held: contract.allowance.most_held,
             most_bytes: (station.limits.memory_bytes / MEMORY_PART) as usize,
             full: false,
@@ -163,11 +165,14 @@
         if full || self.dispatcher.held() >= self.most_held {
             return self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
         }
+        // Guards against a final answer that is held up on its way: it has the slack twice, before the client's
+        // time is up and after. An answer that comes whole in that last moment is lost to the client.
+        let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
         let ask = Ask {
             workload: &call.workload,
             customer: &call.customer,
             key: call.order_key.as_deref(),
-            time_left: (call.time_left_ms * 1000.0) as Micros - self.clock.waited(),
+            time_left: time_left - self.clock.waited(),
             work: call.work_ms * 1000.0,
             memory_mb: call.memory_mb,
             data_set: tables::group(&call.statement),
