What an engine does not take is held back here, where it can be taken back; a door for clients

A probe scenario: sixteen statements of 100 kB for an engine that reads nothing all went into the kernel's buffers, so the last one reached the engine whole after its client had left (want, then never_mind). The send buffer of dialled connections is 64 kB now, and what has not left is withdrawn. Clients may hold half of the descriptors at most; more wait at the door instead of taking those for engines.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -22,6 +22,7 @@
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
 const MEMORY_PART: u64 = 4; // statements held may take one part of so many, untaken answers another
+const CLIENTS_PART: usize = 2; // of the descriptors; clients hold a third, the rest is for engines
 const ACCEPT_AGAIN: Micros = 50_000; // microseconds until the next try after one without descriptors
 
 /// Whom a connection is to.
@@ -36,10 +37,13 @@
     handle: LoopHandle<'static, Front>,
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     accept_at: Option<Micros>,
+    /// Connections wait at the door, as none more can be taken.
+    shut_out: bool,
     dispatcher: Dispatcher,
     answer_slack: Micros,
     most_held: usize,
     most_bytes: usize,
+    most_clients: usize,
     full: bool,
     clients: Clients,
     engines: Engines,
@@ -69,10 +73,12 @@
         let mut front = Front {
             listener: Some((listener, token)),
             accept_at: Some(0),
+            shut_out: false,
             dispatcher: Dispatcher::new(contract, station.seed),
             answer_slack: contract.allowance.answer_slack,
             most_held: contract.allowance.most_held,
             most_bytes: (station.limits.memory_bytes / MEMORY_PART) as usize,
+            most_clients: station.limits.sockets / CLIENTS_PART,
             full: false,
             clients: Clients::default(),
             engines: Engines::new(handle.clone(), contract.allowance.clone(), &contract.names),
@@ -267,9 +273,11 @@
         if self.accept_at.is_none_or(|at| at > self.clock.now) {
             return;
         }
-        self.accept_at = None;
         let Some((listener, _)) = self.listener.clone() else { return };
         loop {
+            if self.clients.len() >= self.most_clients {
+                return self.accept_later(&format!("{} clients are connected", self.clients.len()));
+            }
             match listener.accept() {
                 Ok((stream, _)) => {
                     let id = self.clients.next_id();
@@ -281,17 +289,24 @@
                         Err(e) => log::warn!("a client's connection can't be served: {e}"),
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    log::warn!("no connection can be taken for now: {e}");
-                    self.accept_at = Some(self.clock.now + ACCEPT_AGAIN);
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    (self.accept_at, self.shut_out) = (None, false);
                     return;
                 }
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => return self.accept_later(&e.to_string()),
             }
         }
     }
 
+    /// Leaves clients waiting at the door, rather than taking what can't be served.
+    fn accept_later(&mut self, why: &str) {
+        if !std::mem::replace(&mut self.shut_out, true) {
+            log::warn!("no connection can be taken for now: {why}");
+        }
+        self.accept_at = Some(self.clock.now + ACCEPT_AGAIN);
+    }
+
     /// Passes on what engines have said.
     fn heard(&mut self) {
         for told in std::mem::take(&mut self.engines.told) {
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -11,6 +11,7 @@
 use crate::front::{Front, Party};
 
 const CHUNK: usize = 64 << 10; // bytes taken at once
+const AHEAD: usize = 64 << 10; // bytes on their way that can't be taken back: some hundred statements
 const ONE_TURN: usize = 256 << 10; // bytes taken before other connections have their turn
 
 /// How a connection ended from the other side.
@@ -55,6 +56,7 @@
     pub fn dial(to: SocketAddr, handle: &LoopHandle<'static, Front>, party: Party) -> std::io::Result<Link> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
+        socket.set_send_buffer_size(AHEAD)?;
         match socket.connect(&to.into()) {
             Err(e) if e.raw_os_error() != Some(IN_PROGRESS) && e.kind() != ErrorKind::WouldBlock => Err(e),
             _ => Link::new(socket.into(), handle, party),
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -3,7 +3,7 @@
 //!
 //!     agreed KEY JSON          a value of the settings object, in place of the usual one
 //!     told KEY JSON            a value of the configuration itself, in place of the usual one, for one `fails`
-//!     engine NAME [gone]       an engine of the list at start; `gone` listens no more
+//!     engine NAME [gone|deaf]  an engine of the list at start; `gone` listens no more, `deaf` reads nothing yet
 //!     start                    starts the front and waits until it takes statements
 //!     fails TEXT               starts it and waits until it ends with a complaint that holds TEXT
 //!     CLIENT connects | closes | is well | is unwell | is closed
@@ -14,6 +14,7 @@
 //!     ENGINE hears COMMAND N [WORDS]      the next command, but for priorities; `want` checks the statement too
 //!     ENGINE says N WORD FIELDS TEXT      answers on the connection that brought statement N
 //!     ENGINE says nonsense | closes       on its latest connection
+//!     ENGINE listens                      a deaf one reads from now on
 //!     list NAME STATE          tells of a change through the coordinator; a new NAME listens at a port of its own
 //!     list NAME STATE at OTHER the same, at the address of another engine
 //!     coordinator answers TEXT the next answer, as it is
@@ -33,6 +34,8 @@
 
 const PATIENCE: Duration = Duration::from_secs(20); // for any one wait; a busy machine takes some of it
 
+const BIG: usize = 100_000; // bytes that `BIG` in a statement stands for
+
 /// A command as an engine heard it, and the connection that brought it.
 struct Heard {
     words: Vec<String>,
@@ -43,6 +46,7 @@
 struct Engine {
     at: SocketAddr,
     listener: Option<TcpListener>,
+    listens: Arc<(Mutex<bool>, Condvar)>,
     heard: Receiver<Heard>,
     latest: Option<TcpStream>,
     asked: HashMap<String, TcpStream>,
@@ -78,18 +82,23 @@
 }
 
 impl Engine {
-    fn new() -> Engine {
+    fn new(deaf: bool) -> Engine {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         let (sender, heard) = channel();
+        let listens = Arc::new((Mutex::new(!deaf), Condvar::new()));
+        let waits = listens.clone();
         let accepts = listener.try_clone().unwrap();
         std::thread::spawn(move || {
             for stream in accepts.incoming().map_while(Result::ok) {
-                let sender = sender.clone();
-                std::thread::spawn(move || Engine::listen(stream, &sender));
+                let (sender, waits) = (sender.clone(), waits.clone());
+                std::thread::spawn(move || {
+                    drop(waits.1.wait_while(waits.0.lock().unwrap(), |listens| !*listens));
+                    Engine::listen(stream, &sender)
+                });
             }
         });
-        Engine { at, listener: Some(listener), heard, latest: None, asked: HashMap::new() }
+        Engine { at, listener: Some(listener), listens, heard, latest: None, asked: HashMap::new() }
     }
 
     fn listen(stream: TcpStream, heard: &Sender<Heard>) -> Option<()> {
@@ -357,7 +366,7 @@
                 self.told_otherwise.push((key.to_string(), serde_json::from_str(&rest(2)).unwrap()));
             }
             ["engine", name, ..] => {
-                let mut engine = Engine::new();
+                let mut engine = Engine::new(words.get(2) == Some(&"deaf"));
                 if words.get(2) == Some(&"gone") {
                     let free = TcpListener::bind("127.0.0.1:0").unwrap();
                     (engine.at, engine.listener) = (free.local_addr().unwrap(), None);
@@ -373,7 +382,7 @@
             }
             ["list", name, state, ..] => {
                 if !self.engines.contains_key(name) {
-                    self.engines.insert(name.to_string(), Engine::new());
+                    self.engines.insert(name.to_string(), Engine::new(false));
                 }
                 let at = self.engines[words.get(4).copied().unwrap_or(name)].at;
                 let server = self.server(name, state, at, state == "up");
@@ -411,13 +420,14 @@
             [client, "is", "unwell"] => self.well(client, false),
             [client, "is", "closed"] => assert_eq!(self.reply(client), None),
             [client, "asks", "at", "once", which, ..] => {
+                let statement = rest(5).replace("BIG", &"x".repeat(BIG));
                 let mut bytes = Vec::new();
                 for number in which.split(',') {
                     match number.strip_prefix('!') {
                         Some(number) => bytes.extend(self.forget(number)),
-                        None => bytes.extend(self.frame(number, &[], &rest(5))),
+                        None => bytes.extend(self.frame(number, &[], &statement)),
                     }
-                    self.statements.insert(number.to_string(), rest(5));
+                    self.statements.insert(number.to_string(), statement.clone());
                 }
                 self.clients.get_mut(client).unwrap().write_all(&bytes).unwrap();
             }
@@ -446,6 +456,10 @@
                 self.engines[engine].latest.as_ref().unwrap().write_all(b"\x07\xff ? !\r\n").unwrap();
             }
             [engine, "says", number, word, fields, ..] => self.says(engine, number, word, fields, &rest(5)),
+            [engine, "listens"] => {
+                *self.engines[engine].listens.0.lock().unwrap() = true;
+                self.engines[engine].listens.1.notify_all();
+            }
             [engine, "closes"] => {
                 let latest = self.engines.get_mut(engine).unwrap().latest.take().unwrap();
                 latest.shutdown(std::net::Shutdown::Both).unwrap();
