A front that was stopped counts what it finds as having waited since its last decision

Read over against the module: it takes missing time as waiting only within the gap between its decisions, but the clock counted from the last look, a little longer, so the wait would have passed for a client's later try; and a statement taken before a stop and decided on after it had its full time again.

--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -319,7 +319,14 @@
         if self.wake <= now {
             self.told.push(Event::Woken);
         }
-        let told = std::mem::take(&mut self.told);
+        let mut told = std::mem::take(&mut self.told);
+        for event in &mut told {
+            if let Event::Arrived(arrival) = event {
+                // Guards against a stop between taking a statement and deciding: its time has run on.
+                let ends = self.statements.get(&arrival.statement).map_or(now, |s| s.terms.ends);
+                arrival.time_left = ends - now;
+            }
+        }
         for action in self.front.decide(now, told) {
             self.order(now, action, &mut orders);
         }
@@ -494,6 +501,18 @@
         assert_eq!(d.held(), 0);
     }
 
+    #[test]
+    fn a_statement_has_what_is_left_when_it_is_decided_on() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        d.tick(0);
+        // Of a class whose late answers are worth nothing: out of SLO time by the time it is decided on.
+        let ticket = d.pick(10_000, &ask("lookup", None)).unwrap();
+        let late = d.tick(3_990_000);
+        assert!(matches!(late[..], [Order::Reject { .. }]), "{late:?}");
+        assert_eq!((sent(&late), d.held()), (vec![], 0), "{ticket}");
+    }
+
     #[test]
     fn unknown_names_are_unfit() {
         let mut d = dispatcher();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -222,6 +222,8 @@
         self.clients.expire(self.clock.now);
         self.engines.expire(self.clock.now);
         self.coordinator.expire(self.clock.now);
+        self.clock.look();
+        self.clock.decides();
         for _ in 0..ROUNDS {
             self.heard();
             let orders = self.dispatcher.tick(self.clock.now);
