What was given up where cancelling is not allowed keeps its connection; silent connections are left

Read over: where cancelling is not allowed, a connection left for its silence was closed as idle, which gives up what runs on there; and what runs on did not count against its room. A connection counted as silent after any early forget; now only after a dial's time-out.

--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -85,7 +85,10 @@
             name: said("NODE_NAME", "name", file.name)?,
             listen: read("listen", &said("NODE_LISTEN", "listen", file.listen)?)?,
             seed: u64::from_str_radix(&seed, 16).map_err(|e| format!("seed: '{seed}': {e}"))?,
-            limits: Limits { memory_bytes: limits.memory_mb << 20, sockets: limits.sockets },
+            limits: Limits {
+                memory_bytes: limits.memory_mb.saturating_mul(1 << 20),
+                sockets: limits.sockets,
+            },
             coordinator: file.coordinator.map(|at| read("coordinator", &at)).transpose()?,
             known: file.known.map_or_else(|| NOTHING_KNOWN.to_string(), |raw| raw.get().to_string()),
             contract: contract(settings.get()).map_err(|e| format!("settings: {e}"))?,
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -169,7 +169,10 @@
         let fits = |link: &&LinkId| {
             self.links.get(link).is_some_and(|l| {
                 let known = l.open.contains_key(id) || l.given_up.contains(id);
-                !l.old && !known && l.open.len() + l.probes.len() < most && l.given_up.len() < MOST_GIVEN_UP
+                // Where cancelling is not allowed, what was given up runs on there.
+                let runs_on = if self.allowed.cancel { 0 } else { l.given_up.len() };
+                let room = l.open.len() + l.probes.len() + runs_on < most;
+                !l.old && !known && room && l.given_up.len() < MOST_GIVEN_UP
             })
         };
         let ready = |link: &&LinkId| self.links[link].up && self.links[link].link.unsent() == 0;
@@ -223,6 +226,8 @@
         let Some(x) = self.executions.get(&sent) else { return };
         let (id, name) = (x.link, x.call.id.clone());
         let Some(link) = self.links.get_mut(&id) else { return };
+        // A connection silent since then, longer than one takes to come up, may be to a machine that is no more.
+        link.old |= link.up && link.heard < x.sent && now - x.sent > self.allowed.dial_timeout;
         match x.stage {
             Stage::Queued => {
                 link.queue.retain(|other| *other != sent);
@@ -238,8 +243,6 @@
                     }
                     None => {}
                 }
-                // A connection that is silent since then may be to a machine that is no more.
-                link.old |= link.heard < x.sent;
                 link.idle_since = now;
                 link.open.remove(&name);
                 link.given_up.insert(name);
@@ -326,7 +329,14 @@
             return;
         }
         // What is said of an execution that was given up or is unknown means nothing any more.
-        let Some(&sent) = link.open.get(line.id) else { return };
+        let Some(&sent) = link.open.get(line.id) else {
+            let over =
+                matches!(line.said, Said::First { .. } | Said::TurnedAway | Said::Failed | Said::Stale);
+            if over && !self.allowed.cancel && link.given_up.remove(line.id) {
+                engine::write(link.link.output(), &Command::NoMorePages(line.id));
+            }
+            return;
+        };
         let Some(x) = self.executions.get_mut(&sent).filter(|x| x.stage == Stage::Out) else { return };
         let cost = line.cost.filter(|_| self.allowed.cost_in_answers);
         let cost = cost.map(|(ms, memory_mb)| Cost { work: ms * 1000.0, memory_mb });
@@ -378,7 +388,7 @@
         let Some(link) = self.links.remove(&id) else { return };
         if let Some(engine) = self.engines.get_mut(&link.place) {
             engine.links.retain(|other| *other != id);
-            if !link.up && !std::mem::replace(&mut engine.failing, true) {
+            if !link.up && !link.old && !std::mem::replace(&mut engine.failing, true) {
                 log::warn!("engine {}: can't be reached: {ending:?}", engine.id);
             } else if link.up && !link.open.is_empty() {
                 let count = link.open.len();
@@ -450,8 +460,11 @@
     }
 
     fn idle_until(&self, link: &EngineLink) -> Option<Micros> {
-        let idle = link.up && link.open.is_empty() && link.probes.is_empty();
-        let keep = if link.old { 0 } else { (self.allowed.keepalive - IDLE_MARGIN).max(IDLE_MARGIN) };
+        let idle = link.up && link.open.is_empty() && link.probes.is_empty() && link.link.unsent() == 0;
+        // Closing it would give up what runs on there.
+        let runs_on = !self.allowed.cancel && !link.given_up.is_empty();
+        let keep = (self.allowed.keepalive - IDLE_MARGIN).max(IDLE_MARGIN);
+        let keep = if link.old && !runs_on { 0 } else { keep };
         idle.then_some(link.idle_since + keep)
     }
 
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -14,6 +14,7 @@
 //!     ENGINE hears COMMAND N [WORDS]      the next command, but for priorities; `want` checks the statement too
 //!     ENGINE says N WORD FIELDS TEXT      answers on the connection that brought statement N
 //!     ENGINE says nonsense | closes       on its latest connection
+//!     ENGINE is reached anew              its latest command came by another connection than the one before
 //!     ENGINE listens                      a deaf one reads from now on
 //!     list NAME STATE          tells of a change through the coordinator; a new NAME listens at a port of its own
 //!     list NAME STATE at OTHER the same, at the address of another engine
@@ -51,6 +52,7 @@
     listens: Arc<(Mutex<bool>, Condvar)>,
     heard: Receiver<Heard>,
     latest: Option<TcpStream>,
+    before: Option<SocketAddr>,
     asked: HashMap<String, TcpStream>,
 }
 
@@ -100,7 +102,15 @@
                 });
             }
         });
-        Engine { at, listener: Some(listener), listens, heard, latest: None, asked: HashMap::new() }
+        Engine {
+            at,
+            listener: Some(listener),
+            listens,
+            heard,
+            latest: None,
+            before: None,
+            asked: HashMap::new(),
+        }
     }
 
     fn listen(stream: TcpStream, heard: &Sender<Heard>) -> Option<()> {
@@ -299,6 +309,7 @@
             assert_eq!(String::from_utf8(heard.body).unwrap(), self.statements[number]);
             engine.asked.insert(number.to_string(), heard.from.try_clone().unwrap());
         }
+        engine.before = engine.latest.as_ref().and_then(|latest| latest.peer_addr().ok());
         engine.latest = Some(heard.from);
     }
 
@@ -469,6 +480,11 @@
                 self.engines[engine].latest.as_ref().unwrap().write_all(b"\x07\xff ? !\r\n").unwrap();
             }
             [engine, "says", number, word, fields, ..] => self.says(engine, number, word, fields, &rest(5)),
+            [engine, "is", "reached", "anew"] => {
+                let engine = &self.engines[engine];
+                let latest = engine.latest.as_ref().unwrap().peer_addr().unwrap();
+                assert!(engine.before.is_some_and(|before| before != latest));
+            }
             [engine, "listens"] => {
                 *self.engines[engine].listens.0.lock().unwrap() = true;
                 self.engines[engine].listens.1.notify_all();
