--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -18,7 +18,7 @@
     at: Option<SocketAddr>,
     link: Option<Link>,
     number: u64, // of the connection
-    asked: bool,
+    asked: Option<Micros>,
     due: Micros, // until when an answer is awaited, or when to try again
     pub follow: u64,
     failing: bool,
@@ -26,7 +26,7 @@
 
 impl Coordinator {
     pub fn new(handle: LoopHandle<'static, Front>, at: Option<SocketAddr>, follow: u64) -> Self {
-        Coordinator { handle, at, link: None, number: 0, asked: false, due: 0, follow, failing: false }
+        Coordinator { handle, at, link: None, number: 0, asked: None, due: 0, follow, failing: false }
     }
 
     pub fn due(&self) -> Micros {
@@ -46,7 +46,7 @@
         self.number += 1;
         match Link::dial(at, &self.handle, Party::Coordinator(self.number)) {
             Ok(link) => {
-                (self.link, self.asked) = (Some(link), false);
+                (self.link, self.asked) = (Some(link), None);
                 self.due = now + SILENCE;
             }
             Err(e) => self.failed(now, &e.to_string()),
@@ -64,14 +64,14 @@
         if let (Some(link), Some(at)) = (&mut self.link, self.at) {
             let request = codec::request(&at.to_string(), self.follow, WAIT_MS);
             link.output().extend_from_slice(request.as_bytes());
-            (self.asked, self.due) = (true, now + WAIT_MS * 1000 + SILENCE);
+            (self.asked, self.due) = (Some(now), now + WAIT_MS * 1000 + SILENCE);
         }
     }
 
     /// The connection has changed; what it brought, if anything.
     pub fn read(&mut self, now: Micros, number: u64) -> Option<Stream> {
         let link = self.link.as_mut().filter(|_| number == self.number)?;
-        if !self.asked {
+        if self.asked.is_none() {
             match link.is_up() {
                 Ok(false) => return None,
                 Ok(true) => self.ask(now),
@@ -115,7 +115,11 @@
                     log::info!("coordinator: answers again");
                 }
                 self.follow = self.follow.max(stream.index);
-                if answer.stays && broken.is_none() {
+                // Guards against one that answers at once with nothing: it is not asked without end.
+                let idle = stream.updates.is_empty() && self.asked.is_some_and(|at| now < at + AGAIN);
+                if idle {
+                    (self.link, self.due) = (None, now + AGAIN);
+                } else if answer.stays && broken.is_none() {
                     self.ask(now);
                 } else {
                     (self.link, self.due) = (None, now);
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -77,7 +77,8 @@
     heard: Micros,
     idle_since: Micros,
     queue: VecDeque<Sent>,
-    leaving: Option<Sent>,
+    /// The one being written, and where in the output it ends; commands may follow it.
+    leaving: Option<(Sent, usize)>,
     open: HashMap<String, Sent>,
     given_up: HashSet<String>,
     probes: HashMap<String, Micros>,
@@ -424,15 +425,17 @@
     fn pump(&mut self, now: Micros, id: LinkId) -> Result<(), Broken> {
         let Some(link) = self.links.get_mut(&id).filter(|l| l.up) else { return Ok(()) };
         loop {
-            link.link.flush()?;
+            let flushed = link.link.flush();
+            // It may have run once its last byte has left, whatever becomes of the commands behind it.
+            if let Some((sent, _)) = link.leaving.take_if(|(_, end)| link.link.has_left(*end)) {
+                self.executions.entry(sent).and_modify(|x| x.stage = Stage::Out);
+            }
+            flushed?;
             if link.link.unsent() > MOST_UNSENT {
                 return Err(Broken::Reset);
             } else if link.link.unsent() > 0 {
                 return Ok(());
             }
-            if let Some(x) = link.leaving.take().and_then(|sent| self.executions.get_mut(&sent)) {
-                x.stage = Stage::Out;
-            }
             let Some(sent) = link.queue.pop_front() else { return Ok(()) };
             let Some(x) = self.executions.get_mut(&sent) else { continue };
             let want = Want {
@@ -445,7 +448,8 @@
                 statement: &x.call.statement,
             };
             engine::write(link.link.output(), &Command::Want(want));
-            (x.stage, x.sent, link.leaving) = (Stage::Leaving, now, Some(sent));
+            (x.stage, x.sent) = (Stage::Leaving, now);
+            link.leaving = Some((sent, link.link.output().len()));
         }
     }
 
@@ -480,6 +484,7 @@
             let place = link.place;
             let before = link.probes.len();
             link.probes.retain(|_, due| *due > now);
+            link.old |= link.probes.len() < before && link.heard < now - self.allowed.dial_timeout;
             for _ in link.probes.len()..before {
                 self.told.push(Told::Probed { place, alive: false, report: None });
             }
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -103,6 +103,11 @@
         self.output.len() - self.left
     }
 
+    /// Whether the first bytes of the output have left, up to the place given.
+    pub fn has_left(&self, end: usize) -> bool {
+        self.unsent() == 0 || self.left >= end
+    }
+
     /// Sends as much as the network takes.
     pub fn flush(&mut self) -> Result<(), Broken> {
         while self.unsent() > 0 {
@@ -135,3 +140,27 @@
         self.handle.remove(self.token);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn what_has_left_is_known_also_when_the_rest_never_will() {
+        let events: calloop::EventLoop<'static, Front> = calloop::EventLoop::try_new().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let peer = listener.accept().unwrap().0;
+        let mut link = Link::new(stream, &events.handle(), Party::Engine(1)).unwrap();
+        const MORE: usize = 64 << 20; // more than the network takes from one who is not read
+        link.output().resize(MORE, b'x');
+        assert_eq!(link.flush(), Ok(()));
+        assert!(link.has_left(1) && !link.has_left(MORE));
+        drop(peer);
+        while link.flush().is_ok() {
+            std::thread::yield_now();
+        }
+        assert!(link.has_left(1) && !link.has_left(MORE));
+    }
+}
