--- a/crates/codec/src/coordinator.rs
+++ b/crates/codec/src/coordinator.rs
@@ -8,8 +8,9 @@
 const MOST_HEADERS: usize = 64;
 pub const LONGEST_BODY: usize = 8 << 20; // bytes; a list of some thousand engines takes one million
 
-pub fn request(host: &str, follow: u64, wait_ms: i64) -> String {
-    format!("GET /v2/stream?follow={follow}&wait_ms={wait_ms} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
+pub fn question(host: &str, follow: u64, wait_ms: i64) -> String {
+    let target = format!("/v2/stream?follow={follow}&wait_ms={wait_ms}");
+    format!("GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n")
 }
 
 /// A whole answer: how many bytes it took, whether the connection stays, its status and its body.
@@ -149,7 +150,8 @@
     fn answers_are_read_once_they_are_whole() {
         for text in [
             "HTTP/1.1 200 OK\r\nContent-Length: 25\r\n\r\n{\"index\":41,\"updates\":[]}",
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"ind\r\n14\r\nex\":41,\"updates\":[]}\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+             5\r\n{\"ind\r\n14\r\nex\":41,\"updates\":[]}\r\n0\r\n\r\n",
         ] {
             for len in 0..text.len() {
                 assert!(read(&text.as_bytes()[..len], false).is_ok_and(|found| found.is_none()), "{len}");
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -5,7 +5,7 @@
 use hallmux_dispatcher::Micros;
 
 const STILL: Micros = 250_000; // microseconds late that are worth a line in the log
-const PROMPT: Micros = 50_000; // microseconds late that are no standing still; less than an answer's slack allows
+const PROMPT: Micros = 50_000; // microseconds late that are no standing still; less than an answer's slack
 
 #[derive(Default)]
 pub struct Clock {
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -62,8 +62,8 @@
 
     fn ask(&mut self, now: Micros) {
         if let (Some(link), Some(at)) = (&mut self.link, self.at) {
-            let request = codec::request(&at.to_string(), self.follow, WAIT_MS);
-            link.output().extend_from_slice(request.as_bytes());
+            let question = codec::question(&at.to_string(), self.follow, WAIT_MS);
+            link.output().extend_from_slice(question.as_bytes());
             (self.asked, self.due) = (Some(now), now + WAIT_MS * 1000 + SILENCE);
         }
     }
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -227,7 +227,7 @@
         let Some(x) = self.executions.get(&sent) else { return };
         let (id, name) = (x.link, x.call.id.clone());
         let Some(link) = self.links.get_mut(&id) else { return };
-        // A connection silent since then, longer than one takes to come up, may be to a machine that is no more.
+        // A connection silent since then, longer than one takes to come up, may be to a machine that is gone.
         link.old |= link.up && link.heard < x.sent && now - x.sent > self.allowed.dial_timeout;
         match x.stage {
             Stage::Queued => {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -171,8 +171,8 @@
         if full || self.dispatcher.held() >= self.most_held {
             return self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
         }
-        // Guards against a final answer that is held up on its way: it has the slack twice, before the client's
-        // time is up and after. An answer that comes whole in that last moment is lost to the client.
+        // Guards against a final answer that is held up on its way: it has the slack twice, before the
+        // client's time is up and after. A result that comes in that last moment is lost to the client.
         let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
         let ask = Ask {
             workload: &call.workload,
@@ -243,7 +243,9 @@
         self.clients.flush(&mut told);
         if let (untaken, Some(client)) = self.clients.untaken() {
             if untaken > self.most_bytes {
-                log::warn!("client {client}: takes no answers, {untaken} bytes wait in all; its connection is closed");
+                log::warn!(
+                    "client {client}: takes no answers, {untaken} bytes wait; its connection is closed"
+                );
                 self.clients.end(client, &mut told);
             }
         }
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -1,20 +1,20 @@
-//! Plays the scenarios beside this file against the front's binary: scripted peers on loopback, on ports that
-//! the system gives. Each line waits for what it names and for nothing else; a wait that takes too long fails.
+//! Plays the scenarios beside this file against the front's binary: scripted peers on loopback, on ports
+//! that the system gives. Each line waits for what it names and for nothing else; too long a wait fails.
 //!
 //!     agreed KEY JSON          a value of the settings object, in place of the usual one
-//!     told KEY JSON            a value of the configuration itself, in place of the usual one, for one `fails`
-//!     engine NAME [gone|deaf]  an engine of the list at start; `gone` listens no more, `deaf` reads nothing yet
+//!     told KEY JSON            a value of the configuration itself, for the next start
+//!     engine NAME [gone|deaf]  of the list at start; `gone` listens no more, `deaf` reads nothing yet
 //!     start                    starts the front and waits until it takes statements
 //!     fails TEXT               starts it and waits until it ends with a complaint that holds TEXT
 //!     CLIENT connects | closes | is well | is unwell | is closed
-//!     CLIENT asks N FIELD=.. STATEMENT    sends statement N (fields beyond the usual ones; `-FIELD` leaves one out)
+//!     CLIENT asks N FIELD=.. STATEMENT    sends statement N; `-FIELD` leaves a field out
 //!     CLIENT asks at once N,M STATEMENT   sends several in one write, `!N` for a `forget` of N
 //!     CLIENT sends HEX         sends bytes as they are
 //!     CLIENT hears N completed TEXT | rejected | aborted | exception TEXT
-//!     ENGINE hears COMMAND N [WORDS]      the next command, but for priorities; `want` checks the statement too
-//!     ENGINE says N WORD FIELDS TEXT      answers on the connection that brought statement N
+//!     ENGINE hears COMMAND N [WORDS]      the next command but `hurry`; `want` checks the statement
+//!     ENGINE says N WORD FIELDS TEXT      answers where statement N came
 //!     ENGINE says nonsense | closes       on its latest connection
-//!     ENGINE is reached anew              its latest command came by another connection than the one before
+//!     ENGINE is reached anew              its latest command came by another connection
 //!     ENGINE listens                      a deaf one reads from now on
 //!     list NAME STATE          tells of a change through the coordinator; a new NAME listens at a port of its own
 //!     list NAME STATE at OTHER the same, at the address of another engine
@@ -23,7 +23,7 @@
 //!     stop | ends              sends SIGTERM; waits until the front has ended well
 //!     halt | goes on           stops the front, and lets it go on
 //!     passes MS                lets time pass, as a client's patience does
-//!     many N CLIENT ENGINE     N statements one after the other, each completed; memory must not grow with them
+//!     many N CLIENT ENGINE     N statements one by one, each completed; memory must not grow
 
 use std::collections::{HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
