--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -16,7 +16,7 @@
 //!     ENGINE says nonsense | closes       on its latest connection
 //!     ENGINE is reached anew              its latest command came by another connection
 //!     ENGINE listens                      a deaf one reads from now on
-//!     list NAME STATE          tells of a change through the coordinator; a new NAME listens at a port of its own
+//!     list NAME STATE          tells of a change; a new NAME listens at a port of its own
 //!     list NAME STATE at OTHER the same, at the address of another engine
 //!     coordinator answers TEXT the next answer, as it is
 //!     coordinator asked        waits for the next question
