--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -9,6 +9,7 @@
 //!     CLIENT connects | closes | is well | is unwell | is closed
 //!     CLIENT asks N FIELD=.. STATEMENT    sends statement N; `-FIELD` leaves a field out
 //!     CLIENT asks at once N,M STATEMENT   sends several in one write, `!N` for a `forget` of N
+//!     CLIENT floods            asks and takes no answers until it is no longer read; memory stays bounded
 //!     CLIENT sends HEX         sends bytes as they are
 //!     CLIENT hears N completed TEXT | rejected | aborted | exception TEXT
 //!     ENGINE hears COMMAND N [WORDS]      the next command but `hurry`; `want` checks the statement
@@ -340,6 +341,17 @@
         assert!(late <= early + early / 10, "{early} kB after a quarter, {late} kB at the end");
     }
 
+    fn flood(&mut self, client: &str) {
+        // A method that is unknown: its long name is in the answer, twice.
+        let frame = self.message(1, &"x".repeat(BIG / 2), "1", &[]);
+        let stream = self.clients.get_mut(client).unwrap();
+        stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
+        let read_no_more = (0..2000).any(|_| stream.write_all(&frame).is_err());
+        assert!(read_no_more, "200 MB of answers that nobody takes");
+        let memory_kb = self.memory_kb();
+        assert!(memory_kb < 50_000, "{memory_kb} kB");
+    }
+
     fn signal(&self, which: &str) {
         let pid = self.front.as_ref().unwrap().id().to_string();
         assert!(Command::new("kill").args([which, &pid]).status().unwrap().success());
@@ -467,6 +479,7 @@
                 let frame = self.forget(number);
                 self.clients.get_mut(client).unwrap().write_all(&frame).unwrap();
             }
+            [client, "floods"] => self.flood(client),
             [client, "sends", hex] => {
                 let byte = |i| u8::from_str_radix(&hex[i..i + 2], 16).unwrap();
                 let bytes: Vec<u8> = (0..hex.len()).step_by(2).map(byte).collect();
