Read over once more: what was written twice in the front is written once

No change of behaviour. Clients::read marks its connection for sending itself, so a call before it did nothing; executions that are out are listed in one place, names looked up by one function; fields of a reply go as a slice instead of an iterator that is collected; the time to sleep has one path; the coordinator is followed from the known index at once. ./test passes.

--- a/crates/codec/src/statement.rs
+++ b/crates/codec/src/statement.rs
@@ -189,9 +189,9 @@
         Reply::Well(good) => write_answer(out, b"", *good)?,
         Reply::Rejected { retry_after_ms } => {
             let later = retry_after_ms.map(|ms| ms.to_string());
-            write_exception(out, 1, later.iter().map(|ms| ("later", ms.as_str())))?;
+            write_exception(out, 1, later.as_deref().map(|ms| ("later", ms)).as_slice())?;
         }
-        _ => write_exception(out, 2, std::iter::empty())?,
+        _ => write_exception(out, 2, &[])?,
     }
     out.write_field_stop()?;
     out.write_struct_end()?;
@@ -203,18 +203,14 @@
     out.write_struct_begin(&TStructIdentifier::new("Answer"))?;
     out.write_field_begin(&TFieldIdentifier::new("body", TType::String, 1))?;
     out.write_bytes(body)?;
-    write_fields(out, 2, std::iter::empty())?;
+    write_fields(out, 2, &[])?;
     out.write_field_begin(&TFieldIdentifier::new("good", TType::Bool, 3))?;
     out.write_bool(good)?;
     out.write_field_stop()?;
     out.write_struct_end()
 }
 
-fn write_exception<'a>(
-    out: &mut impl TOutputProtocol,
-    id: i16,
-    fields: impl Iterator<Item = (&'a str, &'a str)>,
-) -> thrift::Result<()> {
+fn write_exception(out: &mut impl TOutputProtocol, id: i16, fields: &[(&str, &str)]) -> thrift::Result<()> {
     out.write_field_begin(&TFieldIdentifier::new("exception", TType::Struct, id))?;
     out.write_struct_begin(&TStructIdentifier::new("exception"))?;
     write_fields(out, 1, fields)?;
@@ -222,12 +218,7 @@
     out.write_struct_end()
 }
 
-fn write_fields<'a>(
-    out: &mut impl TOutputProtocol,
-    id: i16,
-    fields: impl Iterator<Item = (&'a str, &'a str)>,
-) -> thrift::Result<()> {
-    let fields: Vec<_> = fields.collect();
+fn write_fields(out: &mut impl TOutputProtocol, id: i16, fields: &[(&str, &str)]) -> thrift::Result<()> {
     out.write_field_begin(&TFieldIdentifier::new("fields", TType::Map, id))?;
     out.write_map_begin(&TMapIdentifier::new(TType::String, TType::String, fields.len() as i32))?;
     for (name, value) in fields {
@@ -246,7 +237,7 @@
         let mut frame = vec![0; PREFIX];
         let mut out = TBinaryOutputProtocol::new(&mut frame, true);
         out.write_message_begin(&TMessageIdentifier::new("serve", TMessageType::Call, 7)).unwrap();
-        write_fields(&mut out, 1, fields.iter().copied()).unwrap();
+        write_fields(&mut out, 1, fields).unwrap();
         out.write_field_begin(&TFieldIdentifier::new("body", TType::String, 2)).unwrap();
         out.write_bytes(statement).unwrap();
         out.write_field_stop().unwrap();
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -107,6 +107,17 @@
     executions: Vec<Execution>,
 }
 
+impl Statement {
+    /// The numbers of its executions that are out.
+    fn out(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.executions.len()).filter(|n| self.executions[*n].out)
+    }
+}
+
+fn position(list: &[String], name: &str) -> Option<usize> {
+    list.iter().position(|n| n == name)
+}
+
 /// An order key while statements of it are held or out, and for the rest that was agreed.
 struct Key {
     id: KeyId,
@@ -160,9 +171,8 @@
 
     /// Asks for an engine; the answer comes with a later `tick`.
     pub fn pick(&mut self, now: Micros, ask: &Ask) -> Result<Ticket, Unfit> {
-        let place = |list: &[String], name: &str| list.iter().position(|n| n == name);
-        let workload = place(&self.names.workloads, ask.workload).ok_or(Unfit::Workload)?;
-        let customer = match place(&self.names.customers, ask.customer) {
+        let workload = position(&self.names.workloads, ask.workload).ok_or(Unfit::Workload)?;
+        let customer = match position(&self.names.customers, ask.customer) {
             None if !self.names.customers.is_empty() => return Err(Unfit::Customer),
             found => found.unwrap_or(0),
         };
@@ -257,12 +267,11 @@
             missing.entry.mode = Mode::Gone;
         }
         for listing in listings {
-            let named =
-                |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(list.len());
+            let place = |list: &[String], name: &str| position(list, name).unwrap_or(list.len());
             let mut entry = Listed {
                 engine: 0,
-                location: named(&self.names.locations, listing.location),
-                kind: named(&self.names.kinds, listing.kind),
+                location: place(&self.names.locations, listing.location),
+                kind: place(&self.names.kinds, listing.kind),
                 cell: listing.cell,
                 mode: listing.mode,
                 started: listing.started,
@@ -306,12 +315,8 @@
         while let Some(&(ends, ticket)) = self.ends.first().filter(|(ends, _)| *ends <= now) {
             self.ends.remove(&(ends, ticket));
             let Some(s) = self.statements.get(&ticket) else { continue };
-            let out = s.executions.iter().enumerate().filter(|(_, x)| x.out);
-            orders.extend(out.map(|(execution, _)| Order::Stop {
-                ticket,
-                execution,
-                ending: Ending::TimeUp,
-            }));
+            let ending = Ending::TimeUp;
+            orders.extend(s.out().map(|execution| Order::Stop { ticket, execution, ending }));
         }
         if self.told.is_empty() && now < self.wake {
             return orders;
@@ -339,8 +344,7 @@
             Action::Terms { statement: ticket, grant_mb, priority } => {
                 let Some(s) = self.statements.get_mut(&ticket) else { return };
                 s.terms = Terms { grant_mb, priority, ..s.terms };
-                let out = s.executions.iter().enumerate().filter(|(_, x)| x.out);
-                orders.extend(out.map(|(execution, _)| Order::Hurry { ticket, execution, priority }));
+                orders.extend(s.out().map(|execution| Order::Hurry { ticket, execution, priority }));
             }
             Action::Execute { statement: ticket, engine: place } => {
                 let Some(s) = self.statements.get_mut(&ticket) else { return };
@@ -377,7 +381,7 @@
     /// Lets go of a statement that is over with nothing out; its key rests as long as was agreed.
     fn forget(&mut self, now: Micros, ticket: Ticket) {
         let Some(s) = self.statements.get(&ticket) else { return };
-        if !s.over || s.executions.iter().any(|x| x.out) {
+        if !s.over || s.out().next().is_some() {
             return;
         }
         self.ends.remove(&(s.terms.ends, ticket));
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -63,7 +63,8 @@
         self.clients.len()
     }
 
-    /// Takes what a client has said; true if there is more for another turn.
+    /// A connection has changed: takes what the client has said, and sends on where it takes more again.
+    /// True if there is more for another turn.
     pub fn read(&mut self, now: Micros, id: ClientId, well: bool, told: &mut Vec<Told>) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
         self.dirty.insert(id);
@@ -199,11 +200,6 @@
         }
     }
 
-    /// Sends on as a connection takes more again.
-    pub fn writable(&mut self, id: ClientId) {
-        self.dirty.insert(id);
-    }
-
     /// Connections that are to be read again, as they have taken their answers.
     pub fn caught_up(&mut self) -> Vec<ClientId> {
         let behind = |id: &ClientId| self.clients.get(id).is_some_and(|c| c.link.unsent() > MOST_UNSENT);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -82,7 +82,7 @@
             full: false,
             clients: Clients::default(),
             engines: Engines::new(handle.clone(), contract.allowance.clone(), &contract.names),
-            coordinator: Coordinator::new(handle.clone(), station.coordinator, 0),
+            coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             shutdown: Shutdown::default(),
             clock: Clock::default(),
             unfinished: Vec::new(),
@@ -90,18 +90,14 @@
         };
         front.clock.look();
         front.follow(known, 0);
-        front.coordinator.follow = known.index;
         Ok(front)
     }
 
     /// How long nothing is due.
     pub fn idle(&mut self) -> Duration {
         self.clock.look();
-        if !self.unfinished.is_empty() {
-            self.clock.sleep(self.clock.now);
-            return Duration::ZERO;
-        }
         let due = [
+            if self.unfinished.is_empty() { Micros::MAX } else { 0 },
             self.dispatcher.wake(),
             self.engines.due(),
             self.coordinator.due(),
@@ -118,10 +114,7 @@
         self.clock.look();
         self.clock.woke();
         let more = match party {
-            Party::Client(id) => {
-                self.clients.writable(id);
-                self.read_client(id)
-            }
+            Party::Client(id) => self.read_client(id),
             Party::Engine(id) => self.engines.read(self.clock.now, id),
             Party::Coordinator(number) => {
                 let before = self.coordinator.follow;
