SIGHUP reads the configuration again; a new coordinator is asked at once

The log of each ends without a line; no handler stood for the signal (main.rs registered SIGTERM alone), so its default ended the process.

The file is read again through agreement. A bad file changes nothing and one line names the key. The coordinator's connection is dropped and the new address asked from the last number in the same turn; limits hold from then on.

--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -29,6 +29,13 @@
         Coordinator { handle, at, link: None, number: 0, asked: None, due: 0, follow, failing: false }
     }
 
+    /// Another address is to be asked from now on, from the last number; the old connection goes.
+    pub fn turn_to(&mut self, now: Micros, at: Option<SocketAddr>) {
+        if self.at != at {
+            (self.at, self.link, self.failing, self.due) = (at, None, false, now);
+        }
+    }
+
     pub fn due(&self) -> Micros {
         if self.at.is_some() {
             self.due
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -7,7 +7,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use hallmux_agreement::Station;
+use hallmux_agreement::{Limits, Station};
 use hallmux_codec::coordinator::{Engine, State, Stream};
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
@@ -77,8 +77,8 @@
             dispatcher: Dispatcher::new(contract, station.seed),
             answer_slack: contract.allowance.answer_slack,
             most_held: contract.allowance.most_held,
-            most_bytes: (station.limits.memory_bytes / MEMORY_PART) as usize,
-            most_clients: station.limits.sockets / CLIENTS_PART,
+            most_bytes: 0,
+            most_clients: 0,
             full: false,
             clients: Clients::default(),
             engines: Engines::new(handle.clone(), contract.allowance.clone(), &contract.names),
@@ -88,6 +88,7 @@
             unfinished: Vec::new(),
             handle,
         };
+        front.limit(&station.limits);
         front.clock.look();
         front.follow(known, 0);
         Ok(front)
@@ -261,6 +262,26 @@
         self.shutdown.ask(self.clock.now);
     }
 
+    /// The configuration was read again: what may change while a front runs holds from now on. One that
+    /// can't be used changes nothing.
+    pub fn reload(&mut self, read: Result<Station, String>) {
+        self.clock.look();
+        match read {
+            Ok(station) => {
+                self.limit(&station.limits);
+                self.coordinator.turn_to(self.clock.now, station.coordinator);
+                let at = station.coordinator.map_or("none".to_string(), |at| at.to_string());
+                log::info!("the configuration was read again; coordinator: {at}");
+            }
+            Err(why) => log::error!("the configuration is left as it was: {why}"),
+        }
+    }
+
+    fn limit(&mut self, limits: &Limits) {
+        self.most_bytes = (limits.memory_bytes / MEMORY_PART) as usize;
+        self.most_clients = limits.sockets / CLIENTS_PART;
+    }
+
     /// Whether all is answered after the end was asked for.
     pub fn is_done(&self) -> bool {
         self.listener.is_none() && self.clients.len() == 0
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -12,7 +12,7 @@
 use std::net::TcpListener;
 use std::process::ExitCode;
 
-use calloop::signals::{Signal, Signals};
+use calloop::signals::{Event, Signal, Signals};
 use calloop::EventLoop;
 use hallmux_agreement::Station;
 
@@ -29,13 +29,17 @@
 }
 
 fn run() -> Result<(), String> {
-    let station = Station::read(&std::env::vars().collect())?;
+    let variables = std::env::vars().collect();
+    let station = Station::read(&variables)?;
     logger::start(&station.name, station.log_level);
     let known = hallmux_codec::coordinator::stream(station.known.as_bytes());
     let known = known.map_err(|what| format!("known: {what}"))?;
     let mut event_loop: EventLoop<'static, Front> = EventLoop::try_new().map_err(|e| e.to_string())?;
-    let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| e.to_string())?;
-    let asked = |_, _: &mut (), front: &mut Front| front.end();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| e.to_string())?;
+    let asked = move |event: Event, _: &mut (), front: &mut Front| match event.signal() {
+        Signal::SIGHUP => front.reload(Station::read(&variables)),
+        _ => front.end(),
+    };
     event_loop.handle().insert_source(signals, asked).map_err(|e| e.to_string())?;
     let listener =
         TcpListener::bind(station.listen).map_err(|e| format!("listen: {}: {e}", station.listen))?;
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -20,7 +20,10 @@
 //!     list NAME STATE          tells of a change; a new NAME listens at a port of its own
 //!     list NAME STATE at OTHER the same, at the address of another engine
 //!     coordinator answers TEXT the next answer, as it is
-//!     coordinator asked        waits for the next question
+//!     coordinator asked [N]    waits for the next question, from number N on
+//!     coordinator moves        the next configuration names another; the one till now says nothing more
+//!     reloads                  writes the configuration anew and sends SIGHUP
+//!     logs TEXT                waits for a line of the log that holds TEXT
 //!     stop | ends              sends SIGTERM; waits until the front has ended well
 //!     halt | goes on           stops the front, and lets it go on
 //!     passes MS                lets time pass, as a client's patience does
@@ -59,6 +62,7 @@
 
 #[derive(Default)]
 struct Told {
+    moves: usize,
     updates: Vec<Value>,
     answers: VecDeque<String>,
 }
@@ -72,9 +76,10 @@
     clients: HashMap<String, TcpStream>,
     statements: HashMap<String, String>,
     told: Arc<(Mutex<Told>, Condvar)>,
-    questions: Option<Receiver<()>>,
+    questions: Option<Receiver<usize>>,
     coordinator: Option<SocketAddr>,
     front: Option<Child>,
+    log: Option<Receiver<String>>,
     listens: String,
 }
 
@@ -142,31 +147,38 @@
         let servers: Vec<Value> =
             self.engines.iter().map(|(name, e)| self.server(name, "up", e.at, false)).collect();
         let known = json!({"index": 1, "endpoints": {"version": 1, "full": true, "servers": servers}});
-        self.told.0.lock().unwrap().updates.push(known.clone());
+        self.told.0.lock().unwrap().updates.push(known);
         self.serve_list();
-        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "coordinator": self.coordinator.map(|at| at.to_string()),
-            "known": {"index": 1, "updates": [known]}, "settings": self.settings});
-        for (key, value) in &self.told_otherwise {
-            config[key] = value.clone();
-        }
         let number =
             std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
         let path = std::env::temp_dir().join(format!("hallmux-play-{}-{number}.json", std::process::id()));
-        std::fs::write(&path, config.to_string()).unwrap();
         self.files.push(path.clone());
+        self.configure();
         let mut command = Command::new(env!("CARGO_BIN_EXE_hallmux-front"));
         command.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_NAME");
         command.stderr(Stdio::piped()).spawn().unwrap()
     }
 
+    /// Writes the configuration to the latest file.
+    fn configure(&self) {
+        let known = &self.told.0.lock().unwrap().updates[0];
+        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "coordinator": self.coordinator.map(|at| at.to_string()),
+            "known": {"index": 1, "updates": [known]}, "settings": self.settings});
+        for (key, value) in &self.told_otherwise {
+            config[key] = value.clone();
+        }
+        std::fs::write(self.files.last().unwrap(), config.to_string()).unwrap();
+    }
+
     /// The coordinator: each question is answered once there is something later than what it names.
     fn serve_list(&mut self) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         self.coordinator = Some(listener.local_addr().unwrap());
         let (told, (sender, questions)) = (self.told.clone(), channel());
         self.questions = Some(questions);
+        let moves = told.0.lock().unwrap().moves;
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let (told, sender) = (told.clone(), sender.clone());
@@ -179,11 +191,14 @@
                         let digits: String =
                             line[at + 7..].chars().take_while(|c| c.is_ascii_digit()).collect();
                         let follow: usize = digits.parse().ok()?;
-                        sender.send(()).ok()?;
+                        sender.send(follow).ok()?;
                         let limit = Duration::from_millis(200);
                         let waits = |t: &mut Told| t.updates.len() <= follow && t.answers.is_empty();
                         let guard = told.0.lock().unwrap();
                         let (mut held, _) = told.1.wait_timeout_while(guard, limit, waits).unwrap();
+                        while held.moves > moves {
+                            held = told.1.wait(held).unwrap();
+                        }
                         if let Some(answer) = held.answers.pop_front() {
                             (&stream).write_all(answer.as_bytes()).ok()?;
                             continue;
@@ -366,14 +381,17 @@
 
     fn start(&mut self) {
         let mut front = self.spawn();
-        let (sender, ready) = channel();
+        let ((sender, ready), (says, said)) = (channel(), channel());
         let mut log = BufReader::new(front.stderr.take().unwrap()).lines().map_while(Result::ok);
         std::thread::spawn(move || {
             let found = log.by_ref().find_map(|l| Some(l.split_once("takes statements at ")?.1.to_string()));
             let _ = sender.send(found);
-            log.for_each(|line| println!("{line}"));
+            log.for_each(|line| {
+                println!("{line}");
+                let _ = says.send(line);
+            });
         });
-        self.front = Some(front);
+        (self.front, self.log) = (Some(front), Some(said));
         self.listens = ready.recv_timeout(PATIENCE).unwrap().expect("a front that starts");
     }
 
@@ -432,6 +450,23 @@
                 while questions.try_recv().is_ok() {}
                 questions.recv_timeout(PATIENCE).expect("a question");
             }
+            ["coordinator", "asked", number] => {
+                let follow = self.questions.as_ref().unwrap().recv_timeout(PATIENCE).expect("a question");
+                assert_eq!(follow.to_string(), number);
+            }
+            ["coordinator", "moves"] => {
+                self.tell(|told| told.moves += 1);
+                self.serve_list();
+            }
+            ["reloads"] => {
+                self.configure();
+                self.told_otherwise.clear();
+                self.signal("-HUP");
+            }
+            ["logs", ..] => {
+                let log = self.log.as_ref().unwrap();
+                while !log.recv_timeout(PATIENCE).expect("a line of the log").contains(&rest(1)) {}
+            }
             ["stop"] => self.signal("-TERM"),
             ["halt"] => {
                 self.signal("-STOP");
