Clients that are left behind, silent or send what can't be used no longer shut the door

Ruled out: key ids (no key is freed with statements held), the module's turns.

Connections left behind go after 6 s, silent newcomers and half messages after 2 s; at the limit the silent go first, then the idle. Fields are bounded, frames have to end with their message, a number or id that is open already or more statements at once than agreed end the connection, and what is withdrawn before a decision never reaches the module.

--- a/crates/codec/src/statement.rs
+++ b/crates/codec/src/statement.rs
@@ -14,9 +14,15 @@
 const LONGEST_FRAME: usize = 128 << 10; // bytes; statements take some hundred, the longest some ten thousand
 const MOST_FIELDS: usize = 64; // of a statement; a dozen are known
 const DEEPEST: usize = 8; // structs within structs that are passed over
+const LONGEST_WORD: usize = 64; // bytes of a word that an engine is told or that is kept; the usual take 32
+const LONGEST_LIMIT_MS: f64 = 3.6e6; // milliseconds: an hour; no client waits longer at its connection
+const MOST_WORK_MS: f64 = 8.64e7; // milliseconds on one core: a day; longer work is no statement's
+const MOST_MEMORY_MB: f64 = 1e7; // MB: ten terabytes, more than engines have
 const PREFIX: usize = 4; // bytes of a frame's length
 
-/// The fields that name the workload and the customer.
+/// The fields that name the statement, its repeats, the workload and the customer.
+pub const ID: &str = "txn";
+pub const DEDUP_KEY: &str = "unique";
 pub const WORKLOAD: &str = "verb";
 pub const CUSTOMER: &str = "team";
 
@@ -79,6 +85,10 @@
             (_, _, other) => input.skip(other)?,
         }
     }
+    // Guards against lengths that don't fit: what is behind the message belongs to no other.
+    if !input.transport.is_empty() {
+        return Err("a frame longer than its message".into());
+    }
     let asked = match (head.name.as_str(), head.message_type) {
         ("serve", TMessageType::Call) => Asked::Serve(Call::new(&fields, statement)),
         ("forget", TMessageType::OneWay | TMessageType::Call) => Asked::Forget(number.unwrap_or(0)),
@@ -117,25 +127,29 @@
         let mut note = |name: &'static str, bad: bool| unfit = unfit.or(bad.then_some(name));
         let text = |name: &str| fields.get(name).cloned();
         let number = |name: &str| fields.get(name).map(|v| v.parse::<f64>().unwrap_or(f64::NAN));
-        let bad = |n: f64| !n.is_finite() || n < 0.0;
+        let bad = |n: f64, most: f64| !(0.0..=most).contains(&n);
+        let bad_word = |word: &str| word.len() > LONGEST_WORD || !is_word(word);
         let call = Call {
-            id: text("txn").unwrap_or_default(),
+            id: text(ID).unwrap_or_default(),
             workload: text(WORKLOAD).unwrap_or_default(),
             customer: text(CUSTOMER).unwrap_or_default(),
             time_left_ms: number("limit").unwrap_or(f64::NAN),
-            dedup_key: text("unique"),
+            dedup_key: text(DEDUP_KEY),
             order_key: text("item"),
             work_ms: number("cpu").unwrap_or(0.0),
             memory_mb: number("heap_mb").unwrap_or(0.0),
             statement: statement.unwrap_or_default(),
             unfit: None,
         };
-        note("txn", call.id.len() != 16 || !call.id.bytes().all(|c| c.is_ascii_hexdigit()));
-        note(WORKLOAD, !is_word(&call.workload));
-        note("limit", bad(call.time_left_ms) || call.time_left_ms > 1e9);
-        note("unique", call.dedup_key.as_deref().is_some_and(|key| !is_word(key)));
-        note("cpu", bad(call.work_ms));
-        note("heap_mb", bad(call.memory_mb));
+        note(ID, call.id.len() != 16 || !call.id.bytes().all(|c| c.is_ascii_hexdigit()));
+        note(WORKLOAD, bad_word(&call.workload));
+        note("limit", bad(call.time_left_ms, LONGEST_LIMIT_MS));
+        note("second", text("second").is_some_and(|mark| mark != "1"));
+        note(DEDUP_KEY, call.dedup_key.as_deref().is_some_and(bad_word));
+        note("item", call.order_key.as_deref().is_some_and(bad_word));
+        note("cpu", bad(call.work_ms, MOST_WORK_MS));
+        note("heap_mb", bad(call.memory_mb, MOST_MEMORY_MB));
+        note("body", call.statement.is_empty());
         Call { unfit, ..call }
     }
 }
@@ -274,6 +288,9 @@
             cut[..PREFIX].copy_from_slice(&((at - PREFIX) as u32).to_be_bytes());
             assert!(read(&cut).is_err());
         }
+        let mut longer = [&whole[..], b"x"].concat();
+        longer[..PREFIX].copy_from_slice(&((whole.len() + 1 - PREFIX) as u32).to_be_bytes());
+        assert!(read(&longer).is_err());
         let mut nested = frame(&FIELDS, b"");
         nested.pop();
         nested.extend([12, 0, 9].repeat(1000));
@@ -293,9 +310,15 @@
             ("verb", "a b"),
             ("limit", "-1"),
             ("limit", "nan"),
+            ("limit", "4e9"),
+            ("second", "2"),
             ("unique", "a\r\nb"),
+            ("unique", &"u".repeat(LONGEST_WORD + 1)),
+            ("item", "a b"),
             ("cpu", "x"),
+            ("cpu", "1e300"),
             ("heap_mb", "inf"),
+            ("heap_mb", "1e9"),
         ] {
             let mut fields: Vec<_> = FIELDS.iter().copied().filter(|(known, _)| *known != name).collect();
             fields.push((name, value));
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use hallmux::interface::{Action, Arrival, Ended, Event, KeyId, Listed, Report, StatementId};
+use hallmux::interface::{Action, Arrival, Effect, Ended, Event, KeyId, Listed, Report, StatementId};
 use hallmux::Front;
 use hallmux_agreement::{Contract, Names};
 
@@ -24,6 +24,7 @@
     pub workload: &'a str,
     pub customer: &'a str,
     pub key: Option<&'a str>,
+    pub dedup_key: Option<&'a str>,
     pub time_left: Micros,
     /// Microseconds on one thread, 0 where it is not told.
     pub work: f64,
@@ -37,6 +38,8 @@
 pub enum Unfit {
     Workload,
     Customer,
+    /// It may run twice, and engines could not tell.
+    DedupKey,
 }
 
 /// A line of the engine list, by the names that the settings use.
@@ -134,6 +137,7 @@
 pub struct Dispatcher {
     front: Front,
     names: Names,
+    needs_dedup_key: Vec<bool>, // by workload
     turn_gap: Micros,
     wake: Micros,
     told: Vec<Event>,
@@ -151,6 +155,9 @@
         Dispatcher {
             front: Front::new(contract.agreement.clone(), seed),
             names: contract.names.clone(),
+            needs_dedup_key: (contract.agreement.workloads.iter())
+                .map(|w| w.effect == Effect::Deduplicated)
+                .collect(),
             turn_gap: contract.agreement.turn_gap,
             wake: 0,
             told: Vec::new(),
@@ -176,6 +183,9 @@
             None if !self.names.customers.is_empty() => return Err(Unfit::Customer),
             found => found.unwrap_or(0),
         };
+        if ask.dedup_key.is_none() && self.needs_dedup_key[workload] {
+            return Err(Unfit::DedupKey);
+        }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let key = ask.key.map(|key| self.key(key));
@@ -250,7 +260,12 @@
     pub fn left(&mut self, now: Micros, ticket: Ticket) {
         let Some(s) = self.statements.get_mut(&ticket).filter(|s| !s.over) else { return };
         s.over = true;
-        self.told.push(Event::Left(ticket));
+        // What was withdrawn before it was decided on counts for nothing: the module never hears of it.
+        let unheard = |e: &Event| matches!(e, Event::Arrived(a) if a.statement == ticket);
+        match self.told.iter().position(unheard) {
+            Some(at) => _ = self.told.remove(at),
+            None => self.told.push(Event::Left(ticket)),
+        }
         self.forget(now, ticket);
     }
 
@@ -433,7 +448,18 @@
     }
 
     fn ask<'a>(workload: &'a str, key: Option<&'a str>) -> Ask<'a> {
-        Ask { workload, customer: "acme", key, time_left: 4_000_000, ..Ask::default() }
+        Ask { workload, customer: "acme", key, dedup_key: Some("u"), time_left: 4_000_000, ..Ask::default() }
+    }
+
+    #[test]
+    fn what_is_withdrawn_before_it_is_decided_on_is_never_heard_of() {
+        let mut d = dispatcher();
+        for _ in 0..1000 {
+            let ticket = d.pick(0, &ask("load", Some("k"))).unwrap();
+            d.left(0, ticket);
+        }
+        assert!(d.told.is_empty() && d.held() == 0);
+        assert_eq!(d.pick(0, &Ask { dedup_key: None, ..ask("load", None) }), Err(Unfit::DedupKey));
     }
 
     fn sent(orders: &[Order]) -> Vec<(Ticket, usize)> {
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -1,6 +1,6 @@
 //! Connections of clients: statements in, one final answer out for each.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 use hallmux_codec::statement::{self, Asked, Call, Reply};
@@ -9,8 +9,10 @@
 use crate::link::Link;
 
 const MOST_OPEN: usize = 32; // statements open on a connection, as the protocol has it
-const IDLE: Micros = 30_000_000; // microseconds; clients close after 4 s, so what is idle longer is gone
-const LOOK: Micros = 1_000_000; // microseconds between looks at idle connections
+const IDLE: Micros = 6_000_000; // microseconds; clients close after 4 s, so what is idle longer is left behind
+const HALF: Micros = 2_000_000; // microseconds for a message to be whole, the first one from connecting on
+const LOOK: Micros = 200_000; // microseconds between looks at connections that have said nothing for long
+const MOST_FAULTS: usize = 8; // statements that can't be used, until their connection is closed
 const MOST_UNSENT: usize = 64 << 10; // bytes that a client may leave untaken before it is no longer read
 
 pub type ClientId = u64;
@@ -18,7 +20,20 @@
 struct Client {
     link: Link,
     open: HashMap<i32, Ticket>,
+    /// When it was last of use: something came, or an answer left.
     heard: Micros,
+    /// Since when a whole message is awaited: the first one, or the rest of one that has begun.
+    awaited: Option<Micros>,
+    /// It has said a whole message.
+    spoke: bool,
+    faults: usize,
+}
+
+impl Client {
+    /// Nothing is lost with it.
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.link.unsent() == 0 && self.link.input.is_empty()
+    }
 }
 
 /// A statement that a client waits for.
@@ -32,6 +47,8 @@
 pub struct Clients {
     clients: HashMap<ClientId, Client>,
     open: HashMap<Ticket, Open>,
+    /// Ids of the statements that are open, on whatever connection.
+    ids: HashSet<String>,
     held: usize,
     next: ClientId,
     look: Micros,
@@ -56,7 +73,9 @@
     }
 
     pub fn accept(&mut self, now: Micros, id: ClientId, link: Link) {
-        self.clients.insert(id, Client { link, open: HashMap::new(), heard: now });
+        let open = HashMap::new();
+        let client = Client { link, open, heard: now, awaited: Some(now), spoke: false, faults: 0 };
+        self.clients.insert(id, client);
     }
 
     pub fn len(&self) -> usize {
@@ -75,6 +94,7 @@
         }
         let (more, broken) = client.link.read();
         let mut at = 0;
+        let before = client.faults;
         let unreadable = loop {
             match statement::read(&client.link.input[at..]) {
                 Ok(None) => break None,
@@ -84,19 +104,28 @@
                     let mut answer = |reply: Reply| statement::write(client.link.output(), number, &reply);
                     match asked {
                         Asked::IsWell => answer(Reply::Well(well)),
-                        Asked::Unknown(name) => answer(Reply::UnknownMethod(&name)),
+                        Asked::Unknown(name) => {
+                            answer(Reply::UnknownMethod(&name));
+                            client.faults += 1;
+                        }
                         Asked::Forget(number) => told.push(Told::Forgets { client: id, number }),
-                        Asked::Serve(call) => match call.unfit {
-                            Some(field) => answer(Reply::Unfit(field)),
-                            None => told.push(Told::Asked { client: id, number, call: Box::new(call) }),
-                        },
+                        Asked::Serve(call) => {
+                            told.push(Told::Asked { client: id, number, call: Box::new(call) });
+                        }
                     }
                 }
             }
         };
         client.link.taken(at);
+        client.spoke |= at > 0;
+        // Guards against messages that never end: what has begun, or is the first, is awaited for a while.
+        let awaits = !client.spoke || !client.link.input.is_empty();
+        client.awaited = awaits.then(|| client.awaited.filter(|_| at == 0).unwrap_or(now));
         if let Some(what) = &unreadable {
-            log::warn!("client {id}: {what}; its connection is closed");
+            log::info!("client {id}: {what}; its connection is closed");
+        }
+        if client.faults > before {
+            self.at_fault(id, told);
         }
         if broken.is_some() || unreadable.is_some() {
             self.end(id, told);
@@ -104,6 +133,24 @@
         more
     }
 
+    /// Guards against one that sends what can't be used without end: it has heard so often enough.
+    fn at_fault(&mut self, id: ClientId, told: &mut Vec<Told>) {
+        let Some(client) = self.clients.get_mut(&id).filter(|c| c.faults >= MOST_FAULTS) else { return };
+        log::info!("client {id}: {} statements that can't be used; its connection is closed", client.faults);
+        // What it is told leaves as far as it takes it.
+        let _ = client.link.flush();
+        self.end(id, told);
+    }
+
+    /// Says that a statement can't be used.
+    pub fn unfit(&mut self, id: ClientId, number: i32, field: &str, told: &mut Vec<Told>) {
+        self.say(id, number, &Reply::Unfit(field));
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.faults += 1;
+        }
+        self.at_fault(id, told);
+    }
+
     /// A client's connection is over: nobody waits for what is open on it.
     pub fn end(&mut self, id: ClientId, told: &mut Vec<Told>) {
         let Some(client) = self.clients.remove(&id) else { return };
@@ -111,6 +158,7 @@
             self.let_go(*ticket);
             told.push(Told::Left(*ticket));
         }
+        self.dirty.remove(&id);
         self.waiting.remove(&id);
         self.behind.remove(&id);
         // What was asked just now, and is not open yet, is answered to nobody.
@@ -119,19 +167,24 @@
         );
     }
 
-    /// Whether a statement can be taken from a connection. A number that is open already is no second one.
-    pub fn has_room(&mut self, id: ClientId, number: i32) -> bool {
-        match self.clients.get(&id) {
-            Some(client) if client.open.contains_key(&number) => {
-                log::debug!("client {id}: statement {number} is open already");
-                false
-            }
-            Some(client) if client.open.len() >= MOST_OPEN => {
-                self.say(id, number, &Reply::Rejected { retry_after_ms: None });
-                false
+    /// Whether a statement can be taken from a connection. Guards against answers that could be to either of
+    /// two statements, and against more than was agreed: the connection is closed, which answers them all.
+    pub fn has_room(&mut self, id: ClientId, number: i32, call: &Call, told: &mut Vec<Told>) -> bool {
+        let Some(client) = self.clients.get(&id) else { return false };
+        let same_id = |ticket: &Ticket| self.open.get(ticket).is_some_and(|open| open.call.id == call.id);
+        let why = match () {
+            _ if client.open.contains_key(&number) => "a number that is open already",
+            _ if client.open.len() >= MOST_OPEN => "more statements at once than agreed",
+            _ if !self.ids.contains(&call.id) => return true,
+            _ if client.open.values().any(same_id) => "an id that is open already",
+            _ => {
+                self.unfit(id, number, statement::ID, told);
+                return false;
             }
-            client => client.is_some(),
-        }
+        };
+        log::info!("client {id}: {why}; its connection is closed");
+        self.end(id, told);
+        false
     }
 
     /// The client no longer waits for a statement.
@@ -144,6 +197,7 @@
     fn let_go(&mut self, ticket: Ticket) -> Option<Open> {
         let open = self.open.remove(&ticket)?;
         self.held -= open.call.size();
+        self.ids.remove(&open.call.id);
         Some(open)
     }
 
@@ -163,6 +217,7 @@
         if let Some(c) = self.clients.get_mut(&client) {
             c.open.insert(number, ticket);
             self.held += call.size();
+            self.ids.insert(call.id.clone());
             self.open.insert(ticket, Open { client, number, call: Rc::new(call) });
         }
     }
@@ -180,10 +235,11 @@
     }
 
     /// Gives a statement its final answer.
-    pub fn answer(&mut self, ticket: Ticket, reply: &Reply) {
+    pub fn answer(&mut self, now: Micros, ticket: Ticket, reply: &Reply) {
         let Some(open) = self.let_go(ticket) else { return };
         if let Some(client) = self.clients.get_mut(&open.client) {
             client.open.remove(&open.number);
+            client.heard = now;
         }
         self.say(open.client, open.number, reply);
     }
@@ -209,12 +265,28 @@
         ready
     }
 
-    /// Closes connections whose clients are long gone without a word.
-    pub fn expire(&mut self, now: Micros) {
-        if now >= self.look {
-            self.look = now + LOOK;
-            self.clients.retain(|_, c| !c.open.is_empty() || c.heard + IDLE > now);
+    /// Closes connections that are left behind, that have said nothing yet, or half a message and no more.
+    pub fn expire(&mut self, now: Micros, told: &mut Vec<Told>) {
+        if now < self.look {
+            return;
         }
+        self.look = now + LOOK;
+        let over = |(id, c): (&ClientId, &Client)| {
+            let half = c.awaited.is_some_and(|since| since + HALF <= now) && !self.waiting.contains(id);
+            (half || c.open.is_empty() && c.heard + IDLE <= now).then_some(*id)
+        };
+        let over: Vec<ClientId> = self.clients.iter().filter_map(over).collect();
+        over.into_iter().for_each(|id| self.end(id, told));
+    }
+
+    /// Makes room for a newcomer: the one that has been silent longest goes, before all one that never spoke.
+    pub fn make_room(&mut self) -> bool {
+        let silent = self.clients.iter().filter(|(_, c)| c.open.is_empty() && (!c.spoke || c.is_idle()));
+        let Some(id) = silent.min_by_key(|(_, c)| (c.spoke, c.heard)).map(|(id, _)| *id) else {
+            return false;
+        };
+        self.end(id, &mut Vec::new());
+        true
     }
 
     /// Closes the connections that have nothing open and nothing on the way.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,7 +1,7 @@
 //! What one front does in a turn: it takes in all that is there, decides once, and sends what follows.
 
 use std::io::ErrorKind;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +37,8 @@
     handle: LoopHandle<'static, Front>,
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     accept_at: Option<Micros>,
+    /// The first of those that wait at the door.
+    at_door: Option<TcpStream>,
     /// Connections wait at the door, as none more can be taken.
     shut_out: bool,
     dispatcher: Dispatcher,
@@ -73,6 +75,7 @@
         let mut front = Front {
             listener: Some((listener, token)),
             accept_at: Some(0),
+            at_door: None,
             shut_out: false,
             dispatcher: Dispatcher::new(contract, station.seed),
             answer_slack: contract.allowance.answer_slack,
@@ -140,7 +143,11 @@
     fn take(&mut self, told: Vec<clients::Told>) {
         for told in told {
             match told {
-                clients::Told::Asked { client, number, call } => self.asked(client, number, *call),
+                clients::Told::Asked { client, number, call } => {
+                    let mut ended = Vec::new();
+                    self.asked(client, number, *call, &mut ended);
+                    self.take(ended);
+                }
                 clients::Told::Forgets { client, number } => {
                     let ticket = self.clients.forget(client, number);
                     ticket.into_iter().for_each(|ticket| self.dispatcher.left(self.clock.now, ticket));
@@ -150,10 +157,13 @@
         }
     }
 
-    fn asked(&mut self, client: ClientId, number: i32, call: Call) {
-        if !self.clients.has_room(client, number) {
+    fn asked(&mut self, client: ClientId, number: i32, call: Call, ended: &mut Vec<clients::Told>) {
+        if !self.clients.has_room(client, number, &call, ended) {
             return;
         }
+        if let Some(field) = call.unfit {
+            return self.clients.unfit(client, number, field, ended);
+        }
         let full = self.clients.held() > self.most_bytes;
         if full != std::mem::replace(&mut self.full, full) {
             log::warn!(
@@ -172,6 +182,7 @@
             workload: &call.workload,
             customer: &call.customer,
             key: call.order_key.as_deref(),
+            dedup_key: call.dedup_key.as_deref(),
             time_left: time_left - self.clock.waited(),
             work: call.work_ms * 1000.0,
             memory_mb: call.memory_mb,
@@ -179,8 +190,9 @@
         };
         match self.dispatcher.pick(self.clock.now, &ask) {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
-            Err(Unfit::Workload) => self.clients.say(client, number, &Reply::Unfit(statement::WORKLOAD)),
-            Err(Unfit::Customer) => self.clients.say(client, number, &Reply::Unfit(statement::CUSTOMER)),
+            Err(Unfit::Workload) => self.clients.unfit(client, number, statement::WORKLOAD, ended),
+            Err(Unfit::DedupKey) => self.clients.unfit(client, number, statement::DEDUP_KEY, ended),
+            Err(Unfit::Customer) => self.clients.unfit(client, number, statement::CUSTOMER, ended),
         }
     }
 
@@ -213,7 +225,9 @@
             self.ready(party);
         }
         self.accept();
-        self.clients.expire(self.clock.now);
+        let mut told = Vec::new();
+        self.clients.expire(self.clock.now, &mut told);
+        self.take(told);
         self.engines.expire(self.clock.now);
         self.coordinator.expire(self.clock.now);
         self.clock.look();
@@ -293,11 +307,13 @@
         }
         let Some((listener, _)) = self.listener.clone() else { return };
         loop {
-            if self.clients.len() >= self.most_clients {
-                return self.accept_later(&format!("{} clients are connected", self.clients.len()));
-            }
-            match listener.accept() {
-                Ok((stream, _)) => {
+            let next = self.at_door.take().map_or_else(|| listener.accept().map(|(stream, _)| stream), Ok);
+            match next {
+                Ok(stream) if self.clients.len() >= self.most_clients && !self.clients.make_room() => {
+                    self.at_door = Some(stream);
+                    return self.accept_later(&format!("{} clients are connected", self.clients.len()));
+                }
+                Ok(stream) => {
                     let id = self.clients.next_id();
                     match Link::new(stream, &self.handle, Party::Client(id)) {
                         Ok(link) => {
@@ -331,7 +347,7 @@
             match told {
                 engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
                     if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
-                        self.clients.answer(ticket, &Reply::Completed(&result));
+                        self.clients.answer(self.clock.now, ticket, &Reply::Completed(&result));
                     }
                 }
                 engines::Told::Noted { sent: (ticket, execution), note } => {
@@ -361,9 +377,9 @@
             }
             Order::Reject { ticket, retry_after } => {
                 let retry_after_ms = retry_after.map(|time| time / 1000);
-                self.clients.answer(ticket, &Reply::Rejected { retry_after_ms });
+                self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
             }
-            Order::Abort { ticket } => self.clients.answer(ticket, &Reply::Aborted),
+            Order::Abort { ticket } => self.clients.answer(self.clock.now, ticket, &Reply::Aborted),
             Order::Probe { place } => self.engines.probe(self.clock.now, place),
         }
     }
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -30,7 +30,7 @@
 //!     many N CLIENT ENGINE     N statements one by one, each completed; memory must not grow
 
 use std::collections::{HashMap, VecDeque};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -340,8 +340,8 @@
         for i in 1..=count {
             let number = i.to_string();
             self.statements.insert(number.clone(), format!("select {i} from s_{i}.t"));
-            let key = format!("item=k{i}");
-            let frame = self.frame(&number, &["verb=load", &key], &self.statements[&number]);
+            let (key, unique) = (format!("item=k{i}"), format!("unique=u{i}"));
+            let frame = self.frame(&number, &["verb=load", &key, &unique], &self.statements[&number]);
             self.clients.get_mut(client).unwrap().write_all(&frame).unwrap();
             self.engine_hears(engine, &["want", &number]);
             self.says(engine, &number, "ACK", "batches=1", "x");
@@ -489,7 +489,12 @@
             }
             [client, "is", "well"] => self.well(client, true),
             [client, "is", "unwell"] => self.well(client, false),
-            [client, "is", "closed"] => assert_eq!(self.reply(client), None),
+            [client, "is", "closed"] => {
+                let end = self.clients.get_mut(client).unwrap().read(&mut [0; 1]);
+                let open =
+                    |e: &std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+                assert!(!matches!(&end, Ok(1)) && !end.is_err_and(|e| open(&e)));
+            }
             [client, "asks", "at", "once", which, ..] => {
                 let statement = rest(5).replace("BIG", &"x".repeat(BIG));
                 let mut bytes = Vec::new();
