Only whole rows are passed on, and a spoilt or stuck connection costs one execution

Read against the page: a result's form was never checked (engines.rs page); a second copy of a first page or page ended its statement as PageLost; a line or page that stopped half-way was waited for until the client's time; a connection reset while it came up counted as a machine that is gone (credit to a fifth, a second's rest, then cold for 14 s); up to 32 executions shared a connection though some hundred descriptors were free.

The codec bounds pages, results and figures by the protocol; rows are checked; equal copies and unknown ids are passed over, others spoil; half a line or a page asked for has 0.5 s, then the connection goes; a connection is taken by one execution as far as descriptors go; a reset newcomer proves that nothing ran and that the engine is there. The coordinator is asked again at once. Scenarios spoilt and page-lost and tests of rows and of the coordinator fail without it.

--- a/crates/codec/src/engine.rs
+++ b/crates/codec/src/engine.rs
@@ -5,7 +5,9 @@
 use crate::Unreadable;
 
 const LONGEST_LINE: usize = 4096; // bytes; the longest hold a load report and some fields
-const LONGEST_PAGE: usize = 64 << 10; // bytes; pages hold 6,000, whole results 48,000
+const LONGEST_PAGE: usize = 6_000; // bytes, as the protocol has it
+const COLUMNS: usize = 3; // of a result
+const MOST_FIGURE: f64 = 1e9; // of a load report, cost or note; in any unit more than engines have
 
 /// An execution as it goes to an engine; the words are the client's own.
 pub struct Want<'a> {
@@ -89,6 +91,18 @@
     pub bytes: &'a [u8],
 }
 
+/// Whether bytes are whole rows of a result: three columns of text with a tab between, a line feed behind.
+pub fn are_rows(bytes: &[u8]) -> bool {
+    let Ok(text) = std::str::from_utf8(bytes) else { return false };
+    let row = |row: &str| {
+        let columns = row.strip_suffix('\n').map(|row| row.split('\t'));
+        columns.is_some_and(|c| {
+            c.clone().count() == COLUMNS && !c.into_iter().any(|c| c.contains(|c: char| c.is_control()))
+        })
+    };
+    text.split_inclusive('\n').all(row)
+}
+
 /// The words that settings use for the figures of a report, against those that engines use.
 const REPORT_WORDS: [(&str, &str); 6] = [
     ("active", "inflight"),
@@ -123,7 +137,7 @@
         whole += len + 2;
     }
     let field = |name: &str| fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='));
-    let number = |name: &str| field(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
+    let number = |name: &str| field(name).and_then(figure);
     let count = |name: &str| field(name).map(|v| v.parse::<usize>());
     let said = match word {
         "ACK" => match count("batches").unwrap_or(Ok(1)) {
@@ -155,13 +169,16 @@
 
 /// A report counts only if it holds each figure agreed.
 fn report(text: &str, names: &[String]) -> Option<Vec<f64>> {
-    let figure = |name: &str| {
+    let named = |name: &str| {
         let said = |word: &str| text.split(';').find_map(|f| f.strip_prefix(word)?.strip_prefix(':'));
         let alias = REPORT_WORDS.iter().find(|(ours, _)| *ours == name).map(|(_, theirs)| *theirs);
-        let value: f64 = said(name).or_else(|| said(alias?))?.parse().ok()?;
-        value.is_finite().then_some(value)
+        figure(said(name).or_else(|| said(alias?))?)
     };
-    names.iter().map(|name| figure(name)).collect()
+    names.iter().map(|name| named(name)).collect()
+}
+
+fn figure(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|value| (0.0..=MOST_FIGURE).contains(value))
 }
 
 #[cfg(test)]
@@ -225,6 +242,23 @@
         }
     }
 
+    #[test]
+    fn rows_are_three_columns_of_text_each() {
+        for (bytes, whole) in [
+            (&b"a\tb\tc\n"[..], true),
+            (b"\t\t\nd\xc3\xa9\te\tf\n", true),
+            (b"", true),
+            (b"a\tb\tc", false),
+            (b"a\tb\n", false),
+            (b"a\tb\tc\td\n", false),
+            (b"a\tb\tc\n\n", false),
+            (b"a\tb\t\xff\n", false),
+            (b"a\tb\t\x07\n", false),
+        ] {
+            assert_eq!(are_rows(bytes), whole, "{}", String::from_utf8_lossy(bytes));
+        }
+    }
+
     #[test]
     fn a_want_names_only_what_is_set() {
         let mut out = Vec::new();
--- a/crates/dispatcher/src/ending.rs
+++ b/crates/dispatcher/src/ending.rs
@@ -8,7 +8,7 @@
     Answered,
     /// The engine says that it failed.
     EngineFailed,
-    /// A page of the result is lost: the engine no longer knows it, or words it otherwise than it began.
+    /// A page of the result is lost: the engine no longer knows it.
     PageLost,
     /// The engine turned it away unseen.
     TurnedAway,
@@ -18,6 +18,8 @@
     Refused,
     /// The connection was not up in time.
     NeverUp,
+    /// The connection was reset while it came up.
+    BrokenNew,
     /// No descriptor or buffer could be had for a connection.
     NoMeans,
     /// It was given up, or its engine drains, before its first byte left.
@@ -28,7 +30,7 @@
     Reset,
     /// The engine closed the connection with the execution out.
     Closed,
-    /// What came over the connection can't be read, so it was closed from here.
+    /// What came over the connection can't be read, is no result or stopped short, so it was closed from here.
     Unreadable,
     /// The client's time is up.
     TimeUp,
@@ -44,7 +46,7 @@
             Ending::EngineFailed | Ending::PageLost => Outcome::Error,
             Ending::TurnedAway => Outcome::NoRoom,
             Ending::Refused | Ending::NeverUp | Ending::NoMeans => Outcome::NoRoute,
-            Ending::Stale | Ending::Withdrawn | Ending::HalfWritten => Outcome::NotSent,
+            Ending::Stale | Ending::Withdrawn | Ending::BrokenNew | Ending::HalfWritten => Outcome::NotSent,
             Ending::Reset | Ending::Closed | Ending::Unreadable => Outcome::Reset,
             Ending::TimeUp => Outcome::TimedOut,
             Ending::GivenUp => Outcome::Cancelled,
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -61,10 +61,12 @@
     }
 
     fn failed(&mut self, now: Micros, why: &str) {
-        if !std::mem::replace(&mut self.failing, true) {
+        // One that breaks off or stops is asked again at once, from then on every now and then.
+        let again = if std::mem::replace(&mut self.failing, true) { now + AGAIN } else { now };
+        if again == now {
             log::warn!("coordinator: {why}; the engine list stands still until it answers");
         }
-        (self.link, self.due) = (None, now + AGAIN);
+        (self.link, self.due) = (None, again);
     }
 
     fn ask(&mut self, now: Micros) {
@@ -142,3 +144,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_that_fails_is_asked_again_at_once_and_then_every_now_and_then() {
+        let events: calloop::EventLoop<'static, Front> = calloop::EventLoop::try_new().unwrap();
+        let mut coordinator = Coordinator::new(events.handle(), Some(([127, 0, 0, 1], 9).into()), 7);
+        let mut due_after = |now| {
+            coordinator.failed(now, "connection over");
+            coordinator.due()
+        };
+        assert_eq!(
+            [due_after(1_000), due_after(2_000), due_after(3_000)],
+            [1_000, 2_000 + AGAIN, 3_000 + AGAIN]
+        );
+    }
+}
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -1,5 +1,6 @@
 //! Connections to query engines: executions out, answers put together from their pages.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -15,10 +16,13 @@
 use crate::link::{Broken, Link};
 
 const MOST_PAGES: usize = 64; // of a result; those agreed have eight
-const LONGEST_RESULT: usize = 64 << 10; // bytes; those agreed have 48,000
+const LONGEST_RESULT: usize = 48_000; // bytes, as the protocol has it
+const STUCK: Micros = 500_000; // microseconds for a line that has begun, or a page asked for; both take a few ms
+const SILENT: Micros = 1_500_000; // microseconds without a word on an execution given up: longer than notes take
+const OTHERS: usize = 32; // descriptors that are neither clients' nor engines'; the rest is for engines
 const MOST_UNSENT: usize = 1 << 20; // bytes that an engine may leave untaken: a thousand small statements
 const IDLE_MARGIN: Micros = 1_000_000; // microseconds by which a connection is closed before its engine would
-const MOST_GIVEN_UP: usize = 1024; // ids that a connection remembers; then it takes no more executions
+const MOST_GIVEN_UP: usize = 128; // ids that a connection remembers; then it takes no more executions
 
 type LinkId = u64;
 /// An execution: its statement and its number.
@@ -35,6 +39,8 @@
     id: String,
     at: SocketAddr,
     started: f64,
+    /// Executions may go there.
+    listed: bool,
     links: Vec<LinkId>,
     /// Its last connection did not come up.
     failing: bool,
@@ -45,6 +51,7 @@
     bytes: Vec<Option<Vec<u8>>>,
     missing: usize,
     held: usize,
+    heard: Micros,
     report: Option<Vec<f64>>,
     cost: Option<Cost>,
 }
@@ -64,6 +71,7 @@
     terms: Terms,
     stage: Stage,
     sent: Micros,
+    heard: Micros,
     pages: Option<Pages>,
 }
 
@@ -75,11 +83,14 @@
     old: bool,
     dial_by: Micros,
     heard: Micros,
+    /// Since when the rest of a line is awaited.
+    half_since: Option<Micros>,
     idle_since: Micros,
     queue: VecDeque<Sent>,
     /// The one being written, and where in the output it ends; commands may follow it.
     leaving: Option<(Sent, usize)>,
     open: HashMap<String, Sent>,
+    /// Ids that are over here; what is still said of them means nothing.
     given_up: HashSet<String>,
     probes: HashMap<String, Micros>,
 }
@@ -92,6 +103,7 @@
     links: BTreeMap<LinkId, EngineLink>,
     executions: HashMap<Sent, Execution>,
     next: u64,
+    most_links: usize,
     pub told: Vec<Told>,
 }
 
@@ -105,10 +117,16 @@
             links: BTreeMap::new(),
             executions: HashMap::new(),
             next: 0,
+            most_links: 0,
             told: Vec::new(),
         }
     }
 
+    /// Descriptors that clients leave to the rest of the front.
+    pub fn limit(&mut self, sockets: usize) {
+        self.most_links = sockets.saturating_sub(OTHERS).max(1);
+    }
+
     fn ended(&mut self, sent: Sent, ending: Ending) {
         self.executions.remove(&sent);
         self.told.push(Told::Ended { sent, ending, report: None, cost: None, result: Vec::new() });
@@ -123,7 +141,8 @@
             self.retire(place);
         }
         let links = self.engines.remove(&place).map(|e| e.links).unwrap_or_default();
-        self.engines.insert(place, Engine { id: id.to_string(), at, started, links, failing });
+        let id = id.to_string();
+        self.engines.insert(place, Engine { id, at, started, listed: up, links, failing });
     }
 
     /// A whole list has come: engines that it does not name are gone.
@@ -134,8 +153,9 @@
 
     /// What has not left for an engine stays here; what is out may still be answered.
     pub fn retire(&mut self, place: Place) {
-        let links = self.engines.get(&place).map(|e| e.links.clone()).unwrap_or_default();
-        for id in links {
+        let Some(engine) = self.engines.get_mut(&place) else { return };
+        engine.listed = false;
+        for id in engine.links.clone() {
             let Some(link) = self.links.get_mut(&id) else { continue };
             link.old = true;
             for sent in std::mem::take(&mut link.queue) {
@@ -160,7 +180,7 @@
         link.open.insert(call.id.clone(), sent);
         link.queue.push_back(sent);
         let stage = Stage::Queued;
-        let x = Execution { link: id, call, terms, stage, sent: now, pages: None };
+        let x = Execution { link: id, call, terms, stage, sent: now, heard: now, pages: None };
         self.executions.insert(sent, x);
     }
 
@@ -176,10 +196,20 @@
                 !l.old && !known && room && l.given_up.len() < MOST_GIVEN_UP
             })
         };
-        let ready = |link: &&LinkId| self.links[link].up && self.links[link].link.unsent() == 0;
-        let mut fitting = engine.links.iter().filter(fits);
-        let found = fitting.clone().find(ready).or_else(|| fitting.next()).copied();
-        found.or_else(|| self.dial(now, place))
+        // Guards against losing many executions with one connection: each has its own as far as descriptors
+        // go, and what comes next the one used last, that the others may end as idle.
+        let rank = |link: &LinkId| {
+            let l = &self.links[link];
+            let held_up = !l.up || l.link.unsent() > 0;
+            (l.open.len() + l.probes.len(), held_up, Reverse(l.idle_since))
+        };
+        let found = engine.links.iter().filter(fits).min_by_key(|link| rank(link)).copied();
+        let listed = self.engines.values().filter(|e| e.listed).count().max(1);
+        let more = engine.links.len() < self.most_links / listed && self.links.len() < self.most_links;
+        match found {
+            Some(link) if rank(&link).0 == 0 || !more => Some(link),
+            _ => self.dial(now, place).or(found),
+        }
     }
 
     fn dial(&mut self, now: Micros, place: Place) -> Option<LinkId> {
@@ -201,6 +231,7 @@
             old: false,
             dial_by: now + self.allowed.dial_timeout,
             heard: now,
+            half_since: None,
             idle_since: now,
             queue: VecDeque::new(),
             leaving: None,
@@ -229,6 +260,8 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         // A connection silent since then, longer than one takes to come up, may be to a machine that is gone.
         link.old |= link.up && link.heard < x.sent && now - x.sent > self.allowed.dial_timeout;
+        // Nor is one of use on which the answer never came.
+        link.old |= x.stage == Stage::Out && now - x.heard > SILENT;
         match x.stage {
             Stage::Queued => {
                 link.queue.retain(|other| *other != sent);
@@ -281,8 +314,15 @@
                     }
                 }
                 Err(e) => {
-                    let refused = e.kind() == ErrorKind::ConnectionRefused;
-                    self.end(id, if refused { Ending::Refused } else { Ending::NeverUp });
+                    self.end(
+                        id,
+                        match e.kind() {
+                            ErrorKind::ConnectionRefused => Ending::Refused,
+                            // Whoever resets a connection is there.
+                            ErrorKind::ConnectionReset | ErrorKind::BrokenPipe => Ending::BrokenNew,
+                            _ => Ending::NeverUp,
+                        },
+                    );
                     return false;
                 }
             }
@@ -297,6 +337,9 @@
                 Ok(Some((len, line))) => {
                     at += len;
                     self.said(now, id, line);
+                    if !self.links.contains_key(&id) {
+                        return false;
+                    }
                 }
             }
         };
@@ -306,6 +349,8 @@
         } else if let Some(link) = self.links.get_mut(&id) {
             link.link.input = input;
             link.link.taken(at);
+            let half = !link.link.input.is_empty();
+            link.half_since = half.then(|| link.half_since.filter(|_| at == 0).unwrap_or(now));
         }
         match broken {
             Some(Broken::Closed) => self.end(id, Ending::Closed),
@@ -334,26 +379,31 @@
             let over =
                 matches!(line.said, Said::First { .. } | Said::TurnedAway | Said::Failed | Said::Stale);
             if over && !self.allowed.cancel && link.given_up.remove(line.id) {
+                link.idle_since = now;
                 engine::write(link.link.output(), &Command::NoMorePages(line.id));
             }
             return;
         };
         let Some(x) = self.executions.get_mut(&sent).filter(|x| x.stage == Stage::Out) else { return };
+        x.heard = now;
         let cost = line.cost.filter(|_| self.allowed.cost_in_answers);
         let cost = cost.map(|(ms, memory_mb)| Cost { work: ms * 1000.0, memory_mb });
         let ending = match line.said {
             Said::First { pages } if x.pages.is_none() && pages <= MOST_PAGES => {
-                let mut first =
-                    Pages { missing: pages, report: line.report.clone(), cost, ..Pages::default() };
+                let report = line.report.clone();
+                let mut first = Pages { missing: pages, report, cost, heard: now, ..Pages::default() };
                 first.bytes.resize(pages, None);
                 x.pages = Some(first);
                 for page in 1..pages {
                     engine::write(link.link.output(), &Command::Page(line.id, page));
                 }
-                x.page(0, line.bytes)
+                x.page(now, 0, line.bytes)
+            }
+            Said::First { pages } if x.pages.as_ref().is_some_and(|p| p.bytes.len() == pages) => {
+                x.page(now, 0, line.bytes)
             }
-            Said::First { .. } => Some(Ending::PageLost),
-            Said::Page { number } => x.page(number, line.bytes),
+            Said::First { .. } => Some(Ending::Unreadable),
+            Said::Page { number } => x.page(now, number, line.bytes),
             Said::TurnedAway if x.pages.is_none() => Some(Ending::TurnedAway),
             Said::Stale if x.pages.is_none() => Some(Ending::Stale),
             Said::Failed if x.pages.is_none() => Some(Ending::EngineFailed),
@@ -365,11 +415,17 @@
             Said::Nothing | Said::Probed { .. } => None,
         };
         let Some(ending) = ending else { return };
+        if ending == Ending::Unreadable {
+            log::warn!("engine {}: a spoilt result; its connection is closed", self.name(id));
+            return self.end(id, ending);
+        }
         link.open.remove(line.id);
         link.idle_since = now;
         let pages = self.executions.remove(&sent).and_then(|x| x.pages).unwrap_or_default();
         if ending == Ending::PageLost {
             engine::write(link.link.output(), &Command::NoMorePages(line.id));
+        }
+        if ending != Ending::Answered && self.allowed.cancel {
             link.given_up.insert(line.id.to_string());
         }
         let (report, cost) = (line.report.or(pages.report), cost.or(pages.cost));
@@ -389,7 +445,9 @@
         let Some(link) = self.links.remove(&id) else { return };
         if let Some(engine) = self.engines.get_mut(&link.place) {
             engine.links.retain(|other| *other != id);
-            if !link.up && !link.old && !std::mem::replace(&mut engine.failing, true) {
+            if !link.up && (link.old || ending == Ending::BrokenNew) {
+                log::debug!("engine {}: connection lost while it came up", engine.id);
+            } else if !link.up && !std::mem::replace(&mut engine.failing, true) {
                 log::warn!("engine {}: can't be reached: {ending:?}", engine.id);
             } else if link.up && !link.open.is_empty() {
                 let count = link.open.len();
@@ -458,7 +516,8 @@
         let due = |link: &EngineLink| {
             let dial = if link.up { Micros::MAX } else { link.dial_by };
             let probe = link.probes.values().copied().min().unwrap_or(Micros::MAX);
-            dial.min(probe).min(self.idle_until(link).unwrap_or(Micros::MAX))
+            let half = link.half_since.map_or(Micros::MAX, |since| since + STUCK);
+            dial.min(probe).min(half).min(self.idle_until(link).unwrap_or(Micros::MAX))
         };
         self.links.values().map(due).min().unwrap_or(Micros::MAX)
     }
@@ -467,8 +526,12 @@
         let idle = link.up && link.open.is_empty() && link.probes.is_empty() && link.link.unsent() == 0;
         // Closing it would give up what runs on there.
         let runs_on = !self.allowed.cancel && !link.given_up.is_empty();
+        if link.old && link.open.is_empty() && link.probes.is_empty() && !runs_on {
+            // What is still to leave has as long as a connection has to come up.
+            let lag = if link.link.unsent() > 0 { self.allowed.dial_timeout } else { 0 };
+            return Some(link.idle_since + lag);
+        }
         let keep = (self.allowed.keepalive - IDLE_MARGIN).max(IDLE_MARGIN);
-        let keep = if link.old && !runs_on { 0 } else { keep };
         idle.then_some(link.idle_since + keep)
     }
 
@@ -481,6 +544,18 @@
                 self.end(id, Ending::NeverUp);
                 continue;
             }
+            // Guards against an answer that stops short: nothing comes over such a connection any more.
+            let page = |sent: &Sent| {
+                let pages = self.executions.get(sent).and_then(|x| x.pages.as_ref());
+                pages.is_some_and(|pages| pages.heard + STUCK <= now)
+            };
+            let half = link.half_since.is_some_and(|since| since + STUCK <= now);
+            if half || link.open.values().any(page) {
+                let what = if half { "a line" } else { "a page" };
+                log::warn!("engine {}: {what} that never came; its connection is closed", self.name(id));
+                self.end(id, Ending::Unreadable);
+                continue;
+            }
             let place = link.place;
             let before = link.probes.len();
             link.probes.retain(|_, due| *due > now);
@@ -496,14 +571,19 @@
 }
 
 impl Execution {
-    /// Takes a page; the last one missing answers the execution.
-    fn page(&mut self, number: usize, bytes: &[u8]) -> Option<Ending> {
-        let Some(pages) = &mut self.pages else { return Some(Ending::PageLost) };
-        pages.held += bytes.len();
+    /// Takes a page; the last one missing answers the execution. A second copy is passed over. What is not
+    /// agreed, or other than the first copy, spoils the whole: never a part or a wrong one for the whole.
+    fn page(&mut self, now: Micros, number: usize, bytes: &[u8]) -> Option<Ending> {
+        let pages = self.pages.as_mut()?; // else nobody asked for it
         match pages.bytes.get_mut(number) {
-            Some(page @ None) if pages.held <= LONGEST_RESULT => *page = Some(bytes.to_vec()),
-            _ => return Some(Ending::PageLost),
+            Some(Some(known)) if known == bytes => return None,
+            Some(page @ None) if engine::are_rows(bytes) && pages.held + bytes.len() <= LONGEST_RESULT => {
+                *page = Some(bytes.to_vec());
+            }
+            _ => return Some(Ending::Unreadable),
         }
+        pages.held += bytes.len();
+        pages.heard = now;
         pages.missing -= 1;
         (pages.missing == 0).then_some(Ending::Answered)
     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -294,6 +294,7 @@
     fn limit(&mut self, limits: &Limits) {
         self.most_bytes = (limits.memory_bytes / MEMORY_PART) as usize;
         self.most_clients = limits.sockets / CLIENTS_PART;
+        self.engines.limit(limits.sockets - self.most_clients);
     }
 
     /// Whether all is answered after the end was asked for.
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -13,8 +13,9 @@
 //!     CLIENT sends HEX         sends bytes as they are
 //!     CLIENT hears N completed TEXT | rejected | aborted | exception TEXT
 //!     ENGINE hears COMMAND N [WORDS]      the next command but `hurry`; `want` checks the statement
+//!     ENGINE hears COMMAND N,M            the next ones, in any order, as they come by several connections
 //!     ENGINE says N WORD FIELDS TEXT      answers where statement N came
-//!     ENGINE says nonsense | closes       on its latest connection
+//!     ENGINE utters TEXT | closes         on its latest connection, as it is
 //!     ENGINE is reached anew              its latest command came by another connection
 //!     ENGINE listens                      a deaf one reads from now on
 //!     list NAME STATE          tells of a change; a new NAME listens at a port of its own
@@ -88,7 +89,13 @@
 }
 
 fn unescaped(text: &str) -> String {
-    text.replace("\\t", "\t").replace("\\n", "\n")
+    text.replace("\\t", "\t").replace("\\r", "\r").replace("\\n", "\n")
+}
+
+/// A word alone stands for a row that begins with it.
+fn rows(text: &str) -> String {
+    let word = !text.is_empty() && !text.contains('\\');
+    unescaped(&if word { format!("{text}\\t-\\t-\\n") } else { text.to_string() })
 }
 
 impl Engine {
@@ -291,7 +298,7 @@
             "completed" => {
                 let len = u32::from_be_bytes(held[6..10].try_into().unwrap()) as usize;
                 assert!(message == 2 && field(0), "{held:?}");
-                assert_eq!(String::from_utf8_lossy(&held[10..10 + len]), unescaped(text));
+                assert_eq!(String::from_utf8_lossy(&held[10..10 + len]), rows(text));
                 assert!(held.ends_with(&[2, 0, 3, 1, 0, 0]), "{held:?}");
             }
             "rejected" => assert!(message == 2 && field(1), "{name} {held:?}"),
@@ -304,7 +311,7 @@
         }
     }
 
-    fn engine_hears(&mut self, name: &str, words: &[&str]) {
+    fn engine_hears(&mut self, name: &str, words: &[&str]) -> String {
         let engine = self.engines.get_mut(name).unwrap();
         let heard = loop {
             let heard = engine.heard.recv_timeout(PATIENCE).expect("a command");
@@ -320,17 +327,19 @@
         for word in &words[words.len().min(2)..] {
             assert!(rest.split(',').any(|w| w == *word), "{word} in {rest}");
         }
+        let number = heard.words[1].trim_start_matches('0').to_string();
         if words[0] == "want" {
-            let number = heard.words[1].trim_start_matches('0');
+            let number = number.as_str();
             assert_eq!(String::from_utf8(heard.body).unwrap(), self.statements[number]);
             engine.asked.insert(number.to_string(), heard.from.try_clone().unwrap());
         }
         engine.before = engine.latest.as_ref().and_then(|latest| latest.peer_addr().ok());
         engine.latest = Some(heard.from);
+        number
     }
 
     fn says(&mut self, name: &str, number: &str, word: &str, fields: &str, text: &str) {
-        let body = unescaped(text);
+        let body = rows(text);
         let line = format!("{} {word} {fields} {}\r\n{body}\r\n", id(number), body.len());
         self.engines[name].asked[number].try_clone().unwrap().write_all(line.as_bytes()).unwrap();
     }
@@ -528,9 +537,18 @@
             [client, "hears", number, kind, ..] if self.clients.contains_key(client) => {
                 self.hears(client, number, kind, &rest(4));
             }
-            [engine, "hears", ..] => self.engine_hears(engine, &words[2..]),
-            [engine, "says", "nonsense"] => {
-                self.engines[engine].latest.as_ref().unwrap().write_all(b"\x07\xff ? !\r\n").unwrap();
+            [engine, "hears", command, numbers] if numbers.contains(',') => {
+                let mut awaited: Vec<&str> = numbers.split(',').collect();
+                while !awaited.is_empty() {
+                    let number = self.engine_hears(engine, &[command]);
+                    let at = awaited.iter().position(|n| *n == number);
+                    awaited.remove(at.unwrap_or_else(|| panic!("{number} was not to come")));
+                }
+            }
+            [engine, "hears", ..] => _ = self.engine_hears(engine, &words[2..]),
+            [engine, "utters", ..] => {
+                let bytes = unescaped(&rest(2));
+                self.engines[engine].latest.as_ref().unwrap().write_all(bytes.as_bytes()).unwrap();
             }
             [engine, "says", number, word, fields, ..] => self.says(engine, number, word, fields, &rest(5)),
             [engine, "is", "reached", "anew"] => {
