What is given up ends 10 ms after the word of it has left: never two executions at once

Ruled out: resets and refusals. What is left are executions given up and sent again: never_mind leaves on one connection (engines.rs stop) and the next want on another within the same turn, and nothing says which the engines read first. The same holds for connections closed from here and for the next statement of an order key after a time that is up.

Such endings are told to the module 10 ms later; an answer that is final by then is never held back. The unit test fails without it.

--- a/crates/agreement/src/contract.rs
+++ b/crates/agreement/src/contract.rs
@@ -145,7 +145,7 @@
 }
 
 /// What the settings allow the network code; nothing here is weighed, only kept.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Allowance {
     /// A connection that is not up by then never will be.
     pub dial_timeout: Micros,
--- a/crates/dispatcher/src/ending.rs
+++ b/crates/dispatcher/src/ending.rs
@@ -32,6 +32,8 @@
     Closed,
     /// What came over the connection can't be read, is no result or stopped short, so it was closed from here.
     Unreadable,
+    /// The connection was closed from here, as another execution could not be given up otherwise.
+    ClosedHere,
     /// The client's time is up.
     TimeUp,
     /// Given up by decision.
@@ -47,7 +49,7 @@
             Ending::TurnedAway => Outcome::NoRoom,
             Ending::Refused | Ending::NeverUp | Ending::NoMeans => Outcome::NoRoute,
             Ending::Stale | Ending::Withdrawn | Ending::BrokenNew | Ending::HalfWritten => Outcome::NotSent,
-            Ending::Reset | Ending::Closed | Ending::Unreadable => Outcome::Reset,
+            Ending::Reset | Ending::Closed | Ending::Unreadable | Ending::ClosedHere => Outcome::Reset,
             Ending::TimeUp => Outcome::TimedOut,
             Ending::GivenUp => Outcome::Cancelled,
         }
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -20,6 +20,7 @@
 const STUCK: Micros = 500_000; // microseconds for a line that has begun, or a page asked for; both take a few ms
 const SILENT: Micros = 1_500_000; // microseconds without a word on an execution given up: longer than notes take
 const TOGETHER: usize = 4; // executions on a connection before another is dialled: what one spoilt answer may cost
+const LAG: Micros = 10_000; // microseconds until an engine has surely read that something is given up: some round trips
 const OTHERS: usize = 32; // descriptors that are neither clients' nor engines'; the rest is for engines
 const MOST_UNSENT: usize = 1 << 20; // bytes that an engine may leave untaken: a thousand small statements
 const IDLE_MARGIN: Micros = 1_000_000; // microseconds by which a connection is closed before its engine would
@@ -109,6 +110,8 @@
     next: u64,
     most_links: usize,
     reuse: Reuse,
+    /// Given up, but engines may not know yet; in the order in which they were.
+    lagging: VecDeque<(Micros, Sent, Ending)>,
     pub told: Vec<Told>,
 }
 
@@ -124,6 +127,7 @@
             executions: HashMap::new(),
             next: 0,
             most_links: 0,
+            lagging: VecDeque::new(),
             told: Vec::new(),
         }
     }
@@ -133,6 +137,13 @@
         self.most_links = sockets.saturating_sub(OTHERS).max(1);
     }
 
+    /// It ends, but not before its engine has read of it. Guards against two executions of a statement, or
+    /// of an order key, at once: one connection may bring the next sooner than another the word of the first.
+    fn ends_soon(&mut self, now: Micros, sent: Sent, ending: Ending) {
+        self.executions.remove(&sent);
+        self.lagging.push_back((now + LAG, sent, ending));
+    }
+
     fn ended(&mut self, sent: Sent, ending: Ending) {
         self.executions.remove(&sent);
         self.told.push(Told::Ended { sent, ending, report: None, cost: None, result: Vec::new() });
@@ -279,7 +290,7 @@
                 self.withdraw(id, sent);
             }
             // It would reach its engine whole after its end: rather the connection goes.
-            Stage::Leaving => self.end(now, id, Ending::Reset),
+            Stage::Leaving => self.end(now, id, Ending::ClosedHere),
             Stage::Out => {
                 match x.pages {
                     Some(_) => engine::write(link.link.output(), &Command::NoMorePages(&name)),
@@ -291,7 +302,7 @@
                 link.idle_since = now;
                 link.open.remove(&name);
                 link.given_up.insert(name);
-                self.ended(sent, ending);
+                self.ends_soon(now, sent, ending);
             }
         }
     }
@@ -479,6 +490,10 @@
             let ending = match self.executions.get(&sent).map(|x| &x.stage) {
                 Some(Stage::Queued) if link.up => Ending::Withdrawn,
                 Some(Stage::Leaving) => Ending::HalfWritten,
+                Some(_) if matches!(ending, Ending::Unreadable | Ending::ClosedHere) => {
+                    self.ends_soon(now, sent, ending);
+                    continue;
+                }
                 Some(_) => ending,
                 None => continue,
             };
@@ -543,7 +558,8 @@
             let half = link.half_since.map_or(Micros::MAX, |since| since + STUCK);
             dial.min(probe).min(half).min(self.idle_until(link).unwrap_or(Micros::MAX))
         };
-        self.links.values().map(due).min().unwrap_or(Micros::MAX)
+        let lag = self.lagging.front().map_or(Micros::MAX, |(due, ..)| *due);
+        self.links.values().map(due).min().unwrap_or(Micros::MAX).min(lag)
     }
 
     fn idle_until(&self, link: &EngineLink) -> Option<Micros> {
@@ -560,6 +576,9 @@
 
     /// Ends what has waited too long: connections not up, probes not answered, idle connections.
     pub fn expire(&mut self, now: Micros) {
+        while let Some((_, sent, ending)) = self.lagging.pop_front_if(|(due, ..)| *due <= now) {
+            self.ended(sent, ending);
+        }
         let ids: Vec<LinkId> = self.links.keys().copied().collect();
         for id in ids {
             let Some(link) = self.links.get_mut(&id) else { continue };
@@ -611,3 +630,35 @@
         (pages.missing == 0).then_some(Ending::Answered)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{BufRead, BufReader};
+
+    #[test]
+    fn what_is_given_up_ends_once_its_engine_has_read_so() {
+        let events: calloop::EventLoop<'static, Front> = calloop::EventLoop::try_new().unwrap();
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let allowed = Allowance { cancel: true, executions_per_connection: 32, ..Allowance::default() };
+        let mut engines = Engines::new(events.handle(), allowed, &Names::default());
+        engines.list(0, "a", listener.local_addr().unwrap(), 0.0, true);
+        let call = Rc::new(Call { id: "1".into(), workload: "lookup".into(), ..Call::default() });
+        engines.send(0, (1, 0), 0, call, Terms { ends: 1_000_000, grant_mb: 0.0, priority: 1 });
+        let mut peer = BufReader::new(listener.accept().unwrap().0);
+        while engines.executions[&(1, 0)].stage != Stage::Out {
+            engines.read(0, 1);
+            engines.flush(0);
+        }
+        engines.stop(0, (1, 0), Ending::GivenUp);
+        engines.flush(0);
+        let mut heard = String::new();
+        (0..3).for_each(|_| _ = peer.read_line(&mut heard).unwrap());
+        assert!(heard.ends_with("never_mind 1\r\n"), "{heard}");
+        engines.expire(LAG - 1);
+        assert!(engines.told.is_empty() && engines.due() == LAG);
+        engines.expire(LAG);
+        let over = |told: &Told| matches!(told, Told::Ended { sent: (1, 0), ending: Ending::GivenUp, .. });
+        assert!(engines.told.len() == 1 && over(&engines.told[0]));
+    }
+}
