A statement whose time is up is answered at once again

Ruled out: closed connections (no such line in the logs) and clients that went away (counted apart). Only endings by decision are told late now. The unit test covers it.

--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -302,7 +302,11 @@
                 link.idle_since = now;
                 link.open.remove(&name);
                 link.given_up.insert(name);
-                self.ends_soon(now, sent, ending);
+                match ending {
+                    // Its client is answered at once.
+                    Ending::TimeUp => self.ended(sent, ending),
+                    _ => self.ends_soon(now, sent, ending),
+                }
             }
         }
     }
@@ -657,6 +661,13 @@
         assert!(heard.ends_with("never_mind 1\r\n"), "{heard}");
         engines.expire(LAG - 1);
         assert!(engines.told.is_empty() && engines.due() == LAG);
+        // A time that is up is: its client is owed the answer now.
+        let call = Rc::new(Call { id: "2".into(), workload: "lookup".into(), ..Call::default() });
+        engines.send(0, (2, 0), 0, call, Terms { ends: 1_000_000, grant_mb: 0.0, priority: 1 });
+        engines.flush(0);
+        engines.stop(0, (2, 0), Ending::TimeUp);
+        let ended = |told: &Told| matches!(told, Told::Ended { sent: (2, 0), ending: Ending::TimeUp, .. });
+        assert!(engines.told.pop().is_some_and(|told| ended(&told)));
         engines.expire(LAG);
         let over = |told: &Told| matches!(told, Told::Ended { sent: (1, 0), ending: Ending::GivenUp, .. });
         assert!(engines.told.len() == 1 && over(&engines.told[0]));
