A statement under an open number or id is refused without harm to the first

Now the second has an error under its number and the first goes on; more than agreed are rejected with the longest time to come back that the settings name, as are those beyond what may be held. Want of a descriptor was told to the module as a machine that is gone (ending.rs): a second's rest and a cold start for an engine that did nothing; it is told as not sent.

--- a/crates/codec/src/statement.rs
+++ b/crates/codec/src/statement.rs
@@ -20,7 +20,8 @@
 const MOST_MEMORY_MB: f64 = 1e7; // MB: ten terabytes, more than engines have
 const PREFIX: usize = 4; // bytes of a frame's length
 
-/// The fields that name the statement, its repeats, the workload and the customer.
+/// What names the statement on its connection and everywhere, its repeats, the workload and the customer.
+pub const NUMBER: &str = "sequence number";
 pub const ID: &str = "txn";
 pub const DEDUP_KEY: &str = "unique";
 pub const WORKLOAD: &str = "verb";
--- a/crates/dispatcher/src/ending.rs
+++ b/crates/dispatcher/src/ending.rs
@@ -20,7 +20,7 @@
     NeverUp,
     /// The connection was reset while it came up.
     BrokenNew,
-    /// No descriptor or buffer could be had for a connection.
+    /// No descriptor or buffer could be had for a connection, which says nothing of the engine.
     NoMeans,
     /// It was given up, or its engine drains, before its first byte left.
     Withdrawn,
@@ -47,8 +47,9 @@
             Ending::Answered => Outcome::Completed,
             Ending::EngineFailed | Ending::PageLost => Outcome::Error,
             Ending::TurnedAway => Outcome::NoRoom,
-            Ending::Refused | Ending::NeverUp | Ending::NoMeans => Outcome::NoRoute,
-            Ending::Stale | Ending::Withdrawn | Ending::BrokenNew | Ending::HalfWritten => Outcome::NotSent,
+            Ending::Refused | Ending::NeverUp => Outcome::NoRoute,
+            Ending::NoMeans | Ending::Stale | Ending::Withdrawn => Outcome::NotSent,
+            Ending::BrokenNew | Ending::HalfWritten => Outcome::NotSent,
             Ending::Reset | Ending::Closed | Ending::Unreadable | Ending::ClosedHere => Outcome::Reset,
             Ending::TimeUp => Outcome::TimedOut,
             Ending::GivenUp => Outcome::Cancelled,
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -480,6 +480,7 @@
             (Ending::NoMeans, true),
             (Ending::Withdrawn, true),
             (Ending::HalfWritten, true),
+            (Ending::BrokenNew, true),
             (Ending::EngineFailed, false),
             (Ending::PageLost, false),
             (Ending::Reset, false),
@@ -500,6 +501,20 @@
         }
     }
 
+    #[test]
+    fn what_ends_for_want_of_descriptors_or_by_a_new_connection_is_not_held_against_the_engine() {
+        for (ending, goes_on) in
+            [(Ending::NoMeans, true), (Ending::BrokenNew, true), (Ending::Refused, false)]
+        {
+            let mut d = dispatcher();
+            d.list(true, &[listing("a", Mode::Ready, None)]);
+            let ticket = d.pick(0, &ask("lookup", None)).unwrap();
+            d.tick(0);
+            assert!(!d.report(1_000, ticket, 0, ending, None, None));
+            assert_eq!(sent(&d.tick(1_000)), if goes_on { vec![(ticket, 1)] } else { vec![] }, "{ending:?}");
+        }
+    }
+
     #[test]
     fn the_first_answer_counts_and_nothing_follows_it() {
         let mut d = dispatcher();
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -50,6 +50,8 @@
     /// Ids of the statements that are open, on whatever connection.
     ids: HashSet<String>,
     held: usize,
+    /// When those that were refused may come again, where that is told.
+    come_back_ms: Option<i64>,
     next: ClientId,
     look: Micros,
     dirty: BTreeSet<ClientId>,
@@ -67,6 +69,10 @@
 }
 
 impl Clients {
+    pub fn new(come_back: Option<Micros>) -> Self {
+        Clients { come_back_ms: come_back.map(|time| time / 1000), ..Clients::default() }
+    }
+
     pub fn next_id(&mut self) -> ClientId {
         self.next += 1;
         self.next
@@ -167,26 +173,28 @@
         );
     }
 
-    /// Whether a statement can be taken from a connection. Guards against answers that could be to either of
-    /// two statements, and against more than was agreed: the connection is closed, which answers them all.
+    /// Whether a statement can be taken from a connection; if not, it has its answer. Guards against answers
+    /// that could be to either of two statements, and executions that engines could not tell apart: one that
+    /// is open goes on, and another under its number or id is none.
     pub fn has_room(&mut self, id: ClientId, number: i32, call: &Call, told: &mut Vec<Told>) -> bool {
         let Some(client) = self.clients.get(&id) else { return false };
-        let same_id = |ticket: &Ticket| self.open.get(ticket).is_some_and(|open| open.call.id == call.id);
-        let why = match () {
-            _ if client.open.contains_key(&number) => "a number that is open already",
-            _ if client.open.len() >= MOST_OPEN => "more statements at once than agreed",
-            _ if !self.ids.contains(&call.id) => return true,
-            _ if client.open.values().any(same_id) => "an id that is open already",
-            _ => {
-                self.unfit(id, number, statement::ID, told);
-                return false;
-            }
-        };
-        log::info!("client {id}: {why}; its connection is closed");
-        self.end(id, told);
+        if client.open.contains_key(&number) {
+            self.unfit(id, number, statement::NUMBER, told);
+        } else if self.ids.contains(&call.id) {
+            self.unfit(id, number, statement::ID, told);
+        } else if client.open.len() >= MOST_OPEN {
+            self.refuse(id, number);
+        } else {
+            return true;
+        }
         false
     }
 
+    /// Rejects a statement that was not taken: there is no room for it.
+    pub fn refuse(&mut self, id: ClientId, number: i32) {
+        self.say(id, number, &Reply::Rejected { retry_after_ms: self.come_back_ms });
+    }
+
     /// The client no longer waits for a statement.
     pub fn forget(&mut self, id: ClientId, number: i32) -> Option<Ticket> {
         let ticket = self.clients.get_mut(&id)?.open.remove(&number)?;
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -190,8 +190,9 @@
 
     /// Sends an execution over a connection that has room for it, a new one if need be.
     pub fn send(&mut self, now: Micros, sent: Sent, place: Place, call: Rc<Call>, terms: Terms) {
-        let Some(id) = self.link_for(now, place, &call.id) else {
-            return self.ended(sent, Ending::NoMeans);
+        let id = match self.link_for(now, place, &call.id) {
+            Ok(id) => id,
+            Err(ending) => return self.ended(sent, ending),
         };
         let Some(link) = self.links.get_mut(&id) else { return };
         link.open.insert(call.id.clone(), sent);
@@ -201,9 +202,9 @@
         self.executions.insert(sent, x);
     }
 
-    fn link_for(&mut self, now: Micros, place: Place, id: &str) -> Option<LinkId> {
+    fn link_for(&mut self, now: Micros, place: Place, id: &str) -> Result<LinkId, Ending> {
         let most = self.allowed.executions_per_connection;
-        let engine = self.engines.get(&place)?;
+        let engine = self.engines.get(&place).ok_or(Ending::Withdrawn)?;
         let fits = |link: &&LinkId| {
             self.links.get(link).is_some_and(|l| {
                 let known = l.open.contains_key(id) || l.given_up.contains(id);
@@ -221,26 +222,30 @@
         };
         let few = |link: &&LinkId| rank(link).1 < TOGETHER;
         if let Some(link) = engine.links.iter().filter(fits).filter(few).max_by_key(rank) {
-            return Some(*link);
+            return Ok(*link);
         }
         let least = engine.links.iter().filter(fits).min_by_key(|link| rank(link).1).copied();
         let listed = self.engines.values().filter(|e| e.listed).count().max(1);
         let more = engine.links.len() < self.most_links / listed && self.links.len() < self.most_links;
         match least {
-            Some(link) if !more => Some(link),
-            _ => self.dial(now, place).or(least),
+            Some(link) if !more => Ok(link),
+            _ => self.dial(now, place).or_else(|ending| least.ok_or(ending)),
         }
     }
 
-    fn dial(&mut self, now: Micros, place: Place) -> Option<LinkId> {
-        let engine = self.engines.get_mut(&place)?;
+    fn dial(&mut self, now: Micros, place: Place) -> Result<LinkId, Ending> {
+        let engine = self.engines.get_mut(&place).ok_or(Ending::Withdrawn)?;
         self.next += 1;
         let id = self.next;
         let link = match Link::dial(engine.at, &self.handle, Party::Engine(id)) {
             Ok(link) => link,
             Err(e) => {
                 log::warn!("engine {}: no connection can be made: {e}", engine.id);
-                return None;
+                return Err(match e.kind() {
+                    ErrorKind::ConnectionRefused => Ending::Refused,
+                    ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => Ending::NeverUp,
+                    _ => Ending::NoMeans,
+                });
             }
         };
         engine.links.push(id);
@@ -262,7 +267,7 @@
             probes: HashMap::new(),
         };
         self.links.insert(id, link);
-        Some(id)
+        Ok(id)
     }
 
     pub fn hurry(&mut self, sent: Sent, priority: u8) {
@@ -314,7 +319,7 @@
     pub fn probe(&mut self, now: Micros, place: Place) {
         self.next += 1;
         let tag = format!("p{}", self.next);
-        let Some(link) = self.link_for(now, place, &tag).and_then(|id| self.links.get_mut(&id)) else {
+        let Some(link) = self.link_for(now, place, &tag).ok().and_then(|id| self.links.get_mut(&id)) else {
             return self.told.push(Told::Probed { place, alive: false, report: None });
         };
         if link.up {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -83,7 +83,7 @@
             most_bytes: 0,
             most_clients: 0,
             full: false,
-            clients: Clients::default(),
+            clients: Clients::new(contract.agreement.longest_retry_after),
             engines: Engines::new(handle.clone(), contract.allowance.clone(), &contract.names),
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             shutdown: Shutdown::default(),
@@ -173,7 +173,7 @@
             );
         }
         if full || self.dispatcher.held() >= self.most_held {
-            return self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
+            return self.clients.refuse(client, number);
         }
         // Guards against a final answer that is held up on its way: it has the slack twice, before the
         // client's time is up and after. A result that comes in that last moment is lost to the client.
