--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -173,7 +173,7 @@
         );
     }
 
-    /// Whether a statement can be taken from a connection; if not, it has its answer. Guards against answers
+    /// Whether a statement can be taken from a connection; if not, it has its answer or its end. Guards against answers
     /// that could be to either of two statements, and executions that engines could not tell apart: one that
     /// is open goes on, and another under its number or id is none.
     pub fn has_room(&mut self, id: ClientId, number: i32, call: &Call, told: &mut Vec<Told>) -> bool {
@@ -183,7 +183,9 @@
         } else if self.ids.contains(&call.id) {
             self.unfit(id, number, statement::ID, told);
         } else if client.open.len() >= MOST_OPEN {
-            self.refuse(id, number);
+            // Guards against floods: of what came at once nothing has left for an engine yet, nor will it.
+            log::info!("client {id}: more statements at once than agreed; its connection is closed");
+            self.end(id, told);
         } else {
             return true;
         }
