The ground for further protocols: links know no front, the operator's file, pinned arrivals

Need: PostgreSQL sessions need a second kind of client and engine, which a link that called the front barred (a circle front-link-engines-clients-coordinator), settings that the platform knows nothing of, and units that go only where their transaction is open.

Change: the loop's data is the list of what changed (doors.rs), so link, engines and coordinator know no front; the entrance is a module of its own. HALLMUX_OPERATOR names a JSON5 file, read and checked in crates/agreement with path and line.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -2,7 +2,9 @@
 //! simulator's adapter and the front alike, and what a front finds in its variables and `NODE_CONFIG`.
 
 mod contract;
+mod operator;
 mod station;
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
+pub use operator::{Operator, Postgres, SessionLimits, SpeakingEngines, User};
 pub use station::{Limits, Station};
--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -8,6 +8,7 @@
 use serde_json::value::RawValue;
 
 use crate::contract::{contract, Contract};
+use crate::operator::Operator;
 
 const MEMORY_MB: u64 = 192; // MB, where the file is silent; the least that the operators grant
 const SOCKETS: usize = 1024; // descriptors, where the file is silent; the least that the operators grant
@@ -56,6 +57,8 @@
     /// The coordinator's events so far, as it words them.
     pub known: String,
     pub contract: Contract,
+    /// What the operator's own file switches on; without one, nothing.
+    pub operator: Operator,
     pub log_level: log::LevelFilter,
 }
 
@@ -80,6 +83,15 @@
             None => FileLimits::default(),
         };
         let settings = file.settings.ok_or("settings: missing in NODE_CONFIG")?;
+        let contract = contract(settings.get()).map_err(|e| format!("settings: {e}"))?;
+        let operator = match variables.get("HALLMUX_OPERATOR") {
+            Some(path) => {
+                let text = std::fs::read_to_string(path);
+                let text = text.map_err(|e| format!("HALLMUX_OPERATOR: {path}: {e}"))?;
+                Operator::parse(&text, &contract).map_err(|e| format!("HALLMUX_OPERATOR: {path}: {e}"))?
+            }
+            None => Operator::default(),
+        };
         let level = variables.get("HALLMUX_LOG").map_or(LEVEL, String::as_str);
         Ok(Station {
             name: said("NODE_NAME", "name", file.name)?,
@@ -91,7 +103,8 @@
             },
             coordinator: file.coordinator.map(|at| read("coordinator", &at)).transpose()?,
             known: file.known.map_or_else(|| NOTHING_KNOWN.to_string(), |raw| raw.get().to_string()),
-            contract: contract(settings.get()).map_err(|e| format!("settings: {e}"))?,
+            contract,
+            operator,
             log_level: read("HALLMUX_LOG", level)?,
         })
     }
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -31,6 +31,17 @@
     /// 0 where it is not told.
     pub memory_mb: f64,
     pub data_set: Option<u32>,
+    pub speech: Speech,
+    /// The engine of the open transaction it belongs to.
+    pub pinned: Option<Place>,
+}
+
+/// A protocol that statements are sent to engines in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Speech {
+    #[default]
+    Lines = 1,
+    Postgres = 2,
 }
 
 /// Why a statement was not taken.
@@ -51,6 +62,8 @@
     pub cell: usize,
     pub mode: Mode,
     pub started: Option<Micros>,
+    /// The protocols that it takes statements in.
+    pub speaks: &'a [Speech],
 }
 
 /// What holds for an execution.
@@ -106,6 +119,10 @@
 struct Statement {
     terms: Terms,
     over: bool,
+    /// Part of its answer has gone on: whatever ends it now ends the statement.
+    begun: bool,
+    /// Its transaction goes on when it ends, and keeps its order key.
+    keeps: bool,
     key: Option<String>,
     executions: Vec<Execution>,
 }
@@ -198,12 +215,15 @@
             work: ask.work,
             memory_mb: ask.memory_mb,
             data_set: ask.data_set,
+            speech: ask.speech as u8,
+            pinned: ask.pinned,
         }));
         let ends = now + ask.time_left;
         self.ends.insert((ends, ticket));
         let key = ask.key.map(str::to_string);
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
-        let statement = Statement { terms, over: false, key, executions: Vec::new() };
+        let executions = Vec::new();
+        let statement = Statement { terms, over: false, begun: false, keeps: false, key, executions };
         self.statements.insert(ticket, statement);
         Ok(ticket)
     }
@@ -219,6 +239,36 @@
         key.id
     }
 
+    /// The first byte of a statement's answer goes on to its client: it is never executed again.
+    pub fn begun(&mut self, ticket: Ticket) {
+        if let Some(s) = self.statements.get_mut(&ticket) {
+            s.begun = true;
+        }
+    }
+
+    /// Says that the transaction which a statement belongs to goes on once its answer is reported. True if the
+    /// transaction keeps the turn of an order key from then on, until `freed`.
+    pub fn keeps(&mut self, ticket: Ticket) -> bool {
+        let workload_keeps = |s: &Statement| s.key.is_some() && !s.over;
+        match self.statements.get_mut(&ticket).filter(|s| workload_keeps(s)) {
+            Some(s) => {
+                s.keeps = true;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// A transaction that kept an order key is over; the key rests where the transaction may still run.
+    pub fn freed(&mut self, now: Micros, name: &str, rests: bool) {
+        let Some(key) = self.keys.get_mut(name) else { return };
+        self.told.push(Event::Freed { key: key.id, rests });
+        key.statements -= 1;
+        if key.statements == 0 {
+            self.resting.insert((now + self.turn_gap, name.to_string()));
+        }
+    }
+
     /// Says how an execution ended. True if this ends its statement: its answer now goes to the client.
     pub fn report(
         &mut self,
@@ -233,8 +283,12 @@
         let Some(x) = s.executions.get_mut(execution).filter(|x| x.out) else { return false };
         x.out = false;
         self.engines[x.place].out -= 1;
-        let answers = ending == Ending::Answered && !s.over;
+        let answers = (ending == Ending::Answered || s.begun) && !s.over;
         s.over |= answers;
+        let holds = answers && s.keeps && ending == Ending::Answered;
+        if let Some(key) = s.key.as_ref().filter(|_| holds).and_then(|name| self.keys.get_mut(name)) {
+            key.statements += 1;
+        }
         self.told.push(Event::Ended(Ended {
             statement: ticket,
             execution,
@@ -242,6 +296,7 @@
             outcome: ending.outcome(),
             took: now - x.sent,
             settled: s.over,
+            holds,
             cost,
             report,
         }));
@@ -290,6 +345,9 @@
                 cell: listing.cell,
                 mode: listing.mode,
                 started: listing.started,
+                speaks: listing.speaks.iter().fold(0, |all, speech| all | *speech as u8),
+                // Only the protocol of lines has notes.
+                tells: listing.speaks.contains(&Speech::Lines),
             };
             entry.engine = self.place(listing.id, &entry);
             let engine = Engine { id: listing.id.to_string(), entry: entry.clone(), out: 0 };
@@ -308,7 +366,7 @@
     /// The module starts an engine with a start of its own afresh, so only such a one may follow another.
     fn place(&self, id: &str, entry: &Listed) -> Place {
         let like = |e: &Engine| {
-            let same = |of: &Listed| (of.location, of.kind, of.cell);
+            let same = |of: &Listed| (of.location, of.kind, of.cell, of.speaks);
             e.entry.mode == Mode::Gone && e.out == 0 && same(&e.entry) == same(entry)
         };
         let follows = entry.started.is_some();
@@ -369,7 +427,10 @@
                 orders.push(Order::Send { ticket, execution, place, terms });
             }
             Action::Cancel { statement: ticket, execution } => {
-                orders.push(Order::Stop { ticket, execution, ending: Ending::GivenUp });
+                // What has begun to answer can't be tried elsewhere: it is only stopped with its statement.
+                if self.statements.get(&ticket).is_some_and(|s| s.over || !s.begun) {
+                    orders.push(Order::Stop { ticket, execution, ending: Ending::GivenUp });
+                }
             }
             Action::Reject { statement: ticket, retry_after } => {
                 orders.push(Order::Reject { ticket, retry_after });
@@ -444,7 +505,8 @@
     }
 
     fn listing(id: &str, mode: Mode, started: Option<Micros>) -> Listing<'_> {
-        Listing { id, location: "here", kind: "std", cell: 0, mode, started }
+        let speaks = &[Speech::Lines];
+        Listing { id, location: "here", kind: "std", cell: 0, mode, started, speaks }
     }
 
     fn ask<'a>(workload: &'a str, key: Option<&'a str>) -> Ask<'a> {
--- a/crates/drill/src/instance.rs
+++ b/crates/drill/src/instance.rs
@@ -30,6 +30,8 @@
                 other => return Err(format!("mode: unknown word '{other}'")),
             },
             started: (started > 0.0).then(|| hallmux_agreement::micros(started)),
+            speaks: 1,
+            tells: true,
         };
         Ok(Listing { name: line.field("engine")?, entry })
     }
@@ -128,6 +130,8 @@
             work: line.number_or("guessMs", 0.0)? * 1000.0,
             memory_mb: line.number_or("ramMb", 0.0)?,
             data_set: line.optional("tableGroup")?,
+            speech: 1,
+            pinned: None,
         };
         self.statements.push(req);
         self.statement_ids.insert(req, arrival.statement);
@@ -156,6 +160,7 @@
             outcome,
             took: line.time("delaySeenMs")?,
             settled: line.flag("settled")?,
+            holds: false,
             cost: (note > 0).then_some(Cost {
                 work: (note >> 12) as f64 * 1000.0,
                 memory_mb: (note & 4095) as f64 * 4.0,
--- a/crates/front/src/coordinator.rs
+++ b/crates/front/src/coordinator.rs
@@ -6,7 +6,7 @@
 use hallmux_codec::coordinator::{self as codec, Stream};
 use hallmux_dispatcher::Micros;
 
-use crate::front::{Front, Party};
+use crate::doors::{Changes, Door};
 use crate::link::Link;
 
 const WAIT_MS: i64 = 1000; // milliseconds a question is left open; silence shows soon after
@@ -14,7 +14,7 @@
 const AGAIN: Micros = 200_000; // microseconds until the next try after one that failed
 
 pub struct Coordinator {
-    handle: LoopHandle<'static, Front>,
+    handle: LoopHandle<'static, Changes>,
     at: Option<SocketAddr>,
     link: Option<Link>,
     number: u64, // of the connection
@@ -25,7 +25,7 @@
 }
 
 impl Coordinator {
-    pub fn new(handle: LoopHandle<'static, Front>, at: Option<SocketAddr>, follow: u64) -> Self {
+    pub fn new(handle: LoopHandle<'static, Changes>, at: Option<SocketAddr>, follow: u64) -> Self {
         Coordinator { handle, at, link: None, number: 0, asked: None, due: 0, follow, failing: false }
     }
 
@@ -51,7 +51,7 @@
             return self.failed(now, "silent");
         }
         self.number += 1;
-        match Link::dial(at, &self.handle, Party::Coordinator(self.number)) {
+        match Link::dial(at, &self.handle, Door::Coordinator.party(self.number)) {
             Ok(link) => {
                 (self.link, self.asked) = (Some(link), None);
                 self.due = now + SILENCE;
@@ -151,7 +151,7 @@
 
     #[test]
     fn one_that_fails_is_asked_again_at_once_and_then_every_now_and_then() {
-        let events: calloop::EventLoop<'static, Front> = calloop::EventLoop::try_new().unwrap();
+        let events: calloop::EventLoop<'static, Changes> = calloop::EventLoop::try_new().unwrap();
         let mut coordinator = Coordinator::new(events.handle(), Some(([127, 0, 0, 1], 9).into()), 7);
         let mut due_after = |now| {
             coordinator.failed(now, "connection over");
--- a/crates/front/src/engines.rs
+++ b/crates/front/src/engines.rs
@@ -11,7 +11,7 @@
 use hallmux_codec::statement::Call;
 use hallmux_dispatcher::{Cost, Ending, Micros, Note, Place, Terms, Ticket};
 
-use crate::front::{Front, Party};
+use crate::doors::{Changes, Door};
 use crate::link::{Broken, Link};
 use crate::reuse::Reuse;
 
@@ -101,7 +101,7 @@
 }
 
 pub struct Engines {
-    handle: LoopHandle<'static, Front>,
+    handle: LoopHandle<'static, Changes>,
     allowed: Allowance,
     report: Vec<String>,
     engines: BTreeMap<Place, Engine>,
@@ -116,7 +116,7 @@
 }
 
 impl Engines {
-    pub fn new(handle: LoopHandle<'static, Front>, allowed: Allowance, names: &Names) -> Self {
+    pub fn new(handle: LoopHandle<'static, Changes>, allowed: Allowance, names: &Names) -> Self {
         Engines {
             handle,
             reuse: Reuse::new((allowed.keepalive - IDLE_MARGIN).max(IDLE_MARGIN)),
@@ -242,7 +242,7 @@
         let engine = self.engines.get_mut(&place).ok_or(Ending::Withdrawn)?;
         self.next += 1;
         let id = self.next;
-        let link = match Link::dial(engine.at, &self.handle, Party::Engine(id)) {
+        let link = match Link::dial(engine.at, &self.handle, Door::Engine.party(id)) {
             Ok(link) => link,
             Err(e) => {
                 log::warn!("engine {}: no connection can be made: {e}", engine.id);
@@ -640,7 +640,7 @@
 
     #[test]
     fn what_is_given_up_ends_once_its_engine_has_read_so() {
-        let events: calloop::EventLoop<'static, Front> = calloop::EventLoop::try_new().unwrap();
+        let events: calloop::EventLoop<'static, Changes> = calloop::EventLoop::try_new().unwrap();
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let allowed = Allowance { cancel: true, executions_per_connection: 32, ..Allowance::default() };
         let mut engines = Engines::new(events.handle(), allowed, &Names::default());
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,46 +1,33 @@
 //! What one front does in a turn: it takes in all that is there, decides once, and sends what follows.
 
-use std::io::ErrorKind;
-use std::net::{TcpListener, TcpStream};
-use std::rc::Rc;
+use std::net::TcpListener;
 use std::time::Duration;
 
-use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use calloop::LoopHandle;
 use hallmux_agreement::{Limits, Station};
 use hallmux_codec::coordinator::{Engine, State, Stream};
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
-use hallmux_dispatcher::{Ask, Dispatcher, Ending, Listing, Micros, Mode as EngineMode, Order, Unfit};
+use hallmux_dispatcher::{
+    Ask, Dispatcher, Ending, Listing, Micros, Mode as EngineMode, Order, Speech, Unfit,
+};
 
 use crate::clients::{self, ClientId, Clients};
 use crate::clock::Clock;
 use crate::coordinator::Coordinator;
+use crate::doors::{Changes, Door, Party};
 use crate::engines::{self, Engines};
+use crate::entrance::Entrance;
 use crate::link::Link;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
 const MEMORY_PART: u64 = 4; // statements held may take one part of so many, untaken answers another
 const CLIENTS_PART: usize = 2; // of the descriptors; clients hold a third, the rest is for engines
-const ACCEPT_AGAIN: Micros = 50_000; // microseconds until the next try after one without descriptors
-
-/// Whom a connection is to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Party {
-    Client(ClientId),
-    Engine(u64),
-    Coordinator(u64),
-}
 
 pub struct Front {
-    handle: LoopHandle<'static, Front>,
-    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
-    accept_at: Option<Micros>,
-    /// The first of those that wait at the door.
-    at_door: Option<TcpStream>,
-    /// Connections wait at the door, as none more can be taken.
-    shut_out: bool,
+    handle: LoopHandle<'static, Changes>,
+    entrance: Entrance,
     dispatcher: Dispatcher,
     answer_slack: Micros,
     most_held: usize,
@@ -61,22 +48,11 @@
         station: &Station,
         known: &Stream,
         listener: TcpListener,
-        handle: LoopHandle<'static, Front>,
+        handle: LoopHandle<'static, Changes>,
     ) -> std::io::Result<Front> {
-        listener.set_nonblocking(true)?;
-        let listener = Rc::new(listener);
-        let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
-        let accept = handle.insert_source(source, |_, _, front: &mut Front| {
-            front.accept_at = Some(0);
-            Ok(PostAction::Continue)
-        });
-        let token = accept.map_err(|e| std::io::Error::other(e.error.to_string()))?;
         let contract = &station.contract;
         let mut front = Front {
-            listener: Some((listener, token)),
-            accept_at: Some(0),
-            at_door: None,
-            shut_out: false,
+            entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
             answer_slack: contract.allowance.answer_slack,
             most_held: contract.allowance.most_held,
@@ -105,7 +81,7 @@
             self.dispatcher.wake(),
             self.engines.due(),
             self.coordinator.due(),
-            self.accept_at.unwrap_or(Micros::MAX),
+            self.entrance.due(),
             self.shutdown.due(self.clock.now),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
@@ -117,10 +93,15 @@
     pub fn ready(&mut self, party: Party) {
         self.clock.look();
         self.clock.woke();
-        let more = match party {
-            Party::Client(id) => self.read_client(id),
-            Party::Engine(id) => self.engines.read(self.clock.now, id),
-            Party::Coordinator(number) => {
+        let number = party.number;
+        let more = match party.door {
+            Door::Listener => {
+                self.entrance.knocked();
+                false
+            }
+            Door::Client => self.read_client(number),
+            Door::Engine => self.engines.read(self.clock.now, number),
+            Door::Coordinator => {
                 let before = self.coordinator.follow;
                 if let Some(stream) = self.coordinator.read(self.clock.now, number) {
                     self.follow(&stream, before);
@@ -187,6 +168,8 @@
             work: call.work_ms * 1000.0,
             memory_mb: call.memory_mb,
             data_set: tables::group(&call.statement),
+            speech: Speech::Lines,
+            pinned: None,
         };
         match self.dispatcher.pick(self.clock.now, &ask) {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
@@ -259,11 +242,10 @@
         }
         self.take(told);
         for client in self.clients.caught_up() {
-            self.unfinished.push(Party::Client(client));
+            self.unfinished.push(Door::Client.party(client));
         }
         if self.shutdown.closes(self.clock.now) {
-            if let Some((_, token)) = self.listener.take() {
-                self.handle.remove(token);
+            if self.entrance.close() {
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
             }
             self.clients.close_idle();
@@ -299,49 +281,29 @@
 
     /// Whether all is answered after the end was asked for.
     pub fn is_done(&self) -> bool {
-        self.listener.is_none() && self.clients.len() == 0
+        !self.entrance.is_open() && self.clients.len() == 0
     }
 
     fn accept(&mut self) {
-        if self.accept_at.is_none_or(|at| at > self.clock.now) {
-            return;
-        }
-        let Some((listener, _)) = self.listener.clone() else { return };
+        let now = self.clock.now;
         loop {
-            let next = self.at_door.take().map_or_else(|| listener.accept().map(|(stream, _)| stream), Ok);
-            match next {
-                Ok(stream) if self.clients.len() >= self.most_clients && !self.clients.make_room() => {
-                    self.at_door = Some(stream);
-                    return self.accept_later(&format!("{} clients are connected", self.clients.len()));
+            let (clients, most) = (&mut self.clients, self.most_clients);
+            let room = || match clients.len() < most || clients.make_room() {
+                true => Ok(()),
+                false => Err(format!("{} clients are connected", clients.len())),
+            };
+            let Some(stream) = self.entrance.next(now, room) else { return };
+            let id = self.clients.next_id();
+            match Link::new(stream, &self.handle, Door::Client.party(id)) {
+                Ok(link) => {
+                    self.clients.accept(now, id, link);
+                    self.ready(Door::Client.party(id));
                 }
-                Ok(stream) => {
-                    let id = self.clients.next_id();
-                    match Link::new(stream, &self.handle, Party::Client(id)) {
-                        Ok(link) => {
-                            self.clients.accept(self.clock.now, id, link);
-                            self.ready(Party::Client(id));
-                        }
-                        Err(e) => log::warn!("a client's connection can't be served: {e}"),
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    (self.accept_at, self.shut_out) = (None, false);
-                    return;
-                }
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => return self.accept_later(&e.to_string()),
+                Err(e) => log::warn!("a client's connection can't be served: {e}"),
             }
         }
     }
 
-    /// Leaves clients waiting at the door, rather than taking what can't be served.
-    fn accept_later(&mut self, why: &str) {
-        if !std::mem::replace(&mut self.shut_out, true) {
-            log::warn!("no connection can be taken for now: {why}");
-        }
-        self.accept_at = Some(self.clock.now + ACCEPT_AGAIN);
-    }
-
     /// Passes on what engines have said.
     fn heard(&mut self) {
         for told in std::mem::take(&mut self.engines.told) {
@@ -398,5 +360,6 @@
             State::Removed => EngineMode::Gone,
         },
         started: (engine.started_ms > 0.0).then_some((engine.started_ms * 1000.0) as Micros),
+        speaks: &[Speech::Lines],
     }
 }
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -8,7 +8,7 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 
-use crate::front::{Front, Party};
+use crate::doors::{Changes, Party};
 
 const CHUNK: usize = 64 << 10; // bytes taken at once
 const AHEAD: usize = 64 << 10; // bytes on their way that can't be taken back: some hundred statements
@@ -24,7 +24,7 @@
 pub struct Link {
     stream: Rc<TcpStream>,
     token: RegistrationToken,
-    handle: LoopHandle<'static, Front>,
+    handle: LoopHandle<'static, Changes>,
     pub input: Vec<u8>,
     output: Vec<u8>,
     left: usize, // bytes of output that have left
@@ -34,7 +34,7 @@
     /// Serves a connection that is up or coming up; the loop tells of it under the name given.
     pub fn new(
         stream: TcpStream,
-        handle: &LoopHandle<'static, Front>,
+        handle: &LoopHandle<'static, Changes>,
         party: Party,
     ) -> std::io::Result<Link> {
         stream.set_nonblocking(true)?;
@@ -43,8 +43,8 @@
         // Told once for each change, so that a connection which is not read for now costs nothing.
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let token = handle
-            .insert_source(source, move |_, _, front| {
-                front.ready(party);
+            .insert_source(source, move |_, _, changes| {
+                changes.parties.push(party);
                 Ok(PostAction::Continue)
             })
             .map_err(|e| std::io::Error::other(e.error.to_string()))?;
@@ -53,7 +53,11 @@
     }
 
     /// Begins a connection.
-    pub fn dial(to: SocketAddr, handle: &LoopHandle<'static, Front>, party: Party) -> std::io::Result<Link> {
+    pub fn dial(
+        to: SocketAddr,
+        handle: &LoopHandle<'static, Changes>,
+        party: Party,
+    ) -> std::io::Result<Link> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_send_buffer_size(AHEAD)?;
@@ -148,11 +152,11 @@
 
     #[test]
     fn what_has_left_is_known_also_when_the_rest_never_will() {
-        let events: calloop::EventLoop<'static, Front> = calloop::EventLoop::try_new().unwrap();
+        let events: calloop::EventLoop<'static, Changes> = calloop::EventLoop::try_new().unwrap();
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let peer = listener.accept().unwrap().0;
-        let mut link = Link::new(stream, &events.handle(), Party::Engine(1)).unwrap();
+        let mut link = Link::new(stream, &events.handle(), crate::doors::Door::Engine.party(1)).unwrap();
         const MORE: usize = 64 << 20; // more than the network takes from one who is not read
         link.output().resize(MORE, b'x');
         assert_eq!(link.flush(), Ok(()));
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -3,7 +3,9 @@
 mod clients;
 mod clock;
 mod coordinator;
+mod doors;
 mod engines;
+mod entrance;
 mod front;
 mod link;
 mod logger;
@@ -17,6 +19,7 @@
 use calloop::EventLoop;
 use hallmux_agreement::Station;
 
+use doors::Changes;
 use front::Front;
 
 fn main() -> ExitCode {
@@ -35,12 +38,9 @@
     logger::start(&station.name, station.log_level);
     let known = hallmux_codec::coordinator::stream(station.known.as_bytes());
     let known = known.map_err(|what| format!("known: {what}"))?;
-    let mut event_loop: EventLoop<'static, Front> = EventLoop::try_new().map_err(|e| e.to_string())?;
+    let mut event_loop: EventLoop<'static, Changes> = EventLoop::try_new().map_err(|e| e.to_string())?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| e.to_string())?;
-    let asked = move |event: Event, _: &mut (), front: &mut Front| match event.signal() {
-        Signal::SIGHUP => front.reload(Station::read(&variables)),
-        _ => front.end(),
-    };
+    let asked = |event: Event, _: &mut (), changes: &mut Changes| changes.signals.push(event.signal());
     event_loop.handle().insert_source(signals, asked).map_err(|e| e.to_string())?;
     let listener =
         TcpListener::bind(station.listen).map_err(|e| format!("listen: {}: {e}", station.listen))?;
@@ -48,9 +48,17 @@
     let front = Front::new(&station, &known, listener, event_loop.handle());
     let mut front = front.map_err(|e| format!("listen: {}: {e}", station.listen))?;
     log::info!("takes statements at {address}");
+    let mut changes = Changes::default();
     while !front.is_done() {
         let idle = front.idle();
-        event_loop.dispatch(idle, &mut front).map_err(|e| e.to_string())?;
+        event_loop.dispatch(idle, &mut changes).map_err(|e| e.to_string())?;
+        for signal in changes.signals.drain(..) {
+            match signal {
+                Signal::SIGHUP => front.reload(Station::read(&variables)),
+                _ => front.end(),
+            }
+        }
+        changes.parties.drain(..).for_each(|party| front.ready(party));
         front.turn();
     }
     log::info!("all is answered");
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -143,6 +143,7 @@
                 Event::Ended(ended) => self.ended(ended),
                 Event::Noted { statement: s, execution: n, engine: e, note } => self.noted(s, n, e, note),
                 Event::Left(id) => self.close(id, false),
+                Event::Freed { key, rests } => self.freed(key, rests),
                 Event::Probed { engine, alive, report } => {
                     self.engines.know(engine, TRUSTED);
                     self.engines.credit[engine] *= if alive { 1.0 } else { SPENT_ERROR };
@@ -185,6 +186,15 @@
             self.engines.open[e] = entry.mode == Mode::Ready;
             self.engines.listed[e] = Some(entry);
         }
+        // What is pinned to an engine that takes nothing new any more is to end now.
+        let pinned = self.statements.iter().filter(|(_, s)| self.stranded(s));
+        let ended: Vec<_> = pinned.map(|(id, _)| (self.now, *id)).collect();
+        self.due.extend(ended);
+    }
+
+    /// Whether the engine that holds its transaction takes nothing new any more.
+    fn stranded(&self, s: &Statement) -> bool {
+        s.asked.pinned.is_some_and(|e| !self.engines.open.get(e).is_some_and(|open| *open))
     }
 
     fn workload(&self, s: &Statement) -> &Workload {
@@ -218,7 +228,8 @@
     fn hopeless(&self, s: &Statement) -> bool {
         let turn = s.asked.key.and_then(|key| self.turns.get(&key));
         let blocks = turn.is_some_and(|t| t.line.len() > 1);
-        self.now >= self.last_timely_start(s) && (blocks || self.workload(s).late_share < LATE_WORTH)
+        let late = self.now >= self.last_timely_start(s);
+        self.stranded(s) || late && (blocks || self.workload(s).late_share < LATE_WORTH)
     }
 
     fn latest_start(&self, s: &Statement) -> Micros {
@@ -357,7 +368,8 @@
         let quiet = |(id, n): &&(StatementId, usize)| {
             let s = &self.statements[id];
             let x = &s.executions[*n];
-            let (heard, patience) = match self.agreed.progress_every {
+            let tells = self.engines.listed[e].as_ref().is_some_and(|entry| entry.tells);
+            let (heard, patience) = match self.agreed.progress_every * Micros::from(tells) {
                 0 => (
                     x.sent.max(self.engines.heard[e]),
                     SECOND as f64 + SILENCE_RUNS * self.learned[s.asked.workload].run.value,
@@ -390,7 +402,7 @@
             let used = self.further.after(since - 1);
             used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
         });
-        within && s.executions.len() < self.agreed.most_executions
+        within && s.executions.len() < self.agreed.most_executions && s.asked.pinned.is_none()
     }
 
     fn noted(&mut self, id: StatementId, n: usize, e: EngineId, note: Note) {
@@ -456,7 +468,8 @@
         let workload = self.workload(s);
         let entry = self.engines.listed[e].as_ref().filter(|_| self.engines.open[e]);
         let Some(entry) = entry else { return false };
-        let open = !s.over && !s.is_out() && workload.allows(entry);
+        let open = !s.over && !s.is_out() && workload.allows(entry) && entry.speaks & s.asked.speech != 0;
+        let open = open && s.asked.pinned.is_none_or(|pinned| pinned == e);
         let (pushed, most) = self.pushed(e);
         let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
         let bears =
@@ -652,6 +665,7 @@
             if matches!(x.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
                 turn.rests_until = now + self.agreed.turn_gap;
             }
+            turn.astray += usize::from(x.holds && x.settled && !was_over);
         }
         if x.outcome != Outcome::NoRoute && self.engines.unreached[e] {
             // Back after it could not be reached: it may have restarted before the list says so.
@@ -791,6 +805,13 @@
         self.forget(id);
     }
 
+    fn freed(&mut self, key: KeyId, rests: bool) {
+        let Some(turn) = self.turns.get_mut(&key) else { return };
+        turn.astray -= usize::from(turn.astray > 0);
+        turn.rests_until = if rests { self.now + self.agreed.turn_gap } else { turn.rests_until };
+        self.next_in_line(key);
+    }
+
     fn next_in_line(&mut self, key: KeyId) {
         let Some(turn) = self.turns.get(&key) else { return };
         if let Some(next) = turn.line.front().copied() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,6 +116,10 @@
     pub mode: Mode,
     /// The latest start, where it is recent enough to be told.
     pub started: Option<Micros>,
+    /// The protocols that it takes statements in, a bit for each.
+    pub speaks: u8,
+    /// It sends notes of progress, where they are agreed.
+    pub tells: bool,
 }
 
 impl Listed {
@@ -170,6 +174,10 @@
     pub work: f64,
     pub memory_mb: f64,
     pub data_set: Option<u32>,
+    /// The protocols that it can be sent in, a bit for each.
+    pub speech: u8,
+    /// The engine that holds the open transaction it belongs to: it goes there or nowhere, and once.
+    pub pinned: Option<EngineId>,
 }
 
 #[derive(Clone, Debug)]
@@ -181,6 +189,8 @@
     pub took: Micros,
     /// The statement has its final answer, through this outcome or before it.
     pub settled: bool,
+    /// Its transaction goes on and keeps the turn of its order key until `Event::Freed`.
+    pub holds: bool,
     pub cost: Option<Cost>,
     pub report: Option<Report>,
 }
@@ -204,6 +214,11 @@
     },
     /// The client left; the statement is over.
     Left(StatementId),
+    /// A transaction that kept the turn of an order key is over; the key rests where it may still run.
+    Freed {
+        key: KeyId,
+        rests: bool,
+    },
     Probed {
         engine: EngineId,
         alive: bool,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -129,6 +129,8 @@
                 _ => Mode::Ready,
             },
             started: options.get("started").map(|v| micros(v)),
+            speaks: options.get("speaks").map_or(1, |v| number(v) as u8),
+            tells: !options.contains_key("quiet"),
         }
     }
 
@@ -186,6 +188,8 @@
                 work: value("work") * MS as f64,
                 memory_mb: value("memory"),
                 data_set: said.get("data").map(|d| number(d) as u32),
+                speech: said.get("speech").map_or(1, |v| number(v) as u8),
+                pinned: said.get("pinned").and_then(|p| self.engine_names.iter().position(|e| e == p)),
             }),
             "end" => Event::Ended(Ended {
                 statement,
@@ -203,7 +207,8 @@
                     _ => return None,
                 },
                 took: micros(said.get("took").copied().unwrap_or("100")),
-                settled: words[3] == "completed",
+                settled: words[3] == "completed" || said.contains_key("settled"),
+                holds: said.contains_key("holds"),
                 cost: said.get("cost").map(|c| Cost { work: number(c) * MS as f64, memory_mb: value("mb") }),
                 report: said.get("active").map(|a| vec![number(a)]),
             }),
@@ -218,6 +223,10 @@
                 },
             },
             "leave" => Event::Left(statement),
+            "free" => Event::Freed {
+                key: self.keys.iter().position(|k| k == words[1])? as KeyId,
+                rests: said.contains_key("rests"),
+            },
             _ => return None,
         })
     }
