--- /dev/null
+++ b/crates/postgres/src/prepared.rs
@@ -0,0 +1,134 @@
+//! What sessions have prepared, kept once for all that have prepared the same, with what its text says.
+
+use std::collections::{BTreeMap, HashMap};
+use std::hash::BuildHasher;
+use std::rc::{Rc, Weak};
+
+use crate::sql::{self, Change, Scan};
+
+const SWEEP_FROM: usize = 1024; // entries from which those that nobody holds any more are looked for
+
+/// A text with the types of its parameters.
+#[derive(Debug)]
+pub struct Prepared {
+    /// Of its own among all that this front has seen; engines know it under this.
+    pub number: u64,
+    /// As the protocol has it: the text, its end, the types.
+    pub body: Box<[u8]>,
+    pub scan: Scan,
+}
+
+impl Prepared {
+    pub fn text(&self) -> &[u8] {
+        &self.body[..memchr::memchr(0, &self.body).unwrap_or(self.body.len())]
+    }
+}
+
+/// A session's settings: for each name the statement that sets it.
+#[derive(Debug, Default, PartialEq, Eq, Hash, Clone)]
+pub struct Settings(pub BTreeMap<String, String>);
+
+impl Settings {
+    pub fn change(&mut self, change: &Change) {
+        match change {
+            Change::Set { name, again } => _ = self.0.insert(name.clone(), again.clone()),
+            Change::Reset(name) => _ = self.0.remove(name),
+            Change::ResetAll => self.0.clear(),
+        }
+    }
+
+    /// What brings a connection in any state to this one.
+    pub fn again(&self) -> String {
+        let mut text = String::from("RESET ALL");
+        for again in self.0.values() {
+            text.push_str("; ");
+            text.push_str(again);
+        }
+        text
+    }
+}
+
+/// All that is prepared and set, by what it holds.
+#[derive(Default)]
+pub struct Catalogue {
+    chance: std::hash::RandomState,
+    prepared: HashMap<u64, Vec<Weak<Prepared>>>,
+    settings: HashMap<u64, Vec<Weak<Settings>>>,
+    next: u64,
+    sweep_at: usize,
+}
+
+impl Catalogue {
+    /// The one that holds this body; read and kept if it is new.
+    pub fn prepare(&mut self, body: &[u8]) -> Rc<Prepared> {
+        let hash = self.chance.hash_one(body);
+        let known = self.prepared.get(&hash).into_iter().flatten();
+        if let Some(found) = known.filter_map(Weak::upgrade).find(|p| *p.body == *body) {
+            return found;
+        }
+        self.next += 1;
+        let text = &body[..memchr::memchr(0, body).unwrap_or(body.len())];
+        let fresh = Rc::new(Prepared { number: self.next, body: body.into(), scan: sql::scan(text) });
+        self.prepared.entry(hash).or_default().push(Rc::downgrade(&fresh));
+        self.sweep();
+        fresh
+    }
+
+    /// The same settings as others may have.
+    pub fn settings(&mut self, settings: Settings) -> Rc<Settings> {
+        let hash = self.chance.hash_one(&settings);
+        let known = self.settings.get(&hash).into_iter().flatten();
+        if let Some(found) = known.filter_map(Weak::upgrade).find(|s| **s == settings) {
+            return found;
+        }
+        let fresh = Rc::new(settings);
+        self.settings.entry(hash).or_default().push(Rc::downgrade(&fresh));
+        self.sweep();
+        fresh
+    }
+
+    /// Lets go of what nobody holds, each time as many have come as were kept.
+    fn sweep(&mut self) {
+        if self.prepared.len() + self.settings.len() < self.sweep_at.max(SWEEP_FROM) {
+            return;
+        }
+        self.prepared.retain(|_, all| {
+            all.retain(|weak| weak.strong_count() > 0);
+            !all.is_empty()
+        });
+        self.settings.retain(|_, all| {
+            all.retain(|weak| weak.strong_count() > 0);
+            !all.is_empty()
+        });
+        self.sweep_at = 2 * (self.prepared.len() + self.settings.len());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_same_text_is_kept_once_and_goes_with_the_last_that_holds_it() {
+        let mut catalogue = Catalogue::default();
+        let first = catalogue.prepare(b"select 1\0\0\0");
+        assert!(Rc::ptr_eq(&first, &catalogue.prepare(b"select 1\0\0\0")));
+        assert_ne!(first.number, catalogue.prepare(b"select 1\0\0\x01\0\0\0\x17").number);
+        assert_eq!(first.text(), b"select 1");
+        for i in 0..10 * SWEEP_FROM {
+            catalogue.prepare(format!("select {i}\0\0\0").as_bytes());
+        }
+        assert!(catalogue.prepared.len() <= 2 * SWEEP_FROM);
+        assert!(Rc::ptr_eq(&first, &catalogue.prepare(b"select 1\0\0\0")));
+    }
+
+    #[test]
+    fn settings_follow_their_changes_and_can_be_set_again() {
+        let mut settings = Settings::default();
+        let scan = sql::scan(b"SET a = 1; SET b = 2; SET a = 3; RESET b; SET c TO 'x'");
+        scan.changes.iter().for_each(|change| settings.change(change));
+        assert_eq!(settings.again(), "RESET ALL; SET a = 3; SET c TO 'x'");
+        settings.change(&Change::ResetAll);
+        assert_eq!(settings.again(), "RESET ALL");
+    }
+}
--- /dev/null
+++ b/crates/postgres/src/scram.rs
@@ -0,0 +1,160 @@
+//! SCRAM-SHA-256 as the one that is asked (RFC 5802, RFC 7677), from verifiers in the servers' own form
+//! `SCRAM-SHA-256$ITERATIONS:SALT$STORED_KEY:SERVER_KEY`. The side that asks comes from a library.
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use hmac::{Hmac, Mac};
+use sha2::{Digest, Sha256};
+
+pub const MECHANISM: &str = "SCRAM-SHA-256";
+const ITERATIONS: u32 = 4096; // of users that do not exist; the servers' default
+
+#[derive(Clone)]
+pub struct Verifier {
+    iterations: u32,
+    salt: String,
+    stored_key: [u8; 32],
+    server_key: [u8; 32],
+}
+
+fn key(text: &str) -> Option<[u8; 32]> {
+    STANDARD.decode(text).ok()?.try_into().ok()
+}
+
+fn hmac(key: &[u8], parts: &[&[u8]]) -> [u8; 32] {
+    // Keys of any length are taken; an empty one stands for the case that can't be.
+    let mut mac = match Hmac::<Sha256>::new_from_slice(key) {
+        Ok(mac) => mac,
+        Err(_) => return [0; 32],
+    };
+    parts.iter().for_each(|part| mac.update(part));
+    mac.finalize().into_bytes().into()
+}
+
+impl Verifier {
+    pub fn read(text: &str) -> Option<Verifier> {
+        let (head, keys) = text.strip_prefix("SCRAM-SHA-256$")?.split_once('$')?;
+        let (iterations, salt) = head.split_once(':')?;
+        let (stored, server) = keys.split_once(':')?;
+        STANDARD.decode(salt).ok()?;
+        Some(Verifier {
+            iterations: iterations.parse().ok().filter(|n| *n > 0)?,
+            salt: salt.to_string(),
+            stored_key: key(stored)?,
+            server_key: key(server)?,
+        })
+    }
+
+    /// For a user that does not exist: the same exchange, the same salt each time, and no way through.
+    pub fn of_nobody(user: &str, secret: &[u8]) -> Verifier {
+        let salt = hmac(secret, &[b"salt", user.as_bytes()]);
+        Verifier {
+            iterations: ITERATIONS,
+            salt: STANDARD.encode(&salt[..16]),
+            stored_key: hmac(secret, &[b"stored", user.as_bytes()]),
+            server_key: hmac(secret, &[b"server", user.as_bytes()]),
+        }
+    }
+}
+
+/// An exchange after the client's first message.
+pub struct Exchange {
+    verifier: Verifier,
+    nonce: String,
+    /// What both sides have said without proof, as far as it goes into the proof.
+    said: String,
+    binding: &'static str,
+}
+
+impl Exchange {
+    /// Takes the client's first message; `own` is this side's part of the nonce. Gives the answer to it.
+    pub fn begin(verifier: Verifier, first: &[u8], own: &str) -> Option<(Exchange, String)> {
+        let first = std::str::from_utf8(first).ok()?;
+        // Without channel binding, as there is none to bind to; a client that could may say so.
+        let (binding, bare) = match (first.strip_prefix("n,,"), first.strip_prefix("y,,")) {
+            (Some(bare), _) => ("biws", bare),
+            (_, Some(bare)) => ("eSws", bare),
+            _ => return None,
+        };
+        let (name, nonce) = bare.split_once(",r=")?;
+        let printable = !nonce.is_empty() && nonce.bytes().all(|c| (0x21..0x7f).contains(&c) && c != b',');
+        if !name.starts_with("n=") || name.contains(',') || !printable {
+            return None;
+        }
+        let nonce = format!("{nonce}{own}");
+        let answer = format!("r={nonce},s={},i={}", verifier.salt, verifier.iterations);
+        let said = format!("{bare},{answer}");
+        Some((Exchange { verifier, nonce, said, binding }, answer))
+    }
+
+    /// Takes the client's last message; the proof of this side, if the client's holds.
+    pub fn finish(&self, last: &[u8]) -> Option<String> {
+        let last = std::str::from_utf8(last).ok()?;
+        let (bare, proof) = last.rsplit_once(",p=")?;
+        if bare != format!("c={},r={}", self.binding, self.nonce) {
+            return None;
+        }
+        let proof = key(proof)?;
+        let message: [&[u8]; 3] = [self.said.as_bytes(), b",", bare.as_bytes()];
+        let signature = hmac(&self.verifier.stored_key, &message);
+        let client_key: Vec<u8> = proof.iter().zip(signature).map(|(a, b)| a ^ b).collect();
+        let stored: [u8; 32] = Sha256::digest(&client_key).into();
+        // Compared as a whole, so that how long it takes tells nothing of where they differ.
+        let differ = stored.iter().zip(self.verifier.stored_key).fold(0, |all, (a, b)| all | (a ^ b));
+        (differ == 0).then(|| format!("v={}", STANDARD.encode(hmac(&self.verifier.server_key, &message))))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
+
+    fn log_in(verifier: &Verifier, password: &[u8], spoil: bool) -> bool {
+        let mut client = ScramSha256::new(password, ChannelBinding::unsupported());
+        let Some((exchange, answer)) = Exchange::begin(verifier.clone(), client.message(), "own") else {
+            return false;
+        };
+        client.update(answer.as_bytes()).unwrap();
+        let mut last = client.message().to_vec();
+        if spoil {
+            last[10] ^= 1;
+        }
+        match exchange.finish(&last) {
+            Some(proof) => client.finish(proof.as_bytes()).is_ok(),
+            None => false,
+        }
+    }
+
+    #[test]
+    fn the_right_password_alone_passes_and_both_sides_are_proved() {
+        let text = postgres_protocol::password::scram_sha_256(b"secret");
+        let verifier = Verifier::read(&text).unwrap();
+        assert!(log_in(&verifier, b"secret", false));
+        assert!(!log_in(&verifier, b"Secret", false));
+        assert!(!log_in(&verifier, b"secret", true));
+        assert!(!log_in(&Verifier::of_nobody("x", b"s"), b"secret", false));
+    }
+
+    #[test]
+    fn what_is_no_exchange_is_refused() {
+        let verifier = Verifier::of_nobody("x", b"s");
+        let first: [&[u8]; 7] =
+            [b"", b"n,,", b"p=tls-unique,,n=,r=abc", b"n,,n=,r=", b"n,,m=x,n=,r=a", b"n,,n=,r=a,b=c", b"\xff"];
+        for first in first {
+            assert!(Exchange::begin(verifier.clone(), first, "own").is_none(), "{first:?}");
+        }
+        let (exchange, _) = Exchange::begin(verifier, b"n,,n=,r=abc", "own").unwrap();
+        let last: [&[u8]; 5] = [b"", b"c=biws,r=abcown", b"c=biws,r=abcown,p=", b"c=biws,r=abc,p=eA==", b"\xff,p="];
+        for last in last {
+            assert!(exchange.finish(last).is_none(), "{last:?}");
+        }
+    }
+
+    #[test]
+    fn verifiers_that_are_none_are_refused() {
+        for text in ["", "md5abc", "SCRAM-SHA-256$0:c2FsdA==$a:b", "SCRAM-SHA-256$4096:c2FsdA==$YQ==:YQ=="] {
+            assert!(Verifier::read(text).is_none(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/postgres/src/wire.rs
@@ -0,0 +1,329 @@
+//! Messages of both directions: where one ends, what it holds, and how one is written.
+
+use crate::Unreadable;
+
+const LONGEST_START_UP: usize = 10_000; // bytes; the servers' own limit
+const CANCEL: u32 = 80_877_102;
+const SSL: u32 = 80_877_103;
+const GSS: u32 = 80_877_104;
+const VERSION: u32 = 3 << 16;
+
+/// What a connection opens with.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Opening<'a> {
+    StartUp { minor: u16, parameters: Vec<(&'a str, &'a str)> },
+    /// A question for encryption, of either kind.
+    Encrypt,
+    Cancel { process: u32, secret: u32 },
+    /// A version that is not spoken here.
+    Other { major: u16 },
+}
+
+fn number(bytes: &[u8]) -> Option<u32> {
+    Some(u32::from_be_bytes(bytes.get(..4)?.try_into().ok()?))
+}
+
+/// Takes the opening from the start of `input`, with its length.
+pub fn opening(input: &[u8]) -> Result<Option<(usize, Opening<'_>)>, Unreadable> {
+    let Some(len) = number(input) else { return Ok(None) };
+    let len = len as usize;
+    if !(8..=LONGEST_START_UP).contains(&len) {
+        return Err(Unreadable::new("a start-up whose length can't be"));
+    }
+    let Some(packet) = input.get(..len) else { return Ok(None) };
+    let code = number(&packet[4..]).unwrap_or(0);
+    let opening = match code {
+        SSL | GSS if len == 8 => Opening::Encrypt,
+        CANCEL => match (number(&packet[8..]), packet.get(12..).and_then(number)) {
+            (Some(process), Some(secret)) if len == 16 => Opening::Cancel { process, secret },
+            _ => return Err(Unreadable::new("a request to cancel that is none")),
+        },
+        code if code >> 16 == VERSION >> 16 => {
+            let mut rest = &packet[8..];
+            let mut parameters = Vec::new();
+            loop {
+                let name = text(&mut rest)?;
+                if name.is_empty() {
+                    break;
+                }
+                parameters.push((name, text(&mut rest)?));
+            }
+            if !rest.is_empty() {
+                return Err(Unreadable::new("a start-up with bytes behind its end"));
+            }
+            Opening::StartUp { minor: code as u16, parameters }
+        }
+        code => Opening::Other { major: (code >> 16) as u16 },
+    };
+    Ok(Some((len, opening)))
+}
+
+/// A string that ends in a zero byte.
+pub fn string<'a>(rest: &mut &'a [u8]) -> Result<&'a [u8], Unreadable> {
+    let end = memchr::memchr(0, rest).ok_or_else(|| Unreadable::new("a string without an end"))?;
+    let string = &rest[..end];
+    *rest = &rest[end + 1..];
+    Ok(string)
+}
+
+fn text<'a>(rest: &mut &'a [u8]) -> Result<&'a str, Unreadable> {
+    std::str::from_utf8(string(rest)?).map_err(|_| Unreadable::new("a parameter that is no UTF-8"))
+}
+
+/// The kind of the message that `input` begins with, and its whole length; nothing is allocated for it.
+pub fn head(input: &[u8]) -> Result<Option<(u8, usize)>, Unreadable> {
+    let (Some(tag), Some(len)) = (input.first(), input.get(1..).and_then(number)) else { return Ok(None) };
+    if len < 4 || len > i32::MAX as u32 {
+        return Err(Unreadable::new("a length that can't be"));
+    }
+    Ok(Some((*tag, len as usize + 1)))
+}
+
+/// The kind, the body and the whole length of the first message, once it is whole.
+pub fn message(input: &[u8], longest: usize) -> Result<Option<(u8, &[u8], usize)>, Unreadable> {
+    match head(input)? {
+        Some((_, len)) if len > longest => Err(Unreadable::new(format!("a message of {len} bytes"))),
+        Some((tag, len)) => Ok(input.get(5..len).map(|body| (tag, body, len))),
+        None => Ok(None),
+    }
+}
+
+/// What a client says after start-up.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Said<'a> {
+    Query(&'a [u8]),
+    /// The body is the text, its end and the types of its parameters.
+    Parse { name: &'a [u8], text: &'a [u8], body: &'a [u8] },
+    /// The rest holds formats and values.
+    Bind { portal: &'a [u8], statement: &'a [u8], rest: &'a [u8] },
+    Describe { statement: bool, name: &'a [u8] },
+    Execute { portal: &'a [u8] },
+    Close { statement: bool, name: &'a [u8] },
+    Flush,
+    Sync,
+    Terminate,
+    FunctionCall,
+    /// Data of a copy, or its end.
+    Copy,
+}
+
+/// Reads a client's message.
+pub fn said(tag: u8, body: &[u8]) -> Result<Said<'_>, Unreadable> {
+    let mut rest = body;
+    let kind = |rest: &mut &[u8]| match rest.split_first() {
+        Some((b'S', after)) => {
+            *rest = after;
+            Ok(true)
+        }
+        Some((b'P', after)) => {
+            *rest = after;
+            Ok(false)
+        }
+        _ => Err(Unreadable::new("neither a statement nor a portal")),
+    };
+    let said = match tag {
+        b'Q' => Said::Query(string(&mut rest)?),
+        b'P' => {
+            let name = string(&mut rest)?;
+            let body = rest;
+            let text = string(&mut rest)?;
+            let count = rest.get(..2).map(|n| u16::from_be_bytes([n[0], n[1]]) as usize);
+            if count.map(|count| 2 + 4 * count) != Some(rest.len()) {
+                return Err(Unreadable::new("types that do not fill their message"));
+            }
+            return Ok(Said::Parse { name, text, body });
+        }
+        b'B' => {
+            let (portal, statement) = (string(&mut rest)?, string(&mut rest)?);
+            return Ok(Said::Bind { portal, statement, rest });
+        }
+        b'D' => Said::Describe { statement: kind(&mut rest)?, name: string(&mut rest)? },
+        b'C' => Said::Close { statement: kind(&mut rest)?, name: string(&mut rest)? },
+        b'E' => {
+            let portal = string(&mut rest)?;
+            rest = rest.get(4..).ok_or_else(|| Unreadable::new("an Execute without a count of rows"))?;
+            Said::Execute { portal }
+        }
+        b'H' => Said::Flush,
+        b'S' => Said::Sync,
+        b'X' => Said::Terminate,
+        b'F' => return Ok(Said::FunctionCall),
+        b'd' | b'c' | b'f' => return Ok(Said::Copy),
+        other => return Err(Unreadable::new(format!("a message of kind {other}"))),
+    };
+    match rest.is_empty() {
+        true => Ok(said),
+        false => Err(Unreadable::new("bytes behind the end of a message")),
+    }
+}
+
+/// Writes a message: its kind, its length and what `body` writes.
+pub fn write(out: &mut Vec<u8>, tag: u8, body: impl FnOnce(&mut Vec<u8>)) {
+    out.push(tag);
+    write_packet(out, body);
+}
+
+/// The same without a kind.
+pub fn write_packet(out: &mut Vec<u8>, body: impl FnOnce(&mut Vec<u8>)) {
+    let at = out.len();
+    out.extend_from_slice(&[0; 4]);
+    body(out);
+    let len = (out.len() - at) as u32;
+    out[at..at + 4].copy_from_slice(&len.to_be_bytes());
+}
+
+pub fn write_string(out: &mut Vec<u8>, text: &[u8]) {
+    out.extend_from_slice(text);
+    out.push(0);
+}
+
+pub const PARSE_COMPLETE: &[u8] = b"1\0\0\0\x04";
+pub const BIND_COMPLETE: &[u8] = b"2\0\0\0\x04";
+pub const CLOSE_COMPLETE: &[u8] = b"3\0\0\0\x04";
+pub const NO_DATA: &[u8] = b"n\0\0\0\x04";
+pub const NO_PARAMETERS: &[u8] = b"t\0\0\0\x06\0\0";
+pub const EMPTY_QUERY: &[u8] = b"I\0\0\0\x04";
+pub const SYNC: &[u8] = b"S\0\0\0\x04";
+pub const FLUSH: &[u8] = b"H\0\0\0\x04";
+pub const TERMINATE: &[u8] = b"X\0\0\0\x04";
+
+pub fn write_ready(out: &mut Vec<u8>, status: u8) {
+    write(out, b'Z', |out| out.push(status));
+}
+
+pub fn write_complete(out: &mut Vec<u8>, tag: &str) {
+    write(out, b'C', |out| write_string(out, tag.as_bytes()));
+}
+
+pub fn write_parameter(out: &mut Vec<u8>, name: &str, value: &str) {
+    write(out, b'S', |out| {
+        write_string(out, name.as_bytes());
+        write_string(out, value.as_bytes());
+    });
+}
+
+pub fn write_key(out: &mut Vec<u8>, process: u32, secret: u32) {
+    write(out, b'K', |out| {
+        out.extend_from_slice(&process.to_be_bytes());
+        out.extend_from_slice(&secret.to_be_bytes());
+    });
+}
+
+/// The start of a session at an engine.
+pub fn write_start_up(out: &mut Vec<u8>, parameters: &[(&str, &str)]) {
+    write_packet(out, |out| {
+        out.extend_from_slice(&VERSION.to_be_bytes());
+        for (name, value) in parameters {
+            write_string(out, name.as_bytes());
+            write_string(out, value.as_bytes());
+        }
+        out.push(0);
+    });
+}
+
+pub fn write_cancel(out: &mut Vec<u8>, process: u32, secret: u32) {
+    write_packet(out, |out| {
+        out.extend_from_slice(&CANCEL.to_be_bytes());
+        out.extend_from_slice(&process.to_be_bytes());
+        out.extend_from_slice(&secret.to_be_bytes());
+    });
+}
+
+pub fn write_query(out: &mut Vec<u8>, text: &[u8]) {
+    write(out, b'Q', |out| write_string(out, text));
+}
+
+/// The newest version spoken and the options that are not known, for a client that asked for more.
+pub fn write_version(out: &mut Vec<u8>, unknown: &[&str]) {
+    write(out, b'v', |out| {
+        out.extend_from_slice(&0u32.to_be_bytes());
+        out.extend_from_slice(&(unknown.len() as u32).to_be_bytes());
+        unknown.iter().for_each(|name| write_string(out, name.as_bytes()));
+    });
+}
+
+/// A field of an error or a notice: `C` the code, `M` the message, `S` the severity.
+pub fn field(body: &[u8], wanted: u8) -> Option<&[u8]> {
+    let mut rest = body;
+    while let Some((kind, after)) = rest.split_first().filter(|(kind, _)| **kind != 0) {
+        rest = after;
+        let value = string(&mut rest).ok()?;
+        if *kind == wanted {
+            return Some(value);
+        }
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn start_up(parameters: &[(&str, &str)]) -> Vec<u8> {
+        let mut out = Vec::new();
+        write_start_up(&mut out, parameters);
+        out
+    }
+
+    #[test]
+    fn an_opening_is_read_once_it_is_whole_and_not_before() {
+        let packet = start_up(&[("user", "a"), ("database", "b")]);
+        for cut in 0..packet.len() {
+            assert_eq!(opening(&packet[..cut]), Ok(None));
+        }
+        let parameters = vec![("user", "a"), ("database", "b")];
+        assert_eq!(opening(&packet), Ok(Some((packet.len(), Opening::StartUp { minor: 0, parameters }))));
+        let mut cancel = Vec::new();
+        write_cancel(&mut cancel, 7, 9);
+        assert_eq!(opening(&cancel), Ok(Some((16, Opening::Cancel { process: 7, secret: 9 }))));
+        assert_eq!(opening(b"\0\0\0\x08\x04\xd2\x16\x2f"), Ok(Some((8, Opening::Encrypt))));
+    }
+
+    #[test]
+    fn openings_that_can_not_be_are_told_at_once() {
+        assert!(opening(b"\xff\xff\xff\xff").is_err());
+        assert!(opening(b"\0\0\0\x04").is_err());
+        assert!(opening(b"GET / HTTP/1.1\r\n").is_err());
+        assert!(opening(b"\0\0\0\x09\0\x03\0\0x").is_err());
+    }
+
+    #[test]
+    fn every_kind_of_message_is_read_whole_and_refused_when_it_is_cut_or_long() {
+        for (tag, body) in [
+            (b'Q', &b"select 1\0"[..]),
+            (b'P', b"s\0select $1\0\0\x01\0\0\0\x17"),
+            (b'B', b"p\0s\0\0\0\0\0\0\0"),
+            (b'D', b"Ss\0"),
+            (b'E', b"p\0\0\0\0\0"),
+            (b'C', b"Pp\0"),
+            (b'S', b""),
+            (b'H', b""),
+            (b'X', b""),
+        ] {
+            assert!(said(tag, body).is_ok(), "{}", tag as char);
+            let mut whole = Vec::new();
+            write(&mut whole, tag, |out| out.extend_from_slice(body));
+            for cut in 0..whole.len() {
+                assert_eq!(message(&whole[..cut], 100), Ok(None));
+            }
+            assert_eq!(message(&whole, 100), Ok(Some((tag, body, whole.len()))));
+            assert!(message(&whole, whole.len() - 1).is_err());
+            if tag != b'B' {
+                let longer = [body, b"x"].concat();
+                assert!(said(tag, &longer).is_err(), "{}", tag as char);
+            }
+            if !body.is_empty() && tag != b'B' {
+                assert!(said(tag, &body[..body.len() - 1]).is_err(), "{}", tag as char);
+            }
+        }
+        assert!(said(b'p', b"secret\0").is_err());
+        assert!(head(b"Q\0\0\0\x03").is_err() && head(b"Q\xff\xff\xff\xff").is_err());
+    }
+
+    #[test]
+    fn the_fields_of_an_error_are_found() {
+        assert_eq!(field(b"SERROR\0C42P01\0Mno such\0\0", b'C'), Some(&b"42P01"[..]));
+        assert_eq!(field(b"SERROR\0\0C1\0", b'C'), None);
+        assert_eq!(field(b"SERR", b'S'), None);
+    }
+}
