--- a/crates/postgres/src/entry.rs
+++ b/crates/postgres/src/entry.rs
@@ -1,1 +1,307 @@
+//! How a client comes in: questions for encryption, versions, who it is and its proof.
 
+use std::collections::BTreeMap;
+
+use crate::answer::Final;
+use crate::scram::{Exchange, Verifier, MECHANISM};
+use crate::wire::{self, Opening};
+use crate::Unreadable;
+
+const LONGEST_PROOF: usize = 4096; // bytes; those of the library's take some hundred
+const MOST_QUESTIONS: usize = 2; // for encryption: there are two kinds
+
+/// Who came in and what it said about itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Welcome {
+    pub user: String,
+    pub database: String,
+    /// All other parameters, those of `options` among them.
+    pub parameters: BTreeMap<String, String>,
+}
+
+/// How a user proves who it is.
+#[derive(Clone)]
+pub enum Access {
+    Trusted,
+    Verifier(Verifier),
+}
+
+pub enum Step {
+    /// More has to come.
+    More,
+    Cancel {
+        process: u32,
+        secret: u32,
+    },
+    Welcome(Welcome),
+    /// The reason is written; the connection ends.
+    Refused,
+}
+
+#[derive(Default)]
+enum Stage {
+    #[default]
+    Opening,
+    First(Welcome, Verifier),
+    Last(Welcome, Exchange),
+}
+
+#[derive(Default)]
+pub struct Entry {
+    stage: Stage,
+    questions: usize,
+}
+
+impl Entry {
+    /// Takes what has come and writes what is to go back. `access` tells how a user proves itself, None for
+    /// one that does not exist; `secret` hides which do; `nonce` is new for each connection.
+    pub fn read(
+        &mut self,
+        input: &[u8],
+        access: impl Fn(&str) -> Option<Access>,
+        secret: &[u8],
+        nonce: &str,
+        out: &mut Vec<u8>,
+    ) -> Result<(usize, Step), Unreadable> {
+        let mut used = 0;
+        loop {
+            let rest = &input[used..];
+            match std::mem::take(&mut self.stage) {
+                Stage::Opening => {
+                    let Some((len, opening)) = wire::opening(rest)? else { return Ok((used, Step::More)) };
+                    used += len;
+                    match opening {
+                        Opening::Encrypt => {
+                            self.questions += 1;
+                            if self.questions > MOST_QUESTIONS {
+                                return Err(Unreadable::new("asked for encryption without end"));
+                            }
+                            out.push(b'N');
+                        }
+                        Opening::Cancel { process, secret } => {
+                            return Ok((used, Step::Cancel { process, secret }));
+                        }
+                        Opening::Other { major } => {
+                            Final::NoSuchVersion { major }.write(out, true);
+                            return Ok((used, Step::Refused));
+                        }
+                        Opening::StartUp { minor, parameters } => {
+                            let unknown: Vec<&str> =
+                                parameters.iter().map(|p| p.0).filter(|n| n.starts_with("_pq_.")).collect();
+                            if minor > 0 || !unknown.is_empty() {
+                                wire::write_version(out, &unknown);
+                            }
+                            let welcome = match welcome(&parameters) {
+                                Ok(welcome) => welcome,
+                                Err(why) => {
+                                    why.write(out, true);
+                                    return Ok((used, Step::Refused));
+                                }
+                            };
+                            let verifier = match access(&welcome.user) {
+                                Some(Access::Trusted) => return Ok((used, Step::Welcome(welcome))),
+                                Some(Access::Verifier(verifier)) => verifier,
+                                None => Verifier::of_nobody(&welcome.user, secret),
+                            };
+                            wire::write(out, b'R', |out| {
+                                out.extend_from_slice(&10u32.to_be_bytes());
+                                wire::write_string(out, MECHANISM.as_bytes());
+                                out.push(0);
+                            });
+                            self.stage = Stage::First(welcome, verifier);
+                        }
+                    }
+                }
+                Stage::First(welcome, verifier) => {
+                    let Some((body, len)) = proof(rest)? else {
+                        self.stage = Stage::First(welcome, verifier);
+                        return Ok((used, Step::More));
+                    };
+                    used += len;
+                    let begun = first(body).and_then(|first| Exchange::begin(verifier, first, nonce));
+                    let Some((exchange, answer)) = begun else {
+                        return Ok((used, refused(&welcome, out)));
+                    };
+                    wire::write(out, b'R', |out| {
+                        out.extend_from_slice(&11u32.to_be_bytes());
+                        out.extend_from_slice(answer.as_bytes());
+                    });
+                    self.stage = Stage::Last(welcome, exchange);
+                }
+                Stage::Last(welcome, exchange) => {
+                    let Some((body, len)) = proof(rest)? else {
+                        self.stage = Stage::Last(welcome, exchange);
+                        return Ok((used, Step::More));
+                    };
+                    used += len;
+                    let Some(answer) = exchange.finish(body) else {
+                        return Ok((used, refused(&welcome, out)));
+                    };
+                    wire::write(out, b'R', |out| {
+                        out.extend_from_slice(&12u32.to_be_bytes());
+                        out.extend_from_slice(answer.as_bytes());
+                    });
+                    return Ok((used, Step::Welcome(welcome)));
+                }
+            }
+        }
+    }
+}
+
+fn proof(input: &[u8]) -> Result<Option<(&[u8], usize)>, Unreadable> {
+    match wire::message(input, LONGEST_PROOF)? {
+        Some((b'p', body, len)) => Ok(Some((body, len))),
+        Some(_) => Err(Unreadable::new("no proof where one is due")),
+        None if input.first().is_some_and(|tag| *tag != b'p') => {
+            Err(Unreadable::new("no proof where one is due"))
+        }
+        None => Ok(None),
+    }
+}
+
+/// The client's first words, behind the mechanism that it chose.
+fn first(body: &[u8]) -> Option<&[u8]> {
+    let mut rest = body;
+    let mechanism = wire::string(&mut rest).ok()?;
+    let len = u32::from_be_bytes(rest.get(..4)?.try_into().ok()?) as usize;
+    (mechanism == MECHANISM.as_bytes() && rest.len() - 4 == len).then_some(&rest[4..])
+}
+
+fn refused(welcome: &Welcome, out: &mut Vec<u8>) -> Step {
+    Final::WrongPassword { user: welcome.user.clone() }.write(out, true);
+    Step::Refused
+}
+
+fn welcome(parameters: &[(&str, &str)]) -> Result<Welcome, Final> {
+    let mut welcome = Welcome::default();
+    for (name, value) in parameters {
+        match *name {
+            "user" => welcome.user = value.to_string(),
+            "database" => welcome.database = value.to_string(),
+            "replication" if !matches!(*value, "0" | "off" | "false" | "no") => {
+                return Err(Final::NotHere { why: "replication" });
+            }
+            "replication" => {}
+            "options" => options(value, &mut welcome.parameters),
+            name if name.starts_with("_pq_.") => {}
+            name => _ = welcome.parameters.insert(name.to_ascii_lowercase(), value.to_string()),
+        }
+    }
+    if welcome.user.is_empty() {
+        return Err(Final::Protocol { why: "no user in the start-up".into() });
+    }
+    if welcome.database.is_empty() {
+        welcome.database = welcome.user.clone();
+    }
+    Ok(welcome)
+}
+
+/// `-c name=value` and `--name=value`, spaces within a value behind a backslash.
+fn options(text: &str, parameters: &mut BTreeMap<String, String>) {
+    let mut words: Vec<String> = vec![String::new()];
+    let mut chars = text.chars();
+    while let Some(c) = chars.next() {
+        match c {
+            '\\' => words.last_mut().into_iter().for_each(|word| word.extend(chars.next())),
+            c if c.is_whitespace() => words.push(String::new()),
+            c => words.last_mut().into_iter().for_each(|word| word.push(c)),
+        }
+    }
+    for word in words.iter().filter(|word| !word.is_empty()) {
+        let pair = word.strip_prefix("--").or(word.strip_prefix("-c")).unwrap_or(word);
+        if let Some((name, value)) = pair.split_once('=') {
+            parameters.insert(name.replace('-', "_").to_ascii_lowercase(), value.to_string());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
+
+    fn start_up(minor: u16, parameters: &[(&str, &str)]) -> Vec<u8> {
+        let mut out = Vec::new();
+        wire::write_start_up(&mut out, parameters);
+        out[6..8].copy_from_slice(&minor.to_be_bytes());
+        out
+    }
+
+    fn nobody(_: &str) -> Option<Access> {
+        None
+    }
+
+    fn trusted(_: &str) -> Option<Access> {
+        Some(Access::Trusted)
+    }
+
+    #[test]
+    fn encryption_is_declined_and_a_start_up_in_any_pieces_comes_through() {
+        let mut input = b"\0\0\0\x08\x04\xd2\x16\x2f\0\0\0\x08\x04\xd2\x16\x30".to_vec();
+        let options = "-c statement_timeout=5s --search-path=a\\ b";
+        input.extend(start_up(2, &[("user", "u"), ("options", options), ("Application_Name", "x")]));
+        for cut in 0..input.len() {
+            let (mut entry, mut out) = (Entry::default(), Vec::new());
+            let (used, step) = entry.read(&input[..cut], trusted, b"", "n", &mut out).unwrap();
+            assert!(matches!(step, Step::More));
+            let (_, step) = entry.read(&input[used..], trusted, b"", "n", &mut out).unwrap();
+            let Step::Welcome(welcome) = step else { panic!("no welcome") };
+            assert_eq!((&*welcome.user, &*welcome.database), ("u", "u"));
+            assert_eq!(welcome.parameters["statement_timeout"], "5s");
+            assert_eq!(welcome.parameters["search_path"], "a b");
+            assert_eq!(welcome.parameters["application_name"], "x");
+            assert_eq!(&out[..3], b"NNv");
+        }
+    }
+
+    #[test]
+    fn a_password_opens_the_door_and_nothing_else_does() {
+        let verifier = postgres_protocol::password::scram_sha_256(b"secret");
+        let verifier = Verifier::read(&verifier).unwrap();
+        let known = |user: &str| (user == "u").then(|| Access::Verifier(verifier.clone()));
+        for (user, password, opens) in [("u", "secret", true), ("u", "x", false), ("v", "secret", false)] {
+            let mut client = ScramSha256::new(password.as_bytes(), ChannelBinding::unsupported());
+            let (mut entry, mut out) = (Entry::default(), Vec::new());
+            entry.read(&start_up(0, &[("user", user)]), known, b"s", "n", &mut out).unwrap();
+            let mut message = Vec::new();
+            wire::write(&mut message, b'p', |out| {
+                wire::write_string(out, MECHANISM.as_bytes());
+                out.extend_from_slice(&(client.message().len() as u32).to_be_bytes());
+                out.extend_from_slice(client.message());
+            });
+            out.clear();
+            entry.read(&message, known, b"s", "n", &mut out).unwrap();
+            client.update(&out[9..]).unwrap();
+            message.clear();
+            wire::write(&mut message, b'p', |out| out.extend_from_slice(client.message()));
+            out.clear();
+            let (_, step) = entry.read(&message, known, b"s", "n", &mut out).unwrap();
+            assert_eq!(matches!(step, Step::Welcome(_)), opens, "{user} {password}");
+            assert_eq!(out[0], if opens { b'R' } else { b'E' });
+        }
+    }
+
+    #[test]
+    fn what_can_not_come_in_is_told_why_or_is_cut_off() {
+        let mut out = Vec::new();
+        let mut refused = |input: &[u8]| {
+            out.clear();
+            Entry::default().read(input, nobody, b"", "n", &mut out).map(|(_, step)| {
+                assert!(matches!(step, Step::Refused));
+                let body = &out[out.iter().position(|c| *c == b'E').unwrap() + 5..];
+                String::from_utf8_lossy(wire::field(body, b'C').unwrap()).to_string()
+            })
+        };
+        assert_eq!(refused(&start_up(0, &[])).unwrap(), "08P01");
+        assert_eq!(refused(&start_up(0, &[("user", "u"), ("replication", "database")])).unwrap(), "0A000");
+        assert_eq!(refused(b"\0\0\0\x08\0\x02\0\0").unwrap(), "0A000");
+        let questions = b"\0\0\0\x08\x04\xd2\x16\x2f".repeat(3);
+        assert!(refused(&questions).is_err());
+        let mut early = start_up(0, &[("user", "u")]);
+        early.extend_from_slice(b"Q\0\0\0\x05\0");
+        assert!(refused(&early).is_err());
+        early.truncate(early.len() - 6);
+        early.extend_from_slice(b"p\x7f\xff\xff\xff");
+        assert!(refused(&early).is_err());
+    }
+}
--- a/crates/postgres/src/wire.rs
+++ b/crates/postgres/src/wire.rs
@@ -79,8 +79,11 @@
     Ok(Some((*tag, len as usize + 1)))
 }
 
-/// The kind, the body and the whole length of the first message, once it is whole.
-pub fn message(input: &[u8], longest: usize) -> Result<Option<(u8, &[u8], usize)>, Unreadable> {
+/// The kind, the body and the whole length of a message.
+pub type Whole<'a> = (u8, &'a [u8], usize);
+
+/// The first message, once it is whole.
+pub fn message(input: &[u8], longest: usize) -> Result<Option<Whole<'_>>, Unreadable> {
     match head(input)? {
         Some((_, len)) if len > longest => Err(Unreadable::new(format!("a message of {len} bytes"))),
         Some((tag, len)) => Ok(input.get(5..len).map(|body| (tag, body, len))),
