--- a/crates/dispatcher/src/ending.rs
+++ b/crates/dispatcher/src/ending.rs
@@ -41,6 +41,11 @@
 }
 
 impl Ending {
+    /// Whether it leaves it open that the statement has run.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self.outcome(), Outcome::NoRoom | Outcome::NoRoute | Outcome::NotSent)
+    }
+
     /// The one table of what an ending proves. `NoRoom`, `NoRoute` and `NotSent` say that nothing ran.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/crates/front/src/doors.rs
+++ b/crates/front/src/doors.rs
@@ -10,6 +10,12 @@
     Client,
     Engine,
     Coordinator,
+    /// The listener for PostgreSQL sessions, their connections, and those to engines that speak it.
+    SessionListener,
+    Session,
+    Server,
+    /// A connection that only carries a request to cancel to an engine.
+    Cancel,
 }
 
 /// A connection, by its door and the number that it has there.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,6 +1,6 @@
 //! What one front does in a turn: it takes in all that is there, decides once, and sends what follows.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use calloop::LoopHandle;
@@ -9,7 +9,7 @@
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
 use hallmux_dispatcher::{
-    Ask, Dispatcher, Ending, Listing, Micros, Mode as EngineMode, Order, Speech, Unfit,
+    Ask, Dispatcher, Ending, Listing, Micros, Mode as EngineMode, Order, Speech, Ticket, Unfit,
 };
 
 use crate::clients::{self, ClientId, Clients};
@@ -19,6 +19,7 @@
 use crate::engines::{self, Engines};
 use crate::entrance::Entrance;
 use crate::link::Link;
+use crate::portal::{Portal, Room};
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
@@ -37,6 +38,8 @@
     clients: Clients,
     engines: Engines,
     coordinator: Coordinator,
+    /// PostgreSQL sessions, where the operator's file switches them on.
+    portal: Option<Portal>,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -51,6 +54,8 @@
         handle: LoopHandle<'static, Changes>,
     ) -> std::io::Result<Front> {
         let contract = &station.contract;
+        let portal = station.operator.postgres.as_ref();
+        let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
@@ -62,6 +67,7 @@
             clients: Clients::new(contract.agreement.longest_retry_after),
             engines: Engines::new(handle.clone(), contract.allowance.clone(), &contract.names),
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
+            portal,
             shutdown: Shutdown::default(),
             clock: Clock::default(),
             unfinished: Vec::new(),
@@ -83,6 +89,7 @@
             self.coordinator.due(),
             self.entrance.due(),
             self.shutdown.due(self.clock.now),
+            self.portal.as_ref().map_or(Micros::MAX, Portal::due),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
         self.clock.sleep(due);
@@ -108,6 +115,10 @@
                 }
                 false
             }
+            Door::SessionListener | Door::Session | Door::Server | Door::Cancel => {
+                let now = self.clock.now;
+                self.portal.as_mut().is_some_and(|portal| portal.ready(now, party))
+            }
         };
         if more {
             self.unfinished.push(party);
@@ -183,14 +194,31 @@
     fn follow(&mut self, stream: &Stream, after: u64) {
         for update in stream.updates.iter().filter(|u| u.index > after) {
             let Some(list) = &update.list else { continue };
-            let listings: Vec<Listing> = list.engines.iter().map(listing).collect();
+            let portal = self.portal.as_ref();
+            let speaks = |e: &Engine| portal.and_then(|portal| portal.port(&e.kind));
+            let listings: Vec<Listing> = list.engines.iter().map(|e| listing(e, speaks(e))).collect();
             let places = self.dispatcher.list(list.whole, &listings);
             if list.whole {
                 self.engines.retire_but(&places);
+                self.portal.iter_mut().for_each(|portal| portal.servers().retire_but(&places));
             }
             for (engine, place) in list.engines.iter().zip(places) {
                 let Engine { id, address, kind, state, .. } = engine;
                 log::info!("engine {id}: {state:?} at {address} ({kind})");
+                let sessions = self.portal.as_ref().and_then(|portal| portal.port(kind));
+                let up = *state == State::Up;
+                if let Some((portal, port)) = self.portal.as_mut().zip(sessions) {
+                    match address.parse::<SocketAddr>() {
+                        Ok(mut at) => {
+                            at.set_port(port.unwrap_or(at.port()));
+                            portal.servers().list(place, id, at, engine.started_ms, up);
+                        }
+                        Err(_) => portal.servers().retire(place),
+                    }
+                }
+                if sessions == Some(None) {
+                    continue;
+                }
                 match address.parse() {
                     Ok(at) => self.engines.list(place, id, at, engine.started_ms, *state == State::Up),
                     Err(_) if *state != State::Up => self.engines.retire(place),
@@ -208,6 +236,13 @@
             self.ready(party);
         }
         self.accept();
+        let room = self.room();
+        if let Some(portal) = &mut self.portal {
+            let room_left = self.most_clients.saturating_sub(self.clients.len() + portal.len());
+            portal.accept(self.clock.now, room_left);
+            portal.take(self.clock.now, room, &mut self.dispatcher);
+            portal.expire(self.clock.now, room, &mut self.dispatcher);
+        }
         let mut told = Vec::new();
         self.clients.expire(self.clock.now, &mut told);
         self.take(told);
@@ -226,9 +261,15 @@
             }
             // Stops go out before what they make room for.
             self.engines.flush(self.clock.now);
+            self.portal.iter_mut().for_each(|portal| portal.flush_servers(self.clock.now));
         }
         self.engines.flush(self.clock.now);
+        self.portal.iter_mut().for_each(|portal| portal.flush_servers(self.clock.now));
         self.heard();
+        let room = self.room();
+        if let Some(portal) = &mut self.portal {
+            portal.flush(self.clock.now, room, self.most_bytes, &mut self.dispatcher);
+        }
         self.coordinator.flush(self.clock.now);
         let mut told = Vec::new();
         self.clients.flush(&mut told);
@@ -249,6 +290,10 @@
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
             }
             self.clients.close_idle();
+            let room = self.room();
+            if let Some(portal) = &mut self.portal {
+                portal.close(self.clock.now, room, &mut self.dispatcher);
+            }
         }
     }
 
@@ -276,12 +321,21 @@
     fn limit(&mut self, limits: &Limits) {
         self.most_bytes = (limits.memory_bytes / MEMORY_PART) as usize;
         self.most_clients = limits.sockets / CLIENTS_PART;
-        self.engines.limit(limits.sockets - self.most_clients);
+        let engines = limits.sockets - self.most_clients;
+        match &mut self.portal {
+            Some(portal) => {
+                portal.limit(engines / 2);
+                self.engines.limit(engines - engines / 2);
+            }
+            None => self.engines.limit(engines),
+        }
     }
 
     /// Whether all is answered after the end was asked for.
     pub fn is_done(&self) -> bool {
-        !self.entrance.is_open() && self.clients.len() == 0
+        !self.entrance.is_open()
+            && self.clients.len() == 0
+            && self.portal.as_ref().is_none_or(|portal| portal.len() == 0)
     }
 
     fn accept(&mut self) {
@@ -321,10 +375,44 @@
                 }
             }
         }
+        let room = self.room();
+        if let Some(portal) = &mut self.portal {
+            portal.heard(self.clock.now, room, &mut self.dispatcher);
+        }
+    }
+
+    /// What sessions may count on just now.
+    fn room(&self) -> Room {
+        let held = self.clients.held() + self.portal.as_ref().map_or(0, Portal::held);
+        let full = held > self.most_bytes || self.dispatcher.held() >= self.most_held;
+        Room { waited: self.clock.waited(), full }
+    }
+
+    /// A statement is a session's.
+    fn owns(&self, ticket: Ticket) -> bool {
+        self.portal.as_ref().is_some_and(|portal| portal.owns(ticket))
+    }
+
+    /// An execution is one of a session's.
+    fn is_out(&self, sent: engines::Sent) -> bool {
+        self.portal.as_ref().is_some_and(|portal| portal.has(sent))
     }
 
     fn obey(&mut self, order: Order) {
+        let now = self.clock.now;
         match order {
+            Order::Send { ticket, execution, place, .. } if self.owns(ticket) => {
+                self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
+            }
+            Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
+                self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
+            }
+            Order::Reject { ticket, retry_after } if self.owns(ticket) => {
+                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, true, retry_after));
+            }
+            Order::Abort { ticket } if self.owns(ticket) => {
+                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, false, None));
+            }
             Order::Send { ticket, execution, place, terms } => {
                 let Some(call) = self.clients.call(ticket) else {
                     self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
@@ -348,7 +436,8 @@
     }
 }
 
-fn listing(engine: &Engine) -> Listing<'_> {
+/// A line of the list; `sessions` tells whether it takes PostgreSQL sessions, and at which port beside lines.
+fn listing(engine: &Engine, sessions: Option<Option<u16>>) -> Listing<'_> {
     Listing {
         id: &engine.id,
         location: &engine.location,
@@ -360,6 +449,10 @@
             State::Removed => EngineMode::Gone,
         },
         started: (engine.started_ms > 0.0).then_some((engine.started_ms * 1000.0) as Micros),
-        speaks: &[Speech::Lines],
+        speaks: match sessions {
+            None => &[Speech::Lines],
+            Some(None) => &[Speech::Postgres],
+            Some(Some(_)) => &[Speech::Lines, Speech::Postgres],
+        },
     }
 }
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -1,5 +1,6 @@
 //! One connection: a socket that never blocks, what has come over it and what is still to leave.
 
+use std::cell::RefCell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -14,6 +15,11 @@
 const AHEAD: usize = 64 << 10; // bytes on their way that can't be taken back: some hundred statements
 const ONE_TURN: usize = 256 << 10; // bytes taken before other connections have their turn
 
+thread_local! {
+    /// What is read goes through here, so that a connection holds no more than it needs.
+    static TAKEN: RefCell<Vec<u8>> = RefCell::new(vec![0; CHUNK]);
+}
+
 /// How a connection ended from the other side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
@@ -81,21 +87,39 @@
 
     /// Takes what is readable; true if there is more for another turn.
     pub fn read(&mut self) -> (bool, Option<Broken>) {
-        let mut chunk = [0; CHUNK];
-        let mut taken = 0;
-        while taken < ONE_TURN {
-            match (&*self.stream).read(&mut chunk) {
-                Ok(0) => return (false, Some(Broken::Closed)),
-                Ok(n) => {
-                    self.input.extend_from_slice(&chunk[..n]);
-                    taken += n;
+        self.read_some(ONE_TURN)
+    }
+
+    /// The same up to so many bytes and one chunk.
+    pub fn read_some(&mut self, most: usize) -> (bool, Option<Broken>) {
+        TAKEN.with_borrow_mut(|chunk| {
+            let mut taken = 0;
+            while taken < most {
+                match (&*self.stream).read(chunk) {
+                    Ok(0) => return (false, Some(Broken::Closed)),
+                    Ok(n) => {
+                        self.input.extend_from_slice(&chunk[..n]);
+                        taken += n;
+                        // Less than asked for: the next one would block; the loop tells when there is more.
+                        if n < chunk.len() {
+                            return (false, None);
+                        }
+                    }
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => return (false, None),
+                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                    Err(_) => return (false, Some(Broken::Reset)),
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return (false, None),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return (false, Some(Broken::Reset)),
             }
+            (true, None)
+        })
+    }
+
+    /// Lets go of room that a connection at rest does not need.
+    pub fn shrink(&mut self) {
+        self.input.shrink_to(self.input.len());
+        if self.unsent() == 0 {
+            self.output.shrink_to(0);
         }
-        (true, None)
     }
 
     /// What is to leave with the next `flush`.
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -9,7 +9,10 @@
 mod front;
 mod link;
 mod logger;
+mod portal;
 mod reuse;
+mod servers;
+mod sessions;
 mod shutdown;
 
 use std::net::TcpListener;
--- /dev/null
+++ b/crates/lab/src/engine.rs
@@ -0,0 +1,590 @@
+//! A stand-in for an engine that speaks PostgreSQL, after the published protocol: one thread a connection, a
+//! record of all that it did, and faults on demand. Its statements carry what they are to do in a string:
+//! `run('id=7,rows=3,bytes=20,ms=5')`, in the text or as the one parameter.
+
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use hallmux_postgres::wire::{self, Opening, Said};
+
+const CHUNK: usize = 32 << 10; // bytes read and written at once
+
+/// What an engine did; times are microseconds since the rig began.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deed {
+    pub at: i64,
+    pub engine: usize,
+    pub link: u32,
+    pub kind: Kind,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kind {
+    /// A statement by its id began to run, with its order key.
+    Began { id: String, key: String },
+    /// It is over on the engine, with or without effect.
+    Ended { id: String },
+    /// Its effect is lasting.
+    Kept { id: String },
+    /// A request to cancel found this statement, or none, running.
+    Cancelled { id: Option<String> },
+    /// A statement ran that only changes settings, or a transaction's state.
+    Control { text: String },
+}
+
+/// The records of all engines of a rig.
+pub struct Records {
+    pub since: Instant,
+    pub deeds: Mutex<Vec<Deed>>,
+}
+
+impl Records {
+    pub fn new() -> Arc<Records> {
+        Arc::new(Records { since: Instant::now(), deeds: Mutex::default() })
+    }
+
+    pub fn now(&self) -> i64 {
+        self.since.elapsed().as_micros() as i64
+    }
+
+    fn note(&self, engine: usize, link: u32, kind: Kind) {
+        let deed = Deed { at: self.now(), engine, link, kind };
+        if let Ok(mut deeds) = self.deeds.lock() {
+            deeds.push(deed);
+        }
+    }
+}
+
+/// Faults of an engine, to be set while it runs.
+#[derive(Default)]
+pub struct Faults {
+    /// It is gone: no connection is taken, those that were are reset.
+    pub down: AtomicBool,
+    /// Nothing is answered until then, in microseconds since the rig began.
+    pub stalled_until: AtomicU64,
+    /// Every statement takes so many microseconds longer.
+    pub slower: AtomicU64,
+    /// So many of the next commits are lost with their connection; odd ones after they took effect.
+    pub lost_commits: AtomicU32,
+    /// So many of the next statements are lost with their connection.
+    pub lost_statements: AtomicU32,
+    /// So many of the next statements to be prepared are refused.
+    pub refused_parses: AtomicU32,
+    /// How often each of the last was played.
+    pub played: AtomicU32,
+}
+
+struct Link {
+    stream: TcpStream,
+    /// The statement that runs, whether its end was asked for, and whether the connection was reset.
+    running: Mutex<(Option<String>, bool, bool)>,
+    changed: Condvar,
+    secret: u32,
+}
+
+pub struct Engine {
+    pub number: usize,
+    pub at: SocketAddr,
+    pub faults: Faults,
+    pub records: Arc<Records>,
+    /// Whether statements are written down; a measurement leaves that.
+    pub notes: bool,
+    links: Mutex<HashMap<u32, Arc<Link>>>,
+    next: AtomicU32,
+}
+
+impl Engine {
+    /// Starts to listen on a port of the system's.
+    pub fn start(number: usize, records: Arc<Records>, notes: bool) -> std::io::Result<Arc<Engine>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let engine = Arc::new(Engine {
+            number,
+            at: listener.local_addr()?,
+            faults: Faults::default(),
+            records,
+            notes,
+            links: Mutex::default(),
+            next: AtomicU32::new(1),
+        });
+        let serves = engine.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if serves.faults.down.load(SeqCst) {
+                    continue;
+                }
+                let engine = serves.clone();
+                std::thread::spawn(move || _ = engine.serve(stream));
+            }
+        });
+        Ok(engine)
+    }
+
+    /// Resets all connections, as a process that dies does.
+    pub fn crash(&self) {
+        self.faults.down.store(true, SeqCst);
+        self.reset(usize::MAX);
+    }
+
+    /// Resets so many connections.
+    pub fn reset(&self, count: usize) {
+        let Ok(links) = self.links.lock() else { return };
+        for link in links.values().take(count) {
+            if let Ok(mut running) = link.running.lock() {
+                running.2 = true;
+            }
+            let _ = link.stream.shutdown(Shutdown::Both);
+            link.changed.notify_all();
+        }
+    }
+
+    pub fn connections(&self) -> usize {
+        self.links.lock().map_or(0, |links| links.len())
+    }
+
+    fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut at_door = Conversation::new(self.clone(), stream.try_clone()?, 0);
+        loop {
+            at_door.fill()?;
+            let Ok(opening) = wire::opening(&at_door.input) else { return Ok(()) };
+            let Some((len, opening)) = opening else { continue };
+            let comes_in = match opening {
+                Opening::Encrypt => {
+                    at_door.out.push(b'N');
+                    at_door.flush()?;
+                    false
+                }
+                Opening::Cancel { process, secret } => {
+                    self.cancel(process, secret);
+                    return Ok(());
+                }
+                Opening::Other { .. } => return Ok(()),
+                Opening::StartUp { .. } => true,
+            };
+            at_door.input.drain(..len);
+            if comes_in {
+                break;
+            }
+        }
+        let number = self.next.fetch_add(1, SeqCst);
+        let secret = number.wrapping_mul(0x9e37_79b9) ^ 0x5bd1_e995;
+        let running = Mutex::new((None, false, false));
+        let link = Arc::new(Link { stream, running, changed: Condvar::new(), secret });
+        if let Ok(mut links) = self.links.lock() {
+            links.insert(number, link.clone());
+        }
+        at_door.number = number;
+        at_door.link = Some(link);
+        let out = &mut at_door.out;
+        wire::write(out, b'R', |out| out.extend_from_slice(&[0; 4]));
+        wire::write_parameter(out, "server_version", "15.4");
+        wire::write_parameter(out, "client_encoding", "UTF8");
+        wire::write_key(out, number, secret);
+        wire::write_ready(out, b'I');
+        let ended = at_door.flush().and_then(|()| at_door.talk());
+        if let Ok(mut links) = self.links.lock() {
+            links.remove(&number);
+        }
+        ended
+    }
+
+    fn cancel(&self, process: u32, secret: u32) {
+        let link = self.links.lock().ok().and_then(|links| links.get(&process).cloned());
+        let Some(link) = link.filter(|link| link.secret == secret) else { return };
+        let Ok(mut running) = link.running.lock() else { return };
+        running.1 = running.0.is_some();
+        self.records.note(self.number, process, Kind::Cancelled { id: running.0.clone() });
+        link.changed.notify_all();
+    }
+}
+
+/// What a statement is to do.
+#[derive(Clone, Default)]
+struct Task {
+    id: String,
+    key: String,
+    rows: usize,
+    bytes: usize,
+    ms: u64,
+    fail: String,
+}
+
+fn task(text: &str) -> Option<Task> {
+    let at = text.find("run('")? + 5;
+    let inner = &text[at..at + text[at..].find('\'')?];
+    Some(told(inner))
+}
+
+fn told(inner: &str) -> Task {
+    let mut task = Task::default();
+    for (name, value) in inner.split(',').filter_map(|pair| pair.split_once('=')) {
+        match name {
+            "id" => task.id = value.into(),
+            "key" => task.key = value.into(),
+            "rows" => task.rows = value.parse().unwrap_or(0),
+            "bytes" => task.bytes = value.parse().unwrap_or(0),
+            "ms" => task.ms = value.parse().unwrap_or(0),
+            "fail" => task.fail = value.into(),
+            _ => {}
+        }
+    }
+    task
+}
+
+struct Portal {
+    text: String,
+    task: Option<Task>,
+    /// Rows that were sent.
+    sent: usize,
+    begun: bool,
+}
+
+/// An error that a statement ends with, or the end of the connection.
+enum Ends {
+    Error(String),
+    Connection(std::io::Error),
+}
+
+impl From<std::io::Error> for Ends {
+    fn from(e: std::io::Error) -> Ends {
+        Ends::Connection(e)
+    }
+}
+
+struct Conversation {
+    engine: Arc<Engine>,
+    stream: TcpStream,
+    number: u32,
+    link: Option<Arc<Link>>,
+    input: Vec<u8>,
+    out: Vec<u8>,
+    statements: HashMap<Vec<u8>, String>,
+    portals: HashMap<Vec<u8>, Portal>,
+    status: u8,
+    skipping: bool,
+    /// What takes effect with the transaction.
+    pending: Vec<String>,
+}
+
+impl Conversation {
+    fn new(engine: Arc<Engine>, stream: TcpStream, number: u32) -> Conversation {
+        Conversation {
+            engine,
+            stream,
+            number,
+            link: None,
+            input: Vec::new(),
+            out: Vec::new(),
+            statements: HashMap::new(),
+            portals: HashMap::new(),
+            status: b'I',
+            skipping: false,
+            pending: Vec::new(),
+        }
+    }
+
+    fn fill(&mut self) -> std::io::Result<()> {
+        let mut chunk = [0; CHUNK];
+        match self.stream.read(&mut chunk)? {
+            0 => Err(ErrorKind::UnexpectedEof.into()),
+            n => {
+                self.input.extend_from_slice(&chunk[..n]);
+                Ok(())
+            }
+        }
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        let until = self.engine.faults.stalled_until.load(SeqCst) as i64;
+        let left = until - self.engine.records.now();
+        if left > 0 {
+            std::thread::sleep(Duration::from_micros(left as u64));
+        }
+        self.stream.write_all(&self.out)?;
+        self.out.clear();
+        Ok(())
+    }
+
+    fn note(&self, kind: Kind) {
+        if self.engine.notes {
+            self.engine.records.note(self.engine.number, self.number, kind);
+        }
+    }
+
+    fn talk(&mut self) -> std::io::Result<()> {
+        loop {
+            let mut at = 0;
+            let input = std::mem::take(&mut self.input);
+            while let Ok(Some((tag, body, len))) = wire::message(&input[at..], 64 << 20) {
+                at += len;
+                let said = wire::said(tag, body).map_err(|e| std::io::Error::other(e.0))?;
+                if said == Said::Terminate {
+                    return Ok(());
+                }
+                match self.take(said) {
+                    Ok(()) => {}
+                    Err(Ends::Connection(e)) => return Err(e),
+                    Err(Ends::Error(code)) => self.fail(&code),
+                }
+            }
+            self.input = input[at..].to_vec();
+            if !self.out.is_empty() {
+                self.flush()?;
+            }
+            self.fill()?;
+        }
+    }
+
+    fn fail(&mut self, code: &str) {
+        wire::write(&mut self.out, b'E', |out| {
+            for (kind, value) in
+                [(b'S', "ERROR"), (b'V', "ERROR"), (b'C', code), (b'M', "as the statement asked")]
+            {
+                out.push(kind);
+                wire::write_string(out, value.as_bytes());
+            }
+            out.push(0);
+        });
+        self.skipping = true;
+        self.pending.clear();
+        self.status = if self.status == b'I' { b'I' } else { b'E' };
+    }
+
+    fn take(&mut self, said: Said) -> Result<(), Ends> {
+        if self.skipping && said != Said::Sync {
+            return Ok(());
+        }
+        match said {
+            Said::Query(text) => {
+                let text = String::from_utf8_lossy(text).into_owned();
+                let ended = text.split(';').filter(|part| !part.trim().is_empty()).try_for_each(|part| {
+                    let mut portal = Portal { task: task(part), text: part.into(), sent: 0, begun: false };
+                    if portal.task.is_some() {
+                        self.describe_row();
+                    }
+                    self.execute(&mut portal, usize::MAX).map(|_| ())
+                });
+                if text.trim().is_empty() {
+                    self.out.extend_from_slice(wire::EMPTY_QUERY);
+                }
+                if let Err(Ends::Error(code)) = &ended {
+                    self.fail(code);
+                    self.skipping = false;
+                } else {
+                    ended?;
+                }
+                self.sync()?;
+            }
+            Said::Parse { name, text, .. } => {
+                let refuses = &self.engine.faults.refused_parses;
+                if refuses.fetch_update(SeqCst, SeqCst, |n| n.checked_sub(1)).is_ok() {
+                    self.engine.faults.played.fetch_add(1, SeqCst);
+                    return Err(Ends::Error("42P01".into()));
+                }
+                if !name.is_empty() && self.statements.contains_key(name) {
+                    return Err(Ends::Error("42P05".into()));
+                }
+                self.statements.insert(name.to_vec(), String::from_utf8_lossy(text).into_owned());
+                self.out.extend_from_slice(wire::PARSE_COMPLETE);
+            }
+            Said::Bind { portal, statement, rest } => {
+                let text = self.statements.get(statement).cloned();
+                let text = text.ok_or_else(|| Ends::Error("26000".into()))?;
+                let value = parameter(rest).map(|value| told(&String::from_utf8_lossy(value)));
+                let task = if text.contains("$1") { value } else { task(&text) };
+                self.portals.insert(portal.to_vec(), Portal { text, task, sent: 0, begun: false });
+                self.out.extend_from_slice(wire::BIND_COMPLETE);
+            }
+            Said::Describe { statement, name } => {
+                let text = match statement {
+                    true => self.statements.get(name).cloned(),
+                    false => self.portals.get(name).map(|p| p.text.clone()),
+                };
+                let text =
+                    text.ok_or_else(|| Ends::Error(if statement { "26000" } else { "34000" }.into()))?;
+                if statement {
+                    let takes = u16::from(text.contains("$1"));
+                    wire::write(&mut self.out, b't', |out| {
+                        out.extend_from_slice(&takes.to_be_bytes());
+                        (0..takes).for_each(|_| out.extend_from_slice(&25u32.to_be_bytes()));
+                    });
+                }
+                match text.contains("run(") {
+                    true => self.describe_row(),
+                    false => self.out.extend_from_slice(wire::NO_DATA),
+                }
+            }
+            Said::Execute { portal, rows } => {
+                let found = self.portals.remove(portal);
+                let mut found = found.ok_or_else(|| Ends::Error("34000".into()))?;
+                let limit = if rows == 0 { usize::MAX } else { rows as usize };
+                let suspended = self.execute(&mut found, limit)?;
+                if suspended {
+                    self.portals.insert(portal.to_vec(), found);
+                }
+            }
+            Said::Close { statement, name } => {
+                match statement {
+                    true => _ = self.statements.remove(name),
+                    false => _ = self.portals.remove(name),
+                }
+                self.out.extend_from_slice(wire::CLOSE_COMPLETE);
+            }
+            Said::Sync => {
+                self.skipping = false;
+                self.sync()?;
+            }
+            Said::Flush => self.flush()?,
+            Said::FunctionCall | Said::Copy | Said::Terminate => {}
+        }
+        Ok(())
+    }
+
+    fn describe_row(&mut self) {
+        wire::write(&mut self.out, b'T', |out| {
+            out.extend_from_slice(&1u16.to_be_bytes());
+            wire::write_string(out, b"run");
+            out.extend_from_slice(&[0; 6]);
+            out.extend_from_slice(&25u32.to_be_bytes());
+            out.extend_from_slice(&(-1i16).to_be_bytes());
+            out.extend_from_slice(&(-1i32).to_be_bytes());
+            out.extend_from_slice(&[0; 2]);
+        });
+    }
+
+    /// Runs a statement, or goes on with one; true if rows are left when the limit is reached.
+    fn execute(&mut self, portal: &mut Portal, limit: usize) -> Result<bool, Ends> {
+        let first = portal.text.trim_start().split(|c: char| !c.is_ascii_alphabetic()).next();
+        let first = first.unwrap_or_default().to_ascii_uppercase();
+        if self.status == b'E' && !matches!(first.as_str(), "ROLLBACK" | "COMMIT" | "ABORT" | "END") {
+            return Err(Ends::Error("25P02".into()));
+        }
+        let task = match (&portal.task, first.as_str()) {
+            (Some(task), _) => task.clone(),
+            (None, "BEGIN" | "START") => {
+                self.status = b'T';
+                return self.complete("BEGIN", &portal.text);
+            }
+            (None, "COMMIT" | "END") => {
+                let failed = self.status == b'E';
+                let lost = &self.engine.faults.lost_commits;
+                let left = lost.fetch_update(SeqCst, SeqCst, |n| n.checked_sub(1)).ok();
+                if let Some(left) = left.filter(|_| !failed) {
+                    self.engine.faults.played.fetch_add(1, SeqCst);
+                    if left % 2 == 1 {
+                        self.keep();
+                    }
+                    let _ = self.stream.shutdown(Shutdown::Both);
+                    return Err(Ends::Connection(ErrorKind::ConnectionReset.into()));
+                }
+                self.status = b'I';
+                match failed {
+                    true => self.pending.clear(),
+                    false => self.keep(),
+                }
+                return self.complete(if failed { "ROLLBACK" } else { "COMMIT" }, &portal.text);
+            }
+            (None, "ROLLBACK" | "ABORT") => {
+                self.status = b'I';
+                self.pending.clear();
+                return self.complete("ROLLBACK", &portal.text);
+            }
+            (None, other) => {
+                return self.complete(if other == "RESET" { "RESET" } else { "SET" }, &portal.text)
+            }
+        };
+        if !std::mem::replace(&mut portal.begun, true) {
+            self.run(&task)?;
+        }
+        let until = task.rows.min(portal.sent.saturating_add(limit));
+        let row = vec![b'x'; task.bytes.max(1)];
+        while portal.sent < until {
+            wire::write(&mut self.out, b'D', |out| {
+                out.extend_from_slice(&1u16.to_be_bytes());
+                let mark = format!("{}:{}:", task.id, portal.sent);
+                out.extend_from_slice(&((mark.len() + row.len()) as u32).to_be_bytes());
+                out.extend_from_slice(mark.as_bytes());
+                out.extend_from_slice(&row);
+            });
+            portal.sent += 1;
+            if self.out.len() > CHUNK {
+                self.flush()?;
+            }
+        }
+        if portal.sent < task.rows {
+            wire::write(&mut self.out, b's', |_| {});
+            return Ok(true);
+        }
+        wire::write_complete(&mut self.out, &format!("SELECT {}", task.rows));
+        if self.engine.notes {
+            self.pending.push(task.id);
+        }
+        Ok(false)
+    }
+
+    /// The work of a statement: time, until its end is asked for.
+    fn run(&mut self, task: &Task) -> Result<(), Ends> {
+        let faults = &self.engine.faults;
+        self.note(Kind::Began { id: task.id.clone(), key: task.key.clone() });
+        let takes = Duration::from_micros(task.ms * 1000 + faults.slower.load(SeqCst));
+        let mut ends = None;
+        if let Some(link) = self.link.clone().filter(|_| !takes.is_zero()) {
+            let Ok(mut running) = link.running.lock() else { return Ok(()) };
+            (running.0, running.1) = (Some(task.id.clone()), false);
+            let waits = link.changed.wait_timeout_while(running, takes, |r| !r.1 && !r.2);
+            if let Ok((mut running, _)) = waits {
+                if running.2 {
+                    ends = Some(Ends::Connection(ErrorKind::ConnectionReset.into()));
+                } else if running.1 {
+                    ends = Some(Ends::Error("57014".into()));
+                }
+                (running.0, running.1) = (None, false);
+            }
+        }
+        if faults.lost_statements.fetch_update(SeqCst, SeqCst, |n| n.checked_sub(1)).is_ok() {
+            faults.played.fetch_add(1, SeqCst);
+            let _ = self.stream.shutdown(Shutdown::Both);
+            ends = Some(Ends::Connection(ErrorKind::ConnectionReset.into()));
+        }
+        self.note(Kind::Ended { id: task.id.clone() });
+        match ends {
+            Some(ends) => Err(ends),
+            None if !task.fail.is_empty() => Err(Ends::Error(task.fail.clone())),
+            None => Ok(()),
+        }
+    }
+
+    fn complete(&mut self, tag: &str, text: &str) -> Result<bool, Ends> {
+        wire::write_complete(&mut self.out, tag);
+        self.note(Kind::Control { text: text.trim().to_string() });
+        Ok(false)
+    }
+
+    fn keep(&mut self) {
+        for id in std::mem::take(&mut self.pending) {
+            self.note(Kind::Kept { id });
+        }
+    }
+
+    fn sync(&mut self) -> Result<(), Ends> {
+        if self.status == b'I' {
+            self.keep();
+            self.portals.clear();
+        }
+        wire::write_ready(&mut self.out, self.status);
+        Ok(())
+    }
+}
+
+/// The first parameter of a Bind, as text.
+fn parameter(rest: &[u8]) -> Option<&[u8]> {
+    let short = |at: usize| rest.get(at..at + 2).map(|n| u16::from_be_bytes([n[0], n[1]]) as usize);
+    let at = 2 + 2 * short(0)?;
+    (short(at)? > 0).then_some(())?;
+    let len = rest.get(at + 2..at + 6).map(|n| u32::from_be_bytes([n[0], n[1], n[2], n[3]]) as usize)?;
+    rest.get(at + 6..at + 6 + len)
+}
--- /dev/null
+++ b/crates/lab/src/rig.rs
@@ -0,0 +1,211 @@
+//! A real front on loopback with a coordinator of our own: started, told of engines, asked for its memory,
+//! ended. It ends with the rig, whatever becomes of the test.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+const PATIENCE: Duration = Duration::from_secs(15); // for a start or an end; a busy machine takes some of it
+
+type Events = Arc<(Mutex<Vec<Value>>, Condvar)>;
+
+/// What tells fronts of engines, by the protocol of the list.
+pub struct Coordinator {
+    pub at: SocketAddr,
+    events: Events,
+}
+
+impl Coordinator {
+    pub fn start() -> std::io::Result<Coordinator> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let at = listener.local_addr()?;
+        let events = Events::default();
+        let told = events.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let told = told.clone();
+                std::thread::spawn(move || _ = answer(stream, &told));
+            }
+        });
+        Ok(Coordinator { at, events })
+    }
+
+    /// Tells of engines: their names, addresses, kinds and states.
+    pub fn tell(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str)]) {
+        let Ok(mut events) = self.events.0.lock() else { return };
+        let entry = |(id, at, kind, state): &(String, SocketAddr, &str, &str)| json!({"id": id, "addr": at.to_string(), "zone": "here", "kind": kind, "cell": 0, "state": state});
+        let servers: Vec<Value> = engines.iter().map(entry).collect();
+        let index = events.len() + 1;
+        events.push(json!({"index": index, "endpoints": {"full": whole, "servers": servers}}));
+        self.events.1.notify_all();
+    }
+
+    fn known(&self) -> Value {
+        let events = self.events.0.lock().map(|e| e.clone()).unwrap_or_default();
+        json!({"index": events.len(), "updates": events})
+    }
+}
+
+fn answer(stream: TcpStream, told: &Events) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut stream = stream;
+    loop {
+        let mut first = String::new();
+        if reader.read_line(&mut first)? == 0 {
+            return Ok(());
+        }
+        let mut line = String::new();
+        while reader.read_line(&mut line)? > 2 {
+            line.clear();
+        }
+        let figure = |name: &str| {
+            let rest = first.split(name).nth(1).unwrap_or_default();
+            let end = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+            rest[..end].parse::<usize>().unwrap_or(0)
+        };
+        let (follow, wait) = (figure("follow="), figure("wait_ms="));
+        let Ok(events) = told.0.lock() else { return Ok(()) };
+        let wait = Duration::from_millis(wait as u64);
+        let Ok((events, _)) = told.1.wait_timeout_while(events, wait, |e| e.len() <= follow) else {
+            return Ok(());
+        };
+        let body =
+            json!({"index": events.len(), "updates": events.get(follow..).unwrap_or_default()}).to_string();
+        drop(events);
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+    }
+}
+
+/// A front's process.
+pub struct Front {
+    child: Child,
+    /// Where it takes statements over Thrift, and PostgreSQL sessions.
+    pub lines: SocketAddr,
+    pub sessions: SocketAddr,
+    folder: PathBuf,
+}
+
+static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+
+/// The front's program: beside this one.
+fn program() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let beside = own.ancestors().skip(1).take(2).map(|folder| folder.join("hallmux-front"));
+    let found = beside.filter(|path| path.exists()).next();
+    found.ok_or_else(|| "hallmux-front is not built beside this program: cargo build --release".to_string())
+}
+
+impl Front {
+    /// Starts it and waits until it takes sessions.
+    pub fn start(
+        settings: &Value,
+        operator: &str,
+        coordinator: &Coordinator,
+        sockets: usize,
+    ) -> Result<Front, String> {
+        let number = FOLDERS.fetch_add(1, SeqCst);
+        let folder = std::env::temp_dir().join(format!("hallmux-lab-{}-{number}", std::process::id()));
+        let why = |e: std::io::Error| e.to_string();
+        std::fs::create_dir_all(&folder).map_err(why)?;
+        let config = json!({"name": "f1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"memory_mb": 512, "sockets": sockets}, "coordinator": coordinator.at.to_string(),
+            "known": coordinator.known(), "settings": settings});
+        let (config_path, operator_path) = (folder.join("config.json"), folder.join("operator.json5"));
+        std::fs::write(&config_path, config.to_string()).map_err(why)?;
+        std::fs::write(&operator_path, operator).map_err(why)?;
+        let mut child = Command::new(program()?)
+            .env("NODE_CONFIG", &config_path)
+            .env("HALLMUX_OPERATOR", &operator_path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(why)?;
+        let log = BufReader::new(child.stderr.take().ok_or("no log")?);
+        let found: Arc<(Mutex<Vec<SocketAddr>>, Condvar)> = Arc::default();
+        let told = found.clone();
+        let shows = std::env::var("HALLMUX_LAB_LOG").is_ok();
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                if shows {
+                    eprintln!("{line}");
+                }
+                let address = line.rsplit(' ').next().and_then(|word| word.parse().ok());
+                if let (true, Some(address), Ok(mut all)) = (line.contains(" takes "), address, told.0.lock())
+                {
+                    all.push(address);
+                    told.1.notify_all();
+                }
+            }
+        });
+        let all = found.0.lock().map_err(|e| e.to_string())?;
+        let waits = found.1.wait_timeout_while(all, PATIENCE, |all| all.len() < 2);
+        let (all, _) = waits.map_err(|e| e.to_string())?;
+        match all[..] {
+            [sessions, lines, ..] => Ok(Front { child, lines, sessions, folder }),
+            _ => {
+                let _ = child.kill();
+                Err("the front did not start".to_string())
+            }
+        }
+    }
+
+    /// Kilobytes of memory that it holds.
+    pub fn memory_kb(&self) -> u64 {
+        self.status("VmRSS:")
+    }
+
+    fn status(&self, name: &str) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with(name)).unwrap_or_default();
+        line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+
+    /// Microseconds of CPU that it has used.
+    pub fn cpu_micros(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let rest = text.rsplit(") ").next().unwrap_or_default();
+        let ticks: u64 = rest.split(' ').skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
+        ticks * 10_000 // a tick is a hundredth of a second on Linux
+    }
+
+    pub fn is_up(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Asks for its end.
+    pub fn terminate(&self) {
+        let _ = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    }
+
+    /// Waits for its end after it was asked for; whether it ended well, and after how long.
+    pub fn ended(&mut self) -> Option<(bool, Duration)> {
+        let since = Instant::now();
+        while since.elapsed() < PATIENCE {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some((status.success(), since.elapsed()));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        None
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Reads until the other side ends, with a bound in time.
+pub fn drain(mut stream: TcpStream) {
+    let _ = stream.set_read_timeout(Some(PATIENCE));
+    let mut chunk = [0; 4096];
+    while matches!(stream.read(&mut chunk), Ok(n) if n > 0) {}
+}
--- a/crates/postgres/src/answer.rs
+++ b/crates/postgres/src/answer.rs
@@ -6,7 +6,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Final {
     /// Turned away: trying again is harmless; in milliseconds when.
-    Rejected { retry_after_ms: Option<i64> },
+    Rejected {
+        retry_after_ms: Option<i64>,
+    },
     /// The time that it had is up.
     TimeUp,
     /// The client asked for its end.
@@ -14,23 +16,42 @@
     /// It may or may not have taken effect: its engine was lost with it.
     Unresolved,
     /// The open transaction is rolled back: nothing of it has taken effect.
-    RolledBack { why: &'static str },
+    RolledBack {
+        why: &'static str,
+    },
     /// An open transaction stood idle too long.
     IdleTransaction,
     /// The transaction failed before; only its end is taken.
     InFailedTransaction,
     /// A setting that is missing or can't be used, by its name.
-    Unfit { field: &'static str, why: &'static str },
+    Unfit {
+        field: &'static str,
+        why: &'static str,
+    },
     /// What a front can't do for a session.
-    NotHere { why: &'static str },
+    NotHere {
+        why: &'static str,
+    },
     /// More than a session may hold.
-    TooMuch { why: &'static str },
-    NoSuchStatement { name: String },
-    DuplicateStatement { name: String },
+    TooMuch {
+        why: &'static str,
+    },
+    NoSuchStatement {
+        name: String,
+    },
+    DuplicateStatement {
+        name: String,
+    },
     /// Against the protocol.
-    Protocol { why: String },
-    WrongPassword { user: String },
-    NoSuchVersion { major: u16 },
+    Protocol {
+        why: String,
+    },
+    WrongPassword {
+        user: String,
+    },
+    NoSuchVersion {
+        major: u16,
+    },
     /// The front shuts down.
     ShutDown,
     /// No more sessions are taken.
--- a/crates/postgres/src/engine.rs
+++ b/crates/postgres/src/engine.rs
@@ -38,9 +38,14 @@
     /// It takes units from now on.
     Up,
     /// It does not let the front in: the code, and the whole message for the client.
-    Refused { code: String, error: Vec<u8> },
+    Refused {
+        code: String,
+        error: Vec<u8>,
+    },
     /// A session's settings can't be had here: the whole message for the client.
-    SettingsRefused { error: Vec<u8> },
+    SettingsRefused {
+        error: Vec<u8>,
+    },
     Done(Done),
 }
 
@@ -64,12 +69,17 @@
     /// Said by the front in the engine's place, as nothing was asked of it.
     Make(&'static [u8]),
     /// The number that the statement has, unless it has none there; hidden from the client or not.
-    Parsed { number: Option<u64>, hidden: bool },
+    Parsed {
+        number: Option<u64>,
+        hidden: bool,
+    },
     Bound,
     Described,
     Executed,
     /// Hidden where it is the front's own; the number comes back if the engine never got there.
-    Closed { hidden: Option<u64> },
+    Closed {
+        hidden: Option<u64>,
+    },
     /// The engine's next error stands for this one.
     Fail(Final),
     Query,
@@ -193,7 +203,10 @@
                 self.ensure(prepared, *named, out);
                 wire::write(out, b'B', |out| {
                     wire::write_string(out, message(portal));
-                    wire::write_string(out, if *named { name(prepared.number) } else { String::new() }.as_bytes());
+                    wire::write_string(
+                        out,
+                        if *named { name(prepared.number) } else { String::new() }.as_bytes(),
+                    );
                     out.extend_from_slice(message(rest));
                 });
                 self.expects.push_back(Expect::Bound);
@@ -202,7 +215,10 @@
                 self.ensure(prepared, *named, out);
                 wire::write(out, b'D', |out| {
                     out.push(b'S');
-                    wire::write_string(out, if *named { name(prepared.number) } else { String::new() }.as_bytes());
+                    wire::write_string(
+                        out,
+                        if *named { name(prepared.number) } else { String::new() }.as_bytes(),
+                    );
                 });
                 self.expects.push_back(Expect::Described);
             }
--- a/crates/postgres/src/pool.rs
+++ b/crates/postgres/src/pool.rs
@@ -14,7 +14,9 @@
 enum State {
     /// It comes up, or is logging in.
     Coming,
-    Resting { since: i64 },
+    Resting {
+        since: i64,
+    },
     /// A unit is out on it, or a transaction is open.
     Taken,
 }
--- a/crates/postgres/src/scram.rs
+++ b/crates/postgres/src/scram.rs
@@ -139,13 +139,21 @@
     #[test]
     fn what_is_no_exchange_is_refused() {
         let verifier = Verifier::of_nobody("x", b"s");
-        let first: [&[u8]; 7] =
-            [b"", b"n,,", b"p=tls-unique,,n=,r=abc", b"n,,n=,r=", b"n,,m=x,n=,r=a", b"n,,n=,r=a,b=c", b"\xff"];
+        let first: [&[u8]; 7] = [
+            b"",
+            b"n,,",
+            b"p=tls-unique,,n=,r=abc",
+            b"n,,n=,r=",
+            b"n,,m=x,n=,r=a",
+            b"n,,n=,r=a,b=c",
+            b"\xff",
+        ];
         for first in first {
             assert!(Exchange::begin(verifier.clone(), first, "own").is_none(), "{first:?}");
         }
         let (exchange, _) = Exchange::begin(verifier, b"n,,n=,r=abc", "own").unwrap();
-        let last: [&[u8]; 5] = [b"", b"c=biws,r=abcown", b"c=biws,r=abcown,p=", b"c=biws,r=abc,p=eA==", b"\xff,p="];
+        let last: [&[u8]; 5] =
+            [b"", b"c=biws,r=abcown", b"c=biws,r=abcown,p=", b"c=biws,r=abc,p=eA==", b"\xff,p="];
         for last in last {
             assert!(exchange.finish(last).is_none(), "{last:?}");
         }
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -52,9 +52,20 @@
 /// One step of a unit; places are those in the part's bytes.
 #[derive(Debug)]
 pub enum Op {
-    Parse { prepared: Rc<Prepared>, named: bool },
-    Bind { prepared: Rc<Prepared>, named: bool, portal: Range<usize>, rest: Range<usize> },
-    Describe { prepared: Rc<Prepared>, named: bool },
+    Parse {
+        prepared: Rc<Prepared>,
+        named: bool,
+    },
+    Bind {
+        prepared: Rc<Prepared>,
+        named: bool,
+        portal: Range<usize>,
+        rest: Range<usize>,
+    },
+    Describe {
+        prepared: Rc<Prepared>,
+        named: bool,
+    },
     /// A whole message that goes on as it is.
     DescribePortal(Range<usize>),
     Execute(Range<usize>),
@@ -196,7 +207,8 @@
         let mut at = 0;
         let mut bound: HashMap<Vec<u8>, Rc<Prepared>> = HashMap::new();
         while at < end {
-            let Some((tag, body, len)) = wire::message(&input[at..end], bounds.bytes).map_err(against)? else {
+            let Some((tag, body, len)) = wire::message(&input[at..end], bounds.bytes).map_err(against)?
+            else {
                 break;
             };
             let whole = at..at + len;
@@ -272,7 +284,7 @@
                     part.local &= bound.contains_key(name);
                     part.ops.push(Op::DescribePortal(whole.clone()));
                 }
-                Said::Execute { portal } => {
+                Said::Execute { portal, .. } => {
                     part.local &= bound.contains_key(portal);
                     part.ops.push(Op::Execute(whole.clone()));
                 }
@@ -476,9 +488,21 @@
         }
         self.lose();
         why.write(out, false);
+        if !self.within {
+            self.ready(out);
+        }
+    }
+
+    /// Says that the next unit may come.
+    pub fn ready(&self, out: &mut Vec<u8>) {
         wire::write_ready(out, self.transaction.status());
     }
 
+    /// A unit has begun, and its Sync has yet to come.
+    pub fn is_within(&self) -> bool {
+        self.within
+    }
+
     /// The engine that held the open transaction has it no more.
     pub fn lose(&mut self) {
         if self.transaction.is_held() {
@@ -491,9 +515,7 @@
     /// Says how much of the input that is, and whether the Sync was there.
     pub fn skip(&mut self, input: &[u8]) -> Result<(usize, bool), Final> {
         let mut at = 0;
-        while let Some((tag, len)) =
-            wire::head(&input[at..]).map_err(|why| Final::Protocol { why: why.0 })?
-        {
+        while let Some((tag, len)) = wire::head(&input[at..]).map_err(|why| Final::Protocol { why: why.0 })? {
             if at + len > input.len() {
                 break;
             }
--- a/crates/postgres/src/sql.rs
+++ b/crates/postgres/src/sql.rs
@@ -49,7 +49,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     /// The name, in lower case, and the statement that sets it again.
-    Set { name: String, again: String },
+    Set {
+        name: String,
+        again: String,
+    },
     Reset(String),
     ResetAll,
 }
@@ -262,7 +265,8 @@
     let not_here = if token.is("stdin") && follows("from") && first.is("copy") {
         Some("COPY FROM STDIN")
     } else if (token.is("temp") || token.is("temporary"))
-        && (follows("into") || first.is("create") && (follows("create") || follows("local") || follows("global")))
+        && (follows("into")
+            || first.is("create") && (follows("create") || follows("local") || follows("global")))
     {
         Some("a temporary table")
     } else if token.is("hold") && follows("with") && first.is("declare") {
@@ -417,7 +421,9 @@
         let comment = String::from_utf8_lossy(&inner[..end]);
         for pair in comment.split(',') {
             let Some((name, value)) = pair.split_once('=') else { continue };
-            let Some(name) = decoded(name.trim()).strip_prefix("hallmux.").map(str::to_string) else { continue };
+            let Some(name) = decoded(name.trim()).strip_prefix("hallmux.").map(str::to_string) else {
+                continue;
+            };
             let value = value.trim();
             let value = value.strip_prefix('\'').and_then(|v| v.strip_suffix('\'')).unwrap_or(value);
             label.set(&name, &decoded(value));
@@ -548,7 +554,10 @@
     #[test]
     fn labels_come_from_statements_and_leading_comments() {
         let own = |text: &str| scan(text.as_bytes()).own;
-        assert_eq!(own("SET hallmux.workload = 'report'"), Some(Own::Label("workload".into(), "report".into())));
+        assert_eq!(
+            own("SET hallmux.workload = 'report'"),
+            Some(Own::Label("workload".into(), "report".into()))
+        );
         assert_eq!(own("set \"hallmux\".key to 'it''s'"), Some(Own::Label("key".into(), "it's".into())));
         assert_eq!(own("RESET hallmux.key"), Some(Own::Label("key".into(), String::new())));
         assert_eq!(own("SET hallmux.key = 'a'; select 1"), None);
@@ -560,7 +569,21 @@
 
     #[test]
     fn any_bytes_are_read_to_their_end() {
-        for text in ["'", "\"", "$", "$$", "$a$", "e'\\", "/*", "--", "set", "set session", "reset", "set a", "\u{e9}$"] {
+        for text in [
+            "'",
+            "\"",
+            "$",
+            "$$",
+            "$a$",
+            "e'\\",
+            "/*",
+            "--",
+            "set",
+            "set session",
+            "reset",
+            "set a",
+            "\u{e9}$",
+        ] {
             scan(text.as_bytes());
             scan(format!("set hallmux.{text}").as_bytes());
             scan(format!("select set_config{text}").as_bytes());
@@ -570,9 +593,13 @@
 
     #[test]
     fn times_are_read_with_their_units() {
-        for (text, micros) in
-            [("250", Some(250_000)), ("'5s'", Some(5_000_000)), ("1 min", Some(60_000_000)), ("x", None), ("1y", None)]
-        {
+        for (text, micros) in [
+            ("250", Some(250_000)),
+            ("'5s'", Some(5_000_000)),
+            ("1 min", Some(60_000_000)),
+            ("x", None),
+            ("1y", None),
+        ] {
             assert_eq!(time(text), micros, "{text}");
         }
     }
--- a/crates/postgres/src/wire.rs
+++ b/crates/postgres/src/wire.rs
@@ -11,12 +11,20 @@
 /// What a connection opens with.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Opening<'a> {
-    StartUp { minor: u16, parameters: Vec<(&'a str, &'a str)> },
+    StartUp {
+        minor: u16,
+        parameters: Vec<(&'a str, &'a str)>,
+    },
     /// A question for encryption, of either kind.
     Encrypt,
-    Cancel { process: u32, secret: u32 },
+    Cancel {
+        process: u32,
+        secret: u32,
+    },
     /// A version that is not spoken here.
-    Other { major: u16 },
+    Other {
+        major: u16,
+    },
 }
 
 fn number(bytes: &[u8]) -> Option<u32> {
@@ -96,12 +104,30 @@
 pub enum Said<'a> {
     Query(&'a [u8]),
     /// The body is the text, its end and the types of its parameters.
-    Parse { name: &'a [u8], text: &'a [u8], body: &'a [u8] },
+    Parse {
+        name: &'a [u8],
+        text: &'a [u8],
+        body: &'a [u8],
+    },
     /// The rest holds formats and values.
-    Bind { portal: &'a [u8], statement: &'a [u8], rest: &'a [u8] },
-    Describe { statement: bool, name: &'a [u8] },
-    Execute { portal: &'a [u8] },
-    Close { statement: bool, name: &'a [u8] },
+    Bind {
+        portal: &'a [u8],
+        statement: &'a [u8],
+        rest: &'a [u8],
+    },
+    Describe {
+        statement: bool,
+        name: &'a [u8],
+    },
+    /// No more than so many rows; 0 is no limit.
+    Execute {
+        portal: &'a [u8],
+        rows: u32,
+    },
+    Close {
+        statement: bool,
+        name: &'a [u8],
+    },
     Flush,
     Sync,
     Terminate,
@@ -144,8 +170,9 @@
         b'C' => Said::Close { statement: kind(&mut rest)?, name: string(&mut rest)? },
         b'E' => {
             let portal = string(&mut rest)?;
-            rest = rest.get(4..).ok_or_else(|| Unreadable::new("an Execute without a count of rows"))?;
-            Said::Execute { portal }
+            let rows = number(rest).ok_or_else(|| Unreadable::new("an Execute without a count of rows"))?;
+            rest = &rest[4..];
+            Said::Execute { portal, rows }
         }
         b'H' => Said::Flush,
         b'S' => Said::Sync,
