--- a/crates/front/src/portal.rs
+++ b/crates/front/src/portal.rs
@@ -268,6 +268,8 @@
     }
 
     pub fn stop(&mut self, now: Micros, sent: Sent, ending: Ending) {
+        let running = self.sessions.by_ticket(sent.0).and_then(|(_, inside)| inside.running.as_mut());
+        running.into_iter().for_each(|r| r.time_up |= ending == Ending::TimeUp);
         self.servers.stop(now, sent, ending);
     }
 
@@ -328,7 +330,6 @@
                 if let Some((_, inside)) = self.sessions.by_ticket(ticket) {
                     if let Some(running) = &mut inside.running {
                         running.ran |= ending.may_have_run();
-                        running.time_up |= ending == Ending::TimeUp;
                         running.sent = None;
                     }
                 }
--- a/crates/front/src/sessions.rs
+++ b/crates/front/src/sessions.rs
@@ -99,6 +99,8 @@
     dirty: BTreeSet<SessionId>,
     /// They have not taken all that is to leave.
     behind: BTreeSet<SessionId>,
+    /// Their engines are not read for now, as they do not take their answers.
+    halted: BTreeSet<SessionId>,
     /// Not read for now: their input waits for units that are out.
     stalled: BTreeSet<SessionId>,
     pub told: Vec<Told>,
@@ -140,6 +142,7 @@
             look: 0,
             dirty: BTreeSet::new(),
             behind: BTreeSet::new(),
+            halted: BTreeSet::new(),
             stalled: BTreeSet::new(),
             told: Vec::new(),
             ready: Vec::new(),
@@ -463,7 +466,11 @@
             }
         }
         self.dirty.insert(id);
-        peer.link.unsent() > self.buffer
+        let behind = peer.link.unsent() > self.buffer;
+        if behind {
+            self.halted.insert(id);
+        }
+        behind
     }
 
     /// A unit has its final answer, an engine's.
@@ -542,6 +549,7 @@
         self.dirty.remove(&id);
         self.behind.remove(&id);
         self.stalled.remove(&id);
+        self.halted.remove(&id);
     }
 
     /// Ends a session with a last word.
@@ -565,7 +573,7 @@
                 self.end(id);
                 continue;
             }
-            if unsent <= self.buffer / 2 && self.behind.contains(&id) {
+            if unsent <= self.buffer / 2 && self.halted.remove(&id) {
                 if let Stage::In(inside) = &peer.stage {
                     caught_up.extend(inside.running.as_ref().and_then(|r| r.sent));
                 }
--- /dev/null
+++ b/crates/lab/src/check.rs
@@ -0,0 +1,427 @@
+//! The rules, checked on what clients and engines wrote down, never on what a front says of itself.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use crate::engine::{Deed, Kind};
+
+/// How a unit ended for its client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// Whole, with so many rows, all of them this statement's own.
+    Completed {
+        rows: usize,
+    },
+    /// Something else than this statement's rows came.
+    Spoilt,
+    Error(String),
+    /// The connection ended first.
+    Lost,
+    /// Nothing came in time.
+    Nothing,
+}
+
+/// What may be done with a statement again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+/// A unit as its client saw it; times are microseconds since the rig began.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub id: String,
+    pub sent: i64,
+    pub answered: i64,
+    pub timeout: i64,
+    pub outcome: Outcome,
+    pub rows: usize,
+    pub repeat: Repeat,
+    /// It may run only on engines of this place in the list of kinds.
+    pub bound: bool,
+    pub key: String,
+    /// The transaction it belongs to.
+    pub transaction: Option<usize>,
+    /// Its client asked for its end.
+    pub cancels: bool,
+    /// The error that the statement itself asked for.
+    pub fails: Option<&'static str>,
+    /// An error that an engine's fault may end it with.
+    pub may_fail: Option<&'static str>,
+    /// It only begins or ends a transaction.
+    pub control: bool,
+    /// The front may cut it off with its connection: an engine ended within a message, or the front ends.
+    pub may_be_lost: bool,
+}
+
+/// A transaction as its client saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Transaction {
+    pub statements: Vec<String>,
+    /// What the commit came to; None where it was never asked for.
+    pub commit: Option<Outcome>,
+}
+
+/// An engine that takes nothing new: told at, taken back at.
+#[derive(Clone, Debug)]
+pub struct Drain {
+    pub engine: usize,
+    pub from: i64,
+    pub to: i64,
+}
+
+/// What was agreed, and what happened around the front.
+#[derive(Clone, Debug, Default)]
+pub struct Agreed {
+    pub grace: i64,
+    pub slack: i64,
+    /// Engines that bound statements may run on.
+    pub bound_to: HashSet<usize>,
+    /// Further executions: spare, share of the statements taken, window.
+    pub further: Option<(f64, f64, i64)>,
+    pub drains: Vec<Drain>,
+}
+
+/// Violations by rule, each with what was seen.
+pub type Violations = BTreeMap<&'static str, Vec<String>>;
+
+struct Execution {
+    engine: usize,
+    link: u32,
+    from: i64,
+    to: i64,
+    key: String,
+}
+
+/// Checks all rules.
+pub fn check(asked: &[Asked], transactions: &[Transaction], deeds: &[Deed], agreed: &Agreed) -> Violations {
+    let mut wrong = Violations::new();
+    let executions = executions(deeds);
+    let kept = kept(deeds);
+    answers(&mut wrong, asked, agreed);
+    effects(&mut wrong, asked, transactions, &executions, &kept);
+    repeats(&mut wrong, asked, &executions, agreed);
+    drains(&mut wrong, deeds, agreed);
+    order(&mut wrong, asked, &executions);
+    placement(&mut wrong, asked, &executions, agreed);
+    wrong
+}
+
+fn add(wrong: &mut Violations, rule: &'static str, what: String) {
+    wrong.entry(rule).or_default().push(what);
+}
+
+fn executions(deeds: &[Deed]) -> HashMap<String, Vec<Execution>> {
+    let mut all: HashMap<String, Vec<Execution>> = HashMap::new();
+    for deed in deeds {
+        match &deed.kind {
+            Kind::Began { id, key } => {
+                let (engine, link, from, key) = (deed.engine, deed.link, deed.at, key.clone());
+                let execution = Execution { engine, link, from, to: i64::MAX, key };
+                all.entry(id.clone()).or_default().push(execution);
+            }
+            Kind::Ended { id } => {
+                let out = all.get_mut(id).into_iter().flatten();
+                let own =
+                    |x: &&mut Execution| x.engine == deed.engine && x.link == deed.link && x.to == i64::MAX;
+                out.filter(own).for_each(|x| x.to = deed.at);
+            }
+            _ => {}
+        }
+    }
+    all
+}
+
+fn kept(deeds: &[Deed]) -> HashMap<String, usize> {
+    let mut all = HashMap::new();
+    for deed in deeds {
+        if let Kind::Kept { id } = &deed.kind {
+            *all.entry(id.clone()).or_default() += 1;
+        }
+    }
+    all
+}
+
+/// Exactly one final answer, whole and true, in time.
+fn answers(wrong: &mut Violations, asked: &[Asked], agreed: &Agreed) {
+    let mut seen = HashSet::new();
+    for a in asked {
+        if !seen.insert(&a.id) {
+            add(wrong, "answers", format!("{}: two final answers", a.id));
+        }
+        let late = a.answered - a.sent > a.timeout + agreed.slack;
+        match &a.outcome {
+            Outcome::Nothing => add(wrong, "answers", format!("{}: no answer", a.id)),
+            Outcome::Spoilt => add(wrong, "answers", format!("{}: another's rows", a.id)),
+            Outcome::Lost if !a.may_be_lost => add(wrong, "answers", format!("{}: lost", a.id)),
+            Outcome::Completed { rows } if *rows != a.rows || a.fails.is_some() => {
+                add(wrong, "answers", format!("{}: {rows} rows of {}", a.id, a.rows));
+            }
+            Outcome::Error(code) => {
+                let known = ["53000", "57014", "08007", "08006", "40001", "25P02", "25P03", "57P01"];
+                let own = [a.fails, a.may_fail].contains(&Some(code.as_str()));
+                if !own && !known.contains(&code.as_str()) {
+                    add(wrong, "answers", format!("{}: {code}", a.id));
+                }
+                // A cancel that was meant for another shows as one that nobody asked for.
+                let early = a.answered - a.sent < a.timeout - agreed.slack;
+                if code == "57014" && !a.cancels && early {
+                    add(wrong, "cancels", format!("{}: cancelled by nobody", a.id));
+                }
+            }
+            _ => {}
+        }
+        if late && !matches!(a.outcome, Outcome::Nothing) {
+            let ms = (a.answered - a.sent) / 1000;
+            add(wrong, "answers", format!("{}: after {ms} ms of {}", a.id, a.timeout / 1000));
+        }
+    }
+}
+
+/// What was answered is what has come to pass.
+fn effects(
+    wrong: &mut Violations,
+    asked: &[Asked],
+    transactions: &[Transaction],
+    executions: &HashMap<String, Vec<Execution>>,
+    kept: &HashMap<String, usize>,
+) {
+    for a in asked.iter().filter(|a| a.transaction.is_none() && !a.control) {
+        let (ran, lasting) =
+            (executions.get(&a.id).map_or(0, Vec::len), kept.get(&a.id).copied().unwrap_or(0));
+        let completed = matches!(a.outcome, Outcome::Completed { .. });
+        if completed && lasting == 0 {
+            add(wrong, "effects", format!("{}: completed, but nothing has come of it", a.id));
+        }
+        let rejected = matches!(&a.outcome, Outcome::Error(code) if code == "53000");
+        if rejected && a.repeat == Repeat::NonIdempotent && ran > 0 {
+            add(wrong, "effects", format!("{}: rejected, but it ran", a.id));
+        }
+    }
+    for (n, t) in transactions.iter().enumerate() {
+        let lasting = t.statements.iter().filter(|id| kept.contains_key(*id)).count();
+        let whole = t.statements.len();
+        match &t.commit {
+            Some(Outcome::Completed { .. }) if lasting < whole => {
+                add(wrong, "effects", format!("transaction {n}: committed, {lasting} of {whole} kept"));
+            }
+            Some(Outcome::Error(code)) if code == "08007" && lasting != 0 && lasting != whole => {
+                add(wrong, "effects", format!("transaction {n}: {lasting} of {whole} kept"));
+            }
+            Some(Outcome::Error(code)) if code == "08007" => {}
+            Some(Outcome::Lost | Outcome::Nothing) => {}
+            Some(Outcome::Completed { .. }) => {}
+            _ if lasting > 0 => {
+                add(wrong, "effects", format!("transaction {n}: {:?}, but {lasting} kept", t.commit));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Nothing twice that may not be, never two at once, and no more further executions than agreed.
+fn repeats(
+    wrong: &mut Violations,
+    asked: &[Asked],
+    executions: &HashMap<String, Vec<Execution>>,
+    agreed: &Agreed,
+) {
+    let mut further = Vec::new();
+    for a in asked {
+        let Some(ran) = executions.get(&a.id) else { continue };
+        if ran.len() > 1 && (a.repeat == Repeat::NonIdempotent || a.transaction.is_some()) {
+            add(wrong, "repeats", format!("{}: ran {} times", a.id, ran.len()));
+        }
+        for (n, x) in ran.iter().enumerate() {
+            if ran[..n].iter().any(|y| y.from < x.to && x.from < y.to) {
+                add(wrong, "repeats", format!("{}: ran twice at once", a.id));
+            }
+        }
+        further.extend(ran.iter().skip(1).map(|x| x.from));
+    }
+    let Some((spare, share, window)) = agreed.further else { return };
+    further.sort_unstable();
+    let mut sent: Vec<i64> = asked.iter().map(|a| a.sent).collect();
+    sent.sort_unstable();
+    for (n, at) in further.iter().enumerate() {
+        let since = at - window;
+        let within = further[..=n].iter().filter(|t| **t > since).count() as f64;
+        let taken = sent.partition_point(|t| t <= at) - sent.partition_point(|t| *t <= since);
+        // What was taken and when is seen from outside: by 15 in 100 and one execution looser.
+        if within > (spare + share * taken as f64) * 1.15 + 1.0 {
+            add(wrong, "budget", format!("{within} further executions of {taken} statements at {at}"));
+        }
+    }
+}
+
+/// Nothing new to an engine that drains.
+fn drains(wrong: &mut Violations, deeds: &[Deed], agreed: &Agreed) {
+    for deed in deeds {
+        let new = matches!(deed.kind, Kind::Began { .. } | Kind::Control { .. });
+        let drain = |d: &&Drain| d.engine == deed.engine && deed.at > d.from + agreed.grace && deed.at < d.to;
+        if let Some(drain) = agreed.drains.iter().find(drain).filter(|_| new) {
+            let ms = (deed.at - drain.from) / 1000;
+            add(wrong, "drains", format!("engine {}: {:?} after {ms} ms", deed.engine, deed.kind));
+        }
+    }
+}
+
+/// Statements of one order key one at a time, in the order in which they were taken.
+fn order(wrong: &mut Violations, asked: &[Asked], executions: &HashMap<String, Vec<Execution>>) {
+    let mut by_key: BTreeMap<&str, Vec<(i64, i64, &str)>> = BTreeMap::new();
+    for (id, ran) in executions {
+        for x in ran.iter().filter(|x| !x.key.is_empty()) {
+            by_key.entry(&x.key).or_default().push((x.from, x.to, id));
+        }
+    }
+    let sent: HashMap<&str, i64> = asked.iter().map(|a| (a.id.as_str(), a.sent)).collect();
+    for (key, mut ran) in by_key {
+        ran.sort_unstable();
+        for pair in ran.windows(2) {
+            let ((_, to, first), (from, _, second)) = (pair[0], pair[1]);
+            if first != second && from < to {
+                add(wrong, "order", format!("{key}: {second} began while {first} ran"));
+            }
+            // Those that were sent clearly one after the other must run so.
+            let (Some(a), Some(b)) = (sent.get(first), sent.get(second)) else { continue };
+            if b + 20_000 < *a {
+                add(wrong, "order", format!("{key}: {second} was sent before {first}, but ran after it"));
+            }
+        }
+    }
+}
+
+fn placement(
+    wrong: &mut Violations,
+    asked: &[Asked],
+    executions: &HashMap<String, Vec<Execution>>,
+    agreed: &Agreed,
+) {
+    for a in asked.iter().filter(|a| a.bound) {
+        for x in executions.get(&a.id).into_iter().flatten() {
+            if !agreed.bound_to.contains(&x.engine) {
+                add(wrong, "placement", format!("{}: ran on engine {}", a.id, x.engine));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn asked(id: &str, outcome: Outcome) -> Asked {
+        Asked {
+            id: id.into(),
+            sent: 0,
+            answered: 1000,
+            timeout: 1_000_000,
+            outcome,
+            rows: 1,
+            repeat: Repeat::Idempotent,
+            bound: false,
+            key: String::new(),
+            transaction: None,
+            cancels: false,
+            fails: None,
+            may_fail: None,
+            control: false,
+            may_be_lost: false,
+        }
+    }
+
+    fn ran(id: &str, key: &str, engine: usize, from: i64, to: i64) -> Vec<Deed> {
+        let deed = |at, kind| Deed { at, engine, link: from as u32, kind };
+        vec![
+            deed(from, Kind::Began { id: id.into(), key: key.into() }),
+            deed(to, Kind::Ended { id: id.into() }),
+            deed(to, Kind::Kept { id: id.into() }),
+        ]
+    }
+
+    fn agreed() -> Agreed {
+        Agreed {
+            grace: 2_000_000,
+            slack: 100_000,
+            bound_to: HashSet::from([1]),
+            further: Some((1.0, 0.1, 10_000_000)),
+            drains: vec![Drain { engine: 2, from: 0, to: 9_000_000 }],
+        }
+    }
+
+    fn found(asked: &[Asked], transactions: &[Transaction], deeds: &[Vec<Deed>]) -> Vec<&'static str> {
+        let mut deeds = deeds.concat();
+        deeds.sort_by_key(|d| d.at);
+        check(asked, transactions, &deeds, &agreed()).into_keys().collect()
+    }
+
+    const DONE: Outcome = Outcome::Completed { rows: 1 };
+
+    fn error(code: &str) -> Outcome {
+        Outcome::Error(code.into())
+    }
+
+    #[test]
+    fn a_clean_record_passes() {
+        let all = [asked("a", DONE), Asked { fails: Some("23505"), ..asked("b", error("23505")) }];
+        assert!(found(&all, &[], &[ran("a", "k", 0, 0, 10), ran("c", "k", 1, 20, 30)]).is_empty());
+    }
+
+    #[test]
+    fn each_kind_of_violation_is_found() {
+        let one = ran("a", "", 0, 0, 10);
+        let with = |change: &dyn Fn(&mut Asked), outcome: Outcome| {
+            let mut a = asked("a", outcome);
+            change(&mut a);
+            vec![a]
+        };
+        let plain = |outcome| with(&|_| {}, outcome);
+        for (all, deeds, rule) in [
+            (plain(Outcome::Nothing), vec![], "answers"),
+            (plain(Outcome::Lost), vec![], "answers"),
+            (plain(Outcome::Spoilt), vec![], "answers"),
+            (plain(Outcome::Completed { rows: 2 }), vec![one.clone()], "answers"),
+            (plain(error("XX000")), vec![], "answers"),
+            (with(&|a| a.answered = 2_000_000, DONE), vec![one.clone()], "answers"),
+            ([plain(DONE), plain(DONE)].concat(), vec![one.clone()], "answers"),
+            (plain(error("57014")), vec![], "cancels"),
+            (plain(DONE), vec![], "effects"),
+            (with(&|a| a.repeat = Repeat::NonIdempotent, error("53000")), vec![one.clone()], "effects"),
+            (
+                with(&|a| a.repeat = Repeat::NonIdempotent, DONE),
+                vec![one.clone(), ran("a", "", 0, 20, 30)],
+                "repeats",
+            ),
+            (plain(DONE), vec![one.clone(), ran("a", "", 1, 5, 30)], "repeats"),
+            (with(&|a| a.bound = true, DONE), vec![one.clone()], "placement"),
+            (plain(DONE), vec![ran("a", "", 2, 3_000_000, 3_000_001)], "drains"),
+            (plain(DONE), vec![ran("a", "k", 0, 0, 10), ran("b", "k", 1, 5, 30)], "order"),
+        ] {
+            assert_eq!(found(&all, &[], &deeds), [rule], "{all:?}");
+        }
+    }
+
+    #[test]
+    fn order_budget_and_transactions_are_checked_over_several_statements() {
+        let late = Asked { sent: 500_000, ..asked("b", DONE) };
+        let early = Asked { sent: 0, ..asked("a", DONE) };
+        let deeds = [ran("b", "k", 0, 510_000, 520_000), ran("a", "k", 0, 530_000, 540_000)];
+        assert_eq!(found(&[early, late], &[], &deeds), ["order"]);
+        let again: Vec<Vec<Deed>> = (0..5).map(|n| ran("a", "", 0, n * 100, n * 100 + 10)).collect();
+        assert_eq!(found(&[asked("a", DONE)], &[], &again), ["budget"]);
+        for (commit, kept, wrong) in [
+            (Some(DONE), 2, false),
+            (Some(DONE), 1, true),
+            (Some(error("08007")), 2, false),
+            (Some(error("08007")), 1, true),
+            (Some(error("40001")), 1, true),
+            (None, 1, true),
+            (None, 0, false),
+        ] {
+            let t = Transaction { statements: vec!["x".into(), "y".into()], commit };
+            let deeds: Vec<Vec<Deed>> = ["x", "y"][..kept].iter().map(|id| ran(id, "", 0, 0, 1)).collect();
+            assert_eq!(!found(&[], std::slice::from_ref(&t), &deeds).is_empty(), wrong, "{t:?} {kept}");
+        }
+    }
+}
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -141,10 +141,6 @@
         }
     }
 
-    pub fn connections(&self) -> usize {
-        self.links.lock().map_or(0, |links| links.len())
-    }
-
     fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut at_door = Conversation::new(self.clone(), stream.try_clone()?, 0);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,12 +1,16 @@
 //! The laboratory: real fronts among stand-ins, faults on demand, checkers and measurements.
-#![allow(dead_code)] // until the checker and the faults are played, with the next change
 
+mod check;
 mod engine;
+mod lines;
+mod measure;
+mod prove;
 mod rig;
+mod scripted;
 
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 
 /// Proves and measures hallmux on loopback.
 #[derive(Parser)]
@@ -17,51 +21,50 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// Plays one small round and prints what came of it.
-    Try,
+    /// Plays a run drawn from a seed and checks the rules on what clients and engines wrote down.
+    Prove {
+        subject: Subject,
+        /// Drawn and printed where it is not given.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// How many units are to be accepted at least.
+        #[arg(long, default_value_t = 20_000)]
+        units: usize,
+        /// How often each fault is to be played at least.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
+    /// Measures beside a plain way, and prints a table.
+    Measure { subject: Subject },
 }
 
-fn main() -> ExitCode {
-    match Lab::parse().what {
-        What::Try => match try_it() {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(e) => {
-                eprintln!("{e}");
-                ExitCode::FAILURE
-            }
-        },
-    }
+#[derive(Clone, Copy, ValueEnum)]
+enum Subject {
+    Postgres,
 }
 
-fn try_it() -> Result<(), String> {
-    let records = engine::Records::new();
-    let e = engine::Engine::start(0, records.clone(), true).map_err(|e| e.to_string())?;
-    let c = rig::Coordinator::start().map_err(|e| e.to_string())?;
-    c.tell(true, &[("e1".to_string(), e.at, "pg", "up")]);
-    let settings = serde_json::json!({"instances": 1, "areas": ["here"], "kinds": ["pg"], "rules": {},
-        "bounds": {"cancelling": true, "mostTries": 3, "retryAfter": true},
-        "extra": {"sizeCores": [8], "memoryByKindMb": [16384]},
-        "requestClasses": [{"name": "lookup", "aimMs": 1000, "deadlineMs": 5000, "repeat": "repeatable"}]});
-    let operator = "{ postgres: { listen: '127.0.0.1:0', engines: [{ kinds: ['pg'] }],
-        users: { portal: { trust: true, workload: 'lookup' } } } }";
-    let front = rig::Front::start(&settings, operator, &c, 1024)?;
-    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
-    runtime.block_on(async {
-        let at = format!("host=127.0.0.1 port={} user=portal dbname=x", front.sessions.port());
-        let (mut client, connection) =
-            tokio_postgres::connect(&at, tokio_postgres::NoTls).await.map_err(|e| e.to_string())?;
-        tokio::spawn(connection);
-        let rows =
-            client.query("select run($1)", &[&"id=1,rows=3,bytes=5"]).await.map_err(|e| format!("{e:?}"))?;
-        println!("{} rows", rows.len());
-        client.batch_execute("SET hallmux.workload = 'lookup'").await.map_err(|e| format!("{e:?}"))?;
-        let t = client.transaction().await.map_err(|e| format!("{e:?}"))?;
-        t.execute("select run($1)", &[&"id=2"]).await.map_err(|e| format!("{e:?}"))?;
-        t.commit().await.map_err(|e| format!("{e:?}"))?;
-        let e = client.execute("select run('id=3,fail=42P01')", &[]).await;
-        println!("{e:?}");
-        Ok::<(), String>(())
-    })?;
-    println!("{:?}", records.deeds.lock().map(|d| d.clone()));
-    Ok(())
+fn main() -> ExitCode {
+    let (seed, units, rounds) = match Lab::parse().what {
+        What::Prove { subject: Subject::Postgres, seed, units, rounds } => (seed, units, rounds),
+        What::Measure { subject: Subject::Postgres } => {
+            return match measure::postgres() {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => {
+                    eprintln!("measure postgres: {why}");
+                    ExitCode::FAILURE
+                }
+            };
+        }
+    };
+    let seed = seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let (passed, tallies) = match prove::postgres(prove::Size { seed, units, rounds }) {
+        Ok(found) => found,
+        Err(why) => (false, why),
+    };
+    println!("prove postgres seed {seed}: {} {tallies}", if passed { "pass" } else { "FAIL" });
+    if passed {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
 }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -1,7 +1,7 @@
 //! A real front on loopback with a coordinator of our own: started, told of engines, asked for its memory,
 //! ended. It ends with the rig, whatever becomes of the test.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -96,8 +96,8 @@
 /// The front's program: beside this one.
 fn program() -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let beside = own.ancestors().skip(1).take(2).map(|folder| folder.join("hallmux-front"));
-    let found = beside.filter(|path| path.exists()).next();
+    let mut beside = own.ancestors().skip(1).take(2).map(|folder| folder.join("hallmux-front"));
+    let found = beside.find(|path| path.exists());
     found.ok_or_else(|| "hallmux-front is not built beside this program: cargo build --release".to_string())
 }
 
@@ -202,10 +202,3 @@
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
-
-/// Reads until the other side ends, with a bound in time.
-pub fn drain(mut stream: TcpStream) {
-    let _ = stream.set_read_timeout(Some(PATIENCE));
-    let mut chunk = [0; 4096];
-    while matches!(stream.read(&mut chunk), Ok(n) if n > 0) {}
-}
--- /dev/null
+++ b/crates/lab/src/scripted.rs
@@ -0,0 +1,561 @@
+//! Sessions byte by byte: what no library does, and what some do at the wrong moment.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hallmux_postgres::wire;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::check::{Asked, Outcome, Repeat, Transaction};
+use crate::prove::Notes;
+
+const PATIENCE: Duration = Duration::from_secs(8); // for one message: longer than any statement may take
+
+/// A session over a socket.
+pub struct Session {
+    stream: TcpStream,
+    input: Vec<u8>,
+    out: Vec<u8>,
+    /// What a request to cancel has to tell.
+    key: [u8; 8],
+}
+
+type Message = (u8, Vec<u8>);
+
+impl Session {
+    pub fn open(at: SocketAddr, user: &str, asks_first: bool) -> std::io::Result<Session> {
+        let stream = TcpStream::connect(at)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        let mut session = Session { stream, input: Vec::new(), out: Vec::new(), key: [0; 8] };
+        if asks_first {
+            session.stream.write_all(b"\0\0\0\x08\x04\xd2\x16\x2f")?;
+            let mut no = [0];
+            session.stream.read_exact(&mut no)?;
+            if no != *b"N" {
+                return Err(ErrorKind::InvalidData.into());
+            }
+        }
+        wire::write_start_up(&mut session.out, &[("user", user), ("database", "x")]);
+        session.send()?;
+        loop {
+            let (tag, body) = session.read()?;
+            match (tag, body.try_into()) {
+                (b'K', Ok(key)) => session.key = key,
+                (b'E', _) => return Err(ErrorKind::PermissionDenied.into()),
+                (b'Z', _) => return Ok(session),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn send(&mut self) -> std::io::Result<()> {
+        self.stream.write_all(&self.out)?;
+        self.out.clear();
+        Ok(())
+    }
+
+    /// The next message but notices and parameters.
+    pub fn read(&mut self) -> std::io::Result<Message> {
+        loop {
+            let whole = wire::message(&self.input, 1 << 24).map_err(|e| std::io::Error::other(e.0))?;
+            if let Some((tag, body, len)) = whole {
+                let message = (tag, body.to_vec());
+                self.input.drain(..len);
+                if !matches!(tag, b'N' | b'S') {
+                    return Ok(message);
+                }
+                continue;
+            }
+            let mut chunk = [0; 16 << 10];
+            match self.stream.read(&mut chunk)? {
+                0 => return Err(ErrorKind::UnexpectedEof.into()),
+                n => self.input.extend_from_slice(&chunk[..n]),
+            }
+        }
+    }
+
+    /// All up to the end of the unit.
+    pub fn unit(&mut self) -> std::io::Result<Vec<Message>> {
+        let mut all = Vec::new();
+        loop {
+            let message = self.read()?;
+            let last = message.0 == b'Z';
+            all.push(message);
+            if last {
+                return Ok(all);
+            }
+        }
+    }
+
+    /// Prepares a statement.
+    pub fn prepare(&mut self, name: &str, text: &str) -> std::io::Result<()> {
+        self.parse(name, text);
+        self.sync();
+        self.send()?;
+        self.unit().map(|_| ())
+    }
+
+    /// Runs a prepared statement; an error unless it completes.
+    pub fn ask(&mut self, statement: &str, value: &str) -> std::io::Result<()> {
+        self.bind("", statement, value);
+        self.execute("", 0);
+        self.sync();
+        self.send()?;
+        match self.unit()?.iter().any(|(tag, _)| *tag == b'E') {
+            true => Err(ErrorKind::InvalidData.into()),
+            false => Ok(()),
+        }
+    }
+
+    fn parse(&mut self, name: &str, text: &str) {
+        wire::write(&mut self.out, b'P', |out| {
+            wire::write_string(out, name.as_bytes());
+            wire::write_string(out, text.as_bytes());
+            out.extend_from_slice(&[0, 0]);
+        });
+    }
+
+    fn bind(&mut self, portal: &str, statement: &str, value: &str) {
+        wire::write(&mut self.out, b'B', |out| {
+            wire::write_string(out, portal.as_bytes());
+            wire::write_string(out, statement.as_bytes());
+            out.extend_from_slice(&[0, 0, 0, 1]);
+            out.extend_from_slice(&(value.len() as u32).to_be_bytes());
+            out.extend_from_slice(value.as_bytes());
+            out.extend_from_slice(&[0, 0]);
+        });
+    }
+
+    fn execute(&mut self, portal: &str, rows: u32) {
+        wire::write(&mut self.out, b'E', |out| {
+            wire::write_string(out, portal.as_bytes());
+            out.extend_from_slice(&rows.to_be_bytes());
+        });
+    }
+
+    fn named(&mut self, tag: u8, kind: u8, name: &str) {
+        wire::write(&mut self.out, tag, |out| {
+            out.push(kind);
+            wire::write_string(out, name.as_bytes());
+        });
+    }
+
+    fn sync(&mut self) {
+        self.out.extend_from_slice(wire::SYNC);
+    }
+
+    fn query(&mut self, text: &str) {
+        wire::write_query(&mut self.out, text.as_bytes());
+    }
+}
+
+fn code(message: &Message) -> String {
+    String::from_utf8_lossy(wire::field(&message.1, b'C').unwrap_or_default()).into_owned()
+}
+
+fn tags(messages: &[Message]) -> String {
+    messages.iter().map(|(tag, _)| *tag as char).collect()
+}
+
+/// Whether a row is the statement's own, the one that is due.
+fn is_row(message: &Message, id: &str, n: usize) -> bool {
+    let mark = format!("{id}:{n}:");
+    message.1.get(6..).is_some_and(|text| text.starts_with(mark.as_bytes()))
+}
+
+/// What the messages of one statement come to.
+fn come_to(messages: &[Message], id: &str) -> Outcome {
+    if let Some(error) = messages.iter().find(|m| m.0 == b'E') {
+        return Outcome::Error(code(error));
+    }
+    let rows: Vec<&Message> = messages.iter().filter(|m| m.0 == b'D').collect();
+    match rows.iter().enumerate().all(|(n, row)| is_row(row, id, n)) {
+        true => Outcome::Completed { rows: rows.len() },
+        false => Outcome::Spoilt,
+    }
+}
+
+fn lost(e: &std::io::Error) -> Outcome {
+    match e.kind() {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => Outcome::Nothing,
+        _ => Outcome::Lost,
+    }
+}
+
+/// One simple query over a session of its own.
+pub fn simple(at: SocketAddr, text: &str, asked: &Asked) -> Outcome {
+    let run = || {
+        let mut session = Session::open(at, "portal", false)?;
+        session.query(text);
+        session.send()?;
+        session.unit()
+    };
+    run().map_or_else(|e| lost(&e), |messages| come_to(&messages, &asked.id))
+}
+
+/// Plays scripts in a drawn order until the run ends.
+pub fn play(seed: u64, at: SocketAddr, notes: &Arc<Notes>) {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let mut turn = chance.random_range(0..SCRIPTS.len());
+    while !notes.over() {
+        // One that an engine's fault ends early has written down what it owed.
+        let _ = SCRIPTS[turn % SCRIPTS.len()](at, &mut chance, notes);
+        turn += 1;
+        std::thread::sleep(Duration::from_millis(chance.random_range(0..20)));
+    }
+}
+
+type Script = fn(SocketAddr, &mut Pcg64Mcg, &Arc<Notes>) -> std::io::Result<()>;
+
+const SCRIPTS: [Script; 9] =
+    [bound_twice, leaves, cancels, pipeline, slow, flushed, cancels, refused, nonsense];
+
+fn fresh(notes: &Notes, rows: usize) -> Asked {
+    Asked { rows, may_fail: Some("42P01"), ..notes.fresh(Repeat::Idempotent) }
+}
+
+fn note(notes: &Notes, asked: Asked, outcome: Outcome) {
+    notes.note(Asked { outcome, answered: notes.records.now(), ..asked });
+}
+
+/// Says that what came was not what had to come.
+fn spoilt(notes: &Notes, asked: Asked, what: &str) {
+    note(notes, Asked { id: format!("{} {what}", asked.id), ..asked }, Outcome::Spoilt);
+}
+
+/// Prepares, binds twice, closes the first in the middle of its rows, and has the second whole.
+fn bound_twice(at: SocketAddr, _: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut s = Session::open(at, "portal", true)?;
+    for _ in 0..5 {
+        let (first, second) = (fresh(notes, 2), fresh(notes, 3));
+        s.parse("s", "select run($1)");
+        s.bind("p1", "s", &format!("id={},rows=5", first.id));
+        s.bind("p2", "s", &format!("id={},rows=3", second.id));
+        s.execute("p1", 2);
+        s.named(b'C', b'P', "p1");
+        s.execute("p2", 0);
+        s.named(b'C', b'S', "s");
+        s.sync();
+        s.send()?;
+        let unit = match s.unit() {
+            Ok(unit) => unit,
+            Err(e) => {
+                note(notes, second, lost(&e));
+                return Err(e);
+            }
+        };
+        let seen = tags(&unit);
+        if seen.contains('E') {
+            note(notes, second, come_to(&unit, ""));
+        } else if seen == "122DDs3DDDC3Z" {
+            let (a, b) = (unit[3..5].to_vec(), unit[7..10].to_vec());
+            let own = come_to(&a, &first.id) == (Outcome::Completed { rows: 2 });
+            let outcome = come_to(&b, &second.id);
+            note(notes, second, if own { outcome } else { Outcome::Spoilt });
+        } else {
+            spoilt(notes, second, &seen);
+        }
+    }
+    Ok(())
+}
+
+/// Goes away while a statement runs: nothing is owed, and nothing is left behind for others.
+fn leaves(at: SocketAddr, chance: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut s = Session::open(at, "portal", false)?;
+    let within = chance.random_bool(0.5);
+    if within {
+        s.query("BEGIN");
+        s.send()?;
+        s.unit()?;
+    }
+    let id = notes.id();
+    s.query(&format!("select run('id={id},rows=2000,bytes=100,ms={}')", chance.random_range(0..40)));
+    s.send()?;
+    std::thread::sleep(Duration::from_millis(chance.random_range(0..30)));
+    let statements = if within { vec![id] } else { Vec::new() };
+    if let Ok(mut all) = notes.transactions.lock() {
+        all.push(Transaction { statements, commit: None });
+    }
+    s.stream.shutdown(Shutdown::Both)
+}
+
+/// Asks for the end of statements, at once, in the middle and just past their end. When the front has taken
+/// the request, whatever the session asks next is untouched by it.
+fn cancels(at: SocketAddr, chance: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut s = Session::open(at, "portal", false)?;
+    for n in 0..8 {
+        let within = n % 4 == 3;
+        if within {
+            s.query("BEGIN");
+            s.send()?;
+            s.unit()?;
+        }
+        let asked = Asked { cancels: true, ..fresh(notes, 1) };
+        let ms = chance.random_range(0..20);
+        s.query(&format!("select run('id={},rows=1,ms={ms}')", asked.id));
+        s.send()?;
+        std::thread::sleep(Duration::from_micros(chance.random_range(0..25_000)));
+        let mut cancel = TcpStream::connect(at)?;
+        cancel.set_read_timeout(Some(PATIENCE))?;
+        let [a, b, c, d, e, f, g, h] = s.key;
+        let mut packet = Vec::new();
+        wire::write_cancel(&mut packet, u32::from_be_bytes([a, b, c, d]), u32::from_be_bytes([e, f, g, h]));
+        cancel.write_all(&packet)?;
+        // As the servers do, the front ends the connection once it has taken the request.
+        let _ = cancel.read(&mut [0]);
+        let next = fresh(notes, 1);
+        s.query(&format!("select run('id={},rows=1,ms=5')", next.id));
+        s.send()?;
+        let first = s.unit().map_or_else(|e| lost(&e), |unit| come_to(&unit, &asked.id));
+        let failed = !matches!(first, Outcome::Completed { .. });
+        // What is rolled back is not to last.
+        let transaction = within.then_some(usize::MAX);
+        note(notes, Asked { transaction, ..asked }, first);
+        let second = s.unit().map_or_else(|e| lost(&e), |unit| come_to(&unit, &next.id));
+        if !(within && failed) {
+            note(notes, Asked { transaction, ..next }, second);
+        }
+        if within {
+            s.query("ROLLBACK");
+            s.send()?;
+            s.unit()?;
+        }
+    }
+    Ok(())
+}
+
+/// Three units at once, the second of which fails: the others are as if it were not there.
+fn pipeline(at: SocketAddr, _: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut s = Session::open(at, "portal", false)?;
+    s.parse("s", "select run($1)");
+    s.sync();
+    s.send()?;
+    if tags(&s.unit()?) != "1Z" {
+        return Ok(());
+    }
+    for _ in 0..5 {
+        let fails = Asked { fails: Some("23505"), ..fresh(notes, 0) };
+        let units = [fresh(notes, 2), fails, fresh(notes, 1)];
+        for unit in &units {
+            let fail = unit.fails.filter(|code| *code == "23505").unwrap_or_default();
+            s.bind("", "s", &format!("id={},rows={},ms=1,fail={fail}", unit.id, unit.rows));
+            s.execute("", 0);
+            // Behind the failing step nothing of its unit runs.
+            if !fail.is_empty() {
+                s.bind("", "s", &format!("id={}-never,rows=1", unit.id));
+                s.execute("", 0);
+            }
+            s.sync();
+        }
+        s.send()?;
+        for unit in units {
+            match s.unit() {
+                Ok(messages) => {
+                    let outcome = come_to(&messages, &unit.id);
+                    note(notes, unit, outcome);
+                }
+                Err(e) => {
+                    note(notes, unit, lost(&e));
+                    return Err(e);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Takes its rows one by one with pauses: the engine waits with it, and nobody else does.
+fn slow(at: SocketAddr, _: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut s = Session::open(at, "portal", false)?;
+    let rows = 3000;
+    // Within a row nothing can be said: an engine that ends there ends the connection.
+    let asked = Asked { may_be_lost: true, ..fresh(notes, rows) };
+    s.query(&format!("select run('id={},rows={rows},bytes=1000')", asked.id));
+    s.send()?;
+    let mut seen = Vec::new();
+    loop {
+        match s.read() {
+            Ok(message) => {
+                let last = message.0 == b'Z';
+                seen.push(message);
+                if last {
+                    break;
+                }
+            }
+            Err(e) => {
+                note(notes, asked, lost(&e));
+                return Err(e);
+            }
+        }
+        if seen.len() < 12 {
+            std::thread::sleep(Duration::from_millis(60));
+        }
+    }
+    let outcome = come_to(&seen, &asked.id);
+    note(notes, asked, outcome);
+    Ok(())
+}
+
+/// Asks for what has come so far before it sends the Sync.
+fn flushed(at: SocketAddr, chance: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut s = Session::open(at, "portal", false)?;
+    let asked = fresh(notes, 2);
+    s.parse("", "select run($1)");
+    s.named(b'D', b'S', "");
+    s.out.extend_from_slice(wire::FLUSH);
+    s.send()?;
+    let mut seen = Vec::new();
+    let mut read = |s: &mut Session, until: &[u8]| loop {
+        match s.read() {
+            Ok(message) => {
+                let tag = message.0;
+                seen.push(message);
+                if until.contains(&tag) {
+                    return Ok(tag);
+                }
+            }
+            Err(e) => return Err(e),
+        }
+    };
+    let described = read(&mut s, b"TE");
+    std::thread::sleep(Duration::from_millis(chance.random_range(0..5)));
+    s.bind("", "", &format!("id={},rows=2", asked.id));
+    s.execute("", 0);
+    s.sync();
+    s.send()?;
+    match described.and_then(|_| read(&mut s, b"Z")) {
+        Ok(_) => {
+            let outcome = come_to(&seen, &asked.id);
+            note(notes, asked, outcome);
+        }
+        Err(e) => note(notes, asked, lost(&e)),
+    }
+    Ok(())
+}
+
+/// What can't be done here is refused before anything runs, and the session lives on.
+fn refused(at: SocketAddr, _: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut s = Session::open(at, "portal", false)?;
+    let call = |s: &mut Session| wire::write(&mut s.out, b'F', |out| out.extend_from_slice(&[0; 10]));
+    for (text, wanted) in [
+        ("copy t from stdin", "0A000"),
+        ("listen x", "0A000"),
+        ("create temp table t (a int)", "0A000"),
+        ("", "0A000"),
+        ("/*hallmux.workload='none'*/ select 1", "22023"),
+        ("/*hallmux.work_ms='x'*/ select 1", "22023"),
+        ("set hallmux.nothing = 'x'", "22023"),
+    ] {
+        let asked = fresh(notes, 0);
+        match text.is_empty() {
+            true => call(&mut s),
+            false => s.query(text),
+        }
+        s.send()?;
+        let unit = s.unit()?;
+        match tags(&unit).as_str() {
+            "EZ" if code(&unit[0]) == wanted => {}
+            seen => spoilt(notes, asked, &format!("{text}: {seen}")),
+        }
+    }
+    s.bind("", "never", "x");
+    s.execute("", 0);
+    s.sync();
+    s.send()?;
+    let unit = s.unit()?;
+    // Where no engine can be had the answer is another one.
+    if tags(&unit) != "EZ" || !["26000", "53000"].contains(&code(&unit[0]).as_str()) {
+        spoilt(notes, fresh(notes, 0), &format!("unknown statement: {}", tags(&unit)));
+    }
+    let mut nobody = Session::open(at, "nobody", false)?;
+    nobody.query("select 1");
+    nobody.send()?;
+    let unit = nobody.unit()?;
+    if tags(&unit) != "EZ" || code(&unit[0]) != "22023" {
+        spoilt(notes, fresh(notes, 0), "no workload");
+    }
+    let asked = fresh(notes, 1);
+    s.query(&format!("select run('id={},rows=1')", asked.id));
+    s.send()?;
+    match s.unit() {
+        Ok(unit) => note(notes, asked.clone(), come_to(&unit, &asked.id)),
+        Err(e) => note(notes, asked, lost(&e)),
+    }
+    Ok(())
+}
+
+/// Bytes that are no session: the connection ends, soon and alone.
+fn nonsense(at: SocketAddr, chance: &mut Pcg64Mcg, notes: &Arc<Notes>) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let bytes: Vec<u8> = match chance.random_range(0..3) {
+        0 => (0..200).map(|_| chance.random()).collect(),
+        1 => b"\xff\xff\xff\xff\0\x03\0\0".to_vec(),
+        _ => b"GET / HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(),
+    };
+    let _ = stream.write_all(&bytes);
+    let _ = stream.shutdown(Shutdown::Write);
+    let since = Instant::now();
+    let mut chunk = [0; 1024];
+    loop {
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 && since.elapsed() < PATIENCE => {}
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                spoilt(notes, fresh(notes, 0), "nonsense that is kept");
+                return Ok(());
+            }
+            _ => break,
+        }
+    }
+    // One that is in, and then sends a length that can't be.
+    let mut s = Session::open(at, "portal", false)?;
+    s.out.extend_from_slice(b"Q\x7f\xff\xff\xff");
+    s.send()?;
+    loop {
+        match s.read() {
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                spoilt(notes, fresh(notes, 0), "a length that can't be");
+                return Ok(());
+            }
+            Err(_) => return Ok(()),
+        }
+    }
+}
+
+/// A session with an open transaction, for the end of a front.
+pub struct Open(Session);
+
+/// Opens transactions that their clients never end.
+pub fn open_transactions(at: SocketAddr, notes: &Arc<Notes>, count: usize) -> Vec<Open> {
+    let open = |_| {
+        let mut s = Session::open(at, "portal", false).ok()?;
+        let id = notes.id();
+        s.query("BEGIN");
+        s.query(&format!("select run('id={id},rows=1')"));
+        s.send().ok()?;
+        let (begun, ran) = (s.unit().ok()?, s.unit().ok()?);
+        if let Ok(mut all) = notes.transactions.lock() {
+            all.push(Transaction { statements: vec![id], commit: None });
+        }
+        (tags(&begun) == "CZ" && !tags(&ran).contains('E')).then_some(Open(s))
+    };
+    (0..count).filter_map(open).collect()
+}
+
+impl Open {
+    /// Whether the front said that it ends before it did.
+    pub fn was_told(mut self) -> bool {
+        loop {
+            match self.0.read() {
+                Ok(message) if message.0 == b'E' => return code(&message) == "57P01",
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+    }
+}
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -133,6 +133,8 @@
     statements: HashMap<Vec<u8>, Rc<Prepared>>,
     unnamed: Option<Rc<Prepared>>,
     held: usize,
+    /// Why the open transaction is lost, as long as its client has not been told.
+    untold: Option<&'static str>,
     /// Changes of the open transaction: they go with it where it is rolled back.
     pending: Vec<Change>,
     /// A unit has begun and not ended.
@@ -377,7 +379,10 @@
                 Op::Parse { prepared, .. } | Op::Bind { prepared, .. } | Op::Describe { prepared, .. }
                     if lost && !ends(&prepared.scan) =>
                 {
-                    Final::InFailedTransaction.write(out, false);
+                    match self.untold.take() {
+                        Some(why) => Final::RolledBack { why }.write(out, false),
+                        None => Final::InFailedTransaction.write(out, false),
+                    }
                     failed = true;
                     continue;
                 }
@@ -415,13 +420,17 @@
     /// Runs what the front answers of itself; false if it is an error.
     fn runs(&mut self, scan: &Scan, catalogue: &mut Catalogue, out: &mut Vec<u8>) -> bool {
         if self.transaction == Transaction::Lost {
-            if !ends(scan) {
-                Final::InFailedTransaction.write(out, false);
-                return false;
+            // Guards against a commit that seems to have come to pass, of a client that knows of no failure.
+            let untold = self.untold.take().filter(|_| !scan.rolls_back);
+            if ends(scan) {
+                self.transaction = Transaction::None;
+            }
+            match untold {
+                Some(why) => Final::RolledBack { why }.write(out, false),
+                None if ends(scan) => wire::write_complete(out, "ROLLBACK"),
+                None => Final::InFailedTransaction.write(out, false),
             }
-            self.transaction = Transaction::None;
-            wire::write_complete(out, "ROLLBACK");
-            return true;
+            return untold.is_none() && ends(scan);
         }
         let Some(own) = &scan.own else { return true };
         match own {
@@ -487,6 +496,7 @@
             part.named.iter().for_each(|name| self.forget(name));
         }
         self.lose();
+        self.untold = None;
         why.write(out, false);
         if !self.within {
             self.ready(out);
@@ -503,9 +513,12 @@
         self.within
     }
 
-    /// The engine that held the open transaction has it no more.
+    /// The engine that held the open transaction has it no more; its client hears so with its next unit.
     pub fn lose(&mut self) {
         if self.transaction.is_held() {
+            if self.transaction == Transaction::Open {
+                self.untold = Some("its engine drains or was lost");
+            }
             self.transaction = Transaction::Lost;
         }
         self.pending.clear();
