--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -72,6 +72,8 @@
     pub lost_commits: AtomicU32,
     /// So many of the next statements are lost with their connection.
     pub lost_statements: AtomicU32,
+    /// So many of the next results are lost with their connection once a good part of them has gone.
+    pub lost_results: AtomicU32,
     /// So many of the next statements to be prepared are refused.
     pub refused_parses: AtomicU32,
     /// How often each of the last was played.
@@ -515,6 +517,12 @@
             portal.sent += 1;
             if self.out.len() > CHUNK {
                 self.flush()?;
+                let lost = &self.engine.faults.lost_results;
+                if portal.sent > 200 && lost.fetch_update(SeqCst, SeqCst, |n| n.checked_sub(1)).is_ok() {
+                    self.engine.faults.played.fetch_add(1, SeqCst);
+                    let _ = self.stream.shutdown(Shutdown::Both);
+                    return Err(Ends::Connection(ErrorKind::ConnectionReset.into()));
+                }
             }
         }
         if portal.sent < task.rows {
