--- a/crates/agreement/src/operator.rs
+++ b/crates/agreement/src/operator.rs
@@ -12,6 +12,7 @@
 const MOST_SESSIONS: usize = 5_000; // sessions, where the file is silent; descriptors bound them before that
 const START_UP_MS: f64 = 5_000.0; // milliseconds for start-up and authentication; drivers take some ten
 const MOST_STATEMENTS: usize = 1_000; // prepared statements of a session; drivers keep some hundred
+const MOST_PORTALS: usize = 100; // portals open at once in a session's transaction; drivers hold a few
 const MOST_SETTINGS: usize = 64; // settings that a session may carry; drivers set some ten
 const MESSAGE_BYTES: usize = 1 << 20; // bytes of a message or a unit of a client; statements are smaller
 const BUFFER_BYTES: usize = 64 << 10; // bytes of a result held before they go on, and left untaken after
@@ -62,6 +63,7 @@
     sessions: usize,
     start_up_ms: f64,
     statements: usize,
+    portals: usize,
     settings: usize,
     message_bytes: usize,
     buffer_bytes: usize,
@@ -78,6 +80,7 @@
             sessions: MOST_SESSIONS,
             start_up_ms: START_UP_MS,
             statements: MOST_STATEMENTS,
+            portals: MOST_PORTALS,
             settings: MOST_SETTINGS,
             message_bytes: MESSAGE_BYTES,
             buffer_bytes: BUFFER_BYTES,
@@ -131,6 +134,7 @@
     pub sessions: usize,
     pub start_up: Micros,
     pub statements: usize,
+    pub portals: usize,
     pub settings: usize,
     pub message_bytes: usize,
     pub buffer_bytes: usize,
@@ -215,6 +219,7 @@
         ("sessions", l.sessions as f64, 1.0),
         ("start_up_ms", l.start_up_ms, 10.0),
         ("statements", l.statements as f64, 1.0),
+        ("portals", l.portals as f64, 1.0),
         ("settings", l.settings as f64, 1.0),
         ("message_bytes", l.message_bytes as f64, 1024.0),
         ("buffer_bytes", l.buffer_bytes as f64, 1024.0),
@@ -235,6 +240,7 @@
             sessions: l.sessions,
             start_up: micros(l.start_up_ms),
             statements: l.statements,
+            portals: l.portals,
             settings: l.settings,
             message_bytes: l.message_bytes,
             buffer_bytes: l.buffer_bytes,
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -341,10 +341,14 @@
     fn accept(&mut self) {
         let now = self.clock.now;
         loop {
-            let (clients, most) = (&mut self.clients, self.most_clients);
-            let room = || match clients.len() < most || clients.make_room() {
-                true => Ok(()),
-                false => Err(format!("{} clients are connected", clients.len())),
+            let (clients, portal, most) = (&mut self.clients, &mut self.portal, self.most_clients);
+            let room = || {
+                let sessions = portal.as_ref().map_or(0, Portal::len);
+                let room = clients.len() + sessions < most
+                    || clients.make_room()
+                    || portal.as_mut().is_some_and(|portal| portal.make_room(now));
+                room.then_some(())
+                    .ok_or_else(|| format!("{} clients are connected", clients.len() + sessions))
             };
             let Some(stream) = self.entrance.next(now, room) else { return };
             let id = self.clients.next_id();
--- a/crates/front/src/portal.rs
+++ b/crates/front/src/portal.rs
@@ -119,6 +119,11 @@
         false
     }
 
+    /// Makes room for another connection, of whatever door. False if none can go.
+    pub fn make_room(&mut self, now: Micros) -> bool {
+        self.sessions.make_room(now)
+    }
+
     /// Takes those at the door; `room` is how many more may be connected.
     pub fn accept(&mut self, now: Micros, mut room: usize) {
         loop {
--- a/crates/front/src/sessions.rs
+++ b/crates/front/src/sessions.rs
@@ -126,8 +126,12 @@
 
 impl Sessions {
     pub fn new(limits: &hallmux_agreement::SessionLimits) -> Self {
-        let bounds =
-            Bounds { statements: limits.statements, settings: limits.settings, bytes: limits.message_bytes };
+        let bounds = Bounds {
+            statements: limits.statements,
+            portals: limits.portals,
+            settings: limits.settings,
+            bytes: limits.message_bytes,
+        };
         Sessions {
             peers: HashMap::new(),
             tickets: HashMap::new(),
--- a/crates/lab/src/hard.rs
+++ b/crates/lab/src/hard.rs
@@ -24,6 +24,10 @@
 
 /// A front among so many engines, and one that speaks lines.
 fn stage(count: usize, limits: &str) -> Stage {
+    stage_with(count, limits, 1024)
+}
+
+fn stage_with(count: usize, limits: &str, sockets: usize) -> Stage {
     let records = Records::new();
     let engines: Vec<_> = (0..count).map(|n| Engine::start(n, records.clone(), true).unwrap()).collect();
     let lines_at = lines::engine(count, records.clone()).unwrap();
@@ -48,7 +52,7 @@
             locked: {{ verifier: '{verifier}', member: 'acme', workload: 'lookup', engine_user: 'front' }} }},
         limits: {{ {limits} }} }} }}"
     );
-    let front = Front::start(&settings, &operator, &coordinator, 1024).unwrap();
+    let front = Front::start(&settings, &operator, &coordinator, sockets).unwrap();
     Stage { records, engines, coordinator, front }
 }
 
@@ -431,3 +435,40 @@
         }
     });
 }
+
+#[test]
+fn the_silent_go_first_when_descriptors_are_short_and_what_a_session_holds_is_bounded() {
+    let stage = stage_with(1, "start_up_ms: 400, statements: 2, portals: 2, message_bytes: 4096", 64);
+    // Half of the descriptors are clients'. These say nothing, and are closed.
+    let silent: Vec<_> =
+        (0..32).map(|_| std::net::TcpStream::connect(stage.front.sessions).unwrap()).collect();
+    let mut first = stage.open();
+    drop(silent);
+    assert_eq!(ask(&mut first, &run("a", "")).0, "TDCZ");
+    let mut busy = stage.open();
+    assert_eq!(ask(&mut busy, "BEGIN").2, 'T');
+    std::thread::sleep(Duration::from_millis(1200)); // until both rest
+    let mut others: Vec<Session> = (0..31).map(|_| stage.open()).collect();
+    // The one that rested went, the one with a transaction did not.
+    assert_eq!(code(&first.read().unwrap()), "57P01");
+    assert_eq!(ask(&mut busy, &run("b", "")).0, "TDCZ");
+    let mut s = others.remove(0);
+    drop(others);
+    for n in 0..3 {
+        s.prepare(&format!("s{n}"), "select run($1)").unwrap();
+    }
+    s.bind("", "s2", "id=x");
+    s.sync();
+    s.send().unwrap();
+    assert_eq!(heard(&mut s).1, "26000");
+    ask(&mut s, "BEGIN");
+    for n in 0..3 {
+        s.bind(&format!("p{n}"), "s0", "id=y");
+    }
+    s.sync();
+    s.send().unwrap();
+    assert_eq!(heard(&mut s), ("22EZ".into(), "54000".into(), 'E'));
+    s.query(&"x".repeat(8192));
+    s.send().unwrap();
+    assert_eq!(code(&s.read().unwrap()), "54000");
+}
--- a/crates/postgres/fuzz/drive.rs
+++ b/crates/postgres/fuzz/drive.rs
@@ -9,7 +9,7 @@
 use hallmux_postgres::session::{Bounds, Part, Read, Session};
 use hallmux_postgres::{sql, wire};
 
-const BOUNDS: Bounds = Bounds { statements: 8, settings: 4, bytes: 4096 };
+const BOUNDS: Bounds = Bounds { statements: 8, portals: 4, settings: 4, bytes: 4096 };
 
 /// The first byte says which reader; the rest is its input.
 pub fn drive(bytes: &[u8]) {
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -1,7 +1,7 @@
 //! A session as the front knows it: what is prepared, set and labelled, where its transaction stands, and how
 //! its messages fall into units. A unit is what stands between two Syncs, or a simple query.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::ops::Range;
 use std::rc::Rc;
 
@@ -16,6 +16,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     pub statements: usize,
+    pub portals: usize,
     pub settings: usize,
     /// Bytes of a message, of a unit's part, and of all that is prepared.
     pub bytes: usize,
@@ -134,6 +135,8 @@
     label: Label,
     statements: HashMap<Vec<u8>, Rc<Prepared>>,
     unnamed: Option<Rc<Prepared>>,
+    /// Names of the portals that its unit or transaction has opened.
+    portals: HashSet<Vec<u8>>,
     held: usize,
     /// Why the open transaction is lost, as long as its client has not been told.
     untold: Option<&'static str>,
@@ -266,6 +269,9 @@
                     }
                     part.first.get_or_insert(prepared);
                 }
+                Said::Bind { portal, .. } if !self.opens(portal, bounds) => {
+                    part.ops.push(Op::Fail(Final::TooMuch { why: "portals" }));
+                }
                 Said::Bind { portal, statement, rest } => match self.known(statement) {
                     Some(prepared) => {
                         part.local &= prepared.scan.own.is_some();
@@ -296,7 +302,10 @@
                     self.forget(name);
                     part.ops.push(Op::CloseStatement);
                 }
-                Said::Close { statement: false, .. } => part.ops.push(Op::ClosePortal(whole.clone())),
+                Said::Close { statement: false, name } => {
+                    self.portals.remove(name);
+                    part.ops.push(Op::ClosePortal(whole.clone()));
+                }
                 Said::Flush => part.ops.push(Op::Flush),
                 Said::Sync => {
                     part.ops.push(Op::Sync);
@@ -325,6 +334,18 @@
         found.cloned()
     }
 
+    /// Whether a portal may be opened under this name.
+    fn opens(&mut self, name: &[u8], bounds: &Bounds) -> bool {
+        if name.is_empty() || self.portals.contains(name) {
+            return true;
+        }
+        let room = self.portals.len() < bounds.portals;
+        if room {
+            self.portals.insert(name.to_vec());
+        }
+        room
+    }
+
     /// Takes a statement in under its name, or says why not.
     fn prepare(&mut self, name: &[u8], prepared: &Rc<Prepared>, bounds: &Bounds) -> Option<Final> {
         if name.is_empty() {
@@ -484,6 +505,7 @@
             _ => Transaction::None,
         };
         if self.transaction == Transaction::None {
+            self.portals.clear();
             let pending = std::mem::take(&mut self.pending);
             if !failed && !done.rolled_back && !pending.is_empty() {
                 let mut settings = (*self.settings).clone();
@@ -532,6 +554,7 @@
             }
             self.transaction = Transaction::Lost;
         }
+        self.portals.clear();
         self.pending.clear();
     }
 
--- a/crates/postgres/tests/split.rs
+++ b/crates/postgres/tests/split.rs
@@ -10,7 +10,7 @@
 #[path = "../fuzz/drive.rs"]
 mod drive;
 
-const BOUNDS: Bounds = Bounds { statements: 8, settings: 4, bytes: 4096 };
+const BOUNDS: Bounds = Bounds { statements: 8, portals: 4, settings: 4, bytes: 4096 };
 
 fn message(tag: u8, body: &[u8]) -> Vec<u8> {
     let mut out = Vec::new();
