Gossip's mind: membership, signed reports, replay and bounds, over a simulated network

Change: crates/gossip: SWIM with Lifeguard's refinements over a bounded view, reports signed by their makers that merge by life and version and fade, datagrams with a replay and a time window that bear clocks apart, tokens on what is verified and sent. Not in use by the front yet.

Found by its own tests: answers to a flood used up the news that others were to hear; probes that gave way to news made sound peers suspected; rumours alone left joiners unknown where datagrams are lost.

--- /dev/null
+++ b/crates/gossip/src/evidence.rs
@@ -0,0 +1,175 @@
+//! What fronts have seen of engines: of each maker its latest report. Merging is taking the later one, so that
+//! order, repeats and losses do no harm; what is not renewed fades.
+
+use std::collections::BTreeMap;
+
+use crate::message::{Report, Sighting, Signed};
+use crate::{Micros, PeerId};
+
+/// Microseconds after which a report is worth nothing: an engine's trouble lasts some seconds to half a minute,
+/// and its makers renew what they still see.
+pub const FADES: Micros = 8_000_000;
+/// Sightings of a report that count; more engines in trouble at once are all engines.
+pub const MOST_SIGHTINGS: usize = 12;
+const MOST_MAKERS: usize = 256; // whose reports are kept; the oldest goes first
+
+struct Held {
+    life: u64,
+    version: u32,
+    /// When it was made, on our clock.
+    made: Micros,
+    sightings: Vec<Sighting>,
+    signed: Signed,
+    /// How often it was passed on.
+    sent: u32,
+}
+
+/// One thing that is known.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct News {
+    pub maker: PeerId,
+    pub sighting: Sighting,
+    pub age: Micros,
+}
+
+#[derive(Default)]
+pub struct Evidence {
+    held: BTreeMap<PeerId, Held>,
+}
+
+impl Evidence {
+    /// Whether a report says more than what is held of its maker; to be asked before its signature is looked at.
+    pub fn is_later(&self, maker: PeerId, life: u64, version: u32) -> bool {
+        self.held.get(&maker).is_none_or(|held| (life, version) > (held.life, held.version))
+    }
+
+    /// Takes a report in; false if it is no news.
+    pub fn merge(&mut self, now: Micros, report: Report, signed: Signed, age: Micros) -> bool {
+        let fits = report.sightings.len() <= MOST_SIGHTINGS && age < FADES;
+        if !fits || !self.is_later(report.maker, report.life, report.version) {
+            return false;
+        }
+        if self.held.len() >= MOST_MAKERS && !self.held.contains_key(&report.maker) {
+            let oldest = self.held.iter().min_by_key(|(_, held)| held.made).map(|(maker, _)| *maker);
+            oldest.into_iter().for_each(|maker| _ = self.held.remove(&maker));
+        }
+        let Report { maker, life, version, sightings, .. } = report;
+        self.held.insert(maker, Held { life, version, made: now - age, sightings, signed, sent: 0 });
+        true
+    }
+
+    /// Lets go of what has faded; what is empty stays as long, so that nothing older comes in its place.
+    pub fn fade(&mut self, now: Micros) {
+        self.held.retain(|_, held| now - held.made < 2 * FADES);
+    }
+
+    /// All that counts now, but for what `own` has said itself.
+    pub fn news(&self, now: Micros, own: PeerId) -> Vec<News> {
+        let counts = |(maker, held): &(&PeerId, &Held)| **maker != own && now - held.made < FADES;
+        let all = self.held.iter().filter(counts).flat_map(|(maker, held)| {
+            let age = now - held.made;
+            held.sightings.iter().map(move |sighting| News { maker: *maker, sighting: *sighting, age })
+        });
+        all.collect()
+    }
+
+    /// Reports to be passed on within so many bytes, those passed on least first, of them the latest.
+    pub fn pass_on(&mut self, now: Micros, most_sent: u32, mut room: usize) -> Vec<Signed> {
+        let mut all: Vec<&mut Held> =
+            self.held.values_mut().filter(|held| now - held.made < FADES && held.sent < most_sent).collect();
+        all.sort_by_key(|held| (held.sent, now - held.made));
+        let mut picked = Vec::new();
+        for held in all {
+            let len = held.signed.report.len() + held.signed.signature.len() + 4;
+            if len <= room {
+                room -= len;
+                held.sent += 1;
+                picked.push(held.signed.clone());
+            }
+        }
+        picked
+    }
+
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn report(maker: PeerId, life: u64, version: u32, failed: u8) -> Report {
+        let sightings = vec![Sighting { engine: 1, failed, ..Sighting::default() }];
+        Report { maker, life, version, made_ms: 0, sightings }
+    }
+
+    fn signed() -> Signed {
+        Signed { report: vec![0; 40], signature: vec![0; 64] }
+    }
+
+    /// What is known after reports came in this order.
+    fn known(order: &[Report]) -> Vec<(PeerId, u8)> {
+        let mut evidence = Evidence::default();
+        order.iter().for_each(|r| _ = evidence.merge(0, r.clone(), signed(), 0));
+        evidence.news(1, 99).into_iter().map(|n| (n.maker, n.sighting.failed)).collect()
+    }
+
+    #[test]
+    fn any_order_repeats_and_losses_before_the_latest_come_to_the_same() {
+        let all = [report(1, 5, 1, 1), report(1, 5, 2, 2), report(1, 6, 1, 3), report(2, 1, 9, 4)];
+        let expected = [(1, 3), (2, 4)];
+        // Every order of the four, with each of them repeated at the end.
+        let mut orders = vec![vec![]];
+        for _ in 0..4 {
+            orders = orders
+                .into_iter()
+                .flat_map(|order: Vec<usize>| {
+                    (0..4)
+                        .filter(|n| !order.contains(n))
+                        .map(|n| [order.clone(), vec![n]].concat())
+                        .collect::<Vec<_>>()
+                })
+                .collect();
+        }
+        assert_eq!(orders.len(), 24);
+        for order in orders {
+            let mut reports: Vec<Report> = order.iter().map(|n| all[*n].clone()).collect();
+            assert_eq!(known(&reports), expected);
+            reports.extend(reports.clone());
+            assert_eq!(known(&reports), expected);
+            // Without what was made before the latest of each.
+            let latest: Vec<Report> = reports.into_iter().filter(|r| r.life > 5 || r.maker == 2).collect();
+            assert_eq!(known(&latest), expected);
+        }
+    }
+
+    #[test]
+    fn what_is_not_renewed_fades_and_does_not_come_back() {
+        let mut evidence = Evidence::default();
+        assert!(evidence.merge(0, report(1, 1, 2, 1), signed(), 3_000_000));
+        assert_eq!(evidence.news(FADES - 3_000_001, 9).len(), 1);
+        assert_eq!(evidence.news(FADES - 3_000_000, 9).len(), 0);
+        assert!(!evidence.merge(FADES, report(1, 1, 1, 1), signed(), 0), "an earlier version");
+        assert!(!evidence.merge(FADES, report(2, 1, 1, 1), signed(), FADES), "older than it lasts");
+        evidence.fade(3 * FADES);
+        assert!(evidence.is_empty());
+    }
+
+    #[test]
+    fn makers_and_bytes_are_bounded() {
+        let mut evidence = Evidence::default();
+        for maker in 0..10_000 {
+            evidence.merge(maker as Micros, report(maker, 1, 1, 1), signed(), 0);
+        }
+        assert_eq!(evidence.len(), MOST_MAKERS);
+        assert_eq!(evidence.pass_on(10_000, 4, 400).len(), 3);
+        let mut long = report(1, 1, 1, 1);
+        long.sightings = vec![Sighting::default(); MOST_SIGHTINGS + 1];
+        assert!(!Evidence::default().merge(0, long, signed(), 0));
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/message.rs
@@ -0,0 +1,139 @@
+//! What datagrams hold. Everything is bounded by the datagram's length: nothing is allocated for a count that the
+//! bytes do not bear out.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::PeerId;
+
+/// Bytes of a datagram at most, sealed: what every network carries in one piece.
+pub const LONGEST: usize = 1_200;
+
+/// How a member is thought to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Health {
+    Alive,
+    Suspect,
+    Dead,
+    Left,
+}
+
+/// What is said of a member; a later incarnation goes before an earlier, and of one the graver health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumour {
+    pub member: PeerId,
+    pub at: SocketAddr,
+    pub incarnation: u64,
+    pub health: Health,
+}
+
+/// What a front has seen of an engine lately.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The engine, by a hash of its id.
+    pub engine: u64,
+    /// Executions that failed or were lost, and that were answered, in the last seconds; at most 255.
+    pub failed: u8,
+    pub answered: u8,
+    /// Milliseconds for which it has said nothing though executions are out, 0 where it speaks.
+    pub silent_ms: u16,
+    /// It was told to drain, or to be gone.
+    pub drains: bool,
+    /// Unix seconds of a start that was told, 0 where none was.
+    pub started_s: u32,
+}
+
+/// All that a front has seen, signed by itself and passed on as it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    pub maker: PeerId,
+    /// When its maker began, in Unix milliseconds on its own clock, and how many reports it had made since.
+    pub life: u64,
+    pub version: u32,
+    /// When it was made, in Unix milliseconds on its maker's clock.
+    pub made_ms: u64,
+    pub sightings: Vec<Sighting>,
+}
+
+/// A report's bytes with the signature over them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Signed {
+    pub report: Vec<u8>,
+    pub signature: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Probe {
+    /// Only news.
+    None,
+    Ping {
+        number: u32,
+    },
+    /// Asks the receiver to ping another in the sender's place.
+    PingFor {
+        number: u32,
+        member: PeerId,
+        at: SocketAddr,
+    },
+    Ack {
+        number: u32,
+    },
+    /// The one that was asked to ping has heard nothing.
+    Nack {
+        number: u32,
+    },
+}
+
+/// A datagram's content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    pub probe: Probe,
+    pub rumours: Vec<Rumour>,
+    pub reports: Vec<Signed>,
+}
+
+/// The bytes of a value that can be written; values here always can.
+pub fn bytes<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).unwrap_or_default()
+}
+
+/// Reads a value that fills the bytes exactly.
+pub fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    match postcard::take_from_bytes(bytes) {
+        Ok((value, [])) => Some(value),
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn any_bytes_are_read_or_refused() {
+        let rumour =
+            Rumour { member: 7, at: ([127, 0, 0, 1], 9).into(), incarnation: 3, health: Health::Suspect };
+        let signed = Signed { report: vec![1, 2], signature: vec![3; 64] };
+        let message = Message {
+            probe: Probe::PingFor { number: 1, member: 2, at: rumour.at },
+            rumours: vec![rumour],
+            reports: vec![signed],
+        };
+        let whole = bytes(&message);
+        assert_eq!(read::<Message>(&whole), Some(message));
+        for cut in 0..whole.len() {
+            assert_eq!(read::<Message>(&whole[..cut]), None);
+        }
+        assert_eq!(read::<Message>(&[whole.clone(), vec![0]].concat()), None);
+        for at in 0..whole.len() {
+            for flip in [1, 0x80, 0xff] {
+                let mut spoilt = whole.clone();
+                spoilt[at] ^= flip;
+                let _ = read::<Message>(&spoilt);
+            }
+        }
+        // A count of rumours that the bytes do not bear out.
+        assert_eq!(read::<Message>(&[0, 0xff, 0xff, 0xff, 0xff, 0x0f]), None);
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/node.rs
@@ -0,0 +1,228 @@
+//! One front among its peers: what it sends when, and what it takes in.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::evidence::{Evidence, News, MOST_SIGHTINGS};
+use crate::members::{Members, Send};
+use crate::message::{self, Message, Probe, Report, Sighting, LONGEST};
+use crate::seal::{Keys, Own, Peers, Refused, Tokens, SEAL};
+use crate::{Chance, Micros, PeerId};
+
+const ROUND: Micros = 250_000; // microseconds between rounds: news reaches a thousand in some ten of them
+const FANOUT: usize = 2; // members told in a round
+const BYTES_A_SECOND: f64 = 3_000.0; // sent at most of its own accord, with a second's worth saved up
+const ANSWERS_A_SECOND: f64 = 1_000.0; // bytes of answers to others, so that a flood of questions starves no news
+const RENEWED: Micros = 1_000_000; // microseconds after which a front says again what it still sees
+const FOR_PROBES: f64 = 800.0; // bytes that news leaves for probes: a peer that is not asked seems dead
+const MOST_RUMOURS: usize = 2; // in a datagram beside its sender's own: some 25 bytes each
+const TOLD: usize = 420; // bytes of a datagram that only tells news
+const SENT_EACH: f64 = 2.0; // times the logarithm of the peers that a report is passed on by each front
+
+/// A datagram to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram {
+    pub to: SocketAddr,
+    pub bytes: Vec<u8>,
+}
+
+/// What it is at start.
+pub struct Start {
+    /// The secret half of its key pair.
+    pub secret: [u8; 32],
+    /// Public keys of all fronts that count.
+    pub keys: Rc<Keys>,
+    pub at: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+}
+
+pub struct Node {
+    own: Own,
+    peers: Peers,
+    members: Members,
+    evidence: Evidence,
+    bytes: Tokens,
+    answers: Tokens,
+    round: Micros,
+    sightings: Vec<Sighting>,
+    version: u32,
+    renew: Micros,
+    /// What counted for nothing, by why.
+    pub refused: BTreeMap<Refused, u64>,
+    /// Bytes that were sent, and datagrams that were not, for want of tokens.
+    pub sent: u64,
+    pub held_back: u64,
+}
+
+impl Node {
+    /// `wall_ms` is the Unix clock: it is the name of this life.
+    pub fn new(start: Start, wall_ms: u64) -> Node {
+        let own = Own::new(&start.secret, wall_ms);
+        Node {
+            members: Members::new(own.id, start.at, wall_ms, start.seeds),
+            peers: Peers::new(start.keys),
+            evidence: Evidence::default(),
+            bytes: Tokens::new(BYTES_A_SECOND),
+            answers: Tokens::new(ANSWERS_A_SECOND),
+            round: 0,
+            sightings: Vec::new(),
+            version: 0,
+            renew: 0,
+            refused: BTreeMap::new(),
+            sent: 0,
+            held_back: 0,
+            own,
+        }
+    }
+
+    pub fn id(&self) -> PeerId {
+        self.own.id
+    }
+
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Other public keys count from now on.
+    pub fn keys(&mut self, keys: Rc<Keys>) {
+        self.peers.keys(keys);
+    }
+
+    /// What this front sees of engines now; only those in some trouble, or with something told of them.
+    pub fn sees(&mut self, now: Micros, wall_ms: u64, mut sightings: Vec<Sighting>) {
+        sightings.truncate(MOST_SIGHTINGS);
+        let changed = sightings != self.sightings;
+        if !changed && (sightings.is_empty() || now < self.renew) {
+            return;
+        }
+        self.renew = now + RENEWED;
+        self.version += 1;
+        let report = Report {
+            maker: self.own.id,
+            life: self.own.life,
+            version: self.version,
+            made_ms: wall_ms,
+            sightings: sightings.clone(),
+        };
+        self.sightings = sightings;
+        let signed = self.own.sign(&report);
+        self.evidence.merge(now, report, signed, 0);
+    }
+
+    /// What others say of engines, with its age.
+    pub fn news(&self, now: Micros) -> Vec<News> {
+        self.evidence.news(now, self.own.id)
+    }
+
+    /// When `tick` is next due.
+    pub fn due(&self) -> Micros {
+        self.members.due().min(self.round)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros, wall_ms: u64, chance: &mut impl Chance) -> Vec<Datagram> {
+        let (mut sends, mut out) = (Vec::new(), Vec::new());
+        self.members.tick(now, chance, &mut sends);
+        if self.round <= now {
+            self.round = now + ROUND;
+            self.evidence.fade(now);
+            let mut targets: Vec<SocketAddr> = self.members.up().map(|(_, at)| at).collect();
+            for _ in 0..FANOUT.min(targets.len()) {
+                let to = targets.swap_remove(chance.below(targets.len()));
+                sends.push(Send { to, probe: Probe::None });
+            }
+        }
+        for send in sends {
+            out.extend(self.send(now, wall_ms, send, false));
+        }
+        out
+    }
+
+    /// Says good-bye to some members; they tell the others.
+    pub fn leave(&mut self, now: Micros, wall_ms: u64, chance: &mut impl Chance) -> Vec<Datagram> {
+        self.members.leave();
+        let mut targets: Vec<SocketAddr> = self.members.up().map(|(_, at)| at).collect();
+        let mut out = Vec::new();
+        for _ in 0..(2 * FANOUT).min(targets.len()) {
+            let to = targets.swap_remove(chance.below(targets.len()));
+            out.extend(self.send(now, wall_ms, Send { to, probe: Probe::None }, false));
+        }
+        out
+    }
+
+    fn send(&mut self, now: Micros, wall_ms: u64, send: Send, answers: bool) -> Option<Datagram> {
+        let mut rumours = vec![self.members.own()];
+        // Guards against one who asks without end: answers use up no news that others are to hear.
+        let most = if answers { 0 } else { MOST_RUMOURS };
+        rumours.extend(self.members.pass_on(send.to, most));
+        let most_sent = (SENT_EACH * ((self.peers.len() + 2) as f64).log2()).ceil() as u32;
+        let mut message = Message { probe: send.probe, rumours, reports: Vec::new() };
+        let used = SEAL + message::bytes(&message).len() + 2;
+        let room = if answers { 0 } else { TOLD.min(LONGEST).saturating_sub(used) };
+        message.reports = self.evidence.pass_on(now, most_sent, room);
+        let content = message::bytes(&message);
+        let len = content.len() + SEAL;
+        let tokens = if answers { &mut self.answers } else { &mut self.bytes };
+        let rest = if send.probe == Probe::None { FOR_PROBES } else { 0.0 };
+        if len > LONGEST || !tokens.take_leaving(now, len as f64, rest) {
+            self.held_back += 1;
+            return None;
+        }
+        self.sent += len as u64;
+        Some(Datagram { to: send.to, bytes: self.own.seal(wall_ms, &content) })
+    }
+
+    /// A datagram has come; what is to go back.
+    pub fn heard(&mut self, now: Micros, wall_ms: u64, from: SocketAddr, bytes: &[u8]) -> Vec<Datagram> {
+        match self.take(now, wall_ms, from, bytes) {
+            Ok(sends) => sends.into_iter().filter_map(|send| self.send(now, wall_ms, send, true)).collect(),
+            Err(why) => {
+                *self.refused.entry(why).or_default() += 1;
+                Vec::new()
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Micros,
+        wall_ms: u64,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) -> Result<Vec<Send>, Refused> {
+        let opened = self.peers.open(now, wall_ms, from.ip(), bytes)?;
+        let sender = opened.sender;
+        let message: Message = message::read(opened.content).ok_or(Refused::Form)?;
+        if sender == self.own.id {
+            return Err(Refused::Replay); // our own, come back
+        }
+        for rumour in message.rumours {
+            // Only those count that could speak for themselves.
+            if self.peers.knows(rumour.member) {
+                self.members.hear(now, sender, rumour);
+            }
+        }
+        let mut sends = Vec::new();
+        self.members.heard(now, sender, from, message.probe, &mut sends);
+        for signed in message.reports {
+            let Some(report) = message::read::<Report>(&signed.report) else { continue };
+            // Guards against the cost of what is known already, which is most of what comes.
+            if report.maker == self.own.id
+                || !self.evidence.is_later(report.maker, report.life, report.version)
+            {
+                continue;
+            }
+            match self.peers.read(now, from.ip(), &signed) {
+                Ok(report) => {
+                    let age = self.peers.age(report.maker, wall_ms, report.made_ms);
+                    if let Some(age) = age {
+                        self.evidence.merge(now, report, signed, age);
+                    }
+                }
+                Err(why) => *self.refused.entry(why).or_default() += 1,
+            }
+        }
+        Ok(sends)
+    }
+}
--- /dev/null
+++ b/crates/gossip/tests/fleet/sim.rs
@@ -0,0 +1,180 @@
+//! A fleet of fronts over a simulated network: everything is drawn from a seed, and time is a number. Shared by
+//! the tests of this crate and the measurement of the lab.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hallmux_gossip::message::{Health, Sighting};
+use hallmux_gossip::node::{Datagram, Node, Start};
+use hallmux_gossip::seal::{Keys, Own};
+use hallmux_gossip::{Micros, PeerId};
+
+pub const SECOND: Micros = 1_000_000;
+pub const WALL: u64 = 1_800_000_000_000; // Unix milliseconds at time 0
+
+pub struct Fleet {
+    pub nodes: Vec<Option<Node>>,
+    /// Milliseconds by which each one's clock differs.
+    pub apart: Vec<i64>,
+    pub now: Micros,
+    pub seed: u64,
+    pub loss: f64,
+    /// Pairs that can't reach each other.
+    pub cut: HashSet<(usize, usize)>,
+    pub mail: BinaryHeap<Reverse<(Micros, u64, usize, usize)>>,
+    pub bytes: Vec<Vec<u8>>,
+    pub posted: u64,
+    /// All that was sent, for one who listens.
+    pub overheard: Vec<(usize, Datagram)>,
+    pub listens: bool,
+    keys: Rc<Keys>,
+    /// How many a front is told of at start, drawn by chance; 0 for the first two.
+    seeds: usize,
+}
+
+pub fn secret(n: usize) -> [u8; 32] {
+    let mut secret = [0; 32];
+    secret[..8].copy_from_slice(&(n as u64 + 1).to_be_bytes());
+    secret
+}
+
+pub fn at(n: usize) -> SocketAddr {
+    ([127, 0, (n / 200) as u8, (n % 200) as u8 + 1], 7000).into()
+}
+
+pub fn place(at: SocketAddr) -> usize {
+    let SocketAddr::V4(at) = at else { panic!() };
+    let [_, _, high, low] = at.ip().octets();
+    high as usize * 200 + low as usize - 1
+}
+
+pub fn keys(count: usize) -> Rc<Keys> {
+    Keys::new(&(0..count).map(|n| Own::new(&secret(n), 0).public()).collect::<Vec<_>>())
+}
+
+pub fn draw(seed: &mut u64) -> u64 {
+    *seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+    (*seed >> 11) ^ (*seed >> 43)
+}
+
+impl Fleet {
+    pub fn new(count: usize, seed: u64) -> Fleet {
+        Fleet::with_seeds(count, seed, 0)
+    }
+
+    pub fn with_seeds(count: usize, seed: u64, seeds: usize) -> Fleet {
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            apart: vec![0; count],
+            now: 0,
+            seed,
+            loss: 0.0,
+            cut: HashSet::new(),
+            mail: BinaryHeap::new(),
+            bytes: Vec::new(),
+            posted: 0,
+            overheard: Vec::new(),
+            listens: false,
+            keys: keys(count),
+            seeds,
+        };
+        for n in 0..count {
+            fleet.nodes.push(None);
+            fleet.start(n, count, 0);
+        }
+        fleet
+    }
+
+    pub fn wall(&self, n: usize) -> u64 {
+        (WALL as i64 + self.now / 1000 + self.apart[n]) as u64
+    }
+
+    /// Starts a front whose clock reads so many milliseconds less at its start than it should.
+    pub fn start(&mut self, n: usize, count: usize, behind: u64) {
+        let drawn: Vec<SocketAddr> =
+            (0..self.seeds).map(|_| at((draw(&mut self.seed) % count as u64) as usize)).collect();
+        let seeds = if drawn.is_empty() { vec![at(0), at(1)] } else { drawn };
+        let start = Start { secret: secret(n), keys: self.keys.clone(), at: at(n), seeds };
+        self.nodes[n] = Some(Node::new(start, self.wall(n) - behind));
+    }
+
+    pub fn post(&mut self, from: usize, datagrams: Vec<Datagram>) {
+        for datagram in datagrams {
+            let to = place(datagram.to);
+            let lost = (draw(&mut self.seed) % 1000) as f64 / 1000.0 < self.loss;
+            if self.listens {
+                self.overheard.push((from, datagram.clone()));
+            }
+            if lost || self.cut.contains(&(from.min(to), from.max(to))) || to >= self.nodes.len() {
+                continue;
+            }
+            let way = 500 + (draw(&mut self.seed) % 4500) as Micros;
+            self.deliver(from, to, way, datagram.bytes);
+        }
+    }
+
+    pub fn deliver(&mut self, from: usize, to: usize, way: Micros, bytes: Vec<u8>) {
+        self.posted += 1;
+        self.bytes.push(bytes);
+        self.mail.push(Reverse((self.now + way, self.posted - 1, from, to)));
+    }
+
+    pub fn run(&mut self, until: Micros) {
+        while self.now < until {
+            let due = self.nodes.iter().flatten().map(Node::due).min().unwrap_or(until);
+            let mail = self.mail.peek().map_or(until, |Reverse((at, ..))| *at);
+            self.now = due.min(mail).max(self.now).min(until);
+            while let Some(Reverse((when, number, from, to))) = self.mail.peek().copied() {
+                if when > self.now {
+                    break;
+                }
+                self.mail.pop();
+                let bytes = std::mem::take(&mut self.bytes[number as usize]);
+                let (now, wall) = (self.now, self.wall(to));
+                if let Some(node) = &mut self.nodes[to] {
+                    let back = node.heard(now, wall, at(from), &bytes);
+                    self.post(to, back);
+                }
+            }
+            for n in 0..self.nodes.len() {
+                let (now, wall) = (self.now, self.wall(n));
+                let Some(node) = self.nodes[n].as_mut().filter(|node| node.due() <= now) else { continue };
+                let mut seed = self.seed;
+                let out = node.tick(now, wall, &mut || draw(&mut seed));
+                self.seed = seed;
+                self.post(n, out);
+            }
+        }
+    }
+
+    pub fn id(&self, n: usize) -> PeerId {
+        Own::new(&secret(n), 0).id
+    }
+
+    pub fn sees(&mut self, n: usize, sightings: Vec<Sighting>) {
+        let (now, wall) = (self.now, self.wall(n));
+        self.nodes[n].as_mut().unwrap().sees(now, wall, sightings);
+    }
+
+    /// Who has heard of this engine, and from whom.
+    pub fn heard_of(&self, engine: u64) -> Vec<(usize, BTreeSet<PeerId>)> {
+        let makers = |node: &Node| -> BTreeSet<PeerId> {
+            let news = node.news(self.now);
+            news.into_iter().filter(|n| n.sighting.engine == engine).map(|n| n.maker).collect()
+        };
+        let all = self.nodes.iter().enumerate().filter_map(|(n, node)| Some((n, makers(node.as_ref()?))));
+        all.filter(|(_, makers)| !makers.is_empty()).collect()
+    }
+
+    /// How many of those that run take this one to be so.
+    pub fn health(&self, of: usize, health: Health) -> usize {
+        let id = self.id(of);
+        self.nodes.iter().flatten().filter(|node| node.members().health(id) == Some(health)).count()
+    }
+
+    pub fn sent(&self) -> Vec<u64> {
+        self.nodes.iter().flatten().map(|node| node.sent).collect()
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod measure;
 mod prove;
 mod rig;
+mod rumour;
 mod scripted;
 
 use std::process::ExitCode;
@@ -37,7 +38,7 @@
         rounds: usize,
     },
     /// Measures beside a plain way, and prints a table.
-    Measure { subject: Subject },
+    Measure { subject: Measured },
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -45,14 +46,25 @@
     Postgres,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum Measured {
+    Postgres,
+    /// In simulated time alone, for now.
+    Gossip,
+}
+
 fn main() -> ExitCode {
     let (seed, units, rounds) = match Lab::parse().what {
         What::Prove { subject: Subject::Postgres, seed, units, rounds } => (seed, units, rounds),
-        What::Measure { subject: Subject::Postgres } => {
-            return match measure::postgres() {
+        What::Measure { subject } => {
+            let measured = match subject {
+                Measured::Postgres => measure::postgres(),
+                Measured::Gossip => rumour::spread(&[20, 100, 1_000]),
+            };
+            return match measured {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(why) => {
-                    eprintln!("measure postgres: {why}");
+                    eprintln!("measure: {why}");
                     ExitCode::FAILURE
                 }
             };
