Fronts exchange what they have seen of engines: signed datagrams, keys of the operator's file

Change: a gossip part in the operator's file (address, secret, public keys, seeds; SIGHUP reads the keys again), peers.rs with one socket on the loop, what the dispatcher has seen of each engine (failures, answers, silence, drains, starts) as the report, a good-bye at SIGTERM, log lines. The module does not go by it yet.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -6,5 +6,5 @@
 mod station;
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
-pub use operator::{Operator, Postgres, SessionLimits, SpeakingEngines, User};
+pub use operator::{hexadecimal, Gossip, Operator, Postgres, SessionLimits, SpeakingEngines, User};
 pub use station::{Limits, Station};
--- a/crates/agreement/src/operator.rs
+++ b/crates/agreement/src/operator.rs
@@ -26,6 +26,17 @@
 #[serde(deny_unknown_fields)]
 struct File {
     postgres: Option<PostgresFile>,
+    gossip: Option<GossipFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GossipFile {
+    listen: SocketAddr,
+    secret_file: String,
+    peers: BTreeMap<String, String>,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
 }
 
 #[derive(Deserialize)]
@@ -97,6 +108,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Operator {
     pub postgres: Option<Postgres>,
+    pub gossip: Option<Gossip>,
+}
+
+/// Words with other fronts: where they come in, whose count, whom to ask first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gossip {
+    pub listen: SocketAddr,
+    /// The file that holds the secret half of this front's key pair, as 64 hexadecimal digits.
+    pub secret_file: String,
+    /// Public keys, by the names that the log gives them.
+    pub peers: Vec<(String, [u8; 32])>,
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// PostgreSQL sessions: where they come in, which engines they go to, who may open them.
@@ -156,7 +179,8 @@
             fault(text, &path, &e.into_inner().to_string())
         })?;
         let postgres = file.postgres.map(|p| postgres(text, p, contract)).transpose()?;
-        Ok(Operator { postgres })
+        let gossip = file.gossip.map(|g| gossip(text, g)).transpose()?;
+        Ok(Operator { postgres, gossip })
     }
 }
 
@@ -169,6 +193,31 @@
     }
 }
 
+fn gossip(text: &str, file: GossipFile) -> Result<Gossip, String> {
+    let mut peers = Vec::new();
+    for (name, key) in file.peers {
+        match hexadecimal(&key) {
+            Some(key) => peers.push((name, key)),
+            None => {
+                let path = format!("gossip.peers.{name}");
+                return Err(fault(text, &path, "is no key: 64 hexadecimal digits"));
+            }
+        }
+    }
+    Ok(Gossip { listen: file.listen, secret_file: file.secret_file, peers, seeds: file.seeds })
+}
+
+/// Thirty-two bytes, as 64 hexadecimal digits.
+pub fn hexadecimal(text: &str) -> Option<[u8; 32]> {
+    let digits = text.trim().as_bytes();
+    let mut bytes = [0; 32];
+    for (n, byte) in bytes.iter_mut().enumerate() {
+        let digit = |at: usize| digits.get(at).and_then(|c| (*c as char).to_digit(16));
+        *byte = (digit(2 * n)? * 16 + digit(2 * n + 1)?) as u8;
+    }
+    (digits.len() == 64).then_some(bytes)
+}
+
 fn postgres(text: &str, file: PostgresFile, contract: &Contract) -> Result<Postgres, String> {
     let names = &contract.names;
     let known = |path: String, list: &[String], name: &str| match list.iter().any(|n| n == name) {
@@ -389,6 +438,12 @@
         assert_eq!((postgres.limits.sessions, postgres.limits.statements), (10, MOST_STATEMENTS));
         assert_eq!(postgres.engines[1].port, Some(5433));
         assert!(read("{}").unwrap().postgres.is_none());
+        let key = "0f".repeat(32);
+        let gossip =
+            format!("{{ gossip: {{ listen: '127.0.0.1:0', secret_file: 's', peers: {{ a: '{key}' }} }} }}");
+        assert_eq!(read(&gossip).unwrap().gossip.unwrap().peers, [("a".to_string(), [15; 32])]);
+        let why = read(&gossip.replace(&key, &key[1..])).unwrap_err();
+        assert!(why.starts_with("line 1: gossip.peers.a: is no key"), "{why}");
     }
 
     #[test]
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -149,6 +149,41 @@
     id: String,
     entry: Listed,
     out: usize,
+    seen: Seen,
+}
+
+/// What was seen of an engine lately; counts halve with time.
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    failed: f64,
+    answered: f64,
+    at: Micros,
+    /// When it last said anything, and since when something is out there.
+    heard: Micros,
+    busy: Micros,
+}
+
+impl Seen {
+    fn fade(&mut self, now: Micros) {
+        let left = 0.5f64.powf((now - self.at) as f64 / SEEN_HALVES as f64);
+        (self.failed, self.answered, self.at) = (self.failed * left, self.answered * left, now);
+    }
+}
+
+const SEEN_HALVES: Micros = 2_000_000; // microseconds until what was seen of an engine counts half
+const SILENT: Micros = 1_000_000; // microseconds of silence with something out that are worth a word
+
+/// What this front has seen of an engine, for others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sighted<'a> {
+    pub id: &'a str,
+    /// Executions that failed or were lost, and that were answered, of some seconds.
+    pub failed: f64,
+    pub answered: f64,
+    /// How long it has said nothing though something is out there.
+    pub silent: Micros,
+    pub drains: bool,
+    pub started: Option<Micros>,
 }
 
 pub struct Dispatcher {
@@ -282,7 +317,18 @@
         let Some(s) = self.statements.get_mut(&ticket) else { return false };
         let Some(x) = s.executions.get_mut(execution).filter(|x| x.out) else { return false };
         x.out = false;
-        self.engines[x.place].out -= 1;
+        let engine = &mut self.engines[x.place];
+        engine.out -= 1;
+        engine.seen.fade(now);
+        match ending {
+            Ending::Answered => engine.seen.answered += 1.0,
+            Ending::EngineFailed | Ending::Refused | Ending::NeverUp => engine.seen.failed += 1.0,
+            Ending::Reset | Ending::Closed | Ending::Unreadable => engine.seen.failed += 1.0,
+            _ => {}
+        }
+        if matches!(ending, Ending::Answered | Ending::EngineFailed | Ending::TurnedAway) {
+            engine.seen.heard = now;
+        }
         let answers = (ending == Ending::Answered || s.begun) && !s.over;
         s.over |= answers;
         let holds = answers && s.keeps && ending == Ending::Answered;
@@ -311,6 +357,24 @@
         self.told.push(Event::Noted { statement: ticket, execution, engine: x.place, note });
     }
 
+    /// Engines that others may want to know of: those in some trouble, draining, or started lately.
+    pub fn sighted(&mut self, now: Micros) -> Vec<Sighted<'_>> {
+        self.engines.iter_mut().for_each(|e| e.seen.fade(now));
+        let silent = |e: &Engine| match e.out {
+            0 => 0,
+            _ => Some(now - e.seen.heard.max(e.seen.busy)).filter(|silent| *silent >= SILENT).unwrap_or(0),
+        };
+        let all = self.engines.iter().map(|e| Sighted {
+            id: &e.id,
+            failed: e.seen.failed,
+            answered: e.seen.answered,
+            silent: silent(e),
+            drains: e.entry.mode != Mode::Ready,
+            started: e.entry.started,
+        });
+        all.filter(|s| s.failed >= 1.0 || s.silent > 0 || s.drains).collect()
+    }
+
     /// The client no longer waits.
     pub fn left(&mut self, now: Micros, ticket: Ticket) {
         let Some(s) = self.statements.get_mut(&ticket).filter(|s| !s.over) else { return };
@@ -350,9 +414,15 @@
                 tells: listing.speaks.contains(&Speech::Lines),
             };
             entry.engine = self.place(listing.id, &entry);
-            let engine = Engine { id: listing.id.to_string(), entry: entry.clone(), out: 0 };
+            let seen = Seen::default();
+            let engine = Engine { id: listing.id.to_string(), entry: entry.clone(), out: 0, seen };
             match self.engines.get_mut(entry.engine) {
-                Some(known) => *known = Engine { out: known.out, ..engine },
+                Some(known) => {
+                    // What was seen of another, or of an earlier start, says nothing of this one.
+                    let same = known.id == engine.id && known.entry.started == engine.entry.started;
+                    let seen = if same { known.seen } else { seen };
+                    *known = Engine { out: known.out, seen, ..engine };
+                }
                 None => self.engines.push(engine),
             }
             places.push(entry.engine);
@@ -423,7 +493,11 @@
                 let Some(s) = self.statements.get_mut(&ticket) else { return };
                 let (execution, terms) = (s.executions.len(), s.terms);
                 s.executions.push(Execution { place, sent: now, out: true });
-                self.engines[place].out += 1;
+                let engine = &mut self.engines[place];
+                if engine.out == 0 {
+                    engine.seen.busy = now;
+                }
+                engine.out += 1;
                 orders.push(Order::Send { ticket, execution, place, terms });
             }
             Action::Cancel { statement: ticket, execution } => {
--- a/crates/front/src/doors.rs
+++ b/crates/front/src/doors.rs
@@ -16,6 +16,8 @@
     Server,
     /// A connection that only carries a request to cancel to an engine.
     Cancel,
+    /// Words with other fronts.
+    Peers,
 }
 
 /// A connection, by its door and the number that it has there.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -19,6 +19,7 @@
 use crate::engines::{self, Engines};
 use crate::entrance::Entrance;
 use crate::link::Link;
+use crate::peers::Peers;
 use crate::portal::{Portal, Room};
 use crate::shutdown::Shutdown;
 
@@ -40,6 +41,8 @@
     coordinator: Coordinator,
     /// PostgreSQL sessions, where the operator's file switches them on.
     portal: Option<Portal>,
+    /// Words with other fronts, likewise.
+    peers: Option<Peers>,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -56,6 +59,10 @@
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
         let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
+        let mut clock = Clock::default();
+        clock.look();
+        let gossip = station.operator.gossip.as_ref();
+        let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
@@ -68,13 +75,13 @@
             engines: Engines::new(handle.clone(), contract.allowance.clone(), &contract.names),
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
+            peers,
             shutdown: Shutdown::default(),
-            clock: Clock::default(),
+            clock,
             unfinished: Vec::new(),
             handle,
         };
         front.limit(&station.limits);
-        front.clock.look();
         front.follow(known, 0);
         Ok(front)
     }
@@ -90,6 +97,7 @@
             self.entrance.due(),
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
+            self.peers.as_ref().map_or(Micros::MAX, Peers::due),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
         self.clock.sleep(due);
@@ -115,6 +123,7 @@
                 }
                 false
             }
+            Door::Peers => self.peers.as_mut().is_some_and(|peers| peers.read(self.clock.now)),
             Door::SessionListener | Door::Session | Door::Server | Door::Cancel => {
                 let now = self.clock.now;
                 self.portal.as_mut().is_some_and(|portal| portal.ready(now, party))
@@ -246,6 +255,9 @@
         let mut told = Vec::new();
         self.clients.expire(self.clock.now, &mut told);
         self.take(told);
+        if let Some(peers) = &mut self.peers {
+            peers.tick(self.clock.now, &mut self.dispatcher);
+        }
         self.engines.expire(self.clock.now);
         self.coordinator.expire(self.clock.now);
         self.clock.look();
@@ -301,6 +313,7 @@
     pub fn end(&mut self) {
         self.clock.look();
         self.shutdown.ask(self.clock.now);
+        self.peers.iter_mut().for_each(|peers| peers.leave(self.clock.now));
     }
 
     /// The configuration was read again: what may change while a front runs holds from now on. One that
@@ -310,6 +323,9 @@
         match read {
             Ok(station) => {
                 self.limit(&station.limits);
+                if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
+                    peers.reload(gossip);
+                }
                 self.coordinator.turn_to(self.clock.now, station.coordinator);
                 let at = station.coordinator.map_or("none".to_string(), |at| at.to_string());
                 log::info!("the configuration was read again; coordinator: {at}");
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -9,6 +9,7 @@
 mod front;
 mod link;
 mod logger;
+mod peers;
 mod portal;
 mod reuse;
 mod servers;
--- a/crates/front/src/portal.rs
+++ b/crates/front/src/portal.rs
@@ -114,7 +114,7 @@
             Door::Session => return self.sessions.read(now, party.number),
             Door::Server => return self.servers.read(now, party.number),
             Door::Cancel => self.servers.read_cancel(party.number),
-            Door::Listener | Door::Client | Door::Engine | Door::Coordinator => {}
+            Door::Listener | Door::Client | Door::Engine | Door::Coordinator | Door::Peers => {}
         }
         false
     }
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -80,6 +80,11 @@
         self.own.id
     }
 
+    /// The public half of its key pair.
+    pub fn public(&self) -> [u8; 32] {
+        self.own.public()
+    }
+
     pub fn members(&self) -> &Members {
         &self.members
     }
--- a/crates/lab/src/hard.rs
+++ b/crates/lab/src/hard.rs
@@ -28,6 +28,11 @@
 }
 
 fn stage_with(count: usize, limits: &str, sockets: usize) -> Stage {
+    stage_among(count, limits, sockets, "")
+}
+
+/// The same with a further part of the operator's file.
+fn stage_among(count: usize, limits: &str, sockets: usize, part: &str) -> Stage {
     let records = Records::new();
     let engines: Vec<_> = (0..count).map(|n| Engine::start(n, records.clone(), true).unwrap()).collect();
     let lines_at = lines::engine(count, records.clone()).unwrap();
@@ -47,7 +52,7 @@
     // For the password 'example'.
     let verifier = postgres_protocol::password::scram_sha_256(b"example");
     let operator = format!(
-        "{{ postgres: {{ listen: '127.0.0.1:0', engines: [{{ kinds: ['pg'] }}],
+        "{{ {part} postgres: {{ listen: '127.0.0.1:0', engines: [{{ kinds: ['pg'] }}],
         users: {{ portal: {{ trust: true, member: 'acme', workload: 'lookup' }},
             locked: {{ verifier: '{verifier}', member: 'acme', workload: 'lookup', engine_user: 'front' }} }},
         limits: {{ {limits} }} }} }}"
@@ -472,3 +477,41 @@
     s.send().unwrap();
     assert_eq!(code(&s.read().unwrap()), "54000");
 }
+
+#[test]
+fn fronts_tell_each_other_of_an_engine_that_dies_and_believe_no_stranger() {
+    let folder = std::env::temp_dir().join(format!("hallmux-lab-keys-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+    let secret = |n: usize| [n as u8 + 1; 32];
+    // Two that know each other, and a third that both do not know.
+    let keys: Vec<String> =
+        (0..2).map(|n| hex(&hallmux_gossip::seal::Own::new(&secret(n), 0).public())).collect();
+    let known = format!("peers: {{ one: '{}', two: '{}' }}", keys[0], keys[1]);
+    let mut seeds = String::new();
+    let mut stages = Vec::new();
+    for n in 0..3 {
+        let file = folder.join(format!("secret{n}"));
+        std::fs::write(&file, hex(&secret(n))).unwrap();
+        let file = file.display();
+        let part =
+            format!("gossip: {{ listen: '127.0.0.1:0', secret_file: '{file}', {known}, seeds: [{seeds}] }},");
+        let stage = stage_among(1, LIMITS, 1024, &part);
+        let line = stage.front.logged("talks with other fronts").unwrap();
+        seeds = format!("'{}'", line.rsplit(' ').next().unwrap());
+        stages.push(stage);
+    }
+    // The second hears of the first's engine, the first of the second's; the third is heard by nobody.
+    for (n, stage) in stages.iter().enumerate().take(2) {
+        let mut s = stage.open();
+        stage.engines[0].crash();
+        for m in 0..2 {
+            ask(&mut s, &run(&format!("{n}x{m}"), ""));
+        }
+    }
+    until("the second hears of it", || stages[1].front.logged("front one says of engine").is_some());
+    until("the first hears of it", || stages[0].front.logged("front two says of engine").is_some());
+    until("a stranger is refused", || stages[1].front.logged("Stranger").is_some());
+    assert!(stages.iter().all(|stage| stage.front.logged("front ? says").is_none()));
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -172,7 +172,7 @@
     }
     let mut wrong: BTreeMap<&str, Vec<String>> = BTreeMap::new();
     if !front.is_up() {
-        wrong.entry("front").or_default().push("it ended".into());
+        wrong.entry("front").or_default().push(format!("it ended: {:?}", front.last()));
     }
     // The planned end comes while clients ask and transactions are open.
     let open = scripted::open_transactions(front.sessions, &notes, 3);
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -89,6 +89,7 @@
     pub lines: SocketAddr,
     pub sessions: SocketAddr,
     folder: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
@@ -128,12 +129,17 @@
         let log = BufReader::new(child.stderr.take().ok_or("no log")?);
         let found: Arc<(Mutex<Vec<SocketAddr>>, Condvar)> = Arc::default();
         let told = found.clone();
+        let kept: Arc<Mutex<Vec<String>>> = Arc::default();
+        let keeps = kept.clone();
         let shows = std::env::var("HALLMUX_LAB_LOG").is_ok();
         std::thread::spawn(move || {
             for line in log.lines().map_while(Result::ok) {
                 if shows {
                     eprintln!("{line}");
                 }
+                if let Ok(mut lines) = keeps.lock() {
+                    lines.push(line.clone());
+                }
                 let address = line.rsplit(' ').next().and_then(|word| word.parse().ok());
                 if let (true, Some(address), Ok(mut all)) = (line.contains(" takes "), address, told.0.lock())
                 {
@@ -146,7 +152,7 @@
         let waits = found.1.wait_timeout_while(all, PATIENCE, |all| all.len() < 2);
         let (all, _) = waits.map_err(|e| e.to_string())?;
         match all[..] {
-            [sessions, lines, ..] => Ok(Front { child, lines, sessions, folder }),
+            [sessions, lines, ..] => Ok(Front { child, lines, sessions, folder, log: kept }),
             _ => {
                 let _ = child.kill();
                 Err("the front did not start".to_string())
@@ -154,6 +160,17 @@
         }
     }
 
+    /// The last line of its log.
+    pub fn last(&self) -> Option<String> {
+        self.log.lock().ok()?.last().cloned()
+    }
+
+    /// The first line of its log that holds the text.
+    #[cfg(test)]
+    pub fn logged(&self, text: &str) -> Option<String> {
+        self.log.lock().ok()?.iter().find(|line| line.contains(text)).cloned()
+    }
+
     /// Kilobytes of memory that it holds.
     pub fn memory_kb(&self) -> u64 {
         self.status("VmRSS:")
