--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -6,7 +6,9 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use hallmux::interface::{Action, Arrival, Effect, Ended, Event, KeyId, Listed, Report, StatementId};
+use hallmux::interface::{
+    Action, Arrival, Effect, Ended, Event, Hearsay, KeyId, Listed, Report, StatementId,
+};
 use hallmux::Front;
 use hallmux_agreement::{Contract, Names};
 
@@ -375,6 +377,13 @@
         all.filter(|s| s.failed >= 1.0 || s.silent > 0 || s.drains).collect()
     }
 
+    /// Another front says something of an engine, which `is` knows by its id; `maker` is its place among them.
+    pub fn hearsay(&mut self, maker: usize, is: impl Fn(&str) -> bool, seen: &Sighted, age: Micros) {
+        let Some(engine) = self.engines.iter().position(|e| is(&e.id)) else { return };
+        let Sighted { failed, answered, silent, .. } = *seen;
+        self.told.push(Event::Hearsay(Hearsay { maker, engine, failed, answered, silent, age }));
+    }
+
     /// The client no longer waits.
     pub fn left(&mut self, now: Micros, ticket: Ticket) {
         let Some(s) = self.statements.get_mut(&ticket).filter(|s| !s.over) else { return };
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -21,6 +21,7 @@
 
 const LOOK: Micros = 250_000; // microseconds between looks at what this front has seen itself
 const ONE_TURN: usize = 64; // datagrams taken before others have their turn
+const MOST_MAKERS: usize = 4_096; // fronts that the module keeps apart in one life of this one
 const SAID: Micros = 10_000_000; // microseconds between lines of the log on what was refused
 
 pub struct Peers {
@@ -33,7 +34,9 @@
     said: Micros,
     refused: BTreeMap<Refused, u64>,
     /// What others said last, so that a change is told once.
-    known: BTreeMap<(PeerId, u64), bool>,
+    known: BTreeMap<(PeerId, u64), Sighting>,
+    /// Their places for the module, in the order in which they were first heard.
+    makers: BTreeMap<PeerId, usize>,
     left: bool,
 }
 
@@ -104,6 +107,7 @@
             said: 0,
             refused: BTreeMap::new(),
             known: BTreeMap::new(),
+            makers: BTreeMap::new(),
             left: false,
         })
     }
@@ -158,7 +162,7 @@
             let mut seen: Vec<Sighting> = dispatcher.sighted(now).iter().map(sighting).collect();
             seen.sort_by_key(|s| (std::cmp::Reverse(s.silent_ms), std::cmp::Reverse(s.failed), s.engine));
             self.node.sees(now, wall, seen);
-            self.tell(now);
+            self.tell(now, dispatcher);
         }
         let out = self.node.tick(now, wall, &mut draws(&self.chance, &mut self.drawn));
         self.send(out);
@@ -172,11 +176,29 @@
         }
     }
 
-    /// Says in the log what has changed in what others say, and what was refused.
-    fn tell(&mut self, now: Micros) {
+    /// Hands on what has changed in what others say; the log says what is new, and what was refused.
+    fn tell(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
         let news = self.node.news(now);
-        let known: BTreeMap<(PeerId, u64), bool> =
-            news.iter().map(|n| ((n.maker, n.sighting.engine), n.sighting.drains)).collect();
+        let known: BTreeMap<(PeerId, u64), Sighting> =
+            news.iter().map(|n| ((n.maker, n.sighting.engine), n.sighting)).collect();
+        for n in &news {
+            let s = n.sighting;
+            // Guards against makers without end, as keys come and go.
+            if self.known.get(&(n.maker, s.engine)) == Some(&s) || self.makers.len() >= MOST_MAKERS {
+                continue;
+            }
+            let next = self.makers.len();
+            let maker = *self.makers.entry(n.maker).or_insert(next);
+            let seen = Sighted {
+                id: "",
+                failed: f64::from(s.failed),
+                answered: f64::from(s.answered),
+                silent: Micros::from(s.silent_ms) * 1000,
+                drains: s.drains,
+                started: None,
+            };
+            dispatcher.hearsay(maker, |id| named(id) == s.engine, &seen, n.age);
+        }
         for n in news.iter().filter(|n| !self.known.contains_key(&(n.maker, n.sighting.engine))) {
             let News { maker, sighting: s, age } = n;
             let name = self.names.get(maker).map_or("?", String::as_str);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,6 +52,11 @@
 const FORGOTTEN: f64 = 0.007; // share of what reports told that each look forgets: half is gone in about 10 s
 const OUTDATED: f64 = 0.02; // share of what one engine told that a look turns into the usual: half in 3.5 s
 
+const HEARD_FOR: Micros = 8 * SECOND; // age at which what others say of an engine is worth nothing
+const HEARSAY: f64 = 0.5; // most that others' word takes of a bound, however many speak; one half of it
+const TOLD_WRONG: f64 = 0.8; // factor on the credit of a front that speaks ill of an engine that does well
+const DOUBTFUL: f64 = 0.3; // share of failures or silence from which a word counts as ill
+
 impl ServiceClass {
     fn conformance(&self) -> f64 {
         (self.timely + UNSEEN) / (self.counted + UNSEEN)
@@ -99,6 +104,8 @@
     ran: Load,        // what a statement usually holds while it runs
     may_probe: f64,   // probes that statements have paid for
     asks_next: usize, // engine whose turn it is to be probed
+    said: BTreeMap<(EngineId, usize), (f64, Micros)>, // ill words of other fronts, and until when
+    makers: BTreeMap<usize, f64>, // credit of other fronts, by whether what they said came true
     first_look: f64,  // where in the list of engines the next choice looks first
 }
 
@@ -144,6 +151,7 @@
                 Event::Noted { statement: s, execution: n, engine: e, note } => self.noted(s, n, e, note),
                 Event::Left(id) => self.close(id, false),
                 Event::Freed { key, rests } => self.freed(key, rests),
+                Event::Hearsay(said) => self.hear(said),
                 Event::Probed { engine, alive, report } => {
                     self.engines.know(engine, TRUSTED);
                     self.engines.credit[engine] *= if alive { 1.0 } else { SPENT_ERROR };
@@ -181,6 +189,7 @@
             if let Some(start) = entry.started.filter(|_| restarted) {
                 (self.engines.credit[e], self.engines.rests_until[e]) = (TRUSTED, 0);
                 self.engines.others[e] = Load::default();
+                self.said.retain(|(at, _), _| *at != e); // of an earlier start
                 self.found_cold(e, start + self.agreed.warm_within);
             }
             self.engines.open[e] = entry.mode == Mode::Ready;
@@ -197,6 +206,37 @@
         s.asked.pinned.is_some_and(|e| !self.engines.open.get(e).is_some_and(|open| *open))
     }
 
+    fn hear(&mut self, said: Hearsay) {
+        let silence = said.silent as f64 / (said.silent + SECOND) as f64;
+        let ill = (said.failed / (said.failed + said.answered + 1.0)).max(silence);
+        let (at, until) = ((said.engine, said.maker), self.now - said.age + HEARD_FOR);
+        self.said.retain(|_, (_, until)| *until > self.now);
+        if ill >= DOUBTFUL && until > self.now {
+            self.said.insert(at, (ill, until));
+        } else {
+            self.said.remove(&at);
+        }
+    }
+
+    /// How much of an engine's bound others' word leaves. Two that are believed take twice what one does,
+    /// more no more than two; it fades with age.
+    fn doubt(&self, e: EngineId) -> f64 {
+        let worth = |(maker, (ill, until)): (usize, &(f64, Micros))| {
+            let left = (until - self.now).max(0) as f64 / HEARD_FOR as f64;
+            self.makers.get(&maker).copied().unwrap_or(TRUSTED) * ill * left.sqrt()
+        };
+        let said = self.said.range((e, 0)..(e + 1, 0)).map(|((_, maker), said)| (*maker, said));
+        1.0 - HEARSAY * said.map(worth).map(|worth| worth.min(0.5)).sum::<f64>().min(1.0)
+    }
+
+    /// An engine has shown here what others' word of it was worth.
+    fn proved(&mut self, e: EngineId, ill: bool) {
+        for ((_, maker), _) in self.said.range((e, 0)..(e + 1, 0)) {
+            let credit = self.makers.entry(*maker).or_insert(TRUSTED);
+            *credit = if ill { (*credit + EARNED).min(1.0) } else { *credit * TOLD_WRONG };
+        }
+    }
+
     fn workload(&self, s: &Statement) -> &Workload {
         &self.agreed.workloads[s.asked.workload]
     }
@@ -509,6 +549,12 @@
         let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
+        // Where all that it may use are spoken ill of, nothing is said.
+        let may = |e: &EngineId| {
+            self.engines.open[*e] && self.engines.listed[*e].as_ref().is_some_and(|l| workload.allows(l))
+        };
+        let heeds =
+            !self.said.is_empty() && (0..self.engines.open.len()).filter(may).any(|e| self.doubt(e) >= 1.0);
         let ((pool, out), alone) = (self.engines.open_totals(), self.classes[s.class].out.is_empty());
         let over = self.many && !alone && out + workload.threads > pool;
         let count = self.engines.open.len();
@@ -531,6 +577,7 @@
             let Some(entry) = &self.engines.listed[e] else { continue };
             let (size, own) = (self.engines.size[e], self.engines.own[e]);
             let credit = (self.engines.credit[e] / TRUSTED).min(1.0);
+            let credit = if heeds { credit * self.doubt(e) } else { credit };
             let bound = self.engines.bound[e] * credit.max(0.01) * self.warmth(e);
             let memory = size.memory * MEMORY_USED * (bound / (THREADS_PER_CORE * size.threads)).min(1.0);
             // What this front has added since the last report, the others are taken to have added too.
@@ -677,7 +724,12 @@
             self.engines.others[e].add(load, 1.0); // it may run on
         }
         match x.outcome {
-            Outcome::Completed => self.completed(&x, load.threads),
+            Outcome::Completed => {
+                if x.took <= self.slo_time(&self.statements[&x.statement], x.cost) {
+                    self.proved(e, false);
+                }
+                self.completed(&x, load.threads)
+            }
             Outcome::TimedOut if quiet => {} // an engine that hangs has been charged for its silence
             // Guards against jams no answer tells of: one that turns work away or, among many fronts, lets it
             // run into the client's limit is full until it reports again, whatever it said before.
@@ -688,8 +740,14 @@
                 self.sway(e, -SHRINK * load.threads);
             }
             // A crash resets all that an engine holds at once; single resets are the network's.
-            Outcome::Error | Outcome::Reset => self.spend(e, SPENT_ERROR),
-            Outcome::NoRoute => self.spend(e, SPENT_LOST),
+            Outcome::Error | Outcome::Reset => {
+                self.proved(e, true);
+                self.spend(e, SPENT_ERROR)
+            }
+            Outcome::NoRoute => {
+                self.proved(e, true);
+                self.spend(e, SPENT_LOST)
+            }
             Outcome::Cancelled | Outcome::NotSent => {}
         }
         if was_over {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -197,6 +197,18 @@
     pub report: Option<Report>,
 }
 
+/// What another front says of an engine, by its place among those that may speak.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hearsay {
+    pub maker: usize,
+    pub engine: EngineId,
+    /// Executions there that failed and that were answered, of some seconds.
+    pub failed: f64,
+    pub answered: f64,
+    pub silent: Micros,
+    pub age: Micros,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The engine list: whole, or only what changed.
@@ -226,6 +238,7 @@
         alive: bool,
         report: Option<Report>,
     },
+    Hearsay(Hearsay),
     Woken,
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -176,7 +176,10 @@
 
     fn happens(&mut self, words: &[&str]) -> Option<Event> {
         let said = options(&words[2..]);
-        let statement = index(&mut self.statements, words[1]) as StatementId;
+        let statement = match words[0] {
+            "hear" => 0,
+            _ => index(&mut self.statements, words[1]) as StatementId,
+        };
         let value = |name: &str| said.get(name).map_or(0.0, |v| number(v));
         Some(match words[0] {
             "take" => Event::Arrived(Arrival {
@@ -223,6 +226,14 @@
                 },
             },
             "leave" => Event::Left(statement),
+            "hear" => Event::Hearsay(Hearsay {
+                maker: number(words[1]) as usize,
+                engine: self.engine_names.iter().position(|e| e == words[2])?,
+                failed: value("failed"),
+                answered: value("answered"),
+                silent: micros(said.get("silent").copied().unwrap_or("0")),
+                age: micros(said.get("age").copied().unwrap_or("0")),
+            }),
             "free" => Event::Freed {
                 key: self.keys.iter().position(|k| k == words[1])? as KeyId,
                 rests: said.contains_key("rests"),
