What one turn leaves unread on a resumed connection is read in the next

Cause: under edge triggers a connection read out of turn (a result that goes on once its client has caught up, a newcomer, input that had to wait) is not told of again; portal dropped the word that more was there. A result whose tail lay in the socket stood still until its time was up, at buffers of 1 MB and rarely at 64 KB.

Change: portal keeps such connections and reads them at the next turn.

--- a/crates/front/src/portal.rs
+++ b/crates/front/src/portal.rs
@@ -38,6 +38,8 @@
     timeouts: Vec<(String, Micros)>,
     come_back_ms: Option<i64>,
     shut: Option<Micros>,
+    /// Connections with more to read than one turn takes, that the loop does not tell of again.
+    unfinished: Vec<Party>,
 }
 
 impl Portal {
@@ -61,6 +63,7 @@
             timeouts: workloads.map(|(name, w)| (name.clone(), w.statement_timeout)).collect(),
             come_back_ms: contract.agreement.longest_retry_after.map(|time| time / 1000),
             shut: None,
+            unfinished: Vec::new(),
             handle,
         };
         log::info!("takes PostgreSQL sessions at {address}");
@@ -103,6 +106,7 @@
 
     pub fn due(&self) -> Micros {
         let more = !self.servers.told.is_empty() || !self.sessions.ready.is_empty();
+        let more = more || !self.unfinished.is_empty();
         let ready = if more { 0 } else { Micros::MAX };
         self.entrance.due().min(self.servers.due()).min(ready)
     }
@@ -138,15 +142,25 @@
             match Link::new(stream, &self.handle, Door::Session.party(id)) {
                 Ok(link) => {
                     self.sessions.accept(now, id, link);
-                    self.sessions.read(now, id);
+                    self.read_on(now, Door::Session.party(id));
                 }
                 Err(e) => log::warn!("a session's connection can't be served: {e}"),
             }
         }
     }
 
+    /// Reads a connection that the loop has not told of; what one turn leaves is read in the next.
+    fn read_on(&mut self, now: Micros, party: Party) {
+        if self.ready(now, party) {
+            self.unfinished.push(party);
+        }
+    }
+
     /// Takes the units that have come.
     pub fn take(&mut self, now: Micros, room: Room, dispatcher: &mut Dispatcher) {
+        for party in std::mem::take(&mut self.unfinished) {
+            self.read_on(now, party);
+        }
         for id in std::mem::take(&mut self.sessions.ready) {
             self.sessions.advance(now, id, &self.users, &mut self.servers);
             self.hear(now, room, dispatcher);
@@ -345,7 +359,7 @@
     pub fn flush(&mut self, now: Micros, room: Room, most: usize, dispatcher: &mut Dispatcher) {
         for sent in self.sessions.flush() {
             if let Some(link) = self.servers.pause(sent, false) {
-                self.servers.read(now, link);
+                self.read_on(now, Door::Server.party(link));
             }
         }
         if let (untaken, Some(id)) = self.sessions.untaken() {
@@ -355,7 +369,7 @@
             }
         }
         for id in self.sessions.unstalled() {
-            self.sessions.read(now, id);
+            self.read_on(now, Door::Session.party(id));
         }
         self.hear(now, room, dispatcher);
     }
--- a/crates/lab/src/hard.rs
+++ b/crates/lab/src/hard.rs
@@ -515,3 +515,22 @@
     assert!(stages.iter().all(|stage| stage.front.logged("front ? says").is_none()));
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+#[test]
+fn a_long_result_goes_through_whatever_the_buffer() {
+    for buffer in [1024, 65536, 1 << 20] {
+        let stage = stage(1, &format!("buffer_bytes: {buffer}"));
+        let mut s = stage.open();
+        for rows in [1_000, 3_000, 8_000, 16_000] {
+            s.query(&format!("select run('id=a,rows={rows},bytes=1000')"));
+            s.send().unwrap();
+            // So that the engine has sent all it can, and nothing more comes from it that would wake the front.
+            std::thread::sleep(Duration::from_millis(150));
+            let had = s.unit().unwrap().iter().filter(|m| m.0 == b'D').count();
+            assert_eq!(had, rows, "{buffer}");
+        }
+        // And a unit of the largest size, sent in one go.
+        let long = format!("select run('id=b,rows=1') /* {} */", "x".repeat(1_000_000));
+        assert_eq!(ask(&mut s, &long).0, "TDCZ", "{buffer}");
+    }
+}
