A field of engine connections that nobody read is gone

Cause: since results are read on by the portal, whether a paused connection had more was kept twice.

Change: the field of servers.rs goes; what resumes is read anyway.

--- a/crates/front/src/servers.rs
+++ b/crates/front/src/servers.rs
@@ -114,8 +114,6 @@
     last: bool,
     /// What comes belongs to a unit that was given up.
     discards: bool,
-    /// There may be more to read.
-    unread: bool,
 }
 
 /// A connection that carries one request to cancel.
@@ -362,7 +360,6 @@
             cancels: 0,
             last: false,
             discards: false,
-            unread: false,
         };
         self.links.insert(id, server);
         Ok(())
@@ -556,10 +553,8 @@
         }
         let execution = server.serves.and_then(|sent| self.executions.get_mut(&sent));
         if execution.as_ref().is_some_and(|x| x.paused) {
-            server.unread = true;
             return false;
         }
-        server.unread = false;
         let (more, broken) = server.link.read_some(ONE_READ);
         let mut input = std::mem::take(&mut server.link.input);
         let mut at = 0;
