Many fronts share the engines' bounds also where reports tell no statements in hand

Lines at fault: src/decide.rs Front::new, 'many' required agreed.report.active, so with 97 to 152 fronts each engine's bound stayed a few tenths of a thread and the 'idle' clause of Front::place let every front send one statement to every engine without work. Change: the many-fronts mode follows the count of fronts alone; where 'active' is missing, busy cores (cpu times cores) and statements waiting for memory stand in for statements in hand; where neither is told, a report leaves what others are taken to hold, and a front does not go beyond its share of the pool. crates/agreement reads the places of 'cpu' and 'waiting'.

--- a/crates/agreement/src/contract.rs
+++ b/crates/agreement/src/contract.rs
@@ -242,7 +242,12 @@
         grants: read.extra.grants_count,
         priorities: read.extra.takes_priority,
         progress_every: micros(read.extra.tells_every_ms),
-        report: ReportPlaces { active: place("active"), memory_granted: extra_place("memory") },
+        report: ReportPlaces {
+            active: place("active"),
+            busy: place("cpu"),
+            waiting: place("waiting"),
+            memory_granted: extra_place("memory"),
+        },
         report_on_probe: read.report.source.as_deref() == Some("on_probe"),
         probes: read.bounds.probes,
         cancel: read.bounds.cancelling,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -121,7 +121,7 @@
         Front {
             first_look: chance.next(),
             asks_next: (chance.next() * 256.0) as usize,
-            many: THREADS_PER_CORE * smallest / agreed.fronts < narrowest && agreed.report.active.is_some(),
+            many: THREADS_PER_CORE * smallest / agreed.fronts < narrowest,
             engines: Engines { usual: vec![Load::default(); agreed.cores.len()], ..Engines::default() },
             ran: Load { threads: 1.0, memory: 0.0 },
             classes: (0..classes).map(|_| ServiceClass::default()).collect(),
@@ -389,11 +389,17 @@
         let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
         let (own, size) = (self.engines.own[e], self.engines.size[e]);
         let count = self.engines.out[e].len() as f64;
-        let active = read(self.agreed.report.active).map_or(0.0, |active| (active - count).max(0.0));
         let each = if self.many { self.ran.threads } else { either(own.threads, 1.0) / count.max(1.0) };
+        // Where statements in hand are not told, busy cores and those that wait for memory stand in for them.
+        let busy = read(self.agreed.report.busy).map(|b| b * size.threads / each.max(0.01));
+        let waiting = read(self.agreed.report.waiting).unwrap_or(0.0);
+        let in_hand = read(self.agreed.report.active).or(busy.map(|busy| busy + waiting));
+        let active = in_hand.map_or(0.0, |active| (active - count).max(0.0));
         let need = if self.many { self.ran.memory } else { 0.0 };
         let granted = read(self.agreed.report.memory_granted).map(|x| x * size.memory - own.memory);
-        let told = Load { threads: active * each, memory: granted.unwrap_or(active * need).max(0.0) };
+        // Where nothing tells what an engine holds, a report leaves what others are taken to hold.
+        let threads = if in_hand.is_some() { active * each } else { self.engines.others[e].threads };
+        let told = Load { threads, memory: granted.unwrap_or(active * need).max(0.0) };
         (self.engines.seen[e], self.engines.told[e]) = (own, self.now);
         self.engines.others[e].blend(told, if self.many { 1.0 } else { 0.5 });
         if let Some(usual) = self.engines.usual_of_kind(e) {
@@ -589,7 +595,8 @@
             let share = if self.many { whole * credit } else { bound };
             let room = share.min(whole - others.threads) - own.threads;
             let spare = IDLE * cores - others.threads - own.threads;
-            let within = !over || spare >= workload.threads && self.engines.told[e] >= self.now - FRESH;
+            let fresh = self.agreed.report.tells_load() && self.engines.told[e] >= self.now - FRESH;
+            let within = !over || spare >= workload.threads && fresh;
             let taken = own.memory + s.load.memory;
             let full = taken + others.memory > size.memory;
             let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -58,9 +58,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReportPlaces {
     pub active: Option<usize>,
+    /// The share of the engine's cores that is busy: where `active` is not told, it stands in for it.
+    pub busy: Option<usize>,
+    /// Statements that wait for memory there.
+    pub waiting: Option<usize>,
     pub memory_granted: Option<usize>,
 }
 
+impl ReportPlaces {
+    /// Whether reports tell what an engine holds: statements in hand, or its busy cores.
+    pub fn tells_load(&self) -> bool {
+        self.active.is_some() || self.busy.is_some()
+    }
+}
+
 /// The budget of further executions, over any window.
 #[derive(Clone, Copy, Debug)]
 pub struct FurtherBudget {
