A statement past its latest start that fits nowhere is rejected at once

Checks made: tests/scenarios/given-up-at-once.txt without the change: 'reject c come-back at 5975' against a latest start of 5000. Ruled out: hopeless statements (late share under 0.25) were already given up at their last timely start; order keys (a statement without its turn is not overdue). Change: an overdue head that fits nowhere is given up there and then, with a time to come back where the site allows one. The scenario passes with it and fails without.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -615,8 +615,11 @@
     /// Lets held statements leave: those past their latest start, then by penalty, ties by arrival.
     fn release(&mut self) {
         let heads = |held: &BTreeSet<StatementId>| held.iter().copied().take(HEADS).collect::<Vec<_>>();
+        // Past its latest start a statement could only answer after its client gives up: it goes now or never.
         for id in heads(&self.overdue) {
-            self.try_release(id);
+            if !self.try_release(id) {
+                self.give_up(id);
+            }
         }
         let mut waiting: Vec<(f64, usize)> = Vec::new();
         for class in 0..self.classes.len() {
