Among many fronts the pool bounds memory too, and only a front with nothing out passes it

Change: the pool also bounds the memory a front holds (Engines::open_memory, the bounds' share of each open engine's memory at MEMORY_USED); a front passes the pool only where it has nothing out.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -561,8 +561,12 @@
         };
         let heeds =
             !self.said.is_empty() && (0..self.engines.open.len()).filter(may).any(|e| self.doubt(e) >= 1.0);
-        let ((pool, out), alone) = (self.engines.open_totals(), self.classes[s.class].out.is_empty());
-        let over = self.many && !alone && out + workload.threads > pool;
+        let (pool, out) = self.engines.open_totals();
+        let (memory_pool, memory_out) = self.engines.open_memory(MEMORY_USED / THREADS_PER_CORE);
+        // Among many fronts the shares of all engines bound what a front holds, its threads and memory alike;
+        // a front with nothing out has room for one.
+        let beyond = out + workload.threads > pool || memory_out + s.load.memory > memory_pool;
+        let over = self.many && out > 0.0 && beyond;
         let count = self.engines.open.len();
         // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
         let first = (self.first_look * count as f64) as usize;
@@ -615,7 +619,7 @@
     /// Lets held statements leave: those past their latest start, then by penalty, ties by arrival.
     fn release(&mut self) {
         let heads = |held: &BTreeSet<StatementId>| held.iter().copied().take(HEADS).collect::<Vec<_>>();
-        // Past its latest start a statement could only answer after its client gives up: it goes now or never.
+        // Past its latest start a statement could only answer after its client gives up: now or never.
         for id in heads(&self.overdue) {
             if !self.try_release(id) {
                 self.give_up(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -214,6 +214,15 @@
         open.fold((0.0, 0.0), |(bound, own), e| (bound + self.bound[e], own + self.own[e].threads))
     }
 
+    /// The memory of open engines that the bounds stand for, at a share used per thread, and what this front holds.
+    pub fn open_memory(&self, used_per_thread: f64) -> (f64, f64) {
+        let open = (0..self.open.len()).filter(|e| self.open[*e]);
+        let share = |e: usize| {
+            self.size[e].memory * (self.bound[e] * used_per_thread / self.size[e].threads).min(1.0)
+        };
+        open.fold((0.0, 0.0), |(pool, own), e| (pool + share(e), own + self.own[e].memory))
+    }
+
     /// What other fronts usually hold of an engine like this one.
     pub fn usual(&self, e: EngineId) -> Load {
         let each = self.listed[e].as_ref().and_then(|entry| self.usual.get(entry.kind));
