--- a/src/state.rs
+++ b/src/state.rs
@@ -214,7 +214,7 @@
         open.fold((0.0, 0.0), |(bound, own), e| (bound + self.bound[e], own + self.own[e].threads))
     }
 
-    /// The memory of open engines that the bounds stand for, at a share used per thread, and what this front holds.
+    /// The memory of open engines that the bounds stand for, at a share a thread, and what this front holds.
     pub fn open_memory(&self, used_per_thread: f64) -> (f64, f64) {
         let open = (0..self.open.len()).filter(|e| self.open[*e]);
         let share = |e: usize| {
