The operator's file may choose the engines' load signal; one the reports lack is refused

One build serves both shapes; which one holds follows from the settings alone. Change: HALLMUX_OPERATOR's file takes 'load_signal': 'in_flight' (the earlier shape, statements in hand) or 'utilization' (the later one); silent, the report names decide as before. A value whose figure the settings' report.names do not carry ends the start with key and line ("line 2: load_signal: 'in_flight' needs 'active' among the settings' report.names, which are [cpu, waiting]"). Operator::apply leaves the other figure unread.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -6,5 +6,7 @@
 mod station;
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
-pub use operator::{hexadecimal, Gossip, Operator, Postgres, SessionLimits, SpeakingEngines, User};
+pub use operator::{
+    hexadecimal, Gossip, LoadSignal, Operator, Postgres, SessionLimits, SpeakingEngines, User,
+};
 pub use station::{Limits, Station};
--- a/crates/agreement/src/operator.rs
+++ b/crates/agreement/src/operator.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use hallmux::interface::Micros;
+use hallmux::interface::{Micros, ReportPlaces};
 use serde::Deserialize;
 
 use crate::contract::{micros, Contract};
@@ -27,6 +27,7 @@
 struct File {
     postgres: Option<PostgresFile>,
     gossip: Option<GossipFile>,
+    load_signal: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -109,6 +110,27 @@
 pub struct Operator {
     pub postgres: Option<Postgres>,
     pub gossip: Option<Gossip>,
+    /// Which figure of the engines' load reports tells what they hold; where silent, as the settings name them.
+    pub load_signal: Option<LoadSignal>,
+}
+
+/// The shape of deployment as the engines' reports show it: they tell the statements in flight (the earlier
+/// shape), or only their utilization, the share of cores busy, with statements waiting for memory (the later).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadSignal {
+    InFlight,
+    Utilization,
+}
+
+impl Operator {
+    /// Makes the module read the figure chosen and leave the other.
+    pub fn apply(&self, report: &mut ReportPlaces) {
+        match self.load_signal {
+            Some(LoadSignal::InFlight) => report.busy = None,
+            Some(LoadSignal::Utilization) => report.active = None,
+            None => {}
+        }
+    }
 }
 
 /// Words with other fronts: where they come in, whose count, whom to ask first.
@@ -180,7 +202,8 @@
         })?;
         let postgres = file.postgres.map(|p| postgres(text, p, contract)).transpose()?;
         let gossip = file.gossip.map(|g| gossip(text, g)).transpose()?;
-        Ok(Operator { postgres, gossip })
+        let load_signal = file.load_signal.map(|l| load_signal(text, &l, contract)).transpose()?;
+        Ok(Operator { postgres, gossip, load_signal })
     }
 }
 
@@ -193,6 +216,27 @@
     }
 }
 
+/// A shape of deployment that the settings' reports do not have is refused: the front would read nothing.
+fn load_signal(text: &str, word: &str, contract: &Contract) -> Result<LoadSignal, String> {
+    let (signal, figure) = match word {
+        "in_flight" => (LoadSignal::InFlight, "active"),
+        "utilization" => (LoadSignal::Utilization, "cpu"),
+        _ => {
+            return Err(fault(
+                text,
+                "load_signal",
+                &format!("'{word}' is neither 'in_flight' nor 'utilization'"),
+            ))
+        }
+    };
+    if contract.names.report.iter().any(|name| name == figure) {
+        return Ok(signal);
+    }
+    let named = contract.names.report.join(", ");
+    let what = format!("'{word}' needs '{figure}' among the settings' report.names, which are [{named}]");
+    Err(fault(text, "load_signal", &what))
+}
+
 fn gossip(text: &str, file: GossipFile) -> Result<Gossip, String> {
     let mut peers = Vec::new();
     for (name, key) in file.peers {
@@ -431,6 +475,38 @@
         },
     }";
 
+    const REPORTING: &str = r#"{"instances": 120, "areas": ["here"], "kinds": ["std"], "rules": {},
+        "report": {"names": ["cpu", "waiting"], "source": "on_probe"},
+        "requestClasses": [{"name": "lookup", "aimMs": 1000, "deadlineMs": 5000, "repeat": "repeatable"}]}"#;
+
+    #[test]
+    fn the_load_signal_follows_the_reports_unless_chosen_and_a_mix_is_refused() {
+        let contract = crate::contract(REPORTING).unwrap();
+        let places = &contract.agreement.report;
+        assert_eq!((places.active, places.busy, places.waiting), (None, Some(0), Some(1)));
+        // Where the file is silent, nothing changes: the settings alone choose the shape.
+        let silent = Operator::parse("{}", &contract).unwrap();
+        assert_eq!(silent.load_signal, None);
+        let chosen = Operator::parse("{ load_signal: 'utilization' }", &contract).unwrap();
+        assert_eq!(chosen.load_signal, Some(LoadSignal::Utilization));
+        // The earlier shape with reports of the later one: refused, with the key and its line.
+        let mixed = Operator::parse("{\n  load_signal: 'in_flight',\n}", &contract).unwrap_err();
+        assert!(mixed.starts_with("line 2: load_signal: 'in_flight' needs 'active'"), "{mixed}");
+        let unknown = Operator::parse("{ load_signal: 'rough' }", &contract).unwrap_err();
+        assert!(unknown.starts_with("line 1: load_signal: 'rough' is neither"), "{unknown}");
+    }
+
+    #[test]
+    fn a_chosen_load_signal_leaves_the_other_figure_unread() {
+        let both = REPORTING.replace(r#"["cpu", "waiting"]"#, r#"["active", "cpu"]"#);
+        let contract = crate::contract(&both).unwrap();
+        let (mut earlier, mut later) = (contract.agreement.report.clone(), contract.agreement.report.clone());
+        Operator::parse("{ load_signal: 'in_flight' }", &contract).unwrap().apply(&mut earlier);
+        Operator::parse("{ load_signal: 'utilization' }", &contract).unwrap().apply(&mut later);
+        assert_eq!((earlier.active, earlier.busy), (Some(0), None));
+        assert_eq!((later.active, later.busy), (None, Some(1)));
+    }
+
     #[test]
     fn a_whole_file_is_read_and_the_rest_defaulted() {
         let postgres = read(GOOD).unwrap().postgres.unwrap();
--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -83,7 +83,7 @@
             None => FileLimits::default(),
         };
         let settings = file.settings.ok_or("settings: missing in NODE_CONFIG")?;
-        let contract = contract(settings.get()).map_err(|e| format!("settings: {e}"))?;
+        let mut contract = contract(settings.get()).map_err(|e| format!("settings: {e}"))?;
         let operator = match variables.get("HALLMUX_OPERATOR") {
             Some(path) => {
                 let text = std::fs::read_to_string(path);
@@ -92,6 +92,7 @@
             }
             None => Operator::default(),
         };
+        operator.apply(&mut contract.agreement.report);
         let level = variables.get("HALLMUX_LOG").map_or(LEVEL, String::as_str);
         Ok(Station {
             name: said("NODE_NAME", "name", file.name)?,
--- a/crates/front/tests/play.rs
+++ b/crates/front/tests/play.rs
@@ -3,6 +3,7 @@
 //!
 //!     agreed KEY JSON          a value of the settings object, in place of the usual one
 //!     told KEY JSON            a value of the configuration itself, for the next start
+//!     operator TEXT            the operator's own file, for the starts from now on (`\n` a line's end)
 //!     engine NAME [gone|deaf]  of the list at start; `gone` listens no more, `deaf` reads nothing yet
 //!     start                    starts the front and waits until it takes statements
 //!     fails TEXT               starts it and waits until it ends with a complaint that holds TEXT
@@ -83,6 +84,7 @@
     front: Option<Child>,
     log: Option<Receiver<String>>,
     listens: String,
+    operator: Option<std::path::PathBuf>,
 }
 
 fn id(number: &str) -> String {
@@ -164,6 +166,10 @@
         self.configure();
         let mut command = Command::new(env!("CARGO_BIN_EXE_hallmux-front"));
         command.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_NAME");
+        command.env_remove("HALLMUX_OPERATOR");
+        if let Some(operator) = &self.operator {
+            command.env("HALLMUX_OPERATOR", operator);
+        }
         command.stderr(Stdio::piped()).spawn().unwrap()
     }
 
@@ -423,6 +429,15 @@
                 }
                 at[last] = serde_json::from_str(&rest(2)).unwrap();
             }
+            ["operator", ..] => {
+                let number =
+                    std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
+                let name = format!("hallmux-play-{}-{number}.json5", std::process::id());
+                let path = std::env::temp_dir().join(name);
+                std::fs::write(&path, unescaped(&rest(1))).unwrap();
+                self.files.push(path.clone());
+                self.operator = Some(path);
+            }
             ["told", key, ..] => {
                 self.told_otherwise.push((key.to_string(), serde_json::from_str(&rest(2)).unwrap()));
             }
