Where no report tells what others hold, each front draws an engine by its room

Lines at fault: src/decide.rs Front::place, 'room > best_room' picks the roomiest, which with nothing told of others is the largest engine for all fronts alike: every std-16, no std-8. Change: among many fronts where no report tells load, each front draws one of the engines that fit by its room (weight: the room in threads), with the draw from the instance's own chance; elsewhere the roomiest as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -570,6 +570,7 @@
         let count = self.engines.open.len();
         // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
         let first = (self.first_look * count as f64) as usize;
+        let (guessed, mut drawn) = (self.many && !self.agreed.report.tells_load(), Vec::new());
         for e in (0..count).map(|i| (i + first) % count) {
             let trusted = s.executions.is_empty() || self.engines.credit[e] >= TRUSTED;
             if !trusted || self.engines.rests_until[e] > self.now || !self.may_execute(id, e) {
@@ -609,10 +610,22 @@
             let needs = |w: &Workload| is_bound(w) && w.allows(entry);
             let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
             let room = if scarce { room - SCARCE * size.threads } else { room };
-            if (idle || fits && within) && room > best_room {
+            if (idle || fits && within) && guessed {
+                drawn.push((e, room.max(LEAST_SHARE)));
+            } else if (idle || fits && within) && room > best_room {
                 (best, best_room) = (Some(e), room);
             }
         }
+        // Where no report tells what others hold, the roomiest is the largest for all fronts alike: each draws
+        // one by its room instead, so that engines are used by their size.
+        let total: f64 = drawn.iter().map(|(_, room)| room).sum();
+        let mut at = (self.first_look * count as f64).fract() * total;
+        for (e, room) in drawn {
+            if at < room {
+                return Some(e);
+            }
+            at -= room;
+        }
         best
     }
 
