--- a/src/decide.rs
+++ b/src/decide.rs
@@ -616,8 +616,8 @@
                 (best, best_room) = (Some(e), room);
             }
         }
-        // Where no report tells what others hold, the roomiest is the largest for all fronts alike: each draws
-        // one by its room instead, so that engines are used by their size.
+        // Where no report tells what others hold, the roomiest is the largest for all fronts alike: each one
+        // draws by room instead, so that engines are used by their size.
         let total: f64 = drawn.iter().map(|(_, room)| room).sum();
         let mut at = (self.first_look * count as f64).fract() * total;
         for (e, room) in drawn {
