Clearing up: the module no longer learns from costs in answers nor assumes engines run on uncancelled

Removed from src/decide.rs: the cost branch of Front::completed (bias of work and memory, learned work and memory from costs), the cost argument of Front::slo_time, and the load added back to an engine after a time-out where cancelling is not allowed. src/state.rs loses Learned::work_bias and Learned::memory, which only costs fed. Front::reported and the ending of failed executions are written shorter.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,7 +41,7 @@
 const PROBES: f64 = 1.0; // probes that each statement taken pays for
 const MOST_PROBES: f64 = 8.0; // probes that may be saved up
 const HEADS: usize = 8; // statements tried of a class, the overdue or the late: the next mostly need as much
-const ENOUGH: f64 = 0.99; // factor on the memory need learned when one had enough and no cost is told
+const ENOUGH: f64 = 0.99; // factor on the memory need learned when one had enough: answers tell no cost
 const SLOW_RUN: f64 = 2.0; // times the usual run that a start still counts as timely for: half run longer
 const SCARCE: f64 = 1.0; // threads a core an engine counts as fuller where bound workloads need it
 const GRANTED: f64 = 1.25; // memory granted against the need expected: a quarter over, as engines do
@@ -114,7 +114,7 @@
         let customers = agreed.customers.len().max(1);
         let classes = agreed.workloads.len() * customers * 2;
         let guess = Mean { value: 1.0, seen: GUESSED };
-        let fresh = Learned { work_bias: guess, memory_bias: guess, ..Learned::default() };
+        let fresh = Learned { memory_bias: guess, ..Learned::default() };
         let mut chance = Chance::new(seed);
         let narrowest = agreed.workloads.iter().map(|w| w.threads).fold(f64::INFINITY, f64::min);
         let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
@@ -241,14 +241,14 @@
         &self.agreed.workloads[s.asked.workload]
     }
 
-    fn slo_time(&self, s: &Statement, cost: Option<Cost>) -> Micros {
-        let (workload, work) = (self.workload(s), cost.map_or(self.expected_work(s), |c| c.work));
+    fn slo_time(&self, s: &Statement) -> Micros {
+        let (workload, work) = (self.workload(s), self.expected_work(s));
         workload.slo_time + (workload.slo_stretch * work / workload.threads) as Micros
     }
 
     fn expected_work(&self, s: &Statement) -> f64 {
         let learned = &self.learned[s.asked.workload];
-        either(s.asked.work * learned.work_bias.value, learned.work.value)
+        either(s.asked.work, learned.work.value)
     }
 
     fn basis(&self, s: &Statement) -> f64 {
@@ -256,7 +256,7 @@
     }
 
     fn last_timely_start(&self, s: &Statement) -> Micros {
-        let slo = self.slo_time(s, None);
+        let slo = self.slo_time(s);
         let run = self.learned[s.asked.workload].pace.value * self.basis(s) * SLOW_RUN;
         // While few of its class run, half the time may be waited: else a jam's run times shut it out.
         let few = self.classes[s.class].out.len() < self.engines.open.iter().filter(|o| **o).count();
@@ -292,9 +292,9 @@
         let past = if later { (workload.statement_timeout - a.time_left).max(0) } else { 0 };
         let spent = if self.awake == self.now && missing <= gap { missing } else { past };
         if a.work > 0.0 {
-            learned.work.take(LEARNING, a.work * learned.work_bias.value);
+            learned.work.take(LEARNING, a.work);
         }
-        let memory = either(a.memory_mb * learned.memory_bias.value, learned.memory.value);
+        let memory = a.memory_mb * learned.memory_bias.value;
         let least_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
         let memory = memory.min(least_mb * self.agreed.largest_grant);
         self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
@@ -391,9 +391,9 @@
         let count = self.engines.out[e].len() as f64;
         let each = if self.many { self.ran.threads } else { either(own.threads, 1.0) / count.max(1.0) };
         // Where statements in hand are not told, busy cores and those that wait for memory stand in for them.
-        let busy = read(self.agreed.report.busy).map(|b| b * size.threads / each.max(0.01));
-        let waiting = read(self.agreed.report.waiting).unwrap_or(0.0);
-        let in_hand = read(self.agreed.report.active).or(busy.map(|busy| busy + waiting));
+        let (places, busy) = (&self.agreed.report, |b: f64| b * size.threads / each.max(0.01));
+        let in_hand =
+            read(places.active).or(read(places.busy).map(|b| busy(b) + read(places.waiting).unwrap_or(0.0)));
         let active = in_hand.map_or(0.0, |active| (active - count).max(0.0));
         let need = if self.many { self.ran.memory } else { 0.0 };
         let granted = read(self.agreed.report.memory_granted).map(|x| x * size.memory - own.memory);
@@ -618,13 +618,13 @@
         }
         // Where no report tells what others hold, the roomiest is the largest for all fronts alike: each one
         // draws by room instead, so that engines are used by their size.
-        let total: f64 = drawn.iter().map(|(_, room)| room).sum();
-        let mut at = (self.first_look * count as f64).fract() * total;
+        let mut at =
+            (self.first_look * count as f64).fract() * drawn.iter().map(|(_, room)| room).sum::<f64>();
         for (e, room) in drawn {
-            if at < room {
+            at -= room;
+            if at < 0.0 {
                 return Some(e);
             }
-            at -= room;
         }
         best
     }
@@ -747,12 +747,9 @@
         }
         self.engines.unreached[e] = x.outcome == Outcome::NoRoute;
         x.report.iter().for_each(|report| self.reported(e, report));
-        if matches!(x.outcome, Outcome::TimedOut | Outcome::Cancelled) && !self.agreed.cancel {
-            self.engines.others[e].add(load, 1.0); // it may run on
-        }
         match x.outcome {
             Outcome::Completed => {
-                if x.took <= self.slo_time(&self.statements[&x.statement], x.cost) {
+                if x.took <= self.slo_time(&self.statements[&x.statement]) {
                     self.proved(e, false);
                 }
                 self.completed(&x, load.threads)
@@ -767,13 +764,9 @@
                 self.sway(e, -SHRINK * load.threads);
             }
             // A crash resets all that an engine holds at once; single resets are the network's.
-            Outcome::Error | Outcome::Reset => {
+            Outcome::Error | Outcome::Reset | Outcome::NoRoute => {
                 self.proved(e, true);
-                self.spend(e, SPENT_ERROR)
-            }
-            Outcome::NoRoute => {
-                self.proved(e, true);
-                self.spend(e, SPENT_LOST)
+                self.spend(e, if x.outcome == Outcome::NoRoute { SPENT_LOST } else { SPENT_ERROR })
             }
             Outcome::Cancelled | Outcome::NotSent => {}
         }
@@ -782,7 +775,7 @@
             key.into_iter().for_each(|key| self.next_in_line(key));
         } else if x.settled {
             let s = &self.statements[&x.statement];
-            let slo = self.slo_time(s, x.cost);
+            let slo = self.slo_time(s);
             self.close(x.statement, x.outcome == Outcome::Completed && now - s.first_asked <= slo);
         } else if self.may_repeat(&self.statements[&x.statement], None) && now < ends - LAST_CALL {
             self.hold(x.statement);
@@ -807,8 +800,7 @@
         let (now, e, took) = (self.now, x.engine, x.took as f64);
         let s = &self.statements[&x.statement];
         let (w, spilled, basis) = (s.asked.workload, s.executions[x.execution].spilled, self.basis(s));
-        let (estimate, estimated_mb) = (s.asked.work, s.asked.memory_mb);
-        let slo = self.slo_time(s, x.cost) as f64;
+        let slo = self.slo_time(s) as f64;
         self.engines.heard[e] = now;
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
         let seconds = took / SECOND as f64;
@@ -827,14 +819,7 @@
         let learned = &mut self.learned[w];
         learned.run.take(LEARNING, took);
         learned.pace.take_ratio(LEARNING, took / basis);
-        learned.memory_bias.value *= if x.cost.is_none() && !spilled { ENOUGH } else { 1.0 };
-        if let Some(cost) = x.cost {
-            let (work, memory) = (cost.work.max(1.0), cost.memory_mb.max(1.0));
-            learned.work_bias.take_ratio(LEARNING, work / either(estimate, work));
-            learned.memory_bias.take_ratio(LEARNING, memory / either(estimated_mb, memory));
-            learned.work.take(LEARNING, work);
-            learned.memory.take(LEARNING, memory);
-        }
+        learned.memory_bias.value *= if spilled { 1.0 } else { ENOUGH };
     }
 
     /// Ends a statement unanswered: a rejection where trying again is harmless, else an abort.
--- a/src/state.rs
+++ b/src/state.rs
@@ -108,9 +108,7 @@
     pub work: Mean,        // mean microseconds on one thread
     pub run: Mean,         // mean microseconds from execution to answer
     pub pace: Mean, // run time over the estimate's share for each thread, or over one second; geometric mean
-    pub work_bias: Mean, // true work over its estimate
     pub memory_bias: Mean, // true need over its estimate
-    pub memory: Mean, // mean need in MB
     pub given_up: f64, // statements given up whose clients may ask again
     pub first_try: Micros, // the most time that a statement had left on arrival: what a first try gets
 }
