The module is written shorter: overdue statements given up after the look, comments on one line

Change, with no change of what is decided: Front::release tries the overdue heads and then gives up those that fit nowhere, in one statement each; two comments of Front::place stand on one line each; the blank line inside the block of constants is gone. Checks: every scenario of tests/scenarios passes (given-up-at-once among them); lints and format clean.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,7 +51,6 @@
 const STOOD_STILL: Micros = 4 * SWEEP; // between two calls; a front that waits so long has missed its turns
 const FORGOTTEN: f64 = 0.007; // share of what reports told that each look forgets: half is gone in about 10 s
 const OUTDATED: f64 = 0.02; // share of what one engine told that a look turns into the usual: half in 3.5 s
-
 const HEARD_FOR: Micros = 8 * SECOND; // age at which what others say of an engine is worth nothing
 const HEARSAY: f64 = 0.5; // most that others' word takes of a bound, however many speak; one half of it
 const TOLD_WRONG: f64 = 0.8; // factor on the credit of a front that speaks ill of an engine that does well
@@ -563,8 +562,7 @@
             !self.said.is_empty() && (0..self.engines.open.len()).filter(may).any(|e| self.doubt(e) >= 1.0);
         let (pool, out) = self.engines.open_totals();
         let (memory_pool, memory_out) = self.engines.open_memory(MEMORY_USED / THREADS_PER_CORE);
-        // Among many fronts the shares of all engines bound what a front holds, its threads and memory alike;
-        // a front with nothing out has room for one.
+        // Among many fronts the pool bounds a front's threads and memory; with nothing out it may send one.
         let beyond = out + workload.threads > pool || memory_out + s.load.memory > memory_pool;
         let over = self.many && out > 0.0 && beyond;
         let count = self.engines.open.len();
@@ -616,8 +614,7 @@
                 (best, best_room) = (Some(e), room);
             }
         }
-        // Where no report tells what others hold, the roomiest is the largest for all fronts alike: each one
-        // draws by room instead, so that engines are used by their size.
+        // With no report of what others hold, the roomiest is the largest for all fronts: each draws by room.
         let mut at =
             (self.first_look * count as f64).fract() * drawn.iter().map(|(_, room)| room).sum::<f64>();
         for (e, room) in drawn {
@@ -633,11 +630,8 @@
     fn release(&mut self) {
         let heads = |held: &BTreeSet<StatementId>| held.iter().copied().take(HEADS).collect::<Vec<_>>();
         // Past its latest start a statement could only answer after its client gives up: now or never.
-        for id in heads(&self.overdue) {
-            if !self.try_release(id) {
-                self.give_up(id);
-            }
-        }
+        let stuck: Vec<_> = heads(&self.overdue).into_iter().filter(|id| !self.try_release(*id)).collect();
+        stuck.into_iter().for_each(|id| self.give_up(id));
         let mut waiting: Vec<(f64, usize)> = Vec::new();
         for class in 0..self.classes.len() {
             self.classes[class].fade(self.now, HALF_LIFE);
