--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -100,6 +100,7 @@
                 "priorities" => self.agreed.priorities = true,
                 "grants" => self.agreed.grants = true,
                 "active" => self.agreed.report.active = Some(0),
+                "busy" => self.agreed.report.busy = Some(0),
                 "turn-gap" => self.agreed.turn_gap = micros(value),
                 "seed" => self.seed = number(value) as u64,
                 "cold-from" => self.agreed.cold_from = number(value),
@@ -213,7 +214,7 @@
                 settled: words[3] == "completed" || said.contains_key("settled"),
                 holds: said.contains_key("holds"),
                 cost: said.get("cost").map(|c| Cost { work: number(c) * MS as f64, memory_mb: value("mb") }),
-                report: said.get("active").map(|a| vec![number(a)]),
+                report: said.get("active").or(said.get("busy")).map(|a| vec![number(a)]),
             }),
             "note" => Event::Noted {
                 statement,
