--- a/crates/lab/src/lines.rs
+++ b/crates/lab/src/lines.rs
@@ -3,57 +3,123 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::check::Outcome;
 use crate::engine::{Deed, Kind, Records};
 
-/// Starts an engine that speaks lines; statements are `id=..,key=..,ms=..`.
+/// Starts an engine that speaks lines and is always warm; statements are `id=..,key=..,ms=..`.
 pub fn engine(number: usize, records: Arc<Records>) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let at = listener.local_addr()?;
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let records = records.clone();
-            std::thread::spawn(move || _ = serve(number, stream, &records));
-        }
-    });
-    Ok(at)
+    let warmth = Warmth { cold: usize::MAX, warm: usize::MAX, warm_us: 0 };
+    Ok(Engine::start(number, records, warmth)?.at)
 }
 
-fn serve(engine: usize, stream: TcpStream, records: &Arc<Records>) -> std::io::Result<()> {
-    let mut reader = BufReader::new(stream.try_clone()?);
-    let stream = Arc::new(stream);
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line)? == 0 {
-            return Ok(());
-        }
-        let words: Vec<&str> = line.split_whitespace().collect();
-        let ["want", id, _, len] = words[..] else { continue };
-        let mut body = vec![0; len.parse::<usize>().unwrap_or(0) + 2];
-        reader.read_exact(&mut body)?;
-        let statement = String::from_utf8_lossy(&body).trim().to_string();
-        let field = |name: &str| {
-            let found = statement.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-            found.unwrap_or_default().to_string()
-        };
-        let (own, key, ms) = (field("id"), field("key"), field("ms").parse().unwrap_or(0));
-        let (id, records, stream) = (id.to_string(), records.clone(), stream.clone());
+/// How many statements an engine bears at once: `cold` right after its start, growing evenly to `warm`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmth {
+    pub cold: usize,
+    pub warm: usize,
+    pub warm_us: i64,
+}
+
+/// An engine that speaks lines; what it bears over its warmth it turns away with `AGAIN`.
+pub struct Engine {
+    pub number: usize,
+    pub at: SocketAddr,
+    warmth: Warmth,
+    records: Arc<Records>,
+    /// Microseconds since the rig began at its last start, and how many statements run.
+    started: AtomicI64,
+    running: AtomicUsize,
+    /// Statements turned away, and the most that were asked of it at once against what it bore then.
+    pub turned_away: AtomicUsize,
+    peak: Mutex<f64>,
+}
+
+impl Engine {
+    pub fn start(number: usize, records: Arc<Records>, warmth: Warmth) -> std::io::Result<Arc<Engine>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let at = listener.local_addr()?;
+        let started = AtomicI64::new(records.now());
+        let (running, turned_away, peak) = (AtomicUsize::new(0), AtomicUsize::new(0), Mutex::new(0.0));
+        let engine = Arc::new(Engine { number, at, warmth, records, started, running, turned_away, peak });
+        let serves = engine.clone();
         std::thread::spawn(move || {
-            let note = |kind| {
-                if let Ok(mut deeds) = records.deeds.lock() {
-                    deeds.push(Deed { at: records.now(), engine, link: 0, kind });
-                }
-            };
-            note(Kind::Began { id: own.clone(), key });
-            std::thread::sleep(Duration::from_millis(ms));
-            note(Kind::Ended { id: own.clone() });
-            note(Kind::Kept { id: own.clone() });
-            let row = format!("{own}\t-\t-\n");
-            let _ = write!(&*stream, "{id} ACK batches=1 {}\r\n{row}\r\n", row.len());
+            for stream in listener.incoming().flatten() {
+                let engine = serves.clone();
+                std::thread::spawn(move || _ = engine.serve(stream));
+            }
         });
+        Ok(engine)
+    }
+
+    /// Starts anew, cold.
+    pub fn restart(&self) {
+        self.started.store(self.records.now(), SeqCst);
+    }
+
+    /// What it bears at once now.
+    pub fn bears(&self) -> usize {
+        let Warmth { cold, warm, warm_us } = self.warmth;
+        let since = self.records.now() - self.started.load(SeqCst);
+        if since >= warm_us || warm <= cold {
+            return warm;
+        }
+        cold + ((warm - cold) as f64 * since as f64 / warm_us.max(1) as f64) as usize
+    }
+
+    /// The most asked of it at once against what it bore then.
+    pub fn peak(&self) -> f64 {
+        self.peak.lock().map(|p| *p).unwrap_or(0.0)
+    }
+
+    fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
+        let mut reader = BufReader::new(stream.try_clone()?);
+        let stream = Arc::new(stream);
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line)? == 0 {
+                return Ok(());
+            }
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let ["want", id, _, len] = words[..] else { continue };
+            let mut body = vec![0; len.parse::<usize>().unwrap_or(0).min(1 << 20) + 2];
+            reader.read_exact(&mut body)?;
+            let statement = String::from_utf8_lossy(&body).trim().to_string();
+            let field = |name: &str| {
+                let found = statement.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+                found.unwrap_or_default().to_string()
+            };
+            let (own, key, ms) = (field("id"), field("key"), field("ms").parse().unwrap_or(0));
+            let asked = self.running.fetch_add(1, SeqCst) + 1;
+            let bears = self.bears();
+            if let Ok(mut peak) = self.peak.lock() {
+                *peak = peak.max(asked as f64 / bears.max(1) as f64);
+            }
+            if asked > bears {
+                self.running.fetch_sub(1, SeqCst);
+                self.turned_away.fetch_add(1, SeqCst);
+                write!(&*stream, "{id} AGAIN\r\n")?;
+                continue;
+            }
+            let (id, engine, stream) = (id.to_string(), self.clone(), stream.clone());
+            std::thread::spawn(move || {
+                let note = |kind| {
+                    if let Ok(mut deeds) = engine.records.deeds.lock() {
+                        deeds.push(Deed { at: engine.records.now(), engine: engine.number, link: 0, kind });
+                    }
+                };
+                note(Kind::Began { id: own.clone(), key });
+                std::thread::sleep(Duration::from_millis(ms));
+                note(Kind::Ended { id: own.clone() });
+                note(Kind::Kept { id: own.clone() });
+                engine.running.fetch_sub(1, SeqCst);
+                let row = format!("{own}\t-\t-\n");
+                let _ = write!(&*stream, "{id} ACK batches=1 {}\r\n{row}\r\n", row.len());
+            });
+        }
     }
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,13 +2,16 @@
 
 mod check;
 mod engine;
+mod fleet;
 #[cfg(test)]
 mod hard;
 mod lines;
 mod measure;
 mod prove;
+mod relay;
 mod rig;
 mod rumour;
+mod scenario;
 mod scripted;
 
 use std::process::ExitCode;
@@ -37,6 +40,14 @@
         #[arg(long, default_value_t = 3)]
         rounds: usize,
     },
+    /// Plays a fleet scenario: many fronts, engines in zones, faults between them; checks the record.
+    Fleet {
+        /// The scenario, in TOML.
+        scenario: std::path::PathBuf,
+        /// Drawn and printed where neither this nor the file gives one.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
     /// Measures beside a plain way, and prints a table.
     Measure { subject: Measured },
 }
@@ -56,6 +67,7 @@
 fn main() -> ExitCode {
     let (seed, units, rounds) = match Lab::parse().what {
         What::Prove { subject: Subject::Postgres, seed, units, rounds } => (seed, units, rounds),
+        What::Fleet { scenario, seed } => return fleet_run(&scenario, seed),
         What::Measure { subject } => {
             let measured = match subject {
                 Measured::Postgres => measure::postgres(),
@@ -82,3 +94,37 @@
         ExitCode::FAILURE
     }
 }
+
+fn fleet_run(path: &std::path::Path, seed: Option<u64>) -> ExitCode {
+    let read = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()));
+    let scenario = match read.and_then(|text| scenario::Scenario::parse(&text)) {
+        Ok(scenario) => scenario,
+        Err(why) => {
+            eprintln!("fleet: {}: {why}", path.display());
+            return ExitCode::from(2);
+        }
+    };
+    let seed = fleet::seed(&scenario, seed);
+    let name = path.file_stem().map(|s| s.to_string_lossy().to_string()).unwrap_or_default();
+    match fleet::run(&scenario, seed) {
+        Ok(run) => {
+            print!("{}", run.table);
+            for (rule, seen) in &run.violations {
+                println!("violation {rule}: {}", seen.iter().take(5).cloned().collect::<Vec<_>>().join("; "));
+            }
+            let pids: Vec<String> = run.pids.iter().map(u32::to_string).collect();
+            println!("pids {}", pids.join(","));
+            let word = if run.passed() { "pass" } else { "FAIL" };
+            println!("fleet {name} seed {seed}: {word} {}", run.line());
+            if run.passed() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(why) => {
+            println!("fleet {name} seed {seed}: FAIL {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/relay.rs
@@ -0,0 +1,181 @@
+//! The fault relay: a port of the rig's own between one front and one engine, through which every byte
+//! passes, so that a link can be lost, cut one way, slowed or reset while both ends go on, and every
+//! statement sent through it is written down whether it passed or not.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::engine::Records;
+
+const CHUNK: usize = 16 << 10; // bytes read and passed on at once
+
+/// What a link does now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// Nothing passes from the front towards the engine.
+    pub out_lost: bool,
+    /// Nothing passes from the engine back to the front.
+    pub back_lost: bool,
+    /// Milliseconds added before each chunk passes.
+    pub delay_ms: u64,
+}
+
+/// What went from a front towards an engine: microseconds since the rig began, statements in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Relayed {
+    pub at: i64,
+    pub front: usize,
+    pub engine: usize,
+    pub zone: usize,
+    pub statements: usize,
+    pub passed: bool,
+}
+
+/// One front's way to one engine.
+pub struct Link {
+    pub front: usize,
+    pub engine: usize,
+    pub zone: usize,
+    pub at: SocketAddr,
+    state: Mutex<State>,
+    open: Mutex<Vec<TcpStream>>,
+    records: Arc<Records>,
+    relayed: Arc<Mutex<Vec<Relayed>>>,
+}
+
+impl Link {
+    /// Listens on a port of the system's and passes what comes to `to`.
+    pub fn start(
+        (front, engine, zone): (usize, usize, usize),
+        to: SocketAddr,
+        records: Arc<Records>,
+        relayed: Arc<Mutex<Vec<Relayed>>>,
+    ) -> std::io::Result<Arc<Link>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let at = listener.local_addr()?;
+        let (state, open) = (Mutex::default(), Mutex::default());
+        let link = Arc::new(Link { front, engine, zone, at, state, open, records, relayed });
+        let takes = link.clone();
+        std::thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let Ok(far) = TcpStream::connect(to) else {
+                    continue;
+                };
+                let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                if let (Ok(near2), Ok(far2), Ok(mut open)) =
+                    (near.try_clone(), far.try_clone(), takes.open.lock())
+                {
+                    open.retain(|s| s.peer_addr().is_ok());
+                    open.extend([near2, far2]);
+                }
+                let (out, back) = (takes.clone(), takes.clone());
+                let (near_r, far_r) = match (near.try_clone(), far.try_clone()) {
+                    (Ok(n), Ok(f)) => (n, f),
+                    _ => continue,
+                };
+                std::thread::spawn(move || out.pass(near_r, far, true));
+                std::thread::spawn(move || back.pass(far_r, near, false));
+            }
+        });
+        Ok(link)
+    }
+
+    pub fn set(&self, change: impl FnOnce(&mut State)) {
+        if let Ok(mut state) = self.state.lock() {
+            change(&mut state);
+        }
+    }
+
+    pub fn state(&self) -> State {
+        self.state.lock().map(|s| *s).unwrap_or_default()
+    }
+
+    /// Resets every connection through it, as a network that drops them does.
+    pub fn reset(&self) {
+        if let Ok(mut open) = self.open.lock() {
+            for stream in open.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    fn pass(&self, mut from: TcpStream, mut to: TcpStream, out: bool) {
+        let mut chunk = vec![0; CHUNK];
+        loop {
+            let read = match from.read(&mut chunk) {
+                Ok(0) | Err(_) => break,
+                Ok(read) => read,
+            };
+            let state = self.state();
+            let lost = if out { state.out_lost } else { state.back_lost };
+            if out {
+                let statements = chunk[..read].windows(5).filter(|w| w == b"want ").count();
+                let relayed = Relayed {
+                    at: self.records.now(),
+                    front: self.front,
+                    engine: self.engine,
+                    zone: self.zone,
+                    statements,
+                    passed: !lost,
+                };
+                if let (true, Ok(mut all)) = (statements > 0, self.relayed.lock()) {
+                    all.push(relayed);
+                }
+            }
+            if lost {
+                continue;
+            }
+            if state.delay_ms > 0 {
+                std::thread::sleep(Duration::from_millis(state.delay_ms));
+            }
+            if to.write_all(&chunk[..read]).is_err() {
+                break;
+            }
+        }
+        let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn echo() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            for mut s in listener.incoming().flatten() {
+                std::thread::spawn(move || {
+                    let mut b = [0; 64];
+                    while let Ok(n @ 1..) = s.read(&mut b) {
+                        let _ = s.write_all(&b[..n]);
+                    }
+                });
+            }
+        });
+        at
+    }
+
+    #[test]
+    fn a_lost_link_passes_nothing_but_writes_down_what_was_sent() {
+        let relayed = Arc::default();
+        let link = Link::start((0, 1, 2), echo(), Records::new(), Arc::clone(&relayed)).unwrap();
+        let mut s = TcpStream::connect(link.at).unwrap();
+        s.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        let mut b = [0; 16];
+        s.write_all(b"want a\r\n").unwrap();
+        assert_eq!(s.read(&mut b).unwrap(), 8);
+        link.set(|s| s.out_lost = true);
+        s.write_all(b"want b\r\n").unwrap();
+        assert!(s.read(&mut b).is_err(), "nothing may come back through a lost link");
+        let all = relayed.lock().unwrap().clone();
+        assert_eq!(
+            all.iter().map(|r| (r.statements, r.passed, r.zone)).collect::<Vec<_>>(),
+            [(1, true, 2), (1, false, 2)]
+        );
+        link.reset();
+        assert!(matches!(s.read(&mut b), Ok(0) | Err(_)));
+    }
+}
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -9,11 +9,15 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde_json::{json, Value};
 
 const PATIENCE: Duration = Duration::from_secs(15); // for a start or an end; a busy machine takes some of it
 
 type Events = Arc<(Mutex<Vec<Value>>, Condvar)>;
+/// The ports a front said it takes connections at, each with whether it is the one for lines.
+type Heard = Arc<(Mutex<Vec<(bool, SocketAddr)>>, Condvar)>;
 
 /// What tells fronts of engines, by the protocol of the list.
 pub struct Coordinator {
@@ -38,8 +42,15 @@
 
     /// Tells of engines: their names, addresses, kinds and states.
     pub fn tell(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str)]) {
+        let zoned: Vec<_> =
+            engines.iter().map(|(id, at, kind, state)| (id.clone(), *at, *kind, *state, "here")).collect();
+        self.tell_zoned(whole, &zoned);
+    }
+
+    /// The same, with the zone of each.
+    pub fn tell_zoned(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str, &str)]) {
         let Ok(mut events) = self.events.0.lock() else { return };
-        let entry = |(id, at, kind, state): &(String, SocketAddr, &str, &str)| json!({"id": id, "addr": at.to_string(), "zone": "here", "kind": kind, "cell": 0, "state": state});
+        let entry = |(id, at, kind, state, zone): &(String, SocketAddr, &str, &str, &str)| json!({"id": id, "addr": at.to_string(), "zone": zone, "kind": kind, "cell": 0, "state": state});
         let servers: Vec<Value> = engines.iter().map(entry).collect();
         let index = events.len() + 1;
         events.push(json!({"index": index, "endpoints": {"full": whole, "servers": servers}}));
@@ -109,12 +120,23 @@
         operator: &str,
         coordinator: &Coordinator,
         sockets: usize,
+    ) -> Result<Front, String> {
+        Front::named("f1", settings, operator, coordinator, sockets)
+    }
+
+    /// The same, under a name of its own among many fronts.
+    pub fn named(
+        name: &str,
+        settings: &Value,
+        operator: &str,
+        coordinator: &Coordinator,
+        sockets: usize,
     ) -> Result<Front, String> {
         let number = FOLDERS.fetch_add(1, SeqCst);
         let folder = std::env::temp_dir().join(format!("hallmux-lab-{}-{number}", std::process::id()));
         let why = |e: std::io::Error| e.to_string();
         std::fs::create_dir_all(&folder).map_err(why)?;
-        let config = json!({"name": "f1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        let config = json!({"name": name, "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "limits": {"memory_mb": 512, "sockets": sockets}, "coordinator": coordinator.at.to_string(),
             "known": coordinator.known(), "settings": settings});
         let (config_path, operator_path) = (folder.join("config.json"), folder.join("operator.json5"));
@@ -127,7 +149,7 @@
             .spawn()
             .map_err(why)?;
         let log = BufReader::new(child.stderr.take().ok_or("no log")?);
-        let found: Arc<(Mutex<Vec<SocketAddr>>, Condvar)> = Arc::default();
+        let found: Heard = Arc::default();
         let told = found.clone();
         let kept: Arc<Mutex<Vec<String>>> = Arc::default();
         let keeps = kept.clone();
@@ -143,16 +165,19 @@
                 let address = line.rsplit(' ').next().and_then(|word| word.parse().ok());
                 if let (true, Some(address), Ok(mut all)) = (line.contains(" takes "), address, told.0.lock())
                 {
-                    all.push(address);
+                    all.push((line.contains(" takes statements at "), address));
                     told.1.notify_all();
                 }
             }
         });
         let all = found.0.lock().map_err(|e| e.to_string())?;
-        let waits = found.1.wait_timeout_while(all, PATIENCE, |all| all.len() < 2);
+        // Lines are taken on the port that it names last; sessions, where it takes them, on the one before.
+        let waits = found.1.wait_timeout_while(all, PATIENCE, |all| !all.iter().any(|(lines, _)| *lines));
         let (all, _) = waits.map_err(|e| e.to_string())?;
-        match all[..] {
-            [sessions, lines, ..] => Ok(Front { child, lines, sessions, folder, log: kept }),
+        let lines = all.iter().find(|(lines, _)| *lines).map(|(_, at)| *at);
+        let sessions = all.iter().find(|(lines, _)| !*lines).map(|(_, at)| *at).or(lines);
+        match (sessions, lines) {
+            (Some(sessions), Some(lines)) => Ok(Front { child, lines, sessions, folder, log: kept }),
             _ => {
                 let _ = child.kill();
                 Err("the front did not start".to_string())
@@ -196,7 +221,17 @@
 
     /// Asks for its end.
     pub fn terminate(&self) {
-        let _ = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Sends it a signal: to stop, go on, end or die.
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
     }
 
     /// Waits for its end after it was asked for; whether it ended well, and after how long.
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,186 @@
+//! A fleet scenario: the fleet's shape, its load, its engines' warmth and a schedule of faults, from one TOML
+//! file. What is unknown or out of range is refused naming its key and line.
+
+use serde::Deserialize;
+
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Drawn and printed where it is not given.
+    pub seed: Option<u64>,
+    /// How long load is offered, in seconds.
+    pub seconds: u64,
+    pub fleet: Shape,
+    pub load: Load,
+    #[serde(default)]
+    pub engine: Warm,
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<Fault>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Shape {
+    pub fronts: usize,
+    pub zones: usize,
+    pub engines_per_zone: usize,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Statements a second over the whole fleet.
+    pub per_second: u64,
+    /// What each statement takes on an engine, in milliseconds.
+    pub work_ms: u64,
+    /// The statement timeout of the workload, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Warm {
+    /// Statements an engine bears at once when warm, and right after a start.
+    pub slots: usize,
+    pub cold_slots: usize,
+    /// Milliseconds from cold to warm.
+    pub warm_ms: u64,
+}
+
+impl Default for Warm {
+    fn default() -> Warm {
+        Warm { slots: 16, cold_slots: 16, warm_ms: 0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// Every link into the zone loses all both ways; its engines start cold when it returns.
+    ZoneLost,
+    /// The links of one front into the zone lose all, both ways: the partition of one vantage.
+    LinkCut,
+    /// The links of one front into the zone lose what comes back only.
+    LinkCutBack,
+    /// Every link into the zone is slowed by `delay_ms`.
+    ZoneSlow,
+    /// Every connection into the zone is reset at once.
+    ZoneReset,
+    /// The front is stopped (SIGSTOP) and goes on (SIGCONT) after `for_ms`.
+    Stall,
+    /// The front is killed (SIGKILL) and started anew after `for_ms`.
+    Kill,
+    /// The front is asked to end (SIGTERM) and started anew after `for_ms`.
+    Term,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub what: What,
+    /// Milliseconds after the load began, and how long it lasts.
+    pub at_ms: u64,
+    #[serde(default)]
+    pub for_ms: u64,
+    #[serde(default)]
+    pub zone: usize,
+    #[serde(default)]
+    pub front: usize,
+    #[serde(default)]
+    pub delay_ms: u64,
+}
+
+const MOST_FRONTS: usize = 40; // what an eight-core machine holds in real time
+const MOST_ENGINES: usize = 64;
+const MOST_SECONDS: u64 = 120; // a run stops by itself
+const MOST_RATE: u64 = 2_000; // statements a second, each a thread of the client's
+
+impl Scenario {
+    pub fn parse(text: &str) -> Result<Scenario, String> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| {
+            let line = e.span().map(|span| 1 + text[..span.start.min(text.len())].matches('\n').count());
+            format!("line {}: {}", line.unwrap_or(0), e.message())
+        })?;
+        let refuse = |key: &str, why: &str| Err(format!("line {}: `{key}` {why}", line_of(text, key, 0)));
+        let Shape { fronts, zones, engines_per_zone } = scenario.fleet;
+        if !(1..=MOST_FRONTS).contains(&fronts) {
+            return refuse("fronts", &format!("must be from 1 to {MOST_FRONTS}"));
+        }
+        if zones == 0 || engines_per_zone == 0 || zones * engines_per_zone > MOST_ENGINES {
+            return refuse(
+                "zones",
+                &format!("and engines_per_zone must be 1 or more, {MOST_ENGINES} engines at most"),
+            );
+        }
+        if !(1..=MOST_SECONDS).contains(&scenario.seconds) {
+            return refuse("seconds", &format!("must be from 1 to {MOST_SECONDS}"));
+        }
+        if !(1..=MOST_RATE).contains(&scenario.load.per_second) {
+            return refuse("per_second", &format!("must be from 1 to {MOST_RATE}"));
+        }
+        if scenario.load.timeout_ms <= scenario.load.work_ms || scenario.load.timeout_ms > 60_000 {
+            return refuse("timeout_ms", "must be over work_ms and 60000 at most");
+        }
+        let warm = &scenario.engine;
+        if warm.slots == 0 || warm.cold_slots == 0 || warm.cold_slots > warm.slots {
+            return refuse("cold_slots", "must be from 1 to slots");
+        }
+        for (n, fault) in scenario.faults.iter().enumerate() {
+            // The fault's own table begins at its header; its keys are looked for from there.
+            let header = text.lines().enumerate().filter(|(_, l)| l.trim() == "[[fault]]").nth(n);
+            let after = header.map_or(0, |(at, _)| at);
+            let refuse =
+                |key: &str, why: &str| Err(format!("line {}: `{key}` {why}", line_of(text, key, after)));
+            if fault.zone >= zones {
+                return refuse("zone", &format!("names a zone of {zones}, counted from 0"));
+            }
+            if fault.front >= fronts {
+                return refuse("front", &format!("names a front of {fronts}, counted from 0"));
+            }
+            if fault.at_ms + fault.for_ms > scenario.seconds * 1000 {
+                return refuse("at_ms", "and for_ms must end within the seconds of load");
+            }
+        }
+        Ok(scenario)
+    }
+}
+
+/// The line, counted from 1, that sets `key` first at or after line `after` (counted from 0); 0 where none does.
+fn line_of(text: &str, key: &str, after: usize) -> usize {
+    let sets = |line: &str| {
+        line.trim_start().strip_prefix(key).is_some_and(|rest| rest.trim_start().starts_with('='))
+    };
+    text.lines().enumerate().skip(after).find(|(_, line)| sets(line)).map_or(0, |(at, _)| at + 1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = "seconds = 5\n[fleet]\nfronts = 3\nzones = 2\nengines_per_zone = 2\n\
+        [load]\nper_second = 20\nwork_ms = 10\ntimeout_ms = 2000\n\
+        [[fault]]\nwhat = 'zone_lost'\nat_ms = 1000\nfor_ms = 2000\nzone = 1\n";
+
+    #[test]
+    fn a_whole_file_is_read_and_the_rest_defaulted() {
+        let s = Scenario::parse(GOOD).unwrap();
+        assert_eq!(
+            (s.fleet.fronts, s.faults.len(), s.faults[0].what, s.engine.slots),
+            (3, 1, What::ZoneLost, 16)
+        );
+    }
+
+    #[test]
+    fn what_is_unknown_or_out_of_range_is_named_with_its_line() {
+        let unknown = GOOD.replace("work_ms", "werk_ms");
+        assert!(Scenario::parse(&unknown).unwrap_err().contains("werk_ms"));
+        assert!(Scenario::parse(&unknown).unwrap_err().starts_with("line 8"));
+        let far = GOOD.replace("zone = 1", "zone = 2");
+        assert_eq!(Scenario::parse(&far).unwrap_err(), "line 14: `zone` names a zone of 2, counted from 0");
+        let many = GOOD.replace("fronts = 3", "fronts = 41");
+        assert!(Scenario::parse(&many).unwrap_err().starts_with("line 3: `fronts`"));
+        let kind = GOOD.replace("zone_lost", "zone_gone");
+        assert!(Scenario::parse(&kind).unwrap_err().contains("zone_gone"));
+        assert!(Scenario::parse("\u{0}garbage[[").is_err());
+    }
+}
