The fleet rig gossips: keys for every front, seeds from those heard, partition tallies

Change: `gossip = true` under [fleet] gives every front a key pair from the seed (secrets in a folder of the run's, removed at its end), all public keys in every operator's file and the fronts heard so far as seeds; a front started anew after a kill gets the same key. New tally `link_cut_others_sent`: statements the other fronts sent into the zone while one front alone was cut from it.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -49,6 +49,8 @@
 struct Member {
     front: Mutex<Option<Front>>,
     coordinator: Coordinator,
+    /// Where it hears other fronts while it runs.
+    heard_at: Mutex<Option<String>>,
     /// It takes no statements from clients: stopped, killed or ending.
     away: AtomicBool,
     /// Spans, in microseconds since the rig began, in which it was stopped, killed or ending: a statement out at
@@ -56,6 +58,71 @@
     troubled: Mutex<Vec<(i64, i64)>>,
 }
 
+impl Member {
+    /// Starts its front, anew where it ran before; with gossip, the others it knows of are its seeds.
+    fn start(
+        &self,
+        number: usize,
+        settings: &serde_json::Value,
+        keys: Option<&Keys>,
+        members: &[Arc<Member>],
+    ) -> Result<u32, String> {
+        let operator = match keys {
+            None => "{}".to_string(),
+            Some(keys) => {
+                let heard = |m: &Arc<Member>| m.heard_at.lock().ok().and_then(|at| at.clone());
+                let seeds: Vec<String> =
+                    members.iter().filter_map(heard).map(|at| format!("'{at}'")).collect();
+                let file = keys.folder.join(format!("secret{number}"));
+                format!(
+                    "{{ gossip: {{ listen: '127.0.0.1:0', secret_file: '{}', peers: {{ {} }}, seeds: [{}] }} }}",
+                    file.display(),
+                    keys.peers,
+                    seeds.join(", ")
+                )
+            }
+        };
+        let started = Front::named(&format!("f{number}"), settings, &operator, &self.coordinator, SOCKETS)?;
+        let at =
+            started.logged("talks with other fronts").and_then(|l| l.rsplit(' ').next().map(str::to_string));
+        let pid = started.pid();
+        if let (Ok(mut front), Ok(mut heard)) = (self.front.lock(), self.heard_at.lock()) {
+            (*front, *heard) = (Some(started), at);
+        }
+        Ok(pid)
+    }
+}
+
+/// The fronts' keys for gossip: secrets in files of a folder of the run's, public halves known to all.
+struct Keys {
+    folder: std::path::PathBuf,
+    /// `name: 'public key', ...` for the operator's file.
+    peers: String,
+}
+
+impl Keys {
+    fn new(fronts: usize, seed: u64) -> std::io::Result<Keys> {
+        let folder = std::env::temp_dir().join(format!("hallmux-fleet-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+        let mut chance = Pcg64Mcg::seed_from_u64(seed ^ 0x6b65_7973);
+        let mut peers = Vec::new();
+        for n in 0..fronts {
+            let secret: [u8; 32] = chance.random();
+            std::fs::write(folder.join(format!("secret{n}")), hex(&secret))?;
+            let public = hallmux_gossip::seal::Own::new(&secret, 0).public();
+            peers.push(format!("f{n}: '{}'", hex(&public)));
+        }
+        Ok(Keys { folder, peers: peers.join(", ") })
+    }
+}
+
+impl Drop for Keys {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// What happened, as the rig saw it.
 struct Record {
     records: Arc<Records>,
@@ -107,6 +174,7 @@
     let mut members = Vec::new();
     let mut pids = Vec::new();
     let settings = settings(scenario);
+    let keys = Keys::new(shape.fronts, seed).map_err(why)?;
     for front in 0..shape.fronts {
         let own: Vec<Arc<Link>> = engines
             .iter()
@@ -129,14 +197,15 @@
             .collect();
         coordinator.tell_zoned(true, &list);
         links.push(own);
-        let started = Front::named(&format!("f{front}"), &settings, "{}", &coordinator, SOCKETS)?;
-        pids.push(started.pid());
-        members.push(Arc::new(Member {
-            front: Mutex::new(Some(started)),
+        let member = Arc::new(Member {
+            front: Mutex::default(),
             coordinator,
+            heard_at: Mutex::default(),
             away: AtomicBool::new(false),
             troubled: Mutex::default(),
-        }));
+        });
+        pids.push(member.start(front, &settings, shape.gossip.then_some(&keys), &members)?);
+        members.push(member);
     }
     let began = records.now();
     let stop = Arc::new(AtomicBool::new(false));
@@ -162,7 +231,14 @@
         ends = later;
         for (_, fault) in due {
             let from = began + fault.at_ms as i64 * 1000;
-            if let Some(pid) = end(records.now(), &fault, &links, &members, &engines, &settings)? {
+            if let Some(pid) = end(
+                records.now(),
+                &fault,
+                &links,
+                &members,
+                &engines,
+                (&settings, shape.gossip.then_some(&keys)),
+            )? {
                 restarted.push(pid);
             }
             if let Ok(mut played) = record.played.lock() {
@@ -222,7 +298,7 @@
     links: &[Vec<Arc<Link>>],
     members: &[Arc<Member>],
     engines: &[Arc<Engine>],
-    settings: &serde_json::Value,
+    (settings, keys): (&serde_json::Value, Option<&Keys>),
 ) -> Result<Option<u32>, String> {
     let into_zone = || links.iter().flatten().filter(|l| l.zone == fault.zone);
     let own = || links[fault.front].iter().filter(|l| l.zone == fault.zone);
@@ -253,14 +329,11 @@
             member.away.store(false, SeqCst);
         }
         What::Kill | What::Term => {
-            let mut front = member.front.lock().map_err(|e| e.to_string())?;
-            if let Some(mut old) = front.take() {
+            let front = member.front.lock().map(|mut f| f.take());
+            if let Ok(Some(mut old)) = front {
                 let _ = old.ended();
             }
-            let name = format!("f{}", fault.front);
-            let started = Front::named(&name, settings, "{}", &member.coordinator, SOCKETS)?;
-            let pid = started.pid();
-            *front = Some(started);
+            let pid = member.start(fault.front, settings, keys, members)?;
             mended(member);
             member.away.store(false, SeqCst);
             return Ok(Some(pid));
@@ -370,6 +443,13 @@
         let entry = tallies.entry(key).or_insert(0);
         *entry = (*entry).max(ms);
         let sent = relayed.iter().filter(towards).filter(mine).map(|r| r.statements as i64).sum::<i64>();
+        if fault.what == What::LinkCut {
+            // The others keep the zone: what they sent there while one front alone was cut off from it.
+            let others =
+                |r: &&Relayed| r.zone == fault.zone && r.at >= *from && r.at <= *to && r.front != fault.front;
+            let kept = relayed.iter().filter(others).map(|r| r.statements as i64).sum::<i64>();
+            *tallies.entry("link_cut_others_sent").or_insert(0) += kept;
+        }
         *tallies
             .entry(if fault.what == What::ZoneLost { "zone_lost_sent" } else { "link_cut_sent" })
             .or_insert(0) += sent;
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -191,7 +191,6 @@
     }
 
     /// The first line of its log that holds the text.
-    #[cfg(test)]
     pub fn logged(&self, text: &str) -> Option<String> {
         self.log.lock().ok()?.iter().find(|line| line.contains(text)).cloned()
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -24,6 +24,9 @@
     pub fronts: usize,
     pub zones: usize,
     pub engines_per_zone: usize,
+    /// The fronts tell each other what they see of engines (signed datagrams, each front's key known to all).
+    #[serde(default)]
+    pub gossip: bool,
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -102,7 +105,7 @@
             format!("line {}: {}", line.unwrap_or(0), e.message())
         })?;
         let refuse = |key: &str, why: &str| Err(format!("line {}: `{key}` {why}", line_of(text, key, 0)));
-        let Shape { fronts, zones, engines_per_zone } = scenario.fleet;
+        let Shape { fronts, zones, engines_per_zone, .. } = scenario.fleet;
         if !(1..=MOST_FRONTS).contains(&fronts) {
             return refuse("fronts", &format!("must be from 1 to {MOST_FRONTS}"));
         }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -54,3 +54,18 @@
     assert!(t["unanswered"] <= t["excused"], "{t:?}");
     assert!(t["completed"] * 10 >= t["statements"] * 9, "{t:?}");
 }
+
+#[test]
+fn fronts_that_gossip_leave_a_lost_zone_and_answer_everything() {
+    let t = play("zone-lost-gossip", 4);
+    assert_eq!((t["unanswered"], t["faults_played"]), (0, 1));
+    assert!(t["zone_lost_sent"] > 0 && t["zone_lost_last_sent_ms"] < 3_000, "{t:?}");
+}
+
+#[test]
+fn a_front_cut_off_alone_does_not_lead_the_others_out_of_the_zone() {
+    let t = play("link-cut-gossip", 5);
+    assert_eq!((t["unanswered"], t["faults_played"]), (0, 1));
+    // Five fronts of six, some 50 statements a second, about half into the zone for three seconds.
+    assert!(t["link_cut_others_sent"] >= 20, "{t:?}");
+}
