Believed fronts of two vantages that speak ill of most of a zone lead the fleet out of it

Symptom (rig, zone-lost-twelve, 12 fronts, 3 zones, zone 2 lost 4 s): fronts went on sending into the lost zone for up to 3.2 s; each left by its own silence (SILENT, 1 s with a statement out), and others' word took half of an engine's bound at most (doubt, src/decide.rs), however many spoke.

Kept: where believed fronts (credit >= TRUSTED) of VANTAGES = 2 vantages speak ill of more than half of a zone's engines, every engine of the zone has no room; one front alone still takes half at most, so a front cut off alone leads nobody out. tests/scenarios/fleet-leaves-zone.txt fails without it (t1 went to d).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,6 +55,7 @@
 const HEARSAY: f64 = 0.5; // most that others' word takes of a bound, however many speak; one half of it
 const TOLD_WRONG: f64 = 0.8; // factor on the credit of a front that speaks ill of an engine that does well
 const DOUBTFUL: f64 = 0.3; // share of failures or silence from which a word counts as ill
+const VANTAGES: usize = 2; // believed fronts whose ill word of a zone is the fleet's; one may be cut off
 
 impl ServiceClass {
     fn conformance(&self) -> f64 {
@@ -217,15 +218,27 @@
         }
     }
 
-    /// How much of an engine's bound others' word leaves. Two that are believed take twice what one does,
-    /// more no more than two; it fades with age.
+    /// How much of an engine's bound others' word leaves: one believed front takes half at most, fading with
+    /// age. Believed fronts of several vantages that speak ill of most of its zone are the fleet's: all go.
     fn doubt(&self, e: EngineId) -> f64 {
+        let credit = |maker: &usize| self.makers.get(maker).copied().unwrap_or(TRUSTED);
+        let said = || self.said.range((e, 0)..(e + 1, 0)).map(|((_, maker), said)| (*maker, said));
+        let zone = |e: EngineId| self.engines.listed[e].as_ref().map(|l| l.location);
+        let (mut makers, mut near, mut ill) = (BTreeSet::new(), 0, 0);
+        for o in (0..self.engines.listed.len()).filter(|o| zone(*o) == zone(e)) {
+            let word = self.said.range((o, 0)..(o + 1, 0)).map(|((_, maker), _)| *maker);
+            let mut believed = word.filter(|maker| credit(maker) >= TRUSTED).peekable();
+            (near, ill) = (near + 1, ill + usize::from(believed.peek().is_some()));
+            makers.extend(believed.take(VANTAGES));
+        }
+        if makers.len() >= VANTAGES && 2 * ill > near {
+            return 0.0;
+        }
         let worth = |(maker, (ill, until)): (usize, &(f64, Micros))| {
             let left = (until - self.now).max(0) as f64 / HEARD_FOR as f64;
-            self.makers.get(&maker).copied().unwrap_or(TRUSTED) * ill * left.sqrt()
+            credit(&maker) * ill * left.sqrt()
         };
-        let said = self.said.range((e, 0)..(e + 1, 0)).map(|((_, maker), said)| (*maker, said));
-        1.0 - HEARSAY * said.map(worth).map(|worth| worth.min(0.5)).sum::<f64>().min(1.0)
+        1.0 - HEARSAY * said().map(worth).map(|worth| worth.min(0.5)).sum::<f64>().min(1.0)
     }
 
     /// An engine has shown here what others' word of it was worth.
