--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -49,8 +49,17 @@
 
     /// The same, with the zone of each.
     pub fn tell_zoned(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str, &str)]) {
+        self.tell_all(whole, engines, 0.0);
+    }
+
+    /// Tells of engines that started anew at a Unix millisecond.
+    pub fn tell_started(&self, engines: &[(String, SocketAddr, &str, &str, &str)], wall_ms: f64) {
+        self.tell_all(false, engines, wall_ms);
+    }
+
+    fn tell_all(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str, &str)], started_ms: f64) {
         let Ok(mut events) = self.events.0.lock() else { return };
-        let entry = |(id, at, kind, state, zone): &(String, SocketAddr, &str, &str, &str)| json!({"id": id, "addr": at.to_string(), "zone": zone, "kind": kind, "cell": 0, "state": state});
+        let entry = |(id, at, kind, state, zone): &(String, SocketAddr, &str, &str, &str)| json!({"id": id, "addr": at.to_string(), "zone": zone, "kind": kind, "cell": 0, "state": state, "started_ms": started_ms});
         let servers: Vec<Value> = engines.iter().map(entry).collect();
         let index = events.len() + 1;
         events.push(json!({"index": index, "endpoints": {"full": whole, "servers": servers}}));
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -69,3 +69,11 @@
     // Five fronts of six, some 50 statements a second, about half into the zone for three seconds.
     assert!(t["link_cut_others_sent"] >= 20, "{t:?}");
 }
+
+#[test]
+fn a_zone_that_comes_back_cold_is_used_again_within_what_its_engines_bear() {
+    let t = play("zone-return", 6);
+    assert_eq!((t["unanswered"], t["faults_played"]), (0, 1));
+    assert!(t["returned_sent"] > 0, "the zone was not used again: {t:?}");
+    assert!(t["return_peak_over_bound_pct"] <= 100, "{t:?}");
+}
