Others' word of silence counts only beyond the longest usual run the module has learned

Since two fronts that gossip and say so of most of a zone lead the fleet out of it; hear() in src/decide.rs weighed silence as silent / (silent + 1 s) whatever the runs here.

Change: hear() counts silence only beyond SILENCE_RUNS times the longest usual run learned (the same patience listen() keeps for the module's own executions). tests/scenarios/fleet-long-statements.txt (runs of 3 s learned, two fronts report 1.5 s of silence of both engines of a zone): the zone keeps its statements; with the old weighing t2 went to a instead of d (test fails).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -207,7 +207,10 @@
     }
 
     fn hear(&mut self, said: Hearsay) {
-        let silence = said.silent as f64 / (said.silent + SECOND) as f64;
+        // Silence counts beyond what the longest usual run may take here: long statements are silent too.
+        let longest = self.learned.iter().map(|l| l.run.value).fold(0.0, f64::max);
+        let beyond = (said.silent as f64 - SILENCE_RUNS * longest).max(0.0);
+        let silence = beyond / (beyond + SECOND as f64);
         let ill = (said.failed / (said.failed + said.answered + 1.0)).max(silence);
         let (at, until) = ((said.engine, said.maker), self.now - said.age + HEARD_FOR);
         self.said.retain(|_, (_, until)| *until > self.now);
