The zone quorum comes from the operator's gossip settings, and the lab plays it side by side

Change: `gossip.zone_quorum` in the operator's file (crates/agreement, default 2, 0 switches the fleet's word off, over 64 refused with key and line); the module reads Agreement::zone_quorum.

--- a/crates/agreement/src/contract.rs
+++ b/crates/agreement/src/contract.rs
@@ -3,6 +3,8 @@
 use hallmux::interface::{Agreement, DedupGroup, Effect, FurtherBudget, Micros, ReportPlaces, Workload};
 use serde::Deserialize;
 
+/// Vantages whose word of a zone leads the fleet out, where the operator's file says nothing: one front may be cut off alone.
+pub const ZONE_QUORUM: usize = 2;
 const DIAL_TIMEOUT_MS: f64 = 250.0; // milliseconds, where the settings are silent; a few round trips and more
 const KEEPALIVE_MS: f64 = 15_000.0; // milliseconds, where the settings are silent; what most servers use
 const MOST_HELD: usize = 20_000; // statements, where the settings are silent; some 10 MB of small ones
@@ -232,6 +234,7 @@
     };
     let further = read.rules.further_ratio.zip(read.rules.budget_span_ms);
     let agreement = Agreement {
+        zone_quorum: ZONE_QUORUM,
         workloads,
         customers: read.customers.iter().map(|c| c.allowance_per_s.unwrap_or(f64::INFINITY)).collect(),
         over_share: read.over_share_worth,
--- a/crates/agreement/src/operator.rs
+++ b/crates/agreement/src/operator.rs
@@ -38,8 +38,16 @@
     peers: BTreeMap<String, String>,
     #[serde(default)]
     seeds: Vec<SocketAddr>,
+    #[serde(default = "zone_quorum")]
+    zone_quorum: usize,
 }
 
+fn zone_quorum() -> usize {
+    crate::contract::ZONE_QUORUM
+}
+
+const MOST_QUORUM: usize = 64; // vantages; more fronts than that never agree in time
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct PostgresFile {
@@ -142,6 +150,8 @@
     /// Public keys, by the names that the log gives them.
     pub peers: Vec<(String, [u8; 32])>,
     pub seeds: Vec<SocketAddr>,
+    /// Believed fronts of as many vantages whose word of most of a zone leads the fleet out of it; 0: never.
+    pub zone_quorum: usize,
 }
 
 /// PostgreSQL sessions: where they come in, which engines they go to, who may open them.
@@ -248,7 +258,12 @@
             }
         }
     }
-    Ok(Gossip { listen: file.listen, secret_file: file.secret_file, peers, seeds: file.seeds })
+    if file.zone_quorum > MOST_QUORUM {
+        return Err(fault(text, "gossip.zone_quorum", &format!("is over {MOST_QUORUM}")));
+    }
+    let (listen, secret_file, seeds, zone_quorum) =
+        (file.listen, file.secret_file, file.seeds, file.zone_quorum);
+    Ok(Gossip { listen, secret_file, peers, seeds, zone_quorum })
 }
 
 /// Thirty-two bytes, as 64 hexadecimal digits.
@@ -520,6 +535,11 @@
         assert_eq!(read(&gossip).unwrap().gossip.unwrap().peers, [("a".to_string(), [15; 32])]);
         let why = read(&gossip.replace(&key, &key[1..])).unwrap_err();
         assert!(why.starts_with("line 1: gossip.peers.a: is no key"), "{why}");
+        assert_eq!(read(&gossip).unwrap().gossip.unwrap().zone_quorum, 2);
+        let off = gossip.replace("peers:", "zone_quorum: 0, peers:");
+        assert_eq!(read(&off).unwrap().gossip.unwrap().zone_quorum, 0);
+        let why = read(&gossip.replace("peers:", "\nzone_quorum: 65, peers:")).unwrap_err();
+        assert!(why.starts_with("line 2: gossip.zone_quorum: is over 64"), "{why}");
     }
 
     #[test]
--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -93,6 +93,9 @@
             None => Operator::default(),
         };
         operator.apply(&mut contract.agreement.report);
+        if let Some(gossip) = &operator.gossip {
+            contract.agreement.zone_quorum = gossip.zone_quorum;
+        }
         let level = variables.get("HALLMUX_LOG").map_or(LEVEL, String::as_str);
         Ok(Station {
             name: said("NODE_NAME", "name", file.name)?,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -74,8 +74,9 @@
                 let seeds: Vec<String> =
                     members.iter().filter_map(heard).map(|at| format!("'{at}'")).collect();
                 let file = keys.folder.join(format!("secret{number}"));
+                let quorum = keys.zone_quorum.map(|q| format!("zone_quorum: {q}, ")).unwrap_or_default();
                 format!(
-                    "{{ gossip: {{ listen: '127.0.0.1:0', secret_file: '{}', peers: {{ {} }}, seeds: [{}] }} }}",
+                    "{{ gossip: {{ listen: '127.0.0.1:0', secret_file: '{}', {quorum}peers: {{ {} }}, seeds: [{}] }} }}",
                     file.display(),
                     keys.peers,
                     seeds.join(", ")
@@ -98,10 +99,11 @@
     folder: std::path::PathBuf,
     /// `name: 'public key', ...` for the operator's file.
     peers: String,
+    zone_quorum: Option<usize>,
 }
 
 impl Keys {
-    fn new(fronts: usize, seed: u64) -> std::io::Result<Keys> {
+    fn new(fronts: usize, seed: u64, zone_quorum: Option<usize>) -> std::io::Result<Keys> {
         let folder = std::env::temp_dir().join(format!("hallmux-fleet-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
@@ -113,7 +115,7 @@
             let public = hallmux_gossip::seal::Own::new(&secret, 0).public();
             peers.push(format!("f{n}: '{}'", hex(&public)));
         }
-        Ok(Keys { folder, peers: peers.join(", ") })
+        Ok(Keys { folder, peers: peers.join(", "), zone_quorum })
     }
 }
 
@@ -176,7 +178,7 @@
     let mut members = Vec::new();
     let mut pids = Vec::new();
     let settings = settings(scenario);
-    let keys = Keys::new(shape.fronts, seed).map_err(why)?;
+    let keys = Keys::new(shape.fronts, seed, shape.zone_quorum).map_err(why)?;
     for front in 0..shape.fronts {
         let own: Vec<Arc<Link>> = engines
             .iter()
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -47,6 +47,9 @@
         /// Drawn and printed where neither this nor the file gives one.
         #[arg(long)]
         seed: Option<u64>,
+        /// Plays the same seed a second time with this `zone_quorum` (0: the fleet never leaves a zone), side by side.
+        #[arg(long)]
+        beside_quorum: Option<usize>,
     },
     /// Measures beside a plain way, and prints a table.
     Measure { subject: Measured },
@@ -67,7 +70,7 @@
 fn main() -> ExitCode {
     let (seed, units, rounds) = match Lab::parse().what {
         What::Prove { subject: Subject::Postgres, seed, units, rounds } => (seed, units, rounds),
-        What::Fleet { scenario, seed } => return fleet_run(&scenario, seed),
+        What::Fleet { scenario, seed, beside_quorum } => return fleet_run(&scenario, seed, beside_quorum),
         What::Measure { subject } => {
             let measured = match subject {
                 Measured::Postgres => measure::postgres(),
@@ -95,7 +98,7 @@
     }
 }
 
-fn fleet_run(path: &std::path::Path, seed: Option<u64>) -> ExitCode {
+fn fleet_run(path: &std::path::Path, seed: Option<u64>, beside: Option<usize>) -> ExitCode {
     let read = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()));
     let scenario = match read.and_then(|text| scenario::Scenario::parse(&text)) {
         Ok(scenario) => scenario,
@@ -106,6 +109,22 @@
     };
     let seed = fleet::seed(&scenario, seed);
     let name = path.file_stem().map(|s| s.to_string_lossy().to_string()).unwrap_or_default();
+    if let Some(quorum) = beside {
+        // The other way first, then the file's, on the same seed; each line as it would stand alone.
+        let mut other = scenario.clone();
+        other.fleet.zone_quorum = Some(quorum);
+        for (label, played) in
+            [(format!("zone_quorum {quorum}"), &other), ("as the file says".to_string(), &scenario)]
+        {
+            match fleet::run(played, seed) {
+                Ok(run) => {
+                    println!("fleet {name} seed {seed} ({label}): {} {}", word(run.passed()), run.line())
+                }
+                Err(why) => println!("fleet {name} seed {seed} ({label}): FAIL {why}"),
+            }
+        }
+        return ExitCode::SUCCESS;
+    }
     match fleet::run(&scenario, seed) {
         Ok(run) => {
             print!("{}", run.table);
@@ -114,8 +133,7 @@
             }
             let pids: Vec<String> = run.pids.iter().map(u32::to_string).collect();
             println!("pids {}", pids.join(","));
-            let word = if run.passed() { "pass" } else { "FAIL" };
-            println!("fleet {name} seed {seed}: {word} {}", run.line());
+            println!("fleet {name} seed {seed}: {} {}", word(run.passed()), run.line());
             if run.passed() {
                 ExitCode::SUCCESS
             } else {
@@ -128,3 +146,11 @@
         }
     }
 }
+
+fn word(passed: bool) -> &'static str {
+    if passed {
+        "pass"
+    } else {
+        "FAIL"
+    }
+}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -27,6 +27,8 @@
     /// The fronts tell each other what they see of engines (signed datagrams, each front's key known to all).
     #[serde(default)]
     pub gossip: bool,
+    /// Vantages whose word of a zone leads the fleet out (`gossip.zone_quorum` of the operator's file); 0: never.
+    pub zone_quorum: Option<usize>,
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,7 +55,6 @@
 const HEARSAY: f64 = 0.5; // most that others' word takes of a bound, however many speak; one half of it
 const TOLD_WRONG: f64 = 0.8; // factor on the credit of a front that speaks ill of an engine that does well
 const DOUBTFUL: f64 = 0.3; // share of failures or silence from which a word counts as ill
-const VANTAGES: usize = 2; // believed fronts whose ill word of a zone is the fleet's; one may be cut off
 
 impl ServiceClass {
     fn conformance(&self) -> f64 {
@@ -232,9 +231,10 @@
             let word = self.said.range((o, 0)..(o + 1, 0)).map(|((_, maker), _)| *maker);
             let mut believed = word.filter(|maker| credit(maker) >= TRUSTED).peekable();
             (near, ill) = (near + 1, ill + usize::from(believed.peek().is_some()));
-            makers.extend(believed.take(VANTAGES));
+            makers.extend(believed.take(self.agreed.zone_quorum));
         }
-        if makers.len() >= VANTAGES && 2 * ill > near {
+        let quorum = self.agreed.zone_quorum;
+        if quorum > 0 && makers.len() >= quorum && 2 * ill > near {
             return 0.0;
         }
         let worth = |(maker, (ill, until)): (usize, &(f64, Micros))| {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -108,6 +108,8 @@
     pub overload_factor: f64,
     pub fall_window: Micros,
     pub further: Option<FurtherBudget>,
+    /// Believed fronts of as many vantages whose ill word of most of a zone leads every front out of it; 0: never.
+    pub zone_quorum: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -107,6 +107,7 @@
                 "warm-within" => self.agreed.warm_within = micros(value),
                 "overload" => self.agreed.overload_factor = number(value),
                 "fall" => self.agreed.fall_window = micros(value),
+                "zone-quorum" => self.agreed.zone_quorum = number(value) as usize,
                 "customers" => self.agreed.customers = value.split(',').map(number).collect(),
                 "spare" => {
                     let window = 10_000 * MS;
