--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -113,17 +113,22 @@
         // The other way first, then the file's, on the same seed; each line as it would stand alone.
         let mut other = scenario.clone();
         other.fleet.zone_quorum = Some(quorum);
+        let mut all_passed = true;
         for (label, played) in
             [(format!("zone_quorum {quorum}"), &other), ("as the file says".to_string(), &scenario)]
         {
             match fleet::run(played, seed) {
                 Ok(run) => {
+                    all_passed &= run.passed();
                     println!("fleet {name} seed {seed} ({label}): {} {}", word(run.passed()), run.line())
                 }
-                Err(why) => println!("fleet {name} seed {seed} ({label}): FAIL {why}"),
+                Err(why) => {
+                    all_passed = false;
+                    println!("fleet {name} seed {seed} ({label}): FAIL {why}");
+                }
             }
         }
-        return ExitCode::SUCCESS;
+        return if all_passed { ExitCode::SUCCESS } else { ExitCode::FAILURE };
     }
     match fleet::run(&scenario, seed) {
         Ok(run) => {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -99,6 +99,7 @@
 const MOST_ENGINES: usize = 64;
 const MOST_SECONDS: u64 = 120; // a run stops by itself
 const MOST_RATE: u64 = 2_000; // statements a second, each a thread of the client's
+const MOST_QUORUM: usize = 64; // what the operator's file takes for `gossip.zone_quorum`
 
 impl Scenario {
     pub fn parse(text: &str) -> Result<Scenario, String> {
@@ -117,6 +118,13 @@
                 &format!("and engines_per_zone must be 1 or more, {MOST_ENGINES} engines at most"),
             );
         }
+        match scenario.fleet.zone_quorum {
+            Some(_) if !scenario.fleet.gossip => return refuse("zone_quorum", "needs gossip = true"),
+            Some(quorum) if quorum > MOST_QUORUM => {
+                return refuse("zone_quorum", &format!("is over {MOST_QUORUM}"))
+            }
+            _ => {}
+        }
         if !(1..=MOST_SECONDS).contains(&scenario.seconds) {
             return refuse("seconds", &format!("must be from 1 to {MOST_SECONDS}"));
         }
@@ -184,6 +192,11 @@
         assert_eq!(Scenario::parse(&far).unwrap_err(), "line 14: `zone` names a zone of 2, counted from 0");
         let many = GOOD.replace("fronts = 3", "fronts = 41");
         assert!(Scenario::parse(&many).unwrap_err().starts_with("line 3: `fronts`"));
+        let lonely = GOOD.replace("engines_per_zone = 2", "engines_per_zone = 2\nzone_quorum = 0");
+        assert_eq!(Scenario::parse(&lonely).unwrap_err(), "line 6: `zone_quorum` needs gossip = true");
+        let high =
+            GOOD.replace("engines_per_zone = 2", "engines_per_zone = 2\ngossip = true\nzone_quorum = 65");
+        assert_eq!(Scenario::parse(&high).unwrap_err(), "line 7: `zone_quorum` is over 64");
         let kind = GOOD.replace("zone_lost", "zone_gone");
         assert!(Scenario::parse(&kind).unwrap_err().contains("zone_gone"));
         assert!(Scenario::parse("\u{0}garbage[[").is_err());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -225,16 +225,7 @@
     fn doubt(&self, e: EngineId) -> f64 {
         let credit = |maker: &usize| self.makers.get(maker).copied().unwrap_or(TRUSTED);
         let said = || self.said.range((e, 0)..(e + 1, 0)).map(|((_, maker), said)| (*maker, said));
-        let zone = |e: EngineId| self.engines.listed[e].as_ref().map(|l| l.location);
-        let (mut makers, mut near, mut ill) = (BTreeSet::new(), 0, 0);
-        for o in (0..self.engines.listed.len()).filter(|o| zone(*o) == zone(e)) {
-            let word = self.said.range((o, 0)..(o + 1, 0)).map(|((_, maker), _)| *maker);
-            let mut believed = word.filter(|maker| credit(maker) >= TRUSTED).peekable();
-            (near, ill) = (near + 1, ill + usize::from(believed.peek().is_some()));
-            makers.extend(believed.take(self.agreed.zone_quorum));
-        }
-        let quorum = self.agreed.zone_quorum;
-        if quorum > 0 && makers.len() >= quorum && 2 * ill > near {
+        if self.fleet_left(e) {
             return 0.0;
         }
         let worth = |(maker, (ill, until)): (usize, &(f64, Micros))| {
@@ -244,6 +235,24 @@
         1.0 - HEARSAY * said().map(worth).map(|worth| worth.min(0.5)).sum::<f64>().min(1.0)
     }
 
+    /// Whether believed fronts of as many vantages as agreed speak ill of most engines of the engine's zone.
+    fn fleet_left(&self, e: EngineId) -> bool {
+        let quorum = self.agreed.zone_quorum;
+        if quorum == 0 {
+            return false;
+        }
+        let zone = |e: EngineId| self.engines.listed[e].as_ref().map(|l| l.location);
+        let believed = |maker: &usize| self.makers.get(maker).copied().unwrap_or(TRUSTED) >= TRUSTED;
+        let (mut makers, mut near, mut ill) = (BTreeSet::new(), 0, 0);
+        for o in (0..self.engines.listed.len()).filter(|o| zone(*o) == zone(e)) {
+            let word = self.said.range((o, 0)..(o + 1, 0)).map(|((_, maker), _)| *maker);
+            let mut word = word.filter(believed).peekable();
+            (near, ill) = (near + 1, ill + usize::from(word.peek().is_some()));
+            makers.extend(word.take(quorum));
+        }
+        makers.len() >= quorum && 2 * ill > near
+    }
+
     /// An engine has shown here what others' word of it was worth.
     fn proved(&mut self, e: EngineId, ill: bool) {
         for ((_, maker), _) in self.said.range((e, 0)..(e + 1, 0)) {
