A zone left stays left until the fleet's probes find it well; its return is shared by membership

At the fleet's word lapsed when it faded (8 s), each front went back alone, and a front's share of a cold engine went by the settings' count only.

Checked and ruled out at 300 fronts (last statement into the lost zone 4.9-5.9 s after the loss, what each late sender had heard was printed): membership alone (all 300 known) and the order of passing on alone (5.9, 5.1, 4.9 s after that change) were not it; reports were taken back empty 0.4 s after they were made, as a silence ended with the statement given up at 1.4 s (Dispatcher::sighted). A word of silence under the module's patience with answers counted before counted as a good word (hear). Twelve fronts took 4.5-5.3 s to know each other (Members::probe asks one seed each fourth second once it knows anybody).

Change: module: leave_zone, found_well, probes at 4 a second over the fleet by the count of fronts up, shares of a cold engine by the fronts known, never fewer than agreed (Event::Fleet); data in state.rs (Words). Dispatcher: silence that ended in giving up is told for 3 s; an engine back from trouble is told. crates/fleet: the exchange between gossip and dispatcher, moved from crates/front. Gossip: reports passed on by turns of engines, a newcomer is told of 24 members, a lone front asks all seeds, answers go to the address a front names (gossip.advertise); clock_ahead_ms for drills.

--- a/crates/agreement/src/operator.rs
+++ b/crates/agreement/src/operator.rs
@@ -28,12 +28,15 @@
     postgres: Option<PostgresFile>,
     gossip: Option<GossipFile>,
     load_signal: Option<String>,
+    #[serde(default)]
+    clock_ahead_ms: f64,
 }
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct GossipFile {
     listen: SocketAddr,
+    advertise: Option<SocketAddr>,
     secret_file: String,
     peers: BTreeMap<String, String>,
     #[serde(default)]
@@ -46,6 +49,7 @@
     crate::contract::ZONE_QUORUM
 }
 
+const MOST_AHEAD_MS: f64 = 600_000.0; // milliseconds either way; clocks further apart are not drilled
 const MOST_QUORUM: usize = 64; // vantages; more fronts than that never agree in time
 
 #[derive(Deserialize)]
@@ -120,6 +124,8 @@
     pub gossip: Option<Gossip>,
     /// Which figure of the engines' load reports tells what they hold; where silent, as the settings name them.
     pub load_signal: Option<LoadSignal>,
+    /// For drills: this front's clock reads so much more than the machine's.
+    pub clock_ahead: Micros,
 }
 
 /// The shape of deployment as the engines' reports show it: they tell the statements in flight (the earlier
@@ -145,6 +151,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Gossip {
     pub listen: SocketAddr,
+    /// The address that other fronts are told, where it is not the one it listens on.
+    pub advertise: Option<SocketAddr>,
     /// The file that holds the secret half of this front's key pair, as 64 hexadecimal digits.
     pub secret_file: String,
     /// Public keys, by the names that the log gives them.
@@ -213,7 +221,11 @@
         let postgres = file.postgres.map(|p| postgres(text, p, contract)).transpose()?;
         let gossip = file.gossip.map(|g| gossip(text, g)).transpose()?;
         let load_signal = file.load_signal.map(|l| load_signal(text, &l, contract)).transpose()?;
-        Ok(Operator { postgres, gossip, load_signal })
+        let ahead = file.clock_ahead_ms;
+        if !ahead.is_finite() || ahead.abs() > MOST_AHEAD_MS {
+            return Err(fault(text, "clock_ahead_ms", &format!("is beyond {MOST_AHEAD_MS} either way")));
+        }
+        Ok(Operator { postgres, gossip, load_signal, clock_ahead: micros(ahead) })
     }
 }
 
@@ -247,9 +259,9 @@
     Err(fault(text, "load_signal", &what))
 }
 
-fn gossip(text: &str, file: GossipFile) -> Result<Gossip, String> {
+fn gossip(text: &str, mut file: GossipFile) -> Result<Gossip, String> {
     let mut peers = Vec::new();
-    for (name, key) in file.peers {
+    for (name, key) in std::mem::take(&mut file.peers) {
         match hexadecimal(&key) {
             Some(key) => peers.push((name, key)),
             None => {
@@ -261,9 +273,8 @@
     if file.zone_quorum > MOST_QUORUM {
         return Err(fault(text, "gossip.zone_quorum", &format!("is over {MOST_QUORUM}")));
     }
-    let (listen, secret_file, seeds, zone_quorum) =
-        (file.listen, file.secret_file, file.seeds, file.zone_quorum);
-    Ok(Gossip { listen, secret_file, peers, seeds, zone_quorum })
+    let GossipFile { listen, advertise, secret_file, seeds, zone_quorum, .. } = file;
+    Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum })
 }
 
 /// Thirty-two bytes, as 64 hexadecimal digits.
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -9,6 +9,8 @@
 
 #[derive(Default)]
 pub struct Clock {
+    /// For drills: how much more it reads than the machine's.
+    ahead: Micros,
     /// The system's Unix clock at the last look, but never back.
     pub now: Micros,
     /// When it was last decided on all that had come by then.
@@ -21,9 +23,13 @@
 }
 
 impl Clock {
+    pub fn ahead(ahead: Micros) -> Clock {
+        Clock { ahead, ..Clock::default() }
+    }
+
     pub fn look(&mut self) {
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        self.set(since.as_micros() as Micros);
+        self.set(since.as_micros() as Micros + self.ahead);
     }
 
     fn set(&mut self, time: Micros) {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -59,7 +59,7 @@
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
         let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
-        let mut clock = Clock::default();
+        let mut clock = Clock::ahead(station.operator.clock_ahead);
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
@@ -391,7 +391,7 @@
                     self.dispatcher.note(ticket, execution, note);
                 }
                 engines::Told::Probed { place, alive, report } => {
-                    self.dispatcher.probed(place, alive, report);
+                    self.dispatcher.probed(self.clock.now, place, alive, report);
                 }
             }
         }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -10,53 +10,27 @@
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
 use hallmux_agreement::{hexadecimal, Gossip};
-use hallmux_dispatcher::{Dispatcher, Micros, Sighted};
+use hallmux_dispatcher::{Dispatcher, Micros};
+use hallmux_fleet::Exchange;
 use hallmux_gossip::evidence::News;
-use hallmux_gossip::message::{Sighting, LONGEST};
-use hallmux_gossip::node::{Datagram, Node, Start};
+use hallmux_gossip::message::LONGEST;
+use hallmux_gossip::node::{Datagram, Start};
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 
 use crate::doors::{Changes, Door};
 
-const LOOK: Micros = 250_000; // microseconds between looks at what this front has seen itself
 const ONE_TURN: usize = 64; // datagrams taken before others have their turn
-const MOST_MAKERS: usize = 4_096; // fronts that the module keeps apart in one life of this one
 const SAID: Micros = 10_000_000; // microseconds between lines of the log on what was refused
 
 pub struct Peers {
     socket: Rc<UdpSocket>,
-    node: Node,
+    exchange: Exchange,
     names: BTreeMap<PeerId, String>,
     chance: RandomState,
     drawn: u64,
-    look: Micros,
     said: Micros,
     refused: BTreeMap<Refused, u64>,
-    /// What others said last, so that a change is told once.
-    known: BTreeMap<(PeerId, u64), Sighting>,
-    /// Their places for the module, in the order in which they were first heard.
-    makers: BTreeMap<PeerId, usize>,
-    left: bool,
-}
-
-/// An engine's id as it goes out: the same on every front.
-fn named(engine: &str) -> u64 {
-    // FNV-1a, as published: it has to come to the same in every build.
-    engine
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
-
-fn sighting(seen: &Sighted) -> Sighting {
-    Sighting {
-        engine: named(seen.id),
-        failed: seen.failed.min(255.0) as u8,
-        answered: seen.answered.min(255.0) as u8,
-        silent_ms: (seen.silent / 1000).min(Micros::from(u16::MAX)) as u16,
-        drains: seen.drains,
-        started_s: seen.started.map_or(0, |at| (at / 1_000_000) as u32),
-    }
 }
 
 fn keys(gossip: &Gossip) -> Rc<Keys> {
@@ -90,41 +64,34 @@
             Ok(PostAction::Continue)
         });
         told.map_err(|e| why(e.error.to_string()))?;
-        let start = Start { secret, keys: keys(gossip), at, seeds: gossip.seeds.clone() };
-        let node = Node::new(start, (now / 1000) as u64);
-        let public: String = node.public().iter().map(|byte| format!("{byte:02x}")).collect();
+        let told = gossip.advertise.unwrap_or(at);
+        let start = Start { secret, keys: keys(gossip), at: told, seeds: gossip.seeds.clone() };
+        let exchange = Exchange::new(start, (now / 1000) as u64);
+        let public: String = exchange.public().iter().map(|byte| format!("{byte:02x}")).collect();
         log::info!(
             "talks with other fronts, {} keys count; its own is {public}, its address {at}",
             gossip.peers.len()
         );
         Ok(Peers {
             socket,
-            node,
+            exchange,
             names: names(gossip),
             chance: RandomState::new(),
             drawn: 0,
-            look: 0,
             said: 0,
             refused: BTreeMap::new(),
-            known: BTreeMap::new(),
-            makers: BTreeMap::new(),
-            left: false,
         })
     }
 
     /// The file was read again: its keys count from now on.
     pub fn reload(&mut self, gossip: &Gossip) {
         self.names = names(gossip);
-        self.node.keys(keys(gossip));
+        self.exchange.keys(keys(gossip));
         log::info!("{} keys of other fronts count", gossip.peers.len());
     }
 
     pub fn due(&self) -> Micros {
-        if self.left {
-            Micros::MAX
-        } else {
-            self.node.due().min(self.look)
-        }
+        self.exchange.due()
     }
 
     /// Datagrams have come; true if there are more for another turn.
@@ -133,7 +100,7 @@
         for _ in 0..ONE_TURN {
             match self.socket.recv_from(&mut bytes) {
                 Ok((len, from)) => {
-                    let back = self.node.heard(now, (now / 1000) as u64, from, &bytes[..len]);
+                    let back = self.exchange.heard(now, (now / 1000) as u64, from, &bytes[..len]);
                     self.send(back);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
@@ -151,57 +118,19 @@
         }
     }
 
-    /// Does what is due.
+    /// Does what is due; the log says what is new, and what was refused.
     pub fn tick(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
-        if self.left || now < self.due() {
-            return;
-        }
+        let before = self.exchange.fleet();
         let wall = (now / 1000) as u64;
-        if self.look <= now {
-            self.look = now + LOOK;
-            let mut seen: Vec<Sighting> = dispatcher.sighted(now).iter().map(sighting).collect();
-            seen.sort_by_key(|s| (std::cmp::Reverse(s.silent_ms), std::cmp::Reverse(s.failed), s.engine));
-            self.node.sees(now, wall, seen);
-            self.tell(now, dispatcher);
-        }
-        let out = self.node.tick(now, wall, &mut draws(&self.chance, &mut self.drawn));
+        let (out, news) =
+            self.exchange.tick(now, wall, dispatcher, &mut draws(&self.chance, &mut self.drawn));
         self.send(out);
-    }
-
-    /// This front ends: some peers hear so, and tell the others.
-    pub fn leave(&mut self, now: Micros) {
-        if !std::mem::replace(&mut self.left, true) {
-            let out = self.node.leave(now, (now / 1000) as u64, &mut draws(&self.chance, &mut self.drawn));
-            self.send(out);
-        }
-    }
-
-    /// Hands on what has changed in what others say; the log says what is new, and what was refused.
-    fn tell(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
-        let news = self.node.news(now);
-        let known: BTreeMap<(PeerId, u64), Sighting> =
-            news.iter().map(|n| ((n.maker, n.sighting.engine), n.sighting)).collect();
-        for n in &news {
-            let s = n.sighting;
-            // Guards against makers without end, as keys come and go.
-            if self.known.get(&(n.maker, s.engine)) == Some(&s) || self.makers.len() >= MOST_MAKERS {
-                continue;
-            }
-            let next = self.makers.len();
-            let maker = *self.makers.entry(n.maker).or_insert(next);
-            let seen = Sighted {
-                id: "",
-                failed: f64::from(s.failed),
-                answered: f64::from(s.answered),
-                silent: Micros::from(s.silent_ms) * 1000,
-                drains: s.drains,
-                started: None,
-            };
-            dispatcher.hearsay(maker, |id| named(id) == s.engine, &seen, n.age);
+        let (known, up) = self.exchange.fleet();
+        if (known, up) != before {
+            log::debug!("{known} fronts are known, {up} of them up");
         }
-        for n in news.iter().filter(|n| !self.known.contains_key(&(n.maker, n.sighting.engine))) {
-            let News { maker, sighting: s, age } = n;
-            let name = self.names.get(maker).map_or("?", String::as_str);
+        for News { maker, sighting: s, age } in news {
+            let name = self.names.get(&maker).map_or("?", String::as_str);
             log::info!(
                 "front {name} says of engine {:016x}: {} failed, {} answered, silent for {} ms{}; {} ms ago",
                 s.engine,
@@ -212,16 +141,22 @@
                 age / 1000
             );
         }
-        self.known = known;
-        if self.node.refused != self.refused && self.said + SAID <= now {
+        if self.exchange.refused() != &self.refused && self.said + SAID <= now {
             self.said = now;
-            self.refused = self.node.refused.clone();
+            self.refused = self.exchange.refused().clone();
             log::warn!(
                 "datagrams and reports of other fronts that count for nothing so far: {:?}",
                 self.refused
             );
         }
     }
+
+    /// This front ends: some peers hear so, and tell the others.
+    pub fn leave(&mut self, now: Micros) {
+        let wall = (now / 1000) as u64;
+        let out = self.exchange.leave(now, wall, &mut draws(&self.chance, &mut self.drawn));
+        self.send(out);
+    }
 }
 
 /// Numbers that nobody can foretell.
--- a/crates/gossip/src/evidence.rs
+++ b/crates/gossip/src/evidence.rs
@@ -73,21 +73,34 @@
         all.collect()
     }
 
-    /// Reports to be passed on within so many bytes, those passed on least first, of them the latest.
+    /// Reports to be passed on within so many bytes: first those on an engine of which least was passed on, good and
+    /// ill apart, so that many voices on one matter do not crowd out the few on another; then those passed on least, of them the latest.
+    /// Those that say nothing any more come last: what they take back fades by itself.
     pub fn pass_on(&mut self, now: Micros, most_sent: u32, mut room: usize) -> Vec<Signed> {
+        let matter = |s: &Sighting| (s.engine, s.answered > 0 && s.silent_ms == 0 && s.failed == 0);
+        let mut told: BTreeMap<(u64, bool), u32> = BTreeMap::new();
+        for held in self.held.values().filter(|held| now - held.made < FADES) {
+            held.sightings.iter().for_each(|s| *told.entry(matter(s)).or_default() += held.sent);
+        }
         let mut all: Vec<&mut Held> =
             self.held.values_mut().filter(|held| now - held.made < FADES && held.sent < most_sent).collect();
-        all.sort_by_key(|held| (held.sent, now - held.made));
         let mut picked = Vec::new();
-        for held in all {
-            let len = held.signed.report.len() + held.signed.signature.len() + 4;
-            if len <= room {
-                room -= len;
-                held.sent += 1;
-                picked.push(held.signed.clone());
-            }
+        loop {
+            let least = |held: &Held| {
+                let matters = held.sightings.iter().map(|s| told.get(&matter(s)).copied().unwrap_or(0));
+                matters.min().unwrap_or(u32::MAX)
+            };
+            let len = |held: &Held| held.signed.report.len() + held.signed.signature.len() + 4;
+            let fits = (0..all.len()).filter(|n| len(all[*n]) <= room);
+            let Some(next) = fits.min_by_key(|n| (least(all[*n]), all[*n].sent, now - all[*n].made)) else {
+                return picked;
+            };
+            let held = all.swap_remove(next);
+            room -= len(held);
+            held.sent += 1;
+            held.sightings.iter().for_each(|s| *told.entry(matter(s)).or_default() += 1);
+            picked.push(held.signed.clone());
         }
-        picked
     }
 
     pub fn len(&self) -> usize {
@@ -160,6 +173,25 @@
         assert!(evidence.is_empty());
     }
 
+    #[test]
+    fn one_voice_on_an_engine_is_passed_on_before_the_many_on_another() {
+        let mut evidence = Evidence::default();
+        let signed = |maker: u64| Signed { report: vec![maker as u8; 40], signature: vec![0; 64] };
+        for maker in 0..100 {
+            evidence.merge(maker as Micros, report(maker, 1, 1, 1), signed(maker), 0);
+        }
+        let mut other = report(200, 1, 1, 1);
+        other.sightings[0].engine = 2;
+        // The earliest and the last in number: by age and place it would come after all others.
+        evidence.merge(0, other, signed(200), 0);
+        let mut firsts = Vec::new();
+        for _ in 0..3 {
+            firsts.extend(evidence.pass_on(1_000, 9, 216).iter().map(|s| s.report[0]));
+        }
+        assert!(firsts[..2].contains(&200), "{firsts:?}");
+        assert!(firsts.iter().filter(|maker| **maker == 200).count() >= 2, "{firsts:?}");
+    }
+
     #[test]
     fn makers_and_bytes_are_bounded() {
         let mut evidence = Evidence::default();
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -113,6 +113,16 @@
         self.members.get(&id).map(|m| m.health)
     }
 
+    /// How many members have not said good-bye, and of them how many are up.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.members.values().filter(|m| m.health != Health::Left).count(), self.up().count())
+    }
+
+    /// The view is as large as it grows: there may be more members than it holds.
+    pub fn is_full(&self) -> bool {
+        self.members.len() >= MOST_MEMBERS
+    }
+
     pub fn len(&self) -> usize {
         self.members.len()
     }
@@ -229,8 +239,11 @@
             out.push(Send { to: at, probe: Probe::Ping { number } });
             break;
         }
-        // Alone, or one of the seeds now and then, so that two parts of a fleet that lost each other meet again.
-        if !self.seeds.is_empty() && (self.probing.is_none() || number.is_multiple_of(8)) {
+        // Alone, all seeds; else one now and then, so that two parts of a fleet that lost each other meet again.
+        if self.members.is_empty() {
+            let others = self.seeds.iter().filter(|to| **to != self.at).collect::<BTreeSet<_>>();
+            out.extend(others.into_iter().map(|to| Send { to: *to, probe: Probe::Ping { number } }));
+        } else if !self.seeds.is_empty() && (self.probing.is_none() || number.is_multiple_of(8)) {
             let to = self.seeds[chance.below(self.seeds.len())];
             if to != self.at {
                 out.push(Send { to, probe: Probe::Ping { number } });
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -16,6 +16,7 @@
 const ANSWERS_A_SECOND: f64 = 1_000.0; // bytes of answers to others, so that a flood of questions starves no news
 const RENEWED: Micros = 1_000_000; // microseconds after which a front says again what it still sees
 const FOR_PROBES: f64 = 800.0; // bytes that news leaves for probes: a peer that is not asked seems dead
+const WELCOME: usize = 24; // members that a newcomer is told of at once: some 600 bytes
 const MOST_RUMOURS: usize = 2; // in a datagram beside its sender's own: some 25 bytes each
 const TOLD: usize = 420; // bytes of a datagram that only tells news
 const SENT_EACH: f64 = 2.0; // times the logarithm of the peers that a report is passed on by each front
@@ -89,6 +90,17 @@
         &self.members
     }
 
+    /// How many fronts there are, this one too: those that have not said good-bye, and of them those that are up.
+    /// Where there are more than the view holds, the keys tell how many, and the view's share of them that are up.
+    pub fn fleet(&self) -> (usize, usize) {
+        let (known, up) = self.members.counts();
+        if !self.members.is_full() {
+            return (known + 1, up + 1);
+        }
+        let all = self.peers.len().max(known + 1);
+        (all, (up + 1) * all / (self.members.len() + 1))
+    }
+
     /// Other public keys count from now on.
     pub fn keys(&mut self, keys: Rc<Keys>) {
         self.peers.keys(keys);
@@ -139,7 +151,7 @@
             }
         }
         for send in sends {
-            out.extend(self.send(now, wall_ms, send, false));
+            out.extend(self.send(now, wall_ms, send, Why::News));
         }
         out
     }
@@ -151,20 +163,25 @@
         let mut out = Vec::new();
         for _ in 0..(2 * FANOUT).min(targets.len()) {
             let to = targets.swap_remove(chance.below(targets.len()));
-            out.extend(self.send(now, wall_ms, Send { to, probe: Probe::None }, false));
+            out.extend(self.send(now, wall_ms, Send { to, probe: Probe::None }, Why::News));
         }
         out
     }
 
-    fn send(&mut self, now: Micros, wall_ms: u64, send: Send, answers: bool) -> Option<Datagram> {
+    fn send(&mut self, now: Micros, wall_ms: u64, send: Send, why: Why) -> Option<Datagram> {
         let mut rumours = vec![self.members.own()];
-        // Guards against one who asks without end: answers use up no news that others are to hear.
-        let most = if answers { 0 } else { MOST_RUMOURS };
+        let answers = why == Why::Answer;
+        let most = match why {
+            // Guards against one who asks without end: answers use up no news that others are to hear.
+            Why::Answer => 0,
+            Why::News => MOST_RUMOURS,
+            Why::Welcome => WELCOME,
+        };
         rumours.extend(self.members.pass_on(send.to, most));
         let most_sent = (SENT_EACH * ((self.peers.len() + 2) as f64).log2()).ceil() as u32;
         let mut message = Message { probe: send.probe, rumours, reports: Vec::new() };
         let used = SEAL + message::bytes(&message).len() + 2;
-        let room = if answers { 0 } else { TOLD.min(LONGEST).saturating_sub(used) };
+        let room = if why == Why::News { TOLD.min(LONGEST).saturating_sub(used) } else { 0 };
         message.reports = self.evidence.pass_on(now, most_sent, room);
         let content = message::bytes(&message);
         let len = content.len() + SEAL;
@@ -181,7 +198,14 @@
     /// A datagram has come; what is to go back.
     pub fn heard(&mut self, now: Micros, wall_ms: u64, from: SocketAddr, bytes: &[u8]) -> Vec<Datagram> {
         match self.take(now, wall_ms, from, bytes) {
-            Ok(sends) => sends.into_iter().filter_map(|send| self.send(now, wall_ms, send, true)).collect(),
+            Ok((sends, newcomer)) => {
+                let mut out: Vec<Datagram> =
+                    sends.into_iter().filter_map(|send| self.send(now, wall_ms, send, Why::Answer)).collect();
+                // One that was not known is told of others at once: it would meet them one by one.
+                let welcome = newcomer.map(|to| Send { to, probe: Probe::None });
+                out.extend(welcome.and_then(|send| self.send(now, wall_ms, send, Why::Welcome)));
+                out
+            }
             Err(why) => {
                 *self.refused.entry(why).or_default() += 1;
                 Vec::new()
@@ -195,13 +219,17 @@
         wall_ms: u64,
         from: SocketAddr,
         bytes: &[u8],
-    ) -> Result<Vec<Send>, Refused> {
+    ) -> Result<(Vec<Send>, Option<SocketAddr>), Refused> {
         let opened = self.peers.open(now, wall_ms, from.ip(), bytes)?;
         let sender = opened.sender;
         let message: Message = message::read(opened.content).ok_or(Refused::Form)?;
         if sender == self.own.id {
             return Err(Refused::Replay); // our own, come back
         }
+        // Answers go where the sender says that it is heard, which need not be where it speaks from.
+        let own = message.rumours.iter().find(|rumour| rumour.member == sender);
+        let from_at = own.map_or(from, |rumour| rumour.at);
+        let newcomer = self.members.health(sender).is_none().then_some(from_at);
         for rumour in message.rumours {
             // Only those count that could speak for themselves.
             if self.peers.knows(rumour.member) {
@@ -209,7 +237,7 @@
             }
         }
         let mut sends = Vec::new();
-        self.members.heard(now, sender, from, message.probe, &mut sends);
+        self.members.heard(now, sender, from_at, message.probe, &mut sends);
         for signed in message.reports {
             let Some(report) = message::read::<Report>(&signed.report) else { continue };
             // Guards against the cost of what is known already, which is most of what comes.
@@ -228,6 +256,15 @@
                 Err(why) => *self.refused.entry(why).or_default() += 1,
             }
         }
-        Ok(sends)
+        Ok((sends, newcomer.filter(|_| self.members.len() > 1)))
     }
 }
+
+/// Why a datagram is sent: it bounds what it may carry, and which tokens it takes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Why {
+    News,
+    Answer,
+    /// To one that was not known before.
+    Welcome,
+}
--- a/crates/gossip/tests/fleet.rs
+++ b/crates/gossip/tests/fleet.rs
@@ -33,6 +33,15 @@
     assert_eq!(fleet.heard_of(77).len(), 0);
 }
 
+#[test]
+fn twelve_that_start_at_once_know_each_other_within_three_seconds() {
+    let mut fleet = Fleet::with_seeds(12, 11, 3);
+    fleet.run(3 * SECOND);
+    for n in 0..12 {
+        assert_eq!(fleet.nodes[n].as_ref().unwrap().fleet(), (12, 12), "{n}");
+    }
+}
+
 #[test]
 fn one_that_dies_is_found_and_no_other_is_and_it_comes_back_with_an_older_life() {
     let mut fleet = Fleet::new(12, 2);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,6 +55,7 @@
 const HEARSAY: f64 = 0.5; // most that others' word takes of a bound, however many speak; one half of it
 const TOLD_WRONG: f64 = 0.8; // factor on the credit of a front that speaks ill of an engine that does well
 const DOUBTFUL: f64 = 0.3; // share of failures or silence from which a word counts as ill
+const FLEET_PROBES: f64 = 4.0; // a second into zones that the fleet has left, of all fronts together
 
 impl ServiceClass {
     fn conformance(&self) -> f64 {
@@ -103,8 +104,9 @@
     ran: Load,        // what a statement usually holds while it runs
     may_probe: f64,   // probes that statements have paid for
     asks_next: usize, // engine whose turn it is to be probed
-    said: BTreeMap<(EngineId, usize), (f64, Micros)>, // ill words of other fronts, and until when
-    makers: BTreeMap<usize, f64>, // credit of other fronts, by whether what they said came true
+    words: Words,     // of other fronts, with their credit by whether what they said came true
+    known: f64,       // fronts that may share a returning zone: silent ones too, no fewer than agreed
+    up: f64,          // of them those that are heard of, this one too
     first_look: f64,  // where in the list of engines the next choice looks first
 }
 
@@ -123,6 +125,8 @@
             many: THREADS_PER_CORE * smallest / agreed.fronts < narrowest,
             engines: Engines { usual: vec![Load::default(); agreed.cores.len()], ..Engines::default() },
             ran: Load { threads: 1.0, memory: 0.0 },
+            known: agreed.fronts,
+            up: agreed.fronts,
             classes: (0..classes).map(|_| ServiceClass::default()).collect(),
             learned: vec![fresh; agreed.workloads.len()],
             shares: vec![Bucket { left: f64::INFINITY, at: 0 }; agreed.customers.len()],
@@ -151,8 +155,10 @@
                 Event::Left(id) => self.close(id, false),
                 Event::Freed { key, rests } => self.freed(key, rests),
                 Event::Hearsay(said) => self.hear(said),
+                Event::Fleet { known, up } => (self.known, self.up) = (known.max(self.agreed.fronts), up),
                 Event::Probed { engine, alive, report } => {
                     self.engines.know(engine, TRUSTED);
+                    self.found_well(engine, alive);
                     self.engines.credit[engine] *= if alive { 1.0 } else { SPENT_ERROR };
                     report.iter().for_each(|r| self.reported(engine, r));
                 }
@@ -188,7 +194,8 @@
             if let Some(start) = entry.started.filter(|_| restarted) {
                 (self.engines.credit[e], self.engines.rests_until[e]) = (TRUSTED, 0);
                 self.engines.others[e] = Load::default();
-                self.said.retain(|(at, _), _| *at != e); // of an earlier start
+                self.words.forget(e); // of an earlier start
+                self.found_well(e, true);
                 self.found_cold(e, start + self.agreed.warm_within);
             }
             self.engines.open[e] = entry.mode == Mode::Ready;
@@ -212,51 +219,63 @@
         let silence = beyond / (beyond + SECOND as f64);
         let ill = (said.failed / (said.failed + said.answered + 1.0)).max(silence);
         let (at, until) = ((said.engine, said.maker), self.now - said.age + HEARD_FOR);
-        self.said.retain(|_, (_, until)| *until > self.now);
-        if ill >= DOUBTFUL && until > self.now {
-            self.said.insert(at, (ill, until));
+        self.words.said.retain(|_, (_, until)| *until > self.now);
+        let believed = self.words.credit(said.maker, TRUSTED) >= TRUSTED;
+        // What was said before an engine was found well, or of an earlier start, is over.
+        let well_since = self.engines.cold_until[said.engine] - self.agreed.warm_within;
+        if ill >= DOUBTFUL && until > self.now && until - HEARD_FOR >= well_since {
+            self.words.said.insert(at, (ill, until));
+            self.leave_zone(said.engine);
         } else {
-            self.said.remove(&at);
+            self.words.said.remove(&at);
+            let well = self.engines.left.get_mut(&said.engine).filter(|_| believed && said.answers());
+            let enough = well.is_some_and(|w| w.insert(said.maker) && w.len() >= self.agreed.zone_quorum);
+            self.found_well(said.engine, enough);
         }
     }
 
     /// How much of an engine's bound others' word leaves: one believed front takes half at most, fading with
-    /// age. Believed fronts of several vantages that speak ill of most of its zone are the fleet's: all go.
+    /// age; of a zone that the fleet has left nothing.
     fn doubt(&self, e: EngineId) -> f64 {
-        let credit = |maker: &usize| self.makers.get(maker).copied().unwrap_or(TRUSTED);
-        let said = || self.said.range((e, 0)..(e + 1, 0)).map(|((_, maker), said)| (*maker, said));
-        if self.fleet_left(e) {
-            return 0.0;
-        }
-        let worth = |(maker, (ill, until)): (usize, &(f64, Micros))| {
+        let worth = |(maker, ill, until): (usize, f64, Micros)| {
             let left = (until - self.now).max(0) as f64 / HEARD_FOR as f64;
-            credit(&maker) * ill * left.sqrt()
+            (self.words.credit(maker, TRUSTED) * ill * left.sqrt()).min(0.5)
         };
-        1.0 - HEARSAY * said().map(worth).map(|worth| worth.min(0.5)).sum::<f64>().min(1.0)
+        let taken = HEARSAY * self.words.of(e).map(worth).sum::<f64>().min(1.0);
+        f64::from(u8::from(!self.engines.is_left(e))) * (1.0 - taken)
     }
 
-    /// Whether believed fronts of as many vantages as agreed speak ill of most engines of the engine's zone.
-    fn fleet_left(&self, e: EngineId) -> bool {
-        let quorum = self.agreed.zone_quorum;
-        if quorum == 0 {
-            return false;
+    /// Believed fronts of as many vantages as agreed that speak ill of most of a zone are the fleet's word:
+    /// it is left, and stays so when the word fades, as nobody has anything out there by then.
+    fn leave_zone(&mut self, e: EngineId) {
+        let (near, quorum) = (self.engines.near(e), self.agreed.zone_quorum);
+        let (makers, ill) = self.words.against(&near, TRUSTED, TRUSTED);
+        if quorum > 0 && makers.len() >= quorum && 2 * ill.len() > near.len() {
+            ill.iter().for_each(|o| _ = self.engines.left.entry(*o).or_default());
         }
-        let zone = |e: EngineId| self.engines.listed[e].as_ref().map(|l| l.location);
-        let believed = |maker: &usize| self.makers.get(maker).copied().unwrap_or(TRUSTED) >= TRUSTED;
-        let (mut makers, mut near, mut ill) = (BTreeSet::new(), 0, 0);
-        for o in (0..self.engines.listed.len()).filter(|o| zone(*o) == zone(e)) {
-            let word = self.said.range((o, 0)..(o + 1, 0)).map(|((_, maker), _)| *maker);
-            let mut word = word.filter(believed).peekable();
-            (near, ill) = (near + 1, ill + usize::from(word.peek().is_some()));
-            makers.extend(word.take(quorum));
+    }
+
+    /// An engine of a zone that was left is well: once half of them are, the zone is used again, as cold.
+    fn found_well(&mut self, e: EngineId, well: bool) {
+        if !well || self.engines.left.remove(&e).is_none() {
+            return;
+        }
+        let near = self.engines.near(e);
+        if 2 * near.iter().filter(|o| self.engines.left.contains_key(o)).count() <= near.len() {
+            for o in near {
+                self.engines.left.remove(&o);
+                self.words.forget(o);
+                (self.engines.credit[o], self.engines.rests_until[o]) = (TRUSTED, 0);
+                self.found_cold(o, self.now + self.agreed.warm_within);
+            }
         }
-        makers.len() >= quorum && 2 * ill > near
     }
 
     /// An engine has shown here what others' word of it was worth.
     fn proved(&mut self, e: EngineId, ill: bool) {
-        for ((_, maker), _) in self.said.range((e, 0)..(e + 1, 0)) {
-            let credit = self.makers.entry(*maker).or_insert(TRUSTED);
+        let Words { said, credit } = &mut self.words;
+        for ((_, maker), _) in said.range((e, 0)..(e + 1, 0)) {
+            let credit = credit.entry(*maker).or_insert(TRUSTED);
             *credit = if ill { (*credit + EARNED).min(1.0) } else { *credit * TOLD_WRONG };
         }
     }
@@ -394,6 +413,15 @@
 
     /// Asks engines for their load where only probes bring it, in turn, as often as statements pay for.
     fn probe(&mut self) {
+        // All fronts together probe what the fleet has left: each draws at its share of the rate. Where
+        // probes are not allowed a statement or two go there instead, as to a cold engine.
+        let rate = FLEET_PROBES * SWEEP as f64 / SECOND as f64;
+        if !self.engines.left.is_empty() && self.chance.next() * self.up < rate {
+            match self.engines.one_left(self.chance.next()) {
+                Some(engine) if self.agreed.probes => self.actions.push(Action::Probe { engine }),
+                other => other.into_iter().for_each(|e| self.found_well(e, true)),
+            }
+        }
         let (count, asks) = (self.engines.open.len(), self.agreed.report_on_probe && self.agreed.probes);
         for _ in 0..count {
             let e = self.asks_next % count;
@@ -504,12 +532,6 @@
         }
     }
 
-    /// Work an engine can do by now, as a share of what it can do when warm.
-    fn warmth(&self, e: EngineId) -> f64 {
-        let left = (self.engines.cold_until[e] - self.now) as f64 / self.agreed.warm_within.max(1) as f64;
-        1.0 - (1.0 - self.agreed.cold_from) * left.clamp(0.0, 1.0)
-    }
-
     /// What an earlier life of this front has sent is not known and counts as all it might. Where a share
     /// holds no statement, each front waits for a turn drawn by chance: they send what the shares add up to.
     fn found_cold(&mut self, e: EngineId, until: Micros) {
@@ -525,7 +547,7 @@
     /// Work pushed at a cold engine and not yet worked off, and how much of it there may be. It drains at
     /// this front's share of what the engine can do by now: any window holds less than the overload factor.
     fn pushed(&self, e: EngineId) -> (f64, f64) {
-        let rate = self.warmth(e) * self.engines.size[e].threads / self.agreed.fronts;
+        let rate = self.engines.warmth(e, self.now, &self.agreed) * self.engines.size[e].threads / self.known;
         let burst = (self.agreed.overload_factor * COLD_MARGIN - 0.5).max(0.1) * rate;
         let most = if self.many { 0.0 } else { burst * self.agreed.fall_window as f64 };
         let (pushed, at) = self.engines.pushed[e];
@@ -583,8 +605,9 @@
         let may = |e: &EngineId| {
             self.engines.open[*e] && self.engines.listed[*e].as_ref().is_some_and(|l| workload.allows(l))
         };
-        let heeds =
-            !self.said.is_empty() && (0..self.engines.open.len()).filter(may).any(|e| self.doubt(e) >= 1.0);
+        let all = || (0..self.engines.open.len()).filter(may);
+        let heeds = !self.words.said.is_empty() && all().any(|e| self.doubt(e) >= 1.0);
+        let leaves = !self.engines.left.is_empty() && all().any(|e| !self.engines.is_left(e));
         let (pool, out) = self.engines.open_totals();
         let (memory_pool, memory_out) = self.engines.open_memory(MEMORY_USED / THREADS_PER_CORE);
         // Among many fronts the pool bounds a front's threads and memory; with nothing out it may send one.
@@ -596,7 +619,8 @@
         let (guessed, mut drawn) = (self.many && !self.agreed.report.tells_load(), Vec::new());
         for e in (0..count).map(|i| (i + first) % count) {
             let trusted = s.executions.is_empty() || self.engines.credit[e] >= TRUSTED;
-            if !trusted || self.engines.rests_until[e] > self.now || !self.may_execute(id, e) {
+            let away = self.engines.rests_until[e] > self.now || leaves && self.engines.is_left(e);
+            if !trusted || away || !self.may_execute(id, e) {
                 continue;
             }
             let locked = |(other, _): &(StatementId, usize)| {
@@ -612,13 +636,14 @@
             let (size, own) = (self.engines.size[e], self.engines.own[e]);
             let credit = (self.engines.credit[e] / TRUSTED).min(1.0);
             let credit = if heeds { credit * self.doubt(e) } else { credit };
-            let bound = self.engines.bound[e] * credit.max(0.01) * self.warmth(e);
+            let bound =
+                self.engines.bound[e] * credit.max(0.01) * self.engines.warmth(e, self.now, &self.agreed);
             let memory = size.memory * MEMORY_USED * (bound / (THREADS_PER_CORE * size.threads)).min(1.0);
             // What this front has added since the last report, the others are taken to have added too.
             let (mut others, mut added) = (self.engines.others[e], own);
             added.add(self.engines.seen[e], -1.0);
             others.add(added, self.agreed.fronts - 1.0);
-            let cores = size.threads * self.warmth(e);
+            let cores = size.threads * self.engines.warmth(e, self.now, &self.agreed);
             let whole = MOST_PER_CORE * cores;
             let share = if self.many { whole * credit } else { bound };
             let room = share.min(whole - others.threads) - own.threads;
@@ -771,6 +796,7 @@
                 if x.took <= self.slo_time(&self.statements[&x.statement]) {
                     self.proved(e, false);
                 }
+                self.found_well(e, true);
                 self.completed(&x, load.threads)
             }
             Outcome::TimedOut if quiet => {} // an engine that hangs has been charged for its silence
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -222,6 +222,13 @@
     pub age: Micros,
 }
 
+impl Hearsay {
+    /// It says that the engine answers, and nothing of any silence.
+    pub fn answers(&self) -> bool {
+        self.answered >= 1.0 && self.silent == 0
+    }
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The engine list: whole, or only what changed.
@@ -252,6 +259,11 @@
         report: Option<Report>,
     },
     Hearsay(Hearsay),
+    /// Fronts that this one knows of, itself too: those that have not said good-bye, and of them those heard of.
+    Fleet {
+        known: f64,
+        up: f64,
+    },
     Woken,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a front remembers, as plain figures: nothing is decided here.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
 
@@ -182,6 +182,51 @@
     }
 }
 
+/// Ill words of other fronts on engines, each until it is worth nothing, and the credit of those fronts.
+#[derive(Default)]
+pub struct Words {
+    pub said: BTreeMap<(EngineId, usize), (f64, Micros)>,
+    pub credit: BTreeMap<usize, f64>,
+}
+
+impl Words {
+    /// The credit of a front, or that of one that has shown nothing yet.
+    pub fn credit(&self, maker: usize, unheard: f64) -> f64 {
+        self.credit.get(&maker).copied().unwrap_or(unheard)
+    }
+
+    /// What is said of an engine: by whom, how ill, until when.
+    pub fn of(&self, e: EngineId) -> impl Iterator<Item = (usize, f64, Micros)> + '_ {
+        let all = self.said.range((e, 0)..(e + 1, 0));
+        all.map(|((_, maker), (ill, until))| (*maker, *ill, *until))
+    }
+
+    /// Who speaks ill of any of these engines, of fronts with such a credit, and of how many of them.
+    pub fn against(
+        &self,
+        engines: &[EngineId],
+        credit: f64,
+        unheard: f64,
+    ) -> (BTreeSet<usize>, Vec<EngineId>) {
+        let (mut makers, mut ill) = (BTreeSet::new(), Vec::new());
+        for e in engines {
+            let mut word = self.of(*e).map(|(maker, ..)| maker);
+            let before = ill.len();
+            for maker in word.by_ref().filter(|maker| self.credit(*maker, unheard) >= credit) {
+                makers.insert(maker);
+                ill.truncate(before);
+                ill.push(*e);
+            }
+        }
+        (makers, ill)
+    }
+
+    /// Nothing that was said of an engine counts any more.
+    pub fn forget(&mut self, e: EngineId) {
+        self.said.retain(|(at, _), _| *at != e);
+    }
+}
+
 /// Figures about engines, under their index.
 #[derive(Default)]
 pub struct Engines {
@@ -203,9 +248,36 @@
     pub heard: Vec<Micros>,
     pub probed: Vec<Micros>,
     pub told: Vec<Micros>, // when its last report came
+    /// Ill in zones that the fleet has left; other fronts that have found each well since.
+    pub left: BTreeMap<EngineId, BTreeSet<usize>>,
 }
 
 impl Engines {
+    /// The engines listed in the zone of this one, itself too, but for those that are gone.
+    pub fn near(&self, e: EngineId) -> Vec<EngineId> {
+        let zone = |e: EngineId| self.listed.get(e).and_then(|l| l.as_ref()).map(|l| l.location);
+        let listed = |o: &EngineId| self.listed[*o].as_ref().is_some_and(|l| l.mode != Mode::Gone);
+        (0..self.listed.len()).filter(listed).filter(|o| zone(*o) == zone(e)).collect()
+    }
+
+    /// Work an engine can do by now, as a share of what it can do when warm.
+    pub fn warmth(&self, e: EngineId, now: Micros, agreed: &Agreement) -> f64 {
+        let left = (self.cold_until[e] - now) as f64 / agreed.warm_within.max(1) as f64;
+        1.0 - (1.0 - agreed.cold_from) * left.clamp(0.0, 1.0)
+    }
+
+    /// Whether the fleet has left the zone of this engine.
+    pub fn is_left(&self, e: EngineId) -> bool {
+        !self.left.is_empty() && self.near(e).iter().any(|o| self.left.contains_key(o))
+    }
+
+    /// One of those that the fleet has left, by a share of their count.
+    pub fn one_left(&self, share: f64) -> Option<EngineId> {
+        let listed = |o: &&EngineId| self.listed[**o].as_ref().is_some_and(|l| l.mode != Mode::Gone);
+        let all: Vec<EngineId> = self.left.keys().filter(listed).copied().collect();
+        all.get((share * all.len() as f64) as usize).copied()
+    }
+
     /// The bounds of all open engines added up, and the threads that this front has out there.
     pub fn open_totals(&self) -> (f64, f64) {
         let open = (0..self.open.len()).filter(|e| self.open[*e]);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -97,6 +97,7 @@
                 "retry-after" => self.agreed.longest_retry_after = Some(micros(value)),
                 "notes" => self.agreed.progress_every = micros(value),
                 "cancel" => self.agreed.cancel = true,
+                "probes" => self.agreed.probes = true,
                 "priorities" => self.agreed.priorities = true,
                 "grants" => self.agreed.grants = true,
                 "active" => self.agreed.report.active = Some(0),
@@ -177,9 +178,9 @@
     }
 
     fn happens(&mut self, words: &[&str]) -> Option<Event> {
-        let said = options(&words[2..]);
+        let said = options(&words[if words[0] == "fleet" { 1 } else { 2 }..]);
         let statement = match words[0] {
-            "hear" => 0,
+            "hear" | "fleet" | "probed" => 0,
             _ => index(&mut self.statements, words[1]) as StatementId,
         };
         let value = |name: &str| said.get(name).map_or(0.0, |v| number(v));
@@ -236,6 +237,12 @@
                 silent: micros(said.get("silent").copied().unwrap_or("0")),
                 age: micros(said.get("age").copied().unwrap_or("0")),
             }),
+            "fleet" => Event::Fleet { known: value("known"), up: value("up") },
+            "probed" => Event::Probed {
+                engine: self.engine_names.iter().position(|e| e == words[1])?,
+                alive: said.contains_key("alive"),
+                report: None,
+            },
             "free" => Event::Freed {
                 key: self.keys.iter().position(|k| k == words[1])? as KeyId,
                 rests: said.contains_key("rests"),
