--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -109,6 +109,8 @@
     },
     Probe {
         place: Place,
+        /// On behalf of the fleet: only whoever owns that work may send it.
+        for_fleet: bool,
     },
 }
 
@@ -166,6 +168,8 @@
     /// When it was last in trouble, here or by others' word, and since when it has answered again.
     ill: Option<Micros>,
     back: Option<Micros>,
+    /// The same, not taken back.
+    back_since: Option<Micros>,
     /// When an execution was last given up there after silence worth a word, and how long that was.
     hushed: Option<(Micros, Micros)>,
 }
@@ -182,6 +186,7 @@
         self.answered += 1.0;
         if self.ill.take().is_some_and(|at| now - at < ILL_FOR) {
             self.back = Some(now);
+            self.back_since.get_or_insert(now);
         }
     }
 }
@@ -211,6 +216,7 @@
     names: Names,
     needs_dedup_key: Vec<bool>, // by workload
     turn_gap: Micros,
+    warm_within: Micros,
     wake: Micros,
     told: Vec<Event>,
     next_ticket: Ticket,
@@ -231,6 +237,7 @@
                 .map(|w| w.effect == Effect::Deduplicated)
                 .collect(),
             turn_gap: contract.agreement.turn_gap,
+            warm_within: contract.agreement.warm_within,
             wake: 0,
             told: Vec::new(),
             next_ticket: 0,
@@ -392,7 +399,7 @@
         };
         for e in &mut self.engines {
             if e.seen.failed >= 1.0 || silent(e) > 0 {
-                (e.seen.ill, e.seen.back) = (Some(now), None);
+                (e.seen.ill, e.seen.back, e.seen.back_since) = (Some(now), None, None);
             }
             e.seen.back = e.seen.back.filter(|at| now - at < BACK_FOR);
         }
@@ -446,8 +453,25 @@
     }
 
     /// How many fronts there are, this one too: those that have not said good-bye, and of them those heard of.
-    pub fn fleet(&mut self, known: usize, up: usize) {
-        self.told.push(Event::Fleet { known: known as f64, up: up.max(1) as f64 });
+    /// `probers` are those that share the probes into what the fleet has left: infinitely many where it is another's
+    /// work.
+    pub fn fleet(&mut self, known: usize, probers: f64) {
+        self.told.push(Event::Fleet { known: known as f64, up: probers.max(1.0) });
+    }
+
+    /// Engines that were in trouble and have answered again, and since when, while they may be cold for it.
+    pub fn back(&self, now: Micros) -> Vec<(&str, Micros)> {
+        let lately = |since: &Micros| now - since < self.warm_within.max(BACK_FOR);
+        let back = self.engines.iter().filter_map(|e| Some((e.id.as_str(), e.seen.back_since?)));
+        back.filter(|(_, since)| lately(since)).collect()
+    }
+
+    /// The owner of that work says that an engine has answered again since then: as if it had started.
+    pub fn answers_since(&mut self, is: impl Fn(&str) -> bool, since: Micros) {
+        let Some(engine) = self.engines.iter_mut().find(|e| is(&e.id)) else { return };
+        (engine.seen.back_since, engine.seen.hushed) = (Some(since), None);
+        let entry = Listed { started: Some(since), ..engine.entry.clone() };
+        self.told.push(Event::Engines { whole: false, entries: vec![entry] });
     }
 
     pub fn probed(&mut self, now: Micros, place: Place, alive: bool, report: Option<Report>) {
@@ -580,7 +604,8 @@
                 orders.push(Order::Abort { ticket });
                 self.over(now, ticket);
             }
-            Action::Probe { engine: place } => orders.push(Order::Probe { place }),
+            Action::Probe { engine: place } => orders.push(Order::Probe { place, for_fleet: false }),
+            Action::ProbeLeft { engine: place } => orders.push(Order::Probe { place, for_fleet: true }),
             Action::Wake { at } => self.wake = at,
             // The coordinator is followed all the time, asked for or not.
             Action::Subscribe => {}
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -101,7 +101,9 @@
             }
         }
         Action::Abort { statement } => writeln!(out, "FAIL who={who} req={}", req(statement)),
-        Action::Probe { engine } => writeln!(out, "PROBE who={who} engine={}", engines[*engine]),
+        Action::Probe { engine } | Action::ProbeLeft { engine } => {
+            writeln!(out, "PROBE who={who} engine={}", engines[*engine])
+        }
         Action::Subscribe => writeln!(out, "SUBSCRIBE who={who} enable=1"),
         Action::Wake { at } => writeln!(out, "SET_ALARM who={who} fireAtMs={} ref=wake", ms(*at)),
     };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,8 @@
 //! seen of engines goes out, what others have seen and how many fronts there are goes to the module as events.
 //! No sockets, no clock, no chance of its own; nothing is decided here.
 
+mod owning;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +19,27 @@
 const SILENCE_STEP_MS: Micros = 500; // milliseconds that silence is told in: each change is a report for all to pass on
 const MOST_MAKERS: usize = 4_096; // fronts that the module keeps apart in one life of this one
 
+pub use owning::{Ownership, Owns, Saved};
+
+/// One moment on a front's clocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moment {
+    /// Microseconds on the clock that the dispatcher goes by.
+    pub now: Micros,
+    /// Microseconds on a clock that only ever runs evenly on: leases go by it alone.
+    pub steady: Micros,
+    /// Unix milliseconds, as other fronts are told.
+    pub wall_ms: u64,
+}
+
+/// What is to go out.
+#[derive(Default)]
+pub struct Out {
+    pub datagrams: Vec<Datagram>,
+    /// Must be lasting before the datagrams beside it leave, in this order.
+    pub saved: Vec<Saved>,
+}
+
 /// One front's part in the exchange.
 pub struct Exchange {
     node: Node,
@@ -28,6 +51,10 @@
     /// How many fronts the dispatcher was told of last.
     fleet: (usize, usize),
     left: bool,
+    /// One owner at a time for work on behalf of the fleet, where voters are named.
+    owning: Option<owning::Owning>,
+    /// Whether the dispatcher was told last that the fleet's probes are this front's.
+    probes: Option<bool>,
 }
 
 /// An engine's id as it goes out: the same on every front.
@@ -60,9 +87,32 @@
             makers: BTreeMap::new(),
             fleet: (1, 1),
             left: false,
+            owning: None,
+            probes: None,
         }
     }
 
+    /// Switches on one owner at a time. An error says why what was saved can't be used.
+    pub fn own(&mut self, at: Moment, ownership: Ownership) -> Result<(), String> {
+        self.owning = Some(owning::Owning::new(at, self.node.id(), ownership)?);
+        Ok(())
+    }
+
+    /// Under which token this front owns the fleet's work now.
+    pub fn owns(&self, steady: Micros) -> Option<Owns> {
+        self.owning.as_ref().and_then(|owning| owning.owns(steady))
+    }
+
+    /// Whether a probe on behalf of the fleet may leave now: where such work has owners, only the owner's.
+    pub fn may_probe(&self, steady: Micros) -> bool {
+        self.owning.as_ref().is_none_or(|owning| owning.owns(steady).is_some())
+    }
+
+    /// Acts and letters of owners and voters that counted for nothing, by why.
+    pub fn refused_acts(&self) -> BTreeMap<&'static str, u64> {
+        self.owning.as_ref().map(|owning| owning.refused.clone()).unwrap_or_default()
+    }
+
     /// The public half of its key pair.
     pub fn public(&self) -> [u8; 32] {
         self.node.public()
@@ -93,35 +143,68 @@
         if self.left {
             Micros::MAX
         } else {
-            self.node.due().min(self.look)
+            let owning = self.owning.as_ref().map_or(Micros::MAX, owning::Owning::due);
+            self.node.due().min(self.look).min(owning)
         }
     }
 
     /// A datagram has come; what is to go back.
-    pub fn heard(&mut self, now: Micros, wall_ms: u64, from: SocketAddr, bytes: &[u8]) -> Vec<Datagram> {
-        self.node.heard(now, wall_ms, from, bytes)
+    pub fn heard(&mut self, at: Moment, from: SocketAddr, bytes: &[u8]) -> Out {
+        let mut out = Out { datagrams: self.node.heard(at.now, at.wall_ms, from, bytes), ..Out::default() };
+        let letters = self.node.letters();
+        if let Some(owning) = &mut self.owning {
+            for (from, heard_at, letter) in letters {
+                owning.heard(at, from, heard_at, &letter);
+            }
+            owning.send(at, &mut self.node, &mut out);
+        }
+        out
     }
 
-    /// Does what is due: the datagrams to be sent, and what others say that was not known before.
+    /// Does what is due: what is to go out, and what others say that was not known before.
     pub fn tick(
         &mut self,
-        now: Micros,
-        wall_ms: u64,
+        at: Moment,
         dispatcher: &mut Dispatcher,
         chance: &mut impl Chance,
-    ) -> (Vec<Datagram>, Vec<News>) {
-        if self.left || now < self.due() {
-            return (Vec::new(), Vec::new());
+    ) -> (Out, Vec<News>) {
+        let (mut out, mut new) = (Out::default(), Vec::new());
+        if self.left || at.now < self.due() {
+            return (out, new);
         }
-        let mut new = Vec::new();
-        if self.look <= now {
-            self.look = now + LOOK;
-            let mut seen: Vec<Sighting> = dispatcher.sighted(now).iter().map(sighting).collect();
+        if let Some(owning) = &mut self.owning {
+            owning.tick(at, self.fleet.1, dispatcher, chance);
+            owning.send(at, &mut self.node, &mut out);
+        }
+        if self.look <= at.now {
+            self.look = at.now + LOOK;
+            let mut seen: Vec<Sighting> = dispatcher.sighted(at.now).iter().map(sighting).collect();
             seen.sort_by_key(|s| (std::cmp::Reverse(s.silent_ms), std::cmp::Reverse(s.failed), s.engine));
-            self.node.sees(now, wall_ms, seen);
-            new = self.tell(now, dispatcher);
+            let work = self.owning.as_ref().map(|owning| owning.says(at, dispatcher));
+            self.node.says(at.now, at.wall_ms, seen, work.unwrap_or_default());
+            if let Some(owning) = &mut self.owning {
+                owning.admits(at, &self.node, dispatcher);
+            }
+            new = self.tell(at.now, dispatcher);
+        }
+        self.share(at, dispatcher);
+        out.datagrams.extend(self.node.tick(at.now, at.wall_ms, chance));
+        (out, new)
+    }
+
+    /// Tells the dispatcher how many fronts there are and who of them probes for the fleet, once that changes.
+    fn share(&mut self, at: Moment, dispatcher: &mut Dispatcher) {
+        let fleet = self.node.fleet();
+        let probes = self.owning.as_ref().map(|owning| owning.owns(at.steady).is_some());
+        if (fleet, probes) != (self.fleet, self.probes) {
+            (self.fleet, self.probes) = (fleet, probes);
+            let probers = match probes {
+                None => fleet.1 as f64,
+                Some(true) => 1.0,
+                Some(false) => f64::INFINITY,
+            };
+            dispatcher.fleet(fleet.0, probers);
         }
-        (self.node.tick(now, wall_ms, chance), new)
     }
 
     /// This front ends: some peers hear so, and tell the others.
@@ -132,12 +215,8 @@
         self.node.leave(now, wall_ms, chance)
     }
 
-    /// Hands on what has changed in what others say and in how many there are; gives what is new.
+    /// Hands on what has changed in what others say; gives what is new.
     fn tell(&mut self, now: Micros, dispatcher: &mut Dispatcher) -> Vec<News> {
-        let fleet = self.node.fleet();
-        if std::mem::replace(&mut self.fleet, fleet) != fleet {
-            dispatcher.fleet(fleet.0, fleet.1);
-        }
         let news = self.node.news(now);
         let known: BTreeMap<(PeerId, u64), Sighting> =
             news.iter().map(|n| ((n.maker, n.sighting.engine), n.sighting)).collect();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -451,7 +451,9 @@
                 self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
             }
             Order::Abort { ticket } => self.clients.answer(self.clock.now, ticket, &Reply::Aborted),
-            Order::Probe { place } => self.engines.probe(self.clock.now, place),
+            // Between the decision and now the work may have become another's: then the probe stays here.
+            Order::Probe { for_fleet: true, .. } if !self.peers.as_ref().is_none_or(Peers::may_probe) => {}
+            Order::Probe { place, .. } => self.engines.probe(self.clock.now, place),
         }
     }
 }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -15,6 +15,7 @@
 mod servers;
 mod sessions;
 mod shutdown;
+mod votes;
 
 use std::net::TcpListener;
 use std::process::ExitCode;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -6,19 +6,22 @@
 use std::io::ErrorKind;
 use std::net::UdpSocket;
 use std::rc::Rc;
+use std::time::Instant;
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
 use hallmux_agreement::{hexadecimal, Gossip};
 use hallmux_dispatcher::{Dispatcher, Micros};
-use hallmux_fleet::Exchange;
+use hallmux_fleet::{Exchange, Moment, Out, Ownership, Owns};
 use hallmux_gossip::evidence::News;
 use hallmux_gossip::message::LONGEST;
 use hallmux_gossip::node::{Datagram, Start};
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
+use hallmux_lease::Terms;
 
 use crate::doors::{Changes, Door};
+use crate::votes::Votes;
 
 const ONE_TURN: usize = 64; // datagrams taken before others have their turn
 const SAID: Micros = 10_000_000; // microseconds between lines of the log on what was refused
@@ -31,6 +34,11 @@
     drawn: u64,
     said: Micros,
     refused: BTreeMap<Refused, u64>,
+    /// The clock that leases go by: it runs evenly on, whatever becomes of the wall clock.
+    steady: Instant,
+    votes: Option<Votes>,
+    owns: Option<Owns>,
+    refused_acts: BTreeMap<&'static str, u64>,
 }
 
 fn keys(gossip: &Gossip) -> Rc<Keys> {
@@ -66,7 +74,27 @@
         told.map_err(|e| why(e.error.to_string()))?;
         let told = gossip.advertise.unwrap_or(at);
         let start = Start { secret, keys: keys(gossip), at: told, seeds: gossip.seeds.clone() };
-        let exchange = Exchange::new(start, (now / 1000) as u64);
+        let mut exchange = Exchange::new(start, (now / 1000) as u64);
+        let steady = Instant::now();
+        let mut votes = None;
+        if let Some(ownership) = &gossip.ownership {
+            let voters: Vec<_> = ownership.voters.iter().map(|(key, at)| (id(key), *at)).collect();
+            let own = id(&exchange.public());
+            let mut saved = None;
+            if voters.iter().any(|(voter, _)| *voter == own) {
+                let opened = Votes::open(&ownership.directory, socket.try_clone()?);
+                let (opened, kept) = opened.map_err(|e| why(format!("ownership.{e}")))?;
+                (votes, saved) = (Some(opened), kept);
+            }
+            let terms = Terms { length: ownership.lease, drift_ppm: ownership.drift_ppm };
+            let ownership = Ownership { fleet: ownership.fleet.clone(), voters, terms, saved };
+            let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
+            exchange.own(moment, ownership).map_err(|e| why(format!("ownership.directory: {e}")))?;
+            log::info!(
+                "takes part in ownership of the fleet's work{}",
+                if votes.is_some() { ", and votes" } else { "" }
+            );
+        }
         let public: String = exchange.public().iter().map(|byte| format!("{byte:02x}")).collect();
         log::info!(
             "talks with other fronts, {} keys count; its own is {public}, its address {at}",
@@ -80,6 +108,10 @@
             drawn: 0,
             said: 0,
             refused: BTreeMap::new(),
+            steady,
+            votes,
+            owns: None,
+            refused_acts: BTreeMap::new(),
         })
     }
 
@@ -100,8 +132,8 @@
         for _ in 0..ONE_TURN {
             match self.socket.recv_from(&mut bytes) {
                 Ok((len, from)) => {
-                    let back = self.exchange.heard(now, (now / 1000) as u64, from, &bytes[..len]);
-                    self.send(back);
+                    let out = self.exchange.heard(self.moment(now), from, &bytes[..len]);
+                    self.send(out);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
                 // A peer that is gone shows here; it will show as silent as well.
@@ -111,19 +143,31 @@
         true
     }
 
+    fn moment(&self, now: Micros) -> Moment {
+        let steady = self.steady.elapsed().as_micros() as Micros;
+        Moment { now, steady, wall_ms: (now / 1000) as u64 }
+    }
+
+    /// Whether a probe on behalf of the fleet may leave now.
+    pub fn may_probe(&self) -> bool {
+        self.exchange.may_probe(self.steady.elapsed().as_micros() as Micros)
+    }
+
     /// What does not go out is as if it were lost on the way.
-    fn send(&self, datagrams: Vec<Datagram>) {
-        for datagram in datagrams {
-            let _ = self.socket.send_to(&datagram.bytes, datagram.to);
+    fn send(&mut self, out: Out) {
+        for Datagram { to, bytes } in out.datagrams {
+            let _ = self.socket.send_to(&bytes, to);
+        }
+        if let Some(votes) = &mut self.votes {
+            out.saved.into_iter().for_each(|saved| votes.save(saved));
         }
     }
 
     /// Does what is due; the log says what is new, and what was refused.
     pub fn tick(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
         let before = self.exchange.fleet();
-        let wall = (now / 1000) as u64;
-        let (out, news) =
-            self.exchange.tick(now, wall, dispatcher, &mut draws(&self.chance, &mut self.drawn));
+        let at = self.moment(now);
+        let (out, news) = self.exchange.tick(at, dispatcher, &mut draws(&self.chance, &mut self.drawn));
         self.send(out);
         let (known, up) = self.exchange.fleet();
         if (known, up) != before {
@@ -141,6 +185,19 @@
                 age / 1000
             );
         }
+        let owns = self.exchange.owns(at.steady);
+        match (self.owns, owns) {
+            (before, Some(Owns { token })) if before != owns => {
+                log::info!("owns the fleet's work under token {token}")
+            }
+            (Some(Owns { token }), None) => log::info!("owns the fleet's work under token {token} no longer"),
+            _ => {}
+        }
+        self.owns = owns;
+        if self.exchange.refused_acts() != self.refused_acts && self.said + SAID <= now {
+            self.refused_acts = self.exchange.refused_acts();
+            log::warn!("words on the fleet's work that count for nothing so far: {:?}", self.refused_acts);
+        }
         if self.exchange.refused() != &self.refused && self.said + SAID <= now {
             self.said = now;
             self.refused = self.exchange.refused().clone();
@@ -154,8 +211,8 @@
     /// This front ends: some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros) {
         let wall = (now / 1000) as u64;
-        let out = self.exchange.leave(now, wall, &mut draws(&self.chance, &mut self.drawn));
-        self.send(out);
+        let datagrams = self.exchange.leave(now, wall, &mut draws(&self.chance, &mut self.drawn));
+        self.send(Out { datagrams, ..Out::default() });
     }
 }
 
--- /dev/null
+++ b/crates/front/src/votes.rs
@@ -0,0 +1,104 @@
+//! What a voter must not forget, in a file of its own: written by a thread that then sends what waited for it, so
+//! that neither a slow disk holds up decisions nor a letter leaves before what it promises is lasting.
+
+use std::fs::File;
+use std::io::{ErrorKind, Write};
+use std::net::UdpSocket;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
+
+use hallmux_fleet::Saved;
+
+const WAITING: usize = 1_024; // writes that wait for the disk: some ten seconds' worth
+const FILE: &str = "votes";
+
+pub struct Votes {
+    writes: SyncSender<Saved>,
+    /// A write was lost: nothing that a voter says may leave any more in this life.
+    silent: bool,
+    /// Held while this front runs: two on one directory would vote twice.
+    _lock: File,
+}
+
+impl Votes {
+    /// Opens the directory: what was saved there, if anything.
+    pub fn open(directory: &str, socket: UdpSocket) -> Result<(Votes, Option<Vec<u8>>), String> {
+        let directory = PathBuf::from(directory);
+        let why = |what: &str, e: &dyn std::fmt::Display| {
+            format!("directory: {}: {what}: {e}", directory.display())
+        };
+        std::fs::create_dir_all(&directory).map_err(|e| why("can't be made", &e))?;
+        let lock = File::create(directory.join("lock")).map_err(|e| why("can't be written", &e))?;
+        lock.try_lock().map_err(|e| why("another front has it", &e))?;
+        let saved = match std::fs::read(directory.join(FILE)) {
+            Ok(saved) => Some(saved),
+            Err(e) if e.kind() == ErrorKind::NotFound => None,
+            Err(e) => return Err(why("can't be read", &e)),
+        };
+        let (writes, to_write) = sync_channel::<Saved>(WAITING);
+        std::thread::Builder::new()
+            .name("votes".to_string())
+            .spawn(move || {
+                for Saved { bytes, datagrams } in to_write {
+                    if let Err(e) = bytes.map_or(Ok(()), |bytes| write(&directory, &bytes)) {
+                        log::error!("{}: {e}; this front votes no more in this life", directory.display());
+                        return;
+                    }
+                    // What does not go out is as if it were lost on the way.
+                    datagrams.iter().for_each(|d| _ = socket.send_to(&d.bytes, d.to));
+                }
+            })
+            .map_err(|e| e.to_string())?;
+        Ok((Votes { writes, silent: false, _lock: lock }, saved))
+    }
+
+    /// Has it written, and sent what waits for it.
+    pub fn save(&mut self, saved: Saved) {
+        if self.silent {
+            return;
+        }
+        if let Err(e) = self.writes.try_send(saved) {
+            self.silent = true;
+            if matches!(e, TrySendError::Full(_)) {
+                log::error!("the disk is too slow for votes; this front votes no more in this life");
+            }
+        }
+    }
+}
+
+/// Writes the whole beside the old and puts it in its place, each step lasting.
+fn write(directory: &Path, bytes: &[u8]) -> std::io::Result<()> {
+    let beside = directory.join("votes.new");
+    let mut file = File::create(&beside)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    std::fs::rename(&beside, directory.join(FILE))?;
+    File::open(directory)?.sync_all()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hallmux_gossip::node::Datagram;
+
+    #[test]
+    fn what_is_saved_is_there_once_what_waited_for_it_has_come_and_nobody_else_gets_the_directory() {
+        let folder = std::env::temp_dir().join(format!("hallmux-votes-{}", std::process::id()));
+        let directory = folder.display().to_string();
+        let socket = || UdpSocket::bind("127.0.0.1:0").unwrap();
+        let hears = socket();
+        hears.set_read_timeout(Some(std::time::Duration::from_secs(10))).unwrap();
+        let (mut votes, before) = Votes::open(&directory, socket()).unwrap();
+        assert_eq!(before, None);
+        assert!(Votes::open(&directory, socket()).err().unwrap().contains("another front has it"));
+        let datagrams = vec![Datagram { to: hears.local_addr().unwrap(), bytes: b"word".to_vec() }];
+        votes.save(Saved { bytes: Some(b"state".to_vec()), datagrams });
+        let mut word = [0; 8];
+        assert_eq!(hears.recv(&mut word).unwrap(), 4);
+        assert_eq!(std::fs::read(folder.join(FILE)).unwrap(), b"state");
+        drop(votes);
+        let (_votes, saved) = Votes::open(&directory, socket()).unwrap();
+        assert_eq!(saved.as_deref(), Some(&b"state"[..]));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/crates/gossip/src/evidence.rs
+++ b/crates/gossip/src/evidence.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::message::{Report, Sighting, Signed};
+use crate::message::{Report, Sighting, Signed, Work};
 use crate::{Micros, PeerId};
 
 /// Microseconds after which a report is worth nothing: an engine's trouble lasts some seconds to half a minute,
@@ -19,6 +19,7 @@
     /// When it was made, on our clock.
     made: Micros,
     sightings: Vec<Sighting>,
+    work: Work,
     signed: Signed,
     /// How often it was passed on.
     sent: u32,
@@ -45,7 +46,8 @@
 
     /// Takes a report in; false if it is no news.
     pub fn merge(&mut self, now: Micros, report: Report, signed: Signed, age: Micros) -> bool {
-        let fits = report.sightings.len() <= MOST_SIGHTINGS && age < FADES;
+        let back = report.work.act.as_ref().map_or(0, |act| act.back.len());
+        let fits = report.sightings.len() <= MOST_SIGHTINGS && back <= MOST_SIGHTINGS && age < FADES;
         if !fits || !self.is_later(report.maker, report.life, report.version) {
             return false;
         }
@@ -53,8 +55,8 @@
             let oldest = self.held.iter().min_by_key(|(_, held)| held.made).map(|(maker, _)| *maker);
             oldest.into_iter().for_each(|maker| _ = self.held.remove(&maker));
         }
-        let Report { maker, life, version, sightings, .. } = report;
-        self.held.insert(maker, Held { life, version, made: now - age, sightings, signed, sent: 0 });
+        let Report { maker, life, version, sightings, work, .. } = report;
+        self.held.insert(maker, Held { life, version, made: now - age, sightings, work, signed, sent: 0 });
         true
     }
 
@@ -73,6 +75,13 @@
         all.collect()
     }
 
+    /// What each front says of work on behalf of the fleet, with its age; this front's own too.
+    pub fn work(&self, now: Micros) -> impl Iterator<Item = (PeerId, &Work, Micros)> {
+        let counts = move |held: &Held| now - held.made < FADES && !held.work.is_empty();
+        let all = self.held.iter().filter(move |(_, held)| counts(held));
+        all.map(move |(maker, held)| (*maker, &held.work, now - held.made))
+    }
+
     /// Reports to be passed on within so many bytes: first those on an engine of which least was passed on, good and
     /// ill apart, so that many voices on one matter do not crowd out the few on another; then those passed on least, of them the latest.
     /// Those that say nothing any more come last: what they take back fades by itself.
@@ -88,7 +97,7 @@
         loop {
             let least = |held: &Held| {
                 let matters = held.sightings.iter().map(|s| told.get(&matter(s)).copied().unwrap_or(0));
-                matters.min().unwrap_or(u32::MAX)
+                matters.min().unwrap_or(if held.work.is_empty() { u32::MAX } else { held.sent })
             };
             let len = |held: &Held| held.signed.report.len() + held.signed.signature.len() + 4;
             let fits = (0..all.len()).filter(|n| len(all[*n]) <= room);
@@ -118,7 +127,7 @@
 
     fn report(maker: PeerId, life: u64, version: u32, failed: u8) -> Report {
         let sightings = vec![Sighting { engine: 1, failed, ..Sighting::default() }];
-        Report { maker, life, version, made_ms: 0, sightings }
+        Report { maker, life, version, made_ms: 0, sightings, work: Work::default() }
     }
 
     fn signed() -> Signed {
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -54,6 +54,45 @@
     /// When it was made, in Unix milliseconds on its maker's clock.
     pub made_ms: u64,
     pub sightings: Vec<Sighting>,
+    pub work: Work,
+}
+
+/// What a front says of work on behalf of the fleet, where that has owners.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Of a voter: the lease that its log tells, by token and owner.
+    pub lease: Option<(u64, PeerId)>,
+    /// Of an owner: what it does under its token.
+    pub act: Option<Act>,
+}
+
+/// An owner's act: engines that answer again in zones that were away.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Act {
+    pub token: u64,
+    pub back: Vec<Back>,
+}
+
+/// An engine, by a hash of its id, and for how many milliseconds it has answered again when the report was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Back {
+    pub engine: u64,
+    pub since_ms: u32,
+}
+
+impl Work {
+    pub fn is_empty(&self) -> bool {
+        self.lease.is_none() && self.act.is_none()
+    }
+
+    /// Whether it says the same as another, but for time going on.
+    pub fn is_like(&self, other: &Work) -> bool {
+        let engines = |work: &Work| {
+            let act = work.act.as_ref();
+            act.map(|act| (act.token, act.back.iter().map(|back| back.engine).collect::<Vec<_>>()))
+        };
+        self.lease == other.lease && engines(self) == engines(other)
+    }
 }
 
 /// A report's bytes with the signature over them.
@@ -91,6 +130,8 @@
     pub probe: Probe,
     pub rumours: Vec<Rumour>,
     pub reports: Vec<Signed>,
+    /// What another part of the fronts says to each other, as it words it; mostly nothing.
+    pub letter: Vec<u8>,
 }
 
 /// The bytes of a value that can be written; values here always can.
@@ -119,6 +160,7 @@
             probe: Probe::PingFor { number: 1, member: 2, at: rumour.at },
             rumours: vec![rumour],
             reports: vec![signed],
+            letter: vec![5; 3],
         };
         let whole = bytes(&message);
         assert_eq!(read::<Message>(&whole), Some(message));
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -6,18 +6,20 @@
 
 use crate::evidence::{Evidence, News, MOST_SIGHTINGS};
 use crate::members::{Members, Send};
-use crate::message::{self, Message, Probe, Report, Sighting, LONGEST};
+use crate::message::{self, Message, Probe, Report, Sighting, Work, LONGEST};
 use crate::seal::{Keys, Own, Peers, Refused, Tokens, SEAL};
 use crate::{Chance, Micros, PeerId};
 
 const ROUND: Micros = 250_000; // microseconds between rounds: news reaches a thousand in some ten of them
 const FANOUT: usize = 2; // members told in a round
 const BYTES_A_SECOND: f64 = 3_000.0; // sent at most of its own accord, with a second's worth saved up
+const LETTERS_A_SECOND: f64 = 8_000.0; // bytes of letters: three voters keep their log with some 3,000
 const ANSWERS_A_SECOND: f64 = 1_000.0; // bytes of answers to others, so that a flood of questions starves no news
 const RENEWED: Micros = 1_000_000; // microseconds after which a front says again what it still sees
 const FOR_PROBES: f64 = 800.0; // bytes that news leaves for probes: a peer that is not asked seems dead
 const WELCOME: usize = 24; // members that a newcomer is told of at once: some 600 bytes
 const MOST_RUMOURS: usize = 2; // in a datagram beside its sender's own: some 25 bytes each
+const MOST_LETTERS: usize = 256; // that wait to be read
 const TOLD: usize = 420; // bytes of a datagram that only tells news
 const SENT_EACH: f64 = 2.0; // times the logarithm of the peers that a report is passed on by each front
 
@@ -45,8 +47,12 @@
     evidence: Evidence,
     bytes: Tokens,
     answers: Tokens,
+    letters: Tokens,
     round: Micros,
     sightings: Vec<Sighting>,
+    work: Work,
+    /// Letters that have come: from whom, where it is heard, what it says.
+    inbox: Vec<(PeerId, SocketAddr, Vec<u8>)>,
     version: u32,
     renew: Micros,
     /// What counted for nothing, by why.
@@ -66,8 +72,11 @@
             evidence: Evidence::default(),
             bytes: Tokens::new(BYTES_A_SECOND),
             answers: Tokens::new(ANSWERS_A_SECOND),
+            letters: Tokens::new(LETTERS_A_SECOND),
             round: 0,
             sightings: Vec::new(),
+            work: Work::default(),
+            inbox: Vec::new(),
             version: 0,
             renew: 0,
             refused: BTreeMap::new(),
@@ -107,12 +116,18 @@
     }
 
     /// What this front sees of engines now; only those in some trouble, or with something told of them.
-    pub fn sees(&mut self, now: Micros, wall_ms: u64, mut sightings: Vec<Sighting>) {
+    pub fn sees(&mut self, now: Micros, wall_ms: u64, sightings: Vec<Sighting>) {
+        self.says(now, wall_ms, sightings, Work::default());
+    }
+
+    /// The same, with what it has to say of work on behalf of the fleet.
+    pub fn says(&mut self, now: Micros, wall_ms: u64, mut sightings: Vec<Sighting>, work: Work) {
         sightings.truncate(MOST_SIGHTINGS);
-        let changed = sightings != self.sightings;
-        if !changed && (sightings.is_empty() || now < self.renew) {
+        let changed = sightings != self.sightings || !work.is_like(&self.work);
+        if !changed && (sightings.is_empty() && work.is_empty() || now < self.renew) {
             return;
         }
+        self.work = work.clone();
         self.renew = now + RENEWED;
         self.version += 1;
         let report = Report {
@@ -121,6 +136,7 @@
             version: self.version,
             made_ms: wall_ms,
             sightings: sightings.clone(),
+            work,
         };
         self.sightings = sightings;
         let signed = self.own.sign(&report);
@@ -132,6 +148,30 @@
         self.evidence.news(now, self.own.id)
     }
 
+    /// What each front says of work on behalf of the fleet, with its age; this front's own too.
+    pub fn work(&self, now: Micros) -> impl Iterator<Item = (PeerId, &Work, Micros)> {
+        self.evidence.work(now)
+    }
+
+    /// A letter to another front, if it fits a datagram and what may be sent a second.
+    pub fn post(&mut self, now: Micros, wall_ms: u64, to: SocketAddr, letter: Vec<u8>) -> Option<Datagram> {
+        let rumours = vec![self.members.own()];
+        let message = Message { probe: Probe::None, rumours, reports: Vec::new(), letter };
+        let content = message::bytes(&message);
+        let len = content.len() + SEAL;
+        if len > LONGEST || !self.letters.take(now, len as f64) {
+            self.held_back += 1;
+            return None;
+        }
+        self.sent += len as u64;
+        Some(Datagram { to, bytes: self.own.seal(wall_ms, &content) })
+    }
+
+    /// Letters that have come: from whom, where it is heard, what it says.
+    pub fn letters(&mut self) -> Vec<(PeerId, SocketAddr, Vec<u8>)> {
+        std::mem::take(&mut self.inbox)
+    }
+
     /// When `tick` is next due.
     pub fn due(&self) -> Micros {
         self.members.due().min(self.round)
@@ -179,7 +219,7 @@
         };
         rumours.extend(self.members.pass_on(send.to, most));
         let most_sent = (SENT_EACH * ((self.peers.len() + 2) as f64).log2()).ceil() as u32;
-        let mut message = Message { probe: send.probe, rumours, reports: Vec::new() };
+        let mut message = Message { probe: send.probe, rumours, reports: Vec::new(), letter: Vec::new() };
         let used = SEAL + message::bytes(&message).len() + 2;
         let room = if why == Why::News { TOLD.min(LONGEST).saturating_sub(used) } else { 0 };
         message.reports = self.evidence.pass_on(now, most_sent, room);
@@ -238,6 +278,9 @@
         }
         let mut sends = Vec::new();
         self.members.heard(now, sender, from_at, message.probe, &mut sends);
+        if !message.letter.is_empty() && self.inbox.len() < MOST_LETTERS {
+            self.inbox.push((sender, from_at, message.letter));
+        }
         for signed in message.reports {
             let Some(report) = message::read::<Report>(&signed.report) else { continue };
             // Guards against the cost of what is known already, which is most of what comes.
--- a/crates/gossip/src/seal.rs
+++ b/crates/gossip/src/seal.rs
@@ -430,8 +430,14 @@
     #[test]
     fn a_report_is_its_makers_alone() {
         let (own, mut peers) = pair();
-        let report =
-            Report { maker: own.id, life: own.life, version: 1, made_ms: WALL, sightings: Vec::new() };
+        let report = Report {
+            maker: own.id,
+            life: own.life,
+            version: 1,
+            made_ms: WALL,
+            sightings: Vec::new(),
+            work: Default::default(),
+        };
         let signed = own.sign(&report);
         assert_eq!(peers.read(0, FROM, &signed), Ok(report.clone()));
         let other = Own::new(&[8; 32], 1);
--- a/crates/gossip/tests/fleet.rs
+++ b/crates/gossip/tests/fleet.rs
@@ -99,9 +99,21 @@
 /// What a datagram of this key holds that says a lie of an engine in the name of a maker.
 fn lie(liar: &mut Own, maker: PeerId, wall: u64, engine: u64) -> Vec<u8> {
     let life = wall - 1;
-    let report = message::Report { maker, life, version: 9, made_ms: wall, sightings: sullen(engine) };
+    let report = message::Report {
+        maker,
+        life,
+        version: 9,
+        made_ms: wall,
+        sightings: sullen(engine),
+        work: Default::default(),
+    };
     let signed = liar.sign(&report);
-    let message = message::Message { probe: Probe::None, rumours: Vec::new(), reports: vec![signed] };
+    let message = message::Message {
+        probe: Probe::None,
+        rumours: Vec::new(),
+        reports: vec![signed],
+        letter: Vec::new(),
+    };
     let content = message::bytes(&message);
     liar.seal(wall, &content)
 }
@@ -191,8 +203,12 @@
     fleet.nodes[7] = None;
     let before = fleet.sent();
     for n in 0..4_000 {
-        let message =
-            message::Message { probe: Probe::Ping { number: n }, rumours: Vec::new(), reports: Vec::new() };
+        let message = message::Message {
+            probe: Probe::Ping { number: n },
+            rumours: Vec::new(),
+            reports: Vec::new(),
+            letter: Vec::new(),
+        };
         let wall = fleet.wall(0) + u64::from(n) / 4;
         let bytes = loud.seal(wall, &message::bytes(&message));
         fleet.deliver(7, n as usize % 7, Micros::from(n) * 2_500, bytes);
@@ -214,7 +230,12 @@
     let victim = fleet.id(2);
     for incarnation in [WALL + 1, WALL + 1_000_000, u64::MAX] {
         let rumour = Rumour { member: victim, at: at(2), incarnation, health: Health::Dead };
-        let message = message::Message { probe: Probe::None, rumours: vec![rumour], reports: Vec::new() };
+        let message = message::Message {
+            probe: Probe::None,
+            rumours: vec![rumour],
+            reports: Vec::new(),
+            letter: Vec::new(),
+        };
         let content = message::bytes(&message);
         for to in [0, 1, 3, 5] {
             let bytes = liar.seal(wall, &content);
--- a/crates/lab/src/account.rs
+++ b/crates/lab/src/account.rs
@@ -99,6 +99,7 @@
         let during = account.posted.iter().filter(|p| p.at >= account.began && p.at < over);
         let sent: i64 = during.map(|p| p.bytes as i64).sum();
         tallies.insert("gossip_bytes_per_front_s", sent / seconds.max(1));
+        tallies.insert("gossip_bytes_per_s", sent / (scenario.seconds as i64).max(1));
         tallies.insert("gossip_lost", account.posted.iter().filter(|p| !p.passed).count() as i64);
     }
     for (fault, from, to) in played {
@@ -108,6 +109,9 @@
             _ => {}
         }
     }
+    if scenario.fleet.voters.is_some() {
+        owners(account, &mut tallies);
+    }
     let table = table(scenario, account.began, asked, relayed);
     Run { tallies, violations, table, pids }
 }
@@ -165,6 +169,29 @@
     }
 }
 
+/// Who probed for the fleet, in the order of the probes: how many fronts, how often that passed from one to another,
+/// how many probes a front sent after another had taken over, and the longest time without a probe in between.
+fn owners(account: &Account, tallies: &mut Tallies) {
+    let mut probes: Vec<(i64, usize)> =
+        account.relayed.iter().filter(|r| r.probes > 0).map(|r| (r.at, r.front)).collect();
+    probes.sort_unstable();
+    let (mut seen, mut passed, mut again, mut longest) = (Vec::new(), 0, 0, 0);
+    for (n, (at, front)) in probes.iter().enumerate() {
+        match seen.iter().position(|before| before == front) {
+            None => {
+                passed += i64::from(n > 0);
+                longest = longest.max(if n > 0 { at - probes[n - 1].0 } else { 0 });
+                seen.push(*front);
+            }
+            Some(place) => again += i64::from(place + 1 < seen.len()),
+        }
+    }
+    tallies.insert("owners", seen.len() as i64);
+    tallies.insert("owner_passed_on", passed);
+    tallies.insert("probes_of_earlier_owners", again);
+    tallies.insert("without_owner_ms", longest / 1000);
+}
+
 /// How long a front that was cut from a zone alone still sent there, and what the others sent meanwhile.
 fn link_cut(account: &Account, (fault, from, to): (&Fault, i64, i64), tallies: &mut Tallies) {
     let during = |r: &&Relayed| r.zone == fault.zone && r.at >= from && r.at <= to && r.statements > 0;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -50,10 +50,21 @@
                 let seed = |_| format!("'{}'", post.at[chance.random_range(0..post.at.len())]);
                 let seeds: Vec<String> = (0..MOST_SEEDS).map(seed).collect();
                 let file = keys.folder.join(format!("secret{}", self.number));
+                let voters =
+                    |count: usize| (0..count).map(|n| format!("f{n}: '{}'", post.at[n])).collect::<Vec<_>>();
+                let ownership = keys.voters.map(|(count, lease_ms)| {
+                    let directory = keys.folder.join(format!("votes{}", self.number));
+                    format!(
+                        ", ownership: {{ fleet: 'lab', directory: '{}', lease_ms: {lease_ms}, voters: {{ {} }} }}",
+                        directory.display(),
+                        voters(count).join(", ")
+                    )
+                });
+                let ownership = ownership.unwrap_or_default();
                 let quorum = keys.zone_quorum.map(|q| format!("zone_quorum: {q}, ")).unwrap_or_default();
                 format!(
                     "{{ {ahead}, gossip: {{ listen: '127.0.0.1:0', advertise: '{}', secret_file: '{}', {quorum}peers: {{ {} }}, \
-                     seeds: [{}] }} }}",
+                     seeds: [{}]{ownership} }} }}",
                     post.at[self.number],
                     file.display(),
                     keys.peers,
@@ -89,22 +100,25 @@
     /// `name: 'public key', ...` for the operator's file.
     peers: String,
     zone_quorum: Option<usize>,
+    /// How many vote on who owns the fleet's work, and how long a lease lasts.
+    voters: Option<(usize, u64)>,
 }
 
 impl Keys {
-    fn new(fronts: usize, seed: u64, zone_quorum: Option<usize>) -> std::io::Result<Keys> {
+    fn new(shape: &crate::scenario::Shape, seed: u64) -> std::io::Result<Keys> {
         let folder = std::env::temp_dir().join(format!("hallmux-fleet-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
         let mut chance = Pcg64Mcg::seed_from_u64(seed ^ 0x6b65_7973);
         let mut peers = Vec::new();
-        for n in 0..fronts {
+        for n in 0..shape.fronts {
             let secret: [u8; 32] = chance.random();
             std::fs::write(folder.join(format!("secret{n}")), hex(&secret))?;
             let public = hallmux_gossip::seal::Own::new(&secret, 0).public();
             peers.push(format!("f{n}: '{}'", hex(&public)));
         }
-        Ok(Keys { folder, peers: peers.join(", "), zone_quorum })
+        let voters = shape.voters.map(|voters| (voters, shape.lease_ms));
+        Ok(Keys { folder, peers: peers.join(", "), zone_quorum: shape.zone_quorum, voters })
     }
 }
 
@@ -158,7 +172,7 @@
         true => {
             let clock = records.clone();
             let post = Post::start(shape.fronts, move || clock.now()).map_err(why)?;
-            Some((Keys::new(shape.fronts, seed, shape.zone_quorum).map_err(why)?, post))
+            Some((Keys::new(shape, seed).map_err(why)?, post))
         }
         false => None,
     };
@@ -210,8 +224,11 @@
     while records.now() < over || !ends.is_empty() {
         let now = records.now() - began;
         while let Some(fault) = faults.get(next).filter(|f| f.at_ms as i64 * 1000 <= now) {
-            stage.begin(fault);
-            ends.push((now + fault.for_ms as i64 * 1000, fault.clone()));
+            let probed =
+                relayed.lock().ok().and_then(|r| r.iter().rev().find(|r| r.probes > 0).map(|r| r.front));
+            let fault = fault.on(probed);
+            stage.begin(&fault);
+            ends.push((now + fault.for_ms as i64 * 1000, fault));
             next += 1;
         }
         let (due, later): (Vec<_>, Vec<_>) = ends.drain(..).partition(|(at, _)| *at <= now);
@@ -299,6 +316,7 @@
                     front.iter().for_each(|f| f.read_again(2 * SOCKETS));
                 }
             }
+            What::StallOwner | What::KillOwner => {} // played as what it is on the owner
             What::Stall | What::Kill | What::Term => {
                 member.away.store(true, SeqCst);
                 if let Ok(mut troubled) = member.troubled.lock() {
@@ -343,7 +361,7 @@
                 self.own(fault).for_each(|l| l.set(|s| (s.out_lost, s.back_lost) = (false, false)));
             }
             What::ZoneSlow => self.zone_links(fault.zone).for_each(|l| l.set(|s| s.delay_ms = 0)),
-            What::ZoneReset | What::Hup => {}
+            What::ZoneReset | What::Hup | What::StallOwner | What::KillOwner => {}
             What::FrontsSplit | What::FrontsSplitOut => self.post(|s| s.split = None),
             What::PostLossy => self.post(|s| s.lost_percent = 0),
             What::PostDoubled => self.post(|s| s.doubled_ms = None),
--- a/crates/lab/src/fleets.rs
+++ b/crates/lab/src/fleets.rs
@@ -18,6 +18,17 @@
     "unanswered",
     "gossip_bytes_per_front_s",
 ];
+/// Of a run with an owner that is stopped past its lease.
+const OWNED: [&str; 7] = [
+    "owners",
+    "owner_passed_on",
+    "probes_of_earlier_owners",
+    "without_owner_ms",
+    "probes_per_100s",
+    "unanswered",
+    "gossip_bytes_per_s",
+];
+const STALL: &str = include_str!("../fleet/owner-stall.toml");
 const RETURN: &str = include_str!("../fleet/zone-return.toml");
 const AWAY: &str = include_str!("../fleet/zone-away.toml");
 
@@ -28,6 +39,16 @@
 
 /// Prints a row for each day, size and way: the median of the seeds, and least and most of them.
 pub fn measure() -> Result<(), String> {
+    println!("| day | fronts | voters | {} |", OWNED.join(" | "));
+    println!("| --- | --- | --- |{}", " --- |".repeat(OWNED.len()));
+    for size in [5, 20, 40] {
+        for voters in [None, Some(3), Some(5)] {
+            let mut scenario = Scenario::parse(STALL, true, Some(size))?;
+            scenario.fleet.voters = voters;
+            let way = voters.map_or("none".to_string(), |voters| voters.to_string());
+            row(&scenario, ("owner-stall", &way), &OWNED)?;
+        }
+    }
     println!("| day | fronts | the fleet's word | {} |", FIGURES.join(" | "));
     println!("| --- | --- | --- |{}", " --- |".repeat(FIGURES.len()));
     for (day, text) in [("zone-return", RETURN), ("zone-away", AWAY)] {
@@ -35,31 +56,34 @@
             for (way, quorum) in [("off", Some(0)), ("on", None)] {
                 let mut scenario = Scenario::parse(text, true, Some(size))?;
                 scenario.fleet.zone_quorum = quorum;
-                let runs: Vec<Result<Run, String>> = std::thread::scope(|scope| {
-                    let scenario = &scenario;
-                    let started: Vec<_> = SEEDS
-                        .iter()
-                        .map(|seed| scope.spawn(move || simulated::run(scenario, *seed)))
-                        .collect();
-                    let ended = started.into_iter().map(|run| run.join());
-                    ended.map(|run| run.unwrap_or_else(|_| Err("a run panicked".to_string()))).collect()
-                });
-                let runs: Vec<Run> = runs.into_iter().collect::<Result<_, _>>()?;
-                if let Some(failed) = runs.iter().find(|run| !run.passed()) {
-                    return Err(format!("{day}, {size} fronts, {way}: a rule is broken: {}", failed.line()));
-                }
-                let cell = |figure: &&str| {
-                    let values: Vec<i64> =
-                        runs.iter().filter_map(|run| run.tallies.get(*figure).copied()).collect();
-                    match (values.iter().min(), values.iter().max()) {
-                        (Some(least), Some(most)) => format!("{} ({least}-{most})", median(values.clone())),
-                        _ => "-".to_string(),
-                    }
-                };
-                let cells: Vec<String> = FIGURES.iter().map(cell).collect();
-                println!("| {day} | {size} | {way} | {} |", cells.join(" | "));
+                row(&scenario, (day, way), &FIGURES)?;
             }
         }
     }
     Ok(())
 }
+
+/// Plays a scenario on each seed at once and prints its row.
+fn row(scenario: &Scenario, (day, way): (&str, &str), figures: &[&str]) -> Result<(), String> {
+    let size = scenario.fleet.fronts;
+    let runs: Vec<Result<Run, String>> = std::thread::scope(|scope| {
+        let started: Vec<_> =
+            SEEDS.iter().map(|seed| scope.spawn(move || simulated::run(scenario, *seed))).collect();
+        let ended = started.into_iter().map(|run| run.join());
+        ended.map(|run| run.unwrap_or_else(|_| Err("a run panicked".to_string()))).collect()
+    });
+    let runs: Vec<Run> = runs.into_iter().collect::<Result<_, _>>()?;
+    if let Some(failed) = runs.iter().find(|run| !run.passed()) {
+        return Err(format!("{day}, {size} fronts, {way}: a rule is broken: {}", failed.line()));
+    }
+    let cell = |figure: &&str| {
+        let values: Vec<i64> = runs.iter().filter_map(|run| run.tallies.get(*figure).copied()).collect();
+        match (values.iter().min(), values.iter().max()) {
+            (Some(least), Some(most)) => format!("{} ({least}-{most})", median(values.clone())),
+            _ => "-".to_string(),
+        }
+    };
+    let cells: Vec<String> = figures.iter().map(cell).collect();
+    println!("| {day} | {size} | {way} | {} |", cells.join(" | "));
+    Ok(())
+}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -30,6 +30,10 @@
     /// Milliseconds by which the clocks of the fronts are apart at most, drawn evenly either way for each.
     #[serde(default)]
     pub clocks_apart_ms: u64,
+    /// Of the fronts the first so many vote on who owns the fleet's work; without, every front shares in it.
+    pub voters: Option<usize>,
+    #[serde(default = "lease_ms")]
+    pub lease_ms: u64,
     /// Vantages whose word of a zone leads the fleet out (`gossip.zone_quorum` of the operator's file); 0: never.
     pub zone_quorum: Option<usize>,
 }
@@ -93,6 +97,9 @@
     Stall,
     /// The front is killed (SIGKILL) and started anew after `for_ms`.
     Kill,
+    /// The front that probed for the fleet last is stopped, or killed: the owner of that work.
+    StallOwner,
+    KillOwner,
     /// The front is asked to end (SIGTERM) and started anew after `for_ms`.
     Term,
 }
@@ -118,6 +125,10 @@
     pub told: bool,
 }
 
+fn lease_ms() -> u64 {
+    2_000
+}
+
 fn yes() -> bool {
     true
 }
@@ -131,6 +142,18 @@
 const MOST_RATE: u64 = 2_000; // statements a second, each a thread of the client's
 const MOST_QUORUM: usize = 64; // what the operator's file takes for `gossip.zone_quorum`
 
+impl Fault {
+    /// The fault as it is played: on the front that owns the fleet's work, where it is meant for that.
+    pub fn on(&self, owner: Option<usize>) -> Fault {
+        let what = match self.what {
+            What::StallOwner => What::Stall,
+            What::KillOwner => What::Kill,
+            _ => return self.clone(),
+        };
+        Fault { what, front: owner.unwrap_or(self.front), ..self.clone() }
+    }
+}
+
 impl Scenario {
     /// Reads a scenario for front processes, or for simulated time, which holds more of them.
     /// `count` goes before the file's count of fronts.
@@ -155,6 +178,16 @@
                 &format!("and engines_per_zone must be 1 or more, {MOST_ENGINES} engines at most"),
             );
         }
+        match scenario.fleet.voters {
+            Some(_) if !scenario.fleet.gossip => return refuse("voters", "needs gossip = true"),
+            Some(voters) if !matches!(voters, 3 | 5) || voters > fronts => {
+                return refuse("voters", "must be 3 or 5, and no more than fronts")
+            }
+            _ => {}
+        }
+        if !(500..=60_000).contains(&scenario.fleet.lease_ms) {
+            return refuse("lease_ms", "must be from 500 to 60000");
+        }
         match scenario.fleet.zone_quorum {
             Some(_) if !scenario.fleet.gossip => return refuse("zone_quorum", "needs gossip = true"),
             Some(quorum) if quorum > MOST_QUORUM => {
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -8,9 +8,10 @@
 
 use hallmux_agreement::Contract;
 use hallmux_dispatcher::{Ask, Dispatcher, Ending, Listing, Mode, Order, Place, Speech, Ticket};
-use hallmux_fleet::Exchange;
+use hallmux_fleet::{Exchange, Moment, Out, Ownership};
 use hallmux_gossip::node::{Datagram, Start};
-use hallmux_gossip::seal::{Keys, Own};
+use hallmux_gossip::seal::{id, Keys, Own};
+use hallmux_lease::Terms;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -29,6 +30,7 @@
 const AFTER: i64 = 10_000_000; // microseconds beyond the load and its last time-out
 const SLACK: i64 = 50_000; // microseconds for a final answer: two looks of the module's
 const WALL: i64 = 1_800_000_000_000_000; // Unix microseconds at time 0
+const DRIFT_PPM: u32 = 10_000; // millionths; clocks here run alike
 const MOST_SEEDS: usize = 3; // fronts that each asks first, drawn: a few for all would be slow to answer them
 
 type Sent = (Ticket, usize);
@@ -68,6 +70,8 @@
     due: i64,
     ahead: i64,
     links: BTreeMap<usize, LinkState>,
+    /// What it saved as a voter.
+    saved: Option<Vec<u8>>,
     /// Spans in which it was stopped, killed or ending.
     troubled: Vec<(i64, i64)>,
 }
@@ -103,6 +107,8 @@
     statements: u64,
     /// The statements by front, life and ticket: their place in the record.
     named: HashMap<(usize, u32, Ticket), usize>,
+    /// Faults that are played now, by their place in the scenario.
+    playing: BTreeMap<usize, Fault>,
 }
 
 fn secret(n: usize) -> [u8; 32] {
@@ -156,6 +162,7 @@
         out: BTreeMap::new(),
         statements: 0,
         named: HashMap::new(),
+        playing: BTreeMap::new(),
     };
     let apart = scenario.fleet.clocks_apart_ms as i64 * 1000;
     for n in 0..fronts {
@@ -168,6 +175,7 @@
             due: i64::MAX,
             ahead,
             links: BTreeMap::new(),
+            saved: None,
             troubled: Vec::new(),
         });
         play.start(n);
@@ -241,14 +249,19 @@
                 if member.stopped {
                     member.waits.push(Event::Datagram(from, to, bytes));
                 } else if let Some(exchange) = member.life.as_mut().and_then(|life| life.exchange.as_mut()) {
-                    let wall = ((self.now + member.ahead) / 1000) as u64;
-                    let back = exchange.heard(self.now, wall, address(from), &bytes);
-                    self.posts(to, back);
+                    let moment = moment(self.now, member.ahead);
+                    let out = exchange.heard(moment, address(from), &bytes);
+                    self.sends(to, out);
                 }
             }
-            Event::Begins(n) => self.begin(&self.scenario.faults[n].clone()),
+            Event::Begins(n) => {
+                let probed = self.account.relayed.iter().rev().find(|r| r.probes > 0).map(|r| r.front);
+                let fault = self.scenario.faults[n].on(probed);
+                self.playing.insert(n, fault.clone());
+                self.begin(&fault);
+            }
             Event::Ends(n) => {
-                let fault = self.scenario.faults[n].clone();
+                let Some(fault) = self.playing.remove(&n) else { return };
                 self.end(&fault);
                 let from = self.began + fault.at_ms as i64 * 1000;
                 self.account.played.push((fault, from, self.now));
@@ -263,7 +276,18 @@
             let fronts = self.scenario.fleet.fronts;
             let seeds = (0..MOST_SEEDS).map(|_| address(self.chance.random_range(0..fronts))).collect();
             let start = Start { secret: secret(n), keys: self.keys.clone(), at: address(n), seeds };
-            Exchange::new(start, (wall / 1000) as u64)
+            let mut exchange = Exchange::new(start, (wall / 1000) as u64);
+            if let Some(voters) = self.scenario.fleet.voters {
+                let voters =
+                    (0..voters).map(|n| (id(&Own::new(&secret(n), 0).public()), address(n))).collect();
+                let scenario = &self.scenario.fleet;
+                let terms = Terms { length: scenario.lease_ms as i64 * 1000, drift_ppm: DRIFT_PPM };
+                let saved = self.members[n].saved.clone();
+                let ownership = Ownership { fleet: "lab".to_string(), voters, terms, saved };
+                let owns = exchange.own(moment(self.now, self.members[n].ahead), ownership);
+                debug_assert!(owns.is_ok(), "what was saved is whole");
+            }
+            exchange
         });
         let mut dispatcher = Dispatcher::new(&self.contract, self.chance.random());
         let zones: Vec<String> = (0..self.scenario.fleet.zones).map(zone_name).collect();
@@ -315,11 +339,11 @@
     fn turn(&mut self, n: usize) {
         let (now, member) = (self.now, &mut self.members[n]);
         let Some(life) = member.life.as_mut().filter(|_| !member.stopped) else { return };
-        let wall = ((now + member.ahead) / 1000) as u64;
-        let mut datagrams = Vec::new();
+        let at = moment(now, member.ahead);
+        let mut out = Out::default();
         if let Some(exchange) = &mut life.exchange {
             let chance = &mut self.chance;
-            (datagrams, _) = exchange.tick(now, wall, &mut life.dispatcher, &mut || chance.random());
+            (out, _) = exchange.tick(at, &mut life.dispatcher, &mut || chance.random());
         }
         let mut orders = Vec::new();
         for _ in 0..8 {
@@ -345,7 +369,18 @@
         for order in orders {
             self.obey(n, lives, order);
         }
-        self.posts(n, datagrams);
+        self.sends(n, out);
+    }
+
+    /// Sends what is to go out; what a voter has to save is lasting at once.
+    fn sends(&mut self, n: usize, out: Out) {
+        self.posts(n, out.datagrams);
+        for saved in out.saved {
+            if saved.bytes.is_some() {
+                self.members[n].saved = saved.bytes;
+            }
+            self.posts(n, saved.datagrams);
+        }
     }
 
     fn obey(&mut self, n: usize, lives: u32, order: Order) {
@@ -358,7 +393,12 @@
                     self.at(at, Event::Arrives(n, lives, (ticket, execution), place));
                 }
             }
-            Order::Probe { place } => {
+            Order::Probe { place, for_fleet } => {
+                let steady = moment(self.now, self.members[n].ahead).steady;
+                let exchange = self.members[n].life.as_ref().and_then(|life| life.exchange.as_ref());
+                if for_fleet && exchange.is_some_and(|x| !x.may_probe(steady)) {
+                    return;
+                }
                 self.relays(n, place, 0, 1);
                 self.number += 1;
                 let probe = self.number;
@@ -525,6 +565,7 @@
             What::PostLossy => self.post.lost_percent = fault.percent,
             What::PostDoubled => self.post.doubled_ms = Some(fault.delay_ms),
             What::PostSlow => self.post.delay_ms = fault.delay_ms,
+            What::StallOwner | What::KillOwner => {} // played as what it is on the owner
             What::Hup => self.account.read_again += 1, // nothing that is read again plays a part here
             What::Stall | What::Kill | What::Term => {
                 let member = &mut self.members[fault.front];
@@ -540,6 +581,11 @@
                 let member = &mut self.members[fault.front];
                 if !member.stopped {
                     member.life = None;
+                    // Its clients see their connections end.
+                    let out = |a: &&mut (usize, Asked)| a.0 == fault.front && a.1.answered == i64::MAX;
+                    for (_, asked) in self.account.asked.iter_mut().filter(out) {
+                        (asked.outcome, asked.answered) = (Outcome::Lost, now);
+                    }
                 }
             }
         }
@@ -563,7 +609,7 @@
                 self.reset(fault, false);
             }
             What::ZoneSlow => self.links(fault, true, |s| s.delay_ms = 0),
-            What::ZoneReset | What::Hup => {}
+            What::ZoneReset | What::Hup | What::StallOwner | What::KillOwner => {}
             What::FrontsSplit | What::FrontsSplitOut => self.post.split = None,
             What::PostLossy => self.post.lost_percent = 0,
             What::PostDoubled => self.post.doubled_ms = None,
@@ -600,6 +646,10 @@
     }
 }
 
+fn moment(now: i64, ahead: i64) -> Moment {
+    Moment { now, steady: now, wall_ms: ((now + ahead) / 1000) as u64 }
+}
+
 fn listing<'a>(id: &'a str, zone: &'a str, started: Option<i64>) -> Listing<'a> {
     Listing {
         id,
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -99,6 +99,43 @@
     assert!(t["return_load_over_bound_pct"] <= 100, "{t:?}");
 }
 
+#[test]
+fn an_owner_stopped_past_its_lease_probes_nothing_when_it_goes_on() {
+    let t = play("owner-stall", 10);
+    assert_eq!((t["faults_played"], t["owners"], t["owner_passed_on"]), (2, 2, 1), "{t:?}");
+    assert_eq!(t["probes_of_earlier_owners"], 0, "{t:?}");
+    assert!(t["unanswered"] <= t["excused"] && t["without_owner_ms"] < 6_000, "{t:?}");
+}
+
+#[test]
+fn an_owner_killed_while_a_zone_warms_up_leaves_its_load_within_the_bound() {
+    let t = play("owner-kill", 11);
+    assert_eq!(t["faults_played"], 2);
+    assert!(t["returned_sent"] > 0 && t["return_load_over_bound_pct"] <= 100, "{t:?}");
+    assert!(t["unanswered"] <= t["excused"], "{t:?}");
+}
+
+#[test]
+fn voters_cut_apart_give_one_owner_at_most() {
+    for (name, seed) in [("voters-cut", 12), ("voters-cut-five", 13)] {
+        let t = play(name, seed);
+        assert_eq!((t["unanswered"], t["faults_played"]), (0, 2));
+        assert!(t["owners"] >= 1 && t["gossip_lost"] > 0, "{name}: {t:?}");
+        assert_eq!(t["probes_of_earlier_owners"], 0, "{name}: {t:?}");
+    }
+}
+
+#[test]
+fn in_simulated_time_no_earlier_owner_probes_on_any_of_some_seeds() {
+    for seed in 1..=4 {
+        for name in ["owner-stall", "voters-cut", "voters-cut-five"] {
+            let t = simulated(name, seed, 9);
+            assert_eq!((t["faults_played"], t["probes_of_earlier_owners"]), (2, 0), "{name} {seed}: {t:?}");
+            assert!(t["owners"] >= 1, "{name} {seed}: {t:?}");
+        }
+    }
+}
+
 #[test]
 fn probes_into_a_lost_zone_are_as_many_for_five_fronts_as_for_forty() {
     for fronts in [5, 40] {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -78,7 +78,7 @@
     Ask(Ask),
     Answer(Answer),
     /// Among voters, as the log's library words it.
-    Log(omnipaxos::messages::Message<leases::Change>),
+    Log(Box<omnipaxos::messages::Message<leases::Change>>),
 }
 
 /// A word with the fleet that it is meant for.
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -142,7 +142,7 @@
             return Out::default();
         }
         match letter.word {
-            Word::Log(message) if self.is_from(&message, from) => self.log.handle_incoming(message),
+            Word::Log(message) if self.is_from(&message, from) => self.log.handle_incoming(*message),
             Word::Ask(ask) => self.asked(now, from, ask),
             Word::Log(_) | Word::Answer(_) => {}
         }
@@ -221,7 +221,7 @@
         for message in messages {
             let place = message.get_receiver().checked_sub(1).and_then(|n| self.voters.get(n as usize));
             if let Some(to) = place.copied().filter(|to| *to != self.own) {
-                self.letters.push((to, Letter { fleet: self.fleet, word: Word::Log(message) }));
+                self.letters.push((to, Letter { fleet: self.fleet, word: Word::Log(Box::new(message)) }));
             }
         }
         Out { save: self.disk.unsaved(), letters: std::mem::take(&mut self.letters) }
--- a/crates/lease/tests/model.rs
+++ b/crates/lease/tests/model.rs
@@ -165,15 +165,12 @@
                 }
                 None => None,
             };
-            match change.filter(|change| s.leases.apply(change)) {
-                Some(_) => {
-                    s.confirmed = s.now * TICK;
-                    let token = s.leases.of(Task::Zones).map_or(0, |lease| lease.token);
-                    s.way.insert(Letter::Grants(n, token, number));
-                    s.way.insert(Letter::Names(token, id(n)));
-                }
-                // Refused: for the asker no worse than an answer that is lost, which it must bear as well.
-                None => {}
+            // Refused: for the asker no worse than an answer that is lost, which it must bear as well.
+            if change.is_some_and(|change| s.leases.apply(&change)) {
+                s.confirmed = s.now * TICK;
+                let token = s.leases.of(Task::Zones).map_or(0, |lease| lease.token);
+                s.way.insert(Letter::Grants(n, token, number));
+                s.way.insert(Letter::Names(token, id(n)));
             }
         }
         Letter::Grants(n, token, number) => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -418,7 +418,7 @@
         let rate = FLEET_PROBES * SWEEP as f64 / SECOND as f64;
         if !self.engines.left.is_empty() && self.chance.next() * self.up < rate {
             match self.engines.one_left(self.chance.next()) {
-                Some(engine) if self.agreed.probes => self.actions.push(Action::Probe { engine }),
+                Some(engine) if self.agreed.probes => self.actions.push(Action::ProbeLeft { engine }),
                 other => other.into_iter().for_each(|e| self.found_well(e, true)),
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -295,6 +295,10 @@
     Probe {
         engine: EngineId,
     },
+    /// A probe on behalf of the fleet into what it has left.
+    ProbeLeft {
+        engine: EngineId,
+    },
     Subscribe,
     Wake {
         at: Micros,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -158,6 +158,7 @@
                 Action::Reject { statement: s, .. } => format!("reject {} come-back", statement(s)),
                 Action::Abort { statement: s } => format!("abort {}", statement(s)),
                 Action::Probe { engine } => format!("probe {}", self.engine_names[*engine]),
+                Action::ProbeLeft { engine } => format!("probe-left {}", self.engine_names[*engine]),
                 Action::Subscribe => "subscribe".to_string(),
             };
             self.done.push(format!("{} at {}", said, self.now / MS));
