--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -13,7 +13,7 @@
 const ROUND: Micros = 250_000; // microseconds between rounds: news reaches a thousand in some ten of them
 const FANOUT: usize = 2; // members told in a round
 const BYTES_A_SECOND: f64 = 3_000.0; // sent at most of its own accord, with a second's worth saved up
-const LETTERS_A_SECOND: f64 = 8_000.0; // bytes of letters: three voters keep their log with some 3,000
+const LETTERS_A_SECOND: f64 = 24_000.0; // bytes of letters: a leader of five voters sends some 8,000, more while one is away
 const ANSWERS_A_SECOND: f64 = 1_000.0; // bytes of answers to others, so that a flood of questions starves no news
 const RENEWED: Micros = 1_000_000; // microseconds after which a front says again what it still sees
 const FOR_PROBES: f64 = 800.0; // bytes that news leaves for probes: a peer that is not asked seems dead
--- a/crates/lab/src/account.rs
+++ b/crates/lab/src/account.rs
@@ -12,13 +12,20 @@
 
 const SECOND: i64 = 1_000_000; // microseconds
 
+/// A statement with the front it was sent to and its place among the scenario's classes.
+#[derive(Clone, Debug)]
+pub struct Offered {
+    pub front: usize,
+    pub class: usize,
+    pub asked: Asked,
+}
+
 /// What happened, as the rig saw it; times are microseconds since the rig began.
 #[derive(Default)]
 pub struct Account {
     /// When the load began.
     pub began: i64,
-    /// Each statement with the front it was sent to.
-    pub asked: Vec<(usize, Asked)>,
+    pub asked: Vec<Offered>,
     pub deeds: Vec<Deed>,
     pub relayed: Vec<Relayed>,
     pub posted: Vec<Posted>,
@@ -30,6 +37,8 @@
     pub peaks_since_start: Vec<f64>,
     /// Configuration files that fronts said they had read again.
     pub read_again: i64,
+    /// Statements that were sent to any engine at least once, where that is known.
+    pub first_tries: Option<i64>,
     /// Microseconds that a final answer may take beyond its time.
     pub slack: i64,
 }
@@ -68,13 +77,15 @@
 /// How the engines of a scenario warm up.
 pub fn warmth(scenario: &Scenario) -> Warmth {
     let engine = &scenario.engine;
-    Warmth { cold: engine.cold_slots, warm: engine.slots, warm_us: engine.warm_ms as i64 * 1000 }
+    let memory = engine.memory_mb.checked_div(scenario.load.memory_mb).map_or(usize::MAX, |fit| fit as usize);
+    let warm_us = engine.warm_ms as i64 * 1000;
+    Warmth { cold: engine.cold_slots, warm: engine.slots, warm_us, memory }
 }
 
 /// Checks the rules over the record and draws up the tallies and the table.
 pub fn judge(scenario: &Scenario, account: &Account, pids: Vec<u32>) -> Run {
     let Account { asked, relayed, played, .. } = account;
-    let statements: Vec<Asked> = asked.iter().map(|(_, a)| a.clone()).collect();
+    let statements: Vec<Asked> = asked.iter().map(|o| o.asked.clone()).collect();
     let agreed = Agreed { slack: account.slack, ..Agreed::default() };
     let violations = check::check(&statements, &[], &account.deeds, &agreed);
     let mut tallies = BTreeMap::new();
@@ -109,6 +120,11 @@
             _ => {}
         }
     }
+    shed(scenario, asked, &mut tallies);
+    if let Some(first) = account.first_tries {
+        let all: i64 = relayed.iter().map(|r| r.statements as i64).sum();
+        tallies.insert("attempts_over_first_pct", all * 100 / first.max(1));
+    }
     if scenario.fleet.voters.is_some() {
         owners(account, &mut tallies);
     }
@@ -169,6 +185,60 @@
     }
 }
 
+/// What came in time, and which classes were refused: of each front its order by the share refused, held against the
+/// fleet's by Spearman's rank correlation; the mean over fronts that refused anything.
+fn shed(scenario: &Scenario, asked: &[Offered], tallies: &mut Tallies) {
+    let in_time = |o: &Offered| {
+        let slo = scenario.classes[o.class].slo_ms as i64 * 1000;
+        matches!(o.asked.outcome, Outcome::Completed { .. }) && o.asked.answered - o.asked.sent <= slo
+    };
+    let worth: f64 = asked.iter().filter(|o| in_time(o)).map(|o| scenario.classes[o.class].importance).sum();
+    tallies.insert(
+        "in_time_per_s",
+        asked.iter().filter(|o| in_time(o)).count() as i64 / scenario.seconds as i64,
+    );
+    tallies.insert("worth_per_s", (worth / scenario.seconds as f64) as i64);
+    let classes = scenario.classes.len();
+    if classes < 2 {
+        return;
+    }
+    let refused = |of: &mut dyn Iterator<Item = &Offered>| {
+        let mut counts = vec![(0.0, 0.0); classes];
+        for o in of {
+            counts[o.class].1 += 1.0;
+            counts[o.class].0 += f64::from(u8::from(!in_time(o)));
+        }
+        counts.iter().map(|(refused, all)| refused / f64::max(*all, 1.0)).collect::<Vec<f64>>()
+    };
+    let fleet = ranks(&refused(&mut asked.iter()));
+    let mut agreed = Vec::new();
+    for front in 0..scenario.fleet.fronts {
+        let own = refused(&mut asked.iter().filter(|o| o.front == front));
+        if own.iter().any(|share| *share > 0.0) {
+            agreed.push(correlation(&ranks(&own), &fleet));
+        }
+    }
+    let mean = agreed.iter().sum::<f64>() / agreed.len().max(1) as f64;
+    tallies.insert("shed_order_agreed_pct", (mean * 100.0).round() as i64);
+}
+
+/// The rank of each value, those that are alike sharing the mean of theirs.
+fn ranks(values: &[f64]) -> Vec<f64> {
+    let rank = |value: &f64| {
+        let below = values.iter().filter(|other| *other < value).count();
+        let alike = values.iter().filter(|other| *other == value).count();
+        below as f64 + (alike as f64 - 1.0) / 2.0
+    };
+    values.iter().map(rank).collect()
+}
+
+fn correlation(a: &[f64], b: &[f64]) -> f64 {
+    let mean = (a.len() as f64 - 1.0) / 2.0;
+    let product =
+        |x: &[f64], y: &[f64]| -> f64 { x.iter().zip(y).map(|(x, y)| (x - mean) * (y - mean)).sum() };
+    product(a, b) / (product(a, a) * product(b, b)).sqrt().max(1e-9)
+}
+
 /// Who probed for the fleet, in the order of the probes: how many fronts, how often that passed from one to another,
 /// how many probes a front sent after another had taken over, and the longest time without a probe in between.
 fn owners(account: &Account, tallies: &mut Tallies) {
@@ -206,12 +276,12 @@
 
 /// A line a second: statements sent, completed, refused and unanswered; statements relayed into each zone, and of
 /// them those that were lost on the way; probes into each.
-fn table(scenario: &Scenario, began: i64, asked: &[(usize, Asked)], relayed: &[Relayed]) -> String {
+fn table(scenario: &Scenario, began: i64, asked: &[Offered], relayed: &[Relayed]) -> String {
     let zones = scenario.fleet.zones;
     let seconds = scenario.seconds as usize + 1;
     let mut rows = vec![(0, 0, 0, 0, vec![(0, 0, 0); zones]); seconds];
     let second = |at: i64| (((at - began).max(0)) / SECOND) as usize;
-    for (_, a) in asked {
+    for Offered { asked: a, .. } in asked {
         let Some(row) = rows.get_mut(second(a.sent)) else { continue };
         row.0 += 1;
         match a.outcome {
@@ -247,6 +317,14 @@
         [engine]\nslots = 8\ncold_slots = 2\nwarm_ms = 2000\n\
         [[fault]]\nwhat = 'zone_lost'\nat_ms = 1000\nfor_ms = 1000\nzone = 1\n";
 
+    #[test]
+    fn the_order_that_fronts_shed_in_is_held_against_the_fleets() {
+        assert_eq!(ranks(&[0.5, 0.1, 0.5, 0.9]), [1.5, 0.0, 1.5, 3.0]);
+        let (one, same, turned) = (ranks(&[0.1, 0.2, 0.3]), ranks(&[1.0, 5.0, 9.0]), ranks(&[3.0, 2.0, 1.0]));
+        assert!((correlation(&one, &same) - 1.0).abs() < 1e-9);
+        assert!((correlation(&one, &turned) + 1.0).abs() < 1e-9);
+    }
+
     fn sent(at: i64, statements: usize, passed: bool) -> Relayed {
         Relayed { at, front: 0, engine: 2, zone: 1, statements, probes: 0, passed }
     }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -11,14 +11,14 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
 
-use crate::account::{judge, warmth, Account, Run};
+use crate::account::{judge, warmth, Account, Offered, Run};
 use crate::check::{Asked, Repeat};
 use crate::engine::Records;
 use crate::lines::{self, Engine};
 use crate::post::Post;
 use crate::relay::{Link, Relayed};
 use crate::rig::{Coordinator, Front};
-use crate::scenario::{Fault, Scenario, What};
+use crate::scenario::{Class, Fault, Scenario, What};
 
 const SLACK_US: i64 = 400_000; // microseconds for a final answer on a busy machine
 const SOCKETS: usize = 256; // descriptors each front may hold
@@ -73,7 +73,8 @@
             }
         };
         let name = format!("f{}", self.number);
-        let started = Front::named(&name, &ground.settings, &operator, &self.coordinator, SOCKETS)?;
+        let seed = Pcg64Mcg::seed_from_u64(ground.seed ^ (self.number as u64) << 32).random();
+        let started = Front::named((&name, seed), &ground.settings, &operator, &self.coordinator, SOCKETS)?;
         let at = started.logged("talks with other fronts");
         let at = at.and_then(|line| line.rsplit(' ').next().and_then(|word| word.parse().ok()));
         if let Some(((_, post), at)) = ground.gossip.as_ref().zip(at) {
@@ -89,6 +90,7 @@
 
 /// What all fronts of a run share.
 struct Ground {
+    seed: u64,
     settings: serde_json::Value,
     /// With gossip, the fronts' keys and the way between them.
     gossip: Option<(Keys, Post)>,
@@ -132,14 +134,17 @@
 struct Record {
     records: Arc<Records>,
     /// Each statement with the front it was sent to.
-    asked: Mutex<Vec<(usize, Asked)>>,
+    asked: Mutex<Vec<Offered>>,
 }
 
 /// What was agreed with the fronts of a scenario.
 pub fn settings(scenario: &Scenario) -> serde_json::Value {
     let zones: Vec<String> = (0..scenario.fleet.zones).map(zone_name).collect();
-    let class = json!({"name": "lookup", "aimMs": scenario.load.timeout_ms / 2, "deadlineMs": scenario.load.timeout_ms,
-        "repeat": "repeatable", "lateShare": 0.5});
+    let class = |c: &Class| {
+        json!({"name": c.name, "aimMs": c.slo_ms, "deadlineMs": scenario.load.timeout_ms, "worth": c.importance,
+            "repeat": "repeatable", "lateShare": 0.5})
+    };
+    let classes: Vec<serde_json::Value> = scenario.classes.iter().map(class).collect();
     json!({"instances": scenario.fleet.fronts, "areas": zones, "kinds": ["lines"],
         "rules": {"turnGapMs": 100, "furtherRatio": 0.2, "spareAttempts": 10, "budgetSpanMs": 10000, "answerSlackMs": 20,
             "coldFrom": scenario.engine.cold_slots as f64 / scenario.engine.slots as f64,
@@ -147,8 +152,8 @@
             "fallMs": scenario.engine.fall_ms},
         "customers": [{"name": "acme"}], "report": {"names": ["active"], "source": "inline"},
         "bounds": {"cancelling": true, "probes": true, "mostTries": 3, "retryAfter": true, "maxRetryAfterMs": 200},
-        "extra": {"sizeCores": [scenario.engine.slots], "memoryByKindMb": [16384]},
-        "requestClasses": [class]})
+        "extra": {"sizeCores": [scenario.engine.slots], "memoryByKindMb": [scenario.engine.memory_mb]},
+        "requestClasses": classes})
 }
 
 /// The name of a zone in settings and lists.
@@ -176,7 +181,7 @@
         }
         false => None,
     };
-    let ground = Ground { settings: settings(scenario), gossip };
+    let ground = Ground { seed, settings: settings(scenario), gossip };
     let (mut links, mut members, mut pids) = (Vec::new(), Vec::new(), Vec::new());
     let mut clocks = Pcg64Mcg::seed_from_u64(seed ^ 0x636c_6f63);
     for front in 0..shape.fronts {
@@ -212,8 +217,8 @@
     let stop = Arc::new(AtomicBool::new(false));
     let load = {
         let (members, record, stop) = (members.clone(), record.clone(), stop.clone());
-        let (load, seconds) = (scenario.load.clone(), scenario.seconds);
-        std::thread::spawn(move || offer(&load, seconds, seed, &members, &record, &stop))
+        let scenario = scenario.clone();
+        std::thread::spawn(move || offer(&scenario, seed, &members, &record, &stop))
     };
     let stage =
         Stage { records: &records, links: &links, members: &members, engines: &engines, ground: &ground };
@@ -260,6 +265,7 @@
         peak: engines.iter().map(|e| e.peak()).fold(0.0, f64::max),
         peaks_since_start: engines.iter().map(|e| e.peak_since_start()).collect(),
         read_again,
+        first_tries: None,
         slack: SLACK_US,
     };
     Ok(judge(scenario, &account, pids))
@@ -400,16 +406,10 @@
 }
 
 /// Offers the load: statements at the agreed rate, each to a front drawn among those that take statements.
-fn offer(
-    load: &crate::scenario::Load,
-    seconds: u64,
-    seed: u64,
-    members: &[Arc<Member>],
-    record: &Arc<Record>,
-    stop: &AtomicBool,
-) {
+fn offer(scenario: &Scenario, seed: u64, members: &[Arc<Member>], record: &Arc<Record>, stop: &AtomicBool) {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
     let began = Instant::now();
+    let (load, seconds) = (&scenario.load, scenario.seconds);
     let gap = Duration::from_micros(1_000_000 / load.per_second);
     let mut waits = Vec::new();
     let mut number = 0u64;
@@ -420,10 +420,11 @@
             let address = members[front].front.lock().ok().and_then(|f| f.as_ref().map(|f| f.lines));
             if let Some(address) = address {
                 let (record, member) = (record.clone(), members[front].clone());
-                let (timeout, work) = (load.timeout_ms, load.work_ms);
-                waits.push(std::thread::spawn(move || {
-                    ask(number, front, address, timeout, work, &member, &record)
-                }));
+                let load = load.clone();
+                let class = scenario.draw_class(chance.random());
+                let name = scenario.classes[class].name.clone();
+                let to = (front, address, class, name);
+                waits.push(std::thread::spawn(move || ask(number, to, &load, &member, &record)));
             }
         }
         let due = gap * number as u32;
@@ -436,20 +437,25 @@
 
 fn ask(
     number: u64,
-    front: usize,
-    address: std::net::SocketAddr,
-    timeout_ms: u64,
-    work_ms: u64,
+    (front, address, class, name): (usize, std::net::SocketAddr, usize, String),
+    load: &crate::scenario::Load,
     member: &Member,
     record: &Record,
 ) {
     let id = format!("s{number}");
+    let crate::scenario::Load { timeout_ms, work_ms, memory_mb, .. } = *load;
     let now = || record.records.now();
     let mut asked = Asked::new(id.clone(), now(), timeout_ms as i64 * 1000, Repeat::Idempotent);
     asked.rows = 1;
     let limit = timeout_ms.to_string();
-    let work = work_ms.to_string();
-    let fields = [("verb", "lookup"), ("team", "acme"), ("limit", limit.as_str()), ("cpu", work.as_str())];
+    let (work, memory) = (work_ms.to_string(), memory_mb.to_string());
+    let fields = [
+        ("verb", name.as_str()),
+        ("team", "acme"),
+        ("limit", limit.as_str()),
+        ("cpu", work.as_str()),
+        ("heap_mb", memory.as_str()),
+    ];
     let statement = format!("id={id},key=,ms={work_ms}");
     let outcome = lines::ask(address, number, &fields, &statement);
     asked.answered = now();
@@ -462,7 +468,7 @@
     }
     asked.outcome = outcome;
     if let Ok(mut all) = record.asked.lock() {
-        all.push((front, asked));
+        all.push(Offered { front, class, asked });
     }
 }
 
--- a/crates/lab/src/fleets.rs
+++ b/crates/lab/src/fleets.rs
@@ -63,6 +63,33 @@
     Ok(())
 }
 
+const OVERLOAD: &str = include_str!("../fleet/overload.toml");
+const BORNE: u64 = 640; // statements a second that the engines of that day bear
+/// Of a day on which more is offered than the engines bear.
+const SHED: [&str; 7] = [
+    "in_time_per_s",
+    "worth_per_s",
+    "attempts_over_first_pct",
+    "shed_order_agreed_pct",
+    "turned_away_by_engines",
+    "refused",
+    "unanswered",
+];
+
+/// `measure overload`: what is served, attempted and refused from half of what the engines bear to three times.
+pub fn overload() -> Result<(), String> {
+    println!("| offered, % of what is borne | fronts | way | {} |", SHED.join(" | "));
+    println!("| --- | --- | --- |{}", " --- |".repeat(SHED.len()));
+    for size in SIZES {
+        for percent in [50, 100, 150, 200, 300] {
+            let mut scenario = Scenario::parse(OVERLOAD, true, Some(size))?;
+            scenario.load.per_second = BORNE * percent / 100;
+            row(&scenario, (&percent.to_string(), "as it stands"), &SHED)?;
+        }
+    }
+    Ok(())
+}
+
 /// Plays a scenario on each seed at once and prints its row.
 fn row(scenario: &Scenario, (day, way): (&str, &str), figures: &[&str]) -> Result<(), String> {
     let size = scenario.fleet.fronts;
--- a/crates/lab/src/lines.rs
+++ b/crates/lab/src/lines.rs
@@ -13,7 +13,7 @@
 
 /// Starts an engine that speaks lines and is always warm; statements are `id=..,key=..,ms=..`.
 pub fn engine(number: usize, records: Arc<Records>) -> std::io::Result<SocketAddr> {
-    let warmth = Warmth { cold: usize::MAX, warm: usize::MAX, warm_us: 0 };
+    let warmth = Warmth { cold: usize::MAX, warm: usize::MAX, warm_us: 0, memory: usize::MAX };
     Ok(Engine::start(number, records, warmth)?.at)
 }
 
@@ -23,16 +23,19 @@
     pub cold: usize,
     pub warm: usize,
     pub warm_us: i64,
+    /// How many statements its memory holds at once, warm or cold.
+    pub memory: usize,
 }
 
 impl Warmth {
     /// What is borne at once so many microseconds after a start.
     pub fn bears(self, since: i64) -> usize {
-        let Warmth { cold, warm, warm_us } = self;
+        let Warmth { cold, warm, warm_us, memory } = self;
         if since >= warm_us || warm <= cold {
-            return warm;
+            return warm.min(memory);
         }
-        cold + ((warm - cold) as f64 * since.max(0) as f64 / warm_us.max(1) as f64) as usize
+        let grown = (warm - cold) as f64 * since.max(0) as f64 / warm_us.max(1) as f64;
+        memory.min(cold + grown as usize)
     }
 }
 
@@ -241,11 +244,13 @@
 
     #[test]
     fn a_cold_engine_turns_away_what_it_does_not_bear_yet() {
-        let warmth = Warmth { cold: 1, warm: 8, warm_us: 600_000_000 };
+        let warmth = Warmth { cold: 1, warm: 8, warm_us: 600_000_000, memory: usize::MAX };
         let engine = Engine::start(0, Records::new(), warmth).unwrap();
         assert_eq!(engine.bears(), 8);
         engine.restart();
         assert_eq!(engine.bears(), 1);
+        // Memory runs out before its slots do.
+        assert_eq!((Warmth { memory: 5, ..warmth }).bears(600_000_000), 5);
         let mut s = TcpStream::connect(engine.at).unwrap();
         s.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
         s.write_all(b"want 1 - 15\r\nid=a,key=,ms=300\r\nwant 2 - 15\r\nid=b,key=,ms=300\r\n").unwrap();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -77,6 +77,8 @@
     Gossip,
     /// Fleets of several sizes in simulated time, the fleet's word on a zone off and on.
     Fleet,
+    /// The same under overload, from half of what the engines bear to three times.
+    Overload,
 }
 
 fn main() -> ExitCode {
@@ -88,6 +90,7 @@
         What::Measure { subject } => {
             let measured = match subject {
                 Measured::Postgres => measure::postgres(),
+                Measured::Overload => fleets::overload(),
                 Measured::Fleet => fleets::measure(),
                 Measured::Gossip => rumour::spread(&[20, 100, 1_000]),
             };
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -131,12 +131,12 @@
         coordinator: &Coordinator,
         sockets: usize,
     ) -> Result<Front, String> {
-        Front::named("f1", settings, operator, coordinator, sockets)
+        Front::named(("f1", 0x8c1f_30d2_7a5b_e964), settings, operator, coordinator, sockets)
     }
 
-    /// The same, under a name of its own among many fronts.
+    /// The same, under a name and a seed of its own among many fronts: with one seed they would draw in step.
     pub fn named(
-        name: &str,
+        (name, seed): (&str, u64),
         settings: &Value,
         operator: &str,
         coordinator: &Coordinator,
@@ -146,7 +146,7 @@
         let folder = std::env::temp_dir().join(format!("hallmux-lab-{}-{number}", std::process::id()));
         let why = |e: std::io::Error| e.to_string();
         std::fs::create_dir_all(&folder).map_err(why)?;
-        let config = json!({"name": name, "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        let config = json!({"name": name, "listen": "127.0.0.1:0", "seed": format!("{seed:016x}"),
             "limits": {"memory_mb": 512, "sockets": sockets}, "coordinator": coordinator.at.to_string(),
             "known": coordinator.known(), "settings": settings});
         let (config_path, operator_path) = (folder.join("config.json"), folder.join("operator.json5"));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -16,8 +16,25 @@
     pub engine: Warm,
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
+    /// The workloads of the load; where none is named, one.
+    #[serde(default, rename = "class")]
+    pub classes: Vec<Class>,
 }
 
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    pub name: String,
+    /// Its part of the load, against the others'.
+    pub share: f64,
+    /// Its importance, as the agreement has it.
+    pub importance: f64,
+    /// Its SLO time in milliseconds.
+    pub slo_ms: u64,
+}
+
+const MOST_CLASSES: usize = 16;
+
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Shape {
@@ -47,6 +64,9 @@
     pub work_ms: u64,
     /// The statement timeout of the workload, in milliseconds.
     pub timeout_ms: u64,
+    /// What each statement holds of its engine's memory while it runs.
+    #[serde(default)]
+    pub memory_mb: u64,
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -57,6 +77,8 @@
     pub cold_slots: usize,
     /// Milliseconds from cold to warm.
     pub warm_ms: u64,
+    /// The memory that its statements share: one that no longer fits is turned away.
+    pub memory_mb: u64,
     /// What is agreed of a cold engine: work over any `fall_ms` at so many times what it bears makes it fall over.
     pub overload: f64,
     pub fall_ms: u64,
@@ -64,7 +86,7 @@
 
 impl Default for Warm {
     fn default() -> Warm {
-        Warm { slots: 16, cold_slots: 16, warm_ms: 0, overload: 2.0, fall_ms: 1_000 }
+        Warm { slots: 16, cold_slots: 16, warm_ms: 0, memory_mb: 16_384, overload: 2.0, fall_ms: 1_000 }
     }
 }
 
@@ -155,6 +177,16 @@
 }
 
 impl Scenario {
+    /// The class at a share of all, from 0 to 1.
+    pub fn draw_class(&self, at: f64) -> usize {
+        let mut left = at * self.classes.iter().map(|class| class.share).sum::<f64>();
+        let found = self.classes.iter().position(|class| {
+            left -= class.share;
+            left < 0.0
+        });
+        found.unwrap_or(self.classes.len() - 1)
+    }
+
     /// Reads a scenario for front processes, or for simulated time, which holds more of them.
     /// `count` goes before the file's count of fronts.
     pub fn parse(text: &str, simulated: bool, count: Option<usize>) -> Result<Scenario, String> {
@@ -164,6 +196,20 @@
         })?;
         let refuse = |key: &str, why: &str| Err(format!("line {}: `{key}` {why}", line_of(text, key, 0)));
         scenario.fleet.fronts = count.unwrap_or(scenario.fleet.fronts);
+        let one = |class: &Class| class.share > 0.0 && class.importance > 0.0 && class.slo_ms > 0;
+        if scenario.classes.len() > MOST_CLASSES || !scenario.classes.iter().all(one) {
+            return refuse(
+                "share",
+                &format!(
+                    "and importance and slo_ms of a class must be over 0, {MOST_CLASSES} classes at most"
+                ),
+            );
+        }
+        if scenario.classes.is_empty() {
+            let slo_ms = scenario.load.timeout_ms / 2;
+            scenario.classes =
+                vec![Class { name: "lookup".to_string(), share: 1.0, importance: 1.0, slo_ms }];
+        }
         let Shape { fronts, zones, engines_per_zone, .. } = scenario.fleet;
         let most = if simulated { MOST_SIMULATED } else { MOST_FRONTS };
         if !(1..=most).contains(&fronts) {
@@ -208,6 +254,9 @@
         if warm.slots == 0 || warm.cold_slots == 0 || warm.cold_slots > warm.slots {
             return refuse("cold_slots", "must be from 1 to slots");
         }
+        if scenario.load.memory_mb > warm.memory_mb {
+            return refuse("memory_mb", "of a statement is over what an engine has");
+        }
         if !(1.0..=100.0).contains(&warm.overload) {
             return refuse("overload", "must be from 1 to 100");
         }
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -15,7 +15,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::account::{judge, warmth, Account, Run};
+use crate::account::{judge, warmth, Account, Offered, Run};
 use crate::check::{Asked, Outcome, Repeat};
 use crate::engine::{Deed, Kind};
 use crate::fleet::{settings, zone_name};
@@ -192,7 +192,7 @@
     account.turned_away = engines.iter().map(|e| e.turned_away).sum();
     account.peak = engines.iter().map(|e| e.peak).fold(0.0, f64::max);
     account.peaks_since_start = engines.iter().map(|e| e.peak_since_start).collect();
-    for (front, asked) in &mut account.asked {
+    for Offered { front, asked, .. } in &mut account.asked {
         let troubled = &members[*front].troubled;
         let excused = troubled.iter().any(|(from, to)| asked.sent <= *to && asked.answered >= *from);
         if excused {
@@ -318,11 +318,13 @@
         let mut asked = Asked::new(id, self.now, timeout, Repeat::Idempotent);
         asked.rows = 1;
         (asked.outcome, asked.answered) = (Outcome::Nothing, i64::MAX);
+        let class = self.scenario.draw_class(self.chance.random());
         let ask = Ask {
-            workload: "lookup",
+            workload: &self.scenario.classes[class].name,
             customer: "acme",
             time_left: timeout,
             work: load.work_ms as f64 * 1000.0,
+            memory_mb: load.memory_mb as f64,
             ..Ask::default()
         };
         let (now, lives) = (self.now, self.members[front].lives);
@@ -331,7 +333,7 @@
                 self.named.insert((front, lives, ticket), self.account.asked.len());
             }
         }
-        self.account.asked.push((front, asked));
+        self.account.asked.push(Offered { front, class, asked });
         self.turn(front);
     }
 
@@ -387,6 +389,8 @@
         match order {
             Order::Send { ticket, execution, place, .. } => {
                 self.relays(n, place, 1, 0);
+                let first = self.account.first_tries.get_or_insert(0);
+                *first += i64::from(execution == 0);
                 if self.passes(n, place, true) {
                     self.out.entry(place).or_default().push((n, lives, (ticket, execution)));
                     let at = self.now + self.way() + self.delay(n, place);
@@ -420,7 +424,7 @@
     /// A statement has its final answer.
     fn answer(&mut self, n: usize, ticket: Ticket, outcome: Outcome) {
         let number = self.named.get(&(n, self.members[n].lives, ticket));
-        if let Some((_, asked)) = number.and_then(|number| self.account.asked.get_mut(*number)) {
+        if let Some(Offered { asked, .. }) = number.and_then(|number| self.account.asked.get_mut(*number)) {
             (asked.outcome, asked.answered) = (outcome, self.now);
         }
     }
@@ -457,7 +461,7 @@
         let resets = engine.resets;
         let number = self.named.get(&(front, life, sent.0)).copied();
         if let Some(number) = number {
-            let id = self.account.asked[number].1.id.clone();
+            let id = self.account.asked[number].asked.id.clone();
             let kind = Kind::Began { id, key: String::new() };
             self.account.deeds.push(Deed { at: self.now, engine: e, link: 0, kind });
         }
@@ -469,7 +473,7 @@
         self.engines[e].running = self.engines[e].running.saturating_sub(1);
         let number = self.named.get(&(front, life, sent.0)).copied();
         if let Some(number) = number {
-            let id = self.account.asked[number].1.id.clone();
+            let id = self.account.asked[number].asked.id.clone();
             for kind in [Kind::Ended { id: id.clone() }, Kind::Kept { id }] {
                 self.account.deeds.push(Deed { at: self.now, engine: e, link: 0, kind });
             }
@@ -582,8 +586,8 @@
                 if !member.stopped {
                     member.life = None;
                     // Its clients see their connections end.
-                    let out = |a: &&mut (usize, Asked)| a.0 == fault.front && a.1.answered == i64::MAX;
-                    for (_, asked) in self.account.asked.iter_mut().filter(out) {
+                    let out = |o: &&mut Offered| o.front == fault.front && o.asked.answered == i64::MAX;
+                    for Offered { asked, .. } in self.account.asked.iter_mut().filter(out) {
                         (asked.outcome, asked.answered) = (Outcome::Lost, now);
                     }
                 }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -136,6 +136,24 @@
     }
 }
 
+#[test]
+fn five_voters_among_forty_fronts_have_room_for_their_letters() {
+    let t = simulated("owner-stall-five", 2, 40);
+    assert_eq!((t["owners"], t["probes_of_earlier_owners"]), (2, 0), "{t:?}");
+    // With 8,000 bytes of letters a second for each they went 18 s without an owner.
+    assert!(t["without_owner_ms"] < 6_000, "{t:?}");
+}
+
+#[test]
+fn twice_what_the_engines_bear_does_not_bring_the_fleet_down() {
+    let t = simulated("overload", 14, 12);
+    assert_eq!(t["unanswered"], 0);
+    // The engines bear 640 statements a second; nine in ten of them are in time.
+    assert!(t["in_time_per_s"] >= 576 && t["refused"] > 0, "{t:?}");
+    // The classes refused most are the same at the fronts, by the penalty of each.
+    assert!(t["shed_order_agreed_pct"] >= 70, "{t:?}");
+}
+
 #[test]
 fn probes_into_a_lost_zone_are_as_many_for_five_fronts_as_for_forty() {
     for fronts in [5, 40] {
