--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -133,11 +133,6 @@
         &self.node.refused
     }
 
-    /// Bytes sent so far.
-    pub fn sent(&self) -> u64 {
-        self.node.sent
-    }
-
     /// When `tick` is next due.
     pub fn due(&self) -> Micros {
         if self.left {
