--- /dev/null
+++ b/crates/dispatcher/src/engines.rs
@@ -0,0 +1,89 @@
+//! The engine list: each engine has a place, kept while it is listed or has executions out.
+
+use hallmux::interface::{Event, Listed, Micros, Mode, Report};
+
+use crate::seen::Seen;
+use crate::{position, Dispatcher, Place, Speech};
+
+/// A line of the engine list, by the names that the settings use.
+#[derive(Clone, Debug)]
+pub struct Listing<'a> {
+    pub id: &'a str,
+    pub location: &'a str,
+    pub kind: &'a str,
+    pub cell: usize,
+    pub mode: Mode,
+    pub started: Option<Micros>,
+    /// The protocols that it takes statements in.
+    pub speaks: &'a [Speech],
+}
+
+/// An engine's id, while it is listed or has executions out.
+pub struct Engine {
+    pub id: String,
+    pub entry: Listed,
+    pub out: usize,
+    pub seen: Seen,
+}
+
+impl Dispatcher {
+    /// Takes a change of the engine list and gives each line's place back, in order.
+    pub fn list(&mut self, whole: bool, listings: &[Listing]) -> Vec<Place> {
+        let mut places = Vec::new();
+        let mut entries = Vec::new();
+        let named = |e: &Engine| listings.iter().any(|l| l.id == e.id);
+        for missing in self.engines.iter_mut().filter(|e| whole && !named(e)) {
+            missing.entry.mode = Mode::Gone;
+        }
+        for listing in listings {
+            let place = |list: &[String], name: &str| position(list, name).unwrap_or(list.len());
+            let mut entry = Listed {
+                engine: 0,
+                location: place(&self.names.locations, listing.location),
+                kind: place(&self.names.kinds, listing.kind),
+                cell: listing.cell,
+                mode: listing.mode,
+                started: listing.started,
+                speaks: listing.speaks.iter().fold(0, |all, speech| all | *speech as u8),
+                // Only the protocol of lines has notes.
+                tells: listing.speaks.contains(&Speech::Lines),
+            };
+            entry.engine = self.place(listing.id, &entry);
+            let seen = Seen::default();
+            let engine = Engine { id: listing.id.to_string(), entry: entry.clone(), out: 0, seen };
+            match self.engines.get_mut(entry.engine) {
+                Some(known) => {
+                    // What was seen of another, or of an earlier start, says nothing of this one.
+                    let same = known.id == engine.id && known.entry.started == engine.entry.started;
+                    let seen = if same { known.seen } else { seen };
+                    *known = Engine { out: known.out, seen, ..engine };
+                }
+                None => self.engines.push(engine),
+            }
+            places.push(entry.engine);
+            entries.push(entry);
+        }
+        self.told.push(Event::Engines { whole, entries });
+        places
+    }
+
+    /// The place of an engine: its own, that of one like it that is gone with nothing out, or a new one.
+    /// The module starts an engine with a start of its own afresh, so only such a one may follow another.
+    fn place(&self, id: &str, entry: &Listed) -> Place {
+        let like = |e: &Engine| {
+            let same = |of: &Listed| (of.location, of.kind, of.cell, of.speaks);
+            e.entry.mode == Mode::Gone && e.out == 0 && same(&e.entry) == same(entry)
+        };
+        let follows = entry.started.is_some();
+        let own = self.engines.iter().position(|e| e.id == id);
+        own.or_else(|| self.engines.iter().position(|e| follows && like(e))).unwrap_or(self.engines.len())
+    }
+
+    pub fn probed(&mut self, now: Micros, place: Place, alive: bool, report: Option<Report>) {
+        if let Some(engine) = self.engines.get_mut(place).filter(|_| alive) {
+            engine.seen.fade(now);
+            engine.seen.answers(now);
+        }
+        self.told.push(Event::Probed { engine: place, alive, report });
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/out.rs
@@ -0,0 +1,164 @@
+//! A statement goes out: decisions become orders to the network.
+
+use hallmux::interface::{Action, Event, Micros};
+
+use crate::taken::Execution;
+use crate::{Dispatcher, Ending, Place, Ticket};
+
+/// What holds for an execution.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// When its client's time is up.
+    pub ends: Micros,
+    /// 0 leaves it to the engine.
+    pub grant_mb: f64,
+    pub priority: u8,
+}
+
+/// What the network is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Send {
+        ticket: Ticket,
+        execution: usize,
+        place: Place,
+        terms: Terms,
+    },
+    Hurry {
+        ticket: Ticket,
+        execution: usize,
+        priority: u8,
+    },
+    /// Give the execution up and report it: as told, or as withdrawn where it never left.
+    Stop {
+        ticket: Ticket,
+        execution: usize,
+        ending: Ending,
+    },
+    /// Final: trying again is harmless.
+    Reject {
+        ticket: Ticket,
+        retry_after: Option<Micros>,
+    },
+    /// Final: nothing is promised.
+    Abort {
+        ticket: Ticket,
+    },
+    Probe {
+        place: Place,
+        /// On behalf of the fleet: only whoever owns that work may send it.
+        for_fleet: bool,
+    },
+}
+
+impl Dispatcher {
+    /// When `tick` is next due, whatever happens.
+    pub fn wake(&self) -> Micros {
+        if !self.told.is_empty() {
+            return 0;
+        }
+        self.ends.first().map_or(self.wake, |(ends, _)| self.wake.min(*ends))
+    }
+
+    /// Decides on all that was told since the last call.
+    pub fn tick(&mut self, now: Micros) -> Vec<Order> {
+        let mut orders = Vec::new();
+        while let Some(&(ends, ticket)) = self.ends.first().filter(|(ends, _)| *ends <= now) {
+            self.ends.remove(&(ends, ticket));
+            let Some(s) = self.statements.get(&ticket) else { continue };
+            let ending = Ending::TimeUp;
+            orders.extend(s.out().map(|execution| Order::Stop { ticket, execution, ending }));
+        }
+        if self.told.is_empty() && now < self.wake {
+            return orders;
+        }
+        if self.wake <= now {
+            self.told.push(Event::Woken);
+        }
+        let mut told = std::mem::take(&mut self.told);
+        for event in &mut told {
+            if let Event::Arrived(arrival) = event {
+                // Guards against a stop between taking a statement and deciding: its time has run on.
+                let ends = self.statements.get(&arrival.statement).map_or(now, |s| s.terms.ends);
+                arrival.time_left = ends - now;
+            }
+        }
+        for action in self.front.decide(now, told) {
+            self.order(now, action, &mut orders);
+        }
+        self.rest(now);
+        orders
+    }
+
+    fn order(&mut self, now: Micros, action: Action, orders: &mut Vec<Order>) {
+        match action {
+            Action::Terms { statement: ticket, grant_mb, priority } => {
+                let Some(s) = self.statements.get_mut(&ticket) else { return };
+                s.terms = Terms { grant_mb, priority, ..s.terms };
+                orders.extend(s.out().map(|execution| Order::Hurry { ticket, execution, priority }));
+            }
+            Action::Execute { statement: ticket, engine: place } => {
+                let Some(s) = self.statements.get_mut(&ticket) else { return };
+                let (execution, terms) = (s.executions.len(), s.terms);
+                s.executions.push(Execution { place, sent: now, out: true });
+                let engine = &mut self.engines[place];
+                if engine.out == 0 {
+                    engine.seen.busy = now;
+                }
+                engine.out += 1;
+                orders.push(Order::Send { ticket, execution, place, terms });
+            }
+            Action::Cancel { statement: ticket, execution } => {
+                // What has begun to answer can't be tried elsewhere: it is only stopped with its statement.
+                if self.statements.get(&ticket).is_some_and(|s| s.over || !s.begun) {
+                    orders.push(Order::Stop { ticket, execution, ending: Ending::GivenUp });
+                }
+            }
+            Action::Reject { statement: ticket, retry_after } => {
+                orders.push(Order::Reject { ticket, retry_after });
+                self.over(now, ticket);
+            }
+            Action::Abort { statement: ticket } => {
+                orders.push(Order::Abort { ticket });
+                self.over(now, ticket);
+            }
+            Action::Probe { engine: place } => orders.push(Order::Probe { place, for_fleet: false }),
+            Action::ProbeLeft { engine: place } => orders.push(Order::Probe { place, for_fleet: true }),
+            Action::Wake { at } => self.wake = at,
+            // The coordinator is followed all the time, asked for or not.
+            Action::Subscribe => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::played::*;
+    use crate::*;
+
+    #[test]
+    fn what_is_out_when_the_time_is_up_is_stopped_then_ended() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        let ticket = d.pick(0, &ask("pay", None)).unwrap();
+        d.tick(0);
+        let stop = Order::Stop { ticket, execution: 0, ending: Ending::TimeUp };
+        assert!(d.tick(4_000_000).contains(&stop));
+        d.report(4_000_000, ticket, 0, Ending::TimeUp, None, None);
+        assert_eq!(d.tick(4_000_000), [Order::Abort { ticket }]);
+        assert_eq!(d.held(), 0);
+    }
+
+    #[test]
+    fn a_statement_has_what_is_left_when_it_is_decided_on() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        d.tick(0);
+        // Of a class whose late answers are worth nothing: out of SLO time by the time it is decided on.
+        let ticket = d.pick(10_000, &ask("lookup", None)).unwrap();
+        let late = d.tick(3_990_000);
+        assert!(matches!(late[..], [Order::Reject { .. }]), "{late:?}");
+        assert_eq!((sent(&late), d.held()), (vec![], 0), "{ticket}");
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/played.rs
@@ -0,0 +1,35 @@
+//! What the tests of this crate share: a dispatcher, a line of the list, a statement.
+
+use crate::*;
+
+const SETTINGS: &str = r#"{"instances": 1, "areas": ["here"], "kinds": ["std"],
+    "customers": [{"name": "acme", "allowancePerS": 1000}],
+    "bounds": {"cancelling": true, "mostTries": 3, "retryAfter": true},
+    "extra": {"sizeCores": [8], "memoryByKindMb": [16384], "takesPriority": true},
+    "requestClasses": [
+        {"name": "lookup", "aimMs": 1000, "deadlineMs": 5000, "repeat": "repeatable"},
+        {"name": "load", "aimMs": 1000, "deadlineMs": 5000, "repeat": "by_key", "group": "all",
+         "dedupWindowMs": 9000, "inTurn": true},
+        {"name": "pay", "aimMs": 1000, "deadlineMs": 5000, "repeat": "once"}],
+    "rules": {"turnGapMs": 50}}"#;
+
+pub fn dispatcher() -> Dispatcher {
+    Dispatcher::new(&hallmux_agreement::contract(SETTINGS).unwrap(), 7)
+}
+
+pub fn listing(id: &str, mode: Mode, started: Option<Micros>) -> Listing<'_> {
+    let speaks = &[Speech::Lines];
+    Listing { id, location: "here", kind: "std", cell: 0, mode, started, speaks }
+}
+
+pub fn ask<'a>(workload: &'a str, key: Option<&'a str>) -> Ask<'a> {
+    Ask { workload, customer: "acme", key, dedup_key: Some("u"), time_left: 4_000_000, ..Ask::default() }
+}
+
+pub fn sent(orders: &[Order]) -> Vec<(Ticket, usize)> {
+    let send = |o: &Order| match o {
+        Order::Send { ticket, execution, .. } => Some((*ticket, *execution)),
+        _ => None,
+    };
+    orders.iter().filter_map(send).collect()
+}
--- /dev/null
+++ b/crates/dispatcher/src/taken.rs
@@ -0,0 +1,164 @@
+//! A statement is taken: what it asks for, and what is known of it until it is over.
+
+use hallmux::interface::{Arrival, Event, KeyId, Micros};
+
+use crate::out::Terms;
+use crate::{position, Dispatcher, Place, Ticket};
+
+/// What a statement asks for.
+#[derive(Clone, Debug, Default)]
+pub struct Ask<'a> {
+    pub workload: &'a str,
+    pub customer: &'a str,
+    pub key: Option<&'a str>,
+    pub dedup_key: Option<&'a str>,
+    pub time_left: Micros,
+    /// Microseconds on one thread, 0 where it is not told.
+    pub work: f64,
+    /// 0 where it is not told.
+    pub memory_mb: f64,
+    pub data_set: Option<u32>,
+    pub speech: Speech,
+    /// The engine of the open transaction it belongs to.
+    pub pinned: Option<Place>,
+}
+
+/// A protocol that statements are sent to engines in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Speech {
+    #[default]
+    Lines = 1,
+    Postgres = 2,
+}
+
+/// Why a statement was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    Workload,
+    Customer,
+    /// It may run twice, and engines could not tell.
+    DedupKey,
+}
+
+pub struct Execution {
+    pub place: Place,
+    pub sent: Micros,
+    pub out: bool,
+}
+
+pub struct Statement {
+    pub terms: Terms,
+    pub over: bool,
+    /// Part of its answer has gone on: whatever ends it now ends the statement.
+    pub begun: bool,
+    /// Its transaction goes on when it ends, and keeps its order key.
+    pub keeps: bool,
+    pub key: Option<String>,
+    pub executions: Vec<Execution>,
+}
+
+impl Statement {
+    /// The numbers of its executions that are out.
+    pub fn out(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.executions.len()).filter(|n| self.executions[*n].out)
+    }
+}
+
+/// An order key while statements of it are held or out, and for the rest that was agreed.
+pub struct Key {
+    pub id: KeyId,
+    pub statements: usize,
+}
+
+impl Dispatcher {
+    /// Asks for an engine; the answer comes with a later `tick`.
+    pub fn pick(&mut self, now: Micros, ask: &Ask) -> Result<Ticket, Unfit> {
+        let workload = position(&self.names.workloads, ask.workload).ok_or(Unfit::Workload)?;
+        let customer = match position(&self.names.customers, ask.customer) {
+            None if !self.names.customers.is_empty() => return Err(Unfit::Customer),
+            found => found.unwrap_or(0),
+        };
+        if ask.dedup_key.is_none() && self.needs_dedup_key[workload] {
+            return Err(Unfit::DedupKey);
+        }
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let key = ask.key.map(|key| self.key(key));
+        self.told.push(Event::Arrived(Arrival {
+            statement: ticket,
+            workload,
+            customer,
+            key,
+            time_left: ask.time_left,
+            work: ask.work,
+            memory_mb: ask.memory_mb,
+            data_set: ask.data_set,
+            speech: ask.speech as u8,
+            pinned: ask.pinned,
+        }));
+        let ends = now + ask.time_left;
+        self.ends.insert((ends, ticket));
+        let key = ask.key.map(str::to_string);
+        let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
+        let executions = Vec::new();
+        let statement = Statement { terms, over: false, begun: false, keeps: false, key, executions };
+        self.statements.insert(ticket, statement);
+        Ok(ticket)
+    }
+
+    fn key(&mut self, name: &str) -> KeyId {
+        let next = self.keys.len() as KeyId;
+        let free = &mut self.free_keys;
+        let key = self
+            .keys
+            .entry(name.to_string())
+            .or_insert_with(|| Key { id: free.pop().unwrap_or(next), statements: 0 });
+        key.statements += 1;
+        key.id
+    }
+
+    /// The first byte of a statement's answer goes on to its client: it is never executed again.
+    pub fn begun(&mut self, ticket: Ticket) {
+        if let Some(s) = self.statements.get_mut(&ticket) {
+            s.begun = true;
+        }
+    }
+
+    /// Says that the transaction which a statement belongs to goes on once its answer is reported. True if the
+    /// transaction keeps the turn of an order key from then on, until `freed`.
+    pub fn keeps(&mut self, ticket: Ticket) -> bool {
+        let workload_keeps = |s: &Statement| s.key.is_some() && !s.over;
+        match self.statements.get_mut(&ticket).filter(|s| workload_keeps(s)) {
+            Some(s) => {
+                s.keeps = true;
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::played::*;
+
+    #[test]
+    fn unknown_names_and_a_missing_dedup_key_are_unfit() {
+        let mut d = dispatcher();
+        assert_eq!(d.pick(0, &ask("unheard", None)), Err(Unfit::Workload));
+        assert_eq!(d.pick(0, &Ask { customer: "unheard", ..ask("pay", None) }), Err(Unfit::Customer));
+        assert_eq!(d.pick(0, &Ask { dedup_key: None, ..ask("load", None) }), Err(Unfit::DedupKey));
+        assert_eq!(d.held(), 0);
+    }
+
+    #[test]
+    fn what_is_withdrawn_before_it_is_decided_on_is_never_heard_of() {
+        let mut d = dispatcher();
+        for _ in 0..1000 {
+            let ticket = d.pick(0, &ask("load", Some("k"))).unwrap();
+            d.left(0, ticket);
+        }
+        assert!(d.told.is_empty() && d.held() == 0);
+    }
+}
