crates/front: front.rs is split by direction, and words with other fronts move to fleet/

Change: code moves, nothing else: what clients ask, the engine list and the dispatcher's orders have files of their own under front/; peers.rs and votes.rs lie in fleet/.

--- /dev/null
+++ b/crates/front/src/fleet/mod.rs
@@ -0,0 +1,8 @@
+//! What this front and the other fronts tell each other, and what it holds for them: words on engines over
+//! datagrams, and the file of a voter. Each is switched on by the operator's file; off, it is not there. What the
+//! words mean is decided in `crates/fleet` and the minds behind it.
+
+mod peers;
+mod votes;
+
+pub use peers::Peers;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -20,8 +20,8 @@
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
 
+use super::votes::Votes;
 use crate::doors::{Changes, Door};
-use crate::votes::Votes;
 
 const ONE_TURN: usize = 64; // datagrams taken before others have their turn
 const SAID: Micros = 10_000_000; // microseconds between lines of the log on what was refused
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,26 +1,26 @@
 //! What one front does in a turn: it takes in all that is there, decides once, and sends what follows.
 
-use std::net::{SocketAddr, TcpListener};
+mod asked;
+mod listed;
+mod orders;
+
+use std::net::TcpListener;
 use std::time::Duration;
 
 use calloop::LoopHandle;
 use hallmux_agreement::{Limits, Station};
-use hallmux_codec::coordinator::{Engine, State, Stream};
-use hallmux_codec::statement::{self, Call, Reply};
-use hallmux_codec::tables;
-use hallmux_dispatcher::{
-    Ask, Dispatcher, Ending, Listing, Micros, Mode as EngineMode, Order, Speech, Ticket, Unfit,
-};
+use hallmux_codec::coordinator::Stream;
+use hallmux_dispatcher::{Dispatcher, Micros};
 
-use crate::clients::{self, ClientId, Clients};
+use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::coordinator::Coordinator;
 use crate::doors::{Changes, Door, Party};
-use crate::engines::{self, Engines};
+use crate::engines::Engines;
 use crate::entrance::Entrance;
+use crate::fleet::Peers;
 use crate::link::Link;
-use crate::peers::Peers;
-use crate::portal::{Portal, Room};
+use crate::portal::Portal;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
@@ -134,109 +134,6 @@
         }
     }
 
-    fn read_client(&mut self, id: ClientId) -> bool {
-        let mut told = Vec::new();
-        let more = self.clients.read(self.clock.now, id, !self.shutdown.asked(), &mut told);
-        self.take(told);
-        more
-    }
-
-    fn take(&mut self, told: Vec<clients::Told>) {
-        for told in told {
-            match told {
-                clients::Told::Asked { client, number, call } => {
-                    let mut ended = Vec::new();
-                    self.asked(client, number, *call, &mut ended);
-                    self.take(ended);
-                }
-                clients::Told::Forgets { client, number } => {
-                    let ticket = self.clients.forget(client, number);
-                    ticket.into_iter().for_each(|ticket| self.dispatcher.left(self.clock.now, ticket));
-                }
-                clients::Told::Left(ticket) => self.dispatcher.left(self.clock.now, ticket),
-            }
-        }
-    }
-
-    fn asked(&mut self, client: ClientId, number: i32, call: Call, ended: &mut Vec<clients::Told>) {
-        if !self.clients.has_room(client, number, &call, ended) {
-            return;
-        }
-        if let Some(field) = call.unfit {
-            return self.clients.unfit(client, number, field, ended);
-        }
-        let full = self.clients.held() > self.most_bytes;
-        if full != std::mem::replace(&mut self.full, full) {
-            log::warn!(
-                "statements held take {} bytes; {}",
-                self.clients.held(),
-                if full { "more are rejected" } else { "taken again" }
-            );
-        }
-        if full || self.dispatcher.held() >= self.most_held {
-            return self.clients.refuse(client, number);
-        }
-        // Guards against a final answer that is held up on its way: it has the slack twice, before the
-        // client's time is up and after. A result that comes in that last moment is lost to the client.
-        let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
-        let ask = Ask {
-            workload: &call.workload,
-            customer: &call.customer,
-            key: call.order_key.as_deref(),
-            dedup_key: call.dedup_key.as_deref(),
-            time_left: time_left - self.clock.waited(),
-            work: call.work_ms * 1000.0,
-            memory_mb: call.memory_mb,
-            data_set: tables::group(&call.statement),
-            speech: Speech::Lines,
-            pinned: None,
-        };
-        match self.dispatcher.pick(self.clock.now, &ask) {
-            Ok(ticket) => self.clients.opened(client, number, ticket, call),
-            Err(Unfit::Workload) => self.clients.unfit(client, number, statement::WORKLOAD, ended),
-            Err(Unfit::DedupKey) => self.clients.unfit(client, number, statement::DEDUP_KEY, ended),
-            Err(Unfit::Customer) => self.clients.unfit(client, number, statement::CUSTOMER, ended),
-        }
-    }
-
-    /// Takes in the coordinator's events that come after the one given.
-    fn follow(&mut self, stream: &Stream, after: u64) {
-        for update in stream.updates.iter().filter(|u| u.index > after) {
-            let Some(list) = &update.list else { continue };
-            let portal = self.portal.as_ref();
-            let speaks = |e: &Engine| portal.and_then(|portal| portal.port(&e.kind));
-            let listings: Vec<Listing> = list.engines.iter().map(|e| listing(e, speaks(e))).collect();
-            let places = self.dispatcher.list(list.whole, &listings);
-            if list.whole {
-                self.engines.retire_but(&places);
-                self.portal.iter_mut().for_each(|portal| portal.servers().retire_but(&places));
-            }
-            for (engine, place) in list.engines.iter().zip(places) {
-                let Engine { id, address, kind, state, .. } = engine;
-                log::info!("engine {id}: {state:?} at {address} ({kind})");
-                let sessions = self.portal.as_ref().and_then(|portal| portal.port(kind));
-                let up = *state == State::Up;
-                if let Some((portal, port)) = self.portal.as_mut().zip(sessions) {
-                    match address.parse::<SocketAddr>() {
-                        Ok(mut at) => {
-                            at.set_port(port.unwrap_or(at.port()));
-                            portal.servers().list(place, id, at, engine.started_ms, up);
-                        }
-                        Err(_) => portal.servers().retire(place),
-                    }
-                }
-                if sessions == Some(None) {
-                    continue;
-                }
-                match address.parse() {
-                    Ok(at) => self.engines.list(place, id, at, engine.started_ms, *state == State::Up),
-                    Err(_) if *state != State::Up => self.engines.retire(place),
-                    Err(e) => log::error!("engine {id}: address '{address}': {e}"),
-                }
-            }
-        }
-    }
-
     /// Decides on all that was taken in, and sends what follows.
     pub fn turn(&mut self) {
         self.clock.look();
@@ -377,104 +274,4 @@
             }
         }
     }
-
-    /// Passes on what engines have said.
-    fn heard(&mut self) {
-        for told in std::mem::take(&mut self.engines.told) {
-            match told {
-                engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
-                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
-                        self.clients.answer(self.clock.now, ticket, &Reply::Completed(&result));
-                    }
-                }
-                engines::Told::Noted { sent: (ticket, execution), note } => {
-                    self.dispatcher.note(ticket, execution, note);
-                }
-                engines::Told::Probed { place, alive, report } => {
-                    self.dispatcher.probed(self.clock.now, place, alive, report);
-                }
-            }
-        }
-        let room = self.room();
-        if let Some(portal) = &mut self.portal {
-            portal.heard(self.clock.now, room, &mut self.dispatcher);
-        }
-    }
-
-    /// What sessions may count on just now.
-    fn room(&self) -> Room {
-        let held = self.clients.held() + self.portal.as_ref().map_or(0, Portal::held);
-        let full = held > self.most_bytes || self.dispatcher.held() >= self.most_held;
-        Room { waited: self.clock.waited(), full }
-    }
-
-    /// A statement is a session's.
-    fn owns(&self, ticket: Ticket) -> bool {
-        self.portal.as_ref().is_some_and(|portal| portal.owns(ticket))
-    }
-
-    /// An execution is one of a session's.
-    fn is_out(&self, sent: engines::Sent) -> bool {
-        self.portal.as_ref().is_some_and(|portal| portal.has(sent))
-    }
-
-    fn obey(&mut self, order: Order) {
-        let now = self.clock.now;
-        match order {
-            Order::Send { ticket, execution, place, .. } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
-            }
-            Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
-                self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
-            }
-            Order::Reject { ticket, retry_after } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, true, retry_after));
-            }
-            Order::Abort { ticket } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, false, None));
-            }
-            Order::Send { ticket, execution, place, terms } => {
-                let Some(call) = self.clients.call(ticket) else {
-                    self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
-                    return;
-                };
-                self.engines.send(self.clock.now, (ticket, execution), place, call, terms);
-            }
-            Order::Hurry { ticket, execution, priority } => {
-                self.engines.hurry((ticket, execution), priority);
-            }
-            Order::Stop { ticket, execution, ending } => {
-                self.engines.stop(self.clock.now, (ticket, execution), ending)
-            }
-            Order::Reject { ticket, retry_after } => {
-                let retry_after_ms = retry_after.map(|time| time / 1000);
-                self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
-            }
-            Order::Abort { ticket } => self.clients.answer(self.clock.now, ticket, &Reply::Aborted),
-            // Between the decision and now the work may have become another's: then the probe stays here.
-            Order::Probe { for_fleet: true, .. } if !self.peers.as_ref().is_none_or(Peers::may_probe) => {}
-            Order::Probe { place, .. } => self.engines.probe(self.clock.now, place),
-        }
-    }
-}
-
-/// A line of the list; `sessions` tells whether it takes PostgreSQL sessions, and at which port beside lines.
-fn listing(engine: &Engine, sessions: Option<Option<u16>>) -> Listing<'_> {
-    Listing {
-        id: &engine.id,
-        location: &engine.location,
-        kind: &engine.kind,
-        cell: engine.cell,
-        mode: match engine.state {
-            State::Up => EngineMode::Ready,
-            State::Draining => EngineMode::Draining,
-            State::Removed => EngineMode::Gone,
-        },
-        started: (engine.started_ms > 0.0).then_some((engine.started_ms * 1000.0) as Micros),
-        speaks: match sessions {
-            None => &[Speech::Lines],
-            Some(None) => &[Speech::Postgres],
-            Some(Some(_)) => &[Speech::Lines, Speech::Postgres],
-        },
-    }
 }
--- /dev/null
+++ b/crates/front/src/front/asked.rs
@@ -0,0 +1,81 @@
+//! What clients ask for is taken to the dispatcher.
+
+use hallmux_codec::statement::{self, Call};
+use hallmux_codec::tables;
+use hallmux_dispatcher::{Ask, Micros, Speech, Unfit};
+
+use super::Front;
+use crate::clients::{self, ClientId};
+
+impl Front {
+    pub(super) fn read_client(&mut self, id: ClientId) -> bool {
+        let mut told = Vec::new();
+        let more = self.clients.read(self.clock.now, id, !self.shutdown.asked(), &mut told);
+        self.take(told);
+        more
+    }
+
+    pub(super) fn take(&mut self, told: Vec<clients::Told>) {
+        for told in told {
+            match told {
+                clients::Told::Asked { client, number, call } => {
+                    let mut ended = Vec::new();
+                    self.asked(client, number, *call, &mut ended);
+                    self.take(ended);
+                }
+                clients::Told::Forgets { client, number } => {
+                    let ticket = self.clients.forget(client, number);
+                    ticket.into_iter().for_each(|ticket| self.dispatcher.left(self.clock.now, ticket));
+                }
+                clients::Told::Left(ticket) => self.dispatcher.left(self.clock.now, ticket),
+            }
+        }
+    }
+
+    pub(super) fn asked(
+        &mut self,
+        client: ClientId,
+        number: i32,
+        call: Call,
+        ended: &mut Vec<clients::Told>,
+    ) {
+        if !self.clients.has_room(client, number, &call, ended) {
+            return;
+        }
+        if let Some(field) = call.unfit {
+            return self.clients.unfit(client, number, field, ended);
+        }
+        let full = self.clients.held() > self.most_bytes;
+        if full != std::mem::replace(&mut self.full, full) {
+            log::warn!(
+                "statements held take {} bytes; {}",
+                self.clients.held(),
+                if full { "more are rejected" } else { "taken again" }
+            );
+        }
+        if full || self.dispatcher.held() >= self.most_held {
+            return self.clients.refuse(client, number);
+        }
+        // Guards against a final answer that is held up on its way: it has the slack twice, before the
+        // client's time is up and after. A result that comes in that last moment is lost to the client.
+        let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
+        let ask = Ask {
+            workload: &call.workload,
+            customer: &call.customer,
+            key: call.order_key.as_deref(),
+            dedup_key: call.dedup_key.as_deref(),
+            time_left: time_left - self.clock.waited(),
+            work: call.work_ms * 1000.0,
+            memory_mb: call.memory_mb,
+            data_set: tables::group(&call.statement),
+            speech: Speech::Lines,
+            pinned: None,
+        };
+        match self.dispatcher.pick(self.clock.now, &ask) {
+            Ok(ticket) => self.clients.opened(client, number, ticket, call),
+            Err(Unfit::Workload) => self.clients.unfit(client, number, statement::WORKLOAD, ended),
+            Err(Unfit::DedupKey) => self.clients.unfit(client, number, statement::DEDUP_KEY, ended),
+            Err(Unfit::Customer) => self.clients.unfit(client, number, statement::CUSTOMER, ended),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/front/orders.rs
@@ -0,0 +1,90 @@
+//! Orders of the dispatcher go to clients, engines and sessions; what those say goes back to it.
+
+use hallmux_codec::statement::Reply;
+use hallmux_dispatcher::{Ending, Order, Ticket};
+
+use super::Front;
+use crate::engines;
+use crate::fleet::Peers;
+use crate::portal::{Portal, Room};
+
+impl Front {
+    /// Passes on what engines have said.
+    pub(super) fn heard(&mut self) {
+        for told in std::mem::take(&mut self.engines.told) {
+            match told {
+                engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
+                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
+                        self.clients.answer(self.clock.now, ticket, &Reply::Completed(&result));
+                    }
+                }
+                engines::Told::Noted { sent: (ticket, execution), note } => {
+                    self.dispatcher.note(ticket, execution, note);
+                }
+                engines::Told::Probed { place, alive, report } => {
+                    self.dispatcher.probed(self.clock.now, place, alive, report);
+                }
+            }
+        }
+        let room = self.room();
+        if let Some(portal) = &mut self.portal {
+            portal.heard(self.clock.now, room, &mut self.dispatcher);
+        }
+    }
+
+    /// What sessions may count on just now.
+    pub(super) fn room(&self) -> Room {
+        let held = self.clients.held() + self.portal.as_ref().map_or(0, Portal::held);
+        let full = held > self.most_bytes || self.dispatcher.held() >= self.most_held;
+        Room { waited: self.clock.waited(), full }
+    }
+
+    /// A statement is a session's.
+    pub(super) fn owns(&self, ticket: Ticket) -> bool {
+        self.portal.as_ref().is_some_and(|portal| portal.owns(ticket))
+    }
+
+    /// An execution is one of a session's.
+    pub(super) fn is_out(&self, sent: engines::Sent) -> bool {
+        self.portal.as_ref().is_some_and(|portal| portal.has(sent))
+    }
+
+    pub(super) fn obey(&mut self, order: Order) {
+        let now = self.clock.now;
+        match order {
+            Order::Send { ticket, execution, place, .. } if self.owns(ticket) => {
+                self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
+            }
+            Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
+                self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
+            }
+            Order::Reject { ticket, retry_after } if self.owns(ticket) => {
+                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, true, retry_after));
+            }
+            Order::Abort { ticket } if self.owns(ticket) => {
+                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, false, None));
+            }
+            Order::Send { ticket, execution, place, terms } => {
+                let Some(call) = self.clients.call(ticket) else {
+                    self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
+                    return;
+                };
+                self.engines.send(self.clock.now, (ticket, execution), place, call, terms);
+            }
+            Order::Hurry { ticket, execution, priority } => {
+                self.engines.hurry((ticket, execution), priority);
+            }
+            Order::Stop { ticket, execution, ending } => {
+                self.engines.stop(self.clock.now, (ticket, execution), ending)
+            }
+            Order::Reject { ticket, retry_after } => {
+                let retry_after_ms = retry_after.map(|time| time / 1000);
+                self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
+            }
+            Order::Abort { ticket } => self.clients.answer(self.clock.now, ticket, &Reply::Aborted),
+            // Between the decision and now the work may have become another's: then the probe stays here.
+            Order::Probe { for_fleet: true, .. } if !self.peers.as_ref().is_none_or(Peers::may_probe) => {}
+            Order::Probe { place, .. } => self.engines.probe(self.clock.now, place),
+        }
+    }
+}
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -6,16 +6,15 @@
 mod doors;
 mod engines;
 mod entrance;
+mod fleet;
 mod front;
 mod link;
 mod logger;
-mod peers;
 mod portal;
 mod reuse;
 mod servers;
 mod sessions;
 mod shutdown;
-mod votes;
 
 use std::net::TcpListener;
 use std::process::ExitCode;
