The decision module in six files by part of its mechanism, nothing else changed

It keeps the tuned values, what goes in and the order of work; src/decide/ has how a penalty is formed and what leaves first (penalty), where a statement goes (place), what answers, notes and silence tell (learn), what others' word is worth (doubt) and what is given up (give_up).

--- /dev/null
+++ b/src/decide/give_up.rs
@@ -0,0 +1,77 @@
+//! Which statements and executions are given up, and how a statement ends.
+
+use super::*;
+
+impl Front {
+    /// Whether the engine that holds its transaction takes nothing new any more.
+    pub(super) fn stranded(&self, s: &Statement) -> bool {
+        s.asked.pinned.is_some_and(|e| !self.engines.open.get(e).is_some_and(|open| *open))
+    }
+
+    /// Whether a statement that must be late is given up at once: its late answer is worth little, or others
+    /// wait behind it in the line of its order key, where running it would make them late too.
+    pub(super) fn hopeless(&self, s: &Statement) -> bool {
+        let turn = s.asked.key.and_then(|key| self.turns.get(&key));
+        let blocks = turn.is_some_and(|t| t.line.len() > 1);
+        let late = self.now >= self.last_timely_start(s);
+        self.stranded(s) || late && (blocks || self.workload(s).late_share < LATE_WORTH)
+    }
+
+    pub(super) fn stop(&mut self, id: StatementId, n: usize) {
+        let s = &self.statements[&id];
+        let in_time = self.now + (self.learned[s.asked.workload].run.value as Micros) < s.ends;
+        let again = self.workload(s).effect == Effect::Idempotent && self.tries_left(s) && in_time;
+        if again && self.agreed.cancel && !s.over {
+            self.actions.push(Action::Cancel { statement: id, execution: n });
+        }
+    }
+
+    /// Ends a statement unanswered: a rejection where trying again is harmless, else an abort.
+    pub(super) fn give_up(&mut self, id: StatementId) {
+        let s = &self.statements[&id];
+        let (workload, ran) = (self.workload(s), s.may_have_run().next().is_some());
+        let (w, first) = (s.asked.workload, s.first_asked == s.ends - s.asked.time_left);
+        let harmless = match workload.effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated => !ran || workload.dedup_group == DedupGroup::All,
+            Effect::NonIdempotent => !ran,
+        };
+        if harmless {
+            let wait = COME_BACK * (0.5 + self.chance.next()) * SECOND as f64;
+            let retry_after = self.agreed.longest_retry_after.map(|most| most.min(wait as Micros));
+            self.actions.push(Action::Reject { statement: id, retry_after });
+        } else {
+            self.actions.push(Action::Abort { statement: id });
+        }
+        self.learned[w].given_up += f64::from(u8::from(first));
+        self.close(id, false);
+    }
+
+    /// Counts a statement that is over, and lets go of all it holds but executions still out.
+    pub(super) fn close(&mut self, id: StatementId, timely: bool) {
+        self.unhold(id);
+        let Some(s) = self.statements.get_mut(&id).filter(|s| !s.over) else { return };
+        s.over = true;
+        let (class, key) = (s.class, s.asked.key);
+        let astray = s.unended();
+        let cancel = |n: &usize| Action::Cancel { statement: id, execution: *n };
+        self.actions.extend(astray.iter().filter(|_| self.agreed.cancel).map(cancel));
+        let counts = &mut self.classes[class];
+        counts.out.remove(&id);
+        let before = counts.on_top();
+        counts.count(self.now, HALF_LIFE, timely);
+        if counts.on_top() != before {
+            for other in counts.out.clone() {
+                self.prioritise(other);
+            }
+        }
+        if let Some(key) = key {
+            if let Some(turn) = self.turns.get_mut(&key) {
+                turn.line.retain(|other| *other != id);
+                turn.astray += astray.len();
+            }
+            self.next_in_line(key);
+        }
+        self.forget(id);
+    }
+}
--- /dev/null
+++ b/src/decide/learn.rs
@@ -0,0 +1,211 @@
+//! What answers, notes, reports and silence tell of engines and workloads.
+
+use super::*;
+
+impl Front {
+    /// Asks engines for their load where only probes bring it, in turn, as often as statements pay for.
+    pub(super) fn probe(&mut self) {
+        // All fronts together probe what the fleet has left: each draws at its share of the rate. Where
+        // probes are not allowed a statement or two go there instead, as to a cold engine.
+        let rate = FLEET_PROBES * SWEEP as f64 / SECOND as f64;
+        if !self.engines.left.is_empty() && self.chance.next() * self.up < rate {
+            match self.engines.one_left(self.chance.next()) {
+                Some(engine) if self.agreed.probes => self.actions.push(Action::ProbeLeft { engine }),
+                other => other.into_iter().for_each(|e| self.found_well(e, true)),
+            }
+        }
+        let (count, asks) = (self.engines.open.len(), self.agreed.report_on_probe && self.agreed.probes);
+        for _ in 0..count {
+            let e = self.asks_next % count;
+            if !asks || self.may_probe < 1.0 || self.engines.probed[e] > self.now - PROBE_GAP {
+                return;
+            }
+            self.asks_next = e + 1;
+            if self.engines.open[e] {
+                self.may_probe -= 1.0;
+                self.engines.probed[e] = self.now;
+                self.actions.push(Action::Probe { engine: e });
+            }
+        }
+    }
+
+    pub(super) fn reported(&mut self, e: EngineId, report: &Report) {
+        let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
+        let (own, size) = (self.engines.own[e], self.engines.size[e]);
+        let count = self.engines.out[e].len() as f64;
+        let each = if self.many { self.ran.threads } else { either(own.threads, 1.0) / count.max(1.0) };
+        // Where statements in hand are not told, busy cores and those that wait for memory stand in for them.
+        let (places, busy) = (&self.agreed.report, |b: f64| b * size.threads / each.max(0.01));
+        let in_hand =
+            read(places.active).or(read(places.busy).map(|b| busy(b) + read(places.waiting).unwrap_or(0.0)));
+        let active = in_hand.map_or(0.0, |active| (active - count).max(0.0));
+        let need = if self.many { self.ran.memory } else { 0.0 };
+        let granted = read(self.agreed.report.memory_granted).map(|x| x * size.memory - own.memory);
+        // Where nothing tells what an engine holds, a report leaves what others are taken to hold.
+        let threads = if in_hand.is_some() { active * each } else { self.engines.others[e].threads };
+        let told = Load { threads, memory: granted.unwrap_or(active * need).max(0.0) };
+        (self.engines.seen[e], self.engines.told[e]) = (own, self.now);
+        self.engines.others[e].blend(told, if self.many { 1.0 } else { 0.5 });
+        if let Some(usual) = self.engines.usual_of_kind(e) {
+            usual.blend(told.times(1.0 / size.threads), LEARNING);
+        }
+    }
+
+    /// Guards against executions that are taken and never answered, whatever the cause: a hung engine,
+    /// answers lost on the way, a statement stuck in a sound engine. Where notes of progress are agreed, each
+    /// execution must be heard of; else its engine. It could stop executions whose notes alone are lost.
+    pub(super) fn listen(&mut self, e: EngineId) {
+        let quiet = |(id, n): &&(StatementId, usize)| {
+            let s = &self.statements[id];
+            let x = &s.executions[*n];
+            let tells = self.engines.listed[e].as_ref().is_some_and(|entry| entry.tells);
+            let usual = SECOND as f64 + SILENCE_RUNS * self.learned[s.asked.workload].run.value;
+            let (heard, patience) = match self.agreed.progress_every * Micros::from(tells) {
+                0 => (x.sent.max(self.engines.heard[e]), usual),
+                every => (x.heard, SILENT_NOTES * every as f64),
+            };
+            !x.quiet && (self.now - heard.max(self.awake)) as f64 > patience
+        };
+        let stuck: Vec<_> = self.engines.out[e].iter().filter(quiet).copied().collect();
+        for (id, n) in stuck {
+            let all_quiet = self.engines.heard[e] <= self.statements[&id].executions[n].heard;
+            self.spend(e, if all_quiet { SPENT_LOST } else { SPENT_ERROR });
+            self.stop(id, n);
+            self.statements.entry(id).and_modify(|s| s.executions[n].quiet = true);
+        }
+    }
+
+    pub(super) fn noted(&mut self, id: StatementId, n: usize, e: EngineId, note: Note) {
+        let Some(s) = self.statements.get_mut(&id) else { return };
+        let Some(execution) = s.executions.get_mut(n).filter(|x| x.outcome.is_none()) else { return };
+        execution.heard = self.now;
+        self.engines.heard[e] = self.now;
+        if let Note::SpillsMb(missing) = note {
+            execution.spilled = true;
+            let need = (s.load.memory * GRANTED + missing) / s.asked.memory_mb.max(1.0);
+            self.learned[s.asked.workload].memory_bias.take_ratio(LEARNING, need);
+        }
+        if let (Note::WaitsForData, Some(data_set)) = (note, s.asked.data_set) {
+            // Another front's load holds the data set there: guards against standing still behind it.
+            let run = self.learned.iter().map(|l| l.run.value).fold(0.0, f64::max);
+            self.engines.held[e].retain(|(d, until)| *d != data_set && *until > self.now);
+            self.engines.held[e].push((data_set, self.now + run as Micros));
+            return self.stop(id, n);
+        }
+        if let Note::ShareDone(done) = note {
+            let run = (self.now - execution.sent) as f64;
+            let s = &self.statements[&id];
+            let expected = self.learned[s.asked.workload].pace.value * self.basis(s);
+            // Guards against a bad plan, drawn anew at each execution, not against a long statement.
+            let bad = expected > 0.0 && run > expected && run / done.max(0.001) > BAD_PLAN * expected;
+            if bad && s.executions.len() == 1 {
+                self.stop(id, n);
+            }
+        }
+    }
+
+    pub(super) fn ended(&mut self, x: Ended) {
+        let (now, e) = (self.now, x.engine);
+        self.engines.know(e, TRUSTED);
+        let Some(s) = self.statements.get_mut(&x.statement) else { return };
+        let execution = s.executions.get_mut(x.execution).filter(|x| x.outcome.is_none());
+        let Some(execution) = execution else { return };
+        execution.outcome = Some(x.outcome);
+        let (quiet, key, was_over, ends, load) = (execution.quiet, s.asked.key, s.over, s.ends, s.load);
+        self.engines.took_back(e, (x.statement, x.execution), load);
+        if let Some(turn) = key.and_then(|key| self.turns.get_mut(&key)) {
+            turn.found(was_over);
+            if matches!(x.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+                turn.rests_until = now + self.agreed.turn_gap;
+            }
+            turn.astray += usize::from(x.holds && x.settled && !was_over);
+        }
+        if x.outcome != Outcome::NoRoute && self.engines.unreached[e] {
+            // Back after it could not be reached: it may have restarted before the list says so.
+            self.found_cold(e, now + self.agreed.warm_within);
+        }
+        self.engines.unreached[e] = x.outcome == Outcome::NoRoute;
+        x.report.iter().for_each(|report| self.reported(e, report));
+        match x.outcome {
+            Outcome::Completed => {
+                if x.took <= self.slo_time(&self.statements[&x.statement]) {
+                    self.proved(e, false);
+                }
+                self.found_well(e, true);
+                self.completed(&x, load.threads)
+            }
+            Outcome::TimedOut if quiet => {} // an engine that hangs has been charged for its silence
+            // Guards against jams no answer tells of: one that turns work away or, among many fronts, lets it
+            // run into the client's limit is full until it reports again, whatever it said before.
+            Outcome::NoRoom | Outcome::TimedOut => {
+                if self.many || x.outcome == Outcome::NoRoom {
+                    self.engines.others[e].threads = MOST_PER_CORE * self.engines.size[e].threads;
+                }
+                self.sway(e, -SHRINK * load.threads);
+            }
+            // A crash resets all that an engine holds at once; single resets are the network's.
+            Outcome::Error | Outcome::Reset | Outcome::NoRoute => {
+                self.proved(e, true);
+                self.spend(e, if x.outcome == Outcome::NoRoute { SPENT_LOST } else { SPENT_ERROR })
+            }
+            Outcome::Cancelled | Outcome::NotSent => {}
+        }
+        if was_over {
+            self.forget(x.statement);
+            key.into_iter().for_each(|key| self.next_in_line(key));
+        } else if x.settled {
+            let s = &self.statements[&x.statement];
+            let slo = self.slo_time(s);
+            self.close(x.statement, x.outcome == Outcome::Completed && now - s.first_asked <= slo);
+        } else if self.may_repeat(&self.statements[&x.statement], None) && now < ends - LAST_CALL {
+            self.hold(x.statement);
+        } else {
+            self.give_up(x.statement);
+        }
+    }
+
+    fn spend(&mut self, e: EngineId, left: f64) {
+        self.engines.credit[e] *= left;
+        if left <= SPENT_LOST {
+            self.engines.rests_until[e] = self.now + LOST_REST;
+        }
+    }
+
+    fn completed(&mut self, x: &Ended, threads: f64) {
+        let (now, e, took) = (self.now, x.engine, x.took as f64);
+        let s = &self.statements[&x.statement];
+        let (w, spilled, basis) = (s.asked.workload, s.executions[x.execution].spilled, self.basis(s));
+        let slo = self.slo_time(s) as f64;
+        self.engines.heard[e] = now;
+        self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
+        let seconds = took / SECOND as f64;
+        self.ran.blend(Load { threads, memory: s.load.memory }, LEARNING * seconds.min(1.0));
+        let (bound, held) = if self.many {
+            self.engines.open_totals()
+        } else {
+            (self.engines.bound[e], self.engines.own[e].threads)
+        };
+        if took <= slo * QUICK && held + 2.0 * threads >= bound {
+            let growth = if self.many { GROWTH } else { 1.0 / bound.max(1.0) };
+            self.sway(e, threads * seconds * growth);
+        } else if took > slo {
+            self.sway(e, -SHRINK * threads);
+        }
+        let learned = &mut self.learned[w];
+        learned.run.take(LEARNING, took);
+        learned.pace.take_ratio(LEARNING, took / basis);
+        learned.memory_bias.value *= if spilled { 1.0 } else { ENOUGH };
+    }
+
+    /// Moves an engine's bound, or all alike: a front among many hears too seldom of each to know its own.
+    fn sway(&mut self, e: EngineId, threads: f64) {
+        let moved = if self.many { 0..self.engines.open.len() } else { e..e + 1 };
+        let all: f64 = self.engines.bound[moved.clone()].iter().sum();
+        for e in moved {
+            let cores = self.engines.size[e].threads;
+            let least = LEAST_SHARE * THREADS_PER_CORE * cores / self.agreed.fronts;
+            let bound = self.engines.bound[e] * (1.0 + threads / all.max(0.01)).max(0.5);
+            self.engines.bound[e] = bound.clamp(least, MOST_PER_CORE * cores);
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/place.rs
@@ -0,0 +1,144 @@
+//! Where a statement may go, and where it goes.
+
+use super::*;
+
+impl Front {
+    /// The one gate: whether the rules let this statement be sent to this engine now; never a second copy.
+    fn may_execute(&self, id: StatementId, e: EngineId) -> bool {
+        let s = &self.statements[&id];
+        let workload = self.workload(s);
+        let Some(entry) = self.engines.entry(e) else { return false };
+        let open = !s.over && !s.is_out() && workload.allows(entry) && entry.speaks & s.asked.speech != 0;
+        let open = open && s.asked.pinned.is_none_or(|pinned| pinned == e);
+        let (pushed, most) = self.pushed(e);
+        let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
+        let added = if self.many { 0.0 } else { work };
+        let bears = self.now >= self.engines.cold_until[e] || pushed + added <= most;
+        let open = open && self.now < s.ends && self.has_turn(id, s);
+        open && bears && (s.executions.is_empty() || self.may_repeat(s, Some(entry)))
+    }
+
+    pub(super) fn may_repeat(&self, s: &Statement, at: Option<&Listed>) -> bool {
+        let workload = self.workload(s);
+        let dropped = |x: &Execution| {
+            let earlier = self.engines.listed[x.engine].as_ref();
+            let same = at.zip(earlier).is_none_or(|(at, x)| at.drops_repeats_of(x, workload.dedup_group));
+            same && self.now - x.sent < workload.dedup_window
+        };
+        let harmless = s.may_have_run().all(|x| match workload.effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => false,
+            Effect::Deduplicated => dropped(x),
+        });
+        harmless && self.tries_left(s)
+    }
+
+    pub(super) fn tries_left(&self, s: &Statement) -> bool {
+        let within = self.agreed.further.is_none_or(|budget| {
+            let since = self.now - budget.window;
+            let used = self.further.after(since - 1);
+            used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
+        });
+        within && s.executions.len() < self.agreed.most_executions && s.asked.pinned.is_none()
+    }
+
+    pub(super) fn has_turn(&self, id: StatementId, s: &Statement) -> bool {
+        let rested = |t: &Turn| t.rests_until <= self.now || !s.executions.is_empty();
+        let turn = s.asked.key.and_then(|key| self.turns.get(&key));
+        turn.is_none_or(|t| t.line.front() == Some(&id) && t.astray == 0 && rested(t))
+    }
+
+    pub(super) fn place(&self, id: StatementId) -> Option<EngineId> {
+        let s = &self.statements[&id];
+        let workload = self.workload(s);
+        let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
+        let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
+        let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
+        // Where all that it may use are spoken ill of, nothing is said.
+        let may = |e: &EngineId| self.engines.entry(*e).is_some_and(|l| workload.allows(l));
+        let all = || (0..self.engines.open.len()).filter(may);
+        let heeds = !self.words.said.is_empty() && all().any(|e| self.doubt(e) >= 1.0);
+        let leaves = !self.engines.left.is_empty() && all().any(|e| !self.engines.is_left(e));
+        let (pool, out) = self.engines.open_totals();
+        let (memory_pool, memory_out) = self.engines.open_memory(MEMORY_USED / THREADS_PER_CORE);
+        // Among many fronts the pool bounds a front's threads and memory; with nothing out it may send one.
+        let beyond = out + workload.threads > pool || memory_out + s.load.memory > memory_pool;
+        let over = self.many && out > 0.0 && beyond;
+        let count = self.engines.open.len();
+        // Fronts that know the same must not all pick the same engine: each starts its look elsewhere.
+        let first = (self.first_look * count as f64) as usize;
+        let (guessed, mut drawn) = (self.many && !self.agreed.report.tells_load(), Vec::new());
+        for e in (0..count).map(|i| (i + first) % count) {
+            let trusted = s.executions.is_empty() || self.engines.credit[e] >= TRUSTED;
+            let away = self.engines.rests_until[e] > self.now || leaves && self.engines.is_left(e);
+            if !trusted || away || !self.may_execute(id, e) {
+                continue;
+            }
+            let locked = |(other, _): &(StatementId, usize)| {
+                let other = &self.statements[other];
+                self.workload(other).holds_data && other.asked.data_set == s.asked.data_set
+            };
+            if stands
+                && (self.engines.holds(e, s.asked.data_set, self.now)
+                    || self.engines.out[e].iter().any(locked))
+            {
+                continue;
+            }
+            let Some(entry) = &self.engines.listed[e] else { continue };
+            let (size, own) = (self.engines.size[e], self.engines.own[e]);
+            let credit = (self.engines.credit[e] / TRUSTED).min(1.0);
+            let credit = if heeds { credit * self.doubt(e) } else { credit };
+            let bound =
+                self.engines.bound[e] * credit.max(0.01) * self.engines.warmth(e, self.now, &self.agreed);
+            let memory = size.memory * MEMORY_USED * (bound / (THREADS_PER_CORE * size.threads)).min(1.0);
+            // What this front has added since the last report, the others are taken to have added too.
+            let (mut others, mut added) = (self.engines.others[e], own);
+            added.add(self.engines.seen[e], -1.0);
+            others.add(added, self.agreed.fronts - 1.0);
+            let cores = size.threads * self.engines.warmth(e, self.now, &self.agreed);
+            let whole = MOST_PER_CORE * cores;
+            let share = if self.many { whole * credit } else { bound };
+            let room = share.min(whole - others.threads) - own.threads;
+            let spare = IDLE * cores - others.threads - own.threads;
+            let fresh = self.agreed.report.tells_load() && self.engines.told[e] >= self.now - FRESH;
+            let within = !over || spare >= workload.threads && fresh;
+            let taken = own.memory + s.load.memory;
+            let full = taken + others.memory > size.memory;
+            let fits = room >= workload.threads && (taken <= memory || self.many) && !full;
+            let idle =
+                if self.many { out <= 0.0 } else { self.engines.out[e].is_empty() && room > 0.0 && !full };
+            let needs = |w: &Workload| is_bound(w) && w.allows(entry);
+            let scarce = !is_bound(workload) && self.agreed.workloads.iter().any(needs);
+            let room = if scarce { room - SCARCE * size.threads } else { room };
+            if (idle || fits && within) && guessed {
+                drawn.push((e, room.max(LEAST_SHARE)));
+            } else if (idle || fits && within) && room > best_room {
+                (best, best_room) = (Some(e), room);
+            }
+        }
+        // With no report of what others hold, the roomiest is the largest for all fronts: each draws by room.
+        drawn_by((self.first_look * count as f64).fract(), &drawn).or(best)
+    }
+
+    /// What an earlier life of this front has sent is not known and counts as all it might. Where a share
+    /// holds no statement, each front waits for a turn drawn by chance: they send what the shares add up to.
+    pub(super) fn found_cold(&mut self, e: EngineId, until: Micros) {
+        self.engines.cold_until[e] = until;
+        let pushed = match () {
+            _ if self.many => self.chance.next() * either(self.asked_work.value, SECOND as f64),
+            _ if self.started == Some(self.now) => self.pushed(e).1,
+            _ => self.engines.pushed[e].0,
+        };
+        self.engines.pushed[e] = (pushed, self.now);
+    }
+
+    /// Work pushed at a cold engine and not yet worked off, and how much of it there may be. It drains at
+    /// this front's share of what the engine can do by now: any window holds less than the overload factor.
+    pub(super) fn pushed(&self, e: EngineId) -> (f64, f64) {
+        let rate = self.engines.warmth(e, self.now, &self.agreed) * self.engines.size[e].threads / self.known;
+        let burst = (self.agreed.overload_factor * COLD_MARGIN - 0.5).max(0.1) * rate;
+        let most = if self.many { 0.0 } else { burst * self.agreed.fall_window as f64 };
+        let (pushed, at) = self.engines.pushed[e];
+        ((pushed - rate * (self.now - at) as f64).max(0.0), most)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! hallmux: a front for query engines with limited memory.
 //!
 //! The library decides and does nothing else: no input or output, no clock, no threads. `interface` has the
-//! types that go in and come out, `decide` the one module that decides, `state` the plain figures it keeps.
+//! types that go in and come out, `decide` the one module that decides (a file for each part of the
+//! mechanism under it), `state` the plain figures it keeps.
 
 pub mod decide;
 pub mod interface;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,8 @@
 
 use crate::interface::*;
 
+pub const SECOND: Micros = 1_000_000; // microseconds
+
 /// A permuted congruential generator (PCG-XSH-RR).
 #[derive(Default)]
 pub struct Chance(u64);
@@ -23,6 +25,16 @@
     }
 }
 
+/// One of those that each have so much, at a place in all of it.
+pub fn drawn_by(share: f64, each: &[(EngineId, f64)]) -> Option<EngineId> {
+    let mut at = share * each.iter().map(|(_, much)| much).sum::<f64>();
+    let past = |(_, much): &&(EngineId, f64)| {
+        at -= much;
+        at < 0.0
+    };
+    each.iter().find(past).map(|(e, _)| *e)
+}
+
 pub fn either(first: f64, second: f64) -> f64 {
     if first > 0.0 {
         first
@@ -47,6 +59,13 @@
         let left = 0.5f64.powf((now - self.at) as f64 / half_life as f64);
         (self.timely, self.counted, self.at) = (self.timely * left, self.counted * left, now);
     }
+
+    /// Counts a statement that is over.
+    pub fn count(&mut self, now: Micros, half_life: Micros, timely: bool) {
+        self.fade(now, half_life);
+        self.counted += 1.0;
+        self.timely += f64::from(u8::from(timely));
+    }
 }
 
 /// A learned mean and how many samples it has taken.
@@ -148,6 +167,10 @@
     pub fn is_out(&self) -> bool {
         self.executions.iter().any(|e| e.outcome.is_none())
     }
+
+    pub fn unended(&self) -> Vec<usize> {
+        (0..self.executions.len()).filter(|n| self.executions[*n].outcome.is_none()).collect()
+    }
 }
 
 /// Statements of one order key, in the order in which they were taken.
@@ -159,6 +182,13 @@
     pub rests_until: Micros,
 }
 
+impl Turn {
+    /// One that was astray has ended, where it was.
+    pub fn found(&mut self, astray: bool) {
+        self.astray -= usize::from(astray && self.astray > 0);
+    }
+}
+
 /// What statements hold of an engine.
 #[derive(Default, Clone, Copy)]
 pub struct Load {
@@ -260,6 +290,16 @@
         (0..self.listed.len()).filter(listed).filter(|o| zone(*o) == zone(e)).collect()
     }
 
+    /// Whether a load of another front holds the data set there.
+    pub fn holds(&self, e: EngineId, data_set: Option<u32>, now: Micros) -> bool {
+        self.held[e].iter().any(|(held, until)| data_set == Some(*held) && *until > now)
+    }
+
+    /// What the list says of an engine that is open.
+    pub fn entry(&self, e: EngineId) -> Option<&Listed> {
+        self.listed[e].as_ref().filter(|_| self.open[e])
+    }
+
     /// Work an engine can do by now, as a share of what it can do when warm.
     pub fn warmth(&self, e: EngineId, now: Micros, agreed: &Agreement) -> f64 {
         let left = (self.cold_until[e] - now) as f64 / agreed.warm_within.max(1) as f64;
@@ -293,6 +333,18 @@
         open.fold((0.0, 0.0), |(pool, own), e| (pool + share(e), own + self.own[e].memory))
     }
 
+    /// An execution is out there, and what it counts for.
+    pub fn sent(&mut self, e: EngineId, execution: (StatementId, usize), load: Load) {
+        self.out[e].insert(execution);
+        self.own[e].add(load, 1.0);
+    }
+
+    /// It is out no more.
+    pub fn took_back(&mut self, e: EngineId, execution: (StatementId, usize), load: Load) {
+        self.out[e].remove(&execution);
+        self.own[e].add(load, -1.0);
+    }
+
     /// What other fronts usually hold of an engine like this one.
     pub fn usual(&self, e: EngineId) -> Load {
         let each = self.listed[e].as_ref().and_then(|entry| self.usual.get(entry.kind));
