--- /dev/null
+++ b/crates/ledger/src/placement.rs
@@ -0,0 +1,84 @@
+//! Which shard a key is of, and which fronts keep a shard's copies.
+
+use crate::{FrontId, Key, Member};
+
+/// FNV-1a, as published: it has to come to the same in every build. Finished by a mixer, as FNV's high bits are poor.
+pub(crate) fn hash(bytes: impl Iterator<Item = u8>) -> u64 {
+    let fnv = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let mixed = (fnv ^ (fnv >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed ^ (mixed >> 33)
+}
+
+/// The shard of a key.
+pub fn shard_of(key: &Key, shards: u16) -> u16 {
+    let bytes = [key.kind as u8].into_iter().chain(key.name.bytes());
+    (hash(bytes) % u64::from(shards.max(1))) as u16
+}
+
+/// All members in the order in which they are wanted for a shard (rendezvous hashing): of those in zones that are not
+/// there yet the one with the highest hash, zones beginning anew once each is there.
+pub(crate) fn ranked(members: &[Member], shard: u16) -> Vec<FrontId> {
+    let weight = |front: FrontId| hash(front.to_be_bytes().into_iter().chain(shard.to_be_bytes()));
+    let mut rest: Vec<&Member> = members.iter().collect();
+    rest.sort_by_key(|member| (std::cmp::Reverse(weight(member.front)), member.front));
+    let (mut ranked, mut zones) = (Vec::new(), Vec::new());
+    while !rest.is_empty() {
+        let place = rest.iter().position(|member| !zones.contains(&member.zone.as_str()));
+        match place {
+            Some(place) => {
+                let member = rest.remove(place);
+                zones.push(member.zone.as_str());
+                ranked.push(member.front);
+            }
+            None => zones.clear(),
+        }
+    }
+    ranked
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Kind;
+
+    fn members(n: u64, zones: u64) -> Vec<Member> {
+        (1..=n).map(|front| Member { front, zone: format!("z{}", front % zones) }).collect()
+    }
+
+    #[test]
+    fn copies_lie_in_different_zones_and_shards_are_spread() {
+        let members = members(40, 4);
+        let mut held = std::collections::BTreeMap::new();
+        for shard in 0..256 {
+            let ranked = ranked(&members, shard);
+            assert_eq!(ranked.len(), 40);
+            let zones: std::collections::BTreeSet<u64> = ranked[..3].iter().map(|front| front % 4).collect();
+            assert_eq!(zones.len(), 3, "shard {shard}");
+            ranked[..3].iter().for_each(|front| *held.entry(*front).or_insert(0) += 1);
+        }
+        assert!(held.len() == 40 && held.values().all(|n| (6..=40).contains(n)), "{held:?}");
+    }
+
+    #[test]
+    fn a_front_less_moves_only_its_own_copies() {
+        let all = members(12, 1);
+        for shard in 0..64 {
+            let before = ranked(&all, shard);
+            let fewer: Vec<Member> = all.iter().filter(|m| m.front != 5).cloned().collect();
+            let after = ranked(&fewer, shard);
+            let without: Vec<FrontId> = before.into_iter().filter(|front| *front != 5).collect();
+            assert_eq!(after, without, "shard {shard}");
+        }
+    }
+
+    #[test]
+    fn keys_are_spread_over_shards_by_kind_and_name() {
+        let mut held = [0; 16];
+        for n in 0..1_600 {
+            held[usize::from(shard_of(&Key { kind: Kind::Order, name: format!("key {n}") }, 16))] += 1;
+        }
+        assert!(held.iter().all(|n| (60..=140).contains(n)), "{held:?}");
+    }
+}
