--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod error;
 mod ledger;
+#[allow(dead_code)]
 mod placement;
 #[allow(dead_code)] // snapshots and handing over are for the copies, which come next
 mod state;
