crates/lab is split into engine/, load/, rig/, record/, simulated/ and measure/

Code moves and nothing else changes: fields and functions that a sibling file uses get the visibility for it. prove.rs, check.rs, scripted.rs and hard.rs stay where they are and keep their paths.

--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine/conversation.rs
@@ -1,243 +1,19 @@
-//! A stand-in for an engine that speaks PostgreSQL, after the published protocol: one thread a connection, a
-//! record of all that it did, and faults on demand. Its statements carry what they are to do in a string:
-//! `run('id=7,rows=3,bytes=20,ms=5')`, in the text or as the one parameter.
+//! One connection of an engine that speaks PostgreSQL: what it says to each message.
 
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst};
-use std::sync::{Arc, Condvar, Mutex};
-use std::time::{Duration, Instant};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
+use std::time::Duration;
 
-use hallmux_postgres::wire::{self, Opening, Said};
+use hallmux_postgres::wire::{self, Said};
 
-const CHUNK: usize = 32 << 10; // bytes read and written at once
-
-/// What an engine did; times are microseconds since the rig began.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Deed {
-    pub at: i64,
-    pub engine: usize,
-    pub link: u32,
-    pub kind: Kind,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Kind {
-    /// A statement by its id began to run, with its order key.
-    Began { id: String, key: String },
-    /// It is over on the engine, with or without effect.
-    Ended { id: String },
-    /// Its effect is lasting.
-    Kept { id: String },
-    /// A request to cancel found this statement, or none, running.
-    Cancelled { id: Option<String> },
-    /// A statement ran that only changes settings, or a transaction's state.
-    Control { text: String },
-}
-
-/// The records of all engines of a rig.
-pub struct Records {
-    pub since: Instant,
-    pub deeds: Mutex<Vec<Deed>>,
-}
-
-impl Records {
-    pub fn new() -> Arc<Records> {
-        Arc::new(Records { since: Instant::now(), deeds: Mutex::default() })
-    }
-
-    pub fn now(&self) -> i64 {
-        self.since.elapsed().as_micros() as i64
-    }
-
-    fn note(&self, engine: usize, link: u32, kind: Kind) {
-        let deed = Deed { at: self.now(), engine, link, kind };
-        if let Ok(mut deeds) = self.deeds.lock() {
-            deeds.push(deed);
-        }
-    }
-}
-
-/// Faults of an engine, to be set while it runs.
-#[derive(Default)]
-pub struct Faults {
-    /// It is gone: no connection is taken, those that were are reset.
-    pub down: AtomicBool,
-    /// Nothing is answered until then, in microseconds since the rig began.
-    pub stalled_until: AtomicU64,
-    /// Every statement takes so many microseconds longer.
-    pub slower: AtomicU64,
-    /// So many of the next commits are lost with their connection; odd ones after they took effect.
-    pub lost_commits: AtomicU32,
-    /// So many of the next statements are lost with their connection.
-    pub lost_statements: AtomicU32,
-    /// So many of the next results are lost with their connection once a good part of them has gone.
-    pub lost_results: AtomicU32,
-    /// So many of the next statements to be prepared are refused.
-    pub refused_parses: AtomicU32,
-    /// How often each of the last was played.
-    pub played: AtomicU32,
-}
-
-struct Link {
-    stream: TcpStream,
-    /// The statement that runs, whether its end was asked for, and whether the connection was reset.
-    running: Mutex<(Option<String>, bool, bool)>,
-    changed: Condvar,
-    secret: u32,
-}
-
-pub struct Engine {
-    pub number: usize,
-    pub at: SocketAddr,
-    pub faults: Faults,
-    pub records: Arc<Records>,
-    /// Whether statements are written down; a measurement leaves that.
-    pub notes: bool,
-    links: Mutex<HashMap<u32, Arc<Link>>>,
-    next: AtomicU32,
-}
-
-impl Engine {
-    /// Starts to listen on a port of the system's.
-    pub fn start(number: usize, records: Arc<Records>, notes: bool) -> std::io::Result<Arc<Engine>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let engine = Arc::new(Engine {
-            number,
-            at: listener.local_addr()?,
-            faults: Faults::default(),
-            records,
-            notes,
-            links: Mutex::default(),
-            next: AtomicU32::new(1),
-        });
-        let serves = engine.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if serves.faults.down.load(SeqCst) {
-                    continue;
-                }
-                let engine = serves.clone();
-                std::thread::spawn(move || _ = engine.serve(stream));
-            }
-        });
-        Ok(engine)
-    }
-
-    /// Resets all connections, as a process that dies does.
-    pub fn crash(&self) {
-        self.faults.down.store(true, SeqCst);
-        self.reset(usize::MAX);
-    }
-
-    /// Resets so many connections.
-    pub fn reset(&self, count: usize) {
-        let Ok(links) = self.links.lock() else { return };
-        for link in links.values().take(count) {
-            if let Ok(mut running) = link.running.lock() {
-                running.2 = true;
-            }
-            let _ = link.stream.shutdown(Shutdown::Both);
-            link.changed.notify_all();
-        }
-    }
-
-    /// Connections that are up.
-    #[cfg(test)]
-    pub fn connections(&self) -> usize {
-        self.links.lock().map_or(0, |links| links.len())
-    }
-
-    fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
-        stream.set_nodelay(true)?;
-        let mut at_door = Conversation::new(self.clone(), stream.try_clone()?, 0);
-        loop {
-            at_door.fill()?;
-            let Ok(opening) = wire::opening(&at_door.input) else { return Ok(()) };
-            let Some((len, opening)) = opening else { continue };
-            let comes_in = match opening {
-                Opening::Encrypt => {
-                    at_door.out.push(b'N');
-                    at_door.flush()?;
-                    false
-                }
-                Opening::Cancel { process, secret } => {
-                    self.cancel(process, secret);
-                    return Ok(());
-                }
-                Opening::Other { .. } => return Ok(()),
-                Opening::StartUp { .. } => true,
-            };
-            at_door.input.drain(..len);
-            if comes_in {
-                break;
-            }
-        }
-        let number = self.next.fetch_add(1, SeqCst);
-        let secret = number.wrapping_mul(0x9e37_79b9) ^ 0x5bd1_e995;
-        let running = Mutex::new((None, false, false));
-        let link = Arc::new(Link { stream, running, changed: Condvar::new(), secret });
-        if let Ok(mut links) = self.links.lock() {
-            links.insert(number, link.clone());
-        }
-        at_door.number = number;
-        at_door.link = Some(link);
-        let out = &mut at_door.out;
-        wire::write(out, b'R', |out| out.extend_from_slice(&[0; 4]));
-        wire::write_parameter(out, "server_version", "15.4");
-        wire::write_parameter(out, "client_encoding", "UTF8");
-        wire::write_key(out, number, secret);
-        wire::write_ready(out, b'I');
-        let ended = at_door.flush().and_then(|()| at_door.talk());
-        if let Ok(mut links) = self.links.lock() {
-            links.remove(&number);
-        }
-        ended
-    }
-
-    fn cancel(&self, process: u32, secret: u32) {
-        let link = self.links.lock().ok().and_then(|links| links.get(&process).cloned());
-        let Some(link) = link.filter(|link| link.secret == secret) else { return };
-        let Ok(mut running) = link.running.lock() else { return };
-        running.1 = running.0.is_some();
-        self.records.note(self.number, process, Kind::Cancelled { id: running.0.clone() });
-        link.changed.notify_all();
-    }
-}
-
-/// What a statement is to do.
-#[derive(Clone, Default)]
-struct Task {
-    id: String,
-    key: String,
-    rows: usize,
-    bytes: usize,
-    ms: u64,
-    fail: String,
-}
+use super::portal::{Engine, Link};
+use super::record::Kind;
+use super::task::{parameter, task, told, Task};
 
-fn task(text: &str) -> Option<Task> {
-    let at = text.find("run('")? + 5;
-    let inner = &text[at..at + text[at..].find('\'')?];
-    Some(told(inner))
-}
-
-fn told(inner: &str) -> Task {
-    let mut task = Task::default();
-    for (name, value) in inner.split(',').filter_map(|pair| pair.split_once('=')) {
-        match name {
-            "id" => task.id = value.into(),
-            "key" => task.key = value.into(),
-            "rows" => task.rows = value.parse().unwrap_or(0),
-            "bytes" => task.bytes = value.parse().unwrap_or(0),
-            "ms" => task.ms = value.parse().unwrap_or(0),
-            "fail" => task.fail = value.into(),
-            _ => {}
-        }
-    }
-    task
-}
+const CHUNK: usize = 32 << 10; // bytes read and written at once
 
 struct Portal {
     text: String,
@@ -259,13 +35,13 @@
     }
 }
 
-struct Conversation {
+pub(super) struct Conversation {
     engine: Arc<Engine>,
     stream: TcpStream,
-    number: u32,
-    link: Option<Arc<Link>>,
-    input: Vec<u8>,
-    out: Vec<u8>,
+    pub(super) number: u32,
+    pub(super) link: Option<Arc<Link>>,
+    pub(super) input: Vec<u8>,
+    pub(super) out: Vec<u8>,
     statements: HashMap<Vec<u8>, String>,
     portals: HashMap<Vec<u8>, Portal>,
     status: u8,
@@ -275,7 +51,7 @@
 }
 
 impl Conversation {
-    fn new(engine: Arc<Engine>, stream: TcpStream, number: u32) -> Conversation {
+    pub(super) fn new(engine: Arc<Engine>, stream: TcpStream, number: u32) -> Conversation {
         Conversation {
             engine,
             stream,
@@ -291,7 +67,7 @@
         }
     }
 
-    fn fill(&mut self) -> std::io::Result<()> {
+    pub(super) fn fill(&mut self) -> std::io::Result<()> {
         let mut chunk = [0; CHUNK];
         match self.stream.read(&mut chunk)? {
             0 => Err(ErrorKind::UnexpectedEof.into()),
@@ -302,7 +78,7 @@
         }
     }
 
-    fn flush(&mut self) -> std::io::Result<()> {
+    pub(super) fn flush(&mut self) -> std::io::Result<()> {
         let until = self.engine.faults.stalled_until.load(SeqCst) as i64;
         let left = until - self.engine.records.now();
         if left > 0 {
@@ -319,7 +95,7 @@
         }
     }
 
-    fn talk(&mut self) -> std::io::Result<()> {
+    pub(super) fn talk(&mut self) -> std::io::Result<()> {
         loop {
             let mut at = 0;
             let input = std::mem::take(&mut self.input);
@@ -589,12 +365,3 @@
         Ok(())
     }
 }
-
-/// The first parameter of a Bind, as text.
-fn parameter(rest: &[u8]) -> Option<&[u8]> {
-    let short = |at: usize| rest.get(at..at + 2).map(|n| u16::from_be_bytes([n[0], n[1]]) as usize);
-    let at = 2 + 2 * short(0)?;
-    (short(at)? > 0).then_some(())?;
-    let len = rest.get(at + 2..at + 6).map(|n| u32::from_be_bytes([n[0], n[1], n[2], n[3]]) as usize)?;
-    rest.get(at + 6..at + 6 + len)
-}
--- /dev/null
+++ b/crates/lab/src/engine/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for engines, of both protocols: each writes down all that it did.
+
+mod conversation;
+pub mod lines;
+mod portal;
+mod record;
+mod task;
+
+pub use portal::Engine;
+pub use record::{Deed, Kind, Records};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,20 +1,14 @@
 //! The laboratory: real fronts among stand-ins, faults on demand, checkers and measurements.
 
-mod account;
 mod check;
 mod engine;
-mod fleet;
-mod fleets;
 #[cfg(test)]
 mod hard;
-mod lines;
+mod load;
 mod measure;
-mod post;
 mod prove;
-mod relay;
+mod record;
 mod rig;
-mod rumour;
-mod scenario;
 mod scripted;
 mod simulated;
 
@@ -22,6 +16,9 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
+use engine::lines;
+use rig::{fleet, scenario};
+
 /// Proves and measures hallmux on loopback.
 #[derive(Parser)]
 struct Lab {
@@ -89,10 +86,10 @@
         }
         What::Measure { subject } => {
             let measured = match subject {
-                Measured::Postgres => measure::postgres(),
-                Measured::Overload => fleets::overload(),
-                Measured::Fleet => fleets::measure(),
-                Measured::Gossip => rumour::spread(&[20, 100, 1_000]),
+                Measured::Postgres => measure::portal::postgres(),
+                Measured::Overload => measure::fleet::overload(),
+                Measured::Fleet => measure::fleet::measure(),
+                Measured::Gossip => measure::gossip::spread(&[20, 100, 1_000]),
             };
             return match measured {
                 Ok(()) => ExitCode::SUCCESS,
--- a/crates/lab/src/fleets.rs
+++ b/crates/lab/src/measure/fleet.rs
@@ -1,8 +1,8 @@
 //! `measure fleet`: the same simulated days at several fleet sizes, with the fleet's word on a zone switched off and
 //! on side by side on the same seeds.
 
-use crate::account::Run;
-use crate::scenario::Scenario;
+use crate::record::account::Run;
+use crate::rig::scenario::Scenario;
 use crate::simulated;
 
 const SIZES: [usize; 4] = [5, 20, 40, 300];
@@ -28,9 +28,9 @@
     "unanswered",
     "gossip_bytes_per_s",
 ];
-const STALL: &str = include_str!("../fleet/owner-stall.toml");
-const RETURN: &str = include_str!("../fleet/zone-return.toml");
-const AWAY: &str = include_str!("../fleet/zone-away.toml");
+const STALL: &str = include_str!("../../fleet/owner-stall.toml");
+const RETURN: &str = include_str!("../../fleet/zone-return.toml");
+const AWAY: &str = include_str!("../../fleet/zone-away.toml");
 
 fn median(mut values: Vec<i64>) -> i64 {
     values.sort_unstable();
@@ -63,7 +63,7 @@
     Ok(())
 }
 
-const OVERLOAD: &str = include_str!("../fleet/overload.toml");
+const OVERLOAD: &str = include_str!("../../fleet/overload.toml");
 const BORNE: u64 = 640; // statements a second that the engines of that day bear
 /// Of a day on which more is offered than the engines bear.
 const SHED: [&str; 7] = [
--- a/crates/lab/src/rumour.rs
+++ b/crates/lab/src/measure/gossip.rs
@@ -5,7 +5,7 @@
 use hallmux_gossip::message::Sighting;
 use hallmux_gossip::Micros;
 
-#[path = "../../gossip/tests/fleet/sim.rs"]
+#[path = "../../../gossip/tests/fleet/sim.rs"]
 #[allow(dead_code)] // the tests of the crate use the rest
 mod sim;
 
--- /dev/null
+++ b/crates/lab/src/measure/mod.rs
@@ -0,0 +1,5 @@
+//! Measurements: ours beside a plain or earlier way, alternating in one run.
+
+pub mod fleet;
+pub mod gossip;
+pub mod portal;
--- a/crates/lab/src/account.rs
+++ b/crates/lab/src/record/account.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeMap;
 
 use crate::check::{self, Agreed, Asked, Outcome};
+use crate::engine::lines::Warmth;
 use crate::engine::Deed;
-use crate::lines::Warmth;
-use crate::post::Posted;
-use crate::relay::Relayed;
-use crate::scenario::{Fault, Scenario, What};
+use crate::rig::post::Posted;
+use crate::rig::relay::Relayed;
+use crate::rig::scenario::{Fault, Scenario, What};
 
 const SECOND: i64 = 1_000_000; // microseconds
 
--- /dev/null
+++ b/crates/lab/src/record/mod.rs
@@ -0,0 +1,3 @@
+//! The record of a run, and what it came to.
+
+pub mod account;
--- /dev/null
+++ b/crates/lab/src/rig/coordinator.rs
@@ -0,0 +1,93 @@
+//! A coordinator of our own, that tells fronts of engines.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+type Events = Arc<(Mutex<Vec<Value>>, Condvar)>;
+
+/// What tells fronts of engines, by the protocol of the list.
+pub struct Coordinator {
+    pub at: SocketAddr,
+    events: Events,
+}
+
+impl Coordinator {
+    pub fn start() -> std::io::Result<Coordinator> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let at = listener.local_addr()?;
+        let events = Events::default();
+        let told = events.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let told = told.clone();
+                std::thread::spawn(move || _ = answer(stream, &told));
+            }
+        });
+        Ok(Coordinator { at, events })
+    }
+
+    /// Tells of engines: their names, addresses, kinds and states.
+    pub fn tell(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str)]) {
+        let zoned: Vec<_> =
+            engines.iter().map(|(id, at, kind, state)| (id.clone(), *at, *kind, *state, "here")).collect();
+        self.tell_zoned(whole, &zoned);
+    }
+
+    /// The same, with the zone of each.
+    pub fn tell_zoned(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str, &str)]) {
+        self.tell_all(whole, engines, 0.0);
+    }
+
+    /// Tells of engines that started anew at a Unix millisecond.
+    pub fn tell_started(&self, engines: &[(String, SocketAddr, &str, &str, &str)], wall_ms: f64) {
+        self.tell_all(false, engines, wall_ms);
+    }
+
+    fn tell_all(&self, whole: bool, engines: &[(String, SocketAddr, &str, &str, &str)], started_ms: f64) {
+        let Ok(mut events) = self.events.0.lock() else { return };
+        let entry = |(id, at, kind, state, zone): &(String, SocketAddr, &str, &str, &str)| json!({"id": id, "addr": at.to_string(), "zone": zone, "kind": kind, "cell": 0, "state": state, "started_ms": started_ms});
+        let servers: Vec<Value> = engines.iter().map(entry).collect();
+        let index = events.len() + 1;
+        events.push(json!({"index": index, "endpoints": {"full": whole, "servers": servers}}));
+        self.events.1.notify_all();
+    }
+
+    pub(super) fn known(&self) -> Value {
+        let events = self.events.0.lock().map(|e| e.clone()).unwrap_or_default();
+        json!({"index": events.len(), "updates": events})
+    }
+}
+
+fn answer(stream: TcpStream, told: &Events) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let mut stream = stream;
+    loop {
+        let mut first = String::new();
+        if reader.read_line(&mut first)? == 0 {
+            return Ok(());
+        }
+        let mut line = String::new();
+        while reader.read_line(&mut line)? > 2 {
+            line.clear();
+        }
+        let figure = |name: &str| {
+            let rest = first.split(name).nth(1).unwrap_or_default();
+            let end = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+            rest[..end].parse::<usize>().unwrap_or(0)
+        };
+        let (follow, wait) = (figure("follow="), figure("wait_ms="));
+        let Ok(events) = told.0.lock() else { return Ok(()) };
+        let wait = Duration::from_millis(wait as u64);
+        let Ok((events, _)) = told.1.wait_timeout_while(events, wait, |e| e.len() <= follow) else {
+            return Ok(());
+        };
+        let body =
+            json!({"index": events.len(), "updates": events.get(follow..).unwrap_or_default()}).to_string();
+        drop(events);
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rig/fleet.rs
@@ -0,0 +1,163 @@
+//! `hallmux-lab fleet`: many real fronts and stand-in engines in zones, a fault relay between every front and
+//! every engine, a schedule of faults from a scenario file, one record of all that happened, the rules checked
+//! on it, and a table by the second.
+
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+
+use super::member::{Ground, Keys, Member, Record};
+use super::post::Post;
+use super::relay::{Link, Relayed};
+use super::scenario::{Class, Fault, Scenario};
+use super::stage::Stage;
+use super::Coordinator;
+use crate::engine::lines::Engine;
+use crate::engine::Records;
+use crate::load::offer::offer;
+use crate::record::account::{judge, warmth, Account, Run};
+
+const SLACK_US: i64 = 400_000; // microseconds for a final answer on a busy machine
+
+/// What was agreed with the fronts of a scenario.
+pub fn settings(scenario: &Scenario) -> serde_json::Value {
+    let zones: Vec<String> = (0..scenario.fleet.zones).map(zone_name).collect();
+    let class = |c: &Class| {
+        json!({"name": c.name, "aimMs": c.slo_ms, "deadlineMs": scenario.load.timeout_ms, "worth": c.importance,
+            "repeat": "repeatable", "lateShare": 0.5})
+    };
+    let classes: Vec<serde_json::Value> = scenario.classes.iter().map(class).collect();
+    json!({"instances": scenario.fleet.fronts, "areas": zones, "kinds": ["lines"],
+        "rules": {"turnGapMs": 100, "furtherRatio": 0.2, "spareAttempts": 10, "budgetSpanMs": 10000, "answerSlackMs": 20,
+            "coldFrom": scenario.engine.cold_slots as f64 / scenario.engine.slots as f64,
+            "warmWithinMs": scenario.engine.warm_ms, "overloadFactor": scenario.engine.overload,
+            "fallMs": scenario.engine.fall_ms},
+        "customers": [{"name": "acme"}], "report": {"names": ["active"], "source": "inline"},
+        "bounds": {"cancelling": true, "probes": true, "mostTries": 3, "retryAfter": true, "maxRetryAfterMs": 200},
+        "extra": {"sizeCores": [scenario.engine.slots], "memoryByKindMb": [scenario.engine.memory_mb]},
+        "requestClasses": classes})
+}
+
+/// The name of a zone in settings and lists.
+pub fn zone_name(zone: usize) -> String {
+    format!("z{zone}")
+}
+
+/// Plays the scenario and checks what happened.
+pub fn run(scenario: &Scenario, seed: u64) -> Result<Run, String> {
+    let why = |e: std::io::Error| e.to_string();
+    let records = Records::new();
+    let record = Arc::new(Record { records: records.clone(), asked: Mutex::default() });
+    let relayed: Arc<Mutex<Vec<Relayed>>> = Arc::default();
+    let shape = &scenario.fleet;
+    let engines: Vec<Arc<Engine>> = (0..shape.zones * shape.engines_per_zone)
+        .map(|n| Engine::start(n, records.clone(), warmth(scenario)))
+        .collect::<Result<_, _>>()
+        .map_err(why)?;
+    let zone_of = |engine: usize| engine / shape.engines_per_zone;
+    let gossip = match shape.gossip {
+        true => {
+            let clock = records.clone();
+            let post = Post::start(shape.fronts, move || clock.now()).map_err(why)?;
+            Some((Keys::new(shape, seed).map_err(why)?, post))
+        }
+        false => None,
+    };
+    let ground = Ground { seed, settings: settings(scenario), gossip };
+    let (mut links, mut members, mut pids) = (Vec::new(), Vec::new(), Vec::new());
+    let mut clocks = Pcg64Mcg::seed_from_u64(seed ^ 0x636c_6f63);
+    for front in 0..shape.fronts {
+        let own: Vec<Arc<Link>> = engines
+            .iter()
+            .map(|e| {
+                Link::start((front, e.number, zone_of(e.number)), e.at, records.clone(), relayed.clone())
+            })
+            .collect::<Result<_, _>>()
+            .map_err(why)?;
+        let coordinator = Coordinator::start().map_err(why)?;
+        let zones: Vec<String> = own.iter().map(|l| zone_name(l.zone)).collect();
+        let list: Vec<_> = own
+            .iter()
+            .zip(&zones)
+            .map(|(l, zone)| (format!("e{}", l.engine), l.at, "lines", "up", zone.as_str()))
+            .collect();
+        coordinator.tell_zoned(true, &list);
+        links.push(own);
+        let apart = shape.clocks_apart_ms as i64;
+        let member = Arc::new(Member {
+            front: Mutex::default(),
+            coordinator,
+            number: front,
+            ahead_ms: clocks.random_range(-apart..=apart),
+            away: AtomicBool::new(false),
+            troubled: Mutex::default(),
+        });
+        pids.push(member.start(&ground)?);
+        members.push(member);
+    }
+    let began = records.now();
+    let stop = Arc::new(AtomicBool::new(false));
+    let load = {
+        let (members, record, stop) = (members.clone(), record.clone(), stop.clone());
+        let scenario = scenario.clone();
+        std::thread::spawn(move || offer(&scenario, seed, &members, &record, &stop))
+    };
+    let stage =
+        Stage { records: &records, links: &links, members: &members, engines: &engines, ground: &ground };
+    let mut faults = scenario.faults.clone();
+    faults.sort_by_key(|f| f.at_ms);
+    let (mut played, mut ends, mut next) = (Vec::new(), Vec::<(i64, Fault)>::new(), 0);
+    let over = began + scenario.seconds as i64 * 1_000_000;
+    while records.now() < over || !ends.is_empty() {
+        let now = records.now() - began;
+        while let Some(fault) = faults.get(next).filter(|f| f.at_ms as i64 * 1000 <= now) {
+            let probed =
+                relayed.lock().ok().and_then(|r| r.iter().rev().find(|r| r.probes > 0).map(|r| r.front));
+            let fault = fault.on(probed);
+            stage.begin(&fault);
+            ends.push((now + fault.for_ms as i64 * 1000, fault));
+            next += 1;
+        }
+        let (due, later): (Vec<_>, Vec<_>) = ends.drain(..).partition(|(at, _)| *at <= now);
+        ends = later;
+        for (_, fault) in due {
+            let from = began + fault.at_ms as i64 * 1000;
+            pids.extend(stage.end(&fault)?);
+            played.push((fault, from, records.now()));
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    stop.store(true, SeqCst);
+    let _ = load.join();
+    let mut read_again = 0;
+    for member in &members {
+        if let Ok(mut front) = member.front.lock() {
+            read_again += front.iter().filter(|f| f.logged("was read again").is_some()).count() as i64;
+            front.take(); // ends the process and waits for it
+        }
+    }
+    let account = Account {
+        began,
+        asked: record.asked.lock().map(|a| a.clone()).unwrap_or_default(),
+        deeds: records.deeds.lock().map(|d| d.clone()).unwrap_or_default(),
+        relayed: relayed.lock().map(|r| r.clone()).unwrap_or_default(),
+        posted: ground.gossip.as_ref().map(|(_, post)| post.posted()).unwrap_or_default(),
+        played,
+        turned_away: engines.iter().map(|e| e.turned_away.load(SeqCst) as i64).sum(),
+        peak: engines.iter().map(|e| e.peak()).fold(0.0, f64::max),
+        peaks_since_start: engines.iter().map(|e| e.peak_since_start()).collect(),
+        read_again,
+        first_tries: None,
+        slack: SLACK_US,
+    };
+    Ok(judge(scenario, &account, pids))
+}
+
+/// A seed drawn where none is given.
+pub fn seed(scenario: &Scenario, given: Option<u64>) -> u64 {
+    given.or(scenario.seed).unwrap_or_else(|| u64::from(rand::random::<u32>()))
+}
--- /dev/null
+++ b/crates/lab/src/rig/mod.rs
@@ -0,0 +1,13 @@
+//! The rig: front processes, the relays between them and their engines, and the faults played on all of them.
+
+mod coordinator;
+pub mod fleet;
+mod front;
+pub mod member;
+pub mod post;
+pub mod relay;
+pub mod scenario;
+mod stage;
+
+pub use coordinator::Coordinator;
+pub use front::Front;
--- /dev/null
+++ b/crates/lab/src/rig/stage.rs
@@ -0,0 +1,147 @@
+//! What faults are played on, and how each begins and ends.
+
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
+
+use nix::sys::signal::Signal;
+
+use super::fleet::zone_name;
+use super::member::{Ground, Member, SOCKETS};
+use super::relay::Link;
+use super::scenario::{Fault, What};
+use crate::engine::lines::Engine;
+use crate::engine::Records;
+
+/// All that faults are played on.
+pub(super) struct Stage<'a> {
+    pub(super) records: &'a Records,
+    pub(super) links: &'a [Vec<Arc<Link>>],
+    pub(super) members: &'a [Arc<Member>],
+    pub(super) engines: &'a [Arc<Engine>],
+    pub(super) ground: &'a Ground,
+}
+
+impl Stage<'_> {
+    fn zone_links(&self, zone: usize) -> impl Iterator<Item = &Arc<Link>> {
+        self.links.iter().flatten().filter(move |l| l.zone == zone)
+    }
+
+    /// The links of one front into the zone.
+    fn own(&self, fault: &Fault) -> impl Iterator<Item = &Arc<Link>> {
+        let zone = fault.zone;
+        self.links[fault.front].iter().filter(move |l| l.zone == zone)
+    }
+
+    fn post(&self, change: impl FnOnce(&mut super::post::State)) {
+        if let Some((_, post)) = &self.ground.gossip {
+            post.set(change);
+        }
+    }
+
+    /// Starts a fault.
+    pub(super) fn begin(&self, fault: &Fault) {
+        let member = &self.members[fault.front];
+        match fault.what {
+            What::ZoneLost => self.zone_links(fault.zone).for_each(|l| {
+                l.set(|s| (s.out_lost, s.back_lost) = (true, true));
+            }),
+            What::LinkCut => {
+                self.own(fault).for_each(|l| l.set(|s| (s.out_lost, s.back_lost) = (true, true)))
+            }
+            What::LinkCutBack => self.own(fault).for_each(|l| l.set(|s| s.back_lost = true)),
+            What::ZoneSlow => {
+                self.zone_links(fault.zone).for_each(|l| l.set(|s| s.delay_ms = fault.delay_ms))
+            }
+            What::ZoneReset => self.zone_links(fault.zone).for_each(|l| l.reset()),
+            What::FrontsSplit => self.post(|s| s.split = Some((fault.front, false))),
+            What::FrontsSplitOut => self.post(|s| s.split = Some((fault.front, true))),
+            What::PostLossy => self.post(|s| s.lost_percent = fault.percent),
+            What::PostDoubled => self.post(|s| s.doubled_ms = Some(fault.delay_ms)),
+            What::PostSlow => self.post(|s| s.delay_ms = fault.delay_ms),
+            What::Hup => {
+                if let Ok(front) = member.front.lock() {
+                    front.iter().for_each(|f| f.read_again(2 * SOCKETS));
+                }
+            }
+            What::StallOwner | What::KillOwner => {} // played as what it is on the owner
+            What::Stall | What::Kill | What::Term => {
+                member.away.store(true, SeqCst);
+                if let Ok(mut troubled) = member.troubled.lock() {
+                    troubled.push((self.records.now(), i64::MAX));
+                }
+                let signal = match fault.what {
+                    What::Stall => Signal::SIGSTOP,
+                    What::Kill => Signal::SIGKILL,
+                    _ => Signal::SIGTERM,
+                };
+                if let Ok(front) = member.front.lock() {
+                    front.iter().for_each(|f| f.signal(signal));
+                }
+            }
+        }
+    }
+
+    /// Ends a fault; a front started anew gives its process id.
+    pub(super) fn end(&self, fault: &Fault) -> Result<Option<u32>, String> {
+        let member = &self.members[fault.front];
+        let mended = || {
+            if let Ok(mut troubled) = member.troubled.lock() {
+                let now = self.records.now();
+                troubled.iter_mut().filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = now);
+            }
+            member.away.store(false, SeqCst);
+        };
+        match fault.what {
+            What::ZoneLost => {
+                // The zone comes back cold; discovery tells each front of the engines' new start, or does not.
+                let back = self.engines.iter().filter(|e| self.links[0][e.number].zone == fault.zone);
+                back.for_each(|e| e.restart());
+                if fault.told {
+                    self.tell_started(fault.zone);
+                }
+                self.zone_links(fault.zone).for_each(|l| l.reset());
+                self.zone_links(fault.zone)
+                    .for_each(|l| l.set(|s| (s.out_lost, s.back_lost) = (false, false)));
+            }
+            What::LinkCut | What::LinkCutBack => {
+                self.own(fault).for_each(|l| l.reset());
+                self.own(fault).for_each(|l| l.set(|s| (s.out_lost, s.back_lost) = (false, false)));
+            }
+            What::ZoneSlow => self.zone_links(fault.zone).for_each(|l| l.set(|s| s.delay_ms = 0)),
+            What::ZoneReset | What::Hup | What::StallOwner | What::KillOwner => {}
+            What::FrontsSplit | What::FrontsSplitOut => self.post(|s| s.split = None),
+            What::PostLossy => self.post(|s| s.lost_percent = 0),
+            What::PostDoubled => self.post(|s| s.doubled_ms = None),
+            What::PostSlow => self.post(|s| s.delay_ms = 0),
+            What::Stall => {
+                if let Ok(front) = member.front.lock() {
+                    front.iter().for_each(|f| f.signal(Signal::SIGCONT));
+                }
+                mended();
+            }
+            What::Kill | What::Term => {
+                let front = member.front.lock().map(|mut f| f.take());
+                if let Ok(Some(mut old)) = front {
+                    let _ = old.ended();
+                }
+                let pid = member.start(self.ground)?;
+                mended();
+                return Ok(Some(pid));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Tells every front that the zone's engines have started now.
+    fn tell_started(&self, zone: usize) {
+        let wall_ms =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis());
+        let name = zone_name(zone);
+        for (own, member) in self.links.iter().zip(self.members) {
+            let back = own.iter().filter(|l| l.zone == zone);
+            let list: Vec<_> =
+                back.map(|l| (format!("e{}", l.engine), l.at, "lines", "up", name.as_str())).collect();
+            member.coordinator.tell_started(&list, wall_ms as f64);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulated/engines.rs
@@ -0,0 +1,74 @@
+//! The engines of a simulated fleet and the ways to them.
+
+use hallmux_dispatcher::Ending;
+
+use super::play::{Event, Play, Sent};
+use crate::engine::{Deed, Kind};
+use crate::rig::relay::{Relayed, State as LinkState};
+
+impl Play<'_> {
+    pub(super) fn relays(&mut self, front: usize, engine: usize, statements: usize, probes: usize) {
+        let (at, zone) = (self.now, self.engines[engine].zone);
+        let passed = self.passes(front, engine, true);
+        self.account.relayed.push(Relayed { at, front, engine, zone, statements, probes, passed });
+    }
+
+    pub(super) fn link(&self, front: usize, engine: usize) -> LinkState {
+        self.members[front].links.get(&engine).copied().unwrap_or_default()
+    }
+
+    pub(super) fn passes(&self, front: usize, engine: usize, out: bool) -> bool {
+        let link = self.link(front, engine);
+        !if out { link.out_lost } else { link.back_lost }
+    }
+
+    pub(super) fn delay(&self, front: usize, engine: usize) -> i64 {
+        self.link(front, engine).delay_ms as i64 * 1000
+    }
+
+    pub(super) fn arrives(&mut self, front: usize, life: u32, sent: Sent, e: usize) {
+        let engine = &mut self.engines[e];
+        let bears = self.warmth.bears(self.now - engine.started);
+        let load = (engine.running + 1) as f64 / bears.max(1) as f64;
+        (engine.peak, engine.peak_since_start) = (engine.peak.max(load), engine.peak_since_start.max(load));
+        if engine.running >= bears {
+            engine.turned_away += 1;
+            return self.goes_back(front, life, sent, e, Ending::TurnedAway);
+        }
+        engine.running += 1;
+        let resets = engine.resets;
+        let number = self.named.get(&(front, life, sent.0)).copied();
+        if let Some(number) = number {
+            let id = self.account.asked[number].asked.id.clone();
+            let kind = Kind::Began { id, key: String::new() };
+            self.account.deeds.push(Deed { at: self.now, engine: e, link: 0, kind });
+        }
+        let at = self.now + self.scenario.load.work_ms as i64 * 1000;
+        self.at(at, Event::Ran(front, life, sent, e, resets));
+    }
+
+    pub(super) fn ran(&mut self, front: usize, life: u32, sent: Sent, e: usize, resets: u64) {
+        self.engines[e].running = self.engines[e].running.saturating_sub(1);
+        let number = self.named.get(&(front, life, sent.0)).copied();
+        if let Some(number) = number {
+            let id = self.account.asked[number].asked.id.clone();
+            for kind in [Kind::Ended { id: id.clone() }, Kind::Kept { id }] {
+                self.account.deeds.push(Deed { at: self.now, engine: e, link: 0, kind });
+            }
+        }
+        if resets == self.engines[e].resets {
+            self.goes_back(front, life, sent, e, Ending::Answered);
+        }
+    }
+
+    pub(super) fn goes_back(&mut self, front: usize, life: u32, sent: Sent, e: usize, ending: Ending) {
+        if let Some(out) = self.out.get_mut(&e) {
+            out.retain(|(f, l, s)| (*f, *l, *s) != (front, life, sent));
+        }
+        if self.passes(front, e, false) {
+            let active = self.engines[e].running;
+            let at = self.now + self.way() + self.delay(front, e);
+            self.at(at, Event::Answers(front, life, sent, ending, Some(active)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulated/faults.rs
@@ -0,0 +1,135 @@
+//! Faults in simulated time: how each begins and ends.
+
+use hallmux_dispatcher::{Ending, Listing};
+use rand::Rng;
+
+use super::fronts::listing;
+use super::play::{Event, Play};
+use crate::check::Outcome;
+use crate::record::account::Offered;
+use crate::rig::fleet::zone_name;
+use crate::rig::relay::State as LinkState;
+use crate::rig::scenario::{Fault, What};
+
+impl Play<'_> {
+    /// The links that a fault is played on: of all fronts, or of one, into the zone.
+    pub(super) fn links(&mut self, fault: &Fault, all: bool, change: impl Fn(&mut LinkState)) {
+        let own: Vec<usize> =
+            (0..self.engines.len()).filter(|e| self.engines[*e].zone == fault.zone).collect();
+        let members = self.members.iter_mut().enumerate();
+        for (_, member) in members.filter(|(n, _)| all || *n == fault.front) {
+            own.iter().for_each(|e| change(member.links.entry(*e).or_default()));
+        }
+    }
+
+    /// Every connection into the zone ends, or those of one front: what is out there is reset.
+    pub(super) fn reset(&mut self, fault: &Fault, all: bool) {
+        for e in 0..self.engines.len() {
+            if self.engines[e].zone != fault.zone {
+                continue;
+            }
+            let out = std::mem::take(self.out.entry(e).or_default());
+            let (ended, kept) = out.into_iter().partition::<Vec<_>, _>(|(n, ..)| all || *n == fault.front);
+            self.out.insert(e, kept);
+            if all {
+                self.engines[e].resets += 1;
+            }
+            for (front, life, sent) in ended {
+                self.at(self.now, Event::Answers(front, life, sent, Ending::Reset, None));
+            }
+        }
+    }
+
+    pub(super) fn begin(&mut self, fault: &Fault) {
+        let now = self.now;
+        match fault.what {
+            What::ZoneLost => self.links(fault, true, |s| (s.out_lost, s.back_lost) = (true, true)),
+            What::LinkCut => self.links(fault, false, |s| (s.out_lost, s.back_lost) = (true, true)),
+            What::LinkCutBack => self.links(fault, false, |s| s.back_lost = true),
+            What::ZoneSlow => self.links(fault, true, |s| s.delay_ms = fault.delay_ms),
+            What::ZoneReset => self.reset(fault, true),
+            What::FrontsSplit => self.post.split = Some((fault.front, false)),
+            What::FrontsSplitOut => self.post.split = Some((fault.front, true)),
+            What::PostLossy => self.post.lost_percent = fault.percent,
+            What::PostDoubled => self.post.doubled_ms = Some(fault.delay_ms),
+            What::PostSlow => self.post.delay_ms = fault.delay_ms,
+            What::StallOwner | What::KillOwner => {} // played as what it is on the owner
+            What::Hup => self.account.read_again += 1, // nothing that is read again plays a part here
+            What::Stall | What::Kill | What::Term => {
+                let member = &mut self.members[fault.front];
+                member.troubled.push((now, i64::MAX));
+                member.stopped = fault.what == What::Stall;
+                if fault.what == What::Term {
+                    let wall = ((now + member.ahead) / 1000) as u64;
+                    let chance = &mut self.chance;
+                    let exchange = member.life.as_mut().and_then(|life| life.exchange.as_mut());
+                    let bye = exchange.map(|x| x.leave(now, wall, &mut || chance.random()));
+                    self.posts(fault.front, bye.unwrap_or_default());
+                }
+                let member = &mut self.members[fault.front];
+                if !member.stopped {
+                    member.life = None;
+                    // Its clients see their connections end.
+                    let out = |o: &&mut Offered| o.front == fault.front && o.asked.answered == i64::MAX;
+                    for Offered { asked, .. } in self.account.asked.iter_mut().filter(out) {
+                        (asked.outcome, asked.answered) = (Outcome::Lost, now);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn end(&mut self, fault: &Fault) {
+        let now = self.now;
+        match fault.what {
+            What::ZoneLost => {
+                for engine in self.engines.iter_mut().filter(|e| e.zone == fault.zone) {
+                    (engine.started, engine.peak_since_start, engine.running) = (now, 0.0, 0);
+                }
+                self.links(fault, true, |s| (s.out_lost, s.back_lost) = (false, false));
+                self.reset(fault, true);
+                if fault.told {
+                    self.tell_started(fault.zone);
+                }
+            }
+            What::LinkCut | What::LinkCutBack => {
+                self.links(fault, false, |s| (s.out_lost, s.back_lost) = (false, false));
+                self.reset(fault, false);
+            }
+            What::ZoneSlow => self.links(fault, true, |s| s.delay_ms = 0),
+            What::ZoneReset | What::Hup | What::StallOwner | What::KillOwner => {}
+            What::FrontsSplit | What::FrontsSplitOut => self.post.split = None,
+            What::PostLossy => self.post.lost_percent = 0,
+            What::PostDoubled => self.post.doubled_ms = None,
+            What::PostSlow => self.post.delay_ms = 0,
+            What::Stall | What::Kill | What::Term => {
+                let member = &mut self.members[fault.front];
+                member.troubled.iter_mut().filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = now);
+                if fault.what == What::Stall {
+                    member.stopped = false;
+                    let waits = std::mem::take(&mut member.waits);
+                    waits.into_iter().for_each(|event| self.happens(event));
+                    self.turn(fault.front);
+                } else {
+                    self.start(fault.front);
+                }
+            }
+        }
+    }
+
+    /// Discovery tells every front that the zone's engines have started now.
+    pub(super) fn tell_started(&mut self, zone: usize) {
+        let name = zone_name(zone);
+        let back: Vec<String> = (0..self.engines.len())
+            .filter(|e| self.engines[*e].zone == zone)
+            .map(|e| format!("e{e}"))
+            .collect();
+        let list: Vec<Listing> = back.iter().map(|id| listing(id, &name, Some(self.now))).collect();
+        for n in 0..self.members.len() {
+            if let Some(life) = &mut self.members[n].life {
+                life.dispatcher.list(false, &list);
+            }
+            self.turn(n);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulated/play.rs
@@ -0,0 +1,271 @@
+//! The fleet rig in simulated time: the same scenario, the same record, but fronts are dispatchers with their
+//! exchange of words driven by one clock that is a number, so that fleets beyond what one machine holds as
+//! processes can be played. Nothing here is a front of its own: all decisions come out of `crates/dispatcher`.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+
+use hallmux_agreement::Contract;
+use hallmux_dispatcher::{Dispatcher, Ending, Place, Ticket};
+use hallmux_fleet::{Exchange, Moment};
+use hallmux_gossip::seal::{Keys, Own};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::engine::lines::Warmth;
+use crate::record::account::{judge, warmth, Account, Offered, Run};
+use crate::rig::fleet::settings;
+use crate::rig::post::State as PostState;
+use crate::rig::relay::State as LinkState;
+use crate::rig::scenario::{Fault, Scenario};
+
+pub(super) const WAY: (i64, i64) = (200, 2_000); // microseconds that anything takes from one place to another, drawn evenly
+pub(super) const PROBED_WITHIN: i64 = 250_000; // microseconds until a probe without an answer counts as failed
+pub(super) const SETTLES: i64 = 10_000_000; // microseconds before the load, for the fronts to find each other
+pub(super) const AFTER: i64 = 10_000_000; // microseconds beyond the load and its last time-out
+pub(super) const SLACK: i64 = 50_000; // microseconds for a final answer: two looks of the module's
+pub(super) const WALL: i64 = 1_800_000_000_000_000; // Unix microseconds at time 0
+pub(super) const DRIFT_PPM: u32 = 10_000; // millionths; clocks here run alike
+pub(super) const MOST_SEEDS: usize = 3; // fronts that each asks first, drawn: a few for all would be slow to answer them
+
+pub(super) type Sent = (Ticket, usize);
+
+pub(super) enum Event {
+    /// The next statement of the load is due.
+    Offered,
+    /// A front's own clock is due.
+    Due(usize),
+    /// An execution has come to an engine, or its answer back to the front of that life.
+    Arrives(usize, u32, Sent, usize),
+    Ran(usize, u32, Sent, usize, u64),
+    /// The last is its report of the statements in hand.
+    Answers(usize, u32, Sent, Ending, Option<usize>),
+    /// A probe likewise; its number tells which.
+    ProbeArrives(usize, u32, usize, u64),
+    ProbeAnswers(usize, u32, Place, u64, bool),
+    Datagram(usize, usize, Vec<u8>),
+    Begins(usize),
+    Ends(usize),
+}
+
+/// A front while it runs.
+pub(super) struct Life {
+    pub(super) dispatcher: Dispatcher,
+    pub(super) exchange: Option<Exchange>,
+    pub(super) probes: HashMap<u64, Place>,
+}
+
+pub(super) struct Member {
+    pub(super) life: Option<Life>,
+    /// Counts its lives: what was meant for an earlier one means nothing.
+    pub(super) lives: u32,
+    pub(super) stopped: bool,
+    /// What came while it was stopped, in order.
+    pub(super) waits: Vec<Event>,
+    pub(super) due: i64,
+    pub(super) ahead: i64,
+    pub(super) links: BTreeMap<usize, LinkState>,
+    /// What it saved as a voter.
+    pub(super) saved: Option<Vec<u8>>,
+    /// Spans in which it was stopped, killed or ending.
+    pub(super) troubled: Vec<(i64, i64)>,
+}
+
+pub(super) struct Engine {
+    pub(super) zone: usize,
+    pub(super) started: i64,
+    pub(super) running: usize,
+    /// Counts its connections' lives: a reset ends what is out.
+    pub(super) resets: u64,
+    pub(super) turned_away: i64,
+    pub(super) peak: f64,
+    pub(super) peak_since_start: f64,
+}
+
+pub(super) struct Play<'a> {
+    pub(super) scenario: &'a Scenario,
+    pub(super) contract: Contract,
+    pub(super) warmth: Warmth,
+    pub(super) now: i64,
+    pub(super) began: i64,
+    pub(super) queue: BinaryHeap<Reverse<(i64, u64)>>,
+    pub(super) events: HashMap<u64, Event>,
+    pub(super) number: u64,
+    pub(super) chance: Pcg64Mcg,
+    pub(super) members: Vec<Member>,
+    pub(super) engines: Vec<Engine>,
+    pub(super) keys: std::rc::Rc<Keys>,
+    pub(super) post: PostState,
+    pub(super) account: Account,
+    /// Executions out at engines, for resets: by engine.
+    pub(super) out: BTreeMap<usize, Vec<(usize, u32, Sent)>>,
+    pub(super) statements: u64,
+    /// The statements by front, life and ticket: their place in the record.
+    pub(super) named: HashMap<(usize, u32, Ticket), usize>,
+    /// Faults that are played now, by their place in the scenario.
+    pub(super) playing: BTreeMap<usize, Fault>,
+}
+
+pub(super) fn secret(n: usize) -> [u8; 32] {
+    let mut secret = [7; 32];
+    secret[..8].copy_from_slice(&(n as u64 + 1).to_be_bytes());
+    secret
+}
+
+pub(super) fn address(n: usize) -> SocketAddr {
+    ([10, 0, (n / 250) as u8, (n % 250) as u8 + 1], 7946).into()
+}
+
+pub(super) fn front_at(at: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(at) = at else { return None };
+    let [_, _, high, low] = at.ip().octets();
+    Some(usize::from(high) * 250 + usize::from(low).checked_sub(1)?)
+}
+
+/// Plays the scenario in simulated time and checks what happened.
+pub fn run(scenario: &Scenario, seed: u64) -> Result<Run, String> {
+    let mut contract = hallmux_agreement::contract(&settings(scenario).to_string())?;
+    if let Some(quorum) = scenario.fleet.zone_quorum {
+        contract.agreement.zone_quorum = quorum;
+    }
+    let fronts = scenario.fleet.fronts;
+    let keys: Vec<[u8; 32]> = (0..fronts).map(|n| Own::new(&secret(n), 0).public()).collect();
+    let engine = |n: usize| Engine {
+        zone: n / scenario.fleet.engines_per_zone,
+        started: WALL - 3_600_000_000,
+        running: 0,
+        resets: 0,
+        turned_away: 0,
+        peak: 0.0,
+        peak_since_start: 0.0,
+    };
+    let mut play = Play {
+        scenario,
+        contract,
+        warmth: warmth(scenario),
+        now: WALL,
+        began: WALL + SETTLES,
+        queue: BinaryHeap::new(),
+        events: HashMap::new(),
+        number: 0,
+        chance: Pcg64Mcg::seed_from_u64(seed),
+        members: Vec::new(),
+        engines: (0..scenario.fleet.zones * scenario.fleet.engines_per_zone).map(engine).collect(),
+        keys: Keys::new(&keys),
+        post: PostState::default(),
+        account: Account { began: WALL + SETTLES, slack: SLACK, ..Account::default() },
+        out: BTreeMap::new(),
+        statements: 0,
+        named: HashMap::new(),
+        playing: BTreeMap::new(),
+    };
+    let apart = scenario.fleet.clocks_apart_ms as i64 * 1000;
+    for n in 0..fronts {
+        let ahead = play.chance.random_range(-apart..=apart);
+        play.members.push(Member {
+            life: None,
+            lives: 0,
+            stopped: false,
+            waits: Vec::new(),
+            due: i64::MAX,
+            ahead,
+            links: BTreeMap::new(),
+            saved: None,
+            troubled: Vec::new(),
+        });
+        play.start(n);
+    }
+    let began = play.began;
+    play.at(began, Event::Offered);
+    for (n, fault) in scenario.faults.iter().enumerate() {
+        play.at(began + fault.at_ms as i64 * 1000, Event::Begins(n));
+        play.at(began + (fault.at_ms + fault.for_ms) as i64 * 1000, Event::Ends(n));
+    }
+    let over = began + scenario.seconds as i64 * 1_000_000 + scenario.load.timeout_ms as i64 * 1000 + AFTER;
+    play.play(over);
+    let Play { engines, mut account, members, .. } = play;
+    account.turned_away = engines.iter().map(|e| e.turned_away).sum();
+    account.peak = engines.iter().map(|e| e.peak).fold(0.0, f64::max);
+    account.peaks_since_start = engines.iter().map(|e| e.peak_since_start).collect();
+    for Offered { front, asked, .. } in &mut account.asked {
+        let troubled = &members[*front].troubled;
+        let excused = troubled.iter().any(|(from, to)| asked.sent <= *to && asked.answered >= *from);
+        if excused {
+            (asked.may_be_lost, asked.timeout) = (true, asked.timeout + 70_000_000);
+        }
+    }
+    Ok(judge(scenario, &account, Vec::new()))
+}
+
+impl Play<'_> {
+    pub(super) fn at(&mut self, when: i64, event: Event) {
+        self.number += 1;
+        self.queue.push(Reverse((when.max(self.now), self.number)));
+        self.events.insert(self.number, event);
+    }
+
+    pub(super) fn way(&mut self) -> i64 {
+        self.chance.random_range(WAY.0..=WAY.1)
+    }
+
+    pub(super) fn play(&mut self, over: i64) {
+        while let Some(Reverse((when, number))) = self.queue.pop().filter(|Reverse((when, _))| *when <= over)
+        {
+            self.now = when;
+            let Some(event) = self.events.remove(&number) else { continue };
+            self.happens(event);
+        }
+    }
+
+    pub(super) fn happens(&mut self, event: Event) {
+        match event {
+            Event::Offered => self.offer(),
+            Event::Due(n) if self.members[n].due <= self.now => self.turn(n),
+            Event::Due(_) => {}
+            Event::Arrives(front, life, sent, engine) => self.arrives(front, life, sent, engine),
+            Event::Ran(front, life, sent, engine, resets) => self.ran(front, life, sent, engine, resets),
+            Event::ProbeArrives(front, life, engine, probe) => {
+                if self.passes(front, engine, false) {
+                    let at = self.now + self.way();
+                    self.at(at, Event::ProbeAnswers(front, life, engine, probe, true));
+                }
+            }
+            Event::Answers(front, life, ..) | Event::ProbeAnswers(front, life, ..) => {
+                let member = &mut self.members[front];
+                if member.lives != life || member.life.is_none() {
+                } else if member.stopped {
+                    member.waits.push(event);
+                } else {
+                    self.told(front, event);
+                }
+            }
+            Event::Datagram(from, to, bytes) => {
+                let member = &mut self.members[to];
+                if member.stopped {
+                    member.waits.push(Event::Datagram(from, to, bytes));
+                } else if let Some(exchange) = member.life.as_mut().and_then(|life| life.exchange.as_mut()) {
+                    let moment = moment(self.now, member.ahead);
+                    let out = exchange.heard(moment, address(from), &bytes);
+                    self.sends(to, out);
+                }
+            }
+            Event::Begins(n) => {
+                let probed = self.account.relayed.iter().rev().find(|r| r.probes > 0).map(|r| r.front);
+                let fault = self.scenario.faults[n].on(probed);
+                self.playing.insert(n, fault.clone());
+                self.begin(&fault);
+            }
+            Event::Ends(n) => {
+                let Some(fault) = self.playing.remove(&n) else { return };
+                self.end(&fault);
+                let from = self.began + fault.at_ms as i64 * 1000;
+                self.account.played.push((fault, from, self.now));
+            }
+        }
+    }
+}
+
+pub(super) fn moment(now: i64, ahead: i64) -> Moment {
+    Moment { now, steady: now, wall_ms: ((now + ahead) / 1000) as u64 }
+}
