Statements carry the locations allowed to them, and the module never sends outside

Need: access rules and scatter parts narrow where a statement may be read; the module chooses among what is left.

Change: Ask.allowed names locations (None: all); the module gets them as Arrival.allowed beside what the workload is bound to, and heeds both wherever it heeded the workload. A statement with nowhere to go (no known location, none that its workload may use, or not that of its open transaction) is Unfit::Barred at once; fronts reject it without a time to come back.

--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -40,7 +40,8 @@
 pub struct Dispatcher {
     front: Front,
     names: Names,
-    needs_dedup_key: Vec<bool>, // by workload
+    needs_dedup_key: Vec<bool>,         // by workload
+    locations: Vec<Option<Vec<usize>>>, // that workloads are bound to
     turn_gap: Micros,
     warm_within: Micros,
     wake: Micros,
@@ -62,6 +63,7 @@
             needs_dedup_key: (contract.agreement.workloads.iter())
                 .map(|w| w.effect == Effect::Deduplicated)
                 .collect(),
+            locations: contract.agreement.workloads.iter().map(|w| w.locations.clone()).collect(),
             turn_gap: contract.agreement.turn_gap,
             warm_within: contract.agreement.warm_within,
             wake: 0,
--- a/crates/dispatcher/src/played.rs
+++ b/crates/dispatcher/src/played.rs
@@ -2,7 +2,7 @@
 
 use crate::*;
 
-const SETTINGS: &str = r#"{"instances": 1, "areas": ["here"], "kinds": ["std"],
+const SETTINGS: &str = r#"{"instances": 1, "areas": ["here", "there"], "kinds": ["std"],
     "customers": [{"name": "acme", "allowancePerS": 1000}],
     "bounds": {"cancelling": true, "mostTries": 3, "retryAfter": true},
     "extra": {"sizeCores": [8], "memoryByKindMb": [16384], "takesPriority": true},
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -21,6 +21,8 @@
     pub speech: Speech,
     /// The engine of the open transaction it belongs to.
     pub pinned: Option<Place>,
+    /// Names of the locations it may be sent to; None: all that its workload allows.
+    pub allowed: Option<&'a [&'a str]>,
 }
 
 /// A protocol that statements are sent to engines in.
@@ -38,6 +40,8 @@
     Customer,
     /// It may run twice, and engines could not tell.
     DedupKey,
+    /// No location is allowed to it, or not that of its open transaction.
+    Barred,
 }
 
 pub struct Execution {
@@ -81,6 +85,7 @@
         if ask.dedup_key.is_none() && self.needs_dedup_key[workload] {
             return Err(Unfit::DedupKey);
         }
+        let allowed = ask.allowed.map(|names| self.allowed(workload, ask.pinned, names)).transpose()?;
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let key = ask.key.map(|key| self.key(key));
@@ -95,6 +100,7 @@
             data_set: ask.data_set,
             speech: ask.speech as u8,
             pinned: ask.pinned,
+            allowed,
         }));
         let ends = now + ask.time_left;
         self.ends.insert((ends, ticket));
@@ -106,6 +112,21 @@
         Ok(ticket)
     }
 
+    /// The places of the locations allowed. An error where nothing is left to send to: as it would be at any try.
+    fn allowed(&self, workload: usize, pinned: Option<Place>, names: &[&str]) -> Result<Vec<usize>, Unfit> {
+        // A name that the settings do not have allows nothing: no engine is told apart by it.
+        let mut allowed: Vec<usize> =
+            names.iter().filter_map(|name| position(&self.names.locations, name)).collect();
+        let bound = self.locations.get(workload).and_then(Option::as_ref);
+        allowed.retain(|location| bound.is_none_or(|bound| bound.contains(location)));
+        let there = |place: Place| self.engines.get(place).map(|e| e.entry.location);
+        match pinned.and_then(there) {
+            Some(location) if !allowed.contains(&location) => Err(Unfit::Barred),
+            _ if allowed.is_empty() => Err(Unfit::Barred),
+            _ => Ok(allowed),
+        }
+    }
+
     fn key(&mut self, name: &str) -> KeyId {
         let next = self.keys.len() as KeyId;
         let free = &mut self.free_keys;
@@ -142,6 +163,7 @@
 mod tests {
     use super::*;
     use crate::played::*;
+    use crate::{Listing, Mode};
 
     #[test]
     fn unknown_names_and_a_missing_dedup_key_are_unfit() {
@@ -152,6 +174,27 @@
         assert_eq!(d.held(), 0);
     }
 
+    #[test]
+    fn a_statement_with_nowhere_to_go_is_barred_and_unknown_locations_allow_nothing() {
+        let mut d = dispatcher();
+        d.list(
+            true,
+            &[
+                listing("a", Mode::Ready, None),
+                Listing { location: "there", ..listing("b", Mode::Ready, None) },
+            ],
+        );
+        let barred = |d: &mut Dispatcher, names: &[&str], pinned| {
+            let asked = Ask { allowed: Some(names), pinned, ..ask("lookup", None) };
+            d.pick(0, &asked) == Err(Unfit::Barred)
+        };
+        assert!(barred(&mut d, &[], None) && barred(&mut d, &["moon"], None));
+        // Bound to one of them by its workload, open at an engine of the other.
+        assert!(barred(&mut d, &["there"], Some(0)) && !barred(&mut d, &["there"], Some(1)));
+        assert!(barred(&mut d, &["moon", "nowhere"], None) && !barred(&mut d, &["moon", "here"], None));
+        assert_eq!(d.held(), 2);
+    }
+
     #[test]
     fn what_is_withdrawn_before_it_is_decided_on_is_never_heard_of() {
         let mut d = dispatcher();
--- a/crates/drill/src/instance.rs
+++ b/crates/drill/src/instance.rs
@@ -132,6 +132,7 @@
             data_set: line.optional("tableGroup")?,
             speech: 1,
             pinned: None,
+            allowed: None,
         };
         self.statements.push(req);
         self.statement_ids.insert(req, arrival.statement);
--- a/crates/front/src/front/asked.rs
+++ b/crates/front/src/front/asked.rs
@@ -1,6 +1,6 @@
 //! What clients ask for is taken to the dispatcher.
 
-use hallmux_codec::statement::{self, Call};
+use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Ask, Micros, Speech, Unfit};
 
@@ -70,9 +70,13 @@
             data_set: tables::group(&call.statement),
             speech: Speech::Lines,
             pinned: None,
+            allowed: None,
         };
         match self.dispatcher.pick(self.clock.now, &ask) {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
+            Err(Unfit::Barred) => {
+                self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
+            }
             Err(Unfit::Workload) => self.clients.unfit(client, number, statement::WORKLOAD, ended),
             Err(Unfit::DedupKey) => self.clients.unfit(client, number, statement::DEDUP_KEY, ended),
             Err(Unfit::Customer) => self.clients.unfit(client, number, statement::CUSTOMER, ended),
--- a/crates/front/src/portal.rs
+++ b/crates/front/src/portal.rs
@@ -223,12 +223,14 @@
                     data_set: tables::group(part.text()),
                     speech: Speech::Postgres,
                     pinned: inside.pin.map(|(place, _)| place),
+                    allowed: None,
                 };
                 match dispatcher.pick(now, &ask) {
                     Ok(ticket) => {
                         let key = ask.key.map(str::to_string);
                         return self.sessions.opened(id, ticket, part, key);
                     }
+                    Err(Unfit::Barred) => Final::Rejected { retry_after_ms: None },
                     Err(Unfit::Workload) => unfit("hallmux.workload", "no such workload was agreed"),
                     Err(Unfit::Customer) => unfit("hallmux.member", "no such member is known"),
                     Err(Unfit::DedupKey) => unfit("hallmux.dedup_key", "this workload needs one"),
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -8,7 +8,7 @@
         let s = &self.statements[&id];
         let workload = self.workload(s);
         let Some(entry) = self.engines.entry(e) else { return false };
-        let open = !s.over && !s.is_out() && workload.allows(entry) && entry.speaks & s.asked.speech != 0;
+        let open = !s.over && !s.is_out() && s.allows(workload, entry) && entry.speaks & s.asked.speech != 0;
         let open = open && s.asked.pinned.is_none_or(|pinned| pinned == e);
         let (pushed, most) = self.pushed(e);
         let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
@@ -55,7 +55,7 @@
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
         // Where all that it may use are spoken ill of, nothing is said.
-        let may = |e: &EngineId| self.engines.entry(*e).is_some_and(|l| workload.allows(l));
+        let may = |e: &EngineId| self.engines.entry(*e).is_some_and(|l| s.allows(workload, l));
         let all = || (0..self.engines.open.len()).filter(may);
         let heeds = !self.words.said.is_empty() && all().any(|e| self.doubt(e) >= 1.0);
         let leaves = !self.engines.left.is_empty() && all().any(|e| !self.engines.is_left(e));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -193,6 +193,8 @@
     pub speech: u8,
     /// The engine that holds the open transaction it belongs to: it goes there or nowhere, and once.
     pub pinned: Option<EngineId>,
+    /// The locations it may be sent to, by their place; None: all that its workload allows.
+    pub allowed: Option<Vec<usize>>,
 }
 
 #[derive(Clone, Debug)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -158,6 +158,11 @@
         Statement { asked, class, first_asked, ends, load, priority: 1, executions: Vec::new(), over: false }
     }
 
+    /// Whether it may be sent to an engine at all: its workload and what is allowed to it agree.
+    pub fn allows(&self, workload: &Workload, at: &Listed) -> bool {
+        workload.allows(at) && self.asked.allowed.as_ref().is_none_or(|l| l.contains(&at.location))
+    }
+
     /// Executions that their outcomes do not prove to have been without effect.
     pub fn may_have_run(&self) -> impl Iterator<Item = &Execution> {
         let unseen = [Outcome::NoRoom, Outcome::NoRoute, Outcome::NotSent];
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -196,6 +196,9 @@
                 memory_mb: value("memory"),
                 data_set: said.get("data").map(|d| number(d) as u32),
                 speech: said.get("speech").map_or(1, |v| number(v) as u8),
+                allowed: said
+                    .get("allowed")
+                    .map(|l| l.split(',').filter(|l| !l.is_empty()).map(|l| number(l) as usize).collect()),
                 pinned: said.get("pinned").and_then(|p| self.engine_names.iter().position(|e| e == p)),
             }),
             "end" => Event::Ended(Ended {
