--- a/crates/gossip/src/seal.rs
+++ b/crates/gossip/src/seal.rs
@@ -1,6 +1,9 @@
 //! Whose word it is: datagrams and reports are signed by their senders and makers, and what comes is believed only
 //! if its key is known, it is not a replay, and there is a token left to look at its signature.
 
+mod heard;
+mod tokens;
+
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -10,12 +13,13 @@
 use crate::message::{self, Report, Signed, LONGEST};
 use crate::{Micros, PeerId};
 
+use heard::Peer;
+pub use tokens::Tokens;
+
 const HEAD: usize = 8 + 8 + 4 + 8; // bytes: sender, life, number, milliseconds of the sender's clock
 const SIGNATURE: usize = 64;
 /// Bytes that sealing adds to a message.
 pub const SEAL: usize = HEAD + SIGNATURE;
-const WINDOW: u32 = 256; // numbers of datagrams of a sender that may come out of order
-const TIME_WINDOW: Micros = 10_000_000; // microseconds a datagram may be under way, over the least seen
 const VERIFIED_A_SECOND: f64 = 1_000.0; // signatures looked at; each takes some 50 microseconds
 const FROM_ONE: f64 = 100.0; // of which from one address; twenty fronts send 80
 const MOST_SOURCES: usize = 1_024; // addresses that are counted; others share one count
@@ -102,45 +106,6 @@
     }
 }
 
-/// What was heard from a front itself.
-struct Peer {
-    life: u64,
-    /// The highest number of a datagram of that life, and which of those before it came.
-    highest: u32,
-    came: [u64; (WINDOW / 64) as usize],
-    heard: Micros,
-    /// Least differences between our clock and its own, of this window and the last; when this one began.
-    least: [i64; 2],
-    since: Micros,
-}
-
-/// Tokens that come at a rate, up to a second's worth.
-#[derive(Clone, Copy)]
-pub struct Tokens {
-    left: f64,
-    rate: f64,
-    at: Micros,
-}
-
-impl Tokens {
-    pub fn new(rate: f64) -> Tokens {
-        Tokens { left: rate, rate, at: 0 }
-    }
-
-    pub fn take(&mut self, now: Micros, count: f64) -> bool {
-        self.take_leaving(now, count, 0.0)
-    }
-
-    /// The same, unless fewer than so many would be left.
-    pub fn take_leaving(&mut self, now: Micros, count: f64, rest: f64) -> bool {
-        let came = (now - self.at).max(0) as f64 / 1e6 * self.rate;
-        (self.left, self.at) = ((self.left + came).min(self.rate), now);
-        let has = self.left >= count + rest;
-        self.left -= if has { count } else { 0.0 };
-        has
-    }
-}
-
 /// The peers whose word counts.
 pub struct Peers {
     keys: Rc<Keys>,
@@ -248,81 +213,9 @@
     }
 }
 
-impl Peer {
-    const UNHEARD: Peer = Peer {
-        life: 0,
-        highest: 0,
-        came: [0; (WINDOW / 64) as usize],
-        heard: 0,
-        least: [i64::MAX; 2],
-        since: 0,
-    };
-
-    /// The least that datagrams seem to have been under way: the clocks' difference, and the way itself.
-    fn least(&self) -> i64 {
-        self.least[0].min(self.least[1])
-    }
-
-    fn fits(&self, now: Micros, life: u64, number: u32, delay: i64) -> Result<(), Refused> {
-        let forgotten = now - self.heard > TIME_WINDOW;
-        if life < self.life && !forgotten {
-            return Err(Refused::Replay);
-        }
-        if life == self.life && self.life > 0 {
-            if number <= self.highest {
-                let back = self.highest - number;
-                if back >= WINDOW || self.came[(back / 64) as usize] & (1 << (back % 64)) != 0 {
-                    return Err(Refused::Replay);
-                }
-            }
-            let least = self.least();
-            if least != i64::MAX && delay.saturating_sub(least) > TIME_WINDOW / 1000 {
-                return Err(Refused::Old);
-            }
-        }
-        // Of a new life, or one never heard, only our own clocks speak; they may differ by as much.
-        let known = life == self.life && self.life > 0;
-        if !known && delay.saturating_abs() > TIME_WINDOW / 1000 {
-            return Err(Refused::Old);
-        }
-        Ok(())
-    }
-
-    fn takes(&mut self, now: Micros, life: u64, number: u32, delay: i64) {
-        if life != self.life {
-            (self.life, self.highest, self.came) = (life, number, Default::default());
-            self.came[0] = 1;
-            (self.least, self.since) = ([i64::MAX; 2], now);
-        } else if number > self.highest {
-            self.shift(number - self.highest);
-            self.highest = number;
-            self.came[0] |= 1;
-        } else {
-            let back = self.highest - number;
-            self.came[(back / 64) as usize] |= 1 << (back % 64);
-        }
-        if now - self.since > TIME_WINDOW {
-            (self.least, self.since) = ([i64::MAX, self.least[0]], now);
-        }
-        self.least[0] = self.least[0].min(delay);
-        self.heard = now;
-    }
-
-    /// The window moves on by so many numbers.
-    fn shift(&mut self, by: u32) {
-        let (words, bits) = ((by / 64) as usize, by % 64);
-        let before = self.came;
-        for n in (0..self.came.len()).rev() {
-            let from = |n: usize| before.get(n).copied().unwrap_or(0);
-            let low = n.checked_sub(words).map_or(0, from);
-            let lower = n.checked_sub(words + 1).map_or(0, from);
-            self.came[n] = if bits == 0 { low } else { low << bits | lower >> (64 - bits) };
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
+    use super::heard::TIME_WINDOW;
     use super::*;
 
     const FROM: IpAddr = IpAddr::V4(std::net::Ipv4Addr::LOCALHOST);
