Letters between fronts have channels: lease, ledger, rules, summaries, gate

Need: several minds share the datagrams of gossip; until now one kind of letter and one bound of bytes a second.

Change: a letter's first byte tells its channel (crates/gossip/src/post.rs); each has bytes a second of its own; one for no known channel is refused as of a wrong form. Exchange hands out what came for parts beside it (letters) and posts to a front by its id (post). Signatures that hold are counted apart from those of strangers (4,000 a second, a fifth of a core): a hundred a second from one address were too few for promises, and forgeries from a front's address stay bounded as they were.

Fronts of this build and of earlier ones do not read each other's letters of ownership.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,8 +17,10 @@
 
 const LOOK: Micros = 250_000; // microseconds between looks at what this front has seen itself
 const SILENCE_STEP_MS: Micros = 500; // milliseconds that silence is told in: each change is a report for all to pass on
+const MOST_CAME: usize = 1_024; // letters that wait for other parts: some 100 KB
 const MOST_MAKERS: usize = 4_096; // fronts that the module keeps apart in one life of this one
 
+pub use hallmux_gossip::post::{Channel, Letter};
 pub use owning::{Ownership, Owns, Saved};
 
 /// One moment on a front's clocks.
@@ -51,6 +53,7 @@
     /// How many fronts the dispatcher was told of last.
     fleet: (usize, usize),
     left: bool,
+    came: Vec<Letter>,
     /// One owner at a time for work on behalf of the fleet, where voters are named.
     owning: Option<owning::Owning>,
     /// Whether the dispatcher was told last that the fleet's probes are this front's.
@@ -87,6 +90,7 @@
             makers: BTreeMap::new(),
             fleet: (1, 1),
             left: false,
+            came: Vec::new(),
             owning: None,
             probes: None,
         }
@@ -146,16 +150,31 @@
     /// A datagram has come; what is to go back.
     pub fn heard(&mut self, at: Moment, from: SocketAddr, bytes: &[u8]) -> Out {
         let mut out = Out { datagrams: self.node.heard(at.now, at.wall_ms, from, bytes), ..Out::default() };
-        let letters = self.node.letters();
-        if let Some(owning) = &mut self.owning {
-            for (from, heard_at, letter) in letters {
-                owning.heard(at, from, heard_at, &letter);
+        for Letter { from, at: heard_at, channel, bytes } in self.node.letters() {
+            match (channel, &mut self.owning) {
+                (Channel::Lease, Some(owning)) => owning.heard(at, from, heard_at, &bytes),
+                (Channel::Lease, None) => {}
+                _ if self.came.len() >= MOST_CAME => {}
+                _ => self.came.push(Letter { from, at: heard_at, channel, bytes }),
             }
+        }
+        if let Some(owning) = &mut self.owning {
             owning.send(at, &mut self.node, &mut out);
         }
         out
     }
 
+    /// Letters that have come for parts beside this one; what is not taken from turn to turn gets lost.
+    pub fn letters(&mut self) -> Vec<Letter> {
+        std::mem::take(&mut self.came)
+    }
+
+    /// A letter of such a part to another front: None if it is not known, or too much was sent this second.
+    pub fn post(&mut self, at: Moment, to: PeerId, channel: Channel, bytes: &[u8]) -> Option<Datagram> {
+        let to = self.node.address(to)?;
+        self.node.post(at.now, at.wall_ms, to, channel, bytes)
+    }
+
     /// Does what is due: what is to go out, and what others say that was not known before.
     pub fn tick(
         &mut self,
--- a/crates/fleet/src/owning.rs
+++ b/crates/fleet/src/owning.rs
@@ -7,6 +7,7 @@
 use hallmux_dispatcher::{Dispatcher, Micros};
 use hallmux_gossip::message::{Act, Back, Work};
 use hallmux_gossip::node::Node;
+use hallmux_gossip::post::Channel;
 use hallmux_gossip::{Chance, PeerId};
 use hallmux_lease::fence::{self, Fence, Refused};
 use hallmux_lease::holder::Holder;
@@ -213,6 +214,9 @@
 
     /// Puts what there is to send into datagrams: a voter's behind what it has to save.
     pub fn send(&mut self, at: Moment, node: &mut Node, out: &mut Out) {
+        let post = |node: &mut Node, to, letter: &Letter| {
+            node.post(at.now, at.wall_ms, to, Channel::Lease, &hallmux_lease::bytes(letter))
+        };
         let mut asks = std::mem::take(&mut self.asks);
         // What this front asks itself as a voter stays here.
         let own: Vec<Letter> =
@@ -223,8 +227,7 @@
         }
         for (to, letter) in asks {
             let to = self.voters.get(&to).copied();
-            out.datagrams
-                .extend(to.and_then(|to| node.post(at.now, at.wall_ms, to, hallmux_lease::bytes(&letter))));
+            out.datagrams.extend(to.and_then(|to| post(node, to, &letter)));
         }
         for voted in std::mem::take(&mut self.voted) {
             let mut datagrams = Vec::new();
@@ -233,11 +236,7 @@
                     Word::Answer(answer) if to == self.own => self.holder.answered(&answer),
                     _ => {
                         let to = self.voters.get(&to).or(self.met.get(&to)).copied();
-                        datagrams.extend(
-                            to.and_then(|to| {
-                                node.post(at.now, at.wall_ms, to, hallmux_lease::bytes(&letter))
-                            }),
-                        );
+                        datagrams.extend(to.and_then(|to| post(node, to, &letter)));
                     }
                 }
             }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod members;
 pub mod message;
 pub mod node;
+pub mod post;
 pub mod seal;
 
 pub type Micros = i64;
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -7,19 +7,18 @@
 use crate::evidence::{Evidence, News, MOST_SIGHTINGS};
 use crate::members::{Members, Send};
 use crate::message::{self, Message, Probe, Report, Sighting, Work, LONGEST};
+use crate::post::{Channel, Letter, Post};
 use crate::seal::{Keys, Own, Peers, Refused, Tokens, SEAL};
 use crate::{Chance, Micros, PeerId};
 
 const ROUND: Micros = 250_000; // microseconds between rounds: news reaches a thousand in some ten of them
 const FANOUT: usize = 2; // members told in a round
 const BYTES_A_SECOND: f64 = 3_000.0; // sent at most of its own accord, with a second's worth saved up
-const LETTERS_A_SECOND: f64 = 24_000.0; // bytes of letters: a leader of five voters sends some 8,000, more while one is away
 const ANSWERS_A_SECOND: f64 = 1_000.0; // bytes of answers to others, so that a flood of questions starves no news
 const RENEWED: Micros = 1_000_000; // microseconds after which a front says again what it still sees
 const FOR_PROBES: f64 = 800.0; // bytes that news leaves for probes: a peer that is not asked seems dead
 const WELCOME: usize = 24; // members that a newcomer is told of at once: some 600 bytes
 const MOST_RUMOURS: usize = 2; // in a datagram beside its sender's own: some 25 bytes each
-const MOST_LETTERS: usize = 256; // that wait to be read
 const TOLD: usize = 420; // bytes of a datagram that only tells news
 const SENT_EACH: f64 = 2.0; // times the logarithm of the peers that a report is passed on by each front
 
@@ -47,12 +46,10 @@
     evidence: Evidence,
     bytes: Tokens,
     answers: Tokens,
-    letters: Tokens,
     round: Micros,
     sightings: Vec<Sighting>,
     work: Work,
-    /// Letters that have come: from whom, where it is heard, what it says.
-    inbox: Vec<(PeerId, SocketAddr, Vec<u8>)>,
+    post: Post,
     version: u32,
     renew: Micros,
     /// What counted for nothing, by why.
@@ -72,11 +69,10 @@
             evidence: Evidence::default(),
             bytes: Tokens::new(BYTES_A_SECOND),
             answers: Tokens::new(ANSWERS_A_SECOND),
-            letters: Tokens::new(LETTERS_A_SECOND),
             round: 0,
             sightings: Vec::new(),
             work: Work::default(),
-            inbox: Vec::new(),
+            post: Post::new(),
             version: 0,
             renew: 0,
             refused: BTreeMap::new(),
@@ -153,13 +149,21 @@
         self.evidence.work(now)
     }
 
-    /// A letter to another front, if it fits a datagram and what may be sent a second.
-    pub fn post(&mut self, now: Micros, wall_ms: u64, to: SocketAddr, letter: Vec<u8>) -> Option<Datagram> {
+    /// A letter to another front, if it fits a datagram and what its part may send a second.
+    pub fn post(
+        &mut self,
+        now: Micros,
+        wall_ms: u64,
+        to: SocketAddr,
+        channel: Channel,
+        letter: &[u8],
+    ) -> Option<Datagram> {
         let rumours = vec![self.members.own()];
+        let letter = [&[channel as u8], letter].concat();
         let message = Message { probe: Probe::None, rumours, reports: Vec::new(), letter };
         let content = message::bytes(&message);
         let len = content.len() + SEAL;
-        if len > LONGEST || !self.letters.take(now, len as f64) {
+        if len > LONGEST || !self.post.may_send(now, channel, len) {
             self.held_back += 1;
             return None;
         }
@@ -167,9 +171,14 @@
         Some(Datagram { to, bytes: self.own.seal(wall_ms, &content) })
     }
 
-    /// Letters that have come: from whom, where it is heard, what it says.
-    pub fn letters(&mut self) -> Vec<(PeerId, SocketAddr, Vec<u8>)> {
-        std::mem::take(&mut self.inbox)
+    /// Letters that have come.
+    pub fn letters(&mut self) -> Vec<Letter> {
+        self.post.take()
+    }
+
+    /// Where a front is heard, as far as it is known.
+    pub fn address(&self, front: PeerId) -> Option<SocketAddr> {
+        self.members.up().find(|(id, _)| *id == front).map(|(_, at)| at)
     }
 
     /// When `tick` is next due.
@@ -278,8 +287,8 @@
         }
         let mut sends = Vec::new();
         self.members.heard(now, sender, from_at, message.probe, &mut sends);
-        if !message.letter.is_empty() && self.inbox.len() < MOST_LETTERS {
-            self.inbox.push((sender, from_at, message.letter));
+        if !self.post.came(sender, from_at, message.letter) {
+            *self.refused.entry(Refused::Form).or_default() += 1;
         }
         for signed in message.reports {
             let Some(report) = message::read::<Report>(&signed.report) else { continue };
--- a/crates/gossip/src/seal.rs
+++ b/crates/gossip/src/seal.rs
@@ -21,7 +21,8 @@
 /// Bytes that sealing adds to a message.
 pub const SEAL: usize = HEAD + SIGNATURE;
 const VERIFIED_A_SECOND: f64 = 1_000.0; // signatures looked at; each takes some 50 microseconds
-const FROM_ONE: f64 = 100.0; // of which from one address; twenty fronts send 80
+const FROM_ONE: f64 = 100.0; // of which from one address that has not proved to be a front's
+const PROVEN_A_SECOND: f64 = 4_000.0; // signatures that held: a fifth of a core
 const MOST_SOURCES: usize = 1_024; // addresses that are counted; others share one count
 
 /// A front's own key pair.
@@ -113,6 +114,7 @@
     all: Tokens,
     sources: HashMap<IpAddr, Tokens>,
     others: Tokens,
+    proven: Tokens,
 }
 
 /// A datagram that counts.
@@ -130,6 +132,7 @@
             all: Tokens::new(VERIFIED_A_SECOND),
             sources: HashMap::new(),
             others: Tokens::new(FROM_ONE),
+            proven: Tokens::new(PROVEN_A_SECOND),
         }
     }
 
@@ -179,6 +182,7 @@
         let (signed, signature) = datagram.split_at(datagram.len() - SIGNATURE);
         let signature = Signature::from_slice(signature).map_err(|_| Refused::Form)?;
         key.verify_strict(signed, &signature).map_err(|_| Refused::Forged)?;
+        self.held(now, from)?;
         self.peers.entry(sender).or_insert(Peer::UNHEARD).takes(now, life, number, delay);
         Ok(Opened { sender, content: &signed[HEAD..] })
     }
@@ -203,6 +207,14 @@
         may.then_some(()).ok_or(Refused::Flood)
     }
 
+    /// A signature held: it counts among those of fronts, and no longer among those of whoever sends from there.
+    fn held(&mut self, now: Micros, from: IpAddr) -> Result<(), Refused> {
+        let source = self.sources.get_mut(&from).unwrap_or(&mut self.others);
+        source.give_back(1.0);
+        self.all.give_back(1.0);
+        self.proven.take(now, 1.0).then_some(()).ok_or(Refused::Flood)
+    }
+
     /// How old a report of a maker is, in microseconds, going by how its clock compares with ours.
     pub fn age(&self, maker: PeerId, wall_ms: u64, made_ms: u64) -> Option<Micros> {
         let least = self.peers.get(&maker).map_or(i64::MAX, Peer::least);
@@ -320,6 +332,22 @@
         assert!(peers.open(1_000_000, WALL, other, &own.seal(WALL, b"x")).is_ok());
     }
 
+    #[test]
+    fn many_letters_of_a_front_count_and_forgeries_from_its_address_are_bounded_as_ever() {
+        let (mut own, mut peers) = pair();
+        let mut opened = 0;
+        for n in 0..6_000u32 {
+            let sealed = own.seal(WALL, b"x");
+            opened += usize::from(peers.open(Micros::from(n) * 10, WALL, FROM, &sealed).is_ok());
+        }
+        let most = PROVEN_A_SECOND as usize;
+        assert!((most..most + most / 10).contains(&opened), "{opened}");
+        let mut forged = own.seal(WALL, b"x");
+        forged[HEAD] ^= 1;
+        let looked = (0..1_000).filter(|_| peers.open(60_000, WALL, FROM, &forged) == Err(Refused::Forged));
+        assert!(looked.count() <= FROM_ONE as usize);
+    }
+
     #[test]
     fn a_report_is_its_makers_alone() {
         let (own, mut peers) = pair();
--- a/crates/gossip/src/seal/tokens.rs
+++ b/crates/gossip/src/seal/tokens.rs
@@ -27,4 +27,9 @@
         self.left -= if has { count } else { 0.0 };
         has
     }
+
+    /// What was taken is not counted after all.
+    pub fn give_back(&mut self, count: f64) {
+        self.left = (self.left + count).min(self.rate);
+    }
 }
