The dispatcher holds back executions that wait for a promise, and turns statements away

Need: an execution that depends on a promise is ordered before it may leave. Until it does, nothing of its engine can be heard for it: it was taken for silent, and its engine spoken ill of.

Change: waits and leaves say that an execution is held here; the module counts it as sent from when it leaves (Note::Held) and nothing as heard of its engine; gone tells how statements with promises ended; turn_away ends one at once, with times to come back spread over half of what is agreed.

--- a/crates/dispatcher/src/ended.rs
+++ b/crates/dispatcher/src/ended.rs
@@ -2,6 +2,7 @@
 
 use hallmux::interface::{Cost, Ended, Event, Micros, Note, Report};
 
+use crate::promised::Gone;
 use crate::seen::SILENT;
 use crate::{Dispatcher, Ending, Ticket};
 
@@ -18,9 +19,10 @@
     ) -> bool {
         let Some(s) = self.statements.get_mut(&ticket) else { return false };
         let Some(x) = s.executions.get_mut(execution).filter(|x| x.out) else { return false };
-        x.out = false;
+        (x.out, x.ending) = (false, Some(ending));
         let engine = &mut self.engines[x.place];
         engine.out -= 1;
+        engine.held -= usize::from(std::mem::take(&mut x.held));
         engine.seen.fade(now);
         match ending {
             Ending::Answered => engine.seen.answers(now),
@@ -94,13 +96,16 @@
     }
 
     /// Lets go of a statement that is over with nothing out; its key rests as long as was agreed.
-    fn forget(&mut self, now: Micros, ticket: Ticket) {
+    pub(crate) fn forget(&mut self, now: Micros, ticket: Ticket) {
         let Some(s) = self.statements.get(&ticket) else { return };
         if !s.over || s.out().next().is_some() {
             return;
         }
         self.ends.remove(&(s.terms.ends, ticket));
         let Some(s) = self.statements.remove(&ticket) else { return };
+        if s.promised {
+            self.gone.push(Gone::of(ticket, &s));
+        }
         let Some((name, key)) = s.key.and_then(|name| self.keys.get_mut(&name).map(|key| (name, key))) else {
             return;
         };
--- a/crates/dispatcher/src/engines.rs
+++ b/crates/dispatcher/src/engines.rs
@@ -23,6 +23,8 @@
     pub id: String,
     pub entry: Listed,
     pub out: usize,
+    /// Of those, how many have not left this front yet.
+    pub held: usize,
     pub seen: Seen,
 }
 
@@ -50,13 +52,13 @@
             };
             entry.engine = self.place(listing.id, &entry);
             let seen = Seen::default();
-            let engine = Engine { id: listing.id.to_string(), entry: entry.clone(), out: 0, seen };
+            let engine = Engine { id: listing.id.to_string(), entry: entry.clone(), out: 0, held: 0, seen };
             match self.engines.get_mut(entry.engine) {
                 Some(known) => {
                     // What was seen of another, or of an earlier start, says nothing of this one.
                     let same = known.id == engine.id && known.entry.started == engine.entry.started;
                     let seen = if same { known.seen } else { seen };
-                    *known = Engine { out: known.out, seen, ..engine };
+                    *known = Engine { out: known.out, held: known.held, seen, ..engine };
                 }
                 None => self.engines.push(engine),
             }
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -8,6 +8,7 @@
 mod out;
 #[cfg(test)]
 mod played;
+mod promised;
 mod seen;
 mod taken;
 
@@ -24,6 +25,7 @@
 pub use engines::Listing;
 pub use hallmux::interface::{Cost, Micros, Mode, Note};
 pub use out::{Order, Terms};
+pub use promised::{Gone, Site};
 pub use seen::Sighted;
 pub use taken::{Ask, Speech, Unfit};
 
@@ -53,6 +55,8 @@
     free_keys: Vec<KeyId>,
     resting: BTreeSet<(Micros, String)>,
     engines: Vec<Engine>,
+    gone: Vec<Gone>,
+    longest_retry_after: Option<Micros>,
 }
 
 impl Dispatcher {
@@ -75,6 +79,8 @@
             free_keys: Vec::new(),
             resting: BTreeSet::new(),
             engines: Vec::new(),
+            gone: Vec::new(),
+            longest_retry_after: contract.agreement.longest_retry_after,
         }
     }
 
--- a/crates/dispatcher/src/out.rs
+++ b/crates/dispatcher/src/out.rs
@@ -100,7 +100,7 @@
             Action::Execute { statement: ticket, engine: place } => {
                 let Some(s) = self.statements.get_mut(&ticket) else { return };
                 let (execution, terms) = (s.executions.len(), s.terms);
-                s.executions.push(Execution { place, sent: now, out: true });
+                s.executions.push(Execution { place, sent: now, out: true, held: false, ending: None });
                 let engine = &mut self.engines[place];
                 if engine.out == 0 {
                     engine.seen.busy = now;
--- /dev/null
+++ b/crates/dispatcher/src/promised.rs
@@ -0,0 +1,166 @@
+//! Statements that depend on promises: their executions may be held in this front before they leave, their end is
+//! told, and what can't have its promise is turned away.
+
+use hallmux::interface::{Event, Micros, Note, Outcome};
+
+use crate::taken::Statement;
+use crate::{Dispatcher, Ending, Place, Ticket};
+
+/// A statement that depends on promises is over with nothing out for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gone {
+    pub ticket: Ticket,
+    /// It may have run.
+    pub ran: bool,
+    /// Some execution of it may be running on: its order key rests.
+    pub rests: bool,
+}
+
+impl Gone {
+    pub(crate) fn of(ticket: Ticket, s: &Statement) -> Gone {
+        let endings = || s.executions.iter().filter_map(|x| x.ending);
+        let runs_on =
+            |e: Ending| matches!(e.outcome(), Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        Gone { ticket, ran: endings().any(Ending::may_have_run), rests: endings().any(runs_on) }
+    }
+}
+
+/// Where an engine is, by place in the settings: the same on every front.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Site {
+    pub location: usize,
+    pub cell: usize,
+}
+
+impl Dispatcher {
+    /// A statement depends on promises: its end is told by `gone`.
+    pub fn promised(&mut self, ticket: Ticket) {
+        if let Some(s) = self.statements.get_mut(&ticket) {
+            s.promised = true;
+        }
+    }
+
+    /// Statements that depended on promises and are over since the last call.
+    pub fn gone(&mut self) -> Vec<Gone> {
+        std::mem::take(&mut self.gone)
+    }
+
+    pub fn site(&self, place: Place) -> Site {
+        let entry = self.engines.get(place).map(|e| &e.entry);
+        entry.map(|e| Site { location: e.location, cell: e.cell }).unwrap_or_default()
+    }
+
+    /// An execution that was ordered waits in this front; to be said again while it does, or it is taken for silent.
+    pub fn waits(&mut self, now: Micros, ticket: Ticket, execution: usize) {
+        self.holds(now, ticket, execution, true);
+    }
+
+    /// It leaves: from now on its engine has it.
+    pub fn leaves(&mut self, now: Micros, ticket: Ticket, execution: usize) {
+        self.holds(now, ticket, execution, false);
+    }
+
+    fn holds(&mut self, now: Micros, ticket: Ticket, execution: usize, held: bool) {
+        let Some(s) = self.statements.get_mut(&ticket) else { return };
+        let Some(x) = s.executions.get_mut(execution).filter(|x| x.out) else { return };
+        let engine = &mut self.engines[x.place];
+        engine.held -= usize::from(x.held);
+        if !held && engine.out - engine.held == 1 {
+            engine.seen.busy = now;
+        }
+        engine.held += usize::from(held);
+        (x.held, x.sent) = (held, now);
+        let note = Note::Held;
+        self.told.push(Event::Noted { statement: ticket, execution, engine: x.place, note });
+    }
+
+    /// Ends a statement that can't have its promise: nothing of it is out but what is held here. When its client
+    /// may come back, where that is told: spread, so that those turned away together do not come back together.
+    pub fn turn_away(&mut self, now: Micros, ticket: Ticket) -> Option<Micros> {
+        let s = self.statements.get_mut(&ticket).filter(|s| !s.over)?;
+        s.over = true;
+        let out: Vec<usize> = s.out().collect();
+        if out.is_empty() {
+            self.told.push(Event::Left(ticket));
+            self.forget(now, ticket);
+        }
+        for execution in out {
+            self.report(now, ticket, execution, Ending::Withdrawn, None, None);
+        }
+        // The golden ratio's multiples lie evenly whatever the tickets are.
+        let spread = (f64::from(ticket) * 0.618_033_988_749_895).fract();
+        self.longest_retry_after.map(|most| (most as f64 * (0.5 + spread / 2.0)) as Micros)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::played::*;
+    use crate::{Mode, Order};
+
+    #[test]
+    fn what_is_held_here_says_nothing_of_its_engine_and_is_no_silence() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        let ticket = d.pick(0, &ask("load", Some("k"))).unwrap();
+        assert_eq!(sent(&d.tick(0)), [(ticket, 0)]);
+        let mut now = 0;
+        while now < 3_000_000 {
+            d.waits(now, ticket, 0);
+            now += 100_000;
+            assert_eq!((d.tick(now), d.sighted(now).len()), (vec![], 0), "{now}");
+        }
+        d.leaves(now, ticket, 0);
+        d.tick(now);
+        assert!(d.sighted(now + 900_000).is_empty());
+        let silent: Vec<_> = d.sighted(now + 999_000 + 1_000).iter().map(|s| s.silent).collect();
+        assert_eq!(silent, [1_000_000]);
+        assert!(d.report(now + 1_000_000, ticket, 0, Ending::Answered, None, None));
+        assert_eq!(d.engines[0].held, 0);
+    }
+
+    #[test]
+    fn what_is_turned_away_ends_at_once_and_comes_back_spread() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        let mut came_back = Vec::new();
+        for n in 0..4 {
+            let ticket = d.pick(n, &ask("load", None)).unwrap();
+            d.promised(ticket);
+            assert_eq!(sent(&d.tick(n)), [(ticket, 0)]);
+            d.waits(n, ticket, 0);
+            came_back.extend(d.turn_away(n, ticket));
+            assert_eq!(d.turn_away(n, ticket), None);
+            assert_eq!(d.gone(), [Gone { ticket, ran: false, rests: false }]);
+            assert_eq!((d.tick(n), d.held(), d.engines[0].held), (vec![], 0, 0));
+        }
+        came_back.sort();
+        came_back.dedup();
+        assert!(
+            came_back.len() == 4 && came_back.iter().all(|t| (500_000..1_000_000).contains(t)),
+            "{came_back:?}"
+        );
+    }
+
+    #[test]
+    fn gone_tells_what_may_have_run_and_what_may_be_running_on() {
+        for (ending, ran, rests) in [
+            (Ending::Answered, true, false),
+            (Ending::Withdrawn, false, false),
+            (Ending::EngineFailed, true, false),
+            (Ending::GivenUp, true, true),
+        ] {
+            let mut d = dispatcher();
+            d.list(true, &[listing("a", Mode::Ready, None)]);
+            let ticket = d.pick(0, &ask("load", Some("k"))).unwrap();
+            d.promised(ticket);
+            d.tick(0);
+            d.left(1, ticket);
+            let stop = Order::Stop { ticket, execution: 0, ending: Ending::GivenUp };
+            assert_eq!((d.gone(), d.tick(1)), (vec![], vec![stop]));
+            d.report(2, ticket, 0, ending, None, None);
+            assert_eq!(d.gone(), [Gone { ticket, ran, rests }], "{ending:?}");
+        }
+    }
+}
--- a/crates/dispatcher/src/seen.rs
+++ b/crates/dispatcher/src/seen.rs
@@ -67,7 +67,7 @@
         let silent = |e: &Engine| {
             let hushed =
                 e.seen.hushed.filter(|(at, _)| now - at < HUSHED_FOR).map_or(0, |(_, silent)| silent);
-            let now_silent = if e.out == 0 { 0 } else { now - e.seen.heard.max(e.seen.busy) };
+            let now_silent = if e.out == e.held { 0 } else { now - e.seen.heard.max(e.seen.busy) };
             Some(now_silent.max(hushed)).filter(|silent| *silent >= SILENT).unwrap_or(0)
         };
         for e in &mut self.engines {
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -3,7 +3,7 @@
 use hallmux::interface::{Arrival, Event, KeyId, Micros};
 
 use crate::out::Terms;
-use crate::{position, Dispatcher, Place, Ticket};
+use crate::{position, Dispatcher, Ending, Place, Ticket};
 
 /// What a statement asks for.
 #[derive(Clone, Debug, Default)]
@@ -48,6 +48,9 @@
     pub place: Place,
     pub sent: Micros,
     pub out: bool,
+    /// It is out, but waits in this front for what it depends on.
+    pub held: bool,
+    pub ending: Option<Ending>,
 }
 
 pub struct Statement {
@@ -58,6 +61,8 @@
     /// Its transaction goes on when it ends, and keeps its order key.
     pub keeps: bool,
     pub key: Option<String>,
+    /// It depends on promises: its end is told.
+    pub promised: bool,
     pub executions: Vec<Execution>,
 }
 
@@ -107,7 +112,8 @@
         let key = ask.key.map(str::to_string);
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
         let executions = Vec::new();
-        let statement = Statement { terms, over: false, begun: false, keeps: false, key, executions };
+        let statement =
+            Statement { terms, over: false, begun: false, keeps: false, key, promised: false, executions };
         self.statements.insert(ticket, statement);
         Ok(ticket)
     }
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -78,8 +78,8 @@
     pub(super) fn noted(&mut self, id: StatementId, n: usize, e: EngineId, note: Note) {
         let Some(s) = self.statements.get_mut(&id) else { return };
         let Some(execution) = s.executions.get_mut(n).filter(|x| x.outcome.is_none()) else { return };
-        execution.heard = self.now;
-        self.engines.heard[e] = self.now;
+        let tells = execution.hears(self.now, note);
+        self.engines.heard[e] = if tells { self.now } else { self.engines.heard[e] };
         if let Note::SpillsMb(missing) = note {
             execution.spilled = true;
             let need = (s.load.memory * GRANTED + missing) / s.asked.memory_mb.max(1.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -169,6 +169,8 @@
     WaitsForData,
     /// Its engine has answered something else meanwhile.
     Alive,
+    /// It has not left its front yet, which says nothing of its engine.
+    Held,
 }
 
 /// What an answer tells of the statement's true cost.
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,15 @@
     pub outcome: Option<Outcome>,
 }
 
+impl Execution {
+    /// There is word of it: whether that tells of its engine too. One that has not left is sent from then on.
+    pub fn hears(&mut self, now: Micros, note: Note) -> bool {
+        let left = note != Note::Held;
+        (self.heard, self.sent) = (now, if left { self.sent } else { now });
+        left
+    }
+}
+
 pub struct Statement {
     pub asked: Arrival,
     pub class: usize,
