crates/access: files of rules read, checked as a whole, and compiled to an index

Need: customers say in which regions their data may be read and by whom; a rule with a fault must be told before it counts, and a decision must cost about the same at 10 and at 100,000 rules.

Result: cargo test -p hallmux-access, 8 tests: the index equals a plain walk on 2,000 drawn sets; no rule that is said to be shadowed ever decides on 2,000 more; each fault's text is held to its shape.

--- /dev/null
+++ b/crates/access/src/check.rs
@@ -0,0 +1,118 @@
+//! A set looked at as a whole: rules that can never match, rules that contradict each other, workloads that are left
+//! with no engine.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+
+use crate::fault::What;
+use crate::index::Index;
+use crate::known::{Bound, Known};
+use crate::read::Lines;
+use crate::rule::{Default, Rule, Set, Tables, Then};
+
+/// Customer, workload and front, and how high: rules of one group could each decide the same statement.
+type Level<'a> = ([Option<&'a str>; 3], (Reverse<i32>, Reverse<u32>, Reverse<u8>, u32));
+
+/// All that is wrong with a set, each with the path of what it is about.
+pub fn check(set: &Set, known: &Known, lines: Lines) -> Vec<(String, What)> {
+    let mut faults = names(set, lines);
+    let index = Index::new(set.clone());
+    for (at, rule) in set.rules.iter().enumerate() {
+        if let Some(by) = index.shadow(at).and_then(|by| set.rules.get(by)) {
+            let what =
+                What::Shadowed { rule: rule.name.clone(), by: by.name.clone(), line: line(lines, by.place) };
+            faults.push((path(rule), what));
+        }
+        faults.extend(barred(rule, known));
+    }
+    faults.extend(contradictions(set, lines));
+    faults.extend(known.workloads.iter().filter_map(|workload| left_with_none(set, known, workload)));
+    faults
+}
+
+fn path(rule: &Rule) -> String {
+    format!("rules[{}]", rule.place)
+}
+
+fn line(lines: Lines, place: usize) -> usize {
+    lines(&format!("rules[{place}]")).unwrap_or(0)
+}
+
+fn names(set: &Set, lines: Lines) -> Vec<(String, What)> {
+    let mut rules: Vec<&Rule> = set.rules.iter().collect();
+    rules.sort_by_key(|r| r.place);
+    let mut seen = HashMap::new();
+    let mut faults = Vec::new();
+    for rule in rules {
+        if let Some(first) = seen.get(rule.name.as_str()) {
+            let what = What::Twice { rule: rule.name.clone(), line: line(lines, *first) };
+            faults.push((format!("{}.name", path(rule)), what));
+        } else {
+            seen.insert(rule.name.as_str(), rule.place);
+        }
+    }
+    faults
+}
+
+/// A rule that allows a workload nowhere that it may run.
+fn barred(rule: &Rule, known: &Known) -> Option<(String, What)> {
+    let Then::Allow { places: Some(places) } = &rule.then else { return None };
+    let about = |w: &&Bound| rule.workload.as_ref().is_none_or(|name| *name == w.name);
+    let none = |w: &&Bound| {
+        let bound = known.bound(w);
+        !bound.is_empty() && !bound.iter().any(|place| places.contains(place))
+    };
+    let workload = known.workloads.iter().filter(about).find(none)?;
+    let named = |place: u16| known.locations.get(place as usize).cloned();
+    let bound: Vec<String> = known.bound(workload).into_iter().filter_map(named).collect();
+    let (rule_name, bound) = (rule.name.clone(), bound.join(", "));
+    Some((path(rule), What::NoEngine { rule: rule_name, workload: workload.name.clone(), bound }))
+}
+
+/// Deny goes before allow at the same height; two that allow different places have no order.
+fn contradictions(set: &Set, lines: Lines) -> Vec<(String, What)> {
+    let mut levels: BTreeMap<Level, Vec<&Rule>> = BTreeMap::new();
+    for rule in set.rules.iter().filter(|r| matches!(r.then, Then::Allow { .. })) {
+        let who = [&rule.customer, &rule.workload, &rule.front].map(|name| name.as_deref());
+        levels.entry((who, rule.height())).or_default().push(rule);
+    }
+    let mut faults = Vec::new();
+    for level in levels.values_mut() {
+        let tables = |r: &Rule| r.tables.unwrap_or(Tables { first: 0, last: u32::MAX });
+        level.sort_by_key(|r| (tables(r), r.place));
+        for (at, rule) in level.iter().enumerate() {
+            let mut behind = level.iter().skip(at + 1);
+            let meets = |r: &&&Rule| tables(r).first <= tables(rule).last;
+            let together = |r: &Rule| rule.from_ms < r.until_ms && r.from_ms < rule.until_ms;
+            let other = behind.by_ref().take_while(meets).find(|r| together(r) && !r.agrees(rule));
+            if let Some(other) = other {
+                let (rule, other) = if other.place < rule.place { (*rule, *other) } else { (*other, *rule) };
+                let line = line(lines, other.place);
+                let what = What::Contradicts { rule: rule.name.clone(), other: other.name.clone(), line };
+                faults.push((path(rule), what));
+            }
+        }
+    }
+    faults
+}
+
+/// A workload that no customer may run any more.
+fn left_with_none(set: &Set, known: &Known, workload: &Bound) -> Option<(String, What)> {
+    if known.covered.is_some() {
+        return None; // the customers that no rule can be about may run it
+    }
+    let about = |r: &&Rule| r.workload.as_ref().is_none_or(|name| *name == workload.name);
+    let name = workload.name.clone();
+    for rule in set.rules.iter().filter(about) {
+        let all = rule.customer.is_none() && rule.tables.is_none() && rule.front.is_none() && rule.always();
+        match &rule.then {
+            Then::Allow { .. } => return None,
+            Then::Deny { .. } if all => {
+                return Some((path(rule), What::AllDenied { rule: rule.name.clone(), workload: name }))
+            }
+            _ => {}
+        }
+    }
+    let denies = set.default == Default::Deny;
+    denies.then_some(("default".to_string(), What::NothingAllowed { workload: name }))
+}
--- /dev/null
+++ b/crates/access/src/index.rs
@@ -0,0 +1,327 @@
+//! A set compiled, so that the cost of a decision hardly grows with its rules: a table by the fields that rules name,
+//! and within each entry the tables' groups cut into stretches with the rules of each in order.
+
+use std::collections::HashMap;
+
+use crate::known::Known;
+use crate::rule::{Asking, Default, Set, Then};
+
+const MOST_GROUPS: usize = 16; // groups of tables of one statement; more are as if they could not be told
+const UNTOLD: &str = "the groups of tables that it reads cannot be told, and a rule bars some";
+const NOWHERE: &str = "the groups of tables that it reads may be read together in no region";
+
+/// What holds for a statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// The version that it was judged by: the same at every try.
+    pub version: u64,
+    /// The rule that decided it, by its place in the set's order; None: the default.
+    pub rule: Option<usize>,
+    /// The rule that only counts it.
+    pub counts: Option<usize>,
+    /// Why it is denied.
+    pub denied: Option<String>,
+    /// The places where it may be read, ascending; None: all.
+    pub allowed: Option<Vec<u16>>,
+}
+
+impl Verdict {
+    pub fn lets(&self, place: Option<u16>) -> bool {
+        let named = |all: &Vec<u16>| place.is_some_and(|place| all.binary_search(&place).is_ok());
+        self.denied.is_none() && self.allowed.as_ref().is_none_or(named)
+    }
+}
+
+/// Rules of one entry, in order; a list ends with the first rule that always holds, as none behind it ever decides.
+#[derive(Clone, Debug, std::default::Default)]
+struct Cell {
+    /// Those that name no tables.
+    any: Vec<u32>,
+    /// Where a stretch of groups begins, and the rules about it.
+    starts: Vec<u32>,
+    stretches: Vec<Vec<u32>>,
+    /// Those about tables that let less through: they hold where the groups cannot be told.
+    narrowing: Vec<u32>,
+}
+
+/// Customer, workload and front by number; 0 where a rule names none.
+type Who = [u32; 3];
+
+#[derive(Clone, Debug, std::default::Default)]
+struct Table {
+    cells: HashMap<Who, Cell>,
+    /// Which fields some entry names, a bit for each.
+    masks: Vec<u8>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Index {
+    pub set: Set,
+    names: [HashMap<String, u32>; 3],
+    decide: Table,
+    count: Table,
+}
+
+impl Index {
+    pub fn new(set: Set) -> Index {
+        let mut names: [HashMap<String, u32>; 3] = std::default::Default::default();
+        let mut cells: [HashMap<Who, Vec<u32>>; 2] = std::default::Default::default();
+        for (at, rule) in set.rules.iter().enumerate() {
+            let mut who = [0; 3];
+            for (field, name) in [&rule.customer, &rule.workload, &rule.front].into_iter().enumerate() {
+                if let (Some(name), Some(names)) = (name, names.get_mut(field)) {
+                    let next = names.len() as u32 + 1;
+                    who[field] = *names.entry(name.clone()).or_insert(next);
+                }
+            }
+            cells[usize::from(rule.then == Then::Count)].entry(who).or_default().push(at as u32);
+        }
+        let [decide, count] = cells.map(|cells| table(&set, cells));
+        Index { names, decide, count, set }
+    }
+
+    /// The rule that decides a statement and the one that only counts it.
+    pub fn first(&self, asking: &Asking, wall_ms: u64) -> (Option<usize>, Option<usize>) {
+        let number = |field: usize, name: &str| self.names[field].get(name).copied();
+        let who = [number(0, asking.customer), number(1, asking.workload), number(2, asking.front)];
+        let first = |table: &Table| self.find(table, who, asking.group, wall_ms).map(|at| at as usize);
+        (first(&self.decide), first(&self.count))
+    }
+
+    fn find(&self, table: &Table, who: [Option<u32>; 3], group: Option<u32>, wall_ms: u64) -> Option<u32> {
+        let mut least = None::<u32>;
+        for mask in &table.masks {
+            let mut key = [0; 3];
+            let named = (0..3).filter(|field| mask >> field & 1 == 1);
+            let known = named.fold(true, |known, field| match who[field] {
+                Some(number) => {
+                    key[field] = number;
+                    known
+                }
+                None => false,
+            });
+            let Some(cell) = table.cells.get(&key).filter(|_| known) else { continue };
+            let about = match group {
+                Some(group) => {
+                    let at = cell.starts.partition_point(|start| *start <= group);
+                    at.checked_sub(1).and_then(|at| cell.stretches.get(at))
+                }
+                None => Some(&cell.narrowing),
+            };
+            for list in [Some(&cell.any), about].into_iter().flatten() {
+                let holds = |at: &&u32| self.set.rules.get(**at as usize).is_some_and(|r| r.active(wall_ms));
+                let found = list.iter().take_while(|at| least.is_none_or(|least| **at < least)).find(holds);
+                least = found.copied().or(least);
+            }
+        }
+        least
+    }
+
+    /// Judges a statement by all groups of tables that it reads: barred for one is barred for all.
+    pub fn judge(&self, asking: &Asking, groups: &[u32], wall_ms: u64) -> Verdict {
+        let mut verdict: Option<Verdict> = None;
+        let untold = groups.is_empty() || groups.len() > MOST_GROUPS;
+        let each = groups.iter().copied().map(Some).take(if untold { 0 } else { MOST_GROUPS });
+        for group in each.chain(untold.then_some(None)) {
+            let one = self.judge_one(&Asking { group, ..*asking }, wall_ms);
+            verdict = Some(match verdict {
+                None => one,
+                Some(before) => both(before, one),
+            });
+        }
+        verdict.unwrap_or_else(|| self.judge_one(asking, wall_ms))
+    }
+
+    fn judge_one(&self, asking: &Asking, wall_ms: u64) -> Verdict {
+        let (rule, counts) = self.first(asking, wall_ms);
+        let decides = rule.and_then(|at| self.set.rules.get(at));
+        let untold = asking.group.is_none() && decides.is_some_and(|r| r.tables.is_some());
+        let (denied, allowed) = match decides.map(|r| &r.then) {
+            _ if untold => (Some(UNTOLD.to_string()), None),
+            Some(Then::Deny { reason }) => (Some(reason.clone()), None),
+            Some(Then::Allow { places }) => (None, places.clone()),
+            Some(Then::Count) => (None, None),
+            None if self.set.default == Default::Deny => (Some("no rule allows it".to_string()), None),
+            None => (None, None),
+        };
+        Verdict { version: self.set.version, rule, counts, denied, allowed }
+    }
+
+    /// The name of a rule, by its place in the order.
+    pub fn name(&self, rule: usize) -> &str {
+        self.set.rules.get(rule).map_or("", |r| &r.name)
+    }
+
+    /// Whether, for some statement, this set lets less through than an earlier one at any time from now on. Exact where
+    /// the kinds of statements that the two tell apart are few; beyond that it says yes.
+    pub fn tightens(&self, before: &Index, known: &Known, now_ms: u64) -> bool {
+        const MOST_LOOKED_AT: usize = 200_000; // kinds of statements; some 100 ms
+        let sets = [&self.set, &before.set];
+        let names = |field: fn(&crate::rule::Rule) -> Option<&String>| {
+            // What no rule names stands for all that none names.
+            let named = sets.iter().flat_map(|set| &set.rules).filter_map(field).map(String::as_str);
+            let mut names: Vec<&str> = named.chain([""]).collect();
+            names.sort_unstable();
+            names.dedup();
+            names
+        };
+        let customers = names(|r| r.customer.as_ref());
+        let workloads = names(|r| r.workload.as_ref());
+        let fronts = names(|r| r.front.as_ref());
+        let rules = || sets.iter().flat_map(|set| &set.rules);
+        let ends = |t: &crate::rule::Tables| [Some(t.first), t.last.checked_add(1)];
+        let mut groups: Vec<Option<u32>> =
+            rules().filter_map(|r| r.tables.as_ref()).flat_map(ends).flatten().map(Some).collect();
+        groups.extend([None, Some(0)]);
+        groups.sort_unstable();
+        groups.dedup();
+        let mut times: Vec<u64> = rules().flat_map(|r| [r.from_ms, r.until_ms]).collect();
+        times.retain(|at| *at > now_ms && *at < u64::MAX);
+        times.push(now_ms);
+        times.sort_unstable();
+        times.dedup();
+        let kinds = [customers.len(), workloads.len(), fronts.len(), groups.len(), times.len()];
+        if kinds.iter().try_fold(1usize, |all, n| all.checked_mul(*n)).is_none_or(|n| n > MOST_LOOKED_AT) {
+            return true;
+        }
+        // One place more stands for those that are not known here.
+        let all: Vec<u16> = (0..=known.locations.len() as u16).collect();
+        let lets = |index: &Index, asking: &Asking, at: u64| {
+            let verdict = index.judge_one(asking, at);
+            verdict.denied.map_or_else(|| verdict.allowed.unwrap_or_else(|| all.clone()), |_| Vec::new())
+        };
+        let mut tightens = false;
+        for customer in &customers {
+            for workload in &workloads {
+                for front in &fronts {
+                    let kind = |group| Asking { customer, workload, group, front };
+                    let less = |group: &Option<u32>| {
+                        times.iter().any(|at| {
+                            let (new, old) =
+                                (lets(self, &kind(*group), *at), lets(before, &kind(*group), *at));
+                            old.iter().any(|place| new.binary_search(place).is_err())
+                        })
+                    };
+                    tightens |= groups.iter().any(less);
+                }
+            }
+        }
+        tightens
+    }
+}
+
+impl Index {
+    /// A rule that goes before another wherever and whenever that would match.
+    pub fn shadow(&self, at: usize) -> Option<usize> {
+        let rule = self.set.rules.get(at)?;
+        let table = if rule.then == Then::Count { &self.count } else { &self.decide };
+        let mut who = [0; 3];
+        for (field, name) in [&rule.customer, &rule.workload, &rule.front].into_iter().enumerate() {
+            who[field] = name.as_ref().and_then(|name| self.names[field].get(name).copied()).unwrap_or(0);
+        }
+        let own = (0..3).fold(0, |mask, field| mask | u8::from(who[field] > 0) << field);
+        let wider = table.masks.iter().filter(|mask| **mask & !own == 0);
+        let key = |mask: &u8| [0, 1, 2].map(|field| if mask >> field & 1 == 1 { who[field] } else { 0 });
+        let cells: Vec<&Cell> = wider.filter_map(|mask| table.cells.get(&key(mask))).collect();
+        let covers = |list: &[u32]| {
+            let before = list.iter().map(|by| *by as usize).take_while(|by| *by < at);
+            before.into_iter().find(|by| self.set.rules.get(*by).is_some_and(|by| by.spans(rule)))
+        };
+        if let Some(by) = cells.iter().find_map(|cell| covers(&cell.any)) {
+            return Some(by);
+        }
+        let tables = rule.tables?;
+        // Each stretch of its groups must have one; the stretches of an entry differ from those of another.
+        let mut starts = vec![tables.first];
+        for cell in &cells {
+            let from = cell.starts.partition_point(|start| *start <= tables.first);
+            starts.extend(cell.starts.iter().skip(from).take_while(|start| **start <= tables.last));
+        }
+        let over = |start: u32| {
+            cells.iter().find_map(|cell| {
+                let at = cell.starts.partition_point(|s| *s <= start).checked_sub(1)?;
+                covers(cell.stretches.get(at)?)
+            })
+        };
+        starts.into_iter().map(over).reduce(|one, other| one.and(other)).flatten()
+    }
+}
+
+/// What holds for a statement about which two verdicts hold.
+fn both(a: Verdict, b: Verdict) -> Verdict {
+    // The rule that stands first is the one that decided, a denial before all.
+    let first = |a: &Verdict, b: &Verdict| {
+        let order = |v: &Verdict| (v.denied.is_none(), v.rule.is_none(), v.rule);
+        order(a) <= order(b)
+    };
+    let counts = a.counts.into_iter().chain(b.counts).min();
+    let (mut one, other) = if first(&a, &b) { (a, b) } else { (b, a) };
+    one.counts = counts;
+    if one.denied.is_some() {
+        return one;
+    }
+    one.allowed = match (one.allowed, other.allowed) {
+        (Some(one), Some(other)) => Some(one.into_iter().filter(|place| other.contains(place)).collect()),
+        (one, other) => one.or(other),
+    };
+    if one.allowed.as_ref().is_some_and(Vec::is_empty) {
+        one.denied = Some(NOWHERE.to_string());
+    }
+    one
+}
+
+fn table(set: &Set, cells: HashMap<Who, Vec<u32>>) -> Table {
+    let mask = |who: &Who| (0..3).fold(0, |mask, field| mask | u8::from(who[field] > 0) << field);
+    let mut masks: Vec<u8> = cells.keys().map(mask).collect();
+    masks.sort_unstable();
+    masks.dedup();
+    Table { cells: cells.into_iter().map(|(who, rules)| (who, cell(set, &rules))).collect(), masks }
+}
+
+/// Rules come in order.
+fn cell(set: &Set, rules: &[u32]) -> Cell {
+    let rule = |at: &u32| set.rules.get(*at as usize);
+    let mut made = Cell::default();
+    let mut edges: Vec<(u32, bool, u32)> = Vec::new(); // where, begins, which
+    for at in rules {
+        match rule(at).and_then(|r| r.tables.map(|t| (r, t))) {
+            None => made.any.push(*at),
+            Some((r, tables)) => {
+                edges.push((tables.first, true, *at));
+                edges.extend(tables.last.checked_add(1).map(|end| (end, false, *at)));
+                if r.then.narrows() {
+                    made.narrowing.push(*at);
+                }
+            }
+        }
+    }
+    edges.sort_unstable();
+    let mut open = std::collections::BTreeSet::new();
+    let mut edges = edges.into_iter().peekable();
+    while let Some((start, begins, at)) = edges.next() {
+        if begins {
+            open.insert(at);
+        } else {
+            open.remove(&at);
+        }
+        if edges.peek().is_none_or(|(next, ..)| *next != start) {
+            made.starts.push(start);
+            made.stretches.push(cut(set, open.iter().copied()));
+        }
+    }
+    made.any = cut(set, made.any.into_iter());
+    made.narrowing = cut(set, made.narrowing.into_iter());
+    made
+}
+
+/// Up to the first that always holds.
+fn cut(set: &Set, rules: impl Iterator<Item = u32>) -> Vec<u32> {
+    let mut list = Vec::new();
+    for at in rules {
+        list.push(at);
+        if set.rules.get(at as usize).is_none_or(|r| r.always()) {
+            break;
+        }
+    }
+    list
+}
--- /dev/null
+++ b/crates/access/src/read.rs
@@ -0,0 +1,280 @@
+//! A file of rules read as a whole: JSON5, every fault at once with its path and line.
+
+use serde_json::{Map, Value};
+
+use crate::check;
+use crate::fault::{Fault, Faults, What};
+use crate::known::Known;
+use crate::rule::{Default, Rule, Set, Tables, Then};
+
+const MOST_RULES: usize = 200_000; // rules; twice what the cost of a decision was measured with
+const KEYS: &str = "version, default, rules, roll_back_to";
+const RULE_KEYS: &str =
+    "name, customer, workload, tables, front, regions, barred, then, reason, priority, from, until";
+
+/// What a file asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wish {
+    Set(Set),
+    /// The set of an earlier version is to hold again, under a new one.
+    RollBack {
+        version: u64,
+        to: u64,
+    },
+}
+
+impl Wish {
+    pub fn version(&self) -> u64 {
+        match self {
+            Wish::Set(set) => set.version,
+            Wish::RollBack { version, .. } => *version,
+        }
+    }
+}
+
+/// The line on which the value at a path like `rules[2].name` begins.
+pub type Lines<'a> = &'a dyn Fn(&str) -> Option<usize>;
+
+/// Reads a file's text and checks it against what is known. `file` names it in the faults.
+pub fn read(file: &str, text: &str, known: &Known, lines: Lines) -> Result<Wish, Faults> {
+    let mut reader = Reader { known, faults: Vec::new() };
+    let wish = reader.file(text);
+    let mut faults = reader.faults;
+    if let (Some(Wish::Set(set)), true) = (&wish, faults.is_empty()) {
+        faults = check::check(set, known, lines);
+    }
+    match wish {
+        Some(wish) if faults.is_empty() => Ok(wish),
+        _ => {
+            let at = |(path, what): (String, What)| Fault { line: lines(&path), path, what };
+            let mut faults: Vec<Fault> = faults.into_iter().map(at).collect();
+            faults.sort_by_key(|f| f.line);
+            Err(Faults { file: file.to_string(), faults })
+        }
+    }
+}
+
+struct Reader<'a> {
+    known: &'a Known,
+    faults: Vec<(String, What)>,
+}
+
+impl Reader<'_> {
+    fn fault<T>(&mut self, path: &str, what: What) -> Option<T> {
+        self.faults.push((path.to_string(), what));
+        None
+    }
+
+    fn file(&mut self, text: &str) -> Option<Wish> {
+        let value: Value = match json5::from_str(text) {
+            Ok(value) => value,
+            Err(e) => return self.fault("", What::Form(e.to_string())),
+        };
+        let Value::Object(file) = value else {
+            return self.fault("", What::Kind { needs: "object of version and rules" });
+        };
+        self.keys("", &file, KEYS);
+        let version = match file.get("version") {
+            None => {
+                self.fault("version", What::Missing { needs: "a whole number that grows with each change" })
+            }
+            Some(v) => match whole(v).filter(|v| *v > 0) {
+                Some(version) => Some(version),
+                None => self.fault("version", What::Kind { needs: "whole number from 1" }),
+            },
+        };
+        if let Some(to) = file.get("roll_back_to") {
+            for key in ["rules", "default"].into_iter().filter(|key| file.contains_key(*key)) {
+                self.faults.push((key.to_string(), What::Key { known: "version, roll_back_to" }));
+            }
+            let to = whole(to).or_else(|| self.fault("roll_back_to", What::Kind { needs: "version" }))?;
+            return Some(Wish::RollBack { version: version?, to });
+        }
+        let default = match file.get("default").map(Value::as_str) {
+            Some(Some("allow")) => Some(Default::Allow),
+            Some(Some("deny")) => Some(Default::Deny),
+            None => self.fault("default", What::Missing { needs: "'allow' or 'deny'" }),
+            _ => self.fault("default", What::Kind { needs: "'allow' or 'deny'" }),
+        };
+        let rules = match file.get("rules") {
+            Some(Value::Array(rules)) => rules.as_slice(),
+            None => {
+                return self.fault("rules", What::Missing { needs: "a list of rules, which may be empty" })
+            }
+            _ => return self.fault("rules", What::Kind { needs: "list of rules" }),
+        };
+        if rules.len() > MOST_RULES {
+            return self.fault("rules", What::TooMany { count: rules.len(), most: MOST_RULES });
+        }
+        let read: Vec<Option<Rule>> = rules.iter().enumerate().map(|(at, r)| self.rule(at, r)).collect();
+        let read: Option<Vec<Rule>> = read.into_iter().collect();
+        Some(Wish::Set(Set::new(version?, default?, read?)))
+    }
+
+    fn keys(&mut self, path: &str, object: &Map<String, Value>, known: &'static str) {
+        for key in object.keys().filter(|key| !known.split(", ").any(|k| k == *key)) {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            self.faults.push((path, What::Key { known }));
+        }
+    }
+
+    fn text(&mut self, path: &str, object: &Map<String, Value>, key: &str) -> Option<String> {
+        match object.get(key)? {
+            Value::String(text) if !text.is_empty() => Some(text.clone()),
+            _ => self.fault(&format!("{path}.{key}"), What::Kind { needs: "text" }),
+        }
+    }
+
+    /// A name out of a list; where the list is empty any will do.
+    fn name(
+        &mut self,
+        path: &str,
+        object: &Map<String, Value>,
+        key: &str,
+        list: &'static str,
+        known: Vec<String>,
+    ) -> Option<String> {
+        let name = self.text(path, object, key)?;
+        if known.is_empty() || known.contains(&name) {
+            return Some(name);
+        }
+        self.fault(&format!("{path}.{key}"), What::Name { name, list, known: known.join(", ") })
+    }
+
+    fn rule(&mut self, place: usize, value: &Value) -> Option<Rule> {
+        let path = &format!("rules[{place}]");
+        let Value::Object(r) = value else { return self.fault(path, What::Kind { needs: "rule" }) };
+        let before = self.faults.len();
+        self.keys(path, r, RULE_KEYS);
+        let needs = "a name that the log and the counts can give it";
+        let name = match r.contains_key("name") {
+            true => self.text(path, r, "name").unwrap_or_default(),
+            false => self.fault(path, What::Missing { needs }).unwrap_or_default(),
+        };
+        let known = self.known;
+        let customer = self.name(path, r, "customer", "settings' customers", known.customers.clone());
+        if let Some(customer) = customer.as_ref().filter(|customer| !known.covers(customer)) {
+            let what = What::NotCovered { rule: name.clone(), customer: customer.clone() };
+            self.faults.push((format!("{path}.customer"), what));
+        }
+        let workloads = known.workloads.iter().map(|w| w.name.clone()).collect();
+        let workload = self.name(path, r, "workload", "settings' workloads", workloads);
+        let front = self.name(path, r, "front", "regions", known.region_names());
+        let tables = r.get("tables").and_then(|t| self.tables(path, t));
+        let priority = match r.get("priority").map(|p| number(p).and_then(|p| i32::try_from(p).ok())) {
+            None => 0,
+            Some(Some(priority)) => priority,
+            Some(None) => {
+                let what = What::Kind { needs: "whole number" };
+                self.fault(&format!("{path}.priority"), what).unwrap_or_default()
+            }
+        };
+        let from_ms = self.time(path, r, "from").unwrap_or(0);
+        let until_ms = self.time(path, r, "until").unwrap_or(u64::MAX);
+        let shape = |why, remedy| What::Shape { rule: name.clone(), why, remedy };
+        if from_ms >= until_ms {
+            let what = shape("ends before it begins", "give `until` a time after `from`");
+            self.faults.push((format!("{path}.until"), what));
+        }
+        let then = self.then(path, r, &name);
+        let rule =
+            Rule { name, customer, workload, tables, front, then: then?, priority, from_ms, until_ms, place };
+        (self.faults.len() == before).then_some(rule)
+    }
+
+    fn tables(&mut self, path: &str, value: &Value) -> Option<Tables> {
+        let group = |v: &Value| whole(v).and_then(|v| u32::try_from(v).ok());
+        let tables = match value {
+            Value::Array(ends) => match ends.as_slice() {
+                [first, last] => group(first).zip(group(last)).filter(|(first, last)| first <= last),
+                _ => None,
+            },
+            one => group(one).map(|one| (one, one)),
+        };
+        match tables {
+            Some((first, last)) => Some(Tables { first, last }),
+            None => {
+                let needs = "number of a group of tables, nor [first, last]";
+                self.fault(&format!("{path}.tables"), What::Kind { needs })
+            }
+        }
+    }
+
+    fn time(&mut self, path: &str, object: &Map<String, Value>, key: &str) -> Option<u64> {
+        let text = self.text(path, object, key)?;
+        let time = text.parse::<jiff::Timestamp>().ok().and_then(|t| u64::try_from(t.as_millisecond()).ok());
+        let needs = "time by RFC 3339, such as '2026-12-01T06:00:00Z'";
+        time.or_else(|| self.fault(&format!("{path}.{key}"), What::Kind { needs }))
+    }
+
+    fn then(&mut self, path: &str, r: &Map<String, Value>, name: &str) -> Option<Then> {
+        let reason = self.text(path, r, "reason");
+        let named = self.regions(path, r, "regions");
+        let barred = self.regions(path, r, "barred");
+        let shape = |why, remedy| What::Shape { rule: name.to_string(), why, remedy };
+        let says_where = r.contains_key("regions") || r.contains_key("barred");
+        let word = match r.get("then") {
+            None => "allow",
+            Some(word) => word.as_str().unwrap_or_default(),
+        };
+        if reason.is_some() && word != "deny" {
+            let what =
+                shape("gives a reason though it does not deny", "take out `reason`, or say then: 'deny'");
+            self.faults.push((format!("{path}.reason"), what));
+        }
+        match word {
+            "deny" | "count" if says_where => {
+                let why = "names regions though it does not allow";
+                self.fault(path, shape(why, "take out `regions` and `barred`, or say then: 'allow'"))
+            }
+            "deny" => match reason {
+                Some(reason) => Some(Then::Deny { reason }),
+                None => self.fault(path, shape("denies without a reason", "give it `reason`, for the log")),
+            },
+            "count" => Some(Then::Count),
+            "allow" if r.contains_key("regions") && r.contains_key("barred") => {
+                self.fault(path, shape("has both `regions` and `barred`", "give one of them"))
+            }
+            "allow" if r.contains_key("regions") => Some(Then::Allow { places: Some(named?) }),
+            "allow" if r.contains_key("barred") => {
+                let barred = barred?;
+                let left = (0..self.known.locations.len() as u16).filter(|at| !barred.contains(at)).collect();
+                Some(Then::Allow { places: Some(left) })
+            }
+            "allow" => Some(Then::Allow { places: None }),
+            _ => self.fault(&format!("{path}.then"), What::Kind { needs: "'allow', 'deny' or 'count'" }),
+        }
+    }
+
+    fn regions(&mut self, path: &str, r: &Map<String, Value>, key: &str) -> Option<Vec<u16>> {
+        let Value::Array(names) = r.get(key)? else {
+            return self.fault(&format!("{path}.{key}"), What::Kind { needs: "list of regions" });
+        };
+        let mut places = Vec::new();
+        for (at, name) in names.iter().enumerate() {
+            let path = format!("{path}.{key}[{at}]");
+            let name = name.as_str().unwrap_or_default();
+            match self.known.places(name) {
+                Some(named) => places.extend(named),
+                None => {
+                    let known = self.known.region_names().join(", ");
+                    let what = What::Name { name: name.to_string(), list: "regions", known };
+                    self.faults.push((path, what));
+                }
+            }
+        }
+        places.sort_unstable();
+        places.dedup();
+        Some(places)
+    }
+}
+
+/// JSON5 has one kind of number; whole ones may be written with a point.
+fn number(value: &Value) -> Option<i64> {
+    let fits = |f: &f64| f.fract() == 0.0 && f.abs() < 9e15;
+    value.as_i64().or_else(|| value.as_f64().filter(fits).map(|f| f as i64))
+}
+
+fn whole(value: &Value) -> Option<u64> {
+    number(value).and_then(|n| u64::try_from(n).ok())
+}
--- /dev/null
+++ b/crates/access/src/rule.rs
@@ -0,0 +1,167 @@
+//! A rule, a set of them in the order in which they decide, and the plain walk over it.
+
+use std::cmp::Reverse;
+
+/// Groups of tables, both ends within.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Tables {
+    pub first: u32,
+    pub last: u32,
+}
+
+impl Tables {
+    pub fn holds(&self, group: u32) -> bool {
+        (self.first..=self.last).contains(&group)
+    }
+
+    fn width(&self) -> u32 {
+        self.last - self.first
+    }
+}
+
+/// What a rule says of the statements it matches.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Then {
+    Deny {
+        reason: String,
+    },
+    /// Places (indices of `Known::locations`) where it may be read, ascending; None: anywhere.
+    Allow {
+        places: Option<Vec<u16>>,
+    },
+    /// Counted beside whatever decides.
+    Count,
+}
+
+impl Then {
+    pub fn narrows(&self) -> bool {
+        !matches!(self, Then::Allow { places: None } | Then::Count)
+    }
+
+    /// Of two rules at the same height, the one that lets less through goes first.
+    fn severity(&self) -> u8 {
+        match self {
+            Then::Deny { .. } => 0,
+            Then::Allow { places: Some(_) } => 1,
+            Then::Allow { places: None } => 2,
+            Then::Count => 3,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rule {
+    pub name: String,
+    /// Whose statements; what is None matches all.
+    pub customer: Option<String>,
+    pub workload: Option<String>,
+    pub tables: Option<Tables>,
+    /// The region of the front that was asked.
+    pub front: Option<String>,
+    pub then: Then,
+    pub priority: i32,
+    /// Unix milliseconds: from the first on, before the second.
+    pub from_ms: u64,
+    pub until_ms: u64,
+    /// Its place in the file, for faults.
+    pub place: usize,
+}
+
+/// What holds for a statement that no rule decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Default {
+    Allow,
+    Deny,
+}
+
+/// Who asks for what. `groups` are the groups of tables of the statement; none where they cannot be told.
+#[derive(Clone, Copy, Debug)]
+pub struct Asking<'a> {
+    pub customer: &'a str,
+    pub workload: &'a str,
+    pub group: Option<u32>,
+    pub front: &'a str,
+}
+
+impl Rule {
+    /// Whether it holds at a time.
+    pub fn active(&self, wall_ms: u64) -> bool {
+        self.from_ms <= wall_ms && wall_ms < self.until_ms
+    }
+
+    /// It has neither beginning nor end.
+    pub fn always(&self) -> bool {
+        self.from_ms == 0 && self.until_ms == u64::MAX
+    }
+
+    /// Whether it holds whenever the other does.
+    pub fn spans(&self, other: &Rule) -> bool {
+        self.from_ms <= other.from_ms && other.until_ms <= self.until_ms
+    }
+
+    /// Whether it is about a statement. Where the groups of tables cannot be told, a rule about tables that lets
+    /// less through is about it, and one that lets more through is not.
+    pub fn matches(&self, asking: &Asking) -> bool {
+        let named = |field: &Option<String>, asked: &str| field.as_ref().is_none_or(|name| name == asked);
+        named(&self.customer, asking.customer)
+            && named(&self.workload, asking.workload)
+            && named(&self.front, asking.front)
+            && self.tables.is_none_or(|t| asking.group.map_or(self.then.narrows(), |group| t.holds(group)))
+    }
+
+    /// Which of its fields are named; the weight of each tells which goes first where as many are named.
+    pub fn mask(&self) -> u8 {
+        u8::from(self.customer.is_some()) << 3
+            | u8::from(self.tables.is_some()) << 2
+            | u8::from(self.workload.is_some()) << 1
+            | u8::from(self.front.is_some())
+    }
+
+    /// How high it stands: the least goes first. Priority, then the more specific (more fields named; customer before
+    /// tables before workload before front; fewer tables).
+    pub fn height(&self) -> (Reverse<i32>, Reverse<u32>, Reverse<u8>, u32) {
+        let width = self.tables.map_or(u32::MAX, |t| t.width());
+        (Reverse(self.priority), Reverse(self.mask().count_ones()), Reverse(self.mask()), width)
+    }
+
+    /// Whether both say the same of what they match.
+    pub fn agrees(&self, other: &Rule) -> bool {
+        match (&self.then, &other.then) {
+            (Then::Deny { .. }, Then::Deny { .. }) => true,
+            (ours, theirs) => ours == theirs,
+        }
+    }
+}
+
+/// A set of rules, in the order in which they decide.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Set {
+    /// As its file states it.
+    pub version: u64,
+    pub default: Default,
+    pub rules: Vec<Rule>,
+}
+
+impl Set {
+    /// The set of a fleet that was never given one.
+    pub fn empty() -> Set {
+        Set { version: 0, default: Default::Allow, rules: Vec::new() }
+    }
+
+    pub fn new(version: u64, default: Default, mut rules: Vec<Rule>) -> Set {
+        rules.sort_by(|a, b| {
+            let key = |r: &Rule| (r.height(), r.then.severity(), r.from_ms);
+            key(a).cmp(&key(b)).then_with(|| a.name.cmp(&b.name))
+        });
+        Set { version, default, rules }
+    }
+
+    /// The rule that decides and the one that only counts, by going through all in order: what the index must equal.
+    pub fn walk(&self, asking: &Asking, wall_ms: u64) -> (Option<usize>, Option<usize>) {
+        let first = |counts: bool| {
+            let fits = |r: &Rule| (r.then == Then::Count) == counts && r.active(wall_ms) && r.matches(asking);
+            self.rules.iter().position(fits)
+        };
+        (first(false), first(true))
+    }
+}
--- /dev/null
+++ b/crates/access/tests/rules.rs
@@ -0,0 +1,296 @@
+//! Files of rules as a person writes them: what is refused, in which words; and the index beside the plain walk.
+
+use hallmux_access::{read, Asking, Bound, Default, Faults, Index, Known, Rule, Set, Tables, Then, Wish};
+use proptest::prelude::*;
+
+fn known() -> Known {
+    let names = |all: &[&str]| all.iter().map(|n| n.to_string()).collect::<Vec<_>>();
+    let bound = |name: &str, at: Option<&[&str]>| Bound { name: name.to_string(), locations: at.map(names) };
+    Known {
+        customers: names(&["acme", "brisk", "corvid"]),
+        workloads: vec![bound("lookup", None), bound("report", Some(&["std-eu", "std-us"]))],
+        locations: names(&["std-eu", "std-us", "std-ap"]),
+        regions: [("eu".to_string(), names(&["std-eu"])), ("west".to_string(), names(&["std-eu", "std-us"]))]
+            .into(),
+        covered: Some(names(&["acme", "brisk"])),
+    }
+}
+
+/// Lines by the key's text: each rule of these files stands on a line of its own.
+fn lines(text: &str) -> impl Fn(&str) -> Option<usize> + '_ {
+    move |path| {
+        let place = path.strip_prefix("rules[").and_then(|p| p.split(']').next()?.parse::<usize>().ok());
+        let of_rule = |(_, line): &(usize, &str)| line.trim_start().starts_with("{ ");
+        match place {
+            Some(place) => text.lines().enumerate().filter(of_rule).nth(place).map(|(at, _)| at + 1),
+            None => text.lines().position(|line| line.contains(path)).map(|at| at + 1),
+        }
+    }
+}
+
+fn faults(text: &str) -> String {
+    match read("rules.json5", text, &known(), &lines(text)) {
+        Err(faults) => faults.to_string(),
+        Ok(wish) => format!("{wish:?}"),
+    }
+}
+
+fn file(rules: &[&str]) -> String {
+    format!("{{\n version: 7,\n default: 'allow',\n rules: [\n{}\n ],\n}}", rules.join(",\n"))
+}
+
+fn set(rules: &[&str]) -> Set {
+    let text = file(rules);
+    let wish = read("rules.json5", &text, &known(), &lines(&text));
+    match wish {
+        Ok(Wish::Set(set)) => set,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn each_fault_says_where_it_is_and_what_to_do() {
+    for (rule, says) in [
+        ("{ name: 'a', then: 'deny', resaon: 'x' }", "rules[0].resaon: is not known; the keys here are name,"),
+        ("{ then: 'count' }", "rules[0]: is missing; give a name"),
+        ("{ name: 'a', customer: 'acne', then: 'count' }", "rules[0].customer: 'acne' is not among the settings' customers: acme, brisk, corvid; name one"),
+        ("{ name: 'a', customer: 'corvid', then: 'count' }", "rule `a` is about customer 'corvid', which `rules.customers`"),
+        ("{ name: 'a', workload: 'x', then: 'count' }", "rules[0].workload: 'x' is not among the settings' workloads: lookup, report"),
+        ("{ name: 'a', regions: ['mars'] }", "rules[0].regions[0]: 'mars' is not among the regions: eu, west, std-eu"),
+        ("{ name: 'a', front: 'mars' }", "rules[0].front: 'mars' is not among the regions"),
+        ("{ name: 'a', tables: [9, 3] }", "rules[0].tables: is no number of a group of tables"),
+        ("{ name: 'a', from: 'noon' }", "rules[0].from: is no time by RFC 3339, such as"),
+        ("{ name: 'a', from: '2026-12-01T06:00:00Z', until: '2026-12-01T05:00:00Z' }", "rule `a` ends before it begins; give `until`"),
+        ("{ name: 'a', priority: 1.5 }", "rules[0].priority: is no whole number; give one"),
+        ("{ name: 'a', then: 'permit' }", "rules[0].then: is no 'allow', 'deny' or 'count'; give one"),
+        ("{ name: 'a', then: 'deny' }", "rule `a` denies without a reason; give it `reason`"),
+        ("{ name: 'a', reason: 'x' }", "rule `a` gives a reason though it does not deny; take out"),
+        ("{ name: 'a', then: 'deny', reason: 'x', barred: ['eu'] }", "rule `a` names regions though it does not allow; take out"),
+        ("{ name: 'a', regions: ['eu'], barred: ['eu'] }", "rule `a` has both `regions` and `barred`; give one"),
+        ("{ name: 'eu-only', customer: 'acme', regions: ['std-ap'] }", "rule `eu-only` bars every region that workload `report` is bound to; name one of std-eu, std-us, or give the rule a workload"),
+        ("7", "rules[0]: is no rule; give one"),
+    ] {
+        let said = faults(&file(&[rule]));
+        // A number for a rule stands on no line of its own in these files.
+        let line = if rule == "7" { "rules.json5:".to_string() } else { "rules.json5:5:".to_string() };
+        assert!(said.starts_with(&format!("{line} {says}")), "{rule}: {said}");
+    }
+    for (text, says) in [
+        (
+            "{ version: 0, default: 'allow', rules: [] }",
+            "rules.json5:1: version: is no whole number from 1; give one",
+        ),
+        ("{ default: 'allow', rules: [] }", "rules.json5: version: is missing; give a whole number"),
+        ("{ version: 1, rules: [] }", "rules.json5: default: is missing; give 'allow' or 'deny'"),
+        ("{ version: 1, default: 'deny', rules: [], }", "Set"),
+        (
+            "{ version: 2, roll_back_to: 1, rules: [] }",
+            "rules.json5:1: rules: is not known; the keys here are version",
+        ),
+        ("{ version: ", "rules.json5:"),
+        ("[]", "rules.json5:1: is no object of version and rules; give one"),
+    ] {
+        let said = faults(text);
+        assert!(said.starts_with(says), "{text}: {said}");
+    }
+}
+
+#[test]
+fn all_faults_come_at_once_in_the_order_of_lines() {
+    let text =
+        file(&["{ name: 'a', then: 'permit' }", "{ name: 'b', workload: 'x' }", "{ name: 'c', frm: 1 }"]);
+    let said = faults(&text);
+    let lines: Vec<&str> = said.lines().map(|l| l.split(' ').next().unwrap()).collect();
+    assert_eq!(lines, ["rules.json5:5:", "rules.json5:6:", "rules.json5:7:"]);
+}
+
+#[test]
+fn a_set_is_looked_at_as_a_whole() {
+    for (rules, says) in [
+        (
+            &[
+                "{ name: 'a', customer: 'acme', then: 'count' }",
+                "{ name: 'a', customer: 'brisk', then: 'count' }",
+            ][..],
+            "rules.json5:6: rule `a` has the name of the rule on line 5; give each",
+        ),
+        (
+            &[
+                "{ name: 'all', customer: 'acme', regions: ['eu'], priority: 1 }",
+                "{ name: 'one', customer: 'acme', workload: 'report', regions: ['std-us'] }",
+            ],
+            "rules.json5:6: rule `one` can never match: rule `all` on line 5 goes before it",
+        ),
+        (
+            &[
+                "{ name: 'yes', customer: 'acme', regions: ['eu'] }",
+                "{ name: 'no', customer: 'acme', then: 'deny', reason: 'x' }",
+            ],
+            "rules.json5:5: rule `yes` can never match: rule `no` on line 6",
+        ),
+        (
+            &[
+                "{ name: 'eu', customer: 'acme', regions: ['eu'] }",
+                "{ name: 'us', customer: 'acme', regions: ['std-us'] }",
+            ],
+            "rules.json5:6: rule `us` contradicts rule `eu` on line 5",
+        ),
+        (
+            &[
+                "{ name: 'low', tables: [1, 10], regions: ['eu'] }",
+                "{ name: 'high', tables: [5, 14], regions: ['std-us'] }",
+            ],
+            "rules.json5:6: rule `high` contradicts rule `low` on line 5",
+        ),
+        (
+            &[
+                "{ name: 'p', tables: [1, 4], then: 'deny', reason: 'x', priority: 1 }",
+                "{ name: 'q', tables: [5, 9], then: 'deny', reason: 'x', priority: 1 }",
+                "{ name: 'r', tables: [2, 8], regions: ['eu'] }",
+            ],
+            "rules.json5:7: rule `r` can never match",
+        ),
+    ] {
+        let said = faults(&file(rules));
+        assert!(said.contains(says), "{rules:?}: {said}");
+    }
+    // Later, or for other tables, they do not meet.
+    set(&[
+        "{ name: 'eu', customer: 'acme', regions: ['eu'], until: '2026-12-01T06:00:00Z' }",
+        "{ name: 'us', customer: 'acme', regions: ['std-us'], from: '2026-12-01T07:00:00+01:00' }",
+    ]);
+    set(&[
+        "{ name: 'p', tables: [1, 4], then: 'deny', reason: 'x', priority: 1 }",
+        "{ name: 'r', tables: [2, 8], regions: ['eu'] }",
+    ]);
+}
+
+#[test]
+fn a_set_leaves_every_workload_an_engine_for_somebody() {
+    let all = Known { covered: None, ..known() };
+    let faults = |text: &str| read("r", text, &all, &lines(text)).map_err(|e: Faults| e.to_string());
+    let denied = file(&["{ name: 'no', workload: 'report', then: 'deny', reason: 'x' }"]);
+    assert!(faults(&denied)
+        .unwrap_err()
+        .starts_with("r:5: rule `no` leaves workload `report` with no engine"));
+    let one = file(&[
+        "{ name: 'no', workload: 'report', then: 'deny', reason: 'x' }",
+        "{ name: 'yes', customer: 'acme', workload: 'report' }",
+    ]);
+    assert!(faults(&one).is_ok());
+    let default = "{ version: 1, default: 'deny',\n rules: [\n{ name: 'a', workload: 'lookup' }] }";
+    let said = faults(default).unwrap_err();
+    assert_eq!(said.lines().count(), 1);
+    assert!(said.contains("default: the default 'deny' leaves workload `report` with no engine"), "{said}");
+}
+
+#[test]
+fn specific_goes_before_general_and_deny_before_allow() {
+    let set = set(&[
+        "{ name: 'acme', customer: 'acme', regions: ['west'] }",
+        "{ name: 'acme-tables', customer: 'acme', tables: [10, 20], regions: ['std-us'] }",
+        "{ name: 'acme-one', customer: 'acme', tables: 12, then: 'deny', reason: 'moved' }",
+        "{ name: 'report', workload: 'report', regions: ['eu'] }",
+        "{ name: 'seen', workload: 'report', then: 'count' }",
+    ]);
+    let index = Index::new(set);
+    let judge = |customer, workload, groups: &[u32]| {
+        let v = index.judge(&Asking { customer, workload, group: None, front: "eu" }, groups, 0);
+        (v.rule.map_or("", |at| index.name(at)).to_string(), v.denied, v.allowed, v.counts.is_some())
+    };
+    let is = |rule: &str, denied: Option<&str>, allowed: Option<Vec<u16>>, counts| {
+        (rule.to_string(), denied.map(str::to_string), allowed, counts)
+    };
+    assert_eq!(judge("acme", "lookup", &[30]), is("acme", None, Some(vec![0, 1]), false));
+    assert_eq!(judge("acme", "lookup", &[15]), is("acme-tables", None, Some(vec![1]), false));
+    assert_eq!(judge("acme", "lookup", &[12]), is("acme-one", Some("moved"), None, false));
+    assert_eq!(judge("brisk", "report", &[]), is("report", None, Some(vec![0]), true));
+    assert_eq!(judge("brisk", "lookup", &[]), is("", None, None, false));
+    // Several groups: where all of them may be read; one that is denied denies the whole.
+    assert_eq!(judge("acme", "lookup", &[30, 15]), is("acme-tables", None, Some(vec![1]), false));
+    assert_eq!(judge("acme", "lookup", &[30, 15, 12]), is("acme-one", Some("moved"), None, false));
+    // What cannot be told could be any of them.
+    let (rule, denied, ..) = judge("acme", "lookup", &[]);
+    assert_eq!(rule, "acme-one");
+    assert!(denied.unwrap().starts_with("the groups of tables that it reads cannot be told"));
+}
+
+#[test]
+fn a_set_tightens_where_some_statement_is_let_through_at_fewer_places() {
+    let index = |rules: &[&str]| Index::new(set(rules));
+    let eu = index(&["{ name: 'a', customer: 'acme', regions: ['eu'] }"]);
+    let west = index(&["{ name: 'a', customer: 'acme', regions: ['west'] }"]);
+    let none = index(&[]);
+    let later = index(&["{ name: 'a', customer: 'acme', regions: ['eu'], from: '2026-12-01T06:00:00Z' }"]);
+    let tables = index(&["{ name: 'a', tables: 7, then: 'deny', reason: 'x' }"]);
+    let tightens = |new: &Index, old: &Index| new.tightens(old, &known(), 0);
+    assert!(tightens(&eu, &west) && !tightens(&west, &eu));
+    assert!(tightens(&eu, &none) && !tightens(&none, &eu));
+    assert!(tightens(&later, &none) && !tightens(&none, &later));
+    assert!(tightens(&eu, &later) && !tightens(&later, &eu));
+    assert!(tightens(&tables, &none) && !tightens(&none, &tables));
+    assert!(!tightens(&none, &none));
+    assert!(tightens(&tables, &eu) && tightens(&eu, &tables));
+}
+
+fn drawn_rule() -> impl Strategy<Value = Rule> {
+    let name = |all: &'static [&'static str]| {
+        prop::option::of(prop::sample::select(all)).prop_map(|n| n.map(str::to_string))
+    };
+    let tables = prop::option::of((0u32..12, 0u32..6))
+        .prop_map(|t| t.map(|(first, more)| Tables { first, last: first + more }));
+    let then = prop_oneof![
+        Just(Then::Deny { reason: "x".to_string() }),
+        Just(Then::Allow { places: None }),
+        Just(Then::Count),
+        prop::collection::btree_set(0u16..3, 1..3)
+            .prop_map(|p| Then::Allow { places: Some(p.into_iter().collect()) }),
+    ];
+    let time = prop_oneof![3 => Just((0, u64::MAX)), 1 => (0u64..4, 4u64..8)];
+    let who = (name(&["a", "b", "c"]), name(&["x", "y"]), name(&["eu", "us"]));
+    (who, tables, then, 0i32..3, time).prop_map(
+        |((customer, workload, front), tables, then, priority, (from_ms, until_ms))| {
+            let name =
+                format!("{customer:?}{workload:?}{front:?}{tables:?}{then:?}{priority}{from_ms}{until_ms}");
+            Rule { name, customer, workload, tables, front, then, priority, from_ms, until_ms, place: 0 }
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_index_equals_a_plain_walk(
+        rules in prop::collection::vec(drawn_rule(), 0..40),
+        customer in prop::sample::select(&["a", "b", "c", "z"][..]),
+        workload in prop::sample::select(&["x", "y", "z"][..]),
+        front in prop::sample::select(&["eu", "us", "ap"][..]),
+        group in prop::option::of(0u32..20),
+        now in 0u64..9,
+    ) {
+        let set = Set::new(1, Default::Allow, rules);
+        let asking = Asking { customer, workload, group, front };
+        let walked = set.walk(&asking, now);
+        prop_assert_eq!(Index::new(set).first(&asking, now), walked);
+    }
+
+    #[test]
+    fn a_shadowed_rule_never_decides(
+        rules in prop::collection::vec(drawn_rule(), 0..30),
+        group in 0u32..20,
+        now in 0u64..9,
+    ) {
+        let index = Index::new(Set::new(1, Default::Allow, rules));
+        for customer in ["a", "b", "c", "z"] {
+            for workload in ["x", "y", "z"] {
+                for front in ["eu", "us", "ap"] {
+                    let (decides, counts) = index.first(&Asking { customer, workload, group: Some(group), front }, now);
+                    for at in decides.into_iter().chain(counts) {
+                        prop_assert_eq!(index.shadow(at), None);
+                    }
+                }
+            }
+        }
+    }
+}
