The log library's storage, with its mend, in a crate of its own that lease and ledger share

Need: the ledger keeps its shards on the same library and must not write its mend a second time. Change: crates/replica holds what a member of a replicated log must not forget, and tells what has changed of it; crates/lease saves it whole as before, in the same form.

--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use hallmux_replica::Store;
 use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry;
 use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
@@ -40,7 +41,7 @@
     /// All voters in order: the place of each, counted from 1, is its number in the log.
     voters: Vec<FrontId>,
     terms: Terms,
-    log: OmniPaxos<Change, Disk>,
+    log: OmniPaxos<Change, Store<Change>>,
     disk: Disk,
     leases: Leases,
     applied: usize,
@@ -84,7 +85,7 @@
             ..ServerConfig::default()
         };
         let log = OmniPaxosConfig { cluster_config, server_config }
-            .build(disk.clone())
+            .build(disk.store.clone())
             .map_err(|_| Spoilt::Fleet)?;
         let mut voter = Voter {
             fleet,
