Summaries of sites, and conditions proved against them in three-valued logic (crates/scatter)

Need: a site may be left out of a statement only on proof that no row there can match. Summaries are signed, bounded, and looked at as a whole before they count; conditions are taken from statements by sqlparser, and text that dialects read in two ways is not understood.

--- /dev/null
+++ b/crates/scatter/src/build.rs
@@ -0,0 +1,159 @@
+//! A site's summary from the rows that it holds, within a bound of bytes.
+
+use std::collections::BTreeSet;
+
+use crate::filter::Members;
+use crate::summary::{Column, Loads, Summary, Table, MOST_BYTES};
+use crate::value::{less, Kind, Value};
+
+const LONGEST_TEXT: usize = 64; // bytes of text that bounds keep
+const MOST_HASHES: usize = MOST_BYTES; // of a column: a filter of more would not fit
+const SEALS: usize = 128; // bytes for the signature and lengths around it
+
+/// What holds for a whole summary.
+#[derive(Clone, Debug)]
+pub struct About {
+    pub site: String,
+    pub group: u32,
+    pub schema: u32,
+    pub version: u64,
+    pub made_ms: u64,
+    pub loads: Loads,
+}
+
+/// One table as rows come in.
+pub struct TableBuilder {
+    name: String,
+    rows: u64,
+    columns: Vec<Growing>,
+}
+
+struct Growing {
+    name: String,
+    kind: Kind,
+    nulls: u64,
+    bounds: Option<(Value, Value)>,
+    /// A value came that has no place in any order, or is not of the kind: nothing is told of the column.
+    unruly: bool,
+    hashes: BTreeSet<u64>,
+}
+
+impl TableBuilder {
+    /// Names as unquoted ones are, without the schema.
+    pub fn new(name: &str, columns: &[(&str, Kind)]) -> TableBuilder {
+        let growing = |(name, kind): &(&str, Kind)| Growing {
+            name: name.to_ascii_lowercase(),
+            kind: *kind,
+            nulls: 0,
+            bounds: None,
+            unruly: false,
+            hashes: BTreeSet::new(),
+        };
+        TableBuilder {
+            name: name.to_ascii_lowercase(),
+            rows: 0,
+            columns: columns.iter().map(growing).collect(),
+        }
+    }
+
+    /// One row, its values in the order of the columns; None and what is missing are null.
+    pub fn row(&mut self, values: &[Option<Value>]) {
+        self.rows += 1;
+        for (place, column) in self.columns.iter_mut().enumerate() {
+            match values.get(place) {
+                Some(Some(value)) => column.value(value),
+                _ => column.nulls += 1,
+            }
+        }
+    }
+
+    fn table(self) -> Table {
+        Table {
+            name: self.name,
+            rows: self.rows,
+            columns: self.columns.into_iter().map(Growing::column).collect(),
+        }
+    }
+}
+
+impl Growing {
+    fn value(&mut self, value: &Value) {
+        if self.hashes.len() < MOST_HASHES {
+            self.hashes.insert(value.hash());
+        }
+        // NaN has no order that all engines share.
+        if !value.fits(self.kind) || matches!(value, Value::Float(f) if !f.is_finite()) {
+            self.unruly = true;
+            return;
+        }
+        match &mut self.bounds {
+            None => self.bounds = Some((value.clone(), value.clone())),
+            Some((least, greatest)) => {
+                if less(value, least) {
+                    *least = value.clone();
+                } else if less(greatest, value) {
+                    *greatest = value.clone();
+                }
+            }
+        }
+    }
+
+    fn column(self) -> Column {
+        let distinct = self.hashes.len() as u64;
+        let told = !self.unruly && self.kind != Kind::Other;
+        let (mut bounds, mut tight) = (self.bounds.filter(|_| told), true);
+        if let Some((Value::Text(least), Value::Text(greatest))) = &mut bounds {
+            if least.len() > LONGEST_TEXT {
+                (tight, *least) = (false, cut(least).to_string());
+            }
+            if greatest.len() > LONGEST_TEXT {
+                tight = false;
+                match above(cut(greatest)) {
+                    Some(text) => *greatest = text,
+                    None => bounds = None,
+                }
+            }
+        }
+        // Engines round floats in ways of their own: their equality proves nothing.
+        let whole = self.hashes.len() < MOST_HASHES && told && self.kind != Kind::Float;
+        let members = whole.then(|| Members::new(self.hashes.into_iter().collect())).flatten();
+        Column { name: self.name, kind: self.kind, nulls: self.nulls, distinct, bounds, tight, members }
+    }
+}
+
+fn cut(text: &str) -> &str {
+    let mut end = LONGEST_TEXT.min(text.len());
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
+
+/// Text above everything that begins with the text given: its last character that has a next one, one further.
+pub fn above(text: &str) -> Option<String> {
+    let mut chars: Vec<char> = text.chars().collect();
+    while let Some(last) = chars.pop() {
+        let next = (u32::from(last) + 1..=u32::from(char::MAX)).take(0x801).find_map(char::from_u32);
+        if let Some(next) = next {
+            chars.push(next);
+            return Some(chars.into_iter().collect());
+        }
+    }
+    None
+}
+
+/// The summary of a group's tables. Where it would be too long, the largest filters go until it is not.
+pub fn summary(about: About, tables: Vec<TableBuilder>, most_bytes: usize) -> Summary {
+    let About { site, group, schema, version, made_ms, loads } = about;
+    let tables = tables.into_iter().map(TableBuilder::table).collect();
+    let mut summary = Summary { schema, version, made_ms, loads, tables, ..Summary::empty(&site, group) };
+    let most = most_bytes.min(MOST_BYTES).saturating_sub(SEALS);
+    while postcard::to_stdvec(&summary).map_or(0, |bytes| bytes.len()) > most {
+        let columns = summary.tables.iter_mut().flat_map(|t| &mut t.columns);
+        let largest = columns.max_by_key(|c| c.members.as_ref().map_or(0, Members::size));
+        if largest.and_then(|c| c.members.take()).is_none() {
+            break;
+        }
+    }
+    summary
+}
--- /dev/null
+++ b/crates/scatter/src/condition.rs
@@ -0,0 +1,183 @@
+//! A statement's condition, and what a summary proves of it: that no row can make it TRUE, or none FALSE. What is not
+//! understood proves neither.
+
+use serde::{Deserialize, Serialize};
+
+use crate::build::above;
+use crate::summary::{Column, Table};
+use crate::value::{less, Collation, Kind, Literal, Value};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Condition {
+    All(Vec<Condition>),
+    Any(Vec<Condition>),
+    Not(Box<Condition>),
+    Compare {
+        column: String,
+        by: By,
+        literal: Literal,
+    },
+    Null {
+        column: String,
+    },
+    /// LIKE with this beginning, and anything behind it.
+    Begins {
+        column: String,
+        with: String,
+    },
+    /// A column of truth values by itself.
+    Holds {
+        column: String,
+    },
+    Constant(bool),
+    /// Not understood.
+    Other,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum By {
+    Equal,
+    Unequal,
+    Less,
+    AtMost,
+    Greater,
+    AtLeast,
+}
+
+impl By {
+    /// What holds where this does not, for a value that is not null.
+    fn complement(self) -> By {
+        match self {
+            By::Equal => By::Unequal,
+            By::Unequal => By::Equal,
+            By::Less => By::AtLeast,
+            By::AtLeast => By::Less,
+            By::Greater => By::AtMost,
+            By::AtMost => By::Greater,
+        }
+    }
+
+    /// The same with its sides changed.
+    pub fn turned(self) -> By {
+        match self {
+            By::Less => By::Greater,
+            By::Greater => By::Less,
+            By::AtMost => By::AtLeast,
+            By::AtLeast => By::AtMost,
+            same => same,
+        }
+    }
+}
+
+impl Condition {
+    /// Surely no row of the table makes it TRUE.
+    pub fn never_true(&self, table: &Table) -> bool {
+        table.rows == 0 || self.never(table, true)
+    }
+
+    /// Surely no row gives it this truth value.
+    fn never(&self, table: &Table, truth: bool) -> bool {
+        let column = |name: &str| table.columns.iter().find(|c| c.name == name);
+        let never = |c: &Condition| c.never(table, truth);
+        match self {
+            // One that is never TRUE keeps the whole from being TRUE; for FALSE all must never be FALSE.
+            Condition::All(all) if truth => all.iter().any(never) || narrows(all, table),
+            Condition::All(all) => all.iter().all(never),
+            Condition::Any(any) if truth => any.iter().all(never),
+            Condition::Any(any) => any.iter().any(never),
+            Condition::Not(inner) => inner.never(table, !truth),
+            Condition::Constant(value) => *value != truth,
+            Condition::Null { column: name } => column(name).is_some_and(|c| match truth {
+                true => c.nulls == 0,
+                false => c.nulls == table.rows,
+            }),
+            Condition::Compare { column: name, by, literal } => {
+                let by = if truth { *by } else { by.complement() };
+                column(name).is_some_and(|c| c.nulls == table.rows || c.excludes(by, literal))
+            }
+            Condition::Holds { column: name } => column(name)
+                .is_some_and(|c| c.nulls == table.rows || c.excludes(By::Equal, &Literal::Bool(truth))),
+            Condition::Begins { column: name, with } => {
+                truth && column(name).is_some_and(|c| c.nulls == table.rows || c.never_begins(with))
+            }
+            Condition::Other => false,
+        }
+    }
+
+    /// Which share of the rows may make it TRUE, by a guess that only ever orders sites.
+    pub fn share(&self, table: &Table) -> f64 {
+        if self.never_true(table) {
+            return 0.0;
+        }
+        match self {
+            Condition::All(all) => all.iter().map(|c| c.share(table)).product(),
+            Condition::Any(any) => any.iter().map(|c| c.share(table)).sum::<f64>().min(1.0),
+            Condition::Compare { column, by: By::Equal, .. } => {
+                let column = table.columns.iter().find(|c| c.name == *column);
+                column.map_or(0.1, |c| 1.0 / c.distinct.max(1) as f64)
+            }
+            Condition::Compare { .. } | Condition::Begins { .. } => 0.3,
+            _ => 0.5,
+        }
+    }
+}
+
+const MOST_POINTS: i128 = 64; // whole numbers between two bounds that are each asked of the filter
+
+/// Bounds on one column of numbers that leave few values, none of which the column has.
+fn narrows(all: &[Condition], table: &Table) -> bool {
+    table.columns.iter().any(|column| {
+        let (Kind::Number { .. }, Some(members)) = (column.kind, &column.members) else { return false };
+        let Some((Value::Number(mut low), Value::Number(mut high))) = column.bounds else { return false };
+        let mut bound = false;
+        for condition in all {
+            let Condition::Compare { column: name, by, literal } = condition else { continue };
+            let point = literal.point(column.kind).filter(|_| *name == column.name);
+            let Some((Value::Number(below), Value::Number(above))) = point.map(|p| (p.below, p.above)) else {
+                continue;
+            };
+            match by {
+                By::AtLeast | By::Greater => low = low.max(below),
+                By::AtMost | By::Less => high = high.min(above),
+                By::Equal | By::Unequal => continue,
+            }
+            bound = true;
+        }
+        let few = high.checked_sub(low).is_some_and(|span| span < MOST_POINTS);
+        bound && few && (low..=high).all(|n| !members.may_have(Value::Number(n).hash()))
+    })
+}
+
+impl Column {
+    /// Surely no value that is not null compares so to the literal.
+    fn excludes(&self, by: By, literal: &Literal) -> bool {
+        let (Some(point), Some((least, greatest))) = (literal.point(self.kind), &self.bounds) else {
+            return false;
+        };
+        let ordered = !matches!(self.kind, Kind::Text(Collation::Exact | Collation::Unknown));
+        let same = |a: &Value, b: &Value| point.exact && crate::value::order(a, b).is_some_and(|o| o.is_eq());
+        match by {
+            By::Equal => {
+                let outside = less(&point.above, least) || less(greatest, &point.below);
+                let absent = |v: &Value| self.members.as_ref().is_some_and(|m| !m.may_have(v.hash()));
+                outside || self.kind != Kind::Float && absent(&point.below) && absent(&point.above)
+            }
+            By::Unequal => self.tight && same(least, greatest) && same(least, &point.below),
+            By::Less => ordered && (less(&point.above, least) || same(&point.above, least)),
+            By::AtMost => ordered && less(&point.above, least),
+            By::Greater => ordered && (less(greatest, &point.below) || same(greatest, &point.below)),
+            By::AtLeast => ordered && less(greatest, &point.below),
+        }
+    }
+
+    /// Surely no value begins so. LIKE goes by characters, so bytes tell wherever equality goes by bytes.
+    fn never_begins(&self, with: &str) -> bool {
+        let by_bytes = matches!(self.kind, Kind::Text(Collation::C | Collation::Exact));
+        let Some((Value::Text(least), Value::Text(greatest))) = self.bounds.as_ref().filter(|_| by_bytes)
+        else {
+            return false;
+        };
+        let behind = above(with).is_some_and(|above| least.as_bytes() >= above.as_bytes());
+        greatest.as_bytes() < with.as_bytes() || behind
+    }
+}
--- /dev/null
+++ b/crates/scatter/src/filter.rs
@@ -0,0 +1,130 @@
+//! Which values a column has, by their hashes: all of them where they are few, else a filter that has every one of them and
+//! one in 256 of the others.
+
+use serde::{Deserialize, Serialize};
+use xorf::{BinaryFuse8, BinaryFuse8Ref, Filter, FilterRef};
+
+const HEAD: usize = 20; // bytes: a seed of eight, three figures of four
+const FEW: usize = 32; // hashes: below that a filter's segments take more than they do
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Members {
+    /// Their hashes, in order.
+    All(Vec<u64>),
+    /// A binary fuse filter: its seed, its segments and its fingerprints.
+    Fuse { seed: u64, segment: u32, segments: u32, prints: Vec<u8> },
+}
+
+impl Members {
+    /// None where no filter could be made of them, which is not to be expected.
+    pub fn new(mut hashes: Vec<u64>) -> Option<Members> {
+        hashes.sort_unstable();
+        hashes.dedup();
+        if hashes.len() < FEW {
+            return Some(Members::All(hashes));
+        }
+        let BinaryFuse8 { descriptor, fingerprints } = BinaryFuse8::try_from(&hashes).ok()?;
+        Some(Members::Fuse {
+            seed: descriptor.seed,
+            segment: descriptor.segment_length,
+            segments: descriptor.segment_count_length,
+            prints: fingerprints.into_vec(),
+        })
+    }
+
+    /// Whether what was read can be asked without a look beyond its end.
+    pub fn is_sound(&self) -> bool {
+        match self {
+            Members::All(hashes) => hashes.len() < FEW && hashes.windows(2).all(|w| w[0] < w[1]),
+            Members::Fuse { segment, segments, prints, .. } => {
+                let end = u64::from(*segments) + 2 * u64::from(*segment);
+                segment.is_power_of_two()
+                    && *segments > 0
+                    && segments.is_multiple_of(*segment)
+                    && end == prints.len() as u64
+            }
+        }
+    }
+
+    /// False: surely none of them.
+    pub fn may_have(&self, hash: u64) -> bool {
+        match self {
+            Members::All(hashes) => hashes.binary_search(&hash).is_ok(),
+            Members::Fuse { seed, segment, segments, prints } => {
+                // The library takes a filter that lies elsewhere by a head of this form.
+                let mut head = Vec::with_capacity(HEAD);
+                head.extend(seed.to_le_bytes());
+                head.extend(segment.to_le_bytes());
+                head.extend(segment.wrapping_sub(1).to_le_bytes());
+                head.extend(segments.to_le_bytes());
+                BinaryFuse8Ref::from_dma(&head, prints).contains(&hash)
+            }
+        }
+    }
+
+    /// Bytes that it takes, near enough.
+    pub fn size(&self) -> usize {
+        match self {
+            Members::All(hashes) => hashes.len() * 10,
+            Members::Fuse { prints, .. } => prints.len() + 24,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::value::{fnv, Value};
+
+    fn hashes(from: i128, count: i128) -> Vec<u64> {
+        (from..from + count).map(|n| Value::Number(n).hash()).collect()
+    }
+
+    fn wrong(may: impl Fn(u64) -> bool) -> f64 {
+        hashes(1_000_000_000, 200_000).into_iter().filter(|hash| may(*hash)).count() as f64 / 200_000.0
+    }
+
+    #[test]
+    fn every_member_is_found_and_few_others() {
+        for count in [0, 1, 31, 32, 33, 100, 5_000] {
+            let members = Members::new(hashes(0, count)).unwrap();
+            assert!(members.is_sound());
+            assert!(hashes(0, count).into_iter().all(|hash| members.may_have(hash)));
+            assert!(wrong(|hash| members.may_have(hash)) < 0.006, "{count}");
+        }
+    }
+
+    /// The reason for the filter chosen, as the design note has it.
+    #[test]
+    fn bits_kept_prove_more_than_those_of_a_bloom_filter() {
+        let members = Members::new(hashes(0, 50_000)).unwrap();
+        let bits = members.size() as f64 * 8.0 / 50_000.0;
+        let fuse = wrong(|hash| members.may_have(hash));
+        let bloom = fastbloom::BloomFilter::with_num_bits((bits * 50_000.0) as usize).seed(&7);
+        let bloom = bloom.items(hashes(0, 50_000).iter());
+        let bloom = wrong(|hash| bloom.contains(&hash));
+        println!("bits a value {bits:.2}: binary fuse {:.3} %, bloom {:.3} %", fuse * 100.0, bloom * 100.0);
+        assert!(fuse < bloom / 2.0, "{fuse} {bloom}");
+    }
+
+    #[test]
+    fn what_would_look_beyond_its_end_is_unsound() {
+        let Some(Members::Fuse { seed, segment, segments, prints }) = Members::new(hashes(0, 100)) else {
+            panic!()
+        };
+        let fuse = |segment, segments, prints: &[u8]| Members::Fuse {
+            seed,
+            segment,
+            segments,
+            prints: prints.to_vec(),
+        };
+        assert!(fuse(segment, segments, &prints).is_sound());
+        assert!(!fuse(segment, segments, &prints[1..]).is_sound());
+        assert!(!fuse(segment * 2, segments, &prints).is_sound());
+        assert!(!fuse(0, segments, &prints).is_sound());
+        assert!(!fuse(segment, 0, &prints).is_sound());
+        assert!(!fuse(segment, u32::MAX, &prints).is_sound());
+        assert!(!Members::All(vec![fnv(b"b"), fnv(b"a")].into_iter().rev().collect::<Vec<_>>().repeat(2))
+            .is_sound());
+    }
+}
--- /dev/null
+++ b/crates/scatter/src/of.rs
@@ -0,0 +1,116 @@
+//! A condition from the expression of a statement.
+
+use sqlparser::ast::{BinaryOperator, Expr, InTarget, UnaryOperator, Value as Word};
+
+use crate::condition::{By, Condition};
+use crate::sql::{literal, Names};
+use crate::value::Literal;
+
+const DEEPEST: usize = 64; // expressions within expressions; what is deeper is not understood
+const MOST_LISTED: usize = 1_000; // constants of a list
+
+/// What is not understood is `Other`, which proves nothing.
+pub(crate) fn of(e: &Expr, names: &Names) -> Condition {
+    within(e, names, 0)
+}
+
+fn within(e: &Expr, names: &Names, depth: usize) -> Condition {
+    if depth > DEEPEST {
+        return Condition::Other;
+    }
+    let deeper = |e: &Expr| within(e, names, depth + 1);
+    match e {
+        Expr::Nested(inner) => deeper(inner),
+        Expr::UnaryOp { op: UnaryOperator::Not, expr } => Condition::Not(Box::new(deeper(expr))),
+        Expr::BinaryOp { op: BinaryOperator::And, .. } => {
+            Condition::All(chain(e, &BinaryOperator::And).into_iter().map(deeper).collect())
+        }
+        Expr::BinaryOp { op: BinaryOperator::Or, .. } => {
+            Condition::Any(chain(e, &BinaryOperator::Or).into_iter().map(deeper).collect())
+        }
+        Expr::BinaryOp { left, op, right } => {
+            let by = match op {
+                BinaryOperator::Eq => By::Equal,
+                BinaryOperator::NotEq => By::Unequal,
+                BinaryOperator::Lt => By::Less,
+                BinaryOperator::LtEq => By::AtMost,
+                BinaryOperator::Gt => By::Greater,
+                BinaryOperator::GtEq => By::AtLeast,
+                _ => return Condition::Other,
+            };
+            match (names.column(left), literal(right), literal(left), names.column(right)) {
+                (Some(column), Some(literal), ..) => Condition::Compare { column, by, literal },
+                (_, _, Some(literal), Some(column)) => {
+                    Condition::Compare { column, by: by.turned(), literal }
+                }
+                _ => Condition::Other,
+            }
+        }
+        Expr::Between { expr, negated, low, high } => {
+            let (Some(column), Some(low), Some(high)) = (names.column(expr), literal(low), literal(high))
+            else {
+                return Condition::Other;
+            };
+            let side = |by, literal| Condition::Compare { column: column.clone(), by, literal };
+            not(*negated, Condition::All(vec![side(By::AtLeast, low), side(By::AtMost, high)]))
+        }
+        Expr::In { expr, target: InTarget::List(list), negated, global: false } => {
+            let (Some(column), true) = (names.column(expr), list.len() <= MOST_LISTED) else {
+                return Condition::Other;
+            };
+            let equal = |e: &Expr| {
+                let (column, by) = (column.clone(), By::Equal);
+                literal(e).map_or(Condition::Other, |literal| Condition::Compare { column, by, literal })
+            };
+            not(*negated, Condition::Any(list.iter().map(equal).collect()))
+        }
+        Expr::IsNull(inner) => null(inner, false, names),
+        Expr::IsNotNull(inner) => null(inner, true, names),
+        Expr::Like { negated, any: false, expr, pattern, escape_char } => {
+            let (Some(column), Some(Literal::Text(pattern))) = (names.column(expr), literal(pattern)) else {
+                return Condition::Other;
+            };
+            let escape = match escape_char.as_deref() {
+                None => None,
+                Some(e) => match literal(e) {
+                    Some(Literal::Text(text)) if text.chars().count() == 1 => text.chars().next(),
+                    _ => return Condition::Other,
+                },
+            };
+            let end = pattern.find(|c| matches!(c, '%' | '_' | '[') || Some(c) == escape);
+            let with = pattern[..end.unwrap_or(pattern.len())].to_string();
+            not(*negated, Condition::Begins { column, with })
+        }
+        Expr::Value(value) => match value.value {
+            Word::Boolean(b) => Condition::Constant(b),
+            _ => Condition::Other,
+        },
+        _ => names.column(e).map_or(Condition::Other, |column| Condition::Holds { column }),
+    }
+}
+
+fn not(negated: bool, condition: Condition) -> Condition {
+    if negated {
+        Condition::Not(Box::new(condition))
+    } else {
+        condition
+    }
+}
+
+fn null(inner: &Expr, negated: bool, names: &Names) -> Condition {
+    names.column(inner).map_or(Condition::Other, |column| not(negated, Condition::Null { column }))
+}
+
+/// The members of a chain of one operator, which may be as long as the statement.
+fn chain<'a>(e: &'a Expr, of: &BinaryOperator) -> Vec<&'a Expr> {
+    let (mut members, mut rest) = (Vec::new(), e);
+    while let Expr::BinaryOp { left, op, right } = rest {
+        if op != of {
+            break;
+        }
+        members.push(&**right);
+        rest = left;
+    }
+    members.push(rest);
+    members
+}
--- /dev/null
+++ b/crates/scatter/src/sql.rs
@@ -0,0 +1,395 @@
+//! What a statement asks for, taken from it by `sqlparser`: one table, a condition, a bound on rows. Dialects read some text
+//! in two ways; such text is not understood here, so that no reading of an engine's is missed.
+
+use std::ops::ControlFlow;
+
+use sqlparser::ast::{visit_expressions, SelectFlavor};
+use sqlparser::ast::{
+    BinaryOperator, Distinct, Expr, FunctionArguments, GroupByExpr, Ident, InTarget, LimitClause, ObjectName,
+    Query as Parsed, Select, SelectItem, SetExpr, Statement, TableFactor, UnaryOperator, Value as Word,
+};
+use sqlparser::dialect::GenericDialect;
+use sqlparser::parser::Parser;
+
+use crate::condition::Condition;
+use crate::value::Literal;
+
+const LONGEST: usize = 16 << 10; // bytes of a statement that is looked at; conditions nest by its length
+const SCRATCH: &str = "staging"; // the schema that is no group's
+/// Functions of one row alone. Any other may be an aggregate, or give another value at each call.
+const OF_ONE_ROW: [&str; 24] = [
+    "abs",
+    "ceil",
+    "ceiling",
+    "char_length",
+    "coalesce",
+    "concat",
+    "floor",
+    "greatest",
+    "least",
+    "left",
+    "length",
+    "lower",
+    "lpad",
+    "ltrim",
+    "mod",
+    "nullif",
+    "replace",
+    "right",
+    "round",
+    "rpad",
+    "rtrim",
+    "substr",
+    "trim",
+    "upper",
+];
+
+/// A statement whose rows can be put together from those of its sites.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Query {
+    pub group: u32,
+    pub table: String,
+    pub condition: Condition,
+    pub limit: Option<u64>,
+}
+
+/// Why the rows of a statement can't be put together from parts.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unfit {
+    #[error("a statement of {0} bytes, over {LONGEST}: shorten it, or name a scatter.whole_site for it")]
+    Long(usize),
+    #[error(
+        "text that dialects read in different ways ({0}): write it without, or name a scatter.whole_site"
+    )]
+    Ambiguous(&'static str),
+    #[error("not understood ({0}): write it plainer, or name a scatter.whole_site")]
+    Syntax(String),
+    #[error("{0} can't be put together from the sites' parts: leave it out, or name a scatter.whole_site")]
+    Whole(String),
+    #[error("names no table as SCHEMA_NUMBER.TABLE: name the group's schema, or name a scatter.whole_site")]
+    NoGroup,
+}
+
+fn whole<T>(what: impl Into<String>) -> Result<T, Unfit> {
+    Err(Unfit::Whole(what.into()))
+}
+
+/// Text that begins or ends strings and comments in one dialect and not in another.
+fn ambiguous(text: &str) -> Option<&'static str> {
+    let dashes = |(at, _): (usize, &str)| text[at + 2..].chars().next().is_some_and(|c| !c.is_whitespace());
+    let nested = || {
+        let mut rest = text;
+        while let Some((_, behind)) = rest.split_once("/*") {
+            let Some((comment, after)) = behind.split_once("*/") else { return true };
+            if comment.contains("/*") || comment.starts_with(['!', '+', 'M']) {
+                return true;
+            }
+            rest = after;
+        }
+        false
+    };
+    match () {
+        () if text.contains('\\') => Some("a backslash"),
+        () if text.contains('#') => Some("#"),
+        () if text.contains('$') => Some("$"),
+        () if text.match_indices("--").any(dashes) => Some("-- without a space behind"),
+        () if nested() => Some("a comment within a comment, or one with orders"),
+        () => None,
+    }
+}
+
+pub(crate) fn parse(statement: &[u8]) -> Result<Statement, Unfit> {
+    if statement.len() > LONGEST {
+        return Err(Unfit::Long(statement.len()));
+    }
+    let Ok(text) = std::str::from_utf8(statement) else {
+        return Err(Unfit::Syntax("it is no UTF-8".to_string()));
+    };
+    if let Some(what) = ambiguous(text) {
+        return Err(Unfit::Ambiguous(what));
+    }
+    match Parser::parse_sql(&GenericDialect {}, text) {
+        Ok(mut all) => match (all.pop(), all.is_empty()) {
+            (Some(one), true) => Ok(one),
+            (Some(_), false) => Err(Unfit::Syntax("several statements".to_string())),
+            (None, _) => Err(Unfit::Syntax("no statement".to_string())),
+        },
+        Err(e) => Err(Unfit::Syntax(e.to_string())),
+    }
+}
+
+/// The group and the table that a name of two parts stands for.
+pub(crate) fn table(name: &ObjectName) -> Option<(u32, String)> {
+    let parts: Option<Vec<&Ident>> = name.0.iter().map(|part| part.as_ident()).collect();
+    let [schema, table] = parts?[..] else { return None };
+    let (area, number) = schema.value.rsplit_once('_')?;
+    let plain = !number.is_empty() && number.bytes().all(|c| c.is_ascii_digit());
+    let group = number.parse().ok().filter(|_| plain && !area.eq_ignore_ascii_case(SCRATCH))?;
+    Some((group, plain_name(table)))
+}
+
+/// A name as it is kept: quoted ones as they are.
+pub(crate) fn plain_name(name: &Ident) -> String {
+    match name.quote_style {
+        None => name.value.to_ascii_lowercase(),
+        Some(_) => name.value.clone(),
+    }
+}
+
+/// Takes a statement apart, if its rows can be put together from parts.
+pub fn read(statement: &[u8]) -> Result<Query, Unfit> {
+    let Statement::Query(query) = parse(statement)? else { return whole("what is no SELECT") };
+    // Named one by one: a clause that a later version of the crate knows of must be looked at here.
+    let Parsed {
+        with,
+        body,
+        order_by,
+        limit_clause,
+        fetch,
+        locks,
+        for_clause,
+        settings,
+        format_clause,
+        pipe_operators,
+    } = *query;
+    for (there, what) in [
+        (with.is_some(), "WITH"),
+        (order_by.is_some(), "ORDER BY"),
+        (fetch.is_some(), "FETCH"),
+        (!locks.is_empty(), "FOR UPDATE"),
+        (for_clause.is_some() || settings.is_some() || format_clause.is_some(), "FOR, SETTINGS or FORMAT"),
+        (!pipe_operators.is_empty(), "a pipe"),
+    ] {
+        if there {
+            return whole(what);
+        }
+    }
+    let SetExpr::Select(select) = *body else { return whole("UNION or another set of statements") };
+    let limit = match limit_clause {
+        None => None,
+        Some(LimitClause::LimitOffset { limit, offset: None, limit_by }) if limit_by.is_empty() => {
+            limit.map(|limit| rows(&limit)).transpose()?
+        }
+        Some(_) => return whole("OFFSET"),
+    };
+    select_from(*select, limit)
+}
+
+fn rows(limit: &Expr) -> Result<u64, Unfit> {
+    let count = match limit {
+        Expr::Value(value) => match &value.value {
+            Word::Number(digits, false) => digits.parse().ok(),
+            _ => None,
+        },
+        _ => None,
+    };
+    count.ok_or_else(|| Unfit::Whole("LIMIT by anything but a number".to_string()))
+}
+
+fn select_from(select: Select, limit: Option<u64>) -> Result<Query, Unfit> {
+    let Select {
+        select_token: _,
+        optimizer_hints,
+        distinct,
+        select_modifiers,
+        top,
+        top_before_distinct: _,
+        projection,
+        exclude,
+        into,
+        from,
+        lateral_views,
+        prewhere,
+        selection,
+        connect_by,
+        group_by,
+        cluster_by,
+        distribute_by,
+        sort_by,
+        having,
+        named_window,
+        qualify,
+        window_before_qualify: _,
+        value_table_mode,
+        flavor,
+    } = select;
+    let grouped =
+        !matches!(&group_by, GroupByExpr::Expressions(by, with) if by.is_empty() && with.is_empty());
+    let sorted = !cluster_by.is_empty() || !distribute_by.is_empty() || !sort_by.is_empty();
+    for (there, what) in [
+        (distinct.is_some_and(|d| !matches!(d, Distinct::All)), "DISTINCT"),
+        (grouped || having.is_some(), "GROUP BY"),
+        (top.is_some(), "TOP"),
+        (into.is_some(), "INTO"),
+        (sorted, "SORT BY"),
+        (!named_window.is_empty() || qualify.is_some(), "a window"),
+        (
+            !lateral_views.is_empty() || !connect_by.is_empty() || prewhere.is_some(),
+            "a clause of one dialect",
+        ),
+        (
+            !optimizer_hints.is_empty() || select_modifiers.is_some() || exclude.is_some(),
+            "a hint or modifier",
+        ),
+        (value_table_mode.is_some() || flavor != SelectFlavor::Standard, "a SELECT of another form"),
+    ] {
+        if there {
+            return whole(what);
+        }
+    }
+    let [from] = &from[..] else { return whole("a list of tables") };
+    if !from.joins.is_empty() {
+        return whole("a join");
+    }
+    let TableFactor::Table {
+        name,
+        alias,
+        args: None,
+        with_hints,
+        version: None,
+        with_ordinality: false,
+        partitions,
+        json_path: None,
+        sample: None,
+        index_directives,
+        inheritance: None,
+    } = &from.relation
+    else {
+        return whole("anything but one table");
+    };
+    let aliased = alias.as_ref().is_some_and(|a| !a.columns.is_empty());
+    if !with_hints.is_empty() || !partitions.is_empty() || !index_directives.is_empty() || aliased {
+        return whole("a table with hints, partitions or other names");
+    }
+    let (group, table) = table(name).ok_or(Unfit::NoGroup)?;
+    let of_rows = |all: ControlFlow<String>| match all {
+        ControlFlow::Break(what) => whole(what),
+        ControlFlow::Continue(()) => Ok(()),
+    };
+    of_rows(visit_expressions(&projection, of_one_row))?;
+    of_rows(visit_expressions(&selection, of_one_row))?;
+    let names = Names {
+        table: alias.as_ref().map_or_else(|| table.clone(), |a| plain_name(&a.name)),
+        taken: projection.iter().filter_map(given_name).collect(),
+    };
+    let condition = match &selection {
+        None => Condition::Constant(true),
+        // MySQL reads some operators as AND and OR: then the whole falls apart otherwise.
+        Some(e) if visit_expressions(e, of_one_reading).is_break() => Condition::Other,
+        Some(e) => crate::of::of(e, &names),
+    };
+    Ok(Query { group, table, condition, limit })
+}
+
+fn given_name(item: &SelectItem) -> Option<String> {
+    match item {
+        SelectItem::ExprWithAlias { alias, .. } => Some(alias.value.to_ascii_lowercase()),
+        _ => None,
+    }
+}
+
+/// Whether an expression is of one row alone, by itself.
+fn of_one_row(e: &Expr) -> ControlFlow<String> {
+    let stop = |what: &str| ControlFlow::Break(what.to_string());
+    match e {
+        Expr::Identifier(name) if name.value.eq_ignore_ascii_case("rownum") => stop("ROWNUM"),
+        Expr::Identifier(_) | Expr::CompoundIdentifier(_) | Expr::TypedString(_) | Expr::Interval(_) => {
+            ControlFlow::Continue(())
+        }
+        Expr::IsFalse(_) | Expr::IsNotFalse(_) | Expr::IsTrue(_) | Expr::IsNotTrue(_) | Expr::IsNull(_) => {
+            ControlFlow::Continue(())
+        }
+        Expr::IsNotNull(_) | Expr::IsUnknown(_) | Expr::IsNotUnknown(_) => ControlFlow::Continue(()),
+        Expr::IsDistinctFrom(..) | Expr::IsNotDistinctFrom(..) => ControlFlow::Continue(()),
+        Expr::In { target: InTarget::List(_), .. } | Expr::Between { .. } | Expr::BinaryOp { .. } => {
+            ControlFlow::Continue(())
+        }
+        Expr::Like { .. } | Expr::ILike { .. } | Expr::SimilarTo { .. } | Expr::RLike { .. } => {
+            ControlFlow::Continue(())
+        }
+        Expr::UnaryOp { .. } | Expr::Cast { .. } | Expr::Extract { .. } | Expr::Ceil { .. } => {
+            ControlFlow::Continue(())
+        }
+        Expr::Floor { .. } | Expr::Position { .. } | Expr::Substring { .. } | Expr::Trim { .. } => {
+            ControlFlow::Continue(())
+        }
+        Expr::Collate { .. } | Expr::Nested(_) | Expr::Case { .. } => ControlFlow::Continue(()),
+        Expr::Value(value) if matches!(value.value, Word::Placeholder(_)) => stop("a placeholder"),
+        Expr::Value(_) => ControlFlow::Continue(()),
+        Expr::Function(f) => {
+            let name = f.name.to_string().to_ascii_lowercase();
+            let plain = f.over.is_none() && f.filter.is_none() && f.within_group.is_empty();
+            let plain = plain && matches!(f.parameters, FunctionArguments::None);
+            match plain && OF_ONE_ROW.contains(&name.as_str()) {
+                true => ControlFlow::Continue(()),
+                false => ControlFlow::Break(format!("function '{name}'")),
+            }
+        }
+        Expr::Subquery(_) | Expr::Exists { .. } | Expr::In { .. } => stop("a statement within it"),
+        _ => stop("an expression of another kind"),
+    }
+}
+
+/// Whether every dialect takes the operator for the same one, with the same rank.
+fn of_one_reading(e: &Expr) -> ControlFlow<()> {
+    use BinaryOperator::{And, Divide, Eq, Gt, GtEq, Lt, LtEq, Minus, Modulo, Multiply, NotEq, Or, Plus};
+    let known = match e {
+        Expr::BinaryOp { op, .. } => {
+            matches!(
+                op,
+                And | Or | Eq | NotEq | Lt | Gt | LtEq | GtEq | Plus | Minus | Multiply | Divide | Modulo
+            )
+        }
+        Expr::UnaryOp { op, .. } => {
+            matches!(op, UnaryOperator::Not | UnaryOperator::Minus | UnaryOperator::Plus)
+        }
+        _ => true,
+    };
+    if known {
+        ControlFlow::Continue(())
+    } else {
+        ControlFlow::Break(())
+    }
+}
+
+/// Which names stand for columns of the table.
+pub(crate) struct Names {
+    table: String,
+    /// Given to what is selected: dialects differ in what they stand for in a condition.
+    taken: Vec<String>,
+}
+
+impl Names {
+    pub fn column(&self, e: &Expr) -> Option<String> {
+        let name = match e {
+            Expr::Identifier(name) => name,
+            Expr::CompoundIdentifier(parts) => match &parts[..] {
+                [table, name] if plain_name(table) == self.table => name,
+                _ => return None,
+            },
+            Expr::Nested(inner) => return self.column(inner),
+            _ => return None,
+        };
+        // What is quoted is a name in one dialect and text in another.
+        let plain = name.quote_style.is_none().then(|| name.value.to_ascii_lowercase())?;
+        (!self.taken.contains(&plain)).then_some(plain)
+    }
+}
+
+/// A constant that is not null.
+pub(crate) fn literal(e: &Expr) -> Option<Literal> {
+    match e {
+        Expr::Nested(inner) => literal(inner),
+        Expr::Value(value) => match &value.value {
+            Word::Number(digits, false) => Some(Literal::Number { negative: false, digits: digits.clone() }),
+            Word::SingleQuotedString(text) => Some(Literal::Text(text.clone())),
+            Word::Boolean(b) => Some(Literal::Bool(*b)),
+            _ => None,
+        },
+        Expr::UnaryOp { op: UnaryOperator::Minus, expr } => match literal(expr)? {
+            Literal::Number { negative: false, digits } => Some(Literal::Number { negative: true, digits }),
+            _ => None,
+        },
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/scatter/src/summary.rs
@@ -0,0 +1,249 @@
+//! What a site says of its data, signed by it, as bytes and back. What is read is looked at as a whole before it counts.
+
+use ed25519_dalek::{Signature, SigningKey, VerifyingKey};
+use serde::{Deserialize, Serialize};
+
+use crate::filter::Members;
+use crate::value::{less, Kind, Value, MOST_SCALE};
+
+pub const MOST_BYTES: usize = 64 << 10; // bytes of a summary: 50,000 values in filters, and 60 pieces on their way
+const FORMAT: u16 = 1;
+const MARK: &[u8] = b"hallmux summary\0"; // what is signed says what it is: no other word passes for it
+pub const MOST_TABLES: usize = 64; // of a group
+pub const MOST_COLUMNS: usize = 256; // of a table
+pub const MOST_NAME: usize = 128; // bytes of a name
+pub const MOST_RUNS: usize = 64; // of load numbers
+
+/// A site's data of one table group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    pub format: u16,
+    pub site: String,
+    pub group: u32,
+    /// Which shape of the tables it is of, as the operator counts them.
+    pub schema: u32,
+    /// Grows with each summary of this site and group, also over the site's restarts.
+    pub version: u64,
+    /// Unix milliseconds by the site's clock.
+    pub made_ms: u64,
+    pub loads: Loads,
+    pub tables: Vec<Table>,
+}
+
+/// Numbers of the loads that are in it, as runs from the first to the last of each, in order.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Loads(pub Vec<(u64, u64)>);
+
+impl Loads {
+    /// Takes in one more; the oldest runs go where they are too many, which only means that more is asked.
+    pub fn insert(&mut self, number: u64) {
+        if self.has(number, number) {
+            return;
+        }
+        let at = self.0.partition_point(|(from, _)| *from < number);
+        self.0.insert(at, (number, number));
+        self.0.dedup_by(|next, run| {
+            let meets = run.1.checked_add(1).is_none_or(|after| next.0 <= after);
+            if meets {
+                run.1 = run.1.max(next.1);
+            }
+            meets
+        });
+        let over = self.0.len().saturating_sub(MOST_RUNS);
+        self.0.drain(..over);
+    }
+
+    /// Whether all from one number to another are in.
+    pub fn has(&self, from: u64, to: u64) -> bool {
+        self.0.iter().any(|run| run.0 <= from && to <= run.1)
+    }
+
+    /// The highest number that is in; 0 where none is.
+    pub fn last(&self) -> u64 {
+        self.0.last().map_or(0, |run| run.1)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// Without its schema, in lower case as unquoted names are.
+    pub name: String,
+    pub rows: u64,
+    pub columns: Vec<Column>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Column {
+    pub name: String,
+    pub kind: Kind,
+    pub nulls: u64,
+    /// Distinct values that are not null.
+    pub distinct: u64,
+    /// All values lie from the one to the other, both included; text by its bytes. None: nothing is told.
+    pub bounds: Option<(Value, Value)>,
+    /// Whether the bounds are values of the column themselves; long text is cut.
+    pub tight: bool,
+    pub members: Option<Members>,
+}
+
+/// Why a summary counts for nothing.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    #[error("a summary of {0} bytes, over {MOST_BYTES}: make it coarser at its site")]
+    Long(usize),
+    #[error("a summary that is cut short or no summary: let the site write it again")]
+    Form,
+    #[error(
+        "a summary of format {0}, this front reads {FORMAT}: site and front must be of versions that agree"
+    )]
+    Format(u16),
+    #[error("a summary of site '{0}', which scatter.sites does not name: add the site with its key, or take the file away")]
+    Unknown(String),
+    #[error("a summary of site '{0}' whose signature does not hold: compare the key in scatter.sites with the site's own")]
+    Forged(String),
+    #[error("site '{site}', group {group}: a summary that contradicts itself in {what}: the site makes it wrongly")]
+    Content { site: String, group: u32, what: &'static str },
+    #[error(
+        "site '{site}', group {group}: schema {schema}, scatter.schemas says {stated}: bring the two in line"
+    )]
+    Schema { site: String, group: u32, schema: u32, stated: u32 },
+    #[error("site '{site}', group {group}: version {version} after {held}: a site's versions must grow")]
+    Version { site: String, group: u32, version: u64, held: u64 },
+    #[error("site '{site}', group {group}: made {age_ms} ms ago, scatter.oldest_ms is {most_ms}: the site must write more often")]
+    Old { site: String, group: u32, age_ms: u64, most_ms: u64 },
+    #[error(
+        "site '{site}', group {group}: made {ahead_ms} ms ahead of this front's clock: set the clocks right"
+    )]
+    Ahead { site: String, group: u32, ahead_ms: u64 },
+    #[error("site '{site}', group {group}: {held} summaries are held, as many as scatter.most allows: raise it or name fewer sites")]
+    Full { site: String, group: u32, held: usize },
+}
+
+impl Refused {
+    /// For counts by reason.
+    pub fn why(&self) -> &'static str {
+        match self {
+            Refused::Long(_) => "long",
+            Refused::Form => "form",
+            Refused::Format(_) => "format",
+            Refused::Unknown(_) => "unknown site",
+            Refused::Forged(_) => "forged",
+            Refused::Content { .. } => "content",
+            Refused::Schema { .. } => "schema",
+            Refused::Version { .. } => "version",
+            Refused::Old { .. } => "old",
+            Refused::Ahead { .. } => "clock ahead",
+            Refused::Full { .. } => "full",
+        }
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Signed {
+    summary: Vec<u8>,
+    signature: Vec<u8>,
+}
+
+fn marked(summary: &[u8]) -> Vec<u8> {
+    [MARK, summary].concat()
+}
+
+impl Summary {
+    pub fn empty(site: &str, group: u32) -> Summary {
+        Summary {
+            format: FORMAT,
+            site: site.to_string(),
+            group,
+            schema: 0,
+            version: 1,
+            made_ms: 0,
+            loads: Loads::default(),
+            tables: Vec::new(),
+        }
+    }
+
+    /// Its bytes with the site's signature over them.
+    pub fn sign(&self, key: &SigningKey) -> Vec<u8> {
+        use ed25519_dalek::Signer;
+        let summary = postcard::to_stdvec(self).unwrap_or_default();
+        let signature = key.sign(&marked(&summary)).to_bytes().to_vec();
+        postcard::to_stdvec(&Signed { summary, signature }).unwrap_or_default()
+    }
+
+    /// Reads one whose site's key is known; what it says of time and version is not looked at yet.
+    pub fn read(bytes: &[u8], key: impl Fn(&str) -> Option<VerifyingKey>) -> Result<Summary, Refused> {
+        if bytes.len() > MOST_BYTES {
+            return Err(Refused::Long(bytes.len()));
+        }
+        let (signed, rest) = postcard::take_from_bytes::<Signed>(bytes).map_err(|_| Refused::Form)?;
+        let signature = Signature::from_slice(&signed.signature).map_err(|_| Refused::Form)?;
+        // The format comes first in every format there will be.
+        let (format, _) = postcard::take_from_bytes::<u16>(&signed.summary).map_err(|_| Refused::Form)?;
+        if format != FORMAT {
+            return Err(Refused::Format(format));
+        }
+        let (summary, behind) =
+            postcard::take_from_bytes::<Summary>(&signed.summary).map_err(|_| Refused::Form)?;
+        if !rest.is_empty() || !behind.is_empty() {
+            return Err(Refused::Form);
+        }
+        let key = key(&summary.site).ok_or_else(|| Refused::Unknown(summary.site.clone()))?;
+        key.verify_strict(&marked(&signed.summary), &signature)
+            .map_err(|_| Refused::Forged(summary.site.clone()))?;
+        match summary.fault() {
+            Some(what) => Err(Refused::Content { site: summary.site, group: summary.group, what }),
+            None => Ok(summary),
+        }
+    }
+
+    pub fn table(&self, name: &str) -> Option<&Table> {
+        self.tables.iter().find(|t| t.name == name)
+    }
+
+    /// What in it can't be so.
+    fn fault(&self) -> Option<&'static str> {
+        let runs = &self.loads.0;
+        let ordered = runs.windows(2).all(|w| w[0].1 < w[1].0) && runs.iter().all(|run| run.0 <= run.1);
+        if runs.len() > MOST_RUNS || !ordered {
+            return Some("its loads");
+        }
+        let names = |all: &mut dyn Iterator<Item = &String>, most: usize| {
+            let mut names: Vec<&String> = all.collect();
+            let count = names.len();
+            names.sort_unstable();
+            names.dedup();
+            names.len() == count && count <= most && names.iter().all(|n| n.len() <= MOST_NAME)
+        };
+        if !names(&mut self.tables.iter().map(|t| &t.name), MOST_TABLES) {
+            return Some("its tables' names");
+        }
+        for table in &self.tables {
+            if !names(&mut table.columns.iter().map(|c| &c.name), MOST_COLUMNS) {
+                return Some("its columns' names");
+            }
+            if let Some(what) = table.columns.iter().find_map(|c| c.fault(table.rows)) {
+                return Some(what);
+            }
+        }
+        None
+    }
+}
+
+impl Column {
+    fn fault(&self, rows: u64) -> Option<&'static str> {
+        if matches!(self.kind, Kind::Number { scale } if scale > MOST_SCALE) {
+            return Some("the digits of a number");
+        }
+        if self.nulls > rows || self.distinct > rows - self.nulls {
+            return Some("a column's counts");
+        }
+        if let Some((least, greatest)) = &self.bounds {
+            let orders = |v: &Value| v.fits(self.kind) && crate::value::order(v, v).is_some();
+            if !orders(least) || !orders(greatest) || less(greatest, least) {
+                return Some("a column's least and greatest value");
+            }
+        }
+        let members = self.members.as_ref();
+        members.is_some_and(|m| !m.is_sound()).then_some("a column's filter")
+    }
+}
--- /dev/null
+++ b/crates/scatter/src/value.rs
@@ -0,0 +1,186 @@
+//! Values of columns as summaries keep them, literals as statements write them, and how the two compare: where engines
+//! may differ, a comparison answers for each of them.
+
+use serde::{Deserialize, Serialize};
+
+pub const MOST_SCALE: u8 = 18; // digits behind the point: with 18 before it they fit 128 bits by far
+const MOST_DIGITS: usize = 30; // of a literal; longer ones are not understood
+const SLACK: f64 = 1e-6; // of a float: an engine may round a literal to four bytes, which is off by a tenth of that
+
+/// What a column holds, as its site declares it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Whole numbers and decimals, in units of the last digit behind the point.
+    Number {
+        scale: u8,
+    },
+    Float,
+    Text(Collation),
+    Bool,
+    /// Anything else: only nulls are told.
+    Other,
+}
+
+/// What is known of how a column of text compares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Collation {
+    /// By bytes, as `C`.
+    C,
+    /// Equal only where the bytes are; the order is another's.
+    Exact,
+    /// Unequal bytes may be equal (case, accents, spaces at the end).
+    Unknown,
+}
+
+/// A value that is not null.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Value {
+    Number(i128),
+    Float(f64),
+    Text(String),
+    Bool(bool),
+    /// Of a column whose kind tells nothing.
+    Other,
+}
+
+impl Value {
+    pub fn fits(&self, kind: Kind) -> bool {
+        matches!(
+            (self, kind),
+            (Value::Number(_), Kind::Number { .. })
+                | (Value::Float(_), Kind::Float)
+                | (Value::Text(_), Kind::Text(_))
+                | (Value::Bool(_), Kind::Bool)
+                | (Value::Other, Kind::Other)
+        )
+    }
+
+    /// What the membership filter knows it by; the same in every build.
+    pub fn hash(&self) -> u64 {
+        match self {
+            Value::Number(n) => fnv(&n.to_le_bytes()),
+            Value::Text(text) => fnv(text.as_bytes()),
+            Value::Bool(b) => u64::from(*b),
+            Value::Float(f) => f.to_bits(),
+            Value::Other => 0,
+        }
+    }
+}
+
+/// FNV-1a, as published; the filter mixes it further.
+pub fn fnv(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// A constant of a statement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Literal {
+    /// Digits with at most one point; negative or not.
+    Number {
+        negative: bool,
+        digits: String,
+    },
+    Text(String),
+    Bool(bool),
+}
+
+/// The values of a column between which a literal lies: the same where it is one of them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Point {
+    pub below: Value,
+    pub above: Value,
+    /// It is a value of the column for every engine.
+    pub exact: bool,
+}
+
+impl Literal {
+    /// Where it lies among the values of a column. None: engines may make anything of it.
+    pub fn point(&self, kind: Kind) -> Option<Point> {
+        let exact = |v: Value| Some(Point { below: v.clone(), above: v, exact: true });
+        match (self, kind) {
+            (Literal::Number { negative, digits }, Kind::Number { scale }) => {
+                number(*negative, digits, scale)
+            }
+            (Literal::Number { negative, digits }, Kind::Float) => {
+                let near: f64 = digits.parse().ok().filter(|f: &f64| f.is_finite())?;
+                let near = if *negative { -near } else { near };
+                let slack = near.abs() * SLACK + f64::from(f32::MIN_POSITIVE);
+                let (below, above) = (Value::Float(near - slack), Value::Float(near + slack));
+                Some(Point { below, above, exact: false })
+            }
+            (Literal::Text(text), Kind::Text(Collation::C | Collation::Exact)) => {
+                exact(Value::Text(text.clone()))
+            }
+            (Literal::Bool(b), Kind::Bool) => exact(Value::Bool(*b)),
+            _ => None,
+        }
+    }
+}
+
+fn number(negative: bool, digits: &str, scale: u8) -> Option<Point> {
+    let (whole, part) = digits.split_once('.').unwrap_or((digits, ""));
+    let plain = |text: &str| text.bytes().all(|c| c.is_ascii_digit());
+    if !plain(whole) || !plain(part) || whole.len() + part.len() > MOST_DIGITS || digits == "." {
+        return None;
+    }
+    let part = part.trim_end_matches('0');
+    let kept: String = part.chars().chain(std::iter::repeat('0')).take(usize::from(scale)).collect();
+    let units: i128 = format!("0{whole}{kept}").parse().ok()?;
+    let (low, high) = match part.len() > usize::from(scale) {
+        // Between two values: engines may round it to either, or compare it as it is.
+        true => (units, units + 1),
+        false => (units, units),
+    };
+    let (below, above) = if negative { (-high, -low) } else { (low, high) };
+    Some(Point { below: Value::Number(below), above: Value::Number(above), exact: low == high })
+}
+
+/// Order of two values of one kind; None where they are of two.
+pub fn order(a: &Value, b: &Value) -> Option<std::cmp::Ordering> {
+    match (a, b) {
+        (Value::Number(a), Value::Number(b)) => Some(a.cmp(b)),
+        (Value::Float(a), Value::Float(b)) => a.partial_cmp(b),
+        (Value::Text(a), Value::Text(b)) => Some(a.as_bytes().cmp(b.as_bytes())),
+        (Value::Bool(a), Value::Bool(b)) => Some(a.cmp(b)),
+        _ => None,
+    }
+}
+
+/// Surely less; false where they can't be compared.
+pub fn less(a: &Value, b: &Value) -> bool {
+    order(a, b) == Some(std::cmp::Ordering::Less)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn point(text: &str, scale: u8) -> Option<(i128, i128)> {
+        let (negative, digits) = text.strip_prefix('-').map_or((false, text), |digits| (true, digits));
+        let point = Literal::Number { negative, digits: digits.into() }.point(Kind::Number { scale })?;
+        match (point.below, point.above) {
+            (Value::Number(below), Value::Number(above)) => Some((below, above)),
+            _ => None,
+        }
+    }
+
+    #[test]
+    fn numbers_lie_on_a_value_or_between_two() {
+        for (text, scale, found) in [
+            ("7", 0, Some((7, 7))),
+            ("-7", 2, Some((-700, -700))),
+            ("7.5", 0, Some((7, 8))),
+            ("-7.5", 0, Some((-8, -7))),
+            ("7.500", 1, Some((75, 75))),
+            (".25", 1, Some((2, 3))),
+            ("1e3", 0, None),
+            (".", 0, None),
+            ("1.2.3", 0, None),
+            ("9999999999999999999999999999999", 0, None),
+        ] {
+            assert_eq!(point(text, scale), found, "{text} at {scale}");
+        }
+    }
+}
