--- /dev/null
+++ b/crates/scatter/src/lib.rs
@@ -0,0 +1,13 @@
+//! Which sites could have rows that a statement asks for: sites' own signed summaries, what a condition proves by them,
+//! marks of loads that they do not speak of yet, and one answer from the parts. No sockets, no clock, no chance.
+
+pub mod build;
+pub mod condition;
+pub mod filter;
+mod of;
+pub mod sql;
+pub mod summary;
+pub mod value;
+
+/// Microseconds on the front's clock.
+pub type Micros = i64;
