The gate: executions that depend on promises are held until those stand in the ledger

Need: two fronts that get the same order key run it one at a time; a non-idempotent statement is never run twice; a repeat leaves only for engines that drop it. The first byte may leave only once the promise stands.

Change: crates/fleet/src/gate.rs, free of I/O: what a statement depends on (order key, dedup key, its being non-idempotent), what to ask the ledger for each key (one ask of a key at a time; claimed, asked again while another has it, freed once nothing runs, left to rest where it may), and what may leave. Nobody's word in time, or no room: the statement is turned away; begun before: it is aborted. Keys of kept transactions are renewed.

--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -14,7 +14,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use hallmux::interface::{Effect, Event, KeyId, StatementId};
+use hallmux::interface::{Event, KeyId, StatementId};
 use hallmux::Front;
 use hallmux_agreement::{Contract, Names};
 
@@ -23,7 +23,7 @@
 
 pub use ending::Ending;
 pub use engines::Listing;
-pub use hallmux::interface::{Cost, Micros, Mode, Note};
+pub use hallmux::interface::{Cost, DedupGroup, Effect, Micros, Mode, Note};
 pub use out::{Order, Terms};
 pub use promised::{Gone, Site};
 pub use seen::Sighted;
--- /dev/null
+++ b/crates/fleet/src/gate/tests.rs
@@ -0,0 +1,215 @@
+//! Gates of several fronts beside a ledger that keeps to its word, in orders of events that are drawn.
+
+use hallmux_dispatcher::Speech;
+use hallmux_ledger::{Act, Entry, Outcome, Owner};
+
+use super::*;
+
+mod drawn;
+
+const SETTINGS: &str = r#"{"instances": 3, "areas": ["here", "there"], "kinds": ["std"], "customers": [{"name": "acme"}],
+    "requestClasses": [
+        {"name": "lookup", "aimMs": 1000, "deadlineMs": 5000, "repeat": "repeatable", "inTurn": true},
+        {"name": "load", "aimMs": 1000, "deadlineMs": 5000, "repeat": "by_key", "group": "zone", "dedupWindowMs": 9000,
+         "inTurn": true},
+        {"name": "pay", "aimMs": 1000, "deadlineMs": 5000, "repeat": "once"}],
+    "rules": {"turnGapMs": 50}}"#;
+
+const MS: Micros = 1_000;
+const APART_MS: u64 = 500;
+
+fn gate(life: u64) -> Gate {
+    Gate::new(&hallmux_agreement::contract(SETTINGS).unwrap(), life)
+}
+
+fn asked(workload: &'static str, key: Option<&'static str>, dedup_key: Option<&'static str>) -> Ask<'static> {
+    Ask { workload, customer: "acme", key, dedup_key, speech: Speech::Lines, ..Ask::default() }
+}
+
+fn ordered(ticket: Ticket, execution: usize, now: Micros, location: usize) -> Ordered {
+    let terms = Terms { ends: now + 4_000 * MS, grant_mb: 0.0, priority: 1 };
+    Ordered { ticket, execution, place: location, terms, site: Site { location, cell: 0 } }
+}
+
+/// The ledger as every front sees it.
+#[derive(Default)]
+struct Book {
+    entries: BTreeMap<Key, Entry>,
+    last: u64,
+}
+
+impl Book {
+    fn apply(&mut self, now: Micros, owner: Owner, ask: &ledger::Ask) -> Outcome {
+        let now_ms = (now / MS) as u64;
+        self.entries.retain(|_, e| e.ends_ms + APART_MS > now_ms);
+        let there = self.entries.get(&ask.key).cloned();
+        let free = there.as_ref().is_none_or(|e| e.owner == owner);
+        let (may, ends_ms, value) = match &ask.act {
+            Act::Claim { ends_ms, value } => (free, *ends_ms, value),
+            Act::Put { expects, ends_ms, value } => {
+                if there.is_none() && expects.is_some_and(|v| v != 0) {
+                    return Outcome::Absent;
+                }
+                let version = there.as_ref().map_or(0, |e| e.version);
+                (expects.is_none_or(|expects| expects == version), *ends_ms, value)
+            }
+            Act::Free if free => {
+                self.entries.remove(&ask.key);
+                return Outcome::Absent;
+            }
+            Act::Free => return there.map_or(Outcome::Absent, Outcome::Held),
+            Act::Read => return there.map_or(Outcome::Absent, Outcome::Stands),
+        };
+        match there {
+            Some(entry) if !may => Outcome::Held(entry),
+            _ => {
+                self.last += 1;
+                let key = ask.key.clone();
+                let entry = Entry { key, owner, version: self.last, ends_ms, value: value.clone() };
+                self.entries.insert(ask.key.clone(), entry.clone());
+                Outcome::Stands(entry)
+            }
+        }
+    }
+}
+
+/// Asks and answers at once, until nothing is asked any more.
+fn settle(gate: &mut Gate, book: &mut Book, now: Micros, front: u64) -> Vec<Ruling> {
+    let mut rulings = gate.rulings();
+    loop {
+        gate.tick(now);
+        let asks = gate.asks();
+        if asks.is_empty() {
+            rulings.extend(gate.rulings());
+            return rulings;
+        }
+        for ask in asks {
+            let outcome = book.apply(now, Owner { front, incarnation: 1 }, &ask);
+            gate.done(now, Done { number: ask.number, outcome });
+        }
+    }
+}
+
+fn over(ticket: Ticket, ran: bool, rests: bool) -> Gone {
+    Gone { ticket, ran, rests }
+}
+
+#[test]
+fn what_depends_on_nothing_never_comes_here_and_what_does_leaves_once_its_promise_stands() {
+    let mut gate = gate(1);
+    assert!(!gate.opened(1, &asked("lookup", None, None), Some("a")));
+    assert!(gate.opened(2, &asked("lookup", Some("k"), None), Some("b")));
+    gate.order(0, ordered(2, 0, 0, 0));
+    assert!(gate.rulings().is_empty() && !gate.guards(1) && gate.guards(2));
+    let mut book = Book::default();
+    assert_eq!(settle(&mut gate, &mut book, 0, 1), [Ruling::Go(ordered(2, 0, 0, 0))]);
+    // Its next execution needs no other word.
+    gate.order(MS, Ordered { execution: 1, ..ordered(2, 0, 0, 1) });
+    assert_eq!(gate.rulings().len(), 1);
+    gate.gone(2 * MS, over(2, true, false));
+    settle(&mut gate, &mut book, 2 * MS, 1);
+    assert!(book.entries.is_empty() && gate.holds.is_empty() && gate.due() == Micros::MAX);
+}
+
+#[test]
+fn another_front_has_the_key_until_it_is_freed_or_its_rest_is_over() {
+    let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
+    for gate in [&mut one, &mut other] {
+        gate.opened(1, &asked("lookup", Some("k"), None), None);
+        gate.order(0, ordered(1, 0, 0, 0));
+    }
+    assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
+    assert_eq!(settle(&mut other, &mut book, 0, 2), []);
+    assert_eq!(settle(&mut other, &mut book, 400 * MS, 2), []);
+    // It may be running on: the key rests for the gap, and for as long as clocks may be apart.
+    one.gone(400 * MS, over(1, true, true));
+    assert_eq!(settle(&mut one, &mut book, 400 * MS, 1), []);
+    let mut at = 400 * MS;
+    while settle(&mut other, &mut book, at, 2).is_empty() {
+        at = other.due().max(at + MS);
+    }
+    assert!((950 * MS..1_300 * MS).contains(&at), "{at}");
+}
+
+#[test]
+fn what_cannot_be_promised_is_turned_away_and_what_may_stand_of_it_is_freed_later() {
+    let (mut gate, mut book) = (gate(1), Book::default());
+    gate.opened(1, &asked("load", Some("k"), Some("d")), None);
+    gate.order(0, ordered(1, 0, 0, 0));
+    let asks = gate.asks();
+    for ask in &asks {
+        // It stands, but nobody heard so.
+        book.apply(0, Owner { front: 1, incarnation: 1 }, ask);
+        gate.done(0, Done { number: ask.number, outcome: Outcome::Unreachable });
+    }
+    assert_eq!((asks.len(), gate.rulings()), (2, vec![Ruling::TurnAway(1)]));
+    gate.gone(0, over(1, false, false));
+    assert_eq!(book.entries.len(), 2);
+    settle(&mut gate, &mut book, 1_100 * MS, 1);
+    assert!(book.entries.is_empty() && gate.holds.is_empty(), "{:?}", book.entries);
+    assert_eq!(gate.refused, BTreeMap::from([("unreachable", 1)]));
+}
+
+#[test]
+fn a_non_idempotent_statement_that_may_have_run_is_never_begun_again() {
+    for (ran, again) in [(true, false), (false, true)] {
+        let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
+        one.opened(1, &asked("pay", None, None), Some("txn-1"));
+        one.order(0, ordered(1, 0, 0, 0));
+        assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
+        one.gone(MS, over(1, ran, ran));
+        settle(&mut one, &mut book, MS, 1);
+        // By another front, or by the same.
+        for (gate, front) in [(&mut other, 2), (&mut one, 1)] {
+            gate.opened(2, &asked("pay", None, None), Some("txn-1"));
+            gate.order(2 * MS, ordered(2, 0, 2 * MS, 0));
+            let ruled = settle(gate, &mut book, 2 * MS, front);
+            assert_eq!(matches!(ruled[..], [Ruling::Go(_)]), again, "{ruled:?}");
+            assert_eq!(ruled == [Ruling::Abort(2)], !again, "{ruled:?}");
+            gate.gone(3 * MS, over(2, false, false));
+            settle(gate, &mut book, 3 * MS, front);
+        }
+    }
+}
+
+#[test]
+fn a_repeat_goes_only_to_the_group_that_drops_it_once_nothing_runs_any_more() {
+    let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
+    one.opened(1, &asked("load", None, Some("d")), None);
+    one.order(0, ordered(1, 0, 0, 0));
+    assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
+    for (ticket, location) in [(1, 1), (2, 0)] {
+        other.opened(ticket, &asked("load", None, Some("d")), None);
+        other.order(MS, ordered(ticket, 0, MS, location));
+    }
+    assert_eq!(settle(&mut other, &mut book, MS, 2), []);
+    one.gone(2 * MS, over(1, true, false));
+    settle(&mut one, &mut book, 2 * MS, 1);
+    let mut ruled = Vec::new();
+    for at in 3..700 {
+        ruled.extend(settle(&mut other, &mut book, at * MS, 2));
+    }
+    assert!(ruled.contains(&Ruling::TurnAway(1)) && ruled.len() == 2, "{ruled:?}");
+    assert!(ruled.contains(&Ruling::Go(ordered(2, 0, MS, 0))), "{ruled:?}");
+}
+
+#[test]
+fn a_transaction_keeps_its_key_by_word_that_is_renewed() {
+    let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
+    one.opened(1, &asked("lookup", Some("k"), None), None);
+    one.order(0, ordered(1, 0, 0, 0));
+    assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
+    one.keeps("k");
+    one.gone(MS, over(1, true, false));
+    for at in (0..60).map(|s| s * 1_000 * MS) {
+        assert_eq!(settle(&mut one, &mut book, at, 1), []);
+        other.opened(at as Ticket, &asked("lookup", Some("k"), None), None);
+        other.order(at, ordered(at as Ticket, 0, at, 0));
+        assert_eq!(settle(&mut other, &mut book, at, 2), [], "{at}");
+        other.stop(at, at as Ticket, 0);
+        other.gone(at, over(at as Ticket, false, false));
+    }
+    one.freed(60_000 * MS, "k", false);
+    settle(&mut one, &mut book, 60_000 * MS, 1);
+    assert!(book.entries.is_empty() && one.holds.is_empty());
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! seen of engines goes out, what others have seen and how many fronts there are goes to the module as events.
 //! No sockets, no clock, no chance of its own; nothing is decided here.
 
+pub mod gate;
 mod owning;
 
 use std::collections::BTreeMap;
