A session's unit is taken as it is read, not behind Thrift's at the end of the turn

Cause: `Front::ready` took a Thrift statement to the dispatcher as it was read; a session's unit was read there too (`sessions.ready`), but taken only by `Portal::take` in `Front::turn`, behind all Thrift statements of the turn. Likewise a client that knocked was let in at the end, behind whatever was read before.

Change: `Portal::found` takes the units that a session's input makes at once; a knock at the Thrift door is answered where the system tells of it.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -110,8 +110,10 @@
         self.clock.woke();
         let number = party.number;
         let more = match party.door {
+            // Statements of one order key run in the order in which they were taken: each is taken as it is found.
             Door::Listener => {
                 self.entrance.knocked();
+                self.accept();
                 false
             }
             Door::Client => self.read_client(number),
@@ -125,8 +127,9 @@
             }
             Door::Peers => self.peers.as_mut().is_some_and(|peers| peers.read(self.clock.now)),
             Door::SessionListener | Door::Session | Door::Server | Door::Cancel => {
-                let now = self.clock.now;
-                self.portal.as_mut().is_some_and(|portal| portal.ready(now, party))
+                let (now, room) = (self.clock.now, self.room());
+                let portal = self.portal.as_mut();
+                portal.is_some_and(|portal| portal.found(now, party, room, &mut self.dispatcher))
             }
         };
         if more {
--- a/crates/front/src/portal.rs
+++ b/crates/front/src/portal.rs
@@ -111,8 +111,16 @@
         self.entrance.due().min(self.servers.due()).min(ready)
     }
 
-    /// A connection has changed; true if there is more for another turn.
-    pub fn ready(&mut self, now: Micros, party: Party) -> bool {
+    /// A connection has changed: takes what is there. True if there is more for another turn.
+    pub fn found(&mut self, now: Micros, party: Party, room: Room, dispatcher: &mut Dispatcher) -> bool {
+        let more = self.ready(now, party);
+        if party.door == Door::Session {
+            self.take_units(now, room, dispatcher);
+        }
+        more
+    }
+
+    fn ready(&mut self, now: Micros, party: Party) -> bool {
         match party.door {
             Door::SessionListener => self.entrance.knocked(),
             Door::Session => return self.sessions.read(now, party.number),
@@ -156,11 +164,15 @@
         }
     }
 
-    /// Takes the units that have come.
+    /// Reads on where a turn has left more, and takes the units that have come.
     pub fn take(&mut self, now: Micros, room: Room, dispatcher: &mut Dispatcher) {
         for party in std::mem::take(&mut self.unfinished) {
             self.read_on(now, party);
         }
+        self.take_units(now, room, dispatcher);
+    }
+
+    fn take_units(&mut self, now: Micros, room: Room, dispatcher: &mut Dispatcher) {
         for id in std::mem::take(&mut self.sessions.ready) {
             self.sessions.advance(now, id, &self.users, &mut self.servers);
             self.hear(now, room, dispatcher);
--- a/crates/lab/src/engine/lines.rs
+++ b/crates/lab/src/engine/lines.rs
@@ -189,53 +189,75 @@
 
 /// Asks over a connection of its own; gives the outcome and whether its rows are the statement's.
 pub fn ask(front: SocketAddr, number: u64, fields: &[(&str, &str)], statement: &str) -> Outcome {
-    exchange(front, number, fields, statement).unwrap_or(Outcome::Lost)
+    let mut client = match Client::open(front) {
+        Ok(client) => client,
+        Err(_) => return Outcome::Lost,
+    };
+    client.send(number, fields, statement).map_or(Outcome::Lost, |()| client.answer())
 }
 
-fn exchange(
-    front: SocketAddr,
-    number: u64,
-    fields: &[(&str, &str)],
-    statement: &str,
-) -> std::io::Result<Outcome> {
-    let mut stream = TcpStream::connect(front)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
-    let id = format!("{number:016x}");
-    let all: Vec<(&str, &str)> = fields.iter().copied().chain([("txn", id.as_str())]).collect();
-    let text = |out: &mut Vec<u8>, text: &str| {
-        out.extend((text.len() as u32).to_be_bytes());
-        out.extend(text.as_bytes());
-    };
-    let mut message = vec![0x80, 1, 0, 1];
-    text(&mut message, "serve");
-    message.extend(1u32.to_be_bytes());
-    message.extend([13, 0, 1, 11, 11]);
-    message.extend((all.len() as u32).to_be_bytes());
-    for (name, value) in all {
-        text(&mut message, name);
-        text(&mut message, value);
+/// A client's connection, for one statement at a time.
+pub struct Client {
+    stream: TcpStream,
+    /// The id that the statement's rows bear.
+    own: String,
+}
+
+impl Client {
+    pub fn open(front: SocketAddr) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(front)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+        Ok(Client { stream, own: String::new() })
+    }
+
+    /// Asks; all of it has left when this returns.
+    pub fn send(&mut self, number: u64, fields: &[(&str, &str)], statement: &str) -> std::io::Result<()> {
+        let id = format!("{number:016x}");
+        let all: Vec<(&str, &str)> = fields.iter().copied().chain([("txn", id.as_str())]).collect();
+        let text = |out: &mut Vec<u8>, text: &str| {
+            out.extend((text.len() as u32).to_be_bytes());
+            out.extend(text.as_bytes());
+        };
+        let mut message = vec![0x80, 1, 0, 1];
+        text(&mut message, "serve");
+        message.extend(1u32.to_be_bytes());
+        message.extend([13, 0, 1, 11, 11]);
+        message.extend((all.len() as u32).to_be_bytes());
+        for (name, value) in all {
+            text(&mut message, name);
+            text(&mut message, value);
+        }
+        message.extend([11, 0, 2]);
+        text(&mut message, statement);
+        message.push(0);
+        let mut frame = (message.len() as u32).to_be_bytes().to_vec();
+        frame.extend(message);
+        let own = statement.split(',').next().and_then(|pair| pair.strip_prefix("id="));
+        self.own = own.unwrap_or_default().to_string();
+        self.stream.write_all(&frame)
+    }
+
+    /// Waits for the final answer to what was asked.
+    pub fn answer(&mut self) -> Outcome {
+        self.reply().unwrap_or(Outcome::Lost)
+    }
+
+    fn reply(&mut self) -> std::io::Result<Outcome> {
+        let mut len = [0; 4];
+        self.stream.read_exact(&mut len)?;
+        let mut reply = vec![0; u32::from_be_bytes(len) as usize];
+        self.stream.read_exact(&mut reply)?;
+        // Behind the head, the name and the number stands the field that tells which kind of answer it is.
+        let holds = reply.windows(self.own.len().max(1)).any(|part| part == self.own.as_bytes());
+        Ok(match reply.get(4 + 4 + 5 + 4..) {
+            Some([_, 0, 0, ..]) if holds => Outcome::Completed { rows: 1 },
+            Some([_, 0, 0, ..]) => Outcome::Spoilt,
+            Some([_, 0, 1, ..]) => Outcome::Error("53000".into()),
+            Some([_, 0, 2, ..]) => Outcome::Error("08007".into()),
+            _ => Outcome::Spoilt,
+        })
     }
-    message.extend([11, 0, 2]);
-    text(&mut message, statement);
-    message.push(0);
-    let mut frame = (message.len() as u32).to_be_bytes().to_vec();
-    frame.extend(message);
-    stream.write_all(&frame)?;
-    let mut len = [0; 4];
-    stream.read_exact(&mut len)?;
-    let mut reply = vec![0; u32::from_be_bytes(len) as usize];
-    stream.read_exact(&mut reply)?;
-    // Behind the head, the name and the number stands the field that tells which kind of answer it is.
-    let own = statement.split(',').next().and_then(|pair| pair.strip_prefix("id=")).unwrap_or_default();
-    let holds = reply.windows(own.len().max(1)).any(|part| part == own.as_bytes());
-    Ok(match reply.get(4 + 4 + 5 + 4..) {
-        Some([_, 0, 0, ..]) if holds => Outcome::Completed { rows: 1 },
-        Some([_, 0, 0, ..]) => Outcome::Spoilt,
-        Some([_, 0, 1, ..]) => Outcome::Error("53000".into()),
-        Some([_, 0, 2, ..]) => Outcome::Error("08007".into()),
-        _ => Outcome::Spoilt,
-    })
 }
 
 #[cfg(test)]
--- a/crates/lab/src/hard.rs
+++ b/crates/lab/src/hard.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use serde_json::json;
 
+use crate::check::Outcome;
 use crate::engine::{Engine, Kind, Records};
 use crate::lines;
 use crate::rig::{Coordinator, Front};
@@ -440,6 +442,58 @@
     });
 }
 
+/// A front that had no CPU for a while finds in one turn what came one after the other: it takes it in that order,
+/// whatever the protocol and whether the connection is new.
+#[test]
+fn what_is_found_in_one_turn_is_taken_in_the_order_in_which_it_came() {
+    const LABEL: &str = "/*hallmux.workload='load',hallmux.key='k',hallmux.dedup_key='d";
+    let stage = stage(1, LIMITS);
+    for round in 0..4 {
+        // Each of both protocols first once, over connections that are open; then over one that comes with it.
+        let (lines_first, new) = (round % 2 == 0, round / 2 == 1);
+        let mut client = (!new).then(|| lines::Client::open(stage.front.lines).unwrap());
+        let mut sessions: Vec<Session> = (0..2).map(|_| stage.open()).collect();
+        // Served before, so that none of them is new to the front.
+        sessions.iter_mut().for_each(|s| assert_eq!(ask(s, &run("before", "")).0, "TDCZ"));
+        stage.front.signal(Signal::SIGSTOP);
+        until("it stands still", || stands_still(&stage.front));
+        let ids = [0, 1, 2].map(|n| format!("{round}x{n}"));
+        for (n, id) in ids.iter().enumerate() {
+            if n == if lines_first { 0 } else { 1 } {
+                let dedup = format!("d{id}");
+                let fields = [("verb", "load"), ("team", "acme"), ("limit", "8000"), ("item", "k")];
+                let fields = [&fields[..], &[("unique", dedup.as_str())]].concat();
+                let mut own =
+                    client.take().unwrap_or_else(|| lines::Client::open(stage.front.lines).unwrap());
+                own.send(round as u64 * 10 + n as u64, &fields, &format!("id={id},key=k,ms=1")).unwrap();
+                client = Some(own);
+            } else {
+                let s = &mut sessions[if n == 2 { 1 } else { 0 }];
+                s.query(&format!("{LABEL}{id}'*/ {}", run(id, ",key=k,ms=1")));
+                s.send().unwrap();
+            }
+        }
+        stage.front.signal(Signal::SIGCONT);
+        assert_eq!(client.unwrap().answer(), Outcome::Completed { rows: 1 });
+        sessions.iter_mut().for_each(|s| assert_eq!(heard(s).0, "TDCZ"));
+        let ran: Vec<String> = stage
+            .deeds()
+            .into_iter()
+            .filter_map(|(_, _, kind)| match kind {
+                Kind::Began { id, .. } if id.starts_with(&format!("{round}x")) => Some(id),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(ran, ids, "round {round}");
+    }
+}
+
+/// Whether its process is stopped, as the system has it.
+fn stands_still(front: &Front) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", front.pid())).unwrap_or_default();
+    stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+}
+
 #[test]
 fn the_silent_go_first_when_descriptors_are_short_and_what_a_session_holds_is_bounded() {
     let stage = stage_with(1, "start_up_ms: 400, statements: 2, portals: 2, message_bytes: 4096", 64);
