prove postgres: what was taken before what is known by a round trip, not by a clock

Cause: `both_protocols` drew `sent` before the thread that was to send had begun, slept 30 ms and drew the next; `check::order` held two statements for clearly one after the other when these were 20 ms apart. A session connects, logs in and only then sends: beside load that took up to some 50 ms, so the Thrift statement drawn 30 ms later had left first. One record: 3848 (session) drawn 2568339, logged in 2619518, left 2619545, taken by the front 2635829; 3858 (Thrift) drawn 2598465, left 2598744, taken 2622891; it ran first, as it had to.

Change: each statement is sent once a round trip with the front, begun after all of the last one had left, has come back: the front takes what it finds in order, so it has taken the last. `Asked.taken` says when that was known; a statement taken before another was sent, and run after it, is a violation, also with a third between them. No slack, no sleep. What was answered counts as taken by then.

--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -34,6 +34,8 @@
     pub id: String,
     pub sent: i64,
     pub answered: i64,
+    /// When its client knew that the front had taken it, where it asked; else it knows by the answer.
+    pub taken: Option<i64>,
     pub timeout: i64,
     pub outcome: Outcome,
     pub rows: usize,
@@ -62,6 +64,7 @@
             id,
             sent,
             answered: 0,
+            taken: None,
             timeout,
             outcome: Outcome::Nothing,
             rows: 0,
@@ -298,7 +301,12 @@
             by_key.entry(&x.key).or_default().push((x.from, x.to, id));
         }
     }
-    let sent: HashMap<&str, i64> = asked.iter().map(|a| (a.id.as_str(), a.sent)).collect();
+    // Between these the front took a statement, whatever the machine gave each of the processes to run.
+    let within = |a: &Asked| {
+        let answered = matches!(a.outcome, Outcome::Completed { .. } | Outcome::Error(_));
+        (a.sent, a.taken.or(answered.then_some(a.answered)).unwrap_or(i64::MAX))
+    };
+    let took: HashMap<&str, (i64, i64)> = asked.iter().map(|a| (a.id.as_str(), within(a))).collect();
     for (key, mut ran) in by_key {
         ran.sort_unstable();
         for pair in ran.windows(2) {
@@ -306,11 +314,19 @@
             if first != second && from < to {
                 add(wrong, "order", format!("{key}: {second} began while {first} ran"));
             }
-            // Those that were sent clearly one after the other must run so.
-            let (Some(a), Some(b)) = (sent.get(first), sent.get(second)) else { continue };
-            if b + 20_000 < *a {
-                add(wrong, "order", format!("{key}: {second} was sent before {first}, but ran after it"));
+        }
+        // The one that was sent last of those that have run.
+        let mut last: Option<(i64, &str)> = None;
+        for (_, _, id) in ran {
+            let Some((sent, taken)) = took.get(id).copied() else { continue };
+            if let Some((_, other)) = last.filter(|(at, _)| taken < *at) {
+                add(
+                    wrong,
+                    "order",
+                    format!("{key}: {id} was taken before {other} was sent, but ran after it"),
+                );
             }
+            last = last.max(Some((sent, id)));
         }
     }
 }
@@ -412,10 +428,14 @@
 
     #[test]
     fn order_budget_and_transactions_are_checked_over_several_statements() {
-        let late = Asked { sent: 500_000, ..asked("b", DONE) };
-        let early = Asked { sent: 0, ..asked("a", DONE) };
-        let deeds = [ran("b", "k", 0, 510_000, 520_000), ran("a", "k", 0, 530_000, 540_000)];
-        assert_eq!(found(&[early, late], &[], &deeds), ["order"]);
+        // One that may have been taken after the other was sent may run after it; one between makes no difference.
+        let late = || Asked { sent: 500_000, answered: 600_000, ..asked("b", DONE) };
+        let between = ran("c", "k", 0, 521_000, 522_000);
+        let deeds = [ran("b", "k", 0, 510_000, 520_000), between, ran("a", "k", 0, 530_000, 540_000)];
+        for (taken, wrong) in [(Some(499_999), true), (Some(500_000), false), (None, false)] {
+            let early = Asked { answered: 600_000, taken, ..asked("a", DONE) };
+            assert_eq!(!found(&[early, late()], &[], &deeds).is_empty(), wrong, "{taken:?}");
+        }
         let again: Vec<Vec<Deed>> = (0..5).map(|n| ran("a", "", 0, n * 100, n * 100 + 10)).collect();
         assert_eq!(found(&[asked("a", DONE)], &[], &again), ["budget"]);
         for (commit, kept, wrong) in [
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -553,7 +553,7 @@
     }
 }
 
-/// The same order keys from both protocols, each statement sent clearly after the last.
+/// The same order keys from both protocols, each statement sent once the front is known to have taken the last.
 fn both_protocols(
     seed: u64,
     lines: std::net::SocketAddr,
@@ -564,45 +564,56 @@
     let mut number = 1;
     while !notes.over() {
         let key = format!("both{}", chance.random_range(0..3));
-        let waits: Vec<_> = (0..4)
-            .map(|_| {
-                let asked = Asked { key: key.clone(), rows: 1, ..notes.fresh(Repeat::Deduplicated) };
-                let thrift = chance.random_bool(0.5);
-                number += 1;
-                let (notes, n) = (notes.clone(), number);
-                let waits = std::thread::spawn(move || {
-                    let outcome = match thrift {
-                        true => {
-                            let statement = format!("id={},key={},ms=15", asked.id, asked.key);
-                            let dedup = format!("d{}", asked.id);
-                            let fields = [
-                                ("verb", "log-load"),
-                                ("team", "acme"),
-                                ("limit", "3000"),
-                                ("item", asked.key.as_str()),
-                                ("unique", dedup.as_str()),
-                            ];
-                            lines::ask(lines, n, &fields, &statement)
-                        }
-                        false => {
-                            let label = format!(
-                                "/*hallmux.workload='log-load',hallmux.key='{}',hallmux.dedup_key='d{}'*/ ",
-                                asked.key, asked.id
-                            );
-                            scripted::simple(sessions, &text(&label, &asked, 15), &asked)
-                        }
-                    };
-                    // What a Thrift client calls aborted may or may not have run.
-                    notes.note(Asked { outcome, answered: notes.records.now(), ..asked });
-                });
-                std::thread::sleep(Duration::from_millis(30));
-                waits
-            })
-            .collect();
-        waits.into_iter().for_each(|wait| _ = wait.join());
+        let mut waits = Vec::new();
+        for _ in 0..4 {
+            let asked = Asked { key: key.clone(), rows: 1, ..notes.fresh(Repeat::Deduplicated) };
+            let answer = match chance.random_bool(0.5) {
+                true => ask_in_lines(lines, number, &asked),
+                false => ask_in_session(sessions, &asked),
+            };
+            number += 1;
+            let records = notes.records.clone();
+            let wait = std::thread::spawn(move || {
+                let outcome = answer.map_or(Outcome::Lost, |answer| answer());
+                // What a Thrift client calls aborted may or may not have run.
+                Asked { outcome, answered: records.now(), ..asked }
+            });
+            waits.push((wait, scripted::round_trip(sessions).ok().map(|()| notes.records.now())));
+        }
+        for (wait, taken) in waits {
+            wait.join().into_iter().for_each(|asked| notes.note(Asked { taken, ..asked }));
+        }
     }
 }
 
+/// What waits for the answer to a statement that has left.
+type Waits = Box<dyn FnOnce() -> Outcome + Send>;
+
+fn ask_in_lines(at: std::net::SocketAddr, number: u64, asked: &Asked) -> std::io::Result<Waits> {
+    let statement = format!("id={},key={},ms=15", asked.id, asked.key);
+    let dedup = format!("d{}", asked.id);
+    let fields = [
+        ("verb", "log-load"),
+        ("team", "acme"),
+        ("limit", "3000"),
+        ("item", asked.key.as_str()),
+        ("unique", dedup.as_str()),
+    ];
+    let mut client = lines::Client::open(at)?;
+    client.send(number, &fields, &statement)?;
+    Ok(Box::new(move || client.answer()))
+}
+
+fn ask_in_session(at: std::net::SocketAddr, asked: &Asked) -> std::io::Result<Waits> {
+    let label = format!(
+        "/*hallmux.workload='log-load',hallmux.key='{}',hallmux.dedup_key='d{}'*/ ",
+        asked.key, asked.id
+    );
+    let mut session = scripted::sent(at, &text(&label, asked, 15))?;
+    let asked = asked.clone();
+    Ok(Box::new(move || scripted::answer(&mut session, &asked)))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/lab/src/scripted.rs
+++ b/crates/lab/src/scripted.rs
@@ -32,12 +32,7 @@
         stream.set_read_timeout(Some(PATIENCE))?;
         let mut session = Session { stream, input: Vec::new(), out: Vec::new(), key: [0; 8] };
         if asks_first {
-            session.stream.write_all(b"\0\0\0\x08\x04\xd2\x16\x2f")?;
-            let mut no = [0];
-            session.stream.read_exact(&mut no)?;
-            if no != *b"N" {
-                return Err(ErrorKind::InvalidData.into());
-            }
+            refused_encryption(&mut session.stream)?;
         }
         wire::write_start_up(&mut session.out, &[("user", user), ("database", "x")]);
         session.send()?;
@@ -199,15 +194,37 @@
     }
 }
 
-/// One simple query over a session of its own.
-pub fn simple(at: SocketAddr, text: &str, asked: &Asked) -> Outcome {
-    let run = || {
-        let mut session = Session::open(at, "portal", false)?;
-        session.query(text);
-        session.send()?;
-        session.unit()
-    };
-    run().map_or_else(|e| lost(&e), |messages| come_to(&messages, &asked.id))
+/// A session of its own with one simple query on its way, all of which has left.
+pub fn sent(at: SocketAddr, text: &str) -> std::io::Result<Session> {
+    let mut session = Session::open(at, "portal", false)?;
+    session.query(text);
+    session.send()?;
+    Ok(session)
+}
+
+/// What the simple query that is on its way comes to.
+pub fn answer(session: &mut Session, asked: &Asked) -> Outcome {
+    session.unit().map_or_else(|e| lost(&e), |messages| come_to(&messages, &asked.id))
+}
+
+/// A round trip with the front: it has taken all that had left for it before, as it takes what it finds in the order
+/// in which that came.
+pub fn round_trip(at: SocketAddr) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    refused_encryption(&mut stream)
+}
+
+/// Asks for encryption, which is not to be had.
+fn refused_encryption(stream: &mut TcpStream) -> std::io::Result<()> {
+    stream.write_all(b"\0\0\0\x08\x04\xd2\x16\x2f")?;
+    let mut no = [0];
+    stream.read_exact(&mut no)?;
+    if no == *b"N" {
+        Ok(())
+    } else {
+        Err(ErrorKind::InvalidData.into())
+    }
 }
 
 /// Plays scripts in a drawn order until the run ends.
