--- /dev/null
+++ b/crates/access/src/access.rs
@@ -0,0 +1,244 @@
+//! One front's part in the rules: it judges statements, watches those that are open, and carries the version and the
+//! counts to and from the ledger.
+
+use std::collections::BTreeMap;
+
+use hallmux_lease::Terms;
+use hallmux_ledger::{Ask, Done, Owner};
+
+use crate::hits::{Fleet, Hit, Hits};
+use crate::index::{Index, Verdict};
+use crate::known::Known;
+use crate::read::Wish;
+use crate::rule::Asking;
+use crate::versions::{Said, Versions};
+use crate::{FrontId, Micros, Moment};
+
+pub struct Setup {
+    pub own: Owner,
+    /// All whose counts make the fleet's, this front too.
+    pub fronts: Vec<FrontId>,
+    /// Where this front stands, as rules may name it.
+    pub region: String,
+    pub known: Known,
+    pub terms: Terms,
+    /// The number behind which its asks to the ledger are numbered: other callers of this front keep away from them.
+    pub first_number: u64,
+}
+
+/// What a statement asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Asked {
+    pub customer: String,
+    pub workload: String,
+    /// The groups of tables that it reads; none where they cannot be told.
+    pub groups: Vec<u32>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Judged {
+    /// No rule can be about its customer.
+    Free,
+    /// This front cannot know what holds for its customer.
+    Closed,
+    /// Judged under this number, until `over`. One that `waits` goes on once its number is `counted`: to its engine,
+    /// or, where it is denied, to its final answer.
+    Taken { statement: u64, verdict: Verdict, waits: bool },
+}
+
+/// What is to be done.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Out {
+    pub asks: Vec<Ask>,
+    pub said: Vec<Said>,
+    /// Statements whose hits stand.
+    pub counted: Vec<u64>,
+    /// Statements that run where the version adopted bars: they are to be ended, where the platform can.
+    pub ends: Vec<u64>,
+    /// The fleet's count, as it was asked for.
+    pub fleet: Option<Fleet>,
+}
+
+struct Open {
+    asked: Asked,
+    verdict: Verdict,
+    /// Where its executions are, by number.
+    out: BTreeMap<usize, Option<u16>>,
+    ending: bool,
+}
+
+pub struct Access {
+    region: String,
+    versions: Versions,
+    hits: Hits,
+    open: BTreeMap<u64, Open>,
+    next: u64,
+    /// The version that open statements were last held against.
+    looked: u64,
+    /// Statements that a new version has ended.
+    pub ended: u64,
+    ends: Vec<u64>,
+}
+
+fn judge(index: &Index, region: &str, asked: &Asked, wall_ms: u64) -> Verdict {
+    let asking = Asking { customer: &asked.customer, workload: &asked.workload, group: None, front: region };
+    index.judge(&asking, &asked.groups, wall_ms)
+}
+
+impl Access {
+    pub fn new(setup: Setup) -> Access {
+        let Setup { own, fronts, region, known, terms, first_number } = setup;
+        Access {
+            region,
+            versions: Versions::new(known, terms, first_number),
+            hits: Hits::new(own, fronts),
+            open: BTreeMap::new(),
+            next: 0,
+            looked: 0,
+            ended: 0,
+            ends: Vec::new(),
+        }
+    }
+
+    pub fn known(&self) -> &Known {
+        self.versions.known()
+    }
+
+    /// The version held, and whether this front may judge by it now.
+    pub fn version(&self, steady: Micros) -> (u64, bool) {
+        (self.versions.held().set.version, self.versions.lease(steady).is_some())
+    }
+
+    /// The name of the rule that decided.
+    pub fn rule(&self, verdict: &Verdict) -> Option<&str> {
+        let held = self.versions.held();
+        verdict.rule.filter(|_| held.set.version == verdict.version).map(|rule| held.name(rule))
+    }
+
+    /// The locations that a verdict lets a statement be read at; None: all.
+    pub fn locations(&self, verdict: &Verdict) -> Option<Vec<&str>> {
+        let named = |place: &u16| self.known().locations.get(*place as usize).map(String::as_str);
+        verdict.allowed.as_ref().map(|places| places.iter().filter_map(named).collect())
+    }
+
+    /// A file was read: it is to be the fleet's.
+    pub fn offer(&mut self, file: &str, text: &str, wish: Wish) {
+        self.versions.offer(file, text, wish);
+    }
+
+    /// Judges a statement, once for all its tries.
+    pub fn judge(&mut self, at: Moment, asked: Asked) -> Judged {
+        if !self.known().covers(&asked.customer) {
+            return Judged::Free;
+        }
+        let Some(index) = self.versions.lease(at.steady) else { return Judged::Closed };
+        let verdict = judge(index, &self.region, &asked, at.wall_ms);
+        let hit = |rule: usize| Hit {
+            rule: index.name(rule).to_string(),
+            customer: asked.customer.clone(),
+            region: self.region.clone(),
+        };
+        let hits: Vec<Hit> = verdict.rule.into_iter().chain(verdict.counts).map(hit).collect();
+        self.next += 1;
+        let (statement, waits) = (self.next, !hits.is_empty());
+        if waits {
+            self.hits.count(statement, hits);
+        }
+        let open = Open { asked, verdict: verdict.clone(), out: BTreeMap::new(), ending: false };
+        self.open.insert(statement, open);
+        Judged::Taken { statement, verdict, waits }
+    }
+
+    /// Whether an execution may leave for a location now: by the version that the statement was judged by, by the one
+    /// that holds, and under a lease. One that may not never will; its statement is to end.
+    pub fn may_send(&mut self, at: Moment, statement: u64, execution: usize, location: &str) -> bool {
+        let place = self.known().locations.iter().position(|name| name == location).map(|at| at as u16);
+        let Some(index) = self.versions.lease(at.steady) else { return false };
+        let Some(open) = self.open.get_mut(&statement) else { return false };
+        let still = open.verdict.version == index.set.version
+            || judge(index, &self.region, &open.asked, at.wall_ms).lets(place);
+        let may = still && !open.ending && open.verdict.lets(place);
+        if may {
+            open.out.insert(execution, place);
+        }
+        may
+    }
+
+    /// An execution has ended.
+    pub fn execution_ended(&mut self, statement: u64, execution: usize) {
+        if let Some(open) = self.open.get_mut(&statement) {
+            open.out.remove(&execution);
+        }
+    }
+
+    /// A statement has its final answer, or nobody waits for it.
+    pub fn over(&mut self, statement: u64) {
+        self.open.remove(&statement);
+        self.hits.forget(statement);
+    }
+
+    pub fn due(&self) -> Micros {
+        self.versions.due().min(self.hits.due())
+    }
+
+    pub fn tick(&mut self, at: Moment) {
+        self.versions.tick(at);
+        self.hits.tick(at, &mut || self.versions.number());
+        self.look(at);
+    }
+
+    /// The ledger has answered. False if it was not asked here.
+    pub fn done(&mut self, at: Moment, done: Done) -> bool {
+        let Done { number, outcome } = done;
+        let ours = self.versions.done(at, number, outcome.clone())
+            || self.hits.done(at, number, outcome, &mut || self.versions.number());
+        self.look(at);
+        ours
+    }
+
+    /// Asks for the fleet's count; it comes with `Out`.
+    pub fn sweep(&mut self, at: Moment) {
+        self.hits.sweep(at);
+    }
+
+    /// The fleet's count as it was asked for last, and how old it is at most.
+    pub fn fleet(&self, steady: Micros) -> (&Fleet, Option<Micros>) {
+        let fleet = self.hits.fleet();
+        (fleet, fleet.as_of.map(|at| steady - at))
+    }
+
+    /// Holds what runs against a version that was adopted.
+    fn look(&mut self, at: Moment) {
+        let index = self.versions.held();
+        if index.set.version == self.looked {
+            return;
+        }
+        self.looked = index.set.version;
+        for (statement, open) in self.open.iter_mut().filter(|(_, open)| !open.out.is_empty() && !open.ending)
+        {
+            let verdict = judge(index, &self.region, &open.asked, at.wall_ms);
+            if !open.out.values().all(|place| verdict.lets(*place)) {
+                open.ending = true;
+                self.ended += 1;
+                self.ends.push(*statement);
+            }
+        }
+    }
+
+    pub fn take(&mut self) -> Out {
+        let mut asks = std::mem::take(&mut self.versions.asks);
+        asks.append(&mut self.hits.asks);
+        let mut said = std::mem::take(&mut self.versions.said);
+        if std::mem::take(&mut self.hits.full) {
+            said.push(Said::Full { what: "hits" });
+        }
+        let swept = std::mem::take(&mut self.hits.swept);
+        Out {
+            asks,
+            said,
+            counted: std::mem::take(&mut self.hits.counted),
+            ends: std::mem::take(&mut self.ends),
+            fleet: swept.then(|| self.hits.fleet().clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/access/src/head.rs
@@ -0,0 +1,133 @@
+//! Which version holds for the fleet, as the ledger keeps it, and the text that goes with it in parts.
+
+use hallmux_ledger::{Key, Kind};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+const FORMAT: u8 = 1; // of what is kept; one that a build does not know counts for nothing
+pub const MOST_TEXT: usize = 256 << 10; // bytes of a file; a shard of the ledger holds 512 KiB
+const PART: usize = 8 << 10; // bytes of a part: a few datagrams
+pub const BEFORE: usize = 8; // versions kept behind the one that holds
+pub const LINGERS_MS: u64 = 600_000; // milliseconds for which the parts of one that is kept no longer stay
+
+pub type Hash = [u8; 32];
+
+/// A version and the text that goes with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    pub version: u64,
+    pub hash: Hash,
+    pub bytes: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    pub format: u8,
+    pub now: Kept,
+    /// No front judges by an earlier version any more.
+    pub in_force: bool,
+    /// The versions before, the latest first.
+    pub before: Vec<Kept>,
+}
+
+pub fn hash(text: &str) -> Hash {
+    Sha256::digest(text).into()
+}
+
+impl Kept {
+    pub fn of(version: u64, text: &str) -> Kept {
+        Kept { version, hash: hash(text), bytes: text.len() as u32 }
+    }
+}
+
+impl Head {
+    /// The head that follows, and the version that it keeps no longer.
+    pub fn after(before: Option<&Head>, now: Kept, in_force: bool) -> (Head, Option<Kept>) {
+        let mut kept: Vec<Kept> = before.iter().map(|head| head.now).collect();
+        kept.extend(before.iter().flat_map(|head| head.before.iter().copied()));
+        let gone = (kept.len() > BEFORE).then(|| kept.pop()).flatten();
+        // The same text may be kept under another version.
+        let gone = gone.filter(|g| g.hash != now.hash && kept.iter().all(|k| k.hash != g.hash));
+        (Head { format: FORMAT, now, in_force, before: kept }, gone)
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// None where it is of a format that this build does not know, or no head at all.
+    pub fn read(bytes: &[u8]) -> Option<Head> {
+        let head = match postcard::take_from_bytes::<Head>(bytes) {
+            Ok((head, [])) => head,
+            _ => return None,
+        };
+        let fits = head.format == FORMAT && head.before.len() <= BEFORE;
+        (fits && head.now.bytes as usize <= MOST_TEXT).then_some(head)
+    }
+
+    /// A version that is kept.
+    pub fn find(&self, version: u64) -> Option<Kept> {
+        [self.now].into_iter().chain(self.before.iter().copied()).find(|kept| kept.version == version)
+    }
+}
+
+pub fn head_key() -> Key {
+    Key { kind: Kind::Rules, name: "head".to_string() }
+}
+
+/// The keys of a text's parts.
+pub fn part_keys(kept: Kept) -> impl Iterator<Item = Key> {
+    let name: String = kept.hash.iter().take(8).map(|byte| format!("{byte:02x}")).collect();
+    let parts = (kept.bytes as usize).div_ceil(PART).max(1);
+    (0..parts).map(move |n| Key { kind: Kind::Rules, name: format!("text {name} {n}") })
+}
+
+pub fn parts(text: &str) -> Vec<Vec<u8>> {
+    match text.is_empty() {
+        true => vec![Vec::new()],
+        false => text.as_bytes().chunks(PART).map(<[u8]>::to_vec).collect(),
+    }
+}
+
+/// The text, if the parts are all of it and nothing else.
+pub fn joined(kept: Kept, parts: Vec<Vec<u8>>) -> Option<String> {
+    let text = String::from_utf8(parts.concat()).ok()?;
+    (text.len() == kept.bytes as usize && hash(&text) == kept.hash).then_some(text)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_damaged_or_of_another_format_is_no_head_and_no_text() {
+        let text = "x".repeat(PART + 1);
+        let (mut head, _) = Head::after(None, Kept::of(3, &text), true);
+        let bytes = head.bytes();
+        assert_eq!(Head::read(&bytes), Some(head.clone()));
+        assert_eq!(Head::read(&[&bytes[..], b"x"].concat()), None);
+        assert!((0..bytes.len()).all(|len| Head::read(&bytes[..len]).is_none()));
+        let mut split = parts(&text);
+        assert_eq!((split.len(), part_keys(head.now).count()), (2, 2));
+        assert_eq!(joined(head.now, split.clone()), Some(text.clone()));
+        split[1][0] = b'y';
+        assert_eq!(joined(head.now, split), None);
+        head.format = FORMAT + 1;
+        assert_eq!(Head::read(&head.bytes()), None);
+    }
+
+    #[test]
+    fn the_last_versions_are_kept_and_a_text_goes_with_its_last_version() {
+        let mut head = None;
+        let mut gone = None;
+        for version in 1..=BEFORE as u64 + 2 {
+            let text = if version == 9 { "1".to_string() } else { version.to_string() };
+            let (next, left) = Head::after(head.as_ref(), Kept::of(version, &text), true);
+            (head, gone) = (Some(next), left);
+        }
+        let head = head.unwrap();
+        // Version 1 went first; its text is version 9's too.
+        assert_eq!((head.find(1), gone), (None, None));
+        assert_eq!(head.find(2).map(|k| k.version), Some(2));
+    }
+}
--- /dev/null
+++ b/crates/access/src/hits.rs
@@ -0,0 +1,360 @@
+//! Hits of rules by customer and region: one table for each life of a front, whose counts only grow, in pages that
+//! the ledger keeps. Tables merge by the greater count of each row, in any order, twice without harm.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use hallmux_ledger::{Act, Ask, Key, Kind, Outcome, Owner};
+use serde::{Deserialize, Serialize};
+
+use crate::{FrontId, Micros, Moment};
+
+const PAGE: usize = 64; // rows of a page; some 3 KB
+const MOST_PAGES: usize = 64; // of a life; rows beyond are counted under any customer
+const AGAIN: Micros = 250_000; // microseconds until what the ledger could not do is asked again
+const AT_ONCE: usize = 32; // pages read at once for the fleet's count
+const FORMAT: u8 = 1; // of a page and of the list of lives
+const ANY: &str = "*"; // the customer, or the rule, of rows for which there is no room
+
+/// What is counted.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Hit {
+    pub rule: String,
+    pub customer: String,
+    /// The region of the front that was asked.
+    pub region: String,
+}
+
+pub type Counts = BTreeMap<Hit, u64>;
+
+/// The fleet's count, as of a moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fleet {
+    pub counts: Counts,
+    /// On the steady clock of the front that was asked: hits acknowledged before it are in the counts.
+    pub as_of: Option<Micros>,
+    /// Fronts whose counts are missing, or older than that.
+    pub missing: BTreeSet<FrontId>,
+}
+
+/// Takes in a table of a life: of two counts of a row the greater is the later.
+pub fn merge(into: &mut Counts, from: &Counts) {
+    for (hit, count) in from {
+        let known = into.entry(hit.clone()).or_default();
+        *known = (*known).max(*count);
+    }
+}
+
+#[derive(Default)]
+struct Page {
+    counts: Counts,
+    /// Hits added so far, and how many of them stand.
+    added: u64,
+    standing: u64,
+    /// Its version in the ledger; 0 where it is not there yet.
+    version: u64,
+    /// A put is under way, for so many hits.
+    putting: bool,
+}
+
+enum Asked {
+    Put {
+        page: usize,
+        added: u64,
+    },
+    Lives,
+    /// For the fleet's count.
+    LivesOf(FrontId),
+    PageOf(Owner),
+}
+
+/// A life of a front and how many pages it has.
+type Lives = (u8, Vec<(u64, u32)>);
+
+pub struct Hits {
+    own: Owner,
+    fronts: Vec<FrontId>,
+    pages: Vec<Page>,
+    rows: HashMap<Hit, usize>,
+    /// Statements that wait, and for which page up to which hit.
+    waiting: BTreeMap<u64, Vec<(usize, u64)>>,
+    /// This life and so many of its pages are in the list of lives; and the list's version.
+    listed: usize,
+    lives: Option<(Vec<(u64, u32)>, u64)>,
+    listing: bool,
+    asked: HashMap<u64, Asked>,
+    try_again: Micros,
+    ticked: Micros,
+    sweep: Option<Sweep>,
+    known: BTreeMap<Owner, Counts>,
+    fleet: Fleet,
+    pub asks: Vec<Ask>,
+    pub counted: Vec<u64>,
+    /// The fleet's count is there, as it was asked for.
+    pub swept: bool,
+    pub full: bool,
+}
+
+struct Sweep {
+    begun: Micros,
+    reads: Vec<(FrontId, Option<(u64, u32)>)>,
+    out: usize,
+    missing: BTreeSet<FrontId>,
+}
+
+fn lives_key(front: FrontId) -> Key {
+    Key { kind: Kind::Hits, name: format!("lives {front:016x}") }
+}
+
+fn page_key(front: FrontId, life: u64, page: usize) -> Key {
+    Key { kind: Kind::Hits, name: format!("hits {front:016x} {life} {page}") }
+}
+
+fn bytes<T: Serialize>(what: &T) -> Vec<u8> {
+    postcard::to_stdvec(what).unwrap_or_default()
+}
+
+fn whole<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Option<T> {
+    match postcard::take_from_bytes::<(u8, T)>(bytes) {
+        Ok(((FORMAT, what), [])) => Some(what),
+        _ => None,
+    }
+}
+
+impl Hits {
+    /// `fronts` are all whose counts make the fleet's.
+    pub fn new(own: Owner, fronts: Vec<FrontId>) -> Hits {
+        Hits {
+            own,
+            fronts,
+            pages: Vec::new(),
+            rows: HashMap::new(),
+            waiting: BTreeMap::new(),
+            listed: 0,
+            lives: None,
+            listing: false,
+            asked: HashMap::new(),
+            try_again: Micros::MIN,
+            ticked: Micros::MIN,
+            sweep: None,
+            known: BTreeMap::new(),
+            fleet: Fleet::default(),
+            asks: Vec::new(),
+            counted: Vec::new(),
+            swept: false,
+            full: false,
+        }
+    }
+
+    /// Counts a statement, once for each hit; it may go on once `counted` names it.
+    pub fn count(&mut self, statement: u64, hits: Vec<Hit>) {
+        let waits = hits.into_iter().map(|hit| {
+            let row = self.row(hit);
+            let page = self.rows.get(&row).copied().unwrap_or_default();
+            let Some(kept) = self.pages.get_mut(page) else { return (page, 0) };
+            *kept.counts.entry(row).or_default() += 1;
+            kept.added += 1;
+            (page, kept.added)
+        });
+        let waits = waits.collect();
+        self.waiting.insert(statement, waits);
+    }
+
+    /// The row that a hit goes to, made where it is new.
+    fn row(&mut self, hit: Hit) -> Hit {
+        if self.rows.contains_key(&hit) {
+            return hit;
+        }
+        let room = |rows: usize, spare: usize| rows + spare < PAGE * MOST_PAGES;
+        let hit = match (room(self.rows.len(), 512), room(self.rows.len(), 1)) {
+            (true, _) => hit,
+            (false, true) => Hit { customer: ANY.to_string(), ..hit },
+            (false, false) => {
+                Hit { rule: ANY.to_string(), customer: ANY.to_string(), region: ANY.to_string() }
+            }
+        };
+        if !self.rows.contains_key(&hit) {
+            let page = self.rows.len() / PAGE;
+            if self.pages.len() <= page {
+                self.pages.push(Page::default());
+            }
+            self.rows.insert(hit.clone(), page.min(self.pages.len().saturating_sub(1)));
+        }
+        hit
+    }
+
+    /// A statement waits for its count no longer.
+    pub fn forget(&mut self, statement: u64) {
+        self.waiting.remove(&statement);
+    }
+
+    /// The fleet's count as it was asked for last.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Asks for the fleet's count.
+    pub fn sweep(&mut self, at: Moment) {
+        if self.sweep.is_none() {
+            let reads = self.fronts.iter().map(|front| (*front, None)).collect();
+            self.sweep = Some(Sweep { begun: at.steady, reads, out: 0, missing: BTreeSet::new() });
+            self.try_again = self.try_again.min(at.steady);
+        }
+    }
+
+    pub fn due(&self) -> Micros {
+        if self.try_again > self.ticked {
+            self.try_again
+        } else {
+            Micros::MAX
+        }
+    }
+
+    pub fn tick(&mut self, at: Moment, number: &mut impl FnMut() -> u64) {
+        self.ticked = at.steady;
+        if at.steady < self.try_again {
+            return;
+        }
+        self.list(number);
+        for page in 0..self.listed {
+            self.put(page, number);
+        }
+        self.read_on(number);
+    }
+
+    fn ask(&mut self, number: &mut impl FnMut() -> u64, asked: Asked, key: Key, act: Act) {
+        let number = number();
+        self.asked.insert(number, asked);
+        self.asks.push(Ask { number, key, act });
+    }
+
+    /// Names this life and its pages in the list of lives, before anything is counted there.
+    fn list(&mut self, number: &mut impl FnMut() -> u64) {
+        if self.listed >= self.pages.len() || self.listing {
+            return;
+        }
+        self.listing = true;
+        let Some((lives, version)) = &self.lives else {
+            return self.ask(number, Asked::Lives, lives_key(self.own.front), Act::Read);
+        };
+        let mut lives: Vec<(u64, u32)> = lives.clone();
+        lives.retain(|(life, _)| *life != self.own.incarnation);
+        lives.push((self.own.incarnation, self.pages.len() as u32));
+        let value = bytes::<Lives>(&(FORMAT, lives));
+        let act = Act::Put { expects: Some(*version), ends_ms: 0, value };
+        self.ask(number, Asked::Lives, lives_key(self.own.front), act);
+    }
+
+    fn put(&mut self, at: usize, number: &mut impl FnMut() -> u64) {
+        let Some(page) = self.pages.get_mut(at).filter(|p| !p.putting && p.standing < p.added) else {
+            return;
+        };
+        page.putting = true;
+        // Compare and swap: one that was held up on its way can't set the page back.
+        let act = Act::Put { expects: Some(page.version), ends_ms: 0, value: bytes(&(FORMAT, &page.counts)) };
+        let asked = Asked::Put { page: at, added: page.added };
+        self.ask(number, asked, page_key(self.own.front, self.own.incarnation, at), act);
+    }
+
+    /// The ledger has answered. False if it was not asked here.
+    pub fn done(
+        &mut self,
+        at: Moment,
+        asked: u64,
+        outcome: Outcome,
+        number: &mut impl FnMut() -> u64,
+    ) -> bool {
+        let Some(asked) = self.asked.remove(&asked) else { return false };
+        let failed = matches!(outcome, Outcome::Unreachable | Outcome::Full);
+        self.full |= outcome == Outcome::Full;
+        match asked {
+            Asked::Put { page, added } => self.put_done(page, added, outcome),
+            Asked::Lives => self.listed_done(outcome),
+            Asked::LivesOf(_) | Asked::PageOf(_) => self.swept_on(asked, outcome),
+        }
+        if failed {
+            self.try_again = at.steady + AGAIN;
+        }
+        self.tick(at, number);
+        true
+    }
+
+    fn put_done(&mut self, at: usize, added: u64, outcome: Outcome) {
+        let Some(page) = self.pages.get_mut(at) else { return };
+        page.putting = false;
+        match outcome {
+            Outcome::Stands(entry) => {
+                (page.standing, page.version) = (page.standing.max(added), entry.version)
+            }
+            // An earlier put of this life that was thought lost has stood.
+            Outcome::Held(entry) => page.version = entry.version,
+            _ => {}
+        }
+        let pages = &self.pages;
+        let stands = |(page, hit): &(usize, u64)| pages.get(*page).is_none_or(|p| p.standing >= *hit);
+        let counted = self.waiting.iter().filter(|(_, waits)| waits.iter().all(stands));
+        let counted: Vec<u64> = counted.map(|(statement, _)| *statement).collect();
+        counted.iter().for_each(|statement| _ = self.waiting.remove(statement));
+        self.counted.extend(counted);
+    }
+
+    fn listed_done(&mut self, outcome: Outcome) {
+        self.listing = false;
+        let entry = match outcome {
+            Outcome::Stands(entry) | Outcome::Held(entry) => entry,
+            Outcome::Absent => return self.lives = Some((Vec::new(), 0)),
+            Outcome::Unreachable | Outcome::Full => return,
+        };
+        let lives = whole::<Vec<(u64, u32)>>(&entry.value).unwrap_or_default();
+        if let Some((_, pages)) = lives.iter().find(|(life, _)| *life == self.own.incarnation) {
+            self.listed = self.listed.max(*pages as usize).min(self.pages.len());
+        }
+        self.lives = Some((lives, entry.version));
+    }
+
+    /// Reads on for the fleet's count.
+    fn read_on(&mut self, number: &mut impl FnMut() -> u64) {
+        loop {
+            let Some(sweep) = self.sweep.as_mut().filter(|sweep| sweep.out < AT_ONCE) else { return };
+            let Some((front, page)) = sweep.reads.pop() else { break };
+            sweep.out += 1;
+            let (asked, key) = match page {
+                None => (Asked::LivesOf(front), lives_key(front)),
+                Some((incarnation, page)) => {
+                    (Asked::PageOf(Owner { front, incarnation }), page_key(front, incarnation, page as usize))
+                }
+            };
+            self.ask(number, asked, key, Act::Read);
+        }
+        if let Some(sweep) = self.sweep.take_if(|sweep| sweep.out == 0) {
+            let mut counts = Counts::new();
+            for (hit, count) in self.known.values().flatten() {
+                *counts.entry(hit.clone()).or_default() += count;
+            }
+            self.fleet = Fleet { counts, as_of: Some(sweep.begun), missing: sweep.missing };
+            self.swept = true;
+        }
+    }
+
+    fn swept_on(&mut self, asked: Asked, outcome: Outcome) {
+        let Some(sweep) = &mut self.sweep else { return };
+        sweep.out -= 1;
+        match (asked, outcome) {
+            (_, Outcome::Absent) => {}
+            (Asked::LivesOf(front), Outcome::Stands(entry)) => match whole::<Vec<(u64, u32)>>(&entry.value) {
+                Some(lives) => {
+                    let pages = |(life, pages): (u64, u32)| (0..pages).map(move |page| (life, page));
+                    sweep.reads.extend(lives.into_iter().flat_map(pages).map(|page| (front, Some(page))));
+                }
+                None => _ = sweep.missing.insert(front),
+            },
+            (Asked::PageOf(owner), Outcome::Stands(entry)) => match whole::<Counts>(&entry.value) {
+                Some(counts) => merge(self.known.entry(owner).or_default(), &counts),
+                None => _ = sweep.missing.insert(owner.front),
+            },
+            (Asked::LivesOf(front) | Asked::PageOf(Owner { front, .. }), _) => {
+                _ = sweep.missing.insert(front)
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/access/src/versions/change.rs
@@ -0,0 +1,130 @@
+//! How this front changes the fleet's version: its file's parts, then the head; and how it says that one is in force.
+
+use hallmux_ledger::{Act, Entry, Key};
+
+use super::{Asked, Offer, Said, Versions};
+use crate::fault::Refused;
+use crate::head::{head_key, part_keys, parts, Head, Kept, LINGERS_MS, MOST_TEXT};
+use crate::index::Index;
+use crate::read::Wish;
+use crate::{Micros, Moment};
+
+impl Versions {
+    /// A file was read: it is to be the fleet's.
+    pub fn offer(&mut self, file: &str, text: &str, wish: Wish) {
+        self.offer = None;
+        if text.len() > MOST_TEXT {
+            let (bytes, most) = (text.len(), MOST_TEXT);
+            return self.said.push(Said::Refused(Refused::TooLong { file: file.to_string(), bytes, most }));
+        }
+        let (file, text) = (file.to_string(), text.to_string());
+        self.offer = Some(Offer { file, wish, text, standing: 0, swapping: false, wanted: None });
+        (self.look, self.try_again) = (Micros::MIN, Micros::MIN);
+    }
+
+    /// The kept version that an offer wants, or why not.
+    pub(super) fn wanted(&self, offer: &Offer) -> Result<Kept, Refused> {
+        let Wish::RollBack { version, to } = offer.wish else {
+            return Ok(Kept::of(offer.wish.version(), &offer.text));
+        };
+        let head = self.head.as_ref().map(|(head, _)| head);
+        match head.and_then(|head| head.find(to)) {
+            Some(kept) => Ok(Kept { version, ..kept }),
+            None => {
+                let kept = head.iter().flat_map(|head| &head.before).map(|kept| kept.version.to_string());
+                let kept = kept.collect::<Vec<_>>().join(", ");
+                Err(Refused::NotKept { file: offer.file.clone(), to, kept })
+            }
+        }
+    }
+
+    /// What has become of an offer, by the head.
+    pub(super) fn fate(&mut self) {
+        let Some(offer) = self.offer.as_ref() else { return };
+        let Some(has) = self.head.as_ref().map(|(head, _)| head.now) else { return };
+        let (file, stated, next) = (offer.file.clone(), offer.wish.version(), has.version + 1);
+        if stated > has.version {
+            return;
+        }
+        let same = offer.wanted == Some(has) || self.wanted(offer).is_ok_and(|wanted| wanted == has);
+        let said = match (stated == has.version, same) {
+            (true, true) => Said::Accepted { version: stated },
+            (true, false) if offer.standing > 0 => Said::Refused(Refused::Lost { file, stated, next }),
+            (true, false) => Said::Refused(Refused::Other { file, stated, next }),
+            (false, _) => Said::Refused(Refused::Old { file, stated, has: has.version, next }),
+        };
+        self.offer = None;
+        self.said.push(said);
+    }
+
+    /// Brings an offer one step on: its parts, then the head.
+    pub(super) fn propose(&mut self, at: Moment) {
+        // One that is not above the head is never swapped in, however the head was read.
+        self.fate();
+        let Some(offer) = self.offer.as_ref().filter(|offer| self.heard && !offer.swapping) else { return };
+        if self.waits(|a| matches!(a, Asked::Keeps | Asked::Swap { .. })) {
+            return;
+        }
+        let wanted = match self.wanted(offer) {
+            Ok(wanted) => wanted,
+            Err(why) => {
+                self.offer = None;
+                return self.said.push(Said::Refused(why));
+            }
+        };
+        let is_set = matches!(offer.wish, Wish::Set(_));
+        let keys: Vec<Key> = if is_set { part_keys(wanted).collect() } else { Vec::new() };
+        if offer.standing < keys.len() {
+            let parts = parts(&offer.text);
+            self.offer.iter_mut().for_each(|offer| offer.standing = 0);
+            for (key, value) in keys.into_iter().zip(parts) {
+                self.ask(at, Asked::Keeps, key, Act::Put { expects: None, ends_ms: 0, value });
+            }
+            return;
+        }
+        let in_force = self.at_once(offer, at);
+        let (head, version) = match &self.head {
+            Some((head, version)) => (Some(head), *version),
+            None => (None, 0),
+        };
+        let (next, gone) = Head::after(head, wanted, in_force);
+        let act = Act::Put { expects: Some(version), ends_ms: 0, value: next.bytes() };
+        self.ask(at, Asked::Swap { to: wanted, gone }, head_key(), act);
+        self.offer.iter_mut().for_each(|offer| (offer.swapping, offer.wanted) = (true, Some(wanted)));
+    }
+
+    /// Nothing is barred by it that the set in force lets through: it holds with its swap.
+    pub(super) fn at_once(&self, offer: &Offer, at: Moment) -> bool {
+        let Wish::Set(set) = &offer.wish else { return false };
+        let from = self.head.as_ref().map(|(head, _)| head.now);
+        let in_force = self.head.as_ref().is_none_or(|(head, _)| head.in_force);
+        in_force
+            && from == self.held_from
+            && !Index::new(set.clone()).tightens(&self.held, &self.known, at.wall_ms)
+    }
+
+    pub(super) fn swapped(
+        &mut self,
+        at: Moment,
+        asked_at: Micros,
+        to: Kept,
+        gone: Option<Kept>,
+        entry: Entry,
+    ) {
+        self.seen(at, asked_at, Some(entry));
+        self.changed_here = self.head.as_ref().is_some_and(|(head, _)| head.now == to);
+        // Parts that nothing names any more end after a while.
+        for key in gone.into_iter().flat_map(part_keys) {
+            let act = Act::Put { expects: None, ends_ms: at.wall_ms + LINGERS_MS, value: Vec::new() };
+            self.ask(at, Asked::Lets, key, act);
+        }
+    }
+
+    /// Says that the head is in force.
+    pub(super) fn settle(&mut self, at: Moment) {
+        let Some((head, version)) = &self.head else { return };
+        let settled = Head { in_force: true, ..head.clone() };
+        let act = Act::Put { expects: Some(*version), ends_ms: 0, value: settled.bytes() };
+        self.ask(at, Asked::Settle, head_key(), act);
+    }
+}
--- /dev/null
+++ b/crates/access/tests/fleet.rs
@@ -0,0 +1,155 @@
+//! Fronts with rules in simulated time, under drawn faults: cuts, stalls, restarts with an empty memory, clocks that
+//! run apart, two files at once. What left and when is recorded apart from what fronts say of themselves.
+
+#[path = "fleet/sim.rs"]
+mod sim;
+
+use sim::{Faults, Sim};
+
+const RUNS: u64 = 20; // drawn runs of 60 s
+
+#[test]
+fn nothing_that_is_barred_leaves_once_a_version_is_said_to_be_in_force() {
+    let mut all = sim::Tallies::default();
+    for seed in 0..RUNS {
+        let mut sim = Sim::new(seed, Faults::default());
+        sim.run(60_000_000);
+        sim.heal();
+        sim.run(10_000_000);
+        let found = sim.barred();
+        assert_eq!(found, Vec::<String>::new(), "seed {seed}");
+        all.add(&sim.tallies);
+    }
+    // Played in fact.
+    let least = RUNS;
+    for (what, count) in [
+        ("cuts", all.cuts),
+        ("stalls", all.stalls),
+        ("restarts", all.restarts),
+        ("in force", all.in_force),
+        ("changes lost to another", all.lost),
+        ("old files", all.old),
+        ("closed", all.closed),
+        ("ended", all.ended),
+        ("denied", all.denied),
+        ("sent", all.sent),
+    ] {
+        assert!(count >= least, "{what}: {count}");
+    }
+    println!("{all:?}");
+}
+
+#[test]
+fn customers_that_no_rule_can_be_about_are_never_turned_away() {
+    for seed in 100..110 {
+        let mut sim = Sim::new(seed, Faults::default());
+        sim.run(30_000_000);
+        assert_eq!(sim.tallies.free_refused, 0, "seed {seed}");
+        assert!(sim.tallies.free > 100 && sim.tallies.closed > 0, "seed {seed}: {:?}", sim.tallies);
+    }
+}
+
+#[test]
+fn a_clock_beyond_the_bound_lets_through_what_is_barred_and_the_check_sees_it() {
+    let faults = Faults { clock: -0.7, ..Faults::default() };
+    let found = (0..10).map(|seed| {
+        let mut sim = Sim::new(seed, faults);
+        sim.run(60_000_000);
+        sim.barred().len()
+    });
+    assert!(found.sum::<usize>() > 0);
+}
+
+#[test]
+fn hits_are_exact_over_the_fleet_however_fronts_come_and_go() {
+    for seed in 0..20 {
+        let mut sim = Sim::new(seed, Faults::default());
+        sim.run(40_000_000);
+        sim.heal();
+        sim.quiet = true;
+        sim.run(10_000_000);
+        let (here, there) = (sim.fleet_count(0), sim.fleet_count(1));
+        assert!(here.missing.is_empty(), "seed {seed}: {:?}", here.missing);
+        assert_eq!(here.counts, there.counts, "seed {seed}");
+        assert!(here.counts.values().sum::<u64>() > 50, "seed {seed}");
+        for (hit, judged) in &sim.judged {
+            let (count, acked) =
+                (here.counts.get(hit).copied().unwrap_or(0), sim.acked.get(hit).copied().unwrap_or(0));
+            assert!(
+                acked <= count && count <= *judged,
+                "seed {seed}: {hit:?}: {acked} <= {count} <= {judged}"
+            );
+        }
+        assert!(here.counts.keys().all(|hit| sim.judged.contains_key(hit)), "seed {seed}");
+    }
+}
+
+#[test]
+fn tables_of_counts_merge_in_any_order_and_twice_without_harm() {
+    use hallmux_access::{merge, Counts, Hit};
+    let hit = |n: u8| Hit { rule: n.to_string(), customer: "a".to_string(), region: "eu".to_string() };
+    let (one, later): (Counts, Counts) = ([(hit(1), 3)].into(), [(hit(1), 5), (hit(2), 1)].into());
+    let merged = |order: &[&Counts]| {
+        let mut into = Counts::new();
+        order.iter().for_each(|table| merge(&mut into, table));
+        into
+    };
+    assert_eq!(merged(&[&one, &later]), later);
+    assert_eq!(merged(&[&later, &one, &later, &one]), later);
+}
+
+#[test]
+fn one_act_rolls_back_to_a_version_kept_and_an_old_file_cannot() {
+    let mut sim = Sim::new(7, Faults::none());
+    sim.offer_text(
+        0,
+        1,
+        "{ version: 1, default: 'allow', rules: [{ name: 'a', customer: 'acme', regions: ['eu'] }] }",
+    );
+    sim.run(8_000_000);
+    sim.offer_text(
+        0,
+        2,
+        "{ version: 2, default: 'allow', rules: [{ name: 'b', customer: 'acme', regions: ['us'] }] }",
+    );
+    sim.run(8_000_000);
+    sim.offer_text(
+        1,
+        1,
+        "{ version: 1, default: 'allow', rules: [{ name: 'a', customer: 'acme', regions: ['eu'] }] }",
+    );
+    sim.run(2_000_000);
+    let said = sim.said.iter().map(|(_, _, said)| format!("{said:?}")).collect::<Vec<_>>();
+    assert!(said.iter().any(|s| s.contains("Old") && s.contains("stated: 1, has: 2, next: 3")), "{said:#?}");
+    sim.offer_text(2, 3, "{ version: 3, roll_back_to: 1 }");
+    sim.run(8_000_000);
+    assert_eq!(sim.versions(), vec![(3, true); sim.len()]);
+    assert_eq!(sim.lets(0, "acme"), Some(vec![0]));
+    sim.offer_text(2, 4, "{ version: 4, roll_back_to: 77 }");
+    sim.run(2_000_000);
+    let last = sim.said.iter().rev().find_map(|(_, _, said)| match said {
+        hallmux_access::Said::Refused(why) => Some(why.to_string()),
+        _ => None,
+    });
+    let says = "rules.json5: `roll_back_to` names version 77, which is not among the last ones kept (2, 1); name one of them";
+    assert_eq!(last.as_deref(), Some(says));
+}
+
+#[test]
+fn what_loosens_is_in_force_at_once_and_what_tightens_only_after_the_leases() {
+    let mut sim = Sim::new(9, Faults::none());
+    let rules = |version, regions| {
+        format!("{{ version: {version}, default: 'allow', rules: [{{ name: 'a', customer: 'acme', regions: [{regions}] }}] }}")
+    };
+    sim.offer_text(0, 1, &rules(1, "'eu'"));
+    sim.run(8_000_000);
+    sim.offer_text(0, 2, &rules(2, "'eu', 'us'"));
+    sim.run(1_000_000);
+    sim.offer_text(0, 3, &rules(3, "'us'"));
+    sim.run(8_000_000);
+    let took = |version| sim.took(version).unwrap_or(i64::MAX);
+    // A lease of 3 s, clocks 1 % apart, 200 ms on the way.
+    assert!((3_200_000..3_600_000).contains(&took(1)), "{}", took(1));
+    assert!(took(2) < 300_000, "{}", took(2));
+    assert!((3_200_000..3_600_000).contains(&took(3)), "{}", took(3));
+}
--- /dev/null
+++ b/crates/access/tests/fleet/sim.rs
@@ -0,0 +1,522 @@
+//! The simulation: true time, a ledger that is one register a key, fronts with clocks of their own.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hallmux_access::{
+    read, Access, Act, Ask, Asked, Asking, Bound, Done, Entry, Fleet, Head, Hit, Index, Judged, Kept, Key,
+    Known, Moment, Outcome, Owner, Said, Set, Setup, Terms, Wish,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+const FRONTS: usize = 5;
+const STEP: i64 = 5_000; // microseconds of true time between looks at everything
+const PATIENCE: i64 = 500_000; // microseconds until the ledger says that it cannot be reached
+const DRIFT_PPM: u32 = 10_000;
+const PLACES: [&str; 3] = ["eu", "us", "ap"];
+
+#[derive(Clone, Copy)]
+pub struct Faults {
+    pub on: bool,
+    /// How far one clock runs off, beyond what it draws.
+    pub clock: f64,
+}
+
+impl Default for Faults {
+    fn default() -> Faults {
+        Faults { on: true, clock: 0.0 }
+    }
+}
+
+impl Faults {
+    pub fn none() -> Faults {
+        Faults { on: false, clock: 0.0 }
+    }
+}
+
+#[derive(Default, Debug)]
+pub struct Tallies {
+    pub cuts: u64,
+    pub stalls: u64,
+    pub restarts: u64,
+    pub in_force: u64,
+    pub lost: u64,
+    pub old: u64,
+    pub closed: u64,
+    pub ended: u64,
+    pub denied: u64,
+    pub sent: u64,
+    pub free: u64,
+    pub free_refused: u64,
+}
+
+impl Tallies {
+    pub fn add(&mut self, other: &Tallies) {
+        for (to, from) in [
+            (&mut self.cuts, other.cuts),
+            (&mut self.stalls, other.stalls),
+            (&mut self.restarts, other.restarts),
+            (&mut self.in_force, other.in_force),
+            (&mut self.lost, other.lost),
+            (&mut self.old, other.old),
+            (&mut self.closed, other.closed),
+            (&mut self.ended, other.ended),
+            (&mut self.denied, other.denied),
+            (&mut self.sent, other.sent),
+        ] {
+            *to += from;
+        }
+    }
+}
+
+struct Front {
+    access: Access,
+    life: u64,
+    rate: f64,
+    cut: i64,
+    stalled: i64,
+    file: Option<String>,
+    /// Statements that wait for their count, and their hits.
+    waiting: BTreeMap<u64, (Asked, hallmux_access::Verdict, Vec<Hit>)>,
+    /// Statements to be sent, when.
+    queued: Vec<(i64, u64, Asked, hallmux_access::Verdict)>,
+    running: BTreeMap<u64, i64>,
+}
+
+struct Sent {
+    at: i64,
+    front: usize,
+    asked: Asked,
+    place: u16,
+}
+
+pub struct Sim {
+    rng: Pcg64,
+    now: i64,
+    faults: Faults,
+    fronts: Vec<Front>,
+    ledger: BTreeMap<Key, Entry>,
+    last: u64,
+    /// Asks on their way there, and answers on their way back.
+    asks: Vec<(i64, usize, u64, Ask, bool)>,
+    answers: Vec<(i64, usize, u64, Done)>,
+    texts: BTreeMap<[u8; 32], String>,
+    next_version: u64,
+    sent: Vec<Sent>,
+    /// When the ledger took a version, and when a front first said that it is in force.
+    accepted: BTreeMap<u64, (i64, String)>,
+    in_force: BTreeMap<u64, i64>,
+    pub said: Vec<(i64, usize, Said)>,
+    pub judged: BTreeMap<Hit, u64>,
+    pub acked: BTreeMap<Hit, u64>,
+    counts: BTreeMap<usize, Fleet>,
+    /// No statements come.
+    pub quiet: bool,
+    pub tallies: Tallies,
+}
+
+fn known() -> Known {
+    let names = |all: &[&str]| all.iter().map(|n| n.to_string()).collect::<Vec<_>>();
+    let bound = |name: &str| Bound { name: name.to_string(), locations: None };
+    Known {
+        customers: names(&["acme", "brisk", "free"]),
+        workloads: vec![bound("lookup"), bound("report")],
+        locations: names(&PLACES),
+        regions: BTreeMap::new(),
+        covered: Some(names(&["acme", "brisk"])),
+    }
+}
+
+fn set(version: u64, text: &str) -> Set {
+    match read("rules.json5", text, &known(), &|_| None) {
+        Ok(Wish::Set(set)) => Set { version, ..set },
+        other => panic!("{other:?}: {text}"),
+    }
+}
+
+impl Sim {
+    pub fn new(seed: u64, faults: Faults) -> Sim {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let drift = f64::from(DRIFT_PPM) / 1e6;
+        let fronts = (0..FRONTS).map(|n| Front {
+            access: access(n, 1),
+            life: 1,
+            rate: 1.0 + rng.random_range(-drift..drift) + if n == 0 { faults.clock } else { 0.0 },
+            cut: 0,
+            stalled: 0,
+            file: None,
+            waiting: BTreeMap::new(),
+            queued: Vec::new(),
+            running: BTreeMap::new(),
+        });
+        let fronts = fronts.collect();
+        Sim {
+            rng,
+            now: 0,
+            faults,
+            fronts,
+            ledger: BTreeMap::new(),
+            last: 0,
+            asks: Vec::new(),
+            answers: Vec::new(),
+            texts: BTreeMap::new(),
+            next_version: 1,
+            sent: Vec::new(),
+            accepted: BTreeMap::new(),
+            in_force: BTreeMap::new(),
+            said: Vec::new(),
+            judged: BTreeMap::new(),
+            acked: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            quiet: false,
+            tallies: Tallies::default(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.fronts.len()
+    }
+
+    fn moment(&self, front: usize) -> Moment {
+        let steady = (self.now as f64 * self.fronts[front].rate) as i64 + front as i64 * 77_000;
+        Moment { steady, wall_ms: 1_700_000_000_000 + self.now as u64 / 1000 }
+    }
+
+    pub fn run(&mut self, time: i64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            if self.faults.on {
+                self.draw_faults();
+            }
+            self.carry();
+            for front in 0..FRONTS {
+                if self.fronts[front].stalled <= self.now {
+                    self.turn(front);
+                }
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.faults.on = false;
+        self.fronts.iter_mut().for_each(|f| (f.cut, f.stalled) = (0, 0));
+    }
+
+    fn draw_faults(&mut self) {
+        let front = self.rng.random_range(0..FRONTS);
+        match self.rng.random_range(0..2_000) {
+            0..4 => {
+                self.fronts[front].cut = self.now + self.rng.random_range(200_000..9_000_000);
+                self.tallies.cuts += 1;
+            }
+            4..7 => {
+                self.fronts[front].stalled = self.now + self.rng.random_range(100_000..6_000_000);
+                self.tallies.stalls += 1;
+            }
+            7..9 => self.restart(front),
+            9..13 => {
+                let version = self.next_version;
+                self.next_version += 1;
+                let text = self.draw_rules(version);
+                self.offer_text(front, version, &text);
+                if self.rng.random_bool(0.4) {
+                    // Another file under the same version, at another front in the same moment.
+                    let other = (front + 1) % FRONTS;
+                    let text = self.draw_rules(version);
+                    self.offer_text(other, version, &text);
+                }
+            }
+            13..15 => {
+                // SIGHUP at a front whose file is as it was.
+                if let Some(file) = self.fronts[front].file.clone() {
+                    self.offer(front, &file);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn restart(&mut self, front: usize) {
+        let life = self.fronts[front].life + 1;
+        let f = &mut self.fronts[front];
+        (f.access, f.life) = (access(front, life), life);
+        f.waiting.clear();
+        f.queued.clear();
+        f.running.clear();
+        let file = f.file.clone();
+        file.into_iter().for_each(|file| self.offer(front, &file));
+        self.tallies.restarts += 1;
+    }
+
+    fn draw_rules(&mut self, version: u64) -> String {
+        let mut rules = Vec::new();
+        for customer in ["acme", "brisk"] {
+            for workload in ["", ", workload: 'report'"] {
+                let regions: Vec<String> =
+                    PLACES.iter().filter(|_| self.rng.random_bool(0.5)).map(|p| format!("'{p}'")).collect();
+                let then = match regions.is_empty() {
+                    true => "then: 'deny', reason: 'drawn'".to_string(),
+                    false => format!("regions: [{}]", regions.join(", ")),
+                };
+                if self.rng.random_bool(0.7) {
+                    rules.push(format!(
+                        "{{ name: '{customer}-{}', customer: '{customer}'{workload}, {then} }}",
+                        rules.len()
+                    ));
+                }
+            }
+        }
+        rules.push("{ name: 'seen', workload: 'report', then: 'count' }".to_string());
+        format!("{{ version: {version}, default: 'allow', rules: [{}] }}", rules.join(", "))
+    }
+
+    pub fn offer_text(&mut self, front: usize, _version: u64, text: &str) {
+        self.fronts[front].file = Some(text.to_string());
+        self.offer(front, text);
+    }
+
+    fn offer(&mut self, front: usize, text: &str) {
+        let wish = read("rules.json5", text, &known(), &|_| None).expect("a good file");
+        self.texts.insert(Kept::of(1, text).hash, text.to_string());
+        self.fronts[front].access.offer("rules.json5", text, wish);
+    }
+
+    /// Asks and answers on their way.
+    fn carry(&mut self) {
+        let (due, later) = std::mem::take(&mut self.asks).into_iter().partition(|(at, ..)| *at <= self.now);
+        self.asks = later;
+        let due: Vec<(i64, usize, u64, Ask, bool)> = due;
+        for (_, front, life, ask, answered) in due {
+            let owner = Owner { front: front as u64 + 1, incarnation: life };
+            let outcome = self.act(owner, &ask);
+            if answered {
+                let back = self.now + self.rng.random_range(500..15_000);
+                self.answers.push((back, front, life, Done { number: ask.number, outcome }));
+            }
+        }
+        let (due, later) =
+            std::mem::take(&mut self.answers).into_iter().partition(|(at, ..)| *at <= self.now);
+        self.answers = later;
+        let due: Vec<(i64, usize, u64, Done)> = due;
+        for (at, front, life, done) in due {
+            if self.fronts[front].stalled > self.now {
+                self.answers.push((at, front, life, done)); // it lies in its socket until it wakes
+            } else if self.fronts[front].life == life {
+                let moment = self.moment(front);
+                self.fronts[front].access.done(moment, done);
+            }
+        }
+    }
+
+    fn act(&mut self, owner: Owner, ask: &Ask) -> Outcome {
+        let current = self.ledger.get(&ask.key).cloned();
+        let Act::Put { expects, ends_ms, value } = &ask.act else {
+            return current.map_or(Outcome::Absent, Outcome::Stands);
+        };
+        let version = current.as_ref().map_or(0, |e| e.version);
+        if expects.is_some_and(|expects| expects != version) {
+            return current.map_or(Outcome::Absent, Outcome::Held);
+        }
+        self.last += 1;
+        let entry = Entry {
+            key: ask.key.clone(),
+            owner,
+            version: self.last,
+            ends_ms: *ends_ms,
+            value: value.clone(),
+        };
+        if ask.key.name == "head" {
+            let head = Head::read(value).expect("a head");
+            let text = self.texts[&head.now.hash].clone();
+            self.accepted.entry(head.now.version).or_insert((self.now, text));
+        }
+        self.ledger.insert(ask.key.clone(), entry.clone());
+        Outcome::Stands(entry)
+    }
+
+    fn turn(&mut self, front: usize) {
+        let at = self.moment(front);
+        if self.rng.random_bool(0.2) && !self.quiet {
+            self.statement(front, at);
+        }
+        let f = &mut self.fronts[front];
+        f.access.tick(at);
+        let out = f.access.take();
+        for ask in out.asks {
+            let (there, cut) =
+                (self.now + self.rng.random_range(500..15_000), self.fronts[front].cut > self.now);
+            // Cut off: lost on its way there, or on its way back.
+            let arrives = !cut || self.rng.random_bool(0.3);
+            let life = self.fronts[front].life;
+            if cut {
+                let done = Done { number: ask.number, outcome: Outcome::Unreachable };
+                self.answers.push((self.now + PATIENCE, front, life, done));
+            }
+            if arrives {
+                let there = if cut { there + self.rng.random_range(0..3_000_000) } else { there };
+                self.asks.push((there, front, life, ask, !cut));
+            }
+        }
+        for said in out.said {
+            match &said {
+                Said::InForce { version } => {
+                    self.in_force.entry(*version).or_insert(self.now);
+                    self.tallies.in_force += 1;
+                }
+                Said::Refused(why) => match why.to_string().contains("not above") {
+                    true => self.tallies.old += 1,
+                    false => self.tallies.lost += 1,
+                },
+                Said::Unreadable { what } => panic!("{what}"),
+                _ => {}
+            }
+            self.said.push((self.now, front, said));
+        }
+        out.fleet.into_iter().for_each(|fleet| _ = self.counts.insert(front, fleet));
+        let f = &mut self.fronts[front];
+        for statement in out.counted {
+            let Some((asked, verdict, hits)) = f.waiting.remove(&statement) else { continue };
+            hits.into_iter().for_each(|hit| *self.acked.entry(hit).or_default() += 1);
+            if verdict.denied.is_some() {
+                self.tallies.denied += 1;
+                f.access.over(statement);
+            } else {
+                let wait = if self.rng.random_bool(0.2) { 8_000_000 } else { 50_000 };
+                f.queued.push((self.now + self.rng.random_range(0..wait), statement, asked, verdict));
+            }
+        }
+        for statement in out.ends {
+            self.tallies.ended += 1;
+            f.running.remove(&statement);
+            f.access.over(statement);
+        }
+        self.send(front, at);
+    }
+
+    fn statement(&mut self, front: usize, at: Moment) {
+        let customer = ["acme", "brisk", "free"][self.rng.random_range(0..3)].to_string();
+        let workload = ["lookup", "report"][self.rng.random_range(0..2)].to_string();
+        let asked = Asked { customer, workload, groups: vec![self.rng.random_range(0..4)] };
+        let f = &mut self.fronts[front];
+        let judged = f.access.judge(at, asked.clone());
+        let free = asked.customer == "free";
+        self.tallies.free += u64::from(free);
+        self.tallies.free_refused += u64::from(free && judged != Judged::Free);
+        match judged {
+            Judged::Free => {}
+            Judged::Closed => self.tallies.closed += 1,
+            Judged::Taken { statement, verdict, waits } => {
+                let name = |rule: usize, f: &Front| {
+                    let v = hallmux_access::Verdict { rule: Some(rule), ..verdict.clone() };
+                    f.access.rule(&v).unwrap_or_default().to_string()
+                };
+                let rules: BTreeSet<usize> = verdict.rule.into_iter().chain(verdict.counts).collect();
+                let hit = |rule| Hit {
+                    rule: name(rule, f),
+                    customer: asked.customer.clone(),
+                    region: "eu".to_string(),
+                };
+                let hits: Vec<Hit> = rules.into_iter().map(hit).collect();
+                hits.iter().for_each(|hit| *self.judged.entry(hit.clone()).or_default() += 1);
+                match waits {
+                    true => _ = f.waiting.insert(statement, (asked, verdict, hits)),
+                    false => f.queued.push((self.now, statement, asked, verdict)),
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, front: usize, at: Moment) {
+        let f = &mut self.fronts[front];
+        let (due, later) =
+            std::mem::take(&mut f.queued).into_iter().partition(|(when, ..)| *when <= self.now);
+        f.queued = later;
+        let due: Vec<(i64, u64, Asked, hallmux_access::Verdict)> = due;
+        for (_, statement, asked, verdict) in due {
+            let allowed = verdict.allowed.unwrap_or_else(|| vec![0, 1, 2]);
+            let place = allowed[self.rng.random_range(0..allowed.len())];
+            if f.access.may_send(at, statement, 0, PLACES[place as usize]) {
+                self.sent.push(Sent { at: self.now, front, asked, place });
+                self.tallies.sent += 1;
+                f.running.insert(statement, self.now + self.rng.random_range(10_000..2_000_000));
+            } else {
+                f.access.over(statement);
+            }
+        }
+        let over: Vec<u64> =
+            f.running.iter().filter(|(_, ends)| **ends <= self.now).map(|(s, _)| *s).collect();
+        for statement in over {
+            f.running.remove(&statement);
+            f.access.execution_ended(statement, 0);
+            f.access.over(statement);
+        }
+    }
+
+    /// What left though the version in force barred it, and none after it was there to let it through.
+    pub fn barred(&self) -> Vec<String> {
+        let indices: BTreeMap<u64, (i64, Index)> =
+            self.accepted.iter().map(|(v, (at, text))| (*v, (*at, Index::new(set(*v, text))))).collect();
+        let mut found = Vec::new();
+        for Sent { at, front, asked, place } in &self.sent {
+            let held = self.in_force.iter().filter(|(_, since)| *since < at).map(|(v, _)| *v).max();
+            let Some(held) = held else { continue };
+            let Asked { customer, workload, groups } = asked;
+            let asking = Asking { customer, workload, group: None, front: "eu" };
+            let mut may = indices.range(held..).filter(|(_, (since, _))| since <= at);
+            if !may.any(|(_, (_, index))| index.judge(&asking, groups, 0).lets(Some(*place))) {
+                found.push(format!("{at}: front {front} sent {asked:?} to {place} under version {held}"));
+            }
+        }
+        found
+    }
+
+    pub fn fleet_count(&mut self, front: usize) -> Fleet {
+        let at = self.moment(front);
+        self.fronts[front].access.sweep(at);
+        self.counts.remove(&front);
+        for _ in 0..2_000 {
+            self.carry();
+            self.now += STEP;
+            let at = self.moment(front);
+            self.fronts[front].access.tick(at);
+            let out = self.fronts[front].access.take();
+            let life = self.fronts[front].life;
+            out.asks.into_iter().for_each(|ask| self.asks.push((self.now, front, life, ask, true)));
+            if let Some(fleet) = out.fleet {
+                return fleet;
+            }
+        }
+        panic!("no count");
+    }
+
+    pub fn versions(&self) -> Vec<(u64, bool)> {
+        (0..FRONTS).map(|n| self.fronts[n].access.version(self.moment(n).steady)).collect()
+    }
+
+    /// Where a customer's lookups may be read, as a front judges them.
+    pub fn lets(&mut self, front: usize, customer: &str) -> Option<Vec<u16>> {
+        let at = self.moment(front);
+        let asked = Asked { customer: customer.to_string(), workload: "lookup".to_string(), groups: vec![1] };
+        match self.fronts[front].access.judge(at, asked) {
+            Judged::Taken { verdict, .. } => verdict.allowed,
+            _ => None,
+        }
+    }
+
+    /// Time from when the ledger took a version until it was in force.
+    pub fn took(&self, version: u64) -> Option<i64> {
+        Some(self.in_force.get(&version)? - self.accepted.get(&version)?.0)
+    }
+}
+
+fn access(front: usize, life: u64) -> Access {
+    Access::new(Setup {
+        own: Owner { front: front as u64 + 1, incarnation: life },
+        fronts: (1..=FRONTS as u64).collect(),
+        region: "eu".to_string(),
+        known: known(),
+        terms: Terms { length: 3_000_000, drift_ppm: DRIFT_PPM },
+        first_number: 1 << 40,
+    })
+}
