Split crates/front/tests/play.rs into a folder by peer, nothing else changed

Moved: engines, coordinator, clients, the front's process, the meaning of each line. Names that other files need are pub now; nothing else changed.

--- /dev/null
+++ b/crates/front/tests/play/coordinator.rs
@@ -0,0 +1,68 @@
+//! The coordinator as the scenarios play it.
+
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use crate::Play;
+
+#[derive(Default)]
+pub struct Told {
+    pub moves: usize,
+    pub updates: Vec<Value>,
+    pub answers: VecDeque<String>,
+}
+
+impl Play {
+    /// The coordinator: each question is answered once there is something later than what it names.
+    pub fn serve_list(&mut self) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        self.coordinator = Some(listener.local_addr().unwrap());
+        let (told, (sender, questions)) = (self.told.clone(), channel());
+        self.questions = Some(questions);
+        let moves = told.0.lock().unwrap().moves;
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (told, sender) = (told.clone(), sender.clone());
+                std::thread::spawn(move || {
+                    let mut input = BufReader::new(stream.try_clone().ok()?);
+                    loop {
+                        let mut line = String::new();
+                        input.read_line(&mut line).ok().filter(|n| *n > 0)?;
+                        let Some(at) = line.find("follow=") else { continue };
+                        let digits: String =
+                            line[at + 7..].chars().take_while(|c| c.is_ascii_digit()).collect();
+                        let follow: usize = digits.parse().ok()?;
+                        sender.send(follow).ok()?;
+                        let limit = Duration::from_millis(200);
+                        let waits = |t: &mut Told| t.updates.len() <= follow && t.answers.is_empty();
+                        let guard = told.0.lock().unwrap();
+                        let (mut held, _) = told.1.wait_timeout_while(guard, limit, waits).unwrap();
+                        while held.moves > moves {
+                            held = told.1.wait(held).unwrap();
+                        }
+                        if let Some(answer) = held.answers.pop_front() {
+                            (&stream).write_all(answer.as_bytes()).ok()?;
+                            continue;
+                        }
+                        let later = held.updates.get(follow..).unwrap_or_default();
+                        let body = json!({"index": held.updates.len(), "updates": later}).to_string();
+                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                        (&stream).write_all((head + &body).as_bytes()).ok()?;
+                    }
+                    #[allow(unreachable_code)]
+                    Some(())
+                });
+            }
+        });
+    }
+
+    pub fn tell(&mut self, update: impl FnOnce(&mut Told)) {
+        update(&mut self.told.0.lock().unwrap());
+        self.told.1.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/front/tests/play/engine.rs
@@ -0,0 +1,106 @@
+//! Query engines as the scenarios play them: what they hear, and what they say.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Condvar, Mutex};
+
+use crate::{id, rows, Play, PATIENCE};
+
+/// A command as an engine heard it, and the connection that brought it.
+pub struct Heard {
+    words: Vec<String>,
+    body: Vec<u8>,
+    from: TcpStream,
+}
+
+pub struct Engine {
+    pub at: SocketAddr,
+    pub listener: Option<TcpListener>,
+    pub listens: Arc<(Mutex<bool>, Condvar)>,
+    heard: Receiver<Heard>,
+    pub latest: Option<TcpStream>,
+    pub before: Option<SocketAddr>,
+    pub asked: HashMap<String, TcpStream>,
+}
+
+impl Engine {
+    pub fn new(deaf: bool) -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let (sender, heard) = channel();
+        let listens = Arc::new((Mutex::new(!deaf), Condvar::new()));
+        let waits = listens.clone();
+        let accepts = listener.try_clone().unwrap();
+        std::thread::spawn(move || {
+            for stream in accepts.incoming().map_while(Result::ok) {
+                let (sender, waits) = (sender.clone(), waits.clone());
+                std::thread::spawn(move || {
+                    drop(waits.1.wait_while(waits.0.lock().unwrap(), |listens| !*listens));
+                    Engine::listen(stream, &sender)
+                });
+            }
+        });
+        Engine {
+            at,
+            listener: Some(listener),
+            listens,
+            heard,
+            latest: None,
+            before: None,
+            asked: HashMap::new(),
+        }
+    }
+
+    fn listen(stream: TcpStream, heard: &Sender<Heard>) -> Option<()> {
+        let mut input = BufReader::new(stream.try_clone().ok()?);
+        loop {
+            let mut line = String::new();
+            input.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            let words: Vec<String> = line.trim_end().split(' ').map(str::to_string).collect();
+            let mut body = Vec::new();
+            if words[0] == "want" {
+                body.resize(words.last()?.parse::<usize>().ok()? + 2, 0);
+                input.read_exact(&mut body).ok()?;
+                body.truncate(body.len() - 2);
+            }
+            heard.send(Heard { words, body, from: stream.try_clone().ok()? }).ok()?;
+        }
+    }
+}
+
+impl Play {
+    pub fn engine_hears(&mut self, name: &str, words: &[&str]) -> String {
+        let engine = self.engines.get_mut(name).unwrap();
+        let heard = loop {
+            let heard = engine.heard.recv_timeout(PATIENCE).expect("a command");
+            if heard.words[0] != "hurry" {
+                break heard;
+            }
+        };
+        assert_eq!(heard.words[0], words[0], "{:?}", heard.words);
+        if let Some(number) = words.get(1) {
+            assert_eq!(heard.words[1], id(number), "{:?}", heard.words);
+        }
+        let rest = heard.words[2..].join(",");
+        for word in &words[words.len().min(2)..] {
+            assert!(rest.split(',').any(|w| w == *word), "{word} in {rest}");
+        }
+        let number = heard.words[1].trim_start_matches('0').to_string();
+        if words[0] == "want" {
+            let number = number.as_str();
+            assert_eq!(String::from_utf8(heard.body).unwrap(), self.statements[number]);
+            engine.asked.insert(number.to_string(), heard.from.try_clone().unwrap());
+        }
+        engine.before = engine.latest.as_ref().and_then(|latest| latest.peer_addr().ok());
+        engine.latest = Some(heard.from);
+        number
+    }
+
+    pub fn says(&mut self, name: &str, number: &str, word: &str, fields: &str, text: &str) {
+        let body = rows(text);
+        let line = format!("{} {word} {fields} {}\r\n{body}\r\n", id(number), body.len());
+        self.engines[name].asked[number].try_clone().unwrap().write_all(line.as_bytes()).unwrap();
+    }
+}
--- /dev/null
+++ b/crates/front/tests/play/line.rs
@@ -0,0 +1,189 @@
+//! What each line of a scenario does.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::engine::Engine;
+use crate::{unescaped, Play, BIG, FILES, PATIENCE};
+
+impl Play {
+    pub fn line(&mut self, line: &str) {
+        let words: Vec<&str> = line.split(' ').collect();
+        let rest = |n: usize| words[n..].join(" ");
+        match words[..] {
+            ["agreed", key, ..] => {
+                let (path, last) = key.rsplit_once('.').unwrap_or(("", key));
+                let mut at = &mut self.settings;
+                for step in path.split('.').filter(|step| !step.is_empty()) {
+                    at = match step.parse::<usize>() {
+                        Ok(place) => &mut at[place],
+                        Err(_) => &mut at[step],
+                    };
+                }
+                at[last] = serde_json::from_str(&rest(2)).unwrap();
+            }
+            ["operator", ..] => {
+                let number =
+                    std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
+                let name = format!("hallmux-play-{}-{number}.json5", std::process::id());
+                let path = std::env::temp_dir().join(name);
+                std::fs::write(&path, unescaped(&rest(1))).unwrap();
+                self.files.push(path.clone());
+                self.operator = Some(path);
+            }
+            ["told", key, ..] => {
+                self.told_otherwise.push((key.to_string(), serde_json::from_str(&rest(2)).unwrap()));
+            }
+            ["engine", name, ..] => {
+                let mut engine = Engine::new(words.get(2) == Some(&"deaf"));
+                if words.get(2) == Some(&"gone") {
+                    let free = TcpListener::bind("127.0.0.1:0").unwrap();
+                    (engine.at, engine.listener) = (free.local_addr().unwrap(), None);
+                }
+                self.engines.insert(name.to_string(), engine);
+            }
+            ["start"] => self.start(),
+            ["fails", ..] => {
+                let output = self.spawn().wait_with_output().unwrap();
+                let said = String::from_utf8_lossy(&output.stderr).into_owned();
+                assert!(!output.status.success() && said.contains(&rest(1)), "{said}");
+                self.told_otherwise.clear();
+            }
+            ["list", name, state, ..] => {
+                if !self.engines.contains_key(name) {
+                    self.engines.insert(name.to_string(), Engine::new(false));
+                }
+                let at = self.engines[words.get(4).copied().unwrap_or(name)].at;
+                let server = self.server(name, state, at, state == "up");
+                let index = self.told.0.lock().unwrap().updates.len() + 1;
+                let list = json!({"version": index, "full": false, "servers": [server]});
+                self.tell(|told| told.updates.push(json!({"index": index, "endpoints": list})));
+                // Its second question from now on follows the change.
+                self.line("coordinator asked");
+                self.line("coordinator asked");
+            }
+            ["coordinator", "answers", ..] => {
+                let answer = unescaped(&rest(2));
+                self.tell(|told| told.answers.push_back(answer));
+            }
+            ["coordinator", "asked"] => {
+                let questions = self.questions.as_ref().unwrap();
+                while questions.try_recv().is_ok() {}
+                questions.recv_timeout(PATIENCE).expect("a question");
+            }
+            ["coordinator", "asked", number] => {
+                let follow = self.questions.as_ref().unwrap().recv_timeout(PATIENCE).expect("a question");
+                assert_eq!(follow.to_string(), number);
+            }
+            ["coordinator", "moves"] => {
+                self.tell(|told| told.moves += 1);
+                self.serve_list();
+            }
+            ["reloads"] => {
+                self.configure();
+                self.told_otherwise.clear();
+                self.signal("-HUP");
+            }
+            ["logs", ..] => {
+                let log = self.log.as_ref().unwrap();
+                while !log.recv_timeout(PATIENCE).expect("a line of the log").contains(&rest(1)) {}
+            }
+            ["stop"] => self.signal("-TERM"),
+            ["halt"] => {
+                self.signal("-STOP");
+                let stat = format!("/proc/{}/stat", self.front.as_ref().unwrap().id());
+                while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+                    std::thread::yield_now();
+                }
+            }
+            ["goes", "on"] => self.signal("-CONT"),
+            ["passes", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
+            ["ends"] => assert!(self.front.take().unwrap().wait().unwrap().success()),
+            ["many", count, client, engine] => self.many(count.parse().unwrap(), client, engine),
+            [client, "connects"] => {
+                let stream = TcpStream::connect(&self.listens).unwrap();
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                self.clients.insert(client.to_string(), stream);
+            }
+            [client, "closes"] if self.clients.contains_key(client) => {
+                self.clients.remove(client);
+            }
+            [client, "is", "well"] => self.well(client, true),
+            [client, "is", "unwell"] => self.well(client, false),
+            [client, "is", "closed"] => {
+                let end = self.clients.get_mut(client).unwrap().read(&mut [0; 1]);
+                let open =
+                    |e: &std::io::Error| matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+                assert!(!matches!(&end, Ok(1)) && !end.is_err_and(|e| open(&e)));
+            }
+            [client, "asks", "at", "once", which, ..] => {
+                let statement = rest(5).replace("BIG", &"x".repeat(BIG));
+                let mut bytes = Vec::new();
+                for number in which.split(',') {
+                    match number.strip_prefix('!') {
+                        Some(number) => bytes.extend(self.forget(number)),
+                        None => bytes.extend(self.frame(number, &[], &statement)),
+                    }
+                    self.statements.insert(number.to_string(), statement.clone());
+                }
+                self.clients.get_mut(client).unwrap().write_all(&bytes).unwrap();
+            }
+            [client, "asks", number, ..] => {
+                let is_field = |w: &&&str| w.contains('=') || w.starts_with('-');
+                let fields: Vec<&str> = words[3..].iter().take_while(is_field).copied().collect();
+                let statement = rest(3 + fields.len());
+                let frame = self.frame(number, &fields, &statement);
+                self.statements.insert(number.to_string(), statement);
+                self.clients.get_mut(client).unwrap().write_all(&frame).unwrap();
+            }
+            [client, "forgets", number] => {
+                let frame = self.forget(number);
+                self.clients.get_mut(client).unwrap().write_all(&frame).unwrap();
+            }
+            [client, "floods"] => self.flood(client),
+            [client, "sends", hex] => {
+                let byte = |i| u8::from_str_radix(&hex[i..i + 2], 16).unwrap();
+                let bytes: Vec<u8> = (0..hex.len()).step_by(2).map(byte).collect();
+                self.clients.get_mut(client).unwrap().write_all(&bytes).unwrap();
+            }
+            [client, "hears", number, kind, ..] if self.clients.contains_key(client) => {
+                self.hears(client, number, kind, &rest(4));
+            }
+            [engine, "hears", command, numbers] if numbers.contains(',') => {
+                let mut awaited: Vec<&str> = numbers.split(',').collect();
+                while !awaited.is_empty() {
+                    let number = self.engine_hears(engine, &[command]);
+                    let at = awaited.iter().position(|n| *n == number);
+                    awaited.remove(at.unwrap_or_else(|| panic!("{number} was not to come")));
+                }
+            }
+            [engine, "hears", ..] => _ = self.engine_hears(engine, &words[2..]),
+            [engine, "utters", ..] => {
+                let bytes = unescaped(&rest(2));
+                self.engines[engine].latest.as_ref().unwrap().write_all(bytes.as_bytes()).unwrap();
+            }
+            [engine, "says", number, word, fields, ..] => self.says(engine, number, word, fields, &rest(5)),
+            [engine, "is", "reached", "anew"] => {
+                let engine = &self.engines[engine];
+                let latest = engine.latest.as_ref().unwrap().peer_addr().unwrap();
+                assert!(engine.before.is_some_and(|before| before != latest));
+            }
+            [engine, "is", "reached", "by", count] => {
+                let links = self.engines[engine].asked.values().map(|link| link.peer_addr().unwrap());
+                assert_eq!(links.collect::<std::collections::HashSet<_>>().len().to_string(), count);
+            }
+            [engine, "listens"] => {
+                *self.engines[engine].listens.0.lock().unwrap() = true;
+                self.engines[engine].listens.1.notify_all();
+            }
+            [engine, "closes"] => {
+                let latest = self.engines.get_mut(engine).unwrap().latest.take().unwrap();
+                latest.shutdown(std::net::Shutdown::Both).unwrap();
+            }
+            _ => panic!("a line that means nothing"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/tests/play/process.rs
@@ -0,0 +1,79 @@
+//! The front's process: its configuration, its start, its log and the signals sent to it.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::channel;
+
+use serde_json::{json, Value};
+
+use crate::{Play, FILES, PATIENCE};
+
+impl Play {
+    pub fn server(&self, name: &str, state: &str, at: SocketAddr, started: bool) -> Value {
+        let started_ms = if started { 1_700_000_000_000u64 } else { 0 };
+        json!({"id": name, "addr": at.to_string(), "zone": "here", "kind": "std", "cell": 0,
+               "state": state, "weight": 1, "started_ms": started_ms})
+    }
+
+    pub fn spawn(&mut self) -> Child {
+        let servers: Vec<Value> =
+            self.engines.iter().map(|(name, e)| self.server(name, "up", e.at, false)).collect();
+        let known = json!({"index": 1, "endpoints": {"version": 1, "full": true, "servers": servers}});
+        self.told.0.lock().unwrap().updates.push(known);
+        self.serve_list();
+        let number =
+            std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("hallmux-play-{}-{number}.json", std::process::id()));
+        self.files.push(path.clone());
+        self.configure();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hallmux-front"));
+        command.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_NAME");
+        command.env_remove("HALLMUX_OPERATOR");
+        if let Some(operator) = &self.operator {
+            command.env("HALLMUX_OPERATOR", operator);
+        }
+        command.stderr(Stdio::piped()).spawn().unwrap()
+    }
+
+    /// Writes the configuration to the latest file.
+    pub fn configure(&self) {
+        let known = &self.told.0.lock().unwrap().updates[0];
+        let mut config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "coordinator": self.coordinator.map(|at| at.to_string()),
+            "known": {"index": 1, "updates": [known]}, "settings": self.settings});
+        for (key, value) in &self.told_otherwise {
+            config[key] = value.clone();
+        }
+        std::fs::write(self.files.last().unwrap(), config.to_string()).unwrap();
+    }
+
+    pub fn signal(&self, which: &str) {
+        let pid = self.front.as_ref().unwrap().id().to_string();
+        assert!(Command::new("kill").args([which, &pid]).status().unwrap().success());
+    }
+
+    pub fn memory_kb(&self) -> usize {
+        let pid = self.front.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
+    pub fn start(&mut self) {
+        let mut front = self.spawn();
+        let ((sender, ready), (says, said)) = (channel(), channel());
+        let mut log = BufReader::new(front.stderr.take().unwrap()).lines().map_while(Result::ok);
+        std::thread::spawn(move || {
+            let found = log.by_ref().find_map(|l| Some(l.split_once("takes statements at ")?.1.to_string()));
+            let _ = sender.send(found);
+            log.for_each(|line| {
+                println!("{line}");
+                let _ = says.send(line);
+            });
+        });
+        (self.front, self.log) = (Some(front), Some(said));
+        self.listens = ready.recv_timeout(PATIENCE).unwrap().expect("a front that starts");
+    }
+}
