--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,6 +1,7 @@
 //! The rig: front processes, the relays between them and their engines, and the faults played on all of them.
 
 mod coordinator;
+mod fault;
 pub mod fleet;
 mod front;
 pub mod member;
--- a/crates/lab/src/rig/scenario.rs
+++ b/crates/lab/src/rig/scenario.rs
@@ -3,6 +3,8 @@
 
 use serde::Deserialize;
 
+pub use super::fault::{Fault, What};
+
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
@@ -90,71 +92,10 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "snake_case")]
-pub enum What {
-    /// Every link into the zone loses all both ways; its engines start cold when it returns.
-    ZoneLost,
-    /// The links of one front into the zone lose all, both ways: the partition of one vantage.
-    LinkCut,
-    /// The links of one front into the zone lose what comes back only.
-    LinkCutBack,
-    /// Every link into the zone is slowed by `delay_ms`.
-    ZoneSlow,
-    /// The fronts numbered below `front` and the rest hear nothing of each other.
-    FrontsSplit,
-    /// The rest hear nothing of the fronts numbered below `front`, but not the other way about.
-    FrontsSplitOut,
-    /// Of the datagrams between fronts `percent` in a hundred are lost.
-    PostLossy,
-    /// Every datagram between fronts comes twice, the second `delay_ms` later: out of order, too.
-    PostDoubled,
-    /// Every datagram between fronts takes `delay_ms` longer.
-    PostSlow,
-    /// The front's configuration file is written anew, and SIGHUP tells it so.
-    Hup,
-    /// Every connection into the zone is reset at once.
-    ZoneReset,
-    /// The front is stopped (SIGSTOP) and goes on (SIGCONT) after `for_ms`.
-    Stall,
-    /// The front is killed (SIGKILL) and started anew after `for_ms`.
-    Kill,
-    /// The front that probed for the fleet last is stopped, or killed: the owner of that work.
-    StallOwner,
-    KillOwner,
-    /// The front is asked to end (SIGTERM) and started anew after `for_ms`.
-    Term,
-}
-
-#[derive(Clone, Debug, Deserialize, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct Fault {
-    pub what: What,
-    /// Milliseconds after the load began, and how long it lasts.
-    pub at_ms: u64,
-    #[serde(default)]
-    pub for_ms: u64,
-    #[serde(default)]
-    pub zone: usize,
-    #[serde(default)]
-    pub front: usize,
-    #[serde(default)]
-    pub delay_ms: u64,
-    #[serde(default)]
-    pub percent: u64,
-    /// Discovery tells the fronts of the engines' new start when a lost zone returns.
-    #[serde(default = "yes")]
-    pub told: bool,
-}
-
 fn lease_ms() -> u64 {
     2_000
 }
 
-fn yes() -> bool {
-    true
-}
-
 const MOST_FRONTS: usize = 40; // processes that an eight-core machine holds in real time
 const MOST_SIMULATED: usize = 1_000; // fronts in simulated time; 300 take a minute or two
 const MOST_DELAY_MS: u64 = 10_000; // milliseconds; what is later is as good as lost
@@ -164,18 +105,6 @@
 const MOST_RATE: u64 = 2_000; // statements a second, each a thread of the client's
 const MOST_QUORUM: usize = 64; // what the operator's file takes for `gossip.zone_quorum`
 
-impl Fault {
-    /// The fault as it is played: on the front that owns the fleet's work, where it is meant for that.
-    pub fn on(&self, owner: Option<usize>) -> Fault {
-        let what = match self.what {
-            What::StallOwner => What::Stall,
-            What::KillOwner => What::Kill,
-            _ => return self.clone(),
-        };
-        Fault { what, front: owner.unwrap_or(self.front), ..self.clone() }
-    }
-}
-
 impl Scenario {
     /// The class at a share of all, from 0 to 1.
     pub fn draw_class(&self, at: f64) -> usize {
