--- a/crates/lab/src/engine/lines.rs
+++ b/crates/lab/src/engine/lines.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicI64, AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicI64, AtomicU32, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::check::Outcome;
 use crate::engine::{Deed, Kind, Records};
+use crate::rig::scenario::Step;
 
 /// Starts an engine that speaks lines and is always warm; statements are `id=..,key=..,ms=..`.
 pub fn engine(number: usize, records: Arc<Records>) -> std::io::Result<SocketAddr> {
@@ -39,6 +40,9 @@
     }
 }
 
+/// The statements that run for a connection, by the ids of their executions: their own, and their links.
+type Runs = Arc<Mutex<HashMap<String, (String, u32)>>>;
+
 /// An engine that speaks lines; what it bears over its warmth it turns away with `AGAIN`.
 pub struct Engine {
     pub number: usize,
@@ -48,6 +52,8 @@
     /// Microseconds since the rig began at its last start, and how many statements run.
     started: AtomicI64,
     running: AtomicUsize,
+    /// Counts executions: each has a link of its own in the record.
+    next: AtomicU32,
     /// Statements turned away, and the most that were asked of it at once against what it bore then.
     pub turned_away: AtomicUsize,
     peak: Mutex<f64>,
@@ -70,6 +76,7 @@
             records,
             started,
             running,
+            next: AtomicU32::new(1),
             turned_away,
             peak,
             peak_since_start,
@@ -107,31 +114,28 @@
         self.peak_since_start.lock().map(|p| *p).unwrap_or(0.0)
     }
 
-    fn note(&self, kind: Kind) {
+    fn note(&self, link: u32, kind: Kind) {
         if let Ok(mut deeds) = self.records.deeds.lock() {
-            deeds.push(Deed { at: self.records.now(), engine: self.number, link: 0, kind });
+            deeds.push(Deed { at: self.records.now(), engine: self.number, link, kind });
         }
     }
 
     /// Serves a connection; what still runs when it ends is stopped, as engines do that can't answer any more.
     fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
-        let runs: Arc<Mutex<HashMap<String, String>>> = Arc::default();
+        let runs: Runs = Arc::default();
         let served = self.converse(stream, &runs);
         if let Ok(mut runs) = runs.lock() {
-            for (_, own) in runs.drain() {
+            for (_, (own, link)) in runs.drain() {
                 self.running.fetch_sub(1, SeqCst);
-                self.note(Kind::Ended { id: own });
+                self.note(link, Kind::Ended { id: own });
             }
         }
         served
     }
 
     /// `runs` holds the statements that run for the connection, by the ids of their executions.
-    fn converse(
-        self: &Arc<Self>,
-        stream: TcpStream,
-        runs: &Arc<Mutex<HashMap<String, String>>>,
-    ) -> std::io::Result<()> {
+    fn converse(self: &Arc<Self>, stream: TcpStream, runs: &Runs) -> std::io::Result<()> {
+        let peer = stream.peer_addr()?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let stream = Arc::new(stream);
         loop {
@@ -165,18 +169,31 @@
                 write!(&*stream, "{id} AGAIN stats=inflight:{} 0\r\n\r\n", self.running.load(SeqCst))?;
                 continue;
             }
+            // One that goes on has its effect also where its connection ends first.
+            let (goes_on, keyed) = (field("on") == "1", field("promised") == "1");
             let (id, engine, stream, runs) = (id.to_string(), self.clone(), stream.clone(), runs.clone());
-            self.note(Kind::Began { id: own.clone(), key });
-            if let Ok(mut runs) = runs.lock() {
-                runs.insert(id.clone(), own.clone());
+            let link = self.next.fetch_add(1, SeqCst);
+            let front = self.records.front_of(peer);
+            if let (Some(front), Ok(mut sent_by)) = (front, self.records.sent_by.lock()) {
+                sent_by.insert((self.number, link), front);
+            }
+            self.note(link, Kind::Began { id: own.clone(), key });
+            if let Some(front) = front.filter(|_| keyed) {
+                self.records.reached(Step::Began, front);
+            }
+            if let Ok(mut runs) = runs.lock().map(|runs| (!goes_on).then_some(runs)) {
+                runs.iter_mut().for_each(|runs| _ = runs.insert(id.clone(), (own.clone(), link)));
             }
             std::thread::spawn(move || {
                 std::thread::sleep(Duration::from_millis(ms));
-                if runs.lock().is_ok_and(|mut runs| runs.remove(&id).is_none()) {
+                if !goes_on && runs.lock().is_ok_and(|mut runs| runs.remove(&id).is_none()) {
                     return; // stopped with its connection
                 }
-                engine.note(Kind::Ended { id: own.clone() });
-                engine.note(Kind::Kept { id: own.clone() });
+                engine.note(link, Kind::Ended { id: own.clone() });
+                engine.note(link, Kind::Kept { id: own.clone() });
+                if let Some(front) = front.filter(|_| keyed) {
+                    engine.records.reached(Step::Kept, front);
+                }
                 engine.running.fetch_sub(1, SeqCst);
                 let row = format!("{own}\t-\t-\n");
                 let active = engine.running.load(SeqCst);
--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -7,4 +7,4 @@
 mod task;
 
 pub use portal::Engine;
-pub use record::{Deed, Kind, Records};
+pub use record::{Armed, Deed, Kind, Records};
--- a/crates/lab/src/engine/record.rs
+++ b/crates/lab/src/engine/record.rs
@@ -1,8 +1,15 @@
 //! What engines did, written down as it happens.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+use crate::rig::scenario::Step;
+
 /// What an engine did; times are microseconds since the rig began.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Deed {
@@ -30,17 +37,85 @@
 pub struct Records {
     pub since: Instant,
     pub deeds: Mutex<Vec<Deed>>,
+    /// The front behind each connection to an engine, by the relay's end of it.
+    peers: Mutex<HashMap<SocketAddr, usize>>,
+    /// The front that sent what an engine wrote down under this link.
+    pub sent_by: Mutex<HashMap<(usize, u32), usize>>,
+    armed: Mutex<Option<Armed>>,
+    /// Fronts killed at a step of a promise, with the step and when.
+    pub steps: Mutex<Vec<(Step, usize, i64)>>,
+}
+
+/// A front that is to die at a step of a promise.
+pub struct Armed {
+    pub step: Step,
+    pub front: usize,
+    pub pid: u32,
+    /// So many more may pass before it does.
+    pub wait: u32,
+    /// A statement that needs a promise has come to it since.
+    pub asked: bool,
 }
 
 impl Records {
     pub fn new() -> Arc<Records> {
-        Arc::new(Records { since: Instant::now(), deeds: Mutex::default() })
+        Arc::new(Records {
+            since: Instant::now(),
+            deeds: Mutex::default(),
+            peers: Mutex::default(),
+            sent_by: Mutex::default(),
+            armed: Mutex::default(),
+            steps: Mutex::default(),
+        })
     }
 
     pub fn now(&self) -> i64 {
         self.since.elapsed().as_micros() as i64
     }
 
+    /// A front's relay has opened this connection to an engine.
+    pub fn opened(&self, at: SocketAddr, front: usize) {
+        if let Ok(mut peers) = self.peers.lock() {
+            peers.insert(at, front);
+        }
+    }
+
+    /// The front behind a connection.
+    pub fn front_of(&self, at: SocketAddr) -> Option<usize> {
+        self.peers.lock().ok()?.get(&at).copied()
+    }
+
+    /// Lets a front die at a step, or takes that back.
+    pub fn arm(&self, armed: Option<Armed>) {
+        if let Ok(mut now) = self.armed.lock() {
+            *now = armed;
+        }
+    }
+
+    pub fn is_armed(&self) -> bool {
+        self.armed.lock().is_ok_and(|armed| armed.is_some())
+    }
+
+    /// A step of a promise is reached at a front: true if it has just died of that.
+    pub fn reached(&self, step: Step, front: usize) -> bool {
+        let Ok(mut now) = self.armed.lock() else { return false };
+        let Some(armed) = now.as_mut().filter(|armed| armed.front == front) else { return false };
+        armed.asked |= step == Step::Taken;
+        if armed.step != step || !armed.asked {
+            return false;
+        }
+        if let Some(wait) = armed.wait.checked_sub(1) {
+            armed.wait = wait;
+            return false;
+        }
+        let _ = kill(Pid::from_raw(armed.pid as i32), Signal::SIGKILL);
+        *now = None;
+        if let Ok(mut steps) = self.steps.lock() {
+            steps.push((step, front, self.now()));
+        }
+        true
+    }
+
     pub(super) fn note(&self, engine: usize, link: u32, kind: Kind) {
         let deed = Deed { at: self.now(), engine, link, kind };
         if let Ok(mut deeds) = self.deeds.lock() {
@@ -48,3 +123,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_front_dies_at_its_own_step_of_a_statement_that_came_since() {
+        let records = Records::new();
+        let mut child = std::process::Command::new("sleep").arg("60").spawn().unwrap();
+        let armed = |wait| Armed { step: Step::Copying, front: 1, pid: child.id(), wait, asked: false };
+        records.arm(Some(armed(1)));
+        assert!(!records.reached(Step::Copying, 1), "nothing was asked yet");
+        assert!(!records.reached(Step::Taken, 0) && !records.reached(Step::Taken, 1));
+        assert!(!records.reached(Step::Copying, 0) && !records.reached(Step::Copying, 1));
+        assert!(records.reached(Step::Copying, 1) && !records.is_armed());
+        assert!(!child.wait().unwrap().success());
+        assert_eq!(records.steps.lock().unwrap()[0].0, Step::Copying);
+    }
+}
--- a/crates/lab/src/load/offer.rs
+++ b/crates/lab/src/load/offer.rs
@@ -1,5 +1,6 @@
 //! The load of a fleet scenario: statements at the agreed rate, over all fronts that take them.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -7,13 +8,14 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::check::{Asked, Repeat};
+use crate::check::{Asked, Outcome, Repeat};
 use crate::engine::lines;
 use crate::record::account::Offered;
 use crate::rig::member::{Member, Record};
-use crate::rig::scenario::{Load, Scenario};
+use crate::rig::scenario::{Scenario, Step};
 
 const CLIENT_WAIT: Duration = Duration::from_secs(70); // the longest a client waits for any answer
+const AGAIN_MS: std::ops::Range<u64> = 20..400; // milliseconds until a client asks again
 
 /// Offers the load: statements at the agreed rate, each to a front drawn among those that take statements.
 pub(crate) fn offer(
@@ -31,18 +33,16 @@
     let mut number = 0u64;
     while !stop.load(SeqCst) && began.elapsed() < Duration::from_secs(seconds) {
         number += 1;
-        let here: Vec<usize> = (0..members.len()).filter(|m| !members[*m].away.load(SeqCst)).collect();
-        if let Some(&front) = here.get(chance.random_range(0..here.len().max(1))) {
-            let address = members[front].front.lock().ok().and_then(|f| f.as_ref().map(|f| f.lines));
-            if let Some(address) = address {
-                let (record, member) = (record.clone(), members[front].clone());
-                let load = load.clone();
-                let class = scenario.draw_class(chance.random());
-                let name = scenario.classes[class].name.clone();
-                let to = (front, address, class, name);
-                waits.push(std::thread::spawn(move || ask(number, to, &load, &member, &record)));
-            }
-        }
+        let class = scenario.draw_class(chance.random());
+        let client = Client {
+            number,
+            class,
+            key: scenario.classes[class].keys.checked_sub(1).map(|most| chance.random_range(0..=most)),
+            seed: chance.random(),
+            scenario: scenario.clone(),
+        };
+        let (members, record) = (members.to_vec(), record.clone());
+        waits.push(std::thread::spawn(move || client.asks(&members, &record)));
         let due = gap * number as u32;
         if let Some(rest) = due.checked_sub(began.elapsed()) {
             std::thread::sleep(rest);
@@ -51,39 +51,91 @@
     waits.into_iter().for_each(|w| _ = w.join());
 }
 
-fn ask(
+/// Whoever asks for one statement, at one front and then at others where it may.
+struct Client {
     number: u64,
-    (front, address, class, name): (usize, std::net::SocketAddr, usize, String),
-    load: &Load,
-    member: &Member,
-    record: &Record,
-) {
-    let id = format!("s{number}");
-    let Load { timeout_ms, work_ms, memory_mb, .. } = *load;
-    let now = || record.records.now();
-    let mut asked = Asked::new(id.clone(), now(), timeout_ms as i64 * 1000, Repeat::Idempotent);
-    asked.rows = 1;
-    let limit = timeout_ms.to_string();
-    let (work, memory) = (work_ms.to_string(), memory_mb.to_string());
-    let fields = [
-        ("verb", name.as_str()),
-        ("team", "acme"),
-        ("limit", limit.as_str()),
-        ("cpu", work.as_str()),
-        ("heap_mb", memory.as_str()),
-    ];
-    let statement = format!("id={id},key=,ms={work_ms}");
-    let outcome = lines::ask(address, number, &fields, &statement);
-    asked.answered = now();
-    // A front that was stopped or killed while the statement was out answers late or never, by its own fault.
-    let troubled = member.troubled.lock().map(|t| t.clone()).unwrap_or_default();
-    let excused = troubled.iter().any(|(from, to)| asked.sent <= *to && asked.answered >= *from);
-    asked.may_be_lost = excused;
-    if excused {
-        asked.timeout += CLIENT_WAIT.as_micros() as i64;
+    class: usize,
+    key: Option<usize>,
+    seed: u64,
+    scenario: Scenario,
+}
+
+impl Client {
+    fn asks(&self, members: &[Arc<Member>], record: &Record) {
+        let mut chance = Pcg64Mcg::seed_from_u64(self.seed);
+        let class = &self.scenario.classes[self.class];
+        let mut before = None;
+        for _ in 0..=class.asks_again {
+            let here: Vec<&Arc<Member>> = (members.iter())
+                .filter(|m| !m.away.load(SeqCst) && before.is_none_or(|before| before != m.number))
+                .collect();
+            let Some(member) = here.get(chance.random_range(0..here.len().max(1))) else { return };
+            let address = member.front.lock().ok().and_then(|f| f.as_ref().map(|f| f.lines));
+            let Some(address) = address else { return };
+            let outcome = self.ask(member, address, record, before.is_some());
+            // A lost or aborted one may have run: again only as its workload allows.
+            let again = match &outcome {
+                Outcome::Error(code) if code == "53000" => true,
+                Outcome::Error(_) | Outcome::Lost => class.repeat() != Repeat::NonIdempotent,
+                _ => false,
+            };
+            if !again {
+                return;
+            }
+            before = Some(member.number);
+            std::thread::sleep(Duration::from_millis(chance.random_range(AGAIN_MS)));
+        }
     }
-    asked.outcome = outcome;
-    if let Ok(mut all) = record.asked.lock() {
-        all.push(Offered { front, class, asked });
+
+    fn ask(&self, member: &Member, address: SocketAddr, record: &Record, again: bool) -> Outcome {
+        let (class, load) = (&self.scenario.classes[self.class], &self.scenario.load);
+        let id = format!("s{}", self.number);
+        let timeout_ms = class.timeout_ms.unwrap_or(load.timeout_ms);
+        let work_ms = class.work_ms.unwrap_or(load.work_ms);
+        let key = self.key.map(|key| format!("{}-{key}", class.name)).unwrap_or_default();
+        let now = || record.records.now();
+        let mut asked = Asked::new(id.clone(), now(), timeout_ms as i64 * 1000, class.repeat());
+        (asked.rows, asked.key) = (1, key.clone());
+        let (limit, work, memory) = (timeout_ms.to_string(), work_ms.to_string(), load.memory_mb.to_string());
+        let unique = format!("u{}", self.number);
+        let mut fields = vec![
+            ("verb", class.name.as_str()),
+            ("team", "acme"),
+            ("limit", limit.as_str()),
+            ("cpu", work.as_str()),
+            ("heap_mb", memory.as_str()),
+        ];
+        if !key.is_empty() {
+            fields.push(("item", key.as_str()));
+        }
+        if class.repeat() == Repeat::Deduplicated {
+            fields.push(("unique", unique.as_str()));
+        }
+        let (goes_on, promised) = (u8::from(class.goes_on), u8::from(class.needs_promise()));
+        let statement = format!("id={id},key={key},ms={work_ms},on={goes_on},promised={promised}");
+        if class.needs_promise() {
+            let (records, front) = (record.records.clone(), member.number);
+            // About when the front has it: a little before, or a little after.
+            let wait = Duration::from_micros(200 + self.seed % 400);
+            std::thread::spawn(move || {
+                std::thread::sleep(wait);
+                records.reached(Step::Taken, front);
+            });
+        }
+        asked.outcome = lines::ask(address, self.number, &fields, &statement);
+        asked.answered = now();
+        // A front that was stopped or killed while the statement was out answers late or never, by its own fault.
+        let troubled = member.troubled.lock().map(|t| t.clone()).unwrap_or_default();
+        let excused = troubled.iter().any(|(from, to)| asked.sent <= *to && asked.answered >= *from);
+        asked.may_be_lost = excused;
+        if excused {
+            asked.timeout += CLIENT_WAIT.as_micros() as i64;
+        }
+        let outcome = asked.outcome.clone();
+        let (front, class) = (member.number, self.class);
+        if let Ok(mut all) = record.asked.lock() {
+            all.push(Offered { front, class, asked, barred: false, again });
+        }
+        outcome
     }
 }
--- a/crates/lab/src/record/account.rs
+++ b/crates/lab/src/record/account.rs
@@ -1,14 +1,15 @@
 //! What a fleet run came to: the rules checked on its record, tallies, and a table by the second. The record is
 //! the same for front processes and for simulated time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
+use super::promises;
 use crate::check::{self, Agreed, Asked, Outcome};
 use crate::engine::lines::Warmth;
 use crate::engine::Deed;
 use crate::rig::post::Posted;
 use crate::rig::relay::Relayed;
-use crate::rig::scenario::{Fault, Scenario, What};
+use crate::rig::scenario::{Fault, Scenario, Step, What};
 
 const SECOND: i64 = 1_000_000; // microseconds
 
@@ -18,6 +19,19 @@
     pub front: usize,
     pub class: usize,
     pub asked: Asked,
+    /// The rules deny it: a refusal is its right answer.
+    pub barred: bool,
+    /// It was asked before, at another front.
+    pub again: bool,
+}
+
+/// For the checks' own tests: a completed statement without an order key.
+#[cfg(test)]
+pub fn offered(id: &str, front: usize, sent: i64) -> Offered {
+    let asked = Asked::new(id.into(), sent, SECOND, check::Repeat::Idempotent);
+    let outcome = Outcome::Completed { rows: 1 };
+    let asked = Asked { answered: sent + 1_000, outcome, rows: 1, ..asked };
+    Offered { front, class: 0, asked, barred: false, again: false }
 }
 
 /// What happened, as the rig saw it; times are microseconds since the rig began.
@@ -27,6 +41,8 @@
     pub began: i64,
     pub asked: Vec<Offered>,
     pub deeds: Vec<Deed>,
+    /// The front that sent what an engine wrote down under a link.
+    pub sent_by: HashMap<(usize, u32), usize>,
     pub relayed: Vec<Relayed>,
     pub posted: Vec<Posted>,
     /// Faults as played: what, from, to.
@@ -37,6 +53,8 @@
     pub peaks_since_start: Vec<f64>,
     /// Configuration files that fronts said they had read again.
     pub read_again: i64,
+    /// Fronts killed at a step of a promise, with the step and when.
+    pub steps: Vec<(Step, usize, i64)>,
     /// Statements that were sent to any engine at least once, where that is known.
     pub first_tries: Option<i64>,
     /// Microseconds that a final answer may take beyond its time.
@@ -85,10 +103,19 @@
 /// Checks the rules over the record and draws up the tallies and the table.
 pub fn judge(scenario: &Scenario, account: &Account, pids: Vec<u32>) -> Run {
     let Account { asked, relayed, played, .. } = account;
-    let statements: Vec<Asked> = asked.iter().map(|o| o.asked.clone()).collect();
     let agreed = Agreed { slack: account.slack, ..Agreed::default() };
-    let violations = check::check(&statements, &[], &account.deeds, &agreed);
     let mut tallies = BTreeMap::new();
+    let mut violations = promises::check(scenario, account, &mut tallies);
+    // Each final answer on its own: what was asked again is another statement to the front that it came to. Order
+    // keys are the fleet's here, and have a check of their own.
+    let unkeyed: Vec<Deed> = account.deeds.iter().map(promises::unkeyed).collect();
+    for again in [false, true] {
+        let own = asked.iter().filter(|o| o.again == again).map(|o| o.asked.clone()).collect::<Vec<_>>();
+        for (rule, found) in check::check(&own, &[], &unkeyed, &agreed) {
+            violations.entry(rule).or_default().extend(found);
+        }
+    }
+    let statements: Vec<Asked> = asked.iter().map(|o| o.asked.clone()).collect();
     let count = |f: &dyn Fn(&Outcome) -> bool| statements.iter().filter(|a| f(&a.outcome)).count() as i64;
     tallies.insert("statements", statements.len() as i64);
     tallies.insert("completed", count(&|o| matches!(o, Outcome::Completed { .. })));
@@ -132,7 +159,7 @@
     Run { tallies, violations, table, pids }
 }
 
-type Tallies = BTreeMap<&'static str, i64>;
+pub type Tallies = BTreeMap<&'static str, i64>;
 
 fn at_least(tallies: &mut Tallies, key: &'static str, value: i64) {
     let entry = tallies.entry(key).or_insert(0);
--- /dev/null
+++ b/crates/lab/src/record/barred.rs
@@ -0,0 +1,61 @@
+//! From the moment that a change of the rules is said to be in force, nothing that it bars begins anywhere.
+
+use std::collections::HashMap;
+
+use super::account::Offered;
+use super::executions::Execution;
+use crate::check::Violations;
+
+/// A zone barred for a workload (all where none is named), from when a front said so until it was taken back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bar {
+    pub class: Option<usize>,
+    pub zone: usize,
+    pub in_force: i64,
+    /// When a file without it was first written: from then on, nothing is held against it.
+    pub until: i64,
+}
+
+/// `zone` gives an engine's.
+pub fn check(
+    wrong: &mut Violations,
+    ran: &[Execution],
+    asked: &[Offered],
+    (bars, zone): (&[Bar], &dyn Fn(usize) -> usize),
+) {
+    let known: HashMap<&str, &Offered> = asked.iter().map(|o| (o.asked.id.as_str(), o)).collect();
+    for x in ran {
+        let Some(offered) = known.get(x.id.as_str()) else { continue };
+        let holds = |bar: &&Bar| {
+            let for_it = bar.class.is_none_or(|class| class == offered.class);
+            for_it && bar.zone == zone(x.engine) && bar.in_force < x.from && x.from < bar.until
+        };
+        if let Some(bar) = bars.iter().find(holds) {
+            let ms = (x.from - bar.in_force) / 1000;
+            let said =
+                format!("{}: read in zone {} {ms} ms after in force, front {}", x.id, bar.zone, x.front);
+            wrong.entry("barred_read").or_default().push(said);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::account::offered;
+    use crate::record::executions::ran;
+
+    #[test]
+    fn a_read_in_a_barred_zone_after_in_force_is_found() {
+        let bar = Bar { class: Some(0), zone: 1, in_force: 100, until: 900 };
+        let found = |class: usize, engine: usize, from: i64| {
+            let own = Offered { class, ..offered("a", 0, 0) };
+            let mut wrong = Violations::new();
+            let ran = [ran("a", "", (engine, 0), (from, from + 5))];
+            check(&mut wrong, &ran, &[own], (std::slice::from_ref(&bar), &|engine| engine / 2));
+            !wrong.is_empty()
+        };
+        assert!(found(0, 2, 101) && found(0, 3, 899));
+        assert!(!found(0, 2, 100) && !found(0, 2, 900) && !found(0, 1, 500) && !found(1, 2, 500));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/record/cuts.rs
@@ -0,0 +1,64 @@
+//! Who could hear whom: the cuts between fronts as they were played, and the fronts that were away.
+
+/// A span in which fronts heard only those of their own group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cut {
+    pub from: i64,
+    pub to: i64,
+    /// The group of each front.
+    pub groups: Vec<usize>,
+}
+
+/// What a run knows of its fronts' ways to each other.
+#[derive(Clone, Debug, Default)]
+pub struct Ways {
+    pub fronts: usize,
+    pub cuts: Vec<Cut>,
+    /// Fronts that were stopped, killed or ending, and when.
+    pub away: Vec<(usize, i64, i64)>,
+    /// Spans in which words between fronts were lost, slowed or doubled, or a disk was in trouble.
+    pub troubled: Vec<(i64, i64)>,
+}
+
+impl Ways {
+    /// The fewest fronts that `front` heard, itself among them, at any moment of a span.
+    pub fn least_heard(&self, front: usize, (from, to): (i64, i64)) -> usize {
+        let heard = |at: i64| {
+            let own = |groups: &[usize], n: usize| groups.get(n) == groups.get(front);
+            let cuts: Vec<&Cut> = self.cuts.iter().filter(|c| c.from <= at && at < c.to).collect();
+            let away = |n: usize| self.away.iter().any(|(f, from, to)| *f == n && *from <= at && at < *to);
+            (0..self.fronts).filter(|n| !away(*n) && cuts.iter().all(|cut| own(&cut.groups, *n))).count()
+        };
+        let inside = |at: &i64| from <= *at && *at <= to;
+        let starts = self.cuts.iter().map(|c| c.from).chain(self.away.iter().map(|a| a.1)).filter(inside);
+        starts.chain([from, to]).map(heard).min().unwrap_or(self.fronts)
+    }
+
+    /// The most that it heard.
+    pub fn most_heard(&self, front: usize, (from, to): (i64, i64)) -> usize {
+        let ends = self.cuts.iter().map(|c| c.to).chain(self.away.iter().map(|a| a.2));
+        let inside = ends.filter(|at| from <= *at && *at <= to);
+        inside.chain([from, to]).map(|at| self.least_heard(front, (at, at))).max().unwrap_or(0)
+    }
+
+    /// Whether anything between fronts was troubled in a span.
+    pub fn is_troubled(&self, (from, to): (i64, i64)) -> bool {
+        self.troubled.iter().any(|(f, t)| *f <= to && from <= *t)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_front_hears_its_own_group_less_those_away() {
+        let cuts = vec![Cut { from: 10, to: 20, groups: vec![0, 0, 1, 1, 1] }];
+        let ways = Ways { fronts: 5, cuts, away: vec![(4, 15, 30)], troubled: vec![(40, 50)] };
+        assert_eq!(ways.least_heard(0, (0, 9)), 5);
+        assert_eq!((ways.least_heard(0, (0, 10)), ways.least_heard(2, (10, 14))), (2, 3));
+        assert_eq!((ways.least_heard(2, (0, 40)), ways.most_heard(2, (15, 40))), (2, 5));
+        assert_eq!((ways.most_heard(0, (12, 19)), ways.most_heard(0, (12, 20))), (2, 4));
+        assert!(ways.is_troubled((0, 40)) && !ways.is_troubled((51, 60)));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/record/executions.rs
@@ -0,0 +1,79 @@
+//! Executions as engines wrote them down: what began where, for which front, and until when it ran.
+
+use std::collections::HashMap;
+
+use crate::engine::{Deed, Kind};
+
+/// One run of a statement on an engine; times are microseconds since the rig began.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Execution {
+    pub id: String,
+    pub key: String,
+    pub engine: usize,
+    /// The front that sent it, by the connection that it came over.
+    pub front: usize,
+    pub from: i64,
+    /// `i64::MAX` where it ran to the end of the record.
+    pub to: i64,
+    /// Its effect is lasting.
+    pub kept: bool,
+}
+
+impl Execution {
+    pub fn overlaps(&self, other: &Execution) -> bool {
+        self.from < other.to && other.from < self.to
+    }
+}
+
+/// All executions in the order of their starts; `sent_by` says which front an engine's link number stands for.
+pub fn executions(deeds: &[Deed], sent_by: &HashMap<(usize, u32), usize>) -> Vec<Execution> {
+    let mut all: Vec<Execution> = Vec::new();
+    let mut at: HashMap<(usize, u32, &str), usize> = HashMap::new();
+    for deed in deeds {
+        let (id, ended, kept) = match &deed.kind {
+            Kind::Began { id, key } => {
+                at.insert((deed.engine, deed.link, id), all.len());
+                let front = sent_by.get(&(deed.engine, deed.link)).copied().unwrap_or(usize::MAX);
+                let (id, key, engine, from) = (id.clone(), key.clone(), deed.engine, deed.at);
+                all.push(Execution { id, key, engine, front, from, to: i64::MAX, kept: false });
+                continue;
+            }
+            Kind::Ended { id } => (id, true, false),
+            Kind::Kept { id } => (id, false, true),
+            _ => continue,
+        };
+        let own = at.get(&(deed.engine, deed.link, id.as_str())).and_then(|at| all.get_mut(*at));
+        if let Some(own) = own {
+            own.kept |= kept;
+            own.to = if ended { own.to.min(deed.at) } else { own.to };
+        }
+    }
+    all.sort_by_key(|x| x.from);
+    all
+}
+
+/// For the checks' own tests: an execution from its name, key, front and span.
+#[cfg(test)]
+pub fn ran(id: &str, key: &str, (engine, front): (usize, usize), (from, to): (i64, i64)) -> Execution {
+    Execution { id: id.into(), key: key.into(), engine, front, from, to, kept: true }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_start_and_its_end_are_one_execution_also_where_the_statement_ran_twice() {
+        let deed = |at, link, kind| Deed { at, engine: 3, link, kind };
+        let (began, ended) = (
+            |id: &str| Kind::Began { id: id.into(), key: "k".into() },
+            |id: &str| Kind::Ended { id: id.into() },
+        );
+        let kept = Kind::Kept { id: "a".into() };
+        let deeds =
+            [deed(1, 1, began("a")), deed(2, 2, began("a")), deed(5, 2, ended("a")), deed(5, 2, kept)];
+        let found = executions(&deeds, &HashMap::from([((3, 1), 0), ((3, 2), 4)]));
+        let told: Vec<_> = found.iter().map(|x| (x.front, x.from, x.to, x.kept)).collect();
+        assert_eq!(told, [(0, 1, i64::MAX, false), (4, 2, 5, true)]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/record/promises.rs
@@ -0,0 +1,81 @@
+//! All checks of what fronts promise for each other, put to a fleet's record.
+
+use crate::check::Violations;
+use crate::engine::{Deed, Kind};
+use crate::rig::scenario::{Scenario, What};
+
+use super::account::{Account, Tallies};
+use super::cuts::{Cut, Ways};
+use super::executions::executions;
+use super::refused::Terms;
+use super::repeats::Repeats;
+use super::{order, refused, repeats, unpromised};
+
+const SETTLES: i64 = 6_000_000; // microseconds of quiet until every shard has an owner: two leases and an election
+const SPARE: usize = 0; // statements that engines may have turned away
+
+/// The deed without its order key.
+pub fn unkeyed(deed: &Deed) -> Deed {
+    let mut deed = deed.clone();
+    if let Kind::Began { key, .. } = &mut deed.kind {
+        key.clear();
+    }
+    deed
+}
+
+/// Who could hear whom, from the faults as they were played.
+pub fn ways(scenario: &Scenario, account: &Account) -> Ways {
+    let fronts = scenario.fleet.fronts;
+    let mut ways = Ways { fronts, ..Ways::default() };
+    for (fault, from, to) in &account.played {
+        let (from, to) = (*from, *to);
+        match fault.what {
+            What::FrontsSplit => {
+                let split = fault.split();
+                ways.cuts.push(Cut { from, to, groups: (0..fronts).map(|n| split.group(n)).collect() });
+                ways.troubled.extend([(from, from), (to, to)]);
+            }
+            What::Stall | What::Kill | What::Term | What::LoseDisk => {
+                ways.away.push((fault.front, from, to));
+                ways.troubled.extend([(from, from), (to, to)]);
+            }
+            _ => ways.troubled.push((from, to)),
+        }
+    }
+    ways
+}
+
+pub fn check(scenario: &Scenario, account: &Account, tallies: &mut Tallies) -> Violations {
+    let mut wrong = Violations::new();
+    let ran = executions(&account.deeds, &account.sent_by);
+    let lost: Vec<(usize, i64)> = (account.played.iter())
+        .filter(|(fault, ..)| matches!(fault.what, What::Kill | What::LoseDisk))
+        .map(|(fault, from, _)| (fault.front, *from))
+        .chain(account.steps.iter().map(|(_, front, at)| (*front, *at)))
+        .collect();
+    let agreed: Vec<Repeats> = (scenario.classes.iter())
+        .map(|class| Repeats { window: class.window_ms as i64 * 1000, all: true })
+        .collect();
+    let zone = |engine: usize| engine / scenario.fleet.engines_per_zone;
+    order::check(&mut wrong, &ran, &account.asked, &lost);
+    repeats::check(&mut wrong, &ran, &account.asked, (&agreed, &zone), &lost);
+    let keyed = || account.asked.iter().filter(|o| unpromised::needs(o));
+    if keyed().next().is_none() {
+        return wrong;
+    }
+    let ran_keyed = ran.iter().filter(|x| !x.key.is_empty()).count() as i64;
+    tallies.insert("promised", keyed().count() as i64);
+    tallies.insert("keyed_runs", ran_keyed);
+    tallies.insert("asked_again", account.asked.iter().filter(|o| o.again).count() as i64);
+    tallies.insert("steps_played", account.steps.len() as i64);
+    if let Some(copies) = scenario.fleet.copies {
+        let ways = ways(scenario, account);
+        let majority = copies / 2 + 1;
+        // Enough of the fleet for every shard's copies to have a majority, whichever fronts they lie on.
+        let enough = scenario.fleet.fronts - (copies - majority);
+        unpromised::check(&mut wrong, &ran, &account.asked, (&ways, majority));
+        let terms = Terms { majority: enough, settles: SETTLES, spare: SPARE };
+        refused::check(&mut wrong, &account.asked, (&ways, terms));
+    }
+    wrong
+}
--- /dev/null
+++ b/crates/lab/src/record/rows.rs
@@ -0,0 +1,93 @@
+//! A scatter's answer has every row that matches: those held from the first, and those of each load that any front
+//! had acknowledged before the scatter was asked. Rows of a load still out may be there or not; no others may.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::check::Violations;
+
+/// A row by its site and value, with when it was asked to be there and when a front had acknowledged it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    pub site: usize,
+    pub value: i64,
+    pub asked: i64,
+    /// `i64::MAX` where no front has.
+    pub acknowledged: i64,
+}
+
+/// A scatter as its client saw it.
+#[derive(Clone, Debug)]
+pub struct Scatter {
+    pub id: String,
+    /// What it asks for: values from the first to the second, both inside.
+    pub between: (i64, i64),
+    pub sent: i64,
+    pub answered: i64,
+    /// Rows by site and value; nothing where it had no whole answer.
+    pub rows: Option<Vec<(usize, i64)>>,
+    /// Sites that the rules bar, or that the answer names as missing.
+    pub without: BTreeSet<usize>,
+}
+
+pub fn check(wrong: &mut Violations, scatters: &[Scatter], held: &[Row]) {
+    for scatter in scatters {
+        let Some(rows) = &scatter.rows else { continue };
+        let matches = |row: &&Row| {
+            (scatter.between.0..=scatter.between.1).contains(&row.value) && row.asked <= scatter.answered
+        };
+        let (mut least, mut most) = (BTreeMap::<_, usize>::new(), BTreeMap::<_, usize>::new());
+        for row in held.iter().filter(matches) {
+            *most.entry((row.site, row.value)).or_default() += 1;
+            let due = row.acknowledged < scatter.sent && !scatter.without.contains(&row.site);
+            *least.entry((row.site, row.value)).or_default() += usize::from(due);
+        }
+        let mut told = BTreeMap::<_, usize>::new();
+        rows.iter().for_each(|row| *told.entry(*row).or_default() += 1);
+        for (row, least) in least {
+            let told = told.get(&row).copied().unwrap_or(0);
+            if told < least {
+                let said = format!("{}: {told} of {least} rows {row:?}", scatter.id);
+                wrong.entry("row_missing").or_default().push(said);
+            }
+        }
+        for (row, told) in told {
+            let most = most.get(&row).copied().unwrap_or(0);
+            if told > most {
+                let said = format!("{}: {told} of {most} rows {row:?}", scatter.id);
+                wrong.entry("row_too_many").or_default().push(said);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_row_missing_and_a_row_that_is_none_are_found() {
+        let row = |site, value, asked, acknowledged| Row { site, value, asked, acknowledged };
+        let held = [row(0, 5, 0, 0), row(1, 7, 0, 0), row(1, 8, 50, i64::MAX), row(0, 99, 0, 0)];
+        let found = |rows: &[(usize, i64)], sent: i64, without: &[usize]| {
+            let scatter = Scatter {
+                id: "q".into(),
+                between: (1, 10),
+                sent,
+                answered: sent + 10,
+                rows: Some(rows.to_vec()),
+                without: without.iter().copied().collect(),
+            };
+            let mut wrong = Violations::new();
+            check(&mut wrong, &[scatter], &held);
+            wrong.into_keys().collect::<Vec<_>>()
+        };
+        assert!(found(&[(0, 5), (1, 7)], 100, &[]).is_empty());
+        assert!(found(&[(0, 5), (1, 7), (1, 8)], 100, &[]).is_empty());
+        assert_eq!(found(&[(0, 5)], 100, &[]), ["row_missing"]);
+        assert!(found(&[(0, 5)], 100, &[1]).is_empty());
+        assert_eq!(found(&[(0, 5), (1, 7), (1, 7)], 100, &[]), ["row_too_many"]);
+        // Before the load was asked at all, its row can't be there; one of another range never.
+        assert_eq!(found(&[(0, 5), (1, 7), (1, 8)], 20, &[]), ["row_too_many"]);
+        assert_eq!(found(&[(0, 5), (1, 7), (0, 99)], 100, &[]), ["row_too_many"]);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/record/unpromised.rs
@@ -0,0 +1,63 @@
+//! What needs a promise never begins at a front that has long heard too few others for one to stand.
+
+use std::collections::HashMap;
+
+use super::account::Offered;
+use super::cuts::Ways;
+use super::executions::Execution;
+use crate::check::{Repeat, Violations};
+
+/// Microseconds from a cut until what left before it has come to its engine.
+const ON_ITS_WAY: i64 = 300_000;
+
+/// Whether a statement of this record depends on a promise.
+pub fn needs(offered: &Offered) -> bool {
+    !offered.asked.key.is_empty() || offered.asked.repeat != Repeat::Idempotent
+}
+
+/// `stands_on`: the fronts that a promise has to stand on.
+pub fn check(
+    wrong: &mut Violations,
+    ran: &[Execution],
+    asked: &[Offered],
+    (ways, stands_on): (&Ways, usize),
+) {
+    let known: HashMap<(&str, usize), &Offered> =
+        asked.iter().filter(|o| needs(o)).map(|o| ((o.asked.id.as_str(), o.front), o)).collect();
+    for x in ran {
+        let Some(offered) = known.get(&(x.id.as_str(), x.front)) else { continue };
+        // All the time from its being taken, or from well before it began, it heard too few.
+        let since = offered.asked.sent.max(x.from - ON_ITS_WAY);
+        let heard = ways.most_heard(x.front, (since, x.from));
+        if heard < stands_on && offered.asked.sent <= x.from {
+            let said = format!("{}: began at front {}, which heard {heard} of {stands_on}", x.id, x.front);
+            wrong.entry("without_promise").or_default().push(said);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::account::offered;
+    use crate::record::cuts::Cut;
+    use crate::record::executions::ran;
+
+    #[test]
+    fn a_keyed_start_on_a_minority_side_is_found_and_a_plain_one_is_not() {
+        let cut = Cut { from: 1_000_000, to: 9_000_000, groups: vec![1, 0, 0] };
+        let ways = Ways { fronts: 3, cuts: vec![cut], ..Ways::default() };
+        let found = |key: &str, front: usize, sent: i64| {
+            let mut own = offered("a", front, sent);
+            own.asked.key = key.into();
+            let mut wrong = Violations::new();
+            let began = sent + 10_000;
+            check(&mut wrong, &[ran("a", key, (0, front), (began, began + 5))], &[own], (&ways, 2));
+            !wrong.is_empty()
+        };
+        assert!(found("k", 0, 2_000_000) && !found("", 0, 2_000_000));
+        assert!(!found("k", 1, 2_000_000) && !found("k", 0, 500_000));
+        // Taken just before the cut: it may have been promised by then.
+        assert!(!found("k", 0, 995_000));
+    }
+}
--- a/crates/lab/src/rig/fault.rs
+++ b/crates/lab/src/rig/fault.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 
+use super::post::Split;
+
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
 pub enum What {
@@ -13,7 +15,8 @@
     LinkCutBack,
     /// Every link into the zone is slowed by `delay_ms`.
     ZoneSlow,
-    /// The fronts numbered below `front` and the rest hear nothing of each other.
+    /// The fronts numbered below `front` and the rest hear nothing of each other; with `second`, those numbered from
+    /// there on nothing of both.
     FrontsSplit,
     /// The rest hear nothing of the fronts numbered below `front`, but not the other way about.
     FrontsSplitOut,
@@ -23,6 +26,8 @@
     PostDoubled,
     /// Every datagram between fronts takes `delay_ms` longer.
     PostSlow,
+    /// Every datagram between fronts takes a time drawn up to `delay_ms` longer.
+    PostShuffled,
     /// The front's configuration file is written anew, and SIGHUP tells it so.
     Hup,
     /// Every connection into the zone is reset at once.
@@ -31,6 +36,9 @@
     Stall,
     /// The front is killed (SIGKILL) and started anew after `for_ms`.
     Kill,
+    /// The front is killed (SIGKILL), at `step` of a promise where one is named, what it kept on disk is removed, and
+    /// it is started anew after `for_ms` under its name.
+    LoseDisk,
     /// The front that probed for the fleet last is stopped, or killed: the owner of that work.
     StallOwner,
     KillOwner,
@@ -38,6 +46,20 @@
     Term,
 }
 
+/// How far a statement that needs a promise has come.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum Step {
+    /// A front has just been asked.
+    Taken,
+    /// It sends to other fronts, and has not begun.
+    Copying,
+    /// An engine has begun it.
+    Began,
+    /// Its effect is lasting, its answer not yet with the client.
+    Kept,
+}
+
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
@@ -50,6 +72,8 @@
     pub zone: usize,
     #[serde(default)]
     pub front: usize,
+    pub second: Option<usize>,
+    pub step: Option<Step>,
     #[serde(default)]
     pub delay_ms: u64,
     #[serde(default)]
@@ -64,6 +88,11 @@
 }
 
 impl Fault {
+    pub fn split(&self) -> Split {
+        let one_way = self.what == What::FrontsSplitOut;
+        Split { below: self.front, second: self.second, one_way }
+    }
+
     /// The fault as it is played: on the front that owns the fleet's work, where it is meant for that.
     pub fn on(&self, owner: Option<usize>) -> Fault {
         let what = match self.what {
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -13,7 +13,7 @@
 use super::member::{Ground, Keys, Member, Record};
 use super::post::Post;
 use super::relay::{Link, Relayed};
-use super::scenario::{Class, Fault, Scenario};
+use super::scenario::{Class, Effect, Fault, Scenario, Step};
 use super::stage::Stage;
 use super::Coordinator;
 use crate::engine::lines::Engine;
@@ -27,8 +27,14 @@
 pub fn settings(scenario: &Scenario) -> serde_json::Value {
     let zones: Vec<String> = (0..scenario.fleet.zones).map(zone_name).collect();
     let class = |c: &Class| {
-        json!({"name": c.name, "aimMs": c.slo_ms, "deadlineMs": scenario.load.timeout_ms, "worth": c.importance,
-            "repeat": "repeatable", "lateShare": 0.5})
+        let repeat = match c.effect {
+            Effect::Idempotent => "repeatable",
+            Effect::Deduplicated => "by_key",
+            Effect::NonIdempotent => "once",
+        };
+        json!({"name": c.name, "aimMs": c.slo_ms, "deadlineMs": c.timeout_ms.unwrap_or(scenario.load.timeout_ms),
+            "worth": c.importance, "repeat": repeat, "lateShare": 0.5, "group": "all",
+            "dedupWindowMs": c.window_ms, "inTurn": c.keys > 0})
     };
     let classes: Vec<serde_json::Value> = scenario.classes.iter().map(class).collect();
     json!({"instances": scenario.fleet.fronts, "areas": zones, "kinds": ["lines"],
@@ -61,8 +67,9 @@
     let zone_of = |engine: usize| engine / shape.engines_per_zone;
     let gossip = match shape.gossip {
         true => {
-            let clock = records.clone();
-            let post = Post::start(shape.fronts, move || clock.now()).map_err(why)?;
+            let (clock, steps) = (records.clone(), records.clone());
+            let left = move |front| steps.reached(Step::Copying, front);
+            let post = Post::start(shape.fronts, move || clock.now(), left).map_err(why)?;
             Some((Keys::new(shape, seed).map_err(why)?, post))
         }
         false => None,
@@ -143,6 +150,8 @@
     let account = Account {
         began,
         asked: record.asked.lock().map(|a| a.clone()).unwrap_or_default(),
+        sent_by: records.sent_by.lock().map(|s| s.clone()).unwrap_or_default(),
+        steps: records.steps.lock().map(|s| s.clone()).unwrap_or_default(),
         deeds: records.deeds.lock().map(|d| d.clone()).unwrap_or_default(),
         relayed: relayed.lock().map(|r| r.clone()).unwrap_or_default(),
         posted: ground.gossip.as_ref().map(|(_, post)| post.posted()).unwrap_or_default(),
--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -50,7 +50,7 @@
                         voters(count).join(", ")
                     )
                 });
-                let ownership = ownership.unwrap_or_default();
+                let ownership = ownership.unwrap_or_default() + &keys.ledger(self.number, &post.at);
                 let quorum = keys.zone_quorum.map(|q| format!("zone_quorum: {q}, ")).unwrap_or_default();
                 format!(
                     "{{ {ahead}, gossip: {{ listen: '127.0.0.1:0', advertise: '{}', secret_file: '{}', {quorum}peers: {{ {} }}, \
@@ -92,6 +92,8 @@
     /// `name: 'public key', ...` for the operator's file.
     peers: String,
     zone_quorum: Option<usize>,
+    /// Promises stand on so many fronts; zones and fronts of the fleet.
+    copies: Option<(usize, usize)>,
     /// How many vote on who owns the fleet's work, and how long a lease lasts.
     voters: Option<(usize, u64)>,
 }
@@ -109,8 +111,38 @@
             let public = hallmux_gossip::seal::Own::new(&secret, 0).public();
             peers.push(format!("f{n}: '{}'", hex(&public)));
         }
+        let copies = shape.copies.map(|copies| (copies, shape.zones));
         let voters = shape.voters.map(|voters| (voters, shape.lease_ms));
-        Ok(Keys { folder, peers: peers.join(", "), zone_quorum: shape.zone_quorum, voters })
+        Ok(Keys { folder, peers: peers.join(", "), zone_quorum: shape.zone_quorum, copies, voters })
+    }
+}
+
+impl Keys {
+    fn disk(&self, front: usize) -> std::path::PathBuf {
+        self.folder.join(format!("ledger{front}"))
+    }
+
+    /// The ledger's part of the operator's file of a front.
+    fn ledger(&self, front: usize, at: &[std::net::SocketAddr]) -> String {
+        let Some((copies, zones)) = self.copies else { return String::new() };
+        let member = |(n, at): (usize, &std::net::SocketAddr)| {
+            format!("f{n}: {{ at: '{at}', zone: '{}' }}", super::fleet::zone_name(n % zones))
+        };
+        let members: Vec<String> = at.iter().enumerate().map(member).collect();
+        format!(
+            ", ledger: {{ fleet: 'lab', directory: '{}', copies: {copies}, members: {{ {} }} }}",
+            self.disk(front).display(),
+            members.join(", ")
+        )
+    }
+}
+
+impl Ground {
+    /// What a front kept on disk is gone.
+    pub(crate) fn lose_disk(&self, front: usize) {
+        if let Some((keys, _)) = &self.gossip {
+            let _ = std::fs::remove_dir_all(keys.disk(front));
+        }
     }
 }
 
--- a/crates/lab/src/rig/post.rs
+++ b/crates/lab/src/rig/post.rs
@@ -11,26 +11,39 @@
 /// What happens to datagrams now.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct State {
-    /// Fronts numbered below the first hear nothing of the others, where the second is set the others still hear them.
-    pub split: Option<(usize, bool)>,
+    pub split: Option<Split>,
     /// So many in a hundred are lost.
     pub lost_percent: u64,
     /// Milliseconds that each takes longer.
     pub delay_ms: u64,
     /// Each comes a second time, so many milliseconds later.
     pub doubled_ms: Option<u64>,
+    /// Each takes a time drawn up to so many milliseconds longer: out of order.
+    pub shuffled_ms: u64,
+}
+
+/// A cut between fronts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Split {
+    /// Those numbered below and the rest are apart; where the second is set, those from there on are, too.
+    pub below: usize,
+    pub second: Option<usize>,
+    /// Words towards lower numbers still pass: the rest hear nothing of those below, who still hear the rest.
+    pub one_way: bool,
+}
+
+impl Split {
+    pub fn group(&self, front: usize) -> usize {
+        usize::from(front >= self.below) + usize::from(self.second.is_some_and(|second| front >= second))
+    }
 }
 
 impl State {
     /// Whether a datagram passes; `drawn` is a number below a hundred.
     pub fn passes(&self, from: usize, to: usize, drawn: u64) -> bool {
-        let cut = self.split.is_some_and(|(below, one_way)| {
-            // One way: the rest hear nothing of those below, who still hear the rest.
-            if one_way {
-                from < below && to >= below
-            } else {
-                (from < below) != (to < below)
-            }
+        let cut = self.split.is_some_and(|split| {
+            let (from, to) = (split.group(from), split.group(to));
+            from < to || (!split.one_way && from > to)
         });
         !cut && drawn >= self.lost_percent
     }
@@ -64,14 +77,19 @@
 
 impl Post {
     /// Opens a port for each of so many fronts; `now` tells microseconds since the rig began.
-    pub fn start(fronts: usize, now: impl Fn() -> i64 + Send + Sync + 'static) -> std::io::Result<Post> {
-        let (shared, now) = (Arc::new(Shared::default()), Arc::new(now));
+    /// `left` is told of each datagram by its sender, and says whether that ends it.
+    pub fn start(
+        fronts: usize,
+        now: impl Fn() -> i64 + Send + Sync + 'static,
+        left: impl Fn(usize) -> bool + Send + Sync + 'static,
+    ) -> std::io::Result<Post> {
+        let (shared, now, left) = (Arc::new(Shared::default()), Arc::new(now), Arc::new(left));
         let mut at = Vec::new();
         for to in 0..fronts {
             let socket = Arc::new(UdpSocket::bind("127.0.0.1:0")?);
             at.push(socket.local_addr()?);
-            let (shared, now) = (shared.clone(), now.clone());
-            std::thread::spawn(move || relay(to, &socket, &shared, &*now));
+            let (shared, now, left) = (shared.clone(), now.clone(), left.clone());
+            std::thread::spawn(move || relay(to, &socket, &shared, (&*now, &*left)));
         }
         Ok(Post { shared, at })
     }
@@ -97,7 +115,12 @@
 }
 
 /// Passes on what comes for one front.
-fn relay(to: usize, socket: &Arc<UdpSocket>, shared: &Shared, now: &dyn Fn() -> i64) {
+fn relay(
+    to: usize,
+    socket: &Arc<UdpSocket>,
+    shared: &Shared,
+    (now, left): (&dyn Fn() -> i64, &dyn Fn(usize) -> bool),
+) {
     let mut bytes = [0; LONGEST];
     loop {
         let Ok((len, source)) = socket.recv_from(&mut bytes) else { continue };
@@ -106,14 +129,18 @@
         let (Some(from), Some(target), Ok(state)) = (from, target, shared.state.lock()) else { continue };
         let state = state.clone();
         let passed = state.passes(from, to, rand::random_range(0..100));
+        if left(from) {
+            continue; // it died of this one
+        }
         if let Ok(mut posted) = shared.posted.lock() {
             posted.push(Posted { at: now(), from, to, bytes: len, passed });
         }
         if !passed {
             continue;
         }
-        let again = state.doubled_ms.map(|ms| ms + state.delay_ms);
-        for delay in std::iter::once(state.delay_ms).chain(again) {
+        let late = state.delay_ms + rand::random_range(0..=state.shuffled_ms);
+        let again = state.doubled_ms.map(|ms| ms + late);
+        for delay in std::iter::once(late).chain(again) {
             let (socket, content) = (socket.clone(), bytes[..len].to_vec());
             let send = move || _ = socket.send_to(&content, target);
             match delay {
@@ -135,14 +162,17 @@
 
     #[test]
     fn a_split_cuts_both_ways_or_one() {
-        let both = State { split: Some((2, false)), ..State::default() };
+        let split = |below, second, one_way| Some(Split { below, second, one_way });
+        let both = State { split: split(2, None, false), ..State::default() };
         assert!(
             !both.passes(0, 2, 50)
                 && !both.passes(2, 0, 50)
                 && both.passes(0, 1, 50)
                 && both.passes(2, 3, 50)
         );
-        let one = State { split: Some((2, true)), ..State::default() };
+        let three = State { split: split(1, Some(3), false), ..State::default() };
+        assert!(three.passes(1, 2, 50) && !three.passes(0, 1, 50) && !three.passes(4, 2, 50));
+        let one = State { split: split(2, None, true), ..State::default() };
         assert!(!one.passes(0, 2, 50) && one.passes(2, 0, 50) && one.passes(0, 1, 50));
         let lossy = State { lost_percent: 30, ..State::default() };
         assert!(!lossy.passes(0, 1, 29) && lossy.passes(0, 1, 30));
@@ -150,7 +180,7 @@
 
     #[test]
     fn what_is_doubled_comes_twice_and_what_is_cut_not_at_all() {
-        let post = Post::start(2, || 0).unwrap();
+        let post = Post::start(2, || 0, |_| false).unwrap();
         let fronts: Vec<UdpSocket> = (0..2).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
         for (n, front) in fronts.iter().enumerate() {
             post.front(n, front.local_addr().unwrap());
@@ -163,7 +193,8 @@
             let (len, from) = fronts[1].recv_from(&mut bytes).unwrap();
             assert_eq!((&bytes[..len], from), (&b"word"[..], post.at[1]));
         }
-        post.set(|s| *s = State { split: Some((1, false)), ..State::default() });
+        let split = Some(Split { below: 1, second: None, one_way: false });
+        post.set(|s| *s = State { split, ..State::default() });
         fronts[0].send_to(b"cut", post.at[1]).unwrap();
         fronts[1].send_to(b"cut", post.at[0]).unwrap();
         // Nothing comes: the record tells when both were dealt with.
--- a/crates/lab/src/rig/scenario.rs
+++ b/crates/lab/src/rig/scenario.rs
@@ -3,7 +3,8 @@
 
 use serde::Deserialize;
 
-pub use super::fault::{Fault, What};
+pub use super::class::{Class, Effect};
+pub use super::fault::{Fault, Step, What};
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -23,17 +24,8 @@
     pub classes: Vec<Class>,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct Class {
-    pub name: String,
-    /// Its part of the load, against the others'.
-    pub share: f64,
-    /// Its importance, as the agreement has it.
-    pub importance: f64,
-    /// Its SLO time in milliseconds.
-    pub slo_ms: u64,
-}
+const MOST_KEYS: usize = 10_000; // order keys of a workload
+const MOST_AGAIN: usize = 8; // further fronts that a client asks
 
 const MOST_CLASSES: usize = 16;
 
@@ -53,6 +45,8 @@
     pub voters: Option<usize>,
     #[serde(default = "lease_ms")]
     pub lease_ms: u64,
+    /// Promises stand on so many fronts; without, each keeps its own.
+    pub copies: Option<usize>,
     /// Vantages whose word of a zone leads the fleet out (`gossip.zone_quorum` of the operator's file); 0: never.
     pub zone_quorum: Option<usize>,
 }
@@ -136,8 +130,7 @@
         }
         if scenario.classes.is_empty() {
             let slo_ms = scenario.load.timeout_ms / 2;
-            scenario.classes =
-                vec![Class { name: "lookup".to_string(), share: 1.0, importance: 1.0, slo_ms }];
+            scenario.classes = vec![Class::plain("lookup", slo_ms)];
         }
         let Shape { fronts, zones, engines_per_zone, .. } = scenario.fleet;
         let most = if simulated { MOST_SIMULATED } else { MOST_FRONTS };
@@ -160,6 +153,32 @@
             }
             _ => {}
         }
+        match scenario.fleet.copies {
+            Some(_) if !scenario.fleet.gossip => return refuse("copies", "needs gossip = true"),
+            Some(copies) if !matches!(copies, 1 | 3 | 5) || copies > fronts => {
+                return refuse("copies", "must be 1, 3 or 5, and no more than fronts")
+            }
+            _ => {}
+        }
+        for (n, class) in scenario.classes.iter().enumerate() {
+            let after = header(text, "[[class]]", n);
+            let refuse =
+                |key: &str, why: &str| Err(format!("line {}: `{key}` {why}", line_of(text, key, after)));
+            let work = class.work_ms.unwrap_or(scenario.load.work_ms);
+            let timeout = class.timeout_ms.unwrap_or(scenario.load.timeout_ms);
+            if class.keys > MOST_KEYS {
+                return refuse("keys", &format!("is over {MOST_KEYS}"));
+            }
+            if class.asks_again > MOST_AGAIN {
+                return refuse("asks_again", &format!("is over {MOST_AGAIN}"));
+            }
+            if !(1..=600_000).contains(&class.window_ms) {
+                return refuse("window_ms", "must be from 1 to 600000");
+            }
+            if timeout <= work || timeout > 60_000 {
+                return refuse("timeout_ms", "of a class must be over its work_ms and 60000 at most");
+            }
+        }
         if !(500..=60_000).contains(&scenario.fleet.lease_ms) {
             return refuse("lease_ms", "must be from 500 to 60000");
         }
@@ -191,8 +210,7 @@
         }
         for (n, fault) in scenario.faults.iter().enumerate() {
             // The fault's own table begins at its header; its keys are looked for from there.
-            let header = text.lines().enumerate().filter(|(_, l)| l.trim() == "[[fault]]").nth(n);
-            let after = header.map_or(0, |(at, _)| at);
+            let after = header(text, "[[fault]]", n);
             let refuse =
                 |key: &str, why: &str| Err(format!("line {}: `{key}` {why}", line_of(text, key, after)));
             if fault.zone >= zones {
@@ -201,6 +219,12 @@
             if fault.front >= fronts {
                 return refuse("front", &format!("names a front of {fronts}, counted from 0"));
             }
+            if fault.second.is_some_and(|second| second <= fault.front || second >= fronts) {
+                return refuse("second", "must be over `front` and a front");
+            }
+            if fault.step.is_some() && fault.what != What::LoseDisk {
+                return refuse("step", "goes with lose_disk alone");
+            }
             if fault.percent > 100 {
                 return refuse("percent", "is over 100");
             }
@@ -217,6 +241,11 @@
     }
 }
 
+/// The line, counted from 0, of the so-manieth table of that name.
+fn header(text: &str, table: &str, n: usize) -> usize {
+    text.lines().enumerate().filter(|(_, line)| line.trim() == table).nth(n).map_or(0, |(at, _)| at)
+}
+
 /// The line, counted from 1, that sets `key` first at or after line `after` (counted from 0); 0 where none does.
 fn line_of(text: &str, key: &str, after: usize) -> usize {
     let sets = |line: &str| {
@@ -278,6 +307,34 @@
         }
         let ends = GOOD.replace("for_ms = 2000", "for_ms = 4001");
         assert!(Scenario::parse(&ends, false, None).unwrap_err().starts_with("line 12: `at_ms`"));
+        for (key, said) in [
+            ("front = 1\nsecond = 1", "line 15: `second` must be over `front` and a front"),
+            ("step = 'began'", "line 14: `step` goes with lose_disk alone"),
+        ] {
+            let text = GOOD.replace("zone = 1", key);
+            assert_eq!(Scenario::parse(&text, false, None).unwrap_err(), said);
+        }
+        let class =
+            "zones = 2\nengines_per_zone = 2\n[[class]]\nname = 'a'\nshare = 1\nimportance = 1\nslo_ms = 5\n";
+        for (key, said) in [
+            ("keys = 10001", "line 11: `keys` is over 10000"),
+            ("asks_again = 9", "line 11: `asks_again` is over 8"),
+            ("window_ms = 0", "line 11: `window_ms` must be from 1 to 600000"),
+            (
+                "timeout_ms = 10",
+                "line 11: `timeout_ms` of a class must be over its work_ms and 60000 at most",
+            ),
+        ] {
+            let text = GOOD.replace("zones = 2\nengines_per_zone = 2\n", &format!("{class}{key}\n"));
+            assert_eq!(Scenario::parse(&text, false, None).unwrap_err(), said);
+        }
+        for (copies, said) in
+            [("3", "needs gossip = true"), ("2\ngossip = true", "must be 1, 3 or 5, and no more than fronts")]
+        {
+            let text =
+                GOOD.replace("engines_per_zone = 2", &format!("engines_per_zone = 2\ncopies = {copies}"));
+            assert_eq!(Scenario::parse(&text, false, None).unwrap_err(), format!("line 6: `copies` {said}"));
+        }
         let kind = GOOD.replace("zone_lost", "zone_gone");
         assert!(Scenario::parse(&kind, false, None).unwrap_err().contains("zone_gone"));
         assert!(Scenario::parse("\u{0}garbage[[", false, None).is_err());
--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -8,9 +8,11 @@
 use super::fleet::zone_name;
 use super::member::{Ground, Member, SOCKETS};
 use super::relay::Link;
-use super::scenario::{Fault, What};
+use super::scenario::{Fault, Step, What};
 use crate::engine::lines::Engine;
-use crate::engine::Records;
+use crate::engine::{Armed, Records};
+
+const STEP_WITHIN: std::time::Duration = std::time::Duration::from_millis(1500); // for a front to come to a step
 
 /// All that faults are played on.
 pub(super) struct Stage<'a> {
@@ -38,6 +40,20 @@
         }
     }
 
+    /// Waits until the front has died at the step of the fault, if it names one.
+    fn dies_at(&self, fault: &Fault, member: &Member) {
+        let pid = member.front.lock().ok().and_then(|front| front.as_ref().map(|f| f.pid()));
+        let (Some(step), Some(pid)) = (fault.step, pid) else { return };
+        // Of some words on their way, in turn: each loss is between others.
+        let wait = if step == Step::Copying { (fault.at_ms % 4) as u32 } else { 0 };
+        self.records.arm(Some(Armed { step, front: fault.front, pid, wait, asked: false }));
+        let until = std::time::Instant::now() + STEP_WITHIN;
+        while self.records.is_armed() && std::time::Instant::now() < until {
+            std::thread::sleep(std::time::Duration::from_millis(1));
+        }
+        self.records.arm(None);
+    }
+
     /// Starts a fault.
     pub(super) fn begin(&self, fault: &Fault) {
         let member = &self.members[fault.front];
@@ -53,25 +69,27 @@
                 self.zone_links(fault.zone).for_each(|l| l.set(|s| s.delay_ms = fault.delay_ms))
             }
             What::ZoneReset => self.zone_links(fault.zone).for_each(|l| l.reset()),
-            What::FrontsSplit => self.post(|s| s.split = Some((fault.front, false))),
-            What::FrontsSplitOut => self.post(|s| s.split = Some((fault.front, true))),
+            What::FrontsSplit => self.post(|s| s.split = Some(fault.split())),
+            What::FrontsSplitOut => self.post(|s| s.split = Some(fault.split())),
             What::PostLossy => self.post(|s| s.lost_percent = fault.percent),
             What::PostDoubled => self.post(|s| s.doubled_ms = Some(fault.delay_ms)),
             What::PostSlow => self.post(|s| s.delay_ms = fault.delay_ms),
+            What::PostShuffled => self.post(|s| s.shuffled_ms = fault.delay_ms),
             What::Hup => {
                 if let Ok(front) = member.front.lock() {
                     front.iter().for_each(|f| f.read_again(2 * SOCKETS));
                 }
             }
             What::StallOwner | What::KillOwner => {} // played as what it is on the owner
-            What::Stall | What::Kill | What::Term => {
+            What::Stall | What::Kill | What::Term | What::LoseDisk => {
+                self.dies_at(fault, member);
                 member.away.store(true, SeqCst);
                 if let Ok(mut troubled) = member.troubled.lock() {
                     troubled.push((self.records.now(), i64::MAX));
                 }
                 let signal = match fault.what {
                     What::Stall => Signal::SIGSTOP,
-                    What::Kill => Signal::SIGKILL,
+                    What::Kill | What::LoseDisk => Signal::SIGKILL,
                     _ => Signal::SIGTERM,
                 };
                 if let Ok(front) = member.front.lock() {
@@ -113,17 +131,21 @@
             What::PostLossy => self.post(|s| s.lost_percent = 0),
             What::PostDoubled => self.post(|s| s.doubled_ms = None),
             What::PostSlow => self.post(|s| s.delay_ms = 0),
+            What::PostShuffled => self.post(|s| s.shuffled_ms = 0),
             What::Stall => {
                 if let Ok(front) = member.front.lock() {
                     front.iter().for_each(|f| f.signal(Signal::SIGCONT));
                 }
                 mended();
             }
-            What::Kill | What::Term => {
+            What::Kill | What::Term | What::LoseDisk => {
                 let front = member.front.lock().map(|mut f| f.take());
                 if let Ok(Some(mut old)) = front {
                     let _ = old.ended();
                 }
+                if fault.what == What::LoseDisk {
+                    self.ground.lose_disk(member.number);
+                }
                 let pid = member.start(self.ground)?;
                 mended();
                 return Ok(Some(pid));
--- a/crates/lab/src/simulated/faults.rs
+++ b/crates/lab/src/simulated/faults.rs
@@ -48,14 +48,15 @@
             What::LinkCutBack => self.links(fault, false, |s| s.back_lost = true),
             What::ZoneSlow => self.links(fault, true, |s| s.delay_ms = fault.delay_ms),
             What::ZoneReset => self.reset(fault, true),
-            What::FrontsSplit => self.post.split = Some((fault.front, false)),
-            What::FrontsSplitOut => self.post.split = Some((fault.front, true)),
+            What::FrontsSplit => self.post.split = Some(fault.split()),
+            What::FrontsSplitOut => self.post.split = Some(fault.split()),
             What::PostLossy => self.post.lost_percent = fault.percent,
             What::PostDoubled => self.post.doubled_ms = Some(fault.delay_ms),
             What::PostSlow => self.post.delay_ms = fault.delay_ms,
+            What::PostShuffled => self.post.shuffled_ms = fault.delay_ms,
             What::StallOwner | What::KillOwner => {} // played as what it is on the owner
             What::Hup => self.account.read_again += 1, // nothing that is read again plays a part here
-            What::Stall | What::Kill | What::Term => {
+            What::Stall | What::Kill | What::Term | What::LoseDisk => {
                 let member = &mut self.members[fault.front];
                 member.troubled.push((now, i64::MAX));
                 member.stopped = fault.what == What::Stall;
@@ -102,7 +103,8 @@
             What::PostLossy => self.post.lost_percent = 0,
             What::PostDoubled => self.post.doubled_ms = None,
             What::PostSlow => self.post.delay_ms = 0,
-            What::Stall | What::Kill | What::Term => {
+            What::PostShuffled => self.post.shuffled_ms = 0,
+            What::Stall | What::Kill | What::Term | What::LoseDisk => {
                 let member = &mut self.members[fault.front];
                 member.troubled.iter_mut().filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = now);
                 if fault.what == What::Stall {
@@ -111,6 +113,9 @@
                     waits.into_iter().for_each(|event| self.happens(event));
                     self.turn(fault.front);
                 } else {
+                    if fault.what == What::LoseDisk {
+                        self.members[fault.front].saved = None;
+                    }
                     self.start(fault.front);
                 }
             }
--- a/crates/lab/src/simulated/fronts.rs
+++ b/crates/lab/src/simulated/fronts.rs
@@ -81,7 +81,7 @@
                 self.named.insert((front, lives, ticket), self.account.asked.len());
             }
         }
-        self.account.asked.push(Offered { front, class, asked });
+        self.account.asked.push(Offered { front, class, asked, barred: false, again: false });
         self.turn(front);
     }
 
@@ -203,7 +203,11 @@
             if !passed {
                 continue;
             }
-            let at = self.now + self.way() + self.post.delay_ms as i64 * 1000;
+            let shuffled = match self.post.shuffled_ms {
+                0 => 0,
+                ms => self.chance.random_range(0..=ms as i64 * 1000),
+            };
+            let at = self.now + self.way() + self.post.delay_ms as i64 * 1000 + shuffled;
             if let Some(ms) = self.post.doubled_ms {
                 self.at(at + ms as i64 * 1000, Event::Datagram(from, to, bytes.clone()));
             }
--- /dev/null
+++ b/crates/lab/tests/promises.rs
@@ -0,0 +1,27 @@
+//! What fronts promise for each other, played on real processes; the checks see what no ledger keeps.
+
+use std::process::Command;
+
+/// Plays what the arguments say: whether it passed, and a tally of its last line.
+fn play(args: &[&str]) -> (bool, String, impl Fn(&str) -> i64) {
+    let out = Command::new(env!("CARGO_BIN_EXE_hallmux-lab")).args(args).output().expect("the lab runs");
+    let text = String::from_utf8_lossy(&out.stdout).to_string();
+    for pid in text.lines().filter_map(|l| l.strip_prefix("pids ")).flat_map(|pids| pids.split(',')) {
+        let program = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+        assert!(!String::from_utf8_lossy(&program).contains("hallmux-front"), "front {pid} was left behind");
+    }
+    let last = text.lines().last().unwrap_or_default().to_string();
+    let tally = move |key: &str| {
+        let found = last.split(' ').find_map(|word| word.strip_prefix(key)?.strip_prefix('=')?.parse().ok());
+        found.unwrap_or(0)
+    };
+    (out.status.success(), text, tally)
+}
+
+#[test]
+fn fronts_that_promise_each_other_nothing_run_one_key_at_once_and_the_checker_sees_it() {
+    let scenario = format!("{}/fleet/keys-shared.toml", env!("CARGO_MANIFEST_DIR"));
+    let (passed, text, tally) = play(&["fleet", &scenario, "--seed", "3"]);
+    assert!(!passed && text.contains(": FAIL "), "{text}");
+    assert!(tally("violations_order") > 5 && tally("steps_played") == 2, "{text}");
+}
