--- /dev/null
+++ b/crates/scatter/src/marks.rs
@@ -0,0 +1,223 @@
+//! Marks of loads on one group, as they stand in the ledger: which loads a site's summary may not speak of yet, and what they
+//! may have touched. Changed by compare and swap alone, so that all fronts see one order of changes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use sqlparser::ast::{Expr, Insert, SetExpr, Statement, TableObject, Value as Word};
+
+use crate::condition::Condition;
+use crate::sql::{self, literal, plain_name};
+use crate::summary::{Column, Summary, Table};
+use crate::value::Literal;
+
+const MOST_MARKS: usize = 16; // of a site that are kept apart; more make one
+const MOST_ROWS_BYTES: usize = 256; // bytes of a load's rows that a mark keeps; of more nothing is known
+/// Bytes of a group's marks: a thousand sites with two each.
+pub const MOST_BYTES: usize = 64 << 10;
+
+/// What a load may have touched.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Touched {
+    /// Anything in the group.
+    Anything,
+    /// These rows came to this table, nothing else changed.
+    Rows { table: String, columns: Vec<String>, rows: Vec<Vec<Cell>> },
+}
+
+/// A value that a load names.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Cell {
+    Null,
+    Is(Literal),
+    Unknown,
+}
+
+/// Loads at a site that its summary may not speak of yet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Their numbers, from the first to the last.
+    pub from: u64,
+    pub to: u64,
+    /// Unix milliseconds from which none of them can be running.
+    pub ends_ms: u64,
+    /// Once that moment has passed: the next load's number. A summary with that one or a later one speaks beyond these.
+    pub over: Option<u64>,
+    pub touched: Touched,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Site {
+    /// The last number given.
+    last: u64,
+    /// The version of its summary that marks were lifted by: an older one proves nothing.
+    needs: u64,
+    marks: Vec<Mark>,
+}
+
+/// All marks on a group.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Marks {
+    sites: BTreeMap<String, Site>,
+}
+
+/// The ledger's key of a group's marks.
+pub fn key(group: u32) -> String {
+    format!("group/{group}")
+}
+
+/// A load's text as it goes to the site, which is to name the number in its summary once the load is in it.
+pub fn numbered(number: u64, statement: &[u8]) -> Vec<u8> {
+    [format!("/* load {number} */ ").as_bytes(), statement].concat()
+}
+
+/// The number that a load carries.
+pub fn number(statement: &[u8]) -> Option<u64> {
+    let rest = statement.strip_prefix(b"/* load ")?;
+    let end = rest.iter().position(|c| *c == b' ')?;
+    rest.get(end..)?.strip_prefix(b" */ ")?;
+    std::str::from_utf8(&rest[..end]).ok()?.parse().ok()
+}
+
+impl Marks {
+    /// None: no marks, or damaged; then nothing is known.
+    pub fn read(bytes: &[u8]) -> Option<Marks> {
+        let (marks, rest) = postcard::take_from_bytes::<Marks>(bytes).ok()?;
+        (rest.is_empty() && bytes.len() <= MOST_BYTES).then_some(marks)
+    }
+
+    /// None: they are too many to be kept, and the load can't be marked.
+    pub fn bytes(&self) -> Option<Vec<u8>> {
+        postcard::to_stdvec(self).ok().filter(|bytes| bytes.len() <= MOST_BYTES)
+    }
+
+    /// Marks a load at a site, which can't be running any more from `ends_ms` on. Its number.
+    pub fn add(&mut self, site: &str, ends_ms: u64, touched: Touched) -> u64 {
+        let site = self.sites.entry(site.to_string()).or_default();
+        site.last += 1;
+        site.marks.push(Mark { from: site.last, to: site.last, ends_ms, over: None, touched });
+        if site.marks.len() > MOST_MARKS {
+            let first = site.marks.remove(0);
+            if let Some(second) = site.marks.first_mut() {
+                second.from = first.from;
+                second.ends_ms = second.ends_ms.max(first.ends_ms);
+                // None where either is not over.
+                second.over = second.over.zip(first.over).map(|(a, b)| a.max(b));
+                second.touched = Touched::Anything;
+            }
+        }
+        site.last
+    }
+
+    /// Takes out what the summaries given lift, and notes what can't be running any more by `wall_ms`, the clock of the front
+    /// less what fronts' clocks may differ by.
+    pub fn tidy<'a>(&mut self, wall_ms: u64, summary: impl Fn(&str) -> Option<&'a Summary>) {
+        for (name, site) in &mut self.sites {
+            let next = site.last + 1;
+            for mark in &mut site.marks {
+                if mark.over.is_none() && mark.ends_ms < wall_ms {
+                    mark.over = Some(next);
+                }
+            }
+            let Some(summary) = summary(name).filter(|s| s.version >= site.needs) else { continue };
+            let before = site.marks.len();
+            site.marks.retain(|mark| !mark.is_lifted(summary));
+            if site.marks.len() < before {
+                site.needs = summary.version;
+            }
+        }
+    }
+
+    /// Surely none of the site's rows makes the condition TRUE, as far as loads go that were marked.
+    pub fn prove(&self, summary: &Summary, table: &Table, condition: &Condition) -> bool {
+        let Some(site) = self.sites.get(&summary.site) else { return true };
+        let open = || site.marks.iter().filter(|mark| !mark.is_lifted(summary));
+        summary.version >= site.needs && open().all(|mark| mark.touched.never_true(table, condition))
+    }
+
+    /// How many marks stand, of all sites.
+    pub fn len(&self) -> usize {
+        self.sites.values().map(|site| site.marks.len()).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Mark {
+    fn is_lifted(&self, summary: &Summary) -> bool {
+        summary.loads.has(self.from, self.to) || self.over.is_some_and(|over| summary.loads.last() >= over)
+    }
+}
+
+impl Touched {
+    /// What a load says of itself, for the group that it names.
+    pub fn by(statement: &[u8], group: u32) -> Touched {
+        sql::parse(statement).ok().and_then(|statement| rows(statement, group)).unwrap_or(Touched::Anything)
+    }
+
+    fn never_true(&self, table: &Table, condition: &Condition) -> bool {
+        match self {
+            Touched::Anything => false,
+            Touched::Rows { table: other, .. } if *other != table.name => true,
+            Touched::Rows { columns, rows, .. } => {
+                rows.iter().all(|row| condition.never_true(&one(table, columns, row)))
+            }
+        }
+    }
+}
+
+/// A table of one row, of the columns whose values are known.
+fn one(table: &Table, columns: &[String], row: &[Cell]) -> Table {
+    let known = |column: &Column| {
+        let place = columns.iter().position(|name| *name == column.name)?;
+        let of = |nulls, bounds, tight| Column { nulls, bounds, tight, members: None, ..column.clone() };
+        match row.get(place)? {
+            Cell::Null => Some(of(1, None, true)),
+            Cell::Is(literal) => {
+                let point = literal.point(column.kind)?;
+                Some(of(0, Some((point.below, point.above)), point.exact))
+            }
+            Cell::Unknown => None,
+        }
+    };
+    let columns = table.columns.iter().filter_map(known).collect();
+    Table { name: table.name.clone(), rows: 1, columns }
+}
+
+/// The rows of an `INSERT ... VALUES` into a table of the group that does nothing else.
+fn rows(statement: Statement, group: u32) -> Option<Touched> {
+    let Statement::Insert(insert) = statement else { return None };
+    let Insert { or: None, ignore: false, table, columns, overwrite: false, source, on: None, .. } = insert
+    else {
+        return None;
+    };
+    if insert.replace_into || insert.by_name || insert.partitioned.is_some() || !insert.assignments.is_empty()
+    {
+        return None;
+    }
+    if insert.multi_table_insert_type.is_some() || columns.is_empty() {
+        return None;
+    }
+    let TableObject::TableName(name) = table else { return None };
+    let (_, table) = sql::table(&name).filter(|(named, _)| *named == group)?;
+    let source = *source?;
+    let SetExpr::Values(values) = *source.body else { return None };
+    if source.with.is_some() || source.limit_clause.is_some() || !source.pipe_operators.is_empty() {
+        return None;
+    }
+    let name = |name: &sqlparser::ast::ObjectName| match &name.0[..] {
+        [part] => part.as_ident().map(plain_name),
+        _ => None,
+    };
+    let columns: Vec<String> = columns.iter().map(name).collect::<Option<_>>()?;
+    let cell = |e: &Expr| match e {
+        Expr::Value(value) if value.value == Word::Null => Cell::Null,
+        e => literal(e).map_or(Cell::Unknown, Cell::Is),
+    };
+    let rows: Vec<Vec<Cell>> = values.rows.iter().map(|row| row.content.iter().map(cell).collect()).collect();
+    let touched = Touched::Rows { table, columns, rows };
+    let short = postcard::to_stdvec(&touched).is_ok_and(|bytes| bytes.len() <= MOST_ROWS_BYTES);
+    short.then_some(touched)
+}
--- /dev/null
+++ b/crates/scatter/src/plan.rs
@@ -0,0 +1,66 @@
+//! Which sites a statement is asked of, and in which order.
+
+use crate::book::Book;
+use crate::marks::Marks;
+use crate::sql::Query;
+
+/// What is known of loads on the group.
+pub enum Word<'a> {
+    /// The marks, as the ledger said after the statement came.
+    Marks(&'a Marks),
+    /// The operator says that no load goes through a front.
+    NoLoads,
+    /// Nothing: the ledger does not answer.
+    Nothing,
+}
+
+/// A site to ask.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    pub site: String,
+    /// Rows to expect, by a guess that only orders the sites; infinitely many where nothing is known.
+    pub rows: f64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// In the order in which their rows are joined.
+    pub parts: Vec<Part>,
+    /// Could have rows, and may not be asked.
+    pub barred: Vec<String>,
+    /// Proved to have none.
+    pub left_out: Vec<String>,
+}
+
+/// The sites that could have rows: among `sites`, in their order, of which `allowed` may be asked (None: all).
+pub fn plan(
+    query: &Query,
+    sites: &[String],
+    allowed: Option<&[&str]>,
+    book: &Book,
+    wall_ms: u64,
+    word: &Word,
+) -> Plan {
+    let mut plan = Plan::default();
+    for site in sites {
+        let summary = book.look(wall_ms, site, query.group);
+        let table = summary.and_then(|summary| Some((summary, summary.table(&query.table)?)));
+        let proved = table.is_some_and(|(summary, table)| {
+            let of_loads = match word {
+                Word::Marks(marks) => marks.prove(summary, table, &query.condition),
+                Word::NoLoads => true,
+                Word::Nothing => false,
+            };
+            of_loads && query.condition.never_true(table)
+        });
+        if proved || query.limit == Some(0) {
+            plan.left_out.push(site.clone());
+        } else if allowed.is_some_and(|allowed| !allowed.contains(&site.as_str())) {
+            plan.barred.push(site.clone());
+        } else {
+            let rows = table.map_or(f64::INFINITY, |(_, t)| t.rows as f64 * query.condition.share(t));
+            plan.parts.push(Part { site: site.clone(), rows });
+        }
+    }
+    plan
+}
--- /dev/null
+++ b/crates/scatter/src/whole.rs
@@ -0,0 +1,286 @@
+//! One statement in progress over its sites: which parts to start and to end, and one final answer from them.
+
+use crate::plan::Part;
+use crate::Micros;
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// The part of this place is to be asked.
+    Start(usize),
+    /// It is no longer waited for.
+    End(usize),
+    /// Final, once.
+    Answer(Answer),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// `missing`: the sites whose rows are not in it; only where the customer takes such answers.
+    Rows {
+        bytes: Vec<u8>,
+        missing: Vec<String>,
+        barred: Vec<String>,
+    },
+    /// Trying again is harmless.
+    Rejected {
+        retry_after: Option<Micros>,
+        site: String,
+    },
+    Aborted {
+        site: String,
+    },
+    /// Sites that could have rows may not be asked.
+    Barred(Vec<String>),
+    /// More rows than an answer holds.
+    Long,
+}
+
+/// How a part failed for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed {
+    Rejected { retry_after: Option<Micros> },
+    Aborted,
+}
+
+/// What holds for the whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rules {
+    pub limit: Option<u64>,
+    /// The customer takes an answer that says which sites are missing.
+    pub partial: bool,
+    /// Parts of a statement with a limit that are asked at a time.
+    pub at_once: usize,
+    /// Bytes of an answer.
+    pub most_bytes: usize,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    Waits,
+    Out,
+    Rows(Vec<u8>),
+    Missing,
+    Over,
+}
+
+/// A statement and its parts, from the first to the final answer.
+pub struct Whole {
+    rules: Rules,
+    parts: Vec<(Part, State)>,
+    barred: Vec<String>,
+    /// Places in the order in which they are asked.
+    order: Vec<usize>,
+    done: bool,
+}
+
+impl Whole {
+    /// What is to be done first; an answer where nothing needs to be asked.
+    pub fn new(parts: Vec<Part>, barred: Vec<String>, rules: Rules) -> (Whole, Vec<Act>) {
+        let mut order: Vec<usize> = (0..parts.len()).collect();
+        if rules.limit.is_some() {
+            // Those likeliest to have enough rows go first; of equal ones the first.
+            let rows = |at: &usize| parts.get(*at).map_or(0.0, |part| part.rows);
+            order.sort_by(|a, b| rows(b).total_cmp(&rows(a)));
+        }
+        let parts = parts.into_iter().map(|part| (part, State::Waits)).collect();
+        let mut whole = Whole { rules, parts, barred, order, done: false };
+        if !whole.barred.is_empty() && !rules.partial {
+            whole.done = true;
+            let barred = whole.barred.clone();
+            return (whole, vec![Act::Answer(Answer::Barred(barred))]);
+        }
+        let acts = whole.go_on();
+        (whole, acts)
+    }
+
+    pub fn site(&self, place: usize) -> Option<&str> {
+        self.parts.get(place).map(|(part, _)| part.site.as_str())
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// A part is answered.
+    pub fn answered(&mut self, place: usize, rows: Vec<u8>) -> Vec<Act> {
+        self.ended(place, State::Rows(rows))
+    }
+
+    /// A part failed for good.
+    pub fn failed(&mut self, place: usize, failed: Failed) -> Vec<Act> {
+        if self.rules.partial {
+            return self.ended(place, State::Missing);
+        }
+        if !self.is_out(place) {
+            return Vec::new();
+        }
+        self.set(place, State::Over);
+        let site = self.site(place).unwrap_or_default().to_string();
+        self.end(match failed {
+            Failed::Rejected { retry_after } => Answer::Rejected { retry_after, site },
+            Failed::Aborted => Answer::Aborted { site },
+        })
+    }
+
+    /// Nobody waits for the whole any more: the parts to end.
+    pub fn left(&mut self) -> Vec<Act> {
+        let mut acts = self.end(Answer::Long);
+        acts.retain(|act| !matches!(act, Act::Answer(_)));
+        acts
+    }
+
+    fn ended(&mut self, place: usize, state: State) -> Vec<Act> {
+        if self.done || !self.is_out(place) {
+            return Vec::new();
+        }
+        self.set(place, state);
+        self.go_on()
+    }
+
+    fn is_out(&self, place: usize) -> bool {
+        self.parts.get(place).is_some_and(|(_, state)| *state == State::Out)
+    }
+
+    fn set(&mut self, place: usize, state: State) {
+        if let Some((_, was)) = self.parts.get_mut(place) {
+            *was = state;
+        }
+    }
+
+    fn rows(&self) -> impl Iterator<Item = &[u8]> {
+        self.parts.iter().filter_map(|(_, state)| match state {
+            State::Rows(rows) => Some(rows.as_slice()),
+            _ => None,
+        })
+    }
+
+    fn go_on(&mut self) -> Vec<Act> {
+        if self.rows().map(<[u8]>::len).sum::<usize>() > self.rules.most_bytes {
+            return self.end(Answer::Long);
+        }
+        let had: u64 = self.rows().map(lines).sum();
+        let enough = self.rules.limit.is_some_and(|limit| had >= limit);
+        let open = |(_, state): &(Part, State)| matches!(state, State::Waits | State::Out);
+        if enough || !self.parts.iter().any(open) {
+            let answer = self.joined(enough);
+            return self.end(answer);
+        }
+        let mut acts = Vec::new();
+        let mut out = self.parts.iter().filter(|(_, state)| *state == State::Out).count();
+        let most = if self.rules.limit.is_some() { self.rules.at_once.max(1) } else { usize::MAX };
+        for place in self.order.clone() {
+            if out >= most {
+                break;
+            }
+            if self.parts.get(place).is_some_and(|(_, state)| *state == State::Waits) {
+                self.set(place, State::Out);
+                acts.push(Act::Start(place));
+                out += 1;
+            }
+        }
+        acts
+    }
+
+    fn joined(&self, enough: bool) -> Answer {
+        let mut bytes: Vec<u8> = self.rows().flatten().copied().collect();
+        if let Some(limit) = self.rules.limit {
+            bytes.truncate(first_lines(&bytes, limit));
+        }
+        // What a limit has filled lacks nothing.
+        let missing = self.parts.iter().filter(|(_, state)| !enough && *state == State::Missing);
+        let missing = missing.map(|(part, _)| part.site.clone()).collect();
+        let barred = if enough { Vec::new() } else { self.barred.clone() };
+        Answer::Rows { bytes, missing, barred }
+    }
+
+    fn end(&mut self, answer: Answer) -> Vec<Act> {
+        if std::mem::replace(&mut self.done, true) {
+            return Vec::new();
+        }
+        let mut acts: Vec<Act> = (0..self.parts.len()).filter(|p| self.is_out(*p)).map(Act::End).collect();
+        acts.push(Act::Answer(answer));
+        acts
+    }
+}
+
+/// Rows of a result: each ends with a line feed.
+fn lines(rows: &[u8]) -> u64 {
+    rows.iter().filter(|c| **c == b'\n').count() as u64
+}
+
+fn first_lines(rows: &[u8], most: u64) -> usize {
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    let Some(before) = most.checked_sub(1) else { return 0 };
+    let ends = rows.iter().enumerate().filter(|(_, c)| **c == b'\n').map(|(at, _)| at + 1);
+    ends.into_iter().nth(before).unwrap_or(rows.len())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RULES: Rules = Rules { limit: None, partial: false, at_once: 1, most_bytes: 100 };
+
+    fn parts(rows: &[f64]) -> Vec<Part> {
+        rows.iter().enumerate().map(|(n, rows)| Part { site: format!("s{n}"), rows: *rows }).collect()
+    }
+
+    fn rows(bytes: &[u8]) -> Act {
+        Act::Answer(Answer::Rows { bytes: bytes.to_vec(), missing: vec![], barred: vec![] })
+    }
+
+    #[test]
+    fn rows_are_joined_in_the_order_of_sites_and_the_answer_is_given_once() {
+        let (mut whole, acts) = Whole::new(parts(&[1.0, 9.0]), vec![], RULES);
+        assert_eq!(acts, [Act::Start(0), Act::Start(1)]);
+        assert_eq!(whole.answered(1, b"b\n".to_vec()), []);
+        assert_eq!(whole.answered(1, b"again\n".to_vec()), []);
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), [rows(b"a\nb\n")]);
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), []);
+        assert_eq!(whole.failed(0, Failed::Aborted), []);
+        assert_eq!(whole.left(), []);
+    }
+
+    #[test]
+    fn a_part_that_fails_for_good_fails_the_whole_and_ends_the_others() {
+        let (mut whole, _) = Whole::new(parts(&[1.0, 1.0, 1.0]), vec![], RULES);
+        whole.answered(0, vec![]);
+        let rejected = Answer::Rejected { retry_after: Some(5), site: "s1".into() };
+        let failed = Failed::Rejected { retry_after: Some(5) };
+        assert_eq!(whole.failed(1, failed), [Act::End(2), Act::Answer(rejected)]);
+        assert!(whole.is_done());
+    }
+
+    #[test]
+    fn an_answer_that_lacks_sites_says_so_where_the_customer_takes_it() {
+        let rules = Rules { partial: true, ..RULES };
+        let (mut whole, _) = Whole::new(parts(&[1.0, 1.0]), vec!["far".into()], rules);
+        assert_eq!(whole.failed(0, Failed::Aborted), []);
+        let answer =
+            Answer::Rows { bytes: b"b\n".to_vec(), missing: vec!["s0".into()], barred: vec!["far".into()] };
+        assert_eq!(whole.answered(1, b"b\n".to_vec()), [Act::Answer(answer)]);
+        let (_, acts) = Whole::new(parts(&[1.0]), vec!["far".into()], RULES);
+        assert_eq!(acts, [Act::Answer(Answer::Barred(vec!["far".into()]))]);
+    }
+
+    #[test]
+    fn a_limit_asks_the_likeliest_first_and_ends_once_it_is_filled() {
+        let rules = Rules { limit: Some(2), ..RULES };
+        let (mut whole, acts) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], rules);
+        assert_eq!(acts, [Act::Start(1)]);
+        assert_eq!(whole.answered(1, b"b\n".to_vec()), [Act::Start(2)]);
+        assert_eq!(whole.answered(2, b"c\nd\n".to_vec()), [rows(b"b\nc\n")]);
+        // Two out at once: the other is ended.
+        let (mut whole, _) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], Rules { at_once: 2, ..rules });
+        assert_eq!(whole.answered(1, b"b\nx\n".to_vec()), [Act::End(2), rows(b"b\nx\n")]);
+    }
+
+    #[test]
+    fn nothing_to_ask_is_an_answer_without_rows_and_too_much_is_none() {
+        let (_, acts) = Whole::new(vec![], vec![], RULES);
+        assert_eq!(acts, [rows(b"")]);
+        let (mut whole, _) = Whole::new(parts(&[1.0]), vec![], RULES);
+        assert_eq!(whole.answered(0, vec![b'x'; 101]), [Act::Answer(Answer::Long)]);
+    }
+}
--- /dev/null
+++ b/crates/scatter/tests/loads.rs
@@ -0,0 +1,189 @@
+//! Drawn schedules of loads, summaries that come late or never, and scatters at several fronts: never a row missing that is at
+//! a site, whoever marked it, tidied or was lost. And without the marks there would be.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+use ed25519_dalek::SigningKey;
+use hallmux_scatter::book::{Book, Terms};
+use hallmux_scatter::build::{summary, About, TableBuilder};
+use hallmux_scatter::marks::{number, numbered, Marks, Touched};
+use hallmux_scatter::plan::{plan, Word};
+use hallmux_scatter::sql;
+use hallmux_scatter::summary::{Loads, MOST_BYTES};
+use hallmux_scatter::value::{Kind, Value};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestRunner};
+
+const SITES: [&str; 3] = ["ash", "elm", "oak"];
+const FRONTS: usize = 3;
+const LIFE_MS: u64 = 50; // for which a load may run
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A front marks a load of a value; whether its keys are known.
+    Mark {
+        front: usize,
+        site: usize,
+        value: i128,
+        known: bool,
+    },
+    /// What was marked arrives and runs, or never does.
+    Run {
+        which: usize,
+        lost: bool,
+    },
+    /// A site writes a summary.
+    Write {
+        site: usize,
+    },
+    /// One that was written reaches a front.
+    Reach {
+        which: usize,
+        front: usize,
+    },
+    Pass {
+        ms: u64,
+    },
+    Ask {
+        front: usize,
+        from: i128,
+        to: i128,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..FRONTS, 0..3usize, 0i128..40, any::<bool>())
+            .prop_map(|(front, site, value, known)| Step::Mark { front, site, value, known }),
+        4 => (any::<usize>(), prop::bool::weighted(0.2)).prop_map(|(which, lost)| Step::Run { which, lost }),
+        3 => (0..3usize).prop_map(|site| Step::Write { site }),
+        5 => (any::<usize>(), 0..FRONTS).prop_map(|(which, front)| Step::Reach { which, front }),
+        1 => (1u64..80).prop_map(|ms| Step::Pass { ms }),
+        4 => (0..FRONTS, 0i128..40, 0i128..6).prop_map(|(front, from, more)| Step::Ask { front, from, to: from + more }),
+    ]
+}
+
+#[derive(Default)]
+struct Site {
+    rows: Vec<i128>,
+    loads: Loads,
+    version: u64,
+}
+
+fn book() -> Book {
+    let sites = SITES.iter().map(|s| (s.to_string(), key(s).verifying_key())).collect();
+    Book::new(Terms { sites, schemas: BTreeMap::new(), oldest_ms: u64::MAX, ahead_ms: u64::MAX, most: 10 })
+}
+
+fn key(site: &str) -> SigningKey {
+    SigningKey::from_bytes(&[site.as_bytes()[0]; 32])
+}
+
+/// The rows that a scatter missed, and the sites asked, of all, in a schedule.
+fn play(steps: &[Step], with_marks: bool) -> (u32, u32, u32) {
+    let mut books: Vec<Book> = (0..FRONTS).map(|_| book()).collect();
+    let mut sites: Vec<Site> = SITES.iter().map(|_| Site::default()).collect();
+    // The ledger: one entry, changed as a whole.
+    let mut entry = Marks::default().bytes().unwrap();
+    let (mut under_way, mut written) = (Vec::new(), Vec::new());
+    let (mut now, mut missing, mut asked, mut all) = (1_000u64, 0, 0, 0);
+    for step in steps {
+        match *step {
+            Step::Mark { front, site, value, known } => {
+                let mut marks = Marks::read(&entry).unwrap();
+                let text = match known {
+                    true => format!("insert into sales_17.orders (id) values ({value})"),
+                    false => format!("insert into sales_17.orders (id) select {value} from sales_17.new"),
+                };
+                marks.tidy(now, |name| books[front].look(now, name, 17));
+                let n = marks.add(SITES[site], now + LIFE_MS, Touched::by(text.as_bytes(), 17));
+                entry = marks.bytes().unwrap();
+                under_way.push((now + LIFE_MS, site, value, numbered(n, text.as_bytes())));
+            }
+            Step::Run { which, lost } if !under_way.is_empty() => {
+                let (ends, site, value, text) = under_way.remove(which % under_way.len());
+                if !lost && now < ends {
+                    sites[site].rows.push(value);
+                    sites[site].loads.insert(number(&text).unwrap());
+                }
+            }
+            Step::Write { site } => {
+                let s = &mut sites[site];
+                s.version += 1;
+                let mut table = TableBuilder::new("orders", &[("id", Kind::Number { scale: 0 })]);
+                s.rows.iter().for_each(|v| table.row(&[Some(Value::Number(*v))]));
+                let (name, version, loads) = (SITES[site].to_string(), s.version, s.loads.clone());
+                let about = About { site: name, group: 17, schema: 1, version, made_ms: now, loads };
+                written.push(summary(about, vec![table], MOST_BYTES).sign(&key(SITES[site])));
+            }
+            Step::Reach { which, front } if !written.is_empty() => {
+                let _ = books[front].take(now, &written[which % written.len()]);
+            }
+            Step::Pass { ms } => now += ms,
+            Step::Ask { front, from, to } => {
+                let text = format!("select * from sales_17.orders where id between {from} and {to}");
+                let query = sql::read(text.as_bytes()).unwrap();
+                let marks = Marks::read(&entry).unwrap();
+                let word = if with_marks { Word::Marks(&marks) } else { Word::NoLoads };
+                let plan = plan(&query, &SITES.map(str::to_string), None, &books[front], now, &word);
+                all += 3;
+                asked += plan.parts.len() as u32;
+                for (site, name) in sites.iter().zip(SITES) {
+                    let has = site.rows.iter().any(|v| (from..=to).contains(v));
+                    missing += u32::from(has && plan.left_out.iter().any(|s| s == name));
+                }
+            }
+            _ => {}
+        }
+    }
+    (missing, asked, all)
+}
+
+#[test]
+fn no_row_is_missing_whatever_the_order_of_loads_summaries_and_scatters() {
+    let (asked, all, without) = (Cell::new(0), Cell::new(0), Cell::new(0));
+    let mut runner = TestRunner::new(Config { cases: 300, failure_persistence: None, ..Config::default() });
+    let outcome = runner.run(&prop::collection::vec(step(), 0..80), |steps| {
+        let (missing, sites, of) = play(&steps, true);
+        prop_assert_eq!(missing, 0);
+        asked.set(asked.get() + sites);
+        all.set(all.get() + of);
+        without.set(without.get() + play(&steps, false).0);
+        Ok(())
+    });
+    outcome.unwrap();
+    println!("asked {} of {} sites; without marks {} missed", asked.get(), all.get(), without.get());
+    assert!(asked.get() < all.get() && without.get() > 0);
+}
+
+#[test]
+fn a_load_that_is_lost_keeps_its_site_asked_until_a_later_one_is_spoken_of() {
+    let query = sql::read(b"select * from sales_17.orders where id = 5").unwrap();
+    let proved = |marks: &Marks, book: &Book| {
+        plan(&query, &["ash".to_string()], None, book, 0, &Word::Marks(marks)).parts.is_empty()
+    };
+    let spoken = |version, numbers: &[u64]| {
+        let mut loads = Loads::default();
+        numbers.iter().for_each(|n| loads.insert(*n));
+        let about = About { site: "ash".into(), group: 17, schema: 1, version, made_ms: 0, loads };
+        let table = TableBuilder::new("orders", &[("id", Kind::Number { scale: 0 })]);
+        summary(about, vec![table], MOST_BYTES).sign(&key("ash"))
+    };
+    let (mut marks, mut book) = (Marks::default(), book());
+    marks.add("ash", 50, Touched::Anything);
+    for version in 1..4 {
+        book.take(0, &spoken(version, &[])).unwrap();
+        marks.tidy(100 * version, |name| book.look(0, name, 17));
+        assert!(!proved(&marks, &book));
+    }
+    assert_eq!(marks.add("ash", 500, Touched::Anything), 2);
+    book.take(0, &spoken(4, &[2])).unwrap();
+    assert!(proved(&marks, &book));
+    // Whoever tidies leaves behind what others need: an older summary proves nothing any more.
+    marks.tidy(600, |name| book.look(0, name, 17));
+    assert!(marks.is_empty());
+    let mut behind = self::book();
+    behind.take(0, &spoken(3, &[])).unwrap();
+    assert!(!proved(&marks, &behind));
+}
