A test that a later load marked before a lost one's end does not lift its mark

Taking the rule out of marks.rs (the next number, not the last) fails it; so do taking out the version needed, the whole run of numbers, and three rules of proof.

--- a/crates/scatter/tests/loads.rs
+++ b/crates/scatter/tests/loads.rs
@@ -170,6 +170,13 @@
         let table = TableBuilder::new("orders", &[("id", Kind::Number { scale: 0 })]);
         summary(about, vec![table], MOST_BYTES).sign(&key("ash"))
     };
+    // A later load that was marked before the end of the lost one says nothing of it.
+    let (mut marks, mut both) = (Marks::default(), book());
+    marks.add("ash", 50, Touched::Anything);
+    marks.add("ash", 50, Touched::Anything);
+    both.take(0, &spoken(1, &[2])).unwrap();
+    marks.tidy(100, |name| both.look(0, name, 17));
+    assert!(!proved(&marks, &both));
     let (mut marks, mut book) = (Marks::default(), book());
     marks.add("ash", 50, Touched::Anything);
     for version in 1..4 {
