--- /dev/null
+++ b/crates/ledger/src/asks.rs
@@ -0,0 +1,92 @@
+//! This front's own asks that wait for an answer.
+
+use std::collections::BTreeMap;
+
+use crate::state::Command;
+use crate::{FrontId, Micros, Moment, Outcome, REMEMBERED_MS};
+
+const RETRY: Micros = 100_000; // microseconds until an ask is asked again elsewhere: a round trip and two syncs
+const MOST_WAITING: usize = 16_384; // asks that wait at once
+
+pub(crate) struct Waiting {
+    pub command: Command,
+    pub shard: u16,
+    pub ends: Micros,
+    retry: Micros,
+    tries: usize,
+}
+
+#[derive(Default)]
+pub(crate) struct Asks {
+    waiting: BTreeMap<u64, Waiting>,
+    /// When each was first asked, on the Unix clock: a retry says the same.
+    first: BTreeMap<u64, u64>,
+}
+
+impl Asks {
+    /// When this number was first asked.
+    pub fn first(&mut self, number: u64, wall_ms: u64) -> u64 {
+        *self.first.entry(number).or_insert(wall_ms)
+    }
+
+    pub fn is_waiting(&self, number: u64) -> bool {
+        self.waiting.contains_key(&number)
+    }
+
+    /// False where too many wait.
+    pub fn wait(&mut self, command: Command, shard: u16, ends: Micros) -> bool {
+        if self.waiting.len() >= MOST_WAITING {
+            return false;
+        }
+        self.waiting.insert(command.number, Waiting { command, shard, ends, retry: 0, tries: 0 });
+        true
+    }
+
+    /// The next try of an ask: the command, and the count of tries before.
+    pub fn tries(&mut self, now: Micros, number: u64) -> Option<(&Waiting, usize)> {
+        let waiting = self.waiting.get_mut(&number)?;
+        let before = waiting.tries;
+        (waiting.tries, waiting.retry) = (before + 1, now + RETRY);
+        Some((waiting, before))
+    }
+
+    pub fn shard(&self, number: u64) -> Option<u16> {
+        self.waiting.get(&number).map(|waiting| waiting.shard)
+    }
+
+    /// An answer has come; the shard, where it was waited for.
+    pub fn answered(&mut self, number: u64) -> Option<u16> {
+        self.waiting.remove(&number).map(|waiting| waiting.shard)
+    }
+
+    /// What has to be tried again, and what nobody has answered in time.
+    pub fn due_now(&mut self, at: Moment) -> (Vec<u64>, Vec<(u64, Outcome)>) {
+        let ended: Vec<u64> =
+            self.waiting.iter().filter(|(_, w)| w.ends <= at.steady).map(|(number, _)| *number).collect();
+        ended.iter().for_each(|number| _ = self.waiting.remove(number));
+        let again = self.waiting.iter().filter(|(_, w)| w.retry <= at.steady).map(|(number, _)| *number);
+        let again = again.collect();
+        self.first.retain(|_, first| first.saturating_add(2 * REMEMBERED_MS) > at.wall_ms);
+        (again, ended.into_iter().map(|number| (number, Outcome::Unreachable)).collect())
+    }
+
+    pub fn due(&self) -> Micros {
+        self.waiting.values().map(|w| w.ends.min(w.retry)).min().unwrap_or(Micros::MAX)
+    }
+}
+
+/// Whom to ask: who is said to own the shard, else its members and then all that could be, one after the other.
+pub(crate) fn whom(
+    owner: Option<FrontId>,
+    others: &[FrontId],
+    own: FrontId,
+    tries: usize,
+) -> Option<FrontId> {
+    // One that is silent is not asked every time.
+    if let Some(owner) = owner.filter(|owner| *owner != own && tries.is_multiple_of(2)) {
+        return Some(owner);
+    }
+    let others: Vec<FrontId> = others.iter().copied().filter(|front| *front != own).collect();
+    let turn = if owner.is_some() { tries / 2 } else { tries };
+    others.get(turn % others.len().max(1)).copied()
+}
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,85 +1,394 @@
-//! A front's part in the ledger.
+//! A front's part in the ledger: its own asks, the copies that it keeps, and what goes between them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::state::{Batch, Command, Limits, State};
+use crate::asks::{self, Asks};
+use crate::birth::Birth;
+use crate::placement::ranked;
+use crate::post::{Pace, Post};
+use crate::records::{self, Meta};
+use crate::repair::{Peer, Repair};
+use crate::replica::{size, Replica};
+use crate::state::{Command, Keeper, State};
+use crate::words::{fingerprint, Base, Word};
 use crate::{
-    shard_of, Ask, Done, Error, FrontId, Micros, Moment, Out, Outcome, Owner, Saved, Setup, Tallies,
+    shard_of, Act, Ask, Done, Error, FrontId, Micros, Moment, Out, Outcome, Owner, Record, Save, Saved,
 };
+use crate::{Setup, Tallies};
+
+pub(crate) const TICK: Micros = 50_000; // microseconds between turns of the logs' clocks
+const LONGEST_NAME: usize = 1_024; // bytes of a key's name
+const LONGEST_VALUE: usize = 32 * 1_024; // bytes of a value
+
+/// What a front knows of one shard.
+#[derive(Default)]
+pub(crate) struct Place {
+    /// All that could keep it, in the order in which they are wanted.
+    pub ranked: Vec<FrontId>,
+    pub replica: Option<Replica>,
+    /// Who keeps it, by the latest that was heard.
+    pub known: Option<(u32, Vec<Keeper>)>,
+    /// With these members or earlier ones this disk never begins (again).
+    pub barred: u32,
+    pub birth: Option<Birth>,
+    /// A copy that was given to this front before it became a member: of which log, up to which entry.
+    pub learned: Option<(u32, u64, State)>,
+    pub repair: Option<Repair>,
+    /// Since when this front owns it.
+    pub leads: Option<Micros>,
+    /// Who owns it, as was heard last.
+    pub hint: Option<FrontId>,
+    /// When members that are behind were last told so, and when others were last told that this front is here.
+    pub told: BTreeMap<FrontId, Micros>,
+}
+
+impl Place {
+    pub fn keepers(&self) -> &[Keeper] {
+        self.known.as_ref().map_or(&[], |(_, keepers)| keepers)
+    }
+
+    pub fn config(&self) -> u32 {
+        self.known.as_ref().map_or(0, |(config, _)| *config)
+    }
+}
 
-/// So far only a fleet of one front keeps anything: asks of a larger one end as `Unreachable`.
 pub struct Ledger {
-    setup: Setup,
-    shards: BTreeMap<u16, State>,
-    waiting: BTreeMap<u64, Micros>,
+    pub(crate) setup: Setup,
+    pub(crate) own: Keeper,
+    pub(crate) places: Vec<Place>,
+    pub(crate) peers: BTreeMap<FrontId, Peer>,
+    asks: Asks,
+    pub(crate) post: Post,
+    /// What must be lasting before anything more is told, beside the logs.
+    pub(crate) records: Vec<Record>,
+    next_save: u64,
+    unsaved: VecDeque<(u64, Vec<Done>)>,
+    done: Vec<Done>,
     out: Out,
-    tallies: Tallies,
+    pub(crate) tick_at: Micros,
+    pub(crate) look_at: Micros,
+    /// Shards in which something may have happened.
+    pub(crate) touched: BTreeSet<u16>,
+    pub(crate) tallies: Tallies,
+}
+
+fn check(setup: &Setup) -> Result<(), Error> {
+    let mut seen = BTreeSet::new();
+    if setup.members.is_empty() {
+        return Err(Error::NoMembers);
+    }
+    if let Some(twice) = setup.members.iter().find(|member| !seen.insert(member.front)) {
+        return Err(Error::Twice(twice.front));
+    }
+    if setup.copies == 0 || setup.copies > setup.members.len() {
+        return Err(Error::Copies { copies: setup.copies, members: setup.members.len() });
+    }
+    match setup.shards {
+        1..=1_024 => Ok(()),
+        shards => Err(Error::Shards(shards)),
+    }
 }
 
 impl Ledger {
     /// `saved` is what an earlier life on the same disk gave out to be kept; None only where there was none.
-    pub fn new(_at: Moment, setup: Setup, _saved: Option<Saved>) -> Result<Ledger, Error> {
-        if setup.members.is_empty() {
-            return Err(Error::NoMembers);
-        }
-        let mut seen = BTreeSet::new();
-        if let Some(twice) = setup.members.iter().find(|member| !seen.insert(member.front)) {
-            return Err(Error::Twice(twice.front));
+    pub fn new(at: Moment, setup: Setup, saved: Option<Saved>) -> Result<Ledger, Error> {
+        check(&setup)?;
+        let fleet = fingerprint(&setup.fleet, setup.shards);
+        let own = Keeper { front: setup.own, disk: setup.disk };
+        let kept = saved.as_ref().map_or(Ok(BTreeMap::new()), |saved| records::read(&setup, fleet, saved))?;
+        let place = |shard| Place { ranked: ranked(&setup.members, shard), ..Place::default() };
+        let mut ledger = Ledger {
+            own,
+            places: (0..setup.shards).map(place).collect(),
+            peers: BTreeMap::new(),
+            asks: Asks::default(),
+            post: Post::new(fleet, setup.disk, setup.incarnation, setup.repair_bytes),
+            records: Vec::new(),
+            next_save: 1,
+            unsaved: VecDeque::new(),
+            done: Vec::new(),
+            out: Out::default(),
+            tick_at: at.steady,
+            look_at: at.steady,
+            touched: BTreeSet::new(),
+            tallies: Tallies::default(),
+            setup,
+        };
+        if kept.is_empty() {
+            ledger.records.push(records::mark(fleet, own.disk));
         }
-        if setup.copies == 0 || setup.copies > setup.members.len() {
-            return Err(Error::Copies { copies: setup.copies, members: setup.members.len() });
+        for (shard, kept) in kept {
+            ledger.reopen(shard, kept)?;
         }
-        if setup.shards == 0 || setup.shards > 1_024 {
-            return Err(Error::Shards(setup.shards));
+        ledger.conceive();
+        ledger.settle(at);
+        Ok(ledger)
+    }
+
+    /// Goes on with a shard from what was kept of it.
+    fn reopen(&mut self, shard: u16, kept: records::Kept) -> Result<(), Error> {
+        let own = self.own;
+        let place = self.places.get_mut(usize::from(shard)).ok_or(Error::Fleet)?;
+        place.birth = (!kept.birth.is_empty()).then(|| Birth::new(kept.birth));
+        let Some(Meta { config, keepers, mine, .. }) = kept.meta else { return Ok(()) };
+        place.birth = None;
+        place.barred = config;
+        if mine {
+            let first = place.ranked.first() == Some(&own.front);
+            let replica = Replica::open(shard, config, &keepers, own, first, kept.held);
+            let damaged = || Error::Damaged { record: format!("members of shard {shard}") };
+            place.replica = Some(replica.ok_or_else(damaged)?);
         }
-        let (shards, waiting) = (BTreeMap::new(), BTreeMap::new());
-        Ok(Ledger { setup, shards, waiting, out: Out::default(), tallies: Tallies::default() })
+        place.known = Some((config, keepers));
+        Ok(())
     }
 
     /// Asks for an act; one answer follows.
     pub fn ask(&mut self, at: Moment, ask: Ask) {
-        if self.setup.members.len() > 1 || self.setup.members[0].front != self.setup.own {
-            self.waiting.insert(ask.number, at.steady + self.setup.patience);
+        let Ask { number, key, act } = ask;
+        let long = match &act {
+            Act::Claim { value, .. } | Act::Put { value, .. } => value.len() > LONGEST_VALUE,
+            Act::Free | Act::Read => false,
+        };
+        if self.asks.is_waiting(number) {
             return;
         }
-        let limits = Limits::of(&self.setup);
-        let state =
-            self.shards.entry(shard_of(&ask.key, self.setup.shards)).or_insert_with(|| State::new(limits));
-        let owner = Owner { front: self.setup.own, incarnation: self.setup.incarnation };
-        let Ask { number, key, act } = ask;
-        let commands = vec![Command { owner, number, asked_ms: at.wall_ms, key, act }];
-        let outcomes = state.apply(&Batch { wall_ms: at.wall_ms, commands, next: None });
-        self.out.done.extend(outcomes.into_iter().map(|outcome| Done { number, outcome }));
+        if long || key.name.len() > LONGEST_NAME {
+            self.refuse("too long");
+            return self.out.done.push(Done { number, outcome: Outcome::Full });
+        }
+        let shard = shard_of(&key, self.setup.shards);
+        let owner = Owner { front: self.own.front, incarnation: self.setup.incarnation };
+        let asked_ms = self.asks.first(number, at.wall_ms);
+        let command = Command { owner, number, asked_ms, key, act };
+        if !self.asks.wait(command, shard, at.steady + self.setup.patience) {
+            return self.out.done.push(Done { number, outcome: Outcome::Unreachable });
+        }
+        self.route(at, number);
+        self.settle(at);
+    }
+
+    /// Asks whoever owns the shard, as far as that is known.
+    fn route(&mut self, at: Moment, number: u64) {
+        let Some((waiting, tries)) = self.asks.tries(at.steady, number) else { return };
+        let Some(place) = self.places.get_mut(usize::from(waiting.shard)) else { return };
+        let shard = waiting.shard;
+        if let Some(replica) = place.replica.as_mut().filter(|replica| replica.leads()) {
+            replica.ask(waiting.command.clone(), waiting.ends);
+            self.touched.insert(shard);
+            return;
+        }
+        let owner = place.replica.as_ref().and_then(Replica::owner).or(place.hint);
+        let keepers: Vec<FrontId> = place.keepers().iter().map(|keeper| keeper.front).collect();
+        let rest = place.ranked.iter().filter(|front| !keepers.contains(front)).copied();
+        let others: Vec<FrontId> = keepers.iter().copied().chain(rest).collect();
+        if let Some(to) = asks::whom(owner, &others, self.own.front, tries) {
+            let word = Word::Ask { shard, command: waiting.command.clone() };
+            self.post.say(at, to, &word, Pace::Quick);
+        }
     }
 
-    /// A letter of a front has come, whose signature holds.
-    pub fn heard(&mut self, _at: Moment, _from: FrontId, _bytes: &[u8]) {}
+    /// Another says who owns the shard of an ask.
+    pub(crate) fn elsewhere(&mut self, at: Moment, from: FrontId, number: u64, owner: Option<FrontId>) {
+        let Some(shard) = self.asks.shard(number) else { return };
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let owner = owner.filter(|owner| *owner != from);
+        let new = owner.is_some() && owner != place.hint;
+        place.hint = owner.or(place.hint.filter(|hint| *hint != from));
+        if new {
+            self.route(at, number);
+        }
+    }
+
+    /// The answer to an ask of this front, to be told once what it rests on is lasting here.
+    pub(crate) fn answered(&mut self, owner: Option<FrontId>, number: u64, outcome: Outcome) {
+        let Some(shard) = self.asks.answered(number) else { return };
+        if let Some(place) = self.places.get_mut(usize::from(shard)) {
+            place.hint = owner.or(place.hint);
+        }
+        self.tallies.answered += 1;
+        self.done.push(Done { number, outcome });
+    }
+
+    /// An ask of another front has come.
+    pub(crate) fn asked(&mut self, at: Moment, from: FrontId, shard: u16, command: Command) {
+        let fits = command.owner.front == from && shard_of(&command.key, self.setup.shards) == shard;
+        if !fits || size(&command) > LONGEST_NAME + LONGEST_VALUE {
+            return self.refuse("another's ask");
+        }
+        let (incarnation, number) = (command.owner.incarnation, command.number);
+        let ends = at.steady + self.setup.patience;
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let owner = match &mut place.replica {
+            Some(replica) if replica.leads() => {
+                if !replica.ask(command, ends) {
+                    self.refuse("too many asks");
+                }
+                return;
+            }
+            Some(replica) => replica.owner(),
+            None => place.hint,
+        };
+        let members = (place.config(), place.keepers().to_vec());
+        let word = Word::Elsewhere { shard, incarnation, number, owner };
+        self.post.say(at, from, &word, Pace::Quick);
+        if place.replica.is_none() && members.0 > 0 {
+            let word = Word::Members { shard, config: members.0, keepers: members.1 };
+            self.post.say(at, from, &word, Pace::Quick);
+        }
+    }
 
     /// Does what is due.
     pub fn tick(&mut self, at: Moment) {
-        let out = &mut self.out;
-        self.waiting.retain(|number, ends| {
-            if *ends <= at.steady {
-                out.done.push(Done { number: *number, outcome: Outcome::Unreachable });
+        let (again, ended) = self.asks.due_now(at);
+        self.out.done.extend(ended.into_iter().map(|(number, outcome)| Done { number, outcome }));
+        again.into_iter().for_each(|number| self.route(at, number));
+        if self.tick_at <= at.steady {
+            // One that stood still does not catch up: the logs' clocks count turns they had.
+            self.tick_at = at.steady + TICK;
+            for (shard, place) in (0..).zip(&mut self.places) {
+                if let Some(replica) = &mut place.replica {
+                    replica.tick();
+                    self.touched.insert(shard);
+                }
             }
-            *ends > at.steady
-        });
+            self.look(at);
+        }
+        self.settle(at);
     }
 
     /// When `tick` is next due, on the steady clock.
     pub fn due(&self) -> Micros {
-        self.waiting.values().copied().min().unwrap_or(Micros::MAX)
+        let keeps = self.places.iter().any(|place| place.replica.is_some() || place.birth.is_some());
+        let tick = if keeps { self.tick_at } else { Micros::MAX };
+        tick.min(self.asks.due()).min(self.post.due())
     }
 
-    /// What is to be done for it since it was last asked.
+    /// What is to be done for it since it was last asked. What `letters` holds may leave at once.
     pub fn take(&mut self) -> Out {
         std::mem::take(&mut self.out)
     }
 
-    /// A save is lasting, or has failed.
-    pub fn saved(&mut self, _at: Moment, _number: u64, _ok: bool) {}
+    /// A save is lasting, with those before it, or has failed.
+    pub fn saved(&mut self, at: Moment, number: u64, ok: bool) {
+        if !ok {
+            self.fail();
+        }
+        while self.unsaved.front().is_some_and(|(first, _)| *first <= number) {
+            let done = self.unsaved.pop_front().map(|(_, done)| done).unwrap_or_default();
+            self.out.done.extend(done);
+        }
+        self.settle(at);
+    }
+
+    /// Nothing can be kept any more: this front is a member of nothing in this life, and says so.
+    fn fail(&mut self) {
+        self.tallies.failed = true;
+        self.post.disk = 0;
+        self.own.disk = 0;
+        for place in &mut self.places {
+            (place.replica, place.birth, place.learned) = (None, None, None);
+            (place.barred, place.leads, place.repair) = (u32::MAX, None, None);
+        }
+        self.records.clear();
+        // What rests on a save that failed may stand or not.
+        for (_, done) in &mut self.unsaved {
+            done.iter_mut().for_each(|done| done.outcome = Outcome::Unreachable);
+        }
+        let unsaved = std::mem::take(&mut self.unsaved);
+        self.out.done.extend(unsaved.into_iter().flat_map(|(_, done)| done));
+    }
+
+    /// Begins anew with another disk, or with none but memory: as a front that remembers nothing.
+    pub fn start_over(&mut self, at: Moment, disk: u64) {
+        self.fail();
+        self.tallies.failed = false;
+        self.setup.disk = disk;
+        self.own.disk = disk;
+        self.post.disk = disk;
+        self.post.incarnation = at.wall_ms.max(self.post.incarnation + 1);
+        self.records.push(records::mark(fingerprint(&self.setup.fleet, self.setup.shards), disk));
+        self.places.iter_mut().for_each(|place| place.barred = 0);
+        self.conceive();
+        self.settle(at);
+    }
+
+    /// Takes in what has happened, and gathers what is to go out.
+    pub(crate) fn settle(&mut self, at: Moment) {
+        while let Some(shard) = self.touched.pop_first() {
+            self.settle_shard(at, shard);
+        }
+        let letters = self.post.letters(at);
+        let mut must = !self.records.is_empty();
+        for place in &mut self.places {
+            must |= place.replica.as_mut().is_some_and(Replica::must_save);
+        }
+        let done = std::mem::take(&mut self.done);
+        if must {
+            let mut records = std::mem::take(&mut self.records);
+            for replica in self.places.iter_mut().filter_map(|place| place.replica.as_mut()) {
+                replica.records(&mut records);
+            }
+            return self.save(records, letters, done);
+        }
+        if self.unsaved.is_empty() {
+            self.out.letters.extend(letters);
+            self.out.done.extend(done);
+        } else if !letters.is_empty() || !done.is_empty() {
+            self.save(Vec::new(), letters, done);
+        }
+    }
+
+    fn save(&mut self, records: Vec<Record>, letters: Vec<(FrontId, Vec<u8>)>, done: Vec<Done>) {
+        let number = self.next_save;
+        self.next_save += 1;
+        self.unsaved.push_back((number, done));
+        self.out.saves.push(Save { number, records, letters });
+    }
 
+    pub(crate) fn refuse(&mut self, why: &'static str) {
+        *self.tallies.refused.entry(why).or_default() += 1;
+    }
+
+    /// What it has counted, and what it keeps now.
     pub fn tallies(&self) -> Tallies {
-        self.tallies.clone()
+        let mut tallies = self.tallies.clone();
+        for place in &self.places {
+            let Some(replica) = &place.replica else { continue };
+            tallies.copies += 1;
+            tallies.entries += replica.state.len();
+            tallies.bytes += replica.state.bytes();
+            if place.leads.is_some() {
+                tallies.owned += 1;
+                tallies.missing += usize::from(place.repair.is_some());
+            }
+        }
+        tallies
+    }
+
+    /// The shards that this front keeps, each with the number of its members' change and whether this front owns it.
+    pub fn kept(&self) -> impl Iterator<Item = (u16, u32, bool)> + '_ {
+        let replicas = self.places.iter().filter_map(|place| place.replica.as_ref());
+        replicas.map(|replica| (replica.shard, replica.config, replica.leads()))
+    }
+
+    /// All entries that this front keeps copies of, as far as they are decided here; for tests and for the curious.
+    pub fn entries(&self) -> impl Iterator<Item = &crate::Entry> {
+        self.places.iter().filter_map(|place| place.replica.as_ref()).flat_map(|r| r.state.entries())
+    }
+}
+
+/// The state that a base tells, where the copy that this front has been given bears it.
+pub(crate) fn state_of(base: &Base, learned: Option<(u32, u64, State)>, config: u32) -> Option<(u64, State)> {
+    match base {
+        Base::Whole { index, state } => Some((*index, crate::words::read(state)?)),
+        Base::After { index, batches } => {
+            let (of, at, mut state) = learned?;
+            if (of.checked_add(1), at) != (Some(config), *index) {
+                return None;
+            }
+            batches.iter().for_each(|batch| _ = state.apply(batch));
+            state.next().is_some().then(|| (crate::replica::FIRST, state.handed_over()))
+        }
     }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -3,15 +3,22 @@
 //! a majority of them has it lasting. No sockets, no clock, no files, no chance: whoever calls hands in letters, the
 //! time and what was saved, and sends and saves what comes out.
 //!
-//! An ask asked twice counts once: it is known by its front, the front's incarnation and the ask's number. The number
+//! An ask asked twice counts once (a claim asked again is answered by what stands now): it is known by its front, the front's incarnation and the ask's number. The number
 //! may be asked again for `REMEMBERED_MS` after it was first asked; later it is answered `Unreachable`.
 
+mod asks;
+mod birth;
 mod error;
 mod ledger;
-#[allow(dead_code)]
+mod log;
 mod placement;
-#[allow(dead_code)] // snapshots and handing over are for the copies, which come next
+mod post;
+mod records;
+mod repair;
+mod replica;
+mod shards;
 mod state;
+mod words;
 
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/crates/ledger/src/log.rs
@@ -0,0 +1,176 @@
+//! A shard's log: kept with the other members through OmniPaxos, or by this front alone where it is the only one.
+
+use hallmux_replica::{Held, Store};
+use omnipaxos::messages::Message;
+use omnipaxos::storage::{Snapshot, Storage};
+use omnipaxos::util::LogEntry;
+use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
+
+use crate::state::{Batch, Folded, Keeper, State};
+use crate::FrontId;
+
+const ELECTION_TICKS: u64 = 6; // 300 ms without word of an owner: some round trips and a stall of a busy machine
+const RESEND_TICKS: u64 = 4; // 200 ms until a message counts as lost
+const FOLDED_AFTER: usize = 64; // decided entries until the log is folded: a follower further behind gets it whole
+
+enum Kind {
+    Many(Box<OmniPaxos<Batch, Store<Batch>>>),
+    One,
+}
+
+pub(crate) struct Log {
+    kind: Kind,
+    store: Store<Batch>,
+    keepers: Vec<Keeper>,
+    own: FrontId,
+}
+
+impl Log {
+    /// `first` leads where nobody does yet. None where this front is not among the members.
+    pub fn new(
+        config: u32,
+        keepers: &[Keeper],
+        own: Keeper,
+        first: bool,
+        store: Store<Batch>,
+    ) -> Option<Log> {
+        let place = keepers.iter().position(|keeper| *keeper == own)?;
+        let kind = if keepers.len() == 1 {
+            Kind::One
+        } else {
+            let cluster_config = ClusterConfig {
+                configuration_id: config,
+                nodes: (1..=keepers.len() as u64).collect(),
+                ..ClusterConfig::default()
+            };
+            let server_config = ServerConfig {
+                pid: place as u64 + 1,
+                election_tick_timeout: ELECTION_TICKS,
+                resend_message_tick_timeout: RESEND_TICKS,
+                leader_priority: u32::from(first),
+                ..ServerConfig::default()
+            };
+            let config = OmniPaxosConfig { cluster_config, server_config };
+            Kind::Many(Box::new(config.build(store.clone()).ok()?))
+        };
+        Some(Log { kind, store, keepers: keepers.to_vec(), own: own.front })
+    }
+
+    fn front(&self, number: u64) -> Option<FrontId> {
+        let place = usize::try_from(number.checked_sub(1)?).ok()?;
+        self.keepers.get(place).map(|keeper| keeper.front)
+    }
+
+    /// Who owns the shard as far as this member knows, and whether that one is ready for asks.
+    pub fn owner(&self) -> Option<(FrontId, bool)> {
+        match &self.kind {
+            Kind::One => Some((self.own, true)),
+            Kind::Many(log) => {
+                let (number, ready) = log.get_current_leader()?;
+                Some((self.front(number)?, ready))
+            }
+        }
+    }
+
+    pub fn leads(&self) -> bool {
+        self.owner() == Some((self.own, true))
+    }
+
+    pub fn tick(&mut self) {
+        if let Kind::Many(log) = &mut self.kind {
+            log.tick();
+        }
+    }
+
+    /// A message of a member; whether it was its sender's own and for this front.
+    pub fn heard(&mut self, from: FrontId, message: Message<Batch>) -> bool {
+        let known = self.front(message.get_sender()) == Some(from)
+            && self.front(message.get_receiver()) == Some(self.own);
+        match &mut self.kind {
+            Kind::Many(log) if known && from != self.own => log.handle_incoming(message),
+            _ => return false,
+        }
+        true
+    }
+
+    pub fn messages(&mut self) -> Vec<(FrontId, Message<Batch>)> {
+        let mut messages = Vec::new();
+        if let Kind::Many(log) = &mut self.kind {
+            log.take_outgoing_messages(&mut messages);
+        }
+        let to = |message: &Message<Batch>| self.front(message.get_receiver()).filter(|to| *to != self.own);
+        messages.into_iter().filter_map(|message| Some((to(&message)?, message))).collect()
+    }
+
+    /// Whether something that was proposed is not decided yet.
+    pub fn is_under_way(&self) -> bool {
+        match &self.kind {
+            Kind::Many(log) => log.get_accepted_idx() > log.get_decided_idx(),
+            Kind::One => false,
+        }
+    }
+
+    pub fn append(&mut self, batch: Batch) -> bool {
+        match &mut self.kind {
+            Kind::Many(log) => log.append(batch).is_ok(),
+            Kind::One => {
+                let kept = self.store.append_entry(batch).is_ok();
+                let end = self.store.look(Held::end);
+                kept && self.store.set_decided_idx(end).is_ok()
+            }
+        }
+    }
+
+    pub fn decided(&self) -> usize {
+        match &self.kind {
+            Kind::Many(log) => log.get_decided_idx(),
+            Kind::One => self.store.look(|held| held.decided),
+        }
+    }
+
+    pub fn compacted(&self) -> usize {
+        self.store.look(|held| held.compacted)
+    }
+
+    /// What is decided from this entry on: the state where the log was folded beyond it, and the batches after it.
+    pub fn since(&self, from: usize) -> (Option<State>, Vec<Batch>) {
+        let Kind::Many(log) = &self.kind else {
+            return self.store.look(|held| {
+                let folded = held.snapshot.as_ref().filter(|_| from < held.compacted);
+                let at = from.saturating_sub(held.compacted).min(held.log.len());
+                (folded.map(Folded::state), held.log[at..].to_vec())
+            });
+        };
+        let (mut state, mut batches) = (None, Vec::new());
+        for entry in log.read_decided_suffix(from).unwrap_or_default() {
+            match entry {
+                LogEntry::Decided(batch) => batches.push(batch),
+                LogEntry::Snapshotted(snapshotted) => {
+                    (state, batches) = (Some(snapshotted.snapshot.state()), Vec::new());
+                }
+                LogEntry::Undecided(_) | LogEntry::Trimmed(_) | LogEntry::StopSign(..) => {}
+            }
+        }
+        (state, batches)
+    }
+
+    /// Folds what is decided once there is enough of it.
+    pub fn fold(&mut self) {
+        let decided = self.decided();
+        if decided.saturating_sub(self.compacted()) < FOLDED_AFTER {
+            return;
+        }
+        match &mut self.kind {
+            // What can't be folded now is folded next time.
+            Kind::Many(log) => _ = log.snapshot(Some(decided), true),
+            Kind::One => {
+                let (snapshot, entries) = self.store.look(|held| (held.snapshot.clone(), held.log.clone()));
+                let mut folded = snapshot.unwrap_or_default();
+                folded.merge(Folded::create(&entries));
+                let _ = self.store.set_snapshot(Some(folded));
+                let _ = self.store.trim(decided);
+                let _ = self.store.set_compacted_idx(decided);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/post.rs
@@ -0,0 +1,278 @@
+//! Words into letters and back: small ones share a datagram, long ones are cut into pieces that are sent at a stated
+//! pace, asked for again where they are lost, and put together.
+
+use std::collections::BTreeMap;
+
+use crate::words::{self, Letter, Sheet, Word, FORM};
+use crate::{DiskId, FrontId, Micros, Moment};
+
+/// Bytes of a letter at most: a datagram of gossip (1,200) less its seal (92), its sender's own rumour and lengths
+/// (44), and the byte that tells whose letter it is.
+pub(crate) const ROOM: usize = 1_040;
+const HEAD: usize = 48; // bytes of a letter beside its words or its piece at most
+const PIECE: usize = ROOM - HEAD;
+const MOST_PIECES: usize = 4_096; // of a word: some 4 MB
+const MOST_PARTS: usize = 64; // words of one front that are being put together
+const MOST_HELD: usize = 32 * 1_024 * 1_024; // bytes of pieces that wait for others
+const STALLED: Micros = 60_000; // microseconds without a piece until gaps are asked for
+const TAIL: Micros = 400_000; // microseconds until pieces count as lost that may yet have to be sent
+const GIVEN_UP: Micros = 10_000_000; // microseconds without a sign until a long word is forgotten
+const MOST_MISSING: usize = 256; // pieces asked for at once
+const QUICK: f64 = 2_000_000.0; // bytes a second of long words of the log: a follower waits for them
+
+/// How soon a long word has to be there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Pace {
+    Quick,
+    /// By the budget for making copies again.
+    Repair,
+}
+
+/// Bytes a second, with a tenth of a second's worth saved up, and a piece at least.
+#[derive(Debug)]
+struct Tokens {
+    rate: f64,
+    left: f64,
+    at: Micros,
+}
+
+impl Tokens {
+    fn new(rate: f64) -> Tokens {
+        Tokens { rate, left: 0.0, at: 0 }
+    }
+
+    fn fill(&mut self, now: Micros) {
+        let gained = (now - self.at).max(0) as f64 / 1e6 * self.rate;
+        self.left = (self.left + gained).min((self.rate / 10.0).max(ROOM as f64));
+        self.at = now;
+    }
+
+    /// When the next piece may leave.
+    fn due(&self) -> Micros {
+        self.at + ((ROOM as f64 - self.left).max(0.0) / self.rate.max(1.0) * 1e6) as Micros + 1
+    }
+}
+
+struct Long {
+    to: FrontId,
+    pace: Pace,
+    bytes: Vec<u8>,
+    /// Pieces that are to be sent, the next last.
+    to_send: Vec<u16>,
+    touched: Micros,
+}
+
+struct Part {
+    pieces: Vec<Option<Vec<u8>>>,
+    held: usize,
+    touched: Micros,
+    asked: Micros,
+}
+
+pub(crate) struct Post {
+    fleet: u64,
+    pub disk: DiskId,
+    pub incarnation: u64,
+    small: BTreeMap<FrontId, Vec<Vec<u8>>>,
+    long: BTreeMap<u64, Long>,
+    next_long: u64,
+    parts: BTreeMap<(FrontId, u64), Part>,
+    held: usize,
+    quick: Tokens,
+    repair: Tokens,
+    sheets: Vec<(FrontId, Sheet)>,
+}
+
+impl Post {
+    pub fn new(fleet: u64, disk: DiskId, incarnation: u64, repair_bytes: u32) -> Post {
+        Post {
+            fleet,
+            disk,
+            incarnation,
+            small: BTreeMap::new(),
+            long: BTreeMap::new(),
+            next_long: incarnation << 20, // an earlier life's are not this one's
+            parts: BTreeMap::new(),
+            held: 0,
+            quick: Tokens::new(QUICK),
+            repair: Tokens::new(f64::from(repair_bytes)),
+            sheets: Vec::new(),
+        }
+    }
+
+    pub fn say(&mut self, at: Moment, to: FrontId, word: &Word, pace: Pace) {
+        let bytes = words::bytes(word);
+        if bytes.len() + 3 <= PIECE {
+            self.small.entry(to).or_default().push(bytes);
+            return;
+        }
+        let count = bytes.len().div_ceil(PIECE);
+        if count > MOST_PIECES {
+            return; // bounds of a shard keep it below
+        }
+        let to_send = (0..count as u16).rev().collect();
+        self.long.insert(self.next_long, Long { to, pace, bytes, to_send, touched: at.steady });
+        self.next_long += 1;
+    }
+
+    /// Whether a long word to this front is under way at this pace.
+    pub fn is_busy(&self, to: FrontId, pace: Pace) -> bool {
+        self.long.values().any(|long| long.to == to && long.pace == pace)
+    }
+
+    /// A letter has come: its head, and the words that are whole by it.
+    pub fn heard(
+        &mut self,
+        at: Moment,
+        from: FrontId,
+        bytes: &[u8],
+    ) -> Result<(Letter, Vec<Word>), &'static str> {
+        let mut letter: Letter = words::read(bytes).ok_or("form")?;
+        if letter.form != FORM {
+            return Err("version");
+        }
+        if letter.fleet != self.fleet {
+            return Err("fleet");
+        }
+        let sheet = std::mem::replace(&mut letter.sheet, Sheet::Words(Vec::new()));
+        let whole = match sheet {
+            Sheet::Words(words) => words,
+            Sheet::Piece { id, index, count, bytes } => {
+                self.piece(at, (from, id), index, count, bytes)?.into_iter().collect()
+            }
+            Sheet::Again { id, missing } => {
+                if let Some(long) = self.long.get_mut(&id).filter(|long| long.to == from) {
+                    let count = long.bytes.len().div_ceil(PIECE) as u16;
+                    let new = missing.into_iter().rev().filter(|n| *n < count && !long.to_send.contains(n));
+                    let new: Vec<u16> = new.collect();
+                    long.to_send.extend(new);
+                    long.touched = at.steady;
+                }
+                Vec::new()
+            }
+            Sheet::Whole { id } => {
+                if self.long.get(&id).is_some_and(|long| long.to == from) {
+                    self.long.remove(&id);
+                }
+                Vec::new()
+            }
+        };
+        let words: Option<Vec<Word>> = whole.iter().map(|word| words::read(word)).collect();
+        Ok((letter, words.ok_or("form")?))
+    }
+
+    fn piece(
+        &mut self,
+        at: Moment,
+        of: (FrontId, u64),
+        index: u16,
+        count: u16,
+        bytes: Vec<u8>,
+    ) -> Result<Option<Vec<u8>>, &'static str> {
+        let many = self.parts.range((of.0, 0)..=(of.0, u64::MAX)).count() >= MOST_PARTS;
+        if index >= count || usize::from(count) > MOST_PIECES || bytes.len() > PIECE {
+            return Err("form");
+        }
+        if !self.parts.contains_key(&of) && many || self.held + bytes.len() > MOST_HELD {
+            return Err("too much");
+        }
+        let none =
+            || Part { pieces: vec![None; count.into()], held: 0, touched: at.steady, asked: at.steady };
+        let part = self.parts.entry(of).or_insert_with(none);
+        let place = part.pieces.get_mut(usize::from(index)).ok_or("form")?;
+        part.touched = at.steady;
+        if place.is_none() {
+            (part.held, self.held) = (part.held + bytes.len(), self.held + bytes.len());
+            *place = Some(bytes);
+        }
+        if part.pieces.iter().any(Option::is_none) {
+            return Ok(None);
+        }
+        let part = self.parts.remove(&of).ok_or("form")?;
+        self.held -= part.held;
+        self.sheets.push((of.0, Sheet::Whole { id: of.1 }));
+        Ok(Some(part.pieces.into_iter().flatten().flatten().collect()))
+    }
+
+    /// When there is something to do without a word or a letter.
+    pub fn due(&self) -> Micros {
+        let paced = |pace, tokens: &Tokens| {
+            let waits = self.long.values().any(|long| long.pace == pace && !long.to_send.is_empty());
+            if waits {
+                tokens.due()
+            } else {
+                Micros::MAX
+            }
+        };
+        let parts = self.parts.values().map(|part| part.touched.max(part.asked) + STALLED);
+        let long = self.long.values().map(|long| long.touched + GIVEN_UP);
+        let quick = paced(Pace::Quick, &self.quick).min(paced(Pace::Repair, &self.repair));
+        parts.chain(long).min().unwrap_or(Micros::MAX).min(quick)
+    }
+
+    /// The letters that may leave now.
+    pub fn letters(&mut self, at: Moment) -> Vec<(FrontId, Vec<u8>)> {
+        self.ask_again(at.steady);
+        let mut sheets = std::mem::take(&mut self.sheets);
+        for (to, words) in std::mem::take(&mut self.small) {
+            let (mut sheet, mut used) = (Vec::new(), 0);
+            for word in words {
+                if used + word.len() + 3 > PIECE {
+                    sheets.push((to, Sheet::Words(std::mem::take(&mut sheet))));
+                    used = 0;
+                }
+                used += word.len() + 3;
+                sheet.push(word);
+            }
+            sheets.push((to, Sheet::Words(sheet)));
+        }
+        self.pieces(at.steady, &mut sheets);
+        let (fleet, disk, incarnation, wall_ms) = (self.fleet, self.disk, self.incarnation, at.wall_ms);
+        let letter = |sheet| words::bytes(&Letter { form: FORM, fleet, disk, incarnation, wall_ms, sheet });
+        sheets.into_iter().map(|(to, sheet)| (to, letter(sheet))).collect()
+    }
+
+    fn pieces(&mut self, now: Micros, sheets: &mut Vec<(FrontId, Sheet)>) {
+        self.quick.fill(now);
+        self.repair.fill(now);
+        self.long.retain(|_, long| now - long.touched < GIVEN_UP);
+        for (id, long) in &mut self.long {
+            let tokens = if long.pace == Pace::Quick { &mut self.quick } else { &mut self.repair };
+            let count = long.bytes.len().div_ceil(PIECE) as u16;
+            while tokens.left >= ROOM as f64 {
+                let Some(index) = long.to_send.pop() else { break };
+                let Some(bytes) = long.bytes.chunks(PIECE).nth(index.into()) else { continue };
+                tokens.left -= (bytes.len() + HEAD) as f64;
+                long.touched = now;
+                sheets.push((long.to, Sheet::Piece { id: *id, index, count, bytes: bytes.to_vec() }));
+            }
+        }
+    }
+
+    fn ask_again(&mut self, now: Micros) {
+        let held = &mut self.held;
+        self.parts.retain(|_, part| {
+            let stays = now - part.touched < GIVEN_UP;
+            *held -= if stays { 0 } else { part.held };
+            stays
+        });
+        for ((from, id), part) in &mut self.parts {
+            if now - part.touched.max(part.asked) < STALLED {
+                continue;
+            }
+            part.asked = now;
+            // What follows the last that has come may only be waiting for its turn.
+            let last = part.pieces.iter().rposition(Option::is_some).unwrap_or(0);
+            let sure = if now - part.touched >= TAIL { part.pieces.len() } else { last };
+            let missing = part.pieces.iter().take(sure).enumerate().filter(|(_, piece)| piece.is_none());
+            let missing: Vec<u16> = missing.map(|(n, _)| n as u16).take(MOST_MISSING).collect();
+            if !missing.is_empty() {
+                self.sheets.push((*from, Sheet::Again { id: *id, missing }));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "post_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/ledger/src/post_tests.rs
@@ -0,0 +1,92 @@
+use super::*;
+use crate::state::State;
+
+fn post(front: u64) -> Post {
+    Post::new(7, front * 10, front, 20_000)
+}
+
+fn at(steady: Micros) -> Moment {
+    Moment { steady, wall_ms: 1_000 }
+}
+
+fn long(bytes: usize) -> Word {
+    Word::Copy { shard: 1, config: 1, index: 1, state: (0..bytes).map(|n| (n % 251) as u8).collect() }
+}
+
+#[test]
+fn small_words_share_a_letter_and_no_letter_is_longer_than_a_datagram() {
+    let (mut one, mut other) = (post(1), post(2));
+    for shard in 0..200 {
+        one.say(at(0), 2, &Word::Offer { shard }, Pace::Quick);
+    }
+    one.say(at(0), 3, &Word::Offer { shard: 1 }, Pace::Quick);
+    let letters = one.letters(at(0));
+    assert!(
+        letters.len() == 3 && letters.iter().all(|(_, letter)| letter.len() <= ROOM),
+        "{}",
+        letters.len()
+    );
+    let words: usize = letters[..2].iter().map(|(_, l)| other.heard(at(0), 1, l).unwrap().1.len()).sum();
+    assert_eq!(words, 200);
+}
+
+#[test]
+fn a_long_word_comes_whole_though_pieces_are_lost_doubled_and_out_of_order() {
+    let (mut one, mut other) = (post(1), post(2));
+    one.say(at(0), 2, &long(60_000), Pace::Quick);
+    let (mut now, mut heard, mut lost) = (0, Vec::new(), 0u64);
+    while heard.is_empty() && now < 5_000_000 {
+        now += 10_000;
+        let mut letters = one.letters(at(now));
+        letters.reverse();
+        for (_, letter) in letters {
+            assert!(letter.len() <= ROOM, "{}", letter.len());
+            lost += 1;
+            if lost % 3 != 0 {
+                heard.extend(other.heard(at(now), 1, &letter).unwrap().1);
+                heard.extend(other.heard(at(now), 1, &letter).unwrap().1);
+            }
+        }
+        for (_, letter) in other.letters(at(now)) {
+            one.heard(at(now), 2, &letter).unwrap();
+        }
+    }
+    let Some(Word::Copy { state, .. }) = heard.first() else { panic!("{}", heard.len()) };
+    assert_eq!(state.len(), 60_000);
+    assert!(state.iter().enumerate().all(|(n, byte)| *byte == (n % 251) as u8));
+}
+
+#[test]
+fn making_copies_again_keeps_to_its_budget() {
+    let mut one = post(1);
+    one.say(at(0), 2, &long(100_000), Pace::Repair);
+    let mut sent = 0;
+    for now in 0..300 {
+        sent += one.letters(at(now * 10_000)).iter().map(|(_, letter)| letter.len()).sum::<usize>();
+    }
+    assert!((50_000..=63_000).contains(&sent), "{sent} bytes in 3 s at 20,000 a second");
+}
+
+#[test]
+fn letters_of_another_fleet_or_form_are_refused_and_nothing_spoilt_is_believed() {
+    let mut one = post(1);
+    one.say(at(0), 2, &long(3_000), Pace::Quick);
+    one.say(at(0), 2, &Word::Offer { shard: 1 }, Pace::Quick);
+    let mut foreign = Post::new(8, 20, 2, 1);
+    for now in 0..5 {
+        for (_, letter) in one.letters(at(now * 100_000)) {
+            assert_eq!(foreign.heard(at(0), 1, &letter).err(), Some("fleet"));
+            for cut in 0..letter.len() {
+                assert!(post(2).heard(at(0), 1, &letter[..cut]).is_err(), "{cut}");
+            }
+            let newer = [&[FORM + 1], &letter[1..]].concat();
+            assert_eq!(post(2).heard(at(0), 1, &newer).err(), Some("version"));
+            for place in 0..letter.len() {
+                let mut spoilt = letter.clone();
+                spoilt[place] ^= 0x81;
+                let _ = post(2).heard(at(0), 1, &spoilt);
+            }
+        }
+    }
+    assert!(words::read::<State>(&[0xff; 30]).is_none());
+}
--- /dev/null
+++ b/crates/ledger/src/repair.rs
@@ -0,0 +1,93 @@
+//! Copies that are missing: a member that lost its disk, or that nobody has heard for long, is replaced by a change of
+//! the shard's members, once the one that takes its place has caught up.
+
+use crate::state::Keeper;
+use crate::{FrontId, Micros};
+
+/// Microseconds that taking in a new member may take beside the time its copy takes by the budget.
+const PATIENCE: Micros = 10_000_000;
+const HEARD: Micros = 3_000_000; // microseconds since a front was heard for it to be taken in
+
+/// What is known of another front.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peer {
+    pub at: Micros,
+    pub incarnation: u64,
+    /// 0: it keeps nothing.
+    pub disk: u64,
+    pub wall_ms: u64,
+}
+
+/// A member that is to be replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Repair {
+    pub out: Keeper,
+    pub into: Keeper,
+    pub config: u32,
+    /// Entries that the copy holds, once it is there.
+    pub caught: Option<u64>,
+    ends: Micros,
+}
+
+impl Repair {
+    pub fn new(now: Micros, out: Keeper, into: Keeper, config: u32, bytes: usize, rate: u32) -> Repair {
+        let takes = bytes as Micros * 2_000_000 / Micros::from(rate.max(1));
+        Repair { out, into, config, caught: None, ends: now + PATIENCE + takes }
+    }
+
+    /// Whether it can't go on.
+    pub fn is_over(&self, now: Micros, config: u32, into: Option<&Peer>) -> bool {
+        let here = into.is_some_and(|peer| peer.disk == self.into.disk);
+        self.ends <= now || self.config != config || !here
+    }
+
+    pub fn next(&self, keepers: &[Keeper]) -> Vec<Keeper> {
+        let mut next: Vec<Keeper> = keepers.iter().copied().filter(|keeper| *keeper != self.out).collect();
+        next.push(self.into);
+        next.sort_unstable();
+        next
+    }
+}
+
+/// A member that has to be replaced, and by whom where that is known already.
+pub(crate) fn missing(
+    now: Micros,
+    since: Micros,
+    after: Micros,
+    keepers: &[Keeper],
+    own: FrontId,
+    peer: impl Fn(FrontId) -> Option<Peer>,
+) -> Option<(Keeper, Option<Keeper>)> {
+    let mut silent = None;
+    for keeper in keepers.iter().filter(|keeper| keeper.front != own) {
+        let heard = peer(keeper.front);
+        match heard {
+            // Back with another disk: it remembers nothing, and is taken in as a new member. Without any: another is.
+            Some(peer) if peer.disk != keeper.disk => {
+                let back = Keeper { front: keeper.front, disk: peer.disk };
+                return Some((*keeper, Some(back).filter(|back| back.disk != 0 && now - peer.at < HEARD)));
+            }
+            heard => {
+                let last = heard.map_or(since, |peer| peer.at.max(since));
+                if now - last >= after {
+                    silent = silent.or(Some((*keeper, None)));
+                }
+            }
+        }
+    }
+    silent
+}
+
+/// Whoever is wanted most of those that are here and keep no copy yet.
+pub(crate) fn spare(
+    now: Micros,
+    ranked: &[FrontId],
+    keepers: &[Keeper],
+    peer: impl Fn(FrontId) -> Option<Peer>,
+) -> Option<Keeper> {
+    let mut free = ranked.iter().filter(|front| keepers.iter().all(|keeper| keeper.front != **front));
+    free.find_map(|front| {
+        let peer = peer(*front).filter(|peer| peer.disk != 0 && now - peer.at < HEARD)?;
+        Some(Keeper { front: *front, disk: peer.disk })
+    })
+}
--- /dev/null
+++ b/crates/ledger/src/replica.rs
@@ -0,0 +1,272 @@
+//! A shard as one of its members keeps it: the entries as far as they are decided, and, where it owns the shard, what
+//! was asked and waits for the next round.
+
+use std::collections::BTreeSet;
+
+use hallmux_replica::{Changes, Held, Store};
+use omnipaxos::messages::Message;
+
+use crate::log::Log;
+use crate::records::{self, Meta};
+use crate::state::{Batch, Command, Folded, Keeper, State};
+use crate::words::{Base, Word};
+use crate::{FrontId, Micros, Outcome, Owner, Record};
+
+const MOST_QUEUED: usize = 4_096; // asks that wait for a round
+const MOST_BATCH: usize = 8_192; // bytes of asks in a round: some datagrams to each member
+const ASK_OVERHEAD: usize = 48; // bytes that an ask counts beside its name and value
+
+/// Entries that the log starts with: the state that was handed over stands for one.
+pub(crate) const FIRST: u64 = 1;
+
+struct Waiting {
+    command: Command,
+    /// Microseconds on this clock from which its asker no longer waits.
+    ends: Micros,
+}
+
+pub(crate) struct Replica {
+    pub shard: u16,
+    pub config: u32,
+    pub keepers: Vec<Keeper>,
+    log: Log,
+    store: Store<Batch>,
+    pub state: State,
+    applied: usize,
+    queue: Vec<Waiting>,
+    /// Of the asks that wait or are under way here.
+    known: BTreeSet<(Owner, u64)>,
+    changes: Changes,
+    dirty: bool,
+    /// Log records that are kept, by the numbers of the first and of the next after the last.
+    kept: (usize, usize),
+    /// Members are to change: nothing more is proposed here.
+    changing: bool,
+}
+
+/// What has become of asks since it was last looked at.
+#[derive(Default)]
+pub(crate) struct Settled {
+    pub told: Vec<(Command, Outcome)>,
+    pub rounds: u64,
+}
+
+impl Replica {
+    /// Begins with what the members have decided; it becomes lasting with the next save.
+    pub fn begin(
+        shard: u16,
+        config: u32,
+        keepers: &[Keeper],
+        own: Keeper,
+        first: bool,
+        (index, state): (u64, State),
+    ) -> Option<Replica> {
+        let index = usize::try_from(index).ok()?;
+        let held =
+            Held { decided: index, compacted: index, snapshot: Some(Folded::of(state)), ..Held::default() };
+        let mut replica = Replica::open(shard, config, keepers, own, first, held)?;
+        replica.changes = Changes { must: true, log_from: None, snapshot: true };
+        replica.dirty = true;
+        Some(replica)
+    }
+
+    /// Goes on from what was kept.
+    pub fn open(
+        shard: u16,
+        config: u32,
+        keepers: &[Keeper],
+        own: Keeper,
+        first: bool,
+        held: Held<Batch>,
+    ) -> Option<Replica> {
+        let kept = (held.compacted, held.end());
+        let store = Store::new(held);
+        let log = Log::new(config, keepers, own, first, store.clone())?;
+        let mut replica = Replica {
+            shard,
+            config,
+            keepers: keepers.to_vec(),
+            log,
+            store,
+            state: State::default(),
+            applied: 0,
+            queue: Vec::new(),
+            known: BTreeSet::new(),
+            changes: Changes::default(),
+            dirty: false,
+            kept,
+            changing: false,
+        };
+        replica.apply();
+        Some(replica)
+    }
+
+    pub fn tick(&mut self) {
+        self.log.tick();
+    }
+
+    pub fn leads(&self) -> bool {
+        self.log.leads()
+    }
+
+    pub fn owner(&self) -> Option<FrontId> {
+        self.log.owner().map(|(owner, _)| owner)
+    }
+
+    /// How many entries it has applied.
+    pub fn applied(&self) -> u64 {
+        self.applied as u64
+    }
+
+    pub fn heard(&mut self, from: FrontId, message: Message<Batch>) -> bool {
+        self.log.heard(from, message)
+    }
+
+    /// An ask of the owner; false where it can't wait here.
+    pub fn ask(&mut self, command: Command, ends: Micros) -> bool {
+        if self.queue.len() >= MOST_QUEUED {
+            return false;
+        }
+        if self.known.insert((command.owner, command.number)) {
+            self.queue.push(Waiting { command, ends });
+        }
+        true
+    }
+
+    /// Proposes other members; true where that is under way.
+    pub fn change(&mut self, wall_ms: u64, next: Vec<Keeper>) -> bool {
+        if self.changing || !self.leads() || self.log.is_under_way() {
+            return self.changing;
+        }
+        self.changing = self.log.append(Batch { wall_ms, commands: Vec::new(), next: Some(next) });
+        self.changing
+    }
+
+    /// Proposes what waits, once the round before has ended; takes in what is decided.
+    pub fn settle(&mut self, now: Micros, wall_ms: u64) -> Settled {
+        let mut settled = Settled { told: self.apply(), rounds: 0 };
+        if !self.leads() {
+            // Whoever owns it now is asked again.
+            self.queue.clear();
+            self.known.clear();
+            self.changing = false;
+            return settled;
+        }
+        if !self.queue.is_empty() && !self.log.is_under_way() && !self.changing {
+            let (mut commands, mut bytes) = (Vec::new(), 0);
+            let waiting = std::mem::take(&mut self.queue);
+            for waiting in waiting {
+                let command = &waiting.command;
+                if waiting.ends <= now {
+                    self.known.remove(&(command.owner, command.number));
+                } else if bytes < MOST_BATCH {
+                    bytes += size(command);
+                    commands.push(waiting.command);
+                } else {
+                    self.queue.push(waiting);
+                }
+            }
+            if !commands.is_empty() && self.log.append(Batch { wall_ms, commands, next: None }) {
+                settled.rounds = 1;
+            }
+            settled.told.extend(self.apply());
+        }
+        self.log.fold();
+        settled
+    }
+
+    fn apply(&mut self) -> Vec<(Command, Outcome)> {
+        let decided = self.log.decided();
+        let mut told = Vec::new();
+        if decided <= self.applied {
+            return told;
+        }
+        let leads = self.leads();
+        let (state, batches) = self.log.since(self.applied);
+        if let Some(state) = state {
+            self.state = state;
+        }
+        for batch in batches {
+            let outcomes = self.state.apply(&batch);
+            for (command, outcome) in batch.commands.into_iter().zip(outcomes) {
+                self.known.remove(&(command.owner, command.number));
+                if leads {
+                    told.push((command, outcome));
+                }
+            }
+        }
+        self.applied = decided;
+        if !leads {
+            self.log.fold();
+        }
+        told
+    }
+
+    pub fn messages(&mut self) -> Vec<(FrontId, Word)> {
+        let (shard, config) = (self.shard, self.config);
+        let word = |message| Word::Log { shard, config, message: Box::new(message) };
+        self.log.messages().into_iter().map(|(to, message)| (to, word(message))).collect()
+    }
+
+    /// What one that has the entries up to this index of this log begins the next one with.
+    pub fn base_after(&self, index: u64) -> Base {
+        let from = usize::try_from(index).unwrap_or_default();
+        match self.log.since(from) {
+            (None, batches) if from >= self.log.compacted() => Base::After { index, batches },
+            _ => {
+                let state = crate::words::bytes(&self.state.handed_over());
+                Base::Whole { index: FIRST, state }
+            }
+        }
+    }
+
+    /// Whether something must be lasting before anything that follows from it is told.
+    pub fn must_save(&mut self) -> bool {
+        if let Some(changes) = self.store.changes() {
+            self.changes.must |= changes.must;
+            self.changes.snapshot |= changes.snapshot;
+            self.changes.log_from = self.changes.log_from.into_iter().chain(changes.log_from).min();
+            self.dirty = true;
+        }
+        self.changes.must
+    }
+
+    /// What has changed since it was last saved, as records.
+    pub fn records(&mut self, records: &mut Vec<Record>) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
+        let changes = std::mem::take(&mut self.changes);
+        let (shard, config, keepers, before) = (self.shard, self.config, self.keepers.clone(), self.kept);
+        self.kept = self.store.look(|held| {
+            let (compacted, end) = (held.compacted, held.end());
+            let (promise, accepted_round, decided) = (held.promise, held.accepted_round, held.decided);
+            let meta = Meta { config, keepers, mine: true, promise, accepted_round, decided, compacted, end };
+            records.push(records::meta(shard, &meta));
+            if let Some(snapshot) = held.snapshot.as_ref().filter(|_| changes.snapshot) {
+                records.push(records::snapshot(shard, snapshot));
+            }
+            let from = changes.log_from.unwrap_or(end).max(compacted);
+            for (index, batch) in (compacted..end).zip(&held.log).skip(from - compacted) {
+                records.push(records::entry(shard, index, batch));
+            }
+            let gone = (before.0..compacted.min(before.1)).chain(end.max(before.0)..before.1);
+            records.extend(gone.map(|index| records::no_entry(shard, index)));
+            (compacted, end)
+        });
+    }
+
+    /// Nothing is kept of its log any more; what follows says what is.
+    pub fn forgotten(&self, records: &mut Vec<Record>) {
+        records.extend((self.kept.0..self.kept.1).map(|index| records::no_entry(self.shard, index)));
+    }
+}
+
+/// Bytes that an ask counts.
+pub(crate) fn size(command: &Command) -> usize {
+    let value = match &command.act {
+        crate::Act::Claim { value, .. } | crate::Act::Put { value, .. } => value.len(),
+        crate::Act::Free | crate::Act::Read => 0,
+    };
+    command.key.name.len() + value + ASK_OVERHEAD
+}
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -103,10 +103,6 @@
         self.bytes
     }
 
-    pub fn now_ms(&self) -> u64 {
-        self.now_ms
-    }
-
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
     }
@@ -142,7 +138,7 @@
         }
         let id = (command.owner, command.number);
         if let Some(before) = self.answers.get(&id) {
-            return command.again(&before.told);
+            return command.again(&before.told, self.entries.get(&command.key));
         }
         // An answer to one asked as long ago, or in the future, could be forgotten before a copy of it comes.
         let apart = self.now_ms.abs_diff(command.asked_ms);
@@ -243,12 +239,17 @@
 }
 
 impl Command {
-    /// What it was answered before.
-    fn again(&self, told: &Told) -> Outcome {
+    /// What it was answered before. A claim that was granted and is gone since is not told as if it stood.
+    fn again(&self, told: &Told, current: Option<&Entry>) -> Outcome {
         let entry =
             |owner, version, ends_ms, value| Entry { key: self.key.clone(), owner, version, ends_ms, value };
         match (told, &self.act) {
-            (Told::Stands { version }, Act::Claim { ends_ms, value } | Act::Put { ends_ms, value, .. }) => {
+            (Told::Stands { .. }, Act::Claim { .. }) => match current {
+                Some(entry) if entry.owner == self.owner => Outcome::Stands(entry.clone()),
+                Some(entry) => Outcome::Held(entry.clone()),
+                None => Outcome::Absent,
+            },
+            (Told::Stands { version }, Act::Put { ends_ms, value, .. }) => {
                 Outcome::Stands(entry(self.owner, *version, *ends_ms, value.clone()))
             }
             (Told::Held { owner, version, ends_ms }, _) => {
--- a/crates/ledger/src/state_tests.rs
+++ b/crates/ledger/src/state_tests.rs
@@ -45,11 +45,12 @@
 fn an_ask_counts_once_and_is_answered_the_same_again() {
     let mut state = State::new(LIMITS);
     let first = once(&mut state, 1_000, command(1, 1, "a", claim(0)));
+    assert_eq!(once(&mut state, 1_000, command(1, 1, "a", claim(0))), first);
     let held = once(&mut state, 1_000, command(2, 7, "a", claim(0)));
     assert!(matches!(held, Outcome::Held(_)));
     assert_eq!(once(&mut state, 1_000, command(1, 2, "a", Act::Free)), Outcome::Absent);
-    // A late copy of the first takes nothing again; a late copy of what was held neither.
-    assert_eq!(once(&mut state, 1_000, command(1, 1, "a", claim(0))), first);
+    // A late copy of the first takes nothing again, and is not told as if it stood; of what was held neither.
+    assert_eq!(once(&mut state, 1_000, command(1, 1, "a", claim(0))), Outcome::Absent);
     assert!(matches!(once(&mut state, 1_000, command(2, 7, "a", claim(0))), Outcome::Held(_)));
     assert_eq!(once(&mut state, 1_000, command(1, 3, "a", Act::Read)), Outcome::Absent);
     // Once it may be forgotten, it counts for nothing.
--- /dev/null
+++ b/crates/ledger/tests/sim/mod.rs
@@ -0,0 +1,352 @@
+//! Fronts with their ledgers over a simulated network and simulated disks: everything is drawn from a seed. Shared by
+//! the tests of this crate.
+#![allow(dead_code)]
+
+pub mod check;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use check::{Op, Record};
+use hallmux_ledger::{
+    shard_of, Act, Ask, FrontId, Key, Kind, Ledger, Member, Micros, Moment, Out, Outcome, Save, Saved, Setup,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub const SECOND: Micros = 1_000_000;
+pub const STEP: Micros = 5_000; // microseconds between looks
+const WALL: u64 = 1_800_000_000_000;
+
+pub struct Front {
+    pub ledger: Option<Ledger>,
+    /// What is lasting, under which identity.
+    pub disk: BTreeMap<Vec<u8>, Vec<u8>>,
+    pub disk_id: u64,
+    saves: VecDeque<(Micros, Save)>,
+    pub stopped: bool,
+    /// Milliseconds that its Unix clock is ahead.
+    pub ahead: i64,
+    pub incarnation: u64,
+    next: u64,
+    /// Saves take up to so long; one of so many fails.
+    pub slow: Micros,
+    pub fails: bool,
+}
+
+pub struct Fleet {
+    pub fronts: Vec<Front>,
+    pub setup: Setup,
+    pub now: Micros,
+    pub chance: Pcg64Mcg,
+    mail: BTreeMap<(Micros, u64), (usize, usize, Vec<u8>)>,
+    posted: u64,
+    pub lost: f64,
+    pub doubled: f64,
+    /// Letters from the first to the second do not come.
+    pub cut: Vec<(usize, usize)>,
+    pub record: Record,
+    pub bytes: u64,
+    next_disk: u64,
+    /// Takes a safety rule out: letters and answers leave before what they rest on is lasting.
+    pub hasty: bool,
+    /// Takes a safety rule out: an emptied disk keeps its identity.
+    pub same_disk: bool,
+}
+
+pub fn id(n: usize) -> FrontId {
+    100 + n as FrontId
+}
+
+impl Fleet {
+    pub fn new(fronts: usize, copies: usize, shards: u16, seed: u64) -> Fleet {
+        let members = (0..fronts).map(|n| Member { front: id(n), zone: format!("z{}", n % 3) }).collect();
+        let mut setup = Setup::new("tests", 0, 0, 0, members);
+        (setup.copies, setup.shards, setup.repair_after) = (copies, shards, 5 * SECOND);
+        let mut fleet = Fleet {
+            fronts: Vec::new(),
+            setup,
+            now: 0,
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            mail: BTreeMap::new(),
+            posted: 0,
+            lost: 0.0,
+            doubled: 0.0,
+            cut: Vec::new(),
+            record: Record::default(),
+            bytes: 0,
+            next_disk: 1,
+            hasty: false,
+            same_disk: false,
+        };
+        for n in 0..fronts {
+            let ahead = fleet.chance.random_range(-100..=100);
+            fleet.fronts.push(Front {
+                ledger: None,
+                disk: BTreeMap::new(),
+                disk_id: n as u64 + 1_000,
+                saves: VecDeque::new(),
+                stopped: false,
+                ahead,
+                incarnation: 0,
+                next: 1,
+                slow: 4_000,
+                fails: false,
+            });
+            fleet.start(n);
+        }
+        fleet
+    }
+
+    pub fn at(&self, n: usize) -> Moment {
+        let wall = WALL as i64 + self.now / 1_000 + self.fronts[n].ahead;
+        Moment { steady: self.now + n as Micros * 1_000 * SECOND, wall_ms: wall as u64 }
+    }
+
+    /// Starts a front, anew where it ran before, with what is lasting on its disk.
+    pub fn start(&mut self, n: usize) {
+        let at = self.at(n);
+        let mut setup = self.setup.clone();
+        let front = &mut self.fronts[n];
+        front.incarnation = at.wall_ms;
+        (setup.own, setup.incarnation, setup.disk) = (id(n), at.wall_ms, front.disk_id);
+        let saved = Saved(front.disk.clone().into_iter().collect());
+        let saved = (!saved.0.is_empty()).then_some(saved);
+        front.ledger = Some(Ledger::new(at, setup, saved).expect("what was saved is whole"));
+        (front.stopped, front.fails) = (false, false);
+        self.drain(n);
+    }
+
+    /// The front is gone with what is not lasting yet.
+    pub fn kill(&mut self, n: usize) {
+        self.fronts[n].ledger = None;
+        self.fronts[n].saves.clear();
+        self.record.died(n, self.fronts[n].incarnation, self.now);
+    }
+
+    /// It is gone with its disk.
+    pub fn lose(&mut self, n: usize) {
+        self.kill(n);
+        self.fronts[n].disk.clear();
+        if !self.same_disk {
+            self.next_disk += 1;
+            self.fronts[n].disk_id = self.next_disk;
+        }
+    }
+
+    pub fn is_up(&self, n: usize) -> bool {
+        self.fronts[n].ledger.is_some() && !self.fronts[n].stopped
+    }
+
+    /// Cuts the fronts of one side off from all others.
+    pub fn cut_off(&mut self, side: &[usize]) {
+        for a in 0..self.fronts.len() {
+            for b in 0..self.fronts.len() {
+                if side.contains(&a) != side.contains(&b) {
+                    self.cut.push((a, b));
+                }
+            }
+        }
+    }
+
+    /// Asks; the number, to be asked again.
+    pub fn ask(&mut self, n: usize, key: &str, act: Act) -> u64 {
+        let number = self.fronts[n].next;
+        self.fronts[n].next += 1;
+        let key = Key { kind: Kind::Order, name: key.to_string() };
+        let (front, incarnation, ahead) = (n, self.fronts[n].incarnation, self.fronts[n].ahead);
+        let asked = self.now;
+        self.record.ops.push(Op {
+            front,
+            incarnation,
+            number,
+            key: key.clone(),
+            act: act.clone(),
+            asked,
+            ahead,
+            done: None,
+        });
+        self.again(n, Ask { number, key, act });
+        number
+    }
+
+    pub fn again(&mut self, n: usize, ask: Ask) {
+        let at = self.at(n);
+        if let Some(ledger) = &mut self.fronts[n].ledger {
+            ledger.ask(at, ask);
+        }
+        self.drain(n);
+    }
+
+    fn drain(&mut self, n: usize) {
+        let Some(ledger) = &mut self.fronts[n].ledger else { return };
+        let Out { letters, saves, done } = ledger.take();
+        for done in done {
+            self.record.answered(n, self.fronts[n].incarnation, done, self.now);
+        }
+        self.post(n, letters);
+        for mut save in saves {
+            if self.hasty {
+                let letters = std::mem::take(&mut save.letters);
+                self.post(n, letters);
+                let at = self.at(n);
+                let number = save.number;
+                let ledger = self.fronts[n].ledger.as_mut();
+                ledger.into_iter().for_each(|ledger| ledger.saved(at, number, true));
+            }
+            let slow = self.fronts[n].slow.max(1);
+            let takes = self.chance.random_range(0..slow);
+            let after = self.fronts[n].saves.back().map_or(self.now, |(at, _)| *at);
+            self.fronts[n].saves.push_back((after.max(self.now) + takes, save));
+        }
+        if self.hasty {
+            let more = self.fronts[n].ledger.as_mut().map(Ledger::take).unwrap_or_default();
+            more.done.into_iter().for_each(|done| {
+                self.record.answered(n, self.fronts[n].incarnation, done, self.now);
+            });
+            self.post(n, more.letters);
+            for save in more.saves {
+                self.post(n, save.letters.clone());
+                let after = self.fronts[n].saves.back().map_or(self.now, |(at, _)| *at);
+                let slow = self.fronts[n].slow;
+                self.fronts[n]
+                    .saves
+                    .push_back((after.max(self.now) + slow, Save { letters: Vec::new(), ..save }));
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, letters: Vec<(FrontId, Vec<u8>)>) {
+        for (to, bytes) in letters {
+            let to = (to - 100) as usize;
+            assert!(bytes.len() <= 1_040);
+            self.bytes += bytes.len() as u64;
+            let times = 1 + usize::from(self.chance.random_bool(self.doubled));
+            for _ in 0..times {
+                if self.cut.contains(&(from, to)) || self.chance.random_bool(self.lost) {
+                    continue;
+                }
+                // Some come late, and so out of order.
+                let late = if self.chance.random_bool(0.02) { 200_000 } else { 8_000 };
+                let at = self.now + self.chance.random_range(500..late);
+                self.posted += 1;
+                self.mail.insert((at, self.posted), (from, to, bytes.clone()));
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        while let Some(((at, _), _)) = self.mail.first_key_value() {
+            if *at > self.now {
+                break;
+            }
+            let Some((_, (from, to, bytes))) = self.mail.pop_first() else { break };
+            let moment = self.at(to);
+            if self.is_up(to) {
+                if let Some(ledger) = &mut self.fronts[to].ledger {
+                    ledger.heard(moment, id(from), &bytes);
+                }
+                self.drain(to);
+            }
+        }
+        for n in 0..self.fronts.len() {
+            if !self.is_up(n) {
+                continue;
+            }
+            while self.fronts[n].saves.front().is_some_and(|(at, _)| *at <= self.now) {
+                let Some((_, save)) = self.fronts[n].saves.pop_front() else { break };
+                self.lasting(n, save);
+            }
+            let at = self.at(n);
+            if let Some(ledger) = self.fronts[n].ledger.as_mut().filter(|ledger| ledger.due() <= at.steady) {
+                ledger.tick(at);
+            }
+            self.drain(n);
+        }
+    }
+
+    fn lasting(&mut self, n: usize, save: Save) {
+        let ok = !self.fronts[n].fails;
+        if ok {
+            for record in save.records {
+                match record.bytes {
+                    Some(bytes) => self.fronts[n].disk.insert(record.name, bytes),
+                    None => self.fronts[n].disk.remove(&record.name),
+                };
+            }
+            self.post(n, save.letters);
+        }
+        let at = self.at(n);
+        if let Some(ledger) = self.fronts[n].ledger.as_mut().filter(|_| !self.hasty) {
+            ledger.saved(at, save.number, ok);
+        }
+        self.drain(n);
+    }
+
+    pub fn run(&mut self, until: Micros) {
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Until it holds, or so long.
+    pub fn run_until(&mut self, most: Micros, holds: impl Fn(&Fleet) -> bool) -> bool {
+        let until = self.now + most;
+        while !holds(self) && self.now < until {
+            self.step();
+        }
+        holds(self)
+    }
+
+    pub fn outcome(&self, n: usize, number: u64) -> Option<&Outcome> {
+        self.record.outcome(n, self.fronts[n].incarnation, number)
+    }
+
+    /// Asks and waits for the answer.
+    pub fn get(&mut self, n: usize, key: &str, act: Act) -> Outcome {
+        let number = self.ask(n, key, act);
+        self.run_until(2 * SECOND, |fleet| fleet.outcome(n, number).is_some());
+        self.outcome(n, number).cloned().expect("every ask is answered")
+    }
+
+    /// The same, asked under new numbers until a majority answers.
+    pub fn surely(&mut self, n: usize, key: &str, act: Act) -> Outcome {
+        for _ in 0..20 {
+            match self.get(n, key, act.clone()) {
+                Outcome::Unreachable => {}
+                outcome => return outcome,
+            }
+        }
+        panic!("{key} stays unreachable at {}", self.now)
+    }
+
+    /// Copies of a shard under its latest members.
+    pub fn copies(&self, shard: u16) -> usize {
+        let kept = self.fronts.iter().filter_map(|front| front.ledger.as_ref());
+        let configs: Vec<u32> = kept
+            .flat_map(|ledger| ledger.kept().filter(|(of, ..)| *of == shard).map(|(_, c, _)| c))
+            .collect();
+        let latest = configs.iter().max();
+        configs.iter().filter(|config| Some(*config) == latest).count()
+    }
+
+    pub fn is_whole(&self) -> bool {
+        let owned = |shard| {
+            let fronts = self.fronts.iter().filter_map(|front| front.ledger.as_ref());
+            fronts.flat_map(Ledger::kept).any(|(of, _, leads)| of == shard && leads)
+        };
+        (0..self.setup.shards).all(|shard| self.copies(shard) == self.setup.copies && owned(shard))
+    }
+
+    pub fn owner(&self, key: &str) -> Option<usize> {
+        let shard = shard_of(&Key { kind: Kind::Order, name: key.to_string() }, self.setup.shards);
+        let leads = |ledger: &Ledger| {
+            ledger.kept().filter(|(of, _, leads)| *of == shard && *leads).map(|k| k.1).max()
+        };
+        (0..self.fronts.len())
+            .filter(|n| self.is_up(*n))
+            .filter_map(|n| Some((leads(self.fronts[n].ledger.as_ref()?)?, n)))
+            .max()
+            .map(|(_, n)| n)
+    }
+}
