--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -8,6 +8,7 @@
 mod out;
 #[cfg(test)]
 mod played;
+mod promised;
 mod seen;
 mod taken;
 
@@ -24,6 +25,7 @@
 pub use engines::Listing;
 pub use hallmux::interface::{Cost, Micros, Mode, Note};
 pub use out::{Order, Terms};
+pub use promised::{Gone, Site};
 pub use seen::Sighted;
 pub use taken::{Ask, Speech, Unfit};
 
@@ -40,7 +42,8 @@
 pub struct Dispatcher {
     front: Front,
     names: Names,
-    needs_dedup_key: Vec<bool>, // by workload
+    needs_dedup_key: Vec<bool>,         // by workload
+    locations: Vec<Option<Vec<usize>>>, // that workloads are bound to
     turn_gap: Micros,
     warm_within: Micros,
     wake: Micros,
@@ -52,6 +55,8 @@
     free_keys: Vec<KeyId>,
     resting: BTreeSet<(Micros, String)>,
     engines: Vec<Engine>,
+    gone: Vec<Gone>,
+    longest_retry_after: Option<Micros>,
 }
 
 impl Dispatcher {
@@ -62,6 +67,7 @@
             needs_dedup_key: (contract.agreement.workloads.iter())
                 .map(|w| w.effect == Effect::Deduplicated)
                 .collect(),
+            locations: contract.agreement.workloads.iter().map(|w| w.locations.clone()).collect(),
             turn_gap: contract.agreement.turn_gap,
             warm_within: contract.agreement.warm_within,
             wake: 0,
@@ -73,6 +79,8 @@
             free_keys: Vec::new(),
             resting: BTreeSet::new(),
             engines: Vec::new(),
+            gone: Vec::new(),
+            longest_retry_after: contract.agreement.longest_retry_after,
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -169,6 +169,8 @@
     WaitsForData,
     /// Its engine has answered something else meanwhile.
     Alive,
+    /// It has not left its front yet, which says nothing of its engine.
+    Held,
 }
 
 /// What an answer tells of the statement's true cost.
@@ -193,6 +195,8 @@
     pub speech: u8,
     /// The engine that holds the open transaction it belongs to: it goes there or nowhere, and once.
     pub pinned: Option<EngineId>,
+    /// The locations it may be sent to, by their place; None: all that its workload allows.
+    pub allowed: Option<Vec<usize>>,
 }
 
 #[derive(Clone, Debug)]
