The stand-in engine writes down what is over before anyone else can know of it

Cause: the record, not the front. `Engine::reset` and the faults that lose a statement shut the connection, `Engine::cancel` answered the request, and only then did the statement's own thread wake up and note `Ended`. Without CPU for some milliseconds it did so after the front had heard of the reset and the statement had begun elsewhere. A statement of no time was not even marked as running, and could begin on a connection that was reset.

Change: whoever ends a statement notes it under the connection's lock, before the connection is shut or the cancel is answered; what was reset begins nothing more.

--- a/crates/lab/src/engine/conversation.rs
+++ b/crates/lab/src/engine/conversation.rs
@@ -315,28 +315,31 @@
     /// The work of a statement: time, until its end is asked for.
     fn run(&mut self, task: &Task) -> Result<(), Ends> {
         let faults = &self.engine.faults;
-        self.note(Kind::Began { id: task.id.clone(), key: task.key.clone() });
         let takes = Duration::from_micros(task.ms * 1000 + faults.slower.load(SeqCst));
-        let mut ends = None;
-        if let Some(link) = self.link.clone().filter(|_| !takes.is_zero()) {
-            let Ok(mut running) = link.running.lock() else { return Ok(()) };
-            (running.0, running.1) = (Some(task.id.clone()), false);
-            let waits = link.changed.wait_timeout_while(running, takes, |r| !r.1 && !r.2);
-            if let Ok((mut running, _)) = waits {
-                if running.2 {
-                    ends = Some(Ends::Connection(ErrorKind::ConnectionReset.into()));
-                } else if running.1 {
-                    ends = Some(Ends::Error("57014".into()));
-                }
-                (running.0, running.1) = (None, false);
-            }
+        let reset = || Ends::Connection(ErrorKind::ConnectionReset.into());
+        let Some(link) = self.link.clone() else { return Ok(()) };
+        let Ok(mut running) = link.running.lock() else { return Ok(()) };
+        // What was reset begins nothing any more.
+        if running.2 {
+            return Err(reset());
         }
+        self.note(Kind::Began { id: task.id.clone(), key: task.key.clone() });
+        (running.0, running.1) = (Some(task.id.clone()), false);
+        let waits = link.changed.wait_timeout_while(running, takes, |r| !r.1 && !r.2);
+        let Ok((mut running, _)) = waits else { return Ok(()) };
+        let mut ends = match (running.1, running.2) {
+            (_, true) => Some(reset()),
+            (true, _) => Some(Ends::Error("57014".into())),
+            _ => None,
+        };
+        running.1 = false;
+        self.engine.over(self.number, &mut running.0);
         if faults.lost_statements.fetch_update(SeqCst, SeqCst, |n| n.checked_sub(1)).is_ok() {
             faults.played.fetch_add(1, SeqCst);
             let _ = self.stream.shutdown(Shutdown::Both);
-            ends = Some(Ends::Connection(ErrorKind::ConnectionReset.into()));
+            ends = Some(reset());
         }
-        self.note(Kind::Ended { id: task.id.clone() });
+        drop(running);
         match ends {
             Some(ends) => Err(ends),
             None if !task.fail.is_empty() => Err(Ends::Error(task.fail.clone())),
--- a/crates/lab/src/engine/portal.rs
+++ b/crates/lab/src/engine/portal.rs
@@ -87,15 +87,24 @@
     /// Resets so many connections.
     pub fn reset(&self, count: usize) {
         let Ok(links) = self.links.lock() else { return };
-        for link in links.values().take(count) {
+        for (number, link) in links.iter().take(count) {
             if let Ok(mut running) = link.running.lock() {
                 running.2 = true;
+                self.over(*number, &mut running.0);
             }
             let _ = link.stream.shutdown(Shutdown::Both);
             link.changed.notify_all();
         }
     }
 
+    /// What runs on a connection is over. Written down before anyone else can know it: its thread may have no CPU
+    /// for a while, and to a front that has heard of it the statement may run elsewhere by then.
+    pub(super) fn over(&self, link: u32, running: &mut Option<String>) {
+        if let Some(id) = running.take().filter(|_| self.notes) {
+            self.records.note(self.number, link, Kind::Ended { id });
+        }
+    }
+
     /// Connections that are up.
     #[cfg(test)]
     pub fn connections(&self) -> usize {
@@ -155,6 +164,41 @@
         let Ok(mut running) = link.running.lock() else { return };
         running.1 = running.0.is_some();
         self.records.note(self.number, process, Kind::Cancelled { id: running.0.clone() });
+        self.over(process, &mut running.0);
         link.changed.notify_all();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scripted::Session;
+    use std::time::{Duration, Instant};
+
+    const PATIENCE: Duration = Duration::from_secs(10); // for one thing to come about; a busy machine takes some
+
+    #[test]
+    fn what_is_reset_or_cancelled_is_over_in_the_record_before_anyone_hears_of_it() {
+        let engine = Engine::start(0, Records::new(), true).unwrap();
+        let noted = |kind: Kind| engine.records.deeds.lock().unwrap().iter().any(|d| d.kind == kind);
+        for (n, resets) in [true, false].into_iter().cycle().take(20).enumerate() {
+            let id = format!("a{n}");
+            let mut s = Session::open(engine.at, "portal", false).unwrap();
+            s.query(&format!("select run('id={id},rows=1,ms=20000')"));
+            s.send().unwrap();
+            let (began, since) = (Kind::Began { id: id.clone(), key: String::new() }, Instant::now());
+            while !noted(began.clone()) && since.elapsed() < PATIENCE {
+                std::thread::yield_now();
+            }
+            if resets {
+                engine.reset(usize::MAX);
+            } else {
+                s.cancel(engine.at).unwrap();
+            }
+            assert!(noted(Kind::Ended { id }), "{n}");
+            while engine.connections() > 0 && resets && since.elapsed() < PATIENCE {
+                std::thread::yield_now();
+            }
+        }
+    }
+}
