--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,7 +20,7 @@
 use crate::entrance::Entrance;
 use crate::fleet::Peers;
 use crate::link::Link;
-use crate::portal::Portal;
+use crate::postgres::portal::Portal;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -6,7 +6,7 @@
 use super::Front;
 use crate::engines;
 use crate::fleet::Peers;
-use crate::portal::{Portal, Room};
+use crate::postgres::portal::{Portal, Room};
 
 impl Front {
     /// Passes on what engines have said.
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -10,10 +10,8 @@
 mod front;
 mod link;
 mod logger;
-mod portal;
+mod postgres;
 mod reuse;
-mod servers;
-mod sessions;
 mod shutdown;
 
 use std::net::TcpListener;
--- /dev/null
+++ b/crates/front/src/postgres/portal/asked.rs
@@ -0,0 +1,150 @@
+//! What a unit asks of the dispatcher, and the answer to one that it gives up.
+
+use std::rc::Rc;
+
+use hallmux_agreement::User;
+use hallmux_codec::tables;
+use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Unfit};
+use hallmux_postgres::answer::Final;
+use hallmux_postgres::session::{Part, Transaction};
+use hallmux_postgres::sql::Label;
+
+use super::{Portal, Room};
+use crate::postgres::servers::SessionId;
+use crate::postgres::sessions;
+
+const MOST_FIGURE: f64 = 1e12; // of an estimate, in any unit; beyond all that engines could do
+
+impl Portal {
+    /// Asks for an engine for a unit.
+    pub(super) fn asked(
+        &mut self,
+        now: Micros,
+        room: Room,
+        dispatcher: &mut Dispatcher,
+        id: SessionId,
+        part: Rc<Part>,
+        since: Micros,
+    ) {
+        let Some(inside) = self.sessions.inside(id) else { return };
+        let label = inside.session.label(&part);
+        let why = match terms(&label, &inside.user, &self.timeouts) {
+            Err(why) => why,
+            Ok(_) if room.full => Final::Rejected { retry_after_ms: self.come_back_ms },
+            Ok(terms) => {
+                let own = inside.session.statement_timeout(&label).unwrap_or(Micros::MAX);
+                let waited = (now - since).max(room.waited);
+                let time_left = terms.timeout.min(own) - self.answer_slack - waited;
+                let key = label.key.as_deref();
+                let kept = key.is_some_and(|key| inside.holds.iter().any(|k| k == key));
+                let ask = Ask {
+                    workload: terms.workload,
+                    customer: terms.member,
+                    key: key.filter(|_| !kept),
+                    dedup_key: label.dedup_key.as_deref(),
+                    time_left,
+                    work: terms.work_ms * 1000.0,
+                    memory_mb: terms.memory_mb,
+                    data_set: tables::group(part.text()),
+                    speech: Speech::Postgres,
+                    pinned: inside.pin.map(|(place, _)| place),
+                    allowed: None,
+                };
+                match dispatcher.pick(now, &ask) {
+                    Ok(ticket) => {
+                        let key = ask.key.map(str::to_string);
+                        return self.sessions.opened(id, ticket, part, key);
+                    }
+                    Err(Unfit::Barred) => Final::Rejected { retry_after_ms: None },
+                    Err(Unfit::Workload) => unfit("hallmux.workload", "no such workload was agreed"),
+                    Err(Unfit::Customer) => unfit("hallmux.member", "no such member is known"),
+                    Err(Unfit::DedupKey) => unfit("hallmux.dedup_key", "this workload needs one"),
+                }
+            }
+        };
+        self.sessions.unfit(id, part, &why);
+    }
+
+    /// A client asks for the end of what its session has out.
+    pub(super) fn cancel(&mut self, now: Micros, dispatcher: &mut Dispatcher, id: SessionId) {
+        let Some(running) = self.sessions.inside(id).and_then(|i| i.running.as_mut()) else { return };
+        if std::mem::replace(&mut running.cancelled, true) {
+            return;
+        }
+        let (ticket, sent) = (running.ticket, running.sent);
+        // What is out is the engine's to end; what is held here, or can't be ended there, ends here.
+        if !sent.is_some_and(|sent| self.servers.cancel(now, sent)) {
+            self.sessions.fail(now, ticket, &Final::Cancelled, None);
+            dispatcher.left(now, ticket);
+        }
+    }
+}
+
+fn unfit(field: &'static str, why: &'static str) -> Final {
+    Final::Unfit { field, why }
+}
+
+/// What a unit is to the dispatcher.
+struct UnitTerms<'a> {
+    workload: &'a str,
+    member: &'a str,
+    timeout: Micros,
+    work_ms: f64,
+    memory_mb: f64,
+}
+
+/// Reads what a unit's labels and its user say; the first field that can't be used otherwise.
+fn terms<'a>(
+    label: &'a Label,
+    user: &'a User,
+    timeouts: &[(String, Micros)],
+) -> Result<UnitTerms<'a>, Final> {
+    let workload = label.workload.as_deref().or(user.workload.as_deref());
+    let workload =
+        workload.ok_or_else(|| unfit("hallmux.workload", "is not set, and there is no default"))?;
+    let timeout = timeouts.iter().find(|(name, _)| name == workload);
+    let timeout = timeout.ok_or_else(|| unfit("hallmux.workload", "no such workload was agreed"))?.1;
+    // Whom a user belongs to is the operator's word where it is given.
+    let member = user.member.as_deref().or(label.member.as_deref()).unwrap_or_default();
+    let number = |field: &'static str, text: &Option<String>| match text.as_deref().map(str::parse::<f64>) {
+        None => Ok(0.0),
+        Some(Ok(value)) if (0.0..=MOST_FIGURE).contains(&value) => Ok(value),
+        Some(_) => Err(unfit(field, "is no number that can be used")),
+    };
+    let long = |field: &'static str, text: &Option<String>| match text {
+        Some(text) if text.len() > 256 => Err(unfit(field, "is longer than 256 bytes")),
+        _ => Ok(()),
+    };
+    long("hallmux.key", &label.key)?;
+    long("hallmux.dedup_key", &label.dedup_key)?;
+    Ok(UnitTerms {
+        workload,
+        member,
+        timeout,
+        work_ms: number("hallmux.work_ms", &label.work_ms)?,
+        memory_mb: number("hallmux.memory_mb", &label.memory_mb)?,
+    })
+}
+
+/// The answer to a unit that the module has given up on, or that ended once its answer had begun.
+pub(super) fn verdict(inside: &sessions::Inside, rejects: bool, retry_after: Option<Micros>) -> Final {
+    let Some(running) = &inside.running else { return Final::Broken };
+    let held = inside.session.transaction != Transaction::None;
+    if running.commits && running.ran {
+        return Final::Unresolved;
+    }
+    if running.cancelled {
+        return Final::Cancelled;
+    }
+    if running.time_up {
+        return Final::TimeUp;
+    }
+    match (held, rejects) {
+        (true, true) if inside.pin.is_some() => Final::RolledBack { why: "its statement was turned away" },
+        (true, _) => Final::RolledBack { why: "its engine drains or was lost" },
+        (false, true) => Final::Rejected { retry_after_ms: retry_after.map(|time| time / 1000) },
+        (false, false) if running.begun => Final::Broken,
+        (false, false) if running.ran => Final::Unresolved,
+        (false, false) => Final::Rejected { retry_after_ms: None },
+    }
+}
--- /dev/null
+++ b/crates/front/src/postgres/servers.rs
@@ -0,0 +1,292 @@
+//! Connections to engines that speak PostgreSQL: units out, answers back to whoever has asked, pools of them.
+
+mod coming;
+mod ending;
+mod leaving;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use calloop::LoopHandle;
+use hallmux_agreement::{Allowance, SessionLimits};
+use hallmux_dispatcher::{Ending, Micros, Place, Ticket};
+use hallmux_postgres::engine::{Account, Done, Engine};
+use hallmux_postgres::pool::{self, Pools};
+use hallmux_postgres::prepared::Settings;
+use hallmux_postgres::session::Part;
+
+use crate::doors::Changes;
+use crate::link::Link;
+
+const LOOK: Micros = 100_000; // microseconds between looks at connections that have rested for long
+const MOST_ACCOUNTS: usize = 1_000; // accounts at the engines, by user and database; beyond them none come in
+
+/// An execution: its statement and its number.
+pub type Sent = (Ticket, usize);
+pub type ServerId = u64;
+pub type SessionId = u64;
+
+/// What engines have said, and how executions have ended.
+pub enum Told {
+    /// It may have taken effect from now on, whatever becomes of its connection: it is not repeated.
+    Irrevocable(Sent),
+    /// Part of its answer; `whole` if that ends with a message.
+    Part {
+        sent: Sent,
+        bytes: Vec<u8>,
+        whole: bool,
+    },
+    /// The rest of its answer, and the connection that holds its transaction, if one is open.
+    Answered {
+        sent: Sent,
+        bytes: Vec<u8>,
+        done: Done,
+        held: Option<ServerId>,
+    },
+    /// Not executed, with what the engine says to that.
+    Refused {
+        sent: Sent,
+        error: Vec<u8>,
+    },
+    Ended {
+        sent: Sent,
+        ending: Ending,
+    },
+    /// The engine that this is out on has said something, if not to it.
+    Alive(Sent),
+    /// The open transaction of a session is gone with its connection.
+    Lost {
+        session: SessionId,
+    },
+}
+
+/// A unit as it goes out.
+#[derive(Clone)]
+pub struct Unit {
+    pub session: SessionId,
+    pub parts: Vec<Rc<Part>>,
+    pub settings: Rc<Settings>,
+    pub account: pool::Account,
+    /// The connection that holds its transaction.
+    pub pin: Option<ServerId>,
+    /// It is not to be repeated once it has left.
+    pub once: bool,
+}
+
+#[derive(PartialEq, Clone, Copy)]
+enum Stage {
+    /// It waits for a connection, or for a cancel on its own to be over.
+    Waits,
+    Leaving,
+    Out,
+}
+
+struct Execution {
+    unit: Unit,
+    place: Place,
+    link: Option<ServerId>,
+    stage: Stage,
+    /// What has come of its answer and not gone on.
+    back: Vec<u8>,
+    /// Some of its answer has gone on.
+    begun: bool,
+    /// Its client does not take more for now.
+    paused: bool,
+}
+
+struct Server {
+    link: Link,
+    engine: Engine,
+    place: Place,
+    up: bool,
+    serves: Option<Sent>,
+    /// The session whose transaction is open here.
+    holds: Option<SessionId>,
+    /// Up to where in the output the unit goes that leaves.
+    leaving: usize,
+    /// Requests to cancel that are on their way to it.
+    cancels: usize,
+    /// It ends with its unit: a request to cancel could still reach the next.
+    last: bool,
+    /// What comes belongs to a unit that was given up.
+    discards: bool,
+}
+
+/// A connection that carries one request to cancel.
+struct Cancel {
+    link: Link,
+    server: ServerId,
+    by: Micros,
+    /// What is over once the engine has taken it.
+    ends: Option<(Sent, Ending)>,
+}
+
+struct Listed {
+    id: String,
+    at: SocketAddr,
+    started: f64,
+    up: bool,
+    failing: bool,
+    /// When it last said anything, and was last asked to.
+    heard: Micros,
+    asked: Micros,
+}
+
+pub struct Servers {
+    handle: LoopHandle<'static, Changes>,
+    allowed: Allowance,
+    limits: SessionLimits,
+    engines: BTreeMap<Place, Listed>,
+    accounts: Vec<Account>,
+    links: BTreeMap<ServerId, Server>,
+    cancels: BTreeMap<u64, Cancel>,
+    coming: BTreeMap<ServerId, Micros>,
+    executions: HashMap<Sent, Execution>,
+    pools: Pools<Sent>,
+    dirty: BTreeSet<ServerId>,
+    next: u64,
+    most_links: usize,
+    look: Micros,
+    /// What engines tell of themselves, for the welcome of clients.
+    pub parameters: Vec<(String, String)>,
+    pub told: Vec<Told>,
+}
+
+impl Servers {
+    pub fn new(handle: LoopHandle<'static, Changes>, allowed: Allowance, limits: SessionLimits) -> Self {
+        let bounds = pool::Bounds {
+            each_engine: limits.engine_connections,
+            idle: limits.connection_idle,
+            age: limits.connection_age,
+        };
+        Servers {
+            handle,
+            allowed,
+            limits,
+            engines: BTreeMap::new(),
+            accounts: Vec::new(),
+            links: BTreeMap::new(),
+            cancels: BTreeMap::new(),
+            coming: BTreeMap::new(),
+            executions: HashMap::new(),
+            pools: Pools::new(bounds),
+            dirty: BTreeSet::new(),
+            next: 0,
+            most_links: usize::MAX,
+            look: 0,
+            parameters: Vec::new(),
+            told: Vec::new(),
+        }
+    }
+
+    /// Descriptors that it may use.
+    pub fn limit(&mut self, descriptors: usize) {
+        self.most_links = descriptors.max(1);
+    }
+
+    /// The number of an account at the engines.
+    pub fn account(&mut self, account: Account) -> Option<pool::Account> {
+        let known = self.accounts.iter().position(|a| *a == account);
+        // Guards against names of databases without end.
+        if known.is_none() && self.accounts.len() < MOST_ACCOUNTS {
+            self.accounts.push(account);
+            return Some(self.accounts.len() - 1);
+        }
+        known
+    }
+
+    /// Whether an execution is one of its own.
+    pub fn has(&self, sent: Sent) -> bool {
+        self.executions.contains_key(&sent)
+    }
+
+    /// The engine that a connection is to.
+    pub fn place(&self, id: ServerId) -> Option<Place> {
+        self.links.get(&id).map(|l| l.place)
+    }
+
+    /// An engine of the list: where it is, and whether anything may still be sent to it.
+    pub fn list(&mut self, place: Place, id: &str, at: SocketAddr, started: f64, up: bool) {
+        let known = self.engines.get(&place);
+        let same = known.is_some_and(|e| e.id == id && e.at == at && e.started == started);
+        let failing = same && known.is_some_and(|e| e.failing);
+        let (heard, asked) = known.filter(|_| same).map_or((0, 0), |e| (e.heard, e.asked));
+        if known.is_some() && (!same || !up) {
+            self.retire(place);
+        }
+        let id = id.to_string();
+        self.engines.insert(place, Listed { id, at, started, up, failing, heard, asked });
+    }
+
+    /// A whole list has come: engines that it does not name are gone.
+    pub fn retire_but(&mut self, listed: &[Place]) {
+        let places: Vec<Place> = self.engines.keys().copied().filter(|p| !listed.contains(p)).collect();
+        places.into_iter().for_each(|place| self.retire(place));
+    }
+
+    /// What has not left for an engine stays here, open transactions that stand idle there are over; what is
+    /// out may still be answered.
+    pub fn retire(&mut self, place: Place) {
+        if let Some(engine) = self.engines.get_mut(&place) {
+            engine.up = false;
+        }
+        let (waited, resting) = self.pools.retire(place);
+        waited.into_iter().for_each(|sent| self.ended(sent, Ending::Withdrawn));
+        resting.into_iter().for_each(|id| self.close(id));
+        let held = |(id, l): (&ServerId, &Server)| {
+            let idle = match l.serves.and_then(|sent| self.executions.get(&sent)) {
+                Some(x) => x.stage == Stage::Waits,
+                None => true,
+            };
+            (l.place == place && l.holds.is_some() && idle).then_some(*id)
+        };
+        let held: Vec<ServerId> = self.links.iter().filter_map(held).collect();
+        for id in held {
+            let link = self.links.get(&id);
+            let (session, waits) = link.map_or((None, None), |l| (l.holds, l.serves));
+            self.close(id);
+            waits.into_iter().for_each(|sent| self.ended(sent, Ending::Withdrawn));
+            self.told.extend(session.map(|session| Told::Lost { session }));
+        }
+    }
+
+    fn ended(&mut self, sent: Sent, ending: Ending) {
+        self.executions.remove(&sent);
+        self.told.push(Told::Ended { sent, ending });
+    }
+
+    fn name(&self, id: ServerId) -> &str {
+        let place = self.links.get(&id).map(|l| l.place);
+        place.and_then(|place| self.engines.get(&place)).map_or("?", |e| &e.id)
+    }
+
+    /// When `expire` is next due.
+    pub fn due(&self) -> Micros {
+        let coming = self.coming.values().copied().min().unwrap_or(Micros::MAX);
+        let cancels = self.cancels.values().map(|c| c.by).min().unwrap_or(Micros::MAX);
+        let look = if self.pools.is_empty() { Micros::MAX } else { self.look };
+        coming.min(cancels).min(look)
+    }
+
+    /// Ends what has waited too long: connections not up, logins, cancels, idle connections.
+    pub fn expire(&mut self, now: Micros) {
+        let late: Vec<ServerId> =
+            self.coming.iter().filter(|(_, by)| **by <= now).map(|(id, _)| *id).collect();
+        late.into_iter().for_each(|id| self.end(now, id, Ending::NeverUp));
+        let late: Vec<u64> = self.cancels.iter().filter(|(_, c)| c.by <= now).map(|(n, _)| *n).collect();
+        late.into_iter().for_each(|number| self.cancelled(number));
+        if self.look <= now {
+            self.look = now + LOOK;
+            self.ask(now);
+            for id in self.pools.idle(now) {
+                self.close(id);
+            }
+            // What waits for descriptors that others have let go of.
+            for place in self.engines.keys().copied().collect::<Vec<_>>() {
+                let step = self.pools.next(place);
+                self.step(now, place, step);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/postgres/servers/leaving.rs
@@ -0,0 +1,182 @@
+//! Units on their way to engines: over which connection, and when a new one is made.
+
+use std::io::ErrorKind;
+use std::rc::Rc;
+
+use hallmux_dispatcher::{Ending, Micros, Place};
+use hallmux_postgres::engine::Engine;
+use hallmux_postgres::pool::{self, Step};
+use hallmux_postgres::session::Part;
+
+use super::{Execution, Sent, Server, ServerId, Servers, Stage, Told, Unit};
+use crate::doors::Door;
+use crate::link::Link;
+
+const MOST_UNSENT: usize = 4 << 20; // bytes that an engine may leave untaken: some units of the largest size
+
+impl Servers {
+    /// Sends a unit over the connection that holds its transaction, else over one that its pool gives.
+    pub fn send(&mut self, now: Micros, sent: Sent, place: Place, unit: Unit) {
+        if !self.engines.get(&place).is_some_and(|e| e.up) {
+            return self.told.push(Told::Ended { sent, ending: Ending::Withdrawn });
+        }
+        let (pin, account, settings) = (unit.pin, unit.account, unit.settings.clone());
+        let x = Execution {
+            unit,
+            place,
+            link: None,
+            stage: Stage::Waits,
+            back: Vec::new(),
+            begun: false,
+            paused: false,
+        };
+        match pin {
+            Some(id) => match self.links.get_mut(&id).filter(|l| l.place == place && l.holds.is_some()) {
+                Some(link) => {
+                    self.executions.insert(sent, x);
+                    link.serves = Some(sent);
+                    if link.cancels == 0 {
+                        self.start(sent, id);
+                    }
+                }
+                None => self.told.push(Told::Ended { sent, ending: Ending::Withdrawn }),
+            },
+            None => {
+                self.executions.insert(sent, x);
+                let suits = |id: u64| self.links.get(&id).map_or(0, |l| u32::from(l.engine.suits(&settings)));
+                let step = self.pools.submit(place, account, sent, suits);
+                self.step(now, place, step);
+            }
+        }
+    }
+
+    /// Does what the pools have decided, and what follows from that.
+    pub(super) fn step(&mut self, now: Micros, place: Place, step: Option<Step<Sent>>) {
+        let mut step = step;
+        while let Some(next) = step.take() {
+            match next {
+                Step::Use { unit, link } => self.start(unit, link),
+                Step::Dial { account, instead_of } => {
+                    instead_of.into_iter().for_each(|id| self.close(id));
+                    if self.links.len() + self.cancels.len() >= self.most_links {
+                        match self.pools.spare() {
+                            Some(id) => self.close(id),
+                            // What waits is served as connections come free; with none at all it ends.
+                            None if !self.links.is_empty() => return,
+                            None => {}
+                        }
+                    }
+                    if let Err(ending) = self.dial(now, place, account) {
+                        let waited: Vec<Sent> = self.waiting(place, account);
+                        for sent in waited {
+                            self.pools.withdraw(place, sent);
+                            self.ended(sent, ending);
+                        }
+                        return;
+                    }
+                    step = self.pools.next(place);
+                }
+            }
+        }
+    }
+
+    fn waiting(&self, place: Place, account: pool::Account) -> Vec<Sent> {
+        let waits = |x: &Execution| {
+            x.place == place && x.link.is_none() && x.unit.pin.is_none() && x.unit.account == account
+        };
+        let mut all: Vec<Sent> = self.executions.iter().filter(|(_, x)| waits(x)).map(|(s, _)| *s).collect();
+        all.sort_unstable();
+        all
+    }
+
+    pub(super) fn dial(&mut self, now: Micros, place: Place, account: pool::Account) -> Result<(), Ending> {
+        let engine = self.engines.get(&place).ok_or(Ending::Withdrawn)?;
+        let who = self.accounts.get(account).cloned().ok_or(Ending::Withdrawn)?;
+        self.next += 1;
+        let id = self.next;
+        let mut link = match Link::dial(engine.at, &self.handle, Door::Server.party(id)) {
+            Ok(link) => link,
+            Err(e) => {
+                log::warn!("engine {}: no connection can be made: {e}", engine.id);
+                return Err(dialled(&e));
+            }
+        };
+        let engine = Engine::new(who, self.limits.prepared, link.output());
+        let dial_by = now + self.allowed.dial_timeout;
+        self.pools.dialled(now, place, account, id);
+        self.coming.insert(id, dial_by);
+        let server = Server {
+            link,
+            engine,
+            place,
+            up: false,
+            serves: None,
+            holds: None,
+            leaving: 0,
+            cancels: 0,
+            last: false,
+            discards: false,
+        };
+        self.links.insert(id, server);
+        Ok(())
+    }
+
+    /// Puts a unit on its way.
+    pub(super) fn start(&mut self, sent: Sent, id: ServerId) {
+        let (Some(x), Some(link)) = (self.executions.get_mut(&sent), self.links.get_mut(&id)) else { return };
+        link.serves = Some(sent);
+        (x.link, x.stage) = (Some(id), Stage::Leaving);
+        let own = x.unit.pin.is_some();
+        for (n, part) in x.unit.parts.iter().enumerate() {
+            link.engine.send(part, &x.unit.settings, own || n > 0, link.link.output(), &mut x.back);
+        }
+        link.leaving = link.link.output().len();
+        self.dirty.insert(id);
+    }
+
+    /// More of a unit that is out has come.
+    pub fn more(&mut self, sent: Sent, part: Rc<Part>) {
+        let Some(x) = self.executions.get_mut(&sent) else { return };
+        x.unit.parts.push(part.clone());
+        let Some(id) = x.link else { return };
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.engine.send(&part, &x.unit.settings, true, link.link.output(), &mut x.back);
+        link.leaving = link.link.output().len();
+        x.stage = Stage::Leaving;
+        self.dirty.insert(id);
+        self.pass(sent, false);
+    }
+
+    /// Sends what is to leave.
+    pub fn flush(&mut self, now: Micros) {
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(server) = self.links.get_mut(&id).filter(|l| l.up) else { continue };
+            let flushed = server.link.flush();
+            let left = server.link.has_left(server.leaving);
+            let sent = server.serves;
+            let unsent = server.link.unsent();
+            if let Some(x) = sent.and_then(|sent| self.executions.get_mut(&sent)) {
+                if left && x.stage == Stage::Leaving {
+                    x.stage = Stage::Out;
+                    let once = x.unit.once || x.unit.pin.is_some();
+                    self.told.extend(sent.filter(|_| once).map(Told::Irrevocable));
+                }
+            }
+            if flushed.is_err() {
+                self.end(now, id, Ending::Reset);
+            } else if unsent > MOST_UNSENT {
+                self.end(now, id, Ending::Unreadable);
+            }
+        }
+    }
+}
+
+pub(super) fn dialled(e: &std::io::Error) -> Ending {
+    match e.kind() {
+        ErrorKind::ConnectionRefused => Ending::Refused,
+        // Whoever resets a connection is there.
+        ErrorKind::ConnectionReset | ErrorKind::BrokenPipe => Ending::BrokenNew,
+        ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable | ErrorKind::TimedOut => Ending::NeverUp,
+        _ => Ending::NoMeans,
+    }
+}
