prove promises: a schedule of faults drawn from the seed over five to seven fronts

A run whose steps were not played, whose words were not lost, or in which fewer than half of what needs a promise ran, is a FAIL.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -40,6 +40,18 @@
         /// How often each fault is to be played at least.
         #[arg(long, default_value_t = 3)]
         rounds: usize,
+        /// Of promises: three faults instead of all.
+        #[arg(long)]
+        small: bool,
+        /// Of promises: in simulated time, without processes.
+        #[arg(long)]
+        simulated: bool,
+        /// Of promises: so many fronts instead of 5 to 7.
+        #[arg(long)]
+        fronts: Option<usize>,
+        /// Of promises: fronts that each stands on; with 0 none keeps any for another, and the run is to fail.
+        #[arg(long, default_value_t = 3)]
+        copies: usize,
     },
     /// Plays a fleet scenario: many fronts, engines in zones, faults between them; checks the record.
     Fleet {
@@ -65,6 +77,8 @@
 #[derive(Clone, Copy, ValueEnum)]
 enum Subject {
     Postgres,
+    /// What fronts keep for each other, among faults between them.
+    Promises,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -80,7 +94,12 @@
 
 fn main() -> ExitCode {
     let (seed, units, rounds) = match Lab::parse().what {
-        What::Prove { subject: Subject::Postgres, seed, units, rounds } => (seed, units, rounds),
+        What::Prove { subject: Subject::Postgres, seed, units, rounds, .. } => (seed, units, rounds),
+        What::Prove { seed, small, simulated, fronts, copies, .. } => {
+            let seed = seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+            let way = prove::promises::Way { small, simulated, fronts, copies };
+            return told("promises", seed, prove::promises::run(seed, way));
+        }
         What::Fleet { scenario, seed, beside_quorum, simulated, fronts } => {
             return fleet_run(&scenario, seed, beside_quorum, simulated, fronts)
         }
@@ -101,11 +120,16 @@
         }
     };
     let seed = seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
-    let (passed, tallies) = match prove::postgres(prove::Size { seed, units, rounds }) {
+    told("postgres", seed, prove::postgres(prove::Size { seed, units, rounds }))
+}
+
+/// Prints the last line of a proof.
+fn told(name: &str, seed: u64, run: Result<(bool, String), String>) -> ExitCode {
+    let (passed, tallies) = match run {
         Ok(found) => found,
         Err(why) => (false, why),
     };
-    println!("prove postgres seed {seed}: {} {tallies}", if passed { "pass" } else { "FAIL" });
+    println!("prove {name} seed {seed}: {} {tallies}", if passed { "pass" } else { "FAIL" });
     if passed {
         ExitCode::SUCCESS
     } else {
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -1,6 +1,8 @@
 //! `prove postgres`: a real front among engines that crash, drain, reset, stall, answer late and lose commits,
 //! with clients of a library and scripted sessions. All is drawn from the seed.
 
+pub mod promises;
+
 use std::collections::{BTreeMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
--- /dev/null
+++ b/crates/lab/src/prove/promises.rs
@@ -0,0 +1,198 @@
+//! `prove promises`: fronts that keep promises for each other, a load that shares order keys over all of them, and a
+//! schedule of faults drawn from the seed: disks lost at steps of a promise, cuts in two and three, stalls past a
+//! lease, words lost, doubled, late and out of order.
+
+use std::time::Instant;
+
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Step, Warm, What};
+use crate::{rig, simulated};
+
+const SLOT_MS: u64 = 5_000; // milliseconds from one fault to the next: its own time, and the repair after it
+const FIRST_MS: u64 = 2_000; // milliseconds of load before the first
+const AFTER_MS: u64 = 3_000; // milliseconds of load after the last slot
+const MOST_SECONDS: u64 = 60; // within which a run ends by itself
+const STEPS: [Step; 4] = [Step::Taken, Step::Copying, Step::Began, Step::Kept];
+/// Statements that need a promise and ran, of a hundred asked: with fewer, most were refused or lost.
+const LEAST_RUN_PERCENT: i64 = 50;
+
+/// How a run is to be played.
+#[derive(Clone, Copy, Debug)]
+pub struct Way {
+    /// Three faults instead of all.
+    pub small: bool,
+    pub simulated: bool,
+    pub fronts: Option<usize>,
+    /// Fronts that a promise stands on; 0: none keeps any for another, and the run is to fail.
+    pub copies: usize,
+}
+
+/// The kinds of trouble that a run takes its turn of; each of them comes in a whole run.
+const KINDS: [&str; 6] = ["loss", "loss_again", "cut_two", "cut_three", "stall", "words"];
+
+fn fault(what: What, at_ms: u64, for_ms: u64) -> Fault {
+    let (zone, front, delay_ms, percent) = (0, 0, 0, 0);
+    Fault { what, at_ms, for_ms, zone, front, second: None, step: None, delay_ms, percent, told: true }
+}
+
+/// The run of a seed.
+pub fn draw(seed: u64, way: Way) -> Scenario {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let fronts = way.fronts.unwrap_or_else(|| chance.random_range(5..=7));
+    let mut kinds = KINDS.to_vec();
+    kinds.shuffle(&mut chance);
+    if way.small {
+        // A loss is always among them.
+        kinds.sort_by_key(|kind| *kind != "loss");
+        kinds.truncate(3);
+        kinds.shuffle(&mut chance);
+    }
+    let mut faults = Vec::new();
+    let mut lost = None;
+    for (slot, kind) in kinds.iter().enumerate() {
+        let at = FIRST_MS + slot as u64 * SLOT_MS + chance.random_range(0..500);
+        let mut front = chance.random_range(0..fronts);
+        let split = chance.random_range(1..fronts - 1);
+        match *kind {
+            "loss" | "loss_again" => {
+                // The second is another front's, after the repair of the first.
+                while lost == Some(front) {
+                    front = chance.random_range(0..fronts);
+                }
+                lost = Some(front);
+                let step = Some(STEPS[chance.random_range(0..STEPS.len())]);
+                let gone = fault(What::LoseDisk, at, chance.random_range(500..1_500));
+                faults.push(Fault { front, step, ..gone });
+            }
+            "cut_two" => {
+                let cut = fault(What::FrontsSplit, at, chance.random_range(2_000..4_000));
+                faults.push(Fault { front: split, ..cut });
+            }
+            "cut_three" => {
+                let cut = fault(What::FrontsSplit, at, chance.random_range(2_000..3_500));
+                faults.push(Fault {
+                    front: split,
+                    second: Some(chance.random_range(split + 1..fronts)),
+                    ..cut
+                });
+            }
+            "stall" => {
+                let stall = fault(What::Stall, at, chance.random_range(3_000..4_500));
+                faults.push(Fault { front, ..stall });
+            }
+            _ => {
+                let long = chance.random_range(3_000..4_500);
+                let delay_ms = chance.random_range(5..60);
+                faults
+                    .push(Fault { percent: chance.random_range(5..30), ..fault(What::PostLossy, at, long) });
+                faults.push(Fault { delay_ms, ..fault(What::PostDoubled, at, long) });
+                faults.push(Fault { delay_ms, ..fault(What::PostShuffled, at, long) });
+                let one_way = fault(What::FrontsSplitOut, at + long / 2, long / 3);
+                faults.push(Fault { front: split, ..one_way });
+            }
+        }
+    }
+    let keyed = Class {
+        share: 3.0,
+        importance: 8.0,
+        effect: Effect::Deduplicated,
+        keys: chance.random_range(4..9),
+        work_ms: Some(chance.random_range(60..160)),
+        goes_on: true,
+        asks_again: 2,
+        ..Class::plain("log-load", 2_000)
+    };
+    let once = Class {
+        importance: 8.0,
+        effect: Effect::NonIdempotent,
+        work_ms: Some(chance.random_range(30..90)),
+        goes_on: true,
+        asks_again: 2,
+        ..Class::plain("pay", 2_000)
+    };
+    Scenario {
+        seed: Some(seed),
+        seconds: (FIRST_MS + kinds.len() as u64 * SLOT_MS + AFTER_MS) / 1000,
+        fleet: Shape {
+            fronts,
+            zones: 3,
+            engines_per_zone: 2,
+            gossip: true,
+            clocks_apart_ms: 1_000,
+            voters: None,
+            lease_ms: 2_000,
+            copies: (way.copies > 0).then_some(way.copies),
+            zone_quorum: None,
+        },
+        load: Load { per_second: 60, work_ms: 10, timeout_ms: 4_000, memory_mb: 0 },
+        engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
+        faults,
+        classes: vec![Class { share: 4.0, ..Class::plain("lookup", 500) }, keyed, once],
+    }
+}
+
+/// Plays the run of a seed: whether it passed, and the tallies of its line.
+pub fn run(seed: u64, way: Way) -> Result<(bool, String), String> {
+    let began = Instant::now();
+    let scenario = draw(seed, way);
+    let play = if way.simulated { simulated::run } else { rig::fleet::run };
+    let mut run = play(&scenario, seed)?;
+    let mut add = |rule: &'static str, what: String| run.violations.entry(rule).or_default().push(what);
+    let tally = |key: &str| run.tallies.get(key).copied().unwrap_or(0);
+    // A run in which too little happened proves nothing.
+    let steps = scenario.faults.iter().filter(|f| f.step.is_some()).count() as i64;
+    if tally("steps_played") < steps {
+        add("run", format!("{} of {steps} fronts died at their step", tally("steps_played")));
+    }
+    let cut = scenario.faults.iter().any(|f| matches!(f.what, What::FrontsSplit | What::PostLossy));
+    if cut && tally("gossip_lost") == 0 {
+        add("run", "no word between fronts was lost".to_string());
+    }
+    let (promised, ran) = (tally("promised") - tally("asked_again"), tally("promised_runs"));
+    if promised < scenario.seconds as i64 * 10 || ran * 100 < promised * LEAST_RUN_PERCENT {
+        add("run", format!("{ran} of {promised} that need a promise ran"));
+    }
+    let seconds = began.elapsed().as_secs();
+    if !way.simulated && seconds >= MOST_SECONDS {
+        add("run", format!("took {seconds} s"));
+    }
+    for (rule, found) in &run.violations {
+        for what in found.iter().take(8) {
+            eprintln!("{rule}: {what}");
+        }
+    }
+    for (fault, ..) in &run.played {
+        eprintln!("played {fault:?}");
+    }
+    let pids: Vec<String> = run.pids.iter().map(u32::to_string).collect();
+    println!("pids {}", pids.join(","));
+    let violations: usize = run.violations.values().map(Vec::len).sum();
+    let line =
+        format!("{} fronts={} seconds={seconds} violations={violations}", run.line(), scenario.fleet.fronts);
+    Ok((run.passed(), line))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_seed_draws_one_schedule_with_a_loss_and_the_whole_one_has_all_kinds() {
+        let way = Way { small: false, simulated: false, fronts: None, copies: 3 };
+        for seed in 0..200 {
+            let whole = draw(seed, way);
+            assert_eq!(whole, draw(seed, way));
+            let count = |what: What| whole.faults.iter().filter(|f| f.what == what).count();
+            let losses: Vec<_> = whole.faults.iter().filter(|f| f.what == What::LoseDisk).collect();
+            assert!(losses.len() == 2 && losses[0].front != losses[1].front);
+            assert_eq!((count(What::FrontsSplit), count(What::Stall), count(What::PostLossy)), (2, 1, 1));
+            let fits = |f: &Fault| f.at_ms + f.for_ms < whole.seconds * 1000 && f.front < whole.fleet.fronts;
+            assert!(whole.faults.iter().all(fits), "{seed}: {:?}", whole.faults);
+            let small = draw(seed, Way { small: true, ..way });
+            assert!(small.faults.iter().any(|f| f.what == What::LoseDisk) && small.seconds <= 20);
+        }
+    }
+}
--- a/crates/lab/src/record/account.rs
+++ b/crates/lab/src/record/account.rs
@@ -66,6 +66,8 @@
     pub tallies: BTreeMap<&'static str, i64>,
     pub violations: check::Violations,
     pub table: String,
+    /// Faults as played: what, from, to.
+    pub played: Vec<(Fault, i64, i64)>,
     /// The ids of every front process that was started, to be looked for afterwards.
     pub pids: Vec<u32>,
 }
@@ -156,7 +158,7 @@
         owners(account, &mut tallies);
     }
     let table = table(scenario, account.began, asked, relayed);
-    Run { tallies, violations, table, pids }
+    Run { tallies, violations, table, played: played.clone(), pids }
 }
 
 pub type Tallies = BTreeMap<&'static str, i64>;
--- a/crates/lab/src/record/promises.rs
+++ b/crates/lab/src/record/promises.rs
@@ -63,6 +63,8 @@
     if keyed().next().is_none() {
         return wrong;
     }
+    let runs = |o: &&super::account::Offered| !o.again && ran.iter().any(|x| x.id == o.asked.id);
+    tallies.insert("promised_runs", keyed().filter(runs).count() as i64);
     let ran_keyed = ran.iter().filter(|x| !x.key.is_empty()).count() as i64;
     tallies.insert("promised", keyed().count() as i64);
     tallies.insert("keyed_runs", ran_keyed);
