--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,7 +20,7 @@
 use crate::entrance::Entrance;
 use crate::fleet::Peers;
 use crate::link::Link;
-use crate::portal::Portal;
+use crate::postgres::portal::Portal;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
@@ -110,8 +110,10 @@
         self.clock.woke();
         let number = party.number;
         let more = match party.door {
+            // Statements of one order key run in the order in which they were taken: each is taken as it is found.
             Door::Listener => {
                 self.entrance.knocked();
+                self.accept();
                 false
             }
             Door::Client => self.read_client(number),
@@ -125,8 +127,9 @@
             }
             Door::Peers => self.peers.as_mut().is_some_and(|peers| peers.read(self.clock.now)),
             Door::SessionListener | Door::Session | Door::Server | Door::Cancel => {
-                let now = self.clock.now;
-                self.portal.as_mut().is_some_and(|portal| portal.ready(now, party))
+                let (now, room) = (self.clock.now, self.room());
+                let portal = self.portal.as_mut();
+                portal.is_some_and(|portal| portal.found(now, party, room, &mut self.dispatcher))
             }
         };
         if more {
