Fronts ask the ledger before executions that depend on promises leave

Need: the gate and the ledger are minds; nothing in a front asked either.

Change: gossip.ledger in the operator's file (fleet, members, copies, shards); crates/fleet/src/promises.rs carries the ledger's letters on their channel and hands out what is to be kept (in memory alone so far: kept at once); crates/front/src/fleet/gate.rs holds Order::Send until the ledger's word, with stops, hurries, the client's leaving and the front's end; statements of sessions pass the same gate, kept transactions included. The dispatcher tells of statements that depend on promises in one queue (words) rather than by calls of each door.

Off without gossip.ledger.

--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -3,12 +3,14 @@
 //! the file has a file here that reads and checks it: `whole` joins them, `places` finds the line of a fault.
 
 mod gossip;
+mod ledger;
 mod ownership;
 mod places;
 mod postgres;
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
+pub use ledger::{Ledger, LedgerMember};
 pub use ownership::Ownership;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
 pub use whole::{LoadSignal, Operator};
--- a/crates/dispatcher/src/ended.rs
+++ b/crates/dispatcher/src/ended.rs
@@ -2,7 +2,7 @@
 
 use hallmux::interface::{Cost, Ended, Event, Micros, Note, Report};
 
-use crate::promised::Gone;
+use crate::promised::{Gone, Word};
 use crate::seen::SILENT;
 use crate::{Dispatcher, Ending, Ticket};
 
@@ -43,6 +43,9 @@
         if let Some(key) = s.key.as_ref().filter(|_| holds).and_then(|name| self.keys.get_mut(name)) {
             key.statements += 1;
         }
+        if let Some(key) = s.key.as_ref().filter(|_| holds && s.promised) {
+            self.words.push(Word::Keeps(key.clone()));
+        }
         self.told.push(Event::Ended(Ended {
             statement: ticket,
             execution,
@@ -82,6 +85,9 @@
     pub fn freed(&mut self, now: Micros, name: &str, rests: bool) {
         let Some(key) = self.keys.get_mut(name) else { return };
         self.told.push(Event::Freed { key: key.id, rests });
+        if self.watches {
+            self.words.push(Word::Freed { key: name.to_string(), rests });
+        }
         key.statements -= 1;
         if key.statements == 0 {
             self.resting.insert((now + self.turn_gap, name.to_string()));
@@ -104,7 +110,7 @@
         self.ends.remove(&(s.terms.ends, ticket));
         let Some(s) = self.statements.remove(&ticket) else { return };
         if s.promised {
-            self.gone.push(Gone::of(ticket, &s));
+            self.words.push(Word::Gone(Gone::of(ticket, &s)));
         }
         let Some((name, key)) = s.key.and_then(|name| self.keys.get_mut(&name).map(|key| (name, key))) else {
             return;
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -19,13 +19,14 @@
 use hallmux_agreement::{Contract, Names};
 
 use engines::Engine;
+use promised::Depends;
 use taken::{Key, Statement};
 
 pub use ending::Ending;
 pub use engines::Listing;
 pub use hallmux::interface::{Cost, DedupGroup, Effect, Micros, Mode, Note};
 pub use out::{Order, Terms};
-pub use promised::{Gone, Site};
+pub use promised::{Gone, Site, Taken, Word};
 pub use seen::Sighted;
 pub use taken::{Ask, Speech, Unfit};
 
@@ -35,6 +36,11 @@
 /// An engine as this front knows it.
 pub type Place = usize;
 
+/// Idempotent statements without an order key depend on nothing.
+fn depends(workload: &hallmux::interface::Workload) -> Depends {
+    Depends { in_order: workload.in_order, always: workload.effect != Effect::Idempotent }
+}
+
 fn position(list: &[String], name: &str) -> Option<usize> {
     list.iter().position(|n| n == name)
 }
@@ -55,7 +61,9 @@
     free_keys: Vec<KeyId>,
     resting: BTreeSet<(Micros, String)>,
     engines: Vec<Engine>,
-    gone: Vec<Gone>,
+    watches: bool,
+    depends: Vec<Depends>, // by workload
+    words: Vec<Word>,
     longest_retry_after: Option<Micros>,
 }
 
@@ -79,7 +87,9 @@
             free_keys: Vec::new(),
             resting: BTreeSet::new(),
             engines: Vec::new(),
-            gone: Vec::new(),
+            watches: false,
+            depends: contract.agreement.workloads.iter().map(depends).collect(),
+            words: Vec::new(),
             longest_retry_after: contract.agreement.longest_retry_after,
         }
     }
--- a/crates/dispatcher/src/promised.rs
+++ b/crates/dispatcher/src/promised.rs
@@ -1,10 +1,42 @@
-//! Statements that depend on promises: their executions may be held in this front before they leave, their end is
-//! told, and what can't have its promise is turned away.
+//! Statements that depend on promises: each is told of when it is taken and when it is over, their executions may be
+//! held in this front before they leave, and what can't have its promise is turned away.
 
 use hallmux::interface::{Event, Micros, Note, Outcome};
 
 use crate::taken::Statement;
-use crate::{Dispatcher, Ending, Place, Ticket};
+use crate::{Ask, Dispatcher, Ending, Place, Ticket};
+
+/// What whoever keeps promises is told, in the order in which it happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    Taken(Taken),
+    /// The transaction of such a statement keeps its order key, until it is freed.
+    Keeps(String),
+    Freed {
+        key: String,
+        rests: bool,
+    },
+    Gone(Gone),
+}
+
+/// A statement that depends on promises, as it was asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Taken {
+    pub ticket: Ticket,
+    pub workload: String,
+    pub customer: String,
+    pub key: Option<String>,
+    pub dedup_key: Option<String>,
+}
+
+/// What was agreed of a workload that makes statements depend on promises.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Depends {
+    /// Those with an order key do.
+    pub in_order: bool,
+    /// All do.
+    pub always: bool,
+}
 
 /// A statement that depends on promises is over with nothing out for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,16 +65,30 @@
 }
 
 impl Dispatcher {
-    /// A statement depends on promises: its end is told by `gone`.
-    pub fn promised(&mut self, ticket: Ticket) {
-        if let Some(s) = self.statements.get_mut(&ticket) {
-            s.promised = true;
-        }
+    /// From now on statements that depend on promises are told of, in `words`.
+    pub fn watch(&mut self) {
+        self.watches = true;
     }
 
-    /// Statements that depended on promises and are over since the last call.
-    pub fn gone(&mut self) -> Vec<Gone> {
-        std::mem::take(&mut self.gone)
+    pub fn words(&mut self) -> Vec<Word> {
+        std::mem::take(&mut self.words)
+    }
+
+    /// Tells of a statement that was taken, if it depends on promises: whether it does.
+    pub(crate) fn tell_taken(&mut self, ticket: Ticket, ask: &Ask, workload: usize) -> bool {
+        let depends = self.depends.get(workload).copied().unwrap_or_default();
+        let promised = self.watches && (depends.always || depends.in_order && ask.key.is_some());
+        if promised {
+            let text = |text: Option<&str>| text.map(str::to_string);
+            self.words.push(Word::Taken(Taken {
+                ticket,
+                workload: ask.workload.to_string(),
+                customer: ask.customer.to_string(),
+                key: text(ask.key),
+                dedup_key: text(ask.dedup_key),
+            }));
+        }
+        promised
     }
 
     pub fn site(&self, place: Place) -> Site {
@@ -124,15 +170,16 @@
     fn what_is_turned_away_ends_at_once_and_comes_back_spread() {
         let mut d = dispatcher();
         d.list(true, &[listing("a", Mode::Ready, None)]);
+        d.watch();
         let mut came_back = Vec::new();
         for n in 0..4 {
             let ticket = d.pick(n, &ask("load", None)).unwrap();
-            d.promised(ticket);
+            assert!(matches!(&d.words()[..], [Word::Taken(t)] if t.ticket == ticket && t.key.is_none()));
             assert_eq!(sent(&d.tick(n)), [(ticket, 0)]);
             d.waits(n, ticket, 0);
             came_back.extend(d.turn_away(n, ticket));
             assert_eq!(d.turn_away(n, ticket), None);
-            assert_eq!(d.gone(), [Gone { ticket, ran: false, rests: false }]);
+            assert_eq!(d.words(), [Word::Gone(Gone { ticket, ran: false, rests: false })]);
             assert_eq!((d.tick(n), d.held(), d.engines[0].held), (vec![], 0, 0));
         }
         came_back.sort();
@@ -153,14 +200,16 @@
         ] {
             let mut d = dispatcher();
             d.list(true, &[listing("a", Mode::Ready, None)]);
+            d.watch();
             let ticket = d.pick(0, &ask("load", Some("k"))).unwrap();
-            d.promised(ticket);
+            d.pick(0, &ask("lookup", Some("k"))).unwrap();
+            assert_eq!(d.words().len(), 1);
             d.tick(0);
             d.left(1, ticket);
             let stop = Order::Stop { ticket, execution: 0, ending: Ending::GivenUp };
-            assert_eq!((d.gone(), d.tick(1)), (vec![], vec![stop]));
+            assert_eq!((d.words(), d.tick(1)), (vec![], vec![stop]));
             d.report(2, ticket, 0, ending, None, None);
-            assert_eq!(d.gone(), [Gone { ticket, ran, rests }], "{ending:?}");
+            assert_eq!(d.words(), [Word::Gone(Gone { ticket, ran, rests })], "{ending:?}");
         }
     }
 }
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -93,6 +93,7 @@
         let allowed = ask.allowed.map(|names| self.allowed(workload, ask.pinned, names)).transpose()?;
         let ticket = self.next_ticket;
         self.next_ticket += 1;
+        let promised = self.tell_taken(ticket, ask, workload);
         let key = ask.key.map(|key| self.key(key));
         self.told.push(Event::Arrived(Arrival {
             statement: ticket,
@@ -113,7 +114,7 @@
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
         let executions = Vec::new();
         let statement =
-            Statement { terms, over: false, begun: false, keeps: false, key, promised: false, executions };
+            Statement { terms, over: false, begun: false, keeps: false, key, promised, executions };
         self.statements.insert(ticket, statement);
         Ok(ticket)
     }
--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use hallmux_agreement::Contract;
-use hallmux_dispatcher::{Ask, Gone, Micros, Place, Site, Terms, Ticket};
+use hallmux_dispatcher::{Gone, Micros, Place, Site, Taken, Terms, Ticket, Word};
 use hallmux_ledger::{self as ledger, Done, Key, Kind};
 
 use hold::{Hold, Verdict, Wanted};
@@ -76,15 +76,28 @@
         }
     }
 
-    /// A statement was taken. True if it depends on promises; `id` names it wherever it is tried, if anything does.
-    pub fn opened(&mut self, ticket: Ticket, ask: &Ask, id: Option<&str>) -> bool {
-        let own = || format!("{ticket}"); // told apart from others of its customer by nobody: for the record alone
-        let needs = self.needs.of(ask, &id.map_or_else(own, str::to_string));
-        if needs.is_empty() {
-            return false;
+    /// What the dispatcher tells of statements that depend on promises. `id` names one that was taken wherever it is
+    /// tried, if anything does.
+    pub fn hear(&mut self, now: Micros, word: Word, id: impl Fn(Ticket) -> Option<String>) {
+        match word {
+            Word::Taken(taken) => {
+                let id = id(taken.ticket);
+                self.taken(&taken, id);
+            }
+            Word::Keeps(key) => self.keeps(&key),
+            Word::Freed { key, rests } => self.freed(now, &key, rests),
+            Word::Gone(gone) => self.gone(now, gone),
+        }
+    }
+
+    /// A statement was taken.
+    fn taken(&mut self, taken: &Taken, id: Option<String>) {
+        // One that nothing names is told apart by this front alone: its entry is for the record.
+        let own = || format!("{}-{}", self.life, taken.ticket);
+        let needs = self.needs.of(taken, &id.unwrap_or_else(own));
+        if !needs.is_empty() {
+            self.statements.insert(taken.ticket, Statement { needs, held: None });
         }
-        self.statements.insert(ticket, Statement { needs, held: None });
-        true
     }
 
     /// Whether an execution of it may only leave by a ruling.
@@ -99,6 +112,13 @@
         self.want(now, ordered.ticket);
     }
 
+    /// The priority of what is held may change before it leaves.
+    pub fn hurry(&mut self, ticket: Ticket, priority: u8) {
+        if let Some(held) = self.statements.get_mut(&ticket).and_then(|s| s.held.as_mut()) {
+            held.terms.priority = priority;
+        }
+    }
+
     /// Gives an execution up. True if it was held: nothing of it has left.
     pub fn stop(&mut self, now: Micros, ticket: Ticket, execution: usize) -> bool {
         let Some(s) = self.statements.get_mut(&ticket) else { return false };
@@ -113,7 +133,7 @@
     }
 
     /// A statement is over with nothing out for it.
-    pub fn gone(&mut self, now: Micros, gone: Gone) {
+    fn gone(&mut self, now: Micros, gone: Gone) {
         let Some(s) = self.statements.remove(&gone.ticket) else { return };
         for Need { key, .. } in s.needs {
             self.holds.get_mut(&key).into_iter().for_each(|hold| hold.gone(now, gone));
@@ -122,12 +142,12 @@
     }
 
     /// A transaction keeps the order key of one of its statements until `freed`.
-    pub fn keeps(&mut self, name: &str) {
+    fn keeps(&mut self, name: &str) {
         let key = Key { kind: Kind::Order, name: name.to_string() };
         self.holds.get_mut(&key).into_iter().for_each(Hold::keep);
     }
 
-    pub fn freed(&mut self, now: Micros, name: &str, rests: bool) {
+    fn freed(&mut self, now: Micros, name: &str, rests: bool) {
         let key = Key { kind: Kind::Order, name: name.to_string() };
         self.holds.get_mut(&key).into_iter().for_each(|hold| hold.freed(now, rests));
         self.advance(now, &key);
--- a/crates/fleet/src/gate/needs.rs
+++ b/crates/fleet/src/gate/needs.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use hallmux_agreement::Contract;
-use hallmux_dispatcher::{Ask, Micros, Site};
+use hallmux_dispatcher::{Micros, Site, Taken};
 use hallmux_ledger::{Key, Kind};
 use serde::{Deserialize, Serialize};
 
@@ -96,21 +96,21 @@
 
     /// Of one statement, in the order in which its promises are asked for: the same on every front, so that no two
     /// statements wait for each other. `id` is its name wherever it is tried.
-    pub fn of(&self, ask: &Ask, id: &str) -> Vec<Need> {
-        let Some(workload) = self.workloads.get(ask.workload) else { return Vec::new() };
+    pub fn of(&self, taken: &Taken, id: &str) -> Vec<Need> {
+        let Some(workload) = self.workloads.get(&taken.workload) else { return Vec::new() };
         let mut needs = Vec::new();
         let gap = self.turn_gap;
-        if let Some(key) = ask.key.filter(|_| workload.in_order) {
+        if let Some(key) = taken.key.as_ref().filter(|_| workload.in_order) {
             // As in one front, the order of a key is the same for all workloads.
-            let key = Key { kind: Kind::Order, name: key.to_string() };
+            let key = Key { kind: Kind::Order, name: key.clone() };
             needs.push(Need { key, beyond: gap, after: gap, groups: Groups::All, gap });
         }
-        if let Some(((window, groups), dedup)) = workload.dedup.zip(ask.dedup_key) {
-            let key = Key { kind: Kind::Dedup, name: format!("{}/{dedup}", ask.workload) };
+        if let Some(((window, groups), dedup)) = workload.dedup.zip(taken.dedup_key.as_ref()) {
+            let key = Key { kind: Kind::Dedup, name: format!("{}/{dedup}", taken.workload) };
             needs.push(Need { key, beyond: window.max(gap), after: window, groups, gap });
         }
         if workload.once {
-            let key = Key { kind: Kind::Begun, name: format!("{}/{id}", ask.customer) };
+            let key = Key { kind: Kind::Begun, name: format!("{}/{id}", taken.customer) };
             needs.push(Need { key, beyond: BEGUN_KEPT, after: BEGUN_KEPT, groups: Groups::All, gap });
         }
         needs
--- a/crates/fleet/src/gate/tests.rs
+++ b/crates/fleet/src/gate/tests.rs
@@ -1,6 +1,5 @@
 //! Gates of several fronts beside a ledger that keeps to its word, in orders of events that are drawn.
 
-use hallmux_dispatcher::Speech;
 use hallmux_ledger::{Act, Entry, Outcome, Owner};
 
 use super::*;
@@ -22,8 +21,18 @@
     Gate::new(&hallmux_agreement::contract(SETTINGS).unwrap(), life)
 }
 
-fn asked(workload: &'static str, key: Option<&'static str>, dedup_key: Option<&'static str>) -> Ask<'static> {
-    Ask { workload, customer: "acme", key, dedup_key, speech: Speech::Lines, ..Ask::default() }
+/// Takes a statement: whether it depends on anything.
+fn open(
+    gate: &mut Gate,
+    ticket: Ticket,
+    (workload, key, dedup_key): (&str, Option<&str>, Option<&str>),
+    id: Option<&str>,
+) -> bool {
+    let (key, dedup_key) = (key.map(str::to_string), dedup_key.map(str::to_string));
+    let (workload, customer) = (workload.to_string(), "acme".to_string());
+    let taken = Taken { ticket, workload, customer, key, dedup_key };
+    gate.hear(0, Word::Taken(taken), |_| id.map(str::to_string));
+    gate.guards(ticket)
 }
 
 fn ordered(ticket: Ticket, execution: usize, now: Micros, location: usize) -> Ordered {
@@ -97,8 +106,8 @@
 #[test]
 fn what_depends_on_nothing_never_comes_here_and_what_does_leaves_once_its_promise_stands() {
     let mut gate = gate(1);
-    assert!(!gate.opened(1, &asked("lookup", None, None), Some("a")));
-    assert!(gate.opened(2, &asked("lookup", Some("k"), None), Some("b")));
+    assert!(!open(&mut gate, 1, ("lookup", None, None), Some("a")));
+    assert!(open(&mut gate, 2, ("lookup", Some("k"), None), Some("b")));
     gate.order(0, ordered(2, 0, 0, 0));
     assert!(gate.rulings().is_empty() && !gate.guards(1) && gate.guards(2));
     let mut book = Book::default();
@@ -115,7 +124,7 @@
 fn another_front_has_the_key_until_it_is_freed_or_its_rest_is_over() {
     let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
     for gate in [&mut one, &mut other] {
-        gate.opened(1, &asked("lookup", Some("k"), None), None);
+        open(gate, 1, ("lookup", Some("k"), None), None);
         gate.order(0, ordered(1, 0, 0, 0));
     }
     assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
@@ -134,7 +143,7 @@
 #[test]
 fn what_cannot_be_promised_is_turned_away_and_what_may_stand_of_it_is_freed_later() {
     let (mut gate, mut book) = (gate(1), Book::default());
-    gate.opened(1, &asked("load", Some("k"), Some("d")), None);
+    open(&mut gate, 1, ("load", Some("k"), Some("d")), None);
     gate.order(0, ordered(1, 0, 0, 0));
     let asks = gate.asks();
     for ask in &asks {
@@ -154,14 +163,14 @@
 fn a_non_idempotent_statement_that_may_have_run_is_never_begun_again() {
     for (ran, again) in [(true, false), (false, true)] {
         let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
-        one.opened(1, &asked("pay", None, None), Some("txn-1"));
+        open(&mut one, 1, ("pay", None, None), Some("txn-1"));
         one.order(0, ordered(1, 0, 0, 0));
         assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
         one.gone(MS, over(1, ran, ran));
         settle(&mut one, &mut book, MS, 1);
         // By another front, or by the same.
         for (gate, front) in [(&mut other, 2), (&mut one, 1)] {
-            gate.opened(2, &asked("pay", None, None), Some("txn-1"));
+            open(gate, 2, ("pay", None, None), Some("txn-1"));
             gate.order(2 * MS, ordered(2, 0, 2 * MS, 0));
             let ruled = settle(gate, &mut book, 2 * MS, front);
             assert_eq!(matches!(ruled[..], [Ruling::Go(_)]), again, "{ruled:?}");
@@ -175,11 +184,11 @@
 #[test]
 fn a_repeat_goes_only_to_the_group_that_drops_it_once_nothing_runs_any_more() {
     let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
-    one.opened(1, &asked("load", None, Some("d")), None);
+    open(&mut one, 1, ("load", None, Some("d")), None);
     one.order(0, ordered(1, 0, 0, 0));
     assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
     for (ticket, location) in [(1, 1), (2, 0)] {
-        other.opened(ticket, &asked("load", None, Some("d")), None);
+        open(&mut other, ticket, ("load", None, Some("d")), None);
         other.order(MS, ordered(ticket, 0, MS, location));
     }
     assert_eq!(settle(&mut other, &mut book, MS, 2), []);
@@ -196,14 +205,14 @@
 #[test]
 fn a_transaction_keeps_its_key_by_word_that_is_renewed() {
     let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
-    one.opened(1, &asked("lookup", Some("k"), None), None);
+    open(&mut one, 1, ("lookup", Some("k"), None), None);
     one.order(0, ordered(1, 0, 0, 0));
     assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
     one.keeps("k");
     one.gone(MS, over(1, true, false));
     for at in (0..60).map(|s| s * 1_000 * MS) {
         assert_eq!(settle(&mut one, &mut book, at, 1), []);
-        other.opened(at as Ticket, &asked("lookup", Some("k"), None), None);
+        open(&mut other, at as Ticket, ("lookup", Some("k"), None), None);
         other.order(at, ordered(at as Ticket, 0, at, 0));
         assert_eq!(settle(&mut other, &mut book, at, 2), [], "{at}");
         other.stop(at, at as Ticket, 0);
--- a/crates/fleet/src/gate/tests/drawn.rs
+++ b/crates/fleet/src/gate/tests/drawn.rs
@@ -201,15 +201,15 @@
             // The module: one of an order key at a time.
             while let Some((ticket, of, location)) = self.lines[front].pop_front() {
                 // What may be running on keeps its turn for the gap.
-                let open = self.open.range((front, 0)..(front + 1, 0)).map(|(_, (of, _))| of.key);
+                let taken = self.open.range((front, 0)..(front + 1, 0)).map(|(_, (of, _))| of.key);
                 let out = self.running.iter().filter(|run| run.front == front).map(|run| run.of.key);
-                if of.key.is_some() && open.chain(out).any(|key| key == of.key) {
+                if of.key.is_some() && taken.chain(out).any(|key| key == of.key) {
                     self.lines[front].push_front((ticket, of, location));
                     break;
                 }
                 let gate = &mut self.gates[front].0;
                 let dedup = (of.workload == "load").then_some(of.name);
-                assert!(gate.opened(ticket, &asked(of.workload, of.key, dedup), Some(of.name)));
+                assert!(open(gate, ticket, (of.workload, of.key, dedup), Some(of.name)));
                 gate.order(now, ordered(ticket, 0, now, location));
                 self.open.insert((front, ticket), (of, now + 4_000 * MS));
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod gate;
 mod owning;
+mod promises;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,6 +24,7 @@
 
 pub use hallmux_gossip::post::{Channel, Letter};
 pub use owning::{Ownership, Owns, Saved};
+pub use promises::Kept;
 
 /// One moment on a front's clocks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +43,8 @@
     pub datagrams: Vec<Datagram>,
     /// Must be lasting before the datagrams beside it leave, in this order.
     pub saved: Vec<Saved>,
+    /// The same of the ledger; `saved` is to be said of each.
+    pub kept: Vec<Kept>,
 }
 
 /// One front's part in the exchange.
@@ -57,6 +61,8 @@
     came: Vec<Letter>,
     /// One owner at a time for work on behalf of the fleet, where voters are named.
     owning: Option<owning::Owning>,
+    /// The ledger of promises, where it is switched on.
+    promises: Option<promises::Promises>,
     /// Whether the dispatcher was told last that the fleet's probes are this front's.
     probes: Option<bool>,
 }
@@ -93,6 +99,7 @@
             left: false,
             came: Vec::new(),
             owning: None,
+            promises: None,
             probes: None,
         }
     }
@@ -139,12 +146,14 @@
     }
 
     /// When `tick` is next due.
-    pub fn due(&self) -> Micros {
+    pub fn due(&self, at: Moment) -> Micros {
         if self.left {
             Micros::MAX
         } else {
             let owning = self.owning.as_ref().map_or(Micros::MAX, owning::Owning::due);
-            self.node.due().min(self.look).min(owning)
+            let promises =
+                self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
+            self.node.due().min(self.look).min(owning).min(promises)
         }
     }
 
@@ -155,6 +164,9 @@
             match (channel, &mut self.owning) {
                 (Channel::Lease, Some(owning)) => owning.heard(at, from, heard_at, &bytes),
                 (Channel::Lease, None) => {}
+                (Channel::Ledger, _) => {
+                    self.promises.iter_mut().for_each(|promises| promises.heard(at, from, &bytes));
+                }
                 _ if self.came.len() >= MOST_CAME => {}
                 _ => self.came.push(Letter { from, at: heard_at, channel, bytes }),
             }
@@ -162,9 +174,53 @@
         if let Some(owning) = &mut self.owning {
             owning.send(at, &mut self.node, &mut out);
         }
+        self.send_promises(at, &mut out);
         out
     }
 
+    /// Switches on the ledger of promises; `members` are heard there. An error says why it can't be, or why what was saved can't be used.
+    pub fn promise(
+        &mut self,
+        at: Moment,
+        setup: hallmux_ledger::Setup,
+        members: BTreeMap<PeerId, SocketAddr>,
+        saved: Option<hallmux_ledger::Saved>,
+    ) -> Result<(), hallmux_ledger::Error> {
+        self.promises = Some(promises::Promises::new(at, setup, members, saved)?);
+        Ok(())
+    }
+
+    /// Asks the ledger; what is to go out for it. The answer comes with `promised`, maybe at once.
+    pub fn ask(&mut self, at: Moment, ask: hallmux_ledger::Ask) -> Out {
+        let mut out = Out::default();
+        self.promises.iter_mut().for_each(|promises| promises.ask(at, ask.clone()));
+        self.send_promises(at, &mut out);
+        out
+    }
+
+    /// What the ledger has answered.
+    pub fn promised(&mut self) -> Vec<hallmux_ledger::Done> {
+        self.promises.as_mut().map(promises::Promises::done).unwrap_or_default()
+    }
+
+    /// What the ledger gave out to be kept is lasting, or could not be.
+    pub fn saved(&mut self, at: Moment, number: u64, ok: bool) -> Out {
+        let mut out = Out::default();
+        self.promises.iter_mut().for_each(|promises| promises.saved(at, number, ok));
+        self.send_promises(at, &mut out);
+        out
+    }
+
+    pub fn ledger_tallies(&self) -> Option<hallmux_ledger::Tallies> {
+        self.promises.as_ref().map(promises::Promises::tallies)
+    }
+
+    fn send_promises(&mut self, at: Moment, out: &mut Out) {
+        if let Some(promises) = &mut self.promises {
+            promises.send(at, &mut self.node, out);
+        }
+    }
+
     /// Letters that have come for parts beside this one; what is not taken from turn to turn gets lost.
     pub fn letters(&mut self) -> Vec<Letter> {
         std::mem::take(&mut self.came)
@@ -184,13 +240,15 @@
         chance: &mut impl Chance,
     ) -> (Out, Vec<News>) {
         let (mut out, mut new) = (Out::default(), Vec::new());
-        if self.left || at.now < self.due() {
+        if self.left || at.now < self.due(at) {
             return (out, new);
         }
         if let Some(owning) = &mut self.owning {
             owning.tick(at, self.fleet.1, dispatcher, chance);
             owning.send(at, &mut self.node, &mut out);
         }
+        self.promises.iter_mut().for_each(|promises| promises.tick(at));
+        self.send_promises(at, &mut out);
         if self.look <= at.now {
             self.look = at.now + LOOK;
             let mut seen: Vec<Sighting> = dispatcher.sighted(at.now).iter().map(sighting).collect();
--- /dev/null
+++ b/crates/fleet/src/promises.rs
@@ -0,0 +1,96 @@
+//! The ledger of promises as one front takes part in it: its letters among the datagrams, and what waits for its disk.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hallmux_gossip::node::{Datagram, Node};
+use hallmux_gossip::post::Channel;
+use hallmux_gossip::PeerId;
+use hallmux_ledger::{Ask, Done, Error, Ledger, Saved, Setup};
+
+use crate::{Moment, Out};
+
+/// Records to be kept, and the datagrams that wait for them to be lasting.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    pub number: u64,
+    pub records: Vec<hallmux_ledger::Record>,
+    pub datagrams: Vec<Datagram>,
+}
+
+pub(crate) struct Promises {
+    ledger: Ledger,
+    /// Where the fronts that keep copies are heard, as the operator says.
+    members: BTreeMap<PeerId, SocketAddr>,
+    done: Vec<Done>,
+}
+
+impl Promises {
+    /// `saved` is what an earlier life on the same disk has kept.
+    pub fn new(
+        at: Moment,
+        setup: Setup,
+        members: BTreeMap<PeerId, SocketAddr>,
+        saved: Option<Saved>,
+    ) -> Result<Promises, Error> {
+        Ok(Promises { ledger: Ledger::new(moment(at), setup, saved)?, members, done: Vec::new() })
+    }
+
+    pub fn ask(&mut self, at: Moment, ask: Ask) {
+        self.ledger.ask(moment(at), ask);
+    }
+
+    pub fn done(&mut self) -> Vec<Done> {
+        std::mem::take(&mut self.done)
+    }
+
+    pub fn heard(&mut self, at: Moment, from: PeerId, bytes: &[u8]) {
+        self.ledger.heard(moment(at), from, bytes);
+    }
+
+    pub fn tick(&mut self, at: Moment) {
+        if self.ledger.due() <= at.steady {
+            self.ledger.tick(moment(at));
+        }
+    }
+
+    /// When `tick` is next due, in microseconds from now.
+    pub fn due(&self, steady: hallmux_dispatcher::Micros) -> hallmux_dispatcher::Micros {
+        self.ledger.due().saturating_sub(steady).max(0)
+    }
+
+    /// A save is lasting, or has failed.
+    pub fn saved(&mut self, at: Moment, number: u64, ok: bool) {
+        self.ledger.saved(moment(at), number, ok);
+    }
+
+    pub fn tallies(&self) -> hallmux_ledger::Tallies {
+        self.ledger.tallies()
+    }
+
+    /// Puts what there is to send into datagrams: behind what has to be kept before.
+    pub fn send(&mut self, at: Moment, node: &mut Node, out: &mut Out) {
+        let hallmux_ledger::Out { letters, saves, done } = self.ledger.take();
+        self.done.extend(done);
+        let mut post = |letters: Vec<(PeerId, Vec<u8>)>| -> Vec<Datagram> {
+            let mut datagrams = Vec::new();
+            for (to, letter) in letters {
+                // What does not go out is as if it were lost on the way.
+                let at_peer = self.members.get(&to).copied().or_else(|| node.address(to));
+                datagrams.extend(
+                    at_peer.and_then(|to| node.post(at.now, at.wall_ms, to, Channel::Ledger, &letter)),
+                );
+            }
+            datagrams
+        };
+        out.datagrams.extend(post(letters));
+        for save in saves {
+            let datagrams = post(save.letters);
+            out.kept.push(Kept { number: save.number, records: save.records, datagrams });
+        }
+    }
+}
+
+fn moment(at: Moment) -> hallmux_ledger::Moment {
+    hallmux_ledger::Moment { steady: at.steady, wall_ms: at.wall_ms }
+}
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -2,7 +2,9 @@
 //! datagrams, and the file of a voter. Each is switched on by the operator's file; off, it is not there. What the
 //! words mean is decided in `crates/fleet` and the minds behind it.
 
+mod gate;
 mod peers;
 mod votes;
 
+pub use gate::Guard;
 pub use peers::Peers;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -4,21 +4,22 @@
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
 use std::io::ErrorKind;
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::Instant;
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
-use hallmux_agreement::{hexadecimal, Gossip};
+use hallmux_agreement::{hexadecimal, Gossip, Ledger};
 use hallmux_dispatcher::{Dispatcher, Micros};
-use hallmux_fleet::{Exchange, Moment, Out, Ownership, Owns};
+use hallmux_fleet::{Exchange, Kept, Moment, Out, Ownership, Owns};
 use hallmux_gossip::evidence::News;
 use hallmux_gossip::message::LONGEST;
 use hallmux_gossip::node::{Datagram, Start};
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
+use hallmux_ledger::{Ask, Done, Member, Setup};
 
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
@@ -95,6 +96,18 @@
                 if votes.is_some() { ", and votes" } else { "" }
             );
         }
+        if let Some(ledger) = &gossip.ledger {
+            let own = id(&exchange.public());
+            let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
+            let (setup, members) = copies(ledger, own, (now / 1000) as u64);
+            exchange.promise(moment, setup, members, None).map_err(|e| why(e.to_string()))?;
+            let keeps = ledger.members.iter().any(|member| id(&member.key) == own);
+            log::info!(
+                "asks {} fronts for promises{}",
+                ledger.members.len(),
+                if keeps { ", and keeps copies" } else { "" }
+            );
+        }
         let public: String = exchange.public().iter().map(|byte| format!("{byte:02x}")).collect();
         log::info!(
             "talks with other fronts, {} keys count; its own is {public}, its address {at}",
@@ -122,8 +135,8 @@
         log::info!("{} keys of other fronts count", gossip.peers.len());
     }
 
-    pub fn due(&self) -> Micros {
-        self.exchange.due()
+    pub fn due(&self, now: Micros) -> Micros {
+        self.exchange.due(self.moment(now))
     }
 
     /// Datagrams have come; true if there are more for another turn.
@@ -133,7 +146,7 @@
             match self.socket.recv_from(&mut bytes) {
                 Ok((len, from)) => {
                     let out = self.exchange.heard(self.moment(now), from, &bytes[..len]);
-                    self.send(out);
+                    self.send(now, out);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
                 // A peer that is gone shows here; it will show as silent as well.
@@ -154,13 +167,32 @@
     }
 
     /// What does not go out is as if it were lost on the way.
-    fn send(&mut self, out: Out) {
+    fn send(&mut self, now: Micros, out: Out) {
         for Datagram { to, bytes } in out.datagrams {
             let _ = self.socket.send_to(&bytes, to);
         }
         if let Some(votes) = &mut self.votes {
             out.saved.into_iter().for_each(|saved| votes.save(saved));
         }
+        // In memory alone a copy is as lasting as it gets.
+        for Kept { number, datagrams, .. } in out.kept {
+            for Datagram { to, bytes } in datagrams {
+                let _ = self.socket.send_to(&bytes, to);
+            }
+            let out = self.exchange.saved(self.moment(now), number, true);
+            self.send(now, out);
+        }
+    }
+
+    /// Asks the ledger; the answer comes with `promised`.
+    pub fn ask(&mut self, now: Micros, ask: Ask) {
+        let out = self.exchange.ask(self.moment(now), ask);
+        self.send(now, out);
+    }
+
+    /// What the ledger has answered.
+    pub fn promised(&mut self) -> Vec<Done> {
+        self.exchange.promised()
     }
 
     /// Does what is due; the log says what is new, and what was refused.
@@ -168,7 +200,7 @@
         let before = self.exchange.fleet();
         let at = self.moment(now);
         let (out, news) = self.exchange.tick(at, dispatcher, &mut draws(&self.chance, &mut self.drawn));
-        self.send(out);
+        self.send(now, out);
         let (known, up) = self.exchange.fleet();
         if (known, up) != before {
             log::debug!("{known} fronts are known, {up} of them up");
@@ -212,10 +244,20 @@
     pub fn leave(&mut self, now: Micros) {
         let wall = (now / 1000) as u64;
         let datagrams = self.exchange.leave(now, wall, &mut draws(&self.chance, &mut self.drawn));
-        self.send(Out { datagrams, ..Out::default() });
+        self.send(now, Out { datagrams, ..Out::default() });
     }
 }
 
+/// What the operator says of the ledger, as its mind has it, and where its members are heard.
+fn copies(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
+    let members = ledger.members.iter().map(|m| Member { front: id(&m.key), zone: m.zone.clone() }).collect();
+    // In memory each life is a disk of its own.
+    let disk = RandomState::new().hash_one(life).max(1);
+    let (copies, shards) = (ledger.copies, ledger.shards);
+    let setup = Setup { copies, shards, ..Setup::new(&ledger.fleet, own, life, disk, members) };
+    (setup, ledger.members.iter().map(|m| (id(&m.key), m.at)).collect())
+}
+
 /// Numbers that nobody can foretell.
 fn draws<'a>(chance: &'a RandomState, drawn: &'a mut u64) -> impl FnMut() -> u64 + 'a {
     move || {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -18,7 +18,7 @@
 use crate::doors::{Changes, Door, Party};
 use crate::engines::Engines;
 use crate::entrance::Entrance;
-use crate::fleet::Peers;
+use crate::fleet::{Guard, Peers};
 use crate::link::Link;
 use crate::postgres::portal::Portal;
 use crate::shutdown::Shutdown;
@@ -43,6 +43,8 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
+    /// Where fronts keep promises: what waits for them.
+    guard: Option<Guard>,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -76,11 +78,16 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
+            guard: None,
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
             handle,
         };
+        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+            let now = front.clock.now;
+            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+        }
         front.limit(&station.limits);
         front.follow(known, 0);
         Ok(front)
@@ -97,7 +104,8 @@
             self.entrance.due(),
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
-            self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.peers.as_ref().map_or(Micros::MAX, |peers| peers.due(self.clock.now)),
+            self.guard.as_ref().map_or(Micros::MAX, Guard::due),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
         self.clock.sleep(due);
@@ -164,6 +172,7 @@
         self.clock.decides();
         for _ in 0..ROUNDS {
             self.heard();
+            self.guarded();
             let orders = self.dispatcher.tick(self.clock.now);
             if orders.is_empty() {
                 break;
@@ -252,6 +261,8 @@
         !self.entrance.is_open()
             && self.clients.len() == 0
             && self.portal.as_ref().is_none_or(|portal| portal.len() == 0)
+            // What it holds for others is freed first.
+            && self.guard.as_ref().is_none_or(Guard::is_idle)
     }
 
     fn accept(&mut self) {
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -1,7 +1,8 @@
 //! Orders of the dispatcher go to clients, engines and sessions; what those say goes back to it.
 
 use hallmux_codec::statement::Reply;
-use hallmux_dispatcher::{Ending, Order, Ticket};
+use hallmux_dispatcher::{Ending, Order, Terms, Ticket};
+use hallmux_fleet::gate::{Ordered, Ruling};
 
 use super::Front;
 use crate::engines;
@@ -49,11 +50,58 @@
         self.portal.as_ref().is_some_and(|portal| portal.has(sent))
     }
 
+    /// What promises let go of, or can't be had for.
+    pub(super) fn guarded(&mut self) {
+        let Some((guard, peers)) = self.guard.as_mut().zip(self.peers.as_mut()) else { return };
+        let clients = &self.clients;
+        let id = |ticket| clients.call(ticket).map(|call| call.id.clone());
+        self.clock.look();
+        let now = self.clock.now;
+        for ruling in guard.turn(now, &mut self.dispatcher, peers, id) {
+            match ruling {
+                Ruling::Go(Ordered { ticket, execution, place, terms, .. }) => {
+                    self.dispatcher.leaves(now, ticket, execution);
+                    self.send((ticket, execution), place, terms);
+                }
+                Ruling::TurnAway(ticket) => {
+                    let retry_after = self.dispatcher.turn_away(now, ticket);
+                    self.obey(Order::Reject { ticket, retry_after });
+                }
+                Ruling::Abort(ticket) => {
+                    self.dispatcher.turn_away(now, ticket);
+                    self.obey(Order::Abort { ticket });
+                }
+            }
+        }
+    }
+
+    /// An execution leaves for its engine.
+    fn send(&mut self, sent: engines::Sent, place: usize, terms: Terms) {
+        let now = self.clock.now;
+        if self.owns(sent.0) {
+            return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place));
+        }
+        match self.clients.call(sent.0) {
+            Some(call) => self.engines.send(now, sent, place, call, terms),
+            None => _ = self.dispatcher.report(now, sent.0, sent.1, Ending::Withdrawn, None, None),
+        }
+    }
+
     pub(super) fn obey(&mut self, order: Order) {
         let now = self.clock.now;
         match order {
-            Order::Send { ticket, execution, place, .. } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
+            Order::Send { ticket, execution, place, terms } => {
+                let (guard, sent) = (self.guard.as_mut(), (ticket, execution));
+                if !guard.is_some_and(|guard| guard.holds(now, &mut self.dispatcher, (sent, place, terms))) {
+                    self.send(sent, place, terms);
+                }
+            }
+            Order::Stop { ticket, execution, ending }
+                if self.guard.as_mut().is_some_and(|guard| guard.stops(now, (ticket, execution))) =>
+            {
+                // Its session is to know why, though nothing of it has left.
+                self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
+                self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
             Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
@@ -64,14 +112,8 @@
             Order::Abort { ticket } if self.owns(ticket) => {
                 self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, false, None));
             }
-            Order::Send { ticket, execution, place, terms } => {
-                let Some(call) = self.clients.call(ticket) else {
-                    self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
-                    return;
-                };
-                self.engines.send(self.clock.now, (ticket, execution), place, call, terms);
-            }
             Order::Hurry { ticket, execution, priority } => {
+                self.guard.iter_mut().for_each(|guard| guard.hurry(ticket, priority));
                 self.engines.hurry((ticket, execution), priority);
             }
             Order::Stop { ticket, execution, ending } => {
