--- /dev/null
+++ b/crates/postgres/src/engine/sending.rs
@@ -0,0 +1,160 @@
+//! What goes to an engine: the steps of units, and what the front adds of its own accord.
+
+use std::rc::Rc;
+
+use super::{name, Engine, Expect, Stage};
+use crate::prepared::{Prepared, Settings};
+use crate::session::{Op, Part};
+use crate::wire;
+
+impl Engine {
+    /// Writes a part of a unit. `own` says that the session's transaction is open here, with its settings.
+    /// What the front answers in the engine's place before any word of it goes to `back`.
+    pub fn send(
+        &mut self,
+        part: &Rc<Part>,
+        settings: &Rc<Settings>,
+        own: bool,
+        out: &mut Vec<u8>,
+        back: &mut Vec<u8>,
+    ) {
+        if self.stage == Stage::Setting {
+            return self.waits.push((part.clone(), settings.clone()));
+        }
+        if !own && !self.suits(settings) {
+            // Guards against a unit that runs with another's settings: it waits until they are confirmed.
+            wire::write_query(out, settings.again().as_bytes());
+            self.stage = Stage::Setting;
+            self.settings = None;
+            return self.waits.push((part.clone(), settings.clone()));
+        }
+        for op in &part.ops {
+            self.step(op, &part.raw, out);
+        }
+        // What a session sets is not the pool's: the next unit brings its own over.
+        if !part.changes.is_empty() {
+            self.settings = None;
+        }
+        self.make(back);
+    }
+
+    /// Asks for an answer, whatever it is, on a connection that rests.
+    pub fn ping(&mut self, out: &mut Vec<u8>) {
+        if self.stage == Stage::Ready && self.expects.is_empty() {
+            out.extend_from_slice(wire::SYNC);
+            self.expects.push_back(Expect::Ping);
+        }
+    }
+
+    fn step(&mut self, op: &Op, raw: &[u8], out: &mut Vec<u8>) {
+        if self.skipping && !matches!(op, Op::Sync) {
+            return;
+        }
+        let message = |at: &std::ops::Range<usize>| raw.get(at.clone()).unwrap_or_default();
+        match op {
+            Op::Parse { prepared, named: true } if self.has(prepared.number) => {
+                self.expects.push_back(Expect::Make(wire::PARSE_COMPLETE));
+            }
+            Op::Parse { prepared, named } => self.parse(prepared, *named, false, out),
+            Op::Bind { prepared, named, portal, rest } => {
+                self.ensure(prepared, *named, out);
+                wire::write(out, b'B', |out| {
+                    wire::write_string(out, message(portal));
+                    wire::write_string(
+                        out,
+                        if *named { name(prepared.number) } else { String::new() }.as_bytes(),
+                    );
+                    out.extend_from_slice(message(rest));
+                });
+                self.expects.push_back(Expect::Bound);
+            }
+            Op::Describe { prepared, named } => {
+                self.ensure(prepared, *named, out);
+                wire::write(out, b'D', |out| {
+                    out.push(b'S');
+                    wire::write_string(
+                        out,
+                        if *named { name(prepared.number) } else { String::new() }.as_bytes(),
+                    );
+                });
+                self.expects.push_back(Expect::Described);
+            }
+            Op::DescribePortal(at) => {
+                out.extend_from_slice(message(at));
+                self.expects.push_back(Expect::Described);
+            }
+            Op::Execute(at) => {
+                out.extend_from_slice(message(at));
+                self.expects.push_back(Expect::Executed);
+            }
+            Op::ClosePortal(at) => {
+                out.extend_from_slice(message(at));
+                self.expects.push_back(Expect::Closed { hidden: None });
+            }
+            Op::CloseStatement => self.expects.push_back(Expect::Make(wire::CLOSE_COMPLETE)),
+            Op::Fail(why) => {
+                // A statement of this name there never is: the engine fails what went before in the unit.
+                wire::write(out, b'B', |out| {
+                    wire::write_string(out, b"");
+                    wire::write_string(out, b"hm:none");
+                    out.extend_from_slice(&[0; 6]);
+                });
+                self.expects.push_back(Expect::Fail(why.clone()));
+            }
+            Op::Query(at) => {
+                out.extend_from_slice(message(at));
+                self.expects.push_back(Expect::Query);
+            }
+            Op::Flush => out.extend_from_slice(wire::FLUSH),
+            Op::Sync => {
+                out.extend_from_slice(wire::SYNC);
+                self.expects.push_back(Expect::Sync);
+                self.skipping = false;
+            }
+        }
+    }
+
+    fn has(&mut self, number: u64) -> bool {
+        self.prepared.get(&number).is_some() || self.coming.contains(&number)
+    }
+
+    /// Prepares a statement again, unseen, where this connection does not have it.
+    fn ensure(&mut self, prepared: &Rc<Prepared>, named: bool, out: &mut Vec<u8>) {
+        let there = if named { self.has(prepared.number) } else { self.unnamed == Some(prepared.number) };
+        if !there {
+            self.parse(prepared, named, true, out);
+        }
+    }
+
+    fn parse(&mut self, prepared: &Rc<Prepared>, named: bool, hidden: bool, out: &mut Vec<u8>) {
+        if named && self.prepared.len() + self.coming.len() >= self.most_prepared {
+            if let Some((oldest, ())) = self.prepared.pop_lru() {
+                wire::write(out, b'C', |out| {
+                    out.push(b'S');
+                    wire::write_string(out, name(oldest).as_bytes());
+                });
+                self.expects.push_back(Expect::Closed { hidden: Some(oldest) });
+            }
+        }
+        wire::write(out, b'P', |out| {
+            wire::write_string(out, if named { name(prepared.number) } else { String::new() }.as_bytes());
+            out.extend_from_slice(&prepared.body);
+        });
+        if named {
+            self.coming.insert(prepared.number);
+        } else {
+            self.unnamed = Some(prepared.number);
+        }
+        let number = named.then_some(prepared.number);
+        self.expects.push_back(Expect::Parsed { number, hidden });
+    }
+
+    /// Says what is due in the engine's place.
+    pub(super) fn make(&mut self, back: &mut Vec<u8>) {
+        while let Some(Expect::Make(bytes)) = self.expects.front() {
+            back.extend_from_slice(bytes);
+            self.done.parsed += usize::from(*bytes == wire::PARSE_COMPLETE);
+            self.expects.pop_front();
+        }
+    }
+}
