--- /dev/null
+++ b/crates/postgres/src/session/answering.rs
@@ -0,0 +1,208 @@
+//! What a session answers of its own, and what the end of a unit makes of it.
+
+use std::rc::Rc;
+
+use super::reading::ends;
+use super::{Bounds, Op, Part, Session, Transaction};
+use crate::answer::Final;
+use crate::engine::Done;
+use crate::prepared::{Catalogue, Settings};
+use crate::sql::{self, Own, Scan};
+use crate::wire;
+
+impl Session {
+    /// Answers a unit that needs no engine. False if it does.
+    pub fn answers(&mut self, part: &Part, catalogue: &mut Catalogue, out: &mut Vec<u8>) -> bool {
+        let lost = self.transaction == Transaction::Lost;
+        let held = self.transaction.is_held();
+        // Guards against a transaction whose engine would not learn that it has failed.
+        let fails = part.ops.iter().any(|op| matches!(op, Op::Fail(_)));
+        let discards = part.own.contains(&Own::Discard);
+        if !part.ends || !lost && (!part.local || held && (fails || discards)) {
+            return false;
+        }
+        let mut bound = None;
+        let mut failed = false;
+        let mut query = false;
+        for op in &part.ops {
+            let step: &[u8] = match op {
+                Op::Sync | Op::Flush => continue,
+                _ if failed => continue,
+                Op::Fail(why) => {
+                    why.write(out, false);
+                    failed = true;
+                    continue;
+                }
+                Op::Query(_) => {
+                    query = true;
+                    let scan = sql::scan(part.text());
+                    failed = !self.runs(&scan, catalogue, out);
+                    continue;
+                }
+                Op::Parse { prepared, .. } | Op::Bind { prepared, .. } | Op::Describe { prepared, .. }
+                    if lost && !ends(&prepared.scan) =>
+                {
+                    self.aborted().write(out, false);
+                    failed = true;
+                    continue;
+                }
+                Op::Parse { .. } => wire::PARSE_COMPLETE,
+                Op::Bind { prepared, .. } => {
+                    bound = Some(prepared.clone());
+                    wire::BIND_COMPLETE
+                }
+                Op::Describe { .. } => {
+                    out.extend_from_slice(wire::NO_PARAMETERS);
+                    wire::NO_DATA
+                }
+                Op::DescribePortal(_) => wire::NO_DATA,
+                Op::Execute(_) => {
+                    match &bound {
+                        Some(prepared) => failed = !self.runs(&prepared.clone().scan, catalogue, out),
+                        None => {
+                            self.aborted().write(out, false);
+                            failed = true;
+                        }
+                    }
+                    continue;
+                }
+                Op::ClosePortal(_) | Op::CloseStatement => wire::CLOSE_COMPLETE,
+            };
+            out.extend_from_slice(step);
+        }
+        if failed && !query {
+            self.keep_parsed(std::slice::from_ref(part), part.done_before_fault());
+        }
+        wire::write_ready(out, self.transaction.status());
+        true
+    }
+
+    /// Why nothing runs in a transaction that is lost; the first time with the reason.
+    fn aborted(&mut self) -> Final {
+        match self.untold.take() {
+            Some(why) => Final::RolledBack { why },
+            None => Final::InFailedTransaction,
+        }
+    }
+
+    /// Runs what the front answers of itself; false if it is an error.
+    fn runs(&mut self, scan: &Scan, catalogue: &mut Catalogue, out: &mut Vec<u8>) -> bool {
+        if self.transaction == Transaction::Lost {
+            // Guards against a commit that seems to have come to pass, of a client that knows of no failure.
+            let untold = self.untold.take().filter(|_| !scan.rolls_back);
+            if ends(scan) {
+                self.transaction = Transaction::None;
+            }
+            match untold {
+                Some(why) => Final::RolledBack { why }.write(out, false),
+                None if ends(scan) => wire::write_complete(out, "ROLLBACK"),
+                None => Final::InFailedTransaction.write(out, false),
+            }
+            return untold.is_none() && ends(scan);
+        }
+        let Some(own) = &scan.own else { return true };
+        match own {
+            Own::Label(name, value) => {
+                if !self.label.set(name, value) {
+                    let why = "no such setting; see the page on PostgreSQL sessions";
+                    Final::Unfit { field: "hallmux", why }.write(out, false);
+                    return false;
+                }
+            }
+            Own::Deallocate | Own::Discard => {
+                self.statements.clear();
+                (self.unnamed, self.held) = (None, 0);
+                if *own == Own::Discard {
+                    self.settings = catalogue.settings(Settings::default());
+                }
+            }
+        }
+        wire::write_complete(out, own.tag());
+        true
+    }
+
+    /// Takes in how a unit ended at an engine.
+    pub fn done(&mut self, parts: &[Rc<Part>], done: &Done, catalogue: &mut Catalogue, bounds: &Bounds) {
+        let failed = done.error.is_some();
+        if failed {
+            let named: Vec<&Vec<u8>> = parts.iter().flat_map(|p| &p.named).collect();
+            for name in named.into_iter().skip(done.parsed) {
+                self.forget(name);
+            }
+        } else {
+            for part in parts {
+                for own in &part.own {
+                    if let Own::Label(name, value) = own {
+                        self.label.set(name, value);
+                    }
+                }
+                self.pending.extend(part.changes.iter().cloned());
+            }
+        }
+        self.transaction = match done.status {
+            b'T' => Transaction::Open,
+            b'E' => Transaction::Failed,
+            _ => Transaction::None,
+        };
+        if self.transaction == Transaction::None {
+            self.portals.clear();
+            let pending = std::mem::take(&mut self.pending);
+            if !failed && !done.rolled_back && !pending.is_empty() {
+                let mut settings = (*self.settings).clone();
+                pending.iter().for_each(|change| settings.change(change));
+                // Guards against a session that grows without end: it keeps as many as it may.
+                while settings.0.len() > bounds.settings {
+                    settings.0.pop_last();
+                }
+                self.settings = catalogue.settings(settings);
+            }
+        }
+    }
+
+    /// A unit ends here, with the front's own answer; with a transaction that is lost by that, if one was open.
+    pub fn fails(&mut self, parts: &[Rc<Part>], why: &Final, out: &mut Vec<u8>) {
+        for part in parts {
+            part.named.iter().for_each(|name| self.forget(name));
+        }
+        self.lose();
+        self.untold = None;
+        if parts.iter().any(|part| part.commits || part.rolls_back) {
+            // It was the transaction's end, and its client asks for no other.
+            self.transaction = Transaction::None;
+        }
+        why.write(out, false);
+        if !self.within {
+            self.ready(out);
+        }
+    }
+
+    /// Says that the next unit may come.
+    pub fn ready(&self, out: &mut Vec<u8>) {
+        wire::write_ready(out, self.transaction.status());
+    }
+
+    /// The engine that held the open transaction has it no more; its client hears so with its next unit.
+    pub fn lose(&mut self) {
+        if self.transaction.is_held() {
+            if self.transaction == Transaction::Open {
+                self.untold = Some("its engine drains or was lost");
+            }
+            self.transaction = Transaction::Lost;
+        }
+        self.portals.clear();
+        self.pending.clear();
+    }
+
+    fn keep_parsed(&mut self, parts: &[Part], parsed: usize) {
+        let named: Vec<Vec<u8>> = parts.iter().flat_map(|p| p.named.iter().cloned()).skip(parsed).collect();
+        named.iter().for_each(|name| self.forget(name));
+    }
+}
+
+pub(super) fn quoted(name: &str) -> String {
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '.';
+    match name.chars().all(plain) {
+        true => name.to_string(),
+        false => format!("\"{}\"", name.replace('"', "\"\"")),
+    }
+}
