--- a/crates/postgres/src/sql.rs
+++ b/crates/postgres/src/sql.rs
@@ -1,6 +1,15 @@
 //! SQL read as far as a front must: where statements begin, what they change of a session, what can't be done
 //! over shared connections, and the labels in a leading comment. What it does not understand, passes.
 
+mod labels;
+mod settings;
+mod tokens;
+
+use self::labels::label;
+pub use self::labels::time;
+use self::settings::setting;
+use self::tokens::{Kind, Token, Tokens};
+
 /// What a statement is for the front, as far as it was told; empty where it was not.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Label {
@@ -94,130 +103,6 @@
     pub not_here: Option<&'static str>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Kind {
-    Word,
-    /// A string, or a name in quotes.
-    Quoted,
-    Number,
-    Sign(u8),
-    End,
-}
-
-#[derive(Clone, Copy)]
-struct Token<'a> {
-    kind: Kind,
-    text: &'a [u8],
-    at: usize,
-}
-
-impl Token<'_> {
-    fn is(&self, word: &str) -> bool {
-        self.kind == Kind::Word && self.text.eq_ignore_ascii_case(word.as_bytes())
-    }
-}
-
-struct Tokens<'a> {
-    text: &'a [u8],
-    at: usize,
-}
-
-fn in_word(c: u8) -> bool {
-    c.is_ascii_alphanumeric() || c == b'_' || c == b'$' || c >= 0x80
-}
-
-impl<'a> Tokens<'a> {
-    /// Behind a quoted part that begins here; a quote within it is written twice, or behind a backslash.
-    fn quoted(&self, from: usize, quote: u8, escapes: bool) -> usize {
-        let mut at = from + 1;
-        while let Some(&c) = self.text.get(at) {
-            at += match c {
-                b'\\' if escapes => 2,
-                c if c == quote && self.text.get(at + 1) == Some(&quote) => 2,
-                c if c == quote => return at + 1,
-                _ => 1,
-            };
-        }
-        self.text.len()
-    }
-
-    fn comment(&self, from: usize) -> usize {
-        let (mut at, mut depth) = (from + 2, 1);
-        while depth > 0 && at < self.text.len() {
-            at += match &self.text[at..] {
-                [b'/', b'*', ..] => {
-                    depth += 1;
-                    2
-                }
-                [b'*', b'/', ..] => {
-                    depth -= 1;
-                    2
-                }
-                _ => 1,
-            };
-        }
-        at.min(self.text.len())
-    }
-
-    /// Behind a string between two marks such as `$tag$`, if one begins here.
-    fn dollars(&self, from: usize) -> Option<usize> {
-        let rest = &self.text[from + 1..];
-        let len = rest.iter().position(|c| !in_word(*c) || *c == b'$')?;
-        if rest[len] != b'$' || rest.first().is_some_and(u8::is_ascii_digit) {
-            return None;
-        }
-        let mark = &self.text[from..from + len + 2];
-        let body = from + mark.len();
-        let end = memchr::memmem::find(&self.text[body..], mark);
-        Some(end.map_or(self.text.len(), |end| body + end + mark.len()))
-    }
-}
-
-impl<'a> Iterator for Tokens<'a> {
-    type Item = Token<'a>;
-
-    fn next(&mut self) -> Option<Token<'a>> {
-        loop {
-            let at = self.at;
-            let c = *self.text.get(at)?;
-            let next = self.text.get(at + 1).copied().unwrap_or(0);
-            let (kind, end) = match c {
-                c if c.is_ascii_whitespace() => {
-                    self.at += 1;
-                    continue;
-                }
-                b'-' if next == b'-' => {
-                    let end = memchr::memchr(b'\n', &self.text[at..]);
-                    self.at = end.map_or(self.text.len(), |end| at + end + 1);
-                    continue;
-                }
-                b'/' if next == b'*' => {
-                    self.at = self.comment(at);
-                    continue;
-                }
-                b'\'' | b'"' => (Kind::Quoted, self.quoted(at, c, false)),
-                b'e' | b'E' if next == b'\'' => (Kind::Quoted, self.quoted(at + 1, b'\'', true)),
-                b'$' => match self.dollars(at) {
-                    Some(end) => (Kind::Quoted, end),
-                    None => (Kind::Sign(c), at + 1),
-                },
-                b';' => (Kind::End, at + 1),
-                c if c.is_ascii_digit() => {
-                    let len = self.text[at..].iter().position(|c| !in_word(*c) && *c != b'.');
-                    (Kind::Number, len.map_or(self.text.len(), |len| at + len))
-                }
-                c if in_word(c) => {
-                    let len = self.text[at..].iter().position(|c| !in_word(*c));
-                    (Kind::Word, len.map_or(self.text.len(), |len| at + len))
-                }
-                c => (Kind::Sign(c), at + 1),
-            };
-            self.at = end;
-            return Some(Token { kind, text: &self.text[at..end], at });
-        }
-    }
-}
-
 const HEAD: usize = 8; // tokens kept of a statement's beginning: enough for every form below
 
 /// Reads a text.
@@ -339,137 +224,6 @@
     }
 }
 
-/// The value as text, out of its quotes.
-fn plain(value: &[u8]) -> String {
-    let text = String::from_utf8_lossy(value.trim_ascii()).into_owned();
-    match text.strip_prefix('\'').and_then(|t| t.strip_suffix('\'')) {
-        Some(inner) => inner.replace("''", "'"),
-        None => text.strip_prefix('"').and_then(|t| t.strip_suffix('"')).map_or(text.clone(), str::to_string),
-    }
-}
-
-fn setting(scan: &mut Scan, text: &[u8], head: &[Token], end: usize) {
-    let reset = head[0].is("reset");
-    let mut rest = &head[1..];
-    match rest.first() {
-        Some(t) if t.is("local") && !reset => return, // it goes with its transaction
-        Some(t) if t.is("session") && !reset => rest = &rest[1..],
-        _ => {}
-    }
-    let Some(name) = rest.first() else { return };
-    if name.is("role") || name.is("authorization") || name.is("characteristics") {
-        scan.not_here = Some("another role or transaction characteristics for a session");
-        return;
-    }
-    // A name may have two parts.
-    let dotted = rest.get(1).is_some_and(|t| t.kind == Kind::Sign(b'.')) && rest.len() > 2;
-    let full = if dotted { [name.text, b".", rest[2].text].concat() } else { name.text.to_vec() };
-    let full = String::from_utf8_lossy(&full).to_ascii_lowercase().replace('"', "");
-    let rest = &rest[if dotted { 3 } else { 1 }..];
-    let again = || {
-        let value = String::from_utf8_lossy(&text[name.at..end]).trim().to_string();
-        format!("SET {value}")
-    };
-    let short = full.strip_prefix("hallmux.").map(str::to_string);
-    if reset {
-        scan.changes.push(match full.as_str() {
-            "all" => Change::ResetAll,
-            _ => Change::Reset(full),
-        });
-        if let Some(short) = short {
-            scan.own = Some(Own::Label(short, String::new()));
-        }
-        return;
-    }
-    let zone = full == "time" && rest.first().is_some_and(|t| t.is("zone"));
-    if full == "transaction" {
-        return; // it holds for one transaction alone
-    }
-    let gives = |t: &Token| t.is("to") || t.kind == Kind::Sign(b'=');
-    if let Some(short) = short {
-        let value = rest.first().filter(|t| gives(t)).map_or(&b""[..], |t| &text[t.at + t.text.len()..end]);
-        let value = plain(value);
-        let value = if value.eq_ignore_ascii_case("default") { String::new() } else { value };
-        scan.own = Some(Own::Label(short, value));
-        return;
-    }
-    let value = rest.first().map(|t| String::from_utf8_lossy(&text[t.at + t.text.len()..end]).to_string());
-    if full == "standard_conforming_strings"
-        && !value.as_ref().is_some_and(|v| matches!(plain(v.as_bytes()).as_str(), "on" | "true" | "1"))
-    {
-        scan.not_here = Some("backslashes in plain strings");
-        return;
-    }
-    let name = match full.as_str() {
-        "time" if zone => "timezone".to_string(),
-        "names" => "client_encoding".to_string(),
-        _ => full,
-    };
-    let default = rest.iter().any(|t| t.is("default"));
-    scan.changes.push(if default { Change::Reset(name) } else { Change::Set { name, again: again() } });
-}
-
-const LONGEST_LABEL: usize = 4096; // bytes of leading comments that are looked at; labels take some hundred
-
-/// The labels of the leading comments: `/*hallmux.workload='report',hallmux.key='k%201'*/`, as sqlcommenter
-/// writes them: values in quotes, their bytes in URL form. Names that are not known are others' labels.
-fn label(text: &[u8]) -> Label {
-    let mut label = Label::default();
-    let mut rest = text.trim_ascii_start();
-    while let Some(inner) = rest.strip_prefix(b"/*") {
-        let Some(end) = memchr::memmem::find(inner, b"*/").filter(|end| *end <= LONGEST_LABEL) else { break };
-        let comment = String::from_utf8_lossy(&inner[..end]);
-        for pair in comment.split(',') {
-            let Some((name, value)) = pair.split_once('=') else { continue };
-            let Some(name) = decoded(name.trim()).strip_prefix("hallmux.").map(str::to_string) else {
-                continue;
-            };
-            let value = value.trim();
-            let value = value.strip_prefix('\'').and_then(|v| v.strip_suffix('\'')).unwrap_or(value);
-            label.set(&name, &decoded(value));
-        }
-        rest = inner[end + 2..].trim_ascii_start();
-    }
-    label
-}
-
-fn decoded(text: &str) -> String {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.as_bytes();
-    while let Some((first, after)) = rest.split_first() {
-        let hex = |c: Option<&u8>| c.and_then(|c| (*c as char).to_digit(16)).map(|d| d as u8);
-        match (first, hex(after.first()), hex(after.get(1))) {
-            (b'%', Some(high), Some(low)) => {
-                bytes.push(high * 16 + low);
-                rest = &after[2..];
-            }
-            (b'\\', ..) if after.first() == Some(&b'\'') => rest = after,
-            _ => {
-                bytes.push(*first);
-                rest = after;
-            }
-        }
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
-/// A time as the servers' settings write it, in microseconds; plain numbers are milliseconds.
-pub fn time(text: &str) -> Option<i64> {
-    let text = text.trim().trim_matches('\'').trim();
-    let at = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
-    let value: f64 = text[..at].parse().ok()?;
-    let unit = match text[at..].trim() {
-        "" | "ms" => 1e3,
-        "us" => 1.0,
-        "s" => 1e6,
-        "min" => 6e7,
-        "h" => 3.6e9,
-        "d" => 8.64e10,
-        _ => return None,
-    };
-    Some((value * unit).min(1e15) as i64)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
