--- a/crates/front/src/postgres/servers/coming.rs
+++ b/crates/front/src/postgres/servers/coming.rs
@@ -113,7 +113,7 @@
         false
     }
 
-    pub(super) fn heard(&mut self, now: Micros, id: ServerId, heard: Heard) {
+    fn heard(&mut self, now: Micros, id: ServerId, heard: Heard) {
         let Some(server) = self.links.get_mut(&id) else { return };
         let place = server.place;
         match heard {
@@ -191,7 +191,7 @@
         self.told.push(Told::Refused { sent, error });
     }
 
-    pub(super) fn done(&mut self, now: Micros, id: ServerId, done: Done) {
+    fn done(&mut self, now: Micros, id: ServerId, done: Done) {
         let Some(server) = self.links.get_mut(&id) else { return };
         let (place, sent, session) = (server.place, server.serves.take(), server.holds.take());
         server.discards = false;
--- a/crates/front/src/postgres/sessions/taking.rs
+++ b/crates/front/src/postgres/sessions/taking.rs
@@ -182,7 +182,7 @@
 }
 
 /// When the byte that ends so many bytes of the input came.
-pub(super) fn came(marks: &VecDeque<(usize, Micros)>, used: usize) -> Option<Micros> {
+fn came(marks: &VecDeque<(usize, Micros)>, used: usize) -> Option<Micros> {
     let mut sum = 0;
     marks.iter().find_map(|(bytes, at)| {
         sum += bytes;
@@ -190,7 +190,7 @@
     })
 }
 
-pub(super) fn taken(marks: &mut VecDeque<(usize, Micros)>, used: usize) {
+fn taken(marks: &mut VecDeque<(usize, Micros)>, used: usize) {
     let mut left = used;
     while let Some((bytes, _)) = marks.front_mut() {
         let len = left.min(*bytes);
