Statements of scatter workloads go to the sites that could have rows, as parts (crates/front/src/scatter)

The operator's file names workloads, sites with their keys, and bounds (scatter). A statement is read, its sites planned, each part is a statement of its own for the dispatcher with one location allowed, and the whole has one answer. Summaries come from a directory, at start and by SIGHUP, and from other fronts by letters. Without the ledger's word on loads every site is asked; loads: 'none' says that no load goes through a front.

--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -6,9 +6,11 @@
 mod ownership;
 mod places;
 mod postgres;
+mod scatter;
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
 pub use ownership::Ownership;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
+pub use scatter::Scatter;
 pub use whole::{LoadSignal, Operator};
--- /dev/null
+++ b/crates/agreement/src/operator/scatter.rs
@@ -0,0 +1,196 @@
+//! Statements over data at several sites: which workloads, which sites with which keys, and bounds.
+
+use std::collections::BTreeMap;
+
+use hallmux::interface::Effect;
+use serde::Deserialize;
+
+use crate::contract::Contract;
+
+use super::gossip::hexadecimal;
+use super::places::fault;
+
+const OLDEST_MS: u64 = 600_000; // milliseconds: a site that has written nothing for so long may have lost its way
+const MOST_OLDEST_MS: u64 = 604_800_000; // milliseconds: a week
+const AHEAD_MS: u64 = 10_000; // milliseconds, as far as fronts' clocks may differ
+const MOST: usize = 4_096; // summaries: 256 MiB if each were as long as can be; the usual take a tenth
+const MOST_OF_ALL: usize = 65_536;
+const AT_ONCE: usize = 4; // parts: the likeliest sites mostly fill a limit
+const ANSWER_BYTES: usize = 1 << 20; // bytes of an answer: a hundred times what an engine's page holds
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ScatterFile {
+    workloads: Vec<String>,
+    sites: BTreeMap<String, String>,
+    directory: Option<String>,
+    #[serde(default)]
+    schemas: BTreeMap<String, u32>,
+    loads: Option<String>,
+    whole_site: Option<String>,
+    #[serde(default)]
+    partial: Vec<String>,
+    #[serde(default = "oldest_ms")]
+    oldest_ms: u64,
+    #[serde(default = "ahead_ms")]
+    ahead_ms: u64,
+    #[serde(default = "most")]
+    most: usize,
+    #[serde(default = "at_once")]
+    at_once: usize,
+    #[serde(default = "answer_bytes")]
+    answer_bytes: usize,
+}
+
+fn oldest_ms() -> u64 {
+    OLDEST_MS
+}
+
+fn ahead_ms() -> u64 {
+    AHEAD_MS
+}
+
+fn most() -> usize {
+    MOST
+}
+
+fn at_once() -> usize {
+    AT_ONCE
+}
+
+fn answer_bytes() -> usize {
+    ANSWER_BYTES
+}
+
+/// Which statements are asked of several sites, and what holds for them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scatter {
+    pub workloads: Vec<String>,
+    /// Locations whose engines hold a part of the data, and the keys that sign their summaries.
+    pub sites: BTreeMap<String, [u8; 32]>,
+    /// Where summaries are read from, at start and by SIGHUP.
+    pub directory: Option<String>,
+    /// The schema that summaries of a group must be of.
+    pub schemas: BTreeMap<u32, u32>,
+    /// Loads go through fronts and are marked. False: no load goes through any.
+    pub marked: bool,
+    /// Has all rows: what parts can't make up is asked there.
+    pub whole_site: Option<String>,
+    /// Customers that take an answer which says what is missing in it.
+    pub partial: Vec<String>,
+    pub oldest_ms: u64,
+    pub ahead_ms: u64,
+    pub most: usize,
+    pub at_once: usize,
+    pub answer_bytes: usize,
+}
+
+pub fn scatter(text: &str, file: ScatterFile, contract: &Contract) -> Result<Scatter, String> {
+    let refuse = |key: &str, why: &str| Err(fault(text, &format!("scatter.{key}"), why));
+    let names = &contract.names;
+    for (n, name) in file.workloads.iter().enumerate() {
+        let path = format!("workloads[{n}]");
+        let Some(at) = names.workloads.iter().position(|known| known == name) else {
+            return refuse(&path, &format!("'{name}' is not among the settings' {:?}", names.workloads));
+        };
+        let effect = contract.agreement.workloads.get(at).map(|w| w.effect);
+        if effect != Some(Effect::Idempotent) {
+            return refuse(
+                &path,
+                &format!("'{name}' is not idempotent: only what reads is asked of several sites"),
+            );
+        }
+    }
+    let mut sites = BTreeMap::new();
+    for (name, key) in &file.sites {
+        if !names.locations.contains(name) {
+            let why = format!("'{name}' is not among the settings' areas {:?}", names.locations);
+            return refuse(&format!("sites.{name}"), &why);
+        }
+        match hexadecimal(key) {
+            Some(key) => _ = sites.insert(name.clone(), key),
+            None => return refuse(&format!("sites.{name}"), "is no key: 64 hexadecimal digits"),
+        }
+    }
+    if file.workloads.is_empty() || sites.is_empty() {
+        return refuse("sites", "names none, or no workloads: leave 'scatter' out to switch it off");
+    }
+    let mut schemas = BTreeMap::new();
+    for (group, schema) in &file.schemas {
+        match group.parse() {
+            Ok(number) => _ = schemas.insert(number, *schema),
+            Err(_) => return refuse(&format!("schemas.{group}"), "is no number of a table group"),
+        }
+    }
+    if let Some(site) = file.whole_site.as_ref().filter(|site| !sites.contains_key(*site)) {
+        return refuse("whole_site", &format!("'{site}' is not among scatter.sites"));
+    }
+    for (n, name) in file.partial.iter().enumerate() {
+        if !names.customers.contains(name) {
+            let why = format!("'{name}' is not among the settings' customers");
+            return refuse(&format!("partial[{n}]"), &why);
+        }
+    }
+    let marked = match file.loads.as_deref() {
+        None | Some("marked") => true,
+        Some("none") => false,
+        Some(other) => return refuse("loads", &format!("'{other}' is neither 'marked' nor 'none'")),
+    };
+    for (key, value, least, most) in [
+        ("oldest_ms", file.oldest_ms, 1_000, MOST_OLDEST_MS),
+        ("ahead_ms", file.ahead_ms, 0, OLDEST_MS),
+        ("most", file.most as u64, 1, MOST_OF_ALL as u64),
+        ("at_once", file.at_once as u64, 1, 1_000),
+        ("answer_bytes", file.answer_bytes as u64, 1_000, 1 << 26),
+    ] {
+        if !(least..=most).contains(&value) {
+            return refuse(key, &format!("is not from {least} to {most}"));
+        }
+    }
+    let ScatterFile { workloads, directory, whole_site, partial, .. } = file;
+    let (oldest_ms, ahead_ms) = (file.oldest_ms, file.ahead_ms);
+    let (most, at_once, answer_bytes) = (file.most, file.at_once, file.answer_bytes);
+    Ok(Scatter {
+        workloads,
+        sites,
+        directory,
+        schemas,
+        marked,
+        whole_site,
+        partial,
+        oldest_ms,
+        ahead_ms,
+        most,
+        at_once,
+        answer_bytes,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::whole::tests::read;
+
+    #[test]
+    fn what_names_nothing_known_is_refused_with_its_line() {
+        let good = format!(
+            "{{ scatter: {{\nworkloads: ['lookup'],\nsites: {{ here: '{}' }},\nschemas: {{ '17': 3 }} }} }}",
+            "0f".repeat(32)
+        );
+        let scatter = read(&good).unwrap().scatter.unwrap();
+        assert_eq!((scatter.schemas.get(&17), scatter.marked), (Some(&3), true));
+        for (from, to, why) in [
+            ("'lookup'", "'pay'", "line 2: scatter.workloads[0]: 'pay' is not among"),
+            ("here:", "there:", "line 3: scatter.sites.there: 'there' is not among"),
+            ("'0f", "'0", "line 3: scatter.sites.here: is no key"),
+            ("'17'", "'x'", "line 4: scatter.schemas.x: is no number"),
+            ("schemas:", "whole_site: 'x', schemas:", "line 4: scatter.whole_site: 'x' is not among"),
+            ("schemas:", "loads: 'x', schemas:", "line 4: scatter.loads: 'x' is neither"),
+            ("schemas:", "oldest_ms: 1, schemas:", "line 4: scatter.oldest_ms: is not from"),
+            ("schemas:", "partial: ['x'], schemas:", "line 4: scatter.partial[0]: 'x' is not among"),
+            ("'lookup'", "", "line 3: scatter.sites: names none"),
+        ] {
+            let refused = read(&good.replace(from, to)).unwrap_err();
+            assert!(refused.starts_with(why), "{refused}");
+        }
+    }
+}
--- a/crates/codec/src/statement.rs
+++ b/crates/codec/src/statement.rs
@@ -158,6 +158,13 @@
 /// What a client hears.
 pub enum Reply<'a> {
     Completed(&'a [u8]),
+    /// A result that says what is missing in it.
+    Partly {
+        body: &'a [u8],
+        fields: &'a [(&'a str, &'a str)],
+    },
+    /// Rejected for a reason that holds at any try.
+    Refused(&'a [(&'a str, &'a str)]),
     Rejected {
         retry_after_ms: Option<i64>,
     },
@@ -200,8 +207,10 @@
     out.write_message_begin(&TMessageIdentifier::new(name, TMessageType::Reply, seqid))?;
     out.write_struct_begin(&TStructIdentifier::new("result"))?;
     match reply {
-        Reply::Completed(body) => write_answer(out, body, true)?,
-        Reply::Well(good) => write_answer(out, b"", *good)?,
+        Reply::Completed(body) => write_answer(out, body, &[], true)?,
+        Reply::Partly { body, fields } => write_answer(out, body, fields, true)?,
+        Reply::Refused(fields) => write_exception(out, 1, fields)?,
+        Reply::Well(good) => write_answer(out, b"", &[], *good)?,
         Reply::Rejected { retry_after_ms } => {
             let later = retry_after_ms.map(|ms| ms.to_string());
             write_exception(out, 1, later.as_deref().map(|ms| ("later", ms)).as_slice())?;
@@ -213,12 +222,17 @@
     out.write_message_end()
 }
 
-fn write_answer(out: &mut impl TOutputProtocol, body: &[u8], good: bool) -> thrift::Result<()> {
+fn write_answer(
+    out: &mut impl TOutputProtocol,
+    body: &[u8],
+    fields: &[(&str, &str)],
+    good: bool,
+) -> thrift::Result<()> {
     out.write_field_begin(&TFieldIdentifier::new("success", TType::Struct, 0))?;
     out.write_struct_begin(&TStructIdentifier::new("Answer"))?;
     out.write_field_begin(&TFieldIdentifier::new("body", TType::String, 1))?;
     out.write_bytes(body)?;
-    write_fields(out, 2, &[])?;
+    write_fields(out, 2, fields)?;
     out.write_field_begin(&TFieldIdentifier::new("good", TType::Bool, 3))?;
     out.write_bool(good)?;
     out.write_field_stop()?;
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -80,6 +80,13 @@
 }
 
 impl Dispatcher {
+    /// A ticket for what is no statement here itself, but is answered by parts that are.
+    pub fn number(&mut self) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        ticket
+    }
+
     /// Asks for an engine; the answer comes with a later `tick`.
     pub fn pick(&mut self, now: Micros, ask: &Ask) -> Result<Ticket, Unfit> {
         let workload = position(&self.names.workloads, ask.workload).ok_or(Unfit::Workload)?;
@@ -91,8 +98,7 @@
             return Err(Unfit::DedupKey);
         }
         let allowed = ask.allowed.map(|names| self.allowed(workload, ask.pinned, names)).transpose()?;
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
+        let ticket = self.number();
         let key = ask.key.map(|key| self.key(key));
         self.told.push(Event::Arrived(Arrival {
             statement: ticket,
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -241,6 +241,15 @@
         }
     }
 
+    /// Says that a statement that was taken can't be used after all.
+    pub fn answer_unfit(&mut self, ticket: Ticket, field: &str, told: &mut Vec<Told>) {
+        let Some(open) = self.let_go(ticket) else { return };
+        if let Some(client) = self.clients.get_mut(&open.client) {
+            client.open.remove(&open.number);
+        }
+        self.unfit(open.client, open.number, field, told);
+    }
+
     /// Gives a statement its final answer.
     pub fn answer(&mut self, now: Micros, ticket: Ticket, reply: &Reply) {
         let Some(open) = self.let_go(ticket) else { return };
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -16,6 +16,7 @@
 use hallmux_gossip::evidence::News;
 use hallmux_gossip::message::LONGEST;
 use hallmux_gossip::node::{Datagram, Start};
+use hallmux_gossip::post::Channel;
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
@@ -39,6 +40,7 @@
     votes: Option<Votes>,
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
+    letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
 }
 
 fn keys(gossip: &Gossip) -> Rc<Keys> {
@@ -112,6 +114,7 @@
             votes,
             owns: None,
             refused_acts: BTreeMap::new(),
+            letters: BTreeMap::new(),
         })
     }
 
@@ -148,6 +151,35 @@
         Moment { now, steady, wall_ms: (now / 1000) as u64 }
     }
 
+    /// Letters that have come for a part beside gossip; of parts that take none, the latest are kept.
+    pub fn letters(&mut self, channel: Channel) -> Vec<(PeerId, Vec<u8>)> {
+        for letter in self.exchange.letters() {
+            let kept = self.letters.entry(letter.channel).or_default();
+            if kept.len() < ONE_TURN {
+                kept.push((letter.from, letter.bytes));
+            }
+        }
+        self.letters.remove(&channel).unwrap_or_default()
+    }
+
+    /// Sends such a letter; what does not go out is as if it were lost on the way.
+    pub fn post(&mut self, now: Micros, to: PeerId, channel: Channel, bytes: &[u8]) {
+        let at = self.moment(now);
+        let datagrams = self.exchange.post(at, to, channel, bytes).into_iter().collect();
+        self.send(Out { datagrams, ..Out::default() });
+    }
+
+    /// The other fronts whose word counts.
+    pub fn others(&self) -> Vec<PeerId> {
+        let own = id(&self.exchange.public());
+        self.names.keys().copied().filter(|peer| *peer != own).collect()
+    }
+
+    /// A number of this front's own, for turns that fronts should not all begin alike.
+    pub fn turn(&self) -> usize {
+        id(&self.exchange.public()) as usize
+    }
+
     /// Whether a probe on behalf of the fleet may leave now.
     pub fn may_probe(&self) -> bool {
         self.exchange.may_probe(self.steady.elapsed().as_micros() as Micros)
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,6 +3,7 @@
 mod asked;
 mod listed;
 mod orders;
+mod scattered;
 
 use std::net::TcpListener;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::fleet::Peers;
 use crate::link::Link;
 use crate::portal::Portal;
+use crate::scatter::Scatters;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
@@ -43,6 +45,8 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
+    /// Statements that are asked of several sites, likewise.
+    scatter: Option<Scatters>,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -63,6 +67,9 @@
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
+        let turn = peers.as_ref().map_or(0, Peers::turn);
+        let scatter = station.operator.scatter.as_ref();
+        let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn)).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
@@ -76,6 +83,7 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
+            scatter,
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
@@ -98,6 +106,7 @@
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
             self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
         self.clock.sleep(due);
@@ -155,6 +164,9 @@
         if let Some(peers) = &mut self.peers {
             peers.tick(self.clock.now, &mut self.dispatcher);
         }
+        let mut told = Vec::new();
+        self.tick_scatters(&mut told);
+        self.take(told);
         self.engines.expire(self.clock.now);
         self.coordinator.expire(self.clock.now);
         self.clock.look();
@@ -181,6 +193,7 @@
         }
         self.coordinator.flush(self.clock.now);
         let mut told = Vec::new();
+        self.answer_scatters(&mut told);
         self.clients.flush(&mut told);
         if let (untaken, Some(client)) = self.clients.untaken() {
             if untaken > self.most_bytes {
@@ -223,6 +236,11 @@
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
                     peers.reload(gossip);
                 }
+                if let Some((scatter, settings)) =
+                    self.scatter.as_mut().zip(station.operator.scatter.as_ref())
+                {
+                    scatter.reload(settings, self.clock.now);
+                }
                 self.coordinator.turn_to(self.clock.now, station.coordinator);
                 let at = station.coordinator.map_or("none".to_string(), |at| at.to_string());
                 log::info!("the configuration was read again; coordinator: {at}");
--- a/crates/front/src/front/asked.rs
+++ b/crates/front/src/front/asked.rs
@@ -2,7 +2,7 @@
 
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
-use hallmux_dispatcher::{Ask, Micros, Speech, Unfit};
+use hallmux_dispatcher::{Ask, Micros, Speech, Ticket, Unfit};
 
 use super::Front;
 use crate::clients::{self, ClientId};
@@ -25,13 +25,21 @@
                 }
                 clients::Told::Forgets { client, number } => {
                     let ticket = self.clients.forget(client, number);
-                    ticket.into_iter().for_each(|ticket| self.dispatcher.left(self.clock.now, ticket));
+                    ticket.into_iter().for_each(|ticket| self.left(ticket));
                 }
-                clients::Told::Left(ticket) => self.dispatcher.left(self.clock.now, ticket),
+                clients::Told::Left(ticket) => self.left(ticket),
             }
         }
     }
 
+    /// Nobody waits for a statement any more.
+    fn left(&mut self, ticket: Ticket) {
+        let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
+        if !self.scatter.as_mut().is_some_and(|scatter| scatter.left(now, ticket, dispatcher)) {
+            self.dispatcher.left(now, ticket);
+        }
+    }
+
     pub(super) fn asked(
         &mut self,
         client: ClientId,
@@ -59,18 +67,21 @@
         // Guards against a final answer that is held up on its way: it has the slack twice, before the
         // client's time is up and after. A result that comes in that last moment is lost to the client.
         let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
+        let time_left = time_left - self.clock.waited();
+        let Some((call, whole_site)) = self.scatters(client, number, call, time_left, None) else { return };
+        let whole_site = whole_site.as_ref().map(|site| [site.as_str()]);
         let ask = Ask {
             workload: &call.workload,
             customer: &call.customer,
             key: call.order_key.as_deref(),
             dedup_key: call.dedup_key.as_deref(),
-            time_left: time_left - self.clock.waited(),
+            time_left,
             work: call.work_ms * 1000.0,
             memory_mb: call.memory_mb,
             data_set: tables::group(&call.statement),
             speech: Speech::Lines,
             pinned: None,
-            allowed: None,
+            allowed: whole_site.as_ref().map(|site| &site[..]),
         };
         match self.dispatcher.pick(self.clock.now, &ask) {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -2,6 +2,7 @@
 
 use hallmux_codec::statement::Reply;
 use hallmux_dispatcher::{Ending, Order, Ticket};
+use hallmux_scatter::whole::Failed;
 
 use super::Front;
 use crate::engines;
@@ -14,7 +15,9 @@
         for told in std::mem::take(&mut self.engines.told) {
             match told {
                 engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
-                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
+                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost)
+                        && !self.part_ended(ticket, Ok(&result))
+                    {
                         self.clients.answer(self.clock.now, ticket, &Reply::Completed(&result));
                     }
                 }
@@ -65,7 +68,8 @@
                 self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, false, None));
             }
             Order::Send { ticket, execution, place, terms } => {
-                let Some(call) = self.clients.call(ticket) else {
+                let part = || self.scatter.as_ref().and_then(|scatter| scatter.call(ticket));
+                let Some(call) = self.clients.call(ticket).or_else(part) else {
                     self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
                     return;
                 };
@@ -77,6 +81,9 @@
             Order::Stop { ticket, execution, ending } => {
                 self.engines.stop(self.clock.now, (ticket, execution), ending)
             }
+            Order::Reject { ticket, retry_after }
+                if self.part_ended(ticket, Err(Failed::Rejected { retry_after })) => {}
+            Order::Abort { ticket } if self.part_ended(ticket, Err(Failed::Aborted)) => {}
             Order::Reject { ticket, retry_after } => {
                 let retry_after_ms = retry_after.map(|time| time / 1000);
                 self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
--- /dev/null
+++ b/crates/front/src/front/scattered.rs
@@ -0,0 +1,122 @@
+//! Statements that are asked of several sites: taken, their parts passed on, their one answer given.
+
+use std::rc::Rc;
+
+use hallmux_codec::statement::{self, Call, Reply};
+use hallmux_dispatcher::{Micros, Ticket, Unfit};
+use hallmux_gossip::post::Channel;
+use hallmux_scatter::whole::{Answer, Failed};
+
+use super::Front;
+use crate::clients::{self, ClientId};
+use crate::scatter::{Said, Scatters};
+
+impl Front {
+    /// Takes a statement of a workload that is scattered, where parts can make up its answer. Gives it back with the one
+    /// location it may be sent to where they can't.
+    pub(super) fn scatters(
+        &mut self,
+        client: ClientId,
+        number: i32,
+        call: Call,
+        time_left: Micros,
+        allowed: Option<Vec<String>>,
+    ) -> Option<(Call, Option<String>)> {
+        let Some(scatter) = self.scatter.as_mut().filter(|scatter| scatter.takes(&call.workload)) else {
+            return Some((call, None));
+        };
+        match scatter.read(&call.statement) {
+            Ok(Some(query)) => {
+                let ticket = self.dispatcher.number();
+                let ends = self.clock.now + time_left;
+                self.clients.opened(client, number, ticket, call);
+                let call: Rc<Call> = self.clients.call(ticket)?;
+                let whole = (call, query, ends);
+                scatter.begin(self.clock.now, ticket, whole, allowed, &mut self.dispatcher);
+                None
+            }
+            Ok(None) => {
+                let site = scatter.whole_site().map(str::to_string);
+                Some((call, site))
+            }
+            Err(why) => {
+                log::debug!("client {client}: statement {} of several sites: {why}", call.id);
+                self.clients.say(client, number, &Reply::Refused(&[("reason", &why)]));
+                None
+            }
+        }
+    }
+
+    /// A part is answered; false if the statement is none.
+    pub(super) fn part_ended(&mut self, part: Ticket, ended: Result<&[u8], Failed>) -> bool {
+        let now = self.clock.now;
+        let Some(scatter) = self.scatter.as_mut().filter(|scatter| scatter.owns(part)) else { return false };
+        scatter.ended(now, part, ended.map(<[u8]>::to_vec), &mut self.dispatcher);
+        true
+    }
+
+    /// Does what is due of scatters: letters, marks, and the answers there are.
+    pub(super) fn tick_scatters(&mut self, told: &mut Vec<clients::Told>) {
+        let now = self.clock.now;
+        let Some(scatter) = &mut self.scatter else { return };
+        if let Some(peers) = &mut self.peers {
+            let mut letters = scatter.tick(now, &peers.others());
+            for (from, bytes) in peers.letters(Channel::Summaries) {
+                letters.extend(scatter.summaries.heard(now, from, &bytes));
+            }
+            letters.iter().for_each(|(to, bytes)| peers.post(now, *to, Channel::Summaries, bytes));
+        }
+        // Without a ledger there is no word on loads: all are asked.
+        for (_, waiting) in scatter.wanted() {
+            scatter.marks(now, &waiting, None, &mut self.dispatcher);
+        }
+        self.answer_scatters(told);
+    }
+
+    pub(super) fn answer_scatters(&mut self, told: &mut Vec<clients::Told>) {
+        for (ticket, said) in self.scatter.as_mut().map(Scatters::said).unwrap_or_default() {
+            match said {
+                Said::Answer(answer) => self.answer_whole(ticket, &answer),
+                Said::Unfit(unfit) => {
+                    let field = match unfit {
+                        Unfit::Customer => statement::CUSTOMER,
+                        Unfit::DedupKey => statement::DEDUP_KEY,
+                        Unfit::Workload | Unfit::Barred => statement::WORKLOAD,
+                    };
+                    self.clients.answer_unfit(ticket, field, told);
+                }
+            }
+        }
+    }
+
+    fn answer_whole(&mut self, ticket: Ticket, answer: &Answer) {
+        let now = self.clock.now;
+        match answer {
+            Answer::Rows { bytes, missing, barred } if missing.is_empty() && barred.is_empty() => {
+                self.clients.answer(now, ticket, &Reply::Completed(bytes));
+            }
+            Answer::Rows { bytes, missing, barred } => {
+                let (missing, barred) = (missing.join(","), barred.join(","));
+                let fields = [("missing", missing.as_str()), ("barred", barred.as_str())];
+                let fields: Vec<_> = fields.into_iter().filter(|(_, sites)| !sites.is_empty()).collect();
+                self.clients.answer(now, ticket, &Reply::Partly { body: bytes, fields: &fields });
+            }
+            Answer::Rejected { retry_after, site } => {
+                log::debug!("a statement of several sites is rejected for its part at {site}");
+                let retry_after_ms = retry_after.map(|time| time / 1000);
+                self.clients.answer(now, ticket, &Reply::Rejected { retry_after_ms });
+            }
+            Answer::Aborted { site } => {
+                log::debug!("a statement of several sites is aborted for its part at {site}");
+                self.clients.answer(now, ticket, &Reply::Aborted);
+            }
+            Answer::Barred(sites) => {
+                self.clients.answer(now, ticket, &Reply::Refused(&[("barred", &sites.join(","))]));
+            }
+            Answer::Long => {
+                let why = "more bytes than scatter.answer_bytes: ask for fewer rows, or raise it";
+                self.clients.answer(now, ticket, &Reply::Refused(&[("reason", why)]));
+            }
+        }
+    }
+}
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -12,6 +12,7 @@
 mod logger;
 mod portal;
 mod reuse;
+mod scatter;
 mod servers;
 mod sessions;
 mod shutdown;
--- /dev/null
+++ b/crates/front/src/scatter/wholes.rs
@@ -0,0 +1,269 @@
+//! Statements that are asked of several sites, from their reading to their final answer.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+use hallmux_agreement::Scatter;
+use hallmux_codec::statement::Call;
+use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Ticket, Unfit};
+use hallmux_gossip::PeerId;
+use hallmux_scatter::marks::Marks;
+use hallmux_scatter::plan::{plan, Word};
+use hallmux_scatter::sql::{self, Query};
+use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
+
+use super::summaries::Summaries;
+
+const SAID: Micros = 60_000_000; // microseconds between lines of the log that say the same
+
+/// A whole statement's final word.
+#[derive(Debug, PartialEq)]
+pub enum Said {
+    Answer(Answer),
+    /// The dispatcher can't take its parts.
+    Unfit(Unfit),
+}
+
+/// A statement and its parts.
+struct One {
+    call: Rc<Call>,
+    query: Query,
+    ends: Micros,
+    /// Sites that may be asked; None: all.
+    allowed: Option<Vec<String>>,
+    /// None while the marks of its group are awaited.
+    whole: Option<Whole>,
+    /// Parts that are out: place and ticket.
+    tickets: BTreeMap<usize, Ticket>,
+}
+
+pub struct Scatters {
+    settings: Scatter,
+    sites: Vec<String>,
+    pub summaries: Summaries,
+    open: HashMap<Ticket, One>,
+    /// Whose parts they are, and in which places.
+    parts: HashMap<Ticket, (Ticket, usize)>,
+    /// Groups whose marks are to be read, and the statements that wait for them.
+    wanted: BTreeMap<u32, Vec<Ticket>>,
+    said: Vec<(Ticket, Said)>,
+    /// Sites asked, left out, and of how many in all.
+    counts: (u64, u64),
+    told: Micros,
+}
+
+impl Scatters {
+    pub fn new(settings: &Scatter, now: Micros, turn: usize) -> std::io::Result<Scatters> {
+        log::info!("statements of {:?} are asked of sites {:?}", settings.workloads, settings.sites.keys());
+        Ok(Scatters {
+            sites: settings.sites.keys().cloned().collect(),
+            summaries: Summaries::new(settings, now, turn)?,
+            settings: settings.clone(),
+            open: HashMap::new(),
+            parts: HashMap::new(),
+            wanted: BTreeMap::new(),
+            said: Vec::new(),
+            counts: (0, 0),
+            told: 0,
+        })
+    }
+
+    /// The operator's file was read again. One whose keys can't be used changes nothing.
+    pub fn reload(&mut self, settings: &Scatter, now: Micros) {
+        match self.summaries.reload(settings, now) {
+            Ok(()) => {
+                self.sites = settings.sites.keys().cloned().collect();
+                self.settings = settings.clone();
+            }
+            Err(why) => log::error!("{why}; sites are left as they were"),
+        }
+    }
+
+    pub fn takes(&self, workload: &str) -> bool {
+        self.settings.workloads.iter().any(|w| w == workload)
+    }
+
+    /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be answered.
+    pub fn read(&self, statement: &[u8]) -> Result<Option<Query>, String> {
+        match sql::read(statement) {
+            Ok(query) => Ok(Some(query)),
+            Err(_) if self.settings.whole_site.is_some() => Ok(None),
+            Err(why) => Err(why.to_string()),
+        }
+    }
+
+    pub fn whole_site(&self) -> Option<&str> {
+        self.settings.whole_site.as_deref()
+    }
+
+    /// A statement begins: its sites are asked at once, or once the marks of its group are known.
+    pub fn begin(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        (call, query, ends): (Rc<Call>, Query, Micros),
+        allowed: Option<Vec<String>>,
+        dispatcher: &mut Dispatcher,
+    ) {
+        let group = query.group;
+        let one = One { call, query, ends, allowed, whole: None, tickets: BTreeMap::new() };
+        self.open.insert(ticket, one);
+        match self.settings.marked {
+            true => self.wanted.entry(group).or_default().push(ticket),
+            false => self.go(now, ticket, &Word::NoLoads, dispatcher),
+        }
+    }
+
+    /// Groups whose marks are to be read from the ledger now, and the statements that came before that.
+    pub fn wanted(&mut self) -> BTreeMap<u32, Vec<Ticket>> {
+        std::mem::take(&mut self.wanted)
+    }
+
+    /// The ledger's word on a group's marks, or that it has none to give.
+    pub fn marks(
+        &mut self,
+        now: Micros,
+        waiting: &[Ticket],
+        marks: Option<&Marks>,
+        dispatcher: &mut Dispatcher,
+    ) {
+        let word = marks.map_or(Word::Nothing, Word::Marks);
+        waiting.iter().for_each(|ticket| self.go(now, *ticket, &word, dispatcher));
+    }
+
+    fn go(&mut self, now: Micros, ticket: Ticket, word: &Word, dispatcher: &mut Dispatcher) {
+        let Some(one) = self.open.get_mut(&ticket).filter(|one| one.whole.is_none()) else { return };
+        let allowed: Option<Vec<&str>> =
+            one.allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
+        let wall_ms = (now / 1000) as u64;
+        let book = &self.summaries.book;
+        let plan = plan(&one.query, &self.sites, allowed.as_deref(), book, wall_ms, word);
+        self.counts.0 += plan.parts.len() as u64;
+        self.counts.1 += plan.left_out.len() as u64;
+        if self.told + SAID <= now {
+            self.told = now;
+            let (asked, left_out) = self.counts;
+            let why = if matches!(word, Word::Nothing) {
+                "; the ledger gives no word on loads, so all are asked"
+            } else {
+                ""
+            };
+            log::info!("sites asked so far {asked}, left out by their summaries {left_out}{why}");
+        }
+        let rules = Rules {
+            limit: one.query.limit,
+            partial: self.settings.partial.contains(&one.call.customer),
+            at_once: self.settings.at_once,
+            most_bytes: self.settings.answer_bytes,
+        };
+        let (whole, acts) = Whole::new(plan.parts, plan.barred, rules);
+        one.whole = Some(whole);
+        self.act(now, ticket, acts, dispatcher);
+    }
+
+    fn act(&mut self, now: Micros, ticket: Ticket, acts: Vec<Act>, dispatcher: &mut Dispatcher) {
+        let mut acts = std::collections::VecDeque::from(acts);
+        while let Some(act) = acts.pop_front() {
+            let Some(one) = self.open.get_mut(&ticket) else { return };
+            match act {
+                Act::Start(place) => {
+                    let site = one.whole.as_ref().and_then(|whole| whole.site(place)).unwrap_or_default();
+                    let ask = Ask {
+                        workload: &one.call.workload,
+                        customer: &one.call.customer,
+                        key: None,
+                        dedup_key: None,
+                        time_left: one.ends - now,
+                        work: one.call.work_ms * 1000.0,
+                        memory_mb: one.call.memory_mb,
+                        data_set: Some(one.query.group),
+                        speech: Speech::Lines,
+                        pinned: None,
+                        allowed: Some(&[site]),
+                    };
+                    match dispatcher.pick(now, &ask) {
+                        Ok(part) => {
+                            one.tickets.insert(place, part);
+                            self.parts.insert(part, (ticket, place));
+                        }
+                        Err(Unfit::Barred) => {
+                            let more = one.whole.as_mut().map(|whole| whole.failed(place, Failed::Barred));
+                            acts.extend(more.unwrap_or_default());
+                        }
+                        Err(unfit) => {
+                            self.left(now, ticket, dispatcher);
+                            return self.said.push((ticket, Said::Unfit(unfit)));
+                        }
+                    }
+                }
+                Act::End(place) => {
+                    if let Some(part) = one.tickets.remove(&place) {
+                        self.parts.remove(&part);
+                        dispatcher.left(now, part);
+                    }
+                }
+                Act::Answer(answer) => {
+                    self.open.remove(&ticket);
+                    return self.said.push((ticket, Said::Answer(answer)));
+                }
+            }
+        }
+    }
+
+    /// Final words since the last call.
+    pub fn said(&mut self) -> Vec<(Ticket, Said)> {
+        std::mem::take(&mut self.said)
+    }
+
+    /// A statement is a part of one of these.
+    pub fn owns(&self, part: Ticket) -> bool {
+        self.parts.contains_key(&part)
+    }
+
+    pub fn call(&self, part: Ticket) -> Option<Rc<Call>> {
+        let (ticket, _) = self.parts.get(&part)?;
+        self.open.get(ticket).map(|one| one.call.clone())
+    }
+
+    /// A part has its answer, or has failed for good.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        part: Ticket,
+        ended: Result<Vec<u8>, Failed>,
+        dispatcher: &mut Dispatcher,
+    ) {
+        let Some((ticket, place)) = self.parts.remove(&part) else { return };
+        let Some(one) = self.open.get_mut(&ticket) else { return };
+        one.tickets.remove(&place);
+        let Some(whole) = &mut one.whole else { return };
+        let acts = match ended {
+            Ok(rows) => whole.answered(place, rows),
+            Err(failed) => whole.failed(place, failed),
+        };
+        self.act(now, ticket, acts, dispatcher);
+    }
+
+    /// Nobody waits for a whole statement any more. False if it is none of these.
+    pub fn left(&mut self, now: Micros, ticket: Ticket, dispatcher: &mut Dispatcher) -> bool {
+        let Some(one) = self.open.remove(&ticket) else { return false };
+        for part in one.tickets.into_values() {
+            self.parts.remove(&part);
+            dispatcher.left(now, part);
+        }
+        true
+    }
+
+    /// When `tick` is next due; without other fronts there is nothing to spread.
+    pub fn due(&self, has_peers: bool) -> Micros {
+        match (self.wanted.is_empty() && self.said.is_empty(), has_peers) {
+            (true, true) => self.summaries.due(),
+            (true, false) => Micros::MAX,
+            _ => 0,
+        }
+    }
+
+    pub fn tick(&mut self, now: Micros, others: &[PeerId]) -> Vec<(PeerId, Vec<u8>)> {
+        self.summaries.tick(now, others)
+    }
+}
--- a/crates/scatter/src/whole.rs
+++ b/crates/scatter/src/whole.rs
@@ -39,8 +39,12 @@
 /// How a part failed for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failed {
-    Rejected { retry_after: Option<Micros> },
+    Rejected {
+        retry_after: Option<Micros>,
+    },
     Aborted,
+    /// It may not be asked there.
+    Barred,
 }
 
 /// What holds for the whole.
@@ -109,17 +113,22 @@
 
     /// A part failed for good.
     pub fn failed(&mut self, place: usize, failed: Failed) -> Vec<Act> {
+        if self.done || !self.is_out(place) {
+            return Vec::new();
+        }
+        let site = self.site(place).unwrap_or_default().to_string();
         if self.rules.partial {
+            if failed == Failed::Barred {
+                self.barred.push(site);
+                return self.ended(place, State::Over);
+            }
             return self.ended(place, State::Missing);
         }
-        if !self.is_out(place) {
-            return Vec::new();
-        }
         self.set(place, State::Over);
-        let site = self.site(place).unwrap_or_default().to_string();
         self.end(match failed {
             Failed::Rejected { retry_after } => Answer::Rejected { retry_after, site },
             Failed::Aborted => Answer::Aborted { site },
+            Failed::Barred => Answer::Barred(vec![site]),
         })
     }
 
