--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -7,10 +7,12 @@
 mod ownership;
 mod places;
 mod postgres;
+mod scatter;
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
 pub use ledger::{Ledger, LedgerMember};
 pub use ownership::Ownership;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
+pub use scatter::Scatter;
 pub use whole::{LoadSignal, Operator};
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -3,6 +3,7 @@
 use hallmux_codec::statement::Reply;
 use hallmux_dispatcher::{Ending, Order, Terms, Ticket};
 use hallmux_fleet::gate::{Ordered, Ruling};
+use hallmux_scatter::whole::Failed;
 
 use super::Front;
 use crate::engines;
@@ -15,7 +16,9 @@
         for told in std::mem::take(&mut self.engines.told) {
             match told {
                 engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
-                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
+                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost)
+                        && !self.part_ended(ticket, Ok(&result))
+                    {
                         self.clients.answer(self.clock.now, ticket, &Reply::Completed(&result));
                     }
                 }
@@ -81,7 +84,8 @@
         if self.owns(sent.0) {
             return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place));
         }
-        match self.clients.call(sent.0) {
+        let part = || self.scatter.as_ref().and_then(|scatter| scatter.call(sent.0));
+        match self.clients.call(sent.0).or_else(part) {
             Some(call) => self.engines.send(now, sent, place, call, terms),
             None => _ = self.dispatcher.report(now, sent.0, sent.1, Ending::Withdrawn, None, None),
         }
@@ -119,6 +123,9 @@
             Order::Stop { ticket, execution, ending } => {
                 self.engines.stop(self.clock.now, (ticket, execution), ending)
             }
+            Order::Reject { ticket, retry_after }
+                if self.part_ended(ticket, Err(Failed::Rejected { retry_after })) => {}
+            Order::Abort { ticket } if self.part_ended(ticket, Err(Failed::Aborted)) => {}
             Order::Reject { ticket, retry_after } => {
                 let retry_after_ms = retry_after.map(|time| time / 1000);
                 self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
