Copies of promises lie on the front's disk: redb, group commit, a directory's identity

Need: a front kept its copies of promises in memory alone, and each start was another disk. Change: crates/front/src/fleet/copies.rs keeps the ledger's records in redb (checksummed, lasting at commit, its storage can be put under faults), written by a thread, up to 512 saves in a commit; what waits for a save leaves once it is lasting. A directory's identity is drawn once with the store: an emptied directory is another disk. A second front on a directory does not start; a damaged store is refused with what to do; a save that fails is said once, and the front keeps no copies in that life. gossip.ledger.directory names it; without it memory alone.

--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -1,7 +1,8 @@
 //! What this front and the other fronts tell each other, and what it holds for them: words on engines over
-//! datagrams, and the file of a voter. Each is switched on by the operator's file; off, it is not there. What the
+//! datagrams, the file of a voter, and copies of promises. Each is switched on by the operator's file; off, it is not there. What the
 //! words mean is decided in `crates/fleet` and the minds behind it.
 
+mod copies;
 mod gate;
 mod peers;
 mod votes;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -9,10 +9,11 @@
 use std::time::Instant;
 
 use calloop::generic::Generic;
+use calloop::ping::make_ping;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
 use hallmux_agreement::{hexadecimal, Gossip, Ledger};
 use hallmux_dispatcher::{Dispatcher, Micros};
-use hallmux_fleet::{Exchange, Kept, Moment, Out, Ownership, Owns};
+use hallmux_fleet::{Exchange, Moment, Out, Ownership, Owns};
 use hallmux_gossip::evidence::News;
 use hallmux_gossip::message::LONGEST;
 use hallmux_gossip::node::{Datagram, Start};
@@ -20,8 +21,9 @@
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
-use hallmux_ledger::{Ask, Done, Member, Setup};
+use hallmux_ledger::{Ask, DiskId, Done, Member, Setup};
 
+use super::copies::{self, Copies};
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
 
@@ -39,6 +41,8 @@
     /// The clock that leases go by: it runs evenly on, whatever becomes of the wall clock.
     steady: Instant,
     votes: Option<Votes>,
+    /// Where copies of promises are kept; in memory alone without.
+    copies: Option<Copies>,
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
@@ -98,16 +102,34 @@
                 if votes.is_some() { ", and votes" } else { "" }
             );
         }
+        let mut copies = None;
         if let Some(ledger) = &gossip.ledger {
             let own = id(&exchange.public());
-            let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
-            let (setup, members) = copies(ledger, own, (now / 1000) as u64);
-            exchange.promise(moment, setup, members, None).map_err(|e| why(e.to_string()))?;
             let keeps = ledger.members.iter().any(|member| id(&member.key) == own);
+            let (mut disk, mut kept) = (copies::drawn(), None);
+            if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
+                let (ping, lasting) = make_ping()?;
+                let opened = Copies::open(directory, socket.try_clone()?, ping);
+                let (opened, found) = opened.map_err(|e| why(format!("ledger.{e}")))?;
+                (copies, disk, kept) = (Some(opened), found.disk, found.saved);
+                let told = handle.insert_source(lasting, |_, _, changes: &mut Changes| {
+                    changes.parties.push(Door::Peers.party(0));
+                });
+                told.map_err(|e| why(e.error.to_string()))?;
+            }
+            let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
+            let remembers = kept.is_some();
+            let (setup, members) = shared(ledger, own, (now / 1000) as u64, disk);
+            exchange.promise(moment, setup, members, kept).map_err(|e| why(e.to_string()))?;
             log::info!(
                 "asks {} fronts for promises{}",
                 ledger.members.len(),
-                if keeps { ", and keeps copies" } else { "" }
+                match (keeps, copies.is_some(), remembers) {
+                    (false, ..) => "",
+                    (_, false, _) => ", and keeps copies in memory alone",
+                    (_, _, false) => ", and keeps copies on a disk that is new",
+                    _ => ", and keeps copies on the disk that it had",
+                }
             );
         }
         let public: String = exchange.public().iter().map(|byte| format!("{byte:02x}")).collect();
@@ -125,6 +147,7 @@
             refused: BTreeMap::new(),
             steady,
             votes,
+            copies,
             owns: None,
             refused_acts: BTreeMap::new(),
             letters: BTreeMap::new(),
@@ -144,6 +167,7 @@
 
     /// Datagrams have come; true if there are more for another turn.
     pub fn read(&mut self, now: Micros) -> bool {
+        self.lasting(now);
         let mut bytes = [0; LONGEST + 1];
         for _ in 0..ONE_TURN {
             match self.socket.recv_from(&mut bytes) {
@@ -179,7 +203,7 @@
     pub fn post(&mut self, now: Micros, to: PeerId, channel: Channel, bytes: &[u8]) {
         let at = self.moment(now);
         let datagrams = self.exchange.post(at, to, channel, bytes).into_iter().collect();
-        self.send(Out { datagrams, ..Out::default() });
+        self.send(now, Out { datagrams, ..Out::default() });
     }
 
     /// The other fronts whose word counts.
@@ -206,13 +230,34 @@
         if let Some(votes) = &mut self.votes {
             out.saved.into_iter().for_each(|saved| votes.save(saved));
         }
-        // In memory alone a copy is as lasting as it gets.
-        for Kept { number, datagrams, .. } in out.kept {
-            for Datagram { to, bytes } in datagrams {
-                let _ = self.socket.send_to(&bytes, to);
+        for kept in out.kept {
+            let number = kept.number;
+            match &mut self.copies {
+                Some(copies) => {
+                    if !copies.save(kept) {
+                        self.is_saved(now, number, false);
+                    }
+                }
+                // In memory alone a copy is as lasting as it gets.
+                None => {
+                    for Datagram { to, bytes } in kept.datagrams {
+                        let _ = self.socket.send_to(&bytes, to);
+                    }
+                    self.is_saved(now, number, true);
+                }
             }
-            let out = self.exchange.saved(self.moment(now), number, true);
-            self.send(now, out);
+        }
+    }
+
+    fn is_saved(&mut self, now: Micros, number: u64, ok: bool) {
+        let out = self.exchange.saved(self.moment(now), number, ok);
+        self.send(now, out);
+    }
+
+    /// Takes the disk's word on what has become lasting.
+    fn lasting(&mut self, now: Micros) {
+        for (number, ok) in self.copies.as_mut().map(Copies::done).unwrap_or_default() {
+            self.is_saved(now, number, ok);
         }
     }
 
@@ -281,10 +326,8 @@
 }
 
 /// What the operator says of the ledger, as its mind has it, and where its members are heard.
-fn copies(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
+fn shared(ledger: &Ledger, own: PeerId, life: u64, disk: DiskId) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
     let members = ledger.members.iter().map(|m| Member { front: id(&m.key), zone: m.zone.clone() }).collect();
-    // In memory each life is a disk of its own.
-    let disk = RandomState::new().hash_one(life).max(1);
     let (copies, shards) = (ledger.copies, ledger.shards);
     let setup = Setup { copies, shards, ..Setup::new(&ledger.fleet, own, life, disk, members) };
     (setup, ledger.members.iter().map(|m| (id(&m.key), m.at)).collect())
