A late connection is no restart, and a cold engine's share is used by fronts too few to burst

Causes, in the module. (1) found_cold/pushed: with an overload factor of 2 over 1 s, a share of a cold engine bears 0.3 x 0.4 x 12 / 6 = 0.24 core-seconds at once, less than any statement; so nothing was ever sent there until it was warm (9 to 13 s). What was made for many fronts (each waits for a turn drawn by chance) holds wherever a share bears no usual statement, and a statement longer than any burst goes once nothing is counted as pushed: the mean stays at the share. (2) ended: one connection that came up late (NoRoute) took four fifths of the engine's credit and marked it, so that its next answer made it cold, and by (1) empty for ten seconds. Now one costs the credit of an error and the rest of a second; two in a row with no word between are an engine that is gone. Only what its engine said ends the row, no execution given up or timed out here.

--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -108,10 +108,9 @@
         let (now, e) = (self.now, x.engine);
         self.engines.know(e, TRUSTED);
         let Some(s) = self.statements.get_mut(&x.statement) else { return };
-        let execution = s.executions.get_mut(x.execution).filter(|x| x.outcome.is_none());
-        let Some(execution) = execution else { return };
-        execution.outcome = Some(x.outcome);
-        let (quiet, key, was_over, ends, load) = (execution.quiet, s.asked.key, s.over, s.ends, s.load);
+        let Some(sent) = s.executions.get_mut(x.execution).filter(|x| x.outcome.is_none()) else { return };
+        sent.outcome = Some(x.outcome);
+        let (quiet, key, was_over, ends, load) = (sent.quiet, s.asked.key, s.over, s.ends, s.load);
         self.engines.took_back(e, (x.statement, x.execution), load);
         if let Some(turn) = key.and_then(|key| self.turns.get_mut(&key)) {
             turn.found(was_over);
@@ -120,11 +119,12 @@
             }
             turn.astray += usize::from(x.holds && x.settled && !was_over);
         }
-        if x.outcome != Outcome::NoRoute && self.engines.unreached[e] {
+        // One connection that is late to come up tells little of its engine; two in a row tell that it is gone.
+        let (before, unreached) = self.engines.tried(e, x.outcome, now + LOST_REST);
+        if unreached == 0 && before > 1 {
             // Back after it could not be reached: it may have restarted before the list says so.
             self.found_cold(e, now + self.agreed.warm_within);
         }
-        self.engines.unreached[e] = x.outcome == Outcome::NoRoute;
         x.report.iter().for_each(|report| self.reported(e, report));
         match x.outcome {
             Outcome::Completed => {
@@ -146,7 +146,8 @@
             // A crash resets all that an engine holds at once; single resets are the network's.
             Outcome::Error | Outcome::Reset | Outcome::NoRoute => {
                 self.proved(e, true);
-                self.spend(e, if x.outcome == Outcome::NoRoute { SPENT_LOST } else { SPENT_ERROR })
+                let gone = x.outcome == Outcome::NoRoute && unreached > 1;
+                self.spend(e, if gone { SPENT_LOST } else { SPENT_ERROR })
             }
             Outcome::Cancelled | Outcome::NotSent => {}
         }
--- a/src/decide/penalty.rs
+++ b/src/decide/penalty.rs
@@ -37,8 +37,7 @@
         }
         while !waiting.is_empty() {
             let oldest = |class: usize| Reverse(self.classes[class].ready.first().copied());
-            let first =
-                waiting.iter().max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| oldest(a.1).cmp(&oldest(b.1))));
+            let first = waiting.iter().max_by(|a, b| a.0.total_cmp(&b.0).then(oldest(a.1).cmp(&oldest(b.1))));
             let Some(&(_, class)) = first else { break };
             let left = heads(&self.classes[class].ready).into_iter().any(|id| self.try_release(id));
             if !left || self.classes[class].ready.is_empty() {
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -12,8 +12,7 @@
         let open = open && s.asked.pinned.is_none_or(|pinned| pinned == e);
         let (pushed, most) = self.pushed(e);
         let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
-        let added = if self.many { 0.0 } else { work };
-        let bears = self.now >= self.engines.cold_until[e] || pushed + added <= most;
+        let bears = self.now >= self.engines.cold_until[e] || pushed <= 0.0 || pushed + work <= most;
         let open = open && self.now < s.ends && self.has_turn(id, s);
         open && bears && (s.executions.is_empty() || self.may_repeat(s, Some(entry)))
     }
@@ -125,7 +124,9 @@
     pub(super) fn found_cold(&mut self, e: EngineId, until: Micros) {
         self.engines.cold_until[e] = until;
         let pushed = match () {
-            _ if self.many => self.chance.next() * either(self.asked_work.value, SECOND as f64),
+            _ if self.many || self.pushed(e).1 < self.asked_work.value => {
+                self.chance.next() * either(self.asked_work.value, SECOND as f64)
+            }
             _ if self.started == Some(self.now) => self.pushed(e).1,
             _ => self.engines.pushed[e].0,
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -287,7 +287,7 @@
     pub held: Vec<Vec<(u32, Micros)>>, // data sets that loads of other fronts hold there, and until when
     pub bound: Vec<f64>,
     pub credit: Vec<f64>,
-    pub unreached: Vec<bool>,
+    pub unreached: Vec<usize>, // times in a row that it could not be reached
     pub rests_until: Vec<Micros>,
     pub heard: Vec<Micros>,
     pub probed: Vec<Micros>,
@@ -359,6 +359,17 @@
         self.own[e].add(load, -1.0);
     }
 
+    /// How often in a row it could not be reached, before and now; then it rests.
+    pub fn tried(&mut self, e: EngineId, outcome: Outcome, rests_until: Micros) -> (usize, usize) {
+        let before = self.unreached[e];
+        match outcome {
+            Outcome::NoRoute => (self.unreached[e], self.rests_until[e]) = (before + 1, rests_until),
+            Outcome::Completed | Outcome::NoRoom | Outcome::Error => self.unreached[e] = 0,
+            _ => {} // nothing has come from there
+        }
+        (before, self.unreached[e])
+    }
+
     /// What other fronts usually hold of an engine like this one.
     pub fn usual(&self, e: EngineId) -> Load {
         let each = self.listed[e].as_ref().and_then(|entry| self.usual.get(entry.kind));
@@ -386,7 +397,7 @@
         self.held.resize(count, Vec::new());
         self.bound.resize(count, 0.0);
         self.credit.resize(count, credit);
-        self.unreached.resize(count, false);
+        self.unreached.resize(count, 0);
         self.rests_until.resize(count, 0);
         self.heard.resize(count, 0);
         self.probed.resize(count, 0);
