--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -1,7 +1,12 @@
 //! The rules, checked on what clients and engines wrote down, never on what a front says of itself.
 
+mod answers;
+mod turns;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use self::answers::{answers, effects};
+use self::turns::{drains, order, placement, repeats};
 use crate::engine::{Deed, Kind};
 
 /// How a unit ended for its client.
@@ -169,183 +174,6 @@
     all
 }
 
-/// Exactly one final answer, whole and true, in time.
-fn answers(wrong: &mut Violations, asked: &[Asked], agreed: &Agreed) {
-    let mut seen = HashSet::new();
-    for a in asked {
-        if !seen.insert(&a.id) {
-            add(wrong, "answers", format!("{}: two final answers", a.id));
-        }
-        let late = a.answered - a.sent > a.timeout + agreed.slack;
-        match &a.outcome {
-            Outcome::Nothing => add(wrong, "answers", format!("{}: no answer", a.id)),
-            Outcome::Spoilt => add(wrong, "answers", format!("{}: another's rows", a.id)),
-            Outcome::Lost if !a.may_be_lost => add(wrong, "answers", format!("{}: lost", a.id)),
-            Outcome::Completed { rows } if *rows != a.rows || a.fails.is_some() => {
-                add(wrong, "answers", format!("{}: {rows} rows of {}", a.id, a.rows));
-            }
-            Outcome::Error(code) => {
-                let known = ["53000", "57014", "08007", "08006", "40001", "25P02", "25P03", "57P01"];
-                let own = [a.fails, a.may_fail].contains(&Some(code.as_str()));
-                if !own && !known.contains(&code.as_str()) {
-                    add(wrong, "answers", format!("{}: {code}", a.id));
-                }
-                // A cancel that was meant for another shows as one that nobody asked for.
-                let early = a.answered - a.sent < a.timeout - agreed.slack;
-                if code == "57014" && !a.cancels && early {
-                    add(wrong, "cancels", format!("{}: cancelled by nobody", a.id));
-                }
-            }
-            _ => {}
-        }
-        if late && !matches!(a.outcome, Outcome::Nothing) {
-            let ms = (a.answered - a.sent) / 1000;
-            add(wrong, "answers", format!("{}: after {ms} ms of {}", a.id, a.timeout / 1000));
-        }
-    }
-}
-
-/// What was answered is what has come to pass.
-fn effects(
-    wrong: &mut Violations,
-    asked: &[Asked],
-    transactions: &[Transaction],
-    executions: &HashMap<String, Vec<Execution>>,
-    kept: &HashMap<String, usize>,
-) {
-    for a in asked.iter().filter(|a| a.transaction.is_none() && !a.control) {
-        let (ran, lasting) =
-            (executions.get(&a.id).map_or(0, Vec::len), kept.get(&a.id).copied().unwrap_or(0));
-        let completed = matches!(a.outcome, Outcome::Completed { .. });
-        if completed && lasting == 0 {
-            add(wrong, "effects", format!("{}: completed, but nothing has come of it", a.id));
-        }
-        let rejected = matches!(&a.outcome, Outcome::Error(code) if code == "53000");
-        if rejected && a.repeat == Repeat::NonIdempotent && ran > 0 {
-            add(wrong, "effects", format!("{}: rejected, but it ran", a.id));
-        }
-    }
-    for (n, t) in transactions.iter().enumerate() {
-        let lasting = t.statements.iter().filter(|id| kept.contains_key(*id)).count();
-        let whole = t.statements.len();
-        match &t.commit {
-            Some(Outcome::Completed { .. }) if lasting < whole => {
-                add(wrong, "effects", format!("transaction {n}: committed, {lasting} of {whole} kept"));
-            }
-            Some(Outcome::Error(code)) if code == "08007" && lasting != 0 && lasting != whole => {
-                add(wrong, "effects", format!("transaction {n}: {lasting} of {whole} kept"));
-            }
-            Some(Outcome::Error(code)) if code == "08007" => {}
-            Some(Outcome::Lost | Outcome::Nothing) => {}
-            Some(Outcome::Completed { .. }) => {}
-            _ if lasting > 0 => {
-                add(wrong, "effects", format!("transaction {n}: {:?}, but {lasting} kept", t.commit));
-            }
-            _ => {}
-        }
-    }
-}
-
-/// Nothing twice that may not be, never two at once, and no more further executions than agreed.
-fn repeats(
-    wrong: &mut Violations,
-    asked: &[Asked],
-    executions: &HashMap<String, Vec<Execution>>,
-    agreed: &Agreed,
-) {
-    let mut further = Vec::new();
-    for a in asked {
-        let Some(ran) = executions.get(&a.id) else { continue };
-        if ran.len() > 1 && (a.repeat == Repeat::NonIdempotent || a.transaction.is_some()) {
-            add(wrong, "repeats", format!("{}: ran {} times", a.id, ran.len()));
-        }
-        for (n, x) in ran.iter().enumerate() {
-            if ran[..n].iter().any(|y| y.from < x.to && x.from < y.to) {
-                add(wrong, "repeats", format!("{}: ran twice at once", a.id));
-            }
-        }
-        further.extend(ran.iter().skip(1).map(|x| x.from));
-    }
-    let Some((spare, share, window)) = agreed.further else { return };
-    further.sort_unstable();
-    let mut sent: Vec<i64> = asked.iter().map(|a| a.sent).collect();
-    sent.sort_unstable();
-    for (n, at) in further.iter().enumerate() {
-        let since = at - window;
-        let within = further[..=n].iter().filter(|t| **t > since).count() as f64;
-        let taken = sent.partition_point(|t| t <= at) - sent.partition_point(|t| *t <= since);
-        // What was taken and when is seen from outside: by 15 in 100 and one execution looser.
-        if within > (spare + share * taken as f64) * 1.15 + 1.0 {
-            add(wrong, "budget", format!("{within} further executions of {taken} statements at {at}"));
-        }
-    }
-}
-
-/// Nothing new to an engine that drains.
-fn drains(wrong: &mut Violations, deeds: &[Deed], agreed: &Agreed) {
-    for deed in deeds {
-        let new = matches!(deed.kind, Kind::Began { .. } | Kind::Control { .. });
-        let drain = |d: &&Drain| d.engine == deed.engine && deed.at > d.from + agreed.grace && deed.at < d.to;
-        if let Some(drain) = agreed.drains.iter().find(drain).filter(|_| new) {
-            let ms = (deed.at - drain.from) / 1000;
-            add(wrong, "drains", format!("engine {}: {:?} after {ms} ms", deed.engine, deed.kind));
-        }
-    }
-}
-
-/// Statements of one order key one at a time, in the order in which they were taken.
-fn order(wrong: &mut Violations, asked: &[Asked], executions: &HashMap<String, Vec<Execution>>) {
-    let mut by_key: BTreeMap<&str, Vec<(i64, i64, &str)>> = BTreeMap::new();
-    for (id, ran) in executions {
-        for x in ran.iter().filter(|x| !x.key.is_empty()) {
-            by_key.entry(&x.key).or_default().push((x.from, x.to, id));
-        }
-    }
-    // Between these the front took a statement, whatever the machine gave each of the processes to run.
-    let within = |a: &Asked| {
-        let answered = matches!(a.outcome, Outcome::Completed { .. } | Outcome::Error(_));
-        (a.sent, a.taken.or(answered.then_some(a.answered)).unwrap_or(i64::MAX))
-    };
-    let took: HashMap<&str, (i64, i64)> = asked.iter().map(|a| (a.id.as_str(), within(a))).collect();
-    for (key, mut ran) in by_key {
-        ran.sort_unstable();
-        for pair in ran.windows(2) {
-            let ((_, to, first), (from, _, second)) = (pair[0], pair[1]);
-            if first != second && from < to {
-                add(wrong, "order", format!("{key}: {second} began while {first} ran"));
-            }
-        }
-        // The one that was sent last of those that have run.
-        let mut last: Option<(i64, &str)> = None;
-        for (_, _, id) in ran {
-            let Some((sent, taken)) = took.get(id).copied() else { continue };
-            if let Some((_, other)) = last.filter(|(at, _)| taken < *at) {
-                add(
-                    wrong,
-                    "order",
-                    format!("{key}: {id} was taken before {other} was sent, but ran after it"),
-                );
-            }
-            last = last.max(Some((sent, id)));
-        }
-    }
-}
-
-fn placement(
-    wrong: &mut Violations,
-    asked: &[Asked],
-    executions: &HashMap<String, Vec<Execution>>,
-    agreed: &Agreed,
-) {
-    for a in asked.iter().filter(|a| a.bound) {
-        for x in executions.get(&a.id).into_iter().flatten() {
-            if !agreed.bound_to.contains(&x.engine) {
-                add(wrong, "placement", format!("{}: ran on engine {}", a.id, x.engine));
-            }
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/lab/src/check/answers.rs
@@ -0,0 +1,82 @@
+//! Exactly one final answer for each statement, and what was answered has come to pass.
+
+use std::collections::{HashMap, HashSet};
+
+use super::{add, Agreed, Asked, Execution, Outcome, Repeat, Transaction, Violations};
+
+/// Exactly one final answer, whole and true, in time.
+pub(super) fn answers(wrong: &mut Violations, asked: &[Asked], agreed: &Agreed) {
+    let mut seen = HashSet::new();
+    for a in asked {
+        if !seen.insert(&a.id) {
+            add(wrong, "answers", format!("{}: two final answers", a.id));
+        }
+        let late = a.answered - a.sent > a.timeout + agreed.slack;
+        match &a.outcome {
+            Outcome::Nothing => add(wrong, "answers", format!("{}: no answer", a.id)),
+            Outcome::Spoilt => add(wrong, "answers", format!("{}: another's rows", a.id)),
+            Outcome::Lost if !a.may_be_lost => add(wrong, "answers", format!("{}: lost", a.id)),
+            Outcome::Completed { rows } if *rows != a.rows || a.fails.is_some() => {
+                add(wrong, "answers", format!("{}: {rows} rows of {}", a.id, a.rows));
+            }
+            Outcome::Error(code) => {
+                let known = ["53000", "57014", "08007", "08006", "40001", "25P02", "25P03", "57P01"];
+                let own = [a.fails, a.may_fail].contains(&Some(code.as_str()));
+                if !own && !known.contains(&code.as_str()) {
+                    add(wrong, "answers", format!("{}: {code}", a.id));
+                }
+                // A cancel that was meant for another shows as one that nobody asked for.
+                let early = a.answered - a.sent < a.timeout - agreed.slack;
+                if code == "57014" && !a.cancels && early {
+                    add(wrong, "cancels", format!("{}: cancelled by nobody", a.id));
+                }
+            }
+            _ => {}
+        }
+        if late && !matches!(a.outcome, Outcome::Nothing) {
+            let ms = (a.answered - a.sent) / 1000;
+            add(wrong, "answers", format!("{}: after {ms} ms of {}", a.id, a.timeout / 1000));
+        }
+    }
+}
+
+/// What was answered is what has come to pass.
+pub(super) fn effects(
+    wrong: &mut Violations,
+    asked: &[Asked],
+    transactions: &[Transaction],
+    executions: &HashMap<String, Vec<Execution>>,
+    kept: &HashMap<String, usize>,
+) {
+    for a in asked.iter().filter(|a| a.transaction.is_none() && !a.control) {
+        let (ran, lasting) =
+            (executions.get(&a.id).map_or(0, Vec::len), kept.get(&a.id).copied().unwrap_or(0));
+        let completed = matches!(a.outcome, Outcome::Completed { .. });
+        if completed && lasting == 0 {
+            add(wrong, "effects", format!("{}: completed, but nothing has come of it", a.id));
+        }
+        let rejected = matches!(&a.outcome, Outcome::Error(code) if code == "53000");
+        if rejected && a.repeat == Repeat::NonIdempotent && ran > 0 {
+            add(wrong, "effects", format!("{}: rejected, but it ran", a.id));
+        }
+    }
+    for (n, t) in transactions.iter().enumerate() {
+        let lasting = t.statements.iter().filter(|id| kept.contains_key(*id)).count();
+        let whole = t.statements.len();
+        match &t.commit {
+            Some(Outcome::Completed { .. }) if lasting < whole => {
+                add(wrong, "effects", format!("transaction {n}: committed, {lasting} of {whole} kept"));
+            }
+            Some(Outcome::Error(code)) if code == "08007" && lasting != 0 && lasting != whole => {
+                add(wrong, "effects", format!("transaction {n}: {lasting} of {whole} kept"));
+            }
+            Some(Outcome::Error(code)) if code == "08007" => {}
+            Some(Outcome::Lost | Outcome::Nothing) => {}
+            Some(Outcome::Completed { .. }) => {}
+            _ if lasting > 0 => {
+                add(wrong, "effects", format!("transaction {n}: {:?}, but {lasting} kept", t.commit));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/check/turns.rs
@@ -0,0 +1,106 @@
+//! What may run again, where, when, and in which order.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{add, Agreed, Asked, Drain, Execution, Outcome, Repeat, Violations};
+use crate::engine::{Deed, Kind};
+
+/// Nothing twice that may not be, never two at once, and no more further executions than agreed.
+pub(super) fn repeats(
+    wrong: &mut Violations,
+    asked: &[Asked],
+    executions: &HashMap<String, Vec<Execution>>,
+    agreed: &Agreed,
+) {
+    let mut further = Vec::new();
+    for a in asked {
+        let Some(ran) = executions.get(&a.id) else { continue };
+        if ran.len() > 1 && (a.repeat == Repeat::NonIdempotent || a.transaction.is_some()) {
+            add(wrong, "repeats", format!("{}: ran {} times", a.id, ran.len()));
+        }
+        for (n, x) in ran.iter().enumerate() {
+            if ran[..n].iter().any(|y| y.from < x.to && x.from < y.to) {
+                add(wrong, "repeats", format!("{}: ran twice at once", a.id));
+            }
+        }
+        further.extend(ran.iter().skip(1).map(|x| x.from));
+    }
+    let Some((spare, share, window)) = agreed.further else { return };
+    further.sort_unstable();
+    let mut sent: Vec<i64> = asked.iter().map(|a| a.sent).collect();
+    sent.sort_unstable();
+    for (n, at) in further.iter().enumerate() {
+        let since = at - window;
+        let within = further[..=n].iter().filter(|t| **t > since).count() as f64;
+        let taken = sent.partition_point(|t| t <= at) - sent.partition_point(|t| *t <= since);
+        // What was taken and when is seen from outside: by 15 in 100 and one execution looser.
+        if within > (spare + share * taken as f64) * 1.15 + 1.0 {
+            add(wrong, "budget", format!("{within} further executions of {taken} statements at {at}"));
+        }
+    }
+}
+
+/// Nothing new to an engine that drains.
+pub(super) fn drains(wrong: &mut Violations, deeds: &[Deed], agreed: &Agreed) {
+    for deed in deeds {
+        let new = matches!(deed.kind, Kind::Began { .. } | Kind::Control { .. });
+        let drain = |d: &&Drain| d.engine == deed.engine && deed.at > d.from + agreed.grace && deed.at < d.to;
+        if let Some(drain) = agreed.drains.iter().find(drain).filter(|_| new) {
+            let ms = (deed.at - drain.from) / 1000;
+            add(wrong, "drains", format!("engine {}: {:?} after {ms} ms", deed.engine, deed.kind));
+        }
+    }
+}
+
+/// Statements of one order key one at a time, in the order in which they were taken.
+pub(super) fn order(wrong: &mut Violations, asked: &[Asked], executions: &HashMap<String, Vec<Execution>>) {
+    let mut by_key: BTreeMap<&str, Vec<(i64, i64, &str)>> = BTreeMap::new();
+    for (id, ran) in executions {
+        for x in ran.iter().filter(|x| !x.key.is_empty()) {
+            by_key.entry(&x.key).or_default().push((x.from, x.to, id));
+        }
+    }
+    // Between these the front took a statement, whatever the machine gave each of the processes to run.
+    let within = |a: &Asked| {
+        let answered = matches!(a.outcome, Outcome::Completed { .. } | Outcome::Error(_));
+        (a.sent, a.taken.or(answered.then_some(a.answered)).unwrap_or(i64::MAX))
+    };
+    let took: HashMap<&str, (i64, i64)> = asked.iter().map(|a| (a.id.as_str(), within(a))).collect();
+    for (key, mut ran) in by_key {
+        ran.sort_unstable();
+        for pair in ran.windows(2) {
+            let ((_, to, first), (from, _, second)) = (pair[0], pair[1]);
+            if first != second && from < to {
+                add(wrong, "order", format!("{key}: {second} began while {first} ran"));
+            }
+        }
+        // The one that was sent last of those that have run.
+        let mut last: Option<(i64, &str)> = None;
+        for (_, _, id) in ran {
+            let Some((sent, taken)) = took.get(id).copied() else { continue };
+            if let Some((_, other)) = last.filter(|(at, _)| taken < *at) {
+                add(
+                    wrong,
+                    "order",
+                    format!("{key}: {id} was taken before {other} was sent, but ran after it"),
+                );
+            }
+            last = last.max(Some((sent, id)));
+        }
+    }
+}
+
+pub(super) fn placement(
+    wrong: &mut Violations,
+    asked: &[Asked],
+    executions: &HashMap<String, Vec<Execution>>,
+    agreed: &Agreed,
+) {
+    for a in asked.iter().filter(|a| a.bound) {
+        for x in executions.get(&a.id).into_iter().flatten() {
+            if !agreed.bound_to.contains(&x.engine) {
+                add(wrong, "placement", format!("{}: ran on engine {}", a.id, x.engine));
+            }
+        }
+    }
+}
