--- a/crates/lab/src/engine/portal.rs
+++ b/crates/lab/src/engine/portal.rs
@@ -172,7 +172,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::scripted::Session;
+    use crate::scripted::session::Session;
     use std::time::{Duration, Instant};
 
     const PATIENCE: Duration = Duration::from_secs(10); // for one thing to come about; a busy machine takes some
--- a/crates/lab/src/hard.rs
+++ b/crates/lab/src/hard.rs
@@ -11,7 +11,7 @@
 use crate::engine::{Engine, Kind, Records};
 use crate::lines;
 use crate::rig::{Coordinator, Front};
-use crate::scripted::{code, tags, Session};
+use crate::scripted::session::{code, tags, Session};
 
 const PATIENCE: Duration = Duration::from_secs(10); // for one thing to come about; a busy machine takes some
 
--- a/crates/lab/src/measure/portal.rs
+++ b/crates/lab/src/measure/portal.rs
@@ -11,7 +11,7 @@
 
 use crate::engine::{Engine, Records};
 use crate::rig::{Coordinator, Front};
-use crate::scripted::Session;
+use crate::scripted::session::Session;
 
 const ROUNDS: usize = 7;
 const WARM: Duration = Duration::from_millis(200);
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -16,6 +16,7 @@
 use crate::check::{check, Agreed, Asked, Drain, Outcome, Repeat, Transaction};
 use crate::engine::{Engine, Records};
 use crate::rig::{Coordinator, Front};
+use crate::scripted::session;
 use crate::{lines, scripted};
 
 const ENGINES: usize = 5; // the last two are of the kind that bound statements need
@@ -580,7 +581,7 @@
                 // What a Thrift client calls aborted may or may not have run.
                 Asked { outcome, answered: records.now(), ..asked }
             });
-            waits.push((wait, scripted::round_trip(sessions).ok().map(|()| notes.records.now())));
+            waits.push((wait, session::round_trip(sessions).ok().map(|()| notes.records.now())));
         }
         for (wait, taken) in waits {
             wait.join().into_iter().for_each(|asked| notes.note(Asked { taken, ..asked }));
@@ -611,9 +612,9 @@
         "/*hallmux.workload='log-load',hallmux.key='{}',hallmux.dedup_key='d{}'*/ ",
         asked.key, asked.id
     );
-    let mut session = scripted::sent(at, &text(&label, asked, 15))?;
+    let mut session = session::sent(at, &text(&label, asked, 15))?;
     let asked = asked.clone();
-    Ok(Box::new(move || scripted::answer(&mut session, &asked)))
+    Ok(Box::new(move || session::answer(&mut session, &asked)))
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/lab/src/scripted/session.rs
@@ -0,0 +1,224 @@
+//! A session over a socket: messages out, messages in, what they come to.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use hallmux_postgres::wire;
+
+use crate::check::{Asked, Outcome};
+
+pub(super) const PATIENCE: Duration = Duration::from_secs(8); // for one message: longer than any statement may take
+
+impl Session {
+    pub fn open(at: SocketAddr, user: &str, asks_first: bool) -> std::io::Result<Session> {
+        let stream = TcpStream::connect(at)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        let mut session = Session { stream, input: Vec::new(), out: Vec::new(), key: [0; 8] };
+        if asks_first {
+            refused_encryption(&mut session.stream)?;
+        }
+        wire::write_start_up(&mut session.out, &[("user", user), ("database", "x")]);
+        session.send()?;
+        loop {
+            let (tag, body) = session.read()?;
+            match (tag, body.try_into()) {
+                (b'K', Ok(key)) => session.key = key,
+                (b'E', _) => return Err(ErrorKind::PermissionDenied.into()),
+                (b'Z', _) => return Ok(session),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn send(&mut self) -> std::io::Result<()> {
+        self.stream.write_all(&self.out)?;
+        self.out.clear();
+        Ok(())
+    }
+
+    /// The next message but notices and parameters.
+    pub fn read(&mut self) -> std::io::Result<Message> {
+        loop {
+            let whole = wire::message(&self.input, 1 << 24).map_err(|e| std::io::Error::other(e.0))?;
+            if let Some((tag, body, len)) = whole {
+                let message = (tag, body.to_vec());
+                self.input.drain(..len);
+                if !matches!(tag, b'N' | b'S') {
+                    return Ok(message);
+                }
+                continue;
+            }
+            let mut chunk = [0; 16 << 10];
+            match self.stream.read(&mut chunk)? {
+                0 => return Err(ErrorKind::UnexpectedEof.into()),
+                n => self.input.extend_from_slice(&chunk[..n]),
+            }
+        }
+    }
+
+    /// All up to the end of the unit.
+    pub fn unit(&mut self) -> std::io::Result<Vec<Message>> {
+        let mut all = Vec::new();
+        loop {
+            let message = self.read()?;
+            let last = message.0 == b'Z';
+            all.push(message);
+            if last {
+                return Ok(all);
+            }
+        }
+    }
+
+    /// Prepares a statement.
+    pub fn prepare(&mut self, name: &str, text: &str) -> std::io::Result<()> {
+        self.parse(name, text);
+        self.sync();
+        self.send()?;
+        self.unit().map(|_| ())
+    }
+
+    /// Runs a prepared statement; an error unless it completes.
+    pub fn ask(&mut self, statement: &str, value: &str) -> std::io::Result<()> {
+        self.bind("", statement, value);
+        self.execute("", 0);
+        self.sync();
+        self.send()?;
+        match self.unit()?.iter().any(|(tag, _)| *tag == b'E') {
+            true => Err(ErrorKind::InvalidData.into()),
+            false => Ok(()),
+        }
+    }
+
+    pub fn parse(&mut self, name: &str, text: &str) {
+        wire::write(&mut self.out, b'P', |out| {
+            wire::write_string(out, name.as_bytes());
+            wire::write_string(out, text.as_bytes());
+            out.extend_from_slice(&[0, 0]);
+        });
+    }
+
+    pub fn bind(&mut self, portal: &str, statement: &str, value: &str) {
+        wire::write(&mut self.out, b'B', |out| {
+            wire::write_string(out, portal.as_bytes());
+            wire::write_string(out, statement.as_bytes());
+            out.extend_from_slice(&[0, 0, 0, 1]);
+            out.extend_from_slice(&(value.len() as u32).to_be_bytes());
+            out.extend_from_slice(value.as_bytes());
+            out.extend_from_slice(&[0, 0]);
+        });
+    }
+
+    pub fn execute(&mut self, portal: &str, rows: u32) {
+        wire::write(&mut self.out, b'E', |out| {
+            wire::write_string(out, portal.as_bytes());
+            out.extend_from_slice(&rows.to_be_bytes());
+        });
+    }
+
+    pub(super) fn named(&mut self, tag: u8, kind: u8, name: &str) {
+        wire::write(&mut self.out, tag, |out| {
+            out.push(kind);
+            wire::write_string(out, name.as_bytes());
+        });
+    }
+
+    pub fn sync(&mut self) {
+        self.out.extend_from_slice(wire::SYNC);
+    }
+
+    /// Asks for the end of what is out; returns when the front has taken the request.
+    pub fn cancel(&self, at: SocketAddr) -> std::io::Result<()> {
+        let mut cancel = TcpStream::connect(at)?;
+        cancel.set_read_timeout(Some(PATIENCE))?;
+        let [a, b, c, d, e, f, g, h] = self.key;
+        let mut packet = Vec::new();
+        wire::write_cancel(&mut packet, u32::from_be_bytes([a, b, c, d]), u32::from_be_bytes([e, f, g, h]));
+        cancel.write_all(&packet)?;
+        // As the servers do, the front ends the connection then.
+        let _ = cancel.read(&mut [0]);
+        Ok(())
+    }
+
+    pub fn query(&mut self, text: &str) {
+        wire::write_query(&mut self.out, text.as_bytes());
+    }
+}
+
+/// A session over a socket.
+pub struct Session {
+    pub(super) stream: TcpStream,
+    pub(super) input: Vec<u8>,
+    pub(super) out: Vec<u8>,
+    /// What a request to cancel has to tell.
+    pub(super) key: [u8; 8],
+}
+
+pub type Message = (u8, Vec<u8>);
+
+pub fn code(message: &Message) -> String {
+    String::from_utf8_lossy(wire::field(&message.1, b'C').unwrap_or_default()).into_owned()
+}
+
+pub fn tags(messages: &[Message]) -> String {
+    messages.iter().map(|(tag, _)| *tag as char).collect()
+}
+
+/// Whether a row is the statement's own, the one that is due.
+fn is_row(message: &Message, id: &str, n: usize) -> bool {
+    let mark = format!("{id}:{n}:");
+    message.1.get(6..).is_some_and(|text| text.starts_with(mark.as_bytes()))
+}
+
+/// What the messages of one statement come to.
+pub(super) fn come_to(messages: &[Message], id: &str) -> Outcome {
+    if let Some(error) = messages.iter().find(|m| m.0 == b'E') {
+        return Outcome::Error(code(error));
+    }
+    let rows: Vec<&Message> = messages.iter().filter(|m| m.0 == b'D').collect();
+    match rows.iter().enumerate().all(|(n, row)| is_row(row, id, n)) {
+        true => Outcome::Completed { rows: rows.len() },
+        false => Outcome::Spoilt,
+    }
+}
+
+pub(super) fn lost(e: &std::io::Error) -> Outcome {
+    match e.kind() {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => Outcome::Nothing,
+        _ => Outcome::Lost,
+    }
+}
+
+/// A session of its own with one simple query on its way, all of which has left.
+pub fn sent(at: SocketAddr, text: &str) -> std::io::Result<Session> {
+    let mut session = Session::open(at, "portal", false)?;
+    session.query(text);
+    session.send()?;
+    Ok(session)
+}
+
+/// What the simple query that is on its way comes to.
+pub fn answer(session: &mut Session, asked: &Asked) -> Outcome {
+    session.unit().map_or_else(|e| lost(&e), |messages| come_to(&messages, &asked.id))
+}
+
+/// A round trip with the front: it has taken all that had left for it before, as it takes what it finds in the order
+/// in which that came.
+pub fn round_trip(at: SocketAddr) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    refused_encryption(&mut stream)
+}
+
+/// Asks for encryption, which is not to be had.
+fn refused_encryption(stream: &mut TcpStream) -> std::io::Result<()> {
+    stream.write_all(b"\0\0\0\x08\x04\xd2\x16\x2f")?;
+    let mut no = [0];
+    stream.read_exact(&mut no)?;
+    if no == *b"N" {
+        Ok(())
+    } else {
+        Err(ErrorKind::InvalidData.into())
+    }
+}
