--- /dev/null
+++ b/crates/lab/src/hard/sessions.rs
@@ -0,0 +1,201 @@
+//! Sessions that cancel, pipeline, read slowly, leave, stand idle, or are too many.
+
+use std::time::{Duration, Instant};
+
+use super::stage::{ask, heard, run, stage, stage_with, until, LIMITS};
+use crate::engine::Kind;
+use crate::scripted::session::{code, Session};
+
+#[test]
+fn a_cancel_crosses_the_end_of_its_statement() {
+    let stage = stage(1, LIMITS);
+    let mut s = stage.open();
+    assert_eq!(ask(&mut s, &run("a", "")).0, "TDCZ");
+    s.cancel(stage.front.sessions).unwrap();
+    assert_eq!(ask(&mut s, &run("b", ",ms=50")).0, "TDCZ");
+    // And one that meets its statement ends it alone.
+    for within in [false, true] {
+        if within {
+            ask(&mut s, "BEGIN");
+        }
+        let id = format!("c{within}");
+        s.query(&run(&id, ",ms=6000"));
+        s.send().unwrap();
+        until("it runs", || !stage.began(&id).is_empty());
+        s.cancel(stage.front.sessions).unwrap();
+        let status = if within { 'E' } else { 'I' };
+        assert_eq!(heard(&mut s), ("TEZ".into(), "57014".into(), status));
+        if within {
+            assert_eq!(ask(&mut s, "ROLLBACK").2, 'I');
+        }
+        assert_eq!(ask(&mut s, &run("d", ",ms=30")).0, "TDCZ");
+    }
+    let hit: Vec<_> = stage.deeds().into_iter().filter(|d| matches!(d.2, Kind::Cancelled { .. })).collect();
+    let ids = ["cfalse", "ctrue"].map(|id| Kind::Cancelled { id: Some(id.into()) });
+    assert_eq!(hit.into_iter().map(|d| d.2).collect::<Vec<_>>(), ids);
+}
+
+#[test]
+fn a_pipeline_whose_second_unit_fails() {
+    let stage = stage(1, LIMITS);
+    let mut s = stage.open();
+    s.parse("s", "select run($1)");
+    s.sync();
+    for task in ["id=a,rows=1", "id=b,fail=23505", "id=c,rows=1"] {
+        s.bind("", "s", task);
+        s.execute("", 0);
+        s.bind("", "s", &task.replace("id=", "id=then-"));
+        s.execute("", 0);
+        s.sync();
+    }
+    s.send().unwrap();
+    let heard: Vec<_> = (0..4).map(|_| heard(&mut s)).map(|(tags, code, _)| (tags, code)).collect();
+    let expected = [("1Z", ""), ("2DC2DCZ", ""), ("2EZ", "23505"), ("2DC2DCZ", "")];
+    assert_eq!(heard, expected.map(|(tags, code)| (tags.to_string(), code.to_string())));
+    assert_eq!((stage.began("then-b").len(), stage.began("then-c").len()), (0, 1));
+}
+
+#[test]
+fn a_client_reads_one_row_a_second() {
+    let stage = stage(1, LIMITS);
+    let mut slow = stage.open();
+    let before = stage.front.memory_kb();
+    slow.query("select run('id=slow,rows=40000,bytes=1000')");
+    slow.send().unwrap();
+    let mut other = stage.open();
+    for row in 0..3 {
+        while slow.read().unwrap().0 != b'D' {}
+        let since = Instant::now();
+        while since.elapsed() < Duration::from_secs(1) {
+            assert_eq!(ask(&mut other, &run(&format!("o{row}"), "")).0, "TDCZ");
+        }
+    }
+    // Forty megabytes wait on the engine, not here.
+    let grown = stage.front.memory_kb().saturating_sub(before);
+    assert!(grown < 8_192, "{grown} kB");
+    // Within its time it has all of them.
+    let mut rows = 3;
+    loop {
+        match slow.read().unwrap().0 {
+            b'D' => rows += 1,
+            b'Z' => break,
+            _ => {}
+        }
+    }
+    assert_eq!(rows, 40_000);
+}
+
+#[test]
+fn the_end_of_a_front_with_transactions_open() {
+    let mut stage = stage(1, "transaction_idle_ms: 8000");
+    let mut s = stage.open();
+    ask(&mut s, "BEGIN");
+    ask(&mut s, &run("a", ""));
+    let mut busy = stage.open();
+    busy.query(&run("b", ",ms=1500"));
+    busy.send().unwrap();
+    let mut idle = stage.open();
+    until("it runs", || !stage.began("b").is_empty());
+    stage.front.terminate();
+    assert_eq!(code(&idle.read().unwrap()), "57P01");
+    assert_eq!(heard(&mut busy).0, "TDCZ");
+    assert_eq!(code(&busy.read().unwrap()), "57P01");
+    assert_eq!(code(&s.read().unwrap()), "57P01");
+    let (well, took) = stage.front.ended().unwrap();
+    assert!(well && took < Duration::from_secs(4), "{took:?}");
+    assert!(!stage.kept("a") && stage.kept("b"));
+}
+
+#[test]
+fn a_transaction_that_stands_idle_ends_and_a_client_that_leaves_leaves_nothing() {
+    let stage = stage(1, "transaction_idle_ms: 200");
+    let mut s = stage.open();
+    ask(&mut s, "BEGIN");
+    ask(&mut s, &run("a", ""));
+    assert_eq!(code(&s.read().unwrap()), "25P03");
+    let mut leaves = stage.open();
+    leaves.query(&run("b", ",ms=6000"));
+    leaves.send().unwrap();
+    until("it runs", || !stage.began("b").is_empty());
+    drop(leaves);
+    until("its end was asked for", || {
+        stage.deeds().iter().any(|d| d.2 == Kind::Cancelled { id: Some("b".into()) })
+    });
+    assert!(!stage.kept("a"));
+}
+
+#[test]
+fn a_password_opens_a_session_and_a_wrong_one_does_not() {
+    let stage = stage(1, LIMITS);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let at = |password: &str, user: &str| {
+            let port = stage.front.sessions.port();
+            format!("host=127.0.0.1 port={port} user={user} dbname=x password={password}")
+        };
+        let connect = |at: String| async move { tokio_postgres::connect(&at, tokio_postgres::NoTls).await };
+        let (client, connection) = connect(at("example", "locked")).await.unwrap();
+        tokio::spawn(connection);
+        assert_eq!(client.query("select run($1)", &[&"id=a,rows=2"]).await.unwrap().len(), 2);
+        for (password, user) in [("wrong", "locked"), ("example", "stranger")] {
+            let refused = connect(at(password, user)).await.err().unwrap();
+            assert_eq!(refused.code().unwrap().code(), "28P01");
+        }
+    });
+}
+
+#[test]
+fn the_silent_go_first_when_descriptors_are_short_and_what_a_session_holds_is_bounded() {
+    let stage = stage_with(1, "start_up_ms: 400, statements: 2, portals: 2, message_bytes: 4096", 64);
+    // Half of the descriptors are clients'. These say nothing, and are closed.
+    let silent: Vec<_> =
+        (0..32).map(|_| std::net::TcpStream::connect(stage.front.sessions).unwrap()).collect();
+    let mut first = stage.open();
+    drop(silent);
+    assert_eq!(ask(&mut first, &run("a", "")).0, "TDCZ");
+    let mut busy = stage.open();
+    assert_eq!(ask(&mut busy, "BEGIN").2, 'T');
+    std::thread::sleep(Duration::from_millis(1200)); // until both rest
+    let mut others: Vec<Session> = (0..31).map(|_| stage.open()).collect();
+    // The one that rested went, the one with a transaction did not.
+    assert_eq!(code(&first.read().unwrap()), "57P01");
+    assert_eq!(ask(&mut busy, &run("b", "")).0, "TDCZ");
+    let mut s = others.remove(0);
+    drop(others);
+    for n in 0..3 {
+        s.prepare(&format!("s{n}"), "select run($1)").unwrap();
+    }
+    s.bind("", "s2", "id=x");
+    s.sync();
+    s.send().unwrap();
+    assert_eq!(heard(&mut s).1, "26000");
+    ask(&mut s, "BEGIN");
+    for n in 0..3 {
+        s.bind(&format!("p{n}"), "s0", "id=y");
+    }
+    s.sync();
+    s.send().unwrap();
+    assert_eq!(heard(&mut s), ("22EZ".into(), "54000".into(), 'E'));
+    s.query(&"x".repeat(8192));
+    s.send().unwrap();
+    assert_eq!(code(&s.read().unwrap()), "54000");
+}
+
+#[test]
+fn a_long_result_goes_through_whatever_the_buffer() {
+    for buffer in [1024, 65536, 1 << 20] {
+        let stage = stage(1, &format!("buffer_bytes: {buffer}"));
+        let mut s = stage.open();
+        for rows in [1_000, 3_000, 8_000, 16_000] {
+            s.query(&format!("select run('id=a,rows={rows},bytes=1000')"));
+            s.send().unwrap();
+            // So that the engine has sent all it can, and nothing more comes from it that would wake the front.
+            std::thread::sleep(Duration::from_millis(150));
+            let had = s.unit().unwrap().iter().filter(|m| m.0 == b'D').count();
+            assert_eq!(had, rows, "{buffer}");
+        }
+        // And a unit of the largest size, sent in one go.
+        let long = format!("select run('id=b,rows=1') /* {} */", "x".repeat(1_000_000));
+        assert_eq!(ask(&mut s, &long).0, "TDCZ", "{buffer}");
+    }
+}
--- a/crates/lab/src/prove/clients.rs
+++ b/crates/lab/src/prove/clients.rs
@@ -135,7 +135,7 @@
 }
 
 /// One statement in a simple query.
-pub(super) async fn one(client: &Client, label: &str, asked: Asked, ms: u64, notes: &Notes) {
+async fn one(client: &Client, label: &str, asked: Asked, ms: u64, notes: &Notes) {
     let answer = client.simple_query(&text(label, &asked, ms)).await;
     let outcome = outcome(answer, |_| Outcome::Completed { rows: asked.rows });
     notes.note(Asked { outcome, answered: notes.records.now(), ..asked });
