--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -12,6 +12,7 @@
 mod logger;
 mod postgres;
 mod reuse;
+mod scatter;
 mod shutdown;
 
 use std::net::TcpListener;
