--- /dev/null
+++ b/crates/lab/src/rig/agreed.rs
@@ -0,0 +1,35 @@
+//! What is agreed with the fronts of a scenario.
+
+use serde_json::json;
+
+use super::scenario::{Class, Effect, Scenario};
+
+/// What was agreed with the fronts of a scenario.
+pub fn settings(scenario: &Scenario) -> serde_json::Value {
+    let zones: Vec<String> = (0..scenario.fleet.zones).map(zone_name).collect();
+    let class = |c: &Class| {
+        let repeat = match c.effect {
+            Effect::Idempotent => "repeatable",
+            Effect::Deduplicated => "by_key",
+            Effect::NonIdempotent => "once",
+        };
+        json!({"name": c.name, "aimMs": c.slo_ms, "deadlineMs": c.timeout_ms.unwrap_or(scenario.load.timeout_ms),
+            "worth": c.importance, "repeat": repeat, "lateShare": 0.5, "group": "all",
+            "dedupWindowMs": c.window_ms, "inTurn": c.keys > 0})
+    };
+    let classes: Vec<serde_json::Value> = scenario.classes.iter().map(class).collect();
+    json!({"instances": scenario.fleet.fronts, "areas": zones, "kinds": ["lines"],
+        "rules": {"turnGapMs": 100, "furtherRatio": 0.2, "spareAttempts": 10, "budgetSpanMs": 10000, "answerSlackMs": 20,
+            "coldFrom": scenario.engine.cold_slots as f64 / scenario.engine.slots as f64,
+            "warmWithinMs": scenario.engine.warm_ms, "overloadFactor": scenario.engine.overload,
+            "fallMs": scenario.engine.fall_ms},
+        "customers": [{"name": "acme"}], "report": {"names": ["active"], "source": "inline"},
+        "bounds": {"cancelling": true, "probes": true, "mostTries": 3, "retryAfter": true, "maxRetryAfterMs": 200},
+        "extra": {"sizeCores": [scenario.engine.slots], "memoryByKindMb": [scenario.engine.memory_mb]},
+        "requestClasses": classes})
+}
+
+/// The name of a zone in settings and lists.
+pub fn zone_name(zone: usize) -> String {
+    format!("z{zone}")
+}
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -8,12 +8,12 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde_json::json;
 
+use super::agreed::{settings, zone_name};
 use super::member::{Ground, Keys, Member, Record};
 use super::post::Post;
 use super::relay::{Link, Relayed};
-use super::scenario::{Class, Effect, Fault, Scenario, Step};
+use super::scenario::{Fault, Scenario, Step};
 use super::stage::Stage;
 use super::Coordinator;
 use crate::engine::lines::Engine;
@@ -23,107 +23,133 @@
 
 const SLACK_US: i64 = 400_000; // microseconds for a final answer on a busy machine
 
-/// What was agreed with the fronts of a scenario.
-pub fn settings(scenario: &Scenario) -> serde_json::Value {
-    let zones: Vec<String> = (0..scenario.fleet.zones).map(zone_name).collect();
-    let class = |c: &Class| {
-        let repeat = match c.effect {
-            Effect::Idempotent => "repeatable",
-            Effect::Deduplicated => "by_key",
-            Effect::NonIdempotent => "once",
-        };
-        json!({"name": c.name, "aimMs": c.slo_ms, "deadlineMs": c.timeout_ms.unwrap_or(scenario.load.timeout_ms),
-            "worth": c.importance, "repeat": repeat, "lateShare": 0.5, "group": "all",
-            "dedupWindowMs": c.window_ms, "inTurn": c.keys > 0})
-    };
-    let classes: Vec<serde_json::Value> = scenario.classes.iter().map(class).collect();
-    json!({"instances": scenario.fleet.fronts, "areas": zones, "kinds": ["lines"],
-        "rules": {"turnGapMs": 100, "furtherRatio": 0.2, "spareAttempts": 10, "budgetSpanMs": 10000, "answerSlackMs": 20,
-            "coldFrom": scenario.engine.cold_slots as f64 / scenario.engine.slots as f64,
-            "warmWithinMs": scenario.engine.warm_ms, "overloadFactor": scenario.engine.overload,
-            "fallMs": scenario.engine.fall_ms},
-        "customers": [{"name": "acme"}], "report": {"names": ["active"], "source": "inline"},
-        "bounds": {"cancelling": true, "probes": true, "mostTries": 3, "retryAfter": true, "maxRetryAfterMs": 200},
-        "extra": {"sizeCores": [scenario.engine.slots], "memoryByKindMb": [scenario.engine.memory_mb]},
-        "requestClasses": classes})
+/// Front processes that take statements, their engines, and the ways between all of them.
+pub struct Fleet {
+    pub records: Arc<Records>,
+    record: Arc<Record>,
+    relayed: Arc<Mutex<Vec<Relayed>>>,
+    engines: Vec<Arc<Engine>>,
+    links: Vec<Vec<Arc<Link>>>,
+    pub members: Vec<Arc<Member>>,
+    ground: Ground,
+    /// The ids of every front process that was started.
+    pids: Vec<u32>,
 }
 
-/// The name of a zone in settings and lists.
-pub fn zone_name(zone: usize) -> String {
-    format!("z{zone}")
+impl Fleet {
+    /// Starts all of them; they end with the value that is given back.
+    pub fn start(scenario: &Scenario, seed: u64) -> Result<Fleet, String> {
+        let why = |e: std::io::Error| e.to_string();
+        let records = Records::new();
+        let record = Arc::new(Record { records: records.clone(), asked: Mutex::default() });
+        let relayed: Arc<Mutex<Vec<Relayed>>> = Arc::default();
+        let shape = &scenario.fleet;
+        let engines: Vec<Arc<Engine>> = (0..shape.zones * shape.engines_per_zone)
+            .map(|n| Engine::start(n, records.clone(), warmth(scenario)))
+            .collect::<Result<_, _>>()
+            .map_err(why)?;
+        let zone_of = |engine: usize| engine / shape.engines_per_zone;
+        let gossip = match shape.gossip {
+            true => {
+                let (clock, steps) = (records.clone(), records.clone());
+                let left = move |front| steps.reached(Step::Copying, front);
+                let post = Post::start(shape.fronts, move || clock.now(), left).map_err(why)?;
+                Some((Keys::new(shape, seed).map_err(why)?, post))
+            }
+            false => None,
+        };
+        let ground = Ground { seed, settings: settings(scenario), gossip };
+        let (mut links, mut members, mut pids) = (Vec::new(), Vec::new(), Vec::new());
+        let mut clocks = Pcg64Mcg::seed_from_u64(seed ^ 0x636c_6f63);
+        for front in 0..shape.fronts {
+            let own: Vec<Arc<Link>> = engines
+                .iter()
+                .map(|e| {
+                    Link::start((front, e.number, zone_of(e.number)), e.at, records.clone(), relayed.clone())
+                })
+                .collect::<Result<_, _>>()
+                .map_err(why)?;
+            let coordinator = Coordinator::start().map_err(why)?;
+            let zones: Vec<String> = own.iter().map(|l| zone_name(l.zone)).collect();
+            let list: Vec<_> = own
+                .iter()
+                .zip(&zones)
+                .map(|(l, zone)| (format!("e{}", l.engine), l.at, "lines", "up", zone.as_str()))
+                .collect();
+            coordinator.tell_zoned(true, &list);
+            links.push(own);
+            let apart = shape.clocks_apart_ms as i64;
+            let member = Arc::new(Member {
+                front: Mutex::default(),
+                coordinator,
+                number: front,
+                ahead_ms: clocks.random_range(-apart..=apart),
+                away: AtomicBool::new(false),
+                troubled: Mutex::default(),
+            });
+            pids.push(member.start(&ground)?);
+            members.push(member);
+        }
+        Ok(Fleet { records, record, relayed, engines, links, members, ground, pids })
+    }
+
+    fn stage(&self) -> Stage<'_> {
+        let Fleet { records, links, members, engines, ground, .. } = self;
+        Stage { records, links, members, engines, ground }
+    }
+
+    /// Ends all fronts, and gives what was seen of them.
+    fn account(&self, began: i64, played: Vec<(Fault, i64, i64)>) -> Account {
+        let mut read_again = 0;
+        for member in &self.members {
+            if let Ok(mut front) = member.front.lock() {
+                read_again += front.iter().filter(|f| f.logged("was read again").is_some()).count() as i64;
+                front.take(); // ends the process and waits for it
+            }
+        }
+        Account {
+            began,
+            asked: self.record.asked.lock().map(|a| a.clone()).unwrap_or_default(),
+            sent_by: self.records.sent_by.lock().map(|s| s.clone()).unwrap_or_default(),
+            steps: self.records.steps.lock().map(|s| s.clone()).unwrap_or_default(),
+            deeds: self.records.deeds.lock().map(|d| d.clone()).unwrap_or_default(),
+            relayed: self.relayed.lock().map(|r| r.clone()).unwrap_or_default(),
+            posted: self.ground.gossip.as_ref().map(|(_, post)| post.posted()).unwrap_or_default(),
+            played,
+            turned_away: self.engines.iter().map(|e| e.turned_away.load(SeqCst) as i64).sum(),
+            peak: self.engines.iter().map(|e| e.peak()).fold(0.0, f64::max),
+            peaks_since_start: self.engines.iter().map(|e| e.peak_since_start()).collect(),
+            read_again,
+            first_tries: None,
+            slack: SLACK_US,
+        }
+    }
 }
 
 /// Plays the scenario and checks what happened.
 pub fn run(scenario: &Scenario, seed: u64) -> Result<Run, String> {
-    let why = |e: std::io::Error| e.to_string();
-    let records = Records::new();
-    let record = Arc::new(Record { records: records.clone(), asked: Mutex::default() });
-    let relayed: Arc<Mutex<Vec<Relayed>>> = Arc::default();
-    let shape = &scenario.fleet;
-    let engines: Vec<Arc<Engine>> = (0..shape.zones * shape.engines_per_zone)
-        .map(|n| Engine::start(n, records.clone(), warmth(scenario)))
-        .collect::<Result<_, _>>()
-        .map_err(why)?;
-    let zone_of = |engine: usize| engine / shape.engines_per_zone;
-    let gossip = match shape.gossip {
-        true => {
-            let (clock, steps) = (records.clone(), records.clone());
-            let left = move |front| steps.reached(Step::Copying, front);
-            let post = Post::start(shape.fronts, move || clock.now(), left).map_err(why)?;
-            Some((Keys::new(shape, seed).map_err(why)?, post))
-        }
-        false => None,
-    };
-    let ground = Ground { seed, settings: settings(scenario), gossip };
-    let (mut links, mut members, mut pids) = (Vec::new(), Vec::new(), Vec::new());
-    let mut clocks = Pcg64Mcg::seed_from_u64(seed ^ 0x636c_6f63);
-    for front in 0..shape.fronts {
-        let own: Vec<Arc<Link>> = engines
-            .iter()
-            .map(|e| {
-                Link::start((front, e.number, zone_of(e.number)), e.at, records.clone(), relayed.clone())
-            })
-            .collect::<Result<_, _>>()
-            .map_err(why)?;
-        let coordinator = Coordinator::start().map_err(why)?;
-        let zones: Vec<String> = own.iter().map(|l| zone_name(l.zone)).collect();
-        let list: Vec<_> = own
-            .iter()
-            .zip(&zones)
-            .map(|(l, zone)| (format!("e{}", l.engine), l.at, "lines", "up", zone.as_str()))
-            .collect();
-        coordinator.tell_zoned(true, &list);
-        links.push(own);
-        let apart = shape.clocks_apart_ms as i64;
-        let member = Arc::new(Member {
-            front: Mutex::default(),
-            coordinator,
-            number: front,
-            ahead_ms: clocks.random_range(-apart..=apart),
-            away: AtomicBool::new(false),
-            troubled: Mutex::default(),
-        });
-        pids.push(member.start(&ground)?);
-        members.push(member);
-    }
-    let began = records.now();
+    let fleet = Fleet::start(scenario, seed)?;
+    let began = fleet.records.now();
     let stop = Arc::new(AtomicBool::new(false));
     let load = {
-        let (members, record, stop) = (members.clone(), record.clone(), stop.clone());
+        let (members, record, stop) = (fleet.members.clone(), fleet.record.clone(), stop.clone());
         let scenario = scenario.clone();
         std::thread::spawn(move || offer(&scenario, seed, &members, &record, &stop))
     };
-    let stage =
-        Stage { records: &records, links: &links, members: &members, engines: &engines, ground: &ground };
+    let stage = fleet.stage();
     let mut faults = scenario.faults.clone();
     faults.sort_by_key(|f| f.at_ms);
+    let mut started = Vec::new();
     let (mut played, mut ends, mut next) = (Vec::new(), Vec::<(i64, Fault)>::new(), 0);
     let over = began + scenario.seconds as i64 * 1_000_000;
-    while records.now() < over || !ends.is_empty() {
-        let now = records.now() - began;
+    while fleet.records.now() < over || !ends.is_empty() {
+        let now = fleet.records.now() - began;
         while let Some(fault) = faults.get(next).filter(|f| f.at_ms as i64 * 1000 <= now) {
-            let probed =
-                relayed.lock().ok().and_then(|r| r.iter().rev().find(|r| r.probes > 0).map(|r| r.front));
+            let probed = fleet
+                .relayed
+                .lock()
+                .ok()
+                .and_then(|r| r.iter().rev().find(|r| r.probes > 0).map(|r| r.front));
             let fault = fault.on(probed);
             stage.begin(&fault);
             ends.push((now + fault.for_ms as i64 * 1000, fault));
@@ -133,36 +159,15 @@
         ends = later;
         for (_, fault) in due {
             let from = began + fault.at_ms as i64 * 1000;
-            pids.extend(stage.end(&fault)?);
-            played.push((fault, from, records.now()));
+            started.extend(stage.end(&fault)?);
+            played.push((fault, from, fleet.records.now()));
         }
         std::thread::sleep(Duration::from_millis(5));
     }
     stop.store(true, SeqCst);
     let _ = load.join();
-    let mut read_again = 0;
-    for member in &members {
-        if let Ok(mut front) = member.front.lock() {
-            read_again += front.iter().filter(|f| f.logged("was read again").is_some()).count() as i64;
-            front.take(); // ends the process and waits for it
-        }
-    }
-    let account = Account {
-        began,
-        asked: record.asked.lock().map(|a| a.clone()).unwrap_or_default(),
-        sent_by: records.sent_by.lock().map(|s| s.clone()).unwrap_or_default(),
-        steps: records.steps.lock().map(|s| s.clone()).unwrap_or_default(),
-        deeds: records.deeds.lock().map(|d| d.clone()).unwrap_or_default(),
-        relayed: relayed.lock().map(|r| r.clone()).unwrap_or_default(),
-        posted: ground.gossip.as_ref().map(|(_, post)| post.posted()).unwrap_or_default(),
-        played,
-        turned_away: engines.iter().map(|e| e.turned_away.load(SeqCst) as i64).sum(),
-        peak: engines.iter().map(|e| e.peak()).fold(0.0, f64::max),
-        peaks_since_start: engines.iter().map(|e| e.peak_since_start()).collect(),
-        read_again,
-        first_tries: None,
-        slack: SLACK_US,
-    };
+    let account = fleet.account(began, played);
+    let pids = fleet.pids.iter().copied().chain(started).collect();
     Ok(judge(scenario, &account, pids))
 }
 
--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -126,7 +126,7 @@
     fn ledger(&self, front: usize, at: &[std::net::SocketAddr]) -> String {
         let Some((copies, zones)) = self.copies else { return String::new() };
         let member = |(n, at): (usize, &std::net::SocketAddr)| {
-            format!("f{n}: {{ at: '{at}', zone: '{}' }}", super::fleet::zone_name(n % zones))
+            format!("f{n}: {{ at: '{at}', zone: '{}' }}", super::agreed::zone_name(n % zones))
         };
         let members: Vec<String> = at.iter().enumerate().map(member).collect();
         format!(
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,5 +1,6 @@
 //! The rig: front processes, the relays between them and their engines, and the faults played on all of them.
 
+pub mod agreed;
 mod class;
 mod coordinator;
 mod fault;
--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -5,7 +5,7 @@
 
 use nix::sys::signal::Signal;
 
-use super::fleet::zone_name;
+use super::agreed::zone_name;
 use super::member::{Ground, Member, SOCKETS};
 use super::relay::Link;
 use super::scenario::{Fault, Step, What};
--- a/crates/lab/src/simulated/faults.rs
+++ b/crates/lab/src/simulated/faults.rs
@@ -7,7 +7,7 @@
 use super::play::{Event, Play};
 use crate::check::Outcome;
 use crate::record::account::Offered;
-use crate::rig::fleet::zone_name;
+use crate::rig::agreed::zone_name;
 use crate::rig::relay::State as LinkState;
 use crate::rig::scenario::{Fault, What};
 
--- a/crates/lab/src/simulated/fronts.rs
+++ b/crates/lab/src/simulated/fronts.rs
@@ -13,7 +13,7 @@
 use super::play::{DRIFT_PPM, MOST_SEEDS, PROBED_WITHIN};
 use crate::check::{Asked, Outcome, Repeat};
 use crate::record::account::Offered;
-use crate::rig::fleet::zone_name;
+use crate::rig::agreed::zone_name;
 use crate::rig::post::Posted;
 
 impl Play<'_> {
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -15,7 +15,7 @@
 
 use crate::engine::lines::Warmth;
 use crate::record::account::{judge, warmth, Account, Offered, Run};
-use crate::rig::fleet::settings;
+use crate::rig::agreed::settings;
 use crate::rig::post::State as PostState;
 use crate::rig::relay::State as LinkState;
 use crate::rig::scenario::{Fault, Scenario};
