--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -88,6 +88,8 @@
     Gossip,
     /// Fleets of several sizes in simulated time, the fleet's word on a zone off and on.
     Fleet,
+    /// What a promise costs, and a decision of the access rules.
+    Promises,
     /// The same under overload, from half of what the engines bear to three times.
     Overload,
 }
@@ -106,6 +108,7 @@
         What::Measure { subject } => {
             let measured = match subject {
                 Measured::Postgres => measure::portal::postgres(),
+                Measured::Promises => measure::promises::measure(),
                 Measured::Overload => measure::fleet::overload(),
                 Measured::Fleet => measure::fleet::measure(),
                 Measured::Gossip => measure::gossip::spread(&[20, 100, 1_000]),
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -3,3 +3,7 @@
 pub mod fleet;
 pub mod gossip;
 pub mod portal;
+pub mod promises;
+mod spread;
+
+pub use spread::{spread, Spread};
--- /dev/null
+++ b/crates/lab/src/measure/promises.rs
@@ -0,0 +1,145 @@
+//! `measure promises`: what a statement that needs a promise takes longer by the copies that it stands on, and what a
+//! decision of the access rules costs by their number, each beside the plain way, in turn, in one run.
+
+use std::time::Instant;
+
+use hallmux_access::{Asking, Default as Otherwise, Index, Rule, Set, Tables, Then};
+
+use super::{spread, Spread};
+use crate::engine::lines;
+use crate::prove::promises::{draw, Way};
+use crate::rig::fleet::Fleet;
+use crate::rig::scenario::Scenario;
+
+const ROUNDS: usize = 7;
+const FRONTS: usize = 5;
+const ASKED: u64 = 200; // statements of each kind, fleet and round
+const WAYS: [usize; 4] = [0, 1, 3, 5]; // copies; 0: no ledger
+const RULES: [usize; 3] = [10, 1_000, 100_000];
+const DECIDED: usize = 20_000; // decisions of the index in a round; of a walk a number that takes as long
+
+/// Prints all tables; an error is a run that could not be made.
+pub fn measure() -> Result<(), String> {
+    rules();
+    added()
+}
+
+/// The same fleet with as many copies, no faults, and statements that take no time on an engine.
+fn quiet(copies: usize) -> Scenario {
+    let mut scenario = draw(7, Way { small: true, simulated: false, fronts: Some(FRONTS), copies });
+    scenario.faults.clear();
+    scenario.fleet.clocks_apart_ms = 0;
+    scenario
+}
+
+/// Microseconds of one statement after the other, each over a connection of its own; the median.
+fn asked(fleet: &Fleet, first: u64, fields: &[(&str, &str)], keyed: bool) -> Result<f64, String> {
+    let mut times = Vec::new();
+    for number in first..first + ASKED {
+        let member = &fleet.members[(number % FRONTS as u64) as usize];
+        let at = member.front.lock().ok().and_then(|front| front.as_ref().map(|front| front.lines));
+        let at = at.ok_or("a front is away")?;
+        let (key, unique) = (format!("k{number}"), format!("u{number}"));
+        let own = [("item", key.as_str()), ("unique", unique.as_str())];
+        let all: Vec<(&str, &str)> =
+            fields.iter().copied().chain(own.into_iter().filter(|_| keyed)).collect();
+        let since = Instant::now();
+        let outcome = lines::ask(at, number, &all, &format!("id=s{number},key=,ms=0"));
+        times.push(since.elapsed().as_nanos() as f64 / 1000.0);
+        if outcome != (crate::check::Outcome::Completed { rows: 1 }) {
+            return Err(format!("statement {number}: {outcome:?}"));
+        }
+    }
+    Ok(spread(&mut times).median)
+}
+
+fn added() -> Result<(), String> {
+    let fleets: Vec<Fleet> = (WAYS.iter())
+        .map(|copies| Fleet::start(&quiet(*copies), *copies as u64))
+        .collect::<Result<_, _>>()?;
+    let plain = [("verb", "lookup"), ("team", "acme"), ("limit", "4000")];
+    let load = [("verb", "log-load"), ("team", "acme"), ("limit", "4000")];
+    let mut first = 1;
+    // Until every shard has an owner and each front knows it.
+    for fleet in &fleets {
+        for _ in 0..ROUNDS {
+            let _ = asked(fleet, first, &load, true);
+            first += ASKED;
+        }
+    }
+    let mut times = vec![(Vec::new(), Vec::new()); WAYS.len()];
+    for _ in 0..ROUNDS {
+        for (fleet, times) in fleets.iter().zip(&mut times) {
+            for (fields, keyed, into) in [(&plain, false, &mut times.0), (&load, true, &mut times.1)] {
+                into.push(asked(fleet, first, fields, keyed)?);
+                first += ASKED;
+            }
+        }
+    }
+    println!("| copies, {FRONTS} fronts, {ROUNDS} rounds in turn | unkeyed, us | keyed, us | keyed beside none, us |");
+    println!("| --- | --- | --- | --- |");
+    let none = times.first().map(|(_, keyed)| keyed.clone()).unwrap_or_default();
+    for (copies, (unkeyed, keyed)) in WAYS.iter().zip(&mut times) {
+        let mut more: Vec<f64> = keyed.iter().zip(&none).map(|(with, without)| with - without).collect();
+        let way = if *copies == 0 { "none".to_string() } else { copies.to_string() };
+        println!("| {way} | {} | {} | {} |", spread(unkeyed), spread(keyed), spread(&mut more));
+    }
+    Ok(())
+}
+
+/// So many rules about customers, workloads and groups of tables.
+fn set(count: usize) -> Set {
+    let rule = |n: usize| Rule {
+        name: format!("r{n}"),
+        customer: (!n.is_multiple_of(3)).then(|| format!("c{}", n % 2_000)),
+        workload: n.is_multiple_of(2).then(|| format!("w{}", n % 7)),
+        tables: Some(Tables { first: n as u32, last: n as u32 + 3 }),
+        front: None,
+        then: match n % 4 {
+            0 => Then::Deny { reason: "barred".into() },
+            _ => Then::Allow { places: Some(vec![(n % 3) as u16]) },
+        },
+        priority: (n % 3) as i32,
+        from_ms: 0,
+        until_ms: u64::MAX,
+        place: n,
+    };
+    Set::new(1, Otherwise::Allow, (0..count).map(rule).collect())
+}
+
+fn rules() {
+    println!("| rules, {ROUNDS} rounds in turn | index, ns a decision | plain walk, ns a decision | walk / index |");
+    println!("| --- | --- | --- | --- |");
+    for count in RULES {
+        let (walk, index) = (set(count), Index::new(set(count)));
+        let asking: Vec<(String, String, u32)> = (0..1_000usize)
+            .map(|n| {
+                let at = n.wrapping_mul(7_919) % count;
+                (format!("c{}", at % 2_000), format!("w{}", n % 7), at as u32)
+            })
+            .collect();
+        let one = |n: usize| {
+            let (customer, workload, group) = &asking[n % asking.len()];
+            Asking { customer, workload, group: Some(*group), front: "z0" }
+        };
+        let (mut indexed, mut walked, mut ratios) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..ROUNDS {
+            let per = |decisions: usize, decide: &dyn Fn(usize)| {
+                let since = Instant::now();
+                (0..decisions).for_each(decide);
+                since.elapsed().as_nanos() as f64 / decisions as f64
+            };
+            let fast = per(DECIDED, &|n| _ = std::hint::black_box(index.first(&one(n), 1)));
+            let slow = per((DECIDED * 10 / count).clamp(50, DECIDED), &|n| {
+                _ = std::hint::black_box(walk.walk(&one(n), 1))
+            });
+            indexed.push(fast);
+            walked.push(slow);
+            ratios.push(slow / fast);
+        }
+        let ratio = spread(&mut ratios);
+        let Spread { median, least, most } = ratio;
+        let ratio = format!("{median:.1} ({least:.1} to {most:.1})");
+        println!("| {count} | {} | {} | {ratio} |", spread(&mut indexed), spread(&mut walked));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/measure/spread.rs
@@ -0,0 +1,32 @@
+//! The median of several rounds and how far they lie apart.
+
+/// Printed as `median (least to most)`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spread {
+    pub median: f64,
+    pub least: f64,
+    pub most: f64,
+}
+
+pub fn spread(values: &mut [f64]) -> Spread {
+    values.sort_by(f64::total_cmp);
+    let at = |place: usize| values.get(place).copied().unwrap_or(f64::NAN);
+    Spread { median: at(values.len() / 2), least: at(0), most: at(values.len().saturating_sub(1)) }
+}
+
+impl std::fmt::Display for Spread {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{:.0} ({:.0} to {:.0})", self.median, self.least, self.most)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_middle_of_the_rounds_counts() {
+        assert_eq!(spread(&mut [3.0, 1.0, 9.0]).to_string(), "3 (1 to 9)");
+        assert!(spread(&mut []).median.is_nan());
+    }
+}
