crates/postgres: errors are enums by thiserror that say what can be done

Need: what a person meets of PostgreSQL sessions was text put together where it happened (`Unreadable(String)`, `Final::Protocol { why: String }`, an `io::Error` of a format).

Change: `Unreadable` is an enum, each variant with what is wrong (kind, bytes, bound) and what an operator can do; whoever logs it names the connection in front, as before. `Final`'s texts, the answers that drivers read, stand at its variants and are unchanged but for `Protocol`, which carries the `Unreadable`. `postgres.listen` that can't be bound is `Fault::Listen` with key and address.

--- a/crates/front/src/postgres/portal.rs
+++ b/crates/front/src/postgres/portal.rs
@@ -12,6 +12,7 @@
 use hallmux_postgres::session::Transaction;
 
 use self::asked::verdict;
+use super::fault::Fault;
 use super::servers::{self, Sent, Servers, Unit};
 use super::sessions::{self, Sessions, Users};
 use crate::doors::{Changes, Door, Party};
@@ -48,9 +49,8 @@
         contract: &Contract,
         handle: LoopHandle<'static, Changes>,
     ) -> std::io::Result<Portal> {
-        let listener = TcpListener::bind(postgres.listen).map_err(|e| {
-            std::io::Error::new(e.kind(), format!("postgres.listen: {}: {e}", postgres.listen))
-        })?;
+        let listener =
+            TcpListener::bind(postgres.listen).map_err(|why| Fault::Listen { at: postgres.listen, why })?;
         let address = listener.local_addr()?;
         let workloads = contract.names.workloads.iter().zip(&contract.agreement.workloads);
         let portal = Portal {
--- a/crates/lab/src/engine/conversation.rs
+++ b/crates/lab/src/engine/conversation.rs
@@ -101,7 +101,7 @@
             let input = std::mem::take(&mut self.input);
             while let Ok(Some((tag, body, len))) = wire::message(&input[at..], 64 << 20) {
                 at += len;
-                let said = wire::said(tag, body).map_err(|e| std::io::Error::other(e.0))?;
+                let said = wire::said(tag, body).map_err(std::io::Error::other)?;
                 if said == Said::Terminate {
                     return Ok(());
                 }
--- a/crates/lab/src/scripted/session.rs
+++ b/crates/lab/src/scripted/session.rs
@@ -41,7 +41,7 @@
     /// The next message but notices and parameters.
     pub fn read(&mut self) -> std::io::Result<Message> {
         loop {
-            let whole = wire::message(&self.input, 1 << 24).map_err(|e| std::io::Error::other(e.0))?;
+            let whole = wire::message(&self.input, 1 << 24).map_err(std::io::Error::other)?;
             if let Some((tag, body, len)) = whole {
                 let message = (tag, body.to_vec());
                 self.input.drain(..len);
--- a/crates/postgres/src/answer.rs
+++ b/crates/postgres/src/answer.rs
@@ -1,62 +1,60 @@
 //! Final answers that the front gives of itself, as errors that drivers understand: one table.
 
 use crate::wire::{write, write_string};
+use crate::Unreadable;
 
 /// Why a unit ends without an engine's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Final {
     /// Turned away: trying again is harmless; in milliseconds when.
-    Rejected {
-        retry_after_ms: Option<i64>,
-    },
+    #[error("the front turns this statement away; trying again is harmless")]
+    Rejected { retry_after_ms: Option<i64> },
     /// The time that it had is up.
+    #[error("canceling statement due to statement timeout")]
     TimeUp,
     /// The client asked for its end.
+    #[error("canceling statement due to user request")]
     Cancelled,
     /// It may or may not have taken effect: its engine was lost with it.
+    #[error("the engine was lost; the statement may or may not have taken effect")]
     Unresolved,
     /// The open transaction is rolled back: nothing of it has taken effect.
-    RolledBack {
-        why: &'static str,
-    },
+    #[error("the transaction was rolled back: {why}")]
+    RolledBack { why: &'static str },
     /// An open transaction stood idle too long.
+    #[error("terminating transaction that stood idle for longer than allowed")]
     IdleTransaction,
     /// The transaction failed before; only its end is taken.
+    #[error("current transaction is aborted, commands ignored until end of transaction block")]
     InFailedTransaction,
     /// A setting that is missing or can't be used, by its name.
-    Unfit {
-        field: &'static str,
-        why: &'static str,
-    },
+    #[error("{field}: {why}")]
+    Unfit { field: &'static str, why: &'static str },
     /// What a front can't do for a session.
-    NotHere {
-        why: &'static str,
-    },
+    #[error("{why} can't be used through this front")]
+    NotHere { why: &'static str },
     /// More than a session may hold.
-    TooMuch {
-        why: &'static str,
-    },
-    NoSuchStatement {
-        name: String,
-    },
-    DuplicateStatement {
-        name: String,
-    },
+    #[error("{why}: more than a session may hold")]
+    TooMuch { why: &'static str },
+    #[error("prepared statement \"{name}\" does not exist")]
+    NoSuchStatement { name: String },
+    #[error("prepared statement \"{name}\" already exists")]
+    DuplicateStatement { name: String },
     /// Against the protocol.
-    Protocol {
-        why: String,
-    },
-    WrongPassword {
-        user: String,
-    },
-    NoSuchVersion {
-        major: u16,
-    },
+    #[error("against the protocol: {why}")]
+    Protocol { why: Unreadable },
+    #[error("password authentication failed for user \"{user}\"")]
+    WrongPassword { user: String },
+    #[error("protocol {major} is not spoken here, 3.0 is")]
+    NoSuchVersion { major: u16 },
     /// The front shuts down.
+    #[error("terminating connection due to administrator command")]
     ShutDown,
     /// No more sessions are taken.
+    #[error("no more sessions are taken for now")]
     Full,
     /// An engine ended a result in the middle, or left the front.
+    #[error("the engine was lost in the middle of a result")]
     Broken,
 }
 
@@ -84,33 +82,6 @@
         }
     }
 
-    fn message(&self) -> String {
-        match self {
-            Final::Rejected { .. } => "the front turns this statement away; trying again is harmless".into(),
-            Final::TimeUp => "canceling statement due to statement timeout".into(),
-            Final::Cancelled => "canceling statement due to user request".into(),
-            Final::Unresolved => "the engine was lost; the statement may or may not have taken effect".into(),
-            Final::RolledBack { why } => format!("the transaction was rolled back: {why}"),
-            Final::IdleTransaction => {
-                "terminating transaction that stood idle for longer than allowed".into()
-            }
-            Final::InFailedTransaction => {
-                "current transaction is aborted, commands ignored until end of transaction block".into()
-            }
-            Final::Unfit { field, why } => format!("{field}: {why}"),
-            Final::NotHere { why } => format!("{why} can't be used through this front"),
-            Final::TooMuch { why } => format!("{why}: more than a session may hold"),
-            Final::NoSuchStatement { name } => format!("prepared statement \"{name}\" does not exist"),
-            Final::DuplicateStatement { name } => format!("prepared statement \"{name}\" already exists"),
-            Final::Protocol { why } => format!("against the protocol: {why}"),
-            Final::WrongPassword { user } => format!("password authentication failed for user \"{user}\""),
-            Final::NoSuchVersion { major } => format!("protocol {major} is not spoken here, 3.0 is"),
-            Final::ShutDown => "terminating connection due to administrator command".into(),
-            Final::Full => "no more sessions are taken for now".into(),
-            Final::Broken => "the engine was lost in the middle of a result".into(),
-        }
-    }
-
     /// Writes it as an error; one that is fatal ends the connection.
     pub fn write(&self, out: &mut Vec<u8>, fatal: bool) {
         let severity: &[u8] = if fatal { b"FATAL" } else { b"ERROR" };
@@ -124,7 +95,7 @@
             field(b'S', severity);
             field(b'V', severity);
             field(b'C', self.code().as_bytes());
-            field(b'M', self.message().as_bytes());
+            field(b'M', self.to_string().as_bytes());
             if let Final::Rejected { retry_after_ms: Some(ms) } = self {
                 field(b'D', format!("retry-after-ms={ms}").as_bytes());
                 field(b'H', format!("try again after {ms} ms").as_bytes());
--- a/crates/postgres/src/engine/hearing.rs
+++ b/crates/postgres/src/engine/hearing.rs
@@ -46,7 +46,7 @@
                 continue;
             }
             if len > LONGEST_WHOLE && rest.len() < len {
-                return Err(Unreadable::new(format!("a message of kind {tag} with {len} bytes")));
+                return Err(Unreadable::EngineTooLong { tag, bytes: len, most: LONGEST_WHOLE });
             }
             let Some(message) = rest.get(..len) else { break };
             at += len;
@@ -77,7 +77,7 @@
                 Some(3) => wire::write(out, b'p', |out| wire::write_string(out, password.as_bytes())),
                 Some(5) => {
                     let salt = body.get(4..8).and_then(|s| s.try_into().ok());
-                    let salt = salt.ok_or_else(|| Unreadable::new("no salt"))?;
+                    let salt = salt.ok_or(Unreadable::Malformed("an MD5 login without its salt"))?;
                     let hash = md5_hash(self.account.user.as_bytes(), password.as_bytes(), salt);
                     wire::write(out, b'p', |out| wire::write_string(out, hash.as_bytes()));
                 }
@@ -91,18 +91,22 @@
                     self.exchange = Some(Box::new(exchange));
                 }
                 Some(step @ (11 | 12)) => {
-                    let exchange = self.exchange.as_mut().ok_or_else(|| Unreadable::new("no exchange"))?;
+                    let exchange = self
+                        .exchange
+                        .as_mut()
+                        .ok_or(Unreadable::NotDue { tag, when: "before SCRAM has begun" })?;
                     let proof = match step {
                         11 => exchange.update(&body[4..]),
                         _ => exchange.finish(&body[4..]),
                     };
-                    proof.map_err(|e| Unreadable::new(format!("login: {e}")))?;
+                    proof.map_err(|e| Unreadable::Proof(e.to_string()))?;
                     if step == 11 {
                         let message = exchange.message();
                         wire::write(out, b'p', |out| out.extend_from_slice(message));
                     }
                 }
-                _ => return Err(Unreadable::new("a kind of login that is not spoken here")),
+                Some(other) => return Err(Unreadable::Login(other)),
+                None => return Err(Unreadable::Malformed("a login of no kind")),
             },
             b'S' => self.parameter(body),
             b'K' => self.key = word(0).zip(word(4)),
@@ -115,7 +119,7 @@
                 return Ok(Some(Heard::Up));
             }
             b'N' | b'v' => {}
-            other => return Err(Unreadable::new(format!("a message of kind {other} during login"))),
+            other => return Err(Unreadable::NotDue { tag: other, when: "during login" }),
         }
         Ok(None)
     }
@@ -162,7 +166,7 @@
             b'T' if described => _ = self.expects.pop_front(),
             b't' if described => {}
             b'T' | b'D' | b'd' if running => {}
-            other => return Err(Unreadable::new(format!("a message of kind {other} that was not due"))),
+            other => return Err(Unreadable::NotDue { tag: other, when: "in answer to what was asked" }),
         }
         Ok(())
     }
@@ -212,12 +216,12 @@
                 let done = std::mem::take(&mut self.done);
                 let status = message.get(5).copied().unwrap_or(b'I');
                 if status != b'I' && status != b'T' && status != b'E' {
-                    return Err(Unreadable::new("a transaction in no known state"));
+                    return Err(Unreadable::Malformed("a transaction in no known state"));
                 }
                 return Ok(Some(Heard::Done(Done { status, ..done })));
             }
             (other, _) => {
-                return Err(Unreadable::new(format!("a message of kind {other} that was not due")));
+                return Err(Unreadable::NotDue { tag: other, when: "in answer to what was asked" });
             }
         }
         if passes {
@@ -233,7 +237,7 @@
             || wire::field(&message[5..], b'V') == Some(b"FATAL");
         if fatal || self.expects.is_empty() {
             // It is the connection's end, not a statement's answer, and nothing for a client of the front.
-            return Err(Unreadable::new(format!("gone: {}", String::from_utf8_lossy(code))));
+            return Err(Unreadable::Gone(String::from_utf8_lossy(code).into()));
         }
         match self.expects.front() {
             Some(Expect::Fail(why)) => {
--- a/crates/postgres/src/entry.rs
+++ b/crates/postgres/src/entry.rs
@@ -74,7 +74,7 @@
                         Opening::Encrypt => {
                             self.questions += 1;
                             if self.questions > MOST_QUESTIONS {
-                                return Err(Unreadable::new("asked for encryption without end"));
+                                return Err(Unreadable::Encryption { times: self.questions });
                             }
                             out.push(b'N');
                         }
@@ -151,11 +151,11 @@
 fn proof(input: &[u8]) -> Result<Option<(&[u8], usize)>, Unreadable> {
     match wire::message(input, LONGEST_PROOF)? {
         Some((b'p', body, len)) => Ok(Some((body, len))),
-        Some(_) => Err(Unreadable::new("no proof where one is due")),
-        None if input.first().is_some_and(|tag| *tag != b'p') => {
-            Err(Unreadable::new("no proof where one is due"))
-        }
-        None => Ok(None),
+        Some((tag, ..)) => Err(Unreadable::NoProof(tag)),
+        None => match input.first() {
+            Some(tag) if *tag != b'p' => Err(Unreadable::NoProof(*tag)),
+            _ => Ok(None),
+        },
     }
 }
 
@@ -188,7 +188,7 @@
         }
     }
     if welcome.user.is_empty() {
-        return Err(Final::Protocol { why: "no user in the start-up".into() });
+        return Err(Final::Protocol { why: Unreadable::NoUser });
     }
     if welcome.database.is_empty() {
         welcome.database = welcome.user.clone();
--- a/crates/postgres/src/lib.rs
+++ b/crates/postgres/src/lib.rs
@@ -10,20 +10,7 @@
 pub mod scram;
 pub mod session;
 pub mod sql;
+mod unreadable;
 pub mod wire;
 
-/// Bytes that no message can begin with, or a message beyond what is allowed: its connection has to end.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unreadable(pub String);
-
-impl std::fmt::Display for Unreadable {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl Unreadable {
-    fn new(what: impl std::fmt::Display) -> Self {
-        Unreadable(what.to_string())
-    }
-}
+pub use unreadable::Unreadable;
--- a/crates/postgres/src/session/reading.rs
+++ b/crates/postgres/src/session/reading.rs
@@ -8,6 +8,7 @@
 use crate::prepared::{Catalogue, Prepared};
 use crate::sql::{self, Own, Scan};
 use crate::wire::{self, Said};
+use crate::Unreadable;
 
 impl Session {
     /// Takes the next unit, or part of one, from the start of `input`; says how much of it is used up. An
@@ -18,7 +19,7 @@
         catalogue: &mut Catalogue,
         bounds: &Bounds,
     ) -> Result<(usize, Read), Final> {
-        let against = |why: crate::Unreadable| Final::Protocol { why: why.0 };
+        let against = |why: Unreadable| Final::Protocol { why };
         let mut at = std::mem::take(&mut self.looked);
         let end = loop {
             match wire::head(&input[at..]).map_err(against)? {
@@ -55,8 +56,7 @@
                 Said::Terminate => return Ok((end, Read::Goes)),
                 Said::Query(_) | Said::FunctionCall if self.within || at > 0 => {
                     // What an engine would do with it depends on whether the unit has failed by then.
-                    let why = "a simple query before the Sync that ends an extended one".to_string();
-                    return Err(Final::Protocol { why });
+                    return Err(Final::Protocol { why: Unreadable::Mixed });
                 }
                 Said::FunctionCall => {
                     part.ops.push(Op::Fail(Final::NotHere { why: "a function call" }));
@@ -202,7 +202,7 @@
     /// Says how much of the input that is, and whether the Sync was there.
     pub fn skip(&mut self, input: &[u8]) -> Result<(usize, bool), Final> {
         let mut at = 0;
-        while let Some((tag, len)) = wire::head(&input[at..]).map_err(|why| Final::Protocol { why: why.0 })? {
+        while let Some((tag, len)) = wire::head(&input[at..]).map_err(|why| Final::Protocol { why })? {
             if at + len > input.len() {
                 break;
             }
--- a/crates/postgres/src/wire.rs
+++ b/crates/postgres/src/wire.rs
@@ -36,7 +36,7 @@
     let Some(len) = number(input) else { return Ok(None) };
     let len = len as usize;
     if !(8..=LONGEST_START_UP).contains(&len) {
-        return Err(Unreadable::new("a start-up whose length can't be"));
+        return Err(Unreadable::StartUp { bytes: len, most: LONGEST_START_UP });
     }
     let Some(packet) = input.get(..len) else { return Ok(None) };
     let code = number(&packet[4..]).unwrap_or(0);
@@ -44,7 +44,7 @@
         SSL | GSS if len == 8 => Opening::Encrypt,
         CANCEL => match (number(&packet[8..]), packet.get(12..).and_then(number)) {
             (Some(process), Some(secret)) if len == 16 => Opening::Cancel { process, secret },
-            _ => return Err(Unreadable::new("a request to cancel that is none")),
+            _ => return Err(Unreadable::Malformed("a request to cancel that is none")),
         },
         code if code >> 16 == VERSION >> 16 => {
             let mut rest = &packet[8..];
@@ -57,7 +57,7 @@
                 parameters.push((name, text(&mut rest)?));
             }
             if !rest.is_empty() {
-                return Err(Unreadable::new("a start-up with bytes behind its end"));
+                return Err(Unreadable::Malformed("a start-up with bytes behind its end"));
             }
             Opening::StartUp { minor: code as u16, parameters }
         }
@@ -68,21 +68,21 @@
 
 /// A string that ends in a zero byte.
 pub fn string<'a>(rest: &mut &'a [u8]) -> Result<&'a [u8], Unreadable> {
-    let end = memchr::memchr(0, rest).ok_or_else(|| Unreadable::new("a string without an end"))?;
+    let end = memchr::memchr(0, rest).ok_or(Unreadable::Malformed("a string without an end"))?;
     let string = &rest[..end];
     *rest = &rest[end + 1..];
     Ok(string)
 }
 
 fn text<'a>(rest: &mut &'a [u8]) -> Result<&'a str, Unreadable> {
-    std::str::from_utf8(string(rest)?).map_err(|_| Unreadable::new("a parameter that is no UTF-8"))
+    std::str::from_utf8(string(rest)?).map_err(|_| Unreadable::Malformed("a parameter that is no UTF-8"))
 }
 
 /// The kind of the message that `input` begins with, and its whole length; nothing is allocated for it.
 pub fn head(input: &[u8]) -> Result<Option<(u8, usize)>, Unreadable> {
     let (Some(tag), Some(len)) = (input.first(), input.get(1..).and_then(number)) else { return Ok(None) };
     if len < 4 || len > i32::MAX as u32 {
-        return Err(Unreadable::new("a length that can't be"));
+        return Err(Unreadable::Malformed("a message whose length can't be"));
     }
     Ok(Some((*tag, len as usize + 1)))
 }
@@ -93,7 +93,7 @@
 /// The first message, once it is whole.
 pub fn message(input: &[u8], longest: usize) -> Result<Option<Whole<'_>>, Unreadable> {
     match head(input)? {
-        Some((_, len)) if len > longest => Err(Unreadable::new(format!("a message of {len} bytes"))),
+        Some((_, len)) if len > longest => Err(Unreadable::TooLong { bytes: len, most: longest }),
         Some((tag, len)) => Ok(input.get(5..len).map(|body| (tag, body, len))),
         None => Ok(None),
     }
@@ -148,7 +148,7 @@
             *rest = after;
             Ok(false)
         }
-        _ => Err(Unreadable::new("neither a statement nor a portal")),
+        _ => Err(Unreadable::Malformed("neither a statement nor a portal")),
     };
     let said = match tag {
         b'Q' => Said::Query(string(&mut rest)?),
@@ -158,7 +158,7 @@
             let text = string(&mut rest)?;
             let count = rest.get(..2).map(|n| u16::from_be_bytes([n[0], n[1]]) as usize);
             if count.map(|count| 2 + 4 * count) != Some(rest.len()) {
-                return Err(Unreadable::new("types that do not fill their message"));
+                return Err(Unreadable::Malformed("types that do not fill their message"));
             }
             return Ok(Said::Parse { name, text, body });
         }
@@ -170,7 +170,7 @@
         b'C' => Said::Close { statement: kind(&mut rest)?, name: string(&mut rest)? },
         b'E' => {
             let portal = string(&mut rest)?;
-            let rows = number(rest).ok_or_else(|| Unreadable::new("an Execute without a count of rows"))?;
+            let rows = number(rest).ok_or(Unreadable::Malformed("an Execute without a count of rows"))?;
             rest = &rest[4..];
             Said::Execute { portal, rows }
         }
@@ -179,11 +179,11 @@
         b'X' => Said::Terminate,
         b'F' => return Ok(Said::FunctionCall),
         b'd' | b'c' | b'f' => return Ok(Said::Copy),
-        other => return Err(Unreadable::new(format!("a message of kind {other}"))),
+        other => return Err(Unreadable::Unknown(other)),
     };
     match rest.is_empty() {
         true => Ok(said),
-        false => Err(Unreadable::new("bytes behind the end of a message")),
+        false => Err(Unreadable::Malformed("bytes behind the end of a message")),
     }
 }
 
