crates/postgres: drawn inputs by proptest in place of a generator of our own

The test drew bytes with a small generator and printed nothing that caused a failure. Now proptest draws them, 30,000 cases as before, and shortens what fails; another draws cuts of what a client says, up to twelve at once, where only one cut at any byte and all bytes alone were played.

Measured: `cargo test -p hallmux-postgres` passes, 7 s for these; with the check of an Execute's length taken out on purpose, `drawn_bytes_do_no_harm` failed at once.

--- a/crates/postgres/tests/split.rs
+++ b/crates/postgres/tests/split.rs
@@ -6,6 +6,9 @@
 use hallmux_postgres::prepared::{Catalogue, Settings};
 use hallmux_postgres::session::{Bounds, Part, Read, Session};
 use hallmux_postgres::wire;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
 
 #[path = "../fuzz/drive.rs"]
 mod drive;
@@ -167,30 +170,59 @@
     assert_eq!(went, row.len());
 }
 
-#[test]
-fn drawn_bytes_do_no_harm() {
-    // A small generator of our own, so that the same bytes come each time.
-    let mut state = 7u64;
-    let mut next = move || {
-        state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        (state >> 33) as usize
-    };
-    let seed = units();
-    for _ in 0..30_000 {
-        let mut bytes: Vec<u8> = match next() % 3 {
-            0 => (0..next() % 200).map(|_| next() as u8).collect(),
-            _ => [&[next() as u8], &seed[..]].concat(),
-        };
-        for _ in 0..next() % 8 {
-            if !bytes.is_empty() {
-                let at = next() % bytes.len();
-                match next() % 3 {
-                    0 => bytes[at] = next() as u8,
-                    1 => _ = bytes.remove(at),
-                    _ => bytes.truncate(at),
-                }
+/// A change to one byte of what is said; the place counts within what there is.
+#[derive(Clone, Debug)]
+enum Change {
+    Put(Index, u8),
+    Remove(Index),
+    Cut(Index),
+}
+
+/// Bytes for one of the readers: drawn, or what clients say with a few changes.
+fn said() -> impl Strategy<Value = Vec<u8>> {
+    let change = prop_oneof![
+        any::<(Index, u8)>().prop_map(|(at, byte)| Change::Put(at, byte)),
+        any::<Index>().prop_map(Change::Remove),
+        any::<Index>().prop_map(Change::Cut),
+    ];
+    let known = any::<u8>().prop_map(|which| [&[which][..], &units()].concat());
+    let bytes = prop_oneof![1 => vec(any::<u8>(), 0..200), 2 => known];
+    (bytes, vec(change, 0..8)).prop_map(|(mut bytes, changes)| {
+        for change in changes {
+            if bytes.is_empty() {
+                break;
+            }
+            match change {
+                Change::Put(at, byte) => *at.get_mut(&mut bytes) = byte,
+                Change::Remove(at) => _ = bytes.remove(at.index(bytes.len())),
+                Change::Cut(at) => bytes.truncate(at.index(bytes.len())),
             }
         }
+        bytes
+    })
+}
+
+proptest! {
+    // A failure prints the shortest bytes that cause it: they belong into a test of their own.
+    #![proptest_config(ProptestConfig { cases: 30_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn drawn_bytes_do_no_harm(bytes in said()) {
         drive::drive(&bytes);
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn pieces_of_any_size_mean_the_same(cuts in vec(any::<Index>(), 0..12)) {
+        let all = units();
+        let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut.index(all.len() + 1)).collect();
+        cuts.sort_unstable();
+        let ends = cuts.iter().copied().chain([all.len()]);
+        let starts = [0].into_iter().chain(cuts.iter().copied());
+        let pieces: Vec<&[u8]> = starts.zip(ends).map(|(from, to)| &all[from..to]).collect();
+        prop_assert_eq!(format!("{:?}", read(&pieces)), format!("{:?}", read(&[&all])));
+    }
+}
