--- a/crates/front/src/logger.rs
+++ b/crates/front/src/logger.rs
@@ -19,7 +19,8 @@
 
 impl Log for Logger {
     fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= log::max_level()
+        // The SQL library tells each word of a statement: those are its client's alone.
+        metadata.level() <= log::max_level() && !metadata.target().starts_with("sqlparser")
     }
 
     fn log(&self, record: &Record) {
--- a/crates/scatter/src/condition.rs
+++ b/crates/scatter/src/condition.rs
@@ -72,20 +72,22 @@
 impl Condition {
     /// Surely no row of the table makes it TRUE.
     pub fn never_true(&self, table: &Table) -> bool {
-        table.rows == 0 || self.never(table, true)
+        table.rows == 0 || self.never(table, true, self.leaves() <= FEW_LEAVES)
     }
 
     /// Surely no row gives it this truth value.
-    fn never(&self, table: &Table, truth: bool) -> bool {
+    fn never(&self, table: &Table, truth: bool, picks: bool) -> bool {
         let column = |name: &str| table.columns.iter().find(|c| c.name == name);
-        let never = |c: &Condition| c.never(table, truth);
+        let never = |c: &Condition| c.never(table, truth, picks);
         match self {
             // One that is never TRUE keeps the whole from being TRUE; for FALSE all must never be FALSE.
-            Condition::All(all) if truth => all.iter().any(never) || narrows(all, table),
+            Condition::All(all) if truth => {
+                all.iter().any(never) || narrows(all, table) || picks && none_fits(all, table)
+            }
             Condition::All(all) => all.iter().all(never),
             Condition::Any(any) if truth => any.iter().all(never),
             Condition::Any(any) => any.iter().any(never),
-            Condition::Not(inner) => inner.never(table, !truth),
+            Condition::Not(inner) => inner.never(table, !truth, picks),
             Condition::Constant(value) => *value != truth,
             Condition::Null { column: name } => column(name).is_some_and(|c| match truth {
                 true => c.nulls == 0,
@@ -104,6 +106,15 @@
         }
     }
 
+    /// How many comparisons it is made of.
+    pub fn leaves(&self) -> usize {
+        match self {
+            Condition::All(all) | Condition::Any(all) => all.iter().map(Condition::leaves).sum(),
+            Condition::Not(inner) => inner.leaves(),
+            _ => 1,
+        }
+    }
+
     /// Which share of the rows may make it TRUE, by a guess that only ever orders sites.
     pub fn share(&self, table: &Table) -> f64 {
         if self.never_true(table) {
@@ -116,14 +127,41 @@
                 let column = table.columns.iter().find(|c| c.name == *column);
                 column.map_or(0.1, |c| 1.0 / c.distinct.max(1) as f64)
             }
-            Condition::Compare { .. } | Condition::Begins { .. } => 0.3,
+            Condition::Compare { column, by, literal } => {
+                let column = table.columns.iter().find(|c| c.name == *column);
+                column.and_then(|c| c.part(*by, literal)).unwrap_or(SOME)
+            }
+            Condition::Begins { .. } => SOME,
             _ => 0.5,
         }
     }
 }
 
+const SOME: f64 = 0.3; // of the rows, where nothing tells how many
+const FEW_LEAVES: usize = 32; // of a condition whose constants are each held against the whole: a thousand sites in a millisecond or two
 const MOST_POINTS: i128 = 64; // whole numbers between two bounds that are each asked of the filter
 
+/// A column that must be one of a few constants, none of which it has or the rest allows.
+fn none_fits(all: &[Condition], table: &Table) -> bool {
+    let refuted = |condition: &Condition| {
+        let any = match condition {
+            Condition::Any(any) if any.len() <= FEW_LEAVES => &any[..],
+            one => std::slice::from_ref(one),
+        };
+        any.iter().all(|one| {
+            let Condition::Compare { column: name, by: By::Equal, literal } = one else { return false };
+            let Some(column) = table.columns.iter().find(|c| c.name == *name) else { return false };
+            let Some(point) = literal.point(column.kind) else { return false };
+            // A row of that constant alone: what else is asked of the column may rule it out.
+            let bounds = Some((point.below, point.above));
+            let of = Column { nulls: 0, bounds, tight: point.exact, members: None, ..column.clone() };
+            let row = Table { name: String::new(), rows: 1, columns: vec![of] };
+            column.excludes(By::Equal, literal) || all.iter().any(|c| c.never(&row, true, false))
+        })
+    };
+    all.iter().any(refuted)
+}
+
 /// Bounds on one column of numbers that leave few values, none of which the column has.
 fn narrows(all: &[Condition], table: &Table) -> bool {
     table.columns.iter().any(|column| {
@@ -149,6 +187,24 @@
 }
 
 impl Column {
+    /// Which part of the range between its bounds lies so to the literal.
+    fn part(&self, by: By, literal: &Literal) -> Option<f64> {
+        let (least, greatest) = self.bounds.as_ref()?;
+        let at = literal.point(self.kind)?.above;
+        let number = |v: &Value| match v {
+            Value::Number(n) => Some(*n as f64),
+            Value::Float(f) => Some(*f),
+            _ => None,
+        };
+        let (least, greatest, at) = (number(least)?, number(greatest)?, number(&at)?);
+        let below = ((at - least) / (greatest - least).max(1.0)).clamp(0.0, 1.0);
+        match by {
+            By::Less | By::AtMost => Some(below),
+            By::Greater | By::AtLeast => Some(1.0 - below),
+            By::Equal | By::Unequal => None,
+        }
+    }
+
     /// Surely no value that is not null compares so to the literal.
     fn excludes(&self, by: By, literal: &Literal) -> bool {
         let (Some(point), Some((least, greatest))) = (literal.point(self.kind), &self.bounds) else {
--- a/crates/scatter/src/of.rs
+++ b/crates/scatter/src/of.rs
@@ -7,11 +7,12 @@
 use crate::value::Literal;
 
 const DEEPEST: usize = 64; // expressions within expressions; what is deeper is not understood
-const MOST_LISTED: usize = 1_000; // constants of a list
+const MOST_LISTED: usize = 256; // constants of a list
+const MOST_LEAVES: usize = 256; // comparisons: each is held against each site's summary in the front's one thread
 
 /// What is not understood is `Other`, which proves nothing.
 pub(crate) fn of(e: &Expr, names: &Names) -> Condition {
-    within(e, names, 0)
+    Some(within(e, names, 0)).filter(|c| c.leaves() <= MOST_LEAVES).unwrap_or(Condition::Other)
 }
 
 fn within(e: &Expr, names: &Names, depth: usize) -> Condition {
