--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -21,7 +21,7 @@
 use crate::entrance::Entrance;
 use crate::fleet::Peers;
 use crate::link::Link;
-use crate::portal::Portal;
+use crate::postgres::portal::Portal;
 use crate::scatter::Scatters;
 use crate::shutdown::Shutdown;
 
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -10,11 +10,9 @@
 mod front;
 mod link;
 mod logger;
-mod portal;
+mod postgres;
 mod reuse;
 mod scatter;
-mod servers;
-mod sessions;
 mod shutdown;
 
 use std::net::TcpListener;
