--- a/crates/access/src/access.rs
+++ b/crates/access/src/access.rs
@@ -31,8 +31,8 @@
 pub struct Asked {
     pub customer: String,
     pub workload: String,
-    /// The groups of tables that it reads; none where they cannot be told.
-    pub groups: Vec<u32>,
+    /// The groups of tables that it reads; None where they cannot be told.
+    pub groups: Option<Vec<u32>>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -81,8 +81,14 @@
 }
 
 fn judge(index: &Index, region: &str, asked: &Asked, wall_ms: u64) -> Verdict {
-    let asking = Asking { customer: &asked.customer, workload: &asked.workload, group: None, front: region };
-    index.judge(&asking, &asked.groups, wall_ms)
+    let asking = Asking {
+        customer: &asked.customer,
+        workload: &asked.workload,
+        group: None,
+        told: false,
+        front: region,
+    };
+    index.judge(&asking, asked.groups.as_deref(), wall_ms)
 }
 
 impl Access {
--- a/crates/access/src/index.rs
+++ b/crates/access/src/index.rs
@@ -84,11 +84,11 @@
     pub fn first(&self, asking: &Asking, wall_ms: u64) -> (Option<usize>, Option<usize>) {
         let number = |field: usize, name: &str| self.names[field].get(name).copied();
         let who = [number(0, asking.customer), number(1, asking.workload), number(2, asking.front)];
-        let first = |table: &Table| self.find(table, who, asking.group, wall_ms).map(|at| at as usize);
+        let first = |table: &Table| self.find(table, who, asking, wall_ms).map(|at| at as usize);
         (first(&self.decide), first(&self.count))
     }
 
-    fn find(&self, table: &Table, who: [Option<u32>; 3], group: Option<u32>, wall_ms: u64) -> Option<u32> {
+    fn find(&self, table: &Table, who: [Option<u32>; 3], asking: &Asking, wall_ms: u64) -> Option<u32> {
         let mut least = None::<u32>;
         for mask in &table.masks {
             let mut key = [0; 3];
@@ -101,12 +101,12 @@
                 None => false,
             });
             let Some(cell) = table.cells.get(&key).filter(|_| known) else { continue };
-            let about = match group {
+            let about = match asking.group {
                 Some(group) => {
                     let at = cell.starts.partition_point(|start| *start <= group);
                     at.checked_sub(1).and_then(|at| cell.stretches.get(at))
                 }
-                None => Some(&cell.narrowing),
+                None => Some(&cell.narrowing).filter(|_| !asking.told),
             };
             for list in [Some(&cell.any), about].into_iter().flatten() {
                 let holds = |at: &&u32| self.set.rules.get(**at as usize).is_some_and(|r| r.active(wall_ms));
@@ -118,18 +118,20 @@
     }
 
     /// Judges a statement by all groups of tables that it reads: barred for one is barred for all.
-    pub fn judge(&self, asking: &Asking, groups: &[u32], wall_ms: u64) -> Verdict {
+    /// None: they cannot be told.
+    pub fn judge(&self, asking: &Asking, groups: Option<&[u32]>, wall_ms: u64) -> Verdict {
         let mut verdict: Option<Verdict> = None;
-        let untold = groups.is_empty() || groups.len() > MOST_GROUPS;
+        let untold = groups.is_none_or(|groups| groups.len() > MOST_GROUPS);
+        let groups = groups.unwrap_or_default();
         let each = groups.iter().copied().map(Some).take(if untold { 0 } else { MOST_GROUPS });
         for group in each.chain(untold.then_some(None)) {
-            let one = self.judge_one(&Asking { group, ..*asking }, wall_ms);
+            let one = self.judge_one(&Asking { group, told: group.is_some(), ..*asking }, wall_ms);
             verdict = Some(match verdict {
                 None => one,
                 Some(before) => both(before, one),
             });
         }
-        verdict.unwrap_or_else(|| self.judge_one(asking, wall_ms))
+        verdict.unwrap_or_else(|| self.judge_one(&Asking { group: None, told: true, ..*asking }, wall_ms))
     }
 
     fn judge_one(&self, asking: &Asking, wall_ms: u64) -> Verdict {
@@ -194,7 +196,7 @@
         for customer in &customers {
             for workload in &workloads {
                 for front in &fronts {
-                    let kind = |group| Asking { customer, workload, group, front };
+                    let kind = |group| Asking { customer, workload, group, told: false, front };
                     let less = |group: &Option<u32>| {
                         times.iter().any(|at| {
                             let (new, old) =
--- a/crates/access/src/rule.rs
+++ b/crates/access/src/rule.rs
@@ -74,12 +74,15 @@
     Deny,
 }
 
-/// Who asks for what. `groups` are the groups of tables of the statement; none where they cannot be told.
+/// Who asks for what.
 #[derive(Clone, Copy, Debug)]
 pub struct Asking<'a> {
     pub customer: &'a str,
     pub workload: &'a str,
+    /// A group of tables that it reads.
     pub group: Option<u32>,
+    /// Without a group: it surely reads none.
+    pub told: bool,
     pub front: &'a str,
 }
 
@@ -106,7 +109,10 @@
         named(&self.customer, asking.customer)
             && named(&self.workload, asking.workload)
             && named(&self.front, asking.front)
-            && self.tables.is_none_or(|t| asking.group.map_or(self.then.narrows(), |group| t.holds(group)))
+            && self.tables.is_none_or(|t| match asking.group {
+                Some(group) => t.holds(group),
+                None => !asking.told && self.then.narrows(),
+            })
     }
 
     /// Which of its fields are named; the weight of each tells which goes first where as many are named.
--- a/crates/access/tests/fleet/sim.rs
+++ b/crates/access/tests/fleet/sim.rs
@@ -397,7 +397,7 @@
     fn statement(&mut self, front: usize, at: Moment) {
         let customer = ["acme", "brisk", "free"][self.rng.random_range(0..3)].to_string();
         let workload = ["lookup", "report"][self.rng.random_range(0..2)].to_string();
-        let asked = Asked { customer, workload, groups: vec![self.rng.random_range(0..4)] };
+        let asked = Asked { customer, workload, groups: Some(vec![self.rng.random_range(0..4)]) };
         let f = &mut self.fronts[front];
         let judged = f.access.judge(at, asked.clone());
         let free = asked.customer == "free";
@@ -462,9 +462,9 @@
             let held = self.in_force.iter().filter(|(_, since)| *since < at).map(|(v, _)| *v).max();
             let Some(held) = held else { continue };
             let Asked { customer, workload, groups } = asked;
-            let asking = Asking { customer, workload, group: None, front: "eu" };
+            let asking = Asking { customer, workload, group: None, told: false, front: "eu" };
             let mut may = indices.range(held..).filter(|(_, (since, _))| since <= at);
-            if !may.any(|(_, (_, index))| index.judge(&asking, groups, 0).lets(Some(*place))) {
+            if !may.any(|(_, (_, index))| index.judge(&asking, groups.as_deref(), 0).lets(Some(*place))) {
                 found.push(format!("{at}: front {front} sent {asked:?} to {place} under version {held}"));
             }
         }
@@ -497,7 +497,8 @@
     /// Where a customer's lookups may be read, as a front judges them.
     pub fn lets(&mut self, front: usize, customer: &str) -> Option<Vec<u16>> {
         let at = self.moment(front);
-        let asked = Asked { customer: customer.to_string(), workload: "lookup".to_string(), groups: vec![1] };
+        let asked =
+            Asked { customer: customer.to_string(), workload: "lookup".to_string(), groups: Some(vec![1]) };
         match self.fronts[front].access.judge(at, asked) {
             Judged::Taken { verdict, .. } => verdict.allowed,
             _ => None,
--- a/crates/access/tests/rules.rs
+++ b/crates/access/tests/rules.rs
@@ -194,23 +194,25 @@
         "{ name: 'seen', workload: 'report', then: 'count' }",
     ]);
     let index = Index::new(set);
-    let judge = |customer, workload, groups: &[u32]| {
-        let v = index.judge(&Asking { customer, workload, group: None, front: "eu" }, groups, 0);
+    let judge = |customer, workload, groups: Option<&[u32]>| {
+        let v = index.judge(&Asking { customer, workload, group: None, told: false, front: "eu" }, groups, 0);
         (v.rule.map_or("", |at| index.name(at)).to_string(), v.denied, v.allowed, v.counts.is_some())
     };
     let is = |rule: &str, denied: Option<&str>, allowed: Option<Vec<u16>>, counts| {
         (rule.to_string(), denied.map(str::to_string), allowed, counts)
     };
-    assert_eq!(judge("acme", "lookup", &[30]), is("acme", None, Some(vec![0, 1]), false));
-    assert_eq!(judge("acme", "lookup", &[15]), is("acme-tables", None, Some(vec![1]), false));
-    assert_eq!(judge("acme", "lookup", &[12]), is("acme-one", Some("moved"), None, false));
-    assert_eq!(judge("brisk", "report", &[]), is("report", None, Some(vec![0]), true));
-    assert_eq!(judge("brisk", "lookup", &[]), is("", None, None, false));
+    assert_eq!(judge("acme", "lookup", Some(&[30])), is("acme", None, Some(vec![0, 1]), false));
+    assert_eq!(judge("acme", "lookup", Some(&[15])), is("acme-tables", None, Some(vec![1]), false));
+    assert_eq!(judge("acme", "lookup", Some(&[12])), is("acme-one", Some("moved"), None, false));
+    assert_eq!(judge("brisk", "report", Some(&[])), is("report", None, Some(vec![0]), true));
+    assert_eq!(judge("brisk", "lookup", None), is("", None, None, false));
     // Several groups: where all of them may be read; one that is denied denies the whole.
-    assert_eq!(judge("acme", "lookup", &[30, 15]), is("acme-tables", None, Some(vec![1]), false));
-    assert_eq!(judge("acme", "lookup", &[30, 15, 12]), is("acme-one", Some("moved"), None, false));
+    assert_eq!(judge("acme", "lookup", Some(&[30, 15])), is("acme-tables", None, Some(vec![1]), false));
+    assert_eq!(judge("acme", "lookup", Some(&[30, 15, 12])), is("acme-one", Some("moved"), None, false));
+    // One that reads none is about none.
+    assert_eq!(judge("acme", "lookup", Some(&[])), is("acme", None, Some(vec![0, 1]), false));
     // What cannot be told could be any of them.
-    let (rule, denied, ..) = judge("acme", "lookup", &[]);
+    let (rule, denied, ..) = judge("acme", "lookup", None);
     assert_eq!(rule, "acme-one");
     assert!(denied.unwrap().starts_with("the groups of tables that it reads cannot be told"));
 }
@@ -267,10 +269,11 @@
         workload in prop::sample::select(&["x", "y", "z"][..]),
         front in prop::sample::select(&["eu", "us", "ap"][..]),
         group in prop::option::of(0u32..20),
+        told in any::<bool>(),
         now in 0u64..9,
     ) {
         let set = Set::new(1, Default::Allow, rules);
-        let asking = Asking { customer, workload, group, front };
+        let asking = Asking { customer, workload, group, told, front };
         let walked = set.walk(&asking, now);
         prop_assert_eq!(Index::new(set).first(&asking, now), walked);
     }
@@ -285,7 +288,7 @@
         for customer in ["a", "b", "c", "z"] {
             for workload in ["x", "y", "z"] {
                 for front in ["eu", "us", "ap"] {
-                    let (decides, counts) = index.first(&Asking { customer, workload, group: Some(group), front }, now);
+                    let (decides, counts) = index.first(&Asking { customer, workload, group: Some(group), told: true, front }, now);
                     for at in decides.into_iter().chain(counts) {
                         prop_assert_eq!(index.shadow(at), None);
                     }
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
 pub use operator::{
-    hexadecimal, Gossip, LoadSignal, Operator, Ownership, Postgres, SessionLimits, SpeakingEngines, User,
+    hexadecimal, line_of, Gossip, LoadSignal, Operator, Ownership, Postgres, Rules, SessionLimits,
+    SpeakingEngines, User,
 };
 pub use station::{Limits, Station};
--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -6,9 +6,12 @@
 mod ownership;
 mod places;
 mod postgres;
+mod rules;
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
 pub use ownership::Ownership;
+pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
+pub use rules::Rules;
 pub use whole::{LoadSignal, Operator};
--- a/crates/agreement/src/operator/places.rs
+++ b/crates/agreement/src/operator/places.rs
@@ -10,7 +10,7 @@
 }
 
 /// The line on which the value at a path like `a.b[2].c` begins, or that of its nearest parent that is there.
-fn line_of(text: &str, path: &str) -> Option<usize> {
+pub fn line_of(text: &str, path: &str) -> Option<usize> {
     let parts = path.replace('[', ".").replace(']', "");
     let mut wanted: Vec<&str> = parts.split('.').filter(|p| !p.is_empty()).collect();
     wanted.truncate(32);
--- /dev/null
+++ b/crates/agreement/src/operator/rules.rs
@@ -0,0 +1,143 @@
+//! Regional access rules of customers: the file that holds them, and what it may speak of.
+
+use std::collections::BTreeMap;
+
+use hallmux::interface::Micros;
+use serde::Deserialize;
+
+use crate::contract::{micros, Contract};
+
+use super::places::fault;
+
+const LEASE_MS: f64 = 3_000.0; // milliseconds: what tightens waits as long; some elections of the ledger's owners
+const DRIFT_PPM: u32 = 10_000; // millionths: a hundred times what quartz does, for machines that are throttled
+const MOST_DRIFT_PPM: u32 = 200_000; // millionths; a clock further off is broken
+const TELL_EVERY_MS: f64 = 60_000.0; // milliseconds between lines of the log with the fleet's hits
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RulesFile {
+    file: String,
+    region: String,
+    #[serde(default)]
+    regions: BTreeMap<String, Vec<String>>,
+    customers: Option<Vec<String>>,
+    #[serde(default = "lease_ms")]
+    lease_ms: f64,
+    #[serde(default = "drift_ppm")]
+    drift_ppm: u32,
+    #[serde(default = "tell_every_ms")]
+    tell_every_ms: f64,
+}
+
+fn lease_ms() -> f64 {
+    LEASE_MS
+}
+
+fn drift_ppm() -> u32 {
+    DRIFT_PPM
+}
+
+fn tell_every_ms() -> f64 {
+    TELL_EVERY_MS
+}
+
+/// Where the rules are, and all that they may speak of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// The file of rules; SIGHUP reads it again.
+    pub file: String,
+    /// Where this front stands, for rules about where a statement is asked.
+    pub region: String,
+    /// Names for some of the settings' locations together.
+    pub regions: BTreeMap<String, Vec<String>>,
+    /// The customers that rules may be about; None: all.
+    pub customers: Option<Vec<String>>,
+    pub lease: Micros,
+    pub drift_ppm: u32,
+    pub tell_every: Micros,
+}
+
+pub fn rules(text: &str, file: RulesFile, contract: &Contract) -> Result<Rules, String> {
+    let refuse = |key: &str, why: &str| Err(fault(text, &format!("rules.{key}"), why));
+    let names = &contract.names;
+    if file.file.is_empty() {
+        return refuse("file", "names none; give the path of the file of rules");
+    }
+    for (region, locations) in &file.regions {
+        let unknown = locations.iter().enumerate().find(|(_, l)| !names.locations.contains(l));
+        if let Some((at, location)) = unknown {
+            let known = names.locations.join(", ");
+            let why = format!("'{location}' is not among the settings' locations: {known}; name one of them");
+            return refuse(&format!("regions.{region}[{at}]"), &why);
+        }
+        if locations.is_empty() {
+            return refuse(&format!("regions.{region}"), "holds no location; name one");
+        }
+    }
+    let known: Vec<&String> = file.regions.keys().chain(&names.locations).collect();
+    if !known.contains(&&file.region) {
+        let known: Vec<&str> = known.iter().map(|name| name.as_str()).collect();
+        let why =
+            format!("'{}' is not among the regions: {}; name one of them", file.region, known.join(", "));
+        return refuse("region", &why);
+    }
+    for (at, customer) in file.customers.iter().flatten().enumerate() {
+        if !names.customers.is_empty() && !names.customers.contains(customer) {
+            let known = names.customers.join(", ");
+            let why = format!("'{customer}' is not among the settings' customers: {known}; name one of them");
+            return refuse(&format!("customers[{at}]"), &why);
+        }
+    }
+    if !(500.0..=60_000.0).contains(&file.lease_ms) {
+        return refuse("lease_ms", "is not from 500 to 60000");
+    }
+    if file.drift_ppm > MOST_DRIFT_PPM {
+        return refuse("drift_ppm", &format!("is over {MOST_DRIFT_PPM}"));
+    }
+    if !(1_000.0..=86_400_000.0).contains(&file.tell_every_ms) {
+        return refuse("tell_every_ms", "is not from 1000 to 86400000");
+    }
+    let RulesFile { file: path, region, regions, customers, lease_ms, drift_ppm, tell_every_ms } = file;
+    let (lease, tell_every) = (micros(lease_ms), micros(tell_every_ms));
+    Ok(Rules { file: path, region, regions, customers, lease, drift_ppm, tell_every })
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::operator::whole::tests::read;
+
+    #[test]
+    fn rules_speak_of_what_the_settings_name() {
+        let good = "{ rules: { file: 'rules.json5', region: 'eu',\n regions: { eu: ['here'] },\n customers: ['acme'] } }";
+        let rules = read(good).unwrap().rules.unwrap();
+        assert_eq!((rules.lease, rules.drift_ppm, rules.tell_every), (3_000_000, 10_000, 60_000_000));
+        assert_eq!(rules.customers, Some(vec!["acme".to_string()]));
+        for (from, to, says) in [
+            ("'rules.json5'", "''", "line 1: rules.file: names none; give"),
+            (
+                "region: 'eu'",
+                "region: 'us'",
+                "line 1: rules.region: 'us' is not among the regions: eu, here; name",
+            ),
+            (
+                "['here']",
+                "['there']",
+                "line 2: rules.regions.eu[0]: 'there' is not among the settings' locations",
+            ),
+            ("['here']", "[]", "line 2: rules.regions.eu: holds no location; name one"),
+            (
+                "['acme']",
+                "['acne']",
+                "line 3: rules.customers[0]: 'acne' is not among the settings' customers",
+            ),
+            ("file:", "lease_ms: 1, file:", "line 1: rules.lease_ms: is not from 500 to 60000"),
+            ("file:", "drift_ppm: 300000, file:", "line 1: rules.drift_ppm: is over 200000"),
+            ("file:", "tell_every_ms: 5, file:", "line 1: rules.tell_every_ms: is not from"),
+            ("file:", "fiel: 1, file:", "line 1: rules.fiel: unknown field"),
+        ] {
+            let why = read(&good.replace(from, to)).unwrap_err();
+            assert!(why.starts_with(says), "{to}: {why}");
+        }
+    }
+}
--- a/crates/agreement/src/operator/whole.rs
+++ b/crates/agreement/src/operator/whole.rs
@@ -8,6 +8,7 @@
 use super::gossip::{gossip, Gossip, GossipFile};
 use super::places::fault;
 use super::postgres::{postgres, Postgres, PostgresFile};
+use super::rules::{rules, Rules, RulesFile};
 
 const MOST_AHEAD_MS: f64 = 600_000.0; // milliseconds either way; clocks further apart are not drilled
 
@@ -16,6 +17,7 @@
 struct File {
     postgres: Option<PostgresFile>,
     gossip: Option<GossipFile>,
+    rules: Option<RulesFile>,
     load_signal: Option<String>,
     #[serde(default)]
     clock_ahead_ms: f64,
@@ -26,6 +28,8 @@
 pub struct Operator {
     pub postgres: Option<Postgres>,
     pub gossip: Option<Gossip>,
+    /// Regional access rules of customers.
+    pub rules: Option<Rules>,
     /// Which figure of the engines' load reports tells what they hold; where silent, as the settings name them.
     pub load_signal: Option<LoadSignal>,
     /// For drills: this front's clock reads so much more than the machine's.
@@ -63,12 +67,13 @@
         })?;
         let postgres = file.postgres.map(|p| postgres(text, p, contract)).transpose()?;
         let gossip = file.gossip.map(|g| gossip(text, g)).transpose()?;
+        let rules = file.rules.map(|r| rules(text, r, contract)).transpose()?;
         let load_signal = file.load_signal.map(|l| load_signal(text, &l, contract)).transpose()?;
         let ahead = file.clock_ahead_ms;
         if !ahead.is_finite() || ahead.abs() > MOST_AHEAD_MS {
             return Err(fault(text, "clock_ahead_ms", &format!("is beyond {MOST_AHEAD_MS} either way")));
         }
-        Ok(Operator { postgres, gossip, load_signal, clock_ahead: micros(ahead) })
+        Ok(Operator { postgres, gossip, rules, load_signal, clock_ahead: micros(ahead) })
     }
 }
 
--- a/crates/codec/src/tables.rs
+++ b/crates/codec/src/tables.rs
@@ -4,6 +4,23 @@
 
 /// The number behind the underscore in the first schema that has one: 17 in `sales_17.orders`.
 pub fn group(statement: &[u8]) -> Option<u32> {
+    next(statement).map(|(number, _)| number)
+}
+
+/// All of them, each once, in the order in which they come; up to `most` and one more.
+pub fn groups(statement: &[u8], most: usize) -> Vec<u32> {
+    let (mut groups, mut rest) = (Vec::new(), statement);
+    while let Some((number, behind)) = next(rest).filter(|_| groups.len() <= most) {
+        if !groups.contains(&number) {
+            groups.push(number);
+        }
+        rest = behind;
+    }
+    groups
+}
+
+/// The first group, and what stands behind its schema.
+fn next(statement: &[u8]) -> Option<(u32, &[u8])> {
     let mut rest = statement;
     while let Some(&first) = rest.first() {
         rest = match first {
@@ -14,14 +31,14 @@
                 let behind = after_quote(rest, first);
                 let name = &rest[1..rest.len() - behind.len()];
                 match schema(name.strip_suffix(&[first]).unwrap_or(name), behind) {
-                    Some(number) => return Some(number),
+                    Some(number) => return Some((number, behind)),
                     None => behind,
                 }
             }
             c if in_name(c) => {
                 let len = rest.iter().position(|c| !in_name(*c)).unwrap_or(rest.len());
                 match schema(&rest[..len], &rest[len..]) {
-                    Some(number) => return Some(number),
+                    Some(number) => return Some((number, &rest[len..])),
                     None => &rest[len..],
                 }
             }
@@ -79,7 +96,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::group;
+    use super::{group, groups};
 
     #[test]
     fn the_schema_outside_of_strings_and_comments_counts() {
@@ -99,4 +116,13 @@
             assert_eq!(group(statement.as_bytes()), found, "{statement}");
         }
     }
+
+    #[test]
+    fn every_group_is_found_once() {
+        let joined =
+            b"select * from s_2.t join \"s_8\".u using (k) where s_2.t.x = 's_9.y' union select 1 from s_5.t";
+        assert_eq!(groups(joined, 16), [2, 8, 5]);
+        assert_eq!(groups(joined, 1), [2, 8]);
+        assert_eq!(groups(b"select 1", 16), [] as [u32; 0]);
+    }
 }
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! words mean is decided in `crates/fleet` and the minds behind it.
 
 mod peers;
+pub mod rules;
 mod votes;
 
 pub use peers::Peers;
--- /dev/null
+++ b/crates/front/src/fleet/rules.rs
@@ -0,0 +1,389 @@
+//! Regional access rules among the rest of the front: statements are judged as they are taken, wait until their hits
+//! stand, and are looked at again just before they leave. The mind is `crates/access`; this holds the file, the clock
+//! and the ledger that it asks. Switched on by the operator's file; off, it is not there.
+
+mod said;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Instant;
+
+use hallmux_access::{self as access, Access, Asked, Fleet, Judged, Known, Owner, Setup, Wish};
+use hallmux_agreement::{line_of, Contract, Station};
+use hallmux_codec::tables;
+use hallmux_dispatcher::{Dispatcher, Ending, Micros, Place, Terms, Ticket};
+use hallmux_ledger::{self as ledger, Ledger, Member, Moment};
+
+const NUMBERS: u64 = 2 << 56; // the highest byte of the numbers of its asks: others of one front have others
+const MOST_GROUPS: usize = 16; // groups of tables that a statement is judged by; more cannot be told
+const STEERS: [&str; 12] = [
+    "begin",
+    "start",
+    "commit",
+    "end",
+    "rollback",
+    "abort",
+    "savepoint",
+    "release",
+    "set",
+    "show",
+    "reset",
+    "discard",
+];
+const LOOK: Micros = 100_000; // microseconds between words to the dispatcher on what is held here
+
+/// The front and its sessions judge by the same.
+pub type Shared = Rc<RefCell<Rules>>;
+
+/// An execution that was ordered.
+#[derive(Clone, Copy)]
+pub struct Ordered {
+    pub ticket: Ticket,
+    pub execution: usize,
+    pub place: Place,
+    pub terms: Terms,
+}
+
+/// What becomes of a statement.
+pub enum Ruling {
+    /// Its hit stands: the execution held leaves.
+    Go(Ordered),
+    /// Denied, and its hit stands: final, and it would be denied again.
+    Deny(Ticket),
+    /// It runs where the version adopted bars, or may not leave any more: final. `ran`: nothing is promised.
+    End { ticket: Ticket, ran: bool, again: bool },
+}
+
+struct Statement {
+    ticket: Ticket,
+    waits: bool,
+    denied: bool,
+    ran: bool,
+    held: Option<Ordered>,
+}
+
+pub struct Rules {
+    access: Access,
+    /// A front without others keeps its promises alone.
+    alone: Option<Ledger>,
+    steady: Instant,
+    statements: BTreeMap<u64, Statement>,
+    tickets: HashMap<Ticket, u64>,
+    rulings: Vec<Ruling>,
+    /// For the ledger of the fleet.
+    pub asks: Vec<ledger::Ask>,
+    look: Micros,
+    tell: Micros,
+    tell_every: Micros,
+    ended: u64,
+    told: Option<Fleet>,
+}
+
+fn known(rules: &hallmux_agreement::Rules, contract: &Contract) -> Known {
+    let names = &contract.names;
+    let workloads = names.workloads.iter().zip(&contract.agreement.workloads).map(|(name, w)| {
+        let named =
+            |all: &Vec<usize>| all.iter().filter_map(|at| names.locations.get(*at).cloned()).collect();
+        access::Bound { name: name.clone(), locations: w.locations.as_ref().map(named) }
+    });
+    Known {
+        customers: names.customers.clone(),
+        workloads: workloads.collect(),
+        locations: names.locations.clone(),
+        regions: rules.regions.clone(),
+        covered: rules.customers.clone(),
+    }
+}
+
+/// Reads the file of rules; all its faults at once.
+fn read(file: &str, known: &Known) -> Result<(String, Wish), String> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| format!("rules.file: {file}: {e}; name a file that can be read"))?;
+    let wish = access::read(file, &text, known, &|path| line_of(&text, path)).map_err(|e| e.to_string())?;
+    Ok((text, wish))
+}
+
+/// Switched on by the operator's file.
+pub fn start(station: &Station, now: Micros) -> std::io::Result<Option<Shared>> {
+    let Some(rules) = &station.operator.rules else { return Ok(None) };
+    let own = Owner { front: 1, incarnation: (now / 1000) as u64 };
+    let rules = Rules::new(rules, &station.contract, own, vec![own.front], true);
+    Ok(Some(Rc::new(RefCell::new(rules.map_err(std::io::Error::other)?))))
+}
+
+impl Rules {
+    /// `own` and `fronts` are by the keys of gossip. Without other fronts this one is the fleet.
+    pub fn new(
+        rules: &hallmux_agreement::Rules,
+        contract: &Contract,
+        own: Owner,
+        fronts: Vec<u64>,
+        alone: bool,
+    ) -> Result<Rules, String> {
+        let known = known(rules, contract);
+        let (text, wish) = read(&rules.file, &known)?;
+        let setup = Setup {
+            own,
+            fronts,
+            region: rules.region.clone(),
+            known,
+            terms: access::Terms { length: rules.lease, drift_ppm: rules.drift_ppm },
+            first_number: NUMBERS,
+        };
+        let member = Member { front: own.front, zone: String::new() };
+        let setup_alone = ledger::Setup {
+            copies: 1,
+            shards: 1,
+            ..ledger::Setup::new("alone", own.front, own.incarnation, own.incarnation | 1, vec![member])
+        };
+        let at = Moment { steady: 0, wall_ms: own.incarnation };
+        let alone =
+            alone.then(|| Ledger::new(at, setup_alone, None)).transpose().map_err(|e| e.to_string())?;
+        let mut access = Access::new(setup);
+        access.offer(&rules.file, &text, wish);
+        log::info!("rules of customers hold; this front stands in {}", rules.region);
+        Ok(Rules {
+            access,
+            alone,
+            steady: Instant::now(),
+            statements: BTreeMap::new(),
+            tickets: HashMap::new(),
+            rulings: Vec::new(),
+            asks: Vec::new(),
+            look: 0,
+            tell: rules.tell_every,
+            tell_every: rules.tell_every,
+            ended: 0,
+            told: None,
+        })
+    }
+
+    /// SIGHUP: the file is read again. One that can't be used changes nothing.
+    pub fn reload(&mut self, now: Micros, rules: &hallmux_agreement::Rules) {
+        match read(&rules.file, self.access.known()) {
+            Ok((text, wish)) => self.access.offer(&rules.file, &text, wish),
+            Err(why) => log::error!("the rules are left as they were: {why}"),
+        }
+        self.told = None;
+        self.access.sweep(self.moment(now));
+    }
+
+    fn moment(&self, now: Micros) -> Moment {
+        Moment { steady: self.steady.elapsed().as_micros() as Micros, wall_ms: (now / 1000) as u64 }
+    }
+
+    /// Judges a statement, once for all its tries.
+    pub fn judge(&mut self, now: Micros, customer: &str, workload: &str, text: &[u8]) -> Judged {
+        let groups = Some(tables::groups(text, MOST_GROUPS)).filter(|all| !all.is_empty());
+        let groups = groups.or_else(|| reads_none(text).then(Vec::new));
+        let asked = Asked { customer: customer.to_string(), workload: workload.to_string(), groups };
+        let judged = self.access.judge(self.moment(now), asked);
+        if let Judged::Taken { verdict, .. } = &judged {
+            if let Some(why) = &verdict.denied {
+                let rule = self.access.rule(verdict).unwrap_or("the default");
+                log::info!(
+                    "customer {customer}: {workload} is denied by {rule} of version {}: {why}",
+                    verdict.version
+                );
+            }
+        }
+        judged
+    }
+
+    /// The locations that are allowed to it; None: all. Of one that is denied nothing ever leaves.
+    pub fn allowed<'a>(&'a self, judged: &Judged) -> Option<Vec<&'a str>> {
+        match judged {
+            Judged::Taken { verdict, .. } if verdict.denied.is_none() => self.access.locations(verdict),
+            _ => None,
+        }
+    }
+
+    /// A statement that was judged is taken under a ticket, and its end is told by `gone`; or it was not taken.
+    pub fn picked(&mut self, dispatcher: &mut Dispatcher, judged: &Judged, ticket: Option<Ticket>) {
+        match ticket {
+            Some(ticket) => self.opened(dispatcher, ticket, judged),
+            None => self.dropped(judged),
+        }
+    }
+
+    fn opened(&mut self, dispatcher: &mut Dispatcher, ticket: Ticket, judged: &Judged) {
+        if let Judged::Taken { statement, verdict, waits } = judged {
+            dispatcher.promised(ticket);
+            let denied = verdict.denied.is_some();
+            self.statements
+                .insert(*statement, Statement { ticket, waits: *waits, denied, ran: false, held: None });
+            self.tickets.insert(ticket, *statement);
+            if denied && !waits {
+                self.rulings.push(Ruling::Deny(ticket));
+            }
+        }
+    }
+
+    fn dropped(&mut self, judged: &Judged) {
+        if let Judged::Taken { statement, .. } = judged {
+            self.access.over(*statement);
+        }
+    }
+
+    /// A statement is over with nothing out for it.
+    pub fn gone(&mut self, ticket: Ticket) {
+        if let Some(statement) = self.tickets.remove(&ticket) {
+            self.statements.remove(&statement);
+            self.access.over(statement);
+        }
+    }
+
+    /// An execution is ordered. True if it may leave at once; else a ruling follows.
+    pub fn order(&mut self, now: Micros, dispatcher: &mut Dispatcher, ordered: Ordered) -> bool {
+        let Some(number) = self.tickets.get(&ordered.ticket).copied() else { return true };
+        let Some(s) = self.statements.get_mut(&number) else { return true };
+        if s.waits || s.denied {
+            s.held = Some(ordered);
+            dispatcher.waits(now, ordered.ticket, ordered.execution);
+            return false;
+        }
+        self.leaves(now, dispatcher, number, ordered)
+    }
+
+    /// The last look before its first byte leaves.
+    fn leaves(&mut self, now: Micros, dispatcher: &mut Dispatcher, number: u64, ordered: Ordered) -> bool {
+        let at = self.moment(now);
+        let location = dispatcher.site(ordered.place).location;
+        let location = self.access.known().locations.get(location).cloned().unwrap_or_default();
+        let may = self.access.may_send(at, number, ordered.execution, &location);
+        let closed = !self.access.version(at.steady).1;
+        let Some(s) = self.statements.get_mut(&number) else { return true };
+        if may {
+            s.ran = true;
+            return true;
+        }
+        log::info!(
+            "statement {}: may not leave for {location} {}",
+            s.ticket,
+            if closed { "while this front cannot know what holds" } else { "by the version that holds" }
+        );
+        dispatcher.report(now, s.ticket, ordered.execution, Ending::Withdrawn, None, None);
+        self.rulings.push(Ruling::End { ticket: s.ticket, ran: s.ran, again: closed });
+        false
+    }
+
+    /// Gives an execution up. True if it was held here: nothing of it has left.
+    pub fn stop(&mut self, ticket: Ticket, execution: usize) -> bool {
+        let number = self.tickets.get(&ticket);
+        let held = number.and_then(|number| self.statements.get_mut(number)).map(|s| &mut s.held);
+        held.is_some_and(|held| held.take_if(|held| held.execution == execution).is_some())
+    }
+
+    /// An execution has ended.
+    pub fn ended(&mut self, ticket: Ticket, execution: usize) {
+        if let Some(number) = self.tickets.get(&ticket) {
+            self.access.execution_ended(*number, execution);
+        }
+    }
+
+    /// When it is next to be looked at.
+    pub fn due(&self, now: Micros) -> Micros {
+        let steady = self.steady.elapsed().as_micros() as Micros;
+        let ledger = self.alone.as_ref().map_or(Micros::MAX, Ledger::due);
+        let next = self.access.due().min(ledger).min(self.tell).max(steady);
+        let holds = self.statements.values().any(|s| s.held.is_some());
+        let holds = if holds { self.look } else { Micros::MAX };
+        let rulings = if self.rulings.is_empty() { Micros::MAX } else { now };
+        now.saturating_add(next.saturating_sub(steady)).min(holds).min(rulings)
+    }
+
+    /// Does what is due: what becomes of statements.
+    pub fn turn(&mut self, now: Micros, dispatcher: &mut Dispatcher) -> Vec<Ruling> {
+        let at = self.moment(now);
+        if at.steady >= self.tell {
+            self.tell = at.steady + self.tell_every;
+            self.access.sweep(at);
+        }
+        self.access.tick(at);
+        loop {
+            let out = self.access.take();
+            self.take(at, &out);
+            let mut done = Vec::new();
+            match &mut self.alone {
+                Some(ledger) => {
+                    out.asks.into_iter().for_each(|ask| ledger.ask(at, ask));
+                    ledger.tick(at);
+                    let told = ledger.take();
+                    // Nothing is kept, and nobody else hears: what it saves is lasting as far as it goes.
+                    told.saves.iter().for_each(|save| ledger.saved(at, save.number, true));
+                    done.extend(told.done);
+                    done.extend(ledger.take().done);
+                }
+                None => self.asks.extend(out.asks),
+            }
+            if done.is_empty() {
+                break;
+            }
+            done.into_iter().for_each(|done| _ = self.done(now, done));
+        }
+        if self.look <= now {
+            self.look = now + LOOK;
+            for held in self.statements.values().filter_map(|s| s.held) {
+                dispatcher.waits(now, held.ticket, held.execution);
+            }
+        }
+        let mut rulings = Vec::new();
+        for ruling in std::mem::take(&mut self.rulings) {
+            match ruling {
+                Ruling::Go(ordered) => {
+                    let number = self.tickets.get(&ordered.ticket).copied().unwrap_or_default();
+                    dispatcher.leaves(now, ordered.ticket, ordered.execution);
+                    if self.leaves(now, dispatcher, number, ordered) {
+                        rulings.push(Ruling::Go(ordered));
+                    }
+                }
+                other => rulings.push(other),
+            }
+        }
+        rulings.append(&mut self.rulings);
+        rulings
+    }
+
+    /// The ledger of the fleet has answered. False if it was not asked here.
+    pub fn done(&mut self, now: Micros, done: ledger::Done) -> bool {
+        self.access.done(self.moment(now), done)
+    }
+
+    fn take(&mut self, at: Moment, out: &access::Out) {
+        out.said.iter().for_each(said::say);
+        for number in &out.counted {
+            let Some(s) = self.statements.get_mut(number) else { continue };
+            s.waits = false;
+            match (s.denied, s.held) {
+                (true, _) => self.rulings.push(Ruling::Deny(s.ticket)),
+                (false, Some(_)) => self.rulings.extend(s.held.take().map(Ruling::Go)),
+                (false, None) => {}
+            }
+        }
+        for number in &out.ends {
+            let Some(s) = self.statements.get(number) else { continue };
+            self.rulings.push(Ruling::End { ticket: s.ticket, ran: true, again: false });
+        }
+        if self.ended != self.access.ended {
+            let more = self.access.ended - self.ended;
+            log::warn!(
+                "{more} statements ran where the rules bar from now on, and are ended; {} so far",
+                self.access.ended
+            );
+            self.ended = self.access.ended;
+        }
+        if let Some(fleet) = &out.fleet {
+            self.tell_hits(at, fleet);
+        }
+    }
+}
+
+/// A single statement that steers a session and reads no table.
+fn reads_none(text: &[u8]) -> bool {
+    let text = text.trim_ascii();
+    let text = text.strip_suffix(b";").unwrap_or(text);
+    let len = text.iter().position(|c| !c.is_ascii_alphabetic()).unwrap_or(text.len());
+    let steers = |word: &&str| text[..len].eq_ignore_ascii_case(word.as_bytes());
+    !text.contains(&b';') && STEERS.iter().any(steers)
+}
--- /dev/null
+++ b/crates/front/src/fleet/rules/said.rs
@@ -0,0 +1,44 @@
+//! What the log says of rules, and what an operator can do.
+
+use hallmux_access::{Fleet, Said};
+use hallmux_ledger::Moment;
+
+use super::Rules;
+
+impl Rules {
+    /// A line for each row of the fleet's count, where it has changed.
+    pub(super) fn tell_hits(&mut self, at: Moment, fleet: &Fleet) {
+        let same = self.told.as_ref().is_some_and(|t| t.counts == fleet.counts && t.missing == fleet.missing);
+        if same || fleet.counts.is_empty() && fleet.missing.is_empty() {
+            return;
+        }
+        let old = fleet.as_of.map_or(0, |as_of| (at.steady - as_of) / 1000);
+        let missing: Vec<String> = fleet.missing.iter().map(|front| format!("{front:016x}")).collect();
+        let missing = if missing.is_empty() { "none".to_string() } else { missing.join(", ") };
+        log::info!("the fleet's hits, at most {old} ms old; fronts that are missing: {missing}");
+        for (hit, count) in &fleet.counts {
+            log::info!("hits of rule {} by customer {} in {}: {count}", hit.rule, hit.customer, hit.region);
+        }
+        self.told = Some(fleet.clone());
+    }
+}
+
+pub fn say(said: &Said) {
+    match said {
+        Said::Adopted { version, rules, in_force } => {
+            let yet = if *in_force { "" } else { ", not yet in force" };
+            log::info!("judges by version {version} of the rules, {rules} of them{yet}")
+        }
+        Said::InForce { version } => log::info!("version {version} of the rules is in force"),
+        Said::Accepted { version } => log::info!("this front's file is the fleet's: version {version} of the rules"),
+        Said::Refused(why) => log::error!("the rules are left as they were: {why}"),
+        Said::Closed => {
+            log::warn!("cannot know which rules hold; statements of customers that they can be about are rejected")
+        }
+        Said::Open { version } => log::info!("knows which rules hold: version {version}"),
+        Said::Unreadable { what } => log::error!(
+            "the fleet's rules can't be read here ({what}); give this front the settings and the build of the others"
+        ),
+        Said::Full { what } => log::error!("the ledger is full for {what}; raise its bounds, or use fewer rules"),
+    }
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -18,6 +18,7 @@
 use crate::doors::{Changes, Door, Party};
 use crate::engines::Engines;
 use crate::entrance::Entrance;
+use crate::fleet::rules::{self, Shared};
 use crate::fleet::Peers;
 use crate::link::Link;
 use crate::portal::Portal;
@@ -43,6 +44,8 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
+    /// Regional access rules of customers, likewise.
+    rules: Option<Shared>,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -58,11 +61,13 @@
     ) -> std::io::Result<Front> {
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
-        let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
         let mut clock = Clock::ahead(station.operator.clock_ahead);
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
+        let rules = rules::start(station, clock.now)?;
+        let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
+        let portal = portal.map(open).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
@@ -76,6 +81,7 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
+            rules,
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
@@ -98,6 +104,7 @@
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
             self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
         self.clock.sleep(due);
@@ -162,6 +169,7 @@
         self.coordinator.expire(self.clock.now);
         self.clock.look();
         self.clock.decides();
+        self.rule();
         for _ in 0..ROUNDS {
             self.heard();
             let orders = self.dispatcher.tick(self.clock.now);
@@ -171,6 +179,7 @@
             for order in orders {
                 self.obey(order);
             }
+            self.rule();
             // Stops go out before what they make room for.
             self.engines.flush(self.clock.now);
             self.portal.iter_mut().for_each(|portal| portal.flush_servers(self.clock.now));
@@ -226,6 +235,9 @@
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
                     peers.reload(gossip);
                 }
+                if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
+                    rules.borrow_mut().reload(self.clock.now, read);
+                }
                 self.coordinator.turn_to(self.clock.now, station.coordinator);
                 let at = station.coordinator.map_or("none".to_string(), |at| at.to_string());
                 log::info!("the configuration was read again; coordinator: {at}");
--- a/crates/front/src/front/asked.rs
+++ b/crates/front/src/front/asked.rs
@@ -1,5 +1,6 @@
 //! What clients ask for is taken to the dispatcher.
 
+use hallmux_access::Judged;
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Ask, Micros, Speech, Unfit};
@@ -59,6 +60,15 @@
         // Guards against a final answer that is held up on its way: it has the slack twice, before the
         // client's time is up and after. A result that comes in that last moment is lost to the client.
         let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
+        let judged = self.rules.as_ref().map(|rules| {
+            rules.borrow_mut().judge(self.clock.now, &call.customer, &call.workload, &call.statement)
+        });
+        let judged = judged.unwrap_or(Judged::Free);
+        if judged == Judged::Closed {
+            return self.clients.refuse(client, number);
+        }
+        let rules = self.rules.as_ref().map(|rules| rules.borrow());
+        let allowed = rules.as_ref().and_then(|rules| rules.allowed(&judged));
         let ask = Ask {
             workload: &call.workload,
             customer: &call.customer,
@@ -70,9 +80,14 @@
             data_set: tables::group(&call.statement),
             speech: Speech::Lines,
             pinned: None,
-            allowed: None,
+            allowed: allowed.as_deref(),
         };
-        match self.dispatcher.pick(self.clock.now, &ask) {
+        let picked = self.dispatcher.pick(self.clock.now, &ask);
+        drop(rules);
+        if let Some(rules) = &self.rules {
+            rules.borrow_mut().picked(&mut self.dispatcher, &judged, picked.ok());
+        }
+        match picked {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
             Err(Unfit::Barred) => {
                 self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -1,10 +1,11 @@
 //! Orders of the dispatcher go to clients, engines and sessions; what those say goes back to it.
 
 use hallmux_codec::statement::Reply;
-use hallmux_dispatcher::{Ending, Order, Ticket};
+use hallmux_dispatcher::{Ending, Micros, Order, Ticket};
 
 use super::Front;
 use crate::engines;
+use crate::fleet::rules::{Ordered, Ruling, Shared};
 use crate::fleet::Peers;
 use crate::portal::{Portal, Room};
 
@@ -14,6 +15,7 @@
         for told in std::mem::take(&mut self.engines.told) {
             match told {
                 engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
+                    self.rules.iter().for_each(|rules| rules.borrow_mut().ended(ticket, execution));
                     if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
                         self.clients.answer(self.clock.now, ticket, &Reply::Completed(&result));
                     }
@@ -49,39 +51,87 @@
         self.portal.as_ref().is_some_and(|portal| portal.has(sent))
     }
 
+    /// What rules come to: what was held leaves, or statements end.
+    pub(super) fn rule(&mut self) {
+        let Some(rules) = self.rules.clone() else { return };
+        let now = self.clock.now;
+        self.dispatcher.gone().iter().for_each(|gone| rules.borrow_mut().gone(gone.ticket));
+        let rulings = rules.borrow_mut().turn(now, &mut self.dispatcher);
+        for ruling in rulings {
+            match ruling {
+                Ruling::Go(ordered) => self.leave(ordered),
+                Ruling::Deny(ticket) => {
+                    self.refuse(ticket, true, None);
+                    self.dispatcher.turn_away(now, ticket);
+                }
+                Ruling::End { ticket, ran: true, .. } => {
+                    self.refuse(ticket, false, None);
+                    self.dispatcher.left(now, ticket);
+                }
+                Ruling::End { ticket, ran: false, again } => {
+                    let retry_after = self.dispatcher.turn_away(now, ticket).filter(|_| again);
+                    self.refuse(ticket, true, retry_after);
+                }
+            }
+        }
+    }
+
+    /// A statement's final answer without a result.
+    fn refuse(&mut self, ticket: Ticket, rejects: bool, retry_after: Option<Micros>) {
+        let now = self.clock.now;
+        if self.owns(ticket) {
+            self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, rejects, retry_after));
+        } else if rejects {
+            let retry_after_ms = retry_after.map(|time| time / 1000);
+            self.clients.answer(now, ticket, &Reply::Rejected { retry_after_ms });
+        } else {
+            self.clients.answer(now, ticket, &Reply::Aborted);
+        }
+    }
+
+    /// An execution's first byte leaves for its engine.
+    fn leave(&mut self, ordered: Ordered) {
+        let Ordered { ticket, execution, place, terms } = ordered;
+        let now = self.clock.now;
+        if self.owns(ticket) {
+            self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
+        } else if let Some(call) = self.clients.call(ticket) {
+            self.engines.send(now, (ticket, execution), place, call, terms);
+        } else {
+            self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
+        }
+    }
+
+    /// An execution that is to be given up waits here: nothing of it has left.
+    fn is_held(&self, ticket: Ticket, execution: usize) -> bool {
+        self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(ticket, execution))
+    }
+
     pub(super) fn obey(&mut self, order: Order) {
         let now = self.clock.now;
         match order {
-            Order::Send { ticket, execution, place, .. } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
+            Order::Send { ticket, execution, place, terms } => {
+                let ordered = Ordered { ticket, execution, place, terms };
+                let dispatcher = &mut self.dispatcher;
+                let may = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
+                if self.rules.as_ref().is_none_or(may) {
+                    self.leave(ordered);
+                }
+            }
+            Order::Stop { ticket, execution, .. } if self.is_held(ticket, execution) => {
+                self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
             Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
             }
-            Order::Reject { ticket, retry_after } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, true, retry_after));
-            }
-            Order::Abort { ticket } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, false, None));
-            }
-            Order::Send { ticket, execution, place, terms } => {
-                let Some(call) = self.clients.call(ticket) else {
-                    self.dispatcher.report(self.clock.now, ticket, execution, Ending::Withdrawn, None, None);
-                    return;
-                };
-                self.engines.send(self.clock.now, (ticket, execution), place, call, terms);
-            }
             Order::Hurry { ticket, execution, priority } => {
                 self.engines.hurry((ticket, execution), priority);
             }
             Order::Stop { ticket, execution, ending } => {
                 self.engines.stop(self.clock.now, (ticket, execution), ending)
             }
-            Order::Reject { ticket, retry_after } => {
-                let retry_after_ms = retry_after.map(|time| time / 1000);
-                self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
-            }
-            Order::Abort { ticket } => self.clients.answer(self.clock.now, ticket, &Reply::Aborted),
+            Order::Reject { ticket, retry_after } => self.refuse(ticket, true, retry_after),
+            Order::Abort { ticket } => self.refuse(ticket, false, None),
             // Between the decision and now the work may have become another's: then the probe stays here.
             Order::Probe { for_fleet: true, .. } if !self.peers.as_ref().is_none_or(Peers::may_probe) => {}
             Order::Probe { place, .. } => self.engines.probe(self.clock.now, place),
--- a/crates/front/src/portal.rs
+++ b/crates/front/src/portal.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use calloop::LoopHandle;
+use hallmux_access::Judged;
 use hallmux_agreement::{Contract, Postgres, User};
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Ask, Dispatcher, Ending, Micros, Note, Place, Speech, Ticket, Unfit};
@@ -14,6 +15,7 @@
 
 use crate::doors::{Changes, Door, Party};
 use crate::entrance::Entrance;
+use crate::fleet::rules::Shared;
 use crate::link::Link;
 use crate::servers::{self, Sent, Servers, SessionId, Unit};
 use crate::sessions::{self, Sessions, Users};
@@ -37,6 +39,8 @@
     answer_slack: Micros,
     timeouts: Vec<(String, Micros)>,
     come_back_ms: Option<i64>,
+    /// Regional access rules, where they are switched on.
+    rules: Option<Shared>,
     shut: Option<Micros>,
     /// Connections with more to read than one turn takes, that the loop does not tell of again.
     unfinished: Vec<Party>,
@@ -47,6 +51,7 @@
         postgres: &Postgres,
         contract: &Contract,
         handle: LoopHandle<'static, Changes>,
+        rules: Option<Shared>,
     ) -> std::io::Result<Portal> {
         let listener = TcpListener::bind(postgres.listen).map_err(|e| {
             std::io::Error::new(e.kind(), format!("postgres.listen: {}: {e}", postgres.listen))
@@ -63,6 +68,7 @@
             timeouts: workloads.map(|(name, w)| (name.clone(), w.statement_timeout)).collect(),
             come_back_ms: contract.agreement.longest_retry_after.map(|time| time / 1000),
             shut: None,
+            rules,
             unfinished: Vec::new(),
             handle,
         };
@@ -224,6 +230,17 @@
                 let time_left = terms.timeout.min(own) - self.answer_slack - waited;
                 let key = label.key.as_deref();
                 let kept = key.is_some_and(|key| inside.holds.iter().any(|k| k == key));
+                let judged = self
+                    .rules
+                    .as_ref()
+                    .map(|rules| rules.borrow_mut().judge(now, terms.member, terms.workload, part.text()));
+                let judged = judged.unwrap_or(Judged::Free);
+                if judged == Judged::Closed {
+                    let why = Final::Rejected { retry_after_ms: self.come_back_ms };
+                    return self.sessions.unfit(id, part, &why);
+                }
+                let rules = self.rules.as_ref().map(|rules| rules.borrow());
+                let allowed = rules.as_ref().and_then(|rules| rules.allowed(&judged));
                 let ask = Ask {
                     workload: terms.workload,
                     customer: terms.member,
@@ -235,11 +252,16 @@
                     data_set: tables::group(part.text()),
                     speech: Speech::Postgres,
                     pinned: inside.pin.map(|(place, _)| place),
-                    allowed: None,
+                    allowed: allowed.as_deref(),
                 };
-                match dispatcher.pick(now, &ask) {
+                let picked = dispatcher.pick(now, &ask);
+                let key = ask.key.map(str::to_string);
+                drop(rules);
+                if let Some(rules) = &self.rules {
+                    rules.borrow_mut().picked(dispatcher, &judged, picked.ok());
+                }
+                match picked {
                     Ok(ticket) => {
-                        let key = ask.key.map(str::to_string);
                         return self.sessions.opened(id, ticket, part, key);
                     }
                     Err(Unfit::Barred) => Final::Rejected { retry_after_ms: None },
--- a/crates/front/tests/play/line.rs
+++ b/crates/front/tests/play/line.rs
@@ -30,10 +30,18 @@
                     std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
                 let name = format!("hallmux-play-{}-{number}.json5", std::process::id());
                 let path = std::env::temp_dir().join(name);
-                std::fs::write(&path, unescaped(&rest(1))).unwrap();
+                let rules = self.rules.as_ref().map(|path| path.display().to_string());
+                let text = unescaped(&rest(1)).replace("RULES", &rules.unwrap_or_default());
+                std::fs::write(&path, text).unwrap();
                 self.files.push(path.clone());
                 self.operator = Some(path);
             }
+            ["rules", ..] => {
+                let name = format!("hallmux-play-{}-rules.json5", std::process::id());
+                let path = self.rules.get_or_insert_with(|| std::env::temp_dir().join(name)).clone();
+                std::fs::write(&path, unescaped(&rest(1))).unwrap();
+                self.files.insert(0, path); // the last is the configuration
+            }
             ["told", key, ..] => {
                 self.told_otherwise.push((key.to_string(), serde_json::from_str(&rest(2)).unwrap()));
             }
--- a/crates/front/tests/play/main.rs
+++ b/crates/front/tests/play/main.rs
@@ -4,7 +4,8 @@
 //!     agreed KEY JSON          a value of the settings object, in place of the usual one
 //!     told KEY JSON            a value of the configuration itself, for the next start
 //!     operator TEXT            the operator's own file, for the starts from now on (`\n` a line's end)
-//!     engine NAME [gone|deaf]  of the list at start; `gone` listens no more, `deaf` reads nothing yet
+//!     rules TEXT               the file of rules, written anew; `RULES` in the operator's file is its path
+//!     engine NAME[@ZONE] [gone|deaf]  of the list at start; `gone` listens no more, `deaf` reads nothing yet
 //!     start                    starts the front and waits until it takes statements
 //!     fails TEXT               starts it and waits until it ends with a complaint that holds TEXT
 //!     CLIENT connects | closes | is well | is unwell | is closed
@@ -69,6 +70,7 @@
     log: Option<Receiver<String>>,
     listens: String,
     operator: Option<std::path::PathBuf>,
+    rules: Option<std::path::PathBuf>,
 }
 
 fn id(number: &str) -> String {
--- a/crates/front/tests/play/process.rs
+++ b/crates/front/tests/play/process.rs
@@ -12,7 +12,7 @@
 impl Play {
     pub fn server(&self, name: &str, state: &str, at: SocketAddr, started: bool) -> Value {
         let started_ms = if started { 1_700_000_000_000u64 } else { 0 };
-        json!({"id": name, "addr": at.to_string(), "zone": "here", "kind": "std", "cell": 0,
+        json!({"id": name, "addr": at.to_string(), "zone": name.split_once('@').map_or("here", |(_, zone)| zone), "kind": "std", "cell": 0,
                "state": state, "weight": 1, "started_ms": started_ms})
     }
 
