--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -7,7 +7,7 @@
 use crate::engines;
 use crate::fleet::rules::{Ordered, Ruling, Shared};
 use crate::fleet::Peers;
-use crate::portal::{Portal, Room};
+use crate::postgres::portal::{Portal, Room};
 
 impl Front {
     /// Passes on what engines have said.
