--- a/crates/access/src/access.rs
+++ b/crates/access/src/access.rs
@@ -46,6 +46,12 @@
     Taken { statement: u64, verdict: Verdict, waits: bool },
 }
 
+impl Judged {
+    pub fn is_denied(&self) -> bool {
+        matches!(self, Judged::Taken { verdict, .. } if verdict.denied.is_some())
+    }
+}
+
 /// What is to be done.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Out {
@@ -62,8 +68,8 @@
 struct Open {
     asked: Asked,
     verdict: Verdict,
-    /// Where its executions are, by number.
-    out: BTreeMap<usize, Option<u16>>,
+    /// Where its executions are, by the caller's number.
+    out: BTreeMap<u64, Option<u16>>,
     ending: bool,
 }
 
@@ -122,8 +128,8 @@
     }
 
     /// The locations that a verdict lets a statement be read at; None: all.
-    pub fn locations(&self, verdict: &Verdict) -> Option<Vec<&str>> {
-        let named = |place: &u16| self.known().locations.get(*place as usize).map(String::as_str);
+    pub fn locations(&self, verdict: &Verdict) -> Option<Vec<String>> {
+        let named = |place: &u16| self.known().locations.get(*place as usize).cloned();
         verdict.allowed.as_ref().map(|places| places.iter().filter_map(named).collect())
     }
 
@@ -157,7 +163,7 @@
 
     /// Whether an execution may leave for a location now: by the version that the statement was judged by, by the one
     /// that holds, and under a lease. One that may not never will; its statement is to end.
-    pub fn may_send(&mut self, at: Moment, statement: u64, execution: usize, location: &str) -> bool {
+    pub fn may_send(&mut self, at: Moment, statement: u64, execution: u64, location: &str) -> bool {
         let place = self.known().locations.iter().position(|name| name == location).map(|at| at as u16);
         let Some(index) = self.versions.lease(at.steady) else { return false };
         let Some(open) = self.open.get_mut(&statement) else { return false };
@@ -171,7 +177,7 @@
     }
 
     /// An execution has ended.
-    pub fn execution_ended(&mut self, statement: u64, execution: usize) {
+    pub fn execution_ended(&mut self, statement: u64, execution: u64) {
         if let Some(open) = self.open.get_mut(&statement) {
             open.out.remove(&execution);
         }
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
 pub use operator::{
-    hexadecimal, line_of, Gossip, LoadSignal, Operator, Ownership, Postgres, Rules, SessionLimits,
+    hexadecimal, line_of, Gossip, LoadSignal, Operator, Ownership, Postgres, Rules, Scatter, SessionLimits,
     SpeakingEngines, User,
 };
 pub use station::{Limits, Station};
--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -7,6 +7,7 @@
 mod places;
 mod postgres;
 mod rules;
+mod scatter;
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
@@ -14,4 +15,5 @@
 pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
 pub use rules::Rules;
+pub use scatter::Scatter;
 pub use whole::{LoadSignal, Operator};
--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -39,6 +39,8 @@
 /// An execution that was ordered.
 #[derive(Clone, Copy)]
 pub struct Ordered {
+    /// The statement that was judged: of a part the whole.
+    pub of: Ticket,
     pub ticket: Ticket,
     pub execution: usize,
     pub place: Place,
@@ -60,7 +62,7 @@
     waits: bool,
     denied: bool,
     ran: bool,
-    held: Option<Ordered>,
+    held: Vec<Ordered>,
 }
 
 pub struct Rules {
@@ -192,7 +194,7 @@
     }
 
     /// The locations that are allowed to it; None: all. Of one that is denied nothing ever leaves.
-    pub fn allowed<'a>(&'a self, judged: &Judged) -> Option<Vec<&'a str>> {
+    pub fn allowed(&self, judged: &Judged) -> Option<Vec<String>> {
         match judged {
             Judged::Taken { verdict, .. } if verdict.denied.is_none() => self.access.locations(verdict),
             _ => None,
@@ -211,8 +213,10 @@
         if let Judged::Taken { statement, verdict, waits } = judged {
             dispatcher.promised(ticket);
             let denied = verdict.denied.is_some();
-            self.statements
-                .insert(*statement, Statement { ticket, waits: *waits, denied, ran: false, held: None });
+            self.statements.insert(
+                *statement,
+                Statement { ticket, waits: *waits, denied, ran: false, held: Vec::new() },
+            );
             self.tickets.insert(ticket, *statement);
             if denied && !waits {
                 self.rulings.push(Ruling::Deny(ticket));
@@ -236,10 +240,10 @@
 
     /// An execution is ordered. True if it may leave at once; else a ruling follows.
     pub fn order(&mut self, now: Micros, dispatcher: &mut Dispatcher, ordered: Ordered) -> bool {
-        let Some(number) = self.tickets.get(&ordered.ticket).copied() else { return true };
+        let Some(number) = self.tickets.get(&ordered.of).copied() else { return true };
         let Some(s) = self.statements.get_mut(&number) else { return true };
         if s.waits || s.denied {
-            s.held = Some(ordered);
+            s.held.push(ordered);
             dispatcher.waits(now, ordered.ticket, ordered.execution);
             return false;
         }
@@ -251,7 +255,7 @@
         let at = self.moment(now);
         let location = dispatcher.site(ordered.place).location;
         let location = self.access.known().locations.get(location).cloned().unwrap_or_default();
-        let may = self.access.may_send(at, number, ordered.execution, &location);
+        let may = self.access.may_send(at, number, place_of((ordered.ticket, ordered.execution)), &location);
         let closed = !self.access.version(at.steady).1;
         let Some(s) = self.statements.get_mut(&number) else { return true };
         if may {
@@ -263,22 +267,24 @@
             s.ticket,
             if closed { "while this front cannot know what holds" } else { "by the version that holds" }
         );
-        dispatcher.report(now, s.ticket, ordered.execution, Ending::Withdrawn, None, None);
+        dispatcher.report(now, ordered.ticket, ordered.execution, Ending::Withdrawn, None, None);
         self.rulings.push(Ruling::End { ticket: s.ticket, ran: s.ran, again: closed });
         false
     }
 
     /// Gives an execution up. True if it was held here: nothing of it has left.
-    pub fn stop(&mut self, ticket: Ticket, execution: usize) -> bool {
-        let number = self.tickets.get(&ticket);
-        let held = number.and_then(|number| self.statements.get_mut(number)).map(|s| &mut s.held);
-        held.is_some_and(|held| held.take_if(|held| held.execution == execution).is_some())
+    pub fn stop(&mut self, of: Ticket, sent: (Ticket, usize)) -> bool {
+        let number = self.tickets.get(&of);
+        let Some(s) = number.and_then(|number| self.statements.get_mut(number)) else { return false };
+        let before = s.held.len();
+        s.held.retain(|held| (held.ticket, held.execution) != sent);
+        s.held.len() < before
     }
 
     /// An execution has ended.
-    pub fn ended(&mut self, ticket: Ticket, execution: usize) {
-        if let Some(number) = self.tickets.get(&ticket) {
-            self.access.execution_ended(*number, execution);
+    pub fn ended(&mut self, of: Ticket, sent: (Ticket, usize)) {
+        if let Some(number) = self.tickets.get(&of) {
+            self.access.execution_ended(*number, place_of(sent));
         }
     }
 
@@ -287,7 +293,7 @@
         let steady = self.steady.elapsed().as_micros() as Micros;
         let ledger = self.alone.as_ref().map_or(Micros::MAX, Ledger::due);
         let next = self.access.due().min(ledger).min(self.tell).max(steady);
-        let holds = self.statements.values().any(|s| s.held.is_some());
+        let holds = self.statements.values().any(|s| !s.held.is_empty());
         let holds = if holds { self.look } else { Micros::MAX };
         let rulings = if self.rulings.is_empty() { Micros::MAX } else { now };
         now.saturating_add(next.saturating_sub(steady)).min(holds).min(rulings)
@@ -324,7 +330,7 @@
         }
         if self.look <= now {
             self.look = now + LOOK;
-            for held in self.statements.values().filter_map(|s| s.held) {
+            for held in self.statements.values().flat_map(|s| &s.held) {
                 dispatcher.waits(now, held.ticket, held.execution);
             }
         }
@@ -332,7 +338,7 @@
         for ruling in std::mem::take(&mut self.rulings) {
             match ruling {
                 Ruling::Go(ordered) => {
-                    let number = self.tickets.get(&ordered.ticket).copied().unwrap_or_default();
+                    let number = self.tickets.get(&ordered.of).copied().unwrap_or_default();
                     dispatcher.leaves(now, ordered.ticket, ordered.execution);
                     if self.leaves(now, dispatcher, number, ordered) {
                         rulings.push(Ruling::Go(ordered));
@@ -355,10 +361,9 @@
         for number in &out.counted {
             let Some(s) = self.statements.get_mut(number) else { continue };
             s.waits = false;
-            match (s.denied, s.held) {
-                (true, _) => self.rulings.push(Ruling::Deny(s.ticket)),
-                (false, Some(_)) => self.rulings.extend(s.held.take().map(Ruling::Go)),
-                (false, None) => {}
+            match s.denied {
+                true => self.rulings.push(Ruling::Deny(s.ticket)),
+                false => self.rulings.extend(s.held.drain(..).map(Ruling::Go)),
             }
         }
         for number in &out.ends {
@@ -379,6 +384,11 @@
     }
 }
 
+/// An execution's number for the mind: those of a statement's parts are told apart.
+fn place_of((ticket, execution): (Ticket, usize)) -> u64 {
+    u64::from(ticket) << 16 | execution as u64 & 0xffff
+}
+
 /// A single statement that steers a session and reads no table.
 fn reads_none(text: &[u8]) -> bool {
     let text = text.trim_ascii();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,6 +3,7 @@
 mod asked;
 mod listed;
 mod orders;
+mod scattered;
 
 use std::net::TcpListener;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use crate::fleet::Peers;
 use crate::link::Link;
 use crate::postgres::portal::Portal;
+use crate::scatter::Scatters;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
@@ -46,6 +48,8 @@
     peers: Option<Peers>,
     /// Regional access rules of customers, likewise.
     rules: Option<Shared>,
+    /// Statements that are asked of several sites, likewise.
+    scatter: Option<Scatters>,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -68,6 +72,9 @@
         let rules = rules::start(station, clock.now)?;
         let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
         let portal = portal.map(open).transpose()?;
+        let turn = peers.as_ref().map_or(0, Peers::turn);
+        let scatter = station.operator.scatter.as_ref();
+        let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn)).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
@@ -82,6 +89,7 @@
             portal,
             peers,
             rules,
+            scatter,
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
@@ -105,6 +113,7 @@
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
             self.peers.as_ref().map_or(Micros::MAX, Peers::due),
             self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
+            self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
         self.clock.sleep(due);
@@ -165,6 +174,9 @@
         if let Some(peers) = &mut self.peers {
             peers.tick(self.clock.now, &mut self.dispatcher);
         }
+        let mut told = Vec::new();
+        self.tick_scatters(&mut told);
+        self.take(told);
         self.engines.expire(self.clock.now);
         self.coordinator.expire(self.clock.now);
         self.clock.look();
@@ -193,6 +205,7 @@
         }
         self.coordinator.flush(self.clock.now);
         let mut told = Vec::new();
+        self.answer_scatters(&mut told);
         self.clients.flush(&mut told);
         if let (untaken, Some(client)) = self.clients.untaken() {
             if untaken > self.most_bytes {
@@ -238,6 +251,11 @@
                 if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
                     rules.borrow_mut().reload(self.clock.now, read);
                 }
+                if let Some((scatter, settings)) =
+                    self.scatter.as_mut().zip(station.operator.scatter.as_ref())
+                {
+                    scatter.reload(settings, self.clock.now);
+                }
                 self.coordinator.turn_to(self.clock.now, station.coordinator);
                 let at = station.coordinator.map_or("none".to_string(), |at| at.to_string());
                 log::info!("the configuration was read again; coordinator: {at}");
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -1,7 +1,10 @@
 //! Orders of the dispatcher go to clients, engines and sessions; what those say goes back to it.
 
-use hallmux_codec::statement::Reply;
+use std::rc::Rc;
+
+use hallmux_codec::statement::{Call, Reply};
 use hallmux_dispatcher::{Ending, Micros, Order, Ticket};
+use hallmux_scatter::whole::Failed;
 
 use super::Front;
 use crate::engines;
@@ -15,8 +18,11 @@
         for told in std::mem::take(&mut self.engines.told) {
             match told {
                 engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
-                    self.rules.iter().for_each(|rules| rules.borrow_mut().ended(ticket, execution));
-                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost) {
+                    let of = self.judged_as(ticket);
+                    self.rules.iter().for_each(|rules| rules.borrow_mut().ended(of, (ticket, execution)));
+                    if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost)
+                        && !self.part_ended(ticket, Ok(&result))
+                    {
                         self.clients.answer(self.clock.now, ticket, &Reply::Completed(&result));
                     }
                 }
@@ -66,11 +72,12 @@
                 }
                 Ruling::End { ticket, ran: true, .. } => {
                     self.refuse(ticket, false, None);
-                    self.dispatcher.left(now, ticket);
+                    self.left(ticket);
                 }
                 Ruling::End { ticket, ran: false, again } => {
                     let retry_after = self.dispatcher.turn_away(now, ticket).filter(|_| again);
                     self.refuse(ticket, true, retry_after);
+                    self.left(ticket);
                 }
             }
         }
@@ -91,11 +98,11 @@
 
     /// An execution's first byte leaves for its engine.
     fn leave(&mut self, ordered: Ordered) {
-        let Ordered { ticket, execution, place, terms } = ordered;
+        let Ordered { ticket, execution, place, terms, .. } = ordered;
         let now = self.clock.now;
         if self.owns(ticket) {
             self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
-        } else if let Some(call) = self.clients.call(ticket) {
+        } else if let Some(call) = self.call(ticket) {
             self.engines.send(now, (ticket, execution), place, call, terms);
         } else {
             self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
@@ -104,14 +111,25 @@
 
     /// An execution that is to be given up waits here: nothing of it has left.
     fn is_held(&self, ticket: Ticket, execution: usize) -> bool {
-        self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(ticket, execution))
+        let of = self.judged_as(ticket);
+        self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(of, (ticket, execution)))
+    }
+
+    /// The statement that rules know: of a part the whole.
+    fn judged_as(&self, ticket: Ticket) -> Ticket {
+        self.scatter.as_ref().and_then(|scatter| scatter.whole_of(ticket)).unwrap_or(ticket)
+    }
+
+    fn call(&self, ticket: Ticket) -> Option<Rc<Call>> {
+        let part = || self.scatter.as_ref().and_then(|scatter| scatter.call(ticket));
+        self.clients.call(ticket).or_else(part)
     }
 
     pub(super) fn obey(&mut self, order: Order) {
         let now = self.clock.now;
         match order {
             Order::Send { ticket, execution, place, terms } => {
-                let ordered = Ordered { ticket, execution, place, terms };
+                let ordered = Ordered { of: self.judged_as(ticket), ticket, execution, place, terms };
                 let dispatcher = &mut self.dispatcher;
                 let may = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
                 if self.rules.as_ref().is_none_or(may) {
@@ -130,6 +148,9 @@
             Order::Stop { ticket, execution, ending } => {
                 self.engines.stop(self.clock.now, (ticket, execution), ending)
             }
+            Order::Reject { ticket, retry_after }
+                if self.part_ended(ticket, Err(Failed::Rejected { retry_after })) => {}
+            Order::Abort { ticket } if self.part_ended(ticket, Err(Failed::Aborted)) => {}
             Order::Reject { ticket, retry_after } => self.refuse(ticket, true, retry_after),
             Order::Abort { ticket } => self.refuse(ticket, false, None),
             // Between the decision and now the work may have become another's: then the probe stays here.
--- a/crates/front/src/postgres/portal/asked.rs
+++ b/crates/front/src/postgres/portal/asked.rs
@@ -47,8 +47,9 @@
                     let why = Final::Rejected { retry_after_ms: self.come_back_ms };
                     return self.sessions.unfit(id, part, &why);
                 }
-                let rules = self.rules.as_ref().map(|rules| rules.borrow());
-                let allowed = rules.as_ref().and_then(|rules| rules.allowed(&judged));
+                let allowed = self.rules.as_ref().and_then(|rules| rules.borrow().allowed(&judged));
+                let allowed: Option<Vec<&str>> =
+                    allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
                 let ask = Ask {
                     workload: terms.workload,
                     customer: terms.member,
@@ -64,7 +65,6 @@
                 };
                 let picked = dispatcher.pick(now, &ask);
                 let key = ask.key.map(str::to_string);
-                drop(rules);
                 if let Some(rules) = &self.rules {
                     rules.borrow_mut().picked(dispatcher, &judged, picked.ok());
                 }
