--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -6,11 +6,14 @@
 mod ownership;
 mod places;
 mod postgres;
+mod rules;
 mod scatter;
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
 pub use ownership::Ownership;
+pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
+pub use rules::Rules;
 pub use scatter::Scatter;
 pub use whole::{LoadSignal, Operator};
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -19,6 +19,7 @@
 use crate::doors::{Changes, Door, Party};
 use crate::engines::Engines;
 use crate::entrance::Entrance;
+use crate::fleet::rules::{self, Shared};
 use crate::fleet::Peers;
 use crate::link::Link;
 use crate::postgres::portal::Portal;
@@ -45,6 +46,8 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
+    /// Regional access rules of customers, likewise.
+    rules: Option<Shared>,
     /// Statements that are asked of several sites, likewise.
     scatter: Option<Scatters>,
     shutdown: Shutdown,
@@ -62,11 +65,13 @@
     ) -> std::io::Result<Front> {
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
-        let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
         let mut clock = Clock::ahead(station.operator.clock_ahead);
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
+        let rules = rules::start(station, clock.now)?;
+        let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
+        let portal = portal.map(open).transpose()?;
         let turn = peers.as_ref().map_or(0, Peers::turn);
         let scatter = station.operator.scatter.as_ref();
         let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn)).transpose()?;
@@ -83,6 +88,7 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
+            rules,
             scatter,
             shutdown: Shutdown::default(),
             clock,
@@ -106,6 +112,7 @@
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
             self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
             self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
@@ -174,6 +181,7 @@
         self.coordinator.expire(self.clock.now);
         self.clock.look();
         self.clock.decides();
+        self.rule();
         for _ in 0..ROUNDS {
             self.heard();
             let orders = self.dispatcher.tick(self.clock.now);
@@ -183,6 +191,7 @@
             for order in orders {
                 self.obey(order);
             }
+            self.rule();
             // Stops go out before what they make room for.
             self.engines.flush(self.clock.now);
             self.portal.iter_mut().for_each(|portal| portal.flush_servers(self.clock.now));
@@ -239,6 +248,9 @@
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
                     peers.reload(gossip);
                 }
+                if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
+                    rules.borrow_mut().reload(self.clock.now, read);
+                }
                 if let Some((scatter, settings)) =
                     self.scatter.as_mut().zip(station.operator.scatter.as_ref())
                 {
