--- a/crates/dispatcher/src/ended.rs
+++ b/crates/dispatcher/src/ended.rs
@@ -112,6 +112,9 @@
         if s.promised {
             self.words.push(Word::Gone(Gone::of(ticket, &s)));
         }
+        if s.followed {
+            self.gone.push(Gone::of(ticket, &s));
+        }
         let Some((name, key)) = s.key.and_then(|name| self.keys.get_mut(&name).map(|key| (name, key))) else {
             return;
         };
--- a/crates/dispatcher/src/promised.rs
+++ b/crates/dispatcher/src/promised.rs
@@ -70,6 +70,18 @@
         self.watches = true;
     }
 
+    /// The end of a statement is to be told by `gone`, whether it depends on promises or not.
+    pub fn follow(&mut self, ticket: Ticket) {
+        if let Some(s) = self.statements.get_mut(&ticket) {
+            s.followed = true;
+        }
+    }
+
+    /// Statements that were followed and are over since the last call.
+    pub fn gone(&mut self) -> Vec<Gone> {
+        std::mem::take(&mut self.gone)
+    }
+
     pub fn words(&mut self) -> Vec<Word> {
         std::mem::take(&mut self.words)
     }
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod gate;
 mod peers;
+pub mod rules;
 mod votes;
 
 pub use gate::Guard;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -206,6 +206,10 @@
         self.send(now, Out { datagrams, ..Out::default() });
     }
 
+    pub fn own(&self) -> PeerId {
+        id(&self.exchange.public())
+    }
+
     /// The other fronts whose word counts.
     pub fn others(&self) -> Vec<PeerId> {
         let own = id(&self.exchange.public());
--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -220,6 +220,11 @@
         self.parts.contains_key(&part)
     }
 
+    /// The whole that a statement is a part of.
+    pub fn whole_of(&self, part: Ticket) -> Option<Ticket> {
+        self.parts.get(&part).map(|(whole, _)| *whole)
+    }
+
     pub fn call(&self, part: Ticket) -> Option<Rc<Call>> {
         let (ticket, _) = self.parts.get(&part)?;
         self.open.get(ticket).map(|one| one.call.clone())
