--- a/crates/lab/src/lines.rs
+++ b/crates/lab/src/engine/lines.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicI64, AtomicUsize, Ordering::SeqCst};
+use std::sync::atomic::{AtomicI64, AtomicU32, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::check::Outcome;
 use crate::engine::{Deed, Kind, Records};
+use crate::rig::scenario::Step;
 
 /// Starts an engine that speaks lines and is always warm; statements are `id=..,key=..,ms=..`.
 pub fn engine(number: usize, records: Arc<Records>) -> std::io::Result<SocketAddr> {
@@ -39,6 +40,9 @@
     }
 }
 
+/// The statements that run for a connection, by the ids of their executions: their own, and their links.
+type Runs = Arc<Mutex<HashMap<String, (String, u32)>>>;
+
 /// An engine that speaks lines; what it bears over its warmth it turns away with `AGAIN`.
 pub struct Engine {
     pub number: usize,
@@ -48,6 +52,8 @@
     /// Microseconds since the rig began at its last start, and how many statements run.
     started: AtomicI64,
     running: AtomicUsize,
+    /// Counts executions: each has a link of its own in the record.
+    next: AtomicU32,
     /// Statements turned away, and the most that were asked of it at once against what it bore then.
     pub turned_away: AtomicUsize,
     peak: Mutex<f64>,
@@ -70,6 +76,7 @@
             records,
             started,
             running,
+            next: AtomicU32::new(1),
             turned_away,
             peak,
             peak_since_start,
@@ -107,31 +114,28 @@
         self.peak_since_start.lock().map(|p| *p).unwrap_or(0.0)
     }
 
-    fn note(&self, kind: Kind) {
+    fn note(&self, link: u32, kind: Kind) {
         if let Ok(mut deeds) = self.records.deeds.lock() {
-            deeds.push(Deed { at: self.records.now(), engine: self.number, link: 0, kind });
+            deeds.push(Deed { at: self.records.now(), engine: self.number, link, kind });
         }
     }
 
     /// Serves a connection; what still runs when it ends is stopped, as engines do that can't answer any more.
     fn serve(self: &Arc<Self>, stream: TcpStream) -> std::io::Result<()> {
-        let runs: Arc<Mutex<HashMap<String, String>>> = Arc::default();
+        let runs: Runs = Arc::default();
         let served = self.converse(stream, &runs);
         if let Ok(mut runs) = runs.lock() {
-            for (_, own) in runs.drain() {
+            for (_, (own, link)) in runs.drain() {
                 self.running.fetch_sub(1, SeqCst);
-                self.note(Kind::Ended { id: own });
+                self.note(link, Kind::Ended { id: own });
             }
         }
         served
     }
 
     /// `runs` holds the statements that run for the connection, by the ids of their executions.
-    fn converse(
-        self: &Arc<Self>,
-        stream: TcpStream,
-        runs: &Arc<Mutex<HashMap<String, String>>>,
-    ) -> std::io::Result<()> {
+    fn converse(self: &Arc<Self>, stream: TcpStream, runs: &Runs) -> std::io::Result<()> {
+        let peer = stream.peer_addr()?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let stream = Arc::new(stream);
         loop {
@@ -165,18 +169,31 @@
                 write!(&*stream, "{id} AGAIN stats=inflight:{} 0\r\n\r\n", self.running.load(SeqCst))?;
                 continue;
             }
+            // One that goes on has its effect also where its connection ends first.
+            let (goes_on, keyed) = (field("on") == "1", field("promised") == "1");
             let (id, engine, stream, runs) = (id.to_string(), self.clone(), stream.clone(), runs.clone());
-            self.note(Kind::Began { id: own.clone(), key });
-            if let Ok(mut runs) = runs.lock() {
-                runs.insert(id.clone(), own.clone());
+            let link = self.next.fetch_add(1, SeqCst);
+            let front = self.records.front_of(peer);
+            if let (Some(front), Ok(mut sent_by)) = (front, self.records.sent_by.lock()) {
+                sent_by.insert((self.number, link), front);
+            }
+            self.note(link, Kind::Began { id: own.clone(), key });
+            if let Some(front) = front.filter(|_| keyed) {
+                self.records.reached(Step::Began, front);
+            }
+            if let Ok(mut runs) = runs.lock().map(|runs| (!goes_on).then_some(runs)) {
+                runs.iter_mut().for_each(|runs| _ = runs.insert(id.clone(), (own.clone(), link)));
             }
             std::thread::spawn(move || {
                 std::thread::sleep(Duration::from_millis(ms));
-                if runs.lock().is_ok_and(|mut runs| runs.remove(&id).is_none()) {
+                if !goes_on && runs.lock().is_ok_and(|mut runs| runs.remove(&id).is_none()) {
                     return; // stopped with its connection
                 }
-                engine.note(Kind::Ended { id: own.clone() });
-                engine.note(Kind::Kept { id: own.clone() });
+                engine.note(link, Kind::Ended { id: own.clone() });
+                engine.note(link, Kind::Kept { id: own.clone() });
+                if let Some(front) = front.filter(|_| keyed) {
+                    engine.records.reached(Step::Kept, front);
+                }
                 engine.running.fetch_sub(1, SeqCst);
                 let row = format!("{own}\t-\t-\n");
                 let active = engine.running.load(SeqCst);
@@ -189,53 +206,75 @@
 
 /// Asks over a connection of its own; gives the outcome and whether its rows are the statement's.
 pub fn ask(front: SocketAddr, number: u64, fields: &[(&str, &str)], statement: &str) -> Outcome {
-    exchange(front, number, fields, statement).unwrap_or(Outcome::Lost)
+    let mut client = match Client::open(front) {
+        Ok(client) => client,
+        Err(_) => return Outcome::Lost,
+    };
+    client.send(number, fields, statement).map_or(Outcome::Lost, |()| client.answer())
 }
 
-fn exchange(
-    front: SocketAddr,
-    number: u64,
-    fields: &[(&str, &str)],
-    statement: &str,
-) -> std::io::Result<Outcome> {
-    let mut stream = TcpStream::connect(front)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(Duration::from_secs(20)))?;
-    let id = format!("{number:016x}");
-    let all: Vec<(&str, &str)> = fields.iter().copied().chain([("txn", id.as_str())]).collect();
-    let text = |out: &mut Vec<u8>, text: &str| {
-        out.extend((text.len() as u32).to_be_bytes());
-        out.extend(text.as_bytes());
-    };
-    let mut message = vec![0x80, 1, 0, 1];
-    text(&mut message, "serve");
-    message.extend(1u32.to_be_bytes());
-    message.extend([13, 0, 1, 11, 11]);
-    message.extend((all.len() as u32).to_be_bytes());
-    for (name, value) in all {
-        text(&mut message, name);
-        text(&mut message, value);
+/// A client's connection, for one statement at a time.
+pub struct Client {
+    stream: TcpStream,
+    /// The id that the statement's rows bear.
+    own: String,
+}
+
+impl Client {
+    pub fn open(front: SocketAddr) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(front)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+        Ok(Client { stream, own: String::new() })
+    }
+
+    /// Asks; all of it has left when this returns.
+    pub fn send(&mut self, number: u64, fields: &[(&str, &str)], statement: &str) -> std::io::Result<()> {
+        let id = format!("{number:016x}");
+        let all: Vec<(&str, &str)> = fields.iter().copied().chain([("txn", id.as_str())]).collect();
+        let text = |out: &mut Vec<u8>, text: &str| {
+            out.extend((text.len() as u32).to_be_bytes());
+            out.extend(text.as_bytes());
+        };
+        let mut message = vec![0x80, 1, 0, 1];
+        text(&mut message, "serve");
+        message.extend(1u32.to_be_bytes());
+        message.extend([13, 0, 1, 11, 11]);
+        message.extend((all.len() as u32).to_be_bytes());
+        for (name, value) in all {
+            text(&mut message, name);
+            text(&mut message, value);
+        }
+        message.extend([11, 0, 2]);
+        text(&mut message, statement);
+        message.push(0);
+        let mut frame = (message.len() as u32).to_be_bytes().to_vec();
+        frame.extend(message);
+        let own = statement.split(',').next().and_then(|pair| pair.strip_prefix("id="));
+        self.own = own.unwrap_or_default().to_string();
+        self.stream.write_all(&frame)
+    }
+
+    /// Waits for the final answer to what was asked.
+    pub fn answer(&mut self) -> Outcome {
+        self.reply().unwrap_or(Outcome::Lost)
+    }
+
+    fn reply(&mut self) -> std::io::Result<Outcome> {
+        let mut len = [0; 4];
+        self.stream.read_exact(&mut len)?;
+        let mut reply = vec![0; u32::from_be_bytes(len) as usize];
+        self.stream.read_exact(&mut reply)?;
+        // Behind the head, the name and the number stands the field that tells which kind of answer it is.
+        let holds = reply.windows(self.own.len().max(1)).any(|part| part == self.own.as_bytes());
+        Ok(match reply.get(4 + 4 + 5 + 4..) {
+            Some([_, 0, 0, ..]) if holds => Outcome::Completed { rows: 1 },
+            Some([_, 0, 0, ..]) => Outcome::Spoilt,
+            Some([_, 0, 1, ..]) => Outcome::Error("53000".into()),
+            Some([_, 0, 2, ..]) => Outcome::Error("08007".into()),
+            _ => Outcome::Spoilt,
+        })
     }
-    message.extend([11, 0, 2]);
-    text(&mut message, statement);
-    message.push(0);
-    let mut frame = (message.len() as u32).to_be_bytes().to_vec();
-    frame.extend(message);
-    stream.write_all(&frame)?;
-    let mut len = [0; 4];
-    stream.read_exact(&mut len)?;
-    let mut reply = vec![0; u32::from_be_bytes(len) as usize];
-    stream.read_exact(&mut reply)?;
-    // Behind the head, the name and the number stands the field that tells which kind of answer it is.
-    let own = statement.split(',').next().and_then(|pair| pair.strip_prefix("id=")).unwrap_or_default();
-    let holds = reply.windows(own.len().max(1)).any(|part| part == own.as_bytes());
-    Ok(match reply.get(4 + 4 + 5 + 4..) {
-        Some([_, 0, 0, ..]) if holds => Outcome::Completed { rows: 1 },
-        Some([_, 0, 0, ..]) => Outcome::Spoilt,
-        Some([_, 0, 1, ..]) => Outcome::Error("53000".into()),
-        Some([_, 0, 2, ..]) => Outcome::Error("08007".into()),
-        _ => Outcome::Spoilt,
-    })
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/lab/src/measure/mod.rs
@@ -0,0 +1,9 @@
+//! Measurements: ours beside a plain or earlier way, alternating in one run.
+
+pub mod fleet;
+pub mod gossip;
+pub mod portal;
+pub mod promises;
+mod spread;
+
+pub use spread::{spread, Spread};
