--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
 pub use operator::{
-    hexadecimal, Gossip, LoadSignal, Operator, Ownership, Postgres, Scatter, SessionLimits, SpeakingEngines,
-    User,
+    hexadecimal, Gossip, Ledger, LedgerMember, LoadSignal, OnDiskFailure, Operator, Ownership, Postgres,
+    Scatter, SessionLimits, SpeakingEngines, User,
 };
 pub use station::{Limits, Station};
--- a/crates/agreement/src/operator/gossip.rs
+++ b/crates/agreement/src/operator/gossip.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 
+use super::ledger::{ledger, Ledger, LedgerFile};
 use super::ownership::{owned, Ownership, OwnershipFile};
 use super::places::fault;
 
@@ -22,6 +23,7 @@
     #[serde(default = "zone_quorum")]
     zone_quorum: usize,
     ownership: Option<OwnershipFile>,
+    ledger: Option<LedgerFile>,
 }
 
 fn zone_quorum() -> usize {
@@ -43,6 +45,8 @@
     pub zone_quorum: usize,
     /// One owner at a time for work on behalf of the fleet, where voters are named.
     pub ownership: Option<Ownership>,
+    /// What outlives a machine, where copies of it are kept.
+    pub ledger: Option<Ledger>,
 }
 
 pub fn gossip(text: &str, mut file: GossipFile) -> Result<Gossip, String> {
@@ -59,9 +63,10 @@
     if file.zone_quorum > MOST_QUORUM {
         return Err(fault(text, "gossip.zone_quorum", &format!("is over {MOST_QUORUM}")));
     }
-    let GossipFile { listen, advertise, secret_file, seeds, zone_quorum, ownership, .. } = file;
+    let GossipFile { listen, advertise, secret_file, seeds, zone_quorum, ownership, ledger: kept, .. } = file;
     let ownership = ownership.map(|o| owned(text, o, &peers)).transpose()?;
-    Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum, ownership })
+    let ledger = kept.map(|l| ledger(text, l, &peers)).transpose()?;
+    Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum, ownership, ledger })
 }
 
 /// Thirty-two bytes, as 64 hexadecimal digits.
--- /dev/null
+++ b/crates/agreement/src/operator/ledger.rs
@@ -0,0 +1,239 @@
+//! The ledger of promises: which fronts keep copies, how many, where, and within what bounds.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use hallmux::interface::Micros;
+use serde::Deserialize;
+
+use crate::contract::micros;
+
+use super::places::fault;
+
+const COPIES: usize = 3; // one may be lost, with its disk, and a majority still knows
+const MOST_COPIES: usize = 9; // each round waits for a majority of them
+const SHARDS: u16 = 16; // owners to share the work among; each costs its members a heartbeat
+const MOST_SHARDS: u16 = 1_024;
+const ENTRIES: usize = 4_096; // of a shard: 65,536 in all
+const MOST_ENTRIES: usize = 1 << 20;
+const BYTES: usize = 512 * 1_024; // of a shard: some seconds to copy by the budget below
+const MOST_BYTES: usize = 2 << 20; // a copy has to fit the pieces of one word
+const PATIENCE_MS: f64 = 500.0; // milliseconds: an election and some round trips
+const REPAIR_AFTER_MS: f64 = 30_000.0; // milliseconds: a restart is no loss
+const REPAIR_BYTES: u32 = 65_536; // a second: a tenth of what the ledger's letters may take
+const APART_MS: u64 = 500; // milliseconds: what a machine without care for its clock is off
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MemberFile {
+    at: SocketAddr,
+    #[serde(default)]
+    zone: String,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LedgerFile {
+    fleet: String,
+    members: BTreeMap<String, MemberFile>,
+    directory: Option<String>,
+    #[serde(default = "refuse")]
+    on_disk_failure: String,
+    #[serde(default)]
+    copies: Option<usize>,
+    #[serde(default = "shards")]
+    shards: u16,
+    #[serde(default = "entries")]
+    most_entries: usize,
+    #[serde(default = "bytes")]
+    most_bytes: usize,
+    #[serde(default = "patience")]
+    patience_ms: f64,
+    #[serde(default = "repair_after")]
+    repair_after_ms: f64,
+    #[serde(default = "repair_bytes")]
+    repair_bytes: u32,
+    #[serde(default = "apart")]
+    clocks_apart_ms: u64,
+}
+
+fn refuse() -> String {
+    "refuse".to_string()
+}
+
+fn shards() -> u16 {
+    SHARDS
+}
+
+fn entries() -> usize {
+    ENTRIES
+}
+
+fn bytes() -> usize {
+    BYTES
+}
+
+fn patience() -> f64 {
+    PATIENCE_MS
+}
+
+fn repair_after() -> f64 {
+    REPAIR_AFTER_MS
+}
+
+fn repair_bytes() -> u32 {
+    REPAIR_BYTES
+}
+
+fn apart() -> u64 {
+    APART_MS
+}
+
+/// A front that keeps copies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LedgerMember {
+    pub key: [u8; 32],
+    pub at: SocketAddr,
+    pub zone: String,
+}
+
+/// What a front does whose disk fails while it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnDiskFailure {
+    /// Serves only what needs no promise.
+    Refuse,
+    /// Holds copies in memory alone, as a front that remembers nothing.
+    Memory,
+}
+
+/// The ledger of promises.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ledger {
+    pub fleet: String,
+    pub members: Vec<LedgerMember>,
+    /// Where this front's copies are kept; without one they are in memory alone.
+    pub directory: Option<String>,
+    pub on_disk_failure: OnDiskFailure,
+    pub copies: usize,
+    pub shards: u16,
+    pub most_entries: usize,
+    pub most_bytes: usize,
+    pub patience: Micros,
+    pub repair_after: Micros,
+    /// A second.
+    pub repair_bytes: u32,
+    pub clocks_apart_ms: u64,
+}
+
+pub fn ledger(text: &str, file: LedgerFile, peers: &[(String, [u8; 32])]) -> Result<Ledger, String> {
+    let refuse = |key: &str, why: &str| Err(fault(text, &format!("gossip.ledger.{key}"), why));
+    if file.fleet.is_empty() {
+        return refuse("fleet", "names none: letters and records of another fleet are told apart by it");
+    }
+    if file.members.is_empty() {
+        return refuse("members", "names none: name the fronts that keep copies, or leave the ledger out");
+    }
+    let copies = file.copies.unwrap_or(COPIES.min(file.members.len()));
+    if copies == 0 || copies > MOST_COPIES.min(file.members.len()) {
+        let most = MOST_COPIES.min(file.members.len());
+        return refuse(
+            "copies",
+            &format!("is not from 1 to {most}: as many as members are named, and 9 at most"),
+        );
+    }
+    if file.shards == 0 || file.shards > MOST_SHARDS {
+        return refuse("shards", &format!("is not from 1 to {MOST_SHARDS}"));
+    }
+    if file.most_entries == 0 || file.most_entries > MOST_ENTRIES {
+        return refuse("most_entries", &format!("is not from 1 to {MOST_ENTRIES}"));
+    }
+    if !(4_096..=MOST_BYTES).contains(&file.most_bytes) {
+        return refuse("most_bytes", &format!("is not from 4096 to {MOST_BYTES}"));
+    }
+    if !(50.0..=10_000.0).contains(&file.patience_ms) {
+        return refuse("patience_ms", "is not from 50 to 10000");
+    }
+    if !(1_000.0..=86_400_000.0).contains(&file.repair_after_ms) {
+        return refuse("repair_after_ms", "is not from 1000 to 86400000");
+    }
+    if file.repair_bytes < 1_024 {
+        return refuse("repair_bytes", "is under 1024 a second: no copy would be made again in time");
+    }
+    if file.clocks_apart_ms > 60_000 {
+        return refuse("clocks_apart_ms", "is over 60000: set the clocks instead");
+    }
+    if file.directory.as_ref().is_some_and(String::is_empty) {
+        return refuse("directory", "names none: leave the key out to keep copies in memory alone");
+    }
+    let on_disk_failure = match file.on_disk_failure.as_str() {
+        "refuse" => OnDiskFailure::Refuse,
+        "memory" => OnDiskFailure::Memory,
+        _ => return refuse("on_disk_failure", "is neither 'refuse' nor 'memory'"),
+    };
+    let (mut members, mut seen) = (Vec::new(), BTreeSet::new());
+    for (name, MemberFile { at, zone }) in file.members {
+        match peers.iter().find(|(peer, _)| *peer == name) {
+            Some((_, key)) if seen.insert(*key) => members.push(LedgerMember { key: *key, at, zone }),
+            Some(_) => return refuse(&format!("members.{name}"), "has the key of another member"),
+            None => return refuse(&format!("members.{name}"), "is not among gossip.peers"),
+        }
+    }
+    Ok(Ledger {
+        fleet: file.fleet,
+        members,
+        directory: file.directory,
+        on_disk_failure,
+        copies,
+        shards: file.shards,
+        most_entries: file.most_entries,
+        most_bytes: file.most_bytes,
+        patience: micros(file.patience_ms),
+        repair_after: micros(file.repair_after_ms),
+        repair_bytes: file.repair_bytes,
+        clocks_apart_ms: file.clocks_apart_ms,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::whole::tests::read;
+    use super::*;
+
+    #[test]
+    fn the_ledger_names_known_members_and_its_bounds_are_checked() {
+        let key = |n: u8| format!("{n:02x}").repeat(32);
+        let peers: Vec<String> = (1..=4).map(|n| format!("f{n}: '{}'", key(n))).collect();
+        let with = |ledger: &str| {
+            let peers = peers.join(", ");
+            read(&format!(
+                "{{ gossip: {{ listen: '127.0.0.1:1', secret_file: 's', peers: {{ {peers} }},\n ledger: {{ {ledger} }} }} }}"
+            ))
+        };
+        let member = |n: u8| format!("f{n}: {{ at: '127.0.0.1:{n}', zone: 'z{n}' }}");
+        let members: Vec<String> = (1..=4).map(member).collect();
+        let good =
+            format!("fleet: 'campus', members: {{ {} }}, directory: '/var/lib/hallmux'", members.join(", "));
+        let ledger = with(&good).unwrap().gossip.unwrap().ledger.unwrap();
+        assert_eq!((ledger.copies, ledger.shards, ledger.patience), (3, 16, 500_000));
+        assert_eq!((ledger.members.len(), ledger.members[1].zone.as_str()), (4, "z2"));
+        assert_eq!(ledger.on_disk_failure, OnDiskFailure::Refuse);
+        for (from, to, why) in [
+            ("f4:", "f9:", "gossip.ledger.members.f9: is not among gossip.peers"),
+            ("fleet:", "copies: 5, fleet:", "gossip.ledger.copies: is not from 1 to 4"),
+            ("fleet:", "copies: 0, fleet:", "gossip.ledger.copies: is not from 1 to 4"),
+            ("fleet:", "shards: 0, fleet:", "gossip.ledger.shards: is not from 1 to 1024"),
+            ("fleet:", "patience_ms: 20, fleet:", "gossip.ledger.patience_ms: is not from 50 to 10000"),
+            ("fleet:", "repair_after_ms: 1, fleet:", "gossip.ledger.repair_after_ms: is not from 1000"),
+            ("fleet:", "repair_bytes: 7, fleet:", "gossip.ledger.repair_bytes: is under 1024"),
+            ("fleet:", "most_bytes: 7, fleet:", "gossip.ledger.most_bytes: is not from 4096"),
+            ("fleet:", "most_entries: 0, fleet:", "gossip.ledger.most_entries: is not from 1"),
+            ("fleet:", "clocks_apart_ms: 60001, fleet:", "gossip.ledger.clocks_apart_ms: is over 60000"),
+            ("fleet:", "on_disk_failure: 'pray', fleet:", "gossip.ledger.on_disk_failure: is neither"),
+            ("'/var/lib/hallmux'", "''", "gossip.ledger.directory: names none"),
+            ("'campus'", "''", "gossip.ledger.fleet: names none"),
+        ] {
+            let refused = with(&good.replace(from, to)).unwrap_err();
+            assert!(refused.starts_with(&format!("line 2: {why}")), "{refused}");
+        }
+    }
+}
--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -3,6 +3,7 @@
 //! the file has a file here that reads and checks it: `whole` joins them, `places` finds the line of a fault.
 
 mod gossip;
+mod ledger;
 mod ownership;
 mod places;
 mod postgres;
@@ -10,6 +11,7 @@
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
+pub use ledger::{Ledger, LedgerMember, OnDiskFailure};
 pub use ownership::Ownership;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
 pub use scatter::Scatter;
--- /dev/null
+++ b/crates/front/src/fleet/copies.rs
@@ -0,0 +1,240 @@
+//! This front's copies of promises on its disk: written by a thread that makes all that waits lasting together and
+//! then sends what waited for it, so that neither a slow disk holds up decisions nor a letter leaves before what it
+//! promises is lasting. Without a directory they are in memory alone.
+
+use std::fs::File;
+use std::hash::{BuildHasher, RandomState};
+use std::net::UdpSocket;
+use std::path::Path;
+use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
+use std::time::{Duration, Instant};
+
+use hallmux_gossip::node::Datagram;
+use hallmux_ledger::{DiskId, Record, Saved};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+
+const RECORDS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("records");
+/// Under one key, the identity of the disk: with the records, so that it is lost only with them.
+const IDENTITY: TableDefinition<u8, u64> = TableDefinition::new("identity");
+const FILE: &str = "promises.redb";
+const CACHE: usize = 4 * 1_024 * 1_024; // bytes: the mind holds all of it itself
+const WAITING: usize = 4_096; // saves that wait for the disk: some seconds' worth
+const TOGETHER: usize = 256; // saves that are made lasting at once at most
+const SLOW: Duration = Duration::from_secs(1); // a commit that takes longer is told in the log, once
+
+/// Why copies can't be kept in a directory.
+#[derive(Debug, thiserror::Error)]
+pub enum Unfit {
+    #[error("ledger.directory {directory}: {what}: {error}; give the front a directory that it may write, with room")]
+    Disk { directory: String, what: &'static str, error: String },
+    #[error("ledger.directory {0}: another front has it; give each front one of its own")]
+    Taken(String),
+    #[error(
+        "ledger.directory {directory}: {error}; move it away: the front comes back as one that lost its disk"
+    )]
+    Damaged { directory: String, error: String },
+}
+
+/// Records to be made lasting, and the datagrams that wait for them.
+pub struct Write {
+    pub number: u64,
+    pub records: Vec<Record>,
+    pub datagrams: Vec<Datagram>,
+}
+
+/// What was found in a directory.
+pub struct Found {
+    pub disk: DiskId,
+    pub saved: Option<Saved>,
+}
+
+pub struct Copies {
+    /// None: in memory alone.
+    writes: Option<SyncSender<Write>>,
+    /// Which saves are lasting, or have failed.
+    lasting: Receiver<(u64, bool)>,
+    told: Sender<(u64, bool)>,
+    socket: UdpSocket,
+    /// Held while this front runs: two on one directory would vote twice.
+    _lock: Option<File>,
+}
+
+/// An identity that no disk has had before.
+pub fn drawn() -> DiskId {
+    RandomState::new().hash_one(std::process::id()) | 1
+}
+
+impl Copies {
+    /// In memory alone: lasting at once, as far as they ever are.
+    pub fn in_memory(socket: UdpSocket) -> Copies {
+        let (told, lasting) = channel();
+        Copies { writes: None, lasting, told, socket, _lock: None }
+    }
+
+    /// Opens the directory: its identity, drawn if it is new, and what was kept there. `wake` is called once something
+    /// is lasting or has failed.
+    pub fn open(
+        directory: &str,
+        socket: UdpSocket,
+        wake: impl Fn() + Send + 'static,
+    ) -> Result<(Copies, Found), Unfit> {
+        let path = Path::new(directory);
+        let unfit = |what, e: std::io::Error| Unfit::Disk {
+            directory: directory.to_string(),
+            what,
+            error: e.to_string(),
+        };
+        std::fs::create_dir_all(path).map_err(|e| unfit("can't be made", e))?;
+        let lock = File::create(path.join("lock")).map_err(|e| unfit("can't be written", e))?;
+        lock.try_lock().map_err(|_| Unfit::Taken(directory.to_string()))?;
+        let file = path.join(FILE);
+        let found = opened(directory, || Database::builder().set_cache_size(CACHE).create(&file))?;
+        let (mut copies, found) = Copies::with(directory, found, socket, wake)?;
+        copies._lock = Some(lock);
+        Ok((copies, found))
+    }
+
+    fn with(
+        directory: &str,
+        (database, found): (Database, Found),
+        socket: UdpSocket,
+        wake: impl Fn() + Send + 'static,
+    ) -> Result<(Copies, Found), Unfit> {
+        let (writes, to_write) = sync_channel(WAITING);
+        let (told, lasting) = channel();
+        let unfit = |e: std::io::Error| Unfit::Disk {
+            directory: directory.to_string(),
+            what: "its thread or socket can't be had",
+            error: e.to_string(),
+        };
+        let sends = socket.try_clone().map_err(unfit)?;
+        let (name, tells) = (directory.to_string(), told.clone());
+        let thread = std::thread::Builder::new().name("copies".to_string());
+        let run = move || write_all(&name, &database, &to_write, &sends, &tells, wake);
+        thread.spawn(run).map_err(unfit)?;
+        Ok((Copies { writes: Some(writes), lasting, told, socket, _lock: None }, found))
+    }
+
+    /// Has it made lasting, and sent what waits for it.
+    pub fn save(&mut self, write: Write) {
+        let number = write.number;
+        let Some(writes) = &self.writes else {
+            send(&self.socket, &write.datagrams);
+            let _ = self.told.send((number, true));
+            return;
+        };
+        if writes.try_send(write).is_err() {
+            // The thread has said so, or the disk is seconds behind: nothing is promised on it any more.
+            let _ = self.told.send((number, false));
+        }
+    }
+
+    /// Saves that are lasting, or have failed, since it was last asked.
+    pub fn lasting(&self) -> Vec<(u64, bool)> {
+        self.lasting.try_iter().collect()
+    }
+}
+
+/// What does not go out is as if it were lost on the way.
+fn send(socket: &UdpSocket, datagrams: &[Datagram]) {
+    datagrams.iter().for_each(|d| _ = socket.send_to(&d.bytes, d.to));
+}
+
+/// A database with what it holds, if it is whole. The store may panic where a file was altered from outside.
+fn opened(
+    directory: &str,
+    open: impl FnOnce() -> Result<Database, redb::DatabaseError>,
+) -> Result<(Database, Found), Unfit> {
+    let damaged = |error: String| Unfit::Damaged { directory: directory.to_string(), error };
+    let all = std::panic::AssertUnwindSafe(|| -> Result<(Database, Found), Unfit> {
+        let mut database = open().map_err(|e| match e {
+            redb::DatabaseError::DatabaseAlreadyOpen => Unfit::Taken(directory.to_string()),
+            e => damaged(e.to_string()),
+        })?;
+        if !database.check_integrity().map_err(|e| damaged(e.to_string()))? {
+            log::warn!("ledger.directory {directory}: was not closed cleanly, and is mended");
+        }
+        let found = read(&database).map_err(|e| damaged(e.to_string()))?;
+        Ok((database, found))
+    });
+    std::panic::catch_unwind(all).unwrap_or_else(|_| Err(damaged("its file was altered".to_string())))
+}
+
+/// The identity and the records; where there is none, one is drawn and made lasting.
+fn read(database: &Database) -> Result<Found, Box<redb::Error>> {
+    let boxed = |e: redb::Error| Box::new(e);
+    let transaction = database.begin_write().map_err(|e| boxed(e.into()))?;
+    let mut records = Vec::new();
+    let (disk, new) = {
+        let mut identity = transaction.open_table(IDENTITY).map_err(|e| boxed(e.into()))?;
+        let known = identity.get(0).map_err(|e| boxed(e.into()))?.map(|disk| disk.value());
+        let disk = known.unwrap_or_else(drawn);
+        identity.insert(0, disk).map_err(|e| boxed(e.into()))?;
+        let table = transaction.open_table(RECORDS).map_err(|e| boxed(e.into()))?;
+        for record in table.iter().map_err(|e| boxed(e.into()))? {
+            let (name, bytes) = record.map_err(|e| boxed(e.into()))?;
+            records.push((name.value().to_vec(), bytes.value().to_vec()));
+        }
+        (disk, known.is_none())
+    };
+    transaction.commit().map_err(|e| boxed(e.into()))?;
+    let _ = database.begin_read().map_err(|e| boxed(e.into()))?;
+    Ok(Found { disk, saved: (!new && !records.is_empty()).then_some(Saved(records)) })
+}
+
+fn write_all(
+    directory: &str,
+    database: &Database,
+    to_write: &Receiver<Write>,
+    socket: &UdpSocket,
+    told: &Sender<(u64, bool)>,
+    wake: impl Fn(),
+) {
+    let mut slow = false;
+    while let Ok(first) = to_write.recv() {
+        let mut writes = vec![first];
+        writes.extend(to_write.try_iter().take(TOGETHER - 1));
+        let last = writes.last().map_or(0, |write| write.number);
+        let began = Instant::now();
+        if let Err(e) = commit(database, &writes) {
+            log::error!(
+                "ledger.directory {directory}: {e}; this front keeps no copies there any more in this life"
+            );
+            let _ = told.send((last, false));
+            return wake();
+        }
+        if began.elapsed() >= SLOW && !std::mem::replace(&mut slow, true) {
+            let ms = began.elapsed().as_millis();
+            log::warn!(
+                "ledger.directory {directory}: a commit took {ms} ms; promises of this front wait for it"
+            );
+        }
+        writes.iter().for_each(|write| send(socket, &write.datagrams));
+        let _ = told.send((last, true));
+        wake();
+    }
+}
+
+/// Makes all of them lasting together; saves without records wait for nothing.
+fn commit(database: &Database, writes: &[Write]) -> Result<(), Box<redb::Error>> {
+    if writes.iter().all(|write| write.records.is_empty()) {
+        return Ok(());
+    }
+    let boxed = |e: redb::Error| Box::new(e);
+    let transaction = database.begin_write().map_err(|e| boxed(e.into()))?;
+    {
+        let mut table = transaction.open_table(RECORDS).map_err(|e| boxed(e.into()))?;
+        for Record { name, bytes } in writes.iter().flat_map(|write| &write.records) {
+            match bytes {
+                Some(bytes) => table.insert(name.as_slice(), bytes.as_slice()).map(drop),
+                None => table.remove(name.as_slice()).map(drop),
+            }
+            .map_err(|e| boxed(e.into()))?;
+        }
+    }
+    transaction.commit().map_err(|e| boxed(e.into()))
+}
+
+#[cfg(test)]
+#[path = "copies_tests.rs"]
+mod tests;
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -2,6 +2,8 @@
 //! datagrams, and the file of a voter. Each is switched on by the operator's file; off, it is not there. What the
 //! words mean is decided in `crates/fleet` and the minds behind it.
 
+#[allow(dead_code)] // until the front asks for promises
+pub mod copies;
 mod peers;
 mod votes;
 
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -153,6 +153,10 @@
         if self.asks.is_waiting(number) {
             return;
         }
+        if self.tallies.failed {
+            // Only what needs no promise goes on here, until it starts over.
+            return self.out.done.push(Done { number, outcome: Outcome::Unreachable });
+        }
         if long || key.name.len() > LONGEST_NAME {
             self.refuse("too long");
             return self.out.done.push(Done { number, outcome: Outcome::Full });
@@ -374,11 +378,6 @@
         let replicas = self.places.iter().filter_map(|place| place.replica.as_ref());
         replicas.map(|replica| (replica.shard, replica.config, replica.leads()))
     }
-
-    /// All entries that this front keeps copies of, as far as they are decided here; for tests and for the curious.
-    pub fn entries(&self) -> impl Iterator<Item = &crate::Entry> {
-        self.places.iter().filter_map(|place| place.replica.as_ref()).flat_map(|r| r.state.entries())
-    }
 }
 
 /// The state that a base tells, where the copy that this front has been given bears it.
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -104,10 +104,6 @@
         self.bytes
     }
 
-    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values().map(|(entry, _)| entry)
-    }
-
     fn of(&self, key: &Key) -> Option<&Entry> {
         self.entries.get(key).map(|(entry, _)| entry)
     }
