--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code)] // until the front asks for promises
 pub mod copies;
 mod peers;
+pub mod rules;
 mod votes;
 
 pub use peers::Peers;
--- a/crates/front/src/postgres/portal.rs
+++ b/crates/front/src/postgres/portal.rs
@@ -12,10 +12,12 @@
 use hallmux_postgres::session::Transaction;
 
 use self::asked::verdict;
+use super::fault::Fault;
 use super::servers::{self, Sent, Servers, Unit};
 use super::sessions::{self, Sessions, Users};
 use crate::doors::{Changes, Door, Party};
 use crate::entrance::Entrance;
+use crate::fleet::rules::Shared;
 use crate::link::Link;
 
 /// What the front as a whole allows just now.
@@ -37,6 +39,8 @@
     answer_slack: Micros,
     timeouts: Vec<(String, Micros)>,
     come_back_ms: Option<i64>,
+    /// Regional access rules, where they are switched on.
+    rules: Option<Shared>,
     shut: Option<Micros>,
     /// Connections with more to read than one turn takes, that the loop does not tell of again.
     unfinished: Vec<Party>,
@@ -47,10 +51,10 @@
         postgres: &Postgres,
         contract: &Contract,
         handle: LoopHandle<'static, Changes>,
+        rules: Option<Shared>,
     ) -> std::io::Result<Portal> {
-        let listener = TcpListener::bind(postgres.listen).map_err(|e| {
-            std::io::Error::new(e.kind(), format!("postgres.listen: {}: {e}", postgres.listen))
-        })?;
+        let listener =
+            TcpListener::bind(postgres.listen).map_err(|why| Fault::Listen { at: postgres.listen, why })?;
         let address = listener.local_addr()?;
         let workloads = contract.names.workloads.iter().zip(&contract.agreement.workloads);
         let portal = Portal {
@@ -63,6 +67,7 @@
             timeouts: workloads.map(|(name, w)| (name.clone(), w.statement_timeout)).collect(),
             come_back_ms: contract.agreement.longest_retry_after.map(|time| time / 1000),
             shut: None,
+            rules,
             unfinished: Vec::new(),
             handle,
         };
--- a/crates/front/src/postgres/portal/asked.rs
+++ b/crates/front/src/postgres/portal/asked.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use hallmux_access::Judged;
 use hallmux_agreement::User;
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Unfit};
@@ -37,6 +38,18 @@
                 let time_left = terms.timeout.min(own) - self.answer_slack - waited;
                 let key = label.key.as_deref();
                 let kept = key.is_some_and(|key| inside.holds.iter().any(|k| k == key));
+                let judged = self
+                    .rules
+                    .as_ref()
+                    .map(|rules| rules.borrow_mut().judge(now, terms.member, terms.workload, part.text()));
+                let judged = judged.unwrap_or(Judged::Free);
+                if judged == Judged::Closed {
+                    let why = Final::Rejected { retry_after_ms: self.come_back_ms };
+                    return self.sessions.unfit(id, part, &why);
+                }
+                let allowed = self.rules.as_ref().and_then(|rules| rules.borrow().allowed(&judged));
+                let allowed: Option<Vec<&str>> =
+                    allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
                 let ask = Ask {
                     workload: terms.workload,
                     customer: terms.member,
@@ -48,11 +61,15 @@
                     data_set: tables::group(part.text()),
                     speech: Speech::Postgres,
                     pinned: inside.pin.map(|(place, _)| place),
-                    allowed: None,
+                    allowed: allowed.as_deref(),
                 };
-                match dispatcher.pick(now, &ask) {
+                let picked = dispatcher.pick(now, &ask);
+                let key = ask.key.map(str::to_string);
+                if let Some(rules) = &self.rules {
+                    rules.borrow_mut().picked(dispatcher, &judged, picked.ok());
+                }
+                match picked {
                     Ok(ticket) => {
-                        let key = ask.key.map(str::to_string);
                         return self.sessions.opened(id, ticket, part, key);
                     }
                     Err(Unfit::Barred) => Final::Rejected { retry_after_ms: None },
