--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -12,7 +12,7 @@
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
-pub use ledger::{Ledger, LedgerMember};
+pub use ledger::{Ledger, LedgerMember, OnDiskFailure};
 pub use ownership::Ownership;
 pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
--- a/crates/front/src/fleet/copies.rs
+++ b/crates/front/src/fleet/copies.rs
@@ -1,174 +1,238 @@
-//! Copies of promises on this front's disk: an embedded store (redb), written by a thread of its own, many saves in
-//! one commit. What waits for a save leaves once it is lasting; a save that fails is told to the ledger, which then
-//! keeps no copies in this life. Without a directory copies are kept in memory alone.
+//! This front's copies of promises on its disk: written by a thread that makes all that waits lasting together and
+//! then sends what waited for it, so that neither a slow disk holds up decisions nor a letter leaves before what it
+//! promises is lasting. Without a directory they are in memory alone.
 
 use std::fs::File;
 use std::hash::{BuildHasher, RandomState};
 use std::net::UdpSocket;
-use std::path::{Path, PathBuf};
-use std::sync::mpsc::{channel, sync_channel, Receiver, SyncSender};
+use std::path::Path;
+use std::sync::mpsc::{channel, sync_channel, Receiver, Sender, SyncSender};
+use std::time::{Duration, Instant};
 
-use calloop::ping::Ping;
-use hallmux_fleet::Kept;
+use hallmux_gossip::node::Datagram;
 use hallmux_ledger::{DiskId, Record, Saved};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
-use thiserror::Error;
 
 const RECORDS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("records");
-/// One row: which directory this is. It is drawn once, when the store is made.
-const IDENTITY: TableDefinition<&str, u64> = TableDefinition::new("identity");
-const DISK: &str = "disk";
+/// Under one key, the identity of the disk: with the records, so that it is lost only with them.
+const IDENTITY: TableDefinition<u8, u64> = TableDefinition::new("identity");
 const FILE: &str = "promises.redb";
-const WAITING: usize = 4_096; // saves that wait for the disk: some seconds' worth of a busy front
-const ONE_COMMIT: usize = 512; // saves in a commit; more only add to the wait of the first
-const CACHE: usize = 4 << 20; // bytes of the store's cache: all records of a front of some shards
-
-/// Why copies can't be kept on a disk.
-#[derive(Debug, Error)]
-pub enum Trouble {
-    #[error("directory: {}: can't be used: {why}; give the front a directory of its own that it may write to", .at.display())]
-    Directory { at: PathBuf, why: std::io::Error },
-    #[error("directory: {}: another front has it; give each front a directory of its own", .0.display())]
-    Shared(PathBuf),
-    #[error("directory: {}: the store there can't be read: {why}; move the file away: the front then comes back as one that lost its disk, and gets its copies from the others", .at.display())]
-    Store { at: PathBuf, why: Box<redb::Error> },
-    #[error("directory: the thread that writes to it can't be started: {0}; raise the limit on threads")]
-    Thread(std::io::Error),
+const CACHE: usize = 4 * 1_024 * 1_024; // bytes: the mind holds all of it itself
+const WAITING: usize = 4_096; // saves that wait for the disk: some seconds' worth
+const TOGETHER: usize = 256; // saves that are made lasting at once at most
+const SLOW: Duration = Duration::from_secs(1); // a commit that takes longer is told in the log, once
+
+/// Why copies can't be kept in a directory.
+#[derive(Debug, thiserror::Error)]
+pub enum Unfit {
+    #[error("ledger.directory {directory}: {what}: {error}; give the front a directory that it may write, with room")]
+    Disk { directory: String, what: &'static str, error: String },
+    #[error("ledger.directory {0}: another front has it; give each front one of its own")]
+    Taken(String),
+    #[error(
+        "ledger.directory {directory}: {error}; move it away: the front comes back as one that lost its disk"
+    )]
+    Damaged { directory: String, error: String },
+}
+
+/// Records to be made lasting, and the datagrams that wait for them.
+pub struct Write {
+    pub number: u64,
+    pub records: Vec<Record>,
+    pub datagrams: Vec<Datagram>,
 }
 
-/// What the directory held when it was opened.
+/// What was found in a directory.
 pub struct Found {
     pub disk: DiskId,
-    /// None where the directory is new.
     pub saved: Option<Saved>,
 }
 
 pub struct Copies {
-    saves: SyncSender<Kept>,
-    done: Receiver<(u64, bool)>,
-    /// A save was lost: nothing is kept any more in this life.
-    failed: bool,
+    /// None: in memory alone.
+    writes: Option<SyncSender<Write>>,
+    /// Which saves are lasting, or have failed.
+    lasting: Receiver<(u64, bool)>,
+    told: Sender<(u64, bool)>,
+    socket: UdpSocket,
     /// Held while this front runs: two on one directory would vote twice.
-    _lock: File,
+    _lock: Option<File>,
+}
+
+/// An identity that no disk has had before.
+pub fn drawn() -> DiskId {
+    RandomState::new().hash_one(std::process::id()) | 1
 }
 
 impl Copies {
-    /// `lasting` wakes the front when `done` has something.
-    pub fn open(directory: &str, socket: UdpSocket, lasting: Ping) -> Result<(Copies, Found), Trouble> {
-        let directory = PathBuf::from(directory);
-        let io = |why| Trouble::Directory { at: directory.clone(), why };
-        std::fs::create_dir_all(&directory).map_err(io)?;
-        let lock = File::create(directory.join("lock")).map_err(io)?;
-        lock.try_lock().map_err(|_| Trouble::Shared(directory.clone()))?;
-        let at = directory.join(FILE);
-        let broken = |why| Trouble::Store { at: at.clone(), why: Box::new(why) };
-        let store = Database::builder().set_cache_size(CACHE).create(&at).map_err(|e| broken(e.into()))?;
-        let found = found(&store).map_err(broken)?;
-        Ok((Copies::start(store, &directory, socket, lasting, lock)?, found))
+    /// In memory alone: lasting at once, as far as they ever are.
+    pub fn in_memory(socket: UdpSocket) -> Copies {
+        let (told, lasting) = channel();
+        Copies { writes: None, lasting, told, socket, _lock: None }
     }
 
-    fn start(
-        store: Database,
-        directory: &Path,
+    /// Opens the directory: its identity, drawn if it is new, and what was kept there. `wake` is called once something
+    /// is lasting or has failed.
+    pub fn open(
+        directory: &str,
         socket: UdpSocket,
-        lasting: Ping,
-        lock: File,
-    ) -> Result<Copies, Trouble> {
-        let (saves, to_save) = sync_channel::<Kept>(WAITING);
-        let (tell, done) = channel();
-        let directory = directory.display().to_string();
-        let write = move || {
-            while let Ok(first) = to_save.recv() {
-                let more = to_save.try_iter().take(ONE_COMMIT - 1);
-                let group: Vec<Kept> = std::iter::once(first).chain(more).collect();
-                let kept = commit(&store, group.iter().flat_map(|kept| &kept.records));
-                if let Err(why) = &kept {
-                    log::error!(
-                        "{directory}: {why}; this front keeps no copies of promises any more in this life"
-                    );
-                }
-                for Kept { number, datagrams, .. } in group {
-                    if kept.is_ok() {
-                        // What does not go out is as if it were lost on the way.
-                        datagrams.iter().for_each(|d| _ = socket.send_to(&d.bytes, d.to));
-                    }
-                    _ = tell.send((number, kept.is_ok()));
-                }
-                lasting.ping();
-                if kept.is_err() {
-                    return;
-                }
-            }
+        wake: impl Fn() + Send + 'static,
+    ) -> Result<(Copies, Found), Unfit> {
+        let path = Path::new(directory);
+        let unfit = |what, e: std::io::Error| Unfit::Disk {
+            directory: directory.to_string(),
+            what,
+            error: e.to_string(),
         };
-        std::thread::Builder::new().name("copies".to_string()).spawn(write).map_err(Trouble::Thread)?;
-        Ok(Copies { saves, done, failed: false, _lock: lock })
+        std::fs::create_dir_all(path).map_err(|e| unfit("can't be made", e))?;
+        let lock = File::create(path.join("lock")).map_err(|e| unfit("can't be written", e))?;
+        lock.try_lock().map_err(|_| Unfit::Taken(directory.to_string()))?;
+        let file = path.join(FILE);
+        let found = opened(directory, || Database::builder().set_cache_size(CACHE).create(&file))?;
+        let (mut copies, found) = Copies::with(directory, found, socket, wake)?;
+        copies._lock = Some(lock);
+        Ok((copies, found))
     }
 
-    /// Has it written; false if it never will be.
-    pub fn save(&mut self, kept: Kept) -> bool {
-        if !self.failed && self.saves.try_send(kept).is_err() {
-            self.failed = true;
-            log::error!(
-                "the disk is too slow for promises, or failed; this front keeps no copies in this life"
-            );
+    fn with(
+        directory: &str,
+        (database, found): (Database, Found),
+        socket: UdpSocket,
+        wake: impl Fn() + Send + 'static,
+    ) -> Result<(Copies, Found), Unfit> {
+        let (writes, to_write) = sync_channel(WAITING);
+        let (told, lasting) = channel();
+        let unfit = |e: std::io::Error| Unfit::Disk {
+            directory: directory.to_string(),
+            what: "its thread or socket can't be had",
+            error: e.to_string(),
+        };
+        let sends = socket.try_clone().map_err(unfit)?;
+        let (name, tells) = (directory.to_string(), told.clone());
+        let thread = std::thread::Builder::new().name("copies".to_string());
+        let run = move || write_all(&name, &database, &to_write, &sends, &tells, wake);
+        thread.spawn(run).map_err(unfit)?;
+        Ok((Copies { writes: Some(writes), lasting, told, socket, _lock: None }, found))
+    }
+
+    /// Has it made lasting, and sent what waits for it.
+    pub fn save(&mut self, write: Write) {
+        let number = write.number;
+        let Some(writes) = &self.writes else {
+            send(&self.socket, &write.datagrams);
+            let _ = self.told.send((number, true));
+            return;
+        };
+        if writes.try_send(write).is_err() {
+            // The thread has said so, or the disk is seconds behind: nothing is promised on it any more.
+            let _ = self.told.send((number, false));
         }
-        !self.failed
     }
 
-    /// Which saves are lasting, or have failed, since the last call.
-    pub fn done(&mut self) -> Vec<(u64, bool)> {
-        self.done.try_iter().collect()
+    /// Saves that are lasting, or have failed, since it was last asked.
+    pub fn lasting(&self) -> Vec<(u64, bool)> {
+        self.lasting.try_iter().collect()
     }
 }
 
-/// A directory's identity: nobody can foretell it, and it is never 0.
-pub fn drawn() -> DiskId {
-    RandomState::new().hash_one(std::process::id()).max(1)
+/// What does not go out is as if it were lost on the way.
+fn send(socket: &UdpSocket, datagrams: &[Datagram]) {
+    datagrams.iter().for_each(|d| _ = socket.send_to(&d.bytes, d.to));
+}
+
+/// A database with what it holds, if it is whole. The store may panic where a file was altered from outside.
+fn opened(
+    directory: &str,
+    open: impl FnOnce() -> Result<Database, redb::DatabaseError>,
+) -> Result<(Database, Found), Unfit> {
+    let damaged = |error: String| Unfit::Damaged { directory: directory.to_string(), error };
+    let all = std::panic::AssertUnwindSafe(|| -> Result<(Database, Found), Unfit> {
+        let mut database = open().map_err(|e| match e {
+            redb::DatabaseError::DatabaseAlreadyOpen => Unfit::Taken(directory.to_string()),
+            e => damaged(e.to_string()),
+        })?;
+        if !database.check_integrity().map_err(|e| damaged(e.to_string()))? {
+            log::warn!("ledger.directory {directory}: was not closed cleanly, and is mended");
+        }
+        let found = read(&database).map_err(|e| damaged(e.to_string()))?;
+        Ok((database, found))
+    });
+    std::panic::catch_unwind(all).unwrap_or_else(|_| Err(damaged("its file was altered".to_string())))
 }
 
-/// Which directory the store is, drawn where it is new, and what it holds.
-fn found(store: &Database) -> Result<Found, redb::Error> {
-    let writes = store.begin_write()?;
+/// The identity and the records; where there is none, one is drawn and made lasting.
+fn read(database: &Database) -> Result<Found, Box<redb::Error>> {
+    let boxed = |e: redb::Error| Box::new(e);
+    let transaction = database.begin_write().map_err(|e| boxed(e.into()))?;
+    let mut records = Vec::new();
     let (disk, new) = {
-        let mut identity = writes.open_table(IDENTITY)?;
-        writes.open_table(RECORDS)?;
-        let known = identity.get(DISK)?.map(|disk| disk.value());
-        match known {
-            Some(disk) => (disk, false),
-            None => {
-                let disk = drawn();
-                identity.insert(DISK, disk)?;
-                (disk, true)
-            }
+        let mut identity = transaction.open_table(IDENTITY).map_err(|e| boxed(e.into()))?;
+        let known = identity.get(0).map_err(|e| boxed(e.into()))?.map(|disk| disk.value());
+        let disk = known.unwrap_or_else(drawn);
+        identity.insert(0, disk).map_err(|e| boxed(e.into()))?;
+        let table = transaction.open_table(RECORDS).map_err(|e| boxed(e.into()))?;
+        for record in table.iter().map_err(|e| boxed(e.into()))? {
+            let (name, bytes) = record.map_err(|e| boxed(e.into()))?;
+            records.push((name.value().to_vec(), bytes.value().to_vec()));
         }
+        (disk, known.is_none())
     };
-    writes.commit()?;
-    let reads = store.begin_read()?;
-    let mut saved = Vec::new();
-    for row in reads.open_table(RECORDS)?.iter()? {
-        let (name, bytes) = row?;
-        saved.push((name.value().to_vec(), bytes.value().to_vec()));
+    transaction.commit().map_err(|e| boxed(e.into()))?;
+    let _ = database.begin_read().map_err(|e| boxed(e.into()))?;
+    Ok(Found { disk, saved: (!new && !records.is_empty()).then_some(Saved(records)) })
+}
+
+fn write_all(
+    directory: &str,
+    database: &Database,
+    to_write: &Receiver<Write>,
+    socket: &UdpSocket,
+    told: &Sender<(u64, bool)>,
+    wake: impl Fn(),
+) {
+    let mut slow = false;
+    while let Ok(first) = to_write.recv() {
+        let mut writes = vec![first];
+        writes.extend(to_write.try_iter().take(TOGETHER - 1));
+        let last = writes.last().map_or(0, |write| write.number);
+        let began = Instant::now();
+        if let Err(e) = commit(database, &writes) {
+            log::error!(
+                "ledger.directory {directory}: {e}; this front keeps no copies there any more in this life"
+            );
+            let _ = told.send((last, false));
+            return wake();
+        }
+        if began.elapsed() >= SLOW && !std::mem::replace(&mut slow, true) {
+            let ms = began.elapsed().as_millis();
+            log::warn!(
+                "ledger.directory {directory}: a commit took {ms} ms; promises of this front wait for it"
+            );
+        }
+        writes.iter().for_each(|write| send(socket, &write.datagrams));
+        let _ = told.send((last, true));
+        wake();
     }
-    Ok(Found { disk, saved: (!new).then_some(Saved(saved)) })
 }
 
-/// Writes them as a whole, lasting when this returns.
-fn commit<'a>(store: &Database, records: impl Iterator<Item = &'a Record>) -> Result<(), redb::Error> {
-    let mut records = records.peekable();
-    if records.peek().is_none() {
+/// Makes all of them lasting together; saves without records wait for nothing.
+fn commit(database: &Database, writes: &[Write]) -> Result<(), Box<redb::Error>> {
+    if writes.iter().all(|write| write.records.is_empty()) {
         return Ok(());
     }
-    let writes = store.begin_write()?;
+    let boxed = |e: redb::Error| Box::new(e);
+    let transaction = database.begin_write().map_err(|e| boxed(e.into()))?;
     {
-        let mut table = writes.open_table(RECORDS)?;
-        for Record { name, bytes } in records {
+        let mut table = transaction.open_table(RECORDS).map_err(|e| boxed(e.into()))?;
+        for Record { name, bytes } in writes.iter().flat_map(|write| &write.records) {
             match bytes {
-                Some(bytes) => table.insert(name.as_slice(), bytes.as_slice())?,
-                None => table.remove(name.as_slice())?,
-            };
+                Some(bytes) => table.insert(name.as_slice(), bytes.as_slice()).map(drop),
+                None => table.remove(name.as_slice()).map(drop),
+            }
+            .map_err(|e| boxed(e.into()))?;
         }
     }
-    Ok(writes.commit()?)
+    transaction.commit().map_err(|e| boxed(e.into()))
 }
 
 #[cfg(test)]
--- a/crates/front/src/fleet/copies_tests.rs
+++ b/crates/front/src/fleet/copies_tests.rs
@@ -1,34 +1,27 @@
-//! The store behind copies: what is lasting when, whose a directory is, and disks that fail.
-
-use std::io;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use super::*;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
-use calloop::ping::make_ping;
-use hallmux_gossip::node::Datagram;
 use redb::backends::InMemoryBackend;
 use redb::StorageBackend;
 
-use super::*;
-
-struct Folder(PathBuf);
+struct Folder(std::path::PathBuf);
 
 impl Folder {
     fn new(name: &str) -> Folder {
         let folder = std::env::temp_dir().join(format!("hallmux-copies-{name}-{}", std::process::id()));
-        _ = std::fs::remove_dir_all(&folder);
+        let _ = std::fs::remove_dir_all(&folder);
         Folder(folder)
     }
 
-    fn open(&self) -> Result<(Copies, Found), Trouble> {
-        Copies::open(&self.0.display().to_string(), socket(), make_ping().unwrap().0)
+    fn name(&self) -> String {
+        self.0.display().to_string()
     }
 }
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        _ = std::fs::remove_dir_all(&self.0);
+        let _ = std::fs::remove_dir_all(&self.0);
     }
 }
 
@@ -38,127 +31,134 @@
     socket
 }
 
-fn record(name: &str, bytes: Option<&str>) -> Record {
-    Record { name: name.as_bytes().to_vec(), bytes: bytes.map(|bytes| bytes.as_bytes().to_vec()) }
+fn write(number: u64, name: &str, value: Option<&[u8]>, to: &UdpSocket) -> Write {
+    let records = vec![Record { name: name.into(), bytes: value.map(<[u8]>::to_vec) }];
+    let datagrams = vec![Datagram { to: to.local_addr().unwrap(), bytes: vec![number as u8] }];
+    Write { number, records, datagrams }
+}
+
+fn open(folder: &Folder) -> Result<(Copies, Found), Unfit> {
+    Copies::open(&folder.name(), socket(), || {})
 }
 
-/// Waits for the word on a save, as long as the test may take.
-fn word(copies: &Copies) -> (u64, bool) {
-    copies.done.recv_timeout(Duration::from_secs(10)).unwrap()
+/// The next word on a save.
+fn said(copies: &Copies) -> (u64, bool) {
+    copies.lasting.recv_timeout(Duration::from_secs(10)).unwrap()
 }
 
 #[test]
-fn what_is_saved_is_lasting_before_what_waited_for_it_leaves_and_a_directory_has_one_front() {
-    let folder = Folder::new("lasting");
-    let hears = socket();
-    let (mut copies, found) = folder.open().unwrap();
+fn what_was_kept_is_there_again_under_the_same_identity_and_a_new_directory_has_another() {
+    let (folder, hears, mut byte) = (Folder::new("kept"), socket(), [0; 8]);
+    let (mut copies, found) = open(&folder).unwrap();
     assert!(found.saved.is_none() && found.disk != 0);
-    assert!(folder.open().err().unwrap().to_string().contains("another front has it; give each front"));
-    let datagrams = vec![Datagram { to: hears.local_addr().unwrap(), bytes: b"word".to_vec() }];
-    let records = vec![record("a", Some("1")), record("b", Some("2"))];
-    assert!(copies.save(Kept { number: 1, records, datagrams }));
-    assert!(copies.save(Kept { number: 2, records: vec![record("a", None)], datagrams: vec![] }));
-    let mut bytes = [0; 8];
-    assert_eq!(hears.recv(&mut bytes).unwrap(), 4);
-    assert_eq!([word(&copies), word(&copies)], [(1, true), (2, true)]);
+    assert!(matches!(open(&folder), Err(Unfit::Taken(_))));
+    copies.save(write(1, "a", Some(b"one"), &hears));
+    copies.save(write(2, "b", Some(b"two"), &hears));
+    copies.save(write(3, "a", None, &hears));
+    for number in 1..=3 {
+        assert_eq!((hears.recv(&mut byte).unwrap(), byte[0]), (1, number));
+    }
+    while said(&copies) != (3, true) {}
     drop(copies);
-    // Its thread lets go of the store once it has seen that nobody saves any more.
-    let again = (0..500).find_map(|_| {
-        std::thread::yield_now();
-        let opened = folder.open().ok();
-        if opened.is_none() {
-            std::thread::park_timeout(Duration::from_millis(10));
+    let again = loop {
+        // The thread lets go of the file once it has seen that nobody writes any more.
+        match open(&folder) {
+            Ok((_, found)) => break found,
+            Err(Unfit::Taken(_)) => std::thread::yield_now(),
+            Err(e) => panic!("{e}"),
         }
-        opened
-    });
-    let (_copies, again) = again.unwrap();
-    assert_eq!(again.disk, found.disk);
-    assert_eq!(again.saved, Some(Saved(vec![(b"b".to_vec(), b"2".to_vec())])));
+    };
+    assert_eq!((again.disk, again.saved), (found.disk, Some(Saved(vec![(b"b".to_vec(), b"two".to_vec())]))));
+    let other = open(&Folder::new("other")).unwrap().1;
+    assert_ne!(other.disk, found.disk);
 }
 
 #[test]
-fn an_emptied_directory_is_another_disk_and_a_damaged_store_is_refused() {
-    let folder = Folder::new("emptied");
-    let first = folder.open().unwrap().1.disk;
-    std::fs::remove_dir_all(&folder.0).unwrap();
-    let second = folder.open().unwrap().1;
-    assert!(second.saved.is_none());
-    assert_ne!(first, second.disk);
-    let spoilt = Folder::new("spoilt");
-    std::fs::create_dir_all(&spoilt.0).unwrap();
-    std::fs::write(spoilt.0.join(FILE), [7; 5_000]).unwrap();
-    let why = spoilt.open().err().unwrap().to_string();
-    assert!(
-        why.contains(FILE) && why.contains("can't be read") && why.contains("move the file away"),
-        "{why}"
-    );
-    let nowhere = Copies::open("/proc/nowhere", socket(), make_ping().unwrap().0).err().unwrap().to_string();
-    assert!(nowhere.contains("can't be used") && nowhere.contains("that it may write to"), "{nowhere}");
+fn a_file_that_was_altered_or_cut_is_refused_with_its_reason() {
+    let folder = Folder::new("altered");
+    std::fs::create_dir_all(&folder.0).unwrap();
+    for bytes in [vec![7; 5_000], vec![0xff; 40]] {
+        std::fs::write(folder.0.join(FILE), bytes).unwrap();
+        let why = open(&folder).err().unwrap();
+        assert!(matches!(why, Unfit::Damaged { .. }), "{why}");
+        assert!(
+            why.to_string().contains(&folder.name()) && why.to_string().contains("move it away"),
+            "{why}"
+        );
+    }
 }
 
-/// Fails every write and sync once it is told to.
+/// A disk that fails when told to.
 #[derive(Debug)]
 struct Failing(InMemoryBackend, Arc<AtomicBool>);
 
+type Io<T> = std::io::Result<T>;
+
 impl Failing {
-    fn checked(&self) -> io::Result<()> {
-        match self.1.load(SeqCst) {
-            true => Err(io::Error::from(io::ErrorKind::StorageFull)),
-            false => Ok(()),
+    fn works(&self) -> Io<()> {
+        if self.1.load(Ordering::SeqCst) {
+            return Err(std::io::Error::from(std::io::ErrorKind::StorageFull));
         }
+        Ok(())
     }
 }
 
 impl StorageBackend for Failing {
-    fn len(&self) -> io::Result<u64> {
+    fn len(&self) -> Io<u64> {
         self.0.len()
     }
 
-    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+    fn read(&self, offset: u64, out: &mut [u8]) -> Io<()> {
         self.0.read(offset, out)
     }
 
-    fn set_len(&self, len: u64) -> io::Result<()> {
-        self.checked()?;
-        self.0.set_len(len)
+    fn set_len(&self, len: u64) -> Io<()> {
+        self.works().and_then(|()| self.0.set_len(len))
     }
 
-    fn sync_data(&self) -> io::Result<()> {
-        self.checked()?;
-        self.0.sync_data()
+    fn sync_data(&self) -> Io<()> {
+        self.works().and_then(|()| self.0.sync_data())
     }
 
-    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
-        self.checked()?;
-        self.0.write(offset, data)
+    fn write(&self, offset: u64, data: &[u8]) -> Io<()> {
+        self.works().and_then(|()| self.0.write(offset, data))
     }
 }
 
 #[test]
-fn a_save_that_fails_is_said_and_lets_nothing_leave() {
-    let folder = Folder::new("full");
-    std::fs::create_dir_all(&folder.0).unwrap();
-    let full = Arc::new(AtomicBool::new(false));
-    let backend = Failing(InMemoryBackend::new(), full.clone());
-    let store = Database::builder().create_with_backend(backend).unwrap();
-    found(&store).unwrap();
-    let lock = File::create(folder.0.join("lock")).unwrap();
-    let mut copies = Copies::start(store, &folder.0, socket(), make_ping().unwrap().0, lock).unwrap();
-    let hears = socket();
-    let save = |number| {
-        let datagrams = vec![Datagram { to: hears.local_addr().unwrap(), bytes: vec![number as u8] }];
-        Kept { number, records: vec![record("a", Some("1"))], datagrams }
-    };
-    assert!(copies.save(save(1)));
-    assert_eq!(word(&copies), (1, true));
-    full.store(true, SeqCst);
-    assert!(copies.save(save(2)));
-    assert_eq!(word(&copies), (2, false));
-    // The thread has ended or is about to: what comes now fails at once, or is never said to be lasting.
-    let taken = copies.save(save(3));
-    assert!(!taken || copies.done.recv_timeout(Duration::from_secs(10)).is_err());
+fn on_a_full_disk_nothing_that_waits_for_it_leaves_and_it_is_said() {
+    let (fails, hears, mut byte) = (Arc::new(AtomicBool::new(false)), socket(), [0; 8]);
+    let backend = Failing(InMemoryBackend::new(), fails.clone());
+    let found = opened("test", || Database::builder().create_with_backend(backend)).unwrap();
+    let (mut copies, _) = Copies::with("test", found, socket(), || {}).unwrap();
+    copies.save(write(1, "a", Some(b"one"), &hears));
+    assert_eq!((hears.recv(&mut byte).unwrap(), said(&copies)), (1, (1, true)));
+    fails.store(true, Ordering::SeqCst);
+    copies.save(write(2, "a", Some(b"two"), &hears));
+    assert_eq!(said(&copies), (2, false));
+    copies.save(write(3, "a", Some(b"three"), &hears));
+    assert_eq!(said(&copies), (3, false));
     hears.set_nonblocking(true).unwrap();
-    let mut bytes = [0; 8];
-    assert_eq!((hears.recv(&mut bytes).unwrap(), bytes[0]), (1, 1));
-    assert!(hears.recv(&mut bytes).is_err());
+    assert!(hears.recv(&mut byte).is_err());
+}
+
+#[test]
+fn in_memory_it_is_said_at_once() {
+    let (hears, mut byte) = (socket(), [0; 8]);
+    let mut copies = Copies::in_memory(socket());
+    copies.save(write(1, "a", Some(b"one"), &hears));
+    assert_eq!((hears.recv(&mut byte).unwrap(), copies.lasting()), (1, vec![(1, true)]));
+}
+
+#[test]
+fn what_is_unfit_says_where_and_what_to_do() {
+    let directory = || "/data".to_string();
+    for (unfit, advice) in [
+        (Unfit::Disk { directory: directory(), what: "can't be made", error: "full".into() }, "with room"),
+        (Unfit::Taken(directory()), "give each front one of its own"),
+        (Unfit::Damaged { directory: directory(), error: "cut".into() }, "move it away"),
+    ] {
+        let text = unfit.to_string();
+        assert!(text.starts_with("ledger.directory /data: ") && text.contains(advice), "{text}");
+    }
 }
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -11,9 +11,9 @@
 use calloop::generic::Generic;
 use calloop::ping::make_ping;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
-use hallmux_agreement::{hexadecimal, Gossip, Ledger};
+use hallmux_agreement::{hexadecimal, Gossip, Ledger, OnDiskFailure};
 use hallmux_dispatcher::{Dispatcher, Micros};
-use hallmux_fleet::{Exchange, Moment, Out, Ownership, Owns};
+use hallmux_fleet::{Exchange, Kept, Moment, Out, Ownership, Owns};
 use hallmux_gossip::evidence::News;
 use hallmux_gossip::message::LONGEST;
 use hallmux_gossip::node::{Datagram, Start};
@@ -21,9 +21,9 @@
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
-use hallmux_ledger::{Ask, DiskId, Done, Member, Setup};
+use hallmux_ledger::{Ask, DiskId, Done, Member, Outcome, Setup};
 
-use super::copies::{self, Copies};
+use super::copies::{self, Copies, Write};
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
 
@@ -43,6 +43,10 @@
     votes: Option<Votes>,
     /// Where copies of promises are kept; in memory alone without.
     copies: Option<Copies>,
+    /// Its disk has failed, and what is done then.
+    failed: bool,
+    on_disk_failure: OnDiskFailure,
+    refused_asks: Vec<Done>,
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
@@ -109,8 +113,8 @@
             let (mut disk, mut kept) = (copies::drawn(), None);
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
                 let (ping, lasting) = make_ping()?;
-                let opened = Copies::open(directory, socket.try_clone()?, ping);
-                let (opened, found) = opened.map_err(|e| why(format!("ledger.{e}")))?;
+                let opened = Copies::open(directory, socket.try_clone()?, move || ping.ping());
+                let (opened, found) = opened.map_err(|e| why(e.to_string()))?;
                 (copies, disk, kept) = (Some(opened), found.disk, found.saved);
                 let told = handle.insert_source(lasting, |_, _, changes: &mut Changes| {
                     changes.parties.push(Door::Peers.party(0));
@@ -148,6 +152,12 @@
             steady,
             votes,
             copies,
+            failed: false,
+            on_disk_failure: gossip
+                .ledger
+                .as_ref()
+                .map_or(OnDiskFailure::Refuse, |ledger| ledger.on_disk_failure),
+            refused_asks: Vec::new(),
             owns: None,
             refused_acts: BTreeMap::new(),
             letters: BTreeMap::new(),
@@ -234,17 +244,12 @@
         if let Some(votes) = &mut self.votes {
             out.saved.into_iter().for_each(|saved| votes.save(saved));
         }
-        for kept in out.kept {
-            let number = kept.number;
+        for Kept { number, records, datagrams } in out.kept {
             match &mut self.copies {
-                Some(copies) => {
-                    if !copies.save(kept) {
-                        self.is_saved(now, number, false);
-                    }
-                }
+                Some(copies) => copies.save(Write { number, records, datagrams }),
                 // In memory alone a copy is as lasting as it gets.
                 None => {
-                    for Datagram { to, bytes } in kept.datagrams {
+                    for Datagram { to, bytes } in datagrams {
                         let _ = self.socket.send_to(&bytes, to);
                     }
                     self.is_saved(now, number, true);
@@ -256,24 +261,38 @@
     fn is_saved(&mut self, now: Micros, number: u64, ok: bool) {
         let out = self.exchange.saved(self.moment(now), number, ok);
         self.send(now, out);
+        if !ok && !std::mem::replace(&mut self.failed, true) {
+            log::error!(
+                "this front keeps no copies of promises any more in this life, and {}",
+                match self.on_disk_failure {
+                    OnDiskFailure::Refuse => "serves only what needs no promise",
+                    OnDiskFailure::Memory => "asks the others for those that it needs",
+                }
+            );
+        }
     }
 
     /// Takes the disk's word on what has become lasting.
     fn lasting(&mut self, now: Micros) {
-        for (number, ok) in self.copies.as_mut().map(Copies::done).unwrap_or_default() {
+        for (number, ok) in self.copies.as_ref().map(Copies::lasting).unwrap_or_default() {
             self.is_saved(now, number, ok);
         }
     }
 
     /// Asks the ledger; the answer comes with `promised`.
     pub fn ask(&mut self, now: Micros, ask: Ask) {
+        if self.failed && self.on_disk_failure == OnDiskFailure::Refuse {
+            return self.refused_asks.push(Done { number: ask.number, outcome: Outcome::Unreachable });
+        }
         let out = self.exchange.ask(self.moment(now), ask);
         self.send(now, out);
     }
 
     /// What the ledger has answered.
     pub fn promised(&mut self) -> Vec<Done> {
-        self.exchange.promised()
+        let mut done = self.exchange.promised();
+        done.append(&mut self.refused_asks);
+        done
     }
 
     /// Does what is due; the log says what is new, and what was refused.
@@ -332,8 +351,17 @@
 /// What the operator says of the ledger, as its mind has it, and where its members are heard.
 fn shared(ledger: &Ledger, own: PeerId, life: u64, disk: DiskId) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
     let members = ledger.members.iter().map(|m| Member { front: id(&m.key), zone: m.zone.clone() }).collect();
-    let (copies, shards) = (ledger.copies, ledger.shards);
-    let setup = Setup { copies, shards, ..Setup::new(&ledger.fleet, own, life, disk, members) };
+    let setup = Setup {
+        copies: ledger.copies,
+        shards: ledger.shards,
+        most_entries: ledger.most_entries,
+        most_bytes: ledger.most_bytes,
+        patience: ledger.patience,
+        repair_after: ledger.repair_after,
+        repair_bytes: ledger.repair_bytes,
+        apart_ms: ledger.clocks_apart_ms,
+        ..Setup::new(&ledger.fleet, own, life, disk, members)
+    };
     (setup, ledger.members.iter().map(|m| (id(&m.key), m.at)).collect())
 }
 
--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use super::Peers;
 use hallmux_access::{self as access, Access, Asked, Fleet, Judged, Known, Owner, Setup, Wish};
 use hallmux_agreement::{line_of, Contract, Station};
 use hallmux_codec::tables;
