--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -3,6 +3,7 @@
 //! the file has a file here that reads and checks it: `whole` joins them, `places` finds the line of a fault.
 
 mod gossip;
+mod ledger;
 mod ownership;
 mod places;
 mod postgres;
@@ -11,6 +12,7 @@
 mod whole;
 
 pub use gossip::{hexadecimal, Gossip};
+pub use ledger::{Ledger, LedgerMember};
 pub use ownership::Ownership;
 pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -15,6 +15,8 @@
 use hallmux_dispatcher::{Dispatcher, Ending, Micros, Place, Terms, Ticket};
 use hallmux_ledger::{self as ledger, Ledger, Member, Moment};
 
+use super::Peers;
+
 const NUMBERS: u64 = 2 << 56; // the highest byte of the numbers of its asks: others of one front have others
 const MOST_GROUPS: usize = 16; // groups of tables that a statement is judged by; more cannot be told
 const STEERS: [&str; 12] = [
@@ -73,8 +75,6 @@
     statements: BTreeMap<u64, Statement>,
     tickets: HashMap<Ticket, u64>,
     rulings: Vec<Ruling>,
-    /// For the ledger of the fleet.
-    pub asks: Vec<ledger::Ask>,
     look: Micros,
     tell: Micros,
     tell_every: Micros,
@@ -107,10 +107,20 @@
 }
 
 /// Switched on by the operator's file.
-pub fn start(station: &Station, now: Micros) -> std::io::Result<Option<Shared>> {
+pub fn start(station: &Station, now: Micros, peers: Option<&Peers>) -> std::io::Result<Option<Shared>> {
     let Some(rules) = &station.operator.rules else { return Ok(None) };
-    let own = Owner { front: 1, incarnation: (now / 1000) as u64 };
-    let rules = Rules::new(rules, &station.contract, own, vec![own.front], true);
+    let incarnation = (now / 1000) as u64;
+    let (front, fronts) = match peers.map(Peers::fleet) {
+        None => (1, vec![1]),
+        Some(Some(fleet)) => fleet,
+        Some(None) => {
+            let why =
+                "rules: this front has others, but no `gossip.ledger` that keeps rules; name its members";
+            return Err(std::io::Error::other(why));
+        }
+    };
+    let own = Owner { front, incarnation };
+    let rules = Rules::new(rules, &station.contract, own, fronts, peers.is_none());
     Ok(Some(Rc::new(RefCell::new(rules.map_err(std::io::Error::other)?))))
 }
 
@@ -152,7 +162,6 @@
             statements: BTreeMap::new(),
             tickets: HashMap::new(),
             rulings: Vec::new(),
-            asks: Vec::new(),
             look: 0,
             tell: rules.tell_every,
             tell_every: rules.tell_every,
@@ -211,7 +220,7 @@
 
     fn opened(&mut self, dispatcher: &mut Dispatcher, ticket: Ticket, judged: &Judged) {
         if let Judged::Taken { statement, verdict, waits } = judged {
-            dispatcher.promised(ticket);
+            dispatcher.follow(ticket);
             let denied = verdict.denied.is_some();
             self.statements.insert(
                 *statement,
@@ -238,7 +247,7 @@
         }
     }
 
-    /// An execution is ordered. True if it may leave at once; else a ruling follows.
+    /// An execution is ordered. False if it waits here; then a ruling follows.
     pub fn order(&mut self, now: Micros, dispatcher: &mut Dispatcher, ordered: Ordered) -> bool {
         let Some(number) = self.tickets.get(&ordered.of).copied() else { return true };
         let Some(s) = self.statements.get_mut(&number) else { return true };
@@ -247,11 +256,12 @@
             dispatcher.waits(now, ordered.ticket, ordered.execution);
             return false;
         }
-        self.leaves(now, dispatcher, number, ordered)
+        true
     }
 
-    /// The last look before its first byte leaves.
-    fn leaves(&mut self, now: Micros, dispatcher: &mut Dispatcher, number: u64, ordered: Ordered) -> bool {
+    /// The last look before its first byte leaves. False if it may not: then its statement ends by a ruling.
+    pub fn leaves(&mut self, now: Micros, dispatcher: &mut Dispatcher, ordered: Ordered) -> bool {
+        let Some(number) = self.tickets.get(&ordered.of).copied() else { return true };
         let at = self.moment(now);
         let location = dispatcher.site(ordered.place).location;
         let location = self.access.known().locations.get(location).cloned().unwrap_or_default();
@@ -300,7 +310,12 @@
     }
 
     /// Does what is due: what becomes of statements.
-    pub fn turn(&mut self, now: Micros, dispatcher: &mut Dispatcher) -> Vec<Ruling> {
+    pub fn turn(
+        &mut self,
+        now: Micros,
+        dispatcher: &mut Dispatcher,
+        mut peers: Option<&mut Peers>,
+    ) -> Vec<Ruling> {
         let at = self.moment(now);
         if at.steady >= self.tell {
             self.tell = at.steady + self.tell_every;
@@ -321,7 +336,11 @@
                     done.extend(told.done);
                     done.extend(ledger.take().done);
                 }
-                None => self.asks.extend(out.asks),
+                None => {
+                    let Some(peers) = &mut peers else { break };
+                    out.asks.into_iter().for_each(|ask| peers.ask(now, ask));
+                    done.extend(peers.promised(NUMBERS));
+                }
             }
             if done.is_empty() {
                 break;
@@ -334,25 +353,16 @@
                 dispatcher.waits(now, held.ticket, held.execution);
             }
         }
-        let mut rulings = Vec::new();
-        for ruling in std::mem::take(&mut self.rulings) {
-            match ruling {
-                Ruling::Go(ordered) => {
-                    let number = self.tickets.get(&ordered.of).copied().unwrap_or_default();
-                    dispatcher.leaves(now, ordered.ticket, ordered.execution);
-                    if self.leaves(now, dispatcher, number, ordered) {
-                        rulings.push(Ruling::Go(ordered));
-                    }
-                }
-                other => rulings.push(other),
+        let rulings = std::mem::take(&mut self.rulings);
+        for ruling in &rulings {
+            if let Ruling::Go(ordered) = ruling {
+                dispatcher.leaves(now, ordered.ticket, ordered.execution);
             }
         }
-        rulings.append(&mut self.rulings);
         rulings
     }
 
-    /// The ledger of the fleet has answered. False if it was not asked here.
-    pub fn done(&mut self, now: Micros, done: ledger::Done) -> bool {
+    fn done(&mut self, now: Micros, done: ledger::Done) -> bool {
         self.access.done(self.moment(now), done)
     }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,7 +20,7 @@
 use crate::engines::Engines;
 use crate::entrance::Entrance;
 use crate::fleet::rules::{self, Shared};
-use crate::fleet::Peers;
+use crate::fleet::{Guard, Peers};
 use crate::link::Link;
 use crate::postgres::portal::Portal;
 use crate::scatter::Scatters;
@@ -48,6 +48,8 @@
     peers: Option<Peers>,
     /// Regional access rules of customers, likewise.
     rules: Option<Shared>,
+    /// Where fronts keep promises: what waits for them.
+    guard: Option<Guard>,
     /// Statements that are asked of several sites, likewise.
     scatter: Option<Scatters>,
     shutdown: Shutdown,
@@ -69,7 +71,7 @@
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
-        let rules = rules::start(station, clock.now)?;
+        let rules = rules::start(station, clock.now, peers.as_ref())?;
         let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
         let portal = portal.map(open).transpose()?;
         let turn = peers.as_ref().map_or(0, Peers::turn);
@@ -89,12 +91,17 @@
             portal,
             peers,
             rules,
+            guard: None,
             scatter,
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
             handle,
         };
+        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+            let now = front.clock.now;
+            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+        }
         front.limit(&station.limits);
         front.follow(known, 0);
         Ok(front)
@@ -111,7 +118,8 @@
             self.entrance.due(),
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
-            self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.peers.as_ref().map_or(Micros::MAX, |peers| peers.due(self.clock.now)),
+            self.guard.as_ref().map_or(Micros::MAX, Guard::due),
             self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
             self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
@@ -184,6 +192,7 @@
         self.rule();
         for _ in 0..ROUNDS {
             self.heard();
+            self.guarded();
             let orders = self.dispatcher.tick(self.clock.now);
             if orders.is_empty() {
                 break;
@@ -282,6 +291,8 @@
         !self.entrance.is_open()
             && self.clients.len() == 0
             && self.portal.as_ref().is_none_or(|portal| portal.len() == 0)
+            // What it holds for others is freed first.
+            && self.guard.as_ref().is_none_or(Guard::is_idle)
     }
 
     fn accept(&mut self) {
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -4,6 +4,7 @@
 
 use hallmux_codec::statement::{Call, Reply};
 use hallmux_dispatcher::{Ending, Micros, Order, Ticket};
+use hallmux_fleet::gate;
 use hallmux_scatter::whole::Failed;
 
 use super::Front;
@@ -57,15 +58,15 @@
         self.portal.as_ref().is_some_and(|portal| portal.has(sent))
     }
 
-    /// What rules come to: what was held leaves, or statements end.
+    /// What rules come to: what was held goes on, or statements end.
     pub(super) fn rule(&mut self) {
         let Some(rules) = self.rules.clone() else { return };
         let now = self.clock.now;
-        self.dispatcher.gone().iter().for_each(|gone| rules.borrow_mut().gone(gone.ticket));
-        let rulings = rules.borrow_mut().turn(now, &mut self.dispatcher);
+        self.dispatcher.followed().iter().for_each(|ticket| rules.borrow_mut().gone(*ticket));
+        let rulings = rules.borrow_mut().turn(now, &mut self.dispatcher, self.peers.as_mut());
         for ruling in rulings {
             match ruling {
-                Ruling::Go(ordered) => self.leave(ordered),
+                Ruling::Go(ordered) => self.pass(ordered),
                 Ruling::Deny(ticket) => {
                     self.refuse(ticket, true, None);
                     self.dispatcher.turn_away(now, ticket);
@@ -83,6 +84,31 @@
         }
     }
 
+    /// What promises let go of, or can't be had for.
+    pub(super) fn guarded(&mut self) {
+        let Some((guard, peers)) = self.guard.as_mut().zip(self.peers.as_mut()) else { return };
+        let clients = &self.clients;
+        let id = |ticket| clients.call(ticket).map(|call| call.id.clone());
+        self.clock.look();
+        let now = self.clock.now;
+        for ruling in guard.turn(now, &mut self.dispatcher, peers, id) {
+            match ruling {
+                gate::Ruling::Go(gate::Ordered { ticket, execution, place, terms, .. }) => {
+                    self.dispatcher.leaves(now, ticket, execution);
+                    self.send(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
+                }
+                gate::Ruling::TurnAway(ticket) => {
+                    let retry_after = self.dispatcher.turn_away(now, ticket);
+                    self.obey(Order::Reject { ticket, retry_after });
+                }
+                gate::Ruling::Abort(ticket) => {
+                    self.dispatcher.turn_away(now, ticket);
+                    self.obey(Order::Abort { ticket });
+                }
+            }
+        }
+    }
+
     /// A statement's final answer without a result.
     fn refuse(&mut self, ticket: Ticket, rejects: bool, retry_after: Option<Micros>) {
         let now = self.clock.now;
@@ -96,23 +122,38 @@
         }
     }
 
-    /// An execution's first byte leaves for its engine.
-    fn leave(&mut self, ordered: Ordered) {
+    /// An execution that rules have let go on waits for its promises, or leaves.
+    fn pass(&mut self, ordered: Ordered) {
         let Ordered { ticket, execution, place, terms, .. } = ordered;
-        let now = self.clock.now;
+        let (now, sent) = (self.clock.now, (ticket, execution));
+        let guard = self.guard.as_mut();
+        if !guard.is_some_and(|guard| guard.holds(now, &mut self.dispatcher, (sent, place, terms))) {
+            self.send(ordered);
+        }
+    }
+
+    /// An execution leaves for its engine, if rules still let it: nothing may come between this look and its way.
+    fn send(&mut self, ordered: Ordered) {
+        let Ordered { ticket, execution, place, terms, .. } = ordered;
+        let (now, sent, dispatcher) = (self.clock.now, (ticket, execution), &mut self.dispatcher);
+        let may = |rules: &Shared| rules.borrow_mut().leaves(now, dispatcher, ordered);
+        if !self.rules.as_ref().is_none_or(may) {
+            return;
+        }
         if self.owns(ticket) {
-            self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
-        } else if let Some(call) = self.call(ticket) {
-            self.engines.send(now, (ticket, execution), place, call, terms);
-        } else {
-            self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
+            return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place));
+        }
+        match self.call(ticket) {
+            Some(call) => self.engines.send(now, sent, place, call, terms),
+            None => _ = self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None),
         }
     }
 
     /// An execution that is to be given up waits here: nothing of it has left.
-    fn is_held(&self, ticket: Ticket, execution: usize) -> bool {
-        let of = self.judged_as(ticket);
-        self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(of, (ticket, execution)))
+    fn is_held(&mut self, now: Micros, ticket: Ticket, execution: usize) -> bool {
+        let (of, sent) = (self.judged_as(ticket), (ticket, execution));
+        self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(of, sent))
+            || self.guard.as_mut().is_some_and(|guard| guard.stops(now, sent))
     }
 
     /// The statement that rules know: of a part the whole.
@@ -131,18 +172,21 @@
             Order::Send { ticket, execution, place, terms } => {
                 let ordered = Ordered { of: self.judged_as(ticket), ticket, execution, place, terms };
                 let dispatcher = &mut self.dispatcher;
-                let may = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
-                if self.rules.as_ref().is_none_or(may) {
-                    self.leave(ordered);
+                let goes = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
+                if self.rules.as_ref().is_none_or(goes) {
+                    self.pass(ordered);
                 }
             }
-            Order::Stop { ticket, execution, .. } if self.is_held(ticket, execution) => {
+            Order::Stop { ticket, execution, ending } if self.is_held(now, ticket, execution) => {
+                // Its session is to know why, though nothing of it has left.
+                self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
             Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
             }
             Order::Hurry { ticket, execution, priority } => {
+                self.guard.iter_mut().for_each(|guard| guard.hurry(ticket, priority));
                 self.engines.hurry((ticket, execution), priority);
             }
             Order::Stop { ticket, execution, ending } => {
--- a/crates/lab/src/simulated/fronts.rs
+++ b/crates/lab/src/simulated/fronts.rs
@@ -109,7 +109,7 @@
             }
             orders.extend(next);
         }
-        let exchange_due = life.exchange.as_ref().map_or(i64::MAX, Exchange::due);
+        let exchange_due = life.exchange.as_ref().map_or(i64::MAX, |exchange| exchange.due(at));
         let due = life.dispatcher.wake().min(exchange_due).max(now + 1);
         if due < member.due || member.due <= now {
             member.due = due;
