A rule that tightens while a front is stopped, played with three real fronts on the ledger

Need: the promise of in force is to be seen in processes, not in simulated time alone.

Change: the scenario player starts several fronts at once (play/together.rs), each with engines and clients of its own, gossip and a ledger of three members; rules files of their own.

Result: one front is stopped, version 2 bars what version 1 allowed and is said to be in force at another; a statement in the socket of the stopped front is rejected with a time to come back once it wakes, the next goes where version 2 allows; its old file brings nothing back; the third front tells both hits of the fleet, none missing.

--- a/crates/front/tests/play/line.rs
+++ b/crates/front/tests/play/line.rs
@@ -37,7 +37,9 @@
                 self.operator = Some(path);
             }
             ["rules", ..] => {
-                let name = format!("hallmux-play-{}-rules.json5", std::process::id());
+                let number =
+                    std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
+                let name = format!("hallmux-play-{}-{number}-rules.json5", std::process::id());
                 let path = self.rules.get_or_insert_with(|| std::env::temp_dir().join(name)).clone();
                 std::fs::write(&path, unescaped(&rest(1))).unwrap();
                 self.files.insert(0, path); // the last is the configuration
--- a/crates/front/tests/play/main.rs
+++ b/crates/front/tests/play/main.rs
@@ -38,6 +38,7 @@
 mod engine;
 mod line;
 mod process;
+mod together;
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
--- /dev/null
+++ b/crates/front/tests/play/together.rs
@@ -0,0 +1,103 @@
+//! Several fronts at once, each with engines and clients of its own: what they promise each other.
+
+use std::net::UdpSocket;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use ed25519_dalek::SigningKey;
+
+use crate::{usual_settings, Play, FILES};
+
+const FRONTS: usize = 3;
+
+fn hexadecimal(bytes: &[u8; 32]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Fronts that gossip, and keep promises on all of them.
+fn fleet(rules: &str) -> Vec<Play> {
+    let secrets: Vec<[u8; 32]> = (1..=FRONTS as u8).map(|n| [n; 32]).collect();
+    let key = |secret: &[u8; 32]| hexadecimal(&SigningKey::from_bytes(secret).verifying_key().to_bytes());
+    // All are free at once; each is let go of just before its front takes it.
+    let free: Vec<UdpSocket> = secrets.iter().map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+    let at: Vec<String> = free.iter().map(|socket| socket.local_addr().unwrap().to_string()).collect();
+    let each = |line: &dyn Fn(usize) -> String| (0..FRONTS).map(line).collect::<Vec<_>>().join(", ");
+    let peers = each(&|n| format!("f{n}: '{}'", key(&secrets[n])));
+    let members = each(&|n| format!("f{n}: {{ at: '{}', zone: 'z{n}' }}", at[n]));
+    let seeds = each(&|n| format!("'{}'", at[n]));
+    drop(free);
+    let start = |n: usize| {
+        let number = AtomicUsize::fetch_add(&FILES, 1, Ordering::SeqCst);
+        let secret =
+            std::env::temp_dir().join(format!("hallmux-play-{}-{number}.secret", std::process::id()));
+        std::fs::write(&secret, hexadecimal(&secrets[n])).unwrap();
+        let mut play = Play::default();
+        play.settings = usual_settings();
+        play.files.push(secret.clone());
+        play.line("agreed areas [\"here\", \"there\"]");
+        play.line("engine a");
+        play.line("engine b@there");
+        play.line(&format!("rules {rules}"));
+        play.line(&format!(
+            "operator {{ gossip: {{ listen: '{}', secret_file: '{}', peers: {{ {peers} }}, seeds: [{seeds}], \
+             ledger: {{ fleet: 'test', shards: 2, members: {{ {members} }} }} }}, \
+             rules: {{ file: 'RULES', region: 'here', lease_ms: 1500, tell_every_ms: 3600000 }} }}",
+            at[n],
+            secret.display()
+        ));
+        play.line("start");
+        play
+    };
+    (0..FRONTS).map(start).collect()
+}
+
+#[test]
+fn a_front_that_was_stopped_while_a_rule_tightened_lets_nothing_through_that_it_bars() {
+    let rules = |version: u64, region: &str| {
+        format!("{{ version: {version}, default: 'allow', rules: [ {{ name: 'only', regions: ['{region}'] }} ] }}")
+    };
+    let mut fleet = fleet(&rules(1, "there"));
+    fleet.iter_mut().for_each(|front| front.line("logs version 1 of the rules is in force"));
+    let lines = |front: &mut Play, lines: &[&str]| lines.iter().for_each(|line| front.line(line));
+    lines(
+        &mut fleet[2],
+        &[
+            "c connects",
+            "c asks 1 select 1",
+            "b@there hears want 1",
+            "b@there says 1 ACK batches=1 x",
+            "c hears 1 completed x",
+            "halt",
+        ],
+    );
+    // It lies in the socket of a front that stands still.
+    fleet[2].line("c asks 2 select 2");
+    fleet[0].line(&format!("rules {}", rules(2, "here")));
+    lines(
+        &mut fleet[0],
+        &["reloads", "logs the fleet's: version 2 of the rules", "logs version 2 of the rules is in force"],
+    );
+    // Its lease ended long ago: what it knew counts for nothing, and the next statement goes where it may.
+    lines(
+        &mut fleet[2],
+        &[
+            "goes on",
+            "c hears 2 rejected later",
+            "logs judges by version 2 of the rules",
+            "logs knows which rules hold: version 2",
+            "c asks 3 select 3",
+            "a hears want 3",
+            "a says 3 ACK batches=1 y",
+            "c hears 3 completed y",
+        ],
+    );
+    // Its old file brings nothing back; any front tells the hits of all.
+    lines(&mut fleet[2], &["reloads", "logs version 1 is not above the fleet's 2, which stays; state 3"]);
+    lines(
+        &mut fleet[1],
+        &[
+            "reloads",
+            "logs fronts that are missing: none",
+            "logs hits of rule only by customer acme in here: 2",
+        ],
+    );
+}
