--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -64,7 +64,7 @@
     watches: bool,
     depends: Vec<Depends>, // by workload
     words: Vec<Word>,
-    gone: Vec<Gone>,
+    followed: Vec<Ticket>,
     longest_retry_after: Option<Micros>,
 }
 
@@ -91,7 +91,7 @@
             watches: false,
             depends: contract.agreement.workloads.iter().map(depends).collect(),
             words: Vec::new(),
-            gone: Vec::new(),
+            followed: Vec::new(),
             longest_retry_after: contract.agreement.longest_retry_after,
         }
     }
--- a/crates/dispatcher/src/promised.rs
+++ b/crates/dispatcher/src/promised.rs
@@ -70,20 +70,18 @@
         self.watches = true;
     }
 
-    /// The end of a statement is to be told by `gone`, whether it depends on promises or not.
-    pub fn follow(&mut self, ticket: Ticket) {
-        if let Some(s) = self.statements.get_mut(&ticket) {
-            s.followed = true;
-        }
+    pub fn words(&mut self) -> Vec<Word> {
+        std::mem::take(&mut self.words)
     }
 
-    /// Statements that were followed and are over since the last call.
-    pub fn gone(&mut self) -> Vec<Gone> {
-        std::mem::take(&mut self.gone)
+    /// The end of a statement is to be told by `followed`.
+    pub fn follow(&mut self, ticket: Ticket) {
+        self.statements.get_mut(&ticket).into_iter().for_each(|s| s.followed = true);
     }
 
-    pub fn words(&mut self) -> Vec<Word> {
-        std::mem::take(&mut self.words)
+    /// Statements that are followed and over with nothing out for them, since the last call.
+    pub fn followed(&mut self) -> Vec<Ticket> {
+        std::mem::take(&mut self.followed)
     }
 
     /// Tells of a statement that was taken, if it depends on promises: whether it does.
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -63,7 +63,7 @@
     pub key: Option<String>,
     /// It depends on promises: its end is told.
     pub promised: bool,
-    /// Rules have judged it: its end is told by `gone`.
+    /// Somebody else wants to know of its end.
     pub followed: bool,
     pub executions: Vec<Execution>,
 }
@@ -121,8 +121,16 @@
         let key = ask.key.map(str::to_string);
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
         let executions = Vec::new();
-        let (begun, keeps, followed) = (false, false, false);
-        let statement = Statement { terms, over: false, begun, keeps, key, promised, followed, executions };
+        let statement = Statement {
+            terms,
+            over: false,
+            begun: false,
+            keeps: false,
+            key,
+            promised,
+            followed: false,
+            executions,
+        };
         self.statements.insert(ticket, statement);
         Ok(ticket)
     }
--- a/crates/front/src/fleet/gate.rs
+++ b/crates/front/src/fleet/gate.rs
@@ -4,8 +4,7 @@
 
 use hallmux_agreement::Contract;
 use hallmux_dispatcher::{Dispatcher, Micros, Terms, Ticket};
-use hallmux_fleet::gate::{Gate, Ordered, Ruling};
-use hallmux_ledger::Done;
+use hallmux_fleet::gate::{Gate, Ordered, Ruling, NUMBERS};
 
 use super::Peers;
 use crate::engines::Sent;
@@ -66,25 +65,24 @@
     }
 
     /// Passes on what statements have come to and what the ledger says; what becomes of what was held. `id` names a
-    /// statement wherever it is tried; `theirs` takes the answers to what other parts have asked.
+    /// statement wherever it is tried.
     pub fn turn(
         &mut self,
         now: Micros,
         dispatcher: &mut Dispatcher,
         peers: &mut Peers,
         id: impl Fn(Ticket) -> Option<String>,
-        theirs: impl Fn(&Done) -> bool,
     ) -> Vec<Ruling> {
         for word in dispatcher.words() {
             self.gate.hear(now, word, &id);
         }
         self.gate.tick(now);
         loop {
-            let (done, asks) = (peers.promised(), self.gate.asks());
+            let (done, asks) = (peers.promised(NUMBERS), self.gate.asks());
             if done.is_empty() && asks.is_empty() {
                 break;
             }
-            done.into_iter().filter(|done| !theirs(done)).for_each(|done| self.gate.done(now, done));
+            done.into_iter().for_each(|done| self.gate.done(now, done));
             asks.into_iter().for_each(|ask| peers.ask(now, ask));
         }
         if self.noted + NOTED <= now {
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -41,7 +41,7 @@
     /// The clock that leases go by: it runs evenly on, whatever becomes of the wall clock.
     steady: Instant,
     votes: Option<Votes>,
-    /// Where copies of promises are kept; in memory alone without.
+    /// Where copies of promises are kept.
     copies: Option<Copies>,
     /// Its disk has failed, and what is done then.
     failed: bool,
@@ -50,6 +50,10 @@
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
+    /// Answers of the ledger that their part of this front has not taken yet.
+    done: Vec<Done>,
+    /// A ledger is kept.
+    keeps: bool,
 }
 
 fn keys(gossip: &Gossip) -> Rc<Keys> {
@@ -121,6 +125,8 @@
                 });
                 told.map_err(|e| why(e.error.to_string()))?;
             }
+            let on_disk = copies.is_some();
+            copies = copies.or(Some(Copies::in_memory(socket.try_clone()?)));
             let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
             let remembers = kept.is_some();
             let (setup, members) = shared(ledger, own, (now / 1000) as u64, disk);
@@ -128,7 +134,7 @@
             log::info!(
                 "asks {} fronts for promises{}",
                 ledger.members.len(),
-                match (keeps, copies.is_some(), remembers) {
+                match (keeps, on_disk, remembers) {
                     (false, ..) => "",
                     (_, false, _) => ", and keeps copies in memory alone",
                     (_, _, false) => ", and keeps copies on a disk that is new",
@@ -160,6 +166,8 @@
             refused_asks: Vec::new(),
             owns: None,
             refused_acts: BTreeMap::new(),
+            done: Vec::new(),
+            keeps: gossip.ledger.is_some(),
             letters: BTreeMap::new(),
         })
     }
@@ -216,10 +224,6 @@
         self.send(now, Out { datagrams, ..Out::default() });
     }
 
-    pub fn own(&self) -> PeerId {
-        id(&self.exchange.public())
-    }
-
     /// The other fronts whose word counts.
     pub fn others(&self) -> Vec<PeerId> {
         let own = id(&self.exchange.public());
@@ -245,16 +249,11 @@
             out.saved.into_iter().for_each(|saved| votes.save(saved));
         }
         for Kept { number, records, datagrams } in out.kept {
-            match &mut self.copies {
-                Some(copies) => copies.save(Write { number, records, datagrams }),
-                // In memory alone a copy is as lasting as it gets.
-                None => {
-                    for Datagram { to, bytes } in datagrams {
-                        let _ = self.socket.send_to(&bytes, to);
-                    }
-                    self.is_saved(now, number, true);
-                }
+            if let Some(copies) = &mut self.copies {
+                copies.save(Write { number, records, datagrams });
             }
+            // In memory it is lasting at once.
+            self.lasting(now);
         }
     }
 
@@ -288,11 +287,20 @@
         self.send(now, out);
     }
 
-    /// What the ledger has answered.
-    pub fn promised(&mut self) -> Vec<Done> {
-        let mut done = self.exchange.promised();
-        done.append(&mut self.refused_asks);
-        done
+    /// What the ledger has answered to the part of this front whose asks have that highest byte.
+    pub fn promised(&mut self, part: u64) -> Vec<Done> {
+        self.done.extend(self.exchange.promised());
+        self.done.append(&mut self.refused_asks);
+        let (told, others) =
+            std::mem::take(&mut self.done).into_iter().partition(|done| done.number >> 56 == part >> 56);
+        self.done = others;
+        told
+    }
+
+    /// Where a ledger is kept, this front by its key, and all fronts whose keys count.
+    pub fn fleet(&self) -> Option<(PeerId, Vec<PeerId>)> {
+        let own = id(&self.exchange.public());
+        self.keeps.then(|| (own, self.names.keys().copied().collect()))
     }
 
     /// Does what is due; the log says what is new, and what was refused.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -46,10 +46,10 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
-    /// Where fronts keep promises: what waits for them.
-    guard: Option<Guard>,
     /// Regional access rules of customers, likewise.
     rules: Option<Shared>,
+    /// Where fronts keep promises: what waits for them.
+    guard: Option<Guard>,
     /// Statements that are asked of several sites, likewise.
     scatter: Option<Scatters>,
     shutdown: Shutdown,
@@ -90,8 +90,8 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
-            guard: None,
             rules,
+            guard: None,
             scatter,
             shutdown: Shutdown::default(),
             clock,
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -5,13 +5,12 @@
 use hallmux_codec::statement::{Call, Reply};
 use hallmux_dispatcher::{Ending, Micros, Order, Ticket};
 use hallmux_fleet::gate;
-use hallmux_ledger::Done;
 use hallmux_scatter::whole::Failed;
 
 use super::Front;
 use crate::engines;
 use crate::fleet::rules::{Ordered, Ruling, Shared};
-use crate::fleet::{Guard, Peers};
+use crate::fleet::Peers;
 use crate::postgres::portal::{Portal, Room};
 
 impl Front {
@@ -59,6 +58,32 @@
         self.portal.as_ref().is_some_and(|portal| portal.has(sent))
     }
 
+    /// What rules come to: what was held goes on, or statements end.
+    pub(super) fn rule(&mut self) {
+        let Some(rules) = self.rules.clone() else { return };
+        let now = self.clock.now;
+        self.dispatcher.followed().iter().for_each(|ticket| rules.borrow_mut().gone(*ticket));
+        let rulings = rules.borrow_mut().turn(now, &mut self.dispatcher, self.peers.as_mut());
+        for ruling in rulings {
+            match ruling {
+                Ruling::Go(ordered) => self.pass(ordered),
+                Ruling::Deny(ticket) => {
+                    self.refuse(ticket, true, None);
+                    self.dispatcher.turn_away(now, ticket);
+                }
+                Ruling::End { ticket, ran: true, .. } => {
+                    self.refuse(ticket, false, None);
+                    self.left(ticket);
+                }
+                Ruling::End { ticket, ran: false, again } => {
+                    let retry_after = self.dispatcher.turn_away(now, ticket).filter(|_| again);
+                    self.refuse(ticket, true, retry_after);
+                    self.left(ticket);
+                }
+            }
+        }
+    }
+
     /// What promises let go of, or can't be had for.
     pub(super) fn guarded(&mut self) {
         let Some((guard, peers)) = self.guard.as_mut().zip(self.peers.as_mut()) else { return };
@@ -66,20 +91,11 @@
         let id = |ticket| clients.call(ticket).map(|call| call.id.clone());
         self.clock.look();
         let now = self.clock.now;
-        let rules = self.rules.as_ref();
-        if let Some(rules) = rules {
-            std::mem::take(&mut rules.borrow_mut().asks).into_iter().for_each(|ask| peers.ask(now, ask));
-        }
-        let theirs = |done: &Done| rules.is_some_and(|rules| rules.borrow_mut().done(now, done.clone()));
-        for ruling in guard.turn(now, &mut self.dispatcher, peers, id, theirs) {
+        for ruling in guard.turn(now, &mut self.dispatcher, peers, id) {
             match ruling {
                 gate::Ruling::Go(gate::Ordered { ticket, execution, place, terms, .. }) => {
                     self.dispatcher.leaves(now, ticket, execution);
-                    let ordered = Ordered { of: self.judged_as(ticket), ticket, execution, place, terms };
-                    // While it waited the rules may have changed.
-                    if self.may_leave(ordered) {
-                        self.send(ordered);
-                    }
+                    self.send(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
                 }
                 gate::Ruling::TurnAway(ticket) => {
                     let retry_after = self.dispatcher.turn_away(now, ticket);
@@ -93,32 +109,6 @@
         }
     }
 
-    /// What rules come to: what was held leaves, or statements end.
-    pub(super) fn rule(&mut self) {
-        let Some(rules) = self.rules.clone() else { return };
-        let now = self.clock.now;
-        self.dispatcher.gone().iter().for_each(|gone| rules.borrow_mut().gone(gone.ticket));
-        let rulings = rules.borrow_mut().turn(now, &mut self.dispatcher);
-        for ruling in rulings {
-            match ruling {
-                Ruling::Go(ordered) => self.leave(ordered),
-                Ruling::Deny(ticket) => {
-                    self.refuse(ticket, true, None);
-                    self.dispatcher.turn_away(now, ticket);
-                }
-                Ruling::End { ticket, ran: true, .. } => {
-                    self.refuse(ticket, false, None);
-                    self.left(ticket);
-                }
-                Ruling::End { ticket, ran: false, again } => {
-                    let retry_after = self.dispatcher.turn_away(now, ticket).filter(|_| again);
-                    self.refuse(ticket, true, retry_after);
-                    self.left(ticket);
-                }
-            }
-        }
-    }
-
     /// A statement's final answer without a result.
     fn refuse(&mut self, ticket: Ticket, rejects: bool, retry_after: Option<Micros>) {
         let now = self.clock.now;
@@ -132,41 +122,38 @@
         }
     }
 
-    /// Whether the rules let it leave at once; else a ruling of theirs follows.
-    fn may_leave(&mut self, ordered: Ordered) -> bool {
-        let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
-        let may = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
-        self.rules.as_ref().is_none_or(may)
-    }
-
-    /// The rules let an execution leave: at once where it depends on no promise, or once that stands.
-    fn leave(&mut self, ordered: Ordered) {
+    /// An execution that rules have let go on waits for its promises, or leaves.
+    fn pass(&mut self, ordered: Ordered) {
         let Ordered { ticket, execution, place, terms, .. } = ordered;
-        let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
-        let holds = |guard: &mut Guard| guard.holds(now, dispatcher, ((ticket, execution), place, terms));
-        if !self.guard.as_mut().is_some_and(holds) {
+        let (now, sent) = (self.clock.now, (ticket, execution));
+        let guard = self.guard.as_mut();
+        if !guard.is_some_and(|guard| guard.holds(now, &mut self.dispatcher, (sent, place, terms))) {
             self.send(ordered);
         }
     }
 
-    /// An execution's first byte leaves for its engine.
+    /// An execution leaves for its engine, if rules still let it: nothing may come between this look and its way.
     fn send(&mut self, ordered: Ordered) {
         let Ordered { ticket, execution, place, terms, .. } = ordered;
-        let now = self.clock.now;
+        let (now, sent, dispatcher) = (self.clock.now, (ticket, execution), &mut self.dispatcher);
+        let may = |rules: &Shared| rules.borrow_mut().leaves(now, dispatcher, ordered);
+        if !self.rules.as_ref().is_none_or(may) {
+            return;
+        }
         if self.owns(ticket) {
-            self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
-        } else if let Some(call) = self.call(ticket) {
-            self.engines.send(now, (ticket, execution), place, call, terms);
-        } else {
-            self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
+            return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place));
+        }
+        match self.call(ticket) {
+            Some(call) => self.engines.send(now, sent, place, call, terms),
+            None => _ = self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None),
         }
     }
 
     /// An execution that is to be given up waits here: nothing of it has left.
-    fn is_held(&mut self, ticket: Ticket, execution: usize) -> bool {
-        let (now, of, sent) = (self.clock.now, self.judged_as(ticket), (ticket, execution));
-        let by_rules = self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(of, sent));
-        self.guard.as_mut().is_some_and(|guard| guard.stops(now, sent)) || by_rules
+    fn is_held(&mut self, now: Micros, ticket: Ticket, execution: usize) -> bool {
+        let (of, sent) = (self.judged_as(ticket), (ticket, execution));
+        self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(of, sent))
+            || self.guard.as_mut().is_some_and(|guard| guard.stops(now, sent))
     }
 
     /// The statement that rules know: of a part the whole.
@@ -184,11 +171,13 @@
         match order {
             Order::Send { ticket, execution, place, terms } => {
                 let ordered = Ordered { of: self.judged_as(ticket), ticket, execution, place, terms };
-                if self.may_leave(ordered) {
-                    self.leave(ordered);
+                let dispatcher = &mut self.dispatcher;
+                let goes = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
+                if self.rules.as_ref().is_none_or(goes) {
+                    self.pass(ordered);
                 }
             }
-            Order::Stop { ticket, execution, ending } if self.is_held(ticket, execution) => {
+            Order::Stop { ticket, execution, ending } if self.is_held(now, ticket, execution) => {
                 // Its session is to know why, though nothing of it has left.
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
