What a front asks of the ledger for marks: loads wait until marked, scatters read after they came

crates/scatter/src/marker.rs: one change of a group's entry at a time by compare and swap, what waits shares it; a read begun before a scatter came is not for it. A load's numbers are those of all groups that it names (tables::groups).

--- a/crates/codec/src/tables.rs
+++ b/crates/codec/src/tables.rs
@@ -4,7 +4,18 @@
 
 /// The number behind the underscore in the first schema that has one: 17 in `sales_17.orders`.
 pub fn group(statement: &[u8]) -> Option<u32> {
+    next(&mut &statement[..])
+}
+
+/// All the groups that it names, each once, in the order of their numbers.
+pub fn groups(statement: &[u8]) -> std::collections::BTreeSet<u32> {
     let mut rest = statement;
+    std::iter::from_fn(|| next(&mut rest)).collect()
+}
+
+/// The next one's number; what is left begins behind its name.
+fn next(statement: &mut &[u8]) -> Option<u32> {
+    let mut rest = *statement;
     while let Some(&first) = rest.first() {
         rest = match first {
             b'\'' => after_quote(rest, b'\''),
@@ -14,14 +25,20 @@
                 let behind = after_quote(rest, first);
                 let name = &rest[1..rest.len() - behind.len()];
                 match schema(name.strip_suffix(&[first]).unwrap_or(name), behind) {
-                    Some(number) => return Some(number),
+                    Some(number) => {
+                        *statement = behind;
+                        return Some(number);
+                    }
                     None => behind,
                 }
             }
             c if in_name(c) => {
                 let len = rest.iter().position(|c| !in_name(*c)).unwrap_or(rest.len());
                 match schema(&rest[..len], &rest[len..]) {
-                    Some(number) => return Some(number),
+                    Some(number) => {
+                        *statement = &rest[len..];
+                        return Some(number);
+                    }
                     None => &rest[len..],
                 }
             }
@@ -79,7 +96,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::group;
+    use super::{group, groups};
 
     #[test]
     fn the_schema_outside_of_strings_and_comments_counts() {
@@ -98,5 +115,7 @@
         ] {
             assert_eq!(group(statement.as_bytes()), found, "{statement}");
         }
+        let all = groups(b"insert into b_9.t select 'c_3.d' from a_1.u join b_9.v, \"e_4\".w -- f_5.x");
+        assert_eq!(all.into_iter().collect::<Vec<_>>(), [1, 4, 9]);
     }
 }
--- a/crates/front/tests/scatter/site.rs
+++ b/crates/front/tests/scatter/site.rs
@@ -8,7 +8,7 @@
 
 use ed25519_dalek::{SigningKey, VerifyingKey};
 use hallmux_scatter::build::{summary, About, TableBuilder};
-use hallmux_scatter::marks::number;
+use hallmux_scatter::marks::numbers;
 use hallmux_scatter::summary::{Loads, MOST_BYTES};
 use hallmux_scatter::value::{Kind, Value};
 
@@ -104,7 +104,7 @@
         }
         if let Some((_, values)) = text.split_once("values (") {
             self.rows.push(values.split([',', ')']).next()?.trim().parse().ok()?);
-            self.loads.insert(number(text.as_bytes())?);
+            numbers(text.as_bytes()).iter().for_each(|(_, n)| self.loads.insert(*n));
             return Some(String::new());
         }
         self.asked += 1;
--- a/crates/scatter/src/lib.rs
+++ b/crates/scatter/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod build;
 pub mod condition;
 pub mod filter;
+pub mod marker;
 pub mod marks;
 mod of;
 pub mod plan;
--- /dev/null
+++ b/crates/scatter/src/marker.rs
@@ -0,0 +1,291 @@
+//! What a front asks of the ledger for marks: loads that wait until they are marked, and scatters that wait for a word on a
+//! group that is asked for after they came. One change of a group's entry at a time; all that waits shares it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::marks::{Marks, Touched};
+use crate::summary::Summary;
+
+const APART_MS: u64 = 10_000; // milliseconds that fronts' clocks may be apart, as gossip has it
+const MOST_TRIES: u32 = 16; // changes of one batch that others' got before; then its loads are turned away
+
+/// Who waits: a load's execution or a scatter, as the caller knows it.
+pub type Waiter = (u64, usize);
+
+/// What is to be asked of the ledger.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    pub number: u64,
+    pub group: u32,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    Read,
+    /// 0: there is none yet.
+    Put {
+        expects: u64,
+        value: Vec<u8>,
+    },
+}
+
+/// What the ledger answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Said {
+    Stands {
+        version: u64,
+        value: Vec<u8>,
+    },
+    Held {
+        version: u64,
+        value: Vec<u8>,
+    },
+    Absent,
+    /// It may stand or not, or there is no room.
+    Unreachable,
+}
+
+/// What follows for those that waited.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Follows {
+    /// A load's marks stand: it leaves with these numbers.
+    Go { load: Waiter, numbers: Vec<(u32, u64)> },
+    /// A load can't be marked: it must not leave.
+    TurnAway { load: Waiter },
+    /// The word on a group, for scatters. None: there is none to have.
+    Marks { scatters: Vec<u64>, marks: Option<Marks> },
+}
+
+struct Load {
+    site: String,
+    ends_ms: u64,
+    /// Groups that are not marked yet, and what it may have touched there.
+    left: BTreeMap<u32, Touched>,
+    numbers: Vec<(u32, u64)>,
+}
+
+#[derive(Default)]
+struct Group {
+    /// The entry as it was seen last.
+    version: u64,
+    marks: Marks,
+    queue: BTreeSet<Waiter>,
+    /// The change that is asked for: its number, loads and the marks as they will be.
+    put: Option<(u64, Vec<(Waiter, u64)>, Marks)>,
+    tries: u32,
+    readers: Vec<u64>,
+    read: Option<(u64, Vec<u64>)>,
+}
+
+/// All of one front.
+pub struct Marker {
+    next: u64,
+    loads: BTreeMap<Waiter, Load>,
+    groups: BTreeMap<u32, Group>,
+    asked: BTreeMap<u64, u32>,
+}
+
+impl Marker {
+    /// Its asks are numbered from the number given.
+    pub fn new(first: u64) -> Marker {
+        Marker { next: first, loads: BTreeMap::new(), groups: BTreeMap::new(), asked: BTreeMap::new() }
+    }
+
+    /// A load waits to leave for a site; it can't be running any more from `ends_ms` on.
+    pub fn load(&mut self, load: Waiter, site: &str, ends_ms: u64, touched: BTreeMap<u32, Touched>) {
+        for group in touched.keys() {
+            self.groups.entry(*group).or_default().queue.insert(load);
+        }
+        let one = Load { site: site.to_string(), ends_ms, left: touched, numbers: Vec::new() };
+        self.loads.insert(load, one);
+    }
+
+    /// A load waits no longer. False if it did not.
+    pub fn stop(&mut self, load: Waiter) -> bool {
+        self.groups.values_mut().for_each(|group| _ = group.queue.remove(&load));
+        self.loads.remove(&load).is_some()
+    }
+
+    pub fn waiting(&self) -> impl Iterator<Item = Waiter> + '_ {
+        self.loads.keys().copied()
+    }
+
+    /// A scatter waits for the word on a group.
+    pub fn scatter(&mut self, ticket: u64, group: u32) {
+        self.groups.entry(group).or_default().readers.push(ticket);
+    }
+
+    /// What is to be asked now. `wall_ms` is the Unix clock; summaries lift what they speak beyond.
+    pub fn asks<'a>(
+        &mut self,
+        wall_ms: u64,
+        summary: impl Fn(&str, u32) -> Option<&'a Summary>,
+    ) -> (Vec<Ask>, Vec<Follows>) {
+        let (mut asks, mut follows) = (Vec::new(), Vec::new());
+        for (&number, group) in &mut self.groups {
+            if group.read.is_none() && !group.readers.is_empty() {
+                // Those that come from now on are for the next one: this one may be older than they are.
+                group.read = Some((self.next, std::mem::take(&mut group.readers)));
+                self.asked.insert(self.next, number);
+                asks.push(Ask { number: self.next, group: number, what: What::Read });
+                self.next += 1;
+            }
+            if group.put.is_some() || group.queue.is_empty() {
+                continue;
+            }
+            let mut marks = group.marks.clone();
+            marks.tidy(wall_ms.saturating_sub(APART_MS), |site| summary(site, number));
+            let mut batch = Vec::new();
+            for waiter in std::mem::take(&mut group.queue) {
+                let Some(load) = self.loads.get(&waiter) else { continue };
+                let Some(touched) = load.left.get(&number) else { continue };
+                batch.push((waiter, marks.add(&load.site, load.ends_ms, touched.clone())));
+            }
+            match marks.bytes() {
+                _ if batch.is_empty() => {}
+                None => turn_away(&mut self.loads, batch, &mut follows),
+                Some(value) => {
+                    group.put = Some((self.next, batch, marks));
+                    self.asked.insert(self.next, number);
+                    let what = What::Put { expects: group.version, value };
+                    asks.push(Ask { number: self.next, group: number, what });
+                    self.next += 1;
+                }
+            }
+        }
+        (asks, follows)
+    }
+
+    /// The ledger has answered an ask.
+    pub fn said(&mut self, number: u64, said: Said) -> Vec<Follows> {
+        let mut follows = Vec::new();
+        let Some(place) = self.asked.remove(&number) else { return follows };
+        let Some(group) = self.groups.get_mut(&place) else { return follows };
+        if group.read.as_ref().is_some_and(|(asked, _)| *asked == number) {
+            let scatters = group.read.take().map_or(Vec::new(), |(_, scatters)| scatters);
+            let marks = match said {
+                Said::Stands { value, .. } | Said::Held { value, .. } => Marks::read(&value),
+                Said::Absent => Some(Marks::default()),
+                Said::Unreachable => None,
+            };
+            follows.push(Follows::Marks { scatters, marks });
+            return follows;
+        }
+        let Some((_, batch, marks)) = group.put.take() else { return follows };
+        match said {
+            Said::Stands { version, .. } => {
+                (group.version, group.marks, group.tries) = (version, marks, 0);
+                for (waiter, number) in batch {
+                    let Some(load) = self.loads.get_mut(&waiter) else { continue };
+                    load.left.remove(&place);
+                    load.numbers.push((place, number));
+                    if load.left.is_empty() {
+                        let numbers = std::mem::take(&mut load.numbers);
+                        self.loads.remove(&waiter);
+                        follows.push(Follows::Go { load: waiter, numbers });
+                    }
+                }
+            }
+            // Another front was before: once more on what it has left.
+            Said::Held { version, value } => {
+                group.tries += 1;
+                match Marks::read(&value).filter(|_| group.tries < MOST_TRIES) {
+                    Some(marks) => {
+                        (group.version, group.marks) = (version, marks);
+                        group.queue.extend(batch.into_iter().map(|(waiter, _)| waiter));
+                    }
+                    None => {
+                        group.tries = 0;
+                        turn_away(&mut self.loads, batch, &mut follows);
+                    }
+                }
+            }
+            Said::Absent if group.version > 0 => {
+                (group.version, group.marks) = (0, Marks::default());
+                group.queue.extend(batch.into_iter().map(|(waiter, _)| waiter));
+            }
+            Said::Absent | Said::Unreachable => turn_away(&mut self.loads, batch, &mut follows),
+        }
+        follows
+    }
+
+    /// Whether nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.asked.is_empty() && self.groups.values().all(|g| g.queue.is_empty() && g.readers.is_empty())
+    }
+}
+
+fn turn_away(loads: &mut BTreeMap<Waiter, Load>, batch: Vec<(Waiter, u64)>, follows: &mut Vec<Follows>) {
+    for (load, _) in batch {
+        if loads.remove(&load).is_some() {
+            follows.push(Follows::TurnAway { load });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn load(marker: &mut Marker, ticket: u64) {
+        marker.load((ticket, 0), "ash", 50, BTreeMap::from([(17, Touched::Anything)]));
+    }
+
+    fn asks(marker: &mut Marker) -> Vec<Ask> {
+        marker.asks(0, |_, _| None).0
+    }
+
+    #[test]
+    fn a_load_leaves_once_its_mark_stands_and_takes_its_turn_behind_other_fronts() {
+        let mut marker = Marker::new(100);
+        load(&mut marker, 1);
+        let [ask] = &asks(&mut marker)[..] else { panic!() };
+        assert!(matches!(ask.what, What::Put { expects: 0, .. }));
+        // One change of a group at a time; what comes meanwhile waits for the next.
+        load(&mut marker, 2);
+        assert_eq!(asks(&mut marker), []);
+        let mut others = Marks::default();
+        others.add("ash", 60, Touched::Anything);
+        let held = Said::Held { version: 7, value: others.bytes().unwrap() };
+        assert_eq!(marker.said(ask.number, held), []);
+        let [ask] = &asks(&mut marker)[..] else { panic!() };
+        let What::Put { expects: 7, value } = &ask.what else { panic!("{ask:?}") };
+        assert_eq!(Marks::read(value).unwrap().len(), 3);
+        let follows = marker.said(ask.number, Said::Stands { version: 8, value: value.clone() });
+        let go = |ticket, number| Follows::Go { load: (ticket, 0), numbers: vec![(17, number)] };
+        assert_eq!(follows, [go(1, 2), go(2, 3)]);
+        assert!(marker.is_idle());
+    }
+
+    #[test]
+    fn without_an_answer_a_load_never_leaves_and_a_scatter_has_no_word() {
+        let mut marker = Marker::new(0);
+        load(&mut marker, 1);
+        marker.scatter(9, 17);
+        let asked = asks(&mut marker);
+        let follows: Vec<Follows> =
+            asked.iter().flat_map(|a| marker.said(a.number, Said::Unreachable)).collect();
+        let none = Follows::Marks { scatters: vec![9], marks: None };
+        assert_eq!(follows, [none, Follows::TurnAway { load: (1, 0) }]);
+        // One that was stopped meanwhile goes nowhere.
+        load(&mut marker, 2);
+        let asked = asks(&mut marker);
+        assert!(marker.stop((2, 0)) && !marker.stop((2, 0)));
+        assert_eq!(marker.said(asked[0].number, Said::Stands { version: 1, value: vec![] }), []);
+    }
+
+    #[test]
+    fn a_scatter_has_a_word_that_was_asked_for_after_it_came() {
+        let mut marker = Marker::new(0);
+        marker.scatter(1, 17);
+        let first = asks(&mut marker);
+        marker.scatter(2, 17);
+        assert_eq!(asks(&mut marker), []);
+        let word = Follows::Marks { scatters: vec![1], marks: Some(Marks::default()) };
+        assert_eq!(marker.said(first[0].number, Said::Absent), [word]);
+        assert_eq!(asks(&mut marker).len(), 1);
+        let damaged = Said::Stands { version: 1, value: vec![9; 3] };
+        assert_eq!(marker.said(1, damaged), [Follows::Marks { scatters: vec![2], marks: None }]);
+    }
+}
--- a/crates/scatter/src/marks.rs
+++ b/crates/scatter/src/marks.rs
@@ -66,17 +66,21 @@
     format!("group/{group}")
 }
 
-/// A load's text as it goes to the site, which is to name the number in its summary once the load is in it.
-pub fn numbered(number: u64, statement: &[u8]) -> Vec<u8> {
-    [format!("/* load {number} */ ").as_bytes(), statement].concat()
+/// A load's text as it goes to the site, which is to name the numbers in its summaries once the load is in them.
+pub fn numbered(numbers: &[(u32, u64)], statement: &[u8]) -> Vec<u8> {
+    let all: Vec<String> = numbers.iter().map(|(group, number)| format!("{group}:{number}")).collect();
+    [format!("/* load {} */ ", all.join(" ")).as_bytes(), statement].concat()
 }
 
-/// The number that a load carries.
-pub fn number(statement: &[u8]) -> Option<u64> {
-    let rest = statement.strip_prefix(b"/* load ")?;
-    let end = rest.iter().position(|c| *c == b' ')?;
-    rest.get(end..)?.strip_prefix(b" */ ")?;
-    std::str::from_utf8(&rest[..end]).ok()?.parse().ok()
+/// The groups and numbers that a load carries.
+pub fn numbers(statement: &[u8]) -> Vec<(u32, u64)> {
+    let text = String::from_utf8_lossy(statement);
+    let head = text.strip_prefix("/* load ").and_then(|rest| rest.split_once(" */"));
+    let pair = |pair: &str| {
+        let (group, number) = pair.split_once(':')?;
+        Some((group.parse().ok()?, number.parse().ok()?))
+    };
+    head.map_or(Vec::new(), |(numbers, _)| numbers.split(' ').filter_map(pair).collect())
 }
 
 impl Marks {
--- a/crates/scatter/tests/loads.rs
+++ b/crates/scatter/tests/loads.rs
@@ -7,7 +7,7 @@
 use ed25519_dalek::SigningKey;
 use hallmux_scatter::book::{Book, Terms};
 use hallmux_scatter::build::{summary, About, TableBuilder};
-use hallmux_scatter::marks::{number, numbered, Marks, Touched};
+use hallmux_scatter::marks::{numbered, numbers, Marks, Touched};
 use hallmux_scatter::plan::{plan, Word};
 use hallmux_scatter::sql;
 use hallmux_scatter::summary::{Loads, MOST_BYTES};
@@ -99,13 +99,13 @@
                 marks.tidy(now, |name| books[front].look(now, name, 17));
                 let n = marks.add(SITES[site], now + LIFE_MS, Touched::by(text.as_bytes(), 17));
                 entry = marks.bytes().unwrap();
-                under_way.push((now + LIFE_MS, site, value, numbered(n, text.as_bytes())));
+                under_way.push((now + LIFE_MS, site, value, numbered(&[(17, n)], text.as_bytes())));
             }
             Step::Run { which, lost } if !under_way.is_empty() => {
                 let (ends, site, value, text) = under_way.remove(which % under_way.len());
                 if !lost && now < ends {
                     sites[site].rows.push(value);
-                    sites[site].loads.insert(number(&text).unwrap());
+                    numbers(&text).iter().for_each(|(_, n)| sites[site].loads.insert(*n));
                 }
             }
             Step::Write { site } => {
