--- a/crates/scatter/src/marker.rs
+++ b/crates/scatter/src/marker.rs
@@ -12,6 +12,9 @@
 /// Who waits: a load's execution or a scatter, as the caller knows it.
 pub type Waiter = (u64, usize);
 
+/// Loads, and the number that each gets.
+type Batch = Vec<(Waiter, u64)>;
+
 /// What is to be asked of the ledger.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
@@ -72,7 +75,7 @@
     marks: Marks,
     queue: BTreeSet<Waiter>,
     /// The change that is asked for: its number, loads and the marks as they will be.
-    put: Option<(u64, Vec<(Waiter, u64)>, Marks)>,
+    put: Option<(u64, Batch, Marks)>,
     tries: u32,
     readers: Vec<u64>,
     read: Option<(u64, Vec<u64>)>,
@@ -216,7 +219,7 @@
     }
 }
 
-fn turn_away(loads: &mut BTreeMap<Waiter, Load>, batch: Vec<(Waiter, u64)>, follows: &mut Vec<Follows>) {
+fn turn_away(loads: &mut BTreeMap<Waiter, Load>, batch: Batch, follows: &mut Vec<Follows>) {
     for (load, _) in batch {
         if loads.remove(&load).is_some() {
             follows.push(Follows::TurnAway { load });
