--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -19,7 +19,7 @@
 use crate::doors::{Changes, Door, Party};
 use crate::engines::Engines;
 use crate::entrance::Entrance;
-use crate::fleet::Peers;
+use crate::fleet::{Guard, Peers};
 use crate::link::Link;
 use crate::postgres::portal::Portal;
 use crate::scatter::Scatters;
@@ -45,6 +45,8 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
+    /// Where fronts keep promises: what waits for them.
+    guard: Option<Guard>,
     /// Statements that are asked of several sites, likewise.
     scatter: Option<Scatters>,
     shutdown: Shutdown,
@@ -83,12 +85,17 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
+            guard: None,
             scatter,
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
             handle,
         };
+        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+            let now = front.clock.now;
+            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+        }
         front.limit(&station.limits);
         front.follow(known, 0);
         Ok(front)
@@ -105,7 +112,8 @@
             self.entrance.due(),
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
-            self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.peers.as_ref().map_or(Micros::MAX, |peers| peers.due(self.clock.now)),
+            self.guard.as_ref().map_or(Micros::MAX, Guard::due),
             self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
@@ -176,6 +184,7 @@
         self.clock.decides();
         for _ in 0..ROUNDS {
             self.heard();
+            self.guarded();
             let orders = self.dispatcher.tick(self.clock.now);
             if orders.is_empty() {
                 break;
@@ -270,6 +279,8 @@
         !self.entrance.is_open()
             && self.clients.len() == 0
             && self.portal.as_ref().is_none_or(|portal| portal.len() == 0)
+            // What it holds for others is freed first.
+            && self.guard.as_ref().is_none_or(Guard::is_idle)
     }
 
     fn accept(&mut self) {
