Loads are marked in the ledger before they leave, and a scatter reads the marks after it came

Need: a summary may rule a site out only while no load that it does not speak of could have brought a matching row, at whatever front it went. Change: crates/front/src/scatter/loads.rs holds what may write to a group until its mark stands, numbers it for its site, and turns it away where no majority answers; scatters wait for a read begun after they came. scatter.loads 'marked' needs gossip.ledger and is refused beside PostgreSQL sessions, whose loads are not marked yet. Test with three front processes: a load at one front is seen by the others under old summaries, a load whose keys are known asks no site for other keys, a new summary lifts the mark, and without a majority every site is asked and no load runs.

--- a/crates/agreement/src/operator/scatter.rs
+++ b/crates/agreement/src/operator/scatter.rs
@@ -27,6 +27,8 @@
     #[serde(default)]
     schemas: BTreeMap<String, u32>,
     loads: Option<String>,
+    #[serde(default)]
+    writes: Vec<String>,
     whole_site: Option<String>,
     #[serde(default)]
     partial: Vec<String>,
@@ -74,6 +76,8 @@
     pub schemas: BTreeMap<u32, u32>,
     /// Loads go through fronts and are marked. False: no load goes through any.
     pub marked: bool,
+    /// Workloads whose statements may write: those that are not idempotent, and those named.
+    pub writes: Vec<String>,
     /// Has all rows: what parts can't make up is asked there.
     pub whole_site: Option<String>,
     /// Customers that take an answer which says what is missing in it.
@@ -131,6 +135,12 @@
             return refuse(&format!("partial[{n}]"), &why);
         }
     }
+    for (n, name) in file.writes.iter().enumerate() {
+        if !names.workloads.contains(name) {
+            let why = format!("'{name}' is not among the settings' {:?}", names.workloads);
+            return refuse(&format!("writes[{n}]"), &why);
+        }
+    }
     let marked = match file.loads.as_deref() {
         None | Some("marked") => true,
         Some("none") => false,
@@ -147,7 +157,10 @@
             return refuse(key, &format!("is not from {least} to {most}"));
         }
     }
-    let ScatterFile { workloads, directory, whole_site, partial, .. } = file;
+    let ScatterFile { workloads, directory, whole_site, partial, writes, .. } = file;
+    let effects = names.workloads.iter().zip(&contract.agreement.workloads);
+    let may_write = effects.filter(|(name, w)| w.effect != Effect::Idempotent || writes.contains(name));
+    let writes = may_write.map(|(name, _)| name.clone()).collect();
     let (oldest_ms, ahead_ms) = (file.oldest_ms, file.ahead_ms);
     let (most, at_once, answer_bytes) = (file.most, file.at_once, file.answer_bytes);
     Ok(Scatter {
@@ -156,6 +169,7 @@
         directory,
         schemas,
         marked,
+        writes,
         whole_site,
         partial,
         oldest_ms,
@@ -173,18 +187,20 @@
     #[test]
     fn what_names_nothing_known_is_refused_with_its_line() {
         let good = format!(
-            "{{ scatter: {{\nworkloads: ['lookup'],\nsites: {{ here: '{}' }},\nschemas: {{ '17': 3 }} }} }}",
+            "{{ scatter: {{\nloads: 'none', workloads: ['lookup'],\nsites: {{ here: '{}' }},\nschemas: {{ '17': 3 }} }} }}",
             "0f".repeat(32)
         );
         let scatter = read(&good).unwrap().scatter.unwrap();
-        assert_eq!((scatter.schemas.get(&17), scatter.marked), (Some(&3), true));
+        assert_eq!((scatter.schemas.get(&17), scatter.marked), (Some(&3), false));
         for (from, to, why) in [
             ("'lookup'", "'pay'", "line 2: scatter.workloads[0]: 'pay' is not among"),
             ("here:", "there:", "line 3: scatter.sites.there: 'there' is not among"),
             ("'0f", "'0", "line 3: scatter.sites.here: is no key"),
             ("'17'", "'x'", "line 4: scatter.schemas.x: is no number"),
             ("schemas:", "whole_site: 'x', schemas:", "line 4: scatter.whole_site: 'x' is not among"),
-            ("schemas:", "loads: 'x', schemas:", "line 4: scatter.loads: 'x' is neither"),
+            ("'none'", "'x'", "line 2: scatter.loads: 'x' is neither"),
+            ("'none'", "'marked'", "line 2: scatter.loads: 'marked' needs gossip.ledger"),
+            ("schemas:", "writes: ['x'], schemas:", "line 4: scatter.writes[0]: 'x' is not among"),
             ("schemas:", "oldest_ms: 1, schemas:", "line 4: scatter.oldest_ms: is not from"),
             ("schemas:", "partial: ['x'], schemas:", "line 4: scatter.partial[0]: 'x' is not among"),
             ("'lookup'", "", "line 3: scatter.sites: names none"),
--- a/crates/agreement/src/operator/whole.rs
+++ b/crates/agreement/src/operator/whole.rs
@@ -68,6 +68,15 @@
         let postgres = file.postgres.map(|p| postgres(text, p, contract)).transpose()?;
         let gossip = file.gossip.map(|g| gossip(text, g)).transpose()?;
         let scatter = file.scatter.map(|s| scatter(text, s, contract)).transpose()?;
+        let marked = scatter.as_ref().is_some_and(|scatter| scatter.marked);
+        if marked && gossip.as_ref().is_none_or(|gossip| gossip.ledger.is_none()) {
+            let what = "'marked' needs gossip.ledger, where marks stand; 'none' says that no load goes through a front";
+            return Err(fault(text, "scatter.loads", what));
+        }
+        if marked && postgres.is_some() {
+            let what = "'marked' can't be had beside 'postgres': loads of its sessions are not marked";
+            return Err(fault(text, "scatter.loads", what));
+        }
         let load_signal = file.load_signal.map(|l| load_signal(text, &l, contract)).transpose()?;
         let ahead = file.clock_ahead_ms;
         if !ahead.is_finite() || ahead.abs() > MOST_AHEAD_MS {
--- a/crates/codec/src/statement.rs
+++ b/crates/codec/src/statement.rs
@@ -37,7 +37,7 @@
 }
 
 /// A statement and its fields, as they came.
-#[derive(Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Call {
     pub id: String,
     pub workload: String,
--- a/crates/front/src/fleet/gate.rs
+++ b/crates/front/src/fleet/gate.rs
@@ -4,7 +4,7 @@
 
 use hallmux_agreement::Contract;
 use hallmux_dispatcher::{Dispatcher, Micros, Terms, Ticket};
-use hallmux_fleet::gate::{Gate, Ordered, Ruling};
+use hallmux_fleet::gate::{Gate, Ordered, Ruling, NUMBERS};
 
 use super::Peers;
 use crate::engines::Sent;
@@ -78,7 +78,7 @@
         }
         self.gate.tick(now);
         loop {
-            let (done, asks) = (peers.promised(), self.gate.asks());
+            let (done, asks) = (peers.promised(NUMBERS), self.gate.asks());
             if done.is_empty() && asks.is_empty() {
                 break;
             }
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -26,6 +26,7 @@
 use crate::doors::{Changes, Door};
 
 const ONE_TURN: usize = 64; // datagrams taken before others have their turn
+const PART: u32 = 56; // bits of a number that a part of the front counts in
 const SAID: Micros = 10_000_000; // microseconds between lines of the log on what was refused
 
 pub struct Peers {
@@ -42,6 +43,7 @@
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
+    done: Vec<Done>,
 }
 
 fn keys(gossip: &Gossip) -> Rc<Keys> {
@@ -128,6 +130,7 @@
             owns: None,
             refused_acts: BTreeMap::new(),
             letters: BTreeMap::new(),
+            done: Vec::new(),
         })
     }
 
@@ -179,7 +182,7 @@
     pub fn post(&mut self, now: Micros, to: PeerId, channel: Channel, bytes: &[u8]) {
         let at = self.moment(now);
         let datagrams = self.exchange.post(at, to, channel, bytes).into_iter().collect();
-        self.send(Out { datagrams, ..Out::default() });
+        self.send(now, Out { datagrams, ..Out::default() });
     }
 
     /// The other fronts whose word counts.
@@ -222,9 +225,10 @@
         self.send(now, out);
     }
 
-    /// What the ledger has answered.
-    pub fn promised(&mut self) -> Vec<Done> {
-        self.exchange.promised()
+    /// What the ledger has answered to a part of the front, which numbers its asks from the number given on.
+    pub fn promised(&mut self, part: u64) -> Vec<Done> {
+        self.done.extend(self.exchange.promised());
+        self.done.extract_if(.., |done| done.number >> PART == part >> PART).collect()
     }
 
     /// Does what is due; the log says what is new, and what was refused.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -71,7 +71,7 @@
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
         let turn = peers.as_ref().map_or(0, Peers::turn);
         let scatter = station.operator.scatter.as_ref();
-        let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn)).transpose()?;
+        let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn, contract)).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
@@ -185,6 +185,7 @@
         for _ in 0..ROUNDS {
             self.heard();
             self.guarded();
+            self.marked();
             let orders = self.dispatcher.tick(self.clock.now);
             if orders.is_empty() {
                 break;
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -86,7 +86,13 @@
         }
         let part = || self.scatter.as_ref().and_then(|scatter| scatter.call(sent.0));
         match self.clients.call(sent.0).or_else(part) {
-            Some(call) => self.engines.send(now, sent, place, call, terms),
+            Some(call) => {
+                let loads = self.scatter.as_mut().and_then(|scatter| scatter.loads.as_mut());
+                let ordered = (sent, place, terms);
+                if !loads.is_some_and(|loads| loads.holds(now, &mut self.dispatcher, ordered, &call)) {
+                    self.engines.send(now, sent, place, call, terms);
+                }
+            }
             None => _ = self.dispatcher.report(now, sent.0, sent.1, Ending::Withdrawn, None, None),
         }
     }
@@ -107,6 +113,15 @@
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
+            Order::Stop { ticket, execution, .. }
+                if self
+                    .scatter
+                    .as_mut()
+                    .and_then(|scatter| scatter.loads.as_mut())
+                    .is_some_and(|loads| loads.stops((ticket, execution))) =>
+            {
+                self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
+            }
             Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
             }
--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -3,13 +3,14 @@
 use std::rc::Rc;
 
 use hallmux_codec::statement::{self, Call, Reply};
-use hallmux_dispatcher::{Micros, Ticket, Unfit};
+use hallmux_dispatcher::{Micros, Order, Ticket, Unfit};
 use hallmux_gossip::post::Channel;
+use hallmux_scatter::marker::Follows;
 use hallmux_scatter::whole::{Answer, Failed};
 
 use super::Front;
 use crate::clients::{self, ClientId};
-use crate::scatter::{Said, Scatters};
+use crate::scatter::{Said, Scatters, Word, NUMBERS};
 
 impl Front {
     /// Takes a statement of a workload that is scattered, where parts can make up its answer. Gives it back with the one
@@ -66,13 +67,49 @@
             }
             letters.iter().for_each(|(to, bytes)| peers.post(now, *to, Channel::Summaries, bytes));
         }
-        // Without a ledger there is no word on loads: all are asked.
-        for (_, waiting) in scatter.wanted() {
-            scatter.marks(now, &waiting, None, &mut self.dispatcher);
+        if let Some(loads) = &mut scatter.loads {
+            loads.note(now, &mut self.dispatcher);
         }
+        self.marked();
         self.answer_scatters(told);
     }
 
+    /// Asks the ledger for marks and takes its answers: loads leave, scatters begin.
+    pub(super) fn marked(&mut self) {
+        loop {
+            let now = self.clock.now;
+            let Some((scatter, peers)) = self.scatter.as_mut().zip(self.peers.as_mut()) else { return };
+            let Some(loads) = &mut scatter.loads else { return };
+            let mut words: Vec<Word> =
+                peers.promised(NUMBERS).into_iter().flat_map(|done| loads.done(done)).collect();
+            let (asks, more) = loads.asks(now, &scatter.summaries.book);
+            words.extend(more);
+            if words.is_empty() && asks.is_empty() {
+                return;
+            }
+            asks.into_iter().for_each(|ask| peers.ask(now, ask));
+            for word in words {
+                match word {
+                    Word::Send { sent, place, terms, call } => {
+                        self.dispatcher.leaves(now, sent.0, sent.1);
+                        self.engines.send(now, sent, place, call, terms);
+                    }
+                    Word::TurnAway((ticket, _)) => {
+                        let retry_after = self.dispatcher.turn_away(now, ticket);
+                        self.obey(Order::Reject { ticket, retry_after });
+                    }
+                    Word::Other(Follows::Marks { scatters, marks }) => {
+                        let waiting: Vec<Ticket> = scatters.iter().map(|ticket| *ticket as Ticket).collect();
+                        if let Some(scatter) = &mut self.scatter {
+                            scatter.marks(now, &waiting, marks.as_ref(), &mut self.dispatcher);
+                        }
+                    }
+                    Word::Other(_) => {}
+                }
+            }
+        }
+    }
+
     pub(super) fn answer_scatters(&mut self, told: &mut Vec<clients::Told>) {
         for (ticket, said) in self.scatter.as_mut().map(Scatters::said).unwrap_or_default() {
             match said {
--- /dev/null
+++ b/crates/front/src/scatter/loads.rs
@@ -0,0 +1,159 @@
+//! Loads wait here until they are marked, and scatters for the ledger's word on loads.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use hallmux_codec::statement::Call;
+use hallmux_codec::tables;
+use hallmux_dispatcher::{Dispatcher, Micros, Terms};
+use hallmux_ledger::{Act, Ask, Done, Key, Kind, Outcome};
+use hallmux_scatter::book::Book;
+use hallmux_scatter::marker::{self, Follows, Marker, Said, What};
+use hallmux_scatter::marks::{key, numbered, Touched};
+use hallmux_scatter::sql;
+
+use crate::engines::Sent;
+
+/// The highest byte of the numbers of this part's asks: others of one front have others.
+pub const NUMBERS: u64 = 3 << 56;
+const RUNS_ON: Micros = 60_000_000; // microseconds beyond a statement's end for which an execution of it may run on
+const NOTED: Micros = 100_000; // microseconds between words to the dispatcher that an execution is still held
+
+/// An execution that is held.
+struct Held {
+    place: usize,
+    terms: Terms,
+    call: Rc<Call>,
+}
+
+pub struct Loads {
+    marker: Marker,
+    held: HashMap<Sent, Held>,
+    /// Workloads whose statements may write.
+    writes: Vec<String>,
+    locations: Vec<String>,
+    noted: Micros,
+}
+
+/// What becomes of what waited.
+pub enum Word {
+    /// It leaves, as it is to be sent.
+    Send {
+        sent: Sent,
+        place: usize,
+        terms: Terms,
+        call: Rc<Call>,
+    },
+    TurnAway(Sent),
+    Other(Follows),
+}
+
+impl Loads {
+    pub fn new(writes: Vec<String>, locations: Vec<String>) -> Loads {
+        Loads { marker: Marker::new(NUMBERS), held: HashMap::new(), writes, locations, noted: 0 }
+    }
+
+    /// Holds an execution of what may write to groups of tables until it is marked. False: it needs no mark.
+    pub fn holds(
+        &mut self,
+        now: Micros,
+        dispatcher: &mut Dispatcher,
+        (sent, place, terms): (Sent, usize, Terms),
+        call: &Rc<Call>,
+    ) -> bool {
+        if !self.writes.contains(&call.workload) {
+            return false;
+        }
+        let groups = tables::groups(&call.statement);
+        if groups.is_empty() || sql::read(&call.statement).is_ok() {
+            return false;
+        }
+        let of = |group| (group, Touched::by(&call.statement, group));
+        let only = |touched: &Touched| matches!(touched, Touched::Rows { .. });
+        let mut touched: std::collections::BTreeMap<u32, Touched> = groups.iter().map(|g| of(*g)).collect();
+        // Rows for one table alone are rows for no other group.
+        if touched.values().any(only) {
+            touched.retain(|_, touched| only(touched));
+        }
+        let Some(site) = self.locations.get(dispatcher.site(place).location) else { return false };
+        let ends_ms = ((terms.ends + RUNS_ON).max(0) / 1000) as u64;
+        self.marker.load((u64::from(sent.0), sent.1), site, ends_ms, touched);
+        self.held.insert(sent, Held { place, terms, call: call.clone() });
+        dispatcher.waits(now, sent.0, sent.1);
+        true
+    }
+
+    /// An execution is given up. True if it was held.
+    pub fn stops(&mut self, sent: Sent) -> bool {
+        self.marker.stop((u64::from(sent.0), sent.1));
+        self.held.remove(&sent).is_some()
+    }
+
+    /// A scatter waits for the word on its group.
+    pub fn scatter(&mut self, ticket: hallmux_dispatcher::Ticket, group: u32) {
+        self.marker.scatter(u64::from(ticket), group);
+    }
+
+    pub fn due(&self) -> Micros {
+        if self.held.is_empty() {
+            Micros::MAX
+        } else {
+            self.noted + NOTED
+        }
+    }
+
+    /// The dispatcher is told that what is held still is.
+    pub fn note(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
+        if self.noted + NOTED <= now {
+            self.noted = now;
+            self.held.keys().for_each(|sent| dispatcher.waits(now, sent.0, sent.1));
+        }
+    }
+
+    /// What is to be asked of the ledger now.
+    pub fn asks(&mut self, now: Micros, book: &Book) -> (Vec<Ask>, Vec<Word>) {
+        let wall_ms = (now / 1000) as u64;
+        let (asks, follows) = self.marker.asks(wall_ms, |site, group| book.look(wall_ms, site, group));
+        let words = follows.into_iter().map(|f| self.word(f)).collect();
+        (asks.into_iter().map(ask).collect(), words)
+    }
+
+    /// What follows from an answer of the ledger.
+    pub fn done(&mut self, done: Done) -> Vec<Word> {
+        let said = match done.outcome {
+            Outcome::Stands(entry) => Said::Stands { version: entry.version, value: entry.value },
+            Outcome::Held(entry) => Said::Held { version: entry.version, value: entry.value },
+            Outcome::Absent => Said::Absent,
+            Outcome::Unreachable | Outcome::Full => Said::Unreachable,
+        };
+        self.marker.said(done.number, said).into_iter().map(|f| self.word(f)).collect()
+    }
+
+    fn word(&mut self, follows: Follows) -> Word {
+        let sent = |(ticket, execution): marker::Waiter| (ticket as u32, execution);
+        match follows {
+            Follows::Go { load, numbers } => match self.held.remove(&sent(load)) {
+                Some(Held { place, terms, call }) => {
+                    let statement = numbered(&numbers, &call.statement);
+                    let call = Rc::new(Call { statement, ..Call::clone(&call) });
+                    Word::Send { sent: sent(load), place, terms, call }
+                }
+                None => Word::TurnAway(sent(load)),
+            },
+            Follows::TurnAway { load } => {
+                self.held.remove(&sent(load));
+                Word::TurnAway(sent(load))
+            }
+            other => Word::Other(other),
+        }
+    }
+}
+
+fn ask(ask: marker::Ask) -> Ask {
+    let act = match ask.what {
+        What::Read => Act::Read,
+        // It never ends: what it says of versions holds for good.
+        What::Put { expects, value } => Act::Put { expects: Some(expects), ends_ms: 0, value },
+    };
+    Ask { number: ask.number, key: Key { kind: Kind::Mark, name: key(ask.group) }, act }
+}
--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use hallmux_agreement::Scatter;
+use hallmux_agreement::{Contract, Scatter};
 use hallmux_codec::statement::Call;
 use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Ticket, Unfit};
 use hallmux_gossip::PeerId;
@@ -12,6 +12,7 @@
 use hallmux_scatter::sql::{self, Query};
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
 
+use super::loads::Loads;
 use super::summaries::Summaries;
 
 const SAID: Micros = 60_000_000; // microseconds between lines of the log that say the same
@@ -41,11 +42,11 @@
     settings: Scatter,
     sites: Vec<String>,
     pub summaries: Summaries,
+    /// Marks of loads, where the operator has them marked.
+    pub loads: Option<Loads>,
     open: HashMap<Ticket, One>,
     /// Whose parts they are, and in which places.
     parts: HashMap<Ticket, (Ticket, usize)>,
-    /// Groups whose marks are to be read, and the statements that wait for them.
-    wanted: BTreeMap<u32, Vec<Ticket>>,
     said: Vec<(Ticket, Said)>,
     /// Sites asked, left out, and of how many in all.
     counts: (u64, u64),
@@ -53,15 +54,22 @@
 }
 
 impl Scatters {
-    pub fn new(settings: &Scatter, now: Micros, turn: usize) -> std::io::Result<Scatters> {
+    pub fn new(
+        settings: &Scatter,
+        now: Micros,
+        turn: usize,
+        contract: &Contract,
+    ) -> std::io::Result<Scatters> {
+        let locations = contract.names.locations.clone();
+        let loads = settings.marked.then(|| Loads::new(settings.writes.clone(), locations));
         log::info!("statements of {:?} are asked of sites {:?}", settings.workloads, settings.sites.keys());
         Ok(Scatters {
             sites: settings.sites.keys().cloned().collect(),
             summaries: Summaries::new(settings, now, turn)?,
+            loads,
             settings: settings.clone(),
             open: HashMap::new(),
             parts: HashMap::new(),
-            wanted: BTreeMap::new(),
             said: Vec::new(),
             counts: (0, 0),
             told: 0,
@@ -108,17 +116,12 @@
         let group = query.group;
         let one = One { call, query, ends, allowed, whole: None, tickets: BTreeMap::new() };
         self.open.insert(ticket, one);
-        match self.settings.marked {
-            true => self.wanted.entry(group).or_default().push(ticket),
-            false => self.go(now, ticket, &Word::NoLoads, dispatcher),
+        match &mut self.loads {
+            Some(loads) => loads.scatter(ticket, group),
+            None => self.go(now, ticket, &Word::NoLoads, dispatcher),
         }
     }
 
-    /// Groups whose marks are to be read from the ledger now, and the statements that came before that.
-    pub fn wanted(&mut self) -> BTreeMap<u32, Vec<Ticket>> {
-        std::mem::take(&mut self.wanted)
-    }
-
     /// The ledger's word on a group's marks, or that it has none to give.
     pub fn marks(
         &mut self,
@@ -256,8 +259,9 @@
 
     /// When `tick` is next due; without other fronts there is nothing to spread.
     pub fn due(&self, has_peers: bool) -> Micros {
-        match (self.wanted.is_empty() && self.said.is_empty(), has_peers) {
-            (true, true) => self.summaries.due(),
+        let loads = self.loads.as_ref().map_or(Micros::MAX, Loads::due);
+        match (self.said.is_empty(), has_peers) {
+            (true, true) => self.summaries.due().min(loads),
             (true, false) => Micros::MAX,
             _ => 0,
         }
--- a/crates/front/tests/scatter/main.rs
+++ b/crates/front/tests/scatter/main.rs
@@ -115,9 +115,18 @@
 
     /// The same, with so many milliseconds for it.
     fn asks_within(&mut self, limit: &str, customer: &str, statement: &str) -> Vec<u8> {
+        self.says("lookup", limit, customer, statement)
+    }
+
+    /// A statement that writes.
+    fn loads(&mut self, statement: &str) -> Vec<u8> {
+        self.says("pay", "5000", "acme", statement)
+    }
+
+    fn says(&mut self, workload: &str, limit: &str, customer: &str, statement: &str) -> Vec<u8> {
         self.asked += 1;
         let txn = format!("{:016x}", self.asked + self.process.id() * 1000);
-        let fields = [("txn", txn.as_str()), ("verb", "lookup"), ("limit", limit), ("team", customer)];
+        let fields = [("txn", txn.as_str()), ("verb", workload), ("limit", limit), ("team", customer)];
         let mut message = vec![0x80, 1, 0, 1, 0, 0, 0, 5];
         message.extend(b"serve\0\0\0\x01\x0d\0\x01\x0b\x0b");
         message.extend((fields.len() as u32).to_be_bytes());
@@ -202,66 +211,110 @@
     let mut front = Front::start("n1", &folder, &sites, &file);
     assert_eq!(front.rows("acme", "select distinct id, a, b from sales_17.orders"), [1, 2, 3]);
     assert_eq!(asked(&sites), ["oak"]);
-    // Without the ledger's word on loads, and without summaries, every site is asked.
-    front.signal("-TERM");
-    let file = file.replace("loads: 'none', whole_site: 'oak'", "");
+    // Without summaries every site is asked.
+    let file = file.replace(", whole_site: 'oak'", "");
     let mut front = Front::start("n2", &folder, &sites, &file);
     assert_eq!(front.rows("acme", "select id, a, b from sales_17.orders where id = 3"), [3]);
     assert_eq!(asked(&sites), ["ash", "oak"]);
 }
 
-#[test]
-fn summaries_come_from_other_fronts_and_what_is_forged_or_damaged_is_not_used() {
-    let folder = room("fronts");
-    let sites = [Site::new("ash", &[1, 2]), Site::new("oak", &[21, 22])];
+/// Three fronts that talk with each other, each with its own directory of summaries; with a ledger where `marked`.
+fn fleet(name: &str, sites: &[Site], directories: &[PathBuf], marked: bool) -> Vec<Front> {
+    let folder = room(name);
     // The ports are the system's: bound once to learn them, then left to the fronts.
     let sockets: Vec<UdpSocket> = (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
     let at: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
     drop(sockets);
     let secret = |n: usize| [n as u8 + 60; 32];
-    let peers: Vec<String> = (0..3)
-        .map(|n| {
-            format!("n{n}: '{}'", hexadecimal(SigningKey::from_bytes(&secret(n)).verifying_key().as_bytes()))
-        })
-        .collect();
-    let mut fronts: Vec<Front> = (0..3)
-        .map(|n| {
-            let directory = room(&format!("fronts-{n}"));
-            match n {
-                0 => sites.iter().for_each(|site| site.writes(&directory, 1)),
-                // Signed by another than its site, and cut short: in this front's own directory.
-                1 => {
-                    let forger = Site::new("ash", &[]).signs_as(9);
-                    forger.writes(&directory, 7);
-                    std::fs::write(directory.join("short"), [1, 2, 3]).unwrap();
-                }
-                _ => {}
-            }
-            let key = folder.join(format!("secret-{n}"));
-            std::fs::write(&key, hexadecimal(&secret(n))).unwrap();
-            let gossip = format!(
-                "gossip: {{ listen: '{}', secret_file: '{}', peers: {{ {} }}, seeds: ['{}'] }}",
-                at[n],
-                key.display(),
-                peers.join(", "),
-                at[(n + 1) % 3]
-            );
-            let file = operator(&sites, &directory, "loads: 'none'", &gossip);
-            Front::start(&format!("n{n}"), &folder, &sites, &file)
-        })
-        .collect();
-    let text = "select id, a, b from sales_17.orders where id = 22";
-    for front in &mut fronts {
-        let until = Instant::now() + PATIENCE;
-        loop {
-            assert_eq!(front.rows("acme", text), [22], "never a row missing, with summaries or without");
-            if asked(&sites) == ["oak"] {
-                break;
-            }
-            assert!(Instant::now() < until, "summaries have not come");
-            std::thread::sleep(Duration::from_millis(50));
+    let public = |n: usize| hexadecimal(SigningKey::from_bytes(&secret(n)).verifying_key().as_bytes());
+    let peers: Vec<String> = (0..3).map(|n| format!("n{n}: '{}'", public(n))).collect();
+    let members: Vec<String> = (0..3).map(|n| format!("n{n}: {{ at: '{}' }}", at[n])).collect();
+    let (ledger, loads) = match marked {
+        true => (format!("ledger: {{ fleet: 'test', members: {{ {} }} }},", members.join(", ")), "marked"),
+        false => (String::new(), "none"),
+    };
+    let front = |n: usize| {
+        let key = folder.join(format!("secret-{n}"));
+        std::fs::write(&key, hexadecimal(&secret(n))).unwrap();
+        let gossip = format!(
+            "gossip: {{ listen: '{}', secret_file: '{}', {ledger} peers: {{ {} }}, seeds: ['{}'] }}",
+            at[n],
+            key.display(),
+            peers.join(", "),
+            at[(n + 1) % 3]
+        );
+        let file = operator(sites, &directories[n], &format!("loads: '{loads}'"), &gossip);
+        Front::start(&format!("n{n}"), &folder, sites, &file)
+    };
+    (0..3).map(front).collect()
+}
+
+const SELECT: &str = "select id, a, b from sales_17.orders where id = ";
+
+/// Asks until only the sites named are asked; the rows are to be right at each try.
+fn settles(front: &mut Front, sites: &[Site], id: i64, rows: &[i64], of: &[&str]) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        assert_eq!(front.rows("acme", &format!("{SELECT}{id}")), rows, "never a row missing");
+        let asked = asked(sites);
+        if asked == of {
+            return;
         }
-        assert_eq!(front.rows("acme", "select id, a, b from sales_17.orders where id = 1"), [1]);
-        assert_eq!(asked(&sites), ["ash"], "the forged summary of an empty site counts for nothing");
+        assert!(Instant::now() < until, "{asked:?} are asked, not {of:?}");
+        std::thread::sleep(Duration::from_millis(20));
     }
 }
+
+#[test]
+fn summaries_come_from_other_fronts_and_what_is_forged_or_damaged_is_not_used() {
+    let sites = [Site::new("ash", &[1, 2]), Site::new("oak", &[21, 22])];
+    let directories: Vec<PathBuf> = (0..3).map(|n| room(&format!("forged-{n}"))).collect();
+    sites.iter().for_each(|site| site.writes(&directories[0], 1));
+    // Signed by another than its site, and cut short: in this front's own directory.
+    Site::new("ash", &[]).signs_as(9).writes(&directories[1], 7);
+    std::fs::write(directories[1].join("short"), [1, 2, 3]).unwrap();
+    for front in &mut fleet("forged", &sites, &directories, false) {
+        settles(front, &sites, 22, &[22], &["oak"]);
+        settles(front, &sites, 1, &[1], &["ash"]);
+    }
+}
+
+#[test]
+fn a_load_at_one_front_is_seen_by_a_scatter_at_another_whatever_summaries_say() {
+    let sites = [Site::new("ash", &[1, 2]), Site::new("oak", &[21, 22])];
+    let directories = vec![room("loads-summaries"); 3];
+    sites.iter().for_each(|site| site.writes(&directories[0], 1));
+    let mut fronts = fleet("loads", &sites, &directories, true);
+    settles(&mut fronts[1], &sites, 22, &[22], &["oak"]);
+    let held = fronts[0].loads("insert into sales_17.orders (id) values (500)");
+    assert!(held.starts_with(&[12, 0, 0]), "{held:?}");
+    let site = sites.iter().position(|site| site.has(500)).unwrap();
+    sites.iter().for_each(|site| _ = site.asked());
+    // No summary has it; the mark stands at every front, and asks the one site for what the load may have touched.
+    for front in &mut fronts {
+        assert_eq!(front.rows("acme", &format!("{SELECT}500")), [500]);
+        assert_eq!(asked(&sites), [sites[site].name]);
+        assert_eq!(front.rows("acme", &format!("{SELECT}600")), [0; 0]);
+        assert_eq!(asked(&sites), [""; 0], "the load's keys are known");
+    }
+    // Of a load whose keys are not known nothing is proved at its site, until its summary speaks of it.
+    let held = fronts[2].loads("insert into sales_17.orders select v from sales_17.new -- values (700)");
+    assert!(held.starts_with(&[12, 0, 0]), "{held:?}");
+    let touched = sites.iter().position(|site| site.has(700)).unwrap();
+    sites.iter().for_each(|site| _ = site.asked());
+    assert_eq!(fronts[0].rows("acme", &format!("{SELECT}600")), [0; 0]);
+    assert_eq!(asked(&sites), [sites[touched].name]);
+    sites.iter().for_each(|site| site.writes(&directories[0], 2));
+    fronts.iter().for_each(|front| front.signal("-HUP"));
+    for front in &mut fronts {
+        settles(front, &sites, 600, &[], &[]);
+        settles(front, &sites, 700, &[700], &[sites[touched].name]);
+    }
+    // Without a majority there is no word on loads: every site is asked, and no load runs.
+    fronts.drain(..2);
+    assert_eq!(fronts[0].rows("acme", &format!("{SELECT}600")), [0; 0]);
+    assert_eq!(asked(&sites), ["ash", "oak"]);
+    let held = fronts[0].loads("insert into sales_17.orders (id) values (800)");
+    assert!(held.starts_with(&[12, 0, 1]), "{held:?}");
+    assert!(!sites.iter().any(|site| site.has(800)));
+}
--- a/crates/front/tests/scatter/site.rs
+++ b/crates/front/tests/scatter/site.rs
@@ -56,6 +56,11 @@
         std::mem::take(&mut self.held.lock().unwrap().asked)
     }
 
+    /// Whether it holds a row.
+    pub fn has(&self, id: i64) -> bool {
+        self.held.lock().unwrap().rows.contains(&id)
+    }
+
     pub fn fails(&self) {
         self.held.lock().unwrap().fails = true;
     }
