--- a/crates/codec/src/tables.rs
+++ b/crates/codec/src/tables.rs
@@ -115,6 +115,8 @@
         ] {
             assert_eq!(group(statement.as_bytes()), found, "{statement}");
         }
+        let all = groups(b"insert into b_9.t select 'c_3.d' from a_1.u join b_9.v, \"e_4\".w -- f_5.x", 16);
+        assert_eq!(all, [9, 1, 4]);
     }
 
     #[test]
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -28,6 +28,7 @@
 use crate::doors::{Changes, Door};
 
 const ONE_TURN: usize = 64; // datagrams taken before others have their turn
+const PART: u32 = 56; // bits of a number that a part of the front counts in
 const SAID: Micros = 10_000_000; // microseconds between lines of the log on what was refused
 
 pub struct Peers {
@@ -292,7 +293,7 @@
         self.done.extend(self.exchange.promised());
         self.done.append(&mut self.refused_asks);
         let (told, others) =
-            std::mem::take(&mut self.done).into_iter().partition(|done| done.number >> 56 == part >> 56);
+            std::mem::take(&mut self.done).into_iter().partition(|done| done.number >> PART == part >> PART);
         self.done = others;
         told
     }
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -95,7 +95,7 @@
             match ruling {
                 gate::Ruling::Go(gate::Ordered { ticket, execution, place, terms, .. }) => {
                     self.dispatcher.leaves(now, ticket, execution);
-                    self.send(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
+                    self.mark(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
                 }
                 gate::Ruling::TurnAway(ticket) => {
                     let retry_after = self.dispatcher.turn_away(now, ticket);
@@ -128,18 +128,35 @@
         let (now, sent) = (self.clock.now, (ticket, execution));
         let guard = self.guard.as_mut();
         if !guard.is_some_and(|guard| guard.holds(now, &mut self.dispatcher, (sent, place, terms))) {
-            self.send(ordered);
+            self.mark(ordered);
         }
     }
 
-    /// An execution leaves for its engine, if rules still let it: nothing may come between this look and its way.
-    fn send(&mut self, ordered: Ordered) {
+    /// An execution that has its promises waits for the mark on its load, or leaves.
+    fn mark(&mut self, ordered: Ordered) {
         let Ordered { ticket, execution, place, terms, .. } = ordered;
-        let (now, sent, dispatcher) = (self.clock.now, (ticket, execution), &mut self.dispatcher);
+        let (now, call) = (self.clock.now, self.call(ticket));
+        let loads = self.scatter.as_mut().and_then(|scatter| scatter.loads.as_mut());
+        let (dispatcher, held) = (&mut self.dispatcher, ((ticket, execution), place, terms));
+        if !loads.zip(call).is_some_and(|(loads, call)| loads.holds(now, dispatcher, held, &call)) {
+            self.send(ordered);
+        }
+    }
+
+    /// Whether rules still let it leave: nothing may come between this look and its way.
+    pub(super) fn may_leave(&mut self, ordered: Ordered) -> bool {
+        let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
         let may = |rules: &Shared| rules.borrow_mut().leaves(now, dispatcher, ordered);
-        if !self.rules.as_ref().is_none_or(may) {
+        self.rules.as_ref().is_none_or(may)
+    }
+
+    /// An execution leaves for its engine.
+    fn send(&mut self, ordered: Ordered) {
+        if !self.may_leave(ordered) {
             return;
         }
+        let Ordered { ticket, execution, place, terms, .. } = ordered;
+        let (now, sent) = (self.clock.now, (ticket, execution));
         if self.owns(ticket) {
             return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place));
         }
@@ -157,7 +174,7 @@
     }
 
     /// The statement that rules know: of a part the whole.
-    fn judged_as(&self, ticket: Ticket) -> Ticket {
+    pub(super) fn judged_as(&self, ticket: Ticket) -> Ticket {
         self.scatter.as_ref().and_then(|scatter| scatter.whole_of(ticket)).unwrap_or(ticket)
     }
 
@@ -182,6 +199,15 @@
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
+            Order::Stop { ticket, execution, .. }
+                if self
+                    .scatter
+                    .as_mut()
+                    .and_then(|scatter| scatter.loads.as_mut())
+                    .is_some_and(|loads| loads.stops((ticket, execution))) =>
+            {
+                self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
+            }
             Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
             }
