--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -153,3 +153,36 @@
     assert!(after.rounds - before.rounds <= 20, "{} rounds", after.rounds - before.rounds);
     sound(&fleet);
 }
+
+#[test]
+fn a_large_shard_is_copied_again_at_its_budget_though_letters_are_lost() {
+    let mut fleet = Fleet::new(3, 3, 1, 8);
+    fleet.setup.repair_bytes = 65_536;
+    (0..3).for_each(|n| fleet.start(n));
+    assert!(fleet.run_until(10 * SECOND, Fleet::is_whole));
+    for n in 0..250u64 {
+        let value = n.to_be_bytes().repeat(128);
+        fleet.surely(n as usize % 3, &format!("r{n}"), Act::Put { expects: None, ends_ms: 0, value });
+    }
+    let lost = (0..3).find(|n| Some(*n) != fleet.owner("r0")).unwrap();
+    fleet.lose(lost);
+    fleet.run(fleet.now + SECOND);
+    (fleet.lost, fleet.doubled) = (0.05, 0.05);
+    fleet.start(lost);
+    let since = fleet.now;
+    assert!(fleet.run_until(60 * SECOND, Fleet::is_whole));
+    // 270 KB at 64 KB a second.
+    let took = fleet.now - since;
+    assert!((3 * SECOND..12 * SECOND).contains(&took), "{took}");
+    // Cut off for long, a member is brought on by its log alone.
+    fleet.cut_off(&[lost]);
+    for n in 0..150u64 {
+        fleet.surely((lost + 1) % 3, &format!("r{n}"), put(n));
+    }
+    fleet.cut.clear();
+    fleet.run(fleet.now + 3 * SECOND);
+    for n in 0..250 {
+        assert!(matches!(fleet.surely(lost, &format!("r{n}"), Act::Read), Outcome::Stands(_)));
+    }
+    sound(&fleet);
+}
