Scenarios of the front keep their own time, and a front stopped at work knows what waited

page-lost.txt failed beside load, an execution sent again where a `shut` was awaited. Cause: not the front's 500 ms for a page, as was guessed (no play that failed logged "a page that never came"; the execution came 1 to 29 ms after its statement), but the player: an execution tried again leaves by a new connection, and `engine_hears` took the commands of all connections as one row, in the order in which the player's threads happened to read them. It keeps the order of each connection now.

Others were weak as well: silent.txt raced the module's look at silent engines, stands-still.txt found a fault of the front: stopped between its poll and its work (crates/front/src/clock.rs, `decides`), it took what came meanwhile for fresh, sent a statement out of its time and aborted it. What a late turn has not seen now counts as having waited since before that turn, and the front looks again at once; two unit tests fail without it.

Scenarios now say when time passes: HALLMUX_CLOCK, for drills alone, names a file that holds the time (crates/front/src/drill.rs), and the player moves it from one thing due to the next. The coordinator played holds its question open, and what an engine heard that no line names fails the scenario.

--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 
 use serde::Deserialize;
@@ -60,6 +61,8 @@
     /// What the operator's own file switches on; without one, nothing.
     pub operator: Operator,
     pub log_level: log::LevelFilter,
+    /// For drills: a file that holds the time in place of the machine's clock.
+    pub drill_clock: Option<PathBuf>,
 }
 
 impl Station {
@@ -110,6 +113,7 @@
             contract,
             operator,
             log_level: read("HALLMUX_LOG", level)?,
+            drill_clock: variables.get("HALLMUX_CLOCK").map(PathBuf::from),
         })
     }
 }
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -1,33 +1,46 @@
 //! The time, and how long what is found now may have waited for a front that had no CPU or stood still.
 
-use std::time::SystemTime;
+use std::path::Path;
+use std::time::{Duration, SystemTime};
 
 use hallmux_dispatcher::Micros;
 
+use crate::drill::Drill;
+
 const STILL: Micros = 250_000; // microseconds late that are worth a line in the log
 const PROMPT: Micros = 50_000; // microseconds late that are no standing still; less than an answer's slack
 
 #[derive(Default)]
 pub struct Clock {
-    /// For drills: how much more it reads than the machine's.
+    /// For drills: how much more it reads than the machine's, or where else the time comes from.
     ahead: Micros,
+    drill: Option<Drill>,
     /// The system's Unix clock at the last look, but never back.
     pub now: Micros,
-    /// When it was last decided on all that had come by then.
+    /// All that had come by then has been decided on.
     decided: Option<Micros>,
     /// When this front went to sleep, and until when it meant to.
     sleeps: Micros,
     until: Micros,
     /// Since when what is found in this turn may have waited, once it is known.
     since: Option<Micros>,
+    /// When this turn began, and whether that was late.
+    woke: Micros,
+    late: bool,
 }
 
 impl Clock {
-    pub fn ahead(ahead: Micros) -> Clock {
-        Clock { ahead, ..Clock::default() }
+    /// `drill` names the file of a drill's clock, in place of the machine's.
+    pub fn new(ahead: Micros, drill: Option<&Path>) -> std::io::Result<Clock> {
+        let drill = drill.map(Drill::open).transpose()?;
+        Ok(Clock { ahead, drill, ..Clock::default() })
     }
 
     pub fn look(&mut self) {
+        if let Some(drill) = &mut self.drill {
+            let time = drill.now();
+            return self.set(time.saturating_add(self.ahead));
+        }
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         self.set(since.as_micros() as Micros + self.ahead);
     }
@@ -36,14 +49,21 @@
         self.now = self.now.max(time);
     }
 
-    /// Nothing is due until then.
-    pub fn sleep(&mut self, until: Micros) {
+    /// Nothing is due until then: how long the front may sleep.
+    pub fn sleep(&mut self, until: Micros) -> Duration {
+        // After a late turn it looks again at once: what it finds then had waited as well.
+        let until = if self.late { self.now } else { until.max(self.now) };
         (self.sleeps, self.until, self.since) = (self.now, until, None);
+        match &mut self.drill {
+            Some(drill) => drill.sleeps(until.saturating_sub(self.ahead)),
+            None => Duration::from_micros((until - self.now) as u64),
+        }
     }
 
-    /// All that has come by now is decided on.
+    /// All that was found in this turn is decided on. Guards against a front that is stopped at work: what
+    /// came after it had looked at its connections is not found yet, and had come by no later time than that.
     pub fn decides(&mut self) {
-        self.decided = Some(self.now);
+        self.decided = Some(if self.late { self.sleeps } else { self.woke });
     }
 
     /// Tells when a turn began; the first call of a turn counts.
@@ -55,8 +75,9 @@
         // Guards against answers too late for their client: a front that was stopped, in its sleep or at
         // work, cannot know when the statements came that it finds. Those that came last seem older than
         // they are, and may be given up though they could have been in time.
-        let late = self.sleeps - decided > PROMPT || self.now - self.until > PROMPT;
-        self.since = Some(if late { decided } else { self.now });
+        self.late = self.sleeps - decided > PROMPT || self.now - self.until > PROMPT;
+        self.woke = self.now;
+        self.since = Some(if self.late { decided } else { self.now });
         if self.waited() > STILL {
             log::warn!("stood still for {} ms", self.waited() / 1000);
         }
@@ -71,6 +92,7 @@
 #[cfg(test)]
 mod tests {
     use super::Clock;
+    use std::time::Duration;
 
     fn waited(decided: i64, sleeps: i64, until: i64, wakes: i64) -> i64 {
         let mut clock = Clock::default();
@@ -96,4 +118,42 @@
         assert_eq!(waited(1_000_000, 1_001_000, 1_026_000, 4_000_000), 3_000_000);
         assert_eq!(waited(1_000_000, 3_000_000, 3_025_000, 3_000_500), 2_000_500);
     }
+
+    #[test]
+    fn what_a_late_turn_has_not_seen_is_as_old_and_found_at_once() {
+        let mut clock = Clock::default();
+        clock.set(1_000_000);
+        clock.sleep(1_025_000);
+        // Stopped between its look at the connections and its work: the next look finds what came meanwhile.
+        clock.set(2_600_000);
+        clock.woke();
+        assert_eq!(clock.waited(), 1_600_000);
+        clock.decides();
+        assert_eq!(clock.sleep(2_625_000), Duration::ZERO);
+        clock.set(2_600_200);
+        clock.woke();
+        assert_eq!(clock.waited(), 1_600_200);
+        clock.decides();
+        clock.sleep(2_625_000);
+        clock.set(2_600_400);
+        clock.woke();
+        assert_eq!(clock.waited(), 0);
+        clock.decides();
+        assert_eq!(clock.sleep(2_625_400), Duration::from_millis(25));
+    }
+
+    #[test]
+    fn what_came_while_a_turn_was_at_work_is_as_old_as_the_turn() {
+        let mut clock = Clock::default();
+        clock.set(1_000_000);
+        clock.sleep(1_025_000);
+        clock.set(1_010_000);
+        clock.woke();
+        clock.set(2_600_000); // stopped at work
+        clock.decides();
+        clock.sleep(2_625_000);
+        clock.set(2_600_200);
+        clock.woke();
+        assert_eq!(clock.waited(), 1_590_200);
+    }
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -59,7 +59,7 @@
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
         let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
-        let mut clock = Clock::ahead(station.operator.clock_ahead);
+        let mut clock = Clock::new(station.operator.clock_ahead, station.drill_clock.as_deref())?;
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
@@ -99,9 +99,7 @@
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
             self.peers.as_ref().map_or(Micros::MAX, Peers::due),
         ];
-        let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
-        self.clock.sleep(due);
-        Duration::from_micros((due - self.clock.now) as u64)
+        self.clock.sleep(due.into_iter().min().unwrap_or(self.clock.now))
     }
 
     /// A connection has changed: takes what is there.
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod coordinator;
 mod doors;
+mod drill;
 mod engines;
 mod entrance;
 mod fleet;
@@ -40,6 +41,9 @@
     let variables = std::env::vars().collect();
     let station = Station::read(&variables)?;
     logger::start(&station.name, station.log_level);
+    if let Some(path) = &station.drill_clock {
+        log::warn!("HALLMUX_CLOCK: the time is a drill's, from {}", path.display());
+    }
     let known = hallmux_codec::coordinator::stream(station.known.as_bytes());
     let known = known.map_err(|what| format!("known: {what}"))?;
     let mut event_loop: EventLoop<'static, Changes> = EventLoop::try_new().map_err(|e| e.to_string())?;
--- a/crates/front/tests/play/client.rs
+++ b/crates/front/tests/play/client.rs
@@ -61,6 +61,17 @@
         Some((frame[3], name, number.to_string(), frame[at + 4..].to_vec()))
     }
 
+    /// What a client was told and no line has named.
+    pub fn unread(&mut self, client: &str) -> (String, Vec<(String, String)>) {
+        let stream = &self.clients[client];
+        stream.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+        let told = std::iter::from_fn(|| self.reply(client));
+        (
+            client.to_string(),
+            told.map(|(_, _, n, held)| (n, String::from_utf8_lossy(&held).into_owned())).collect(),
+        )
+    }
+
     pub fn well(&mut self, client: &str, expected: bool) {
         let asks = self.message(1, "isWell", "900", &[2, 0, 1, 0]);
         self.clients.get_mut(client).unwrap().write_all(&asks).unwrap();
@@ -101,11 +112,14 @@
             let (key, unique) = (format!("item=k{i}"), format!("unique=u{i}"));
             let frame = self.frame(&number, &["verb=load", &key, &unique], &self.statements[&number]);
             self.clients.get_mut(client).unwrap().write_all(&frame).unwrap();
-            self.engine_hears(engine, &["want", &number]);
+            self.engine_hears(engine, "want", &[&number], &[]);
             self.says(engine, &number, "ACK", "batches=1", "x");
             self.hears(client, &number, "completed", "x");
             self.statements.remove(&number);
             self.engines.get_mut(engine).unwrap().asked.clear();
+            if i % 100 == 0 {
+                self.clock.as_mut().unwrap().passes(100);
+            }
             if i == count / 4 {
                 early = self.memory_kb();
             }
--- /dev/null
+++ b/crates/front/tests/play/clock.rs
@@ -0,0 +1,65 @@
+//! The time, as the scenarios let it pass: the front takes it from a file (`crates/front/src/drill.rs`).
+
+use std::fs::{File, OpenOptions};
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use crate::PATIENCE;
+
+const START: i64 = 1_800_000_000_000_000; // Unix microseconds
+const LEAST: i64 = 1_000; // microseconds of a step, where the front has more to do at once
+
+pub struct Clock {
+    file: File,
+    time: i64,
+    asked: i64,
+}
+
+impl Clock {
+    pub fn new(path: &Path) -> Clock {
+        let file = OpenOptions::new().read(true).write(true).create_new(true).open(path).unwrap();
+        let clock = Clock { file, time: START, asked: 0 };
+        [clock.time, clock.asked, i64::MAX, 0].iter().zip(0..).for_each(|(n, at)| clock.write(at, *n));
+        clock
+    }
+
+    fn write(&self, at: u64, number: i64) {
+        self.file.write_all_at(&number.to_le_bytes(), at * 8).unwrap();
+    }
+
+    fn read(&self, at: u64) -> i64 {
+        let mut bytes = [0; 8];
+        self.file.read_exact_at(&mut bytes, at * 8).unwrap();
+        i64::from_le_bytes(bytes)
+    }
+
+    /// Waits until the front has done all it can at this time; when it next has something to do.
+    fn asks(&mut self) -> i64 {
+        self.asked += 1;
+        self.write(1, self.asked);
+        let begun = Instant::now();
+        while self.read(3) < self.asked {
+            assert!(begun.elapsed() < PATIENCE, "a front that goes to sleep");
+            std::thread::sleep(Duration::from_micros(200));
+        }
+        self.read(2)
+    }
+
+    /// Lets time pass from one thing that the front has to do to the next, so that it is late for none.
+    pub fn passes(&mut self, ms: i64) {
+        let end = self.time + ms * 1000;
+        while self.time < end {
+            let due = self.asks();
+            self.time = due.max(self.time + LEAST).min(end);
+            self.write(0, self.time);
+        }
+        self.asks();
+    }
+
+    /// Lets time pass at once: for a front that stands still.
+    pub fn jumps(&mut self, ms: i64) {
+        self.time += ms * 1000;
+        self.write(0, self.time);
+    }
+}
--- a/crates/front/tests/play/coordinator.rs
+++ b/crates/front/tests/play/coordinator.rs
@@ -4,17 +4,17 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::sync::mpsc::channel;
-use std::time::Duration;
 
 use serde_json::{json, Value};
 
-use crate::Play;
+use crate::{Play, PATIENCE};
 
 #[derive(Default)]
 pub struct Told {
     pub moves: usize,
     pub updates: Vec<Value>,
     pub answers: VecDeque<String>,
+    pub answered: usize,
 }
 
 impl Play {
@@ -38,15 +38,16 @@
                             line[at + 7..].chars().take_while(|c| c.is_ascii_digit()).collect();
                         let follow: usize = digits.parse().ok()?;
                         sender.send(follow).ok()?;
-                        let limit = Duration::from_millis(200);
                         let waits = |t: &mut Told| t.updates.len() <= follow && t.answers.is_empty();
                         let guard = told.0.lock().unwrap();
-                        let (mut held, _) = told.1.wait_timeout_while(guard, limit, waits).unwrap();
+                        let mut held = told.1.wait_while(guard, waits).unwrap();
                         while held.moves > moves {
                             held = told.1.wait(held).unwrap();
                         }
                         if let Some(answer) = held.answers.pop_front() {
                             (&stream).write_all(answer.as_bytes()).ok()?;
+                            held.answered += 1;
+                            told.1.notify_all();
                             continue;
                         }
                         let later = held.updates.get(follow..).unwrap_or_default();
@@ -61,6 +62,26 @@
         });
     }
 
+    /// Waits for the next question, or for the one from the number given on: what came before is taken in.
+    pub fn asked(&mut self, number: Option<usize>) {
+        let questions = self.questions.as_ref().unwrap();
+        let next = || questions.recv_timeout(PATIENCE).expect("a question");
+        while number.is_some_and(|number| number != next()) {}
+        if number.is_none() {
+            next();
+        }
+    }
+
+    /// Gives the next answer as it is, and waits until it has left.
+    pub fn answers(&mut self, answer: String) {
+        let before = self.told.0.lock().unwrap().answered;
+        self.tell(|told| told.answers.push_back(answer));
+        let waits = |told: &mut Told| told.answered == before;
+        let guard = self.told.0.lock().unwrap();
+        let (held, wait) = self.told.1.wait_timeout_while(guard, PATIENCE, waits).unwrap();
+        assert!(!wait.timed_out(), "no question for {:?}", held.answers);
+    }
+
     pub fn tell(&mut self, update: impl FnOnce(&mut Told)) {
         update(&mut self.told.0.lock().unwrap());
         self.told.1.notify_all();
--- a/crates/front/tests/play/engine.rs
+++ b/crates/front/tests/play/engine.rs
@@ -20,6 +20,8 @@
     pub listener: Option<TcpListener>,
     pub listens: Arc<(Mutex<bool>, Condvar)>,
     heard: Receiver<Heard>,
+    /// Heard by now, and no line has named it yet.
+    waiting: Vec<Heard>,
     pub latest: Option<TcpStream>,
     pub before: Option<SocketAddr>,
     pub asked: HashMap<String, TcpStream>,
@@ -47,6 +49,7 @@
             listener: Some(listener),
             listens,
             heard,
+            waiting: Vec::new(),
             latest: None,
             before: None,
             asked: HashMap::new(),
@@ -68,27 +71,46 @@
             heard.send(Heard { words, body, from: stream.try_clone().ok()? }).ok()?;
         }
     }
+
+    /// Where the first command of each connection waits.
+    fn first_of_each(&self) -> impl Iterator<Item = usize> + '_ {
+        let by = |heard: &Heard| heard.from.peer_addr().ok();
+        let counts = |heard: &&Heard| heard.words[0] != "hurry";
+        (0..self.waiting.len()).filter(move |at| {
+            let (before, heard) = (&self.waiting[..*at], &self.waiting[*at]);
+            counts(&heard) && !before.iter().filter(counts).any(|other| by(other) == by(heard))
+        })
+    }
 }
 
 impl Play {
-    pub fn engine_hears(&mut self, name: &str, words: &[&str]) -> String {
+    /// The next command that is one of those named. Connections are read side by side, so the order is that of
+    /// each: what comes by another connection may come sooner or later.
+    pub fn engine_hears(&mut self, name: &str, command: &str, numbers: &[&str], words: &[&str]) -> String {
         let engine = self.engines.get_mut(name).unwrap();
+        let ids: Vec<String> = numbers.iter().map(|n| id(n)).collect();
+        let fits = |h: &Heard| h.words[0] == command && (ids.is_empty() || ids.contains(&h.words[1]));
         let heard = loop {
-            let heard = engine.heard.recv_timeout(PATIENCE).expect("a command");
-            if heard.words[0] != "hurry" {
-                break heard;
+            let at = engine.first_of_each().find(|at| fits(&engine.waiting[*at]));
+            if let Some(at) = at {
+                break engine.waiting.remove(at);
+            }
+            match engine.heard.recv_timeout(PATIENCE) {
+                Ok(heard) => engine.waiting.push(heard),
+                Err(_) => {
+                    let waiting: Vec<String> = engine.waiting.iter().map(|h| h.words.join(" ")).collect();
+                    let heard: Vec<_> = self.clients.keys().cloned().collect();
+                    let heard = heard.iter().map(|c| self.unread(c)).collect::<Vec<_>>();
+                    panic!("{command} {numbers:?} did not come, but {waiting:?}; clients: {heard:?}");
+                }
             }
         };
-        assert_eq!(heard.words[0], words[0], "{:?}", heard.words);
-        if let Some(number) = words.get(1) {
-            assert_eq!(heard.words[1], id(number), "{:?}", heard.words);
-        }
         let rest = heard.words[2..].join(",");
-        for word in &words[words.len().min(2)..] {
+        for word in words {
             assert!(rest.split(',').any(|w| w == *word), "{word} in {rest}");
         }
         let number = heard.words[1].trim_start_matches('0').to_string();
-        if words[0] == "want" {
+        if command == "want" {
             let number = number.as_str();
             assert_eq!(String::from_utf8(heard.body).unwrap(), self.statements[number]);
             engine.asked.insert(number.to_string(), heard.from.try_clone().unwrap());
@@ -98,6 +120,16 @@
         number
     }
 
+    /// Nothing but what the scenario named has come by now.
+    pub fn nothing_else_came(&mut self) {
+        for (name, engine) in &mut self.engines {
+            engine.waiting.extend(engine.heard.try_iter());
+            engine.waiting.retain(|h| h.words[0] != "hurry");
+            let waiting: Vec<String> = engine.waiting.iter().map(|h| h.words.join(" ")).collect();
+            assert!(waiting.is_empty(), "{name} also heard {waiting:?}");
+        }
+    }
+
     pub fn says(&mut self, name: &str, number: &str, word: &str, fields: &str, text: &str) {
         let body = rows(text);
         let line = format!("{} {word} {fields} {}\r\n{body}\r\n", id(number), body.len());
--- a/crates/front/tests/play/line.rs
+++ b/crates/front/tests/play/line.rs
@@ -2,12 +2,11 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::time::Duration;
 
 use serde_json::json;
 
 use crate::engine::Engine;
-use crate::{unescaped, Play, BIG, FILES, PATIENCE};
+use crate::{unescaped, Play, BIG, PATIENCE};
 
 impl Play {
     pub fn line(&mut self, line: &str) {
@@ -26,12 +25,8 @@
                 at[last] = serde_json::from_str(&rest(2)).unwrap();
             }
             ["operator", ..] => {
-                let number =
-                    std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
-                let name = format!("hallmux-play-{}-{number}.json5", std::process::id());
-                let path = std::env::temp_dir().join(name);
+                let path = self.file("json5");
                 std::fs::write(&path, unescaped(&rest(1))).unwrap();
-                self.files.push(path.clone());
                 self.operator = Some(path);
             }
             ["told", key, ..] => {
@@ -61,23 +56,11 @@
                 let index = self.told.0.lock().unwrap().updates.len() + 1;
                 let list = json!({"version": index, "full": false, "servers": [server]});
                 self.tell(|told| told.updates.push(json!({"index": index, "endpoints": list})));
-                // Its second question from now on follows the change.
-                self.line("coordinator asked");
-                self.line("coordinator asked");
-            }
-            ["coordinator", "answers", ..] => {
-                let answer = unescaped(&rest(2));
-                self.tell(|told| told.answers.push_back(answer));
-            }
-            ["coordinator", "asked"] => {
-                let questions = self.questions.as_ref().unwrap();
-                while questions.try_recv().is_ok() {}
-                questions.recv_timeout(PATIENCE).expect("a question");
-            }
-            ["coordinator", "asked", number] => {
-                let follow = self.questions.as_ref().unwrap().recv_timeout(PATIENCE).expect("a question");
-                assert_eq!(follow.to_string(), number);
+                self.asked(Some(index));
             }
+            ["coordinator", "answers", ..] => self.answers(unescaped(&rest(2))),
+            ["coordinator", "asked"] => self.asked(None),
+            ["coordinator", "asked", number] => self.asked(Some(number.parse().unwrap())),
             ["coordinator", "moves"] => {
                 self.tell(|told| told.moves += 1);
                 self.serve_list();
@@ -100,7 +83,8 @@
                 }
             }
             ["goes", "on"] => self.signal("-CONT"),
-            ["passes", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
+            ["passes", ms] => self.clock.as_mut().unwrap().passes(ms.parse().unwrap()),
+            ["jumps", ms] => self.clock.as_mut().unwrap().jumps(ms.parse().unwrap()),
             ["ends"] => assert!(self.front.take().unwrap().wait().unwrap().success()),
             ["many", count, client, engine] => self.many(count.parse().unwrap(), client, engine),
             [client, "connects"] => {
@@ -155,12 +139,14 @@
             [engine, "hears", command, numbers] if numbers.contains(',') => {
                 let mut awaited: Vec<&str> = numbers.split(',').collect();
                 while !awaited.is_empty() {
-                    let number = self.engine_hears(engine, &[command]);
-                    let at = awaited.iter().position(|n| *n == number);
-                    awaited.remove(at.unwrap_or_else(|| panic!("{number} was not to come")));
+                    let number = self.engine_hears(engine, command, &awaited, &[]);
+                    awaited.retain(|n| *n != number);
                 }
             }
-            [engine, "hears", ..] => _ = self.engine_hears(engine, &words[2..]),
+            [engine, "hears", command] => _ = self.engine_hears(engine, command, &[], &[]),
+            [engine, "hears", command, number, ..] => {
+                self.engine_hears(engine, command, &[number], &words[4..]);
+            }
             [engine, "utters", ..] => {
                 let bytes = unescaped(&rest(2));
                 self.engines[engine].latest.as_ref().unwrap().write_all(bytes.as_bytes()).unwrap();
--- a/crates/front/tests/play/main.rs
+++ b/crates/front/tests/play/main.rs
@@ -33,6 +33,7 @@
 //!     many N CLIENT ENGINE     N statements one by one, each completed; memory must not grow
 
 mod client;
+mod clock;
 mod coordinator;
 mod engine;
 mod line;
@@ -40,13 +41,16 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::process::Child;
+use std::sync::atomic::AtomicUsize;
 use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use serde_json::{json, Value};
 
+use clock::Clock;
 use coordinator::Told;
 use engine::Engine;
 
@@ -58,7 +62,7 @@
 struct Play {
     settings: Value,
     told_otherwise: Vec<(String, Value)>,
-    files: Vec<std::path::PathBuf>,
+    files: Vec<PathBuf>,
     engines: HashMap<String, Engine>,
     clients: HashMap<String, TcpStream>,
     statements: HashMap<String, String>,
@@ -68,7 +72,10 @@
     front: Option<Child>,
     log: Option<Receiver<String>>,
     listens: String,
-    operator: Option<std::path::PathBuf>,
+    config: PathBuf,
+    time: PathBuf,
+    clock: Option<Clock>,
+    operator: Option<PathBuf>,
 }
 
 fn id(number: &str) -> String {
@@ -85,7 +92,7 @@
     unescaped(&if word { format!("{text}\\t-\\t-\\n") } else { text.to_string() })
 }
 
-static FILES: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+static FILES: AtomicUsize = AtomicUsize::new(0);
 
 impl Drop for Play {
     fn drop(&mut self) {
@@ -121,6 +128,9 @@
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
     let mut paths: Vec<_> = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
     paths.sort();
+    if let Ok(only) = std::env::var("PLAY") {
+        paths.retain(|path| path.file_stem().is_some_and(|name| name == &*only));
+    }
     assert!(!paths.is_empty());
     for path in paths {
         println!("{}", path.display());
@@ -132,5 +142,6 @@
                 play.line(line);
             }
         }
+        play.nothing_else_came();
     }
 }
--- a/crates/front/tests/play/process.rs
+++ b/crates/front/tests/play/process.rs
@@ -2,11 +2,14 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
 
 use serde_json::{json, Value};
 
+use crate::clock::Clock;
 use crate::{Play, FILES, PATIENCE};
 
 impl Play {
@@ -16,19 +19,32 @@
                "state": state, "weight": 1, "started_ms": started_ms})
     }
 
+    /// The path of a file of its own, gone when the play is over.
+    pub fn file(&mut self, kind: &str) -> PathBuf {
+        let number = FILES.fetch_add(1, Ordering::SeqCst);
+        let name = format!("hallmux-play-{}-{number}.{kind}", std::process::id());
+        self.files.push(std::env::temp_dir().join(name));
+        self.files[self.files.len() - 1].clone()
+    }
+
     pub fn spawn(&mut self) -> Child {
         let servers: Vec<Value> =
             self.engines.iter().map(|(name, e)| self.server(name, "up", e.at, false)).collect();
         let known = json!({"index": 1, "endpoints": {"version": 1, "full": true, "servers": servers}});
         self.told.0.lock().unwrap().updates.push(known);
         self.serve_list();
-        let number =
-            std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
-        let path = std::env::temp_dir().join(format!("hallmux-play-{}-{number}.json", std::process::id()));
-        self.files.push(path.clone());
+        self.config = self.file("json");
         self.configure();
+        if self.clock.is_none() {
+            self.time = self.file("clock");
+            self.clock = Some(Clock::new(&self.time));
+        }
         let mut command = Command::new(env!("CARGO_BIN_EXE_hallmux-front"));
-        command.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_NAME");
+        command
+            .env("NODE_CONFIG", &self.config)
+            .env("HALLMUX_CLOCK", &self.time)
+            .env_remove("NODE_LISTEN")
+            .env_remove("NODE_NAME");
         command.env_remove("HALLMUX_OPERATOR");
         if let Some(operator) = &self.operator {
             command.env("HALLMUX_OPERATOR", operator);
@@ -46,7 +62,7 @@
         for (key, value) in &self.told_otherwise {
             config[key] = value.clone();
         }
-        std::fs::write(self.files.last().unwrap(), config.to_string()).unwrap();
+        std::fs::write(&self.config, config.to_string()).unwrap();
     }
 
     pub fn signal(&self, which: &str) {
