--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,6 +3,7 @@
 mod asked;
 mod listed;
 mod orders;
+mod scattered;
 
 use std::net::TcpListener;
 use std::time::Duration;
@@ -18,9 +19,11 @@
 use crate::doors::{Changes, Door, Party};
 use crate::engines::Engines;
 use crate::entrance::Entrance;
+use crate::fleet::rules::{self, Shared};
 use crate::fleet::Peers;
 use crate::link::Link;
-use crate::portal::Portal;
+use crate::postgres::portal::Portal;
+use crate::scatter::Scatters;
 use crate::shutdown::Shutdown;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
@@ -43,6 +46,10 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
+    /// Regional access rules of customers, likewise.
+    rules: Option<Shared>,
+    /// Statements that are asked of several sites, likewise.
+    scatter: Option<Scatters>,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -58,11 +65,16 @@
     ) -> std::io::Result<Front> {
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
-        let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
         let mut clock = Clock::new(station.operator.clock_ahead, station.drill_clock.as_deref())?;
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
+        let rules = rules::start(station, clock.now)?;
+        let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
+        let portal = portal.map(open).transpose()?;
+        let turn = peers.as_ref().map_or(0, Peers::turn);
+        let scatter = station.operator.scatter.as_ref();
+        let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn)).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
             dispatcher: Dispatcher::new(contract, station.seed),
@@ -76,6 +88,8 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
+            rules,
+            scatter,
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
@@ -98,6 +112,8 @@
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
             self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
+            self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
         self.clock.sleep(due.into_iter().min().unwrap_or(self.clock.now))
     }
@@ -108,8 +124,10 @@
         self.clock.woke();
         let number = party.number;
         let more = match party.door {
+            // Statements of one order key run in the order in which they were taken: each is taken as it is found.
             Door::Listener => {
                 self.entrance.knocked();
+                self.accept();
                 false
             }
             Door::Client => self.read_client(number),
@@ -123,8 +141,9 @@
             }
             Door::Peers => self.peers.as_mut().is_some_and(|peers| peers.read(self.clock.now)),
             Door::SessionListener | Door::Session | Door::Server | Door::Cancel => {
-                let now = self.clock.now;
-                self.portal.as_mut().is_some_and(|portal| portal.ready(now, party))
+                let (now, room) = (self.clock.now, self.room());
+                let portal = self.portal.as_mut();
+                portal.is_some_and(|portal| portal.found(now, party, room, &mut self.dispatcher))
             }
         };
         if more {
@@ -153,10 +172,14 @@
         if let Some(peers) = &mut self.peers {
             peers.tick(self.clock.now, &mut self.dispatcher);
         }
+        let mut told = Vec::new();
+        self.tick_scatters(&mut told);
+        self.take(told);
         self.engines.expire(self.clock.now);
         self.coordinator.expire(self.clock.now);
         self.clock.look();
         self.clock.decides();
+        self.rule();
         for _ in 0..ROUNDS {
             self.heard();
             let orders = self.dispatcher.tick(self.clock.now);
@@ -166,6 +189,7 @@
             for order in orders {
                 self.obey(order);
             }
+            self.rule();
             // Stops go out before what they make room for.
             self.engines.flush(self.clock.now);
             self.portal.iter_mut().for_each(|portal| portal.flush_servers(self.clock.now));
@@ -179,6 +203,7 @@
         }
         self.coordinator.flush(self.clock.now);
         let mut told = Vec::new();
+        self.answer_scatters(&mut told);
         self.clients.flush(&mut told);
         if let (untaken, Some(client)) = self.clients.untaken() {
             if untaken > self.most_bytes {
@@ -221,6 +246,14 @@
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
                     peers.reload(gossip);
                 }
+                if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
+                    rules.borrow_mut().reload(self.clock.now, read);
+                }
+                if let Some((scatter, settings)) =
+                    self.scatter.as_mut().zip(station.operator.scatter.as_ref())
+                {
+                    scatter.reload(settings, self.clock.now);
+                }
                 self.coordinator.turn_to(self.clock.now, station.coordinator);
                 let at = station.coordinator.map_or("none".to_string(), |at| at.to_string());
                 log::info!("the configuration was read again; coordinator: {at}");
--- a/crates/front/src/front/asked.rs
+++ b/crates/front/src/front/asked.rs
@@ -1,8 +1,9 @@
 //! What clients ask for is taken to the dispatcher.
 
+use hallmux_access::Judged;
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
-use hallmux_dispatcher::{Ask, Micros, Speech, Unfit};
+use hallmux_dispatcher::{Ask, Micros, Speech, Ticket, Unfit};
 
 use super::Front;
 use crate::clients::{self, ClientId};
@@ -25,13 +26,22 @@
                 }
                 clients::Told::Forgets { client, number } => {
                     let ticket = self.clients.forget(client, number);
-                    ticket.into_iter().for_each(|ticket| self.dispatcher.left(self.clock.now, ticket));
+                    ticket.into_iter().for_each(|ticket| self.left(ticket));
                 }
-                clients::Told::Left(ticket) => self.dispatcher.left(self.clock.now, ticket),
+                clients::Told::Left(ticket) => self.left(ticket),
             }
         }
     }
 
+    /// Nobody waits for a statement any more.
+    pub(super) fn left(&mut self, ticket: Ticket) {
+        let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
+        match self.scatter.as_mut().is_some_and(|scatter| scatter.left(now, ticket, dispatcher)) {
+            true => self.rules.iter().for_each(|rules| rules.borrow_mut().gone(ticket)),
+            false => self.dispatcher.left(now, ticket),
+        }
+    }
+
     pub(super) fn asked(
         &mut self,
         client: ClientId,
@@ -59,20 +69,44 @@
         // Guards against a final answer that is held up on its way: it has the slack twice, before the
         // client's time is up and after. A result that comes in that last moment is lost to the client.
         let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
+        let time_left = time_left - self.clock.waited();
+        let judged = self.rules.as_ref().map(|rules| {
+            rules.borrow_mut().judge(self.clock.now, &call.customer, &call.workload, &call.statement)
+        });
+        let judged = judged.unwrap_or(Judged::Free);
+        if judged == Judged::Closed {
+            return self.clients.refuse(client, number);
+        }
+        let allowed = self.rules.as_ref().and_then(|rules| rules.borrow().allowed(&judged));
+        // What is denied is never asked of anybody.
+        let scattered = match judged.is_denied() {
+            true => Some((call, None)),
+            false => self.scatters(client, number, call, time_left, allowed.clone(), &judged),
+        };
+        let Some((call, whole_site)) = scattered else { return };
+        let within = |site: &String| allowed.as_ref().is_none_or(|allowed| allowed.contains(site));
+        let allowed = match &whole_site {
+            Some(site) => Some(if within(site) { vec![site.as_str()] } else { Vec::new() }),
+            None => allowed.as_ref().map(|names| names.iter().map(String::as_str).collect()),
+        };
         let ask = Ask {
             workload: &call.workload,
             customer: &call.customer,
             key: call.order_key.as_deref(),
             dedup_key: call.dedup_key.as_deref(),
-            time_left: time_left - self.clock.waited(),
+            time_left,
             work: call.work_ms * 1000.0,
             memory_mb: call.memory_mb,
             data_set: tables::group(&call.statement),
             speech: Speech::Lines,
             pinned: None,
-            allowed: None,
+            allowed: allowed.as_deref(),
         };
-        match self.dispatcher.pick(self.clock.now, &ask) {
+        let picked = self.dispatcher.pick(self.clock.now, &ask);
+        if let Some(rules) = &self.rules {
+            rules.borrow_mut().picked(&mut self.dispatcher, &judged, picked.ok());
+        }
+        match picked {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
             Err(Unfit::Barred) => {
                 self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -11,10 +11,9 @@
 mod front;
 mod link;
 mod logger;
-mod portal;
+mod postgres;
 mod reuse;
-mod servers;
-mod sessions;
+mod scatter;
 mod shutdown;
 
 use std::net::TcpListener;
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,6 +1,9 @@
 //! The rig: front processes, the relays between them and their engines, and the faults played on all of them.
 
+pub mod agreed;
+mod class;
 mod coordinator;
+mod fault;
 pub mod fleet;
 mod front;
 pub mod member;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -3,15 +3,23 @@
 //! a majority of them has it lasting. No sockets, no clock, no files, no chance: whoever calls hands in letters, the
 //! time and what was saved, and sends and saves what comes out.
 //!
-//! An ask asked twice counts once: it is known by its front, the front's incarnation and the ask's number. The number
+//! An ask asked twice counts once (a claim asked again is answered by what stands now): it is known by its front, the front's incarnation and the ask's number. The number
 //! may be asked again for `REMEMBERED_MS` after it was first asked; later it is answered `Unreachable`.
 
+mod asks;
+mod birth;
 mod error;
 mod ledger;
-#[allow(dead_code)]
+mod log;
 mod placement;
-#[allow(dead_code)] // snapshots and handing over are for the copies, which come next
+mod post;
+mod records;
+mod repair;
+mod replica;
+mod shards;
 mod state;
+mod upkeep;
+mod words;
 
 use serde::{Deserialize, Serialize};
 
@@ -99,7 +107,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
-    /// The caller's, unique in its incarnation; an ask asked twice counts once.
+    /// The caller's, unique in its incarnation and growing: an ask asked twice counts once, and a claim or a free that
+    /// comes late undoes none with a higher number.
     pub number: u64,
     pub key: Key,
     pub act: Act,
--- /dev/null
+++ b/crates/ledger/src/shards.rs
@@ -0,0 +1,311 @@
+//! What comes in of shards, and how their members change.
+
+use crate::ledger::{state_of, Ledger};
+use crate::log::Heard;
+use crate::post::Pace;
+use crate::records::{self, Meta};
+use crate::repair::Peer;
+use crate::replica::{Replica, FIRST};
+use crate::state::{Keeper, State};
+use crate::upkeep::LOOK;
+use crate::words::{self, Base, Born, Word};
+use crate::{FrontId, Micros, Moment};
+
+const TOLD_AGAIN: Micros = 500_000; // microseconds until a member that is behind is told again
+
+impl Ledger {
+    /// A letter of a front has come, whose signature holds.
+    pub fn heard(&mut self, at: Moment, from: FrontId, bytes: &[u8]) {
+        if from == self.own.front {
+            return self.refuse("own");
+        }
+        let (letter, words) = match self.post.heard(at, from, bytes) {
+            Ok(heard) => heard,
+            Err(why) => return self.refuse(why),
+        };
+        let silent = |peer: &Peer| at.steady - peer.at >= self.setup.repair_after;
+        let before = self.peers.get(&from).filter(|peer| !silent(peer));
+        if before.is_some_and(|peer| peer.incarnation > letter.incarnation) {
+            return self.refuse("earlier life");
+        }
+        let (incarnation, disk, wall_ms) = (letter.incarnation, letter.disk, letter.wall_ms);
+        self.peers.insert(from, Peer { at: at.steady, incarnation, disk, wall_ms });
+        for word in words {
+            self.word(at, Born { keeper: Keeper { front: from, disk }, incarnation }, word);
+        }
+        self.settle(at);
+    }
+
+    fn word(&mut self, at: Moment, sender: Born, word: Word) {
+        let from = sender.keeper.front;
+        match word {
+            Word::Log { shard, config, number, message } => {
+                self.logged(at, sender, shard, config, (number, *message));
+            }
+            Word::Missed { shard, config } => {
+                let place = self.places.get_mut(usize::from(shard));
+                let replica = place.and_then(|place| place.replica.as_mut());
+                if let Some(replica) =
+                    replica.filter(|r| r.config == config && r.keepers.contains(&sender.keeper))
+                {
+                    replica.missed(from);
+                    self.touched.insert(shard);
+                }
+            }
+            Word::Ask { shard, command } => {
+                self.touched.insert(shard);
+                self.asked(at, from, shard, command);
+            }
+            Word::Told { incarnation, number, outcome } if incarnation == self.setup.incarnation => {
+                self.answered(Some(from), number, outcome);
+            }
+            Word::Elsewhere { incarnation, number, owner, .. } if incarnation == self.setup.incarnation => {
+                self.elsewhere(at, from, number, owner);
+            }
+            Word::Told { .. } | Word::Elsewhere { .. } => {}
+            Word::Here { shard, config, with } => self.here(at, sender, shard, config, &with),
+            Word::Members { shard, config, keepers } => self.learn(at, from, shard, config, keepers),
+            Word::Offer { shard } => self.is_here(at, from, shard),
+            Word::Copy { shard, config, index, state } => {
+                let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+                let state =
+                    words::read::<State>(&state).filter(|_| place.replica.is_none() && self.own.disk != 0);
+                if let Some(state) = state {
+                    place.learned = Some((config, index, state));
+                    self.post.say(at, from, &Word::Caught { shard, config, index }, Pace::Quick);
+                }
+            }
+            Word::Caught { shard, config, index } => {
+                let place = self.places.get_mut(usize::from(shard));
+                let repair = place.and_then(|place| place.repair.as_mut());
+                if let Some(repair) = repair.filter(|r| r.into == sender.keeper && r.config == config) {
+                    repair.caught = Some(index);
+                }
+            }
+            Word::Begin { shard, config, keepers, base } => self.begin(at, shard, config, keepers, &base),
+        }
+    }
+
+    fn logged(
+        &mut self,
+        at: Moment,
+        sender: Born,
+        shard: u16,
+        config: u32,
+        (number, message): (u64, omnipaxos::messages::Message<crate::state::Batch>),
+    ) {
+        let Born { keeper: sender, incarnation } = sender;
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        match &mut place.replica {
+            Some(replica) if replica.config == config => {
+                // One that came back with another disk does not speak for the member that it was.
+                if !replica.keepers.contains(&sender) {
+                    return self.refuse("no member");
+                }
+                match replica.heard((sender.front, incarnation), number, message) {
+                    Heard::Taken => _ = self.touched.insert(shard),
+                    Heard::Overtaken => self.refuse("overtaken"),
+                    Heard::NoMember => self.refuse("no member"),
+                    Heard::Absurd => {
+                        self.refuse("contradicts what is decided");
+                        self.fail();
+                    }
+                }
+            }
+            Some(replica) if replica.config > config => self.bring_on(at, sender, shard),
+            _ => self.is_here(at, sender.front, shard),
+        }
+    }
+
+    /// This front does not keep the shard as the receiver does: it says what it knows, with the disk that it has.
+    pub(crate) fn is_here(&mut self, at: Moment, to: FrontId, shard: u16) {
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let told = place.told.get(&to).copied().unwrap_or(Micros::MIN);
+        if self.own.disk == 0 || at.steady.saturating_sub(told) < LOOK {
+            return;
+        }
+        place.told.insert(to, at.steady);
+        let with = place.birth.as_ref().map(|birth| birth.agreed().to_vec()).unwrap_or_default();
+        let config = place.replica.as_ref().map_or(0, |replica| replica.config);
+        self.post.say(at, to, &Word::Here { shard, config, with }, Pace::Quick);
+    }
+
+    fn here(&mut self, at: Moment, sender: Born, shard: u16, config: u32, with: &[Born]) {
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        if let Some(birth) = &mut place.birth {
+            birth.heard(sender, with);
+            self.born(at, shard);
+        } else if config < place.config() {
+            self.bring_on(at, sender.keeper, shard);
+        }
+    }
+
+    /// Another is behind: it is told who the members are, and what to begin with where it is one of them.
+    fn bring_on(&mut self, at: Moment, sender: Keeper, shard: u16) {
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let told = place.told.get(&sender.front).copied().unwrap_or(Micros::MIN);
+        if at.steady.saturating_sub(told) < TOLD_AGAIN {
+            return;
+        }
+        place.told.insert(sender.front, at.steady);
+        let Some((config, keepers)) = place.known.clone() else { return };
+        let word = match &place.replica {
+            Some(replica) if keepers.contains(&sender) && replica.config == config => {
+                if self.post.is_busy(sender.front, Pace::Quick) {
+                    return;
+                }
+                let base = Base::Whole { index: replica.applied(), state: words::bytes(&replica.state) };
+                Word::Begin { shard, config, keepers, base }
+            }
+            _ => Word::Members { shard, config, keepers },
+        };
+        self.post.say(at, sender.front, &word, Pace::Quick);
+    }
+
+    /// Another says who keeps the shard.
+    fn learn(&mut self, at: Moment, from: FrontId, shard: u16, config: u32, keepers: Vec<Keeper>) {
+        let own = self.own;
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        if config <= place.config() {
+            return;
+        }
+        let mine = keepers.contains(&own);
+        place.known = Some((config, keepers));
+        if mine {
+            self.is_here(at, from, shard);
+        } else {
+            self.leave(shard);
+        }
+    }
+
+    /// This front is no member any more, whatever it hears later of earlier ones.
+    fn leave(&mut self, shard: u16) {
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let Some(replica) = place.replica.take() else { return };
+        let Some((config, keepers)) = place.known.clone() else { return };
+        place.barred = config;
+        (place.leads, place.repair) = (None, None);
+        replica.forgotten(&mut self.records);
+        self.records.push(records::meta(shard, &gone(config, keepers)));
+        self.records.push(records::no_snapshot(shard));
+    }
+
+    fn begin(&mut self, at: Moment, shard: u16, config: u32, keepers: Vec<Keeper>, base: &Base) {
+        let own = self.own;
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        if config <= place.barred || config < place.config() || !keepers.contains(&own) {
+            return;
+        }
+        let Some(begun) = state_of(base, place.learned.take(), config) else {
+            place.known = Some((config, keepers));
+            return; // it says that it is here, and is given the whole
+        };
+        self.open(at, shard, config, keepers, begun);
+    }
+
+    /// Becomes a member, with what the members have decided; lasting before anything is told of it.
+    pub(crate) fn open(
+        &mut self,
+        at: Moment,
+        shard: u16,
+        config: u32,
+        keepers: Vec<Keeper>,
+        begun: (u64, State),
+    ) {
+        let own = self.own;
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let first = place.ranked.first() == Some(&own.front);
+        let Some(mut replica) = Replica::begin(shard, config, &keepers, own, first, begun) else { return };
+        if let Some(before) = place.replica.take() {
+            before.forgotten(&mut self.records);
+        }
+        if place.birth.take().is_some() {
+            self.records.push(records::no_birth(shard));
+        }
+        replica.must_save();
+        place.replica = Some(replica);
+        (place.barred, place.known) = (config, Some((config, keepers)));
+        (place.leads, place.repair, place.learned) = (None, None, None);
+        self.tick_at = self.tick_at.min(at.steady + crate::ledger::TICK);
+        self.touched.insert(shard);
+    }
+
+    /// Takes in what a shard's log has decided, and says what its members say.
+    pub(crate) fn settle_shard(&mut self, at: Moment, shard: u16) {
+        let wall_ms = self.wall_ms(at, shard);
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let Some(replica) = &mut place.replica else { return };
+        let settled = replica.settle(at.steady, wall_ms);
+        place.leads = if replica.leads() { place.leads.or(Some(at.steady)) } else { None };
+        if place.leads.is_none() {
+            place.repair = None;
+        }
+        let words = replica.messages();
+        self.tallies.rounds += settled.rounds;
+        for (to, word) in words {
+            // What would overtake a long one counts as lost instead: it is sent again once that has come.
+            let ordered = matches!(word, Word::Log { number, .. } if number > 0);
+            if !ordered || !self.post.is_busy(to, Pace::Log(shard)) {
+                self.post.say(at, to, &word, if ordered { Pace::Log(shard) } else { Pace::Quick });
+            }
+        }
+        for (command, outcome) in settled.told {
+            let (owner, number) = (command.owner, command.number);
+            if owner.front != self.own.front {
+                let word = Word::Told { incarnation: owner.incarnation, number, outcome };
+                self.post.say(at, owner.front, &word, Pace::Quick);
+            } else if owner.incarnation == self.setup.incarnation {
+                self.answered(None, number, outcome);
+            }
+        }
+        self.hand_over(at, shard);
+    }
+
+    /// Goes on under the next members, once the log has decided on them.
+    fn hand_over(&mut self, at: Moment, shard: u16) {
+        let own = self.own;
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let Some(replica) = &place.replica else { return };
+        let Some(next) = replica.state.next().map(<[Keeper]>::to_vec) else { return };
+        let config = replica.config + 1;
+        let (leads, before) = (replica.leads(), replica.keepers.clone());
+        let caught = place.repair.and_then(|repair| Some((repair.into, repair.caught?)));
+        let state = replica.state.handed_over();
+        if leads {
+            for to in next.iter().filter(|keeper| **keeper != own && !before.contains(keeper)) {
+                let index = caught.filter(|(into, _)| into == to).map_or(0, |(_, index)| index);
+                let base = replica.base_after(index);
+                let word = Word::Begin { shard, config, keepers: next.clone(), base };
+                self.post.say(at, to.front, &word, Pace::Quick);
+                self.tallies.repaired += 1;
+            }
+            let stay = |front: &FrontId| next.iter().any(|keeper| keeper.front == *front);
+            let told = place.ranked.iter().take(self.setup.copies).copied();
+            let told = told.chain(before.iter().map(|keeper| keeper.front)).filter(|front| !stay(front));
+            for to in told.filter(|to| *to != own.front) {
+                let word = Word::Members { shard, config, keepers: next.clone() };
+                self.post.say(at, to, &word, Pace::Quick);
+            }
+        }
+        place.known = Some((config, next.clone()));
+        if next.contains(&own) {
+            self.open(at, shard, config, next, (FIRST, state));
+        } else {
+            self.leave(shard);
+        }
+    }
+}
+
+/// A record that says that this front is no member.
+fn gone(config: u32, keepers: Vec<Keeper>) -> Meta {
+    Meta {
+        config,
+        keepers,
+        mine: false,
+        promise: None,
+        accepted_round: None,
+        decided: 0,
+        compacted: 0,
+        end: 0,
+    }
+}
