--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -123,6 +123,9 @@
     fn what_a_late_turn_has_not_seen_is_as_old_and_found_at_once() {
         let mut clock = Clock::default();
         clock.set(1_000_000);
+        clock.sleep(1_000_000);
+        clock.woke();
+        clock.decides();
         clock.sleep(1_025_000);
         // Stopped between its look at the connections and its work: the next look finds what came meanwhile.
         clock.set(2_600_000);
