--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -67,7 +67,7 @@
     ) -> std::io::Result<Front> {
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
-        let mut clock = Clock::ahead(station.operator.clock_ahead);
+        let mut clock = Clock::new(station.operator.clock_ahead, station.drill_clock.as_deref())?;
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
@@ -123,9 +123,7 @@
             self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
             self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
-        let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
-        self.clock.sleep(due);
-        Duration::from_micros((due - self.clock.now) as u64)
+        self.clock.sleep(due.into_iter().min().unwrap_or(self.clock.now))
     }
 
     /// A connection has changed: takes what is there.
