--- /dev/null
+++ b/crates/access/tests/fleet/record.rs
@@ -0,0 +1,66 @@
+//! What a run is judged by, from what was recorded apart from what fronts say of themselves.
+
+use std::collections::BTreeMap;
+
+use hallmux_access::{Asked, Asking, Fleet, Index, Judged};
+
+use super::{set, Sent, Sim, FRONTS, STEP};
+
+impl Sim {
+    /// What left though the version in force barred it, and none after it was there to let it through.
+    pub fn barred(&self) -> Vec<String> {
+        let indices: BTreeMap<u64, (i64, Index)> =
+            self.accepted.iter().map(|(v, (at, text))| (*v, (*at, Index::new(set(*v, text))))).collect();
+        let mut found = Vec::new();
+        for Sent { at, front, asked, place } in &self.sent {
+            let held = self.in_force.iter().filter(|(_, since)| *since < at).map(|(v, _)| *v).max();
+            let Some(held) = held else { continue };
+            let Asked { customer, workload, groups } = asked;
+            let asking = Asking { customer, workload, group: None, told: false, front: "eu" };
+            let mut may = indices.range(held..).filter(|(_, (since, _))| since <= at);
+            if !may.any(|(_, (_, index))| index.judge(&asking, groups.as_deref(), 0).lets(Some(*place))) {
+                found.push(format!("{at}: front {front} sent {asked:?} to {place} under version {held}"));
+            }
+        }
+        found
+    }
+
+    pub fn fleet_count(&mut self, front: usize) -> Fleet {
+        let at = self.moment(front);
+        self.fronts[front].access.sweep(at);
+        self.counts.remove(&front);
+        for _ in 0..2_000 {
+            self.carry();
+            self.now += STEP;
+            let at = self.moment(front);
+            self.fronts[front].access.tick(at);
+            let out = self.fronts[front].access.take();
+            let life = self.fronts[front].life;
+            out.asks.into_iter().for_each(|ask| self.asks.push((self.now, front, life, ask, true)));
+            if let Some(fleet) = out.fleet {
+                return fleet;
+            }
+        }
+        panic!("no count");
+    }
+
+    pub fn versions(&self) -> Vec<(u64, bool)> {
+        (0..FRONTS).map(|n| self.fronts[n].access.version(self.moment(n).steady)).collect()
+    }
+
+    /// Where a customer's lookups may be read, as a front judges them.
+    pub fn lets(&mut self, front: usize, customer: &str) -> Option<Vec<u16>> {
+        let at = self.moment(front);
+        let asked =
+            Asked { customer: customer.to_string(), workload: "lookup".to_string(), groups: Some(vec![1]) };
+        match self.fronts[front].access.judge(at, asked) {
+            Judged::Taken { verdict, .. } => verdict.allowed,
+            _ => None,
+        }
+    }
+
+    /// Time from when the ledger took a version until it was in force.
+    pub fn took(&self, version: u64) -> Option<i64> {
+        Some(self.in_force.get(&version)? - self.accepted.get(&version)?.0)
+    }
+}
--- a/crates/access/tests/fleet/sim.rs
+++ b/crates/access/tests/fleet/sim.rs
@@ -3,72 +3,25 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hallmux_access::{
-    read, Access, Act, Ask, Asked, Asking, Bound, Done, Entry, Fleet, Head, Hit, Index, Judged, Kept, Key,
-    Known, Moment, Outcome, Owner, Said, Set, Setup, Terms, Wish,
+    read, Access, Act, Ask, Asked, Bound, Done, Entry, Fleet, Head, Hit, Judged, Kept, Key, Known, Moment,
+    Outcome, Owner, Said, Set, Setup, Terms, Wish,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+#[path = "played.rs"]
+mod played;
+#[path = "record.rs"]
+mod record;
+
+pub use played::{Faults, Tallies};
+
 const FRONTS: usize = 5;
 const STEP: i64 = 5_000; // microseconds of true time between looks at everything
 const PATIENCE: i64 = 500_000; // microseconds until the ledger says that it cannot be reached
 const DRIFT_PPM: u32 = 10_000;
 const PLACES: [&str; 3] = ["eu", "us", "ap"];
 
-#[derive(Clone, Copy)]
-pub struct Faults {
-    pub on: bool,
-    /// How far one clock runs off, beyond what it draws.
-    pub clock: f64,
-}
-
-impl Default for Faults {
-    fn default() -> Faults {
-        Faults { on: true, clock: 0.0 }
-    }
-}
-
-impl Faults {
-    pub fn none() -> Faults {
-        Faults { on: false, clock: 0.0 }
-    }
-}
-
-#[derive(Default, Debug)]
-pub struct Tallies {
-    pub cuts: u64,
-    pub stalls: u64,
-    pub restarts: u64,
-    pub in_force: u64,
-    pub lost: u64,
-    pub old: u64,
-    pub closed: u64,
-    pub ended: u64,
-    pub denied: u64,
-    pub sent: u64,
-    pub free: u64,
-    pub free_refused: u64,
-}
-
-impl Tallies {
-    pub fn add(&mut self, other: &Tallies) {
-        for (to, from) in [
-            (&mut self.cuts, other.cuts),
-            (&mut self.stalls, other.stalls),
-            (&mut self.restarts, other.restarts),
-            (&mut self.in_force, other.in_force),
-            (&mut self.lost, other.lost),
-            (&mut self.old, other.old),
-            (&mut self.closed, other.closed),
-            (&mut self.ended, other.ended),
-            (&mut self.denied, other.denied),
-            (&mut self.sent, other.sent),
-        ] {
-            *to += from;
-        }
-    }
-}
-
 struct Front {
     access: Access,
     life: u64,
@@ -203,80 +156,12 @@
         self.fronts.iter_mut().for_each(|f| (f.cut, f.stalled) = (0, 0));
     }
 
-    fn draw_faults(&mut self) {
-        let front = self.rng.random_range(0..FRONTS);
-        match self.rng.random_range(0..2_000) {
-            0..4 => {
-                self.fronts[front].cut = self.now + self.rng.random_range(200_000..9_000_000);
-                self.tallies.cuts += 1;
-            }
-            4..7 => {
-                self.fronts[front].stalled = self.now + self.rng.random_range(100_000..6_000_000);
-                self.tallies.stalls += 1;
-            }
-            7..9 => self.restart(front),
-            9..13 => {
-                let version = self.next_version;
-                self.next_version += 1;
-                let text = self.draw_rules(version);
-                self.offer_text(front, version, &text);
-                if self.rng.random_bool(0.4) {
-                    // Another file under the same version, at another front in the same moment.
-                    let other = (front + 1) % FRONTS;
-                    let text = self.draw_rules(version);
-                    self.offer_text(other, version, &text);
-                }
-            }
-            13..15 => {
-                // SIGHUP at a front whose file is as it was.
-                if let Some(file) = self.fronts[front].file.clone() {
-                    self.offer(front, &file);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn restart(&mut self, front: usize) {
-        let life = self.fronts[front].life + 1;
-        let f = &mut self.fronts[front];
-        (f.access, f.life) = (access(front, life), life);
-        f.waiting.clear();
-        f.queued.clear();
-        f.running.clear();
-        let file = f.file.clone();
-        file.into_iter().for_each(|file| self.offer(front, &file));
-        self.tallies.restarts += 1;
-    }
-
-    fn draw_rules(&mut self, version: u64) -> String {
-        let mut rules = Vec::new();
-        for customer in ["acme", "brisk"] {
-            for workload in ["", ", workload: 'report'"] {
-                let regions: Vec<String> =
-                    PLACES.iter().filter(|_| self.rng.random_bool(0.5)).map(|p| format!("'{p}'")).collect();
-                let then = match regions.is_empty() {
-                    true => "then: 'deny', reason: 'drawn'".to_string(),
-                    false => format!("regions: [{}]", regions.join(", ")),
-                };
-                if self.rng.random_bool(0.7) {
-                    rules.push(format!(
-                        "{{ name: '{customer}-{}', customer: '{customer}'{workload}, {then} }}",
-                        rules.len()
-                    ));
-                }
-            }
-        }
-        rules.push("{ name: 'seen', workload: 'report', then: 'count' }".to_string());
-        format!("{{ version: {version}, default: 'allow', rules: [{}] }}", rules.join(", "))
-    }
-
     pub fn offer_text(&mut self, front: usize, _version: u64, text: &str) {
         self.fronts[front].file = Some(text.to_string());
         self.offer(front, text);
     }
 
-    fn offer(&mut self, front: usize, text: &str) {
+    pub fn offer(&mut self, front: usize, text: &str) {
         let wish = read("rules.json5", text, &known(), &|_| None).expect("a good file");
         self.texts.insert(Kept::of(1, text).hash, text.to_string());
         self.fronts[front].access.offer("rules.json5", text, wish);
@@ -452,63 +337,6 @@
             f.access.over(statement);
         }
     }
-
-    /// What left though the version in force barred it, and none after it was there to let it through.
-    pub fn barred(&self) -> Vec<String> {
-        let indices: BTreeMap<u64, (i64, Index)> =
-            self.accepted.iter().map(|(v, (at, text))| (*v, (*at, Index::new(set(*v, text))))).collect();
-        let mut found = Vec::new();
-        for Sent { at, front, asked, place } in &self.sent {
-            let held = self.in_force.iter().filter(|(_, since)| *since < at).map(|(v, _)| *v).max();
-            let Some(held) = held else { continue };
-            let Asked { customer, workload, groups } = asked;
-            let asking = Asking { customer, workload, group: None, told: false, front: "eu" };
-            let mut may = indices.range(held..).filter(|(_, (since, _))| since <= at);
-            if !may.any(|(_, (_, index))| index.judge(&asking, groups.as_deref(), 0).lets(Some(*place))) {
-                found.push(format!("{at}: front {front} sent {asked:?} to {place} under version {held}"));
-            }
-        }
-        found
-    }
-
-    pub fn fleet_count(&mut self, front: usize) -> Fleet {
-        let at = self.moment(front);
-        self.fronts[front].access.sweep(at);
-        self.counts.remove(&front);
-        for _ in 0..2_000 {
-            self.carry();
-            self.now += STEP;
-            let at = self.moment(front);
-            self.fronts[front].access.tick(at);
-            let out = self.fronts[front].access.take();
-            let life = self.fronts[front].life;
-            out.asks.into_iter().for_each(|ask| self.asks.push((self.now, front, life, ask, true)));
-            if let Some(fleet) = out.fleet {
-                return fleet;
-            }
-        }
-        panic!("no count");
-    }
-
-    pub fn versions(&self) -> Vec<(u64, bool)> {
-        (0..FRONTS).map(|n| self.fronts[n].access.version(self.moment(n).steady)).collect()
-    }
-
-    /// Where a customer's lookups may be read, as a front judges them.
-    pub fn lets(&mut self, front: usize, customer: &str) -> Option<Vec<u16>> {
-        let at = self.moment(front);
-        let asked =
-            Asked { customer: customer.to_string(), workload: "lookup".to_string(), groups: Some(vec![1]) };
-        match self.fronts[front].access.judge(at, asked) {
-            Judged::Taken { verdict, .. } => verdict.allowed,
-            _ => None,
-        }
-    }
-
-    /// Time from when the ledger took a version until it was in force.
-    pub fn took(&self, version: u64) -> Option<i64> {
-        Some(self.in_force.get(&version)? - self.accepted.get(&version)?.0)
-    }
 }
 
 fn access(front: usize, life: u64) -> Access {
