--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -179,7 +179,7 @@
     pub fn post(&mut self, now: Micros, to: PeerId, channel: Channel, bytes: &[u8]) {
         let at = self.moment(now);
         let datagrams = self.exchange.post(at, to, channel, bytes).into_iter().collect();
-        self.send(Out { datagrams, ..Out::default() });
+        self.send(now, Out { datagrams, ..Out::default() });
     }
 
     /// The other fronts whose word counts.
