--- a/crates/dispatcher/src/ended.rs
+++ b/crates/dispatcher/src/ended.rs
@@ -109,6 +109,9 @@
         }
         self.ends.remove(&(s.terms.ends, ticket));
         let Some(s) = self.statements.remove(&ticket) else { return };
+        if s.told {
+            self.gone.push(Gone::of(ticket, &s));
+        }
         if s.promised {
             self.words.push(Word::Gone(Gone::of(ticket, &s)));
         }
--- a/crates/dispatcher/src/promised.rs
+++ b/crates/dispatcher/src/promised.rs
@@ -65,6 +65,17 @@
 }
 
 impl Dispatcher {
+    /// The end of a statement is told by `gone`, whatever it depends on.
+    pub fn promised(&mut self, ticket: Ticket) {
+        if let Some(s) = self.statements.get_mut(&ticket) {
+            s.told = true;
+        }
+    }
+
+    pub fn gone(&mut self) -> Vec<Gone> {
+        std::mem::take(&mut self.gone)
+    }
+
     /// From now on statements that depend on promises are told of, in `words`.
     pub fn watch(&mut self) {
         self.watches = true;
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -63,6 +63,8 @@
     pub key: Option<String>,
     /// It depends on promises: its end is told.
     pub promised: bool,
+    /// So is it for who asked for that.
+    pub told: bool,
     pub executions: Vec<Execution>,
 }
 
@@ -119,8 +121,16 @@
         let key = ask.key.map(str::to_string);
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
         let executions = Vec::new();
-        let statement =
-            Statement { terms, over: false, begun: false, keeps: false, key, promised, executions };
+        let statement = Statement {
+            terms,
+            over: false,
+            begun: false,
+            keeps: false,
+            key,
+            promised,
+            told: false,
+            executions,
+        };
         self.statements.insert(ticket, statement);
         Ok(ticket)
     }
--- a/crates/front/src/fleet/gate.rs
+++ b/crates/front/src/fleet/gate.rs
@@ -4,7 +4,8 @@
 
 use hallmux_agreement::Contract;
 use hallmux_dispatcher::{Dispatcher, Micros, Terms, Ticket};
-use hallmux_fleet::gate::{Gate, Ordered, Ruling};
+use hallmux_fleet::gate::{Gate, Ordered, Ruling, NUMBERS};
+use hallmux_ledger::Done;
 
 use super::Peers;
 use crate::engines::Sent;
@@ -12,11 +13,15 @@
 const NOTED: Micros = 100_000; // microseconds between words to the dispatcher that an execution is still held
 const SAID: Micros = 10_000_000; // microseconds between lines of the log on what was turned away
 
+const WHOSE: u64 = 0xff << 56;
+
 pub struct Guard {
     gate: Gate,
     noted: Micros,
     said: Micros,
     refused: BTreeMap<&'static str, u64>,
+    /// Answers of the ledger to asks of other parts.
+    pub others: Vec<Done>,
 }
 
 impl Guard {
@@ -24,7 +29,7 @@
     pub fn new(contract: &Contract, now: Micros, dispatcher: &mut Dispatcher) -> Guard {
         dispatcher.watch();
         let gate = Gate::new(contract, (now / 1000) as u64);
-        Guard { gate, noted: 0, said: 0, refused: BTreeMap::new() }
+        Guard { gate, noted: 0, said: 0, refused: BTreeMap::new(), others: Vec::new() }
     }
 
     /// When something is due though nothing happens.
@@ -82,7 +87,13 @@
             if done.is_empty() && asks.is_empty() {
                 break;
             }
-            done.into_iter().for_each(|done| self.gate.done(now, done));
+            for done in done {
+                // The highest byte of a number tells whose the ask was.
+                match done.number & WHOSE {
+                    NUMBERS => self.gate.done(now, done),
+                    _ => self.others.push(done),
+                }
+            }
             asks.into_iter().for_each(|ask| peers.ask(now, ask));
         }
         if self.noted + NOTED <= now {
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 
 mod gate;
 mod peers;
+pub mod rules;
 mod votes;
 
 pub use gate::Guard;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -19,6 +19,7 @@
 use crate::doors::{Changes, Door, Party};
 use crate::engines::Engines;
 use crate::entrance::Entrance;
+use crate::fleet::rules::{self, Shared};
 use crate::fleet::{Guard, Peers};
 use crate::link::Link;
 use crate::postgres::portal::Portal;
@@ -47,6 +48,8 @@
     peers: Option<Peers>,
     /// Where fronts keep promises: what waits for them.
     guard: Option<Guard>,
+    /// Regional access rules of customers, likewise.
+    rules: Option<Shared>,
     /// Statements that are asked of several sites, likewise.
     scatter: Option<Scatters>,
     shutdown: Shutdown,
@@ -64,11 +67,13 @@
     ) -> std::io::Result<Front> {
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
-        let portal = portal.map(|postgres| Portal::new(postgres, contract, handle.clone())).transpose()?;
         let mut clock = Clock::ahead(station.operator.clock_ahead);
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
+        let rules = rules::start(station, clock.now)?;
+        let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
+        let portal = portal.map(open).transpose()?;
         let turn = peers.as_ref().map_or(0, Peers::turn);
         let scatter = station.operator.scatter.as_ref();
         let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn)).transpose()?;
@@ -86,6 +91,7 @@
             portal,
             peers,
             guard: None,
+            rules,
             scatter,
             shutdown: Shutdown::default(),
             clock,
@@ -114,6 +120,7 @@
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
             self.peers.as_ref().map_or(Micros::MAX, |peers| peers.due(self.clock.now)),
             self.guard.as_ref().map_or(Micros::MAX, Guard::due),
+            self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
             self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
         let due = due.into_iter().min().unwrap_or(self.clock.now).max(self.clock.now);
@@ -182,6 +189,7 @@
         self.coordinator.expire(self.clock.now);
         self.clock.look();
         self.clock.decides();
+        self.rule();
         for _ in 0..ROUNDS {
             self.heard();
             self.guarded();
@@ -192,6 +200,7 @@
             for order in orders {
                 self.obey(order);
             }
+            self.rule();
             // Stops go out before what they make room for.
             self.engines.flush(self.clock.now);
             self.portal.iter_mut().for_each(|portal| portal.flush_servers(self.clock.now));
@@ -248,6 +257,9 @@
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
                     peers.reload(gossip);
                 }
+                if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
+                    rules.borrow_mut().reload(self.clock.now, read);
+                }
                 if let Some((scatter, settings)) =
                     self.scatter.as_mut().zip(station.operator.scatter.as_ref())
                 {
--- a/crates/front/src/front/asked.rs
+++ b/crates/front/src/front/asked.rs
@@ -1,5 +1,6 @@
 //! What clients ask for is taken to the dispatcher.
 
+use hallmux_access::Judged;
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Ask, Micros, Speech, Ticket, Unfit};
@@ -33,10 +34,11 @@
     }
 
     /// Nobody waits for a statement any more.
-    fn left(&mut self, ticket: Ticket) {
+    pub(super) fn left(&mut self, ticket: Ticket) {
         let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
-        if !self.scatter.as_mut().is_some_and(|scatter| scatter.left(now, ticket, dispatcher)) {
-            self.dispatcher.left(now, ticket);
+        match self.scatter.as_mut().is_some_and(|scatter| scatter.left(now, ticket, dispatcher)) {
+            true => self.rules.iter().for_each(|rules| rules.borrow_mut().gone(ticket)),
+            false => self.dispatcher.left(now, ticket),
         }
     }
 
@@ -68,8 +70,25 @@
         // client's time is up and after. A result that comes in that last moment is lost to the client.
         let time_left = (call.time_left_ms * 1000.0) as Micros - self.answer_slack;
         let time_left = time_left - self.clock.waited();
-        let Some((call, whole_site)) = self.scatters(client, number, call, time_left, None) else { return };
-        let whole_site = whole_site.as_ref().map(|site| [site.as_str()]);
+        let judged = self.rules.as_ref().map(|rules| {
+            rules.borrow_mut().judge(self.clock.now, &call.customer, &call.workload, &call.statement)
+        });
+        let judged = judged.unwrap_or(Judged::Free);
+        if judged == Judged::Closed {
+            return self.clients.refuse(client, number);
+        }
+        let allowed = self.rules.as_ref().and_then(|rules| rules.borrow().allowed(&judged));
+        // What is denied is never asked of anybody.
+        let scattered = match judged.is_denied() {
+            true => Some((call, None)),
+            false => self.scatters(client, number, call, time_left, allowed.clone(), &judged),
+        };
+        let Some((call, whole_site)) = scattered else { return };
+        let within = |site: &String| allowed.as_ref().is_none_or(|allowed| allowed.contains(site));
+        let allowed = match &whole_site {
+            Some(site) => Some(if within(site) { vec![site.as_str()] } else { Vec::new() }),
+            None => allowed.as_ref().map(|names| names.iter().map(String::as_str).collect()),
+        };
         let ask = Ask {
             workload: &call.workload,
             customer: &call.customer,
@@ -81,9 +100,13 @@
             data_set: tables::group(&call.statement),
             speech: Speech::Lines,
             pinned: None,
-            allowed: whole_site.as_ref().map(|site| &site[..]),
+            allowed: allowed.as_deref(),
         };
-        match self.dispatcher.pick(self.clock.now, &ask) {
+        let picked = self.dispatcher.pick(self.clock.now, &ask);
+        if let Some(rules) = &self.rules {
+            rules.borrow_mut().picked(&mut self.dispatcher, &judged, picked.ok());
+        }
+        match picked {
             Ok(ticket) => self.clients.opened(client, number, ticket, call),
             Err(Unfit::Barred) => {
                 self.clients.say(client, number, &Reply::Rejected { retry_after_ms: None });
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -1,12 +1,15 @@
 //! Orders of the dispatcher go to clients, engines and sessions; what those say goes back to it.
 
-use hallmux_codec::statement::Reply;
-use hallmux_dispatcher::{Ending, Order, Terms, Ticket};
-use hallmux_fleet::gate::{Ordered, Ruling};
+use std::rc::Rc;
+
+use hallmux_codec::statement::{Call, Reply};
+use hallmux_dispatcher::{Ending, Micros, Order, Ticket};
+use hallmux_fleet::gate;
 use hallmux_scatter::whole::Failed;
 
 use super::Front;
 use crate::engines;
+use crate::fleet::rules::{Ordered, Ruling, Shared};
 use crate::fleet::Peers;
 use crate::postgres::portal::{Portal, Room};
 
@@ -16,6 +19,8 @@
         for told in std::mem::take(&mut self.engines.told) {
             match told {
                 engines::Told::Ended { sent: (ticket, execution), ending, report, cost, result } => {
+                    let of = self.judged_as(ticket);
+                    self.rules.iter().for_each(|rules| rules.borrow_mut().ended(of, (ticket, execution)));
                     if self.dispatcher.report(self.clock.now, ticket, execution, ending, report, cost)
                         && !self.part_ended(ticket, Ok(&result))
                     {
@@ -60,17 +65,24 @@
         let id = |ticket| clients.call(ticket).map(|call| call.id.clone());
         self.clock.look();
         let now = self.clock.now;
-        for ruling in guard.turn(now, &mut self.dispatcher, peers, id) {
+        if let Some(rules) = &self.rules {
+            std::mem::take(&mut rules.borrow_mut().asks).into_iter().for_each(|ask| peers.ask(now, ask));
+        }
+        let rulings = guard.turn(now, &mut self.dispatcher, peers, id);
+        for done in std::mem::take(&mut guard.others) {
+            self.rules.iter().for_each(|rules| _ = rules.borrow_mut().done(now, done.clone()));
+        }
+        for ruling in rulings {
             match ruling {
-                Ruling::Go(Ordered { ticket, execution, place, terms, .. }) => {
+                gate::Ruling::Go(gate::Ordered { ticket, execution, place, terms, .. }) => {
                     self.dispatcher.leaves(now, ticket, execution);
-                    self.send((ticket, execution), place, terms);
+                    self.judge(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
                 }
-                Ruling::TurnAway(ticket) => {
+                gate::Ruling::TurnAway(ticket) => {
                     let retry_after = self.dispatcher.turn_away(now, ticket);
                     self.obey(Order::Reject { ticket, retry_after });
                 }
-                Ruling::Abort(ticket) => {
+                gate::Ruling::Abort(ticket) => {
                     self.dispatcher.turn_away(now, ticket);
                     self.obey(Order::Abort { ticket });
                 }
@@ -78,26 +90,90 @@
         }
     }
 
-    /// An execution leaves for its engine.
-    fn send(&mut self, sent: engines::Sent, place: usize, terms: Terms) {
+    /// An execution leaves, unless rules hold it.
+    fn judge(&mut self, ordered: Ordered) {
+        let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
+        let may = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
+        if self.rules.as_ref().is_none_or(may) {
+            self.leave(ordered);
+        }
+    }
+
+    /// What rules come to: what was held leaves, or statements end.
+    pub(super) fn rule(&mut self) {
+        let Some(rules) = self.rules.clone() else { return };
+        let now = self.clock.now;
+        self.dispatcher.gone().iter().for_each(|gone| rules.borrow_mut().gone(gone.ticket));
+        let rulings = rules.borrow_mut().turn(now, &mut self.dispatcher);
+        for ruling in rulings {
+            match ruling {
+                Ruling::Go(ordered) => self.leave(ordered),
+                Ruling::Deny(ticket) => {
+                    self.refuse(ticket, true, None);
+                    self.dispatcher.turn_away(now, ticket);
+                }
+                Ruling::End { ticket, ran: true, .. } => {
+                    self.refuse(ticket, false, None);
+                    self.left(ticket);
+                }
+                Ruling::End { ticket, ran: false, again } => {
+                    let retry_after = self.dispatcher.turn_away(now, ticket).filter(|_| again);
+                    self.refuse(ticket, true, retry_after);
+                    self.left(ticket);
+                }
+            }
+        }
+    }
+
+    /// A statement's final answer without a result.
+    fn refuse(&mut self, ticket: Ticket, rejects: bool, retry_after: Option<Micros>) {
         let now = self.clock.now;
-        if self.owns(sent.0) {
-            return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place));
+        if self.owns(ticket) {
+            self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, rejects, retry_after));
+        } else if rejects {
+            let retry_after_ms = retry_after.map(|time| time / 1000);
+            self.clients.answer(now, ticket, &Reply::Rejected { retry_after_ms });
+        } else {
+            self.clients.answer(now, ticket, &Reply::Aborted);
         }
-        let part = || self.scatter.as_ref().and_then(|scatter| scatter.call(sent.0));
-        match self.clients.call(sent.0).or_else(part) {
-            Some(call) => self.engines.send(now, sent, place, call, terms),
-            None => _ = self.dispatcher.report(now, sent.0, sent.1, Ending::Withdrawn, None, None),
+    }
+
+    /// An execution's first byte leaves for its engine.
+    fn leave(&mut self, ordered: Ordered) {
+        let Ordered { ticket, execution, place, terms, .. } = ordered;
+        let now = self.clock.now;
+        if self.owns(ticket) {
+            self.portal.iter_mut().for_each(|portal| portal.send(now, (ticket, execution), place));
+        } else if let Some(call) = self.call(ticket) {
+            self.engines.send(now, (ticket, execution), place, call, terms);
+        } else {
+            self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
         }
     }
 
+    /// An execution that is to be given up waits here: nothing of it has left.
+    fn is_held(&self, ticket: Ticket, execution: usize) -> bool {
+        let of = self.judged_as(ticket);
+        self.rules.as_ref().is_some_and(|rules| rules.borrow_mut().stop(of, (ticket, execution)))
+    }
+
+    /// The statement that rules know: of a part the whole.
+    fn judged_as(&self, ticket: Ticket) -> Ticket {
+        self.scatter.as_ref().and_then(|scatter| scatter.whole_of(ticket)).unwrap_or(ticket)
+    }
+
+    fn call(&self, ticket: Ticket) -> Option<Rc<Call>> {
+        let part = || self.scatter.as_ref().and_then(|scatter| scatter.call(ticket));
+        self.clients.call(ticket).or_else(part)
+    }
+
     pub(super) fn obey(&mut self, order: Order) {
         let now = self.clock.now;
         match order {
             Order::Send { ticket, execution, place, terms } => {
                 let (guard, sent) = (self.guard.as_mut(), (ticket, execution));
                 if !guard.is_some_and(|guard| guard.holds(now, &mut self.dispatcher, (sent, place, terms))) {
-                    self.send(sent, place, terms);
+                    self.judge(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
                 }
             }
             Order::Stop { ticket, execution, ending }
@@ -107,15 +183,12 @@
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
+            Order::Stop { ticket, execution, .. } if self.is_held(ticket, execution) => {
+                self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
+            }
             Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
             }
-            Order::Reject { ticket, retry_after } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, true, retry_after));
-            }
-            Order::Abort { ticket } if self.owns(ticket) => {
-                self.portal.iter_mut().for_each(|portal| portal.refuse(now, ticket, false, None));
-            }
             Order::Hurry { ticket, execution, priority } => {
                 self.guard.iter_mut().for_each(|guard| guard.hurry(ticket, priority));
                 self.engines.hurry((ticket, execution), priority);
@@ -126,11 +199,8 @@
             Order::Reject { ticket, retry_after }
                 if self.part_ended(ticket, Err(Failed::Rejected { retry_after })) => {}
             Order::Abort { ticket } if self.part_ended(ticket, Err(Failed::Aborted)) => {}
-            Order::Reject { ticket, retry_after } => {
-                let retry_after_ms = retry_after.map(|time| time / 1000);
-                self.clients.answer(self.clock.now, ticket, &Reply::Rejected { retry_after_ms });
-            }
-            Order::Abort { ticket } => self.clients.answer(self.clock.now, ticket, &Reply::Aborted),
+            Order::Reject { ticket, retry_after } => self.refuse(ticket, true, retry_after),
+            Order::Abort { ticket } => self.refuse(ticket, false, None),
             // Between the decision and now the work may have become another's: then the probe stays here.
             Order::Probe { for_fleet: true, .. } if !self.peers.as_ref().is_none_or(Peers::may_probe) => {}
             Order::Probe { place, .. } => self.engines.probe(self.clock.now, place),
--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use hallmux_access::Judged;
 use hallmux_codec::statement::{self, Call, Reply};
 use hallmux_dispatcher::{Micros, Ticket, Unfit};
 use hallmux_gossip::post::Channel;
@@ -21,6 +22,7 @@
         call: Call,
         time_left: Micros,
         allowed: Option<Vec<String>>,
+        judged: &Judged,
     ) -> Option<(Call, Option<String>)> {
         let Some(scatter) = self.scatter.as_mut().filter(|scatter| scatter.takes(&call.workload)) else {
             return Some((call, None));
@@ -32,6 +34,9 @@
                 self.clients.opened(client, number, ticket, call);
                 let call: Rc<Call> = self.clients.call(ticket)?;
                 let whole = (call, query, ends);
+                if let Some(rules) = &self.rules {
+                    rules.borrow_mut().picked(&mut self.dispatcher, judged, Some(ticket));
+                }
                 scatter.begin(self.clock.now, ticket, whole, allowed, &mut self.dispatcher);
                 None
             }
@@ -42,6 +47,9 @@
             Err(why) => {
                 log::debug!("client {client}: statement {} of several sites: {why}", call.id);
                 self.clients.say(client, number, &Reply::Refused(&[("reason", &why)]));
+                if let Some(rules) = &self.rules {
+                    rules.borrow_mut().picked(&mut self.dispatcher, judged, None);
+                }
                 None
             }
         }
@@ -75,6 +83,7 @@
 
     pub(super) fn answer_scatters(&mut self, told: &mut Vec<clients::Told>) {
         for (ticket, said) in self.scatter.as_mut().map(Scatters::said).unwrap_or_default() {
+            self.rules.iter().for_each(|rules| rules.borrow_mut().gone(ticket));
             match said {
                 Said::Answer(answer) => self.answer_whole(ticket, &answer),
                 Said::Unfit(unfit) => {
