--- a/crates/lab/src/measure/promises.rs
+++ b/crates/lab/src/measure/promises.rs
@@ -120,7 +120,7 @@
             .collect();
         let one = |n: usize| {
             let (customer, workload, group) = &asking[n % asking.len()];
-            Asking { customer, workload, group: Some(*group), front: "z0" }
+            Asking { customer, workload, group: Some(*group), told: true, front: "z0" }
         };
         let (mut indexed, mut walked, mut ratios) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..ROUNDS {
