--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -63,6 +63,8 @@
     pub key: Option<String>,
     /// It depends on promises: its end is told.
     pub promised: bool,
+    /// So is it for who asked for that.
+    pub told: bool,
     pub executions: Vec<Execution>,
 }
 
@@ -99,6 +101,7 @@
         }
         let allowed = ask.allowed.map(|names| self.allowed(workload, ask.pinned, names)).transpose()?;
         let ticket = self.number();
+        let promised = self.tell_taken(ticket, ask, workload);
         let key = ask.key.map(|key| self.key(key));
         self.told.push(Event::Arrived(Arrival {
             statement: ticket,
@@ -118,8 +121,16 @@
         let key = ask.key.map(str::to_string);
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
         let executions = Vec::new();
-        let statement =
-            Statement { terms, over: false, begun: false, keeps: false, key, promised: false, executions };
+        let statement = Statement {
+            terms,
+            over: false,
+            begun: false,
+            keeps: false,
+            key,
+            promised,
+            told: false,
+            executions,
+        };
         self.statements.insert(ticket, statement);
         Ok(ticket)
     }
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -2,10 +2,11 @@
 //! datagrams, and the file of a voter. Each is switched on by the operator's file; off, it is not there. What the
 //! words mean is decided in `crates/fleet` and the minds behind it.
 
-#[allow(dead_code)] // until the front asks for promises
-pub mod copies;
+mod copies;
+mod gate;
 mod peers;
 pub mod rules;
 mod votes;
 
+pub use gate::Guard;
 pub use peers::Peers;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,7 +20,7 @@
 use crate::engines::Engines;
 use crate::entrance::Entrance;
 use crate::fleet::rules::{self, Shared};
-use crate::fleet::Peers;
+use crate::fleet::{Guard, Peers};
 use crate::link::Link;
 use crate::postgres::portal::Portal;
 use crate::scatter::Scatters;
@@ -46,6 +46,8 @@
     portal: Option<Portal>,
     /// Words with other fronts, likewise.
     peers: Option<Peers>,
+    /// Where fronts keep promises: what waits for them.
+    guard: Option<Guard>,
     /// Regional access rules of customers, likewise.
     rules: Option<Shared>,
     /// Statements that are asked of several sites, likewise.
@@ -88,6 +90,7 @@
             coordinator: Coordinator::new(handle.clone(), station.coordinator, known.index),
             portal,
             peers,
+            guard: None,
             rules,
             scatter,
             shutdown: Shutdown::default(),
@@ -95,6 +98,10 @@
             unfinished: Vec::new(),
             handle,
         };
+        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+            let now = front.clock.now;
+            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+        }
         front.limit(&station.limits);
         front.follow(known, 0);
         Ok(front)
@@ -111,7 +118,8 @@
             self.entrance.due(),
             self.shutdown.due(self.clock.now),
             self.portal.as_ref().map_or(Micros::MAX, Portal::due),
-            self.peers.as_ref().map_or(Micros::MAX, Peers::due),
+            self.peers.as_ref().map_or(Micros::MAX, |peers| peers.due(self.clock.now)),
+            self.guard.as_ref().map_or(Micros::MAX, Guard::due),
             self.rules.as_ref().map_or(Micros::MAX, |rules| rules.borrow().due(self.clock.now)),
             self.scatter.as_ref().map_or(Micros::MAX, |scatter| scatter.due(self.peers.is_some())),
         ];
@@ -184,6 +192,7 @@
         self.rule();
         for _ in 0..ROUNDS {
             self.heard();
+            self.guarded();
             let orders = self.dispatcher.tick(self.clock.now);
             if orders.is_empty() {
                 break;
@@ -282,6 +291,8 @@
         !self.entrance.is_open()
             && self.clients.len() == 0
             && self.portal.as_ref().is_none_or(|portal| portal.len() == 0)
+            // What it holds for others is freed first.
+            && self.guard.as_ref().is_none_or(Guard::is_idle)
     }
 
     fn accept(&mut self) {
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -4,6 +4,7 @@
 
 use hallmux_codec::statement::{Call, Reply};
 use hallmux_dispatcher::{Ending, Micros, Order, Ticket};
+use hallmux_fleet::gate;
 use hallmux_scatter::whole::Failed;
 
 use super::Front;
@@ -57,6 +58,47 @@
         self.portal.as_ref().is_some_and(|portal| portal.has(sent))
     }
 
+    /// What promises let go of, or can't be had for.
+    pub(super) fn guarded(&mut self) {
+        let Some((guard, peers)) = self.guard.as_mut().zip(self.peers.as_mut()) else { return };
+        let clients = &self.clients;
+        let id = |ticket| clients.call(ticket).map(|call| call.id.clone());
+        self.clock.look();
+        let now = self.clock.now;
+        if let Some(rules) = &self.rules {
+            std::mem::take(&mut rules.borrow_mut().asks).into_iter().for_each(|ask| peers.ask(now, ask));
+        }
+        let rulings = guard.turn(now, &mut self.dispatcher, peers, id);
+        for done in std::mem::take(&mut guard.others) {
+            self.rules.iter().for_each(|rules| _ = rules.borrow_mut().done(now, done.clone()));
+        }
+        for ruling in rulings {
+            match ruling {
+                gate::Ruling::Go(gate::Ordered { ticket, execution, place, terms, .. }) => {
+                    self.dispatcher.leaves(now, ticket, execution);
+                    self.judge(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
+                }
+                gate::Ruling::TurnAway(ticket) => {
+                    let retry_after = self.dispatcher.turn_away(now, ticket);
+                    self.obey(Order::Reject { ticket, retry_after });
+                }
+                gate::Ruling::Abort(ticket) => {
+                    self.dispatcher.turn_away(now, ticket);
+                    self.obey(Order::Abort { ticket });
+                }
+            }
+        }
+    }
+
+    /// An execution leaves, unless rules hold it.
+    fn judge(&mut self, ordered: Ordered) {
+        let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
+        let may = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
+        if self.rules.as_ref().is_none_or(may) {
+            self.leave(ordered);
+        }
+    }
+
     /// What rules come to: what was held leaves, or statements end.
     pub(super) fn rule(&mut self) {
         let Some(rules) = self.rules.clone() else { return };
@@ -129,13 +171,18 @@
         let now = self.clock.now;
         match order {
             Order::Send { ticket, execution, place, terms } => {
-                let ordered = Ordered { of: self.judged_as(ticket), ticket, execution, place, terms };
-                let dispatcher = &mut self.dispatcher;
-                let may = |rules: &Shared| rules.borrow_mut().order(now, dispatcher, ordered);
-                if self.rules.as_ref().is_none_or(may) {
-                    self.leave(ordered);
+                let (guard, sent) = (self.guard.as_mut(), (ticket, execution));
+                if !guard.is_some_and(|guard| guard.holds(now, &mut self.dispatcher, (sent, place, terms))) {
+                    self.judge(Ordered { of: self.judged_as(ticket), ticket, execution, place, terms });
                 }
             }
+            Order::Stop { ticket, execution, ending }
+                if self.guard.as_mut().is_some_and(|guard| guard.stops(now, (ticket, execution))) =>
+            {
+                // Its session is to know why, though nothing of it has left.
+                self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
+                self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
+            }
             Order::Stop { ticket, execution, .. } if self.is_held(ticket, execution) => {
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
@@ -143,6 +190,7 @@
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
             }
             Order::Hurry { ticket, execution, priority } => {
+                self.guard.iter_mut().for_each(|guard| guard.hurry(ticket, priority));
                 self.engines.hurry((ticket, execution), priority);
             }
             Order::Stop { ticket, execution, ending } => {
