Fronts keep their copies of promises on their disks

Need: with the ledger's copies in memory alone each restart is a lost disk. Change: where gossip.ledger names a directory, a member's records go to its store, letters and answers wait for them, and the loop is woken once they are lasting; the operator's bounds reach the ledger; a disk that fails leaves what needs no promise, or copies in memory by the operator's choice.

--- a/crates/agreement/src/operator/gossip.rs
+++ b/crates/agreement/src/operator/gossip.rs
@@ -45,7 +45,7 @@
     pub zone_quorum: usize,
     /// One owner at a time for work on behalf of the fleet, where voters are named.
     pub ownership: Option<Ownership>,
-    /// Promises that outlive the machine they were made on, where fronts that keep them are named.
+    /// What outlives a machine, where copies of it are kept.
     pub ledger: Option<Ledger>,
 }
 
@@ -63,11 +63,9 @@
     if file.zone_quorum > MOST_QUORUM {
         return Err(fault(text, "gossip.zone_quorum", &format!("is over {MOST_QUORUM}")));
     }
-    let GossipFile {
-        listen, advertise, secret_file, seeds, zone_quorum, ownership, ledger: promises, ..
-    } = file;
+    let GossipFile { listen, advertise, secret_file, seeds, zone_quorum, ownership, ledger: kept, .. } = file;
     let ownership = ownership.map(|o| owned(text, o, &peers)).transpose()?;
-    let ledger = promises.map(|l| ledger(text, l, &peers)).transpose()?;
+    let ledger = kept.map(|l| ledger(text, l, &peers)).transpose()?;
     Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum, ownership, ledger })
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -211,6 +211,14 @@
         out
     }
 
+    /// The front's copies are lost with their disk: it begins anew with another, as one that remembers nothing.
+    pub fn start_over(&mut self, at: Moment, disk: u64) -> Out {
+        let mut out = Out::default();
+        self.promises.iter_mut().for_each(|promises| promises.start_over(at, disk));
+        self.send_promises(at, &mut out);
+        out
+    }
+
     pub fn ledger_tallies(&self) -> Option<hallmux_ledger::Tallies> {
         self.promises.as_ref().map(promises::Promises::tallies)
     }
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! datagrams, and the file of a voter. Each is switched on by the operator's file; off, it is not there. What the
 //! words mean is decided in `crates/fleet` and the minds behind it.
 
+mod copies;
 mod gate;
 mod peers;
 mod votes;
