--- a/crates/front/src/fleet/copies.rs
+++ b/crates/front/src/fleet/copies.rs
@@ -187,7 +187,9 @@
                 "ledger.directory {directory}: {e}; this front keeps no copies there any more in this life"
             );
             let _ = told.send((last, false));
-            return wake();
+            wake();
+            to_write.iter().for_each(|write| _ = told.send((write.number, false)));
+            return;
         }
         if began.elapsed() >= SLOW && !std::mem::replace(&mut slow, true) {
             let ms = began.elapsed().as_millis();
