--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -10,7 +10,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
-use hallmux_agreement::{hexadecimal, Gossip, Ledger};
+use hallmux_agreement::{hexadecimal, Gossip, Ledger, OnDiskFailure};
 use hallmux_dispatcher::{Dispatcher, Micros};
 use hallmux_fleet::{Exchange, Kept, Moment, Out, Ownership, Owns};
 use hallmux_gossip::evidence::News;
@@ -22,6 +22,7 @@
 use hallmux_lease::Terms;
 use hallmux_ledger::{Ask, Done, Member, Setup};
 
+use super::copies::{drawn, Copies, Found, Unfit, Write};
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
 
@@ -39,6 +40,10 @@
     /// The clock that leases go by: it runs evenly on, whatever becomes of the wall clock.
     steady: Instant,
     votes: Option<Votes>,
+    /// Where copies of promises are kept; none: in memory alone.
+    copies: Option<Copies>,
+    /// A disk that fails leaves them in memory.
+    spares_disk: bool,
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
@@ -98,12 +103,26 @@
                 if votes.is_some() { ", and votes" } else { "" }
             );
         }
+        let (mut copies, mut spares_disk) = (None, false);
         if let Some(ledger) = &gossip.ledger {
             let own = id(&exchange.public());
             let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
-            let (setup, members) = copies(ledger, own, (now / 1000) as u64);
-            exchange.promise(moment, setup, members, None).map_err(|e| why(e.to_string()))?;
+            let (mut setup, members) = setup(ledger, own, (now / 1000) as u64);
             let keeps = ledger.members.iter().any(|member| id(&member.key) == own);
+            spares_disk = ledger.on_disk_failure == OnDiskFailure::Memory;
+            let mut saved = None;
+            if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
+                match Copies::open(directory, socket.try_clone()?, wakes(handle)?) {
+                    Ok((opened, Found { disk, saved: found })) => {
+                        (copies, setup.disk, saved) = (Some(opened), disk, found);
+                    }
+                    Err(e @ Unfit::Disk { .. }) if spares_disk => {
+                        log::error!("{e}; copies are in memory alone")
+                    }
+                    Err(e) => return Err(why(e.to_string())),
+                }
+            }
+            exchange.promise(moment, setup, members, saved).map_err(|e| why(e.to_string()))?;
             log::info!(
                 "asks {} fronts for promises{}",
                 ledger.members.len(),
@@ -125,6 +144,8 @@
             refused: BTreeMap::new(),
             steady,
             votes,
+            copies,
+            spares_disk,
             owns: None,
             refused_acts: BTreeMap::new(),
             letters: BTreeMap::new(),
@@ -144,6 +165,7 @@
 
     /// Datagrams have come; true if there are more for another turn.
     pub fn read(&mut self, now: Micros) -> bool {
+        self.lasting(now);
         let mut bytes = [0; LONGEST + 1];
         for _ in 0..ONE_TURN {
             match self.socket.recv_from(&mut bytes) {
@@ -206,8 +228,12 @@
         if let Some(votes) = &mut self.votes {
             out.saved.into_iter().for_each(|saved| votes.save(saved));
         }
-        // In memory alone a copy is as lasting as it gets.
-        for Kept { number, datagrams, .. } in out.kept {
+        for Kept { number, records, datagrams } in out.kept {
+            if let Some(copies) = &mut self.copies {
+                copies.save(Write { number, records, datagrams });
+                continue;
+            }
+            // In memory alone a copy is as lasting as it gets.
             for Datagram { to, bytes } in datagrams {
                 let _ = self.socket.send_to(&bytes, to);
             }
@@ -216,6 +242,23 @@
         }
     }
 
+    /// Takes in what has become lasting, or has failed.
+    fn lasting(&mut self, now: Micros) {
+        let lasting = self.copies.as_ref().map(Copies::lasting).unwrap_or_default();
+        for (number, ok) in lasting {
+            let at = self.moment(now);
+            let out = self.exchange.saved(at, number, ok);
+            self.send(now, out);
+            if !ok && self.spares_disk && self.copies.take().is_some() {
+                log::error!(
+                    "copies of promises are in memory alone from now on, as a front's that remembers nothing"
+                );
+                let out = self.exchange.start_over(at, drawn());
+                self.send(now, out);
+            }
+        }
+    }
+
     /// Asks the ledger; the answer comes with `promised`.
     pub fn ask(&mut self, now: Micros, ask: Ask) {
         let out = self.exchange.ask(self.moment(now), ask);
@@ -229,6 +272,7 @@
 
     /// Does what is due; the log says what is new, and what was refused.
     pub fn tick(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
+        self.lasting(now);
         let before = self.exchange.fleet();
         let at = self.moment(now);
         let (out, news) = self.exchange.tick(at, dispatcher, &mut draws(&self.chance, &mut self.drawn));
@@ -281,15 +325,35 @@
 }
 
 /// What the operator says of the ledger, as its mind has it, and where its members are heard.
-fn copies(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
+fn setup(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
     let members = ledger.members.iter().map(|m| Member { front: id(&m.key), zone: m.zone.clone() }).collect();
     // In memory each life is a disk of its own.
     let disk = RandomState::new().hash_one(life).max(1);
     let (copies, shards) = (ledger.copies, ledger.shards);
-    let setup = Setup { copies, shards, ..Setup::new(&ledger.fleet, own, life, disk, members) };
+    let setup = Setup {
+        copies,
+        shards,
+        most_entries: ledger.most_entries,
+        most_bytes: ledger.most_bytes,
+        patience: ledger.patience,
+        repair_after: ledger.repair_after,
+        repair_bytes: ledger.repair_bytes,
+        apart_ms: ledger.clocks_apart_ms,
+        ..Setup::new(&ledger.fleet, own, life, disk, members)
+    };
     (setup, ledger.members.iter().map(|m| (id(&m.key), m.at)).collect())
 }
 
+/// What wakes the loop from the thread that writes copies.
+fn wakes(handle: &LoopHandle<'static, Changes>) -> std::io::Result<impl Fn() + Send + 'static> {
+    let (ping, source) = calloop::ping::make_ping()?;
+    let told = handle.insert_source(source, |(), _, changes: &mut Changes| {
+        changes.parties.push(Door::Peers.party(0));
+    });
+    told.map_err(|e| std::io::Error::other(e.error.to_string()))?;
+    Ok(move || ping.ping())
+}
+
 /// Numbers that nobody can foretell.
 fn draws<'a>(chance: &'a RandomState, drawn: &'a mut u64) -> impl FnMut() -> u64 + 'a {
     move || {
