--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -102,7 +102,7 @@
 pub enum OnDiskFailure {
     /// Serves only what needs no promise.
     Refuse,
-    /// Keeps no copies in that life, but asks the others for the promises it needs.
+    /// Holds copies in memory alone, as a front that remembers nothing.
     Memory,
 }
 
--- a/crates/fleet/src/promises.rs
+++ b/crates/fleet/src/promises.rs
@@ -64,6 +64,11 @@
         self.ledger.saved(moment(at), number, ok);
     }
 
+    /// Begins anew with another disk, as a front that remembers nothing.
+    pub fn start_over(&mut self, at: Moment, disk: u64) {
+        self.ledger.start_over(moment(at), disk);
+    }
+
     pub fn tallies(&self) -> hallmux_ledger::Tallies {
         self.ledger.tallies()
     }
--- a/crates/front/src/fleet/copies.rs
+++ b/crates/front/src/fleet/copies.rs
@@ -1,6 +1,6 @@
 //! This front's copies of promises on its disk: written by a thread that makes all that waits lasting together and
 //! then sends what waited for it, so that neither a slow disk holds up decisions nor a letter leaves before what it
-//! promises is lasting. Without a directory they are in memory alone.
+//! promises is lasting.
 
 use std::fs::File;
 use std::hash::{BuildHasher, RandomState};
@@ -49,12 +49,10 @@
 }
 
 pub struct Copies {
-    /// None: in memory alone.
-    writes: Option<SyncSender<Write>>,
+    writes: SyncSender<Write>,
     /// Which saves are lasting, or have failed.
     lasting: Receiver<(u64, bool)>,
     told: Sender<(u64, bool)>,
-    socket: UdpSocket,
     /// Held while this front runs: two on one directory would vote twice.
     _lock: Option<File>,
 }
@@ -65,12 +63,6 @@
 }
 
 impl Copies {
-    /// In memory alone: lasting at once, as far as they ever are.
-    pub fn in_memory(socket: UdpSocket) -> Copies {
-        let (told, lasting) = channel();
-        Copies { writes: None, lasting, told, socket, _lock: None }
-    }
-
     /// Opens the directory: its identity, drawn if it is new, and what was kept there. `wake` is called once something
     /// is lasting or has failed.
     pub fn open(
@@ -104,26 +96,20 @@
         let (told, lasting) = channel();
         let unfit = |e: std::io::Error| Unfit::Disk {
             directory: directory.to_string(),
-            what: "its thread or socket can't be had",
+            what: "its thread can't be had",
             error: e.to_string(),
         };
-        let sends = socket.try_clone().map_err(unfit)?;
         let (name, tells) = (directory.to_string(), told.clone());
         let thread = std::thread::Builder::new().name("copies".to_string());
-        let run = move || write_all(&name, &database, &to_write, &sends, &tells, wake);
+        let run = move || write_all(&name, &database, &to_write, &socket, &tells, wake);
         thread.spawn(run).map_err(unfit)?;
-        Ok((Copies { writes: Some(writes), lasting, told, socket, _lock: None }, found))
+        Ok((Copies { writes, lasting, told, _lock: None }, found))
     }
 
     /// Has it made lasting, and sent what waits for it.
     pub fn save(&mut self, write: Write) {
         let number = write.number;
-        let Some(writes) = &self.writes else {
-            send(&self.socket, &write.datagrams);
-            let _ = self.told.send((number, true));
-            return;
-        };
-        if writes.try_send(write).is_err() {
+        if self.writes.try_send(write).is_err() {
             // The thread has said so, or the disk is seconds behind: nothing is promised on it any more.
             let _ = self.told.send((number, false));
         }
@@ -201,7 +187,9 @@
                 "ledger.directory {directory}: {e}; this front keeps no copies there any more in this life"
             );
             let _ = told.send((last, false));
-            return wake();
+            wake();
+            to_write.iter().for_each(|write| _ = told.send((write.number, false)));
+            return;
         }
         if began.elapsed() >= SLOW && !std::mem::replace(&mut slow, true) {
             let ms = began.elapsed().as_millis();
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -9,7 +9,6 @@
 use std::time::Instant;
 
 use calloop::generic::Generic;
-use calloop::ping::make_ping;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
 use hallmux_agreement::{hexadecimal, Gossip, Ledger, OnDiskFailure};
 use hallmux_dispatcher::{Dispatcher, Micros};
@@ -21,9 +20,9 @@
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
-use hallmux_ledger::{Ask, DiskId, Done, Member, Outcome, Setup};
+use hallmux_ledger::{Ask, Done, Member, Setup};
 
-use super::copies::{self, Copies, Write};
+use super::copies::{drawn, Copies, Found, Unfit, Write};
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
 
@@ -42,12 +41,10 @@
     /// The clock that leases go by: it runs evenly on, whatever becomes of the wall clock.
     steady: Instant,
     votes: Option<Votes>,
-    /// Where copies of promises are kept.
+    /// Where copies of promises are kept; none: in memory alone.
     copies: Option<Copies>,
-    /// Its disk has failed, and what is done then.
-    failed: bool,
-    on_disk_failure: OnDiskFailure,
-    refused_asks: Vec<Done>,
+    /// A disk that fails leaves them in memory.
+    spares_disk: bool,
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
@@ -111,27 +108,27 @@
                 if votes.is_some() { ", and votes" } else { "" }
             );
         }
-        let mut copies = None;
+        let (mut copies, mut spares_disk) = (None, false);
         if let Some(ledger) = &gossip.ledger {
             let own = id(&exchange.public());
+            let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
+            let (mut setup, members) = setup(ledger, own, (now / 1000) as u64);
             let keeps = ledger.members.iter().any(|member| id(&member.key) == own);
-            let (mut disk, mut kept) = (copies::drawn(), None);
+            spares_disk = ledger.on_disk_failure == OnDiskFailure::Memory;
+            let mut saved = None;
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
-                let (ping, lasting) = make_ping()?;
-                let opened = Copies::open(directory, socket.try_clone()?, move || ping.ping());
-                let (opened, found) = opened.map_err(|e| why(e.to_string()))?;
-                (copies, disk, kept) = (Some(opened), found.disk, found.saved);
-                let told = handle.insert_source(lasting, |_, _, changes: &mut Changes| {
-                    changes.parties.push(Door::Peers.party(0));
-                });
-                told.map_err(|e| why(e.error.to_string()))?;
+                match Copies::open(directory, socket.try_clone()?, wakes(handle)?) {
+                    Ok((opened, Found { disk, saved: found })) => {
+                        (copies, setup.disk, saved) = (Some(opened), disk, found);
+                    }
+                    Err(e @ Unfit::Disk { .. }) if spares_disk => {
+                        log::error!("{e}; copies are in memory alone")
+                    }
+                    Err(e) => return Err(why(e.to_string())),
+                }
             }
-            let on_disk = copies.is_some();
-            copies = copies.or(Some(Copies::in_memory(socket.try_clone()?)));
-            let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
-            let remembers = kept.is_some();
-            let (setup, members) = shared(ledger, own, (now / 1000) as u64, disk);
-            exchange.promise(moment, setup, members, kept).map_err(|e| why(e.to_string()))?;
+            let (on_disk, remembers) = (copies.is_some(), saved.is_some());
+            exchange.promise(moment, setup, members, saved).map_err(|e| why(e.to_string()))?;
             log::info!(
                 "asks {} fronts for promises{}",
                 ledger.members.len(),
@@ -159,12 +156,7 @@
             steady,
             votes,
             copies,
-            failed: false,
-            on_disk_failure: gossip
-                .ledger
-                .as_ref()
-                .map_or(OnDiskFailure::Refuse, |ledger| ledger.on_disk_failure),
-            refused_asks: Vec::new(),
+            spares_disk,
             owns: None,
             refused_acts: BTreeMap::new(),
             done: Vec::new(),
@@ -252,38 +244,36 @@
         for Kept { number, records, datagrams } in out.kept {
             if let Some(copies) = &mut self.copies {
                 copies.save(Write { number, records, datagrams });
+                continue;
             }
-            // In memory it is lasting at once.
-            self.lasting(now);
-        }
-    }
-
-    fn is_saved(&mut self, now: Micros, number: u64, ok: bool) {
-        let out = self.exchange.saved(self.moment(now), number, ok);
-        self.send(now, out);
-        if !ok && !std::mem::replace(&mut self.failed, true) {
-            log::error!(
-                "this front keeps no copies of promises any more in this life, and {}",
-                match self.on_disk_failure {
-                    OnDiskFailure::Refuse => "serves only what needs no promise",
-                    OnDiskFailure::Memory => "asks the others for those that it needs",
-                }
-            );
+            // In memory alone a copy is as lasting as it gets.
+            for Datagram { to, bytes } in datagrams {
+                let _ = self.socket.send_to(&bytes, to);
+            }
+            let out = self.exchange.saved(self.moment(now), number, true);
+            self.send(now, out);
         }
     }
 
-    /// Takes the disk's word on what has become lasting.
+    /// Takes in what has become lasting, or has failed.
     fn lasting(&mut self, now: Micros) {
-        for (number, ok) in self.copies.as_ref().map(Copies::lasting).unwrap_or_default() {
-            self.is_saved(now, number, ok);
+        let lasting = self.copies.as_ref().map(Copies::lasting).unwrap_or_default();
+        for (number, ok) in lasting {
+            let at = self.moment(now);
+            let out = self.exchange.saved(at, number, ok);
+            self.send(now, out);
+            if !ok && self.spares_disk && self.copies.take().is_some() {
+                log::error!(
+                    "copies of promises are in memory alone from now on, as a front's that remembers nothing"
+                );
+                let out = self.exchange.start_over(at, drawn());
+                self.send(now, out);
+            }
         }
     }
 
     /// Asks the ledger; the answer comes with `promised`.
     pub fn ask(&mut self, now: Micros, ask: Ask) {
-        if self.failed && self.on_disk_failure == OnDiskFailure::Refuse {
-            return self.refused_asks.push(Done { number: ask.number, outcome: Outcome::Unreachable });
-        }
         let out = self.exchange.ask(self.moment(now), ask);
         self.send(now, out);
     }
@@ -291,7 +281,6 @@
     /// What the ledger has answered to the part of this front whose asks have that highest byte.
     pub fn promised(&mut self, part: u64) -> Vec<Done> {
         self.done.extend(self.exchange.promised());
-        self.done.append(&mut self.refused_asks);
         let (told, others) =
             std::mem::take(&mut self.done).into_iter().partition(|done| done.number >> PART == part >> PART);
         self.done = others;
@@ -306,6 +295,7 @@
 
     /// Does what is due; the log says what is new, and what was refused.
     pub fn tick(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
+        self.lasting(now);
         let before = self.exchange.fleet();
         let at = self.moment(now);
         let (out, news) = self.exchange.tick(at, dispatcher, &mut draws(&self.chance, &mut self.drawn));
@@ -358,11 +348,14 @@
 }
 
 /// What the operator says of the ledger, as its mind has it, and where its members are heard.
-fn shared(ledger: &Ledger, own: PeerId, life: u64, disk: DiskId) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
+fn setup(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
     let members = ledger.members.iter().map(|m| Member { front: id(&m.key), zone: m.zone.clone() }).collect();
+    // In memory each life is a disk of its own.
+    let disk = RandomState::new().hash_one(life).max(1);
+    let (copies, shards) = (ledger.copies, ledger.shards);
     let setup = Setup {
-        copies: ledger.copies,
-        shards: ledger.shards,
+        copies,
+        shards,
         most_entries: ledger.most_entries,
         most_bytes: ledger.most_bytes,
         patience: ledger.patience,
@@ -374,6 +367,16 @@
     (setup, ledger.members.iter().map(|m| (id(&m.key), m.at)).collect())
 }
 
+/// What wakes the loop from the thread that writes copies.
+fn wakes(handle: &LoopHandle<'static, Changes>) -> std::io::Result<impl Fn() + Send + 'static> {
+    let (ping, source) = calloop::ping::make_ping()?;
+    let told = handle.insert_source(source, |(), _, changes: &mut Changes| {
+        changes.parties.push(Door::Peers.party(0));
+    });
+    told.map_err(|e| std::io::Error::other(e.error.to_string()))?;
+    Ok(move || ping.ping())
+}
+
 /// Numbers that nobody can foretell.
 fn draws<'a>(chance: &'a RandomState, drawn: &'a mut u64) -> impl FnMut() -> u64 + 'a {
     move || {
--- a/crates/front/src/scatter/loads.rs
+++ b/crates/front/src/scatter/loads.rs
@@ -34,6 +34,8 @@
     writes: Vec<String>,
     locations: Vec<String>,
     noted: Micros,
+    /// Those that can't be marked, to be turned away.
+    unmarked: Vec<Sent>,
 }
 
 /// What becomes of what waited.
@@ -51,7 +53,14 @@
 
 impl Loads {
     pub fn new(writes: Vec<String>, locations: Vec<String>) -> Loads {
-        Loads { marker: Marker::new(NUMBERS), held: HashMap::new(), writes, locations, noted: 0 }
+        Loads {
+            marker: Marker::new(NUMBERS),
+            held: HashMap::new(),
+            writes,
+            locations,
+            noted: 0,
+            unmarked: Vec::new(),
+        }
     }
 
     /// Holds an execution of what may write to groups of tables until it is marked. False: it needs no mark.
@@ -66,6 +75,12 @@
             return false;
         }
         let groups = tables::groups(&call.statement, MOST_GROUPS);
+        if groups.len() > MOST_GROUPS {
+            // Not all could be marked.
+            self.unmarked.push(sent);
+            dispatcher.waits(now, sent.0, sent.1);
+            return true;
+        }
         if groups.is_empty() || sql::read(&call.statement).is_ok() {
             return false;
         }
@@ -87,7 +102,9 @@
     /// An execution is given up. True if it was held.
     pub fn stops(&mut self, sent: Sent) -> bool {
         self.marker.stop((u64::from(sent.0), sent.1));
-        self.held.remove(&sent).is_some()
+        let before = self.unmarked.len();
+        self.unmarked.retain(|unmarked| *unmarked != sent);
+        self.held.remove(&sent).is_some() || self.unmarked.len() < before
     }
 
     /// A scatter waits for the word on its group.
@@ -115,7 +132,8 @@
     pub fn asks(&mut self, now: Micros, book: &Book) -> (Vec<Ask>, Vec<Word>) {
         let wall_ms = (now / 1000) as u64;
         let (asks, follows) = self.marker.asks(wall_ms, |site, group| book.look(wall_ms, site, group));
-        let words = follows.into_iter().map(|f| self.word(f)).collect();
+        let mut words: Vec<Word> = follows.into_iter().map(|f| self.word(f)).collect();
+        words.extend(self.unmarked.drain(..).map(Word::TurnAway));
         (asks.into_iter().map(ask).collect(), words)
     }
 
--- a/crates/front/tests/play/line.rs
+++ b/crates/front/tests/play/line.rs
@@ -32,8 +32,11 @@
                 self.operator = Some(path);
             }
             ["rules", ..] => {
-                let number =
-                    std::sync::atomic::AtomicUsize::fetch_add(&FILES, 1, std::sync::atomic::Ordering::SeqCst);
+                let number = std::sync::atomic::AtomicUsize::fetch_add(
+                    &crate::FILES,
+                    1,
+                    std::sync::atomic::Ordering::SeqCst,
+                );
                 let name = format!("hallmux-play-{}-{number}-rules.json5", std::process::id());
                 let path = self.rules.get_or_insert_with(|| std::env::temp_dir().join(name)).clone();
                 std::fs::write(&path, unescaped(&rest(1))).unwrap();
