--- a/crates/agreement/src/operator/whole.rs
+++ b/crates/agreement/src/operator/whole.rs
@@ -120,6 +120,14 @@
         Operator::parse(text, &crate::contract(SETTINGS).unwrap())
     }
 
+    #[test]
+    fn the_example_is_read_with_every_part() {
+        let text = include_str!("../../../../deploy/operator.example.json5");
+        // These settings have no reports.
+        let example = read(&text.replace("load_signal: 'in_flight',", "")).unwrap();
+        assert!(example.postgres.is_some() && example.gossip.is_some() && example.scatter.is_some());
+    }
+
     const REPORTING: &str = r#"{"instances": 120, "areas": ["here"], "kinds": ["std"], "rules": {},
         "report": {"names": ["cpu", "waiting"], "source": "on_probe"},
         "requestClasses": [{"name": "lookup", "aimMs": 1000, "deadlineMs": 5000, "repeat": "repeatable"}]}"#;
