--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -2,6 +2,7 @@
 //! stand, and are looked at again just before they leave. The mind is `crates/access`; this holds the file, the clock
 //! and the ledger that it asks. Switched on by the operator's file; off, it is not there.
 
+mod reads;
 mod said;
 
 use std::cell::RefCell;
@@ -19,20 +20,6 @@
 
 const NUMBERS: u64 = 2 << 56; // the highest byte of the numbers of its asks: others of one front have others
 const MOST_GROUPS: usize = 16; // groups of tables that a statement is judged by; more cannot be told
-const STEERS: [&str; 12] = [
-    "begin",
-    "start",
-    "commit",
-    "end",
-    "rollback",
-    "abort",
-    "savepoint",
-    "release",
-    "set",
-    "show",
-    "reset",
-    "discard",
-];
 const LOOK: Micros = 100_000; // microseconds between words to the dispatcher on what is held here
 
 /// The front and its sessions judge by the same.
@@ -187,7 +174,7 @@
     /// Judges a statement, once for all its tries.
     pub fn judge(&mut self, now: Micros, customer: &str, workload: &str, text: &[u8]) -> Judged {
         let groups = Some(tables::groups(text, MOST_GROUPS)).filter(|all| !all.is_empty());
-        let groups = groups.or_else(|| reads_none(text).then(Vec::new));
+        let groups = groups.or_else(|| reads::none(text).then(Vec::new));
         let asked = Asked { customer: customer.to_string(), workload: workload.to_string(), groups };
         let judged = self.access.judge(self.moment(now), asked);
         if let Judged::Taken { verdict, .. } = &judged {
@@ -398,12 +385,3 @@
 fn place_of((ticket, execution): (Ticket, usize)) -> u64 {
     u64::from(ticket) << 16 | execution as u64 & 0xffff
 }
-
-/// A single statement that steers a session and reads no table.
-fn reads_none(text: &[u8]) -> bool {
-    let text = text.trim_ascii();
-    let text = text.strip_suffix(b";").unwrap_or(text);
-    let len = text.iter().position(|c| !c.is_ascii_alphabetic()).unwrap_or(text.len());
-    let steers = |word: &&str| text[..len].eq_ignore_ascii_case(word.as_bytes());
-    !text.contains(&b';') && STEERS.iter().any(steers)
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! types that go in and come out, `decide` the one module that decides (a file for each part of the
 //! mechanism under it), `state` the plain figures it keeps.
 
+mod chance;
 pub mod decide;
 pub mod interface;
 mod state;
