Errors of configuration are types of their own, with key, line and what an operator can do

- `hallmux_agreement::Error` and `What` (thiserror, serde_path_to_error): "where: what is wrong; what to do", in one line.
Lines are those of the file that NODE_CONFIG or HALLMUX_OPERATOR names; a column stands where the library gives one.
Unknown keys of the settings are skipped as before (docs/questions.md).
- `crates/fleet`'s `own` answers `hallmux_lease::disk::Spoilt`, which says what to do; the front's start has `Fault`.
A part of the front that does not start is no longer told as a fault of `listen`.

--- a/crates/agreement/src/contract.rs
+++ b/crates/agreement/src/contract.rs
@@ -1,8 +1,14 @@
 //! Decodes the settings object into the agreement that the module reads and what the network code needs.
 
-use hallmux::interface::{Agreement, DedupGroup, Effect, FurtherBudget, Micros, ReportPlaces, Workload};
+mod check;
+
+use hallmux::interface::{Agreement, FurtherBudget, Micros, ReportPlaces, Workload};
 use serde::Deserialize;
 
+use self::check::{check, word, EFFECTS, GROUPS};
+use crate::error::Error;
+use crate::text::Part;
+
 /// Vantages whose word of a zone leads the fleet out, where the operator's file says nothing: one front may be cut off alone.
 pub const ZONE_QUORUM: usize = 2;
 const DIAL_TIMEOUT_MS: f64 = 250.0; // milliseconds, where the settings are silent; a few round trips and more
@@ -131,11 +137,6 @@
     (ms * 1000.0).round() as Micros
 }
 
-fn word<T: Copy>(field: &str, value: &str, known: &[(&str, T)]) -> Result<T, String> {
-    let found = known.iter().find(|(name, _)| *name == value);
-    found.map(|(_, meaning)| *meaning).ok_or_else(|| format!("{field}: unknown word '{value}'"))
-}
-
 /// The names that the settings give to what the module knows by its place.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
@@ -171,13 +172,19 @@
 }
 
 /// Reads the settings' JSON text for the module alone.
-pub fn agreement(text: &str) -> Result<Agreement, String> {
+pub fn agreement(text: &str) -> Result<Agreement, Error> {
     Ok(contract(text)?.agreement)
 }
 
 /// Reads the settings' JSON text.
-pub fn contract(text: &str) -> Result<Contract, String> {
-    let read: Options = serde_json::from_str(text).map_err(|e| format!("options: {e}"))?;
+pub fn contract(text: &str) -> Result<Contract, Error> {
+    contract_of(&Part { name: "options", text, lines: 0 })
+}
+
+/// Reads the settings as a part of a larger text.
+pub(crate) fn contract_of(part: &Part) -> Result<Contract, Error> {
+    let read: Options = part.read()?;
+    check(part, &read)?;
     let names = Names {
         workloads: read.request_classes.iter().map(|c| c.name.clone()).collect(),
         customers: read.customers.iter().map(|c| c.name.clone()).collect(),
@@ -203,19 +210,12 @@
             slo_time: micros(class.aim_ms),
             slo_stretch: class.aim_stretch,
             statement_timeout: micros(class.deadline_ms),
-            effect: word(
-                "repeat",
-                &class.repeat,
-                &[
-                    ("repeatable", Effect::Idempotent),
-                    ("by_key", Effect::Deduplicated),
-                    ("once", Effect::NonIdempotent),
-                ],
-            )?,
+            effect: word(part, &format!("requestClasses[{i}].repeat"), &class.repeat, &EFFECTS)?,
             dedup_group: word(
-                "group",
+                part,
+                &format!("requestClasses[{i}].group"),
                 class.group.as_deref().unwrap_or("cell"),
-                &[("all", DedupGroup::All), ("zone", DedupGroup::Location), ("cell", DedupGroup::Cell)],
+                &GROUPS,
             )?,
             dedup_window: micros(class.dedup_window_ms),
             in_order: class.in_turn,
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -2,10 +2,13 @@
 //! simulator's adapter and the front alike, and what a front finds in its variables and `NODE_CONFIG`.
 
 mod contract;
+mod error;
 mod operator;
 mod station;
+mod text;
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
+pub use error::{Error, Place, What};
 pub use operator::{
     hexadecimal, line_of, Gossip, Ledger, LedgerMember, LoadSignal, OnDiskFailure, Operator, Ownership,
     Postgres, Rules, Scatter, SessionLimits, SpeakingEngines, User,
--- a/crates/agreement/src/operator/gossip.rs
+++ b/crates/agreement/src/operator/gossip.rs
@@ -8,6 +8,7 @@
 use super::ledger::{ledger, Ledger, LedgerFile};
 use super::ownership::{owned, Ownership, OwnershipFile};
 use super::places::fault;
+use crate::error::{Error, What};
 
 const MOST_QUORUM: usize = 64; // vantages; more fronts than that never agree in time
 
@@ -49,19 +50,19 @@
     pub ledger: Option<Ledger>,
 }
 
-pub fn gossip(text: &str, mut file: GossipFile) -> Result<Gossip, String> {
+pub fn gossip(text: &str, mut file: GossipFile) -> Result<Gossip, Error> {
     let mut peers = Vec::new();
     for (name, key) in std::mem::take(&mut file.peers) {
         match hexadecimal(&key) {
             Some(key) => peers.push((name, key)),
             None => {
                 let path = format!("gossip.peers.{name}");
-                return Err(fault(text, &path, "is no key: 64 hexadecimal digits"));
+                return Err(fault(text, &path, What::NoKey));
             }
         }
     }
     if file.zone_quorum > MOST_QUORUM {
-        return Err(fault(text, "gossip.zone_quorum", &format!("is over {MOST_QUORUM}")));
+        return Err(fault(text, "gossip.zone_quorum", What::over(MOST_QUORUM)));
     }
     let GossipFile { listen, advertise, secret_file, seeds, zone_quorum, ownership, ledger: kept, .. } = file;
     let ownership = ownership.map(|o| owned(text, o, &peers)).transpose()?;
--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -9,6 +9,7 @@
 use crate::contract::micros;
 
 use super::places::fault;
+use crate::error::{Error, What};
 
 const COPIES: usize = 3; // one may be lost, with its disk, and a majority still knows
 const MOST_COPIES: usize = 9; // each round waits for a majority of them
@@ -125,57 +126,74 @@
     pub clocks_apart_ms: u64,
 }
 
-pub fn ledger(text: &str, file: LedgerFile, peers: &[(String, [u8; 32])]) -> Result<Ledger, String> {
-    let refuse = |key: &str, why: &str| Err(fault(text, &format!("gossip.ledger.{key}"), why));
+const UNKNOWN: &str = "is not among gossip.peers; add its public key there, or name another";
+
+pub fn ledger(text: &str, file: LedgerFile, peers: &[(String, [u8; 32])]) -> Result<Ledger, Error> {
+    let refuse = |key: &str, what: What| Err(fault(text, &format!("gossip.ledger.{key}"), what));
     if file.fleet.is_empty() {
-        return refuse("fleet", "names none: letters and records of another fleet are told apart by it");
+        return refuse(
+            "fleet",
+            "names none; give the fleet a name: letters and records of another are told apart by it".into(),
+        );
     }
     if file.members.is_empty() {
-        return refuse("members", "names none: name the fronts that keep copies, or leave the ledger out");
+        return refuse(
+            "members",
+            "names none; name the fronts that keep copies, or leave the ledger out".into(),
+        );
     }
     let copies = file.copies.unwrap_or(COPIES.min(file.members.len()));
     if copies == 0 || copies > MOST_COPIES.min(file.members.len()) {
         let most = MOST_COPIES.min(file.members.len());
         return refuse(
             "copies",
-            &format!("is not from 1 to {most}: as many as members are named, and 9 at most"),
+            format!("is not from 1 to {most}; give as many as members are named at most, and no more than 9")
+                .into(),
         );
     }
     if file.shards == 0 || file.shards > MOST_SHARDS {
-        return refuse("shards", &format!("is not from 1 to {MOST_SHARDS}"));
+        return refuse("shards", What::range(1, MOST_SHARDS));
     }
     if file.most_entries == 0 || file.most_entries > MOST_ENTRIES {
-        return refuse("most_entries", &format!("is not from 1 to {MOST_ENTRIES}"));
+        return refuse("most_entries", What::range(1, MOST_ENTRIES));
     }
     if !(4_096..=MOST_BYTES).contains(&file.most_bytes) {
-        return refuse("most_bytes", &format!("is not from 4096 to {MOST_BYTES}"));
+        return refuse("most_bytes", What::range(4_096, MOST_BYTES));
     }
     if !(50.0..=10_000.0).contains(&file.patience_ms) {
-        return refuse("patience_ms", "is not from 50 to 10000");
+        return refuse("patience_ms", What::range(50, 10_000));
     }
     if !(1_000.0..=86_400_000.0).contains(&file.repair_after_ms) {
-        return refuse("repair_after_ms", "is not from 1000 to 86400000");
+        return refuse("repair_after_ms", What::range(1_000, 86_400_000));
     }
     if file.repair_bytes < 1_024 {
-        return refuse("repair_bytes", "is under 1024 a second: no copy would be made again in time");
+        return refuse(
+            "repair_bytes",
+            "is under 1024 a second; give more, or no copy is made again in time".into(),
+        );
     }
     if file.clocks_apart_ms > 60_000 {
-        return refuse("clocks_apart_ms", "is over 60000: set the clocks instead");
+        return refuse("clocks_apart_ms", "is over 60000; set the clocks instead".into());
     }
     if file.directory.as_ref().is_some_and(String::is_empty) {
-        return refuse("directory", "names none: leave the key out to keep copies in memory alone");
+        return refuse("directory", "names none; leave the key out to keep copies in memory alone".into());
     }
     let on_disk_failure = match file.on_disk_failure.as_str() {
         "refuse" => OnDiskFailure::Refuse,
         "memory" => OnDiskFailure::Memory,
-        _ => return refuse("on_disk_failure", "is neither 'refuse' nor 'memory'"),
+        _ => return refuse("on_disk_failure", "is neither 'refuse' nor 'memory'; give one of them".into()),
     };
     let (mut members, mut seen) = (Vec::new(), BTreeSet::new());
     for (name, MemberFile { at, zone }) in file.members {
         match peers.iter().find(|(peer, _)| *peer == name) {
             Some((_, key)) if seen.insert(*key) => members.push(LedgerMember { key: *key, at, zone }),
-            Some(_) => return refuse(&format!("members.{name}"), "has the key of another member"),
-            None => return refuse(&format!("members.{name}"), "is not among gossip.peers"),
+            Some(_) => {
+                return refuse(
+                    &format!("members.{name}"),
+                    "has the key of another member; give each front a key of its own".into(),
+                )
+            }
+            None => return refuse(&format!("members.{name}"), UNKNOWN.into()),
         }
     }
     Ok(Ledger {
--- a/crates/agreement/src/operator/ownership.rs
+++ b/crates/agreement/src/operator/ownership.rs
@@ -9,6 +9,7 @@
 use crate::contract::micros;
 
 use super::places::fault;
+use crate::error::{Error, What};
 
 const LEASE_MS: f64 = 3_000.0; // milliseconds: some elections of a third of a second, and no zone is lost for less
 const DRIFT_PPM: u32 = 10_000; // millionths: a hundred times what quartz does, for machines that are throttled
@@ -34,6 +35,8 @@
     DRIFT_PPM
 }
 
+const UNKNOWN: &str = "is not among gossip.peers; add its public key there, or name another";
+
 /// Who grants the leases of work on behalf of the fleet, and for how long.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ownership {
@@ -46,25 +49,27 @@
     pub drift_ppm: u32,
 }
 
-pub fn owned(text: &str, file: OwnershipFile, peers: &[(String, [u8; 32])]) -> Result<Ownership, String> {
-    let refuse = |key: &str, why: &str| Err(fault(text, &format!("gossip.ownership.{key}"), why));
+pub fn owned(text: &str, file: OwnershipFile, peers: &[(String, [u8; 32])]) -> Result<Ownership, Error> {
+    let refuse = |key: &str, what: What| Err(fault(text, &format!("gossip.ownership.{key}"), what));
     if !matches!(file.voters.len(), 3 | 5) {
-        return refuse("voters", "names neither 3 nor 5 fronts");
+        return refuse("voters", "names neither 3 nor 5 fronts; name as many of gossip.peers".into());
     }
     if !(500.0..=60_000.0).contains(&file.lease_ms) {
-        return refuse("lease_ms", "is not from 500 to 60000");
+        return refuse("lease_ms", What::range(500, 60_000));
     }
     if file.drift_ppm > MOST_DRIFT_PPM {
-        return refuse("drift_ppm", &format!("is over {MOST_DRIFT_PPM}"));
+        return refuse("drift_ppm", What::over(MOST_DRIFT_PPM));
     }
     if file.directory.is_empty() {
-        return refuse("directory", "names none: a voter that forgets what it voted for must not vote again");
+        let what =
+            "names none; name one on a lasting disk, as a voter that forgets its votes must not vote again";
+        return refuse("directory", what.into());
     }
     let mut voters = Vec::new();
     for (name, at) in file.voters {
         match peers.iter().find(|(peer, _)| *peer == name) {
             Some((_, key)) => voters.push((*key, at)),
-            None => return refuse(&format!("voters.{name}"), "is not among gossip.peers"),
+            None => return refuse(&format!("voters.{name}"), UNKNOWN.into()),
         }
     }
     let (fleet, directory, drift_ppm) = (file.fleet, file.directory, file.drift_ppm);
--- a/crates/agreement/src/operator/places.rs
+++ b/crates/agreement/src/operator/places.rs
@@ -1,12 +1,28 @@
 //! Where in the operator's file a fault is: the line of a key or element by its path.
 
-pub fn fault(text: &str, path: &str, what: &str) -> String {
-    // The library says where as well, but of the value's end.
-    let what = what.split(" at line ").next().unwrap_or(what);
-    match line_of(text, path) {
-        Some(line) => format!("line {line}: {path}: {what}"),
-        None => format!("{path}: {what}"),
-    }
+use crate::error::{Error, Place, What};
+
+pub fn fault(text: &str, path: &str, what: impl Into<What>) -> Error {
+    let place = Place { line: line_of(text, path), column: None, path: path.to_string() };
+    Error::Key { place, what: Box::new(what.into()) }
+}
+
+/// What the library says of a text that is no JSON5.
+pub fn malformed(error: &json5::Error) -> Error {
+    let at = error.position();
+    let (line, column) = (at.map(|at| at.line + 1), at.map(|at| at.column + 1));
+    Error::Malformed { place: Place { line, column, path: String::new() }, said: said(error) }
+}
+
+/// What the library says of a key's value, in a text that is JSON5.
+pub fn refused(text: &str, path: &str, error: &json5::Error) -> Error {
+    let shown = "deploy/operator.example.json5 shows each key";
+    fault(text, path, What::Form { said: said(error), shown })
+}
+
+/// The library says where as well, but of the value's end.
+fn said(error: &json5::Error) -> String {
+    error.to_string().split(" at line ").next().unwrap_or_default().to_string()
 }
 
 /// The line on which the value at a path like `a.b[2].c` begins, or that of its nearest parent that is there.
--- a/crates/agreement/src/operator/postgres.rs
+++ b/crates/agreement/src/operator/postgres.rs
@@ -9,6 +9,7 @@
 use crate::contract::{micros, Contract};
 
 use super::places::fault;
+use crate::error::{Error, What};
 
 const MOST_SESSIONS: usize = 5_000; // sessions, where the file is silent; descriptors bound them before that
 const START_UP_MS: f64 = 5_000.0; // milliseconds for start-up and authentication; drivers take some ten
@@ -134,37 +135,51 @@
     pub connection_age: Micros,
 }
 
-pub fn postgres(text: &str, file: PostgresFile, contract: &Contract) -> Result<Postgres, String> {
+pub fn postgres(text: &str, file: PostgresFile, contract: &Contract) -> Result<Postgres, Error> {
     let names = &contract.names;
-    let known = |path: String, list: &[String], name: &str| match list.iter().any(|n| n == name) {
-        true => Ok(()),
-        false => Err(fault(text, &path, &format!("'{name}' is not among the settings' {list:?}"))),
-    };
+    let known =
+        |path: String, whose: &'static str, list: &[String], name: &str| match list.iter().any(|n| n == name)
+        {
+            true => Ok(()),
+            false => Err(fault(text, &path, What::stranger(name, whose, list))),
+        };
     if file.engines.is_empty() {
-        return Err(fault(text, "postgres.engines", "names no engines"));
+        return Err(fault(
+            text,
+            "postgres.engines",
+            "names no engines; name kinds that speak PostgreSQL, or leave 'postgres' out",
+        ));
     }
     for (i, engines) in file.engines.iter().enumerate() {
         for (k, kind) in engines.kinds.iter().enumerate() {
-            known(format!("postgres.engines[{i}].kinds[{k}]"), &names.kinds, kind)?;
+            known(format!("postgres.engines[{i}].kinds[{k}]"), "the settings' kinds", &names.kinds, kind)?;
         }
     }
     let mut users = BTreeMap::new();
     for (name, user) in file.users {
         let path = format!("postgres.users.{name}");
         match (&user.verifier, user.trust) {
-            (None, false) => return Err(fault(text, &path, "needs 'verifier', or 'trust: true'")),
-            (Some(_), true) => return Err(fault(text, &path, "has both 'verifier' and 'trust'")),
+            (None, false) => {
+                return Err(fault(text, &path, "needs 'verifier', or 'trust: true'; give one of them"))
+            }
+            (Some(_), true) => {
+                return Err(fault(text, &path, "has both 'verifier' and 'trust'; leave one out"))
+            }
             (Some(verifier), false) if !is_verifier(verifier) => {
                 let form = "SCRAM-SHA-256$ITERATIONS:SALT$STORED_KEY:SERVER_KEY";
-                return Err(fault(text, &format!("{path}.verifier"), &format!("is not of the form {form}")));
+                return Err(fault(
+                    text,
+                    &format!("{path}.verifier"),
+                    format!("is not of the form {form}; copy it from pg_authid"),
+                ));
             }
             _ => {}
         }
         if let Some(member) = &user.member {
-            known(format!("{path}.member"), &names.customers, member)?;
+            known(format!("{path}.member"), "the settings' customers", &names.customers, member)?;
         }
         if let Some(workload) = &user.workload {
-            known(format!("{path}.workload"), &names.workloads, workload)?;
+            known(format!("{path}.workload"), "the settings' workloads", &names.workloads, workload)?;
         }
         let user = User {
             verifier: user.verifier,
@@ -178,7 +193,7 @@
     let l = file.limits;
     let at_least = |key: &str, value: f64, least: f64| match value.is_finite() && value >= least {
         true => Ok(()),
-        false => Err(fault(text, &format!("postgres.limits.{key}"), &format!("is under {least}"))),
+        false => Err(fault(text, &format!("postgres.limits.{key}"), What::under(least))),
     };
     for (key, value, least) in [
         ("sessions", l.sessions as f64, 1.0),
--- a/crates/agreement/src/operator/rules.rs
+++ b/crates/agreement/src/operator/rules.rs
@@ -8,6 +8,7 @@
 use crate::contract::{micros, Contract};
 
 use super::places::fault;
+use crate::error::{Error, What};
 
 const LEASE_MS: f64 = 3_000.0; // milliseconds: what tightens waits as long; some elections of the ledger's owners
 const DRIFT_PPM: u32 = 10_000; // millionths: a hundred times what quartz does, for machines that are throttled
@@ -58,45 +59,41 @@
     pub tell_every: Micros,
 }
 
-pub fn rules(text: &str, file: RulesFile, contract: &Contract) -> Result<Rules, String> {
-    let refuse = |key: &str, why: &str| Err(fault(text, &format!("rules.{key}"), why));
+pub fn rules(text: &str, file: RulesFile, contract: &Contract) -> Result<Rules, Error> {
+    let refuse = |key: &str, what: What| Err(fault(text, &format!("rules.{key}"), what));
     let names = &contract.names;
     if file.file.is_empty() {
-        return refuse("file", "names none; give the path of the file of rules");
+        return refuse("file", "names none; give the path of the file of rules".into());
     }
     for (region, locations) in &file.regions {
         let unknown = locations.iter().enumerate().find(|(_, l)| !names.locations.contains(l));
         if let Some((at, location)) = unknown {
-            let known = names.locations.join(", ");
-            let why = format!("'{location}' is not among the settings' locations: {known}; name one of them");
-            return refuse(&format!("regions.{region}[{at}]"), &why);
+            let what = What::stranger(location, "the settings' locations", &names.locations);
+            return refuse(&format!("regions.{region}[{at}]"), what);
         }
         if locations.is_empty() {
-            return refuse(&format!("regions.{region}"), "holds no location; name one");
+            return refuse(&format!("regions.{region}"), "holds no location; name one".into());
         }
     }
     let known: Vec<&String> = file.regions.keys().chain(&names.locations).collect();
     if !known.contains(&&file.region) {
-        let known: Vec<&str> = known.iter().map(|name| name.as_str()).collect();
-        let why =
-            format!("'{}' is not among the regions: {}; name one of them", file.region, known.join(", "));
-        return refuse("region", &why);
+        let known: Vec<String> = known.into_iter().cloned().collect();
+        return refuse("region", What::stranger(&file.region, "the regions", &known));
     }
     for (at, customer) in file.customers.iter().flatten().enumerate() {
         if !names.customers.is_empty() && !names.customers.contains(customer) {
-            let known = names.customers.join(", ");
-            let why = format!("'{customer}' is not among the settings' customers: {known}; name one of them");
-            return refuse(&format!("customers[{at}]"), &why);
+            let what = What::stranger(customer, "the settings' customers", &names.customers);
+            return refuse(&format!("customers[{at}]"), what);
         }
     }
     if !(500.0..=60_000.0).contains(&file.lease_ms) {
-        return refuse("lease_ms", "is not from 500 to 60000");
+        return refuse("lease_ms", What::range(500, 60_000));
     }
     if file.drift_ppm > MOST_DRIFT_PPM {
-        return refuse("drift_ppm", &format!("is over {MOST_DRIFT_PPM}"));
+        return refuse("drift_ppm", What::over(MOST_DRIFT_PPM));
     }
     if !(1_000.0..=86_400_000.0).contains(&file.tell_every_ms) {
-        return refuse("tell_every_ms", "is not from 1000 to 86400000");
+        return refuse("tell_every_ms", What::range(1_000, 86_400_000));
     }
     let RulesFile { file: path, region, regions, customers, lease_ms, drift_ppm, tell_every_ms } = file;
     let (lease, tell_every) = (micros(lease_ms), micros(tell_every_ms));
--- a/crates/agreement/src/operator/scatter.rs
+++ b/crates/agreement/src/operator/scatter.rs
@@ -9,6 +9,7 @@
 
 use super::gossip::hexadecimal;
 use super::places::fault;
+use crate::error::{Error, What};
 
 const OLDEST_MS: u64 = 600_000; // milliseconds: a site that has written nothing for so long may have lost its way
 const MOST_OLDEST_MS: u64 = 604_800_000; // milliseconds: a week
@@ -89,62 +90,72 @@
     pub answer_bytes: usize,
 }
 
-pub fn scatter(text: &str, file: ScatterFile, contract: &Contract) -> Result<Scatter, String> {
-    let refuse = |key: &str, why: &str| Err(fault(text, &format!("scatter.{key}"), why));
+pub fn scatter(text: &str, file: ScatterFile, contract: &Contract) -> Result<Scatter, Error> {
+    let refuse = |key: &str, what: What| Err(fault(text, &format!("scatter.{key}"), what));
     let names = &contract.names;
     for (n, name) in file.workloads.iter().enumerate() {
         let path = format!("workloads[{n}]");
         let Some(at) = names.workloads.iter().position(|known| known == name) else {
-            return refuse(&path, &format!("'{name}' is not among the settings' {:?}", names.workloads));
+            return refuse(&path, What::stranger(name, "the settings' workloads", &names.workloads));
         };
         let effect = contract.agreement.workloads.get(at).map(|w| w.effect);
         if effect != Some(Effect::Idempotent) {
             return refuse(
                 &path,
-                &format!("'{name}' is not idempotent: only what reads is asked of several sites"),
+                format!("'{name}' is not idempotent; name workloads that only read").into(),
             );
         }
     }
     let mut sites = BTreeMap::new();
     for (name, key) in &file.sites {
         if !names.locations.contains(name) {
-            let why = format!("'{name}' is not among the settings' areas {:?}", names.locations);
-            return refuse(&format!("sites.{name}"), &why);
+            let what = What::stranger(name, "the settings' areas", &names.locations);
+            return refuse(&format!("sites.{name}"), what);
         }
         match hexadecimal(key) {
             Some(key) => _ = sites.insert(name.clone(), key),
-            None => return refuse(&format!("sites.{name}"), "is no key: 64 hexadecimal digits"),
+            None => return refuse(&format!("sites.{name}"), What::NoKey),
         }
     }
     if file.workloads.is_empty() || sites.is_empty() {
-        return refuse("sites", "names none, or no workloads: leave 'scatter' out to switch it off");
+        return refuse("sites", "names none, or no workloads; leave 'scatter' out to switch it off".into());
     }
     let mut schemas = BTreeMap::new();
     for (group, schema) in &file.schemas {
         match group.parse() {
             Ok(number) => _ = schemas.insert(number, *schema),
-            Err(_) => return refuse(&format!("schemas.{group}"), "is no number of a table group"),
+            Err(_) => {
+                return refuse(&format!("schemas.{group}"), "is no number of a table group; give one".into())
+            }
         }
     }
     if let Some(site) = file.whole_site.as_ref().filter(|site| !sites.contains_key(*site)) {
-        return refuse("whole_site", &format!("'{site}' is not among scatter.sites"));
+        return refuse(
+            "whole_site",
+            What::stranger(site, "scatter.sites", &sites.keys().cloned().collect::<Vec<_>>()),
+        );
     }
     for (n, name) in file.partial.iter().enumerate() {
         if !names.customers.contains(name) {
-            let why = format!("'{name}' is not among the settings' customers");
-            return refuse(&format!("partial[{n}]"), &why);
+            let what = What::stranger(name, "the settings' customers", &names.customers);
+            return refuse(&format!("partial[{n}]"), what);
         }
     }
     for (n, name) in file.writes.iter().enumerate() {
         if !names.workloads.contains(name) {
-            let why = format!("'{name}' is not among the settings' {:?}", names.workloads);
-            return refuse(&format!("writes[{n}]"), &why);
+            let what = What::stranger(name, "the settings' workloads", &names.workloads);
+            return refuse(&format!("writes[{n}]"), what);
         }
     }
     let marked = match file.loads.as_deref() {
         None | Some("marked") => true,
         Some("none") => false,
-        Some(other) => return refuse("loads", &format!("'{other}' is neither 'marked' nor 'none'")),
+        Some(other) => {
+            return refuse(
+                "loads",
+                format!("'{other}' is neither 'marked' nor 'none'; give one of them").into(),
+            )
+        }
     };
     for (key, value, least, most) in [
         ("oldest_ms", file.oldest_ms, 1_000, MOST_OLDEST_MS),
@@ -154,7 +165,7 @@
         ("answer_bytes", file.answer_bytes as u64, 1_000, 1 << 26),
     ] {
         if !(least..=most).contains(&value) {
-            return refuse(key, &format!("is not from {least} to {most}"));
+            return refuse(key, What::range(least, most));
         }
     }
     let ScatterFile { workloads, directory, whole_site, partial, writes, .. } = file;
--- a/crates/agreement/src/operator/whole.rs
+++ b/crates/agreement/src/operator/whole.rs
@@ -6,10 +6,12 @@
 use crate::contract::{micros, Contract};
 
 use super::gossip::{gossip, Gossip, GossipFile};
-use super::places::fault;
+use super::places::{fault, malformed, refused};
 use super::postgres::{postgres, Postgres, PostgresFile};
 use super::rules::{rules, Rules, RulesFile};
 use super::scatter::{scatter, Scatter, ScatterFile};
+use crate::error::{Error, What};
+use crate::text::shallow;
 
 const MOST_AHEAD_MS: f64 = 600_000.0; // milliseconds either way; clocks further apart are not drilled
 
@@ -61,38 +63,37 @@
 
 impl Operator {
     /// Reads the file's text and checks it against what was agreed. An error names path and line.
-    pub fn parse(text: &str, contract: &Contract) -> Result<Operator, String> {
+    pub fn parse(text: &str, contract: &Contract) -> Result<Operator, Error> {
         // Once for the form alone, as only that pass sees what follows the end.
-        json5::from_str::<serde::de::IgnoredAny>(text).map_err(|e| e.to_string())?;
+        shallow(text)?;
+        json5::from_str::<serde::de::IgnoredAny>(text).map_err(|e| malformed(&e))?;
         let mut reader = json5::Deserializer::from_str(text);
-        let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
-            let path = e.path().to_string();
-            fault(text, &path, &e.into_inner().to_string())
-        })?;
+        let file: File = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|e| refused(text, &e.path().to_string(), e.inner()))?;
         let postgres = file.postgres.map(|p| postgres(text, p, contract)).transpose()?;
         let gossip = file.gossip.map(|g| gossip(text, g)).transpose()?;
         let rules = file.rules.map(|r| rules(text, r, contract)).transpose()?;
         let scatter = file.scatter.map(|s| scatter(text, s, contract)).transpose()?;
         let marked = scatter.as_ref().is_some_and(|scatter| scatter.marked);
         if marked && gossip.as_ref().is_none_or(|gossip| gossip.ledger.is_none()) {
-            let what = "'marked' needs gossip.ledger, where marks stand; 'none' says that no load goes through a front";
+            let what = "'marked' needs gossip.ledger, where marks stand; add it, or say 'none' where no load goes through fronts";
             return Err(fault(text, "scatter.loads", what));
         }
         if marked && postgres.is_some() {
-            let what = "'marked' can't be had beside 'postgres': loads of its sessions are not marked";
+            let what = "'marked' can't be had beside 'postgres', as loads of its sessions are not marked; leave one of both out";
             return Err(fault(text, "scatter.loads", what));
         }
         let load_signal = file.load_signal.map(|l| load_signal(text, &l, contract)).transpose()?;
         let ahead = file.clock_ahead_ms;
         if !ahead.is_finite() || ahead.abs() > MOST_AHEAD_MS {
-            return Err(fault(text, "clock_ahead_ms", &format!("is beyond {MOST_AHEAD_MS} either way")));
+            return Err(fault(text, "clock_ahead_ms", What::range(-MOST_AHEAD_MS, MOST_AHEAD_MS)));
         }
         Ok(Operator { postgres, gossip, rules, scatter, load_signal, clock_ahead: micros(ahead) })
     }
 }
 
 /// A shape of deployment that the settings' reports do not have is refused: the front would read nothing.
-fn load_signal(text: &str, word: &str, contract: &Contract) -> Result<LoadSignal, String> {
+fn load_signal(text: &str, word: &str, contract: &Contract) -> Result<LoadSignal, Error> {
     let (signal, figure) = match word {
         "in_flight" => (LoadSignal::InFlight, "active"),
         "utilization" => (LoadSignal::Utilization, "cpu"),
@@ -100,7 +101,9 @@
             return Err(fault(
                 text,
                 "load_signal",
-                &format!("'{word}' is neither 'in_flight' nor 'utilization'"),
+                format!(
+                "'{word}' is neither 'in_flight' nor 'utilization'; give one of them, or leave the key out"
+            ),
             ))
         }
     };
@@ -108,8 +111,11 @@
         return Ok(signal);
     }
     let named = contract.names.report.join(", ");
-    let what = format!("'{word}' needs '{figure}' among the settings' report.names, which are [{named}]");
-    Err(fault(text, "load_signal", &what))
+    let what = format!(
+        "'{word}' needs '{figure}' among the settings' report.names, which are [{named}]; \
+         give the other, or leave the key out"
+    );
+    Err(fault(text, "load_signal", what))
 }
 
 #[cfg(test)]
@@ -122,15 +128,18 @@
 
     /// Reads a text against settings that name one workload, customer, location and two kinds.
     pub fn read(text: &str) -> Result<Operator, String> {
-        Operator::parse(text, &crate::contract(SETTINGS).unwrap())
+        Ok(Operator::parse(text, &crate::contract(SETTINGS).unwrap())?)
     }
 
     #[test]
     fn the_example_is_read_with_every_part() {
         let text = include_str!("../../../../deploy/operator.example.json5");
+        let settings = SETTINGS.replace(r#"["here"]"#, r#"["here", "std-eu", "std-us", "std-ap"]"#);
+        let contract = crate::contract(&settings).unwrap();
         // These settings have no reports.
-        let example = read(&text.replace("load_signal: 'in_flight',", "")).unwrap();
+        let example = Operator::parse(&text.replace("load_signal: 'in_flight',", ""), &contract).unwrap();
         assert!(example.postgres.is_some() && example.gossip.is_some() && example.scatter.is_some());
+        assert!(example.rules.is_some());
     }
 
     const REPORTING: &str = r#"{"instances": 120, "areas": ["here"], "kinds": ["std"], "rules": {},
@@ -148,9 +157,9 @@
         let chosen = Operator::parse("{ load_signal: 'utilization' }", &contract).unwrap();
         assert_eq!(chosen.load_signal, Some(LoadSignal::Utilization));
         // The earlier shape with reports of the later one: refused, with the key and its line.
-        let mixed = Operator::parse("{\n  load_signal: 'in_flight',\n}", &contract).unwrap_err();
+        let mixed = Operator::parse("{\n  load_signal: 'in_flight',\n}", &contract).unwrap_err().to_string();
         assert!(mixed.starts_with("line 2: load_signal: 'in_flight' needs 'active'"), "{mixed}");
-        let unknown = Operator::parse("{ load_signal: 'rough' }", &contract).unwrap_err();
+        let unknown = Operator::parse("{ load_signal: 'rough' }", &contract).unwrap_err().to_string();
         assert!(unknown.starts_with("line 1: load_signal: 'rough' is neither"), "{unknown}");
     }
 
--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -8,8 +8,10 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::contract::{contract, Contract};
+use crate::contract::{contract_of, Contract};
+use crate::error::{Error, Place, What};
 use crate::operator::Operator;
+use crate::text::{self, Part};
 
 const MEMORY_MB: u64 = 192; // MB, where the file is silent; the least that the operators grant
 const SOCKETS: usize = 1024; // descriptors, where the file is silent; the least that the operators grant
@@ -17,14 +19,17 @@
 const LEVEL: &str = "info"; // log level; one line for each change worth waking for
 
 #[derive(Deserialize)]
-struct File {
+struct File<'a> {
     name: Option<String>,
     listen: Option<String>,
     seed: Option<String>,
-    limits: Option<Box<RawValue>>,
+    #[serde(borrow)]
+    limits: Option<&'a RawValue>,
     coordinator: Option<String>,
-    known: Option<Box<RawValue>>,
-    settings: Option<Box<RawValue>>,
+    #[serde(borrow)]
+    known: Option<&'a RawValue>,
+    #[serde(borrow)]
+    settings: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -66,32 +71,42 @@
 }
 
 impl Station {
-    /// Reads the variables given and the file that they name.
-    pub fn read(variables: &HashMap<String, String>) -> Result<Station, String> {
-        let path = variables.get("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
-        let text = std::fs::read_to_string(path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
-        Station::parse(variables, &text)
+    /// Reads the variables given and the files that they name.
+    pub fn read(variables: &HashMap<String, String>) -> Result<Station, Error> {
+        let unset = Error::Unset { variable: "NODE_CONFIG", meant: "the path of this front's JSON file" };
+        let path = variables.get("NODE_CONFIG").ok_or(unset)?;
+        let text = text::file("NODE_CONFIG", path)?;
+        Station::parse(variables, &text).map_err(|e| e.in_file("NODE_CONFIG", path))
     }
 
-    pub fn parse(variables: &HashMap<String, String>, text: &str) -> Result<Station, String> {
-        let file: File = serde_json::from_str(text).map_err(|e| format!("NODE_CONFIG: {e}"))?;
+    pub fn parse(variables: &HashMap<String, String>, text: &str) -> Result<Station, Error> {
+        let whole = Part { name: "", text, lines: 0 };
+        let file: File = whole.read()?;
         // The variables go before the file: they are what the one who started the program sees.
-        let said = |variable: &str, key: &str, kept: Option<String>| {
+        let said = |variable: &'static str, key: &str, kept: Option<String>| {
             let value = variables.get(variable).cloned().or(kept);
-            value.ok_or_else(|| format!("{key}: missing in NODE_CONFIG, and {variable} is not set"))
+            value.ok_or_else(|| whole.fault(key, What::Unsaid { variable }))
         };
-        let seed = file.seed.ok_or("seed: missing in NODE_CONFIG")?;
-        let limits: FileLimits = match &file.limits {
-            Some(raw) => serde_json::from_str(raw.get()).map_err(|e| format!("limits: {e}"))?,
+        let missing = |key: &str| Error::Key {
+            place: Place { path: key.to_string(), ..Place::default() },
+            what: Box::new(What::Missing),
+        };
+        let part = |name: &'static str, raw: &'_ RawValue| (name, text::lines_before(text, raw.get()));
+        let seed = file.seed.ok_or_else(|| missing("seed"))?;
+        let limits: FileLimits = match file.limits {
+            Some(raw) => {
+                let (name, lines) = part("limits", raw);
+                Part { name, text: raw.get(), lines }.read()?
+            }
             None => FileLimits::default(),
         };
-        let settings = file.settings.ok_or("settings: missing in NODE_CONFIG")?;
-        let mut contract = contract(settings.get()).map_err(|e| format!("settings: {e}"))?;
+        let raw = file.settings.ok_or_else(|| missing("settings"))?;
+        let (name, lines) = part("settings", raw);
+        let mut contract = contract_of(&Part { name, text: raw.get(), lines })?;
         let operator = match variables.get("HALLMUX_OPERATOR") {
             Some(path) => {
-                let text = std::fs::read_to_string(path);
-                let text = text.map_err(|e| format!("HALLMUX_OPERATOR: {path}: {e}"))?;
-                Operator::parse(&text, &contract).map_err(|e| format!("HALLMUX_OPERATOR: {path}: {e}"))?
+                let text = text::file("HALLMUX_OPERATOR", path)?;
+                Operator::parse(&text, &contract).map_err(|e| e.in_file("HALLMUX_OPERATOR", path))?
             }
             None => Operator::default(),
         };
@@ -99,25 +114,55 @@
         if let Some(gossip) = &operator.gossip {
             contract.agreement.zone_quorum = gossip.zone_quorum;
         }
+        let address = |variable: &'static str, key: &str, kept: Option<String>| {
+            let value = said(variable, key, kept)?;
+            match variables.contains_key(variable) {
+                true => from_variable(variable, &value, ADDRESS),
+                false => from_key(&whole, key, &value, value.parse(), ADDRESS),
+            }
+        };
         let level = variables.get("HALLMUX_LOG").map_or(LEVEL, String::as_str);
         Ok(Station {
             name: said("NODE_NAME", "name", file.name)?,
-            listen: read("listen", &said("NODE_LISTEN", "listen", file.listen)?)?,
-            seed: u64::from_str_radix(&seed, 16).map_err(|e| format!("seed: '{seed}': {e}"))?,
+            listen: address("NODE_LISTEN", "listen", file.listen)?,
+            seed: from_key(&whole, "seed", &seed, u64::from_str_radix(&seed, 16), SEED)?,
             limits: Limits {
                 memory_bytes: limits.memory_mb.saturating_mul(1 << 20),
                 sockets: limits.sockets,
             },
-            coordinator: file.coordinator.map(|at| read("coordinator", &at)).transpose()?,
+            coordinator: (file.coordinator)
+                .map(|at| from_key(&whole, "coordinator", &at, at.parse(), ADDRESS))
+                .transpose()?,
             known: file.known.map_or_else(|| NOTHING_KNOWN.to_string(), |raw| raw.get().to_string()),
             contract,
             operator,
-            log_level: read("HALLMUX_LOG", level)?,
+            log_level: from_variable(
+                "HALLMUX_LOG",
+                level,
+                "give one of off, error, warn, info, debug, trace",
+            )?,
             drill_clock: variables.get("HALLMUX_CLOCK").map(PathBuf::from),
         })
     }
 }
 
-fn read<T: FromStr<Err: std::fmt::Display>>(key: &str, value: &str) -> Result<T, String> {
-    value.parse().map_err(|e| format!("{key}: '{value}': {e}"))
+const ADDRESS: &str = "give an address and a port, like 127.0.0.1:9090";
+const SEED: &str = "give up to 16 hexadecimal digits";
+
+fn from_variable<T>(variable: &'static str, value: &str, remedy: &'static str) -> Result<T, Error>
+where
+    T: FromStr<Err: std::fmt::Display>,
+{
+    let refused = |e: T::Err| Error::Variable { variable, value: value.into(), said: e.to_string(), remedy };
+    value.parse().map_err(refused)
+}
+
+fn from_key<T, E: std::fmt::Display>(
+    whole: &Part,
+    key: &str,
+    value: &str,
+    read: Result<T, E>,
+    remedy: &'static str,
+) -> Result<T, Error> {
+    read.map_err(|e| whole.fault(key, What::Value { value: value.into(), said: e.to_string(), remedy }))
 }
--- /dev/null
+++ b/crates/agreement/src/text.rs
@@ -0,0 +1,133 @@
+//! Texts of configuration: files read whole, and where in them a fault is.
+
+use serde::Deserialize;
+
+use crate::error::{Error, Place, What};
+use crate::operator::line_of;
+
+const MOST_DEEP: usize = 64; // brackets; no key is meant deeper than ten, and the readers take a stack frame for each
+
+/// Reads the file that a variable names.
+pub fn file(variable: &'static str, path: &str) -> Result<String, Error> {
+    let unreadable =
+        |e: std::io::Error| Error::Unreadable { variable, path: path.to_string(), said: e.to_string() };
+    text(std::fs::read(path).map_err(unreadable)?).map_err(|e| e.in_file(variable, path))
+}
+
+fn text(bytes: Vec<u8>) -> Result<String, Error> {
+    String::from_utf8(bytes).map_err(|e| {
+        let good = &e.as_bytes()[..e.utf8_error().valid_up_to()];
+        let (line, column) = position(&String::from_utf8_lossy(good));
+        Error::NotText { place: Place { line: Some(line), column: Some(column), path: String::new() } }
+    })
+}
+
+/// Line and column behind a text, counted from 1.
+fn position(before: &str) -> (usize, usize) {
+    let last = before.rsplit('\n').next().unwrap_or_default();
+    (1 + before.matches('\n').count(), 1 + last.chars().count())
+}
+
+/// Refuses brackets that stand open deeper than any key is meant, before a reader that calls itself for each.
+pub fn shallow(text: &str) -> Result<(), Error> {
+    let (mut open, mut line) = (0usize, 1);
+    let mut rest = text.chars().peekable();
+    while let Some(c) = rest.next() {
+        match c {
+            '\n' => line += 1,
+            '/' if rest.peek() == Some(&'/') => while rest.next_if(|c| *c != '\n').is_some() {},
+            '/' if rest.peek() == Some(&'*') => {
+                let mut last = ' ';
+                rest.next();
+                for c in rest.by_ref() {
+                    line += usize::from(c == '\n');
+                    if last == '*' && c == '/' {
+                        break;
+                    }
+                    last = c;
+                }
+            }
+            '"' | '\'' => {
+                while let Some(inner) = rest.next().filter(|inner| *inner != c) {
+                    let skipped = if inner == '\\' { rest.next() } else { None };
+                    line += usize::from(inner == '\n') + usize::from(skipped == Some('\n'));
+                }
+            }
+            '{' | '[' => {
+                open += 1;
+                if open > MOST_DEEP {
+                    let place = Place { line: Some(line), ..Place::default() };
+                    return Err(Error::Deep { place, most: MOST_DEEP });
+                }
+            }
+            '}' | ']' => open = open.saturating_sub(1),
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+/// A JSON text within a larger one: what its key is called there, and on which line it begins.
+pub struct Part<'a> {
+    pub name: &'a str,
+    pub text: &'a str,
+    /// Lines of the larger text before it.
+    pub lines: usize,
+}
+
+impl<'a> Part<'a> {
+    /// Where a key of it is; the path is of this part alone.
+    pub fn place(&self, path: &str) -> Place {
+        let line = line_of(self.text, path).map(|line| line + self.lines);
+        Place { line, column: None, path: joined(self.name, path) }
+    }
+
+    pub fn fault(&self, path: &str, what: impl Into<What>) -> Error {
+        Error::Key { place: self.place(path), what: Box::new(what.into()) }
+    }
+
+    /// Reads it as JSON, passing over keys that are not known.
+    pub fn read<T: Deserialize<'a>>(&self) -> Result<T, Error> {
+        let mut reader = serde_json::Deserializer::from_str(self.text);
+        let read = serde_path_to_error::deserialize(&mut reader);
+        let read = read.map_err(|e| self.refused(&e.path().to_string(), e.inner()))?;
+        reader.end().map_err(|e| self.refused("", &e))?;
+        Ok(read)
+    }
+
+    fn refused(&self, path: &str, error: &serde_json::Error) -> Error {
+        let said = error.to_string();
+        let said = said.rsplit_once(" at line ").map_or(said.as_str(), |(said, _)| said).to_string();
+        let there = Place {
+            line: Some(error.line() + self.lines),
+            // A column of the first line counts from where this part begins.
+            column: (self.lines == 0 || error.line() > 1).then_some(error.column()),
+            path: joined(self.name, path),
+        };
+        if !error.is_data() {
+            return Error::Malformed { place: there, said };
+        }
+        let mut place = self.place(path);
+        if place.line == there.line {
+            place.column = there.column;
+        }
+        Error::Key { place, what: Box::new(What::Form { said, shown: "the README says what is meant" }) }
+    }
+}
+
+/// Steps of a path that the library could not name count as none.
+fn joined(name: &str, path: &str) -> String {
+    let path = path.trim_end_matches(['.', '?']);
+    match (name, path) {
+        (name, "") => name.to_string(),
+        ("", path) => path.to_string(),
+        (name, path) => format!("{name}.{path}"),
+    }
+}
+
+/// Lines of a text before a part of it, which is borrowed from it.
+pub fn lines_before(text: &str, part: &str) -> usize {
+    let offset = (part.as_ptr() as usize).checked_sub(text.as_ptr() as usize);
+    let before = offset.and_then(|offset| text.get(..offset));
+    before.map_or(0, |before| before.matches('\n').count())
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -105,7 +105,7 @@
     }
 
     /// Switches on one owner at a time. An error says why what was saved can't be used.
-    pub fn own(&mut self, at: Moment, ownership: Ownership) -> Result<(), String> {
+    pub fn own(&mut self, at: Moment, ownership: Ownership) -> Result<(), hallmux_lease::disk::Spoilt> {
         self.owning = Some(owning::Owning::new(at, self.node.id(), ownership)?);
         Ok(())
     }
--- a/crates/fleet/src/owning.rs
+++ b/crates/fleet/src/owning.rs
@@ -9,6 +9,7 @@
 use hallmux_gossip::node::Node;
 use hallmux_gossip::post::Channel;
 use hallmux_gossip::{Chance, PeerId};
+use hallmux_lease::disk::Spoilt;
 use hallmux_lease::fence::{self, Fence, Refused};
 use hallmux_lease::holder::Holder;
 use hallmux_lease::voter::{self, Voter};
@@ -67,15 +68,12 @@
 }
 
 impl Owning {
-    pub fn new(at: Moment, own: PeerId, ownership: Ownership) -> Result<Owning, String> {
+    pub fn new(at: Moment, own: PeerId, ownership: Ownership) -> Result<Owning, Spoilt> {
         let Ownership { fleet, voters, terms, saved } = ownership;
         let ids: Vec<PeerId> = voters.iter().map(|(id, _)| *id).collect();
         let fleet = fingerprint(&fleet, &ids);
         let voter = match ids.contains(&own) {
-            true => Some(
-                Voter::new(at.steady, fleet, own, &ids, terms, saved.as_deref())
-                    .map_err(|e| e.to_string())?,
-            ),
+            true => Some(Voter::new(at.steady, fleet, own, &ids, terms, saved.as_deref())?),
             false => None,
         };
         Ok(Owning {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -248,7 +248,7 @@
 
     /// The configuration was read again: what may change while a front runs holds from now on. One that
     /// can't be used changes nothing.
-    pub fn reload(&mut self, read: Result<Station, String>) {
+    pub fn reload(&mut self, read: Result<Station, hallmux_agreement::Error>) {
         self.clock.look();
         match read {
             Ok(station) => {
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -15,6 +15,7 @@
 mod reuse;
 mod scatter;
 mod shutdown;
+mod start;
 
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -25,6 +26,7 @@
 
 use doors::Changes;
 use front::Front;
+use start::Fault;
 
 fn main() -> ExitCode {
     match run() {
@@ -36,7 +38,7 @@
     }
 }
 
-fn run() -> Result<(), String> {
+fn run() -> Result<(), Fault> {
     let variables = std::env::vars().collect();
     let station = Station::read(&variables)?;
     logger::start(&station.name, station.log_level);
@@ -44,21 +46,22 @@
         log::warn!("HALLMUX_CLOCK: the time is a drill's, from {}", path.display());
     }
     let known = hallmux_codec::coordinator::stream(station.known.as_bytes());
-    let known = known.map_err(|what| format!("known: {what}"))?;
-    let mut event_loop: EventLoop<'static, Changes> = EventLoop::try_new().map_err(|e| e.to_string())?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| e.to_string())?;
+    let known = known.map_err(|what| Fault::Known(what.to_string()))?;
+    let polls = Fault::system("polling");
+    let mut event_loop: EventLoop<'static, Changes> = EventLoop::try_new().map_err(|e| polls(e.into()))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| polls(e.into()))?;
     let asked = |event: Event, _: &mut (), changes: &mut Changes| changes.signals.push(event.signal());
-    event_loop.handle().insert_source(signals, asked).map_err(|e| e.to_string())?;
-    let listener =
-        TcpListener::bind(station.listen).map_err(|e| format!("listen: {}: {e}", station.listen))?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    event_loop.handle().insert_source(signals, asked).map_err(|e| polls(e.error.into()))?;
+    let unfit = |why| Fault::Listen { at: station.listen, why };
+    let listener = TcpListener::bind(station.listen).map_err(unfit)?;
+    let address = listener.local_addr().map_err(unfit)?;
     let front = Front::new(&station, &known, listener, event_loop.handle());
-    let mut front = front.map_err(|e| format!("listen: {}: {e}", station.listen))?;
+    let mut front = front.map_err(|why| Fault::part(&why))?;
     log::info!("takes statements at {address}");
     let mut changes = Changes::default();
     while !front.is_done() {
         let idle = front.idle();
-        event_loop.dispatch(idle, &mut changes).map_err(|e| e.to_string())?;
+        event_loop.dispatch(idle, &mut changes).map_err(|e| polls(e.into()))?;
         for signal in changes.signals.drain(..) {
             match signal {
                 Signal::SIGHUP => front.reload(Station::read(&variables)),
--- a/crates/lease/src/disk.rs
+++ b/crates/lease/src/disk.rs
@@ -18,21 +18,16 @@
 }
 
 /// Why what was saved can't be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Spoilt {
-    /// It is cut short, altered, or of another form.
+    #[error("what was saved is cut short, altered or of another form; bring the directory back from before, or name another front as voter")]
     Form,
-    /// It is of another fleet, or of other voters.
+    #[error("what was saved is of another fleet or of other voters; give the front the directory of its own fleet")]
     Fleet,
-}
-
-impl std::fmt::Display for Spoilt {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Spoilt::Form => "what was saved is cut short, altered or of another form",
-            Spoilt::Fleet => "what was saved is of another fleet or of other voters",
-        })
-    }
+    #[error(
+        "this front is not among the voters, or there are too few of them; name it, and three or five in all"
+    )]
+    Voters,
 }
 
 /// What a voter holds, by the fleet that it is of.
@@ -78,6 +73,14 @@
     use crate::Task;
     use omnipaxos::storage::Storage;
 
+    #[test]
+    fn what_is_spoilt_says_what_to_do() {
+        for spoilt in [Spoilt::Form, Spoilt::Fleet, Spoilt::Voters] {
+            let text = spoilt.to_string();
+            assert!(text.split_once("; ").is_some_and(|(wrong, remedy)| wrong.len() > 8 && remedy.len() > 8));
+        }
+    }
+
     #[test]
     fn what_is_saved_is_read_again_and_nothing_spoilt_is() {
         let disk = Disk::new(7);
--- a/crates/lease/src/voter.rs
+++ b/crates/lease/src/voter.rs
@@ -79,14 +79,14 @@
             ..ClusterConfig::default()
         };
         let server_config = ServerConfig {
-            pid: number(own).ok_or(Spoilt::Fleet)?,
+            pid: number(own).ok_or(Spoilt::Voters)?,
             election_tick_timeout: ELECTION_TICKS,
             resend_message_tick_timeout: RESEND_TICKS,
             ..ServerConfig::default()
         };
         let log = OmniPaxosConfig { cluster_config, server_config }
             .build(disk.store.clone())
-            .map_err(|_| Spoilt::Fleet)?;
+            .map_err(|_| Spoilt::Voters)?;
         let mut voter = Voter {
             fleet,
             own,
