Limits of rules hold over the whole fleet: shares in escrow, spent under a lease

A rule may say at_most N in T. Until now a front could only let through, narrow or deny; a limit kept by each front for itself would have been N for each of them.

The limit is N tokens in escrow. Each front holds a share in one table of the ledger (a new kind at the end of the list), spends it under a lease that is a read of the table, and what was spent cools for T. Shares move before they run out, are let go of when idle, and are taken back from a lost front once its lease has ended and what it had spent has cooled. A statement takes its share when it is judged, or waits half a lease for one; beyond that it is rejected with a time to come back and counts as no hit. The file of rules in the front is split.

--- a/crates/access/src/access.rs
+++ b/crates/access/src/access.rs
@@ -11,6 +11,7 @@
 use crate::known::Known;
 use crate::read::Wish;
 use crate::rule::Asking;
+use crate::shares::Shares;
 use crate::versions::{Said, Versions};
 use crate::{FrontId, Micros, Moment};
 
@@ -59,6 +60,8 @@
     pub said: Vec<Said>,
     /// Statements whose hits stand.
     pub counted: Vec<u64>,
+    /// Statements for which there is no room within a limit: nothing of them has left, and later there may be.
+    pub limited: Vec<u64>,
     /// Statements that run where the version adopted bars: they are to be ended, where the platform can.
     pub ends: Vec<u64>,
     /// The fleet's count, as it was asked for.
@@ -71,12 +74,15 @@
     /// Where its executions are, by the caller's number.
     out: BTreeMap<u64, Option<u16>>,
     ending: bool,
+    /// What it counts for, while it waits for its share of a limit.
+    hits: Vec<Hit>,
 }
 
 pub struct Access {
     region: String,
     versions: Versions,
     hits: Hits,
+    shares: Shares,
     open: BTreeMap<u64, Open>,
     next: u64,
     /// The version that open statements were last held against.
@@ -84,6 +90,8 @@
     /// Statements that a new version has ended.
     pub ended: u64,
     ends: Vec<u64>,
+    /// Said of the shares already.
+    told: Option<Said>,
 }
 
 fn judge(index: &Index, region: &str, asked: &Asked, wall_ms: u64) -> Verdict {
@@ -100,8 +108,10 @@
 impl Access {
     pub fn new(setup: Setup) -> Access {
         let Setup { own, fronts, region, known, terms, first_number } = setup;
+        let shares = Shares::new(own, terms, fronts.len());
         Access {
             region,
+            shares,
             versions: Versions::new(known, terms, first_number),
             hits: Hits::new(own, fronts),
             open: BTreeMap::new(),
@@ -109,6 +119,7 @@
             looked: 0,
             ended: 0,
             ends: Vec::new(),
+            told: None,
         }
     }
 
@@ -153,10 +164,16 @@
         let hits: Vec<Hit> = verdict.rule.into_iter().chain(verdict.counts).map(hit).collect();
         self.next += 1;
         let (statement, waits) = (self.next, !hits.is_empty());
-        if waits {
-            self.hits.count(statement, hits);
-        }
-        let open = Open { asked, verdict: verdict.clone(), out: BTreeMap::new(), ending: false };
+        let limits = if verdict.denied.is_none() { index.limits(&verdict) } else { Vec::new() };
+        let goes = limits.is_empty() || self.shares.take(at.steady, statement, limits);
+        let hits = match goes {
+            true if waits => {
+                self.hits.count(statement, hits);
+                Vec::new()
+            }
+            _ => hits,
+        };
+        let open = Open { asked, verdict: verdict.clone(), out: BTreeMap::new(), ending: false, hits };
         self.open.insert(statement, open);
         Judged::Taken { statement, verdict, waits }
     }
@@ -169,13 +186,24 @@
         let Some(open) = self.open.get_mut(&statement) else { return false };
         let still = open.verdict.version == index.set.version
             || judge(index, &self.region, &open.asked, at.wall_ms).lets(place);
-        let may = still && !open.ending && open.verdict.lets(place);
+        let may =
+            still && !open.ending && open.verdict.lets(place) && self.shares.begins(at.steady, statement);
         if may {
             open.out.insert(execution, place);
         }
         may
     }
 
+    /// A statement may not leave for want of room within a limit: later there may be.
+    pub fn is_limited(&self, statement: u64) -> bool {
+        self.shares.lacks(statement)
+    }
+
+    /// Statements refused by each rule's limit in this front's life.
+    pub fn limited(&self) -> &BTreeMap<String, u64> {
+        &self.shares.limited
+    }
+
     /// An execution has ended.
     pub fn execution_ended(&mut self, statement: u64, execution: u64) {
         if let Some(open) = self.open.get_mut(&statement) {
@@ -187,23 +215,38 @@
     pub fn over(&mut self, statement: u64) {
         self.open.remove(&statement);
         self.hits.forget(statement);
+        self.shares.over(statement);
     }
 
-    pub fn due(&self) -> Micros {
-        self.versions.due().min(self.hits.due())
+    pub fn due(&self, steady: Micros) -> Micros {
+        self.versions.due().min(self.hits.due()).min(self.shares.due(steady))
     }
 
     pub fn tick(&mut self, at: Moment) {
         self.versions.tick(at);
+        self.shares.tick(at, &mut || self.versions.number());
+        self.have_shares();
         self.hits.tick(at, &mut || self.versions.number());
         self.look(at);
     }
 
+    /// Those that have their shares now wait for their count.
+    fn have_shares(&mut self) {
+        for statement in std::mem::take(&mut self.shares.ready) {
+            if let Some(open) = self.open.get_mut(&statement) {
+                self.hits.count(statement, std::mem::take(&mut open.hits));
+            }
+        }
+    }
+
     /// The ledger has answered. False if it was not asked here.
     pub fn done(&mut self, at: Moment, done: Done) -> bool {
         let Done { number, outcome } = done;
         let ours = self.versions.done(at, number, outcome.clone())
-            || self.hits.done(at, number, outcome, &mut || self.versions.number());
+            || self.hits.done(at, number, outcome.clone(), &mut || self.versions.number())
+            || self.shares.done(at, number, outcome, &mut || self.versions.number());
+        self.have_shares();
+        self.hits.tick(at, &mut || self.versions.number());
         self.look(at);
         ours
     }
@@ -240,15 +283,22 @@
     pub fn take(&mut self) -> Out {
         let mut asks = std::mem::take(&mut self.versions.asks);
         asks.append(&mut self.hits.asks);
+        asks.append(&mut self.shares.asks);
         let mut said = std::mem::take(&mut self.versions.said);
         if std::mem::take(&mut self.hits.full) {
             said.push(Said::Full { what: "hits" });
         }
+        let trouble = self.shares.trouble();
+        if trouble != self.told {
+            said.extend(trouble.clone());
+            self.told = trouble;
+        }
         let swept = std::mem::take(&mut self.hits.swept);
         Out {
             asks,
             said,
             counted: std::mem::take(&mut self.hits.counted),
+            limited: std::mem::take(&mut self.shares.refused),
             ends: std::mem::take(&mut self.ends),
             fleet: swept.then(|| self.hits.fleet().clone()),
         }
--- a/crates/access/src/index.rs
+++ b/crates/access/src/index.rs
@@ -4,7 +4,8 @@
 use std::collections::HashMap;
 
 use crate::known::Known;
-use crate::rule::{Asking, Default, Set, Then};
+use crate::rule::{Asking, Default, Rule, Set, Then};
+use crate::shares::Limit;
 
 const MOST_GROUPS: usize = 16; // groups of tables of one statement; more are as if they could not be told
 const UNTOLD: &str = "the groups of tables that it reads cannot be told, and a rule bars some";
@@ -19,6 +20,8 @@
     pub rule: Option<usize>,
     /// The rule that only counts it.
     pub counts: Option<usize>,
+    /// The rules that let it through within a limit.
+    pub limits: Vec<usize>,
     /// Why it is denied.
     pub denied: Option<String>,
     /// The places where it may be read, ascending; None: all.
@@ -146,7 +149,15 @@
             None if self.set.default == Default::Deny => (Some("no rule allows it".to_string()), None),
             None => (None, None),
         };
-        Verdict { version: self.set.version, rule, counts, denied, allowed }
+        let limits = rule.into_iter().filter(|_| decides.is_some_and(|r| r.limit.is_some()));
+        Verdict { version: self.set.version, rule, counts, limits: limits.collect(), denied, allowed }
+    }
+
+    /// The limits that a verdict holds a statement to.
+    pub fn limits(&self, verdict: &Verdict) -> Vec<Limit> {
+        let rules = verdict.limits.iter().filter_map(|at| self.set.rules.get(*at));
+        let limit = |r: &Rule| r.limit.map(|(most, window)| Limit { rule: r.name.clone(), most, window });
+        rules.filter_map(limit).collect()
     }
 
     /// The name of a rule, by its place in the order.
@@ -159,7 +170,7 @@
     pub fn tightens(&self, before: &Index, known: &Known, now_ms: u64) -> bool {
         const MOST_LOOKED_AT: usize = 200_000; // kinds of statements; some 100 ms
         let sets = [&self.set, &before.set];
-        let names = |field: fn(&crate::rule::Rule) -> Option<&String>| {
+        let names = |field: fn(&Rule) -> Option<&String>| {
             // What no rule names stands for all that none names.
             let named = sets.iter().flat_map(|set| &set.rules).filter_map(field).map(String::as_str);
             let mut names: Vec<&str> = named.chain([""]).collect();
@@ -190,7 +201,10 @@
         let all: Vec<u16> = (0..=known.locations.len() as u16).collect();
         let lets = |index: &Index, asking: &Asking, at: u64| {
             let verdict = index.judge_one(asking, at);
-            verdict.denied.map_or_else(|| verdict.allowed.unwrap_or_else(|| all.clone()), |_| Vec::new())
+            let limits = index.limits(&verdict);
+            let allowed =
+                verdict.denied.map_or_else(|| verdict.allowed.unwrap_or_else(|| all.clone()), |_| Vec::new());
+            (allowed, limits)
         };
         let mut tightens = false;
         for customer in &customers {
@@ -199,9 +213,10 @@
                     let kind = |group| Asking { customer, workload, group, told: false, front };
                     let less = |group: &Option<u32>| {
                         times.iter().any(|at| {
-                            let (new, old) =
-                                (lets(self, &kind(*group), *at), lets(before, &kind(*group), *at));
-                            old.iter().any(|place| new.binary_search(place).is_err())
+                            let (new, limits) = lets(self, &kind(*group), *at);
+                            let (old, before) = lets(before, &kind(*group), *at);
+                            let limited = limits.iter().any(|limit| !before.contains(limit));
+                            limited || old.iter().any(|place| new.binary_search(place).is_err())
                         })
                     };
                     tightens |= groups.iter().any(less);
@@ -259,6 +274,9 @@
     let counts = a.counts.into_iter().chain(b.counts).min();
     let (mut one, other) = if first(&a, &b) { (a, b) } else { (b, a) };
     one.counts = counts;
+    one.limits.extend(other.limits);
+    one.limits.sort_unstable();
+    one.limits.dedup();
     if one.denied.is_some() {
         return one;
     }
@@ -291,7 +309,7 @@
             Some((r, tables)) => {
                 edges.push((tables.first, true, *at));
                 edges.extend(tables.last.checked_add(1).map(|end| (end, false, *at)));
-                if r.then.narrows() {
+                if r.narrows() {
                     made.narrowing.push(*at);
                 }
             }
--- a/crates/access/src/lib.rs
+++ b/crates/access/src/lib.rs
@@ -1,6 +1,6 @@
 //! Regional access rules of customers: who may read what where. A set of rules is read and checked as a whole
 //! (`read`, `check`), compiled to an index (`index`), kept as one version for the whole fleet in the ledger of
-//! promises (`head`, `versions`), and counted exactly (`hits`). `Access` joins them for one front. No sockets, no
+//! promises (`head`, `versions`), counted exactly (`hits`), and held to limits over the whole fleet (`shares`). `Access` joins them for one front. No sockets, no
 //! files, no clock, no chance: events and the time come in, asks to the ledger and words for the front go out.
 //!
 //! A rule narrows where the decision module may send; the module still chooses among what is left.
@@ -14,6 +14,7 @@
 mod known;
 mod read;
 mod rule;
+mod shares;
 mod versions;
 
 pub use access::{Access, Asked, Judged, Out, Setup};
@@ -26,4 +27,5 @@
 pub use known::{Bound, Known};
 pub use read::{read, Lines, Wish};
 pub use rule::{Asking, Default, Rule, Set, Tables, Then};
+pub use shares::{Limit, Shares};
 pub use versions::Said;
--- a/crates/access/src/read.rs
+++ b/crates/access/src/read.rs
@@ -6,11 +6,14 @@
 use crate::fault::{Fault, Faults, What};
 use crate::known::Known;
 use crate::rule::{Default, Rule, Set, Tables, Then};
+use crate::Micros;
 
 const MOST_RULES: usize = 200_000; // rules; twice what the cost of a decision was measured with
 const KEYS: &str = "version, default, rules, roll_back_to";
 const RULE_KEYS: &str =
-    "name, customer, workload, tables, front, regions, barred, then, reason, priority, from, until";
+    "name, customer, workload, tables, front, regions, barred, then, reason, at_most, in_ms, priority, from, until";
+const MOST_AT_ONCE: u64 = 100_000; // of a limit; some 8 bytes for each statement that began in its window
+const WINDOW_MS: (u64, u64) = (1_000, 86_400_000); // milliseconds: below, what is under way weighs; a day
 
 /// What a file asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -177,8 +180,18 @@
             self.faults.push((format!("{path}.until"), what));
         }
         let then = self.then(path, r, &name);
+        let limit = self.limit(path, r, &name);
+        if limit.is_some() && then.as_ref().is_some_and(|then| !matches!(then, Then::Allow { .. })) {
+            let what = What::Shape {
+                rule: name.clone(),
+                why: "has a limit though it does not allow",
+                remedy: "take out `at_most` and `in_ms`, or say then: 'allow'",
+            };
+            self.faults.push((format!("{path}.at_most"), what));
+        }
+        let then = then?;
         let rule =
-            Rule { name, customer, workload, tables, front, then: then?, priority, from_ms, until_ms, place };
+            Rule { name, customer, workload, tables, front, then, limit, priority, from_ms, until_ms, place };
         (self.faults.len() == before).then_some(rule)
     }
 
@@ -200,6 +213,30 @@
         }
     }
 
+    fn limit(&mut self, path: &str, r: &Map<String, Value>, name: &str) -> Option<(u32, Micros)> {
+        let (most, window) = (r.get("at_most"), r.get("in_ms"));
+        if most.is_some() != window.is_some() {
+            let what = What::Shape {
+                rule: name.to_string(),
+                why: "has one of `at_most` and `in_ms`",
+                remedy: "give both: so many statements, in a window of so many milliseconds",
+            };
+            return self.fault(path, what);
+        }
+        let needs = "whole number from 1 to 100000";
+        let most = match whole(most?).filter(|most| (1..=MOST_AT_ONCE).contains(most)) {
+            Some(most) => most,
+            None => return self.fault(&format!("{path}.at_most"), What::Kind { needs }),
+        };
+        match whole(window?).filter(|ms| (WINDOW_MS.0..=WINDOW_MS.1).contains(ms)) {
+            Some(ms) => Some((most as u32, ms as Micros * 1000)),
+            None => {
+                let needs = "whole number of milliseconds from 1000 to 86400000";
+                self.fault(&format!("{path}.in_ms"), What::Kind { needs })
+            }
+        }
+    }
+
     fn time(&mut self, path: &str, object: &Map<String, Value>, key: &str) -> Option<u64> {
         let text = self.text(path, object, key)?;
         let time = text.parse::<jiff::Timestamp>().ok().and_then(|t| u64::try_from(t.as_millisecond()).ok());
--- a/crates/access/src/rule.rs
+++ b/crates/access/src/rule.rs
@@ -2,6 +2,8 @@
 
 use std::cmp::Reverse;
 
+use crate::Micros;
+
 /// Groups of tables, both ends within.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Tables {
@@ -34,7 +36,7 @@
 }
 
 impl Then {
-    pub fn narrows(&self) -> bool {
+    fn narrows(&self) -> bool {
         !matches!(self, Then::Allow { places: None } | Then::Count)
     }
 
@@ -59,6 +61,8 @@
     /// The region of the front that was asked.
     pub front: Option<String>,
     pub then: Then,
+    /// At most so many statements that it lets through begin in any window of so many microseconds, in the fleet.
+    pub limit: Option<(u32, Micros)>,
     pub priority: i32,
     /// Unix milliseconds: from the first on, before the second.
     pub from_ms: u64,
@@ -97,6 +101,11 @@
         self.from_ms == 0 && self.until_ms == u64::MAX
     }
 
+    /// Whether it lets less through than if it were not there.
+    pub fn narrows(&self) -> bool {
+        self.then.narrows() || self.limit.is_some()
+    }
+
     /// Whether it holds whenever the other does.
     pub fn spans(&self, other: &Rule) -> bool {
         self.from_ms <= other.from_ms && other.until_ms <= self.until_ms
@@ -111,7 +120,7 @@
             && named(&self.front, asking.front)
             && self.tables.is_none_or(|t| match asking.group {
                 Some(group) => t.holds(group),
-                None => !asking.told && self.then.narrows(),
+                None => !asking.told && self.narrows(),
             })
     }
 
@@ -134,7 +143,7 @@
     pub fn agrees(&self, other: &Rule) -> bool {
         match (&self.then, &other.then) {
             (Then::Deny { .. }, Then::Deny { .. }) => true,
-            (ours, theirs) => ours == theirs,
+            (ours, theirs) => ours == theirs && self.limit == other.limit,
         }
     }
 }
--- /dev/null
+++ b/crates/access/src/shares.rs
@@ -0,0 +1,167 @@
+//! Limits of rules over the whole fleet: at most N statements begin in any window of T. Each front holds a share of
+//! each limit that it has traffic for, in escrow: what it holds no other can spend. Shares are kept in the ledger, move
+//! to where the traffic is before they run out, and are taken back from a front that is lost once it can surely
+//! spend them no more.
+
+mod demand;
+mod share;
+mod table;
+
+use std::collections::{BTreeMap, HashMap};
+
+use hallmux_ledger::{Ask, Outcome, Owner};
+
+use crate::versions::Said;
+use crate::{Micros, Moment};
+
+use share::{Share, Terrain};
+pub use table::Limit;
+
+/// A statement, and the limits that it has yet to take from.
+struct Taking {
+    limits: Vec<Limit>,
+    lacks: usize,
+    began: bool,
+}
+
+pub struct Shares {
+    terrain: Terrain,
+    shares: BTreeMap<Limit, Share>,
+    statements: BTreeMap<u64, Taking>,
+    asked: HashMap<u64, (Limit, Micros)>,
+    pub asks: Vec<Ask>,
+    /// Statements that have waited for their shares and have them now, or have none.
+    pub ready: Vec<u64>,
+    pub refused: Vec<u64>,
+    /// Statements refused by each rule's limit, so far.
+    pub limited: BTreeMap<String, u64>,
+}
+
+impl Shares {
+    /// A share is spent under a lease by `terms`; `fronts` is how many share.
+    pub fn new(own: Owner, terms: hallmux_lease::Terms, fronts: usize) -> Shares {
+        Shares {
+            terrain: Terrain { own, terms, fronts },
+            shares: BTreeMap::new(),
+            statements: BTreeMap::new(),
+            asked: HashMap::new(),
+            asks: Vec::new(),
+            ready: Vec::new(),
+            refused: Vec::new(),
+            limited: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a statement may go on at once; else it waits, and is among `ready` or `refused` later.
+    pub fn take(&mut self, now: Micros, statement: u64, limits: Vec<Limit>) -> bool {
+        let terrain = self.terrain;
+        let takes = |limit: &&Limit| {
+            let share =
+                self.shares.entry((*limit).clone()).or_insert_with(|| Share::new((*limit).clone(), terrain));
+            !share.take(now, statement)
+        };
+        let lacks = limits.iter().filter(takes).count();
+        self.statements.insert(statement, Taking { limits, lacks, began: false });
+        self.hear();
+        lacks == 0
+    }
+
+    /// Whether a statement's execution may leave now; the first is its beginning.
+    pub fn begins(&mut self, now: Micros, statement: u64) -> bool {
+        let Some(taking) = self.statements.get_mut(&statement) else { return true };
+        if taking.began {
+            return true;
+        }
+        if taking.lacks > 0 {
+            return false;
+        }
+        taking.began = true;
+        let mut may = true;
+        for limit in &taking.limits {
+            may &= self.shares.get_mut(limit).is_some_and(|share| share.begins(now, statement));
+        }
+        if !may {
+            taking.lacks = 1;
+            taking.began = false;
+        }
+        may
+    }
+
+    /// A statement may not begin for want of a share.
+    pub fn lacks(&self, statement: u64) -> bool {
+        self.statements.get(&statement).is_some_and(|taking| taking.lacks > 0)
+    }
+
+    pub fn over(&mut self, statement: u64) {
+        let Some(taking) = self.statements.remove(&statement) else { return };
+        for limit in &taking.limits {
+            self.shares.get_mut(limit).into_iter().for_each(|share| share.over(statement));
+        }
+    }
+
+    pub fn due(&self, now: Micros) -> Micros {
+        self.shares.values().map(|share| share.due(now)).min().unwrap_or(Micros::MAX)
+    }
+
+    pub fn tick(&mut self, at: Moment, number: &mut impl FnMut() -> u64) {
+        for (limit, share) in &mut self.shares {
+            if let Some(act) = share.tick(at.steady) {
+                let number = number();
+                self.asked.insert(number, (limit.clone(), at.steady));
+                self.asks.push(Ask { number, key: limit.key(), act });
+            }
+        }
+        self.hear();
+        self.shares.retain(|_, share| !share.is_idle());
+    }
+
+    /// The ledger has answered. False if it was not asked here.
+    pub fn done(
+        &mut self,
+        at: Moment,
+        asked: u64,
+        outcome: Outcome,
+        number: &mut impl FnMut() -> u64,
+    ) -> bool {
+        let Some((limit, asked_at)) = self.asked.remove(&asked) else { return false };
+        if let Some(share) = self.shares.get_mut(&limit) {
+            share.done(at.steady, asked_at, outcome);
+        }
+        self.tick(at, number);
+        true
+    }
+
+    /// What keeps shares from being spent, if anything that a person should know of.
+    pub fn trouble(&self) -> Option<Said> {
+        let unreadable = self.shares.values().any(|share| share.unreadable);
+        let full = self.shares.values().any(|share| share.full);
+        match (unreadable, full) {
+            (true, _) => Some(Said::Unreadable { what: "shares of a limit" }),
+            (_, true) => Some(Said::Full { what: "shares of a limit" }),
+            _ => None,
+        }
+    }
+
+    fn hear(&mut self) {
+        let mut refused = Vec::new();
+        for share in self.shares.values_mut() {
+            for statement in share.ready.drain(..) {
+                let Some(taking) = self.statements.get_mut(&statement) else { continue };
+                taking.lacks -= taking.lacks.min(1);
+                if taking.lacks == 0 {
+                    self.ready.push(statement);
+                }
+            }
+            for statement in share.refused.drain(..) {
+                *self.limited.entry(share.limit.rule.clone()).or_default() += 1;
+                refused.push(statement);
+            }
+        }
+        for statement in refused {
+            if self.statements.contains_key(&statement) {
+                self.over(statement);
+                self.refused.push(statement);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/access/src/shares/table.rs
@@ -0,0 +1,157 @@
+//! Who holds how much of a limit, as the ledger keeps it: one table a limit. What is free, what fronts hold and what
+//! rests is the limit's number at any time.
+
+use hallmux_ledger::{Key, Kind, Owner};
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+
+const FORMAT: u8 = 1; // of what is kept; one that a build does not know lets nothing through
+
+/// At most so many statements that a rule lets through begin in any window of this length.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Limit {
+    pub rule: String,
+    pub most: u32,
+    pub window: Micros,
+}
+
+/// A front's share.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    pub owner: Owner,
+    pub held: u32,
+    /// What it lacks: others give to it.
+    pub wants: u32,
+    /// The last round of wants that it has looked at.
+    pub answered: u64,
+}
+
+/// Taken back from a front that may have spent it until just now: free again after a rest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resting {
+    pub id: u64,
+    pub held: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    format: u8,
+    most: u32,
+    pub free: u32,
+    pub rows: Vec<Row>,
+    pub resting: Vec<Resting>,
+    /// Grows whenever a front wants more than is free.
+    pub round: u64,
+    next: u64,
+}
+
+impl Limit {
+    pub fn key(&self) -> Key {
+        Key { kind: Kind::Shares, name: format!("{} in {} {}", self.most, self.window, self.rule) }
+    }
+}
+
+impl Table {
+    pub fn new(limit: &Limit) -> Table {
+        let most = limit.most;
+        Table { format: FORMAT, most, free: most, rows: Vec::new(), resting: Vec::new(), round: 0, next: 0 }
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// None where it is of a format that this build does not know, of another limit, or damaged.
+    pub fn read(bytes: &[u8], limit: &Limit) -> Option<Table> {
+        let table = match postcard::take_from_bytes::<Table>(bytes) {
+            Ok((table, [])) => table,
+            _ => return None,
+        };
+        let held = table.rows.iter().map(|row| u64::from(row.held));
+        let all: u64 =
+            held.chain(table.resting.iter().map(|r| u64::from(r.held))).sum::<u64>() + u64::from(table.free);
+        (table.format == FORMAT && table.most == limit.most && all == u64::from(limit.most)).then_some(table)
+    }
+
+    pub fn row(&self, owner: Owner) -> Option<&Row> {
+        self.rows.iter().find(|row| row.owner == owner)
+    }
+
+    pub fn held(&self, owner: Owner) -> u32 {
+        self.row(owner).map_or(0, |row| row.held)
+    }
+
+    /// The row of an owner, made where there is none.
+    pub fn row_mut(&mut self, owner: Owner) -> Option<&mut Row> {
+        if self.row(owner).is_none() {
+            self.rows.push(Row { owner, held: 0, wants: 0, answered: self.round });
+        }
+        self.rows.iter_mut().find(|row| row.owner == owner)
+    }
+
+    /// What others than this one lack.
+    pub fn wanted_of(&self, own: Owner) -> u32 {
+        let others = self.rows.iter().filter(|row| row.owner != own);
+        others.fold(0, |all, row| all.saturating_add(row.wants))
+    }
+
+    /// Gives a front's tokens to those that want them, the least served first; what nobody wants is free.
+    pub fn give(&mut self, from: Owner, mut tokens: u32) {
+        self.rows.iter_mut().filter(|row| row.owner == from).for_each(|row| row.held -= tokens.min(row.held));
+        while tokens > 0 {
+            let wanting = self.rows.iter_mut().filter(|row| row.owner != from && row.wants > 0);
+            let Some(least) = wanting.min_by_key(|row| row.held) else { break };
+            let part = least.wants.min(tokens.div_ceil(2));
+            (least.held, least.wants, tokens) = (least.held + part, least.wants - part, tokens - part);
+        }
+        self.free += tokens;
+    }
+
+    /// Takes a front's share back: it rests until nothing that was spent of it counts any more.
+    pub fn take_back(&mut self, owner: Owner) {
+        let held = self.held(owner);
+        self.rows.retain(|row| row.owner != owner);
+        if held > 0 {
+            self.next += 1;
+            self.resting.push(Resting { id: self.next, held });
+        }
+    }
+
+    /// What has rested is free.
+    pub fn rested(&mut self, done: impl Fn(u64) -> bool) {
+        let (done, rest) = std::mem::take(&mut self.resting).into_iter().partition(|r| done(r.id));
+        self.resting = rest;
+        let done: Vec<Resting> = done;
+        self.free += done.iter().map(|r| r.held).sum::<u32>();
+    }
+
+    pub fn tidy(&mut self) {
+        self.rows.retain(|row| row.held > 0 || row.wants > 0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_damaged_or_of_another_limit_lets_nothing_through() {
+        let limit = Limit { rule: "a".to_string(), most: 10, window: 1_000_000 };
+        let (one, other) = ([1, 2].map(|front| Owner { front, incarnation: 1 })).into();
+        let mut table = Table::new(&limit);
+        table.row_mut(one).unwrap().held = 10;
+        table.free = 0;
+        table.row_mut(other).unwrap().wants = 3;
+        table.give(one, 4);
+        assert_eq!((table.held(one), table.held(other), table.free), (6, 3, 1));
+        table.take_back(one);
+        assert_eq!(Table::read(&table.bytes(), &limit), Some(table.clone()));
+        table.rested(|_| true);
+        assert_eq!(table.free, 7);
+        let more = Table { free: 8, ..table.clone() };
+        assert_eq!(Table::read(&more.bytes(), &limit), None);
+        assert_eq!(Table::read(&[&table.bytes()[..], b"x"].concat(), &limit), None);
+        assert_eq!(Table::read(&table.bytes(), &Limit { most: 11, ..limit }), None);
+    }
+}
--- a/crates/access/tests/fleet.rs
+++ b/crates/access/tests/fleet.rs
@@ -32,6 +32,7 @@
         ("closed", all.closed),
         ("ended", all.ended),
         ("denied", all.denied),
+        ("limited", all.limited),
         ("sent", all.sent),
     ] {
         assert!(count >= least, "{what}: {count}");
--- a/crates/access/tests/fleet/played.rs
+++ b/crates/access/tests/fleet/played.rs
@@ -34,6 +34,7 @@
     pub closed: u64,
     pub ended: u64,
     pub denied: u64,
+    pub limited: u64,
     pub sent: u64,
     pub free: u64,
     pub free_refused: u64,
@@ -51,6 +52,7 @@
             (&mut self.closed, other.closed),
             (&mut self.ended, other.ended),
             (&mut self.denied, other.denied),
+            (&mut self.limited, other.limited),
             (&mut self.sent, other.sent),
         ] {
             *to += from;
@@ -115,9 +117,13 @@
                     true => "then: 'deny', reason: 'drawn'".to_string(),
                     false => format!("regions: [{}]", regions.join(", ")),
                 };
+                let limit = match then.starts_with("regions") && self.rng.random_bool(0.3) {
+                    true => ", at_most: 20, in_ms: 2000",
+                    false => "",
+                };
                 if self.rng.random_bool(0.7) {
                     rules.push(format!(
-                        "{{ name: '{customer}-{}', customer: '{customer}'{workload}, {then} }}",
+                        "{{ name: '{customer}-{}', customer: '{customer}'{workload}, {then}{limit} }}",
                         rules.len()
                     ));
                 }
--- a/crates/access/tests/fleet/sim.rs
+++ b/crates/access/tests/fleet/sim.rs
@@ -271,6 +271,11 @@
                 f.queued.push((self.now + self.rng.random_range(0..wait), statement, asked, verdict));
             }
         }
+        for statement in out.limited {
+            self.tallies.limited += 1;
+            f.waiting.remove(&statement);
+            f.access.over(statement);
+        }
         for statement in out.ends {
             self.tallies.ended += 1;
             f.running.remove(&statement);
--- a/crates/access/tests/rules.rs
+++ b/crates/access/tests/rules.rs
@@ -68,6 +68,10 @@
         ("{ name: 'a', then: 'deny', reason: 'x', barred: ['eu'] }", "rule `a` names regions though it does not allow; take out"),
         ("{ name: 'a', regions: ['eu'], barred: ['eu'] }", "rule `a` has both `regions` and `barred`; give one"),
         ("{ name: 'eu-only', customer: 'acme', regions: ['std-ap'] }", "rule `eu-only` bars every region that workload `report` is bound to; name one of std-eu, std-us, or give the rule a workload"),
+        ("{ name: 'a', at_most: 5 }", "rule `a` has one of `at_most` and `in_ms`; give both"),
+        ("{ name: 'a', at_most: 0, in_ms: 5000 }", "rules[0].at_most: is no whole number from 1 to 100000; give one"),
+        ("{ name: 'a', at_most: 5, in_ms: 50 }", "rules[0].in_ms: is no whole number of milliseconds from 1000 to"),
+        ("{ name: 'a', then: 'count', at_most: 5, in_ms: 5000 }", "rule `a` has a limit though it does not allow; take out"),
         ("7", "rules[0]: is no rule; give one"),
     ] {
         let said = faults(&file(&[rule]));
@@ -231,6 +235,8 @@
     assert!(tightens(&later, &none) && !tightens(&none, &later));
     assert!(tightens(&eu, &later) && !tightens(&later, &eu));
     assert!(tightens(&tables, &none) && !tightens(&none, &tables));
+    let few = index(&["{ name: 'a', customer: 'acme', regions: ['eu'], at_most: 5, in_ms: 1000 }"]);
+    assert!(tightens(&few, &eu) && !tightens(&eu, &few) && !tightens(&few, &few));
     assert!(!tightens(&none, &none));
     assert!(tightens(&tables, &eu) && tightens(&eu, &tables));
 }
@@ -254,7 +260,19 @@
         |((customer, workload, front), tables, then, priority, (from_ms, until_ms))| {
             let name =
                 format!("{customer:?}{workload:?}{front:?}{tables:?}{then:?}{priority}{from_ms}{until_ms}");
-            Rule { name, customer, workload, tables, front, then, priority, from_ms, until_ms, place: 0 }
+            Rule {
+                name,
+                customer,
+                workload,
+                tables,
+                front,
+                then,
+                limit: None,
+                priority,
+                from_ms,
+                until_ms,
+                place: 0,
+            }
         },
     )
 }
@@ -297,3 +315,18 @@
         }
     }
 }
+
+#[test]
+fn the_example_is_read() {
+    let text = include_str!("../../../deploy/rules.example.json5");
+    let names = |all: &[&str]| all.iter().map(|n| n.to_string()).collect::<Vec<_>>();
+    let bound = |name: &&str| Bound { name: name.to_string(), locations: None };
+    let known = Known {
+        customers: names(&["acme"]),
+        workloads: ["lookup", "report", "load"].iter().map(bound).collect(),
+        locations: names(&["eu", "us", "ap"]),
+        ..Known::default()
+    };
+    let read = read("rules.example.json5", text, &known, &|_| None);
+    assert!(matches!(&read, Ok(Wish::Set(set)) if set.rules.len() > 4), "{read:?}");
+}
--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -2,6 +2,7 @@
 //! stand, and are looked at again just before they leave. The mind is `crates/access`; this holds the file, the clock
 //! and the ledger that it asks. Switched on by the operator's file; off, it is not there.
 
+mod file;
 mod reads;
 mod said;
 
@@ -10,13 +11,16 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use hallmux_access::{self as access, Access, Asked, Fleet, Judged, Known, Owner, Setup, Wish};
-use hallmux_agreement::{line_of, Contract, Station};
+use hallmux_access::{self as access, Access, Asked, Fleet, Judged, Owner, Setup};
+use hallmux_agreement::Contract;
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Dispatcher, Ending, Micros, Place, Terms, Ticket};
 use hallmux_ledger::{self as ledger, Ledger, Member, Moment};
 
 use super::Peers;
+use file::{known, read};
+
+pub use file::start;
 
 const NUMBERS: u64 = 2 << 56; // the highest byte of the numbers of its asks: others of one front have others
 const MOST_GROUPS: usize = 16; // groups of tables that a statement is judged by; more cannot be told
@@ -67,48 +71,7 @@
     tell_every: Micros,
     ended: u64,
     told: Option<Fleet>,
-}
-
-fn known(rules: &hallmux_agreement::Rules, contract: &Contract) -> Known {
-    let names = &contract.names;
-    let workloads = names.workloads.iter().zip(&contract.agreement.workloads).map(|(name, w)| {
-        let named =
-            |all: &Vec<usize>| all.iter().filter_map(|at| names.locations.get(*at).cloned()).collect();
-        access::Bound { name: name.clone(), locations: w.locations.as_ref().map(named) }
-    });
-    Known {
-        customers: names.customers.clone(),
-        workloads: workloads.collect(),
-        locations: names.locations.clone(),
-        regions: rules.regions.clone(),
-        covered: rules.customers.clone(),
-    }
-}
-
-/// Reads the file of rules; all its faults at once.
-fn read(file: &str, known: &Known) -> Result<(String, Wish), String> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|e| format!("rules.file: {file}: {e}; name a file that can be read"))?;
-    let wish = access::read(file, &text, known, &|path| line_of(&text, path)).map_err(|e| e.to_string())?;
-    Ok((text, wish))
-}
-
-/// Switched on by the operator's file.
-pub fn start(station: &Station, now: Micros, peers: Option<&Peers>) -> std::io::Result<Option<Shared>> {
-    let Some(rules) = &station.operator.rules else { return Ok(None) };
-    let incarnation = (now / 1000) as u64;
-    let (front, fronts) = match peers.map(Peers::fleet) {
-        None => (1, vec![1]),
-        Some(Some(fleet)) => fleet,
-        Some(None) => {
-            let why =
-                "rules: this front has others, but no `gossip.ledger` that keeps rules; name its members";
-            return Err(std::io::Error::other(why));
-        }
-    };
-    let own = Owner { front, incarnation };
-    let rules = Rules::new(rules, &station.contract, own, fronts, peers.is_none());
-    Ok(Some(Rc::new(RefCell::new(rules.map_err(std::io::Error::other)?))))
+    told_limits: BTreeMap<String, u64>,
 }
 
 impl Rules {
@@ -154,6 +117,7 @@
             tell_every: rules.tell_every,
             ended: 0,
             told: None,
+            told_limits: BTreeMap::new(),
         })
     }
 
@@ -254,6 +218,7 @@
         let location = self.access.known().locations.get(location).cloned().unwrap_or_default();
         let may = self.access.may_send(at, number, place_of((ordered.ticket, ordered.execution)), &location);
         let closed = !self.access.version(at.steady).1;
+        let limited = self.access.is_limited(number);
         let Some(s) = self.statements.get_mut(&number) else { return true };
         if may {
             s.ran = true;
@@ -262,10 +227,14 @@
         log::info!(
             "statement {}: may not leave for {location} {}",
             s.ticket,
-            if closed { "while this front cannot know what holds" } else { "by the version that holds" }
+            match (closed, limited) {
+                (true, _) => "while this front cannot know what holds",
+                (_, true) => "beyond a rule's limit",
+                _ => "by the version that holds",
+            }
         );
         dispatcher.report(now, ordered.ticket, ordered.execution, Ending::Withdrawn, None, None);
-        self.rulings.push(Ruling::End { ticket: s.ticket, ran: s.ran, again: closed });
+        self.rulings.push(Ruling::End { ticket: s.ticket, ran: s.ran, again: closed || limited });
         false
     }
 
@@ -289,7 +258,7 @@
     pub fn due(&self, now: Micros) -> Micros {
         let steady = self.steady.elapsed().as_micros() as Micros;
         let ledger = self.alone.as_ref().map_or(Micros::MAX, Ledger::due);
-        let next = self.access.due().min(ledger).min(self.tell).max(steady);
+        let next = self.access.due(steady).min(ledger).min(self.tell).max(steady);
         let holds = self.statements.values().any(|s| !s.held.is_empty());
         let holds = if holds { self.look } else { Micros::MAX };
         let rulings = if self.rulings.is_empty() { Micros::MAX } else { now };
@@ -307,6 +276,7 @@
         if at.steady >= self.tell {
             self.tell = at.steady + self.tell_every;
             self.access.sweep(at);
+            self.tell_limits();
         }
         self.access.tick(at);
         loop {
@@ -363,6 +333,10 @@
                 false => self.rulings.extend(s.held.drain(..).map(Ruling::Go)),
             }
         }
+        for number in &out.limited {
+            let Some(s) = self.statements.get(number) else { continue };
+            self.rulings.push(Ruling::End { ticket: s.ticket, ran: false, again: true });
+        }
         for number in &out.ends {
             let Some(s) = self.statements.get(number) else { continue };
             self.rulings.push(Ruling::End { ticket: s.ticket, ran: true, again: false });
--- a/crates/front/src/fleet/rules/said.rs
+++ b/crates/front/src/fleet/rules/said.rs
@@ -21,6 +21,17 @@
         }
         self.told = Some(fleet.clone());
     }
+
+    /// What limits have turned away here, where that has changed.
+    pub(super) fn tell_limits(&mut self) {
+        let limited = self.access.limited().clone();
+        for (rule, count) in &limited {
+            if self.told_limits.get(rule) != Some(count) {
+                log::info!("statements beyond the limit of rule {rule} at this front so far: {count}");
+            }
+        }
+        self.told_limits = limited;
+    }
 }
 
 pub fn say(said: &Said) {
--- a/crates/front/tests/play/engine.rs
+++ b/crates/front/tests/play/engine.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
+use std::time::Instant;
 
 use crate::{id, rows, Play, PATIENCE};
 
@@ -56,6 +57,18 @@
         }
     }
 
+    /// Answers each statement at once, and notes when it was heard.
+    pub fn answers(self, notes: Arc<Mutex<HashMap<String, Vec<Instant>>>>) {
+        std::thread::spawn(move || {
+            for heard in self.heard.iter().filter(|heard| heard.words[0] == "want") {
+                let (id, body) = (heard.words[1].clone(), rows("x"));
+                let line = format!("{id} ACK batches=1 {}\r\n{body}\r\n", body.len());
+                notes.lock().unwrap().entry(id).or_default().push(Instant::now());
+                let _ = (&heard.from).write_all(line.as_bytes());
+            }
+        });
+    }
+
     fn listen(stream: TcpStream, heard: &Sender<Heard>) -> Option<()> {
         let mut input = BufReader::new(stream.try_clone().ok()?);
         loop {
--- a/crates/front/tests/play/main.rs
+++ b/crates/front/tests/play/main.rs
@@ -37,6 +37,7 @@
 mod clock;
 mod coordinator;
 mod engine;
+mod limits;
 mod line;
 mod process;
 mod together;
--- a/crates/front/tests/play/together.rs
+++ b/crates/front/tests/play/together.rs
@@ -14,7 +14,7 @@
 }
 
 /// Fronts that gossip, and keep promises on all of them.
-fn fleet(rules: &str) -> Vec<Play> {
+pub fn fleet(rules: &str) -> Vec<Play> {
     let secrets: Vec<[u8; 32]> = (1..=FRONTS as u8).map(|n| [n; 32]).collect();
     let key = |secret: &[u8; 32]| hexadecimal(&SigningKey::from_bytes(secret).verifying_key().to_bytes());
     // All are free at once; each is let go of just before its front takes it.
--- a/crates/lab/src/measure/promises.rs
+++ b/crates/lab/src/measure/promises.rs
@@ -99,6 +99,7 @@
             0 => Then::Deny { reason: "barred".into() },
             _ => Then::Allow { places: Some(vec![(n % 3) as u16]) },
         },
+        limit: None,
         priority: (n % 3) as i32,
         from_ms: 0,
         until_ms: u64::MAX,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -64,6 +64,8 @@
     Hits,
     /// A load that summaries have yet to speak beyond.
     Mark,
+    /// Shares that fronts hold of a rule's limit.
+    Shares,
 }
 
 /// An entry's key; its shard follows from the whole of it.
