Shards follow the fleet: copies move to a bounded, even placement as members change

Owners move one copy at a time by the change of members there is, in turns by the Unix clock (moves_percent of the shards, 25 by default), paced by repair_bytes. The member that is wanted most takes over at once after a change. A zone that is away as a whole is waited for zone_after_ms. SIGHUP reads the list of members again; gossip says who is away. A front that joins begins no shard unless every member on its list says that it knows of no beginning: it may be placed on shards only with others like it.

--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -21,6 +21,8 @@
 const PATIENCE_MS: f64 = 500.0; // milliseconds: an election and some round trips
 const REPAIR_AFTER_MS: f64 = 30_000.0; // milliseconds: a restart is no loss
 const REPAIR_BYTES: u32 = 65_536; // a second: a tenth of what the ledger's letters may take
+const MOVES_PERCENT: u8 = 25; // hundredths of the shards: most answer without so much as an election
+const ZONE_AFTER_MS: f64 = 600_000.0; // milliseconds: a zone's power or uplink comes back within minutes
 const APART_MS: u64 = 500; // milliseconds: what a machine without care for its clock is off
 
 #[derive(Deserialize)]
@@ -53,6 +55,10 @@
     repair_after_ms: f64,
     #[serde(default = "repair_bytes")]
     repair_bytes: u32,
+    #[serde(default = "moves_percent")]
+    moves_percent: u8,
+    #[serde(default = "zone_after")]
+    zone_after_ms: f64,
     #[serde(default = "apart")]
     clocks_apart_ms: u64,
 }
@@ -85,6 +91,14 @@
     REPAIR_BYTES
 }
 
+fn moves_percent() -> u8 {
+    MOVES_PERCENT
+}
+
+fn zone_after() -> f64 {
+    ZONE_AFTER_MS
+}
+
 fn apart() -> u64 {
     APART_MS
 }
@@ -122,6 +136,9 @@
     pub repair_after: Micros,
     /// A second.
     pub repair_bytes: u32,
+    /// Hundredths of the shards that may move at once; 0: none does.
+    pub moves_percent: u8,
+    pub zone_after: Micros,
     pub clocks_apart_ms: u64,
 }
 
@@ -159,6 +176,12 @@
     if file.repair_bytes < 1_024 {
         return refuse("repair_bytes", "is under 1024 a second: no copy would be made again in time");
     }
+    if file.moves_percent > 100 {
+        return refuse("moves_percent", "is over 100: it is a part of the shards, 0 for none");
+    }
+    if !(file.repair_after_ms..=86_400_000.0).contains(&file.zone_after_ms) {
+        return refuse("zone_after_ms", "is not from repair_after_ms to 86400000");
+    }
     if file.clocks_apart_ms > 60_000 {
         return refuse("clocks_apart_ms", "is over 60000: set the clocks instead");
     }
@@ -190,6 +213,8 @@
         patience: micros(file.patience_ms),
         repair_after: micros(file.repair_after_ms),
         repair_bytes: file.repair_bytes,
+        moves_percent: file.moves_percent,
+        zone_after: micros(file.zone_after_ms),
         clocks_apart_ms: file.clocks_apart_ms,
     })
 }
@@ -224,6 +249,12 @@
             ("fleet:", "shards: 0, fleet:", "gossip.ledger.shards: is not from 1 to 1024"),
             ("fleet:", "patience_ms: 20, fleet:", "gossip.ledger.patience_ms: is not from 50 to 10000"),
             ("fleet:", "repair_after_ms: 1, fleet:", "gossip.ledger.repair_after_ms: is not from 1000"),
+            ("fleet:", "moves_percent: 101, fleet:", "gossip.ledger.moves_percent: is over 100"),
+            (
+                "fleet:",
+                "zone_after_ms: 7, fleet:",
+                "gossip.ledger.zone_after_ms: is not from repair_after_ms",
+            ),
             ("fleet:", "repair_bytes: 7, fleet:", "gossip.ledger.repair_bytes: is under 1024"),
             ("fleet:", "most_bytes: 7, fleet:", "gossip.ledger.most_bytes: is not from 4096"),
             ("fleet:", "most_entries: 0, fleet:", "gossip.ledger.most_entries: is not from 1"),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -190,6 +190,16 @@
         Ok(())
     }
 
+    /// Other fronts keep copies from now on, as the operator says; nothing changes where the list can't be used.
+    pub fn members(
+        &mut self,
+        at: Moment,
+        members: Vec<hallmux_ledger::Member>,
+        addresses: BTreeMap<PeerId, SocketAddr>,
+    ) -> Result<(), hallmux_ledger::Error> {
+        self.promises.as_mut().map_or(Ok(()), |promises| promises.members(at, members, addresses))
+    }
+
     /// Asks the ledger; what is to go out for it. The answer comes with `promised`, maybe at once.
     pub fn ask(&mut self, at: Moment, ask: hallmux_ledger::Ask) -> Out {
         let mut out = Out::default();
@@ -255,7 +265,8 @@
             owning.tick(at, self.fleet.1, dispatcher, chance);
             owning.send(at, &mut self.node, &mut out);
         }
-        self.promises.iter_mut().for_each(|promises| promises.tick(at));
+        let node = &self.node;
+        self.promises.iter_mut().for_each(|promises| promises.tick(at, node));
         self.send_promises(at, &mut out);
         if self.look <= at.now {
             self.look = at.now + LOOK;
--- a/crates/fleet/src/promises.rs
+++ b/crates/fleet/src/promises.rs
@@ -3,13 +3,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use hallmux_gossip::message::Health;
 use hallmux_gossip::node::{Datagram, Node};
 use hallmux_gossip::post::Channel;
 use hallmux_gossip::PeerId;
-use hallmux_ledger::{Ask, Done, Error, Ledger, Saved, Setup};
+use hallmux_ledger::{Ask, Done, Error, Ledger, Member, Saved, Setup};
 
 use crate::{Moment, Out};
 
+const HEALTH: hallmux_dispatcher::Micros = 1_000_000; // microseconds between words of gossip on who is there
+
 /// Records to be kept, and the datagrams that wait for them to be lasting.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Kept {
@@ -23,6 +26,7 @@
     /// Where the fronts that keep copies are heard, as the operator says.
     members: BTreeMap<PeerId, SocketAddr>,
     done: Vec<Done>,
+    health_at: hallmux_dispatcher::Micros,
 }
 
 impl Promises {
@@ -33,7 +37,12 @@
         members: BTreeMap<PeerId, SocketAddr>,
         saved: Option<Saved>,
     ) -> Result<Promises, Error> {
-        Ok(Promises { ledger: Ledger::new(moment(at), setup, saved)?, members, done: Vec::new() })
+        Ok(Promises {
+            ledger: Ledger::new(moment(at), setup, saved)?,
+            members,
+            done: Vec::new(),
+            health_at: at.steady,
+        })
     }
 
     pub fn ask(&mut self, at: Moment, ask: Ask) {
@@ -48,7 +57,34 @@
         self.ledger.heard(moment(at), from, bytes);
     }
 
-    pub fn tick(&mut self, at: Moment) {
+    /// The operator's list has changed.
+    pub fn members(
+        &mut self,
+        at: Moment,
+        members: Vec<Member>,
+        addresses: BTreeMap<PeerId, SocketAddr>,
+    ) -> Result<(), Error> {
+        self.ledger.members(moment(at), members)?;
+        self.members = addresses;
+        Ok(())
+    }
+
+    /// Who of the members is up and who is not, as far as gossip knows them.
+    fn health(&mut self, at: Moment, node: &Node) {
+        self.health_at = at.steady + HEALTH;
+        let of = |front: &PeerId| node.members().health(*front);
+        let which = |healths: [Health; 2]| -> Vec<PeerId> {
+            let all = self.members.keys().copied();
+            all.filter(|front| of(front).is_some_and(|health| healths.contains(&health))).collect()
+        };
+        let (up, away) = (which([Health::Alive; 2]), which([Health::Dead, Health::Left]));
+        self.ledger.health(moment(at), &up, &away);
+    }
+
+    pub fn tick(&mut self, at: Moment, node: &Node) {
+        if self.health_at <= at.steady {
+            self.health(at, node);
+        }
         if self.ledger.due() <= at.steady {
             self.ledger.tick(moment(at));
         }
--- /dev/null
+++ b/crates/front/src/fleet/members.rs
@@ -0,0 +1,39 @@
+//! What the operator's file says of the ledger of promises and of its members, as the mind takes it.
+
+use std::collections::BTreeMap;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+
+use hallmux_agreement::Ledger;
+use hallmux_gossip::seal::id;
+use hallmux_gossip::PeerId;
+use hallmux_ledger::{Member, Setup};
+
+/// Who keeps copies, and where they are heard.
+pub fn members(ledger: &Ledger) -> (Vec<Member>, BTreeMap<PeerId, SocketAddr>) {
+    let member = |m: &hallmux_agreement::LedgerMember| Member { front: id(&m.key), zone: m.zone.clone() };
+    let addresses = ledger.members.iter().map(|m| (id(&m.key), m.at)).collect();
+    (ledger.members.iter().map(member).collect(), addresses)
+}
+
+/// What the operator says of the ledger, as its mind has it, and where its members are heard.
+pub fn setup(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
+    let (members, addresses) = members(ledger);
+    // In memory each life is a disk of its own.
+    let disk = RandomState::new().hash_one(life).max(1);
+    let (copies, shards) = (ledger.copies, ledger.shards);
+    let setup = Setup {
+        copies,
+        shards,
+        most_entries: ledger.most_entries,
+        most_bytes: ledger.most_bytes,
+        patience: ledger.patience,
+        repair_after: ledger.repair_after,
+        repair_bytes: ledger.repair_bytes,
+        moves_percent: ledger.moves_percent,
+        zone_after: ledger.zone_after,
+        apart_ms: ledger.clocks_apart_ms,
+        ..Setup::new(&ledger.fleet, own, life, disk, members)
+    };
+    (setup, addresses)
+}
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 
 mod copies;
 mod gate;
+mod members;
 mod peers;
 pub mod rules;
 mod votes;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -4,13 +4,13 @@
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
 use std::io::ErrorKind;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::time::Instant;
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
-use hallmux_agreement::{hexadecimal, Gossip, Ledger, OnDiskFailure};
+use hallmux_agreement::{hexadecimal, Gossip, OnDiskFailure};
 use hallmux_dispatcher::{Dispatcher, Micros};
 use hallmux_fleet::{Exchange, Kept, Moment, Out, Ownership, Owns};
 use hallmux_gossip::evidence::News;
@@ -20,9 +20,10 @@
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
-use hallmux_ledger::{Ask, Done, Member, Setup};
+use hallmux_ledger::{Ask, Done};
 
 use super::copies::{drawn, Copies, Found, Unfit, Write};
+use super::members::{members, setup};
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
 
@@ -166,9 +167,15 @@
     }
 
     /// The file was read again: its keys count from now on.
-    pub fn reload(&mut self, gossip: &Gossip) {
+    pub fn reload(&mut self, now: Micros, gossip: &Gossip) {
         self.names = names(gossip);
         self.exchange.keys(keys(gossip));
+        if let Some(ledger) = gossip.ledger.as_ref().filter(|_| self.keeps) {
+            let (members, addresses) = members(ledger);
+            if let Err(e) = self.exchange.members(self.moment(now), members, addresses) {
+                log::error!("gossip.ledger.members is left as it was: {e}");
+            }
+        }
         log::info!("{} keys of other fronts count", gossip.peers.len());
     }
 
@@ -347,26 +354,6 @@
     }
 }
 
-/// What the operator says of the ledger, as its mind has it, and where its members are heard.
-fn setup(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
-    let members = ledger.members.iter().map(|m| Member { front: id(&m.key), zone: m.zone.clone() }).collect();
-    // In memory each life is a disk of its own.
-    let disk = RandomState::new().hash_one(life).max(1);
-    let (copies, shards) = (ledger.copies, ledger.shards);
-    let setup = Setup {
-        copies,
-        shards,
-        most_entries: ledger.most_entries,
-        most_bytes: ledger.most_bytes,
-        patience: ledger.patience,
-        repair_after: ledger.repair_after,
-        repair_bytes: ledger.repair_bytes,
-        apart_ms: ledger.clocks_apart_ms,
-        ..Setup::new(&ledger.fleet, own, life, disk, members)
-    };
-    (setup, ledger.members.iter().map(|m| (id(&m.key), m.at)).collect())
-}
-
 /// What wakes the loop from the thread that writes copies.
 fn wakes(handle: &LoopHandle<'static, Changes>) -> std::io::Result<impl Fn() + Send + 'static> {
     let (ping, source) = calloop::ping::make_ping()?;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -254,7 +254,7 @@
             Ok(station) => {
                 self.limit(&station.limits);
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
-                    peers.reload(gossip);
+                    peers.reload(self.clock.now, gossip);
                 }
                 if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
                     rules.borrow_mut().reload(self.clock.now, read);
--- a/crates/ledger/src/birth.rs
+++ b/crates/ledger/src/birth.rs
@@ -14,6 +14,8 @@
     heard: BTreeMap<FrontId, (Born, Vec<Keeper>)>,
     /// With whom this front has agreed to begin.
     agreed: Vec<Born>,
+    /// One says that the shard has begun already.
+    begun: bool,
 }
 
 pub(crate) enum Next {
@@ -29,7 +31,7 @@
 
 impl Birth {
     pub fn new(agreed: Vec<Born>) -> Birth {
-        Birth { heard: BTreeMap::new(), agreed }
+        Birth { agreed, ..Birth::default() }
     }
 
     pub fn agreed(&self) -> &[Born] {
@@ -45,8 +47,23 @@
         }
     }
 
+    /// One of the members keeps the shard: whoever has yet to begin it is taken in, and never begins it.
+    pub fn has_begun(&mut self) {
+        self.begun = true;
+    }
+
+    /// Whom of all members nobody has heard of the shard yet. One that joins later may be placed where only others
+    /// like it are: so each has to say that it knows of no beginning.
+    pub fn unheard(&self, own: FrontId, members: &[FrontId]) -> Vec<FrontId> {
+        let others = members.iter().filter(|front| **front != own && !self.heard.contains_key(front));
+        others.copied().collect()
+    }
+
     /// What to do now, where the shard is placed on these.
-    pub fn next(&mut self, own: Born, placed: &[FrontId]) -> Next {
+    pub fn next(&mut self, own: Born, placed: &[FrontId], members: &[FrontId]) -> Next {
+        if self.begun || !self.unheard(own.keeper.front, members).is_empty() {
+            return Next::Waits;
+        }
         let born = |front: &FrontId| {
             if *front == own.keeper.front {
                 return Some(own);
@@ -80,28 +97,41 @@
         Born { keeper: Keeper { front, disk }, incarnation }
     }
 
+    #[test]
+    fn one_that_joins_later_begins_nothing_where_a_front_that_it_is_not_placed_with_has_begun() {
+        let mut birth = Birth::default();
+        let (own, placed, members) = (born(6, 60, 5), [6, 7], [1, 6, 7]);
+        birth.heard(born(7, 70, 5), &[born(6, 60, 5), born(7, 70, 5)]);
+        assert!(matches!(birth.next(own, &placed, &members), Next::Waits));
+        assert_eq!(birth.unheard(6, &members), [1]);
+        birth.heard(born(1, 10, 5), &[]);
+        assert!(matches!(birth.next(own, &placed, &members), Next::Agree(_)));
+        birth.has_begun();
+        assert!(matches!(birth.next(own, &placed, &members), Next::Waits));
+    }
+
     #[test]
     fn all_must_agree_and_an_earlier_disk_never_comes_back() {
         let mut birth = Birth::default();
         let (own, placed) = (born(1, 10, 5), [1, 2, 3]);
-        assert!(matches!(birth.next(own, &placed), Next::Waits));
+        assert!(matches!(birth.next(own, &placed, &placed), Next::Waits));
         birth.heard(born(2, 20, 5), &[]);
         birth.heard(born(3, 30, 5), &[]);
-        let Next::Agree(with) = birth.next(own, &placed) else { panic!() };
+        let Next::Agree(with) = birth.next(own, &placed, &placed) else { panic!() };
         birth.heard(born(2, 20, 5), &with);
-        assert!(matches!(birth.next(own, &placed), Next::Waits));
+        assert!(matches!(birth.next(own, &placed, &placed), Next::Waits));
         // The third has lost its disk meanwhile: what was agreed with the first disk no longer counts.
         birth.heard(born(3, 31, 6), &[]);
-        let Next::Agree(later) = birth.next(own, &placed) else { panic!() };
+        let Next::Agree(later) = birth.next(own, &placed, &placed) else { panic!() };
         birth.heard(born(3, 30, 5), &with);
         birth.heard(born(2, 20, 5), &later);
-        assert!(matches!(birth.next(own, &placed), Next::Waits));
+        assert!(matches!(birth.next(own, &placed, &placed), Next::Waits));
         birth.heard(born(3, 31, 6), &later);
-        assert!(matches!(birth.next(own, &placed), Next::Begin(keepers) if keepers.len() == 3));
+        assert!(matches!(birth.next(own, &placed, &placed), Next::Begin(keepers) if keepers.len() == 3));
         // Come back itself, with what it agreed to: the earlier disk counts for nothing.
         let mut again = Birth::new(later.clone());
         again.heard(born(2, 20, 5), &later);
         again.heard(born(3, 30, 5), &with);
-        assert!(matches!(again.next(own, &placed), Next::Waits));
+        assert!(matches!(again.next(own, &placed, &placed), Next::Waits));
     }
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -4,6 +4,7 @@
 
 use crate::asks::{self, Asks};
 use crate::birth::Birth;
+use crate::moves::Away;
 use crate::placement::ranked;
 use crate::post::{Pace, Post};
 use crate::records::{self, Meta};
@@ -25,6 +26,8 @@
 pub(crate) struct Place {
     /// All that could keep it, in the order in which they are wanted.
     pub ranked: Vec<FrontId>,
+    /// Who is to keep it, in the order in which they are to own it; empty where shards do not move.
+    pub wanted: Vec<FrontId>,
     pub replica: Option<Replica>,
     /// Who keeps it, by the latest that was heard.
     pub known: Option<(u32, Vec<Keeper>)>,
@@ -47,6 +50,12 @@
         self.known.as_ref().map_or(&[], |(_, keepers)| keepers)
     }
 
+    /// Which of its members is to own it.
+    pub fn first(&self, keepers: &[Keeper]) -> Option<FrontId> {
+        let mut order = self.wanted.iter().chain(&self.ranked);
+        order.find(|front| keepers.iter().any(|keeper| keeper.front == **front)).copied()
+    }
+
     pub fn config(&self) -> u32 {
         self.known.as_ref().map_or(0, |(config, _)| *config)
     }
@@ -57,6 +66,7 @@
     pub(crate) own: Keeper,
     pub(crate) places: Vec<Place>,
     pub(crate) peers: BTreeMap<FrontId, Peer>,
+    pub(crate) away: Away,
     asks: Asks,
     pub(crate) post: Post,
     /// What must be lasting before anything more is told, beside the logs.
@@ -72,7 +82,7 @@
     pub(crate) tallies: Tallies,
 }
 
-fn check(setup: &Setup) -> Result<(), Error> {
+pub(crate) fn check(setup: &Setup) -> Result<(), Error> {
     let mut seen = BTreeSet::new();
     if setup.members.is_empty() {
         return Err(Error::NoMembers);
@@ -101,6 +111,7 @@
             own,
             places: (0..setup.shards).map(place).collect(),
             peers: BTreeMap::new(),
+            away: Away::default(),
             asks: Asks::default(),
             post: Post::new(fleet, setup.disk, setup.incarnation, setup.repair_bytes),
             records: Vec::new(),
@@ -117,6 +128,7 @@
         if kept.is_empty() {
             ledger.records.push(records::mark(fleet, own.disk));
         }
+        ledger.place_first(at.steady);
         for (shard, kept) in kept {
             ledger.reopen(shard, kept)?;
         }
@@ -134,7 +146,7 @@
         place.birth = None;
         place.barred = config;
         if mine {
-            let first = place.ranked.first() == Some(&own.front);
+            let first = place.first(&keepers) == Some(own.front);
             let replica = Replica::open(shard, config, &keepers, own, first, kept.held);
             let damaged = || Error::Damaged { record: format!("members of shard {shard}") };
             place.replica = Some(replica.ok_or_else(damaged)?);
@@ -367,7 +379,8 @@
             tallies.bytes += replica.state.bytes();
             if place.leads.is_some() {
                 tallies.owned += 1;
-                tallies.missing += usize::from(place.repair.is_some());
+                tallies.missing += usize::from(place.repair.is_some_and(|repair| !repair.moves));
+                tallies.moving += usize::from(place.repair.is_some_and(|repair| repair.moves));
             }
         }
         tallies
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -7,10 +7,12 @@
 //! may be asked again for `REMEMBERED_MS` after it was first asked; later it is answered `Unreachable`.
 
 mod asks;
+mod balance;
 mod birth;
 mod error;
 mod ledger;
 mod log;
+mod moves;
 mod placement;
 mod post;
 mod records;
@@ -197,6 +199,10 @@
     pub repair_after: Micros,
     /// Bytes a second that making copies again may take.
     pub repair_bytes: u32,
+    /// Hundredths of the shards that may move at once for balance, or as members change; 0: none moves.
+    pub moves_percent: u8,
+    /// Microseconds that a zone is waited for that is away as a whole; never less than `repair_after`.
+    pub zone_after: Micros,
     /// Milliseconds that fronts' Unix clocks are apart at most: an ended entry is kept from others for so much longer.
     pub apart_ms: u64,
 }
@@ -217,6 +223,8 @@
             patience: 500_000,
             repair_after: 30_000_000,
             repair_bytes: 16_384,
+            moves_percent: 0,
+            zone_after: 600_000_000,
             apart_ms: 500,
         }
     }
@@ -239,6 +247,9 @@
     pub rounds: u64,
     /// Copies made again.
     pub repaired: u64,
+    /// Of them, those that moved though none was missing; and those under way now.
+    pub moved: u64,
+    pub moving: usize,
     /// A save has failed: this front keeps no copies any more in this life.
     pub failed: bool,
 }
--- a/crates/ledger/src/log.rs
+++ b/crates/ledger/src/log.rs
@@ -114,6 +114,13 @@
         }
     }
 
+    /// Tries to own the shard now, rather than once an owner is missed.
+    pub fn takes_over(&mut self) {
+        if let Kind::Many(log) = &mut self.kind {
+            log.try_become_leader();
+        }
+    }
+
     /// A message of a member.
     pub fn heard(&mut self, from: FrontId, message: Message<Batch>) -> Heard {
         let known = self.front(message.get_sender()) == Some(from)
--- /dev/null
+++ b/crates/ledger/src/moves.rs
@@ -0,0 +1,193 @@
+//! Shards follow the fleet: as fronts join and are lost, copies move to where all members, by the same list, want them.
+//! A move is a change of a shard's members like any other: the shard answers on. Moves wait for their turn, so that
+//! only a stated share of shards is under way at once, and for the budget; a zone that is away as a whole is waited
+//! for longer, as it may come back at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::balance::placed;
+use crate::ledger::{check, Ledger};
+use crate::placement::ranked;
+use crate::repair::{Repair, HEARD, PATIENCE};
+use crate::state::Keeper;
+use crate::{Error, FrontId, Member, Micros, Moment, Setup};
+
+/// Who is away, since when, and who of them is no longer waited for.
+#[derive(Default)]
+pub(crate) struct Away {
+    since: BTreeMap<FrontId, Micros>,
+    /// When a zone that was away as a whole began to come back.
+    back: BTreeMap<String, Micros>,
+    gone: BTreeSet<FrontId>,
+    /// Members have changed since they were last placed.
+    stale: bool,
+}
+
+impl Away {
+    pub fn is_away(&self, front: FrontId) -> bool {
+        self.since.contains_key(&front)
+    }
+
+    fn whole(&self, members: &[Member], zone: &str) -> bool {
+        let mut there = members.iter().filter(|member| member.zone == zone);
+        let all = there.clone().all(|member| self.is_away(member.front));
+        all && there.nth(1).is_some() && members.iter().any(|member| member.zone != zone)
+    }
+
+    /// A front is there (again).
+    pub fn returned(&mut self, now: Micros, members: &[Member], front: FrontId) {
+        if !self.is_away(front) {
+            return;
+        }
+        let zone = members.iter().find(|member| member.front == front).map(|member| member.zone.clone());
+        if let Some(zone) = zone.filter(|zone| self.whole(members, zone)) {
+            self.back.insert(zone, now);
+        }
+        self.since.remove(&front);
+    }
+
+    /// Until when a front that was last heard then is waited for.
+    pub fn waits(&self, setup: &Setup, front: FrontId, since: Micros) -> Micros {
+        let zone = setup.members.iter().find(|member| member.front == front).map(|m| m.zone.as_str());
+        match zone {
+            Some(zone) if self.whole(&setup.members, zone) => {
+                since + setup.zone_after.max(setup.repair_after)
+            }
+            Some(zone) => self.back.get(zone).map_or(since, |back| since.max(*back)) + setup.repair_after,
+            None => since + setup.repair_after,
+        }
+    }
+}
+
+/// What of a shard's members is to change next: who goes, and who comes in its place.
+fn next(wanted: &[FrontId], keepers: &[Keeper], own: FrontId) -> Option<(Keeper, FrontId)> {
+    let into = wanted.iter().find(|front| keepers.iter().all(|keeper| keeper.front != **front))?;
+    // The owner goes last: it is the one that sees to the others.
+    let mut out: Vec<&Keeper> = keepers.iter().filter(|keeper| !wanted.contains(&keeper.front)).collect();
+    out.sort_by_key(|keeper| (keeper.front == own, keeper.front));
+    Some((**out.first()?, *into))
+}
+
+/// The turn of a shard, by the Unix clock: how long it still lasts, if it is on.
+fn turn(setup: &Setup, shard: u16, wall_ms: u64) -> Option<Micros> {
+    let groups = 100_u64.div_ceil(u64::from(setup.moves_percent.clamp(1, 100)));
+    let length = (length(setup) / 1_000).max(1) as u64;
+    let (number, into) = (wall_ms / length, wall_ms % length);
+    // Clocks are apart by so much: the turns of two groups do not meet.
+    let on = number % groups == u64::from(shard) % groups && into >= setup.apart_ms;
+    on.then(|| (length - into).saturating_sub(setup.apart_ms) as Micros * 1_000)
+}
+
+/// Microseconds of a turn: for the largest shard to be copied.
+fn length(setup: &Setup) -> Micros {
+    let apart = 2_000 * setup.apart_ms as Micros;
+    apart + PATIENCE + Repair::takes(setup.most_bytes, setup.repair_bytes)
+}
+
+impl Ledger {
+    /// The operator's list has changed. A front that has yet to begin its shards goes on as the list said then.
+    pub fn members(&mut self, at: Moment, members: Vec<Member>) -> Result<(), Error> {
+        let setup = Setup { members, ..self.setup.clone() };
+        check(&setup)?;
+        if setup.members == self.setup.members {
+            return Ok(());
+        }
+        self.setup = setup;
+        for (shard, place) in (0..).zip(&mut self.places) {
+            place.ranked = ranked(&self.setup.members, shard);
+        }
+        self.away.stale = true;
+        self.look_at = at.steady;
+        Ok(())
+    }
+
+    /// Who is up and who is not, as far as the caller knows; of others nothing is said.
+    pub fn health(&mut self, at: Moment, up: &[FrontId], away: &[FrontId]) {
+        up.iter().for_each(|front| self.away.returned(at.steady, &self.setup.members, *front));
+        away.iter().for_each(|front| _ = self.away.since.entry(*front).or_insert(at.steady));
+    }
+
+    /// Places all shards anew where that has to be: on all that are there or waited for.
+    pub(crate) fn place(&mut self, now: Micros) {
+        if self.setup.moves_percent == 0 {
+            return;
+        }
+        let due = |front: &FrontId, since: &Micros| self.away.waits(&self.setup, *front, *since) <= now;
+        let since = self.away.since.iter();
+        let gone: BTreeSet<FrontId> = since.filter(|(front, at)| due(front, at)).map(|(f, _)| *f).collect();
+        if gone == self.away.gone && !std::mem::take(&mut self.away.stale) {
+            return;
+        }
+        let here = self.setup.members.iter().filter(|member| !gone.contains(&member.front));
+        let here: Vec<Member> = here.cloned().collect();
+        let placed = placed(&here, self.setup.copies, self.setup.shards);
+        self.places.iter_mut().zip(placed).for_each(|(place, wanted)| place.wanted = wanted);
+        self.away.gone = gone;
+    }
+
+    pub(crate) fn place_first(&mut self, now: Micros) {
+        self.away.stale = true;
+        self.place(now);
+    }
+
+    /// One that keeps a copy is silent for longer than it is waited for: it counts as gone, whatever others say.
+    pub(crate) fn is_gone(&mut self, now: Micros, front: FrontId) {
+        let ago = self.setup.zone_after.max(self.setup.repair_after);
+        self.away.since.insert(front, now.saturating_sub(ago));
+        self.place(now);
+    }
+
+    /// Moves a copy of a shard that this front owns, and of which none is missing, once it is the shard's turn.
+    pub(crate) fn shift(&mut self, at: Moment, shard: u16) -> Option<(Keeper, Keeper, Micros)> {
+        let now = at.steady;
+        let place = self.places.get(usize::from(shard))?;
+        let replica = place.replica.as_ref()?;
+        if self.setup.moves_percent == 0 || place.wanted.len() < self.setup.copies {
+            return None;
+        }
+        let (out, into) = next(&place.wanted, &replica.keepers, self.own.front)?;
+        let left = turn(&self.setup, shard, self.wall_ms(at, shard))?;
+        let takes = PATIENCE + Repair::takes(replica.state.bytes(), self.setup.repair_bytes);
+        let busy = self.places.iter().any(|place| place.repair.is_some());
+        if left < takes || busy || self.away.is_away(into) {
+            return None;
+        }
+        let peer = self.peers.get(&into).filter(|peer| peer.disk != 0 && now - peer.at < HEARD);
+        let Some(peer) = peer else {
+            self.offer(at, into, shard);
+            return None;
+        };
+        Some((out, Keeper { front: into, disk: peer.disk }, now + takes))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_zone_that_is_away_as_a_whole_is_waited_for_longer_and_not_front_by_front_once_it_comes_back() {
+        let member = |front| Member { front, zone: format!("z{}", front % 3) };
+        let mut setup = Setup::new("f", 1, 1, 1, (0..9).map(member).collect());
+        (setup.repair_after, setup.zone_after) = (10, 100);
+        let mut away = Away::default();
+        away.since.extend([(0, 5), (3, 6)]);
+        assert_eq!(away.waits(&setup, 0, 5), 15);
+        away.since.insert(6, 7);
+        assert_eq!((away.waits(&setup, 0, 5), away.waits(&setup, 1, 5)), (105, 15));
+        away.returned(80, &setup.members, 3);
+        assert_eq!((away.waits(&setup, 0, 5), away.is_away(3)), (90, false));
+    }
+
+    #[test]
+    fn no_more_than_the_share_has_its_turn_at_once_and_all_have_one() {
+        let setup = Setup { moves_percent: 25, ..Setup::new("f", 1, 1, 1, Vec::new()) };
+        let mut had = BTreeSet::new();
+        for wall_ms in (0..5 * length(&setup) as u64 / 1_000).step_by(100) {
+            let now: Vec<u16> = (0..16).filter(|shard| turn(&setup, *shard, wall_ms).is_some()).collect();
+            assert!(now.len() <= 4);
+            had.extend(now);
+        }
+        assert_eq!(had.len(), 16);
+    }
+}
--- a/crates/ledger/src/repair.rs
+++ b/crates/ledger/src/repair.rs
@@ -5,8 +5,8 @@
 use crate::{FrontId, Micros};
 
 /// Microseconds that taking in a new member may take beside the time its copy takes by the budget.
-const PATIENCE: Micros = 10_000_000;
-const HEARD: Micros = 3_000_000; // microseconds since a front was heard for it to be taken in
+pub(crate) const PATIENCE: Micros = 10_000_000;
+pub(crate) const HEARD: Micros = 3_000_000; // microseconds since a front was heard for it to be taken in
 
 /// What is known of another front.
 #[derive(Clone, Copy, Debug)]
@@ -26,13 +26,20 @@
     pub config: u32,
     /// Entries that the copy holds, once it is there.
     pub caught: Option<u64>,
-    ends: Micros,
+    /// None is missing: it is for balance.
+    pub moves: bool,
+    pub ends: Micros,
 }
 
 impl Repair {
     pub fn new(now: Micros, out: Keeper, into: Keeper, config: u32, bytes: usize, rate: u32) -> Repair {
-        let takes = bytes as Micros * 2_000_000 / Micros::from(rate.max(1));
-        Repair { out, into, config, caught: None, ends: now + PATIENCE + takes }
+        let ends = now + PATIENCE + Repair::takes(bytes, rate);
+        Repair { out, into, config, caught: None, moves: false, ends }
+    }
+
+    /// Microseconds within which so much is copied at the budget's rate, lost letters and all.
+    pub fn takes(bytes: usize, rate: u32) -> Micros {
+        bytes as Micros * 2_000_000 / Micros::from(rate.max(1))
     }
 
     /// Whether it can't go on.
@@ -53,7 +60,7 @@
 pub(crate) fn missing(
     now: Micros,
     since: Micros,
-    after: Micros,
+    waits: impl Fn(FrontId, Micros) -> Micros,
     keepers: &[Keeper],
     own: FrontId,
     peer: impl Fn(FrontId) -> Option<Peer>,
@@ -69,7 +76,7 @@
             }
             heard => {
                 let last = heard.map_or(since, |peer| peer.at.max(since));
-                if now - last >= after {
+                if waits(keeper.front, last) <= now {
                     silent = silent.or(Some((*keeper, None)));
                 }
             }
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -113,6 +113,13 @@
         others.filter(|_| told).collect()
     }
 
+    /// Tries to own the shard.
+    pub fn takes_over(&mut self) {
+        if !self.leads() {
+            self.log.takes_over();
+        }
+    }
+
     /// The owner says that something may have been missed.
     pub fn missed(&mut self, owner: FrontId) {
         if self.owner() == Some(owner) {
--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -1,5 +1,6 @@
 //! What comes in of shards, and how their members change.
 
+use crate::birth::Birth;
 use crate::ledger::{state_of, Ledger};
 use crate::log::Heard;
 use crate::post::Pace;
@@ -29,6 +30,7 @@
             return self.refuse("earlier life");
         }
         let (incarnation, disk, wall_ms) = (letter.incarnation, letter.disk, letter.wall_ms);
+        self.away.returned(at.steady, &self.setup.members, from);
         self.peers.insert(from, Peer { at: at.steady, incarnation, disk, wall_ms });
         for word in words {
             self.word(at, Born { keeper: Keeper { front: from, disk }, incarnation }, word);
@@ -113,7 +115,11 @@
                 }
             }
             Some(replica) if replica.config > config => self.bring_on(at, sender, shard),
-            _ => self.is_here(at, sender.front, shard),
+            _ => {
+                // Members speak of it: it has begun.
+                place.birth.iter_mut().for_each(Birth::has_begun);
+                self.is_here(at, sender.front, shard);
+            }
         }
     }
 
@@ -134,6 +140,9 @@
         let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
         if let Some(birth) = &mut place.birth {
             birth.heard(sender, with);
+            if config > 0 {
+                birth.has_begun();
+            }
             self.born(at, shard);
         } else if config < place.config() {
             self.bring_on(at, sender.keeper, shard);
@@ -171,6 +180,7 @@
         }
         let mine = keepers.contains(&own);
         place.known = Some((config, keepers));
+        place.birth.iter_mut().for_each(Birth::has_begun);
         if mine {
             self.is_here(at, from, shard);
         } else {
@@ -214,7 +224,7 @@
     ) {
         let own = self.own;
         let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
-        let first = place.ranked.first() == Some(&own.front);
+        let first = place.first(&keepers) == Some(own.front);
         let Some(mut replica) = Replica::begin(shard, config, &keepers, own, first, begun) else { return };
         if let Some(before) = place.replica.take() {
             before.forgotten(&mut self.records);
@@ -222,6 +232,9 @@
         if place.birth.take().is_some() {
             self.records.push(records::no_birth(shard));
         }
+        if first {
+            replica.takes_over();
+        }
         replica.must_save();
         place.replica = Some(replica);
         (place.barred, place.known) = (config, Some((config, keepers)));
@@ -269,6 +282,7 @@
         let Some(next) = replica.state.next().map(<[Keeper]>::to_vec) else { return };
         let config = replica.config + 1;
         let (leads, before) = (replica.leads(), replica.keepers.clone());
+        let moves = place.repair.is_some_and(|repair| repair.moves);
         let caught = place.repair.and_then(|repair| Some((repair.into, repair.caught?)));
         let state = replica.state.handed_over();
         if leads {
@@ -278,6 +292,7 @@
                 let word = Word::Begin { shard, config, keepers: next.clone(), base };
                 self.post.say(at, to.front, &word, Pace::Quick);
                 self.tallies.repaired += 1;
+                self.tallies.moved += u64::from(moves);
             }
             let stay = |front: &FrontId| next.iter().any(|keeper| keeper.front == *front);
             let told = place.ranked.iter().take(self.setup.copies).copied();
--- a/crates/ledger/src/upkeep.rs
+++ b/crates/ledger/src/upkeep.rs
@@ -6,12 +6,13 @@
 use crate::records;
 use crate::repair::{missing, spare, Peer, Repair};
 use crate::replica::{Replica, FIRST};
-use crate::state::{Limits, State};
+use crate::state::{Keeper, Limits, State};
 use crate::words::{self, Born, Word};
 use crate::{FrontId, Micros, Moment};
 
 /// Microseconds between looks at who is missing, and between words of one that waits.
 pub(crate) const LOOK: Micros = 250_000;
+const ASKED: usize = 8; // fronts that are asked at once whether a shard has begun
 
 impl Ledger {
     /// Shards that this front is to keep, and knows nothing of: they have yet to begin, or it has lost its disk.
@@ -31,7 +32,7 @@
         let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
         let placed: Vec<FrontId> = place.ranked.iter().take(copies).copied().collect();
         let Some(birth) = &mut place.birth else { return };
-        match birth.next(own, &placed) {
+        match birth.next(own, &placed, &place.ranked) {
             Next::Waits => {}
             Next::Agree(with) => {
                 self.records.push(records::birth(shard, &with));
@@ -63,12 +64,20 @@
             return;
         }
         self.look_at = at.steady + LOOK;
+        self.place(at.steady);
         for shard in 0..self.setup.shards {
             let Some(place) = self.places.get(usize::from(shard)) else { continue };
             if place.birth.is_some() {
                 let placed = place.ranked.iter().take(self.setup.copies).copied();
                 let members = place.keepers().iter().map(|keeper| keeper.front);
                 let others: Vec<FrontId> = placed.chain(members).filter(|to| *to != self.own.front).collect();
+                let unheard = place.birth.as_ref().filter(|_| place.config() == 0);
+                let unheard = unheard.map(|birth| birth.unheard(self.own.front, &place.ranked));
+                let turn = (at.steady / LOOK) as usize * ASKED;
+                let unheard = unheard.unwrap_or_default();
+                for n in 0..unheard.len().min(ASKED) {
+                    self.offer(at, unheard[(turn + n) % unheard.len()], shard);
+                }
                 others.into_iter().for_each(|to| self.is_here(at, to, shard));
                 self.born(at, shard);
             } else if place.replica.as_ref().is_some_and(Replica::leads) {
@@ -93,24 +102,50 @@
             }
             return;
         }
-        let Some((out, back)) = missing(now, since, self.setup.repair_after, &replica.keepers, own, peer)
-        else {
+        let waits = |front, since| self.away.waits(&self.setup, front, since);
+        let missed = missing(now, since, waits, &replica.keepers, own, peer);
+        let Some((out, back)) = missed else {
+            if let Some((out, into, ends)) = self.shift(at, shard) {
+                self.copy(at, shard, out, into, Some(ends));
+            }
             return;
         };
-        let into = back.or_else(|| spare(now, &place.ranked, &replica.keepers, peer));
+        if back.is_none() {
+            self.is_gone(now, out.front);
+        }
+        let Some(place) = self.places.get(usize::from(shard)) else { return };
+        let Some(replica) = &place.replica else { return };
+        let peer = |front: FrontId| self.peers.get(&front).copied();
+        let order: Vec<FrontId> = place.wanted.iter().chain(&place.ranked).copied().collect();
+        let into = back.or_else(|| spare(now, &order, &replica.keepers, peer));
         let Some(into) = into else {
             // Who could take its place says so, if it is there.
             let kept = |front: &FrontId| replica.keepers.iter().any(|keeper| keeper.front == *front);
             let free: Vec<FrontId> = place.ranked.iter().filter(|front| !kept(front)).copied().collect();
             let turn = (now / LOOK) as usize;
             for to in (0..free.len().min(2)).filter_map(|n| free.get((turn * 2 + n) % free.len())) {
-                self.post.say(at, *to, &Word::Offer { shard }, Pace::Quick);
+                self.offer(at, *to, shard);
             }
             return;
         };
+        self.copy(at, shard, out, into, None);
+    }
+
+    /// Asks a front whether it could keep a copy.
+    pub(crate) fn offer(&mut self, at: Moment, to: FrontId, shard: u16) {
+        self.post.say(at, to, &Word::Offer { shard }, Pace::Quick);
+    }
+
+    /// Gives a copy to the one that is to take another's place; until when, where it only moves.
+    fn copy(&mut self, at: Moment, shard: u16, out: Keeper, into: Keeper, moves: Option<Micros>) {
+        let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
+        let Some(replica) = &place.replica else { return };
+        let config = replica.config;
         let (index, bytes) = (replica.applied(), replica.state.bytes());
         let state = words::bytes(&replica.state);
-        place.repair = Some(Repair::new(now, out, into, config, bytes, self.setup.repair_bytes));
+        let mut repair = Repair::new(at.steady, out, into, config, bytes, self.setup.repair_bytes);
+        (repair.moves, repair.ends) = (moves.is_some(), moves.unwrap_or(repair.ends));
+        place.repair = Some(repair);
         self.post.say(at, into.front, &Word::Copy { shard, config, index, state }, Pace::Repair);
     }
 
--- a/crates/ledger/tests/drawn.rs
+++ b/crates/ledger/tests/drawn.rs
@@ -63,6 +63,8 @@
     stopped: usize,
     cut: usize,
     failed: usize,
+    listed: usize,
+    moved: u64,
     stood: usize,
     unreachable: usize,
 }
@@ -72,6 +74,10 @@
     let mut fleet = Fleet::new(fronts, copies, shards, seed);
     fleet.same_disk = same_disk;
     fleet.setup.repair_after = 4 * SECOND;
+    // Copies move for balance too, all at once.
+    (fleet.setup.moves_percent, fleet.setup.zone_after) = (100, 8 * SECOND);
+    (fleet.setup.most_bytes, fleet.setup.repair_bytes) = (8_192, 65_536);
+    fleet.start_anew(fronts);
     fleet.run_until(10 * SECOND, Fleet::is_whole);
     let (mut played, mut unique, mut unreached) = (Played::default(), 0, Vec::new());
     let mut mend = fleet.now;
@@ -85,8 +91,9 @@
         if fleet.chance.random_bool(0.1) {
             again(&mut fleet, &mut unreached);
         }
-        if lost.is_some() && fleet.is_whole() && (0..fronts).all(|n| fleet.is_up(n) && !fleet.fronts[n].fails)
-        {
+        // A change under way may yet take in the disk that was lost.
+        let settled = fleet.cut.is_empty() && fleet.moving() == 0 && fleet.is_whole();
+        if lost.is_some() && settled && (0..fronts).all(|n| fleet.is_up(n) && !fleet.fronts[n].fails) {
             lost = None;
         }
         if fleet.now < mend {
@@ -94,7 +101,7 @@
         }
         mend = fleet.now + fleet.chance.random_range(200_000..2 * SECOND);
         let n = fleet.chance.random_range(0..fronts);
-        match fleet.chance.random_range(0..10) {
+        match fleet.chance.random_range(0..12) {
             0 if fleet.fronts[n].ledger.is_some() => {
                 fleet.kill(n);
                 played.killed += 1;
@@ -128,6 +135,17 @@
                 // It keeps nothing any more: as good as lost, until it comes back.
                 (lost, played.failed) = (Some(n), played.failed + 1);
             }
+            // The operator's list loses a front, or has it again; one that is out of it still keeps what it has to.
+            8 if lost.is_none() && fronts > copies => {
+                listed(&mut fleet, copies);
+                played.listed += 1;
+            }
+            // What gossip says, right or wrong.
+            9 => {
+                let (up, away): (Vec<usize>, Vec<usize>) =
+                    (0..fronts).partition(|k| fleet.is_up(*k) != (*k == n));
+                fleet.health(&up, &away);
+            }
             _ => {
                 fleet.cut.clear();
                 fleet.lost = fleet.chance.random_range(0.0..0.1);
@@ -155,6 +173,8 @@
             fleet.start(n);
         }
     }
+    let ledgers = fleet.fronts.iter().filter_map(|front| front.ledger.as_ref());
+    played.moved = ledgers.map(|ledger| ledger.tallies().moved).sum();
     for op in &fleet.record.ops {
         match op.done {
             Some((_, Outcome::Unreachable)) => played.unreachable += 1,
@@ -165,6 +185,15 @@
     (fleet, played)
 }
 
+/// Changes the list for all that run; others read it as they start.
+fn listed(fleet: &mut Fleet, copies: usize) {
+    let mut members = Fleet::members(fleet.fronts.len());
+    if fleet.setup.members.len() == members.len() && members.len() > copies {
+        members.remove(fleet.chance.random_range(0..members.len()));
+    }
+    fleet.list(members);
+}
+
 #[test]
 fn drawn_faults_lose_nothing_and_give_nothing_twice() {
     let first: u64 = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
@@ -192,6 +221,8 @@
         all.stopped += played.stopped;
         all.cut += played.cut;
         all.failed += played.failed;
+        all.listed += played.listed;
+        all.moved += played.moved;
         all.stood += played.stood;
         all.unreachable += played.unreachable;
     }
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -59,8 +59,7 @@
 
 impl Fleet {
     pub fn new(fronts: usize, copies: usize, shards: u16, seed: u64) -> Fleet {
-        let members = (0..fronts).map(|n| Member { front: id(n), zone: format!("z{}", n % 3) }).collect();
-        let mut setup = Setup::new("tests", 0, 0, 0, members);
+        let mut setup = Setup::new("tests", 0, 0, 0, Fleet::members(fronts));
         (setup.copies, setup.shards, setup.repair_after) = (copies, shards, 5 * SECOND);
         let mut fleet = Fleet {
             fronts: Vec::new(),
@@ -97,6 +96,36 @@
         fleet
     }
 
+    pub fn members(fronts: usize) -> Vec<Member> {
+        (0..fronts).map(|n| Member { front: id(n), zone: format!("z{}", n % 3) }).collect()
+    }
+
+    /// The operator's list, as all that run hear it now and others as they start.
+    pub fn list(&mut self, members: Vec<Member>) {
+        self.setup.members.clone_from(&members);
+        for n in 0..self.fronts.len() {
+            let at = self.at(n);
+            let ledger = self.fronts[n].ledger.as_mut();
+            ledger.into_iter().for_each(|ledger| ledger.members(at, members.clone()).unwrap());
+        }
+    }
+
+    /// What gossip says to each.
+    pub fn health(&mut self, up: &[usize], away: &[usize]) {
+        let ids = |of: &[usize]| -> Vec<FrontId> { of.iter().map(|n| id(*n)).collect() };
+        for n in 0..self.fronts.len() {
+            let at = self.at(n);
+            let ledger = self.fronts[n].ledger.as_mut();
+            ledger.into_iter().for_each(|ledger| ledger.health(at, &ids(up), &ids(away)));
+        }
+    }
+
+    /// Shards that move now.
+    pub fn moving(&self) -> usize {
+        let ledgers = self.fronts.iter().filter_map(|front| front.ledger.as_ref());
+        ledgers.map(|ledger| ledger.tallies().moving).sum()
+    }
+
     pub fn at(&self, n: usize) -> Moment {
         let wall = WALL as i64 + self.now / 1_000 + self.fronts[n].ahead;
         Moment { steady: self.now + n as Micros * 1_000 * SECOND, wall_ms: wall as u64 }
@@ -116,6 +145,14 @@
         self.drain(n);
     }
 
+    /// The first of all fronts start with what is set up now, on empty disks, in a later life.
+    pub fn start_anew(&mut self, many: usize) {
+        (0..self.fronts.len()).for_each(|n| self.lose(n));
+        self.mail.clear();
+        self.now += SECOND;
+        (0..many).for_each(|n| self.start(n));
+    }
+
     /// The front is gone with what is not lasting yet.
     pub fn kill(&mut self, n: usize) {
         self.fronts[n].ledger = None;
