--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -267,11 +267,11 @@
             ("fleet:", "shards: 0, fleet:", "gossip.ledger.shards: is not from 1 to 1024"),
             ("fleet:", "patience_ms: 20, fleet:", "gossip.ledger.patience_ms: is not from 50 to 10000"),
             ("fleet:", "repair_after_ms: 1, fleet:", "gossip.ledger.repair_after_ms: is not from 1000"),
-            ("fleet:", "moves_percent: 101, fleet:", "gossip.ledger.moves_percent: is over 100"),
+            ("fleet:", "moves_percent: 101, fleet:", "gossip.ledger.moves_percent: is not from 0 to 100"),
             (
                 "fleet:",
                 "zone_after_ms: 7, fleet:",
-                "gossip.ledger.zone_after_ms: is not from repair_after_ms",
+                "gossip.ledger.zone_after_ms: is not from 30000 to 86400000",
             ),
             ("fleet:", "repair_bytes: 7, fleet:", "gossip.ledger.repair_bytes: is under 1024"),
             ("fleet:", "most_bytes: 7, fleet:", "gossip.ledger.most_bytes: is not from 4096"),
