What a set of rules would change is told before it holds; tables move between regions

An operator could only find out what a set does by putting it in force, and a move of tables between regions took three sets sent at the right moments, with statements under way judged anew in between.

A file with what_if: true changes nothing: the front judges the kinds of statements it was asked in the last hours (counts by customer, workload and groups, no texts, 4,096 kinds at most) by the set that holds and by the other, and logs what differs. A rule may say moves: read as three rules of one name, whose time is that at which a statement was judged first, so that it goes to the same regions at every try, also under later versions.

--- a/crates/access/src/access.rs
+++ b/crates/access/src/access.rs
@@ -10,8 +10,10 @@
 use crate::index::{Index, Verdict};
 use crate::known::Known;
 use crate::read::Wish;
+use crate::record::{Record, WhatIf};
 use crate::rule::Asking;
-use crate::shares::Shares;
+use crate::rule::Set;
+use crate::shares::{Limit, Shares};
 use crate::versions::{Said, Versions};
 use crate::{FrontId, Micros, Moment};
 
@@ -23,12 +25,14 @@
     pub region: String,
     pub known: Known,
     pub terms: Terms,
+    /// How long what was asked is remembered, by kind; 0: not at all.
+    pub remembers: Micros,
     /// The number behind which its asks to the ledger are numbered: other callers of this front keep away from them.
     pub first_number: u64,
 }
 
 /// What a statement asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Asked {
     pub customer: String,
     pub workload: String,
@@ -74,6 +78,8 @@
     /// Where its executions are, by the caller's number.
     out: BTreeMap<u64, Option<u16>>,
     ending: bool,
+    /// When it was judged: rules that move go by that at every try.
+    asked_ms: u64,
     /// What it counts for, while it waits for its share of a limit.
     hits: Vec<Hit>,
 }
@@ -83,6 +89,7 @@
     versions: Versions,
     hits: Hits,
     shares: Shares,
+    record: Record,
     open: BTreeMap<u64, Open>,
     next: u64,
     /// The version that open statements were last held against.
@@ -94,8 +101,15 @@
     told: Option<Said>,
 }
 
-fn judge(index: &Index, region: &str, asked: &Asked, wall_ms: u64) -> Verdict {
+pub(crate) fn judge(
+    index: &Index,
+    region: &str,
+    asked: &Asked,
+    wall_ms: u64,
+    asked_ms: Option<u64>,
+) -> Verdict {
     let asking = Asking {
+        asked_ms,
         customer: &asked.customer,
         workload: &asked.workload,
         group: None,
@@ -107,11 +121,12 @@
 
 impl Access {
     pub fn new(setup: Setup) -> Access {
-        let Setup { own, fronts, region, known, terms, first_number } = setup;
+        let Setup { own, fronts, region, known, terms, remembers, first_number } = setup;
         let shares = Shares::new(own, terms, fronts.len());
         Access {
             region,
             shares,
+            record: Record::new(remembers),
             versions: Versions::new(known, terms, first_number),
             hits: Hits::new(own, fronts),
             open: BTreeMap::new(),
@@ -144,18 +159,35 @@
         verdict.allowed.as_ref().map(|places| places.iter().filter_map(named).collect())
     }
 
+    /// The limits that a verdict of the version held lets a statement through within.
+    pub fn limits(&self, verdict: &Verdict) -> Vec<Limit> {
+        let held = self.versions.held();
+        if held.set.version == verdict.version {
+            held.limits(verdict)
+        } else {
+            Vec::new()
+        }
+    }
+
     /// A file was read: it is to be the fleet's.
     pub fn offer(&mut self, file: &str, text: &str, wish: Wish) {
         self.versions.offer(file, text, wish);
     }
 
+    /// What a set would decide otherwise of what was asked here, before it is put in force.
+    pub fn what_if(&mut self, at: Moment, set: Set) -> WhatIf {
+        let (held, known) = (self.versions.held(), self.versions.known());
+        self.record.play(at, &self.region, held, &Index::new(set), known)
+    }
+
     /// Judges a statement, once for all its tries.
     pub fn judge(&mut self, at: Moment, asked: Asked) -> Judged {
         if !self.known().covers(&asked.customer) {
             return Judged::Free;
         }
         let Some(index) = self.versions.lease(at.steady) else { return Judged::Closed };
-        let verdict = judge(index, &self.region, &asked, at.wall_ms);
+        let verdict = judge(index, &self.region, &asked, at.wall_ms, None);
+        self.record.add(at.steady, &asked);
         let hit = |rule: usize| Hit {
             rule: index.name(rule).to_string(),
             customer: asked.customer.clone(),
@@ -173,7 +205,14 @@
             }
             _ => hits,
         };
-        let open = Open { asked, verdict: verdict.clone(), out: BTreeMap::new(), ending: false, hits };
+        let open = Open {
+            asked,
+            verdict: verdict.clone(),
+            out: BTreeMap::new(),
+            ending: false,
+            hits,
+            asked_ms: at.wall_ms,
+        };
         self.open.insert(statement, open);
         Judged::Taken { statement, verdict, waits }
     }
@@ -185,7 +224,7 @@
         let Some(index) = self.versions.lease(at.steady) else { return false };
         let Some(open) = self.open.get_mut(&statement) else { return false };
         let still = open.verdict.version == index.set.version
-            || judge(index, &self.region, &open.asked, at.wall_ms).lets(place);
+            || judge(index, &self.region, &open.asked, at.wall_ms, Some(open.asked_ms)).lets(place);
         let may =
             still && !open.ending && open.verdict.lets(place) && self.shares.begins(at.steady, statement);
         if may {
@@ -271,7 +310,7 @@
         self.looked = index.set.version;
         for (statement, open) in self.open.iter_mut().filter(|(_, open)| !open.out.is_empty() && !open.ending)
         {
-            let verdict = judge(index, &self.region, &open.asked, at.wall_ms);
+            let verdict = judge(index, &self.region, &open.asked, at.wall_ms, Some(open.asked_ms));
             if !open.out.values().all(|place| verdict.lets(*place)) {
                 open.ending = true;
                 self.ended += 1;
--- a/crates/access/src/check.rs
+++ b/crates/access/src/check.rs
@@ -44,7 +44,9 @@
     let mut seen = HashMap::new();
     let mut faults = Vec::new();
     for rule in rules {
-        if let Some(first) = seen.get(rule.name.as_str()) {
+        // A rule that moves is read as three.
+        let first = seen.get(rule.name.as_str()).filter(|first| **first != rule.place);
+        if let Some(first) = first {
             let what = What::Twice { rule: rule.name.clone(), line: line(lines, *first) };
             faults.push((format!("{}.name", path(rule)), what));
         } else {
--- a/crates/access/src/index.rs
+++ b/crates/access/src/index.rs
@@ -112,7 +112,8 @@
                 None => Some(&cell.narrowing).filter(|_| !asking.told),
             };
             for list in [Some(&cell.any), about].into_iter().flatten() {
-                let holds = |at: &&u32| self.set.rules.get(**at as usize).is_some_and(|r| r.active(wall_ms));
+                let holds =
+                    |at: &&u32| self.set.rules.get(**at as usize).is_some_and(|r| r.holds(asking, wall_ms));
                 let found = list.iter().take_while(|at| least.is_none_or(|least| **at < least)).find(holds);
                 least = found.copied().or(least);
             }
@@ -210,7 +211,8 @@
         for customer in &customers {
             for workload in &workloads {
                 for front in &fronts {
-                    let kind = |group| Asking { customer, workload, group, told: false, front };
+                    let kind =
+                        |group| Asking { customer, workload, group, told: false, front, asked_ms: None };
                     let less = |group: &Option<u32>| {
                         times.iter().any(|at| {
                             let (new, limits) = lets(self, &kind(*group), *at);
--- a/crates/access/src/read.rs
+++ b/crates/access/src/read.rs
@@ -9,9 +9,10 @@
 use crate::Micros;
 
 const MOST_RULES: usize = 200_000; // rules; twice what the cost of a decision was measured with
-const KEYS: &str = "version, default, rules, roll_back_to";
+const KEYS: &str = "version, default, rules, roll_back_to, what_if";
 const RULE_KEYS: &str =
-    "name, customer, workload, tables, front, regions, barred, then, reason, at_most, in_ms, priority, from, until";
+    "name, customer, workload, tables, front, regions, barred, then, reason, at_most, in_ms, moves, \
+     priority, from, until";
 const MOST_AT_ONCE: u64 = 100_000; // of a limit; some 8 bytes for each statement that began in its window
 const WINDOW_MS: (u64, u64) = (1_000, 86_400_000); // milliseconds: below, what is under way weighs; a day
 
@@ -19,6 +20,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Wish {
     Set(Set),
+    /// What this set would decide otherwise is to be told; nothing changes.
+    WhatIf(Set),
     /// The set of an earlier version is to hold again, under a new one.
     RollBack {
         version: u64,
@@ -29,7 +32,7 @@
 impl Wish {
     pub fn version(&self) -> u64 {
         match self {
-            Wish::Set(set) => set.version,
+            Wish::Set(set) | Wish::WhatIf(set) => set.version,
             Wish::RollBack { version, .. } => *version,
         }
     }
@@ -43,7 +46,7 @@
     let mut reader = Reader { known, faults: Vec::new() };
     let wish = reader.file(text);
     let mut faults = reader.faults;
-    if let (Some(Wish::Set(set)), true) = (&wish, faults.is_empty()) {
+    if let (Some(Wish::Set(set) | Wish::WhatIf(set)), true) = (&wish, faults.is_empty()) {
         faults = check::check(set, known, lines);
     }
     match wish {
@@ -52,18 +55,23 @@
             let at = |(path, what): (String, What)| Fault { line: lines(&path), path, what };
             let mut faults: Vec<Fault> = faults.into_iter().map(at).collect();
             faults.sort_by_key(|f| f.line);
+            faults.dedup(); // a rule that moves is read as three
             Err(Faults { file: file.to_string(), faults })
         }
     }
 }
 
-struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     known: &'a Known,
     faults: Vec<(String, What)>,
 }
 
 impl Reader<'_> {
-    fn fault<T>(&mut self, path: &str, what: What) -> Option<T> {
+    pub(crate) fn known(&self) -> &Known {
+        self.known
+    }
+
+    pub(crate) fn fault<T>(&mut self, path: &str, what: What) -> Option<T> {
         self.faults.push((path.to_string(), what));
         None
     }
@@ -87,7 +95,7 @@
             },
         };
         if let Some(to) = file.get("roll_back_to") {
-            for key in ["rules", "default"].into_iter().filter(|key| file.contains_key(*key)) {
+            for key in ["rules", "default", "what_if"].into_iter().filter(|key| file.contains_key(*key)) {
                 self.faults.push((key.to_string(), What::Key { known: "version, roll_back_to" }));
             }
             let to = whole(to).or_else(|| self.fault("roll_back_to", What::Kind { needs: "version" }))?;
@@ -109,19 +117,25 @@
         if rules.len() > MOST_RULES {
             return self.fault("rules", What::TooMany { count: rules.len(), most: MOST_RULES });
         }
-        let read: Vec<Option<Rule>> = rules.iter().enumerate().map(|(at, r)| self.rule(at, r)).collect();
-        let read: Option<Vec<Rule>> = read.into_iter().collect();
-        Some(Wish::Set(Set::new(version?, default?, read?)))
+        let asks = match file.get("what_if").map(Value::as_bool) {
+            None => Some(false),
+            Some(Some(asks)) => Some(asks),
+            Some(None) => self.fault("what_if", What::Kind { needs: "true or false" }),
+        };
+        let read: Vec<Option<Vec<Rule>>> = rules.iter().enumerate().map(|(at, r)| self.rule(at, r)).collect();
+        let read: Option<Vec<Vec<Rule>>> = read.into_iter().collect();
+        let set = Set::new(version?, default?, read?.concat());
+        Some(if asks? { Wish::WhatIf(set) } else { Wish::Set(set) })
     }
 
-    fn keys(&mut self, path: &str, object: &Map<String, Value>, known: &'static str) {
+    pub(crate) fn keys(&mut self, path: &str, object: &Map<String, Value>, known: &'static str) {
         for key in object.keys().filter(|key| !known.split(", ").any(|k| k == *key)) {
             let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
             self.faults.push((path, What::Key { known }));
         }
     }
 
-    fn text(&mut self, path: &str, object: &Map<String, Value>, key: &str) -> Option<String> {
+    pub(crate) fn text(&mut self, path: &str, object: &Map<String, Value>, key: &str) -> Option<String> {
         match object.get(key)? {
             Value::String(text) if !text.is_empty() => Some(text.clone()),
             _ => self.fault(&format!("{path}.{key}"), What::Kind { needs: "text" }),
@@ -129,7 +143,7 @@
     }
 
     /// A name out of a list; where the list is empty any will do.
-    fn name(
+    pub(crate) fn name(
         &mut self,
         path: &str,
         object: &Map<String, Value>,
@@ -144,7 +158,7 @@
         self.fault(&format!("{path}.{key}"), What::Name { name, list, known: known.join(", ") })
     }
 
-    fn rule(&mut self, place: usize, value: &Value) -> Option<Rule> {
+    fn rule(&mut self, place: usize, value: &Value) -> Option<Vec<Rule>> {
         let path = &format!("rules[{place}]");
         let Value::Object(r) = value else { return self.fault(path, What::Kind { needs: "rule" }) };
         let before = self.faults.len();
@@ -179,7 +193,11 @@
             let what = shape("ends before it begins", "give `until` a time after `from`");
             self.faults.push((format!("{path}.until"), what));
         }
-        let then = self.then(path, r, &name);
+        let moved = r.contains_key("moves").then(|| self.moves(path, r, &name));
+        let then = match &moved {
+            Some(_) => Some(Then::Allow { places: None }),
+            None => self.then(path, r, &name),
+        };
         let limit = self.limit(path, r, &name);
         if limit.is_some() && then.as_ref().is_some_and(|then| !matches!(then, Then::Allow { .. })) {
             let what = What::Shape {
@@ -189,10 +207,16 @@
             };
             self.faults.push((format!("{path}.at_most"), what));
         }
-        let then = then?;
-        let rule =
-            Rule { name, customer, workload, tables, front, then, limit, priority, from_ms, until_ms, place };
-        (self.faults.len() == before).then_some(rule)
+        let (then, moves) = (then?, false);
+        #[rustfmt::skip]
+        let rule = Rule {
+            name, customer, workload, tables, front, then, limit, priority, from_ms, until_ms, moves, place,
+        };
+        let rules = match moved {
+            Some(moved) => moved?.phases(&rule),
+            None => vec![rule],
+        };
+        (self.faults.len() == before).then_some(rules)
     }
 
     fn tables(&mut self, path: &str, value: &Value) -> Option<Tables> {
@@ -237,7 +261,7 @@
         }
     }
 
-    fn time(&mut self, path: &str, object: &Map<String, Value>, key: &str) -> Option<u64> {
+    pub(crate) fn time(&mut self, path: &str, object: &Map<String, Value>, key: &str) -> Option<u64> {
         let text = self.text(path, object, key)?;
         let time = text.parse::<jiff::Timestamp>().ok().and_then(|t| u64::try_from(t.as_millisecond()).ok());
         let needs = "time by RFC 3339, such as '2026-12-01T06:00:00Z'";
@@ -283,7 +307,7 @@
         }
     }
 
-    fn regions(&mut self, path: &str, r: &Map<String, Value>, key: &str) -> Option<Vec<u16>> {
+    pub(crate) fn regions(&mut self, path: &str, r: &Map<String, Value>, key: &str) -> Option<Vec<u16>> {
         let Value::Array(names) = r.get(key)? else {
             return self.fault(&format!("{path}.{key}"), What::Kind { needs: "list of regions" });
         };
@@ -312,6 +336,6 @@
     value.as_i64().or_else(|| value.as_f64().filter(fits).map(|f| f as i64))
 }
 
-fn whole(value: &Value) -> Option<u64> {
+pub(crate) fn whole(value: &Value) -> Option<u64> {
     number(value).and_then(|n| u64::try_from(n).ok())
 }
--- /dev/null
+++ b/crates/access/src/record.rs
@@ -0,0 +1,165 @@
+//! What was asked here in the last hours, by kind and without texts; and what a set that is not in force would have
+//! decided of it.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::access::{judge, Asked};
+use crate::index::Index;
+use crate::shares::Limit;
+use crate::{Micros, Moment};
+
+const MOST_KINDS: usize = 4_096; // kinds of statements, some 250 bytes each
+const PARTS: usize = 24; // into which the time looked back at is cut
+
+/// What a set says of a statement.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Decided {
+    Denied,
+    /// At these locations (None: all), within these limits.
+    Let {
+        at: Option<Vec<String>>,
+        limits: Vec<Limit>,
+    },
+}
+
+/// Statements that two sets decide differently.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Change {
+    pub customer: String,
+    pub workload: String,
+    pub is: Decided,
+    pub would: Decided,
+}
+
+/// What a set would change, were it to hold now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct WhatIf {
+    /// The version that holds, and the one that was asked about.
+    pub held: u64,
+    pub version: u64,
+    /// How far the record goes back.
+    pub back: Micros,
+    pub statements: u64,
+    /// Statements for whose kinds the record had no room.
+    pub unknown: u64,
+    pub changes: BTreeMap<Change, u64>,
+}
+
+pub struct Record {
+    part: Micros,
+    begun: Option<Micros>,
+    /// The part that is being filled, since the clock began.
+    at: Micros,
+    kinds: HashMap<Asked, [u32; PARTS]>,
+    unknown: [u64; PARTS],
+}
+
+impl Record {
+    /// Of the last so many microseconds; 0: of nothing.
+    pub fn new(back: Micros) -> Record {
+        let part = back / PARTS as Micros;
+        Record { part, begun: None, at: 0, kinds: HashMap::new(), unknown: [0; PARTS] }
+    }
+
+    /// Goes on to a time: what is older than the record goes back is forgotten.
+    fn turn(&mut self, now: Micros) -> usize {
+        let part = now.div_euclid(self.part);
+        let passed = if self.begun.is_none() { 0 } else { (part - self.at).clamp(0, PARTS as Micros) };
+        for gone in 0..passed {
+            let place = (part - gone).rem_euclid(PARTS as Micros) as usize;
+            self.kinds
+                .values_mut()
+                .for_each(|counts| counts.iter_mut().skip(place).take(1).for_each(|c| *c = 0));
+            self.unknown.iter_mut().skip(place).take(1).for_each(|count| *count = 0);
+        }
+        if passed > 0 {
+            self.kinds.retain(|_, counts| counts.iter().any(|count| *count > 0));
+        }
+        self.at = self.at.max(part);
+        self.begun.get_or_insert(now);
+        part.rem_euclid(PARTS as Micros) as usize
+    }
+
+    pub fn add(&mut self, now: Micros, asked: &Asked) {
+        if self.part <= 0 {
+            return;
+        }
+        let place = self.turn(now);
+        if !self.kinds.contains_key(asked) {
+            if self.kinds.len() >= MOST_KINDS {
+                self.unknown.iter_mut().skip(place).take(1).for_each(|count| *count += 1);
+                return;
+            }
+            self.kinds.insert(asked.clone(), [0; PARTS]);
+        }
+        let counts = self.kinds.get_mut(asked).into_iter().flatten();
+        counts.skip(place).take(1).for_each(|count| *count = count.saturating_add(1));
+    }
+
+    /// What a set would decide otherwise than the one held, of what was asked, were it asked now.
+    pub fn play(
+        &mut self,
+        at: Moment,
+        region: &str,
+        held: &Index,
+        other: &Index,
+        known: &crate::Known,
+    ) -> WhatIf {
+        let mut found = WhatIf { held: held.set.version, version: other.set.version, ..WhatIf::default() };
+        if self.part <= 0 {
+            return found;
+        }
+        self.turn(at.steady);
+        let back = self.begun.map_or(0, |begun| at.steady - begun);
+        found.back = back.min(self.part * PARTS as Micros);
+        found.unknown = self.unknown.iter().sum();
+        for (asked, counts) in &self.kinds {
+            let count = counts.iter().map(|count| u64::from(*count)).sum::<u64>();
+            found.statements += count;
+            let by = |index: &Index| decided(index, known, region, asked, at.wall_ms);
+            let (is, would) = (by(held), by(other));
+            if is != would {
+                let (customer, workload) = (asked.customer.clone(), asked.workload.clone());
+                *found.changes.entry(Change { customer, workload, is, would }).or_default() += count;
+            }
+        }
+        found
+    }
+}
+
+fn decided(index: &Index, known: &crate::Known, region: &str, asked: &Asked, wall_ms: u64) -> Decided {
+    let verdict = judge(index, region, asked, wall_ms, None);
+    if verdict.denied.is_some() {
+        return Decided::Denied;
+    }
+    let name = |place: &u16| known.locations.get(*place as usize).cloned();
+    let at = verdict.allowed.as_ref().map(|places| places.iter().filter_map(name).collect());
+    Decided::Let { at, limits: index.limits(&verdict) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Known, Set};
+
+    #[test]
+    fn a_record_is_bounded_and_what_is_too_old_is_forgotten() {
+        let asked = |n: usize| Asked { customer: n.to_string(), workload: "w".to_string(), groups: None };
+        let mut record = Record::new(24_000_000);
+        let index = Index::new(Set::empty());
+        let counts = |record: &mut Record, now: Micros| {
+            let at = Moment { steady: now, wall_ms: 0 };
+            let found = record.play(at, "eu", &index, &index, &Known::default());
+            (found.statements, found.unknown, found.back)
+        };
+        (0..MOST_KINDS + 10).for_each(|n| record.add(500_000, &asked(n)));
+        record.add(20_000_000, &asked(0));
+        assert_eq!(counts(&mut record, 20_000_000), (MOST_KINDS as u64 + 1, 10, 19_500_000));
+        assert_eq!(counts(&mut record, 24_100_000), (1, 0, 23_600_000));
+        assert_eq!(record.kinds.len(), 1);
+        assert_eq!(counts(&mut record, 90_000_000), (0, 0, 24_000_000));
+        let mut off = Record::new(0);
+        off.add(1, &asked(0));
+        assert_eq!(counts(&mut off, 5), (0, 0, 0));
+    }
+}
--- a/crates/access/src/rule.rs
+++ b/crates/access/src/rule.rs
@@ -67,6 +67,8 @@
     /// Unix milliseconds: from the first on, before the second.
     pub from_ms: u64,
     pub until_ms: u64,
+    /// A time of a move: a statement goes by the time at which it was judged first, at every try.
+    pub moves: bool,
     /// Its place in the file, for faults.
     pub place: usize,
 }
@@ -88,9 +90,16 @@
     /// Without a group: it surely reads none.
     pub told: bool,
     pub front: &'a str,
+    /// When it was judged first, where that was before.
+    pub asked_ms: Option<u64>,
 }
 
 impl Rule {
+    /// Whether it holds for a statement now.
+    pub fn holds(&self, asking: &Asking, wall_ms: u64) -> bool {
+        self.active(asking.asked_ms.filter(|_| self.moves).unwrap_or(wall_ms))
+    }
+
     /// Whether it holds at a time.
     pub fn active(&self, wall_ms: u64) -> bool {
         self.from_ms <= wall_ms && wall_ms < self.until_ms
@@ -174,7 +183,8 @@
     /// The rule that decides and the one that only counts, by going through all in order: what the index must equal.
     pub fn walk(&self, asking: &Asking, wall_ms: u64) -> (Option<usize>, Option<usize>) {
         let first = |counts: bool| {
-            let fits = |r: &Rule| (r.then == Then::Count) == counts && r.active(wall_ms) && r.matches(asking);
+            let fits =
+                |r: &Rule| (r.then == Then::Count) == counts && r.holds(asking, wall_ms) && r.matches(asking);
             self.rules.iter().position(fits)
         };
         (first(false), first(true))
--- a/crates/access/src/versions/change.rs
+++ b/crates/access/src/versions/change.rs
@@ -13,6 +13,9 @@
     /// A file was read: it is to be the fleet's.
     pub fn offer(&mut self, file: &str, text: &str, wish: Wish) {
         self.offer = None;
+        if matches!(wish, Wish::WhatIf(_)) {
+            return; // a question changes nothing
+        }
         if text.len() > MOST_TEXT {
             let (bytes, most) = (text.len(), MOST_TEXT);
             return self.said.push(Said::Refused(Refused::TooLong { file: file.to_string(), bytes, most }));
--- a/crates/access/tests/fleet/record.rs
+++ b/crates/access/tests/fleet/record.rs
@@ -16,7 +16,7 @@
             let held = self.in_force.iter().filter(|(_, since)| *since < at).map(|(v, _)| *v).max();
             let Some(held) = held else { continue };
             let Asked { customer, workload, groups } = asked;
-            let asking = Asking { customer, workload, group: None, told: false, front: "eu" };
+            let asking = Asking { customer, workload, group: None, told: false, front: "eu", asked_ms: None };
             let mut may = indices.range(held..).filter(|(_, (since, _))| since <= at);
             if !may.any(|(_, (_, index))| index.judge(&asking, groups.as_deref(), 0).lets(Some(*place))) {
                 found.push(format!("{at}: front {front} sent {asked:?} to {place} under version {held}"));
--- a/crates/access/tests/fleet/sim.rs
+++ b/crates/access/tests/fleet/sim.rs
@@ -351,6 +351,7 @@
         region: "eu".to_string(),
         known: known(),
         terms: Terms { length: 3_000_000, drift_ppm: DRIFT_PPM },
+        remembers: 0,
         first_number: 1 << 40,
     })
 }
--- a/crates/access/tests/rules.rs
+++ b/crates/access/tests/rules.rs
@@ -199,7 +199,11 @@
     ]);
     let index = Index::new(set);
     let judge = |customer, workload, groups: Option<&[u32]>| {
-        let v = index.judge(&Asking { customer, workload, group: None, told: false, front: "eu" }, groups, 0);
+        let v = index.judge(
+            &Asking { customer, workload, group: None, told: false, front: "eu", asked_ms: None },
+            groups,
+            0,
+        );
         (v.rule.map_or("", |at| index.name(at)).to_string(), v.denied, v.allowed, v.counts.is_some())
     };
     let is = |rule: &str, denied: Option<&str>, allowed: Option<Vec<u16>>, counts| {
@@ -271,6 +275,7 @@
                 priority,
                 from_ms,
                 until_ms,
+                moves: false,
                 place: 0,
             }
         },
@@ -291,7 +296,7 @@
         now in 0u64..9,
     ) {
         let set = Set::new(1, Default::Allow, rules);
-        let asking = Asking { customer, workload, group, told, front };
+        let asking = Asking { customer, workload, group, told, front, asked_ms: None };
         let walked = set.walk(&asking, now);
         prop_assert_eq!(Index::new(set).first(&asking, now), walked);
     }
@@ -306,7 +311,7 @@
         for customer in ["a", "b", "c", "z"] {
             for workload in ["x", "y", "z"] {
                 for front in ["eu", "us", "ap"] {
-                    let (decides, counts) = index.first(&Asking { customer, workload, group: Some(group), told: true, front }, now);
+                    let (decides, counts) = index.first(&Asking { customer, workload, group: Some(group), told: true, front, asked_ms: None }, now);
                     for at in decides.into_iter().chain(counts) {
                         prop_assert_eq!(index.shadow(at), None);
                     }
--- a/crates/agreement/src/operator/rules.rs
+++ b/crates/agreement/src/operator/rules.rs
@@ -12,6 +12,8 @@
 const LEASE_MS: f64 = 3_000.0; // milliseconds: what tightens waits as long; some elections of the ledger's owners
 const DRIFT_PPM: u32 = 10_000; // millionths: a hundred times what quartz does, for machines that are throttled
 const MOST_DRIFT_PPM: u32 = 200_000; // millionths; a clock further off is broken
+const WHAT_IF_HOURS: f64 = 6.0; // hours that a question looks back: past a working day's peak
+const MOST_WHAT_IF_HOURS: f64 = 168.0; // hours; a week
 const TELL_EVERY_MS: f64 = 60_000.0; // milliseconds between lines of the log with the fleet's hits
 
 #[derive(Deserialize)]
@@ -28,6 +30,12 @@
     drift_ppm: u32,
     #[serde(default = "tell_every_ms")]
     tell_every_ms: f64,
+    #[serde(default = "what_if_hours")]
+    what_if_hours: f64,
+}
+
+fn what_if_hours() -> f64 {
+    WHAT_IF_HOURS
 }
 
 fn lease_ms() -> f64 {
@@ -56,6 +64,8 @@
     pub lease: Micros,
     pub drift_ppm: u32,
     pub tell_every: Micros,
+    /// How long what was asked is remembered, by kind, to tell what other rules would change; 0: not at all.
+    pub remembers: Micros,
 }
 
 pub fn rules(text: &str, file: RulesFile, contract: &Contract) -> Result<Rules, String> {
@@ -98,9 +108,22 @@
     if !(1_000.0..=86_400_000.0).contains(&file.tell_every_ms) {
         return refuse("tell_every_ms", "is not from 1000 to 86400000");
     }
-    let RulesFile { file: path, region, regions, customers, lease_ms, drift_ppm, tell_every_ms } = file;
+    if !(0.0..=MOST_WHAT_IF_HOURS).contains(&file.what_if_hours) {
+        return refuse("what_if_hours", "is not from 0 to 168");
+    }
+    let RulesFile {
+        file: path,
+        region,
+        regions,
+        customers,
+        lease_ms,
+        drift_ppm,
+        tell_every_ms,
+        what_if_hours,
+    } = file;
     let (lease, tell_every) = (micros(lease_ms), micros(tell_every_ms));
-    Ok(Rules { file: path, region, regions, customers, lease, drift_ppm, tell_every })
+    let remembers = micros(what_if_hours * 3_600_000.0);
+    Ok(Rules { file: path, region, regions, customers, lease, drift_ppm, tell_every, remembers })
 }
 
 #[cfg(test)]
@@ -134,6 +157,7 @@
             ("file:", "lease_ms: 1, file:", "line 1: rules.lease_ms: is not from 500 to 60000"),
             ("file:", "drift_ppm: 300000, file:", "line 1: rules.drift_ppm: is over 200000"),
             ("file:", "tell_every_ms: 5, file:", "line 1: rules.tell_every_ms: is not from"),
+            ("file:", "what_if_hours: 169, file:", "line 1: rules.what_if_hours: is not from 0 to 168"),
             ("file:", "fiel: 1, file:", "line 1: rules.fiel: unknown field"),
         ] {
             let why = read(&good.replace(from, to)).unwrap_err();
--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use hallmux_access::{self as access, Access, Asked, Fleet, Judged, Owner, Setup};
+use hallmux_access::{self as access, Access, Asked, Fleet, Judged, Owner, Setup, Wish};
 use hallmux_agreement::Contract;
 use hallmux_codec::tables;
 use hallmux_dispatcher::{Dispatcher, Ending, Micros, Place, Terms, Ticket};
@@ -85,12 +85,17 @@
     ) -> Result<Rules, String> {
         let known = known(rules, contract);
         let (text, wish) = read(&rules.file, &known)?;
+        if matches!(wish, Wish::WhatIf(_)) {
+            let why = "what_if: asks a question, and gives no rules to begin with; take it out";
+            return Err(format!("{}: {why}", rules.file));
+        }
         let setup = Setup {
             own,
             fronts,
             region: rules.region.clone(),
             known,
             terms: access::Terms { length: rules.lease, drift_ppm: rules.drift_ppm },
+            remembers: rules.remembers,
             first_number: NUMBERS,
         };
         let member = Member { front: own.front, zone: String::new() };
@@ -124,6 +129,10 @@
     /// SIGHUP: the file is read again. One that can't be used changes nothing.
     pub fn reload(&mut self, now: Micros, rules: &hallmux_agreement::Rules) {
         match read(&rules.file, self.access.known()) {
+            Ok((_, Wish::WhatIf(set))) => {
+                let found = self.access.what_if(self.moment(now), set);
+                said::what_if(&found);
+            }
             Ok((text, wish)) => self.access.offer(&rules.file, &text, wish),
             Err(why) => log::error!("the rules are left as they were: {why}"),
         }
--- a/crates/front/src/fleet/rules/said.rs
+++ b/crates/front/src/fleet/rules/said.rs
@@ -1,6 +1,6 @@
 //! What the log says of rules, and what an operator can do.
 
-use hallmux_access::{Fleet, Said};
+use hallmux_access::{Decided, Fleet, Said, WhatIf};
 use hallmux_ledger::Moment;
 
 use super::Rules;
@@ -34,6 +34,41 @@
     }
 }
 
+const MOST_SHOWN: usize = 100; // lines on what a set would change
+
+/// What a set would decide otherwise than the one that holds.
+pub fn what_if(found: &WhatIf) {
+    let WhatIf { held, version, back, statements, unknown, changes } = found;
+    let otherwise: u64 = changes.values().sum();
+    let minutes = back / 60_000_000;
+    log::info!(
+        "what if version {version} held: of {statements} statements that were asked here in the last {minutes} min \
+         {otherwise} would be decided otherwise than by version {held}"
+    );
+    for (change, count) in changes.iter().take(MOST_SHOWN) {
+        log::info!(
+            "what if version {version} held: customer {}, {}: {count} would be {} instead of {}",
+            change.customer,
+            change.workload,
+            decided(&change.would),
+            decided(&change.is)
+        );
+    }
+    if changes.len() > MOST_SHOWN {
+        log::info!("what if version {version} held: {} more kinds of change", changes.len() - MOST_SHOWN);
+    }
+    if *unknown > 0 {
+        log::warn!("of {unknown} more statements the kinds were not recorded: there are too many kinds of statements");
+    }
+}
+
+fn decided(decided: &Decided) -> String {
+    let Decided::Let { at, limits } = decided else { return "denied".to_string() };
+    let at = at.as_ref().map_or("anywhere".to_string(), |at| format!("at {}", at.join(", ")));
+    let limit = |l: &hallmux_access::Limit| format!(", at most {} in {} ms", l.most, l.window / 1000);
+    format!("let through {at}{}", limits.iter().map(limit).collect::<String>())
+}
+
 pub fn say(said: &Said) {
     match said {
         Said::Adopted { version, rules, in_force } => {
--- a/crates/lab/src/measure/promises.rs
+++ b/crates/lab/src/measure/promises.rs
@@ -103,6 +103,7 @@
         priority: (n % 3) as i32,
         from_ms: 0,
         until_ms: u64::MAX,
+        moves: false,
         place: n,
     };
     Set::new(1, Otherwise::Allow, (0..count).map(rule).collect())
@@ -121,7 +122,7 @@
             .collect();
         let one = |n: usize| {
             let (customer, workload, group) = &asking[n % asking.len()];
-            Asking { customer, workload, group: Some(*group), front: "z0", told: true }
+            Asking { customer, workload, group: Some(*group), front: "z0", told: true, asked_ms: None }
         };
         let (mut indexed, mut walked, mut ratios) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..ROUNDS {
