--- a/crates/agreement/src/operator/rules.rs
+++ b/crates/agreement/src/operator/rules.rs
@@ -106,7 +106,7 @@
         return refuse("tell_every_ms", What::range(1_000, 86_400_000));
     }
     if !(0.0..=MOST_WHAT_IF_HOURS).contains(&file.what_if_hours) {
-        return refuse("what_if_hours", "is not from 0 to 168");
+        return refuse("what_if_hours", What::range(0, 168));
     }
     let RulesFile {
         file: path,
