Hold keyed statements in a front's first seconds; the rig excuses only what it saw

Need: keyed statements were refused until shards had owners, and `prove promises` failed on a busy machine by what the machine did.

Change: what a statement may be lost or late by is judged after the run, from the moment of the death itself, and from what the kernel says that the front and the client waited for a CPU (`rig/starved.rs`). The gate holds an execution while its shard has not said a word in the front's first 10 s: half of its time at most, 3 s at most, then it is turned away.

--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -17,6 +17,11 @@
 /// The highest byte of the numbers of this part's asks: others of one front have others.
 pub const NUMBERS: u64 = 1 << 56;
 
+/// Microseconds from a front's start within which a shard may yet have to begin, or to be found.
+const FIRST: Micros = 10_000_000;
+/// Microseconds that an execution waits for the first word of its shard at most; half of its time at most.
+const FIRST_WAIT: Micros = 3_000_000;
+
 /// An execution that was ordered.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ordered {
@@ -42,10 +47,13 @@
 struct Statement {
     needs: Vec<Need>,
     held: Option<Ordered>,
+    patient_until: Micros,
 }
 
 pub struct Gate {
     life: u64,
+    /// By shard, whether it has said anything in this life.
+    spoke: Vec<bool>,
     needs: Needs,
     statements: HashMap<Ticket, Statement>,
     holds: BTreeMap<Key, Hold>,
@@ -61,9 +69,10 @@
 
 impl Gate {
     /// `life` is the name of this life of the front: as for the ledger, Unix milliseconds when it began.
-    pub fn new(contract: &Contract, life: u64) -> Gate {
+    pub fn new(contract: &Contract, life: u64, shards: u16) -> Gate {
         Gate {
             life,
+            spoke: vec![false; usize::from(shards)],
             needs: Needs::new(contract),
             statements: HashMap::new(),
             holds: BTreeMap::new(),
@@ -96,7 +105,7 @@
         let own = || format!("{}-{}", self.life, taken.ticket);
         let needs = self.needs.of(taken, &id.unwrap_or_else(own));
         if !needs.is_empty() {
-            self.statements.insert(taken.ticket, Statement { needs, held: None });
+            self.statements.insert(taken.ticket, Statement { needs, held: None, patient_until: 0 });
         }
     }
 
@@ -109,6 +118,7 @@
     pub fn order(&mut self, now: Micros, ordered: Ordered) {
         let Some(s) = self.statements.get_mut(&ordered.ticket) else { return };
         s.held = Some(ordered);
+        s.patient_until = now + FIRST_WAIT.min((ordered.terms.ends - now) / 2);
         self.want(now, ordered.ticket);
     }
 
@@ -156,8 +166,14 @@
     /// The ledger has answered an ask.
     pub fn done(&mut self, now: Micros, done: Done) {
         let Some(key) = self.asked.remove(&done.number) else { return };
+        let shard = usize::from(ledger::shard_of(&key, self.spoke.len() as u16));
+        let spoke = self.spoke.get_mut(shard).is_none_or(|spoke| {
+            *spoke |= done.outcome != ledger::Outcome::Unreachable;
+            *spoke
+        });
+        let first = !spoke && now < self.life as Micros * 1_000 + FIRST;
         let Some(hold) = self.holds.get_mut(&key) else { return };
-        let verdict = hold.answered(now, done.outcome);
+        let verdict = hold.answered(now, done.outcome, first);
         self.ruled(now, &key, verdict);
     }
 
@@ -203,12 +219,12 @@
     /// want the same ones do not wait for each other.
     fn want(&mut self, now: Micros, ticket: Ticket) {
         let Some(s) = self.statements.get(&ticket) else { return };
-        let Some(held) = s.held else { return };
+        let (Some(held), patient_until) = (s.held, s.patient_until) else { return };
         let mut behind = false;
         for need in s.needs.clone() {
             let hold =
                 self.holds.entry(need.key.clone()).or_insert_with(|| Hold::new(need.key.kind, need.after));
-            let wanted = wanted(&need, &held);
+            let wanted = Wanted { patient_until, ..wanted(&need, &held) };
             let verdict = match behind {
                 true => {
                     hold.wanting.remove(&ticket);
@@ -284,7 +300,8 @@
 
 fn wanted(need: &Need, held: &Ordered) -> Wanted {
     let ends = held.terms.ends;
-    Wanted { until_ms: need.until(ends), runs_ms: need.runs_until(ends), group: need.group(held.site) }
+    let (until_ms, runs_ms) = (need.until(ends), need.runs_until(ends));
+    Wanted { until_ms, runs_ms, group: need.group(held.site), patient_until: 0 }
 }
 
 #[cfg(test)]
--- a/crates/fleet/src/gate/hold.rs
+++ b/crates/fleet/src/gate/hold.rs
@@ -9,6 +9,8 @@
 
 const AGAIN: Micros = 20_000; // microseconds until what another has is asked for again; twice as long each time
 const AGAIN_MOST: Micros = 320_000; // microseconds; a key that is free stays unused so long at most
+const FIRST_AGAIN: Micros = 100_000; // microseconds until a shard that never spoke is asked again
+const ASK: Micros = 600_000; // microseconds that an ask may take until it is known to have found no majority
 const FREE_AGAIN: Micros = 1_000_000; // microseconds until what could not be freed is tried again
 const KEPT_MS: u64 = 20_000; // milliseconds that a transaction's key stands without word; renewed at half of them
 
@@ -42,6 +44,8 @@
     pub until_ms: u64,
     pub runs_ms: u64,
     pub group: Group,
+    /// Until when it may wait for the first word of its shard.
+    pub patient_until: Micros,
 }
 
 pub(super) struct Hold {
@@ -243,8 +247,8 @@
         }
     }
 
-    /// The ledger has answered.
-    pub fn answered(&mut self, now: Micros, outcome: Outcome) -> Verdict {
+    /// The ledger has answered. `first`: its shard has said nothing yet in this front's first seconds.
+    pub fn answered(&mut self, now: Micros, outcome: Outcome, first: bool) -> Verdict {
         let Some(aim) = self.asked.take() else { return Verdict::Look };
         match (aim, outcome) {
             (Aim::Hold(_, group), Outcome::Stands(entry)) => {
@@ -261,12 +265,19 @@
                 Verdict::Look
             }
             (Aim::Hold(..), why @ (Outcome::Unreachable | Outcome::Full)) => {
+                let waits = first && why == Outcome::Unreachable;
                 (self.again, self.free_again) = (now, now + FREE_AGAIN);
                 // What was to be taken over stands as it did, or as this front's: either is heeded.
                 self.may_stand_ms = if self.version == 0 { self.may_stand_ms } else { self.stands_ms };
                 self.unsure |= self.kind != Kind::Order && self.version == 0;
                 let why = if why == Outcome::Full { "full" } else { "unreachable" };
-                Verdict::TurnAway(self.take_wanting(), why)
+                if !waits {
+                    return Verdict::TurnAway(self.take_wanting(), why);
+                }
+                self.again = now + FIRST_AGAIN;
+                let late = |_: &Ticket, wanted: &mut Wanted| wanted.patient_until < self.again + ASK;
+                let late = self.wanting.extract_if(.., late).map(|(ticket, _)| ticket).collect();
+                Verdict::TurnAway(late, why)
             }
             (Aim::Look, Outcome::Stands(entry)) if self.is_own(&entry) => {
                 self.adopt(&entry);
--- a/crates/fleet/src/gate/tests.rs
+++ b/crates/fleet/src/gate/tests.rs
@@ -17,8 +17,15 @@
 const MS: Micros = 1_000;
 const APART_MS: u64 = 500;
 
+/// One that its shards have spoken to.
 fn gate(life: u64) -> Gate {
-    Gate::new(&hallmux_agreement::contract(SETTINGS).unwrap(), life)
+    let mut gate = new_gate(life);
+    gate.spoke.fill(true);
+    gate
+}
+
+fn new_gate(life: u64) -> Gate {
+    Gate::new(&hallmux_agreement::contract(SETTINGS).unwrap(), life, 4)
 }
 
 /// Takes a statement: whether it depends on anything.
@@ -159,6 +166,39 @@
     assert_eq!(gate.refused, BTreeMap::from([("unreachable", 1)]));
 }
 
+#[test]
+fn in_a_fronts_first_seconds_an_execution_waits_for_its_shard_but_never_near_its_clients_time() {
+    for (speaks_at, goes) in [(1_000 * MS, true), (60_000 * MS, false)] {
+        let (mut gate, mut book, mut at) = (new_gate(1), Book::default(), 0);
+        open(&mut gate, 1, ("load", Some("k"), Some("d")), None);
+        gate.order(0, ordered(1, 0, 0, 0));
+        let mut ruled = Vec::new();
+        while ruled.is_empty() {
+            for ask in gate.asks() {
+                let outcome = match at < speaks_at {
+                    true => Outcome::Unreachable,
+                    false => book.apply(at, Owner { front: 1, incarnation: 1 }, &ask),
+                };
+                gate.done(at, Done { number: ask.number, outcome });
+            }
+            (ruled, at) = (gate.rulings(), at + 50 * MS);
+            gate.tick(at);
+            assert!(at < 2_000 * MS, "held to the half of its time and longer");
+        }
+        assert_eq!(matches!(ruled[..], [Ruling::Go(_)]), goes, "{ruled:?} at {at}");
+        assert!((1_000 * MS..2_000 * MS).contains(&at), "{at}");
+    }
+    // Later in its life, or once the shard has spoken, it is turned away at once.
+    for (mut gate, now) in [(gate(1), 0), (new_gate(1), 20_000 * MS)] {
+        open(&mut gate, 1, ("pay", None, None), None);
+        gate.order(now, ordered(1, 0, now, 0));
+        for ask in gate.asks() {
+            gate.done(now, Done { number: ask.number, outcome: Outcome::Unreachable });
+        }
+        assert_eq!(gate.rulings(), [Ruling::TurnAway(1)]);
+    }
+}
+
 #[test]
 fn a_non_idempotent_statement_that_may_have_run_is_never_begun_again() {
     for (ran, again) in [(true, false), (false, true)] {
--- a/crates/front/src/fleet/gate.rs
+++ b/crates/front/src/fleet/gate.rs
@@ -21,9 +21,9 @@
 
 impl Guard {
     /// Where there is a ledger; `now` is the Unix clock: this life's name.
-    pub fn new(contract: &Contract, now: Micros, dispatcher: &mut Dispatcher) -> Guard {
+    pub fn new(contract: &Contract, now: Micros, shards: u16, dispatcher: &mut Dispatcher) -> Guard {
         dispatcher.watch();
-        let gate = Gate::new(contract, (now / 1000) as u64);
+        let gate = Gate::new(contract, (now / 1000) as u64, shards);
         Guard { gate, noted: 0, said: 0, refused: BTreeMap::new() }
     }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -98,9 +98,9 @@
             unfinished: Vec::new(),
             handle,
         };
-        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+        if let Some(ledger) = station.operator.gossip.as_ref().and_then(|gossip| gossip.ledger.as_ref()) {
             let now = front.clock.now;
-            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+            front.guard = Some(Guard::new(contract, now, ledger.shards, &mut front.dispatcher));
         }
         front.limit(&station.limits);
         front.follow(known, 0);
--- a/crates/lab/src/record/mod.rs
+++ b/crates/lab/src/record/mod.rs
@@ -7,7 +7,8 @@
 pub mod executions;
 #[allow(dead_code)] // until the rig plays rules
 pub mod hits;
-pub mod order;
+pub mod offered;
+mod order;
 pub mod promises;
 pub mod refused;
 pub mod repeats;
--- /dev/null
+++ b/crates/lab/src/record/offered.rs
@@ -0,0 +1,70 @@
+//! A statement as its client saw it, and what excuses its front.
+
+use crate::check::Asked;
+use crate::rig::starved::Starved;
+
+const EXCUSED: i64 = 70_000_000; // microseconds; the longest that a client waits for any answer
+
+/// A statement with the front it was sent to and its place among the scenario's classes.
+#[derive(Clone, Debug)]
+pub struct Offered {
+    pub front: usize,
+    pub class: usize,
+    pub asked: Asked,
+    /// The rules deny it: a refusal is its right answer.
+    pub barred: bool,
+    /// It was asked before, at another front.
+    pub again: bool,
+    /// Microseconds for which its client wanted a CPU and had none.
+    pub starved: i64,
+}
+
+impl Offered {
+    /// What it may be lost or late by through no fault of its front: by what was done to the front while it was out,
+    /// and by the CPU that the front and the client wanted and were not given.
+    pub fn excuse(&mut self, troubled: &[(i64, i64)], starved: &Starved) {
+        let Asked { sent, answered, .. } = self.asked;
+        self.asked.may_be_lost = troubled.iter().any(|(from, to)| sent <= *to && answered >= *from);
+        if self.asked.may_be_lost {
+            self.asked.timeout += EXCUSED;
+        }
+        self.asked.timeout += self.starved + starved.front(self.front, (sent, answered));
+    }
+}
+
+/// For the checks' own tests: a completed statement without an order key.
+#[cfg(test)]
+pub fn offered(id: &str, front: usize, sent: i64) -> Offered {
+    let asked = Asked::new(id.into(), sent, 1_000_000, crate::check::Repeat::Idempotent);
+    let outcome = crate::check::Outcome::Completed { rows: 1 };
+    let asked = Asked { answered: sent + 1_000, outcome, rows: 1, ..asked };
+    Offered { front, class: 0, asked, barred: false, again: false, starved: 0 }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::check::{self, Agreed, Outcome};
+
+    #[test]
+    fn a_late_or_lost_answer_is_excused_by_what_was_done_to_its_front_and_by_no_more_than_it_waited() {
+        let late = |answered: i64, outcome: Outcome, troubled: &[(i64, i64)], starved: &Starved| {
+            let mut own = offered("a", 1, 0);
+            (own.asked.answered, own.asked.outcome) = (answered, outcome);
+            own.excuse(troubled, starved);
+            let agreed = Agreed { slack: 400_000, ..Agreed::default() };
+            check::check(&[own.asked], &[], &[], &agreed).contains_key("answers")
+        };
+        let done = || Outcome::Completed { rows: 1 };
+        let (none, busy) = (Starved::default(), Starved::of(1, (200_000, 900_000), 300_000));
+        assert!(late(1_500_000, done(), &[], &none) && !late(1_300_000, done(), &[], &none));
+        assert!(!late(1_500_000, done(), &[], &busy) && late(1_800_000, done(), &[], &busy));
+        // Another's trouble, or trouble at another time, excuses nothing.
+        assert!(late(1_500_000, done(), &[], &Starved::of(0, (200_000, 900_000), 300_000)));
+        assert!(late(1_500_000, done(), &[(1_600_000, i64::MAX)], &none));
+        assert!(
+            late(400_000, Outcome::Lost, &[], &busy)
+                && !late(400_000, Outcome::Lost, &[(350_000, i64::MAX)], &none)
+        );
+    }
+}
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -15,6 +15,7 @@
 use super::relay::{Link, Relayed};
 use super::scenario::{Fault, Scenario, Step};
 use super::stage::Stage;
+use super::starved::{self, Starved};
 use super::Coordinator;
 use crate::engine::lines::Engine;
 use crate::engine::Records;
@@ -99,8 +100,13 @@
     }
 
     /// Ends all fronts, and gives what was seen of them.
-    fn account(&self, began: i64, played: Vec<(Fault, i64, i64)>) -> Account {
+    fn account(&self, began: i64, played: Vec<(Fault, i64, i64)>, starved: Starved) -> Account {
         let mut read_again = 0;
+        let mut asked = self.record.asked.lock().map(|a| a.clone()).unwrap_or_default();
+        for offered in &mut asked {
+            let troubled = self.members[offered.front].troubled.lock().map(|t| t.clone());
+            offered.excuse(&troubled.unwrap_or_default(), &starved);
+        }
         for member in &self.members {
             if let Ok(mut front) = member.front.lock() {
                 read_again += front.iter().filter(|f| f.logged("was read again").is_some()).count() as i64;
@@ -109,7 +115,7 @@
         }
         Account {
             began,
-            asked: self.record.asked.lock().map(|a| a.clone()).unwrap_or_default(),
+            asked,
             sent_by: self.records.sent_by.lock().map(|s| s.clone()).unwrap_or_default(),
             steps: self.records.steps.lock().map(|s| s.clone()).unwrap_or_default(),
             deeds: self.records.deeds.lock().map(|d| d.clone()).unwrap_or_default(),
@@ -122,6 +128,7 @@
             read_again,
             first_tries: None,
             slack: SLACK_US,
+            starved,
         }
     }
 }
@@ -136,6 +143,7 @@
         let scenario = scenario.clone();
         std::thread::spawn(move || offer(&scenario, seed, &members, &record, &stop))
     };
+    let watch = starved::Watch::start(&fleet.members, &fleet.records);
     let stage = fleet.stage();
     let mut faults = scenario.faults.clone();
     faults.sort_by_key(|f| f.at_ms);
@@ -166,7 +174,7 @@
     }
     stop.store(true, SeqCst);
     let _ = load.join();
-    let account = fleet.account(began, played);
+    let account = fleet.account(began, played, watch.end());
     let pids = fleet.pids.iter().copied().chain(started).collect();
     Ok(judge(scenario, &account, pids))
 }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -11,6 +11,7 @@
 pub mod relay;
 pub mod scenario;
 mod stage;
+pub mod starved;
 
 pub use coordinator::Coordinator;
 pub use front::Front;
--- a/crates/lab/src/simulated/fronts.rs
+++ b/crates/lab/src/simulated/fronts.rs
@@ -81,7 +81,7 @@
                 self.named.insert((front, lives, ticket), self.account.asked.len());
             }
         }
-        self.account.asked.push(Offered { front, class, asked, barred: false, again: false });
+        self.account.asked.push(Offered { front, class, asked, barred: false, again: false, starved: 0 });
         self.turn(front);
     }
 
--- a/crates/lab/tests/promises.rs
+++ b/crates/lab/tests/promises.rs
@@ -25,3 +25,16 @@
     assert!(!passed && text.contains(": FAIL "), "{text}");
     assert!(tally("violations_order") > 5 && tally("steps_played") == 2, "{text}");
 }
+
+#[test]
+fn fronts_that_keep_promises_for_each_other_keep_them_among_drawn_faults() {
+    // One after the other: each is some seven processes for 20 s.
+    for seed in ["1", "3"] {
+        let (passed, text, tally) = play(&["prove", "promises", "--small", "--seed", seed]);
+        assert!(passed && text.contains(": pass "), "{text}");
+        assert!(
+            tally("steps_played") > 0 && tally("gossip_lost") > 0 && tally("promised_runs") > 200,
+            "{text}"
+        );
+    }
+}
