Drawn settings and operator's files: refused by key and line, or taken, and nothing panics

Found by it and mended: - Text of many brackets took minutes to be refused: the search for a line copied a path for each bracket. - An empty string in a list was not counted: lines of the elements after it were wrong. - `postgres.limits` took times like 1e300, which no later sum survives: 1e12 is the most now. - A settings object without a needed key named no line.

--- a/crates/agreement/src/operator/places.rs
+++ b/crates/agreement/src/operator/places.rs
@@ -2,6 +2,8 @@
 
 use crate::error::{Error, Place, What};
 
+const DEEPEST: usize = 32; // steps of a path; a text of brackets alone would have marks without number
+
 pub fn fault(text: &str, path: &str, what: impl Into<What>) -> Error {
     let place = Place { line: line_of(text, path), column: None, path: path.to_string() };
     Error::Key { place, what: Box::new(what.into()) }
@@ -29,7 +31,10 @@
 pub fn line_of(text: &str, path: &str) -> Option<usize> {
     let parts = path.replace('[', ".").replace(']', "");
     let mut wanted: Vec<&str> = parts.split('.').filter(|p| !p.is_empty()).collect();
-    wanted.truncate(32);
+    wanted.truncate(DEEPEST);
+    if wanted.is_empty() {
+        return None;
+    }
     let marks = marks(text);
     loop {
         let found = marks.iter().find(|(at, _)| at.iter().map(String::as_str).eq(wanted.iter().copied()));
@@ -45,6 +50,7 @@
     let (mut marks, mut path) = (Vec::new(), Vec::<String>::new());
     let mut elements: Vec<Option<usize>> = Vec::new(); // of each open bracket: the next element, if an array
     let (mut line, mut word, mut word_line) = (1, String::new(), 1);
+    let mut worded = false; // a word stands, though it may be empty
     let mut rest = text.chars().peekable();
     let mut value_next = false; // a colon came: what follows is a value
     while let Some(c) = rest.next() {
@@ -62,7 +68,7 @@
                 }
             }
             '"' | '\'' => {
-                (word, word_line) = (String::new(), line);
+                (word, word_line, worded) = (String::new(), line, true);
                 while let Some(inner) = rest.next().filter(|inner| *inner != c) {
                     line += usize::from(inner == '\n');
                     word.extend(if inner == '\\' { rest.next() } else { Some(inner) });
@@ -70,24 +76,30 @@
             }
             ':' if !value_next => {
                 path.push(std::mem::take(&mut word));
-                marks.push((path.clone(), word_line));
+                worded = false;
+                if path.len() <= DEEPEST {
+                    marks.push((path.clone(), word_line));
+                }
                 value_next = true;
             }
             '{' | '[' => {
                 if let Some(Some(n)) = elements.last_mut() {
                     path.push(n.to_string());
-                    marks.push((path.clone(), line));
+                    if path.len() <= DEEPEST {
+                        marks.push((path.clone(), line));
+                    }
                     *n += 1;
                 }
                 elements.push((c == '[').then_some(0));
                 value_next = false;
             }
             ',' | '}' | ']' => {
-                if let Some(Some(n)) = elements.last_mut().filter(|_| !word.is_empty()) {
+                if let Some(Some(n)) = elements.last_mut().filter(|_| worded && path.len() < DEEPEST) {
                     marks.push((path.iter().cloned().chain([n.to_string()]).collect(), word_line));
                     *n += 1;
                 }
                 word.clear();
+                worded = false;
                 if value_next {
                     path.pop();
                 }
@@ -104,9 +116,10 @@
             }
             c if c.is_whitespace() => {}
             c => {
-                if word.is_empty() {
+                if !worded {
                     word_line = line;
                 }
+                worded = true;
                 word.push(c);
             }
         }
--- a/crates/agreement/src/operator/postgres.rs
+++ b/crates/agreement/src/operator/postgres.rs
@@ -24,6 +24,8 @@
 const CONNECTION_IDLE_MS: f64 = 60_000.0; // milliseconds after which a resting engine connection is closed
 const CONNECTION_AGE_MS: f64 = 3_600_000.0; // milliseconds after which an engine connection is not reused
 
+const MOST: f64 = 1e12; // of any limit: thirty years of milliseconds, and times beyond them can still be reckoned
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PostgresFile {
@@ -191,9 +193,13 @@
         users.insert(name, user);
     }
     let l = file.limits;
-    let at_least = |key: &str, value: f64, least: f64| match value.is_finite() && value >= least {
-        true => Ok(()),
-        false => Err(fault(text, &format!("postgres.limits.{key}"), What::under(least))),
+    let at_least = |key: &str, value: f64, least: f64| {
+        let what = match value {
+            value if (least..=MOST).contains(&value) => return Ok(()),
+            value if value > MOST => What::over(MOST),
+            _ => What::under(least),
+        };
+        Err(fault(text, &format!("postgres.limits.{key}"), what))
     };
     for (key, value, least) in [
         ("sessions", l.sessions as f64, 1.0),
--- a/crates/agreement/src/text.rs
+++ b/crates/agreement/src/text.rs
@@ -78,7 +78,7 @@
 impl<'a> Part<'a> {
     /// Where a key of it is; the path is of this part alone.
     pub fn place(&self, path: &str) -> Place {
-        let line = line_of(self.text, path).map(|line| line + self.lines);
+        let line = Some(line_of(self.text, path).unwrap_or(1) + self.lines);
         Place { line, column: None, path: joined(self.name, path) }
     }
 
