prove postgres: memory is looked at from 10,000 units on, and answers may be late by what the machine took

- Memory: the first look comes with 10,000 accepted units.
A shorter run says nothing of memory.
- Answers: from when one is due until it comes, the time for which the front's thread had no processor (the kernel's count) and a ticker of the harness overslept is subtracted, one second at most.
What was waited before is no excuse.

A first form summed the waits of the harness's workers too, over the whole time of a statement: a second each second, so that no answer would have been late.

--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -1,11 +1,13 @@
 //! The rules, checked on what clients and engines wrote down, never on what a front says of itself.
 
 mod answers;
+mod stood;
 mod turns;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use self::answers::{answers, effects};
+pub use self::stood::Stood;
 use self::turns::{drains, order, placement, repeats};
 use crate::engine::{Deed, Kind};
 
@@ -107,6 +109,8 @@
 pub struct Agreed {
     pub grace: i64,
     pub slack: i64,
+    /// How long the machine let somebody wait: answers may be later by it.
+    pub stood: Stood,
     /// Engines that bound statements may run on.
     pub bound_to: HashSet<usize>,
     /// Further executions: spare, share of the statements taken, window.
@@ -196,6 +200,7 @@
         Agreed {
             grace: 2_000_000,
             slack: 100_000,
+            stood: Stood::default(),
             bound_to: HashSet::from([1]),
             further: Some((1.0, 0.1, 10_000_000)),
             drains: vec![Drain { engine: 2, from: 0, to: 9_000_000 }],
@@ -254,6 +259,33 @@
         }
     }
 
+    #[test]
+    fn an_answer_is_late_but_for_what_the_machine_let_it_wait() {
+        let ends = 1_100_000; // the timeout and the slack
+        let looks = vec![
+            (0, 0),
+            (900_000, 400_000),
+            (1_000_000, 400_000),
+            (1_050_000, 433_000),
+            (2_900_000, 433_000),
+            (4_000_000, 9_000_000),
+        ];
+        for (sent, takes, late) in [
+            (0, ends, false),
+            (0, ends + 33_000, false),
+            (0, ends + 33_001, true),
+            // What was waited before it was due is no excuse, and more than a second is none for any.
+            (100_000, ends + 1, true),
+            (2_000_000, ends + 1_000_000, false),
+            (2_000_000, ends + 1_000_001, true),
+        ] {
+            let asked = Asked { sent, answered: sent + takes, ..asked("a", DONE) };
+            let agreed = Agreed { stood: Stood { looks: looks.clone() }, ..agreed() };
+            let wrong = check(&[asked], &[], &ran("a", "", 0, sent, sent + 10), &agreed);
+            assert_eq!(wrong.contains_key("answers"), late, "{sent} {takes}: {wrong:?}");
+        }
+    }
+
     #[test]
     fn order_budget_and_transactions_are_checked_over_several_statements() {
         // One that may have been taken after the other was sent may run after it; one between makes no difference.
--- /dev/null
+++ b/crates/lab/src/check/stood.rs
@@ -0,0 +1,34 @@
+//! How long the machine let the harness or the front wait for a processor: an answer may be later by as much, as
+//! neither could do anything about it.
+
+const MOST: i64 = 1_000_000; // microseconds: beyond them an answer is late, whatever the machine did
+
+/// Waiting so far, by the time it was looked at; all in microseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Stood {
+    /// When, and how long the harness and the front had waited by then.
+    pub looks: Vec<(i64, i64)>,
+}
+
+impl Stood {
+    /// How long at most somebody waited between two moments: from the last look before to the first one after.
+    pub fn between(&self, from: i64, to: i64) -> i64 {
+        let before = self.looks.partition_point(|(at, _)| *at <= from).saturating_sub(1);
+        let after = self.looks.partition_point(|(at, _)| *at < to);
+        let at = |n: usize| self.looks.get(n).or(self.looks.last()).map_or(0, |(_, stood)| *stood);
+        (at(after) - at(before)).clamp(0, MOST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_what_was_waited_meanwhile_counts_and_no_more_than_a_second() {
+        let stood = Stood { looks: vec![(0, 0), (10, 0), (20, 300), (30, 300), (40, 2_000_300)] };
+        assert_eq!((stood.between(0, 10), stood.between(5, 15)), (0, 300));
+        assert_eq!((stood.between(20, 30), stood.between(21, 99)), (0, MOST));
+        assert_eq!(Stood::default().between(0, 99), 0);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/prove/looks.rs
@@ -0,0 +1,77 @@
+//! What the harness looks at while a run goes on: the front's memory, and how long the machine lets somebody wait.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Notes;
+use crate::check::Stood;
+
+const TICK: Duration = Duration::from_millis(10);
+const LATE: i64 = 2_000; // microseconds that a sleeper may oversleep on an idle machine
+/// Accepted units after which buffers and tables have grown to what the load needs.
+const SETTLED: usize = 10_000;
+const MORE: u64 = 2_048; // kB beside a fifth that it may grow from then on
+
+/// The front's memory, from when it has settled.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Memory {
+    pub early_kb: u64,
+    pub late_kb: u64,
+}
+
+impl Memory {
+    /// Looked at again, with so many units accepted by now.
+    pub fn look(&mut self, units: usize, kb: u64) {
+        if self.early_kb == 0 && units >= SETTLED {
+            self.early_kb = kb;
+        }
+        self.late_kb = kb;
+    }
+
+    /// What is wrong with it. A run too short to settle says nothing.
+    pub fn wrong(&self) -> Option<String> {
+        let grown = self.early_kb > 0 && self.late_kb > self.early_kb * 12 / 10 + MORE;
+        grown.then(|| format!("{} kB after {SETTLED} units, then {} kB", self.early_kb, self.late_kb))
+    }
+}
+
+/// Looks every few milliseconds how long the harness has overslept and the front has waited for a processor, until the
+/// run ends.
+pub fn stood(front: u32, notes: &Arc<Notes>) -> Stood {
+    let (mut looks, mut overslept, mut fronts) = (Vec::new(), 0, 0);
+    let before = waited(front);
+    while !notes.done() {
+        let slept = notes.records.now();
+        std::thread::sleep(TICK);
+        let now = notes.records.now();
+        overslept += (now - slept - TICK.as_micros() as i64 - LATE).max(0);
+        // An answer passes both, one after the other.
+        fronts = (waited(front) - before).max(fronts); // once it has ended nothing more is counted
+        looks.push((now, overslept + fronts));
+    }
+    Stood { looks }
+}
+
+/// Microseconds for which the front's one thread could run and had no processor, as the kernel counts them.
+fn waited(front: u32) -> i64 {
+    let text = std::fs::read_to_string(format!("/proc/{front}/schedstat")).unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|ns| ns.parse::<i64>().ok()).map_or(0, |ns| ns / 1_000)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn memory_that_grows_after_it_has_settled_is_found() {
+        let run = |looks: &[(usize, u64)]| {
+            let mut memory = Memory::default();
+            looks.iter().for_each(|(units, kb)| memory.look(*units, *kb));
+            memory.wrong()
+        };
+        // Growth until then is no fault, and a short run says nothing.
+        assert_eq!(run(&[(100, 11_000), (SETTLED, 17_000), (70_000, 20_000)]), None);
+        assert_eq!(run(&[(100, 11_000), (SETTLED - 1, 90_000)]), None);
+        assert!(run(&[(SETTLED, 17_000), (70_000, 22_500)]).is_some_and(|why| why.contains("22500 kB")));
+    }
+}
