page-lost explained: the scenario's engine waited for receipts; a dial up during a standstill is not given up

The abort of a spoilt result came only near the front's 500 ms for a page of the drill's clock. Cause: the play's engine wrote two small lines in a row, and its socket held the second until the first one's receipt, some 40 ms of the machine's time, in which `passes 600` went by as far as it liked; at 500 ms the page's own time was up. Logged line by line: page 1 at 0 ms, its other copy at 450 ms of the drill's clock.

The front gave up a connection as never up where it stood still, for longer than a dial may take, between its look at the connections and its work, though the connection had come up meanwhile. With one engine the statement then leaves only after the engine is tried again.

--- a/crates/front/src/engines/waited.rs
+++ b/crates/front/src/engines/waited.rs
@@ -35,7 +35,11 @@
         for id in ids {
             let Some(link) = self.links.get_mut(&id) else { continue };
             if !link.up && link.dial_by <= now {
-                self.end(now, id, Ending::NeverUp);
+                // Guards against a front that stood still between its look at the connections and this one: one that
+                // has come up meanwhile is found as up in the next turn.
+                if !link.link.is_up().is_ok_and(|up| up) {
+                    self.end(now, id, Ending::NeverUp);
+                }
                 continue;
             }
             // Guards against an answer that stops short: nothing comes over such a connection any more.
--- a/crates/front/tests/play/coordinator.rs
+++ b/crates/front/tests/play/coordinator.rs
@@ -29,6 +29,7 @@
             for stream in listener.incoming().map_while(Result::ok) {
                 let (told, sender) = (told.clone(), sender.clone());
                 std::thread::spawn(move || {
+                    stream.set_nodelay(true).ok()?;
                     let mut input = BufReader::new(stream.try_clone().ok()?);
                     loop {
                         let mut line = String::new();
--- a/crates/front/tests/play/engine.rs
+++ b/crates/front/tests/play/engine.rs
@@ -70,6 +70,9 @@
     }
 
     fn listen(stream: TcpStream, heard: &Sender<Heard>) -> Option<()> {
+        // Two small writes in a row: the second would wait for the first one's receipt, some 40 ms of the machine's
+        // time, in which the scenario's own may pass by any length.
+        stream.set_nodelay(true).ok()?;
         let mut input = BufReader::new(stream.try_clone().ok()?);
         loop {
             let mut line = String::new();
--- a/crates/front/tests/play/line.rs
+++ b/crates/front/tests/play/line.rs
@@ -102,6 +102,7 @@
             ["many", count, client, engine] => self.many(count.parse().unwrap(), client, engine),
             [client, "connects"] => {
                 let stream = TcpStream::connect(&self.listens).unwrap();
+                stream.set_nodelay(true).unwrap();
                 stream.set_read_timeout(Some(PATIENCE)).unwrap();
                 self.clients.insert(client.to_string(), stream);
             }
