--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -147,12 +147,12 @@
 
     /// When `tick` is next due.
     pub fn due(&self, at: Moment) -> Micros {
+        let promises =
+            self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
         if self.left {
-            Micros::MAX
+            promises
         } else {
             let owning = self.owning.as_ref().map_or(Micros::MAX, owning::Owning::due);
-            let promises =
-                self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
             self.node.due().min(self.look).min(owning).min(promises)
         }
     }
@@ -258,7 +258,14 @@
         chance: &mut impl Chance,
     ) -> (Out, Vec<News>) {
         let (mut out, mut new) = (Out::default(), Vec::new());
-        if self.left || at.now < self.due(at) {
+        if at.now < self.due(at) {
+            return (out, new);
+        }
+        if self.left {
+            // What it has yet to answer still rests on promises.
+            let node = &self.node;
+            self.promises.iter_mut().for_each(|promises| promises.tick(at, node));
+            self.send_promises(at, &mut out);
             return (out, new);
         }
         if let Some(owning) = &mut self.owning {
@@ -299,6 +306,19 @@
         }
     }
 
+    /// This front is to end: what it owns of the ledger is handed over.
+    pub fn hand_over(&mut self, at: Moment) -> Out {
+        let mut out = Out::default();
+        self.promises.iter_mut().for_each(|promises| promises.hand_over(at));
+        self.send_promises(at, &mut out);
+        out
+    }
+
+    /// Whether it still owns a part of the ledger that others could own.
+    pub fn hands_over(&self) -> bool {
+        self.promises.as_ref().is_some_and(promises::Promises::hands_over)
+    }
+
     /// This front ends: some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros, wall_ms: u64, chance: &mut impl Chance) -> Vec<Datagram> {
         if std::mem::replace(&mut self.left, true) {
--- a/crates/fleet/src/promises.rs
+++ b/crates/fleet/src/promises.rs
@@ -69,6 +69,15 @@
         Ok(())
     }
 
+    /// This front is to end.
+    pub fn hand_over(&mut self, at: Moment) {
+        self.ledger.goes(moment(at));
+    }
+
+    pub fn hands_over(&self) -> bool {
+        self.ledger.hands_over()
+    }
+
     /// Who of the members is up and who is not, as far as gossip knows them.
     fn health(&mut self, at: Moment, node: &Node) {
         self.health_at = at.steady + HEALTH;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -346,8 +346,15 @@
         }
     }
 
-    /// This front ends: some peers hear so, and tell the others.
+    /// Whether it still owns promises that others could own.
+    pub fn hands_over(&self) -> bool {
+        self.exchange.hands_over()
+    }
+
+    /// This front ends: what it owns of promises is handed over, and some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros) {
+        let out = self.exchange.hand_over(self.moment(now));
+        self.send(now, out);
         let wall = (now / 1000) as u64;
         let datagrams = self.exchange.leave(now, wall, &mut draws(&self.chance, &mut self.drawn));
         self.send(now, Out { datagrams, ..Out::default() });
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -227,7 +227,8 @@
         for client in self.clients.caught_up() {
             self.unfinished.push(Door::Client.party(client));
         }
-        if self.shutdown.closes(self.clock.now) {
+        let hands_over = self.peers.as_ref().is_some_and(Peers::hands_over);
+        if self.shutdown.closes(self.clock.now, hands_over) {
             if self.entrance.close() {
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
             }
--- a/crates/ledger/src/asks.rs
+++ b/crates/ledger/src/asks.rs
@@ -86,7 +86,9 @@
     if let Some(owner) = owner.filter(|owner| *owner != own && tries.is_multiple_of(2)) {
         return Some(owner);
     }
-    let others: Vec<FrontId> = others.iter().copied().filter(|front| *front != own).collect();
+    // Whoever should know better is another than the one that did not answer.
+    let others: Vec<FrontId> =
+        others.iter().copied().filter(|front| *front != own && Some(*front) != owner).collect();
     let turn = if owner.is_some() { tries / 2 } else { tries };
     others.get(turn % others.len().max(1)).copied()
 }
--- /dev/null
+++ b/crates/ledger/src/forms.rs
@@ -0,0 +1,76 @@
+//! Forms of letters: a fleet is of two builds while a release goes through it. A front writes to another in the latest
+//! form that both read, and in the first until it knows: what only later ones know waits until its reader has shown
+//! that it can read it. Records and entries of the log are of the first form still, so that going back a build loses
+//! nothing; a word that changes what is kept needs a form of its own, and all members that read it.
+
+use std::collections::BTreeMap;
+
+use crate::words::Word;
+use crate::{FrontId, Micros};
+
+/// The form that this build writes where it can: 1, the first; 2, with words of a handing over.
+pub const FORM: u8 = 2;
+/// The earliest form that this build reads.
+pub const OLDEST: u8 = 1;
+
+/// No shard: what a front says of it is its form. The first build ignores it.
+const NO_SHARD: u16 = u16::MAX;
+const AGAIN: Micros = 10_000_000; // microseconds until it says so again to one that has not shown its own
+
+/// What others read.
+#[derive(Default)]
+pub(crate) struct Forms {
+    /// By their lives: a front that comes back may be of an earlier build.
+    known: BTreeMap<FrontId, (u64, u8)>,
+    told: BTreeMap<FrontId, Micros>,
+}
+
+impl Forms {
+    /// What both read, as far as it is known.
+    pub fn of(&self, own: u8, front: FrontId) -> u8 {
+        self.known.get(&front).map_or(OLDEST, |(_, form)| own.min(*form))
+    }
+
+    /// A letter has come in a form, in a life of its front.
+    pub fn heard(&mut self, front: FrontId, incarnation: u64, form: u8) {
+        let known = self.known.entry(front).or_insert((incarnation, form));
+        if incarnation > known.0 {
+            self.told.remove(&front);
+        }
+        if incarnation > known.0 || incarnation == known.0 && form > known.1 {
+            *known = (incarnation, form);
+        }
+    }
+
+    /// What is to be said first to a front that may not know this one's form.
+    pub fn introduces(&mut self, now: Micros, own: u8, front: FrontId) -> Option<Word> {
+        let told = self.told.get(&front).copied().unwrap_or(Micros::MIN);
+        if own == OLDEST || self.of(own, front) == own || now.saturating_sub(told) < AGAIN {
+            return None;
+        }
+        self.told.insert(front, now);
+        Some(Word::Here { shard: NO_SHARD, config: own.into(), with: Vec::new() })
+    }
+}
+
+impl Word {
+    /// The earliest form that has it.
+    pub fn form(&self) -> u8 {
+        match self {
+            Word::Heir { .. } => 2,
+            _ => OLDEST,
+        }
+    }
+
+    /// The form that its sender says it reads.
+    pub fn introduced(&self) -> Option<u8> {
+        match self {
+            Word::Here { shard: NO_SHARD, config, .. } => u8::try_from(*config).ok(),
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "forms_tests.rs"]
+mod tests;
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -4,6 +4,7 @@
 
 use crate::asks::{self, Asks};
 use crate::birth::Birth;
+use crate::handover::Leaving;
 use crate::moves::Away;
 use crate::placement::ranked;
 use crate::post::{Pace, Post};
@@ -67,6 +68,7 @@
     pub(crate) places: Vec<Place>,
     pub(crate) peers: BTreeMap<FrontId, Peer>,
     pub(crate) away: Away,
+    pub(crate) leaving: Option<Leaving>,
     asks: Asks,
     pub(crate) post: Post,
     /// What must be lasting before anything more is told, beside the logs.
@@ -112,8 +114,9 @@
             places: (0..setup.shards).map(place).collect(),
             peers: BTreeMap::new(),
             away: Away::default(),
+            leaving: None,
             asks: Asks::default(),
-            post: Post::new(fleet, setup.disk, setup.incarnation, setup.repair_bytes),
+            post: Post::new(&setup, fleet),
             records: Vec::new(),
             next_save: 1,
             unsaved: VecDeque::new(),
@@ -273,6 +276,7 @@
             }
             self.look(at);
         }
+        self.hand_on(at);
         self.settle(at);
     }
 
@@ -280,7 +284,7 @@
     pub fn due(&self) -> Micros {
         let keeps = self.places.iter().any(|place| place.replica.is_some() || place.birth.is_some());
         let tick = if keeps { self.tick_at } else { Micros::MAX };
-        tick.min(self.asks.due()).min(self.post.due())
+        tick.min(self.asks.due()).min(self.post.due()).min(self.hands_on_at())
     }
 
     /// What is to be done for it since it was last asked. What `letters` holds may leave at once.
@@ -368,29 +372,6 @@
     pub(crate) fn refuse(&mut self, why: &'static str) {
         *self.tallies.refused.entry(why).or_default() += 1;
     }
-
-    /// What it has counted, and what it keeps now.
-    pub fn tallies(&self) -> Tallies {
-        let mut tallies = self.tallies.clone();
-        for place in &self.places {
-            let Some(replica) = &place.replica else { continue };
-            tallies.copies += 1;
-            tallies.entries += replica.state.len();
-            tallies.bytes += replica.state.bytes();
-            if place.leads.is_some() {
-                tallies.owned += 1;
-                tallies.missing += usize::from(place.repair.is_some_and(|repair| !repair.moves));
-                tallies.moving += usize::from(place.repair.is_some_and(|repair| repair.moves));
-            }
-        }
-        tallies
-    }
-
-    /// The shards that this front keeps, each with the number of its members' change and whether this front owns it.
-    pub fn kept(&self) -> impl Iterator<Item = (u16, u32, bool)> + '_ {
-        let replicas = self.places.iter().filter_map(|place| place.replica.as_ref());
-        replicas.map(|replica| (replica.shard, replica.config, replica.leads()))
-    }
 }
 
 /// The state that a base tells, where the copy that this front has been given bears it.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,6 +10,8 @@
 mod balance;
 mod birth;
 mod error;
+mod forms;
+mod handover;
 mod ledger;
 mod log;
 mod moves;
@@ -20,12 +22,14 @@
 mod replica;
 mod shards;
 mod state;
+mod tallies;
 mod upkeep;
 mod words;
 
 use serde::{Deserialize, Serialize};
 
 pub use error::Error;
+pub use forms::{FORM, OLDEST};
 pub use ledger::Ledger;
 pub use placement::shard_of;
 
@@ -203,6 +207,8 @@
     pub moves_percent: u8,
     /// Microseconds that a zone is waited for that is away as a whole; never less than `repair_after`.
     pub zone_after: Micros,
+    /// The form of letters that it reads and writes, with all before it: an earlier one is for plays of mixed fleets.
+    pub form: u8,
     /// Milliseconds that fronts' Unix clocks are apart at most: an ended entry is kept from others for so much longer.
     pub apart_ms: u64,
 }
@@ -225,6 +231,7 @@
             repair_bytes: 16_384,
             moves_percent: 0,
             zone_after: 600_000_000,
+            form: FORM,
             apart_ms: 500,
         }
     }
@@ -250,6 +257,8 @@
     /// Of them, those that moved though none was missing; and those under way now.
     pub moved: u64,
     pub moving: usize,
+    /// Shards that others left to it.
+    pub inherited: u64,
     /// A save has failed: this front keeps no copies any more in this life.
     pub failed: bool,
 }
--- a/crates/ledger/src/post.rs
+++ b/crates/ledger/src/post.rs
@@ -3,8 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::words::{self, Letter, Sheet, Word, FORM};
-use crate::{DiskId, FrontId, Micros, Moment};
+use crate::forms::{Forms, OLDEST};
+use crate::words::{self, Letter, Sheet, Word};
+use crate::{DiskId, FrontId, Micros, Moment, Setup};
 
 /// Bytes of a letter at most: a datagram of gossip (1,200) less its seal (92), its sender's own rumour and lengths
 /// (44), and the byte that tells whose letter it is.
@@ -75,6 +76,8 @@
     fleet: u64,
     pub disk: DiskId,
     pub incarnation: u64,
+    form: u8,
+    forms: Forms,
     small: BTreeMap<FrontId, Vec<Vec<u8>>>,
     long: BTreeMap<u64, Long>,
     next_long: u64,
@@ -86,22 +89,30 @@
 }
 
 impl Post {
-    pub fn new(fleet: u64, disk: DiskId, incarnation: u64, repair_bytes: u32) -> Post {
+    pub fn new(setup: &Setup, fleet: u64) -> Post {
+        let (disk, incarnation) = (setup.disk, setup.incarnation);
         Post {
             fleet,
             disk,
             incarnation,
+            form: setup.form,
+            forms: Forms::default(),
             small: BTreeMap::new(),
             long: BTreeMap::new(),
             next_long: incarnation << 20, // an earlier life's are not this one's
             parts: BTreeMap::new(),
             held: 0,
             quick: Tokens::new(QUICK),
-            repair: Tokens::new(f64::from(repair_bytes)),
+            repair: Tokens::new(f64::from(setup.repair_bytes)),
             sheets: Vec::new(),
         }
     }
 
+    /// The latest form that a front and this one read.
+    pub fn reads(&self, front: FrontId) -> u8 {
+        self.forms.of(self.form, front)
+    }
+
     pub fn say(&mut self, at: Moment, to: FrontId, word: &Word, pace: Pace) {
         let bytes = words::bytes(word);
         if bytes.len() + 3 <= PIECE {
@@ -130,7 +141,7 @@
         bytes: &[u8],
     ) -> Result<(Letter, Vec<Word>), &'static str> {
         let mut letter: Letter = words::read(bytes).ok_or("form")?;
-        if letter.form != FORM {
+        if !(OLDEST..=self.form).contains(&letter.form) {
             return Err("version");
         }
         if letter.fleet != self.fleet {
@@ -159,8 +170,15 @@
                 Vec::new()
             }
         };
+        self.forms.heard(from, letter.incarnation, letter.form);
         let words: Option<Vec<Word>> = whole.iter().map(|word| words::read(word)).collect();
-        Ok((letter, words.ok_or("form")?))
+        let mut words = words.filter(|words| words.iter().all(|w| w.form() <= self.form)).ok_or("form")?;
+        words.retain(|word| {
+            let form = word.introduced();
+            form.into_iter().for_each(|form| self.forms.heard(from, letter.incarnation, form));
+            form.is_none()
+        });
+        Ok((letter, words))
     }
 
     fn piece(
@@ -217,7 +235,9 @@
     pub fn letters(&mut self, at: Moment) -> Vec<(FrontId, Vec<u8>)> {
         self.ask_again(at.steady);
         let mut sheets = std::mem::take(&mut self.sheets);
-        for (to, words) in std::mem::take(&mut self.small) {
+        for (to, mut words) in std::mem::take(&mut self.small) {
+            let first = self.forms.introduces(at.steady, self.form, to);
+            first.into_iter().for_each(|word| words.insert(0, words::bytes(&word)));
             let (mut sheet, mut used) = (Vec::new(), 0);
             for word in words {
                 if used + word.len() + 3 > PIECE {
@@ -231,8 +251,8 @@
         }
         self.pieces(at.steady, &mut sheets);
         let (fleet, disk, incarnation, wall_ms) = (self.fleet, self.disk, self.incarnation, at.wall_ms);
-        let letter = |sheet| words::bytes(&Letter { form: FORM, fleet, disk, incarnation, wall_ms, sheet });
-        sheets.into_iter().map(|(to, sheet)| (to, letter(sheet))).collect()
+        let letter = |form, sheet| words::bytes(&Letter { form, fleet, disk, incarnation, wall_ms, sheet });
+        sheets.into_iter().map(|(to, sheet)| (to, letter(self.reads(to), sheet))).collect()
     }
 
     fn pieces(&mut self, now: Micros, sheets: &mut Vec<(FrontId, Sheet)>) {
--- a/crates/ledger/src/post_tests.rs
+++ b/crates/ledger/src/post_tests.rs
@@ -2,7 +2,8 @@
 use crate::state::State;
 
 fn post(front: u64) -> Post {
-    Post::new(7, front * 10, front, 20_000)
+    let setup = Setup { repair_bytes: 20_000, ..Setup::new("f", front, front, front * 10, Vec::new()) };
+    Post::new(&setup, 7)
 }
 
 fn at(steady: Micros) -> Moment {
@@ -72,14 +73,14 @@
     let mut one = post(1);
     one.say(at(0), 2, &long(3_000), Pace::Quick);
     one.say(at(0), 2, &Word::Offer { shard: 1 }, Pace::Quick);
-    let mut foreign = Post::new(8, 20, 2, 1);
+    let mut foreign = Post::new(&Setup::new("g", 2, 2, 20, Vec::new()), 8);
     for now in 0..5 {
         for (_, letter) in one.letters(at(now * 100_000)) {
             assert_eq!(foreign.heard(at(0), 1, &letter).err(), Some("fleet"));
             for cut in 0..letter.len() {
                 assert!(post(2).heard(at(0), 1, &letter[..cut]).is_err(), "{cut}");
             }
-            let newer = [&[FORM + 1], &letter[1..]].concat();
+            let newer = [&[crate::FORM + 1], &letter[1..]].concat();
             assert_eq!(post(2).heard(at(0), 1, &newer).err(), Some("version"));
             for place in 0..letter.len() {
                 let mut spoilt = letter.clone();
--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -84,6 +84,7 @@
                     repair.caught = Some(index);
                 }
             }
+            Word::Heir { shard, config } => self.inherits(from, shard, config),
             Word::Begin { shard, config, keepers, base } => self.begin(at, shard, config, keepers, &base),
         }
     }
--- /dev/null
+++ b/crates/ledger/src/tallies.rs
@@ -0,0 +1,29 @@
+//! What a front's part has counted, and what it keeps now.
+
+use crate::ledger::Ledger;
+use crate::Tallies;
+
+impl Ledger {
+    /// What it has counted, and what it keeps now.
+    pub fn tallies(&self) -> Tallies {
+        let mut tallies = self.tallies.clone();
+        for place in &self.places {
+            let Some(replica) = &place.replica else { continue };
+            tallies.copies += 1;
+            tallies.entries += replica.state.len();
+            tallies.bytes += replica.state.bytes();
+            if place.leads.is_some() {
+                tallies.owned += 1;
+                tallies.missing += usize::from(place.repair.is_some_and(|repair| !repair.moves));
+                tallies.moving += usize::from(place.repair.is_some_and(|repair| repair.moves));
+            }
+        }
+        tallies
+    }
+
+    /// The shards that this front keeps, each with the number of its members' change and whether this front owns it.
+    pub fn kept(&self) -> impl Iterator<Item = (u16, u32, bool)> + '_ {
+        let replicas = self.places.iter().filter_map(|place| place.replica.as_ref());
+        replicas.map(|replica| (replica.shard, replica.config, replica.leads()))
+    }
+}
--- a/crates/ledger/src/words.rs
+++ b/crates/ledger/src/words.rs
@@ -6,9 +6,6 @@
 use crate::state::{Batch, Command, Keeper};
 use crate::{DiskId, FrontId, Outcome};
 
-/// The form of letters: another is another number.
-pub(crate) const FORM: u8 = 1;
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Word {
     /// Among the members of a shard, as the log's library words it.
@@ -76,6 +73,11 @@
         keepers: Vec<Keeper>,
         base: Base,
     },
+    /// The owner leaves, and leaves the shard to the receiver. Of form 2.
+    Heir {
+        shard: u16,
+        config: u32,
+    },
 }
 
 /// A front that has yet to begin a shard.
--- /dev/null
+++ b/crates/ledger/tests/roll.rs
@@ -0,0 +1,125 @@
+//! A roll of the whole fleet, some fronts of a zone at a time: owners hand over before they go. Fleets of two builds.
+
+mod sim;
+
+use hallmux_ledger::{Act, Ledger, Outcome};
+use sim::{Fleet, SECOND};
+
+const FRONTS: usize = 18;
+
+fn put(value: u64) -> Act {
+    Act::Put { expects: None, ends_ms: 0, value: value.to_be_bytes().to_vec() }
+}
+
+fn begun(forms: impl Fn(usize) -> u8, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(FRONTS, 3, 16, seed);
+    fleet.setup.repair_after = 30 * SECOND;
+    for n in 0..FRONTS {
+        fleet.fronts[n].form = forms(n);
+    }
+    fleet.start_anew(FRONTS);
+    assert!(fleet.run_until(20 * SECOND, Fleet::is_whole));
+    fleet
+}
+
+/// Asks from all that are not about to end, each some ten times a second.
+fn load(fleet: &mut Fleet, micros: i64, out: &[usize]) {
+    let until = fleet.now + micros;
+    while fleet.now < until {
+        let n = fleet.record.ops.len() % FRONTS;
+        if fleet.is_up(n) && !out.contains(&n) {
+            let value = fleet.record.ops.len() as u64;
+            fleet.ask(n, &format!("r{}", value % 64), put(value));
+        } else {
+            // Its turn is another's.
+            let n = (0..FRONTS).find(|n| fleet.is_up(*n) && !out.contains(n)).unwrap();
+            let value = fleet.record.ops.len() as u64;
+            fleet.ask(n, &format!("r{}", value % 64), put(value));
+        }
+        fleet.run(fleet.now + 5_000);
+    }
+}
+
+/// Every front ends and starts again, two of a zone at a time; `back` sets each up anew before it starts.
+fn roll(fleet: &mut Fleet, hands_over: bool, back: impl Fn(&mut Fleet, usize)) {
+    let mut order: Vec<usize> = (0..FRONTS).collect();
+    order.sort_by_key(|n| n % 3);
+    for out in order.chunks(2) {
+        if hands_over {
+            out.iter().for_each(|n| fleet.goes(*n));
+        }
+        load(fleet, SECOND / 2, if hands_over { &[] } else { out });
+        load(fleet, SECOND / 2, out);
+        out.iter().for_each(|n| fleet.kill(*n));
+        load(fleet, SECOND, out);
+        for n in out {
+            back(fleet, *n);
+            fleet.start(*n);
+        }
+        load(fleet, SECOND, &[]);
+    }
+    fleet.run(fleet.now + SECOND);
+}
+
+/// The longest wait in ms, and asks that nobody answered.
+fn waits(fleet: &Fleet, since: i64) -> (i64, usize) {
+    let ops = fleet.record.ops.iter().filter(|op| op.asked >= since);
+    let done = ops.filter_map(|op| op.done.as_ref().map(|(at, outcome)| (*at - op.asked, outcome)));
+    let (mut longest, mut unreachable) = (0, 0);
+    for (took, outcome) in done {
+        longest = longest.max(took / 1_000);
+        unreachable += usize::from(*outcome == Outcome::Unreachable);
+    }
+    (longest, unreachable)
+}
+
+fn sound(fleet: &Fleet) {
+    let faults = fleet.record.faults();
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Letters that another build could not read.
+fn unread(fleet: &Fleet) -> u64 {
+    let ledgers = fleet.fronts.iter().filter_map(|front| front.ledger.as_ref());
+    let of = |ledger: &Ledger, why| ledger.tallies().refused.get(why).copied().unwrap_or(0);
+    ledgers.map(|ledger| of(ledger, "form") + of(ledger, "version")).sum()
+}
+
+#[test]
+fn a_roll_of_the_fleet_refuses_nothing_and_keeps_asks_waiting_within_their_patience() {
+    let mut longest = [0; 2];
+    for seed in 1..=2 {
+        for hands_over in [true, false] {
+            let mut fleet = begun(|_| hallmux_ledger::FORM, seed);
+            let since = fleet.now;
+            roll(&mut fleet, hands_over, |_, _| {});
+            let (wait, unreachable) = waits(&fleet, since);
+            println!("seed {seed}, handed over: {hands_over}: longest {wait} ms, {unreachable} unreachable");
+            longest[usize::from(hands_over)] = longest[usize::from(hands_over)].max(wait);
+            assert!(!hands_over || unreachable == 0);
+            sound(&fleet);
+        }
+    }
+    // Within the patience; an election takes longer, and asks are refused for it.
+    assert!(longest[1] < 500 && longest[0] >= 500, "{longest:?}");
+}
+
+#[test]
+fn a_fleet_of_two_builds_works_and_going_back_loses_nothing() {
+    let mut fleet = begun(|n| 1 + (n % 2) as u8, 3);
+    let inherited = |fleet: &Fleet| -> u64 {
+        let ledgers = fleet.fronts.iter().filter_map(|front| front.ledger.as_ref());
+        ledgers.map(|ledger: &Ledger| ledger.tallies().inherited).sum()
+    };
+    // Up, then all the way back, under load.
+    for (form, hands) in [(2, true), (1, false)] {
+        roll(&mut fleet, true, |fleet, n| fleet.fronts[n].form = form);
+        sound(&fleet);
+        println!("to form {form}: {} letters not read", unread(&fleet));
+        assert_eq!(inherited(&fleet) > 0, hands, "form {form}");
+    }
+    for k in 0..64 {
+        assert!(matches!(fleet.surely(k % FRONTS, &format!("r{k}"), Act::Read), Outcome::Stands(_)));
+    }
+    sound(&fleet);
+}
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -31,6 +31,8 @@
     /// Saves take up to so long; one of so many fails.
     pub slow: Micros,
     pub fails: bool,
+    /// The form of letters of its build.
+    pub form: u8,
 }
 
 pub struct Fleet {
@@ -90,6 +92,7 @@
                 next: 1,
                 slow: 4_000,
                 fails: false,
+                form: hallmux_ledger::FORM,
             });
             fleet.start(n);
         }
@@ -138,6 +141,7 @@
         let front = &mut self.fronts[n];
         front.incarnation = at.wall_ms;
         (setup.own, setup.incarnation, setup.disk) = (id(n), at.wall_ms, front.disk_id);
+        setup.form = front.form;
         let saved = Saved(front.disk.clone().into_iter().collect());
         let saved = (!saved.0.is_empty()).then_some(saved);
         front.ledger = Some(Ledger::new(at, setup, saved).expect("what was saved is whole"));
@@ -153,6 +157,13 @@
         (0..many).for_each(|n| self.start(n));
     }
 
+    /// The front is told to end: it hands over what it owns.
+    pub fn goes(&mut self, n: usize) {
+        let at = self.at(n);
+        self.fronts[n].ledger.iter_mut().for_each(|ledger| ledger.goes(at));
+        self.drain(n);
+    }
+
     /// The front is gone with what is not lasting yet.
     pub fn kill(&mut self, n: usize) {
         self.fronts[n].ledger = None;
