Ledger: the owner before a change of members leads the next without an election

Cause: each change of a shard's members, as after a lost disk, began a new log in which nobody led until the library's election some 0.3 to 0.6 s later.

Change: who owned the shard before asks for the others' promise as soon as the members are decided, and so does the first of the ranked where a shard begins. A member that hears of the next log in the same letter as the decision takes in the decision first.

`a_change_of_members_holds_up_no_ask_for_an_election` (simulated time) fails without it: an ask took more than 300 ms.

--- a/crates/ledger/src/log.rs
+++ b/crates/ledger/src/log.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Asks the others at once for what an election would come to some turns later: where nobody leads yet.
+    pub fn lead(&mut self) {
+        if let Kind::Many(log) = &mut self.kind {
+            log.try_become_leader();
+        }
+    }
+
     pub fn leads(&self) -> bool {
         self.owner() == Some((self.own, true))
     }
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -113,6 +113,11 @@
         others.filter(|_| told).collect()
     }
 
+    /// Takes the lead of a log that has none yet.
+    pub fn lead(&mut self) {
+        self.log.lead();
+    }
+
     /// The owner says that something may have been missed.
     pub fn missed(&mut self, owner: FrontId) {
         if self.owner() == Some(owner) {
--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -95,6 +95,12 @@
         (number, message): (u64, omnipaxos::messages::Message<crate::state::Batch>),
     ) {
         let Born { keeper: sender, incarnation } = sender;
+        let behind = |replica: &Replica| replica.config < config;
+        let replica = self.places.get(usize::from(shard)).and_then(|place| place.replica.as_ref());
+        if replica.is_some_and(behind) && self.touched.contains(&shard) {
+            // What came with it may have decided on the members that it is from.
+            self.settle_shard(at, shard);
+        }
         let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
         match &mut place.replica {
             Some(replica) if replica.config == config => {
@@ -230,6 +236,14 @@
         self.touched.insert(shard);
     }
 
+    /// Who led the members before, or is wanted first of the first ones, leads the next without an election: asks wait
+    /// for a round trip instead of some 0.5 s.
+    pub(crate) fn lead(&mut self, shard: u16) {
+        let replica = self.places.get_mut(usize::from(shard)).and_then(|place| place.replica.as_mut());
+        replica.into_iter().for_each(Replica::lead);
+        self.touched.insert(shard);
+    }
+
     /// Takes in what a shard's log has decided, and says what its members say.
     pub(crate) fn settle_shard(&mut self, at: Moment, shard: u16) {
         let wall_ms = self.wall_ms(at, shard);
@@ -290,6 +304,9 @@
         place.known = Some((config, next.clone()));
         if next.contains(&own) {
             self.open(at, shard, config, next, (FIRST, state));
+            if leads {
+                self.lead(shard);
+            }
         } else {
             self.leave(shard);
         }
--- a/crates/ledger/src/upkeep.rs
+++ b/crates/ledger/src/upkeep.rs
@@ -53,6 +53,9 @@
                 }
                 let state = State::new(Limits::of(&self.setup));
                 self.open(at, shard, 1, keepers, (FIRST, state));
+                if placed.first() == Some(&own.keeper.front) {
+                    self.lead(shard);
+                }
             }
         }
     }
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -186,3 +186,31 @@
     }
     sound(&fleet);
 }
+
+#[test]
+fn a_change_of_members_holds_up_no_ask_for_an_election() {
+    let mut longest = Vec::new();
+    for seed in 20..24 {
+        let mut fleet = whole(4, 3, 1, seed);
+        let owner = fleet.owner("r").unwrap();
+        let others: Vec<usize> = (0..4).filter(|n| *n != owner).collect();
+        for n in &others {
+            fleet.lose(*n);
+            fleet.run(fleet.now + SECOND);
+            fleet.start(*n);
+            while !fleet.is_whole() {
+                let asked = fleet.now;
+                let outcome = fleet.get(owner, "r", put(asked as u64));
+                assert!(matches!(outcome, Outcome::Stands(_)), "seed {seed}, front {n}: {outcome:?}");
+                longest.push((fleet.now - asked) / 1_000);
+            }
+        }
+        sound(&fleet);
+    }
+    longest.sort_unstable();
+    assert!(
+        longest.last().is_some_and(|ms| *ms < 300),
+        "{:?}",
+        longest.iter().rev().take(9).collect::<Vec<_>>()
+    );
+}
