--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -37,6 +37,7 @@
     fleet: String,
     members: BTreeMap<String, MemberFile>,
     directory: Option<String>,
+    drill: Option<String>,
     #[serde(default = "refuse")]
     on_disk_failure: String,
     #[serde(default)]
@@ -113,6 +114,8 @@
     pub members: Vec<LedgerMember>,
     /// Where this front's copies are kept; without one they are in memory alone.
     pub directory: Option<String>,
+    /// For drills: a file that says what befalls the disk that `directory` lies on.
+    pub drill: Option<String>,
     pub on_disk_failure: OnDiskFailure,
     pub copies: usize,
     pub shards: u16,
@@ -165,6 +168,9 @@
     if file.directory.as_ref().is_some_and(String::is_empty) {
         return refuse("directory", "names none: leave the key out to keep copies in memory alone");
     }
+    if file.drill.is_some() && file.directory.is_none() {
+        return refuse("drill", "needs gossip.ledger.directory: without one there is no disk to play on");
+    }
     let on_disk_failure = match file.on_disk_failure.as_str() {
         "refuse" => OnDiskFailure::Refuse,
         "memory" => OnDiskFailure::Memory,
@@ -182,6 +188,7 @@
         fleet: file.fleet,
         members,
         directory: file.directory,
+        drill: file.drill,
         on_disk_failure,
         copies,
         shards: file.shards,
@@ -230,6 +237,11 @@
             ("fleet:", "clocks_apart_ms: 60001, fleet:", "gossip.ledger.clocks_apart_ms: is over 60000"),
             ("fleet:", "on_disk_failure: 'pray', fleet:", "gossip.ledger.on_disk_failure: is neither"),
             ("'/var/lib/hallmux'", "''", "gossip.ledger.directory: names none"),
+            (
+                "directory: '/var/lib/hallmux'",
+                "drill: 'd'",
+                "gossip.ledger.drill: needs gossip.ledger.directory",
+            ),
             ("'campus'", "''", "gossip.ledger.fleet: names none"),
         ] {
             let refused = with(&good.replace(from, to)).unwrap_err();
--- a/crates/front/src/fleet/copies.rs
+++ b/crates/front/src/fleet/copies.rs
@@ -64,9 +64,10 @@
 
 impl Copies {
     /// Opens the directory: its identity, drawn if it is new, and what was kept there. `wake` is called once something
-    /// is lasting or has failed.
+    /// is lasting or has failed. `drill` names the file of a drill on the disk.
     pub fn open(
         directory: &str,
+        drill: Option<&str>,
         socket: UdpSocket,
         wake: impl Fn() + Send + 'static,
     ) -> Result<(Copies, Found), Unfit> {
@@ -80,7 +81,14 @@
         let lock = File::create(path.join("lock")).map_err(|e| unfit("can't be written", e))?;
         lock.try_lock().map_err(|_| Unfit::Taken(directory.to_string()))?;
         let file = path.join(FILE);
-        let found = opened(directory, || Database::builder().set_cache_size(CACHE).create(&file))?;
+        let found = opened(directory, || {
+            let mut builder = Database::builder();
+            builder.set_cache_size(CACHE);
+            match drill {
+                Some(drill) => builder.create_with_backend(super::disk::open(&file, drill)?),
+                None => builder.create(&file),
+            }
+        })?;
         let (mut copies, found) = Copies::with(directory, found, socket, wake)?;
         copies._lock = Some(lock);
         Ok((copies, found))
--- a/crates/front/src/fleet/copies_tests.rs
+++ b/crates/front/src/fleet/copies_tests.rs
@@ -38,7 +38,7 @@
 }
 
 fn open(folder: &Folder) -> Result<(Copies, Found), Unfit> {
-    Copies::open(&folder.name(), socket(), || {})
+    Copies::open(&folder.name(), None, socket(), || {})
 }
 
 /// The next word on a save.
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! not there. What the words mean is decided in `crates/fleet` and the minds behind it.
 
 mod copies;
+mod disk;
 mod gate;
 mod peers;
 pub mod rules;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -117,7 +117,8 @@
             spares_disk = ledger.on_disk_failure == OnDiskFailure::Memory;
             let mut saved = None;
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
-                match Copies::open(directory, socket.try_clone()?, wakes(handle)?) {
+                let drill = ledger.drill.as_deref();
+                match Copies::open(directory, drill, socket.try_clone()?, wakes(handle)?) {
                     Ok((opened, Found { disk, saved: found })) => {
                         (copies, setup.disk, saved) = (Some(opened), disk, found);
                     }
--- a/crates/lab/src/engine/lines.rs
+++ b/crates/lab/src/engine/lines.rs
@@ -59,10 +59,27 @@
     peak: Mutex<f64>,
     /// The same since its last start.
     peak_since_start: Mutex<f64>,
+    holds: Option<Arc<dyn Holds>>,
+}
+
+/// The rows behind engines, where they hold any.
+pub trait Holds: Send + Sync {
+    /// What the statement comes to on an engine, at the end of its work.
+    fn answer(&self, engine: usize, statement: &str) -> String;
 }
 
 impl Engine {
     pub fn start(number: usize, records: Arc<Records>, warmth: Warmth) -> std::io::Result<Arc<Engine>> {
+        Engine::holding(number, records, warmth, None)
+    }
+
+    /// One that answers with rows; its statements say their fields in a comment that begins `/* id=`.
+    pub fn holding(
+        number: usize,
+        records: Arc<Records>,
+        warmth: Warmth,
+        holds: Option<Arc<dyn Holds>>,
+    ) -> std::io::Result<Arc<Engine>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let at = listener.local_addr()?;
         // Warm from the first: only a start anew is cold.
@@ -80,6 +97,7 @@
             turned_away,
             peak,
             peak_since_start,
+            holds,
         });
         let serves = engine.clone();
         std::thread::spawn(move || {
@@ -151,8 +169,10 @@
             let mut body = vec![0; len.parse::<usize>().unwrap_or(0).min(1 << 20) + 2];
             reader.read_exact(&mut body)?;
             let statement = String::from_utf8_lossy(&body).trim().to_string();
+            let told = statement.find("id=").map_or("", |at| &statement[at..]);
+            let told = told.split(' ').next().unwrap_or_default();
             let field = |name: &str| {
-                let found = statement.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+                let found = told.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
                 found.unwrap_or_default().to_string()
             };
             let (own, key, ms) = (field("id"), field("key"), field("ms").parse().unwrap_or(0));
@@ -173,7 +193,7 @@
             let (goes_on, keyed) = (field("on") == "1", field("promised") == "1");
             let (id, engine, stream, runs) = (id.to_string(), self.clone(), stream.clone(), runs.clone());
             let link = self.next.fetch_add(1, SeqCst);
-            let front = self.records.front_of(peer);
+            let front = self.records.front_of(peer, self.at);
             if let (Some(front), Ok(mut sent_by)) = (front, self.records.sent_by.lock()) {
                 sent_by.insert((self.number, link), front);
             }
@@ -195,7 +215,10 @@
                     engine.records.reached(Step::Kept, front);
                 }
                 engine.running.fetch_sub(1, SeqCst);
-                let row = format!("{own}\t-\t-\n");
+                let row = match &engine.holds {
+                    Some(holds) => holds.answer(engine.number, &statement),
+                    None => format!("{own}\t-\t-\n"),
+                };
                 let active = engine.running.load(SeqCst);
                 let _ =
                     write!(&*stream, "{id} ACK batches=1,stats=inflight:{active} {}\r\n{row}\r\n", row.len());
@@ -206,11 +229,14 @@
 
 /// Asks over a connection of its own; gives the outcome and whether its rows are the statement's.
 pub fn ask(front: SocketAddr, number: u64, fields: &[(&str, &str)], statement: &str) -> Outcome {
-    let mut client = match Client::open(front) {
-        Ok(client) => client,
-        Err(_) => return Outcome::Lost,
-    };
-    client.send(number, fields, statement).map_or(Outcome::Lost, |()| client.answer())
+    ask_told(front, number, fields, statement).0
+}
+
+/// The same, with whether a refusal names a time to come back.
+pub fn ask_told(front: SocketAddr, number: u64, fields: &[(&str, &str)], statement: &str) -> (Outcome, bool) {
+    let Ok(mut client) = Client::open(front) else { return (Outcome::Lost, false) };
+    let outcome = client.send(number, fields, statement).map_or(Outcome::Lost, |()| client.answer());
+    (outcome, client.later)
 }
 
 /// A client's connection, for one statement at a time.
@@ -218,6 +244,8 @@
     stream: TcpStream,
     /// The id that the statement's rows bear.
     own: String,
+    /// The last answer named a time to come back.
+    later: bool,
 }
 
 impl Client {
@@ -225,7 +253,7 @@
         let stream = TcpStream::connect(front)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(20)))?;
-        Ok(Client { stream, own: String::new() })
+        Ok(Client { stream, own: String::new(), later: false })
     }
 
     /// Asks; all of it has left when this returns.
@@ -265,6 +293,7 @@
         self.stream.read_exact(&mut len)?;
         let mut reply = vec![0; u32::from_be_bytes(len) as usize];
         self.stream.read_exact(&mut reply)?;
+        self.later = reply.windows(5).any(|part| part == b"later");
         // Behind the head, the name and the number stands the field that tells which kind of answer it is.
         let holds = reply.windows(self.own.len().max(1)).any(|part| part == self.own.as_bytes());
         Ok(match reply.get(4 + 4 + 5 + 4..) {
--- a/crates/lab/src/engine/record.rs
+++ b/crates/lab/src/engine/record.rs
@@ -37,8 +37,9 @@
 pub struct Records {
     pub since: Instant,
     pub deeds: Mutex<Vec<Deed>>,
-    /// The front behind each connection to an engine, by the relay's end of it.
-    peers: Mutex<HashMap<SocketAddr, usize>>,
+    /// The front behind each connection to an engine, by the relay's end of it and the engine's: one port of the
+    /// relay's side may lead to several engines.
+    peers: Mutex<HashMap<(SocketAddr, SocketAddr), usize>>,
     /// The front that sent what an engine wrote down under this link.
     pub sent_by: Mutex<HashMap<(usize, u32), usize>>,
     armed: Mutex<Option<Armed>>,
@@ -74,15 +75,15 @@
     }
 
     /// A front's relay has opened this connection to an engine.
-    pub fn opened(&self, at: SocketAddr, front: usize) {
+    pub fn opened(&self, at: SocketAddr, engine: SocketAddr, front: usize) {
         if let Ok(mut peers) = self.peers.lock() {
-            peers.insert(at, front);
+            peers.insert((at, engine), front);
         }
     }
 
     /// The front behind a connection.
-    pub fn front_of(&self, at: SocketAddr) -> Option<usize> {
-        self.peers.lock().ok()?.get(&at).copied()
+    pub fn front_of(&self, at: SocketAddr, engine: SocketAddr) -> Option<usize> {
+        self.peers.lock().ok()?.get(&(at, engine)).copied()
     }
 
     /// Lets a front die at a step, or takes that back.
@@ -128,6 +129,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn two_connections_from_one_port_to_two_engines_are_of_their_own_fronts() {
+        let (records, at) = (Records::new(), |port: u16| SocketAddr::from(([127, 0, 0, 1], port)));
+        records.opened(at(9), at(1), 3);
+        records.opened(at(9), at(2), 4);
+        assert_eq!(records.front_of(at(9), at(1)), Some(3));
+        assert_eq!((records.front_of(at(9), at(2)), records.front_of(at(9), at(3))), (Some(4), None));
+    }
+
     #[test]
     fn a_front_dies_at_its_own_step_of_a_statement_that_came_since() {
         let records = Records::new();
--- a/crates/lab/src/load/offer.rs
+++ b/crates/lab/src/load/offer.rs
@@ -99,7 +99,7 @@
         let unique = format!("u{}", self.number);
         let mut fields = vec![
             ("verb", class.name.as_str()),
-            ("team", "acme"),
+            ("team", class.customer.as_str()),
             ("limit", limit.as_str()),
             ("cpu", work.as_str()),
             ("heap_mb", memory.as_str()),
@@ -121,7 +121,8 @@
                 records.reached(Step::Taken, front);
             });
         }
-        asked.outcome = lines::ask(address, self.number, &fields, &statement);
+        let (outcome, later) = lines::ask_told(address, self.number, &fields, &statement);
+        asked.outcome = outcome;
         asked.answered = now();
         // A front that was stopped or killed while the statement was out answers late or never, by its own fault.
         let troubled = member.troubled.lock().map(|t| t.clone()).unwrap_or_default();
@@ -131,9 +132,13 @@
             asked.timeout += CLIENT_WAIT.as_micros() as i64;
         }
         let outcome = asked.outcome.clone();
+        // Turned away for good, well within its time: by a rule, not for want of an engine or of a promise.
+        let soon = asked.answered - asked.sent < asked.timeout / 2;
+        let barred =
+            !later && soon && !excused && matches!(&outcome, Outcome::Error(code) if code == "53000");
         let (front, class) = (member.number, self.class);
         if let Ok(mut all) = record.asked.lock() {
-            all.push(Offered { front, class, asked, barred: false, again });
+            all.push(Offered { front, class, asked, barred, again });
         }
         outcome
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -52,6 +52,9 @@
         /// Of promises: fronts that each stands on; with 0 none keeps any for another, and the run is to fail.
         #[arg(long, default_value_t = 3)]
         copies: usize,
+        /// Of promises: one part of them, with faults of its own.
+        #[arg(long)]
+        only: Option<Only>,
     },
     /// Plays a fleet scenario: many fronts, engines in zones, faults between them; checks the record.
     Fleet {
@@ -81,6 +84,14 @@
     Promises,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum Only {
+    /// Copies on disk: machines lost at each step of a promise, a full disk and a slow one.
+    Disks,
+    /// Access rules that change while fronts are cut off, stopped and killed.
+    Rules,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Measured {
     Postgres,
@@ -97,8 +108,15 @@
 fn main() -> ExitCode {
     let (seed, units, rounds) = match Lab::parse().what {
         What::Prove { subject: Subject::Postgres, seed, units, rounds, .. } => (seed, units, rounds),
-        What::Prove { seed, small, simulated, fronts, copies, .. } => {
+        What::Prove { seed, small, simulated, fronts, copies, only, .. } => {
             let seed = seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+            if let Some(only) = only {
+                let play = match only {
+                    Only::Disks => prove::disks::run,
+                    Only::Rules => prove::rules::run,
+                };
+                return told("promises", seed, play(seed, small));
+            }
             let way = prove::promises::Way { small, simulated, fronts, copies };
             return told("promises", seed, prove::promises::run(seed, way));
         }
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -2,9 +2,12 @@
 //! with clients of a library and scripted sessions. All is drawn from the seed.
 
 mod clients;
+pub mod disks;
 mod faults;
 mod keys;
+mod played;
 pub mod promises;
+pub mod rules;
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
--- /dev/null
+++ b/crates/lab/src/prove/played.rs
@@ -0,0 +1,26 @@
+//! What proofs of promises share: a fault with nothing drawn yet, and a run's last words.
+
+use crate::record::account::Run;
+use crate::rig::scenario::{Fault, What};
+
+pub(super) fn fault(what: What, at_ms: u64, for_ms: u64) -> Fault {
+    let (zone, front, delay_ms, percent) = (0, 0, 0, 0);
+    Fault { what, at_ms, for_ms, zone, front, second: None, step: None, delay_ms, percent, told: true }
+}
+
+/// Prints what was found; whether it passed, and the tallies of its line.
+pub(super) fn end(run: &Run, more: &str) -> (bool, String) {
+    eprint!("{}", run.table);
+    for (rule, found) in &run.violations {
+        for what in found.iter().take(8) {
+            eprintln!("{rule}: {what}");
+        }
+    }
+    for (fault, from, to) in &run.played {
+        eprintln!("played {from} to {to}: {fault:?}");
+    }
+    let pids: Vec<String> = run.pids.iter().map(u32::to_string).collect();
+    println!("pids {}", pids.join(","));
+    let violations: usize = run.violations.values().map(Vec::len).sum();
+    (run.passed(), format!("{} {more} violations={violations}", run.line()))
+}
--- a/crates/lab/src/rig/agreed.rs
+++ b/crates/lab/src/rig/agreed.rs
@@ -17,6 +17,9 @@
             "worth": c.importance, "repeat": repeat, "lateShare": 0.5, "group": "all",
             "dedupWindowMs": c.window_ms, "inTurn": c.keys > 0})
     };
+    let customers: std::collections::BTreeSet<&str> =
+        scenario.classes.iter().map(|c| c.customer.as_str()).collect();
+    let customers: Vec<_> = customers.into_iter().map(|name| json!({"name": name})).collect();
     let classes: Vec<serde_json::Value> = scenario.classes.iter().map(class).collect();
     // What goes on though its connection ended is over within its own time, and some for a busy machine.
     let goes_on = scenario.classes.iter().filter(|c| c.goes_on);
@@ -27,7 +30,7 @@
             "coldFrom": scenario.engine.cold_slots as f64 / scenario.engine.slots as f64,
             "warmWithinMs": scenario.engine.warm_ms, "overloadFactor": scenario.engine.overload,
             "fallMs": scenario.engine.fall_ms},
-        "customers": [{"name": "acme"}], "report": {"names": ["active"], "source": "inline"},
+        "customers": customers, "report": {"names": ["active"], "source": "inline"},
         "bounds": {"cancelling": true, "probes": true, "mostTries": 3, "retryAfter": true, "maxRetryAfterMs": 200},
         "extra": {"sizeCores": [scenario.engine.slots], "memoryByKindMb": [scenario.engine.memory_mb]},
         "requestClasses": classes})
--- a/crates/lab/src/rig/class.rs
+++ b/crates/lab/src/rig/class.rs
@@ -25,6 +25,9 @@
     /// Milliseconds for which all engines drop a repeat of a deduplicated one.
     #[serde(default = "window_ms")]
     pub window_ms: u64,
+    /// Whose statements they are.
+    #[serde(default = "customer")]
+    pub customer: String,
     /// An engine goes on with it though its connection ended.
     #[serde(default)]
     pub goes_on: bool,
@@ -69,12 +72,17 @@
             work_ms: None,
             timeout_ms: None,
             window_ms: window_ms(),
+            customer: customer(),
             goes_on: false,
             asks_again: 0,
         }
     }
 }
 
+fn customer() -> String {
+    "acme".to_string()
+}
+
 fn window_ms() -> u64 {
     9_000
 }
--- a/crates/lab/src/rig/fault.rs
+++ b/crates/lab/src/rig/fault.rs
@@ -39,6 +39,10 @@
     /// The front is killed (SIGKILL), at `step` of a promise where one is named, what it kept on disk is removed, and
     /// it is started anew after `for_ms` under its name.
     LoseDisk,
+    /// The disk of the front's copies takes nothing; afterwards there is room, and the front is killed and started anew.
+    DiskFull,
+    /// Each sync of the disk of the front's copies takes `delay_ms` longer.
+    DiskSlow,
     /// The front that probed for the fleet last is stopped, or killed: the owner of that work.
     StallOwner,
     KillOwner,
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -10,17 +10,18 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::agreed::{settings, zone_name};
-use super::member::{Ground, Keys, Member, Record};
+use super::member::{Beside, Ground, Keys, Member, Record};
 use super::post::Post;
 use super::relay::{Link, Relayed};
 use super::scenario::{Fault, Scenario, Step};
 use super::stage::Stage;
 use super::Coordinator;
-use crate::engine::lines::Engine;
+use crate::engine::lines::{Engine, Holds};
 use crate::engine::Records;
 use crate::load::offer::offer;
 use crate::record::account::{judge, warmth, Account, Run};
 
+const LATELY_US: i64 = 2_000_000; // microseconds of words between fronts that count as of now
 const SLACK_US: i64 = 400_000; // microseconds for a final answer on a busy machine
 
 /// Front processes that take statements, their engines, and the ways between all of them.
@@ -39,13 +40,23 @@
 impl Fleet {
     /// Starts all of them; they end with the value that is given back.
     pub fn start(scenario: &Scenario, seed: u64) -> Result<Fleet, String> {
+        Fleet::start_with(scenario, seed, Vec::new(), None)
+    }
+
+    /// Starts all of them, each with what it has beside the others; they end with the value that is given back.
+    pub(crate) fn start_with(
+        scenario: &Scenario,
+        seed: u64,
+        beside: Vec<Beside>,
+        holds: Option<Arc<dyn Holds>>,
+    ) -> Result<Fleet, String> {
         let why = |e: std::io::Error| e.to_string();
         let records = Records::new();
         let record = Arc::new(Record { records: records.clone(), asked: Mutex::default() });
         let relayed: Arc<Mutex<Vec<Relayed>>> = Arc::default();
         let shape = &scenario.fleet;
         let engines: Vec<Arc<Engine>> = (0..shape.zones * shape.engines_per_zone)
-            .map(|n| Engine::start(n, records.clone(), warmth(scenario)))
+            .map(|n| Engine::holding(n, records.clone(), warmth(scenario), holds.clone()))
             .collect::<Result<_, _>>()
             .map_err(why)?;
         let zone_of = |engine: usize| engine / shape.engines_per_zone;
@@ -58,7 +69,7 @@
             }
             false => None,
         };
-        let ground = Ground { seed, settings: settings(scenario), gossip };
+        let ground = Ground { seed, settings: settings(scenario), beside, gossip };
         let (mut links, mut members, mut pids) = (Vec::new(), Vec::new(), Vec::new());
         let mut clocks = Pcg64Mcg::seed_from_u64(seed ^ 0x636c_6f63);
         for front in 0..shape.fronts {
@@ -86,6 +97,7 @@
                 ahead_ms: clocks.random_range(-apart..=apart),
                 away: AtomicBool::new(false),
                 troubled: Mutex::default(),
+                logs: Mutex::default(),
             });
             pids.push(member.start(&ground)?);
             members.push(member);
@@ -93,6 +105,17 @@
         Ok(Fleet { records, record, relayed, engines, links, members, ground, pids })
     }
 
+    /// The front that sent most bytes to others lately, of those that run and are not `but`: it owns shards of the
+    /// ledger.
+    pub(crate) fn busiest(&self, but: &[usize]) -> Option<usize> {
+        let since = self.records.now() - LATELY_US;
+        let (_, post) = self.ground.gossip.as_ref()?;
+        let mut bytes = vec![0; self.members.len()];
+        post.posted().iter().filter(|p| p.at >= since).for_each(|p| bytes[p.from] += p.bytes);
+        let here = (0..bytes.len()).filter(|n| !but.contains(n) && !self.members[*n].away.load(SeqCst));
+        here.max_by_key(|n| bytes[*n])
+    }
+
     fn stage(&self) -> Stage<'_> {
         let Fleet { records, links, members, engines, ground, .. } = self;
         Stage { records, links, members, engines, ground }
@@ -129,6 +152,38 @@
 /// Plays the scenario and checks what happened.
 pub fn run(scenario: &Scenario, seed: u64) -> Result<Run, String> {
     let fleet = Fleet::start(scenario, seed)?;
+    let (account, pids) = play(fleet, scenario, seed, &mut Nothing)?;
+    Ok(judge(scenario, &account, pids))
+}
+
+/// What is played on a fleet beside the faults of its scenario.
+pub(crate) trait Plays {
+    /// The fronts have started; the load begins when this returns.
+    fn ready(&mut self, _fleet: &Fleet) -> Result<(), String> {
+        Ok(())
+    }
+
+    /// Called some hundred times a second with the microseconds since the load began; faults that begin now.
+    fn turn(&mut self, _fleet: &Fleet, _since: i64) -> Vec<Fault> {
+        Vec::new()
+    }
+
+    /// The load has ended, the fronts still run.
+    fn over(&mut self, _fleet: &Fleet) {}
+}
+
+struct Nothing;
+
+impl Plays for Nothing {}
+
+/// Plays the scenario with what comes beside it; gives what was seen, and the ids of all processes.
+pub(crate) fn play(
+    fleet: Fleet,
+    scenario: &Scenario,
+    seed: u64,
+    beside: &mut dyn Plays,
+) -> Result<(Account, Vec<u32>), String> {
+    beside.ready(&fleet)?;
     let began = fleet.records.now();
     let stop = Arc::new(AtomicBool::new(false));
     let load = {
@@ -162,13 +217,19 @@
             started.extend(stage.end(&fault)?);
             played.push((fault, from, fleet.records.now()));
         }
+        for fault in beside.turn(&fleet, now) {
+            let fault = Fault { at_ms: now as u64 / 1000, ..fault };
+            stage.begin(&fault);
+            ends.push((now + fault.for_ms as i64 * 1000, fault));
+        }
         std::thread::sleep(Duration::from_millis(5));
     }
     stop.store(true, SeqCst);
     let _ = load.join();
+    beside.over(&fleet);
     let account = fleet.account(began, played);
     let pids = fleet.pids.iter().copied().chain(started).collect();
-    Ok(judge(scenario, &account, pids))
+    Ok((account, pids))
 }
 
 /// A seed drawn where none is given.
--- a/crates/lab/src/rig/front.rs
+++ b/crates/lab/src/rig/front.rs
@@ -28,9 +28,12 @@
     pub sessions: SocketAddr,
     folder: PathBuf,
     config: Value,
-    log: Arc<Mutex<Vec<String>>>,
+    log: Log,
 }
 
+/// The lines of a front's log, each with when it was read.
+pub type Log = Arc<Mutex<Vec<(Instant, String)>>>;
+
 static FOLDERS: AtomicUsize = AtomicUsize::new(0);
 
 /// The front's program: beside this one.
@@ -49,14 +52,15 @@
         coordinator: &Coordinator,
         sockets: usize,
     ) -> Result<Front, String> {
-        Front::named(("f1", 0x8c1f_30d2_7a5b_e964), settings, operator, coordinator, sockets)
+        Front::named(("f1", 0x8c1f_30d2_7a5b_e964), settings, (operator, &[]), coordinator, sockets)
     }
 
-    /// The same, under a name and a seed of its own among many fronts: with one seed they would draw in step.
+    /// The same, under a name and a seed of its own among many fronts (with one seed they would draw in step), and
+    /// with further variables of the environment.
     pub fn named(
         (name, seed): (&str, u64),
         settings: &Value,
-        operator: &str,
+        (operator, environment): (&str, &[(String, String)]),
         coordinator: &Coordinator,
         sockets: usize,
     ) -> Result<Front, String> {
@@ -73,13 +77,14 @@
         let mut child = Command::new(program()?)
             .env("NODE_CONFIG", &config_path)
             .env("HALLMUX_OPERATOR", &operator_path)
+            .envs(environment.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
             .map_err(why)?;
         let log = BufReader::new(child.stderr.take().ok_or("no log")?);
         let found: Heard = Arc::default();
         let told = found.clone();
-        let kept: Arc<Mutex<Vec<String>>> = Arc::default();
+        let kept = Log::default();
         let keeps = kept.clone();
         let shows = std::env::var("HALLMUX_LAB_LOG").is_ok();
         std::thread::spawn(move || {
@@ -88,7 +93,7 @@
                     eprintln!("{line}");
                 }
                 if let Ok(mut lines) = keeps.lock() {
-                    lines.push(line.clone());
+                    lines.push((Instant::now(), line.clone()));
                 }
                 let address = line.rsplit(' ').next().and_then(|word| word.parse().ok());
                 if let (true, Some(address), Ok(mut all)) = (line.contains(" takes "), address, told.0.lock())
@@ -124,12 +129,18 @@
 
     /// The last line of its log.
     pub fn last(&self) -> Option<String> {
-        self.log.lock().ok()?.last().cloned()
+        self.log.lock().ok()?.last().map(|(_, line)| line.clone())
     }
 
     /// The first line of its log that holds the text.
     pub fn logged(&self, text: &str) -> Option<String> {
-        self.log.lock().ok()?.iter().find(|line| line.contains(text)).cloned()
+        let log = self.log.lock().ok()?;
+        log.iter().find(|(_, line)| line.contains(text)).map(|(_, line)| line.clone())
+    }
+
+    /// Its log, which grows as long as it runs and stays when it is gone.
+    pub fn log(&self) -> Log {
+        self.log.clone()
     }
 
     /// Kilobytes of memory that it holds.
--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -2,10 +2,13 @@
 
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
+use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::front::Log;
 use super::post::Post;
 use super::scenario::Shape;
 use super::{Coordinator, Front};
@@ -27,12 +30,15 @@
     /// Spans, in microseconds since the rig began, in which it was stopped, killed or ending: a statement out at
     /// it then may be late or lost by a fault of its own.
     pub(crate) troubled: Mutex<Vec<(i64, i64)>>,
+    /// The logs of all its lives so far.
+    pub(crate) logs: Mutex<Vec<Log>>,
 }
 
 impl Member {
     /// Starts its front, anew where it ran before; with gossip, the others it knows of are its seeds.
     pub(crate) fn start(&self, ground: &Ground) -> Result<u32, String> {
-        let ahead = format!("clock_ahead_ms: {}", self.ahead_ms);
+        let beside = ground.beside.get(self.number).cloned().unwrap_or_default();
+        let ahead = format!("clock_ahead_ms: {}{}", self.ahead_ms, beside.operator);
         let operator = match &ground.gossip {
             None => format!("{{ {ahead} }}"),
             Some((keys, post)) => {
@@ -50,7 +56,8 @@
                         voters(count).join(", ")
                     )
                 });
-                let ownership = ownership.unwrap_or_default() + &keys.ledger(self.number, &post.at);
+                let ownership =
+                    ownership.unwrap_or_default() + &keys.ledger(self.number, &post.at, &beside.ledger);
                 let quorum = keys.zone_quorum.map(|q| format!("zone_quorum: {q}, ")).unwrap_or_default();
                 format!(
                     "{{ {ahead}, gossip: {{ listen: '127.0.0.1:0', advertise: '{}', secret_file: '{}', {quorum}peers: {{ {} }}, \
@@ -64,7 +71,11 @@
         };
         let name = format!("f{}", self.number);
         let seed = Pcg64Mcg::seed_from_u64(ground.seed ^ (self.number as u64) << 32).random();
-        let started = Front::named((&name, seed), &ground.settings, &operator, &self.coordinator, SOCKETS)?;
+        let own = (operator.as_str(), beside.environment.as_slice());
+        let started = Front::named((&name, seed), &ground.settings, own, &self.coordinator, SOCKETS)?;
+        if let Ok(mut logs) = self.logs.lock() {
+            logs.push(started.log());
+        }
         let at = started.logged("talks with other fronts");
         let at = at.and_then(|line| line.rsplit(' ').next().and_then(|word| word.parse().ok()));
         if let Some(((_, post), at)) = ground.gossip.as_ref().zip(at) {
@@ -76,12 +87,42 @@
         }
         Ok(pid)
     }
+
+    /// Lines of its log that hold the text, of all its lives, each with when it was read.
+    pub(crate) fn said(&self, text: &str) -> Vec<(Instant, String)> {
+        let logs = self.logs.lock().map(|logs| logs.clone()).unwrap_or_default();
+        let holds = |log: Log| {
+            let log = log.lock().map(|log| log.clone()).unwrap_or_default();
+            log.into_iter().filter(|(_, line)| line.contains(text)).collect::<Vec<_>>()
+        };
+        logs.into_iter().flat_map(holds).collect()
+    }
+
+    /// Sends its front a signal, where one runs.
+    pub(crate) fn signal(&self, signal: Signal) {
+        if let Ok(front) = self.front.lock() {
+            front.iter().for_each(|f| f.signal(signal));
+        }
+    }
+}
+
+/// What a front has beside what all have: rules, sites, drills.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Beside {
+    /// Further keys of its operator's file and of the ledger's part of it, each with a comma before it.
+    pub(crate) operator: String,
+    pub(crate) ledger: String,
+    pub(crate) environment: Vec<(String, String)>,
+    /// The file that says what befalls the disk of its copies, where the operator's file names one.
+    pub(crate) drill: Option<std::path::PathBuf>,
 }
 
 /// What all fronts of a run share.
 pub(crate) struct Ground {
     pub(crate) seed: u64,
     pub(crate) settings: serde_json::Value,
+    /// For each front; fronts beyond have nothing of their own.
+    pub(crate) beside: Vec<Beside>,
     /// With gossip, the fronts' keys and the way between them.
     pub(crate) gossip: Option<(Keys, Post)>,
 }
@@ -123,14 +164,14 @@
     }
 
     /// The ledger's part of the operator's file of a front.
-    fn ledger(&self, front: usize, at: &[std::net::SocketAddr]) -> String {
+    fn ledger(&self, front: usize, at: &[std::net::SocketAddr], more: &str) -> String {
         let Some((copies, zones)) = self.copies else { return String::new() };
         let member = |(n, at): (usize, &std::net::SocketAddr)| {
             format!("f{n}: {{ at: '{at}', zone: '{}' }}", super::agreed::zone_name(n % zones))
         };
         let members: Vec<String> = at.iter().enumerate().map(member).collect();
         format!(
-            ", ledger: {{ fleet: 'lab', directory: '{}', copies: {copies}, members: {{ {} }} }}",
+            ", ledger: {{ fleet: 'lab', directory: '{}', copies: {copies}{more}, members: {{ {} }} }}",
             self.disk(front).display(),
             members.join(", ")
         )
@@ -144,6 +185,13 @@
             let _ = std::fs::remove_dir_all(keys.disk(front));
         }
     }
+
+    /// Says what befalls the disk of a front's copies from now on.
+    pub(crate) fn drill(&self, front: usize, what: &str) {
+        if let Some(drill) = self.beside.get(front).and_then(|beside| beside.drill.as_ref()) {
+            let _ = std::fs::write(drill, what);
+        }
+    }
 }
 
 impl Drop for Keys {
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -9,6 +9,7 @@
 pub mod member;
 pub mod post;
 pub mod relay;
+pub mod rules;
 pub mod scenario;
 mod stage;
 
--- /dev/null
+++ b/crates/lab/src/rig/rules.rs
@@ -0,0 +1,172 @@
+//! Access rules on the fronts of a rig: a file of rules for each, written anew and told of by SIGHUP, and what the
+//! fronts' logs say of versions and hits.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+
+use nix::sys::signal::Signal;
+
+use super::agreed::zone_name;
+use super::fleet::Fleet;
+use super::member::Beside;
+
+/// The customer that rules are about, and its workload that they deny.
+pub const RULED: &str = "ruled";
+pub const DENIED: &str = "audit";
+pub const LEASE_MS: u64 = 1_500;
+
+/// One set of rules: the zones where nothing of the customer may be read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Set {
+    pub version: u64,
+    pub barred: BTreeSet<usize>,
+}
+
+impl Set {
+    /// Its file: one rule decides for all that the customer asks, but for the workload that is denied; one only counts.
+    pub fn text(&self) -> String {
+        let barred: Vec<String> = self.barred.iter().map(|zone| format!("'{}'", zone_name(*zone))).collect();
+        format!(
+            "{{ version: {}, default: 'allow', rules: [\n  {{ name: 'bound', customer: '{RULED}', barred: [{}] }},\n  \
+             {{ name: 'denied', customer: '{RULED}', workload: '{DENIED}', then: 'deny', reason: 'closed' }},\n  \
+             {{ name: 'counted', workload: 'report', then: 'count' }},\n] }}\n",
+            self.version,
+            barred.join(", ")
+        )
+    }
+}
+
+/// The files of all fronts, in a folder of the run's.
+pub struct Files {
+    folder: PathBuf,
+}
+
+impl Files {
+    pub fn new(fronts: usize, seed: u64, first: &Set) -> std::io::Result<Files> {
+        let folder = std::env::temp_dir().join(format!("hallmux-rules-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let files = Files { folder };
+        (0..fronts).try_for_each(|front| files.write(front, first))?;
+        Ok(files)
+    }
+
+    fn path(&self, front: usize) -> PathBuf {
+        self.folder.join(format!("rules{front}.json5"))
+    }
+
+    /// Written beside and renamed: no front reads half of it.
+    pub fn write(&self, front: usize, set: &Set) -> std::io::Result<()> {
+        let beside = self.folder.join(format!("rules{front}.new"));
+        std::fs::write(&beside, set.text())?;
+        std::fs::rename(beside, self.path(front))
+    }
+
+    /// Each front's part of the operator's file; each stands in a region of its own.
+    pub fn beside(&self, fronts: usize, zones: usize) -> Vec<Beside> {
+        let regions: Vec<String> =
+            (0..fronts).map(|n| format!("r{n}: ['{}']", zone_name(n % zones))).collect();
+        let part = |front: usize, path: &Path| {
+            format!(
+                ", rules: {{ file: '{}', region: 'r{front}', regions: {{ {} }}, customers: ['{RULED}'], \
+                 lease_ms: {LEASE_MS}, tell_every_ms: 3600000 }}",
+                path.display(),
+                regions.join(", ")
+            )
+        };
+        let each = (0..fronts).map(|n| Beside { operator: part(n, &self.path(n)), ..Beside::default() });
+        each.collect()
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// When fronts said of a version first: that they judge by it, that it is in force, and who that its file is the fleet's.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    pub judged: BTreeMap<u64, i64>,
+    pub in_force: BTreeMap<u64, i64>,
+    pub accepted: BTreeMap<u64, Vec<usize>>,
+    /// How often each front refused a file that was not above the fleet's.
+    pub old: BTreeMap<usize, usize>,
+}
+
+/// The number behind a text in a line.
+fn number(line: &str, before: &str) -> Option<u64> {
+    let rest = &line[line.find(before)? + before.len()..];
+    let end = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+    rest[..end].parse().ok()
+}
+
+/// What the logs of all fronts have said so far.
+pub fn told(fleet: &Fleet) -> Told {
+    let mut told = Told::default();
+    for member in &fleet.members {
+        for (at, line) in member.said("version") {
+            let at = at.duration_since(fleet.records.since).as_micros() as i64;
+            let first = |of: &mut BTreeMap<u64, i64>, version: u64| {
+                let known = of.entry(version).or_insert(at);
+                *known = at.min(*known);
+            };
+            if let Some(version) = number(&line, "judges by version ") {
+                first(&mut told.judged, version);
+            } else if let Some(version) = number(&line, "the fleet's: version ") {
+                told.accepted.entry(version).or_default().push(member.number);
+            } else if line.contains(" is in force") {
+                number(&line, "version ").into_iter().for_each(|version| first(&mut told.in_force, version));
+            } else if line.contains("is not above the fleet's") {
+                *told.old.entry(member.number).or_default() += 1;
+            }
+        }
+    }
+    told
+}
+
+/// Asks a front for the fleet's hits: by rule and region. None while it says that fronts are missing from them.
+pub fn hits(fleet: &Fleet, front: usize, within: std::time::Duration) -> Option<BTreeMap<String, i64>> {
+    let member = &fleet.members[front];
+    let until = std::time::Instant::now() + within;
+    while std::time::Instant::now() < until {
+        let asked = std::time::Instant::now();
+        member.signal(Signal::SIGHUP);
+        for _ in 0..50 {
+            std::thread::sleep(std::time::Duration::from_millis(20));
+            let said = member.said("hits");
+            let whole = |(at, line): &(std::time::Instant, String)| {
+                *at >= asked && line.contains("the fleet's hits") && line.ends_with("missing: none")
+            };
+            let Some(from) = said.iter().position(whole) else { continue };
+            // Its lines are written at once; what is read of them so far may still lack some.
+            std::thread::sleep(std::time::Duration::from_millis(300));
+            let lines = member.said("hits");
+            let rows = lines.iter().skip(from + 1).filter_map(|(_, line)| row(line));
+            return Some(rows.collect());
+        }
+    }
+    None
+}
+
+/// A line of the fleet's hits: rule and region, and their count.
+fn row(line: &str) -> Option<(String, i64)> {
+    let rest = line.split("hits of rule ").nth(1)?;
+    let (rule, rest) = rest.split_once(" by customer ")?;
+    let (_, rest) = rest.split_once(" in ")?;
+    let (region, count) = rest.split_once(": ")?;
+    Some((format!("{rule} {region}"), count.trim().parse().ok()?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_of_the_log_are_read() {
+        let line = "2026 INFO hits of rule bound by customer ruled in r3: 41";
+        assert_eq!(row(line), Some(("bound r3".into(), 41)));
+        assert_eq!(number("x judges by version 12 of the rules", "judges by version "), Some(12));
+        assert_eq!(number("no such thing", "version "), None);
+    }
+}
--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -81,12 +81,15 @@
                 }
             }
             What::StallOwner | What::KillOwner => {} // played as what it is on the owner
+            What::DiskFull => self.ground.drill(fault.front, "full"),
+            What::DiskSlow => self.ground.drill(fault.front, &format!("slow {}", fault.delay_ms)),
             What::Stall | What::Kill | What::Term | What::LoseDisk => {
-                self.dies_at(fault, member);
-                member.away.store(true, SeqCst);
+                // Before it dies: what is out at it then is noted as lost before this returns.
                 if let Ok(mut troubled) = member.troubled.lock() {
                     troubled.push((self.records.now(), i64::MAX));
                 }
+                self.dies_at(fault, member);
+                member.away.store(true, SeqCst);
                 let signal = match fault.what {
                     What::Stall => Signal::SIGSTOP,
                     What::Kill | What::LoseDisk => Signal::SIGKILL,
@@ -138,7 +141,12 @@
                 }
                 mended();
             }
-            What::Kill | What::Term | What::LoseDisk => {
+            What::DiskSlow => self.ground.drill(fault.front, ""),
+            What::Kill | What::Term | What::LoseDisk | What::DiskFull => {
+                if fault.what == What::DiskFull {
+                    self.ground.drill(fault.front, "");
+                    self.begin(&Fault { what: What::Kill, step: None, ..fault.clone() });
+                }
                 let front = member.front.lock().map(|mut f| f.take());
                 if let Ok(Some(mut old)) = front {
                     let _ = old.ended();
--- a/crates/lab/src/simulated/faults.rs
+++ b/crates/lab/src/simulated/faults.rs
@@ -55,6 +55,7 @@
             What::PostSlow => self.post.delay_ms = fault.delay_ms,
             What::PostShuffled => self.post.shuffled_ms = fault.delay_ms,
             What::StallOwner | What::KillOwner => {} // played as what it is on the owner
+            What::DiskFull | What::DiskSlow => {}    // no disk here
             What::Hup => self.account.read_again += 1, // nothing that is read again plays a part here
             What::Stall | What::Kill | What::Term | What::LoseDisk => {
                 let member = &mut self.members[fault.front];
@@ -99,6 +100,7 @@
             }
             What::ZoneSlow => self.links(fault, true, |s| s.delay_ms = 0),
             What::ZoneReset | What::Hup | What::StallOwner | What::KillOwner => {}
+            What::DiskFull | What::DiskSlow => {}
             What::FrontsSplit | What::FrontsSplitOut => self.post.split = None,
             What::PostLossy => self.post.lost_percent = 0,
             What::PostDoubled => self.post.doubled_ms = None,
