--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -182,7 +182,7 @@
         return refuse("directory", "names none; leave the key out to keep copies in memory alone".into());
     }
     if file.drill.is_some() && file.directory.is_none() {
-        return refuse("drill", "needs gossip.ledger.directory: without one there is no disk to play on");
+        return refuse("drill", "needs gossip.ledger.directory; name one, or leave the drill out".into());
     }
     let on_disk_failure = match file.on_disk_failure.as_str() {
         "refuse" => OnDiskFailure::Refuse,
