Proof of scatter statements over sites whose true rows are known, among loads and a cut

Need: no test asked whether a scatter misses a row when a load was acknowledged on the other side of a cut, or when a front is given a summary that must count for nothing.

The rig's engines hold rows by site, make signed summaries and answer statements (rig/sites.rs); prove/sites.rs asks and loads at all fronts and checks with record/rows.rs.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -88,6 +88,8 @@
 enum Only {
     /// Copies on disk: machines lost at each step of a promise, a full disk and a slow one.
     Disks,
+    /// Statements over several sites among loads, with summaries that must count for nothing.
+    Sites,
     /// Access rules that change while fronts are cut off, stopped and killed.
     Rules,
 }
@@ -113,6 +115,7 @@
             if let Some(only) = only {
                 let play = match only {
                     Only::Disks => prove::disks::run,
+                    Only::Sites => prove::sites::run,
                     Only::Rules => prove::rules::run,
                 };
                 return told("promises", seed, play(seed, small));
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -8,6 +8,7 @@
 mod played;
 pub mod promises;
 pub mod rules;
+pub mod sites;
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
--- /dev/null
+++ b/crates/lab/src/prove/sites.rs
@@ -0,0 +1,315 @@
+//! `prove promises --only sites`: statements over several sites, whose true rows are known, beside loads at any front,
+//! among a cut of the fleet, a front killed, and summaries that must count for nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::played::{end, fault};
+use crate::engine::lines::{self, Holds};
+use crate::engine::{Kind, Records};
+use crate::record::account::{judge, Account, Run};
+use crate::record::rows::{self, Row, Scatter};
+use crate::rig::fleet::{play, Fleet, Plays};
+use crate::rig::member::Member;
+use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Warm, What};
+use crate::rig::sites::{Sites, BAD};
+
+const SITES: usize = 5;
+const RANGE: i64 = 1_000; // values of a site lie in a range of its own, loads' anywhere
+const FIRST_ROWS: usize = 40; // of each site
+const TELL: Duration = Duration::from_millis(1_200); // between summaries of a site
+const GAP: Duration = Duration::from_millis(40); // between statements
+const LOADS: f64 = 0.12; // of the statements
+const NUMBERS: u64 = 1 << 40; // statements of the plain load have lower ones
+const MOST_SECONDS: u64 = 60;
+const LEAST_WHOLE: usize = 100; // scatters answered in whole; with fewer a run proves nothing
+
+const LEAST_ROWS: i64 = 100; // told in answers
+
+/// A load as its client saw it: its value, when it was sent and acknowledged, and at which front.
+struct Loaded {
+    id: String,
+    value: i64,
+    sent: i64,
+    acknowledged: i64,
+    front: usize,
+}
+
+#[derive(Default)]
+struct Seen {
+    scatters: Mutex<Vec<(usize, Scatter)>>,
+    loads: Mutex<Vec<Loaded>>,
+}
+
+struct Plan {
+    sites: Arc<Sites>,
+    seen: Arc<Seen>,
+    stop: Arc<AtomicBool>,
+    clients: Option<std::thread::JoinHandle<()>>,
+    seed: u64,
+    chance: Pcg64Mcg,
+    told: Instant,
+    turns: usize,
+    /// What was wrong with summaries that fronts have refused, and how often.
+    refused: BTreeMap<&'static str, usize>,
+}
+
+/// Statements until the run ends, each by a client of its own.
+fn clients(seed: u64, members: &[Arc<Member>], records: &Arc<Records>, seen: &Arc<Seen>, stop: &AtomicBool) {
+    let (mut chance, mut number, mut waits) = (Pcg64Mcg::seed_from_u64(seed), NUMBERS, Vec::new());
+    while !stop.load(SeqCst) {
+        std::thread::sleep(GAP);
+        number += 1;
+        let here: Vec<&Arc<Member>> = members.iter().filter(|m| !m.away.load(SeqCst)).collect();
+        let Some(member) = here.get(chance.random_range(0..here.len().max(1))) else { continue };
+        let Some(at) = member.front.lock().ok().and_then(|f| f.as_ref().map(|f| f.lines)) else { continue };
+        let (front, loads) = (member.number, chance.random_bool(LOADS));
+        let from = chance.random_range(0..SITES as i64 * RANGE);
+        let to = if chance.random_bool(0.6) { from } else { from + chance.random_range(0..RANGE / 4) };
+        let (records, seen) = (records.clone(), seen.clone());
+        waits.push(std::thread::spawn(move || {
+            let id = format!("{}{}", if loads { "l" } else { "q" }, number - NUMBERS);
+            let verb = if loads { "load" } else { "lookup" };
+            let fields =
+                [("verb", verb), ("team", "acme"), ("limit", "4000"), ("cpu", "10"), ("heap_mb", "0")];
+            let text = match loads {
+                true => format!("/* id={id},ms=10,on=1 */ insert into data_17.t (v) values ({from})"),
+                false => {
+                    format!("/* id={id},ms=10 */ select v from data_17.t where v between {from} and {to}")
+                }
+            };
+            let sent = records.now();
+            let body = lines::ask_body(at, number, &fields, &text).ok().flatten();
+            let answered = records.now();
+            if loads {
+                let acknowledged = if body.is_some() { answered } else { i64::MAX };
+                if let Ok(mut all) = seen.loads.lock() {
+                    all.push(Loaded { id, value: from, sent, acknowledged, front });
+                }
+            } else if let Ok(mut all) = seen.scatters.lock() {
+                let rows = body.map(|body| read(&String::from_utf8_lossy(&body)));
+                let without = BTreeSet::new();
+                all.push((front, Scatter { id, between: (from, to), sent, answered, rows, without }));
+            }
+        }));
+    }
+    waits.into_iter().for_each(|wait| _ = wait.join());
+}
+
+/// Rows of an answer: site and value in each line.
+fn read(body: &str) -> Vec<(usize, i64)> {
+    let row = |line: &str| {
+        let mut columns = line.split('\t');
+        Some((columns.next()?.parse().ok()?, columns.next()?.parse().ok()?))
+    };
+    body.lines().filter_map(row).collect()
+}
+
+impl Plan {
+    /// Every site's summary at two fronts, from which others hear of it; and one that must count for nothing.
+    fn tell(&mut self, fleet: &Fleet) {
+        let fronts = fleet.members.len();
+        let mut told = BTreeSet::new();
+        for site in 0..SITES {
+            let front = self.chance.random_range(0..fronts);
+            self.sites.tell(site, front);
+            told.insert(front);
+        }
+        let (what, _) = BAD[self.turns % BAD.len()];
+        let (site, front) = (self.chance.random_range(0..SITES), self.chance.random_range(0..fronts));
+        self.sites.tell_badly(site, front, what);
+        told.insert(front);
+        self.turns += 1;
+        let here = told.iter().map(|front| &fleet.members[*front]).filter(|m| !m.away.load(SeqCst));
+        here.for_each(|member| member.signal(Signal::SIGHUP));
+    }
+}
+
+impl Plays for Plan {
+    fn ready(&mut self, fleet: &Fleet) -> Result<(), String> {
+        self.tell(fleet);
+        let (seed, members, records) = (self.seed, fleet.members.clone(), fleet.records.clone());
+        let (seen, stop) = (self.seen.clone(), self.stop.clone());
+        self.clients = Some(std::thread::spawn(move || clients(seed, &members, &records, &seen, &stop)));
+        Ok(())
+    }
+
+    fn turn(&mut self, fleet: &Fleet, _: i64) -> Vec<Fault> {
+        if self.told.elapsed() >= TELL {
+            self.told = Instant::now();
+            self.tell(fleet);
+        }
+        Vec::new()
+    }
+
+    fn over(&mut self, fleet: &Fleet) {
+        self.stop.store(true, SeqCst);
+        self.clients.take().into_iter().for_each(|clients| _ = clients.join());
+        for (what, text) in BAD {
+            let said = |m: &Arc<Member>| {
+                let lines = m.said("/bad: ");
+                lines.iter().filter(|(_, line)| line.contains(text)).count()
+            };
+            self.refused.insert(what, fleet.members.iter().map(said).sum());
+        }
+    }
+}
+
+/// The run of a seed.
+fn draw(seed: u64, small: bool) -> Scenario {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed ^ 0x7369_7465);
+    let fronts = 5;
+    let cut = fault(What::FrontsSplit, 6_000 + chance.random_range(0..500), 5_000);
+    let mut faults = vec![Fault { front: chance.random_range(1..fronts), ..cut }];
+    if !small {
+        let gone = fault(What::Kill, 15_000 + chance.random_range(0..500), chance.random_range(500..2_000));
+        faults.push(Fault { front: chance.random_range(0..fronts), ..gone });
+    }
+    let load =
+        Class { share: 0.0, effect: Effect::NonIdempotent, goes_on: true, ..Class::plain("load", 2_000) };
+    Scenario {
+        seed: Some(seed),
+        seconds: if small { 14 } else { 25 },
+        fleet: Shape {
+            fronts,
+            zones: SITES,
+            engines_per_zone: 1,
+            gossip: true,
+            clocks_apart_ms: 400,
+            voters: None,
+            lease_ms: 2_000,
+            copies: Some(3),
+            zone_quorum: None,
+        },
+        load: Load { per_second: 5, work_ms: 10, timeout_ms: 4_000, memory_mb: 0 },
+        engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
+        faults,
+        classes: vec![
+            Class::plain("plain", 1_000),
+            Class { share: 0.0, ..Class::plain("lookup", 1_000) },
+            load,
+        ],
+    }
+}
+
+/// Plays the run of a seed: whether it passed, and the tallies of its line.
+pub fn run(seed: u64, small: bool) -> Result<(bool, String), String> {
+    let began = Instant::now();
+    let scenario = draw(seed, small);
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let mut values = |site: i64| -> Vec<i64> {
+        (0..FIRST_ROWS).map(|_| site * RANGE + chance.random_range(0..RANGE)).collect()
+    };
+    let first: Vec<Vec<i64>> = (0..SITES as i64).map(&mut values).collect();
+    let fronts = scenario.fleet.fronts;
+    let sites = Sites::new(first.clone(), 1, fronts, seed).map_err(|e| e.to_string())?;
+    let sites = Arc::new(sites);
+    let holds: Arc<dyn Holds> = sites.clone();
+    let fleet = Fleet::start_with(&scenario, seed, sites.beside(fronts), Some(holds))?;
+    let mut plan = Plan {
+        sites,
+        seen: Arc::default(),
+        stop: Arc::default(),
+        clients: None,
+        seed,
+        chance: Pcg64Mcg::seed_from_u64(seed ^ 0x7465_6c6c),
+        told: Instant::now(),
+        turns: 0,
+        refused: BTreeMap::new(),
+    };
+    let (account, pids) = play(fleet, &scenario, seed, &mut plan)?;
+    let mut run = judge(&scenario, &account, pids);
+    checked(&mut run, &plan, &first, &account);
+    let seconds = began.elapsed().as_secs();
+    if seconds >= MOST_SECONDS {
+        run.violations.entry("run").or_default().push(format!("took {seconds} s"));
+    }
+    Ok(end(&run, &format!("fronts={fronts} seconds={seconds}")))
+}
+
+fn checked(run: &mut Run, plan: &Plan, first: &[Vec<i64>], account: &Account) {
+    let (Ok(scatters), Ok(loads), Ok(landed)) =
+        (plan.seen.scatters.lock(), plan.seen.loads.lock(), plan.sites.landed.lock())
+    else {
+        return;
+    };
+    let there = |site: usize| {
+        first[site].iter().map(move |value| Row { site, value: *value, asked: 0, acknowledged: 0 })
+    };
+    let mut held: Vec<Row> = (0..first.len()).flat_map(there).collect();
+    for load in loads.iter() {
+        let (value, asked, acknowledged) = (load.value, load.sent, load.acknowledged);
+        match landed.get(&load.id) {
+            Some(site) => held.push(Row { site: *site, value, asked, acknowledged }),
+            None if acknowledged < i64::MAX => {
+                let said = format!("{}: acknowledged, and its row is nowhere", load.id);
+                run.violations.entry("row_missing").or_default().push(said);
+            }
+            None => {}
+        }
+    }
+    let all: Vec<Scatter> = scatters.iter().map(|(_, scatter)| scatter.clone()).collect();
+    rows::check(&mut run.violations, &all, &held);
+    let whole = scatters.iter().filter(|(_, scatter)| scatter.rows.is_some());
+    let whole: Vec<&(usize, Scatter)> = whole.collect();
+    // Sites that were asked for each, by the engines' records, beside all and beside those with a row that matches.
+    let mut asked: BTreeMap<&str, BTreeSet<usize>> = BTreeMap::new();
+    for deed in &account.deeds {
+        if let Kind::Began { id, .. } = &deed.kind {
+            asked.entry(id).or_default().insert(deed.engine);
+        }
+    }
+    let (mut of, mut least) = (0, 0);
+    for (_, scatter) in &whole {
+        of += asked.get(scatter.id.as_str()).map_or(0, BTreeSet::len) as i64;
+        let matches = |row: &&Row| {
+            (scatter.between.0..=scatter.between.1).contains(&row.value) && row.acknowledged < scatter.sent
+        };
+        least += held.iter().filter(matches).map(|row| row.site).collect::<BTreeSet<_>>().len() as i64;
+    }
+    // Loads acknowledged on one side of a cut, and scatters asked on the other after that while it lasted.
+    let mut across = 0;
+    for (fault, from, to) in account.played.iter().filter(|(fault, ..)| fault.what == What::FrontsSplit) {
+        let side = |front: usize| fault.split().group(front);
+        let inside = |at: i64| *from <= at && at < *to;
+        let done: Vec<&Loaded> =
+            loads.iter().filter(|load| inside(load.sent) && inside(load.acknowledged)).collect();
+        let other = |front: usize, scatter: &Scatter| {
+            inside(scatter.answered)
+                && done.iter().any(|l| side(l.front) != side(front) && l.acknowledged < scatter.sent)
+        };
+        across += whole.iter().filter(|(front, scatter)| other(*front, scatter)).count() as i64;
+    }
+    let told = whole.iter().flat_map(|(_, scatter)| &scatter.rows).map(Vec::len).sum::<usize>() as i64;
+    let acknowledged = loads.iter().filter(|load| load.acknowledged < i64::MAX).count() as i64;
+    for (key, value) in [
+        ("scatters", scatters.len() as i64),
+        ("scatters_whole", whole.len() as i64),
+        ("loads", loads.len() as i64),
+        ("loads_acknowledged", acknowledged),
+        ("sites_all", (whole.len() * SITES) as i64),
+        ("sites_asked", of),
+        ("sites_true", least),
+        ("rows", told),
+        ("across_a_cut", across),
+        ("summaries_refused", plan.refused.values().sum::<usize>() as i64),
+    ] {
+        run.tallies.insert(key, value);
+    }
+    let mut add = |what: String| run.violations.entry("run").or_default().push(what);
+    if whole.len() < LEAST_WHOLE || acknowledged < 10 || told < LEAST_ROWS {
+        add(format!("{} scatters in whole, {told} rows, {acknowledged} loads acknowledged", whole.len()));
+    }
+    if across == 0 {
+        add("no scatter came on one side of a cut after a load on the other".to_string());
+    }
+    for (what, _) in plan.refused.iter().filter(|(_, said)| **said == 0) {
+        add(format!("no front refused a summary that was {what}"));
+    }
+}
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -11,6 +11,7 @@
 pub mod relay;
 pub mod rules;
 pub mod scenario;
+pub mod sites;
 mod stage;
 
 pub use coordinator::Coordinator;
