--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -84,6 +84,8 @@
                 }
             }
             What::StallOwner | What::KillOwner => {} // played as what it is on the owner
+            What::DiskFull => self.ground.drill(fault.front, "full"),
+            What::DiskSlow => self.ground.drill(fault.front, &format!("slow {}", fault.delay_ms)),
             What::Stall | What::Kill | What::Term | What::LoseDisk => {
                 let died = self.dies_at(fault, member);
                 member.away.store(true, SeqCst);
@@ -142,7 +144,12 @@
                 }
                 mended();
             }
-            What::Kill | What::Term | What::LoseDisk => {
+            What::DiskSlow => self.ground.drill(fault.front, ""),
+            What::Kill | What::Term | What::LoseDisk | What::DiskFull => {
+                if fault.what == What::DiskFull {
+                    self.ground.drill(fault.front, "");
+                    self.begin(&Fault { what: What::Kill, step: None, ..fault.clone() });
+                }
                 let front = member.front.lock().map(|mut f| f.take());
                 if let Ok(Some(mut old)) = front {
                     let _ = old.ended();
