The fleet sheds overload as one: each front turns away by what all fronts were asked

Fronts tell each other signed shares of what they were asked, what ended and what was in time, by workload (crates/gossip/src/shares.rs). Only the twelve fronts with the least ids count, so that bytes do not grow with the fleet and all go by the same figures; merging takes the later share of each maker. crates/fleet/src/load.rs adds them up: one front counts for at most four times the one in the middle. The module lets in what engines answered and a quarter more, first where the penalty of the fleet's conformance is highest, and rejects the rest as it comes, with a time to come back.

--- a/crates/agreement/src/operator/gossip.rs
+++ b/crates/agreement/src/operator/gossip.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use super::ledger::{ledger, Ledger, LedgerFile};
+use super::overload::{overload, Overload, OverloadFile};
 use super::ownership::{owned, Ownership, OwnershipFile};
 use super::places::fault;
 
@@ -24,6 +25,7 @@
     zone_quorum: usize,
     ownership: Option<OwnershipFile>,
     ledger: Option<LedgerFile>,
+    overload: Option<OverloadFile>,
 }
 
 fn zone_quorum() -> usize {
@@ -47,6 +49,8 @@
     pub ownership: Option<Ownership>,
     /// What outlives a machine, where copies of it are kept.
     pub ledger: Option<Ledger>,
+    /// Overload shed by the fleet as one, where that is asked for.
+    pub overload: Option<Overload>,
 }
 
 pub fn gossip(text: &str, mut file: GossipFile) -> Result<Gossip, String> {
@@ -63,10 +67,12 @@
     if file.zone_quorum > MOST_QUORUM {
         return Err(fault(text, "gossip.zone_quorum", &format!("is over {MOST_QUORUM}")));
     }
+    let shed = file.overload.take();
     let GossipFile { listen, advertise, secret_file, seeds, zone_quorum, ownership, ledger: kept, .. } = file;
     let ownership = ownership.map(|o| owned(text, o, &peers)).transpose()?;
+    let overload = shed.map(|o| overload(text, o)).transpose()?;
     let ledger = kept.map(|l| ledger(text, l, &peers)).transpose()?;
-    Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum, ownership, ledger })
+    Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum, ownership, ledger, overload })
 }
 
 /// Thirty-two bytes, as 64 hexadecimal digits.
--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -4,6 +4,7 @@
 
 mod gossip;
 mod ledger;
+mod overload;
 mod ownership;
 mod places;
 mod postgres;
@@ -13,6 +14,7 @@
 
 pub use gossip::{hexadecimal, Gossip};
 pub use ledger::{Ledger, LedgerMember, OnDiskFailure};
+pub use overload::Overload;
 pub use ownership::Ownership;
 pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -98,6 +98,7 @@
         operator.apply(&mut contract.agreement.report);
         if let Some(gossip) = &operator.gossip {
             contract.agreement.zone_quorum = gossip.zone_quorum;
+            gossip.overload.iter().for_each(|o| o.apply(&mut contract.agreement));
         }
         let level = variables.get("HALLMUX_LOG").map_or(LEVEL, String::as_str);
         Ok(Station {
--- a/crates/dispatcher/src/ended.rs
+++ b/crates/dispatcher/src/ended.rs
@@ -39,6 +39,7 @@
         }
         let answers = (ending == Ending::Answered || s.begun) && !s.over;
         s.over |= answers;
+        let took = now - x.sent;
         let holds = answers && s.keeps && ending == Ending::Answered;
         if let Some(key) = s.key.as_ref().filter(|_| holds).and_then(|name| self.keys.get_mut(name)) {
             key.statements += 1;
@@ -51,12 +52,15 @@
             execution,
             engine: x.place,
             outcome: ending.outcome(),
-            took: now - x.sent,
+            took,
             settled: s.over,
             holds,
             cost,
             report,
         }));
+        if answers {
+            self.answered(now, ticket, took);
+        }
         self.forget(now, ticket);
         answers
     }
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -5,6 +5,7 @@
 mod ended;
 mod ending;
 mod engines;
+mod offered;
 mod out;
 #[cfg(test)]
 mod played;
@@ -19,12 +20,13 @@
 use hallmux_agreement::{Contract, Names};
 
 use engines::Engine;
+use offered::Offered;
 use promised::Depends;
 use taken::{Key, Statement};
 
 pub use ending::Ending;
 pub use engines::Listing;
-pub use hallmux::interface::{Cost, DedupGroup, Effect, Micros, Mode, Note};
+pub use hallmux::interface::{Cost, DedupGroup, Effect, Micros, Mode, Note, Offer};
 pub use out::{Order, Terms};
 pub use promised::{Gone, Site, Taken, Word};
 pub use seen::Sighted;
@@ -62,7 +64,10 @@
     resting: BTreeSet<(Micros, String)>,
     engines: Vec<Engine>,
     watches: bool,
-    depends: Vec<Depends>, // by workload
+    depends: Vec<Depends>,       // by workload
+    offered: Vec<Offered>,       // likewise
+    threads: Vec<f64>,           // that a statement takes, likewise
+    in_time: Vec<(Micros, f64)>, // the SLO time, and by how much it is longer for each microsecond of work
     words: Vec<Word>,
     followed: Vec<Ticket>,
     longest_retry_after: Option<Micros>,
@@ -90,6 +95,11 @@
             engines: Vec::new(),
             watches: false,
             depends: contract.agreement.workloads.iter().map(depends).collect(),
+            offered: vec![Offered::default(); contract.agreement.workloads.len()],
+            threads: contract.agreement.workloads.iter().map(|w| w.threads).collect(),
+            in_time: (contract.agreement.workloads.iter())
+                .map(|w| (w.slo_time, w.slo_stretch / w.threads))
+                .collect(),
             words: Vec::new(),
             followed: Vec::new(),
             longest_retry_after: contract.agreement.longest_retry_after,
--- /dev/null
+++ b/crates/dispatcher/src/offered.rs
@@ -0,0 +1,107 @@
+//! What this front is asked, by workload, as it is told to other fronts; and what they were asked, as the module hears it.
+
+use hallmux::interface::{Event, Micros, Offer};
+
+use crate::taken::Statement;
+use crate::{Dispatcher, Ticket};
+
+const HALVES: Micros = 2_000_000; // microseconds until a count is worth half: the load of some seconds
+const NEWEST: f64 = 0.05; // weight of the newest sample in the mean work
+
+/// What was asked of a workload lately; counts halve with time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Offered {
+    pub asked: f64,
+    /// Of those that the module let in: with their final answer, and of these in time.
+    pub ended: f64,
+    pub timely: f64,
+    /// The mean of what one takes on one thread, in microseconds; 0 where none was answered yet.
+    pub work: f64,
+    at: Micros,
+}
+
+impl Offered {
+    fn fade(&mut self, now: Micros) {
+        let left = 0.5f64.powf((now - self.at) as f64 / HALVES as f64);
+        (self.asked, self.ended, self.timely, self.at) =
+            (self.asked * left, self.ended * left, self.timely * left, now);
+    }
+
+    pub(crate) fn asks(&mut self, now: Micros) {
+        self.fade(now);
+        self.asked += 1.0;
+    }
+
+    pub(crate) fn ends(&mut self, now: Micros, timely: bool) {
+        self.fade(now);
+        self.ended += 1.0;
+        self.timely += f64::from(u8::from(timely));
+    }
+
+    fn took(&mut self, work: f64) {
+        self.work += (work - self.work) * if self.work > 0.0 { NEWEST } else { 1.0 };
+    }
+}
+
+impl Dispatcher {
+    /// What this front was asked lately, by the names of workloads.
+    pub fn offered(&mut self, now: Micros) -> impl Iterator<Item = (&str, &Offered)> {
+        self.offered.iter_mut().for_each(|o| o.fade(now));
+        self.names.workloads.iter().map(String::as_str).zip(&self.offered)
+    }
+
+    /// What the fronts that tell were asked, in the order of workloads, and the share of those let in that were not
+    /// in time.
+    pub fn fleet_offered(&mut self, missed: f64, offers: Vec<Offer>) {
+        self.told.push(Event::Offered { missed, offers });
+    }
+
+    /// An execution has answered its statement.
+    pub(crate) fn answered(&mut self, now: Micros, ticket: Ticket, took: Micros) {
+        let Some(s) = self.statements.get(&ticket) else { return };
+        let Some(offered) = self.offered.get_mut(s.workload) else { return };
+        offered.ends(now, now <= s.in_time_until);
+        offered.took(took as f64 * self.threads.get(s.workload).copied().unwrap_or(1.0));
+    }
+
+    /// Rejected or aborted; one that the module did not let in, as it ended when it came, counts as asked alone.
+    pub(crate) fn ended_without(&mut self, now: Micros, ticket: Ticket, first_new: Option<Ticket>) {
+        let let_in = |s: &&Statement| !s.executions.is_empty() || first_new.is_none_or(|new| ticket < new);
+        let Some(s) = self.statements.get(&ticket).filter(let_in) else { return };
+        self.offered.get_mut(s.workload).into_iter().for_each(|o| o.ends(now, false));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::played::*;
+    use crate::*;
+
+    fn counts(d: &mut Dispatcher, now: Micros) -> Vec<(f64, f64, f64)> {
+        let round = |x: f64| (x * 100.0).round() / 100.0;
+        d.offered(now).map(|(_, o)| (round(o.asked), round(o.ended), round(o.timely))).collect()
+    }
+
+    #[test]
+    fn counts_are_by_workload_and_halve_and_what_the_fleet_turned_away_is_asked_alone() {
+        let mut d = dispatcher();
+        d.list(true, &[listing("a", Mode::Ready, None)]);
+        let (first, late) = (d.pick(0, &ask("lookup", None)).unwrap(), d.pick(0, &ask("pay", None)).unwrap());
+        d.tick(0);
+        d.report(100_000, first, 0, Ending::Answered, None, None);
+        d.report(1_100_000, late, 0, Ending::Answered, None, None);
+        let told: Vec<_> = d.offered(1_100_000).map(|(name, o)| (name.to_string(), o.work)).collect();
+        assert_eq!(told[0], ("lookup".to_string(), 100_000.0));
+        // Its SLO time is a second.
+        assert_eq!(counts(&mut d, 1_100_000)[2], (0.68, 1.0, 0.0));
+        assert_eq!(counts(&mut d, 2_000_000)[0], (0.5, 0.52, 0.52));
+        // The fleet bears no lookup: it ends when it comes.
+        let none = Offer { asked: 100.0, ended: 0.0, timely: 0.0, work: 1.0 };
+        d.fleet_offered(1.0, vec![none; 3]);
+        d.pick(2_000_000, &ask("lookup", None)).unwrap();
+        let orders = d.tick(2_000_000);
+        assert!(matches!(orders[..], [Order::Reject { retry_after: Some(_), .. }]), "{orders:?}");
+        assert_eq!(counts(&mut d, 2_000_000)[0], (1.5, 0.52, 0.52));
+    }
+}
--- a/crates/dispatcher/src/out.rs
+++ b/crates/dispatcher/src/out.rs
@@ -76,14 +76,19 @@
             self.told.push(Event::Woken);
         }
         let mut told = std::mem::take(&mut self.told);
+        let mut first_new = None;
         for event in &mut told {
             if let Event::Arrived(arrival) = event {
+                first_new.get_or_insert(arrival.statement);
                 // Guards against a stop between taking a statement and deciding: its time has run on.
                 let ends = self.statements.get(&arrival.statement).map_or(now, |s| s.terms.ends);
                 arrival.time_left = ends - now;
             }
         }
         for action in self.front.decide(now, told) {
+            if let Action::Reject { statement, .. } | Action::Abort { statement } = &action {
+                self.ended_without(now, *statement, first_new);
+            }
             self.order(now, action, &mut orders);
         }
         self.rest(now);
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -54,6 +54,9 @@
 }
 
 pub struct Statement {
+    pub workload: usize,
+    /// When its SLO time is up.
+    pub in_time_until: Micros,
     pub terms: Terms,
     pub over: bool,
     /// Part of its answer has gone on: whatever ends it now ends the statement.
@@ -121,7 +124,12 @@
         let key = ask.key.map(str::to_string);
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
         let executions = Vec::new();
+        self.offered[workload].asks(now);
+        let (slo_time, stretch) = self.in_time[workload];
+        let in_time_until = now + slo_time + (stretch * ask.work) as Micros;
         let statement = Statement {
+            workload,
+            in_time_until,
             terms,
             over: false,
             begun: false,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! No sockets, no clock, no chance of its own; nothing is decided here.
 
 pub mod gate;
+mod load;
 mod owning;
 mod promises;
 
@@ -63,6 +64,8 @@
     owning: Option<owning::Owning>,
     /// The ledger of promises, where it is switched on.
     promises: Option<promises::Promises>,
+    /// What the fleet is asked, where it sheds as one.
+    load: Option<load::Load>,
     /// Whether the dispatcher was told last that the fleet's probes are this front's.
     probes: Option<bool>,
 }
@@ -100,6 +103,7 @@
             came: Vec::new(),
             owning: None,
             promises: None,
+            load: None,
             probes: None,
         }
     }
@@ -110,6 +114,12 @@
         Ok(())
     }
 
+    /// Switches on that the fleet sheds as one.
+    pub fn tells_load(&mut self) {
+        self.node.tells_load();
+        self.load.get_or_insert_default();
+    }
+
     /// Under which token this front owns the fleet's work now.
     pub fn owns(&self, steady: Micros) -> Option<Owns> {
         self.owning.as_ref().and_then(|owning| owning.owns(steady))
@@ -153,7 +163,8 @@
             let owning = self.owning.as_ref().map_or(Micros::MAX, owning::Owning::due);
             let promises =
                 self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
-            self.node.due().min(self.look).min(owning).min(promises)
+            let load = self.load.as_ref().map_or(Micros::MAX, load::Load::due);
+            self.node.due().min(self.look).min(owning).min(promises).min(load)
         }
     }
 
@@ -268,6 +279,9 @@
             }
             new = self.tell(at.now, dispatcher);
         }
+        if let Some(load) = &mut self.load {
+            load.tick(at, &mut self.node, dispatcher);
+        }
         self.share(at, dispatcher);
         out.datagrams.extend(self.node.tick(at.now, at.wall_ms, chance));
         (out, new)
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -88,6 +88,10 @@
         let told = gossip.advertise.unwrap_or(at);
         let start = Start { secret, keys: keys(gossip), at: told, seeds: gossip.seeds.clone() };
         let mut exchange = Exchange::new(start, (now / 1000) as u64);
+        if gossip.overload.is_some() {
+            exchange.tells_load();
+            log::info!("sheds overload as one with the fleet");
+        }
         let steady = Instant::now();
         let mut votes = None;
         if let Some(ownership) = &gossip.ownership {
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 pub mod post;
 pub mod seal;
+pub mod shares;
 
 pub type Micros = i64;
 
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -7,10 +7,13 @@
 use crate::evidence::{Evidence, News, MOST_SIGHTINGS};
 use crate::members::{Members, Send};
 use crate::message::{self, Message, Probe, Report, Sighting, Work, LONGEST};
-use crate::post::{Channel, Letter, Post};
+use crate::post::{Channel, Letter, Post, LETTER_ROOM};
 use crate::seal::{Keys, Own, Peers, Refused, Tokens, SEAL};
+use crate::shares::Shares;
 use crate::{Chance, Micros, PeerId};
 
+mod load;
+
 const ROUND: Micros = 250_000; // microseconds between rounds: news reaches a thousand in some ten of them
 const FANOUT: usize = 2; // members told in a round
 const BYTES_A_SECOND: f64 = 3_000.0; // sent at most of its own accord, with a second's worth saved up
@@ -50,6 +53,10 @@
     sightings: Vec<Sighting>,
     work: Work,
     post: Post,
+    /// What fronts are asked, where it is told.
+    shares: Option<Shares>,
+    share_told: Micros,
+    share_version: u32,
     version: u32,
     renew: Micros,
     /// What counted for nothing, by why.
@@ -73,6 +80,9 @@
             sightings: Vec::new(),
             work: Work::default(),
             post: Post::new(),
+            shares: None,
+            share_told: Micros::MIN / 2,
+            share_version: 0,
             version: 0,
             renew: 0,
             refused: BTreeMap::new(),
@@ -197,6 +207,7 @@
             for _ in 0..FANOUT.min(targets.len()) {
                 let to = targets.swap_remove(chance.below(targets.len()));
                 sends.push(Send { to, probe: Probe::None });
+                out.extend(self.pass_shares(now, wall_ms, to));
             }
         }
         for send in sends {
@@ -287,7 +298,9 @@
         }
         let mut sends = Vec::new();
         self.members.heard(now, sender, from_at, message.probe, &mut sends);
-        if !self.post.came(sender, from_at, message.letter) {
+        if message.letter.first() == Some(&(Channel::Load as u8)) {
+            self.hear_shares(now, wall_ms, from.ip(), &message.letter[1..]);
+        } else if !self.post.came(sender, from_at, message.letter) {
             *self.refused.entry(Refused::Form).or_default() += 1;
         }
         for signed in message.reports {
--- /dev/null
+++ b/crates/gossip/src/node/load.rs
@@ -0,0 +1,71 @@
+//! A front's part in telling what fronts are asked.
+
+use std::net::IpAddr;
+
+use super::*;
+use crate::message::Signed;
+use crate::shares::{Offered, Share};
+
+const TOLD_EVERY: Micros = 1_500_000; // microseconds between a front's shares: they reach 300 fronts in some two seconds
+
+impl Node {
+    /// From now on shares are told and heard.
+    pub fn tells_load(&mut self) {
+        self.shares.get_or_insert_default();
+    }
+
+    /// What this front was asked lately; it is told where its share counts.
+    pub fn offers(&mut self, now: Micros, wall_ms: u64, offered: impl FnOnce() -> Vec<Offered>) {
+        let Some(shares) = self.shares.as_mut().filter(|_| now - self.share_told >= TOLD_EVERY) else {
+            return;
+        };
+        shares.fade(now);
+        let version = self.share_version + 1;
+        if !shares.wants(self.own.id, self.own.life, version) {
+            return;
+        }
+        (self.share_told, self.share_version) = (now, version);
+        let (maker, life) = (self.own.id, self.own.life);
+        let share = Share { maker, life, version, made_ms: wall_ms, offered: offered() };
+        let signed = self.own.sign_share(&share);
+        shares.merge(now, share, signed, 0);
+    }
+
+    /// What the fronts that count were asked.
+    pub fn offered(&self, now: Micros) -> impl Iterator<Item = &[Offered]> {
+        self.shares.iter().flat_map(move |shares| shares.all(now))
+    }
+
+    pub(super) fn pass_shares(&mut self, now: Micros, wall_ms: u64, to: SocketAddr) -> Option<Datagram> {
+        let room = LETTER_ROOM - 8; // the count of them
+        let shares = self.shares.as_mut()?.pass_on(now, room);
+        (!shares.is_empty())
+            .then(|| message::bytes(&shares))
+            .and_then(|letter| self.post(now, wall_ms, to, Channel::Load, &letter))
+    }
+
+    pub(super) fn hear_shares(&mut self, now: Micros, wall_ms: u64, from: IpAddr, letter: &[u8]) {
+        let Some(shares) = &mut self.shares else { return };
+        let Some(all) = message::read::<Vec<Signed>>(letter) else {
+            *self.refused.entry(Refused::Form).or_default() += 1;
+            return;
+        };
+        for signed in all {
+            let Some(share) = message::read::<Share>(&signed.report) else {
+                *self.refused.entry(Refused::Form).or_default() += 1;
+                continue;
+            };
+            // Guards against the cost of what is known already, which is most of what comes.
+            if share.maker == self.own.id || !shares.wants(share.maker, share.life, share.version) {
+                continue;
+            }
+            match self.peers.holds(now, from, share.maker, &signed) {
+                Ok(()) => {
+                    let age = self.peers.age(share.maker, wall_ms, share.made_ms);
+                    age.into_iter().for_each(|age| _ = shares.merge(now, share.clone(), signed.clone(), age));
+                }
+                Err(why) => *self.refused.entry(why).or_default() += 1,
+            }
+        }
+    }
+}
--- a/crates/gossip/src/post.rs
+++ b/crates/gossip/src/post.rs
@@ -25,14 +25,17 @@
     Summaries,
     /// Fronts that wait for a key tell its holder.
     Gate,
+    /// What fronts are asked; read by gossip itself.
+    Load,
 }
 
-const CHANNELS: [(Channel, f64); 5] = [
+const CHANNELS: [(Channel, f64); 6] = [
     (Channel::Lease, 24_000.0), // bytes a second: a leader of five voters sends some 8,000, more while one is away
     (Channel::Ledger, 600_000.0), // a shard's owner sends each promise to two others: some 1,500 a second
     (Channel::Rules, 64_000.0), // a set of rules goes out once a change, in the ledger's letters; leases are small
     (Channel::Summaries, 48_000.0), // whatever the fleet's size
     (Channel::Gate, 16_000.0),  // some 300 waits a second
+    (Channel::Load, 8_000.0),   // a dozen shares a second, each passed on four times
 ];
 
 /// A letter that has come.
--- a/crates/gossip/src/seal.rs
+++ b/crates/gossip/src/seal.rs
@@ -11,6 +11,7 @@
 use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
 
 use crate::message::{self, Report, Signed, LONGEST};
+use crate::shares::Share;
 use crate::{Micros, PeerId};
 
 use heard::Peer;
@@ -68,16 +69,23 @@
 
     /// A report with the signature over its bytes.
     pub fn sign(&self, report: &Report) -> Signed {
-        let report = message::bytes(report);
+        self.sign_as(REPORT, message::bytes(report))
+    }
+
+    /// A word on this front's load, likewise.
+    pub fn sign_share(&self, share: &Share) -> Signed {
+        self.sign_as(SHARE, message::bytes(share))
+    }
+
+    fn sign_as(&self, mark: &[u8], report: Vec<u8>) -> Signed {
         // Guards against a report that passes for a datagram: what is signed says which it is.
-        let signature = self.key.sign(&marked(&report)).to_bytes().to_vec();
+        let signature = self.key.sign(&[mark, &report].concat()).to_bytes().to_vec();
         Signed { report, signature }
     }
 }
 
-fn marked(report: &[u8]) -> Vec<u8> {
-    [b"hallmux report\0".as_slice(), report].concat()
-}
+const REPORT: &[u8] = b"hallmux report\0";
+const SHARE: &[u8] = b"hallmux share\0";
 
 /// Why a datagram or report counts for nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -190,11 +198,27 @@
     /// Reads a report, if its maker's signature holds.
     pub fn read(&mut self, now: Micros, from: IpAddr, signed: &Signed) -> Result<Report, Refused> {
         let report: Report = message::read(&signed.report).ok_or(Refused::Form)?;
-        let key = *self.keys.0.get(&report.maker).ok_or(Refused::Stranger)?;
+        self.verify(now, from, report.maker, REPORT, signed)?;
+        Ok(report)
+    }
+
+    /// Whether a share is its maker's.
+    pub fn holds(&mut self, now: Micros, from: IpAddr, maker: PeerId, share: &Signed) -> Result<(), Refused> {
+        self.verify(now, from, maker, SHARE, share)
+    }
+
+    fn verify(
+        &mut self,
+        now: Micros,
+        from: IpAddr,
+        maker: PeerId,
+        mark: &[u8],
+        signed: &Signed,
+    ) -> Result<(), Refused> {
+        let key = *self.keys.0.get(&maker).ok_or(Refused::Stranger)?;
         self.may_verify(now, from)?;
         let signature = Signature::from_slice(&signed.signature).map_err(|_| Refused::Form)?;
-        key.verify_strict(&marked(&signed.report), &signature).map_err(|_| Refused::Forged)?;
-        Ok(report)
+        key.verify_strict(&[mark, &signed.report].concat(), &signature).map_err(|_| Refused::Forged)
     }
 
     fn may_verify(&mut self, now: Micros, from: IpAddr) -> Result<(), Refused> {
--- a/crates/lab/src/measure/fleet.rs
+++ b/crates/lab/src/measure/fleet.rs
@@ -84,7 +84,10 @@
         for percent in [50, 100, 150, 200, 300] {
             let mut scenario = Scenario::parse(OVERLOAD, true, Some(size))?;
             scenario.load.per_second = BORNE * percent / 100;
-            row(&scenario, (&percent.to_string(), "as it stands"), &SHED)?;
+            for (way, as_one) in [("each by itself", false), ("as one", true)] {
+                scenario.fleet.sheds_as_one = as_one;
+                row(&scenario, (&percent.to_string(), way), &SHED)?;
+            }
         }
     }
     Ok(())
--- a/crates/lab/src/prove/promises.rs
+++ b/crates/lab/src/prove/promises.rs
@@ -126,6 +126,7 @@
             lease_ms: 2_000,
             copies: (way.copies > 0).then_some(way.copies),
             zone_quorum: None,
+            sheds_as_one: false,
         },
         load: Load { per_second: 60, work_ms: 10, timeout_ms: 4_000, memory_mb: 0 },
         engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -50,7 +50,8 @@
                         voters(count).join(", ")
                     )
                 });
-                let ownership = ownership.unwrap_or_default() + &keys.ledger(self.number, &post.at);
+                let ownership =
+                    ownership.unwrap_or_default() + &keys.ledger(self.number, &post.at) + keys.overload;
                 let quorum = keys.zone_quorum.map(|q| format!("zone_quorum: {q}, ")).unwrap_or_default();
                 format!(
                     "{{ {ahead}, gossip: {{ listen: '127.0.0.1:0', advertise: '{}', secret_file: '{}', {quorum}peers: {{ {} }}, \
@@ -96,6 +97,8 @@
     copies: Option<(usize, usize)>,
     /// How many vote on who owns the fleet's work, and how long a lease lasts.
     voters: Option<(usize, u64)>,
+    /// That part of the operator's file.
+    overload: &'static str,
 }
 
 impl Keys {
@@ -112,8 +115,9 @@
             peers.push(format!("f{n}: '{}'", hex(&public)));
         }
         let copies = shape.copies.map(|copies| (copies, shape.zones));
+        let overload = if shape.sheds_as_one { ", overload: {}" } else { "" };
         let voters = shape.voters.map(|voters| (voters, shape.lease_ms));
-        Ok(Keys { folder, peers: peers.join(", "), zone_quorum: shape.zone_quorum, copies, voters })
+        Ok(Keys { folder, peers: peers.join(", "), zone_quorum: shape.zone_quorum, copies, voters, overload })
     }
 }
 
--- a/crates/lab/src/rig/scenario.rs
+++ b/crates/lab/src/rig/scenario.rs
@@ -49,6 +49,9 @@
     pub copies: Option<usize>,
     /// Vantages whose word of a zone leads the fleet out (`gossip.zone_quorum` of the operator's file); 0: never.
     pub zone_quorum: Option<usize>,
+    /// Overload is shed by the fleet as one (`gossip.overload` of the operator's file).
+    #[serde(default)]
+    pub sheds_as_one: bool,
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
--- a/crates/lab/src/simulated/fronts.rs
+++ b/crates/lab/src/simulated/fronts.rs
@@ -25,6 +25,9 @@
             let seeds = (0..MOST_SEEDS).map(|_| address(self.chance.random_range(0..fronts))).collect();
             let start = Start { secret: secret(n), keys: self.keys.clone(), at: address(n), seeds };
             let mut exchange = Exchange::new(start, (wall / 1000) as u64);
+            if self.scenario.fleet.sheds_as_one {
+                exchange.tells_load();
+            }
             if let Some(voters) = self.scenario.fleet.voters {
                 let voters =
                     (0..voters).map(|n| (id(&Own::new(&secret(n), 0).public()), address(n))).collect();
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -129,6 +129,9 @@
     if let Some(quorum) = scenario.fleet.zone_quorum {
         contract.agreement.zone_quorum = quorum;
     }
+    if scenario.fleet.sheds_as_one {
+        hallmux_agreement::Overload::default().apply(&mut contract.agreement);
+    }
     let fronts = scenario.fleet.fronts;
     let keys: Vec<[u8; 32]> = (0..fronts).map(|n| Own::new(&secret(n), 0).public()).collect();
     let engine = |n: usize| Engine {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,6 +62,9 @@
 const HEARSAY: f64 = 0.5; // most that others' word takes of a bound, however many speak; one half of it
 const TOLD_WRONG: f64 = 0.8; // factor on the credit of a front that speaks ill of an engine that does well
 const DOUBTFUL: f64 = 0.3; // share of failures or silence from which a word counts as ill
+const MISSED: f64 = 0.15; // share of what the fleet let in that missed its SLO time, beyond which it lets in less
+const LET_IN: f64 = 1.25; // times what engines answer that the fleet lets in: less would leave them idle by chance
+const LEAST_LET_IN: f64 = 0.05; // share of what is asked that is let in whatever was missed: else no way back
 const FLEET_PROBES: f64 = 4.0; // a second into zones that the fleet has left, of all fronts together
 
 #[derive(Default)]
@@ -93,6 +96,7 @@
     words: Words,     // of other fronts, with their credit by whether what they said came true
     known: f64,       // fronts that may share a returning zone: silent ones too, no fewer than agreed
     up: f64,          // of them those that are heard of, this one too
+    let_in: Vec<f64>, // share of each workload that the fleet lets in; none: all
     first_look: f64,  // where in the list of engines the next choice looks first
 }
 
@@ -141,6 +145,7 @@
                 Event::Left(id) => self.close(id, false),
                 Event::Freed { key, rests } => self.freed(key, rests),
                 Event::Hearsay(said) => self.hear(said),
+                Event::Offered { missed, offers } => self.bears(missed, &offers),
                 Event::Fleet { known, up } => (self.known, self.up) = (known.max(self.agreed.fronts), up),
                 Event::Probed { engine, alive, report } => {
                     self.engines.know(engine, TRUSTED);
@@ -172,10 +177,8 @@
             let known = self.engines.listed[e].as_ref();
             let restarted = known.is_none_or(|k| k.started != entry.started);
             if known.is_none() {
-                let of = |list: &[f64], other| list.get(entry.kind).copied().unwrap_or(other);
-                let (threads, memory) = (of(&self.agreed.cores, 1.0), of(&self.agreed.memory_mb, f64::MAX));
-                self.engines.size[e] = Load { threads, memory };
-                self.engines.bound[e] = THREADS_PER_CORE * threads / self.agreed.fronts;
+                self.engines.size[e] = size_of(&self.agreed, entry.kind);
+                self.engines.bound[e] = THREADS_PER_CORE * self.engines.size[e].threads / self.agreed.fronts;
             }
             if let Some(start) = entry.started.filter(|_| restarted) {
                 (self.engines.credit[e], self.engines.rests_until[e]) = (TRUSTED, 0);
@@ -207,9 +210,7 @@
         learned.given_up = learned.given_up * REMEMBERED - f64::from(u8::from(later));
         let past = if later { (workload.statement_timeout - a.time_left).max(0) } else { 0 };
         let spent = if self.awake == self.now && missing <= gap { missing } else { past };
-        if a.work > 0.0 {
-            learned.work.take(LEARNING, a.work);
-        }
+        learned.work.take_told(LEARNING, a.work);
         let memory = a.memory_mb * learned.memory_bias.value;
         let least_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
         let memory = memory.min(least_mb * self.agreed.largest_grant);
@@ -221,10 +222,14 @@
         }
         let (id, ends) = (a.statement, self.now + a.time_left);
         let load = Load { threads: workload.threads, memory };
+        let let_in = self.lets_in(&a);
         let s = Statement::new(a, class, self.now - spent, ends, load);
         self.asked_work.take(LEARNING, either(self.expected_work(&s), SECOND as f64));
         self.statements.insert(id, s);
         self.hold(id);
+        if !let_in {
+            self.give_up(id);
+        }
     }
 
     fn hold(&mut self, id: StatementId) {
--- a/src/decide/doubt.rs
+++ b/src/decide/doubt.rs
@@ -64,10 +64,7 @@
 
     /// An engine has shown here what others' word of it was worth.
     pub(super) fn proved(&mut self, e: EngineId, ill: bool) {
-        let Words { said, credit } = &mut self.words;
-        for ((_, maker), _) in said.range((e, 0)..(e + 1, 0)) {
-            let credit = credit.entry(*maker).or_insert(TRUSTED);
-            *credit = if ill { (*credit + EARNED).min(1.0) } else { *credit * TOLD_WRONG };
-        }
+        let earns = |credit: f64| if ill { (credit + EARNED).min(1.0) } else { credit * TOLD_WRONG };
+        self.words.proved(e, TRUSTED, earns);
     }
 }
--- a/src/decide/give_up.rs
+++ b/src/decide/give_up.rs
@@ -17,6 +17,23 @@
         self.stranded(s) || late && (blocks || self.workload(s).late_share < LATE_WORTH)
     }
 
+    /// The fleet as one lets in what its engines bear, first of all where the penalty is highest by what all
+    /// fronts have kept together: each front turns away the same, before it asks an engine.
+    pub(super) fn bears(&mut self, missed: f64, offers: &[Offer]) {
+        let customers = self.agreed.customers.len().max(1);
+        let rank = |w: usize| penalty(offers[w].conformance(UNSEEN), self.delta(w * customers * 2));
+        let borne = |o: &Offer| o.work * LET_IN * if missed > MISSED { o.timely } else { o.ended };
+        let asked: f64 = offers.iter().map(Offer::work_asked).sum();
+        let most = offers.iter().map(borne).sum::<f64>().max(LEAST_LET_IN * asked);
+        self.let_in = share_out(most, offers, rank);
+    }
+
+    /// Whether the fleet lets a statement in; what an open transaction waits for always.
+    pub(super) fn lets_in(&mut self, s: &Arrival) -> bool {
+        let share = self.let_in.get(s.workload).copied().unwrap_or(1.0);
+        share >= 1.0 || s.pinned.is_some() || self.chance.next() < share
+    }
+
     pub(super) fn stop(&mut self, id: StatementId, n: usize) {
         let s = &self.statements[&id];
         let in_time = self.now + (self.learned[s.asked.workload].run.value as Micros) < s.ends;
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -30,25 +30,19 @@
     }
 
     pub(super) fn reported(&mut self, e: EngineId, report: &Report) {
-        let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
         let (own, size) = (self.engines.own[e], self.engines.size[e]);
         let count = self.engines.out[e].len() as f64;
         let each = if self.many { self.ran.threads } else { either(own.threads, 1.0) / count.max(1.0) };
-        // Where statements in hand are not told, busy cores and those that wait for memory stand in for them.
-        let (places, busy) = (&self.agreed.report, |b: f64| b * size.threads / each.max(0.01));
-        let in_hand =
-            read(places.active).or(read(places.busy).map(|b| busy(b) + read(places.waiting).unwrap_or(0.0)));
+        let in_hand = self.agreed.report.in_hand(report, size.threads / each.max(0.01));
         let active = in_hand.map_or(0.0, |active| (active - count).max(0.0));
         let need = if self.many { self.ran.memory } else { 0.0 };
-        let granted = read(self.agreed.report.memory_granted).map(|x| x * size.memory - own.memory);
+        let granted = self.agreed.report.granted(report).map(|x| x * size.memory - own.memory);
         // Where nothing tells what an engine holds, a report leaves what others are taken to hold.
         let threads = if in_hand.is_some() { active * each } else { self.engines.others[e].threads };
         let told = Load { threads, memory: granted.unwrap_or(active * need).max(0.0) };
         (self.engines.seen[e], self.engines.told[e]) = (own, self.now);
         self.engines.others[e].blend(told, if self.many { 1.0 } else { 0.5 });
-        if let Some(usual) = self.engines.usual_of_kind(e) {
-            usual.blend(told.times(1.0 / size.threads), LEARNING);
-        }
+        self.engines.learn_usual(e, told.times(1.0 / size.threads), LEARNING);
     }
 
     /// Guards against executions that are taken and never answered, whatever the cause: a hung engine,
@@ -88,8 +82,7 @@
         if let (Note::WaitsForData, Some(data_set)) = (note, s.asked.data_set) {
             // Another front's load holds the data set there: guards against standing still behind it.
             let run = self.learned.iter().map(|l| l.run.value).fold(0.0, f64::max);
-            self.engines.held[e].retain(|(d, until)| *d != data_set && *until > self.now);
-            self.engines.held[e].push((data_set, self.now + run as Micros));
+            self.engines.lock(e, data_set, self.now, self.now + run as Micros);
             return self.stop(id, n);
         }
         if let Note::ShareDone(done) = note {
@@ -181,21 +174,14 @@
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
         let seconds = took / SECOND as f64;
         self.ran.blend(Load { threads, memory: s.load.memory }, LEARNING * seconds.min(1.0));
-        let (bound, held) = if self.many {
-            self.engines.open_totals()
-        } else {
-            (self.engines.bound[e], self.engines.own[e].threads)
-        };
+        let (bound, held) = self.engines.totals(if self.many { None } else { Some(e) });
         if took <= slo * QUICK && held + 2.0 * threads >= bound {
             let growth = if self.many { GROWTH } else { 1.0 / bound.max(1.0) };
             self.sway(e, threads * seconds * growth);
         } else if took > slo {
             self.sway(e, -SHRINK * threads);
         }
-        let learned = &mut self.learned[w];
-        learned.run.take(LEARNING, took);
-        learned.pace.take_ratio(LEARNING, took / basis);
-        learned.memory_bias.value *= if spilled { 1.0 } else { ENOUGH };
+        self.learned[w].took(LEARNING, (took, basis), if spilled { 1.0 } else { ENOUGH });
     }
 
     /// Moves an engine's bound, or all alike: a front among many hears too seldom of each to know its own.
--- a/src/decide/penalty.rs
+++ b/src/decide/penalty.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    fn delta(&self, class: usize) -> f64 {
+    pub(super) fn delta(&self, class: usize) -> f64 {
         let w = class / 2 / self.agreed.customers.len().max(1);
         let share = if class % 2 == 1 { self.agreed.over_share } else { 1.0 };
         let work = self.learned[w].work.value.max(1000.0) / SECOND as f64;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -33,12 +33,10 @@
     }
 
     pub(super) fn tries_left(&self, s: &Statement) -> bool {
-        let within = self.agreed.further.is_none_or(|budget| {
-            let since = self.now - budget.window;
-            let used = self.further.after(since - 1);
-            used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
-        });
-        within && s.executions.len() < self.agreed.most_executions && s.asked.pinned.is_none()
+        let within = |budget| self.further.one_more(budget, &self.taken, self.now);
+        self.agreed.further.is_none_or(within)
+            && s.executions.len() < self.agreed.most_executions
+            && s.asked.pinned.is_none()
     }
 
     pub(super) fn has_turn(&self, id: StatementId, s: &Statement) -> bool {
@@ -139,7 +137,6 @@
         let rate = self.engines.warmth(e, self.now, &self.agreed) * self.engines.size[e].threads / self.known;
         let burst = (self.agreed.overload_factor * COLD_MARGIN - 0.5).max(0.1) * rate;
         let most = if self.many { 0.0 } else { burst * self.agreed.fall_window as f64 };
-        let (pushed, at) = self.engines.pushed[e];
-        ((pushed - rate * (self.now - at) as f64).max(0.0), most)
+        (self.engines.left_of_pushed(e, rate, self.now), most)
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,6 +66,23 @@
 }
 
 impl ReportPlaces {
+    fn read(place: Option<usize>, report: &Report) -> Option<f64> {
+        place.and_then(|place| report.get(place)).copied()
+    }
+
+    /// Statements in hand; where they are not told, busy cores (each so many statements) and those that wait for
+    /// memory stand in for them.
+    pub fn in_hand(&self, report: &Report, of_busy: f64) -> Option<f64> {
+        let waiting = || Self::read(self.waiting, report).unwrap_or(0.0);
+        let busy = || Some(Self::read(self.busy, report)? * of_busy + waiting());
+        Self::read(self.active, report).or_else(busy)
+    }
+
+    /// The share of the memory that is granted.
+    pub fn granted(&self, report: &Report) -> Option<f64> {
+        Self::read(self.memory_granted, report)
+    }
+
     /// Whether reports tell what an engine holds: statements in hand, or its busy cores.
     pub fn tells_load(&self) -> bool {
         self.active.is_some() || self.busy.is_some()
@@ -233,6 +250,17 @@
     }
 }
 
+/// What the fronts that tell of it were asked of a workload lately, in statements; the same figures at every front.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Offer {
+    pub asked: f64,
+    /// Of those let in: with their final answer, and of these in time.
+    pub ended: f64,
+    pub timely: f64,
+    /// What one takes on one thread, in microseconds.
+    pub work: f64,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The engine list: whole, or only what changed.
@@ -268,6 +296,11 @@
         known: f64,
         up: f64,
     },
+    /// What the fleet was asked, by workload, and the share of what was let in that was not in time.
+    Offered {
+        missed: f64,
+        offers: Vec<Offer>,
+    },
     Woken,
 }
 
--- /dev/null
+++ b/src/learned.rs
@@ -0,0 +1,53 @@
+//! What is learned of workloads, as plain figures: nothing is decided here.
+
+use crate::interface::*;
+use crate::state::either;
+
+/// A learned mean and how many samples it has taken.
+#[derive(Default, Clone, Copy)]
+pub struct Mean {
+    pub value: f64,
+    pub seen: f64,
+}
+
+impl Mean {
+    /// Takes a sample; the weight of the newest is its share of all, but not under the least given.
+    pub fn take(&mut self, least: f64, sample: f64) {
+        self.seen += 1.0;
+        self.value += (sample - self.value) * least.max(1.0 / self.seen);
+    }
+
+    /// The same, unless there was none.
+    pub fn take_told(&mut self, least: f64, sample: f64) {
+        if sample > 0.0 {
+            self.take(least, sample);
+        }
+    }
+
+    /// The same for ratios, as a geometric mean.
+    pub fn take_ratio(&mut self, least: f64, sample: f64) {
+        let (sample, value) = (sample.max(1e-6), either(self.value, 1.0));
+        self.seen += 1.0;
+        self.value = value * (sample / value).powf(least.max(1.0 / self.seen));
+    }
+}
+
+/// What has been learned of a workload.
+#[derive(Default, Clone)]
+pub struct Learned {
+    pub work: Mean,        // mean microseconds on one thread
+    pub run: Mean,         // mean microseconds from execution to answer
+    pub pace: Mean, // run time over the estimate's share for each thread, or over one second; geometric mean
+    pub memory_bias: Mean, // true need over its estimate
+    pub given_up: f64, // statements given up whose clients may ask again
+    pub first_try: Micros, // the most time that a statement had left on arrival: what a first try gets
+}
+
+impl Learned {
+    /// An execution was answered after so long, against the estimate's time; `had_enough` moves the need of memory.
+    pub fn took(&mut self, least: f64, (took, estimate): (f64, f64), had_enough: f64) {
+        self.run.take(least, took);
+        self.pace.take_ratio(least, took / estimate);
+        self.memory_bias.value *= had_enough;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,15 @@
 //!
 //! The library decides and does nothing else: no input or output, no clock, no threads. `interface` has the
 //! types that go in and come out, `decide` the one module that decides (a file for each part of the
-//! mechanism under it), `state` the plain figures it keeps.
+//! mechanism under it), `state` and the files beside it the plain
+//! figures it keeps.
 
 mod chance;
 pub mod decide;
 pub mod interface;
+mod learned;
+mod offers;
 mod state;
+mod words;
 
 pub use decide::Front;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,9 @@
 
 pub use crate::chance::*;
 use crate::interface::*;
+pub use crate::learned::*;
+pub use crate::offers::*;
+pub use crate::words::*;
 
 pub const SECOND: Micros = 1_000_000; // microseconds
 
@@ -32,28 +35,6 @@
     }
 }
 
-/// A learned mean and how many samples it has taken.
-#[derive(Default, Clone, Copy)]
-pub struct Mean {
-    pub value: f64,
-    pub seen: f64,
-}
-
-impl Mean {
-    /// Takes a sample; the weight of the newest is its share of all, but not under the least given.
-    pub fn take(&mut self, least: f64, sample: f64) {
-        self.seen += 1.0;
-        self.value += (sample - self.value) * least.max(1.0 / self.seen);
-    }
-
-    /// The same for ratios, as a geometric mean.
-    pub fn take_ratio(&mut self, least: f64, sample: f64) {
-        let (sample, value) = (sample.max(1e-6), either(self.value, 1.0));
-        self.seen += 1.0;
-        self.value = value * (sample / value).powf(least.max(1.0 / self.seen));
-    }
-}
-
 /// Tokens that come at a rate, up to one second's worth or one.
 #[derive(Default, Clone)]
 pub struct Bucket {
@@ -80,22 +61,18 @@
         (self.0.len() - self.0.partition_point(|t| *t <= time)) as f64
     }
 
+    /// Whether a budget bears one more of these now, going by what was taken in its window.
+    pub fn one_more(&self, budget: FurtherBudget, taken: &Times, now: Micros) -> bool {
+        let since = now - budget.window;
+        let used = self.after(since - 1);
+        used + 1.0 <= (budget.spare + budget.ratio * taken.after(since)).floor()
+    }
+
     pub fn forget(&mut self, before: Micros) {
         self.0.drain(..self.0.partition_point(|t| *t < before));
     }
 }
 
-/// What has been learned of a workload.
-#[derive(Default, Clone)]
-pub struct Learned {
-    pub work: Mean,        // mean microseconds on one thread
-    pub run: Mean,         // mean microseconds from execution to answer
-    pub pace: Mean, // run time over the estimate's share for each thread, or over one second; geometric mean
-    pub memory_bias: Mean, // true need over its estimate
-    pub given_up: f64, // statements given up whose clients may ask again
-    pub first_try: Micros, // the most time that a statement had left on arrival: what a first try gets
-}
-
 #[derive(Default)]
 pub struct Execution {
     pub engine: EngineId,
@@ -190,51 +167,6 @@
     }
 }
 
-/// Ill words of other fronts on engines, each until it is worth nothing, and the credit of those fronts.
-#[derive(Default)]
-pub struct Words {
-    pub said: BTreeMap<(EngineId, usize), (f64, Micros)>,
-    pub credit: BTreeMap<usize, f64>,
-}
-
-impl Words {
-    /// The credit of a front, or that of one that has shown nothing yet.
-    pub fn credit(&self, maker: usize, unheard: f64) -> f64 {
-        self.credit.get(&maker).copied().unwrap_or(unheard)
-    }
-
-    /// What is said of an engine: by whom, how ill, until when.
-    pub fn of(&self, e: EngineId) -> impl Iterator<Item = (usize, f64, Micros)> + '_ {
-        let all = self.said.range((e, 0)..(e + 1, 0));
-        all.map(|((_, maker), (ill, until))| (*maker, *ill, *until))
-    }
-
-    /// Who speaks ill of any of these engines, of fronts with such a credit, and of how many of them.
-    pub fn against(
-        &self,
-        engines: &[EngineId],
-        credit: f64,
-        unheard: f64,
-    ) -> (BTreeSet<usize>, Vec<EngineId>) {
-        let (mut makers, mut ill) = (BTreeSet::new(), Vec::new());
-        for e in engines {
-            let mut word = self.of(*e).map(|(maker, ..)| maker);
-            let before = ill.len();
-            for maker in word.by_ref().filter(|maker| self.credit(*maker, unheard) >= credit) {
-                makers.insert(maker);
-                ill.truncate(before);
-                ill.push(*e);
-            }
-        }
-        (makers, ill)
-    }
-
-    /// Nothing that was said of an engine counts any more.
-    pub fn forget(&mut self, e: EngineId) {
-        self.said.retain(|(at, _), _| *at != e);
-    }
-}
-
 /// Figures about engines, under their index.
 #[derive(Default)]
 pub struct Engines {
@@ -296,6 +228,17 @@
         all.get((share * all.len() as f64) as usize).copied()
     }
 
+    /// The same of one engine, or of all that are open.
+    pub fn totals(&self, one: Option<EngineId>) -> (f64, f64) {
+        one.map_or_else(|| self.open_totals(), |e| (self.bound[e], self.own[e].threads))
+    }
+
+    /// What was pushed at a cold engine and is not worked off yet, at a rate.
+    pub fn left_of_pushed(&self, e: EngineId, rate: f64, now: Micros) -> f64 {
+        let (pushed, at) = self.pushed[e];
+        (pushed - rate * (now - at) as f64).max(0.0)
+    }
+
     /// The bounds of all open engines added up, and the threads that this front has out there.
     pub fn open_totals(&self) -> (f64, f64) {
         let open = (0..self.open.len()).filter(|e| self.open[*e]);
@@ -340,10 +283,16 @@
         each.copied().unwrap_or_default().times(self.size[e].threads)
     }
 
-    /// The same for each core, to be learned from its reports.
-    pub fn usual_of_kind(&mut self, e: EngineId) -> Option<&mut Load> {
-        let kind = self.listed[e].as_ref()?.kind;
-        self.usual.get_mut(kind)
+    /// The same for each core, as its reports tell.
+    pub fn learn_usual(&mut self, e: EngineId, told: Load, weight: f64) {
+        let usual = self.listed[e].as_ref().and_then(|entry| self.usual.get_mut(entry.kind));
+        usual.into_iter().for_each(|usual| usual.blend(told, weight));
+    }
+
+    /// A load of another front holds the data set there until then.
+    pub fn lock(&mut self, e: EngineId, data_set: u32, now: Micros, until: Micros) {
+        self.held[e].retain(|(held, until)| *held != data_set && *until > now);
+        self.held[e].push((data_set, until));
     }
 
     /// Makes room for an engine; one that is new starts with the credit given.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -178,10 +178,21 @@
         self.now = time;
     }
 
+    /// What the fleet was asked of each workload, as `NAME=ASKED/ENDED/TIMELY`, each of a second on one thread.
+    fn offers(&self, said: &BTreeMap<&str, &str>) -> Vec<Offer> {
+        let offer = |name: &String| {
+            let counts: Vec<f64> =
+                said.get(&name[..]).map_or(Vec::new(), |v| v.split('/').map(number).collect());
+            let count = |n: usize| counts.get(n).copied().unwrap_or(0.0);
+            Offer { asked: count(0), ended: count(1), timely: count(2), work: 1e6 }
+        };
+        self.workloads.iter().map(offer).collect()
+    }
+
     fn happens(&mut self, words: &[&str]) -> Option<Event> {
-        let said = options(&words[if words[0] == "fleet" { 1 } else { 2 }..]);
+        let said = options(&words[if ["fleet", "asked"].contains(&words[0]) { 1 } else { 2 }..]);
         let statement = match words[0] {
-            "hear" | "fleet" | "probed" => 0,
+            "hear" | "fleet" | "asked" | "probed" => 0,
             _ => index(&mut self.statements, words[1]) as StatementId,
         };
         let value = |name: &str| said.get(name).map_or(0.0, |v| number(v));
@@ -241,6 +252,7 @@
                 silent: micros(said.get("silent").copied().unwrap_or("0")),
                 age: micros(said.get("age").copied().unwrap_or("0")),
             }),
+            "asked" => Event::Offered { missed: value("missed"), offers: self.offers(&said) },
             "fleet" => Event::Fleet { known: value("known"), up: value("up") },
             "probed" => Event::Probed {
                 engine: self.engine_names.iter().position(|e| e == words[1])?,
