--- a/crates/agreement/src/operator/overload.rs
+++ b/crates/agreement/src/operator/overload.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 
 use super::places::fault;
+use crate::error::{Error, What};
 
 const FURTHER_PERCENT: u32 = 10; // further executions to first ones over the fleet, where the file is silent
 const WINDOW: Micros = 10_000_000; // microseconds over which that is counted, where the settings name no window
@@ -31,9 +32,9 @@
     }
 }
 
-pub fn overload(text: &str, file: OverloadFile) -> Result<Overload, String> {
+pub fn overload(text: &str, file: OverloadFile) -> Result<Overload, Error> {
     if file.further_percent > 100 {
-        return Err(fault(text, "gossip.overload.further_percent", "is over 100"));
+        return Err(fault(text, "gossip.overload.further_percent", What::over(100)));
     }
     Ok(Overload { further_percent: file.further_percent })
 }
