--- a/crates/agreement/src/station.rs
+++ b/crates/agreement/src/station.rs
@@ -113,6 +113,7 @@
         operator.apply(&mut contract.agreement.report);
         if let Some(gossip) = &operator.gossip {
             contract.agreement.zone_quorum = gossip.zone_quorum;
+            gossip.overload.iter().for_each(|o| o.apply(&mut contract.agreement));
         }
         let address = |variable: &'static str, key: &str, kept: Option<String>| {
             let value = said(variable, key, kept)?;
--- a/crates/lab/src/prove/rules.rs
+++ b/crates/lab/src/prove/rules.rs
@@ -130,6 +130,7 @@
             lease_ms: 2_000,
             copies: Some(3),
             zone_quorum: None,
+            sheds_as_one: false,
         },
         load: Load { per_second: 60, work_ms: 20, timeout_ms: 4_000, memory_mb: 0 },
         engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
