Pages of hits of lives that are over are folded into one table of the fleet, once

Each restart that counted left its pages for good, and every question after the fleet's count read them all.

The next life of the same front closes the pages of the earliest one by compare and swap, adds their rows to the parts of one table, blanks the pages and takes the life out of the list. A part names the last life of each front that is in it, so that a front lost at any step neither loses nor doubles. The count reads lists, pages, and the table last. A life that finds a later one of its front stops counting, and its log says so. hits.rs is split by job.

Also tested: each of the eight versions kept is in force again with one act on all fronts, with one cut off; roll backs are among the drawn changes.

Not tested: an earlier life that goes on beside a later one.

--- a/crates/access/src/access.rs
+++ b/crates/access/src/access.rs
@@ -97,6 +97,7 @@
     /// Statements that a new version has ended.
     pub ended: u64,
     ends: Vec<u64>,
+    over: bool,
     /// Said of the shares already.
     told: Option<Said>,
 }
@@ -134,6 +135,7 @@
             looked: 0,
             ended: 0,
             ends: Vec::new(),
+            over: false,
             told: None,
         }
     }
@@ -327,6 +329,9 @@
         if std::mem::take(&mut self.hits.full) {
             said.push(Said::Full { what: "hits" });
         }
+        if self.hits.over && !std::mem::replace(&mut self.over, true) {
+            said.push(Said::Over);
+        }
         let trouble = self.shares.trouble();
         if trouble != self.told {
             said.extend(trouble.clone());
--- a/crates/access/src/hits.rs
+++ b/crates/access/src/hits.rs
@@ -1,6 +1,9 @@
 //! Hits of rules by customer and region: one table for each life of a front, whose counts only grow, in pages that
 //! the ledger keeps. Tables merge by the greater count of each row, in any order, twice without harm.
 
+mod fold;
+mod sweep;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use hallmux_ledger::{Act, Ask, Key, Kind, Outcome, Owner};
@@ -8,11 +11,14 @@
 
 use crate::{FrontId, Micros, Moment};
 
+use fold::{Fold, Folded};
+use sweep::Sweep;
+
 const PAGE: usize = 64; // rows of a page; some 3 KB
 const MOST_PAGES: usize = 64; // of a life; rows beyond are counted under any customer
 const AGAIN: Micros = 250_000; // microseconds until what the ledger could not do is asked again
-const AT_ONCE: usize = 32; // pages read at once for the fleet's count
 const FORMAT: u8 = 1; // of a page and of the list of lives
+const CLOSED: u8 = 2; // of a page that is written no more
 const ANY: &str = "*"; // the customer, or the rule, of rows for which there is no room
 
 /// What is counted.
@@ -65,6 +71,12 @@
     /// For the fleet's count.
     LivesOf(FrontId),
     PageOf(Owner),
+    Folded(usize),
+    /// Of the earlier life that is being folded.
+    Closing,
+    Adding,
+    Blanking,
+    Dropping,
 }
 
 /// A life of a front and how many pages it has.
@@ -84,7 +96,14 @@
     asked: HashMap<u64, Asked>,
     try_again: Micros,
     ticked: Micros,
+    /// An earlier life of this front that is taken into the fleet's table.
+    fold: Option<Fold>,
+    /// The list of lives has changed since it was read.
+    reread: bool,
+    /// A later life of this front counts: this one may no more.
+    pub over: bool,
     sweep: Option<Sweep>,
+    folded: BTreeMap<usize, (Folded, u64)>,
     known: BTreeMap<Owner, Counts>,
     fleet: Fleet,
     pub asks: Vec<Ask>,
@@ -94,13 +113,6 @@
     pub full: bool,
 }
 
-struct Sweep {
-    begun: Micros,
-    reads: Vec<(FrontId, Option<(u64, u32)>)>,
-    out: usize,
-    missing: BTreeSet<FrontId>,
-}
-
 fn lives_key(front: FrontId) -> Key {
     Key { kind: Kind::Hits, name: format!("lives {front:016x}") }
 }
@@ -120,6 +132,18 @@
     }
 }
 
+fn is_closed(bytes: &[u8]) -> bool {
+    bytes.first() == Some(&CLOSED)
+}
+
+/// The counts of a page, whether it is closed or not.
+fn counts(bytes: &[u8]) -> Option<Counts> {
+    match postcard::take_from_bytes::<(u8, Counts)>(bytes) {
+        Ok(((FORMAT | CLOSED, counts), [])) => Some(counts),
+        _ => None,
+    }
+}
+
 impl Hits {
     /// `fronts` are all whose counts make the fleet's.
     pub fn new(own: Owner, fronts: Vec<FrontId>) -> Hits {
@@ -135,7 +159,11 @@
             asked: HashMap::new(),
             try_again: Micros::MIN,
             ticked: Micros::MIN,
+            fold: None,
+            reread: false,
+            over: false,
             sweep: None,
+            folded: BTreeMap::new(),
             known: BTreeMap::new(),
             fleet: Fleet::default(),
             asks: Vec::new(),
@@ -195,8 +223,7 @@
     /// Asks for the fleet's count.
     pub fn sweep(&mut self, at: Moment) {
         if self.sweep.is_none() {
-            let reads = self.fronts.iter().map(|front| (*front, None)).collect();
-            self.sweep = Some(Sweep { begun: at.steady, reads, out: 0, missing: BTreeSet::new() });
+            self.sweep = Some(Sweep::new(at.steady, &self.fronts));
             self.try_again = self.try_again.min(at.steady);
         }
     }
@@ -215,8 +242,9 @@
             return;
         }
         self.list(number);
-        for page in 0..self.listed {
-            self.put(page, number);
+        if !self.over {
+            (0..self.listed).for_each(|page| self.put(page, number));
+            self.fold_on(at.wall_ms, number);
         }
         self.read_on(number);
     }
@@ -229,11 +257,12 @@
 
     /// Names this life and its pages in the list of lives, before anything is counted there.
     fn list(&mut self, number: &mut impl FnMut() -> u64) {
-        if self.listed >= self.pages.len() || self.listing {
+        let lists = self.reread || self.listed < self.pages.len();
+        if self.over || !lists || self.listing {
             return;
         }
         self.listing = true;
-        let Some((lives, version)) = &self.lives else {
+        let Some((lives, version)) = self.lives.as_ref().filter(|_| !std::mem::take(&mut self.reread)) else {
             return self.ask(number, Asked::Lives, lives_key(self.own.front), Act::Read);
         };
         let mut lives: Vec<(u64, u32)> = lives.clone();
@@ -269,7 +298,8 @@
         match asked {
             Asked::Put { page, added } => self.put_done(page, added, outcome),
             Asked::Lives => self.listed_done(outcome),
-            Asked::LivesOf(_) | Asked::PageOf(_) => self.swept_on(asked, outcome),
+            Asked::LivesOf(_) | Asked::PageOf(_) | Asked::Folded(_) => self.swept_on(asked, outcome),
+            step => self.folded_on(&step, outcome),
         }
         if failed {
             self.try_again = at.steady + AGAIN;
@@ -286,7 +316,11 @@
                 (page.standing, page.version) = (page.standing.max(added), entry.version)
             }
             // An earlier put of this life that was thought lost has stood.
-            Outcome::Held(entry) => page.version = entry.version,
+            Outcome::Held(entry) => {
+                // Only a later life of this front closes its pages.
+                self.over |= is_closed(&entry.value);
+                page.version = entry.version;
+            }
             _ => {}
         }
         let pages = &self.pages;
@@ -304,57 +338,17 @@
             Outcome::Absent => return self.lives = Some((Vec::new(), 0)),
             Outcome::Unreachable | Outcome::Full => return,
         };
-        let lives = whole::<Vec<(u64, u32)>>(&entry.value).unwrap_or_default();
+        // An answer told again comes without what stands: it is read anew.
+        let Some(lives) = whole::<Vec<(u64, u32)>>(&entry.value) else {
+            // One of a format that this build does not know stays as it is.
+            let known = if entry.value.is_empty() { 0 } else { 20 * AGAIN };
+            self.try_again = self.try_again.max(self.ticked + known);
+            return self.lives = None;
+        };
+        self.over |= lives.iter().any(|(life, _)| *life > self.own.incarnation);
         if let Some((_, pages)) = lives.iter().find(|(life, _)| *life == self.own.incarnation) {
             self.listed = self.listed.max(*pages as usize).min(self.pages.len());
         }
         self.lives = Some((lives, entry.version));
     }
-
-    /// Reads on for the fleet's count.
-    fn read_on(&mut self, number: &mut impl FnMut() -> u64) {
-        loop {
-            let Some(sweep) = self.sweep.as_mut().filter(|sweep| sweep.out < AT_ONCE) else { return };
-            let Some((front, page)) = sweep.reads.pop() else { break };
-            sweep.out += 1;
-            let (asked, key) = match page {
-                None => (Asked::LivesOf(front), lives_key(front)),
-                Some((incarnation, page)) => {
-                    (Asked::PageOf(Owner { front, incarnation }), page_key(front, incarnation, page as usize))
-                }
-            };
-            self.ask(number, asked, key, Act::Read);
-        }
-        if let Some(sweep) = self.sweep.take_if(|sweep| sweep.out == 0) {
-            let mut counts = Counts::new();
-            for (hit, count) in self.known.values().flatten() {
-                *counts.entry(hit.clone()).or_default() += count;
-            }
-            self.fleet = Fleet { counts, as_of: Some(sweep.begun), missing: sweep.missing };
-            self.swept = true;
-        }
-    }
-
-    fn swept_on(&mut self, asked: Asked, outcome: Outcome) {
-        let Some(sweep) = &mut self.sweep else { return };
-        sweep.out -= 1;
-        match (asked, outcome) {
-            (_, Outcome::Absent) => {}
-            (Asked::LivesOf(front), Outcome::Stands(entry)) => match whole::<Vec<(u64, u32)>>(&entry.value) {
-                Some(lives) => {
-                    let pages = |(life, pages): (u64, u32)| (0..pages).map(move |page| (life, page));
-                    sweep.reads.extend(lives.into_iter().flat_map(pages).map(|page| (front, Some(page))));
-                }
-                None => _ = sweep.missing.insert(front),
-            },
-            (Asked::PageOf(owner), Outcome::Stands(entry)) => match whole::<Counts>(&entry.value) {
-                Some(counts) => merge(self.known.entry(owner).or_default(), &counts),
-                None => _ = sweep.missing.insert(owner.front),
-            },
-            (Asked::LivesOf(front) | Asked::PageOf(Owner { front, .. }), _) => {
-                _ = sweep.missing.insert(front)
-            }
-            _ => {}
-        }
-    }
 }
--- a/crates/access/src/versions.rs
+++ b/crates/access/src/versions.rs
@@ -42,6 +42,8 @@
     Open {
         version: u64,
     },
+    /// A later life of this front counts hits: this one does not any more.
+    Over,
     /// The ledger holds what this build cannot read.
     Unreadable {
         what: &'static str,
--- a/crates/access/tests/fleet.rs
+++ b/crates/access/tests/fleet.rs
@@ -33,6 +33,7 @@
         ("ended", all.ended),
         ("denied", all.denied),
         ("limited", all.limited),
+        ("roll backs", all.rolls),
         ("sent", all.sent),
     ] {
         assert!(count >= least, "{what}: {count}");
@@ -85,6 +86,37 @@
     }
 }
 
+#[test]
+fn pages_of_lives_that_are_over_are_folded_once_wherever_a_front_is_lost() {
+    for seed in 0..16 {
+        let mut sim = Sim::new(seed, Faults::none());
+        let rules = "{ name: 'a', customer: 'acme', regions: ['eu'] }, { name: 'b', then: 'count' }";
+        sim.offer_text(0, 1, &format!("{{ version: 1, default: 'allow', rules: [{rules}] }}"));
+        sim.run(6_000_000);
+        // Each life is lost at some step of taking in the one before.
+        for life in 0..8 {
+            sim.restart(0);
+            sim.run(300_000 + (seed as i64 * 8 + life) % 60 * 10_000);
+        }
+        sim.heal();
+        sim.run(2_000_000);
+        sim.quiet = true;
+        sim.run(2_000_000);
+        let (here, there) = (sim.fleet_count(0), sim.fleet_count(1));
+        assert_eq!((here.missing.len(), &here.counts), (0, &there.counts), "seed {seed}");
+        for (hit, judged) in &sim.judged {
+            let count = here.counts.get(hit).copied().unwrap_or(0);
+            let acked = sim.acked.get(hit).copied().unwrap_or(0);
+            assert!(
+                acked <= count && count <= *judged,
+                "seed {seed}: {hit:?}: {acked} <= {count} <= {judged}"
+            );
+        }
+        // One life of each front has pages of its own.
+        assert_eq!(sim.pages(), sim.len(), "seed {seed}");
+    }
+}
+
 #[test]
 fn tables_of_counts_merge_in_any_order_and_twice_without_harm() {
     use hallmux_access::{merge, Counts, Hit};
@@ -136,6 +168,39 @@
     assert_eq!(last.as_deref(), Some(says));
 }
 
+#[test]
+fn any_version_kept_is_in_force_again_with_one_act_though_a_front_is_cut_off() {
+    let places = ["eu", "us", "ap"];
+    let regions = |version: usize| -> Vec<u16> { (0..3).filter(|at| version >> at & 1 == 1).collect() };
+    let text = |version: usize| {
+        let named: Vec<String> =
+            regions(version).iter().map(|at| format!("'{}'", places[*at as usize])).collect();
+        let rule = format!("{{ name: 'a', customer: 'acme', regions: [{}] }}", named.join(", "));
+        format!("{{ version: {version}, default: 'allow', rules: [{rule}] }}")
+    };
+    // The last eight are kept behind the one that holds; version 8 has no regions, and is left out.
+    let versions = [1, 2, 3, 4, 5, 6, 7, 9, 10];
+    for to in &versions[..8] {
+        let mut sim = Sim::new(*to as u64, Faults::none());
+        for version in versions {
+            sim.offer_text(version % 4, version as u64, &text(version));
+            sim.run(4_500_000);
+        }
+        assert_eq!(sim.versions(), vec![(10, true); sim.len()]);
+        sim.cut(4, 11_000_000);
+        sim.offer_text(2, 11, &format!("{{ version: 11, roll_back_to: {to} }}"));
+        sim.run(10_000_000);
+        let now = sim.versions();
+        assert_eq!((&now[..4], now[4].1), (&[(11, true); 4][..], false), "to {to}");
+        assert_eq!(sim.lets(0, "acme"), Some(regions(*to)), "to {to}");
+        assert!(sim.took(11).is_some_and(|took| took < 4_000_000), "to {to}: {:?}", sim.took(11));
+        sim.run(4_000_000);
+        assert_eq!(sim.versions(), vec![(11, true); sim.len()], "to {to}");
+        assert_eq!(sim.lets(4, "acme"), Some(regions(*to)), "to {to}");
+        assert_eq!(sim.barred(), Vec::<String>::new(), "to {to}");
+    }
+}
+
 #[test]
 fn what_loosens_is_in_force_at_once_and_what_tightens_only_after_the_leases() {
     let mut sim = Sim::new(9, Faults::none());
--- a/crates/access/tests/fleet/played.rs
+++ b/crates/access/tests/fleet/played.rs
@@ -34,6 +34,7 @@
     pub closed: u64,
     pub ended: u64,
     pub denied: u64,
+    pub rolls: u64,
     pub limited: u64,
     pub sent: u64,
     pub free: u64,
@@ -52,6 +53,7 @@
             (&mut self.closed, other.closed),
             (&mut self.ended, other.ended),
             (&mut self.denied, other.denied),
+            (&mut self.rolls, other.rolls),
             (&mut self.limited, other.limited),
             (&mut self.sent, other.sent),
         ] {
@@ -76,7 +78,14 @@
             9..13 => {
                 let version = self.next_version;
                 self.next_version += 1;
-                let text = self.draw_rules(version);
+                let text = match version > 2 && self.rng.random_bool(0.25) {
+                    true => {
+                        self.tallies.rolls += 1;
+                        let to = self.rng.random_range(version.saturating_sub(6).max(1)..version);
+                        format!("{{ version: {version}, roll_back_to: {to} }}")
+                    }
+                    false => self.draw_rules(version),
+                };
                 self.offer_text(front, version, &text);
                 if self.rng.random_bool(0.4) {
                     // Another file under the same version, at another front in the same moment.
@@ -95,7 +104,11 @@
         }
     }
 
-    fn restart(&mut self, front: usize) {
+    pub fn cut(&mut self, front: usize, time: i64) {
+        self.fronts[front].cut = self.now + time;
+    }
+
+    pub fn restart(&mut self, front: usize) {
         let life = self.fronts[front].life + 1;
         let f = &mut self.fronts[front];
         (f.access, f.life) = (access(front, life), life);
--- a/crates/access/tests/fleet/record.rs
+++ b/crates/access/tests/fleet/record.rs
@@ -44,6 +44,12 @@
         panic!("no count");
     }
 
+    /// Pages of lives that hold counts of their own: those that end are on their way out.
+    pub fn pages(&self) -> usize {
+        let own = |e: &&hallmux_access::Entry| e.key.name.starts_with("hits ") && e.ends_ms == 0;
+        self.ledger.values().filter(own).count()
+    }
+
     pub fn versions(&self) -> Vec<(u64, bool)> {
         (0..FRONTS).map(|n| self.fronts[n].access.version(self.moment(n).steady)).collect()
     }
--- a/crates/front/src/fleet/rules/said.rs
+++ b/crates/front/src/fleet/rules/said.rs
@@ -82,6 +82,10 @@
             log::warn!("cannot know which rules hold; statements of customers that they can be about are rejected")
         }
         Said::Open { version } => log::info!("knows which rules hold: version {version}"),
+        Said::Over => log::error!(
+            "the ledger knows a later life of this front: what hits count is held here; end this process, or set its \
+             clock right and start it anew"
+        ),
         Said::Unreadable { what } => log::error!(
             "the fleet's rules can't be read here ({what}); give this front the settings and the build of the others"
         ),
