An earlier life of a front that goes on beside a later one is tested to count nothing

Two lives of one front on one ledger: what each counted before is in the fleet's count once, and nothing of the earlier one after.

--- a/crates/access/tests/alone.rs
+++ b/crates/access/tests/alone.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use hallmux_access::{
-    read, Access, Act, Asked, Bound, Change, Decided, Done, Entry, Judged, Key, Known, Moment, Outcome,
-    Owner, Setup, Terms, Wish,
+    read, Access, Act, Asked, Bound, Change, Decided, Done, Entry, Fleet, Judged, Key, Known, Moment,
+    Outcome, Owner, Said, Setup, Terms, Wish,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -14,10 +14,14 @@
 
 struct One {
     access: Access,
+    /// An earlier life of the same front that goes on all the same.
+    earlier: Option<Access>,
+    counted: Vec<u64>,
+    said: Vec<Said>,
+    fleet: Option<Fleet>,
     now: i64,
     ledger: BTreeMap<Key, Entry>,
     last: u64,
-    limited: Vec<u64>,
 }
 
 fn known() -> Known {
@@ -36,18 +40,29 @@
     read("rules.json5", text, &known(), &|_| None).unwrap_or_else(|e| panic!("{e}: {text}"))
 }
 
+fn access(incarnation: u64) -> Access {
+    Access::new(Setup {
+        own: Owner { front: 1, incarnation },
+        fronts: vec![1],
+        region: "eu".to_string(),
+        known: known(),
+        terms: Terms { length: 3_000_000, drift_ppm: 10_000 },
+        remembers: 6 * 3_600_000_000,
+        first_number: 1 << 40,
+    })
+}
+
 impl One {
     fn new() -> One {
-        let access = Access::new(Setup {
-            own: Owner { front: 1, incarnation: 1 },
-            fronts: vec![1],
-            region: "eu".to_string(),
-            known: known(),
-            terms: Terms { length: 3_000_000, drift_ppm: 10_000 },
-            remembers: 6 * 3_600_000_000,
-            first_number: 1 << 40,
-        });
-        One { access, now: 0, ledger: BTreeMap::new(), last: 0, limited: Vec::new() }
+        let (ledger, counted, said) = (BTreeMap::new(), Vec::new(), Vec::new());
+        One { access: access(1), earlier: None, counted, said, fleet: None, now: 0, ledger, last: 0 }
+    }
+
+    /// Changes places with the earlier life.
+    fn swaps(&mut self) {
+        let other = self.earlier.take().unwrap_or_else(|| access(2));
+        self.earlier = Some(std::mem::replace(&mut self.access, other));
+        self.passes(4_000);
     }
 
     fn at(&self) -> Moment {
@@ -61,7 +76,9 @@
             self.access.tick(self.at());
             loop {
                 let out = self.access.take();
-                self.limited.extend(out.limited);
+                self.counted.extend(out.counted);
+                self.said.extend(out.said);
+                self.fleet = out.fleet.or(self.fleet.take());
                 if out.asks.is_empty() {
                     break;
                 }
@@ -116,6 +133,34 @@
     }
 }
 
+#[test]
+fn an_earlier_life_that_goes_on_beside_a_later_one_counts_nothing_any_more() {
+    let asked = Asked { customer: "acme".to_string(), workload: "lookup".to_string(), groups: None };
+    let mut one = One::new();
+    one.holds("{ version: 1, default: 'allow', rules: [ { name: 'a', then: 'count' }, { name: 'b', regions: ['eu'] } ] }");
+    let counts = |one: &mut One| {
+        one.counted.clear();
+        let statement = one.ask(&asked).1;
+        one.passes(4_000);
+        one.counted == [statement]
+    };
+    assert!(counts(&mut one));
+    // The later life has counted nothing yet: both may go on.
+    one.swaps();
+    one.swaps();
+    assert!(counts(&mut one));
+    // Now it has, and takes in what the earlier one had counted.
+    one.swaps();
+    assert!(counts(&mut one) && counts(&mut one));
+    one.swaps();
+    assert!(!counts(&mut one) && !counts(&mut one) && one.said.contains(&Said::Over));
+    one.swaps();
+    one.access.sweep(one.at());
+    one.passes(4_000);
+    let fleet = one.fleet.clone().unwrap();
+    assert_eq!((fleet.missing.len(), fleet.counts.into_values().collect::<Vec<_>>()), (0, vec![4, 4]));
+}
+
 fn drawn_rules(rng: &mut Pcg64, version: u64, what_if: bool) -> String {
     let mut rules = Vec::new();
     for n in 0..rng.random_range(1..8) {
