Loads through PostgreSQL sessions are marked before they leave

Need: 'marked' beside 'postgres' was refused at start, so a fleet with sessions could not scatter. A unit of a workload that may write waits for marks on all groups that its texts name; in a transaction on all that the transaction may have touched so far, with each of its units, as rows are seen from its end on. A simple query of one statement outside of a transaction carries its number to the site as a statement of lines does. Text that begins as a numbered load is refused from clients, of either protocol; a unit that names new groups after a Flush is ended. sqlparser's tree is walked for one type of look, not for each.

--- a/crates/agreement/src/operator/whole.rs
+++ b/crates/agreement/src/operator/whole.rs
@@ -78,10 +78,6 @@
             let what = "'marked' needs gossip.ledger, where marks stand; 'none' says that no load goes through a front";
             return Err(fault(text, "scatter.loads", what));
         }
-        if marked && postgres.is_some() {
-            let what = "'marked' can't be had beside 'postgres': loads of its sessions are not marked";
-            return Err(fault(text, "scatter.loads", what));
-        }
         let load_signal = file.load_signal.map(|l| load_signal(text, &l, contract)).transpose()?;
         let ahead = file.clock_ahead_ms;
         if !ahead.is_finite() || ahead.abs() > MOST_AHEAD_MS {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -73,9 +73,12 @@
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
         let rules = rules::start(station, clock.now, peers.as_ref())?;
         let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
-        let portal = portal.map(open).transpose()?;
+        let mut portal = portal.map(open).transpose()?;
         let turn = peers.as_ref().map_or(0, Peers::turn);
         let scatter = station.operator.scatter.as_ref();
+        if let Some((portal, scatter)) = portal.as_mut().zip(scatter.filter(|scatter| scatter.marked)) {
+            portal.writes = scatter.writes.clone();
+        }
         let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn, contract)).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
--- a/crates/front/src/front/asked.rs
+++ b/crates/front/src/front/asked.rs
@@ -55,6 +55,10 @@
         if let Some(field) = call.unfit {
             return self.clients.unfit(client, number, field, ended);
         }
+        if self.scatter.as_ref().is_some_and(|scatter| scatter.passes_for_numbered(&call)) {
+            let why = "its text begins as fronts number loads: leave that comment out";
+            return self.clients.say(client, number, &Reply::Refused(&[("reason", why)]));
+        }
         let full = self.clients.held() > self.most_bytes;
         if full != std::mem::replace(&mut self.full, full) {
             log::warn!(
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -12,6 +12,7 @@
 use crate::fleet::rules::{Ordered, Ruling, Shared};
 use crate::fleet::Peers;
 use crate::postgres::portal::{Portal, Room};
+use crate::scatter::Load;
 
 impl Front {
     /// Passes on what engines have said.
@@ -135,14 +136,24 @@
     /// An execution that has its promises waits for the mark on its load, or leaves.
     fn mark(&mut self, ordered: Ordered) {
         let Ordered { ticket, execution, place, terms, .. } = ordered;
-        let (now, call) = (self.clock.now, self.call(ticket));
+        let now = self.clock.now;
+        let load = self.load(ticket);
         let loads = self.scatter.as_mut().and_then(|scatter| scatter.loads.as_mut());
         let (dispatcher, held) = (&mut self.dispatcher, ((ticket, execution), place, terms));
-        if !loads.zip(call).is_some_and(|(loads, call)| loads.holds(now, dispatcher, held, &call)) {
+        if !loads.zip(load).is_some_and(|(loads, load)| loads.holds(now, dispatcher, held, load)) {
             self.send(ordered);
         }
     }
 
+    /// What a statement may write, where loads are marked.
+    fn load(&mut self, ticket: Ticket) -> Option<Load> {
+        self.scatter.as_ref()?.loads.as_ref()?;
+        if self.owns(ticket) {
+            return self.portal.as_mut()?.load(ticket);
+        }
+        self.call(ticket).map(Load::Call)
+    }
+
     /// Whether rules still let it leave: nothing may come between this look and its way.
     pub(super) fn may_leave(&mut self, ordered: Ordered) -> bool {
         let (now, dispatcher) = (self.clock.now, &mut self.dispatcher);
@@ -158,7 +169,7 @@
         let Ordered { ticket, execution, place, terms, .. } = ordered;
         let (now, sent) = (self.clock.now, (ticket, execution));
         if self.owns(ticket) {
-            return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place));
+            return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place, None));
         }
         match self.call(ticket) {
             Some(call) => self.engines.send(now, sent, place, call, terms),
@@ -199,13 +210,14 @@
                 self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
-            Order::Stop { ticket, execution, .. }
+            Order::Stop { ticket, execution, ending }
                 if self
                     .scatter
                     .as_mut()
                     .and_then(|scatter| scatter.loads.as_mut())
                     .is_some_and(|loads| loads.stops((ticket, execution))) =>
             {
+                self.portal.iter_mut().for_each(|portal| portal.stop(now, (ticket, execution), ending));
                 self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None, None);
             }
             Order::Stop { ticket, execution, ending } if self.is_out((ticket, execution)) => {
--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -12,7 +12,7 @@
 use super::Front;
 use crate::clients::{self, ClientId};
 use crate::fleet::rules::Ordered;
-use crate::scatter::{Said, Scatters, Word, NUMBERS};
+use crate::scatter::{Leaves, Said, Scatters, Word, NUMBERS};
 
 impl Front {
     /// Takes a statement of a workload that is scattered, where parts can make up its answer. Gives it back with the one
@@ -99,11 +99,16 @@
             asks.into_iter().for_each(|ask| peers.ask(now, ask));
             for word in words {
                 match word {
-                    Word::Send { sent: (ticket, execution), place, terms, call } => {
+                    Word::Send { sent: (ticket, execution), place, terms, leaves } => {
                         self.dispatcher.leaves(now, ticket, execution);
                         let of = self.judged_as(ticket);
                         if self.may_leave(Ordered { of, ticket, execution, place, terms }) {
-                            self.engines.send(now, (ticket, execution), place, call, terms);
+                            let sent = (ticket, execution);
+                            match (leaves, &mut self.portal) {
+                                (Leaves::Call(call), _) => self.engines.send(now, sent, place, call, terms),
+                                (Leaves::Unit(text), Some(portal)) => portal.send(now, sent, place, text),
+                                (Leaves::Unit(_), None) => {}
+                            }
                         }
                     }
                     Word::TurnAway((ticket, _)) => {
--- a/crates/front/src/postgres/portal.rs
+++ b/crates/front/src/postgres/portal.rs
@@ -2,8 +2,10 @@
 //! and the engines' answers mean to them. Switched on by the operator's file; off, it is not there.
 
 mod asked;
+mod loads;
 
 use std::net::TcpListener;
+use std::rc::Rc;
 
 use calloop::LoopHandle;
 use hallmux_agreement::{Contract, Postgres};
@@ -41,6 +43,8 @@
     come_back_ms: Option<i64>,
     /// Regional access rules, where they are switched on.
     rules: Option<Shared>,
+    /// Workloads whose units may write, where loads are marked.
+    pub writes: Vec<String>,
     shut: Option<Micros>,
     /// Connections with more to read than one turn takes, that the loop does not tell of again.
     unfinished: Vec<Party>,
@@ -68,6 +72,7 @@
             come_back_ms: contract.agreement.longest_retry_after.map(|time| time / 1000),
             shut: None,
             rules,
+            writes: Vec::new(),
             unfinished: Vec::new(),
             handle,
         };
@@ -192,6 +197,10 @@
                     sessions::Told::Asked { session, part, since } => {
                         self.asked(now, room, dispatcher, session, part, since);
                     }
+                    sessions::Told::More { ticket, part } if self.strays(ticket, &part) => {
+                        self.sessions.fail(now, ticket, &loads::STRAYS, None);
+                        dispatcher.left(now, ticket);
+                    }
                     sessions::Told::More { ticket, part } => {
                         let sent = self.sessions.by_ticket(ticket);
                         let sent = sent.and_then(|(_, i)| i.running.as_ref()?.sent);
@@ -208,8 +217,8 @@
         }
     }
 
-    /// An execution is ordered.
-    pub fn send(&mut self, now: Micros, sent: Sent, place: Place) {
+    /// An execution leaves; with other text where it is a simple query that is to have it.
+    pub fn send(&mut self, now: Micros, sent: Sent, place: Place, text: Option<Vec<u8>>) {
         let Some((session, inside)) = self.sessions.by_ticket(sent.0) else {
             return self.servers.told.push(servers::Told::Ended { sent, ending: Ending::Withdrawn });
         };
@@ -218,7 +227,10 @@
         let lost = inside.session.transaction == Transaction::Lost;
         let Some(running) = &mut inside.running else { return };
         running.sent = Some(sent);
-        let (parts, once) = (running.parts.clone(), running.commits);
+        let (mut parts, once) = (running.parts.clone(), running.commits);
+        if let (Some(text), [part]) = (text, &mut parts[..]) {
+            *part = part.with_text(&text).map_or_else(|| part.clone(), Rc::new);
+        }
         if lost {
             // Its transaction went while it waited.
             return self.servers.told.push(servers::Told::Ended { sent, ending: Ending::Withdrawn });
--- a/crates/front/src/postgres/portal/asked.rs
+++ b/crates/front/src/postgres/portal/asked.rs
@@ -10,7 +10,7 @@
 use hallmux_postgres::session::{Part, Transaction};
 use hallmux_postgres::sql::Label;
 
-use super::{Portal, Room};
+use super::{loads, Portal, Room};
 use crate::postgres::servers::SessionId;
 use crate::postgres::sessions;
 
@@ -31,6 +31,7 @@
         let label = inside.session.label(&part);
         let why = match terms(&label, &inside.user, &self.timeouts) {
             Err(why) => why,
+            Ok(_) if loads::passes_for_numbered(&self.writes, &part) => loads::NUMBERED,
             Ok(_) if room.full => Final::Rejected { retry_after_ms: self.come_back_ms },
             Ok(terms) => {
                 let own = inside.session.statement_timeout(&label).unwrap_or(Micros::MAX);
--- /dev/null
+++ b/crates/front/src/postgres/portal/loads.rs
@@ -0,0 +1,80 @@
+//! What a unit may write, for the marks on loads. Rows that a transaction writes are seen from its end on, which may come with
+//! any of its units: each is marked for all that the transaction may have touched so far, before it leaves.
+
+use hallmux_codec::tables;
+use hallmux_dispatcher::Ticket;
+use hallmux_postgres::answer::Final;
+use hallmux_postgres::session::{Part, Transaction};
+use hallmux_scatter::marks::numbers;
+
+use super::Portal;
+use crate::postgres::sessions::Inside;
+use crate::scatter::Load;
+
+const MOST_GROUPS: usize = 1_024; // groups of a text that are looked for; more than that can't be marked
+
+/// The answer to a unit that goes on, after a Flush, with tables that are not marked.
+pub const STRAYS: Final = Final::Unfit {
+    field: "hallmux.workload",
+    why: "writes, and names a group of tables after a Flush that it has not named before",
+};
+
+/// The answer to text that passes for a load that a front has numbered.
+pub const NUMBERED: Final = Final::Unfit {
+    field: "hallmux.workload",
+    why: "writes, and its text begins as fronts number loads: leave that comment out",
+};
+
+impl Portal {
+    /// What an execution of a unit may write. None: nothing that needs a mark.
+    pub fn load(&mut self, ticket: Ticket) -> Option<Load> {
+        let (_, inside) = self.sessions.by_ticket(ticket)?;
+        let held = inside.session.transaction != Transaction::None;
+        if !held {
+            inside.touched.clear();
+        }
+        let parts = inside.running.as_ref()?.parts.clone();
+        if parts.first().is_some_and(|part| writes(&self.writes, inside, part)) {
+            let named = parts.iter().flat_map(|part| part.texts()).flat_map(groups);
+            inside.touched.extend(named);
+        }
+        let [part, ..] = &parts[..] else { return None };
+        let alone = !held && !part.begins && parts.len() == 1;
+        let simple = part.simple().filter(|_| alone).map(<[u8]>::to_vec);
+        let groups: Vec<u32> = inside.touched.iter().copied().collect();
+        (!groups.is_empty()).then_some(Load::Unit { groups, simple })
+    }
+
+    /// Whether more of a unit that is out names groups that nothing of it has named before.
+    pub(super) fn strays(&mut self, ticket: Ticket, part: &Part) -> bool {
+        if self.writes.is_empty() {
+            return false;
+        }
+        let Some((_, inside)) = self.sessions.by_ticket(ticket) else { return false };
+        let Some(running) = &inside.running else { return false };
+        let Some(first) = running.parts.first() else { return false };
+        if !writes(&self.writes, inside, first) && !writes(&self.writes, inside, part) {
+            return false;
+        }
+        // The last part is this one.
+        let before = running.parts.split_last().map_or(&[][..], |(_, before)| before);
+        let named: Vec<u32> = before.iter().flat_map(|part| part.texts()).flat_map(groups).collect();
+        let known = |group: &u32| named.contains(group) || inside.touched.contains(group);
+        part.texts().flat_map(groups).any(|group| !known(&group))
+    }
+}
+
+/// Whether a unit's text passes for a numbered load, where loads are marked.
+pub(super) fn passes_for_numbered(writes: &[String], part: &Part) -> bool {
+    !writes.is_empty() && part.texts().any(|text| !numbers(text).is_empty())
+}
+
+fn writes(workloads: &[String], inside: &Inside, part: &Part) -> bool {
+    let label = inside.session.label(part);
+    let workload = label.workload.as_ref().or(inside.user.workload.as_ref());
+    workload.is_some_and(|workload| workloads.contains(workload))
+}
+
+fn groups(text: &[u8]) -> Vec<u32> {
+    tables::groups(text, MOST_GROUPS)
+}
--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -59,6 +59,8 @@
     pub pin: Option<(usize, ServerId)>,
     /// Order keys whose turn its transaction keeps.
     pub holds: Vec<String>,
+    /// Groups of tables that its transaction may have written to, where loads are marked.
+    pub touched: BTreeSet<u32>,
     /// The open unit has its answer; all up to its Sync is passed over.
     skipping: bool,
 }
--- a/crates/front/src/postgres/sessions/taking.rs
+++ b/crates/front/src/postgres/sessions/taking.rs
@@ -1,6 +1,6 @@
 //! What clients say becomes units, one after the other; and how they come in.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use hallmux_agreement::User;
 use hallmux_dispatcher::Micros;
@@ -73,6 +73,7 @@
                                         running: None,
                                         pin: None,
                                         holds: Vec::new(),
+                                        touched: BTreeSet::new(),
                                         skipping: false,
                                     }));
                                     (used, true)
--- a/crates/front/src/scatter/loads.rs
+++ b/crates/front/src/scatter/loads.rs
@@ -20,11 +20,37 @@
 const MOST_GROUPS: usize = 1_024; // groups of tables that a load is marked for; statements are shorter than that
 const NOTED: Micros = 100_000; // microseconds between words to the dispatcher that an execution is still held
 
+/// What an execution may write, as the protocol that it came in tells it.
+pub enum Load {
+    Call(Rc<Call>),
+    /// A unit of a session: the groups that it may write to, and its text where that is all there is to it.
+    Unit {
+        groups: Vec<u32>,
+        simple: Option<Vec<u8>>,
+    },
+}
+
+impl Load {
+    fn groups(&self) -> Vec<u32> {
+        match self {
+            Load::Call(call) => tables::groups(&call.statement, MOST_GROUPS),
+            Load::Unit { groups, .. } => groups.clone(),
+        }
+    }
+
+    fn text(&self) -> Option<&[u8]> {
+        match self {
+            Load::Call(call) => Some(&call.statement),
+            Load::Unit { simple, .. } => simple.as_deref(),
+        }
+    }
+}
+
 /// An execution that is held.
 struct Held {
     place: usize,
     terms: Terms,
-    call: Rc<Call>,
+    load: Load,
 }
 
 pub struct Loads {
@@ -38,6 +64,13 @@
     unmarked: Vec<Sent>,
 }
 
+/// As what a load leaves.
+pub enum Leaves {
+    Call(Rc<Call>),
+    /// A session's unit, with this text where it is to have another.
+    Unit(Option<Vec<u8>>),
+}
+
 /// What becomes of what waited.
 pub enum Word {
     /// It leaves, as it is to be sent.
@@ -45,7 +78,7 @@
         sent: Sent,
         place: usize,
         terms: Terms,
-        call: Rc<Call>,
+        leaves: Leaves,
     },
     TurnAway(Sent),
     Other(Follows),
@@ -69,22 +102,23 @@
         now: Micros,
         dispatcher: &mut Dispatcher,
         (sent, place, terms): (Sent, usize, Terms),
-        call: &Rc<Call>,
+        load: Load,
     ) -> bool {
-        if !self.writes.contains(&call.workload) {
+        if matches!(&load, Load::Call(call) if !self.writes.contains(&call.workload)) {
             return false;
         }
-        let groups = tables::groups(&call.statement, MOST_GROUPS);
+        let groups = load.groups();
         if groups.len() > MOST_GROUPS {
             // Not all could be marked.
             self.unmarked.push(sent);
             dispatcher.waits(now, sent.0, sent.1);
             return true;
         }
-        if groups.is_empty() || sql::read(&call.statement).is_ok() {
+        if groups.is_empty() || load.text().is_some_and(|text| sql::read(text).is_ok()) {
             return false;
         }
-        let of = |group| (group, Touched::by(&call.statement, group));
+        let by = |group| load.text().map_or(Touched::Anything, |text| Touched::by(text, group));
+        let of = |group| (group, by(group));
         let only = |touched: &Touched| matches!(touched, Touched::Rows { .. });
         let mut touched: std::collections::BTreeMap<u32, Touched> = groups.iter().map(|g| of(*g)).collect();
         // Rows for one table alone are rows for no other group.
@@ -94,7 +128,7 @@
         let Some(site) = self.locations.get(dispatcher.site(place).location) else { return false };
         let ends_ms = ((terms.ends + RUNS_ON).max(0) / 1000) as u64;
         self.marker.load((u64::from(sent.0), sent.1), site, ends_ms, touched);
-        self.held.insert(sent, Held { place, terms, call: call.clone() });
+        self.held.insert(sent, Held { place, terms, load });
         dispatcher.waits(now, sent.0, sent.1);
         true
     }
@@ -152,10 +186,15 @@
         let sent = |(ticket, execution): marker::Waiter| (ticket as u32, execution);
         match follows {
             Follows::Go { load, numbers } => match self.held.remove(&sent(load)) {
-                Some(Held { place, terms, call }) => {
-                    let statement = numbered(&numbers, &call.statement);
-                    let call = Rc::new(Call { statement, ..Call::clone(&call) });
-                    Word::Send { sent: sent(load), place, terms, call }
+                Some(Held { place, terms, load: held }) => {
+                    let text = held.text().map(|text| numbered(&numbers, text));
+                    let leaves = match (held, text) {
+                        (Load::Call(call), Some(statement)) => {
+                            Leaves::Call(Rc::new(Call { statement, ..Call::clone(&call) }))
+                        }
+                        (_, text) => Leaves::Unit(text),
+                    };
+                    Word::Send { sent: sent(load), place, terms, leaves }
                 }
                 None => Word::TurnAway(sent(load)),
             },
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -6,5 +6,5 @@
 mod summaries;
 mod wholes;
 
-pub use loads::{Word, NUMBERS};
+pub use loads::{Leaves, Load, Word, NUMBERS};
 pub use wholes::{Said, Scatters};
--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -7,7 +7,7 @@
 use hallmux_codec::statement::Call;
 use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Ticket, Unfit};
 use hallmux_gossip::PeerId;
-use hallmux_scatter::marks::Marks;
+use hallmux_scatter::marks::{numbers, Marks};
 use hallmux_scatter::plan::{plan, Word};
 use hallmux_scatter::sql::{self, Query};
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
@@ -91,6 +91,11 @@
         self.settings.workloads.iter().any(|w| w == workload)
     }
 
+    /// A client's statement passes for a load that a front has numbered: its site would take its word for it.
+    pub fn passes_for_numbered(&self, call: &Call) -> bool {
+        self.loads.is_some() && !numbers(&call.statement).is_empty()
+    }
+
     /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be answered.
     pub fn read(&self, statement: &[u8]) -> Result<Option<Query>, String> {
         match sql::read(statement) {
--- a/crates/front/tests/scatter/main.rs
+++ b/crates/front/tests/scatter/main.rs
@@ -1,6 +1,7 @@
 //! Several front processes over sites that hold rows and sign summaries of them: which sites are asked, by the engines' own
 //! records; rows joined in the order of sites; sites that are missing named; summaries that spread from front to front.
 
+mod portal;
 mod site;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -20,6 +21,7 @@
 struct Front {
     process: Child,
     at: SocketAddr,
+    sessions: SocketAddr,
     log: Receiver<String>,
     asked: u32,
 }
@@ -55,13 +57,25 @@
 
 impl Front {
     fn start(name: &str, folder: &Path, sites: &[Site], operator: &str) -> Front {
-        let servers = sites.iter().map(|s| {
-            json!({"id": s.name, "addr": s.at.to_string(), "zone": s.name, "kind": "std", "cell": 0, "state": "up",
+        Front::start_beside(name, folder, sites, operator, None)
+    }
+
+    /// With an engine beside that speaks PostgreSQL, at the last site.
+    fn start_beside(
+        name: &str,
+        folder: &Path,
+        sites: &[Site],
+        operator: &str,
+        portal: Option<SocketAddr>,
+    ) -> Front {
+        let server = |id: &str, at: SocketAddr, zone: &str, kind: &str| {
+            json!({"id": id, "addr": at.to_string(), "zone": zone, "kind": kind, "cell": 0, "state": "up",
                    "weight": 1, "started_ms": 0})
-        });
-        let servers: Vec<_> = servers.collect();
+        };
+        let mut servers: Vec<_> = sites.iter().map(|s| server(s.name, s.at, s.name, "std")).collect();
+        servers.extend(portal.map(|at| server("pg", at, sites[sites.len() - 1].name, "pg")));
         let areas: Vec<&str> = sites.iter().map(|s| s.name).collect();
-        let settings = json!({"instances": sites.len(), "areas": areas, "kinds": ["std"], "rules": {},
+        let settings = json!({"instances": sites.len(), "areas": areas, "kinds": ["std", "pg"], "rules": {},
             "customers": [{"name": "acme", "allowancePerS": 10000.0}, {"name": "lax", "allowancePerS": 10000.0}],
             "bounds": {"cancelling": true, "mostHeld": 100, "mostTries": 2, "retryAfter": true},
             "requestClasses": [
@@ -83,7 +97,12 @@
                 let _ = says.send(line);
             })
         });
-        let mut front = Front { process, at: ([127, 0, 0, 1], 0).into(), log, asked: 0 };
+        let none: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let mut front = Front { process, at: none, sessions: none, log, asked: 0 };
+        if portal.is_some() {
+            let line = front.logs("takes PostgreSQL sessions at ");
+            front.sessions = line.rsplit(' ').next().unwrap().parse().unwrap();
+        }
         let line = front.logs("takes statements at ");
         front.at = line.rsplit(' ').next().unwrap().parse().unwrap();
         front
@@ -220,6 +239,17 @@
 
 /// Three fronts that talk with each other, each with its own directory of summaries; with a ledger where `marked`.
 fn fleet(name: &str, sites: &[Site], directories: &[PathBuf], marked: bool) -> Vec<Front> {
+    fleet_beside(name, sites, directories, marked, None)
+}
+
+/// The same with an engine that speaks PostgreSQL, and sessions.
+fn fleet_beside(
+    name: &str,
+    sites: &[Site],
+    directories: &[PathBuf],
+    marked: bool,
+    portal: Option<SocketAddr>,
+) -> Vec<Front> {
     let folder = room(name);
     // The ports are the system's: bound once to learn them, then left to the fronts.
     let sockets: Vec<UdpSocket> = (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
@@ -243,8 +273,11 @@
             peers.join(", "),
             at[(n + 1) % 3]
         );
-        let file = operator(sites, &directories[n], &format!("loads: '{loads}'"), &gossip);
-        Front::start(&format!("n{n}"), &folder, sites, &file)
+        let sessions = "postgres: { listen: '127.0.0.1:0', engines: [{ kinds: ['pg'] }], users: { loader: \
+                        { trust: true, member: 'acme', workload: 'pay' } } }";
+        let more = if portal.is_some() { format!("{gossip}, {sessions}") } else { gossip };
+        let file = operator(sites, &directories[n], &format!("loads: '{loads}'"), &more);
+        Front::start_beside(&format!("n{n}"), &folder, sites, &file, portal)
     };
     (0..3).map(front).collect()
 }
@@ -318,3 +351,45 @@
     assert!(held.starts_with(&[12, 0, 1]), "{held:?}");
     assert!(!sites.iter().any(|site| site.has(800)));
 }
+
+#[test]
+fn loads_through_sessions_are_seen_by_scatters_at_other_fronts() {
+    let sites = [Site::new("ash", &[1, 2]), Site::new("oak", &[21, 22])];
+    let directories = vec![room("sessions-summaries"); 3];
+    sites.iter().for_each(|site| site.writes(&directories[0], 1));
+    let portal = sites[1].portal();
+    let mut fronts = fleet_beside("sessions", &sites, &directories, true, Some(portal));
+    settles(&mut fronts[1], &sites, 1, &[1], &["ash"]);
+    let mut client = portal::Client::new(fronts[0].sessions);
+    // One statement outside of a transaction: its rows are known, and the site hears its number.
+    assert!(client.says("insert into sales_17.orders (id) values (500)"));
+    assert_eq!(fronts[1].rows("acme", &format!("{SELECT}500")), [500]);
+    assert_eq!(asked(&sites), ["oak"]);
+    settles(&mut fronts[1], &sites, 600, &[], &[]);
+    sites.iter().for_each(|site| site.writes(&directories[0], 2));
+    fronts.iter().for_each(|front| front.signal("-HUP"));
+    settles(&mut fronts[1], &sites, 500, &[500], &["oak"]);
+    // A transaction's rows are there from its end on, whatever summaries were made meanwhile.
+    for text in ["begin", "insert into sales_17.orders (id) values (700)"] {
+        assert!(client.says(text));
+    }
+    assert_eq!(fronts[1].rows("acme", &format!("{SELECT}700")), [0; 0]);
+    assert_eq!(asked(&sites), ["oak"], "what can't be known is asked");
+    sites.iter().for_each(|site| site.writes(&directories[0], 3));
+    fronts.iter().for_each(|front| front.signal("-HUP"));
+    settles(&mut fronts[1], &sites, 21, &[21], &["oak"]);
+    assert!(client.says("commit"));
+    for front in &mut fronts {
+        assert_eq!(front.rows("acme", &format!("{SELECT}700")), [700]);
+    }
+    sites.iter().for_each(|site| _ = site.asked());
+    // What passes for a numbered load, and what names tables too late, is turned away.
+    assert!(!client.says("/* load 17:9 */ insert into sales_17.orders (id) values (800)"));
+    assert!(!client.says_in_parts("insert into sales_17.orders (id) values (1)", "delete from sales_18.t"));
+    let held = fronts[0].loads("/* load 17:9 */ insert into sales_17.orders (id) values (800)");
+    assert!(held.starts_with(&[12, 0, 1]) && says(&held, "leave that comment out"), "{held:?}");
+    // Without a majority no load of a session runs.
+    fronts.drain(1..);
+    assert!(!client.says("insert into sales_17.orders (id) values (900)"));
+    assert!(!sites[1].has(800) && !sites[1].has(900));
+}
--- a/crates/front/tests/scatter/site.rs
+++ b/crates/front/tests/scatter/site.rs
@@ -13,7 +13,7 @@
 use hallmux_scatter::value::{Kind, Value};
 
 #[derive(Default)]
-struct Held {
+pub struct Held {
     rows: Vec<i64>,
     loads: Loads,
     asked: usize,
@@ -65,6 +65,11 @@
         self.held.lock().unwrap().fails = true;
     }
 
+    /// Where it takes PostgreSQL sessions.
+    pub fn portal(&self) -> SocketAddr {
+        super::portal::serves(self.held.clone())
+    }
+
     /// Writes a summary of what it holds into a directory.
     pub fn writes(&self, directory: &Path, version: u64) {
         let held = self.held.lock().unwrap();
@@ -103,13 +108,19 @@
 }
 
 impl Held {
+    /// Rows come, by a text that may carry its numbers.
+    pub fn load(&mut self, text: &str, rows: Vec<i64>) {
+        self.rows.extend(rows);
+        numbers(text.as_bytes()).iter().for_each(|(_, n)| self.loads.insert(*n));
+    }
+
     fn answers(&mut self, text: &str) -> Option<String> {
         if self.fails {
             return None;
         }
         if let Some((_, values)) = text.split_once("values (") {
-            self.rows.push(values.split([',', ')']).next()?.trim().parse().ok()?);
-            numbers(text.as_bytes()).iter().for_each(|(_, n)| self.loads.insert(*n));
+            let row = values.split([',', ')']).next()?.trim().parse().ok()?;
+            self.load(text, vec![row]);
             return Some(String::new());
         }
         self.asked += 1;
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -13,6 +13,7 @@
 use crate::entry::Welcome;
 use crate::prepared::{Catalogue, Prepared, Settings};
 use crate::sql::{self, Change, Label, Own, Scan};
+use crate::wire;
 
 /// What a session may hold.
 #[derive(Clone, Copy, Debug)]
@@ -110,6 +111,44 @@
         query.or(self.first.as_ref().map(|p| p.text())).unwrap_or_default()
     }
 
+    /// All texts that it runs or could: its own, and those of what it has prepared.
+    pub fn texts(&self) -> impl Iterator<Item = &[u8]> {
+        let query = self.query.clone().and_then(|at| self.raw.get(at));
+        let prepared = self.ops.iter().filter_map(|op| match op {
+            Op::Parse { prepared, .. } | Op::Bind { prepared, .. } | Op::Describe { prepared, .. } => {
+                Some(prepared.text())
+            }
+            _ => None,
+        });
+        query.into_iter().chain(prepared)
+    }
+
+    /// Its text where it is a simple query.
+    pub fn simple(&self) -> Option<&[u8]> {
+        matches!(self.ops[..], [Op::Query(_)]).then(|| self.text())
+    }
+
+    /// The same with other text, where it is a simple query.
+    pub fn with_text(&self, text: &[u8]) -> Option<Part> {
+        self.simple()?;
+        let mut raw = Vec::new();
+        wire::write(&mut raw, b'Q', |out| wire::write_string(out, text));
+        let query = raw.len() - 1 - text.len()..raw.len() - 1;
+        Some(Part {
+            ops: vec![Op::Query(0..raw.len())],
+            raw,
+            ends: self.ends,
+            label: self.label.clone(),
+            begins: self.begins,
+            commits: self.commits,
+            rolls_back: self.rolls_back,
+            changes: self.changes.clone(),
+            query: Some(query),
+            own: self.own.clone(),
+            ..Part::default()
+        })
+    }
+
     fn runs(&mut self, scan: &Scan) {
         self.label = self.label.over(&scan.label);
         self.begins |= scan.begins;
--- a/crates/scatter/src/sql.rs
+++ b/crates/scatter/src/sql.rs
@@ -266,8 +266,8 @@
         ControlFlow::Break(what) => whole(what),
         ControlFlow::Continue(()) => Ok(()),
     };
-    of_rows(visit_expressions(&projection, of_one_row))?;
-    of_rows(visit_expressions(&selection, of_one_row))?;
+    of_rows(visit_expressions(&projection, of_one_row as Look))?;
+    of_rows(visit_expressions(&selection, of_one_row as Look))?;
     let names = Names {
         table: alias.as_ref().map_or_else(|| table.clone(), |a| plain_name(&a.name)),
         taken: projection.iter().filter_map(given_name).collect(),
@@ -275,7 +275,7 @@
     let condition = match &selection {
         None => Condition::Constant(true),
         // MySQL reads some operators as AND and OR: then the whole falls apart otherwise.
-        Some(e) if visit_expressions(e, of_one_reading).is_break() => Condition::Other,
+        Some(e) if visit_expressions(e, of_one_reading as Look).is_break() => Condition::Other,
         Some(e) => crate::of::of(e, &names),
     };
     Ok(Query { group, table, condition, limit })
@@ -288,6 +288,9 @@
     }
 }
 
+/// One type for all looks: each type of its own has the whole of the crate's tree walked by code of its own.
+type Look = fn(&Expr) -> ControlFlow<String>;
+
 /// Whether an expression is of one row alone, by itself.
 fn of_one_row(e: &Expr) -> ControlFlow<String> {
     let stop = |what: &str| ControlFlow::Break(what.to_string());
@@ -331,7 +334,7 @@
 }
 
 /// Whether every dialect takes the operator for the same one, with the same rank.
-fn of_one_reading(e: &Expr) -> ControlFlow<()> {
+fn of_one_reading(e: &Expr) -> ControlFlow<String> {
     use BinaryOperator::{And, Divide, Eq, Gt, GtEq, Lt, LtEq, Minus, Modulo, Multiply, NotEq, Or, Plus};
     let known = match e {
         Expr::BinaryOp { op, .. } => {
@@ -348,7 +351,7 @@
     if known {
         ControlFlow::Continue(())
     } else {
-        ControlFlow::Break(())
+        ControlFlow::Break(String::new())
     }
 }
 
