The tree of an expression is walked by its own few kinds, not by the parser's visitor

The parser's visitor is generic: each type of look had the crate's whole tree walked by code compiled anew.

--- a/crates/scatter/src/lib.rs
+++ b/crates/scatter/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod marks;
 mod of;
 pub mod plan;
+mod row;
 pub mod spread;
 pub mod sql;
 pub mod summary;
--- a/crates/scatter/src/sql.rs
+++ b/crates/scatter/src/sql.rs
@@ -1,49 +1,19 @@
 //! What a statement asks for, taken from it by `sqlparser`: one table, a condition, a bound on rows. Dialects read some text
 //! in two ways; such text is not understood here, so that no reading of an engine's is missed.
 
-use std::ops::ControlFlow;
-
-use sqlparser::ast::{visit_expressions, SelectFlavor};
 use sqlparser::ast::{
-    BinaryOperator, Distinct, Expr, FunctionArguments, GroupByExpr, Ident, InTarget, LimitClause, ObjectName,
-    Query as Parsed, Select, SelectItem, SetExpr, Statement, TableFactor, UnaryOperator, Value as Word,
+    Distinct, Expr, GroupByExpr, Ident, LimitClause, ObjectName, Query as Parsed, Select, SelectFlavor,
+    SelectItem, SetExpr, Statement, TableFactor, UnaryOperator, Value as Word,
 };
 use sqlparser::dialect::GenericDialect;
 use sqlparser::parser::Parser;
 
 use crate::condition::Condition;
+use crate::row::{beyond_one_row, is_of_one_reading, selects_beyond_one_row};
 use crate::value::Literal;
 
 const LONGEST: usize = 16 << 10; // bytes of a statement that is looked at; conditions nest by its length
 const SCRATCH: &str = "staging"; // the schema that is no group's
-/// Functions of one row alone. Any other may be an aggregate, or give another value at each call.
-const OF_ONE_ROW: [&str; 24] = [
-    "abs",
-    "ceil",
-    "ceiling",
-    "char_length",
-    "coalesce",
-    "concat",
-    "floor",
-    "greatest",
-    "least",
-    "left",
-    "length",
-    "lower",
-    "lpad",
-    "ltrim",
-    "mod",
-    "nullif",
-    "replace",
-    "right",
-    "round",
-    "rpad",
-    "rtrim",
-    "substr",
-    "trim",
-    "upper",
-];
-
 /// A statement whose rows can be put together from those of its sites.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Query {
@@ -262,12 +232,10 @@
         return whole("a table with hints, partitions or other names");
     }
     let (group, table) = table(name).ok_or(Unfit::NoGroup)?;
-    let of_rows = |all: ControlFlow<String>| match all {
-        ControlFlow::Break(what) => whole(what),
-        ControlFlow::Continue(()) => Ok(()),
-    };
-    of_rows(visit_expressions(&projection, of_one_row as Look))?;
-    of_rows(visit_expressions(&selection, of_one_row as Look))?;
+    let beyond = projection.iter().find_map(selects_beyond_one_row);
+    if let Some(what) = beyond.or_else(|| selection.as_ref().and_then(beyond_one_row)) {
+        return whole(what);
+    }
     let names = Names {
         table: alias.as_ref().map_or_else(|| table.clone(), |a| plain_name(&a.name)),
         taken: projection.iter().filter_map(given_name).collect(),
@@ -275,7 +243,7 @@
     let condition = match &selection {
         None => Condition::Constant(true),
         // MySQL reads some operators as AND and OR: then the whole falls apart otherwise.
-        Some(e) if visit_expressions(e, of_one_reading as Look).is_break() => Condition::Other,
+        Some(e) if !is_of_one_reading(e) => Condition::Other,
         Some(e) => crate::of::of(e, &names),
     };
     Ok(Query { group, table, condition, limit })
@@ -288,73 +256,6 @@
     }
 }
 
-/// One type for all looks: each type of its own has the whole of the crate's tree walked by code of its own.
-type Look = fn(&Expr) -> ControlFlow<String>;
-
-/// Whether an expression is of one row alone, by itself.
-fn of_one_row(e: &Expr) -> ControlFlow<String> {
-    let stop = |what: &str| ControlFlow::Break(what.to_string());
-    match e {
-        Expr::Identifier(name) if name.value.eq_ignore_ascii_case("rownum") => stop("ROWNUM"),
-        Expr::Identifier(_) | Expr::CompoundIdentifier(_) | Expr::TypedString(_) | Expr::Interval(_) => {
-            ControlFlow::Continue(())
-        }
-        Expr::IsFalse(_) | Expr::IsNotFalse(_) | Expr::IsTrue(_) | Expr::IsNotTrue(_) | Expr::IsNull(_) => {
-            ControlFlow::Continue(())
-        }
-        Expr::IsNotNull(_) | Expr::IsUnknown(_) | Expr::IsNotUnknown(_) => ControlFlow::Continue(()),
-        Expr::IsDistinctFrom(..) | Expr::IsNotDistinctFrom(..) => ControlFlow::Continue(()),
-        Expr::In { target: InTarget::List(_), .. } | Expr::Between { .. } | Expr::BinaryOp { .. } => {
-            ControlFlow::Continue(())
-        }
-        Expr::Like { .. } | Expr::ILike { .. } | Expr::SimilarTo { .. } | Expr::RLike { .. } => {
-            ControlFlow::Continue(())
-        }
-        Expr::UnaryOp { .. } | Expr::Cast { .. } | Expr::Extract { .. } | Expr::Ceil { .. } => {
-            ControlFlow::Continue(())
-        }
-        Expr::Floor { .. } | Expr::Position { .. } | Expr::Substring { .. } | Expr::Trim { .. } => {
-            ControlFlow::Continue(())
-        }
-        Expr::Collate { .. } | Expr::Nested(_) | Expr::Case { .. } => ControlFlow::Continue(()),
-        Expr::Value(value) if matches!(value.value, Word::Placeholder(_)) => stop("a placeholder"),
-        Expr::Value(_) => ControlFlow::Continue(()),
-        Expr::Function(f) => {
-            let name = f.name.to_string().to_ascii_lowercase();
-            let plain = f.over.is_none() && f.filter.is_none() && f.within_group.is_empty();
-            let plain = plain && matches!(f.parameters, FunctionArguments::None);
-            match plain && OF_ONE_ROW.contains(&name.as_str()) {
-                true => ControlFlow::Continue(()),
-                false => ControlFlow::Break(format!("function '{name}'")),
-            }
-        }
-        Expr::Subquery(_) | Expr::Exists { .. } | Expr::In { .. } => stop("a statement within it"),
-        _ => stop("an expression of another kind"),
-    }
-}
-
-/// Whether every dialect takes the operator for the same one, with the same rank.
-fn of_one_reading(e: &Expr) -> ControlFlow<String> {
-    use BinaryOperator::{And, Divide, Eq, Gt, GtEq, Lt, LtEq, Minus, Modulo, Multiply, NotEq, Or, Plus};
-    let known = match e {
-        Expr::BinaryOp { op, .. } => {
-            matches!(
-                op,
-                And | Or | Eq | NotEq | Lt | Gt | LtEq | GtEq | Plus | Minus | Multiply | Divide | Modulo
-            )
-        }
-        Expr::UnaryOp { op, .. } => {
-            matches!(op, UnaryOperator::Not | UnaryOperator::Minus | UnaryOperator::Plus)
-        }
-        _ => true,
-    };
-    if known {
-        ControlFlow::Continue(())
-    } else {
-        ControlFlow::Break(String::new())
-    }
-}
-
 /// Which names stand for columns of the table.
 pub(crate) struct Names {
     table: String,
