--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -7,7 +7,7 @@
 
 pub use contract::{agreement, contract, micros, Allowance, Contract, Names};
 pub use operator::{
-    hexadecimal, line_of, Gossip, Ledger, LedgerMember, LoadSignal, OnDiskFailure, Operator, Ownership,
-    Postgres, Rules, Scatter, SessionLimits, SpeakingEngines, User,
+    hexadecimal, line_of, Audits, Gossip, Keep, Ledger, LedgerMember, LoadSignal, OnDiskFailure, Operator,
+    Ownership, Postgres, Rules, Scatter, SessionLimits, SpeakingEngines, User,
 };
 pub use station::{Limits, Station};
--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -17,5 +17,5 @@
 pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
 pub use rules::Rules;
-pub use scatter::Scatter;
+pub use scatter::{Audits, Keep, Scatter};
 pub use whole::{LoadSignal, Operator};
--- a/crates/agreement/src/operator/scatter.rs
+++ b/crates/agreement/src/operator/scatter.rs
@@ -42,6 +42,23 @@
     at_once: usize,
     #[serde(default = "answer_bytes")]
     answer_bytes: usize,
+    keep: Option<KeepFile>,
+    audits: Option<AuditsFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AuditsFile {
+    one_in: u64,
+    a_minute: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeepFile {
+    memory_kb: u64,
+    bytes_a_second: u64,
+    file: Option<String>,
 }
 
 fn oldest_ms() -> u64 {
@@ -87,6 +104,28 @@
     pub most: usize,
     pub at_once: usize,
     pub answer_bytes: usize,
+    /// Summaries are held as far as they earn their bytes; None: all that come.
+    pub keep: Option<Keep>,
+    /// Sites that their summaries rule out are asked now and then all the same; None: never.
+    pub audits: Option<Audits>,
+}
+
+/// How often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Audits {
+    /// One scatter of so many.
+    pub one_in: u64,
+    /// By the whole fleet.
+    pub a_minute: u64,
+}
+
+/// Under which budget summaries are held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keep {
+    pub memory_bytes: u64,
+    pub bytes_a_second: u64,
+    /// Where what was learned outlives the front.
+    pub file: Option<String>,
 }
 
 pub fn scatter(text: &str, file: ScatterFile, contract: &Contract) -> Result<Scatter, String> {
@@ -157,6 +196,30 @@
             return refuse(key, &format!("is not from {least} to {most}"));
         }
     }
+    let keep = match file.keep {
+        None => None,
+        Some(KeepFile { memory_kb, bytes_a_second, file }) => {
+            if !(16..=1 << 24).contains(&memory_kb) {
+                return refuse("keep.memory_kb", "is not from 16 to 16777216");
+            }
+            if !(100..=1 << 24).contains(&bytes_a_second) {
+                return refuse("keep.bytes_a_second", "is not from 100 to 16777216");
+            }
+            Some(Keep { memory_bytes: memory_kb * 1024, bytes_a_second, file })
+        }
+    };
+    let audits = match file.audits {
+        None => None,
+        Some(AuditsFile { one_in, a_minute }) => {
+            if !(1..=1_000_000).contains(&one_in) {
+                return refuse("audits.one_in", "is not from 1 to 1000000");
+            }
+            if !(1..=60_000).contains(&a_minute) {
+                return refuse("audits.a_minute", "is not from 1 to 60000");
+            }
+            Some(Audits { one_in, a_minute })
+        }
+    };
     let ScatterFile { workloads, directory, whole_site, partial, writes, .. } = file;
     let effects = names.workloads.iter().zip(&contract.agreement.workloads);
     let may_write = effects.filter(|(name, w)| w.effect != Effect::Idempotent || writes.contains(name));
@@ -177,6 +240,8 @@
         most,
         at_once,
         answer_bytes,
+        keep,
+        audits,
     })
 }
 
@@ -203,6 +268,26 @@
             ("schemas:", "writes: ['x'], schemas:", "line 4: scatter.writes[0]: 'x' is not among"),
             ("schemas:", "oldest_ms: 1, schemas:", "line 4: scatter.oldest_ms: is not from"),
             ("schemas:", "partial: ['x'], schemas:", "line 4: scatter.partial[0]: 'x' is not among"),
+            (
+                "schemas:",
+                "keep: { memory_kb: 1, bytes_a_second: 1000 }, schemas:",
+                "line 4: scatter.keep.memory_kb: is not",
+            ),
+            (
+                "schemas:",
+                "keep: { memory_kb: 16, bytes_a_second: 1 }, schemas:",
+                "line 4: scatter.keep.bytes_a_second: is",
+            ),
+            (
+                "schemas:",
+                "audits: { one_in: 0, a_minute: 6 }, schemas:",
+                "line 4: scatter.audits.one_in: is not",
+            ),
+            (
+                "schemas:",
+                "audits: { one_in: 9, a_minute: 0 }, schemas:",
+                "line 4: scatter.audits.a_minute: is",
+            ),
             ("'lookup'", "", "line 3: scatter.sites: names none"),
         ] {
             let refused = read(&good.replace(from, to)).unwrap_err();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -247,6 +247,7 @@
         self.clock.look();
         self.shutdown.ask(self.clock.now);
         self.peers.iter_mut().for_each(|peers| peers.leave(self.clock.now));
+        self.scatter.iter().for_each(|scatter| scatter.summaries.save());
     }
 
     /// The configuration was read again: what may change while a front runs holds from now on. One that
--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -69,6 +69,8 @@
     pub(super) fn tick_scatters(&mut self, told: &mut Vec<clients::Told>) {
         let now = self.clock.now;
         let Some(scatter) = &mut self.scatter else { return };
+        scatter.summaries.choose(now);
+        scatter.hurry(now, &mut self.dispatcher);
         if let Some(peers) = &mut self.peers {
             let mut letters = scatter.tick(now, &peers.others());
             for (from, bytes) in peers.letters(Channel::Summaries) {
--- /dev/null
+++ b/crates/front/src/scatter/doubts.rs
@@ -0,0 +1,110 @@
+//! Audits of sites' own words: which are asked all the same, and what their answers show. An answer with rows is held against
+//! the ledger's word on loads, asked for anew: what a load may have brought is no site's false word.
+
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+
+use hallmux_dispatcher::{Micros, Ticket};
+use hallmux_scatter::audit::{Audits, Terms, Verdict};
+use hallmux_scatter::book::Book;
+use hallmux_scatter::plan::{Plan, Word};
+use hallmux_scatter::sql::Query;
+
+/// A site that is asked though its summary rules it out, and the version of that.
+#[derive(Clone, Debug)]
+pub struct RuledOut {
+    pub site: String,
+    pub version: u64,
+}
+
+/// An answer with rows of such a site, until the word on loads is there.
+struct Check {
+    of: RuledOut,
+    query: Query,
+    rows: u64,
+}
+
+pub struct Doubts {
+    audits: Audits,
+    checks: HashMap<Ticket, Check>,
+    chance: RandomState,
+    /// Fronts that share the budget.
+    pub fronts: usize,
+}
+
+fn terms(settings: hallmux_agreement::Audits) -> Terms {
+    Terms { one_in: settings.one_in, a_second: settings.a_minute as f64 / 60.0 }
+}
+
+impl Doubts {
+    pub fn new(settings: hallmux_agreement::Audits) -> Doubts {
+        let (checks, chance) = (HashMap::new(), RandomState::new());
+        Doubts { audits: Audits::new(terms(settings)), checks, chance, fronts: 1 }
+    }
+
+    pub fn turn_to(&mut self, settings: hallmux_agreement::Audits) {
+        self.audits.turn_to(terms(settings));
+    }
+
+    pub fn doubts(&self, site: &str) -> bool {
+        self.audits.doubts(site)
+    }
+
+    /// Now and then adds a site that is left out to those that are asked.
+    pub fn audit(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        plan: &mut Plan,
+        sites: &[String],
+        allowed: Option<&[&str]>,
+    ) {
+        let drawn = self.chance.hash_one(ticket);
+        if let Some(at) = self.audits.pick(now, drawn, self.fronts as f64, &plan.left_out) {
+            plan.audit(at, sites, allowed);
+        }
+    }
+
+    /// A site that its summary rules out has answered. True: `check` is to have the word on loads before anything is concluded.
+    pub fn answered(&mut self, check: Ticket, of: RuledOut, query: &Query, rows: u64) -> bool {
+        if rows == 0 {
+            self.conclude(&of, 0, true);
+            return false;
+        }
+        self.checks.insert(check, Check { of, query: query.clone(), rows });
+        true
+    }
+
+    /// The word on loads for an answer. False: it is none of these.
+    pub fn word(&mut self, wall_ms: u64, check: Ticket, word: &Word, book: &Book) -> bool {
+        let Some(Check { of, query, rows }) = self.checks.remove(&check) else { return false };
+        let summary = book.look(wall_ms, &of.site, query.group).filter(|s| s.version == of.version);
+        let table = summary.and_then(|summary| Some((summary, summary.table(&query.table)?)));
+        let sure = table.is_some_and(|(summary, table)| match word {
+            Word::Marks(marks) => marks.prove(summary, table, &query.condition),
+            Word::NoLoads => true,
+            Word::Nothing => false,
+        });
+        self.conclude(&of, rows, sure);
+        true
+    }
+
+    fn conclude(&mut self, of: &RuledOut, rows: u64, sure: bool) {
+        let RuledOut { site, version } = of;
+        match self.audits.answered(site, rows, sure) {
+            Verdict::False => {
+                let counts = self.audits.counts;
+                log::error!(
+                    "site '{site}': its summary, version {version}, says that it has no row for a statement, and it has \
+                     {rows}; it is asked always until its answers bear it out. Mend what makes its summaries. {} false \
+                     words found by {} audits, {} rows",
+                    counts.found,
+                    counts.audits,
+                    counts.rows
+                );
+            }
+            Verdict::Earned => log::info!("site '{site}': its summaries count again"),
+            Verdict::Holds | Verdict::Unsure => {}
+        }
+    }
+}
--- a/crates/front/src/scatter/mod.rs
+++ b/crates/front/src/scatter/mod.rs
@@ -2,6 +2,7 @@
 //! summaries that say where rows could lie, from files and from other fronts. Switched on by the operator's file; off, it is
 //! not there. What is proved and how parts are joined is decided in `crates/scatter`.
 
+mod doubts;
 mod loads;
 mod summaries;
 mod wholes;
--- a/crates/front/src/scatter/summaries.rs
+++ b/crates/front/src/scatter/summaries.rs
@@ -2,22 +2,37 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::Read;
+use std::io::{ErrorKind, Read};
+use std::path::PathBuf;
 
 use ed25519_dalek::VerifyingKey;
 use hallmux_agreement::Scatter;
 use hallmux_dispatcher::Micros;
 use hallmux_gossip::PeerId;
 use hallmux_scatter::book::{Book, Terms};
+use hallmux_scatter::keep::{Budget, Keep};
+use hallmux_scatter::sheets::Fineness;
 use hallmux_scatter::spread::{Out, Spread};
 use hallmux_scatter::summary::{Refused, MOST_BYTES};
 
 const SAID: Micros = 60_000_000; // microseconds between lines of the log on what other fronts sent that was refused
 
+const CHOSEN: Micros = 10_000_000; // microseconds between choices of what is held
+const SAVED: Micros = 60_000_000; // microseconds between saves of what was learned
+
 pub struct Summaries {
     pub book: Book,
     spread: Spread,
     said: Micros,
+    /// Files of this front's directory, by the names of what they hold; where that may be held in part.
+    home: BTreeMap<u64, PathBuf>,
+    file: Option<PathBuf>,
+    chosen: Micros,
+    saved: Micros,
+}
+
+fn budget(keep: &hallmux_agreement::Keep) -> Budget {
+    Budget { memory: keep.memory_bytes as f64, traffic: keep.bytes_a_second as f64 }
 }
 
 fn terms(settings: &Scatter) -> std::io::Result<Terms> {
@@ -37,8 +52,16 @@
 impl Summaries {
     /// `turn` is where among the others this front begins to tell of what it holds.
     pub fn new(settings: &Scatter, now: Micros, turn: usize) -> std::io::Result<Summaries> {
-        let mut summaries =
-            Summaries { book: Book::new(terms(settings)?), spread: Spread::new(turn), said: 0 };
+        let mut summaries = Summaries {
+            book: Book::new(terms(settings)?),
+            spread: Spread::new(turn),
+            said: 0,
+            home: BTreeMap::new(),
+            file: None,
+            chosen: 0,
+            saved: now,
+        };
+        summaries.keep(settings, now);
         summaries.read(settings, now);
         Ok(summaries)
     }
@@ -46,10 +69,49 @@
     /// The operator's file was read again.
     pub fn reload(&mut self, settings: &Scatter, now: Micros) -> std::io::Result<()> {
         self.book.turn_to(terms(settings)?);
+        self.keep(settings, now);
         self.read(settings, now);
         Ok(())
     }
 
+    /// Takes up the budget, with what was learned before.
+    fn keep(&mut self, settings: &Scatter, now: Micros) {
+        let Some(terms) = &settings.keep else {
+            self.book.keep = None;
+            return;
+        };
+        self.file = terms.file.as_ref().map(PathBuf::from);
+        if let Some(keep) = &mut self.book.keep {
+            return keep.budget(budget(terms));
+        }
+        let mut keep = Keep::new(budget(terms));
+        if let Some(file) = &self.file {
+            match std::fs::read(file) {
+                Ok(bytes) if keep.read(now, &bytes) => {
+                    log::info!("{} summaries are known of before", keep.len())
+                }
+                Ok(_) => log::warn!(
+                    "scatter.keep.file {}: damaged, or of another version; it is learned anew",
+                    file.display()
+                ),
+                Err(e) if e.kind() == ErrorKind::NotFound => {}
+                Err(e) => log::warn!("scatter.keep.file {}: {e}; it is learned anew", file.display()),
+            }
+        }
+        keep.choose(now);
+        self.book.keep = Some(keep);
+    }
+
+    /// Writes what was learned, beside and then in place of what was there.
+    pub fn save(&self) {
+        let Some((file, keep)) = self.file.as_ref().zip(self.book.keep.as_ref()) else { return };
+        let beside = file.with_extension("new");
+        let written = std::fs::write(&beside, keep.bytes()).and_then(|()| std::fs::rename(&beside, file));
+        if let Err(e) = written {
+            log::warn!("scatter.keep.file {}: {e}; what is learned is lost at a restart", file.display());
+        }
+    }
+
     /// Takes in what lies in the directory. A file that can't be used is named with its reason, the others count.
     fn read(&mut self, settings: &Scatter, now: Micros) {
         let Some(directory) = &settings.directory else { return };
@@ -60,6 +122,8 @@
             }
         };
         let mut new = 0;
+        self.home.clear();
+        self.spread.home.clear();
         for path in files.flatten().map(|file| file.path()).filter(|path| path.is_file()) {
             // One byte more than counts: what is longer is refused for its length.
             let mut bytes = Vec::new();
@@ -69,7 +133,15 @@
                 .map_err(|e| e.to_string())
                 .and_then(|()| self.book.take((now / 1000) as u64, &bytes).map_err(|why| why.to_string()))
             {
-                Ok(taken) => new += usize::from(taken),
+                Ok(taken) => {
+                    new += usize::from(taken);
+                    if let Some((name, version)) =
+                        self.book.named(&bytes).filter(|_| self.book.keep.is_some())
+                    {
+                        self.home.insert(name, path);
+                        self.spread.home.insert(name, version);
+                    }
+                }
                 Err(why) => log::warn!("scatter.directory: {}: {why}", path.display()),
             }
         }
@@ -92,7 +164,45 @@
         self.take(now, out)
     }
 
-    fn take(&mut self, now: Micros, out: Out) -> Vec<(PeerId, Vec<u8>)> {
+    /// When `choose` is next due.
+    pub fn choice(&self) -> Micros {
+        self.book.keep.as_ref().map_or(Micros::MAX, |_| self.chosen + CHOSEN)
+    }
+
+    /// Chooses anew what is held, where it is time, and saves what was learned.
+    pub fn choose(&mut self, now: Micros) {
+        if self.book.keep.is_none() || now < self.chosen + CHOSEN {
+            return;
+        }
+        self.chosen = now;
+        self.book.choose((now / 1000) as u64);
+        let held: BTreeMap<u64, Fineness> = self.book.versions().map(|(n, _, fine)| (n, fine)).collect();
+        for (name, path) in &self.home {
+            // What lies at home need not come from others.
+            if held.get(name).copied() < self.book.wants(*name) {
+                let read = std::fs::read(path).ok().filter(|bytes| bytes.len() <= MOST_BYTES);
+                read.into_iter().for_each(|bytes| _ = self.book.take((now / 1000) as u64, &bytes));
+            }
+        }
+        if now >= self.saved + SAVED {
+            self.saved = now;
+            self.save();
+        }
+    }
+
+    /// What others want of files at home that are not held whole.
+    fn lend(&mut self, now: Micros, out: &mut Out) {
+        for loan in std::mem::take(&mut out.loans) {
+            let bytes = self.home.get(&loan.name).and_then(|path| std::fs::read(path).ok());
+            let of = |bytes: &Vec<u8>| self.book.named(bytes) == Some((loan.name, loan.version));
+            if let Some(bytes) = bytes.filter(of) {
+                self.spread.lend(now, loan, &bytes, out);
+            }
+        }
+    }
+
+    fn take(&mut self, now: Micros, mut out: Out) -> Vec<(PeerId, Vec<u8>)> {
+        self.lend(now, &mut out);
         let refused: Vec<Refused> = out.taken.into_iter().filter_map(Result::err).collect();
         if let Some(why) = refused.first().filter(|_| self.said + SAID <= now) {
             self.said = now;
--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -1,6 +1,6 @@
 //! Statements that are asked of several sites, from their reading to their final answer.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
 use hallmux_agreement::{Contract, Scatter};
@@ -12,9 +12,11 @@
 use hallmux_scatter::sql::{self, Query};
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
 
+use super::doubts::{Doubts, RuledOut};
 use super::loads::Loads;
 use super::summaries::Summaries;
 
+const PATIENCE: Micros = 250_000; // microseconds that an answer waits for an audit alone: most engines answer within it
 const SAID: Micros = 60_000_000; // microseconds between lines of the log that say the same
 
 /// A whole statement's final word.
@@ -36,6 +38,8 @@
     whole: Option<Whole>,
     /// Parts that are out: place and ticket.
     tickets: BTreeMap<usize, Ticket>,
+    /// Sites that are asked though their summaries rule them out.
+    ruled_out: Vec<RuledOut>,
 }
 
 pub struct Scatters {
@@ -44,6 +48,9 @@
     pub summaries: Summaries,
     /// Marks of loads, where the operator has them marked.
     pub loads: Option<Loads>,
+    /// Audits of sites' words, where they are switched on, and wholes that wait for nothing else, until when.
+    doubts: Option<Doubts>,
+    hurries: VecDeque<(Micros, Ticket)>,
     open: HashMap<Ticket, One>,
     /// Whose parts they are, and in which places.
     parts: HashMap<Ticket, (Ticket, usize)>,
@@ -68,6 +75,8 @@
             summaries: Summaries::new(settings, now, turn)?,
             loads,
             settings: settings.clone(),
+            doubts: settings.audits.map(Doubts::new),
+            hurries: VecDeque::new(),
             open: HashMap::new(),
             parts: HashMap::new(),
             said: Vec::new(),
@@ -82,6 +91,10 @@
             Ok(()) => {
                 self.sites = settings.sites.keys().cloned().collect();
                 self.settings = settings.clone();
+                match (settings.audits, &mut self.doubts) {
+                    (Some(audits), Some(doubts)) => doubts.turn_to(audits),
+                    (audits, doubts) => *doubts = audits.map(Doubts::new),
+                }
             }
             Err(why) => log::error!("{why}; sites are left as they were"),
         }
@@ -119,7 +132,8 @@
         dispatcher: &mut Dispatcher,
     ) {
         let group = query.group;
-        let one = One { call, query, ends, allowed, whole: None, tickets: BTreeMap::new() };
+        let one =
+            One { call, query, ends, allowed, whole: None, tickets: BTreeMap::new(), ruled_out: Vec::new() };
         self.open.insert(ticket, one);
         match &mut self.loads {
             Some(loads) => loads.scatter(ticket, group),
@@ -136,7 +150,12 @@
         dispatcher: &mut Dispatcher,
     ) {
         let word = marks.map_or(Word::Nothing, Word::Marks);
-        waiting.iter().for_each(|ticket| self.go(now, *ticket, &word, dispatcher));
+        for ticket in waiting {
+            let (wall_ms, book) = ((now / 1000) as u64, &self.summaries.book);
+            if !self.doubts.as_mut().is_some_and(|doubts| doubts.word(wall_ms, *ticket, &word, book)) {
+                self.go(now, *ticket, &word, dispatcher);
+            }
+        }
     }
 
     fn go(&mut self, now: Micros, ticket: Ticket, word: &Word, dispatcher: &mut Dispatcher) {
@@ -145,7 +164,18 @@
             one.allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
         let wall_ms = (now / 1000) as u64;
         let book = &self.summaries.book;
-        let plan = plan(&one.query, &self.sites, allowed.as_deref(), book, wall_ms, word);
+        let doubts = self.doubts.as_ref();
+        let doubted = |site: &str| doubts.is_some_and(|doubts| doubts.doubts(site));
+        let (sites, allowed) = (&self.sites, allowed.as_deref());
+        let mut plan = plan(&one.query, sites, allowed, book, wall_ms, word, &doubted);
+        if let Some(doubts) = &mut self.doubts {
+            doubts.audit(now, ticket, &mut plan, sites, allowed);
+        }
+        let version = |site: &str| book.look(wall_ms, site, one.query.group).map_or(0, |s| s.version);
+        let asked = plan.parts.iter().filter(|part| part.ruled_out);
+        one.ruled_out = asked.map(|p| RuledOut { site: p.site.clone(), version: version(&p.site) }).collect();
+        let book = &mut self.summaries.book;
+        plan.left_out.iter().for_each(|site| book.learn(wall_ms, &one.query, site, false));
         self.counts.0 += plan.parts.len() as u64;
         self.counts.1 += plan.left_out.len() as u64;
         if self.told + SAID <= now {
@@ -167,6 +197,24 @@
         let (whole, acts) = Whole::new(plan.parts, plan.barred, rules);
         one.whole = Some(whole);
         self.act(now, ticket, acts, dispatcher);
+        self.awaits(now, ticket);
+    }
+
+    /// Notes a whole that waits for audits alone.
+    fn awaits(&mut self, now: Micros, ticket: Ticket) {
+        let whole = self.open.get(&ticket).and_then(|one| one.whole.as_ref());
+        if whole.is_some_and(Whole::waits_for_audits) {
+            self.hurries.push_back((now + PATIENCE, ticket));
+        }
+    }
+
+    /// Answers those that have waited long enough for audits alone.
+    pub fn hurry(&mut self, now: Micros, dispatcher: &mut Dispatcher) {
+        while let Some((_, ticket)) = self.hurries.pop_front_if(|(until, _)| *until <= now) {
+            let whole = self.open.get_mut(&ticket).and_then(|one| one.whole.as_mut());
+            let acts = whole.map_or(Vec::new(), Whole::hurry);
+            self.act(now, ticket, acts, dispatcher);
+        }
     }
 
     fn act(&mut self, now: Micros, ticket: Ticket, acts: Vec<Act>, dispatcher: &mut Dispatcher) {
@@ -251,10 +299,30 @@
         one.tickets.remove(&place);
         let Some(whole) = &mut one.whole else { return };
         let acts = match ended {
-            Ok(rows) => whole.answered(place, rows),
+            Ok(rows) => {
+                let site = whole.site(place).unwrap_or_default();
+                if rows.is_empty() {
+                    self.summaries.book.learn((now / 1000) as u64, &one.query, site, true);
+                }
+                let of = one.ruled_out.iter().find(|of| of.site == site).cloned();
+                if let Some((doubts, of)) = self.doubts.as_mut().zip(of) {
+                    let (check, lines) = (dispatcher.number(), rows.iter().filter(|c| **c == b'\n').count());
+                    if doubts.answered(check, of, &one.query, lines as u64) {
+                        match &mut self.loads {
+                            Some(loads) => loads.scatter(check, one.query.group),
+                            None => {
+                                let (wall_ms, book) = ((now / 1000) as u64, &self.summaries.book);
+                                doubts.word(wall_ms, check, &Word::NoLoads, book);
+                            }
+                        }
+                    }
+                }
+                whole.answered(place, rows)
+            }
             Err(failed) => whole.failed(place, failed),
         };
         self.act(now, ticket, acts, dispatcher);
+        self.awaits(now, ticket);
     }
 
     /// Nobody waits for a whole statement any more. False if it is none of these.
@@ -270,14 +338,17 @@
     /// When `tick` is next due; without other fronts there is nothing to spread.
     pub fn due(&self, has_peers: bool) -> Micros {
         let loads = self.loads.as_ref().map_or(Micros::MAX, Loads::due);
+        let hurry = self.hurries.front().map_or(Micros::MAX, |(until, _)| *until);
+        let chosen = self.summaries.choice().min(hurry);
         match (self.said.is_empty(), has_peers) {
-            (true, true) => self.summaries.due().min(loads),
-            (true, false) => Micros::MAX,
+            (true, true) => self.summaries.due().min(loads).min(hurry),
+            (true, false) => chosen,
             _ => 0,
         }
     }
 
     pub fn tick(&mut self, now: Micros, others: &[PeerId]) -> Vec<(PeerId, Vec<u8>)> {
+        self.doubts.iter_mut().for_each(|doubts| doubts.fronts = others.len() + 1);
         self.summaries.tick(now, others)
     }
 }
--- a/crates/scatter/src/book.rs
+++ b/crates/scatter/src/book.rs
@@ -5,8 +5,12 @@
 
 use ed25519_dalek::VerifyingKey;
 
+use crate::keep::{Keep, Shown};
+use crate::sheets::{self, Fineness};
+use crate::sql::Query;
 use crate::summary::{Refused, Summary};
 use crate::value::fnv;
+use crate::Micros;
 
 /// What the operator says of summaries.
 #[derive(Clone, Debug)]
@@ -30,6 +34,8 @@
 pub struct Book {
     terms: Terms,
     held: BTreeMap<(String, u32), Held>,
+    /// What is held and how fine, where that follows from what it spares; None: all that comes, whole.
+    pub keep: Option<Keep>,
     /// What counted for nothing, by why.
     pub refused: BTreeMap<&'static str, u64>,
 }
@@ -41,7 +47,7 @@
 
 impl Book {
     pub fn new(terms: Terms) -> Book {
-        Book { terms, held: BTreeMap::new(), refused: BTreeMap::new() }
+        Book { terms, held: BTreeMap::new(), keep: None, refused: BTreeMap::new() }
     }
 
     /// Other terms hold from now on; what is of no site any more goes.
@@ -72,7 +78,9 @@
                 std::cmp::Ordering::Less => {
                     return Err(Refused::Version { site, group, version, held: held.summary.version })
                 }
-                std::cmp::Ordering::Equal if *held.bytes == *bytes => return Ok(false),
+                std::cmp::Ordering::Equal if held.bytes.starts_with(bytes) => return Ok(false),
+                // More sheets of the same.
+                std::cmp::Ordering::Equal if bytes.starts_with(&held.bytes) => {}
                 // Two words under one version: the one that was first stays.
                 std::cmp::Ordering::Equal => {
                     return Err(Refused::Version { site, group, version, held: version })
@@ -82,10 +90,100 @@
         } else if self.held.len() >= self.terms.most {
             return Err(Refused::Full { site, group, held: self.held.len() });
         }
-        self.held.insert((site, group), Held { summary, bytes: bytes.into() });
+        if let Some(keep) = &mut self.keep {
+            let ends = sheets::ends(bytes).unwrap_or([bytes.len(); 3]);
+            keep.came((wall_ms * 1000) as Micros, name(&site, group), version, ends);
+        }
+        let wanted = self.wants(name(&site, group));
+        let of = (site, group);
+        if wanted.is_none() {
+            // An older one proves less than none: loads may have come since.
+            self.held.remove(&of);
+            return Ok(false);
+        }
+        self.held.insert(of.clone(), Held { summary, bytes: bytes.into() });
+        self.cut(&of, wanted);
         Ok(true)
     }
 
+    /// How fine the summary of a name is to be held.
+    pub fn wants(&self, name: u64) -> Option<Fineness> {
+        self.keep.as_ref().map_or(Some(Fineness::Full), |keep| keep.holds(name))
+    }
+
+    /// Chooses anew what is held, and lets go of the rest.
+    pub fn choose(&mut self, wall_ms: u64) {
+        let Some(keep) = &mut self.keep else { return };
+        keep.choose((wall_ms * 1000) as Micros);
+        for of in self.held.keys().cloned().collect::<Vec<_>>() {
+            let wanted = self.wants(name(&of.0, of.1));
+            self.cut(&of, wanted);
+        }
+    }
+
+    /// Lets go of what is finer than wanted.
+    fn cut(&mut self, of: &(String, u32), wanted: Option<Fineness>) {
+        let Some(held) = self.held.get_mut(of) else { return };
+        let Some(wanted) = wanted else {
+            self.held.remove(of);
+            return;
+        };
+        if held.summary.fineness <= wanted {
+            return;
+        }
+        // One that is not in sheets has no less of it.
+        let Some(end) = sheets::ends(&held.bytes).and_then(|ends| ends.get(wanted as usize).copied()) else {
+            return;
+        };
+        let sites = &self.terms.sites;
+        let less =
+            held.bytes.get(..end).and_then(|b| Some((b, Summary::read(b, |s| sites.get(s).copied()).ok()?)));
+        match less {
+            Some((bytes, summary)) => *held = Held { summary, bytes: bytes.into() },
+            None => _ = self.held.remove(of),
+        }
+    }
+
+    /// A scatter has left a site out by its summary, or has asked it and heard of no row.
+    pub fn learn(&mut self, wall_ms: u64, query: &Query, site: &str, asked: bool) {
+        if self.keep.is_none() {
+            return;
+        }
+        let now = (wall_ms * 1000) as Micros;
+        let summary = self.look(wall_ms, site, query.group);
+        let table = summary.and_then(|summary| Some((summary.fineness, summary.table(&query.table)?)));
+        let shown = match table {
+            None if asked => Shown::Unknown,
+            None => return,
+            Some((_, table)) if !asked => match query.condition.never_true(&table.bare()) {
+                true => Shown::ByBounds,
+                false => Shown::ByFilter,
+            },
+            // It was asked for its loads.
+            Some((_, table)) if query.condition.never_true(table) => return,
+            Some(_) if !query.condition.has_equality() => return,
+            Some((Fineness::Bounds, _)) => Shown::MissedByBounds,
+            Some(_) => Shown::MissedByFilter,
+        };
+        self.keep.iter_mut().for_each(|keep| keep.shows(now, name(site, query.group), shown));
+    }
+
+    /// The name and version of what a known site has signed.
+    pub fn named(&self, bytes: &[u8]) -> Option<(u64, u64)> {
+        let summary = Summary::read(bytes, |site| self.terms.sites.get(site).copied()).ok()?;
+        Some((name(&summary.site, summary.group), summary.version))
+    }
+
+    /// Lets go of one.
+    pub fn drop(&mut self, site: &str, group: u32) {
+        self.held.remove(&(site.to_string(), group));
+    }
+
+    /// Bytes of what is held.
+    pub fn size(&self) -> usize {
+        self.held.values().map(|held| held.bytes.len()).sum()
+    }
+
     /// Whether it may count now, apart from its version.
     fn fits(&self, wall_ms: u64, summary: &Summary) -> Result<(), Refused> {
         let (site, group) = (summary.site.clone(), summary.group);
@@ -119,9 +217,12 @@
         self.held.is_empty()
     }
 
-    /// Names and versions of all that is held.
-    pub fn versions(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
-        self.held.iter().map(|((site, group), held)| (name(site, *group), held.summary.version))
+    /// Names, versions and finenesses of all that is held.
+    pub fn versions(&self) -> impl Iterator<Item = (u64, u64, Fineness)> + '_ {
+        let of = |((site, group), held): (&(String, u32), &Held)| {
+            (name(site, *group), held.summary.version, held.summary.fineness)
+        };
+        self.held.iter().map(of)
     }
 
     /// The bytes of one that is held, as they came.
--- a/crates/scatter/src/build.rs
+++ b/crates/scatter/src/build.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
+use ed25519_dalek::SigningKey;
+
 use crate::filter::Members;
+use crate::sheets;
 use crate::summary::{Column, Loads, Summary, Table, MOST_BYTES};
 use crate::value::{less, Kind, Value};
 
@@ -67,12 +70,10 @@
         }
     }
 
-    fn table(self) -> Table {
-        Table {
-            name: self.name,
-            rows: self.rows,
-            columns: self.columns.into_iter().map(Growing::column).collect(),
-        }
+    /// The table with full filters, and the small ones of its columns.
+    fn table(self) -> (Table, Vec<Option<Members>>) {
+        let (columns, small) = self.columns.into_iter().map(Growing::column).unzip();
+        (Table { name: self.name, rows: self.rows, columns }, small)
     }
 }
 
@@ -98,7 +99,7 @@
         }
     }
 
-    fn column(self) -> Column {
+    fn column(self) -> (Column, Option<Members>) {
         let distinct = self.hashes.len() as u64;
         let told = !self.unruly && self.kind != Kind::Other;
         let (mut bounds, mut tight) = (self.bounds.filter(|_| told), true);
@@ -116,8 +117,11 @@
         }
         // Engines round floats in ways of their own: their equality proves nothing.
         let whole = self.hashes.len() < MOST_HASHES && told && self.kind != Kind::Float;
-        let members = whole.then(|| Members::new(self.hashes.into_iter().collect())).flatten();
-        Column { name: self.name, kind: self.kind, nulls: self.nulls, distinct, bounds, tight, members }
+        let hashes: Vec<u64> = self.hashes.into_iter().filter(|_| whole).collect();
+        let small = whole.then(|| Members::small(hashes.clone()));
+        let members = whole.then(|| Members::new(hashes)).flatten();
+        let (name, kind, nulls) = (self.name, self.kind, self.nulls);
+        (Column { name, kind, nulls, distinct, bounds, tight, members }, small)
     }
 }
 
@@ -145,7 +149,7 @@
 /// The summary of a group's tables. Where it would be too long, the largest filters go until it is not.
 pub fn summary(about: About, tables: Vec<TableBuilder>, most_bytes: usize) -> Summary {
     let About { site, group, schema, version, made_ms, loads } = about;
-    let tables = tables.into_iter().map(TableBuilder::table).collect();
+    let tables = tables.into_iter().map(|table| table.table().0).collect();
     let mut summary = Summary { schema, version, made_ms, loads, tables, ..Summary::empty(&site, group) };
     let most = most_bytes.min(MOST_BYTES).saturating_sub(SEALS);
     while postcard::to_stdvec(&summary).map_or(0, |bytes| bytes.len()) > most {
@@ -157,3 +161,23 @@
     }
     summary
 }
+
+/// The same in sheets, signed: fronts may hold a part of it.
+pub fn in_sheets(about: About, tables: Vec<TableBuilder>, most_bytes: usize, key: &SigningKey) -> Vec<u8> {
+    let About { site, group, schema, version, made_ms, loads } = about;
+    let (mut small, mut full) = (Vec::new(), Vec::new());
+    let mut of = |(at, table): (usize, TableBuilder)| {
+        let (mut table, smalls) = table.table();
+        for (place, (column, few)) in table.columns.iter_mut().zip(smalls).enumerate() {
+            let name = (at as u16, place as u16);
+            let members = column.members.take();
+            // Few values are all there already.
+            full.extend(members.filter(|m| Some(m) != few.as_ref()).map(|m| (name.0, name.1, m)));
+            small.extend(few.map(|m| (name.0, name.1, m)));
+        }
+        table
+    };
+    let tables = tables.into_iter().enumerate().map(&mut of).collect();
+    let summary = Summary { schema, version, made_ms, loads, tables, ..Summary::empty(&site, group) };
+    sheets::sign(summary, small, full, most_bytes, key)
+}
--- a/crates/scatter/src/condition.rs
+++ b/crates/scatter/src/condition.rs
@@ -106,6 +106,15 @@
         }
     }
 
+    /// Whether an equality is asked for, which a filter may rule out.
+    pub fn has_equality(&self) -> bool {
+        match self {
+            Condition::All(all) | Condition::Any(all) => all.iter().any(Condition::has_equality),
+            Condition::Compare { by, .. } => *by == By::Equal,
+            _ => false,
+        }
+    }
+
     /// How many comparisons it is made of.
     pub fn leaves(&self) -> usize {
         match self {
--- a/crates/scatter/src/filter.rs
+++ b/crates/scatter/src/filter.rs
@@ -13,6 +13,16 @@
     All(Vec<u64>),
     /// A binary fuse filter: its seed, its segments and its fingerprints.
     Fuse { seed: u64, segment: u32, segments: u32, prints: Vec<u8> },
+    /// Four bits a value, of which each sets two: one in six of the others is found too.
+    Bits(Vec<u8>),
+}
+
+/// The two bits of a hash among so many; the hash is mixed first (the finaliser of SplitMix64).
+fn two(hash: u64, bits: u64) -> [u64; 2] {
+    let mut mixed = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^= mixed >> 31;
+    [mixed >> 32, mixed & 0xffff_ffff].map(|half| (half * bits) >> 32)
 }
 
 impl Members {
@@ -32,10 +42,26 @@
         })
     }
 
+    /// The small filter of the same; all of the hashes where they are few.
+    pub fn small(mut hashes: Vec<u64>) -> Members {
+        hashes.sort_unstable();
+        hashes.dedup();
+        if hashes.len() < FEW {
+            return Members::All(hashes);
+        }
+        let mut bytes = vec![0; hashes.len().div_ceil(2)];
+        let bits = bytes.len() as u64 * 8;
+        for bit in hashes.iter().flat_map(|hash| two(*hash, bits)) {
+            bytes[(bit / 8) as usize] |= 1 << (bit % 8);
+        }
+        Members::Bits(bytes)
+    }
+
     /// Whether what was read can be asked without a look beyond its end.
     pub fn is_sound(&self) -> bool {
         match self {
             Members::All(hashes) => hashes.len() < FEW && hashes.windows(2).all(|w| w[0] < w[1]),
+            Members::Bits(bytes) => (1..1 << 24).contains(&bytes.len()),
             Members::Fuse { segment, segments, prints, .. } => {
                 let end = u64::from(*segments) + 2 * u64::from(*segment);
                 segment.is_power_of_two()
@@ -50,6 +76,10 @@
     pub fn may_have(&self, hash: u64) -> bool {
         match self {
             Members::All(hashes) => hashes.binary_search(&hash).is_ok(),
+            Members::Bits(bytes) => {
+                let set = |bit: u64| bytes.get((bit / 8) as usize).is_none_or(|b| (b >> (bit % 8)) & 1 == 1);
+                two(hash, bytes.len() as u64 * 8).into_iter().all(set)
+            }
             Members::Fuse { seed, segment, segments, prints } => {
                 // The library takes a filter that lies elsewhere by a head of this form.
                 let mut head = Vec::with_capacity(HEAD);
@@ -65,7 +95,8 @@
     /// Bytes that it takes, near enough.
     pub fn size(&self) -> usize {
         match self {
-            Members::All(hashes) => hashes.len() * 10,
+            Members::All(hashes) => hashes.len() * 10 + 4,
+            Members::Bits(bytes) => bytes.len() + 4,
             Members::Fuse { prints, .. } => prints.len() + 24,
         }
     }
@@ -91,6 +122,9 @@
             assert!(members.is_sound());
             assert!(hashes(0, count).into_iter().all(|hash| members.may_have(hash)));
             assert!(wrong(|hash| members.may_have(hash)) < 0.006, "{count}");
+            let small = Members::small(hashes(0, count));
+            assert!(small.is_sound() && hashes(0, count).into_iter().all(|hash| small.may_have(hash)));
+            assert!(wrong(|hash| small.may_have(hash)) < 0.25, "{count}");
         }
     }
 
--- /dev/null
+++ b/crates/scatter/src/keep.rs
@@ -0,0 +1,263 @@
+//! Which summaries a front holds, and how fine: under a budget of memory and one of traffic, by what each has spared for its
+//! bytes. What is learned fades, and is handed out and in as bytes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::sheets::{Fineness, ALL};
+use crate::Micros;
+
+const HALF_LIFE: f64 = 3_600e6; // microseconds in which what was spared counts half: a day's turns are followed within hours
+const TWICE: f64 = 2.0; // a byte is held as it came and as it is read
+const FINDS: [f64; 2] = [0.845, 0.996]; // of what has no row and lies within the bounds, by a small and a full filter
+const STAYS: f64 = 1.25; // what is held counts so much more: a change costs its traffic again
+const NEW: f64 = 0.5; // sites spared by what nothing is known of yet: it is tried, coarsely, where there is room
+const USUAL: [u32; 3] = [200, 1_200, 3_600]; // bytes, where no summary of that name was seen
+const USUAL_AGE: f64 = 60e6; // microseconds between versions, until two were seen
+const FORMAT: u16 = 1;
+const MOST: usize = 65_536; // names that are known of
+
+/// What may be held and taken in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Bytes of memory.
+    pub memory: f64,
+    /// Bytes a second of versions that come, in the mean.
+    pub traffic: f64,
+}
+
+/// What a scatter has shown of a site that has no row for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shown {
+    /// Its bounds rule it out.
+    ByBounds,
+    /// Only its filter does.
+    ByFilter,
+    /// It was asked for nothing: its bounds did not rule it out, and an equality was asked for, so that a filter might have.
+    MissedByBounds,
+    /// It was asked for nothing though its filter was held.
+    MissedByFilter,
+    /// It was asked for nothing, and nothing of it was held.
+    Unknown,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Item {
+    /// Sites spared, or that could have been: by bounds, and by filters beyond them.
+    bounds: f64,
+    filter: f64,
+    faded: Micros,
+    bytes: [u32; 3],
+    version: u64,
+    /// When that came, and how far apart versions come.
+    came: Micros,
+    apart: f64,
+    holds: Option<Fineness>,
+}
+
+impl Item {
+    fn new(now: Micros) -> Item {
+        let bytes = USUAL;
+        Item {
+            bounds: NEW,
+            filter: 0.0,
+            faded: now,
+            bytes,
+            version: 0,
+            came: now,
+            apart: USUAL_AGE,
+            holds: Some(Fineness::Bounds),
+        }
+    }
+
+    fn fade(&mut self, now: Micros) {
+        let part = 0.5_f64.powf((now - self.faded).max(0) as f64 / HALF_LIFE);
+        (self.bounds, self.filter, self.faded) = (self.bounds * part, self.filter * part, now);
+    }
+
+    /// Sites spared by a fineness, of which `hit` of the chances of a filter come true.
+    fn spares(&self, fineness: Option<Fineness>, hit: f64) -> f64 {
+        match fineness {
+            None => 0.0,
+            Some(Fineness::Bounds) => self.bounds,
+            Some(Fineness::Small) => self.bounds + self.filter * hit * FINDS[0],
+            Some(Fineness::Full) => self.bounds + self.filter * hit * FINDS[1],
+        }
+    }
+
+    fn takes(&self, fineness: Option<Fineness>) -> (f64, f64) {
+        let bytes = fineness.and_then(|f| self.bytes.get(f as usize)).copied().unwrap_or(0);
+        (f64::from(bytes) * TWICE, f64::from(bytes) / (self.apart / 1e6).max(1.0))
+    }
+}
+
+/// A step from one fineness of one summary to a finer one.
+struct Step {
+    earns: f64,
+    name: u64,
+    from: Option<Fineness>,
+    to: Fineness,
+}
+
+pub struct Keep {
+    budget: Budget,
+    items: BTreeMap<u64, Item>,
+    /// Of what bounds do not rule out: how often filters do, and how often they were there and did not.
+    hits: (f64, f64),
+    /// Of sites that were asked for nothing: those that bounds rule out, and the others.
+    splits: (f64, f64),
+}
+
+#[derive(Serialize, Deserialize)]
+struct Saved {
+    format: u16,
+    items: BTreeMap<u64, Item>,
+    hits: (f64, f64),
+    splits: (f64, f64),
+}
+
+impl Keep {
+    pub fn new(budget: Budget) -> Keep {
+        Keep { budget, items: BTreeMap::new(), hits: (1.0, 0.0), splits: (1.0, 1.0) }
+    }
+
+    /// What was learned in an earlier life. False: it is damaged, or of another format, and nothing is taken from it.
+    pub fn read(&mut self, now: Micros, bytes: &[u8]) -> bool {
+        let Ok((Saved { format: FORMAT, mut items, hits, splits }, [])) =
+            postcard::take_from_bytes::<Saved>(bytes)
+        else {
+            return false;
+        };
+        let sound = |x: f64| x.is_finite() && x >= 0.0;
+        let figures = |item: &Item| sound(item.bounds) && sound(item.filter) && item.apart >= 1.0;
+        let sums = [hits.0, hits.1, splits.0, splits.1];
+        if items.len() > MOST || !items.values().all(figures) || !sums.into_iter().all(sound) {
+            return false;
+        }
+        for item in items.values_mut() {
+            // Nothing is held yet; a clock that went back fades nothing.
+            (item.holds, item.version, item.faded) = (None, 0, item.faded.min(now));
+            item.came = now;
+        }
+        (self.items, self.hits, self.splits) = (items, hits, splits);
+        true
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        let (items, hits, splits) = (self.items.clone(), self.hits, self.splits);
+        postcard::to_stdvec(&Saved { format: FORMAT, items, hits, splits }).unwrap_or_default()
+    }
+
+    pub fn budget(&mut self, budget: Budget) {
+        self.budget = budget;
+    }
+
+    fn item(&mut self, now: Micros, name: u64) -> Option<&mut Item> {
+        if self.items.len() >= MOST && !self.items.contains_key(&name) {
+            return None;
+        }
+        Some(self.items.entry(name).or_insert_with(|| Item::new(now)))
+    }
+
+    /// A version was taken in, of so many bytes up to the end of each fineness.
+    pub fn came(&mut self, now: Micros, name: u64, version: u64, bytes: [usize; 3]) {
+        let Some(item) = self.item(now, name) else { return };
+        if version > item.version && item.version > 0 {
+            item.apart = (item.apart * 0.75 + (now - item.came).max(0) as f64 * 0.25).max(1e6);
+        }
+        if version > item.version {
+            (item.version, item.came) = (version, now);
+        }
+        item.bytes = bytes.map(|bytes| bytes as u32);
+    }
+
+    /// What a scatter has shown of a site without rows.
+    pub fn shows(&mut self, now: Micros, name: u64, shown: Shown) {
+        let by_bounds = self.splits.0 / (self.splits.0 + self.splits.1).max(1.0);
+        let Some(item) = self.item(now, name) else { return };
+        item.fade(now);
+        let (bounds, filter) = match shown {
+            Shown::ByBounds => (1.0, 0.0),
+            Shown::ByFilter | Shown::MissedByBounds => (0.0, 1.0),
+            Shown::MissedByFilter => (0.0, 0.0),
+            Shown::Unknown => (by_bounds, 1.0 - by_bounds),
+        };
+        (item.bounds, item.filter) = (item.bounds + bounds, item.filter + filter);
+        let add = |sum: &mut (f64, f64), first: bool| {
+            // They halve as they grow: what was seen last counts most.
+            if sum.0 + sum.1 > 2_000.0 {
+                *sum = (sum.0 / 2.0, sum.1 / 2.0);
+            }
+            if first {
+                sum.0 += 1.0;
+            } else {
+                sum.1 += 1.0;
+            }
+        };
+        match shown {
+            Shown::ByBounds => add(&mut self.splits, true),
+            Shown::ByFilter => {
+                add(&mut self.splits, false);
+                add(&mut self.hits, true);
+            }
+            Shown::MissedByFilter => add(&mut self.hits, false),
+            Shown::MissedByBounds | Shown::Unknown => {}
+        }
+    }
+
+    /// How fine the summary of a name is to be held; None: not at all.
+    pub fn holds(&self, name: u64) -> Option<Fineness> {
+        match self.items.get(&name) {
+            Some(item) => item.holds,
+            // One that is new is looked at, coarsely.
+            None => (self.items.len() < MOST).then_some(Fineness::Bounds),
+        }
+    }
+
+    /// Chooses anew what is held: by what each step spares for the part of the budget that it takes, the best first.
+    pub fn choose(&mut self, now: Micros) {
+        let hit = self.hits.0 / (self.hits.0 + self.hits.1).max(1.0);
+        let Budget { memory, traffic } = self.budget;
+        let part = |(bytes, rate): (f64, f64)| bytes / memory.max(1.0) + rate / traffic.max(1.0);
+        let mut steps = Vec::new();
+        for (&name, item) in &mut self.items {
+            item.fade(now);
+            let mut from = None;
+            // Along the upper edge of what it spares over what it takes: always the steepest step next.
+            while from < Some(Fineness::Full) {
+                let slope = |to: Fineness| {
+                    let more = item.spares(Some(to), hit) - item.spares(from, hit);
+                    more / (part(item.takes(Some(to))) - part(item.takes(from))).max(1e-9)
+                };
+                let finer = ALL.into_iter().filter(|to| Some(*to) > from);
+                let Some(to) = finer.max_by(|a, b| slope(*a).total_cmp(&slope(*b))) else { break };
+                let held = if Some(to) <= item.holds { STAYS } else { 1.0 };
+                steps.push(Step { earns: slope(to) * held, name, from, to });
+                from = Some(to);
+            }
+            item.holds = None;
+        }
+        steps.sort_by(|a, b| b.earns.total_cmp(&a.earns).then(a.name.cmp(&b.name)).then(a.from.cmp(&b.from)));
+        let mut left = (memory, traffic);
+        for step in steps {
+            let Some(item) = self.items.get_mut(&step.name).filter(|item| item.holds == step.from) else {
+                continue;
+            };
+            let (before, after) = (item.takes(step.from), item.takes(Some(step.to)));
+            let rest = (left.0 + before.0 - after.0, left.1 + before.1 - after.1);
+            if step.earns > 0.0 && rest.0 >= 0.0 && rest.1 >= 0.0 {
+                (item.holds, left) = (Some(step.to), rest);
+            }
+        }
+    }
+
+    /// Names that are known of.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+}
--- a/crates/scatter/src/lib.rs
+++ b/crates/scatter/src/lib.rs
@@ -1,15 +1,18 @@
 //! Which sites could have rows that a statement asks for: sites' own signed summaries, what a condition proves by them,
 //! marks of loads that they do not speak of yet, and one answer from the parts. No sockets, no clock, no chance.
 
+pub mod audit;
 pub mod book;
 pub mod build;
 pub mod condition;
 pub mod filter;
+pub mod keep;
 pub mod marker;
 pub mod marks;
 mod of;
 pub mod plan;
 mod row;
+pub mod sheets;
 pub mod spread;
 pub mod sql;
 pub mod summary;
--- a/crates/scatter/src/plan.rs
+++ b/crates/scatter/src/plan.rs
@@ -20,6 +20,10 @@
     pub site: String,
     /// Rows to expect, by a guess that only orders the sites; infinitely many where nothing is known.
     pub rows: f64,
+    /// Its summary rules it out: it is asked because its word counts for nothing for now, or for an audit.
+    pub ruled_out: bool,
+    /// The whole does not hang on it.
+    pub audit: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -32,7 +36,8 @@
     pub left_out: Vec<String>,
 }
 
-/// The sites that could have rows: among `sites`, in their order, of which `allowed` may be asked (None: all).
+/// The sites that could have rows: among `sites`, in their order, of which `allowed` may be asked (None: all). The word of
+/// those that `doubted` names counts for nothing.
 pub fn plan(
     query: &Query,
     sites: &[String],
@@ -40,6 +45,7 @@
     book: &Book,
     wall_ms: u64,
     word: &Word,
+    doubted: &dyn Fn(&str) -> bool,
 ) -> Plan {
     let mut plan = Plan::default();
     for site in sites {
@@ -53,14 +59,29 @@
             };
             of_loads && query.condition.never_true(table)
         });
-        if proved || query.limit == Some(0) {
+        if proved && !doubted(site) || query.limit == Some(0) {
             plan.left_out.push(site.clone());
         } else if allowed.is_some_and(|allowed| !allowed.contains(&site.as_str())) {
             plan.barred.push(site.clone());
         } else {
             let rows = table.map_or(f64::INFINITY, |(_, t)| t.rows as f64 * query.condition.share(t));
-            plan.parts.push(Part { site: site.clone(), rows });
+            plan.parts.push(Part { site: site.clone(), rows, ruled_out: proved, audit: false });
         }
     }
     plan
 }
+
+impl Plan {
+    /// A site that is left out is asked all the same, if it may be.
+    pub fn audit(&mut self, at: usize, sites: &[String], allowed: Option<&[&str]>) {
+        if at >= self.left_out.len() {
+            return;
+        }
+        let site = self.left_out.remove(at);
+        if allowed.is_none_or(|allowed| allowed.contains(&site.as_str())) {
+            let place = |name: &String| sites.iter().position(|site| site == name);
+            let at = self.parts.partition_point(|part| place(&part.site) < place(&site));
+            self.parts.insert(at, Part { site, rows: 0.0, ruled_out: true, audit: true });
+        }
+    }
+}
--- a/crates/scatter/src/spread.rs
+++ b/crates/scatter/src/spread.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::book::Book;
+use crate::sheets::{self, Fineness};
 use crate::summary::{Refused, MOST_BYTES};
 use crate::Micros;
 
@@ -24,12 +25,25 @@
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 enum Letter {
     Have(Vec<(u64, u64)>),
-    Want { name: u64, version: u64, piece: u16 },
-    Piece { name: u64, version: u64, piece: u16, pieces: u16, bytes: Vec<u8> },
+    Want {
+        name: u64,
+        version: u64,
+        piece: u16,
+    },
+    Piece {
+        name: u64,
+        version: u64,
+        piece: u16,
+        pieces: u16,
+        bytes: Vec<u8>,
+    },
+    /// The same as `Have`, with how fine it is: between fronts that hold parts of summaries.
+    Holds(Vec<(u64, u64, Fineness)>),
 }
 
 struct Coming {
     version: u64,
+    wanted: Fineness,
     from: FrontId,
     bytes: Vec<u8>,
     next: u16,
@@ -46,6 +60,17 @@
     coming: BTreeMap<u64, Coming>,
     /// Refused words: name, version, whose.
     refused: BTreeSet<(u64, u64, FrontId)>,
+    /// Names and versions that this front can read whole at home, whatever it holds of them.
+    pub home: BTreeMap<u64, u64>,
+}
+
+/// A piece that another front wants of what lies at home and is not held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loan {
+    pub to: FrontId,
+    pub name: u64,
+    pub version: u64,
+    piece: u16,
 }
 
 /// What is to leave, and what became of whole summaries that came.
@@ -53,6 +78,8 @@
 pub struct Out {
     pub letters: Vec<(FrontId, Vec<u8>)>,
     pub taken: Vec<Result<bool, Refused>>,
+    /// What is to be read at home and handed to `lend`.
+    pub loans: Vec<Loan>,
 }
 
 impl Spread {
@@ -66,6 +93,7 @@
             filled: 0,
             coming: BTreeMap::new(),
             refused: BTreeSet::new(),
+            home: BTreeMap::new(),
         }
     }
 
@@ -81,28 +109,43 @@
         }
         self.due = now + ROUND;
         self.coming.retain(|_, coming| now - coming.asked < PATIENCE);
-        let mut all: Vec<(u64, u64)> = book.versions().collect();
+        let mut all = self.known(book);
         if all.is_empty() || others.is_empty() {
             return out;
         }
         all.sort_unstable();
-        let first = all.partition_point(|(name, _)| *name <= self.after);
+        let first = all.partition_point(|(name, ..)| *name <= self.after);
         all.rotate_left(first);
         all.truncate(WINDOW);
-        self.after = all.last().map_or(0, |(name, _)| *name);
+        self.after = all.last().map_or(0, |(name, ..)| *name);
         for _ in 0..TOLD.min(others.len()) {
             self.turn = self.turn.wrapping_add(1);
             let to = others.get(self.turn % others.len()).copied().unwrap_or_default();
-            self.say(now, to, &Letter::Have(all.clone()), &mut out);
+            self.say(now, to, &list(all.clone(), book), &mut out);
         }
         out
     }
 
+    /// What can be had here: what is held, and what lies at home.
+    fn known(&self, book: &Book) -> Vec<(u64, u64, Fineness)> {
+        let mut all: BTreeMap<u64, (u64, Fineness)> =
+            book.versions().map(|(name, version, fineness)| (name, (version, fineness))).collect();
+        for (&name, &version) in self.home.iter().filter(|_| book.keep.is_some()) {
+            let known = all.entry(name).or_insert((version, Fineness::Full));
+            *known = (*known).max((version, Fineness::Full));
+        }
+        all.into_iter().map(|(name, (version, fineness))| (name, version, fineness)).collect()
+    }
+
     /// A letter has come. One that can't be read counts for nothing.
     pub fn heard(&mut self, now: Micros, wall_ms: u64, from: FrontId, bytes: &[u8], book: &mut Book) -> Out {
         let mut out = Out::default();
         match postcard::take_from_bytes(bytes) {
-            Ok((Letter::Have(all), [])) => self.compare(now, from, &all, book, &mut out),
+            Ok((Letter::Have(all), [])) => {
+                let all: Vec<_> = all.into_iter().map(|(n, v)| (n, v, Fineness::Full)).collect();
+                self.compare(now, from, &all, book, &mut out);
+            }
+            Ok((Letter::Holds(all), [])) => self.compare(now, from, &all, book, &mut out),
             Ok((Letter::Want { name, version, piece }, [])) => {
                 self.give(now, from, (name, version, piece), book, &mut out);
             }
@@ -121,30 +164,63 @@
         out
     }
 
-    fn compare(&mut self, now: Micros, from: FrontId, all: &[(u64, u64)], book: &Book, out: &mut Out) {
-        let known: BTreeMap<u64, u64> = book.versions().collect();
+    fn compare(
+        &mut self,
+        now: Micros,
+        from: FrontId,
+        all: &[(u64, u64, Fineness)],
+        book: &Book,
+        out: &mut Out,
+    ) {
+        let known: BTreeMap<u64, (u64, Fineness)> = self
+            .known(book)
+            .into_iter()
+            .map(|(name, version, fineness)| (name, (version, fineness)))
+            .collect();
+        let held: BTreeMap<u64, (u64, Fineness)> =
+            book.versions().map(|(name, version, fineness)| (name, (version, fineness))).collect();
         let mut newer = Vec::new();
-        for &(name, version) in all.iter().take(WINDOW) {
-            let held = known.get(&name).copied().unwrap_or(0);
-            if held > version {
-                newer.push((name, held));
-            }
+        for &(name, version, finest) in all.iter().take(WINDOW) {
+            let here = known.get(&name).copied();
+            newer.extend(here.filter(|(held, _)| *held > version).map(|(v, f)| (name, v, f)));
+            let Some(wanted) = book.wants(name).map(|wanted| wanted.min(finest)) else { continue };
+            let lacks = held.get(&name).is_none_or(|held| *held < (version, wanted));
             let waits =
                 self.coming.get(&name).is_some_and(|c| now - c.asked < PATIENCE && c.version >= version);
             let room = self.coming.len() < MOST_PARTS || self.coming.contains_key(&name);
-            if version > held && !waits && room && !self.refused.contains(&(name, version, from)) {
-                self.coming.insert(name, Coming { version, from, bytes: Vec::new(), next: 0, asked: now });
-                self.say(now, from, &Letter::Want { name, version, piece: 0 }, out);
+            if lacks && version > 0 && !waits && room && !self.refused.contains(&(name, version, from)) {
+                // What is held of it already need not come again.
+                let bytes = book.bytes(name).filter(|(held, _)| *held == version);
+                let mut bytes = bytes.map_or(Vec::new(), |(_, bytes)| bytes.to_vec());
+                bytes.truncate(bytes.len() / PIECE * PIECE);
+                let next = (bytes.len() / PIECE) as u16;
+                self.coming.insert(name, Coming { version, wanted, from, bytes, next, asked: now });
+                self.say(now, from, &Letter::Want { name, version, piece: next }, out);
             }
         }
         if !newer.is_empty() {
-            self.say(now, from, &Letter::Have(newer), out);
+            self.say(now, from, &list(newer, book), out);
         }
     }
 
     fn give(&mut self, now: Micros, to: FrontId, wanted: (u64, u64, u16), book: &Book, out: &mut Out) {
         let (name, version, piece) = wanted;
-        let Some((_, bytes)) = book.bytes(name).filter(|(held, _)| *held == version) else { return };
+        let held = book.bytes(name).filter(|(held, _)| *held == version);
+        let loan = Loan { to, name, version, piece };
+        match held {
+            // Where there is more at home, a piece that is not whole comes from there.
+            Some((_, bytes)) if (usize::from(piece) + 1) * PIECE <= bytes.len() => {
+                self.lend(now, loan, &bytes, out);
+            }
+            _ if book.keep.is_some() && self.home.get(&name) == Some(&version) => out.loans.push(loan),
+            Some((_, bytes)) => self.lend(now, loan, &bytes, out),
+            None => {}
+        }
+    }
+
+    /// Gives a piece of what was read at home.
+    pub fn lend(&mut self, now: Micros, loan: Loan, bytes: &[u8], out: &mut Out) {
+        let Loan { to, name, version, piece } = loan;
         let Some(part) = bytes.chunks(PIECE).nth(usize::from(piece)) else { return };
         let pieces = bytes.len().div_ceil(PIECE) as u16;
         let letter = Letter::Piece { name, version, piece, pieces, bytes: part.to_vec() };
@@ -169,6 +245,12 @@
         coming.bytes.extend_from_slice(bytes);
         coming.next += 1;
         coming.asked = now;
+        let ends = sheets::ends(&coming.bytes);
+        let end = ends.and_then(|ends| ends.get(coming.wanted as usize).copied());
+        if let Some(end) = end.filter(|end| *end <= coming.bytes.len()) {
+            coming.bytes.truncate(end);
+            return self.coming.remove(&name).map(|coming| coming.bytes);
+        }
         if coming.next == pieces {
             return self.coming.remove(&name).map(|coming| coming.bytes);
         }
@@ -189,3 +271,11 @@
         }
     }
 }
+
+/// What a front tells that it has; to fronts that take all of a summary, as they know it.
+fn list(all: Vec<(u64, u64, Fineness)>, book: &Book) -> Letter {
+    match book.keep {
+        Some(_) => Letter::Holds(all),
+        None => Letter::Have(all.into_iter().map(|(name, version, _)| (name, version)).collect()),
+    }
+}
--- a/crates/scatter/src/summary.rs
+++ b/crates/scatter/src/summary.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::filter::Members;
+use crate::sheets::{self, Fineness, IN_SHEETS};
 use crate::value::{less, Kind, Value, MOST_SCALE};
 
 pub const MOST_BYTES: usize = 64 << 10; // bytes of a summary: 50,000 values in filters, and 60 pieces on their way
@@ -28,6 +29,9 @@
     pub made_ms: u64,
     pub loads: Loads,
     pub tables: Vec<Table>,
+    /// How much of what its site says is here.
+    #[serde(skip)]
+    pub fineness: Fineness,
 }
 
 /// Numbers of the loads that are in it, as runs from the first to the last of each, in order.
@@ -139,9 +143,15 @@
 }
 
 #[derive(Serialize, Deserialize)]
-struct Signed {
-    summary: Vec<u8>,
-    signature: Vec<u8>,
+pub(crate) struct Signed {
+    pub summary: Vec<u8>,
+    pub signature: Vec<u8>,
+}
+
+pub(crate) fn signed(summary: Vec<u8>, key: &SigningKey) -> Vec<u8> {
+    use ed25519_dalek::Signer;
+    let signature = key.sign(&marked(&summary)).to_bytes().to_vec();
+    postcard::to_stdvec(&Signed { summary, signature }).unwrap_or_default()
 }
 
 fn marked(summary: &[u8]) -> Vec<u8> {
@@ -159,15 +169,13 @@
             made_ms: 0,
             loads: Loads::default(),
             tables: Vec::new(),
+            fineness: Fineness::Full,
         }
     }
 
     /// Its bytes with the site's signature over them.
     pub fn sign(&self, key: &SigningKey) -> Vec<u8> {
-        use ed25519_dalek::Signer;
-        let summary = postcard::to_stdvec(self).unwrap_or_default();
-        let signature = key.sign(&marked(&summary)).to_bytes().to_vec();
-        postcard::to_stdvec(&Signed { summary, signature }).unwrap_or_default()
+        signed(postcard::to_stdvec(self).unwrap_or_default(), key)
     }
 
     /// Reads one whose site's key is known; what it says of time and version is not looked at yet.
@@ -179,12 +187,14 @@
         let signature = Signature::from_slice(&signed.signature).map_err(|_| Refused::Form)?;
         // The format comes first in every format there will be.
         let (format, _) = postcard::take_from_bytes::<u16>(&signed.summary).map_err(|_| Refused::Form)?;
-        if format != FORMAT {
+        if !matches!(format, FORMAT | IN_SHEETS) {
             return Err(Refused::Format(format));
         }
-        let (summary, behind) =
+        let (mut summary, behind) =
             postcard::take_from_bytes::<Summary>(&signed.summary).map_err(|_| Refused::Form)?;
-        if !rest.is_empty() || !behind.is_empty() {
+        if format == IN_SHEETS {
+            summary.fineness = sheets::lay(&mut summary.tables, behind, rest).ok_or(Refused::Form)?;
+        } else if !rest.is_empty() || !behind.is_empty() {
             return Err(Refused::Form);
         }
         let key = key(&summary.site).ok_or_else(|| Refused::Unknown(summary.site.clone()))?;
@@ -229,6 +239,22 @@
     }
 }
 
+impl Table {
+    /// The same without its columns' filters.
+    pub fn bare(&self) -> Table {
+        let bare = |c: &Column| Column {
+            name: c.name.clone(),
+            kind: c.kind,
+            nulls: c.nulls,
+            distinct: c.distinct,
+            bounds: c.bounds.clone(),
+            tight: c.tight,
+            members: None,
+        };
+        Table { name: self.name.clone(), rows: self.rows, columns: self.columns.iter().map(bare).collect() }
+    }
+}
+
 impl Column {
     fn fault(&self, rows: u64) -> Option<&'static str> {
         if matches!(self.kind, Kind::Number { scale } if scale > MOST_SCALE) {
--- a/crates/scatter/src/whole.rs
+++ b/crates/scatter/src/whole.rs
@@ -76,6 +76,8 @@
     /// Places in the order in which they are asked.
     order: Vec<usize>,
     done: bool,
+    /// Audits are waited for no more.
+    hurried: bool,
 }
 
 impl Whole {
@@ -88,7 +90,7 @@
             order.sort_by(|a, b| rows(b).total_cmp(&rows(a)));
         }
         let parts = parts.into_iter().map(|part| (part, State::Waits)).collect();
-        let mut whole = Whole { rules, parts, barred, order, done: false };
+        let mut whole = Whole { rules, parts, barred, order, done: false, hurried: false };
         if !whole.barred.is_empty() && !rules.partial {
             whole.done = true;
             let barred = whole.barred.clone();
@@ -102,6 +104,26 @@
         self.parts.get(place).map(|(part, _)| part.site.as_str())
     }
 
+    /// The part of a place.
+    pub fn part(&self, place: usize) -> Option<&Part> {
+        self.parts.get(place).map(|(part, _)| part)
+    }
+
+    /// All that is still out are audits.
+    pub fn waits_for_audits(&self) -> bool {
+        let open = |(_, state): &&(Part, State)| matches!(state, State::Waits | State::Out);
+        !self.done && self.parts.iter().filter(open).all(|(part, _)| part.audit)
+    }
+
+    /// Audits are waited for no more.
+    pub fn hurry(&mut self) -> Vec<Act> {
+        self.hurried = true;
+        if self.done {
+            return Vec::new();
+        }
+        self.go_on()
+    }
+
     pub fn is_done(&self) -> bool {
         self.done
     }
@@ -116,6 +138,9 @@
         if self.done || !self.is_out(place) {
             return Vec::new();
         }
+        if self.part(place).is_some_and(|part| part.audit) {
+            return self.ended(place, State::Over);
+        }
         let site = self.site(place).unwrap_or_default().to_string();
         if self.rules.partial {
             if failed == Failed::Barred {
@@ -170,7 +195,10 @@
         }
         let had: u64 = self.rows().map(lines).sum();
         let enough = self.rules.limit.is_some_and(|limit| had >= limit);
-        let open = |(_, state): &(Part, State)| matches!(state, State::Waits | State::Out);
+        let hurried = self.hurried;
+        let open = |(part, state): &(Part, State)| {
+            matches!(state, State::Waits | State::Out) && !(hurried && part.audit)
+        };
         if enough || !self.parts.iter().any(open) {
             let answer = self.joined(enough);
             return self.end(answer);
@@ -232,7 +260,10 @@
     const RULES: Rules = Rules { limit: None, partial: false, at_once: 1, most_bytes: 100 };
 
     fn parts(rows: &[f64]) -> Vec<Part> {
-        rows.iter().enumerate().map(|(n, rows)| Part { site: format!("s{n}"), rows: *rows }).collect()
+        rows.iter()
+            .enumerate()
+            .map(|(n, rows)| Part { site: format!("s{n}"), rows: *rows, ruled_out: false, audit: false })
+            .collect()
     }
 
     fn rows(bytes: &[u8]) -> Act {
@@ -292,4 +323,25 @@
         let (mut whole, _) = Whole::new(parts(&[1.0]), vec![], RULES);
         assert_eq!(whole.answered(0, vec![b'x'; 101]), [Act::Answer(Answer::Long)]);
     }
+
+    #[test]
+    fn an_audit_never_fails_the_whole_and_is_not_waited_for_once_it_is_hurried() {
+        let two = || {
+            let mut two = parts(&[1.0, 0.0]);
+            two[1].audit = true;
+            Whole::new(two, vec![], RULES).0
+        };
+        let mut whole = two();
+        assert_eq!(whole.failed(1, Failed::Aborted), []);
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), [rows(b"a\n")]);
+        let mut whole = two();
+        assert!(!whole.waits_for_audits());
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), []);
+        assert!(whole.waits_for_audits());
+        assert_eq!(whole.hurry(), [Act::End(1), rows(b"a\n")]);
+        // What it finds in time is in the answer.
+        let mut whole = two();
+        whole.answered(1, b"b\n".to_vec());
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), [rows(b"a\nb\n")]);
+    }
 }
--- a/crates/scatter/tests/book.rs
+++ b/crates/scatter/tests/book.rs
@@ -47,7 +47,7 @@
         (good[..good.len() - 1].to_vec(), "form"),
         ([good.clone(), vec![0]].concat(), "form"),
         (vec![0; MOST_BYTES + 1], "long"),
-        (of(&|s| s.format = 2), "format"),
+        (of(&|s| s.format = 3), "format"),
         (word(0, 6, 5).sign(&key(1)), "forged"),
         (of(&|s| s.site = "elsewhere".into()), "unknown site"),
         (of(&|s| s.schema = 2), "schema"),
--- /dev/null
+++ b/crates/scatter/tests/keep.rs
@@ -0,0 +1,210 @@
+//! What is held of summaries under a budget, over a drawn day whose load is skewed and turns at noon: beside equal shares, and
+//! beside those used last. Never a row missing; and what was learned outlives the front.
+
+use std::collections::BTreeMap;
+
+use ed25519_dalek::SigningKey;
+use hallmux_scatter::book::{name, Book, Terms};
+use hallmux_scatter::build::{in_sheets, About, TableBuilder};
+use hallmux_scatter::keep::{Budget, Keep};
+use hallmux_scatter::plan::{plan, Word};
+use hallmux_scatter::sheets::{ends, Fineness};
+use hallmux_scatter::sql;
+use hallmux_scatter::summary::{Loads, MOST_BYTES};
+use hallmux_scatter::value::{Kind, Value};
+
+const SITES: usize = 12;
+const GROUPS: usize = 20;
+const SCATTERS: usize = 1_500;
+const DAY_MS: u64 = 86_400_000;
+
+/// Drawn numbers (SplitMix64).
+struct Drawn(u64);
+
+impl Drawn {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    fn below(&mut self, most: u64) -> u64 {
+        self.next() % most
+    }
+}
+
+fn key(site: usize) -> SigningKey {
+    SigningKey::from_bytes(&[site as u8 + 1; 32])
+}
+
+fn site(n: usize) -> String {
+    format!("s{n:02}")
+}
+
+/// Ids of a group at a site: in even groups drawn all over, in odd ones a range of its own, as large as the group is.
+fn rows(drawn: &mut Drawn, at: usize, group: usize) -> Vec<u64> {
+    let count = 20 + drawn.below(if group.is_multiple_of(3) { 1_500 } else { 200 });
+    let id = |drawn: &mut Drawn| match group % 2 {
+        0 => drawn.below(1_000_000),
+        _ => at as u64 * 10_000 + drawn.below(9_000),
+    };
+    (0..count).map(|_| id(drawn)).collect()
+}
+
+/// How a front that is told of everything chooses what it holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    /// By what it spares.
+    Earned,
+    /// The same bytes for each.
+    Equal,
+    /// Whole ones, those used last.
+    Last,
+}
+
+struct World {
+    /// Rows and the bytes of the summary, by group and site.
+    rows: BTreeMap<(usize, usize), Vec<u64>>,
+    bytes: BTreeMap<(usize, usize), Vec<u8>>,
+}
+
+fn world(seed: u64) -> World {
+    let mut drawn = Drawn(seed);
+    let (mut all, mut bytes) = (BTreeMap::new(), BTreeMap::new());
+    for group in 0..GROUPS {
+        for at in 0..SITES {
+            let ids = rows(&mut drawn, at, group);
+            let mut table = TableBuilder::new("t", &[("id", Kind::Number { scale: 0 })]);
+            ids.iter().for_each(|id| table.row(&[Some(Value::Number(i128::from(*id)))]));
+            let (name, loads) = (site(at), Loads::default());
+            let about = About { site: name, group: group as u32, schema: 1, version: 1, made_ms: 0, loads };
+            bytes.insert((group, at), in_sheets(about, vec![table], MOST_BYTES, &key(at)));
+            all.insert((group, at), ids);
+        }
+    }
+    World { rows: all, bytes }
+}
+
+fn book(keep: Option<Keep>) -> Book {
+    let sites = (0..SITES).map(|n| (site(n), key(n).verifying_key())).collect();
+    let terms = Terms { sites, schemas: BTreeMap::new(), oldest_ms: DAY_MS * 2, ahead_ms: 0, most: 10_000 };
+    let mut book = Book::new(terms);
+    book.keep = keep;
+    book
+}
+
+/// A day's scatters: hours by hour, groups by a skewed draw that turns at noon; most ask for one id, some for a range.
+fn day(seed: u64, world: &World) -> Vec<(u64, usize, u64, u64)> {
+    let mut drawn = Drawn(seed);
+    let one = |n: usize| {
+        let skewed = (0..4).map(|_| drawn.below(GROUPS as u64)).min().unwrap_or(0) as usize;
+        let group = if n < SCATTERS / 2 { skewed } else { (skewed + GROUPS / 2) % GROUPS };
+        let at = drawn.below(SITES as u64) as usize;
+        let ids = &world.rows[&(group, at)];
+        let id = ids[drawn.below(ids.len() as u64) as usize];
+        let to = if drawn.below(4) == 0 { id + 500 } else { id };
+        (n as u64 * DAY_MS / SCATTERS as u64, group, id, to)
+    };
+    (0..SCATTERS).map(one).collect()
+}
+
+/// Sites asked over the day, beside those that have rows.
+fn plays(way: Way, budget: Budget, world: &World, day: &[(u64, usize, u64, u64)]) -> (usize, usize) {
+    let mut book = book((way == Way::Earned).then(|| Keep::new(budget)));
+    let sites: Vec<String> = (0..SITES).map(site).collect();
+    let (mut asked, mut due, mut chosen) = (0, 0, 0);
+    // Of the plain ways: what is held now, and when each was used.
+    let share = budget.memory / 2.0 / world.bytes.len() as f64;
+    let mut used: BTreeMap<(usize, usize), u64> = BTreeMap::new();
+    if way == Way::Equal {
+        for bytes in world.bytes.values() {
+            let end = ends(bytes).unwrap().into_iter().filter(|end| *end as f64 <= share).max();
+            end.into_iter().for_each(|end| _ = book.take(0, &bytes[..end]));
+        }
+    }
+    for (n, (at_ms, group, id, to)) in day.iter().enumerate() {
+        if way == Way::Earned && *at_ms >= chosen {
+            // Some ten seconds apart where there is load; what is wanted and lacks comes from other fronts.
+            chosen = at_ms + 60_000;
+            book.choose(*at_ms);
+            let held: BTreeMap<u64, Fineness> = book.versions().map(|(name, _, f)| (name, f)).collect();
+            for ((group, at), bytes) in &world.bytes {
+                let of = name(&site(*at), *group as u32);
+                let wanted = book.wants(of);
+                if wanted > held.get(&of).copied() {
+                    let end = ends(bytes).unwrap()[wanted.unwrap() as usize];
+                    let _ = book.take(*at_ms, &bytes[..end]);
+                }
+            }
+            assert!(book.size() as f64 * 2.0 <= budget.memory * 1.05 || n == 0, "{} bytes", book.size());
+        }
+        let condition = if id == to { format!("id = {id}") } else { format!("id between {id} and {to}") };
+        let query = sql::read(format!("select id from a_{group}.t where {condition}").as_bytes()).unwrap();
+        let plan = plan(&query, &sites, None, &book, *at_ms, &Word::NoLoads, &|_| false);
+        let has = |at: usize| world.rows[&(*group, at)].iter().any(|row| (*id..=*to).contains(row));
+        for (at, name) in sites.iter().enumerate() {
+            let out = plan.left_out.contains(name);
+            assert!(!out || !has(at), "a row missing: {way:?}, group {group}, site {name}, {condition}");
+            due += usize::from(has(at));
+            asked += usize::from(!out);
+            if out || !has(at) {
+                book.learn(*at_ms, &query, name, !out);
+            }
+            if way == Way::Last {
+                used.insert((*group, at), n as u64);
+                let _ = book.take(*at_ms, &world.bytes[&(*group, at)]);
+            }
+        }
+        while way == Way::Last && book.size() as f64 * 2.0 > budget.memory {
+            let Some((&first, _)) = used.iter().min_by_key(|(_, at)| **at) else { break };
+            used.remove(&first);
+            book.drop(&site(first.1), first.0 as u32);
+        }
+    }
+    (asked, due)
+}
+
+#[test]
+fn what_earns_its_bytes_spares_more_than_equal_shares_and_than_what_was_used_last() {
+    let world = world(7);
+    let day = day(11, &world);
+    let whole: usize = world.bytes.values().map(Vec::len).sum();
+    println!("{} summaries of {whole} bytes, {SCATTERS} scatters over {SITES} sites", world.bytes.len());
+    for part in [0.1, 0.35, 0.7] {
+        let budget = Budget { memory: whole as f64 * 2.0 * part, traffic: 1e9 };
+        let [earned, equal, last] =
+            [Way::Earned, Way::Equal, Way::Last].map(|way| plays(way, budget, &world, &day));
+        println!(
+            "{:>3.0} % of the bytes: sites asked {} by what is spared, {} by equal shares, {} by last use; {} had rows",
+            part * 100.0, earned.0, equal.0, last.0, earned.1
+        );
+        assert!(earned.0 < equal.0 && earned.0 < last.0, "{part}: {earned:?} {equal:?} {last:?}");
+    }
+}
+
+#[test]
+fn what_was_learned_outlives_the_front_and_damage_is_taken_for_nothing() {
+    use hallmux_scatter::keep::Shown;
+    let budget = Budget { memory: 9_000.0, traffic: 1e9 };
+    let mut keep = Keep::new(budget);
+    for name in 0..20 {
+        keep.came(0, name, 1, [200, 1_000, 3_000]);
+    }
+    (0..50).for_each(|n| keep.shows(n, 3, Shown::ByFilter));
+    keep.choose(100);
+    assert_eq!(keep.holds(3), Some(Fineness::Full));
+    let bytes = keep.bytes();
+    let mut next = Keep::new(budget);
+    assert!(next.read(200, &bytes) && next.len() == 20);
+    next.choose(200);
+    assert_eq!(next.holds(3), Some(Fineness::Full));
+    // A day without use, and another takes its place.
+    (0..50).for_each(|n| next.shows(100_000_000_000 + n, 5, Shown::ByFilter));
+    next.choose(100_000_000_100);
+    assert_eq!((next.holds(5), next.holds(3) < Some(Fineness::Full)), (Some(Fineness::Full), true));
+    for cut in 0..bytes.len() {
+        assert!(!Keep::new(budget).read(0, &bytes[..cut]));
+    }
+    assert!(!Keep::new(budget).read(0, &[vec![2], bytes[1..].to_vec()].concat()));
+}
--- a/crates/scatter/tests/loads.rs
+++ b/crates/scatter/tests/loads.rs
@@ -126,7 +126,8 @@
                 let query = sql::read(text.as_bytes()).unwrap();
                 let marks = Marks::read(&entry).unwrap();
                 let word = if with_marks { Word::Marks(&marks) } else { Word::NoLoads };
-                let plan = plan(&query, &SITES.map(str::to_string), None, &books[front], now, &word);
+                let plan =
+                    plan(&query, &SITES.map(str::to_string), None, &books[front], now, &word, &|_| false);
                 all += 3;
                 asked += plan.parts.len() as u32;
                 for (site, name) in sites.iter().zip(SITES) {
@@ -161,7 +162,7 @@
 fn a_load_that_is_lost_keeps_its_site_asked_until_a_later_one_is_spoken_of() {
     let query = sql::read(b"select * from sales_17.orders where id = 5").unwrap();
     let proved = |marks: &Marks, book: &Book| {
-        plan(&query, &["ash".to_string()], None, book, 0, &Word::Marks(marks)).parts.is_empty()
+        plan(&query, &["ash".to_string()], None, book, 0, &Word::Marks(marks), &|_| false).parts.is_empty()
     };
     let spoken = |version, numbers: &[u64]| {
         let mut loads = Loads::default();
