--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -101,9 +101,9 @@
             unfinished: Vec::new(),
             handle,
         };
-        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+        if let Some(ledger) = station.operator.gossip.as_ref().and_then(|gossip| gossip.ledger.as_ref()) {
             let now = front.clock.now;
-            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+            front.guard = Some(Guard::new(contract, now, ledger.shards, &mut front.dispatcher));
         }
         front.limit(&station.limits);
         front.follow(known, 0);
@@ -252,13 +252,13 @@
 
     /// The configuration was read again: what may change while a front runs holds from now on. One that
     /// can't be used changes nothing.
-    pub fn reload(&mut self, read: Result<Station, String>) {
+    pub fn reload(&mut self, read: Result<Station, hallmux_agreement::Error>) {
         self.clock.look();
         match read {
             Ok(station) => {
                 self.limit(&station.limits);
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
-                    peers.reload(gossip);
+                    peers.reload(self.clock.now, gossip);
                 }
                 if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
                     rules.borrow_mut().reload(self.clock.now, read);
