--- a/crates/agreement/src/operator/scatter.rs
+++ b/crates/agreement/src/operator/scatter.rs
@@ -207,30 +207,24 @@
             return refuse(key, What::range(least, most));
         }
     }
-    let keep = match file.keep {
-        None => None,
-        Some(KeepFile { memory_kb, bytes_a_second, file }) => {
-            if !(16..=1 << 24).contains(&memory_kb) {
-                return refuse("keep.memory_kb", "is not from 16 to 16777216");
-            }
-            if !(100..=1 << 24).contains(&bytes_a_second) {
-                return refuse("keep.bytes_a_second", "is not from 100 to 16777216");
-            }
-            Some(Keep { memory_bytes: memory_kb * 1024, bytes_a_second, file })
-        }
-    };
-    let audits = match file.audits {
-        None => None,
-        Some(AuditsFile { one_in, a_minute }) => {
-            if !(1..=1_000_000).contains(&one_in) {
-                return refuse("audits.one_in", "is not from 1 to 1000000");
-            }
-            if !(1..=60_000).contains(&a_minute) {
-                return refuse("audits.a_minute", "is not from 1 to 60000");
-            }
-            Some(Audits { one_in, a_minute })
-        }
+    let range = |key: &str, value: u64, least: u64, most: u64| match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => refuse(key, What::range(least, most)).map(|_: Scatter| ()),
     };
+    if let Some(keep) = &file.keep {
+        range("keep.memory_kb", keep.memory_kb, 16, 1 << 24)?;
+        range("keep.bytes_a_second", keep.bytes_a_second, 100, 1 << 24)?;
+    }
+    if let Some(audits) = &file.audits {
+        range("audits.one_in", audits.one_in, 1, 1_000_000)?;
+        range("audits.a_minute", audits.a_minute, 1, 60_000)?;
+    }
+    let keep = file.keep.map(|KeepFile { memory_kb, bytes_a_second, file }| Keep {
+        memory_bytes: memory_kb * 1024,
+        bytes_a_second,
+        file,
+    });
+    let audits = file.audits.map(|AuditsFile { one_in, a_minute }| Audits { one_in, a_minute });
     let ScatterFile { workloads, directory, whole_site, partial, writes, .. } = file;
     let effects = names.workloads.iter().zip(&contract.agreement.workloads);
     let may_write = effects.filter(|(name, w)| w.effect != Effect::Idempotent || writes.contains(name));
