Counts, sums and extremes of numbers are put together from the sites' parts, exactly

Need: every aggregate went to the site that has all rows, or was refused. count, sum, min and max alone in the list are now asked of the sites that could have rows and joined with bigdecimal. Sums of floats and extremes of text are not taken; an answer of another form fails the whole and names its site.

First tried with four columns: engines' rows have three (the codec refused them as spoilt), so empty ones beyond the aggregates are let through.

--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -170,6 +170,11 @@
             Answer::Barred(sites) => {
                 self.clients.answer(now, ticket, &Reply::Refused(&[("barred", &sites.join(","))]));
             }
+            Answer::Unlike { site } => {
+                let why =
+                    format!("site '{site}' answers aggregates in another form: name a scatter.whole_site");
+                self.clients.answer(now, ticket, &Reply::Refused(&[("reason", &why)]));
+            }
             Answer::Long => {
                 let why = "more bytes than scatter.answer_bytes: ask for fewer rows, or raise it";
                 self.clients.answer(now, ticket, &Reply::Refused(&[("reason", why)]));
--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -111,7 +111,12 @@
 
     /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be answered.
     pub fn read(&self, statement: &[u8]) -> Result<Option<Query>, String> {
-        match sql::read(statement) {
+        let read = sql::read(statement).and_then(|query| {
+            let kind = |column: &str| self.summaries.book.kind(query.group, &query.table, column);
+            query.combine.iter().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
+            Ok(query)
+        });
+        match read {
             Ok(query) => Ok(Some(query)),
             Err(_) if self.settings.whole_site.is_some() => Ok(None),
             Err(why) => Err(why.to_string()),
@@ -168,7 +173,9 @@
         let doubted = |site: &str| doubts.is_some_and(|doubts| doubts.doubts(site));
         let (sites, allowed) = (&self.sites, allowed.as_deref());
         let mut plan = plan(&one.query, sites, allowed, book, wall_ms, word, &doubted);
-        if let Some(doubts) = &mut self.doubts {
+        if one.query.combine.is_some() {
+            plan.ask_one(sites, allowed);
+        } else if let Some(doubts) = &mut self.doubts {
             doubts.audit(now, ticket, &mut plan, sites, allowed);
         }
         let version = |site: &str| book.look(wall_ms, site, one.query.group).map_or(0, |s| s.version);
@@ -193,6 +200,7 @@
             partial: self.settings.partial.contains(&one.call.customer),
             at_once: self.settings.at_once,
             most_bytes: self.settings.answer_bytes,
+            combine: one.query.combine.clone(),
         };
         let (whole, acts) = Whole::new(plan.parts, plan.barred, rules);
         one.whole = Some(whole);
--- a/crates/front/tests/scatter/main.rs
+++ b/crates/front/tests/scatter/main.rs
@@ -47,9 +47,20 @@
         assert_eq!(front.rows("acme", &format!("{select}{condition}")), rows, "{condition}");
         assert_eq!(asked(&sites), of, "{condition}");
     }
+    // Aggregates are put together, also where no site has a row; one site at least tells how it says that.
+    let count = "select count(*), sum(id), max(id) from sales_17.orders";
+    for (condition, row, of) in [
+        ("", "9\t95\t22\n", vec!["ash", "elm", "oak"]),
+        (" where id = 3", "2\t6\t3\n", vec!["ash", "oak"]),
+        (" where id = 500", "0\t\t\n", vec!["ash"]),
+    ] {
+        let held = front.asks("acme", &format!("{count}{condition}"));
+        assert!(says(&held, row), "{condition}: {:?}", String::from_utf8_lossy(&held));
+        assert_eq!(asked(&sites), of, "{condition}");
+    }
     // What parts can't make up is refused with its reason, and nothing is asked.
-    let held = front.asks("acme", "select count(*) from sales_17.orders");
-    assert!(held.starts_with(&[12, 0, 1]) && says(&held, "function 'count'"));
+    let held = front.asks("acme", "select avg(id) from sales_17.orders");
+    assert!(held.starts_with(&[12, 0, 1]) && says(&held, "function 'avg'"));
     assert_eq!(asked(&sites), Vec::<&str>::new());
     // A site that fails for good fails the whole, or is named as missing where the customer takes that.
     sites[1].fails();
--- a/crates/front/tests/scatter/site.rs
+++ b/crates/front/tests/scatter/site.rs
@@ -127,6 +127,13 @@
         let (text, limit) = text.split_once(" limit ").unwrap_or((text, "1000"));
         let condition = text.split_once(" where ").map_or("", |(_, condition)| condition);
         let rows = self.rows.iter().filter(|id| condition.split(" and id ").all(|part| holds(part, **id)));
+        if text.contains("count(*)") {
+            let rows: Vec<i64> = rows.copied().collect();
+            let say = |value: Option<i64>| value.map_or(String::new(), |value| value.to_string());
+            let sum = (!rows.is_empty()).then(|| rows.iter().sum());
+            let greatest = rows.iter().max().copied();
+            return Some(format!("{}\t{}\t{}\n", rows.len(), say(sum), say(greatest)));
+        }
         let rows: Vec<String> = rows.take(limit.parse().ok()?).map(|id| format!("{id}\ta\tb\n")).collect();
         Some(rows.concat())
     }
--- a/crates/scatter/src/book.rs
+++ b/crates/scatter/src/book.rs
@@ -9,7 +9,7 @@
 use crate::sheets::{self, Fineness};
 use crate::sql::Query;
 use crate::summary::{Refused, Summary};
-use crate::value::fnv;
+use crate::value::{fnv, Kind};
 use crate::Micros;
 
 /// What the operator says of summaries.
@@ -179,6 +179,18 @@
         self.held.remove(&(site.to_string(), group));
     }
 
+    /// What a column holds, where all that is held speaks alike of it.
+    pub fn kind(&self, group: u32, table: &str, column: &str) -> Option<Kind> {
+        let of = self
+            .held
+            .iter()
+            .filter(|((_, of), _)| *of == group)
+            .filter_map(|(_, held)| held.summary.table(table));
+        let mut kinds = of.map(|table| table.columns.iter().find(|c| c.name == column).map(|c| c.kind));
+        let first = kinds.next()??;
+        kinds.all(|kind| kind == Some(first)).then_some(first)
+    }
+
     /// Bytes of what is held.
     pub fn size(&self) -> usize {
         self.held.values().map(|held| held.bytes.len()).sum()
--- /dev/null
+++ b/crates/scatter/src/combine.rs
@@ -0,0 +1,183 @@
+//! Aggregates that are put together from those of the sites, exactly: counts and sums of decimals of any length, the least and
+//! the greatest of numbers. What depends on the order in which it is added, or on a collation, is not taken.
+
+use bigdecimal::BigDecimal;
+use sqlparser::ast::{Expr, Function, FunctionArg, FunctionArgExpr, FunctionArguments, SelectItem};
+
+use crate::row::{arguments, beyond_one_row};
+use crate::sql::{Names, Unfit};
+use crate::value::Kind;
+
+const NULLS: [&str; 4] = ["", "\\N", "NULL", "null"]; // as engines write that there is no value
+const LONGEST: usize = 1_000; // characters of a number
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Count,
+    Sum,
+    Least,
+    Greatest,
+}
+
+/// One column of the answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Aggregate {
+    pub way: Way,
+    /// Of which column; None: of rows.
+    pub column: Option<String>,
+}
+
+/// Takes a select list of aggregates; None: it has none.
+pub(crate) fn read(projection: &[SelectItem], names: &Names) -> Result<Option<Vec<Aggregate>>, Unfit> {
+    let way = |f: &Function| match f.name.to_string().to_ascii_lowercase().as_str() {
+        "count" => Some(Way::Count),
+        "sum" => Some(Way::Sum),
+        "min" => Some(Way::Least),
+        "max" => Some(Way::Greatest),
+        _ => None,
+    };
+    let of = |item: &SelectItem| match item {
+        SelectItem::UnnamedExpr(Expr::Function(f))
+        | SelectItem::ExprWithAlias { expr: Expr::Function(f), .. } => way(f).map(|way| (way, f.clone())),
+        _ => None,
+    };
+    let all: Vec<(Way, Function)> = projection.iter().filter_map(of).collect();
+    if all.is_empty() {
+        return Ok(None);
+    }
+    let whole = |what: &str| Err(Unfit::Whole(what.to_string()));
+    if all.len() < projection.len() {
+        return whole("aggregates beside other columns");
+    }
+    let mut aggregates = Vec::new();
+    for (way, f) in all {
+        let column = match (way, arguments(&f).as_deref()) {
+            (Way::Count, None) if is_of_rows(&f) => None,
+            (Way::Count, Some([e])) if beyond_one_row(e).is_none() => None,
+            (Way::Sum | Way::Least | Way::Greatest, Some([e])) => match names.column(e) {
+                Some(column) => Some(column),
+                None => return whole("a sum, least or greatest of anything but a column"),
+            },
+            _ => return whole("an aggregate with DISTINCT, OVER, FILTER or other arguments"),
+        };
+        aggregates.push(Aggregate { way, column });
+    }
+    Ok(Some(aggregates))
+}
+
+/// `count(*)` and nothing else.
+fn is_of_rows(f: &Function) -> bool {
+    let plain =
+        f.over.is_none() && f.filter.is_none() && f.within_group.is_empty() && f.null_treatment.is_none();
+    let plain = plain && matches!(f.parameters, FunctionArguments::None);
+    match &f.args {
+        FunctionArguments::List(list) => {
+            let one = matches!(list.args[..], [FunctionArg::Unnamed(FunctionArgExpr::Wildcard)]);
+            plain && one && list.clauses.is_empty() && list.duplicate_treatment.is_none()
+        }
+        _ => false,
+    }
+}
+
+impl Aggregate {
+    /// Whether it can be put together, by what its column holds at every site. Sums of floats depend on their order, text on a
+    /// collation.
+    pub fn fits(&self, kind: impl Fn(&str) -> Option<Kind>) -> Result<(), Unfit> {
+        let Some(column) = &self.column else { return Ok(()) };
+        match (self.way, kind(column)) {
+            (Way::Count, _) | (_, Some(Kind::Number { .. })) => Ok(()),
+            (_, None) => Err(Unfit::Whole(format!(
+                "column '{column}', of whose kind no two summaries speak alike, or none,"
+            ))),
+            (Way::Sum, Some(Kind::Float)) => Err(Unfit::Whole(format!("a sum of floats ('{column}')"))),
+            _ => Err(Unfit::Whole(format!(
+                "the least or greatest of '{column}', which is no column of numbers,"
+            ))),
+        }
+    }
+
+    fn join(&self, fields: &[&str]) -> Option<String> {
+        let null = fields.iter().find(|field| NULLS.contains(field));
+        let values = fields.iter().filter(|field| !NULLS.contains(field));
+        let values: Vec<(BigDecimal, &str)> =
+            values.map(|field| Some((number(field)?, *field))).collect::<Option<_>>()?;
+        if values.is_empty() || self.way == Way::Count && null.is_some() {
+            return null.filter(|_| self.way != Way::Count).map(|null| (*null).to_string());
+        }
+        match self.way {
+            Way::Count | Way::Sum => {
+                let sum: BigDecimal = values.iter().map(|(number, _)| number).sum();
+                Some(sum.to_plain_string())
+            }
+            Way::Least => values.iter().min_by(|a, b| a.0.cmp(&b.0)).map(|(_, field)| (*field).to_string()),
+            Way::Greatest => {
+                values.iter().max_by(|a, b| a.0.cmp(&b.0)).map(|(_, field)| (*field).to_string())
+            }
+        }
+    }
+}
+
+fn number(field: &str) -> Option<BigDecimal> {
+    let plain = |c: u8| c.is_ascii_digit() || b"+-.".contains(&c);
+    field.parse().ok().filter(|_| field.len() <= LONGEST && field.bytes().all(plain))
+}
+
+/// One row from one row of each part; the place of the first part that is of another form where there is one.
+pub fn join(aggregates: &[Aggregate], parts: &[&[u8]]) -> Result<Vec<u8>, usize> {
+    let (mut rows, mut empty): (Vec<Vec<&str>>, usize) = (Vec::new(), 0);
+    for (at, part) in parts.iter().enumerate() {
+        let text = std::str::from_utf8(part).ok().and_then(|text| text.strip_suffix('\n'));
+        let mut fields: Vec<&str> = text.filter(|text| !text.contains('\n')).ok_or(at)?.split('\t').collect();
+        // Engines' rows have three columns: what is not asked for is empty.
+        let beyond = fields.split_off(aggregates.len().min(fields.len()));
+        if fields.len() != aggregates.len() || beyond.iter().any(|field| !field.is_empty()) {
+            return Err(at);
+        }
+        empty = empty.max(beyond.len());
+        rows.push(fields);
+    }
+    let mut joined = Vec::new();
+    for (place, aggregate) in aggregates.iter().enumerate() {
+        let fields: Vec<&str> = rows.iter().filter_map(|row| row.get(place).copied()).collect();
+        let Some(field) = aggregate.join(&fields) else {
+            let wrong = |field: &&str| aggregate.join(&[field]).is_none();
+            return Err(fields.iter().position(wrong).unwrap_or(0));
+        };
+        joined.push(field);
+    }
+    joined.resize(joined.len() + empty, String::new());
+    Ok([joined.join("\t").as_bytes(), b"\n"].concat())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn of(way: Way) -> Aggregate {
+        Aggregate { way, column: None }
+    }
+
+    #[test]
+    fn aggregates_are_joined_exactly() {
+        let all = [of(Way::Count), of(Way::Sum), of(Way::Least), of(Way::Greatest)];
+        let parts: [&[u8]; 3] = [
+            b"2\t99999999999999999999999999999999999999.10\t-3\t9\n",
+            b"0\t\\N\t\\N\t\\N\n",
+            b"40\t0.905\t-2.50\t10.0\n",
+        ];
+        let joined = join(&all, &parts).unwrap();
+        assert_eq!(joined, b"42\t100000000000000000000000000000000000000.005\t-3\t10.0\n");
+        assert_eq!(join(&all, &[parts[1], parts[1]]).unwrap(), b"0\t\\N\t\\N\t\\N\n");
+        assert_eq!(join(&all[..1], &[b"1\t\t\n", b"2\t\t\n"]).unwrap(), b"3\t\t\n");
+        for (wrong, at) in [
+            (&b"1\t2\t3\n"[..], 1),
+            (b"1\t2e5\t3\t4\n", 1),
+            (b"x\t2\t3\t4\n", 1),
+            (b"\\N\t2\t3\t4\n", 1),
+            (b"1\t2\t3\t4\n5\t6\t7\t8\n", 1),
+            (b"", 1),
+        ] {
+            assert_eq!(join(&all, &[parts[0], wrong]), Err(at), "{wrong:?}");
+        }
+    }
+}
--- a/crates/scatter/src/lib.rs
+++ b/crates/scatter/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod book;
 pub mod build;
+pub mod combine;
 pub mod condition;
 pub mod filter;
 pub mod keep;
--- a/crates/scatter/src/plan.rs
+++ b/crates/scatter/src/plan.rs
@@ -72,6 +72,16 @@
 }
 
 impl Plan {
+    /// What each site answers even without rows is asked of one of them at least.
+    pub fn ask_one(&mut self, sites: &[String], allowed: Option<&[&str]>) {
+        while self.parts.is_empty() && self.barred.is_empty() && !self.left_out.is_empty() {
+            self.audit(0, sites, allowed);
+        }
+        for part in &mut self.parts {
+            (part.audit, part.ruled_out) = (false, false);
+        }
+    }
+
     /// A site that is left out is asked all the same, if it may be.
     pub fn audit(&mut self, at: usize, sites: &[String], allowed: Option<&[&str]>) {
         if at >= self.left_out.len() {
--- a/crates/scatter/src/sql.rs
+++ b/crates/scatter/src/sql.rs
@@ -8,6 +8,7 @@
 use sqlparser::dialect::GenericDialect;
 use sqlparser::parser::Parser;
 
+use crate::combine::{self, Aggregate};
 use crate::condition::Condition;
 use crate::row::{beyond_one_row, is_of_one_reading, selects_beyond_one_row};
 use crate::value::Literal;
@@ -21,6 +22,8 @@
     pub table: String,
     pub condition: Condition,
     pub limit: Option<u64>,
+    /// Its answer is one row of aggregates, put together from those of the parts.
+    pub combine: Option<Vec<Aggregate>>,
 }
 
 /// Why the rows of a statement can't be put together from parts.
@@ -232,21 +235,25 @@
         return whole("a table with hints, partitions or other names");
     }
     let (group, table) = table(name).ok_or(Unfit::NoGroup)?;
-    let beyond = projection.iter().find_map(selects_beyond_one_row);
-    if let Some(what) = beyond.or_else(|| selection.as_ref().and_then(beyond_one_row)) {
-        return whole(what);
-    }
     let names = Names {
         table: alias.as_ref().map_or_else(|| table.clone(), |a| plain_name(&a.name)),
         taken: projection.iter().filter_map(given_name).collect(),
     };
+    let combine = combine::read(&projection, &names)?;
+    if combine.is_some() && limit.is_some() {
+        return whole("LIMIT beside aggregates");
+    }
+    let beyond = projection.iter().filter(|_| combine.is_none()).find_map(selects_beyond_one_row);
+    if let Some(what) = beyond.or_else(|| selection.as_ref().and_then(beyond_one_row)) {
+        return whole(what);
+    }
     let condition = match &selection {
         None => Condition::Constant(true),
         // MySQL reads some operators as AND and OR: then the whole falls apart otherwise.
         Some(e) if !is_of_one_reading(e) => Condition::Other,
         Some(e) => crate::of::of(e, &names),
     };
-    Ok(Query { group, table, condition, limit })
+    Ok(Query { group, table, condition, limit, combine })
 }
 
 fn given_name(item: &SelectItem) -> Option<String> {
--- a/crates/scatter/src/whole.rs
+++ b/crates/scatter/src/whole.rs
@@ -1,5 +1,6 @@
 //! One statement in progress over its sites: which parts to start and to end, and one final answer from them.
 
+use crate::combine::{self, Aggregate};
 use crate::plan::Part;
 use crate::Micros;
 
@@ -34,6 +35,10 @@
     Barred(Vec<String>),
     /// More rows than an answer holds.
     Long,
+    /// A site's answer can't be joined with the others: it is of another form.
+    Unlike {
+        site: String,
+    },
 }
 
 /// How a part failed for good.
@@ -48,7 +53,7 @@
 }
 
 /// What holds for the whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rules {
     pub limit: Option<u64>,
     /// The customer takes an answer that says which sites are missing.
@@ -57,6 +62,8 @@
     pub at_once: usize,
     /// Bytes of an answer.
     pub most_bytes: usize,
+    /// The answer is one row of these, from one row of each part.
+    pub combine: Option<Vec<Aggregate>>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -91,7 +98,7 @@
         }
         let parts = parts.into_iter().map(|part| (part, State::Waits)).collect();
         let mut whole = Whole { rules, parts, barred, order, done: false, hurried: false };
-        if !whole.barred.is_empty() && !rules.partial {
+        if !whole.barred.is_empty() && !whole.rules.partial {
             whole.done = true;
             let barred = whole.barred.clone();
             return (whole, vec![Act::Answer(Answer::Barred(barred))]);
@@ -220,7 +227,20 @@
     }
 
     fn joined(&self, enough: bool) -> Answer {
-        let mut bytes: Vec<u8> = self.rows().flatten().copied().collect();
+        let mut bytes: Vec<u8> = match &self.rules.combine {
+            Some(aggregates) if self.rows().next().is_some() => {
+                let parts: Vec<&[u8]> = self.rows().collect();
+                match combine::join(aggregates, &parts) {
+                    Ok(row) => row,
+                    Err(at) => {
+                        let answered = self.parts.iter().filter(|(_, s)| matches!(s, State::Rows(_)));
+                        let site = answered.map(|(part, _)| part.site.clone()).nth(at);
+                        return Answer::Unlike { site: site.unwrap_or_default() };
+                    }
+                }
+            }
+            _ => self.rows().flatten().copied().collect(),
+        };
         if let Some(limit) = self.rules.limit {
             bytes.truncate(first_lines(&bytes, limit));
         }
@@ -257,7 +277,7 @@
 mod tests {
     use super::*;
 
-    const RULES: Rules = Rules { limit: None, partial: false, at_once: 1, most_bytes: 100 };
+    const RULES: Rules = Rules { limit: None, partial: false, at_once: 1, most_bytes: 100, combine: None };
 
     fn parts(rows: &[f64]) -> Vec<Part> {
         rows.iter()
@@ -307,12 +327,13 @@
     #[test]
     fn a_limit_asks_the_likeliest_first_and_ends_once_it_is_filled() {
         let rules = Rules { limit: Some(2), ..RULES };
-        let (mut whole, acts) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], rules);
+        let (mut whole, acts) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], rules.clone());
         assert_eq!(acts, [Act::Start(1)]);
         assert_eq!(whole.answered(1, b"b\n".to_vec()), [Act::Start(2)]);
         assert_eq!(whole.answered(2, b"c\nd\n".to_vec()), [rows(b"b\nc\n")]);
         // Two out at once: the other is ended.
-        let (mut whole, _) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], Rules { at_once: 2, ..rules });
+        let (mut whole, _) =
+            Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], Rules { at_once: 2, ..rules.clone() });
         assert_eq!(whole.answered(1, b"b\nx\n".to_vec()), [Act::End(2), rows(b"b\nx\n")]);
     }
 
--- a/crates/scatter/tests/book.rs
+++ b/crates/scatter/tests/book.rs
@@ -158,7 +158,11 @@
 #[test]
 fn statements_that_parts_do_not_make_up_are_refused_with_a_way_out() {
     for text in [
-        "select count(*) from s_17.t",
+        "select count(distinct a) from s_17.t",
+        "select count(*), a from s_17.t",
+        "select count(*) from s_17.t limit 1",
+        "select sum(a + 1) from s_17.t",
+        "select count(*) over () from s_17.t",
         "select distinct a from s_17.t",
         "select a from s_17.t order by a",
         "select a, max(b) from s_17.t group by a",
