--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -56,7 +56,6 @@
                         voters(count).join(", ")
                     )
                 });
-                let ownership =
                 let ownership = ownership.unwrap_or_default()
                     + &keys.ledger(self.number, &post.at, &beside.ledger)
                     + keys.overload;
