--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -147,12 +147,12 @@
 
     /// When `tick` is next due.
     pub fn due(&self, at: Moment) -> Micros {
+        let promises =
+            self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
         if self.left {
-            Micros::MAX
+            promises
         } else {
             let owning = self.owning.as_ref().map_or(Micros::MAX, owning::Owning::due);
-            let promises =
-                self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
             self.node.due().min(self.look).min(owning).min(promises)
         }
     }
@@ -190,6 +190,16 @@
         Ok(())
     }
 
+    /// Other fronts keep copies from now on, as the operator says; nothing changes where the list can't be used.
+    pub fn members(
+        &mut self,
+        at: Moment,
+        members: Vec<hallmux_ledger::Member>,
+        addresses: BTreeMap<PeerId, SocketAddr>,
+    ) -> Result<(), hallmux_ledger::Error> {
+        self.promises.as_mut().map_or(Ok(()), |promises| promises.members(at, members, addresses))
+    }
+
     /// Asks the ledger; what is to go out for it. The answer comes with `promised`, maybe at once.
     pub fn ask(&mut self, at: Moment, ask: hallmux_ledger::Ask) -> Out {
         let mut out = Out::default();
@@ -248,14 +258,22 @@
         chance: &mut impl Chance,
     ) -> (Out, Vec<News>) {
         let (mut out, mut new) = (Out::default(), Vec::new());
-        if self.left || at.now < self.due(at) {
+        if at.now < self.due(at) {
+            return (out, new);
+        }
+        if self.left {
+            // What it has yet to answer still rests on promises.
+            let node = &self.node;
+            self.promises.iter_mut().for_each(|promises| promises.tick(at, node));
+            self.send_promises(at, &mut out);
             return (out, new);
         }
         if let Some(owning) = &mut self.owning {
             owning.tick(at, self.fleet.1, dispatcher, chance);
             owning.send(at, &mut self.node, &mut out);
         }
-        self.promises.iter_mut().for_each(|promises| promises.tick(at));
+        let node = &self.node;
+        self.promises.iter_mut().for_each(|promises| promises.tick(at, node));
         self.send_promises(at, &mut out);
         if self.look <= at.now {
             self.look = at.now + LOOK;
@@ -288,6 +306,19 @@
         }
     }
 
+    /// This front is to end: what it owns of the ledger is handed over.
+    pub fn hand_over(&mut self, at: Moment) -> Out {
+        let mut out = Out::default();
+        self.promises.iter_mut().for_each(|promises| promises.hand_over(at));
+        self.send_promises(at, &mut out);
+        out
+    }
+
+    /// Whether it still owns a part of the ledger that others could own.
+    pub fn hands_over(&self) -> bool {
+        self.promises.as_ref().is_some_and(promises::Promises::hands_over)
+    }
+
     /// This front ends: some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros, wall_ms: u64, chance: &mut impl Chance) -> Vec<Datagram> {
         if std::mem::replace(&mut self.left, true) {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -98,9 +98,9 @@
             unfinished: Vec::new(),
             handle,
         };
-        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+        if let Some(ledger) = station.operator.gossip.as_ref().and_then(|gossip| gossip.ledger.as_ref()) {
             let now = front.clock.now;
-            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+            front.guard = Some(Guard::new(contract, now, ledger.shards, &mut front.dispatcher));
         }
         front.limit(&station.limits);
         front.follow(known, 0);
@@ -227,7 +227,8 @@
         for client in self.clients.caught_up() {
             self.unfinished.push(Door::Client.party(client));
         }
-        if self.shutdown.closes(self.clock.now) {
+        let hands_over = self.peers.as_ref().is_some_and(Peers::hands_over);
+        if self.shutdown.closes(self.clock.now, hands_over) {
             if self.entrance.close() {
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
             }
@@ -254,7 +255,7 @@
             Ok(station) => {
                 self.limit(&station.limits);
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
-                    peers.reload(gossip);
+                    peers.reload(self.clock.now, gossip);
                 }
                 if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
                     rules.borrow_mut().reload(self.clock.now, read);
