--- a/crates/agreement/src/operator/whole.rs
+++ b/crates/agreement/src/operator/whole.rs
@@ -79,10 +79,6 @@
             let what = "'marked' needs gossip.ledger, where marks stand; add it, or say 'none' where no load goes through fronts";
             return Err(fault(text, "scatter.loads", what));
         }
-        if marked && postgres.is_some() {
-            let what = "'marked' can't be had beside 'postgres', as loads of its sessions are not marked; leave one of both out";
-            return Err(fault(text, "scatter.loads", what));
-        }
         let load_signal = file.load_signal.map(|l| load_signal(text, &l, contract)).transpose()?;
         let ahead = file.clock_ahead_ms;
         if !ahead.is_finite() || ahead.abs() > MOST_AHEAD_MS {
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -48,6 +48,8 @@
     spares_disk: bool,
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
+    /// Copies of promises that differed, and that were mended here.
+    differed: (u64, u64),
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
     /// Answers of the ledger that their part of this front has not taken yet.
     done: Vec<Done>,
@@ -89,6 +91,10 @@
         let told = gossip.advertise.unwrap_or(at);
         let start = Start { secret, keys: keys(gossip), at: told, seeds: gossip.seeds.clone() };
         let mut exchange = Exchange::new(start, (now / 1000) as u64);
+        if gossip.overload.is_some() {
+            exchange.tells_load();
+            log::info!("sheds overload as one with the fleet");
+        }
         let steady = Instant::now();
         let mut votes = None;
         if let Some(ownership) = &gossip.ownership {
@@ -118,7 +124,8 @@
             spares_disk = ledger.on_disk_failure == OnDiskFailure::Memory;
             let mut saved = None;
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
-                match Copies::open(directory, socket.try_clone()?, wakes(handle)?) {
+                let drill = ledger.drill.as_deref();
+                match Copies::open(directory, drill, socket.try_clone()?, wakes(handle)?) {
                     Ok((opened, Found { disk, saved: found })) => {
                         (copies, setup.disk, saved) = (Some(opened), disk, found);
                     }
@@ -160,6 +167,7 @@
             spares_disk,
             owns: None,
             refused_acts: BTreeMap::new(),
+            differed: (0, 0),
             done: Vec::new(),
             keeps: gossip.ledger.is_some(),
             letters: BTreeMap::new(),
@@ -336,6 +344,14 @@
             self.refused_acts = self.exchange.refused_acts();
             log::warn!("words on the fleet's work that count for nothing so far: {:?}", self.refused_acts);
         }
+        let differed = self.exchange.differed();
+        if differed != self.differed {
+            self.differed = differed;
+            let (others, here) = differed;
+            log::warn!(
+                "ledger: {others} copies differed from the majority so far, {here} mended here; look at the disks"
+            );
+        }
         if self.exchange.refused() != &self.refused && self.said + SAID <= now {
             self.said = now;
             self.refused = self.exchange.refused().clone();
--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -12,7 +12,7 @@
 use super::Front;
 use crate::clients::{self, ClientId};
 use crate::fleet::rules::Ordered;
-use crate::scatter::{Said, Scatters, Word, NUMBERS};
+use crate::scatter::{Leaves, Said, Scatters, Word, NUMBERS};
 
 impl Front {
     /// Takes a statement of a workload that is scattered, where parts can make up its answer. Gives it back with the one
@@ -69,6 +69,8 @@
     pub(super) fn tick_scatters(&mut self, told: &mut Vec<clients::Told>) {
         let now = self.clock.now;
         let Some(scatter) = &mut self.scatter else { return };
+        scatter.summaries.choose(now);
+        scatter.hurry(now, &mut self.dispatcher);
         if let Some(peers) = &mut self.peers {
             let mut letters = scatter.tick(now, &peers.others());
             for (from, bytes) in peers.letters(Channel::Summaries) {
@@ -99,11 +101,16 @@
             asks.into_iter().for_each(|ask| peers.ask(now, ask));
             for word in words {
                 match word {
-                    Word::Send { sent: (ticket, execution), place, terms, call } => {
+                    Word::Send { sent: (ticket, execution), place, terms, leaves } => {
                         self.dispatcher.leaves(now, ticket, execution);
                         let of = self.judged_as(ticket);
                         if self.may_leave(Ordered { of, ticket, execution, place, terms }) {
-                            self.engines.send(now, (ticket, execution), place, call, terms);
+                            let sent = (ticket, execution);
+                            match (leaves, &mut self.portal) {
+                                (Leaves::Call(call), _) => self.engines.send(now, sent, place, call, terms),
+                                (Leaves::Unit(text), Some(portal)) => portal.send(now, sent, place, text),
+                                (Leaves::Unit(_), None) => {}
+                            }
                         }
                     }
                     Word::TurnAway((ticket, _)) => {
@@ -163,6 +170,11 @@
             Answer::Barred(sites) => {
                 self.clients.answer(now, ticket, &Reply::Refused(&[("barred", &sites.join(","))]));
             }
+            Answer::Unlike { site } => {
+                let why =
+                    format!("site '{site}' answers aggregates in another form: name a scatter.whole_site");
+                self.clients.answer(now, ticket, &Reply::Refused(&[("reason", &why)]));
+            }
             Answer::Long => {
                 let why = "more bytes than scatter.answer_bytes: ask for fewer rows, or raise it";
                 self.clients.answer(now, ticket, &Reply::Refused(&[("reason", why)]));
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -2,10 +2,14 @@
 //! with clients of a library and scripted sessions. All is drawn from the seed.
 
 mod clients;
+pub mod disks;
 mod faults;
 mod keys;
 mod looks;
+mod played;
 pub mod promises;
+pub mod rules;
+pub mod sites;
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst};
