--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -91,6 +91,10 @@
         let told = gossip.advertise.unwrap_or(at);
         let start = Start { secret, keys: keys(gossip), at: told, seeds: gossip.seeds.clone() };
         let mut exchange = Exchange::new(start, (now / 1000) as u64);
+        if gossip.overload.is_some() {
+            exchange.tells_load();
+            log::info!("sheds overload as one with the fleet");
+        }
         let steady = Instant::now();
         let mut votes = None;
         if let Some(ownership) = &gossip.ownership {
@@ -120,7 +124,8 @@
             spares_disk = ledger.on_disk_failure == OnDiskFailure::Memory;
             let mut saved = None;
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
-                match Copies::open(directory, socket.try_clone()?, wakes(handle)?) {
+                let drill = ledger.drill.as_deref();
+                match Copies::open(directory, drill, socket.try_clone()?, wakes(handle)?) {
                     Ok((opened, Found { disk, saved: found })) => {
                         (copies, setup.disk, saved) = (Some(opened), disk, found);
                     }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -9,8 +9,11 @@
 pub mod member;
 pub mod post;
 pub mod relay;
+pub mod rules;
 pub mod scenario;
+pub mod sites;
 mod stage;
+pub mod starved;
 
 pub use coordinator::Coordinator;
 pub use front::Front;
--- a/crates/scatter/src/whole.rs
+++ b/crates/scatter/src/whole.rs
@@ -1,5 +1,6 @@
 //! One statement in progress over its sites: which parts to start and to end, and one final answer from them.
 
+use crate::combine::{self, Aggregate};
 use crate::plan::Part;
 use crate::Micros;
 
@@ -34,6 +35,10 @@
     Barred(Vec<String>),
     /// More rows than an answer holds.
     Long,
+    /// A site's answer can't be joined with the others: it is of another form.
+    Unlike {
+        site: String,
+    },
 }
 
 /// How a part failed for good.
@@ -48,7 +53,7 @@
 }
 
 /// What holds for the whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rules {
     pub limit: Option<u64>,
     /// The customer takes an answer that says which sites are missing.
@@ -57,6 +62,8 @@
     pub at_once: usize,
     /// Bytes of an answer.
     pub most_bytes: usize,
+    /// The answer is one row of these, from one row of each part.
+    pub combine: Option<Vec<Aggregate>>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -76,6 +83,8 @@
     /// Places in the order in which they are asked.
     order: Vec<usize>,
     done: bool,
+    /// Audits are waited for no more.
+    hurried: bool,
 }
 
 impl Whole {
@@ -88,8 +97,8 @@
             order.sort_by(|a, b| rows(b).total_cmp(&rows(a)));
         }
         let parts = parts.into_iter().map(|part| (part, State::Waits)).collect();
-        let mut whole = Whole { rules, parts, barred, order, done: false };
-        if !whole.barred.is_empty() && !rules.partial {
+        let mut whole = Whole { rules, parts, barred, order, done: false, hurried: false };
+        if !whole.barred.is_empty() && !whole.rules.partial {
             whole.done = true;
             let barred = whole.barred.clone();
             return (whole, vec![Act::Answer(Answer::Barred(barred))]);
@@ -102,6 +111,26 @@
         self.parts.get(place).map(|(part, _)| part.site.as_str())
     }
 
+    /// The part of a place.
+    pub fn part(&self, place: usize) -> Option<&Part> {
+        self.parts.get(place).map(|(part, _)| part)
+    }
+
+    /// All that is still out are audits.
+    pub fn waits_for_audits(&self) -> bool {
+        let open = |(_, state): &&(Part, State)| matches!(state, State::Waits | State::Out);
+        !self.done && self.parts.iter().filter(open).all(|(part, _)| part.audit)
+    }
+
+    /// Audits are waited for no more.
+    pub fn hurry(&mut self) -> Vec<Act> {
+        self.hurried = true;
+        if self.done {
+            return Vec::new();
+        }
+        self.go_on()
+    }
+
     pub fn is_done(&self) -> bool {
         self.done
     }
@@ -116,6 +145,9 @@
         if self.done || !self.is_out(place) {
             return Vec::new();
         }
+        if self.part(place).is_some_and(|part| part.audit) {
+            return self.ended(place, State::Over);
+        }
         let site = self.site(place).unwrap_or_default().to_string();
         if self.rules.partial {
             if failed == Failed::Barred {
@@ -170,7 +202,10 @@
         }
         let had: u64 = self.rows().map(lines).sum();
         let enough = self.rules.limit.is_some_and(|limit| had >= limit);
-        let open = |(_, state): &(Part, State)| matches!(state, State::Waits | State::Out);
+        let hurried = self.hurried;
+        let open = |(part, state): &(Part, State)| {
+            matches!(state, State::Waits | State::Out) && !(hurried && part.audit)
+        };
         if enough || !self.parts.iter().any(open) {
             let answer = self.joined(enough);
             return self.end(answer);
@@ -192,7 +227,20 @@
     }
 
     fn joined(&self, enough: bool) -> Answer {
-        let mut bytes: Vec<u8> = self.rows().flatten().copied().collect();
+        let mut bytes: Vec<u8> = match &self.rules.combine {
+            Some(aggregates) if self.rows().next().is_some() => {
+                let parts: Vec<&[u8]> = self.rows().collect();
+                match combine::join(aggregates, &parts) {
+                    Ok(row) => row,
+                    Err(at) => {
+                        let answered = self.parts.iter().filter(|(_, s)| matches!(s, State::Rows(_)));
+                        let site = answered.map(|(part, _)| part.site.clone()).nth(at);
+                        return Answer::Unlike { site: site.unwrap_or_default() };
+                    }
+                }
+            }
+            _ => self.rows().flatten().copied().collect(),
+        };
         if let Some(limit) = self.rules.limit {
             bytes.truncate(first_lines(&bytes, limit));
         }
@@ -229,10 +277,13 @@
 mod tests {
     use super::*;
 
-    const RULES: Rules = Rules { limit: None, partial: false, at_once: 1, most_bytes: 100 };
+    const RULES: Rules = Rules { limit: None, partial: false, at_once: 1, most_bytes: 100, combine: None };
 
     fn parts(rows: &[f64]) -> Vec<Part> {
-        rows.iter().enumerate().map(|(n, rows)| Part { site: format!("s{n}"), rows: *rows }).collect()
+        rows.iter()
+            .enumerate()
+            .map(|(n, rows)| Part { site: format!("s{n}"), rows: *rows, ruled_out: false, audit: false })
+            .collect()
     }
 
     fn rows(bytes: &[u8]) -> Act {
@@ -276,12 +327,13 @@
     #[test]
     fn a_limit_asks_the_likeliest_first_and_ends_once_it_is_filled() {
         let rules = Rules { limit: Some(2), ..RULES };
-        let (mut whole, acts) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], rules);
+        let (mut whole, acts) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], rules.clone());
         assert_eq!(acts, [Act::Start(1)]);
         assert_eq!(whole.answered(1, b"b\n".to_vec()), [Act::Start(2)]);
         assert_eq!(whole.answered(2, b"c\nd\n".to_vec()), [rows(b"b\nc\n")]);
         // Two out at once: the other is ended.
-        let (mut whole, _) = Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], Rules { at_once: 2, ..rules });
+        let (mut whole, _) =
+            Whole::new(parts(&[1.0, 9.0, 5.0]), vec![], Rules { at_once: 2, ..rules.clone() });
         assert_eq!(whole.answered(1, b"b\nx\n".to_vec()), [Act::End(2), rows(b"b\nx\n")]);
     }
 
@@ -292,4 +344,25 @@
         let (mut whole, _) = Whole::new(parts(&[1.0]), vec![], RULES);
         assert_eq!(whole.answered(0, vec![b'x'; 101]), [Act::Answer(Answer::Long)]);
     }
+
+    #[test]
+    fn an_audit_never_fails_the_whole_and_is_not_waited_for_once_it_is_hurried() {
+        let two = || {
+            let mut two = parts(&[1.0, 0.0]);
+            two[1].audit = true;
+            Whole::new(two, vec![], RULES).0
+        };
+        let mut whole = two();
+        assert_eq!(whole.failed(1, Failed::Aborted), []);
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), [rows(b"a\n")]);
+        let mut whole = two();
+        assert!(!whole.waits_for_audits());
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), []);
+        assert!(whole.waits_for_audits());
+        assert_eq!(whole.hurry(), [Act::End(1), rows(b"a\n")]);
+        // What it finds in time is in the answer.
+        let mut whole = two();
+        whole.answered(1, b"b\n".to_vec());
+        assert_eq!(whole.answered(0, b"a\n".to_vec()), [rows(b"a\nb\n")]);
+    }
 }
