--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -113,9 +113,11 @@
         others.filter(|_| told).collect()
     }
 
-    /// Takes the lead of a log that has none yet.
-    pub fn lead(&mut self) {
-        self.log.lead();
+    /// Tries to own the shard.
+    pub fn takes_over(&mut self) {
+        if !self.leads() {
+            self.log.takes_over();
+        }
     }
 
     /// The owner says that something may have been missed.
