--- a/crates/lab/src/engine/lines.rs
+++ b/crates/lab/src/engine/lines.rs
@@ -173,7 +173,7 @@
             let (goes_on, keyed) = (field("on") == "1", field("promised") == "1");
             let (id, engine, stream, runs) = (id.to_string(), self.clone(), stream.clone(), runs.clone());
             let link = self.next.fetch_add(1, SeqCst);
-            let front = self.records.front_of(peer);
+            let front = self.records.front_of(self.number, peer);
             if let (Some(front), Ok(mut sent_by)) = (front, self.records.sent_by.lock()) {
                 sent_by.insert((self.number, link), front);
             }
--- a/crates/lab/src/record/promises.rs
+++ b/crates/lab/src/record/promises.rs
@@ -55,7 +55,7 @@
             _ => ways.troubled.push((from, to)),
         }
     }
-    ways.troubled.extend(account.starved.spans());
+    ways.starved = account.starved.spans();
     ways
 }
 
--- a/crates/lab/src/rig/relay.rs
+++ b/crates/lab/src/rig/relay.rs
@@ -68,7 +68,7 @@
                 };
                 let _ = (near.set_nodelay(true), far.set_nodelay(true));
                 if let Ok(own) = far.local_addr() {
-                    takes.records.opened(own, takes.front);
+                    takes.records.opened(takes.engine, own, takes.front);
                 }
                 if let (Ok(far2), Ok(mut open)) = (far.try_clone(), takes.open.lock()) {
                     open.retain(|far| far.peer_addr().is_ok());
