Rig: a fault counts from when it was in force, not from when it was to be

The record put the cut at its scheduled time; what the relay did came when the rig's thread had a CPU.

--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -148,7 +148,7 @@
     let mut faults = scenario.faults.clone();
     faults.sort_by_key(|f| f.at_ms);
     let mut started = Vec::new();
-    let (mut played, mut ends, mut next) = (Vec::new(), Vec::<(i64, Fault)>::new(), 0);
+    let (mut played, mut ends, mut next) = (Vec::new(), Vec::<(i64, i64, Fault)>::new(), 0);
     let over = began + scenario.seconds as i64 * 1_000_000;
     while fleet.records.now() < over || !ends.is_empty() {
         let now = fleet.records.now() - began;
@@ -160,13 +160,13 @@
                 .and_then(|r| r.iter().rev().find(|r| r.probes > 0).map(|r| r.front));
             let fault = fault.on(probed);
             stage.begin(&fault);
-            ends.push((now + fault.for_ms as i64 * 1000, fault));
+            // From when it was in force: a busy machine may have begun it later than it was to be.
+            ends.push((now + fault.for_ms as i64 * 1000, fleet.records.now(), fault));
             next += 1;
         }
-        let (due, later): (Vec<_>, Vec<_>) = ends.drain(..).partition(|(at, _)| *at <= now);
+        let (due, later): (Vec<_>, Vec<_>) = ends.drain(..).partition(|(at, ..)| *at <= now);
         ends = later;
-        for (_, fault) in due {
-            let from = began + fault.at_ms as i64 * 1000;
+        for (_, from, fault) in due {
             started.extend(stage.end(&fault)?);
             played.push((fault, from, fleet.records.now()));
         }
