--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -256,14 +256,6 @@
         self.touched.insert(shard);
     }
 
-    /// Who led the members before leads the next until who is wanted most takes over: asks wait for a round trip
-    /// instead of an election.
-    pub(crate) fn lead(&mut self, shard: u16) {
-        let replica = self.places.get_mut(usize::from(shard)).and_then(|place| place.replica.as_mut());
-        replica.into_iter().for_each(Replica::takes_over);
-        self.touched.insert(shard);
-    }
-
     /// Takes in what a shard's log has decided, and says what its members say.
     pub(crate) fn settle_shard(&mut self, at: Moment, shard: u16) {
         let wall_ms = self.wall_ms(at, shard);
@@ -327,9 +319,6 @@
         place.known = Some((config, next.clone()));
         if next.contains(&own) {
             self.open(at, shard, config, next, (FIRST, state));
-            if leads {
-                self.lead(shard);
-            }
         } else {
             self.leave(shard);
         }
