--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -118,7 +118,8 @@
             spares_disk = ledger.on_disk_failure == OnDiskFailure::Memory;
             let mut saved = None;
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
-                match Copies::open(directory, socket.try_clone()?, wakes(handle)?) {
+                let drill = ledger.drill.as_deref();
+                match Copies::open(directory, drill, socket.try_clone()?, wakes(handle)?) {
                     Ok((opened, Found { disk, saved: found })) => {
                         (copies, setup.disk, saved) = (Some(opened), disk, found);
                     }
@@ -346,8 +347,15 @@
         }
     }
 
-    /// This front ends: some peers hear so, and tell the others.
+    /// Whether it still owns promises that others could own.
+    pub fn hands_over(&self) -> bool {
+        self.exchange.hands_over()
+    }
+
+    /// This front ends: what it owns of promises is handed over, and some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros) {
+        let out = self.exchange.hand_over(self.moment(now));
+        self.send(now, out);
         let wall = (now / 1000) as u64;
         let datagrams = self.exchange.leave(now, wall, &mut draws(&self.chance, &mut self.drawn));
         self.send(now, Out { datagrams, ..Out::default() });
--- a/crates/lab/src/load/offer.rs
+++ b/crates/lab/src/load/offer.rs
@@ -99,7 +99,7 @@
         let unique = format!("u{}", self.number);
         let mut fields = vec![
             ("verb", class.name.as_str()),
-            ("team", "acme"),
+            ("team", class.customer.as_str()),
             ("limit", limit.as_str()),
             ("cpu", work.as_str()),
             ("heap_mb", memory.as_str()),
@@ -122,13 +122,17 @@
             });
         }
         let before = own_wait();
-        asked.outcome = lines::ask(address, self.number, &fields, &statement);
+        let (outcome, later) = lines::ask_told(address, self.number, &fields, &statement);
+        asked.outcome = outcome;
         asked.answered = now();
         let starved = own_wait() - before;
         let outcome = asked.outcome.clone();
+        // Turned away for good, well within its time: by a rule, not for want of an engine or of a promise.
+        let soon = asked.answered - asked.sent < asked.timeout / 2;
+        let barred = !later && soon && matches!(&outcome, Outcome::Error(code) if code == "53000");
         let (front, class) = (member.number, self.class);
         if let Ok(mut all) = record.asked.lock() {
-            all.push(Offered { front, class, asked, barred: false, again, starved });
+            all.push(Offered { front, class, asked, barred, again, starved });
         }
         outcome
     }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -9,7 +9,9 @@
 pub mod member;
 pub mod post;
 pub mod relay;
+pub mod rules;
 pub mod scenario;
+pub mod sites;
 mod stage;
 pub mod starved;
 
