--- a/crates/scatter/tests/keep.rs
+++ b/crates/scatter/tests/keep.rs
@@ -208,3 +208,43 @@
     }
     assert!(!Keep::new(budget).read(0, &[vec![2], bytes[1..].to_vec()].concat()));
 }
+
+#[test]
+fn a_front_fetches_as_much_of_a_summary_as_it_wants_from_one_that_has_it_at_home() {
+    use hallmux_scatter::keep::Shown;
+    use hallmux_scatter::spread::Spread;
+    let world = world(3);
+    let ((group, at), whole) = world.bytes.iter().max_by_key(|(_, bytes)| bytes.len()).unwrap();
+    let (of, fine) = (name(&site(*at), *group as u32), ends(whole).unwrap());
+    assert!(fine[2] > 2_000, "several pieces");
+    let budget = Budget { memory: 1e6, traffic: 1e6 };
+    let mut books = [book(Some(Keep::new(budget))), book(Some(Keep::new(budget)))];
+    let mut spreads = [Spread::new(0), Spread::new(0)];
+    spreads[0].home.insert(of, 1);
+    books[0].take(0, whole).unwrap();
+    let mut held = Vec::new();
+    for second in 1..=40 {
+        let now = second * 1_000_000;
+        if second == 20 {
+            (0..50).for_each(|_| books[1].keep.as_mut().unwrap().shows(now, of, Shown::MissedByBounds));
+            books[1].choose(now as u64 / 1_000);
+        }
+        let mut letters = Vec::new();
+        for front in 0..2 {
+            let out = spreads[front].tick(now, &[1 - front as u64], &books[front]);
+            letters.extend(out.letters.into_iter().map(|(to, bytes)| (front as u64, to, bytes)));
+        }
+        while let Some((from, to, bytes)) = letters.pop() {
+            let at = to as usize;
+            let mut out = spreads[at].heard(now, now as u64 / 1_000, from, &bytes, &mut books[at]);
+            assert!(out.taken.iter().all(Result::is_ok), "{:?}", out.taken);
+            for loan in std::mem::take(&mut out.loans) {
+                spreads[at].lend(now, loan, whole, &mut out);
+            }
+            letters.extend(out.letters.into_iter().map(|(next, bytes)| (to, next, bytes)));
+        }
+        held.push(books[1].size());
+        assert_eq!(books[0].size(), fine[0], "what lies at home is held no finer than it is wanted");
+    }
+    assert_eq!((held[18], held[39]), (fine[0], fine[2]));
+}
