The simulated fleet keeps the ledger: gate, disks, and deaths at each step of a promise

Simulated fronts now switch on the ledger as the front does, and their executions wait at the front's own gate, whose wiring moves from the front to crates/fleet (gate::Guard). Each has a disk that commits what waits together and is lost with its machine; fronts die at the step that the schedule names; clients ask again elsewhere as in processes; a front decides by its own clock, which may be ahead.

Found by it: a hold whose promise stands while its statement waits for another key was due at once, so that a front turned without rest until the ledger answered. It is due now when its promise ends; a test of the gate sees it.

--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -2,6 +2,7 @@
 //! over all fronts, a repeat only where it is dropped, a non-idempotent statement never twice. What depends on
 //! nothing never comes here. No sockets, no clock, no chance; it says what to ask the ledger and what may leave.
 
+mod guard;
 mod hold;
 mod needs;
 
@@ -11,6 +12,7 @@
 use hallmux_dispatcher::{Gone, Micros, Place, Site, Taken, Terms, Ticket, Word};
 use hallmux_ledger::{self as ledger, Done, Key, Kind};
 
+pub use guard::{Asks, Guard};
 use hold::{Hold, Verdict, Wanted};
 use needs::{Need, Needs};
 
--- a/crates/fleet/src/gate/hold.rs
+++ b/crates/fleet/src/gate/hold.rs
@@ -172,12 +172,14 @@
             return Micros::MAX;
         }
         if !self.wanting.is_empty() {
-            return self.again;
+            // Those that have it wait for another key: it is due for them when it ends.
+            let lacks = self.wanting.iter().any(|(ticket, wanted)| !self.stands(0, *ticket, *wanted));
+            return if lacks { self.again } else { self.stands_ms as Micros * 1000 };
         }
         match (self.kept, self.is_unused()) {
             (0, false) => Micros::MAX,
             (0, true) => self.free_again,
-            _ => (self.stands_ms as Micros - KEPT_MS as Micros / 2) * 1000,
+            _ => ((self.stands_ms as Micros - KEPT_MS as Micros / 2) * 1000).max(self.again),
         }
     }
 
--- a/crates/fleet/src/gate/tests.rs
+++ b/crates/fleet/src/gate/tests.rs
@@ -222,3 +222,21 @@
     settle(&mut one, &mut book, 60_000 * MS, 1);
     assert!(book.entries.is_empty() && one.holds.is_empty());
 }
+
+#[test]
+fn a_key_that_stands_while_another_is_asked_for_is_no_cause_to_wake() {
+    let (mut gate, mut book) = (gate(1), Book::default());
+    assert!(open(&mut gate, 1, ("load", Some("k"), Some("d")), Some("a")));
+    gate.order(MS, ordered(1, 0, MS, 0));
+    let (first, second): (Vec<_>, Vec<_>) =
+        gate.asks().into_iter().partition(|ask| ask.key.kind == Kind::Order);
+    let mut answer = |gate: &mut Gate, ask: &ledger::Ask| {
+        let outcome = book.apply(2 * MS, Owner { front: 1, incarnation: 1 }, ask);
+        gate.done(2 * MS, Done { number: ask.number, outcome });
+    };
+    answer(&mut gate, &first[0]);
+    gate.tick(2 * MS);
+    assert!(gate.due() > 1_000 * MS, "{}", gate.due());
+    answer(&mut gate, &second[0]);
+    assert_eq!(gate.rulings(), [Ruling::Go(ordered(1, 0, MS, 0))]);
+}
--- a/crates/lab/src/simulated/engines.rs
+++ b/crates/lab/src/simulated/engines.rs
@@ -2,9 +2,11 @@
 
 use hallmux_dispatcher::Ending;
 
-use super::play::{Event, Play, Sent};
+use super::play::{Event, Play, Ran, Sent};
 use crate::engine::{Deed, Kind};
+use crate::record::account::Offered;
 use crate::rig::relay::{Relayed, State as LinkState};
+use crate::rig::scenario::Step;
 
 impl Play<'_> {
     pub(super) fn relays(&mut self, front: usize, engine: usize, statements: usize, probes: usize) {
@@ -37,26 +39,45 @@
         }
         engine.running += 1;
         let resets = engine.resets;
-        let number = self.named.get(&(front, life, sent.0)).copied();
-        if let Some(number) = number {
-            let id = self.account.asked[number].asked.id.clone();
-            let kind = Kind::Began { id, key: String::new() };
-            self.account.sent_by.insert((e, front as u32), front);
-            self.account.deeds.push(Deed { at: self.now, engine: e, link: front as u32, kind });
+        let mut work_ms = self.scenario.load.work_ms;
+        // Each execution has a link of its own in the record.
+        self.links += 1;
+        let link = self.links;
+        if let Some(number) = self.named.get(&(front, life, sent.0)).copied() {
+            let Offered { asked, class, .. } = &self.account.asked[number];
+            work_ms = self.scenario.classes[*class].work_ms.unwrap_or(work_ms);
+            let kind = Kind::Began { id: asked.id.clone(), key: asked.key.clone() };
+            self.account.sent_by.insert((e, link), front);
+            self.account.deeds.push(Deed { at: self.now, engine: e, link, kind });
+        }
+        self.at(
+            self.now + work_ms as i64 * 1000,
+            Event::Ran(Ran { front, life, sent, engine: e, resets, link }),
+        );
+        if self.promised_of(front, life, sent) {
+            self.reached(Step::Began, front);
         }
-        let at = self.now + self.scenario.load.work_ms as i64 * 1000;
-        self.at(at, Event::Ran(front, life, sent, e, resets));
     }
 
-    pub(super) fn ran(&mut self, front: usize, life: u32, sent: Sent, e: usize, resets: u64) {
+    fn promised_of(&self, front: usize, life: u32, sent: Sent) -> bool {
+        let number = self.named.get(&(front, life, sent.0));
+        let class = number.map(|number| self.account.asked[*number].class);
+        class.is_some_and(|class| self.scenario.classes[class].needs_promise())
+    }
+
+    pub(super) fn ran(&mut self, ran: Ran) {
+        let Ran { front, life, sent, engine: e, resets, link } = ran;
         self.engines[e].running = self.engines[e].running.saturating_sub(1);
         let number = self.named.get(&(front, life, sent.0)).copied();
         if let Some(number) = number {
             let id = self.account.asked[number].asked.id.clone();
             for kind in [Kind::Ended { id: id.clone() }, Kind::Kept { id }] {
-                self.account.deeds.push(Deed { at: self.now, engine: e, link: front as u32, kind });
+                self.account.deeds.push(Deed { at: self.now, engine: e, link, kind });
             }
         }
+        if self.promised_of(front, life, sent) && self.reached(Step::Kept, front) {
+            return;
+        }
         if resets == self.engines[e].resets {
             self.goes_back(front, life, sent, e, Ending::Answered);
         }
--- a/crates/lab/src/simulated/faults.rs
+++ b/crates/lab/src/simulated/faults.rs
@@ -5,8 +5,6 @@
 
 use super::fronts::listing;
 use super::play::{Event, Play};
-use crate::check::Outcome;
-use crate::record::account::Offered;
 use crate::rig::agreed::zone_name;
 use crate::rig::relay::State as LinkState;
 use crate::rig::scenario::{Fault, What};
@@ -40,7 +38,7 @@
         }
     }
 
-    pub(super) fn begin(&mut self, fault: &Fault) {
+    pub(super) fn begin(&mut self, place: usize, fault: &Fault) {
         let now = self.now;
         match fault.what {
             What::ZoneLost => self.links(fault, true, |s| (s.out_lost, s.back_lost) = (true, true)),
@@ -56,27 +54,23 @@
             What::PostShuffled => self.post.shuffled_ms = fault.delay_ms,
             What::StallOwner | What::KillOwner => {} // played as what it is on the owner
             What::Hup => self.account.read_again += 1, // nothing that is read again plays a part here
-            What::Stall | What::Kill | What::Term | What::LoseDisk => {
+            What::Stall => {
                 let member = &mut self.members[fault.front];
-                member.troubled.push((now, i64::MAX));
-                member.stopped = fault.what == What::Stall;
-                if fault.what == What::Term {
-                    let wall = ((now + member.ahead) / 1000) as u64;
-                    let chance = &mut self.chance;
-                    let exchange = member.life.as_mut().and_then(|life| life.exchange.as_mut());
-                    let bye = exchange.map(|x| x.leave(now, wall, &mut || chance.random()));
-                    self.posts(fault.front, bye.unwrap_or_default());
-                }
-                let member = &mut self.members[fault.front];
-                if !member.stopped {
-                    member.life = None;
-                    // Its clients see their connections end.
-                    let out = |o: &&mut Offered| o.front == fault.front && o.asked.answered == i64::MAX;
-                    for Offered { asked, .. } in self.account.asked.iter_mut().filter(out) {
-                        (asked.outcome, asked.answered) = (Outcome::Lost, now);
-                    }
+                if member.life.is_some() {
+                    member.troubled.push((now, i64::MAX));
+                    member.stopped = true;
                 }
             }
+            What::Term => {
+                let at = self.moment(fault.front);
+                let chance = &mut self.chance;
+                let life = self.members[fault.front].life.as_mut();
+                let exchange = life.and_then(|life| life.exchange.as_mut());
+                let bye = exchange.map(|x| x.leave(at.now, at.wall_ms, &mut || chance.random()));
+                self.posts(fault.front, bye.unwrap_or_default());
+                self.dies(fault.front);
+            }
+            What::Kill | What::LoseDisk => self.dooms(place, fault.front, fault.step, fault.at_ms),
         }
     }
 
@@ -112,9 +106,14 @@
                     let waits = std::mem::take(&mut member.waits);
                     waits.into_iter().for_each(|event| self.happens(event));
                     self.turn(fault.front);
-                } else {
+                } else if member.life.is_none() {
                     if fault.what == What::LoseDisk {
+                        let identity = match self.spoil.keeps_identity {
+                            true => self.members[fault.front].disk.identity,
+                            false => self.chance.random_range(1..u64::MAX),
+                        };
                         self.members[fault.front].saved = None;
+                        self.members[fault.front].disk.lose(identity);
                     }
                     self.start(fault.front);
                 }
--- /dev/null
+++ b/crates/lab/src/simulated/ledger.rs
@@ -0,0 +1,100 @@
+//! The ledger of simulated fronts: switched on as the front does, asked by the same gate.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hallmux_fleet::gate::{Asks, Ruling};
+use hallmux_fleet::{Exchange, Moment, Out};
+use hallmux_gossip::seal::{id, Own};
+use hallmux_gossip::PeerId;
+use hallmux_ledger::{Ask, Done, Member, Setup};
+
+use super::play::{address, secret, Play};
+use crate::check::Outcome;
+use crate::rig::agreed::zone_name;
+
+const PART: u32 = 56; // bits of a number that a part of the front counts in
+
+/// The gate's way to the ledger of its front; what is to go out for it is gathered.
+struct Way<'a> {
+    exchange: &'a mut Exchange,
+    at: Moment,
+    done: &'a mut Vec<Done>,
+    outs: Vec<Out>,
+}
+
+impl Asks for Way<'_> {
+    fn ask(&mut self, _: i64, ask: Ask) {
+        self.outs.push(self.exchange.ask(self.at, ask));
+    }
+
+    fn promised(&mut self, part: u64) -> Vec<Done> {
+        self.done.extend(self.exchange.promised());
+        let (told, others) = self.done.drain(..).partition(|done| done.number >> PART == part >> PART);
+        *self.done = others;
+        told
+    }
+}
+
+/// The fronts that keep copies, by their keys, and where each is heard.
+pub(super) fn members(fronts: usize, zones: usize) -> (Vec<Member>, BTreeMap<PeerId, SocketAddr>) {
+    let keeper = |n| id(&Own::new(&secret(n), 0).public());
+    let member = |n| Member { front: keeper(n), zone: zone_name(n % zones) };
+    ((0..fronts).map(member).collect(), (0..fronts).map(|n| (keeper(n), address(n))).collect())
+}
+
+impl Play<'_> {
+    /// Switches on the ledger of a front that starts, on the disk that it has.
+    pub(super) fn promises(&self, n: usize, exchange: &mut Exchange) -> Result<(), String> {
+        let Some(copies) = self.scenario.fleet.copies else { return Ok(()) };
+        let (members, heard) = &self.keepers;
+        let at = self.moment(n);
+        let disk = &self.members[n].disk;
+        let own = id(&exchange.public());
+        let setup = Setup { copies, ..Setup::new("lab", own, at.wall_ms, disk.identity, members.clone()) };
+        exchange.promise(at, setup, heard.clone(), disk.found()).map_err(|e| e.to_string())
+    }
+
+    /// What promises let go of, or can't be had for.
+    pub(super) fn guarded(&mut self, n: usize) {
+        let (own, at) = (self.own(n), self.moment(n));
+        let lives = self.members[n].lives;
+        let Some(life) = &mut self.members[n].life else { return };
+        let Some((guard, exchange)) = life.guard.as_mut().zip(life.exchange.as_mut()) else { return };
+        let mut way = Way { exchange, at, done: &mut life.done, outs: Vec::new() };
+        let (named, asked) = (&self.named, &self.account.asked);
+        let id = |ticket| named.get(&(n, lives, ticket)).map(|number| asked[*number].asked.id.clone());
+        let rulings = guard.turn(own, &mut life.dispatcher, &mut way, id);
+        let outs = way.outs;
+        outs.into_iter().for_each(|out| self.sends(n, out));
+        for ruling in rulings {
+            let Some(life) = &mut self.members[n].life else { return };
+            match ruling {
+                Ruling::Go(go) => {
+                    life.dispatcher.leaves(own, go.ticket, go.execution);
+                    self.leaves(n, (go.ticket, go.execution), go.place);
+                }
+                Ruling::TurnAway(ticket) => {
+                    life.dispatcher.turn_away(own, ticket);
+                    self.answer(n, ticket, Outcome::Error("53000".into()));
+                }
+                Ruling::Abort(ticket) => {
+                    life.dispatcher.turn_away(own, ticket);
+                    self.answer(n, ticket, Outcome::Error("08007".into()));
+                }
+            }
+        }
+    }
+
+    /// Whatever a front's exchange was just told: it decides if the ledger has answered, else it is looked at when due.
+    pub(super) fn promised(&mut self, n: usize) {
+        let Some(life) = &mut self.members[n].life else { return };
+        if let Some(exchange) = &mut life.exchange {
+            life.done.extend(exchange.promised());
+        }
+        match life.done.is_empty() {
+            true => self.wakes(n),
+            false => self.turn(n),
+        }
+    }
+}
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -8,17 +8,22 @@
 
 use hallmux_agreement::Contract;
 use hallmux_dispatcher::{Dispatcher, Ending, Place, Ticket};
+use hallmux_fleet::gate::Guard;
 use hallmux_fleet::{Exchange, Moment};
 use hallmux_gossip::seal::{Keys, Own};
+use hallmux_ledger::Done;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::clients::Client;
+use super::disk::Disk;
+use super::steps::Armed;
 use crate::engine::lines::Warmth;
 use crate::record::account::{judge, warmth, Account, Offered, Run};
 use crate::rig::agreed::settings;
 use crate::rig::post::State as PostState;
 use crate::rig::relay::State as LinkState;
-use crate::rig::scenario::{Fault, Scenario};
+use crate::rig::scenario::{Fault, Scenario, Step};
 
 pub(super) const WAY: (i64, i64) = (200, 2_000); // microseconds that anything takes from one place to another, drawn evenly
 pub(super) const PROBED_WITHIN: i64 = 250_000; // microseconds until a probe without an answer counts as failed
@@ -38,21 +43,53 @@
     Due(usize),
     /// An execution has come to an engine, or its answer back to the front of that life.
     Arrives(usize, u32, Sent, usize),
-    Ran(usize, u32, Sent, usize, u64),
+    Ran(Ran),
     /// The last is its report of the statements in hand.
     Answers(usize, u32, Sent, Ending, Option<usize>),
     /// A probe likewise; its number tells which.
     ProbeArrives(usize, u32, usize, u64),
     ProbeAnswers(usize, u32, Place, u64, bool),
     Datagram(usize, usize, Vec<u8>),
+    /// What the front of that life has written is lasting.
+    Lasting(usize, u32),
+    /// A client asks again, at another front.
+    Again(Client),
+    /// A step of a promise is reached at a front; and the time for that is over.
+    Reached(Step, usize),
+    Unarmed(usize),
     Begins(usize),
     Ends(usize),
 }
 
+/// An execution that has run on an engine.
+pub(super) struct Ran {
+    pub(super) front: usize,
+    pub(super) life: u32,
+    pub(super) sent: Sent,
+    pub(super) engine: usize,
+    pub(super) resets: u64,
+    /// Its own in the record.
+    pub(super) link: u32,
+}
+
+/// A rule that promises rest on, taken out, to see that the checks find it missing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spoil {
+    /// Executions leave before their promise stands.
+    pub acts_first: bool,
+    /// An emptied disk comes back under the identity that it had.
+    pub keeps_identity: bool,
+    /// Words leave before what they rest on is lasting.
+    pub sends_first: bool,
+}
+
 /// A front while it runs.
 pub(super) struct Life {
     pub(super) dispatcher: Dispatcher,
     pub(super) exchange: Option<Exchange>,
+    pub(super) guard: Option<Guard>,
+    /// Answers of the ledger that have yet to be taken.
+    pub(super) done: Vec<Done>,
     pub(super) probes: HashMap<u64, Place>,
 }
 
@@ -68,6 +105,7 @@
     pub(super) links: BTreeMap<usize, LinkState>,
     /// What it saved as a voter.
     pub(super) saved: Option<Vec<u8>>,
+    pub(super) disk: Disk,
     /// Spans in which it was stopped, killed or ending.
     pub(super) troubled: Vec<(i64, i64)>,
 }
@@ -103,6 +141,13 @@
     pub(super) statements: u64,
     /// The statements by front, life and ticket: their place in the record.
     pub(super) named: HashMap<(usize, u32, Ticket), usize>,
+    /// Whoever asked, beside what the record has of it.
+    pub(super) clients: Vec<Client>,
+    pub(super) links: u32,
+    /// The fronts that keep copies, and where each is heard.
+    pub(super) keepers: (Vec<hallmux_ledger::Member>, BTreeMap<hallmux_gossip::PeerId, SocketAddr>),
+    pub(super) armed: Option<Armed>,
+    pub(super) spoil: Spoil,
     /// Faults that are played now, by their place in the scenario.
     pub(super) playing: BTreeMap<usize, Fault>,
 }
@@ -125,6 +170,11 @@
 
 /// Plays the scenario in simulated time and checks what happened.
 pub fn run(scenario: &Scenario, seed: u64) -> Result<Run, String> {
+    run_with(scenario, seed, Spoil::default())
+}
+
+/// The same, with a rule taken out.
+pub fn run_with(scenario: &Scenario, seed: u64, spoil: Spoil) -> Result<Run, String> {
     let mut contract = hallmux_agreement::contract(&settings(scenario).to_string())?;
     if let Some(quorum) = scenario.fleet.zone_quorum {
         contract.agreement.zone_quorum = quorum;
@@ -158,6 +208,11 @@
         out: BTreeMap::new(),
         statements: 0,
         named: HashMap::new(),
+        clients: Vec::new(),
+        links: 0,
+        keepers: super::ledger::members(fronts, scenario.fleet.zones),
+        armed: None,
+        spoil,
         playing: BTreeMap::new(),
     };
     let apart = scenario.fleet.clocks_apart_ms as i64 * 1000;
@@ -172,6 +227,7 @@
             ahead,
             links: BTreeMap::new(),
             saved: None,
+            disk: Disk { identity: play.chance.random_range(1..u64::MAX), ..Disk::default() },
             troubled: Vec::new(),
         });
         play.start(n);
@@ -224,7 +280,19 @@
             Event::Due(n) if self.members[n].due <= self.now => self.turn(n),
             Event::Due(_) => {}
             Event::Arrives(front, life, sent, engine) => self.arrives(front, life, sent, engine),
-            Event::Ran(front, life, sent, engine, resets) => self.ran(front, life, sent, engine, resets),
+            Event::Ran(ran) => self.ran(ran),
+            Event::Again(client) => self.asks(client),
+            Event::Reached(step, front) => _ = self.reached(step, front),
+            Event::Unarmed(fault) => self.unarmed(fault),
+            Event::Lasting(front, life) => {
+                let member = &mut self.members[front];
+                if member.lives != life || member.life.is_none() {
+                } else if member.stopped {
+                    member.waits.push(event);
+                } else {
+                    self.lasting(front);
+                }
+            }
             Event::ProbeArrives(front, life, engine, probe) => {
                 if self.passes(front, engine, false) {
                     let at = self.now + self.way();
@@ -241,22 +309,26 @@
                 }
             }
             Event::Datagram(from, to, bytes) => {
+                let moment = self.moment(to);
                 let member = &mut self.members[to];
                 if member.stopped {
                     member.waits.push(Event::Datagram(from, to, bytes));
                 } else if let Some(exchange) = member.life.as_mut().and_then(|life| life.exchange.as_mut()) {
-                    let moment = moment(self.now, member.ahead);
                     let out = exchange.heard(moment, address(from), &bytes);
                     self.sends(to, out);
+                    self.promised(to);
                 }
             }
             Event::Begins(n) => {
                 let probed = self.account.relayed.iter().rev().find(|r| r.probes > 0).map(|r| r.front);
                 let fault = self.scenario.faults[n].on(probed);
                 self.playing.insert(n, fault.clone());
-                self.begin(&fault);
+                self.begin(n, &fault);
             }
             Event::Ends(n) => {
+                if let Some(later) = self.is_armed(n) {
+                    return self.at(later, Event::Ends(n));
+                }
                 let Some(fault) = self.playing.remove(&n) else { return };
                 self.end(&fault);
                 let from = self.began + fault.at_ms as i64 * 1000;
@@ -264,8 +336,14 @@
             }
         }
     }
-}
 
-pub(super) fn moment(now: i64, ahead: i64) -> Moment {
-    Moment { now, steady: now, wall_ms: ((now + ahead) / 1000) as u64 }
+    /// The Unix clock of a front, by which it decides.
+    pub(super) fn own(&self, n: usize) -> i64 {
+        self.now + self.members[n].ahead
+    }
+
+    pub(super) fn moment(&self, n: usize) -> Moment {
+        let own = self.own(n);
+        Moment { now: own, steady: self.now, wall_ms: (own / 1000) as u64 }
+    }
 }
--- /dev/null
+++ b/crates/lab/src/simulated/steps.rs
@@ -0,0 +1,80 @@
+//! Fronts that die, at a step of a promise where one is named.
+
+use rand::Rng;
+
+use super::play::{Event, Play};
+use crate::check::Outcome;
+use crate::rig::scenario::Step;
+
+const WITHIN: i64 = 1_500_000; // microseconds for a front to come to a step
+const GONE: i64 = 300_000; // microseconds that it is gone at least
+
+/// A front that is to die at a step of a promise.
+pub(super) struct Armed {
+    step: Step,
+    pub(super) front: usize,
+    /// So many more may pass before it does.
+    wait: u64,
+    /// A statement that needs a promise has come to it since.
+    asked: bool,
+    /// The fault's place in the scenario.
+    fault: usize,
+}
+
+impl Play<'_> {
+    /// The front of a fault is to die: at once, or at its step.
+    pub(super) fn dooms(&mut self, place: usize, front: usize, step: Option<Step>, wait: u64) {
+        let Some(step) = step else { return self.dies(front) };
+        // Of some words on their way, in turn: each loss is between others.
+        let wait = if step == Step::Copying { wait % 4 } else { 0 };
+        self.armed = Some(Armed { step, front, wait, asked: false, fault: place });
+        self.at(self.now + WITHIN, Event::Unarmed(place));
+    }
+
+    /// The front came to no such step in time: it dies all the same, and the run has to say so.
+    pub(super) fn unarmed(&mut self, fault: usize) {
+        if let Some(armed) = self.armed.take_if(|armed| armed.fault == fault) {
+            self.dies(armed.front);
+        }
+    }
+
+    /// Until when the end of this fault has to wait, as its front has yet to die.
+    pub(super) fn is_armed(&self, fault: usize) -> Option<i64> {
+        self.armed.as_ref().filter(|armed| armed.fault == fault).map(|_| self.now + GONE)
+    }
+
+    /// A step of a promise is reached at a front: true if it has just died of that.
+    pub(super) fn reached(&mut self, step: Step, front: usize) -> bool {
+        let Some(armed) = self.armed.as_mut().filter(|armed| armed.front == front) else { return false };
+        armed.asked |= step == Step::Taken;
+        if armed.step != step || !armed.asked {
+            return false;
+        }
+        if let Some(wait) = armed.wait.checked_sub(1) {
+            armed.wait = wait;
+            return false;
+        }
+        self.armed = None;
+        self.account.steps.push((step, front, self.now));
+        self.dies(front);
+        true
+    }
+
+    /// The front's process is gone, and its clients see their connections end.
+    pub(super) fn dies(&mut self, front: usize) {
+        let member = &mut self.members[front];
+        if member.life.take().is_none() {
+            return;
+        }
+        (member.stopped, member.due) = (false, i64::MAX);
+        member.waits.clear();
+        member.troubled.push((self.now, i64::MAX));
+        let written = self.chance.random();
+        self.members[front].disk.crash(written);
+        let out = |(_, o): &(usize, &crate::record::account::Offered)| {
+            o.front == front && o.asked.answered == i64::MAX
+        };
+        let out: Vec<usize> = self.account.asked.iter().enumerate().filter(out).map(|(n, _)| n).collect();
+        out.into_iter().for_each(|number| self.ends(number, Outcome::Lost));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulated/words.rs
@@ -0,0 +1,47 @@
+//! Datagrams between simulated fronts.
+
+use hallmux_fleet::Out;
+use hallmux_gossip::node::Datagram;
+use rand::Rng;
+
+use super::play::{front_at, Event, Play};
+use crate::rig::post::Posted;
+use crate::rig::scenario::Step;
+
+impl Play<'_> {
+    /// Sends what is to go out; what a voter has to save is lasting at once, the ledger's waits for the disk.
+    pub(super) fn sends(&mut self, n: usize, out: Out) {
+        self.posts(n, out.datagrams);
+        for saved in out.saved {
+            if saved.bytes.is_some() {
+                self.members[n].saved = saved.bytes;
+            }
+            self.posts(n, saved.datagrams);
+        }
+        self.keeps(n, out.kept);
+    }
+
+    pub(super) fn posts(&mut self, from: usize, datagrams: Vec<Datagram>) {
+        for Datagram { to, bytes } in datagrams {
+            let Some(to) = front_at(to).filter(|to| *to < self.members.len()) else { continue };
+            let drawn = self.chance.random_range(0..100);
+            let passed = self.post.passes(from, to, drawn);
+            if self.reached(Step::Copying, from) {
+                return; // it died of this one
+            }
+            self.account.posted.push(Posted { at: self.now, from, to, bytes: bytes.len(), passed });
+            if !passed {
+                continue;
+            }
+            let shuffled = match self.post.shuffled_ms {
+                0 => 0,
+                ms => self.chance.random_range(0..=ms as i64 * 1000),
+            };
+            let at = self.now + self.way() + self.post.delay_ms as i64 * 1000 + shuffled;
+            if let Some(ms) = self.post.doubled_ms {
+                self.at(at + ms as i64 * 1000, Event::Datagram(from, to, bytes.clone()));
+            }
+            self.at(at, Event::Datagram(from, to, bytes));
+        }
+    }
+}
