--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -18,6 +18,7 @@
 
 use engine::lines;
 use rig::{fleet, scenario};
+use simulated::Spoil;
 
 /// Proves and measures hallmux on loopback.
 #[derive(Parser)]
@@ -52,6 +53,15 @@
         /// Of promises: fronts that each stands on; with 0 none keeps any for another, and the run is to fail.
         #[arg(long, default_value_t = 3)]
         copies: usize,
+        /// Of promises: a long day in simulated time, all kinds of faults, several at once; a failing one is cut down.
+        #[arg(long)]
+        long: bool,
+        /// Of a long day: how long, in simulated minutes.
+        #[arg(long, default_value_t = 20)]
+        minutes: u64,
+        /// Of promises, in simulated time: a rule is taken out, and the run is to fail.
+        #[arg(long)]
+        without: Option<Without>,
     },
     /// Plays a fleet scenario: many fronts, engines in zones, faults between them; checks the record.
     Fleet {
@@ -81,6 +91,28 @@
     Promises,
 }
 
+/// A rule that promises rest on.
+#[derive(Clone, Copy, ValueEnum)]
+enum Without {
+    /// Executions leave before their promise stands.
+    Act,
+    /// An emptied disk comes back under the identity that it had.
+    Identity,
+    /// Words leave before what they rest on is lasting.
+    Save,
+}
+
+impl Without {
+    fn spoils(self) -> Spoil {
+        let whole = Spoil::default();
+        match self {
+            Without::Act => Spoil { acts_first: true, ..whole },
+            Without::Identity => Spoil { keeps_identity: true, ..whole },
+            Without::Save => Spoil { sends_first: true, ..whole },
+        }
+    }
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Measured {
     Postgres,
@@ -97,9 +129,13 @@
 fn main() -> ExitCode {
     let (seed, units, rounds) = match Lab::parse().what {
         What::Prove { subject: Subject::Postgres, seed, units, rounds, .. } => (seed, units, rounds),
-        What::Prove { seed, small, simulated, fronts, copies, .. } => {
+        What::Prove { seed, small, simulated, fronts, copies, long, minutes, without, .. } => {
             let seed = seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
-            let way = prove::promises::Way { small, simulated, fronts, copies };
+            let spoil = without.map(Without::spoils).unwrap_or_default();
+            let way = prove::promises::Way { small, simulated, fronts, copies, spoil };
+            if long {
+                return told("promises long", seed, prove::long::run(seed, minutes, way));
+            }
             return told("promises", seed, prove::promises::run(seed, way));
         }
         What::Fleet { scenario, seed, beside_quorum, simulated, fronts } => {
--- a/crates/lab/src/measure/promises.rs
+++ b/crates/lab/src/measure/promises.rs
@@ -26,7 +26,8 @@
 
 /// The same fleet with as many copies, no faults, and statements that take no time on an engine.
 fn quiet(copies: usize) -> Scenario {
-    let mut scenario = draw(7, Way { small: true, simulated: false, fronts: Some(FRONTS), copies });
+    let mut scenario =
+        draw(7, Way { small: true, simulated: false, fronts: Some(FRONTS), copies, ..Way::default() });
     scenario.faults.clear();
     scenario.fleet.clocks_apart_ms = 0;
     scenario
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod faults;
 mod keys;
+pub mod long;
 pub mod promises;
 
 use std::collections::{BTreeMap, HashSet};
--- a/crates/lab/src/prove/promises.rs
+++ b/crates/lab/src/prove/promises.rs
@@ -8,8 +8,9 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::rig;
 use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Step, Warm, What};
-use crate::{rig, simulated};
+use crate::simulated::{self, Spoil};
 
 const SLOT_MS: u64 = 5_000; // milliseconds from one fault to the next: its own time, and the repair after it
 const FIRST_MS: u64 = 2_000; // milliseconds of load before the first
@@ -20,7 +21,7 @@
 const LEAST_RUN_PERCENT: i64 = 50;
 
 /// How a run is to be played.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Way {
     /// Three faults instead of all.
     pub small: bool,
@@ -28,12 +29,14 @@
     pub fronts: Option<usize>,
     /// Fronts that a promise stands on; 0: none keeps any for another, and the run is to fail.
     pub copies: usize,
+    /// In simulated time, a rule taken out: the run is to fail.
+    pub spoil: Spoil,
 }
 
 /// The kinds of trouble that a run takes its turn of; each of them comes in a whole run.
 const KINDS: [&str; 6] = ["loss", "loss_again", "cut_two", "cut_three", "stall", "words"];
 
-fn fault(what: What, at_ms: u64, for_ms: u64) -> Fault {
+pub(super) fn fault(what: What, at_ms: u64, for_ms: u64) -> Fault {
     let (zone, front, delay_ms, percent) = (0, 0, 0, 0);
     Fault { what, at_ms, for_ms, zone, front, second: None, step: None, delay_ms, percent, told: true }
 }
@@ -138,8 +141,10 @@
 pub fn run(seed: u64, way: Way) -> Result<(bool, String), String> {
     let began = Instant::now();
     let scenario = draw(seed, way);
-    let play = if way.simulated { simulated::run } else { rig::fleet::run };
-    let mut run = play(&scenario, seed)?;
+    let mut run = match way.simulated {
+        true => simulated::run_with(&scenario, seed, way.spoil)?,
+        false => rig::fleet::run(&scenario, seed)?,
+    };
     let mut add = |rule: &'static str, what: String| run.violations.entry(rule).or_default().push(what);
     let tally = |key: &str| run.tallies.get(key).copied().unwrap_or(0);
     // A run in which too little happened proves nothing.
@@ -185,7 +190,7 @@
 
     #[test]
     fn a_seed_draws_one_schedule_with_a_loss_and_the_whole_one_has_all_kinds() {
-        let way = Way { small: false, simulated: false, fronts: None, copies: 3 };
+        let way = Way { small: false, simulated: false, fronts: None, copies: 3, ..Way::default() };
         for seed in 0..200 {
             let whole = draw(seed, way);
             assert_eq!(whole, draw(seed, way));
--- /dev/null
+++ b/crates/lab/src/simulated/grows.rs
@@ -0,0 +1,99 @@
+//! What fronts hold over a simulated day: looked at from time to time, so that growth without end is seen; and when
+//! all copies of promises stand again after a loss.
+
+use std::collections::BTreeMap;
+
+use super::play::{Event, Play};
+
+pub(super) const LOOK: i64 = 10_000_000; // microseconds between looks at what is held
+const COPIES_LOOK: i64 = 50_000; // microseconds between looks at whether all copies stand
+
+/// Of one look, the most of any front.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    entries: i64,
+    ledger_bytes: i64,
+    disk_bytes: i64,
+    records: i64,
+}
+
+#[derive(Default)]
+pub(super) struct Grows {
+    looks: Vec<Held>,
+    /// Since when copies are missing, of whose loss.
+    lost: Option<i64>,
+    /// Microseconds until all stood again, of each loss.
+    again: Vec<i64>,
+    /// Copies that each front holds now, and has held before the last loss.
+    most_copies: Option<usize>,
+}
+
+impl Grows {
+    pub(super) fn tell(&self, tallies: &mut BTreeMap<&'static str, i64>) {
+        let quarter = self.looks.len().div_ceil(4);
+        let most = |looks: &[Held], of: fn(&Held) -> i64| looks.iter().map(of).max().unwrap_or(0);
+        let (early, late) = (&self.looks[..quarter], &self.looks[self.looks.len() - quarter..]);
+        tallies.insert("disk_bytes_early", most(early, |h| h.disk_bytes));
+        tallies.insert("disk_bytes_late", most(late, |h| h.disk_bytes));
+        tallies.insert("disk_records_late", most(late, |h| h.records));
+        tallies.insert("ledger_bytes_early", most(early, |h| h.ledger_bytes));
+        tallies.insert("ledger_bytes_late", most(late, |h| h.ledger_bytes));
+        tallies.insert("entries_late", most(late, |h| h.entries));
+        if let Some(longest) = self.again.iter().max() {
+            tallies.insert("copies_again_ms", longest / 1000);
+            tallies.insert("copies_made_again", self.again.len() as i64);
+        }
+        if let Some(front) = self.most_copies {
+            tallies.insert("keeps_most", front as i64);
+        }
+    }
+}
+
+impl Play<'_> {
+    /// Looks at what every front holds.
+    pub(super) fn looks(&mut self) {
+        let mut held = Held::default();
+        let mut most = (0, None);
+        for (n, member) in self.members.iter().enumerate() {
+            let exchange = member.life.as_ref().and_then(|life| life.exchange.as_ref());
+            let tallies = exchange.and_then(|exchange| exchange.ledger_tallies()).unwrap_or_default();
+            let disk: usize = member.disk.records.iter().map(|(name, bytes)| name.len() + bytes.len()).sum();
+            held.entries = held.entries.max(tallies.entries as i64);
+            held.ledger_bytes = held.ledger_bytes.max(tallies.bytes as i64);
+            held.disk_bytes = held.disk_bytes.max(disk as i64);
+            held.records = held.records.max(member.disk.records.len() as i64);
+            if tallies.copies > most.0 {
+                most = (tallies.copies, Some(n));
+            }
+        }
+        self.grows.looks.push(held);
+        self.grows.most_copies = most.1;
+        self.at(self.now + LOOK, Event::Looks);
+    }
+
+    /// A front is gone with its disk: from now on copies are missing.
+    pub(super) fn copies_lost(&mut self) {
+        if self.scenario.fleet.copies.is_some() {
+            self.grows.lost.get_or_insert(self.now);
+            self.at(self.now + COPIES_LOOK, Event::Copies);
+        }
+    }
+
+    /// Whether every shard has an owner and all its copies, on fronts that run.
+    pub(super) fn copies(&mut self) {
+        let Some((since, copies)) = self.grows.lost.zip(self.scenario.fleet.copies) else { return };
+        let (mut owned, mut kept, mut missing) = (0, 0, 0);
+        let exchanges = self.members.iter().filter_map(|m| m.life.as_ref()?.exchange.as_ref());
+        for tallies in exchanges.filter_map(|exchange| exchange.ledger_tallies()) {
+            (owned, kept) = (owned + tallies.owned, kept + tallies.copies);
+            missing += tallies.missing;
+        }
+        let shards = usize::from(self.shards);
+        if owned >= shards && kept >= shards * copies && missing == 0 {
+            self.grows.again.push(self.now - since);
+            self.grows.lost = None;
+            return;
+        }
+        self.at(self.now + COPIES_LOOK, Event::Copies);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/simulated/least.rs
@@ -0,0 +1,69 @@
+//! A failing day cut down to its smallest schedule of faults: those that it fails without are left out, many at once
+//! first, then one by one.
+
+use std::time::{Duration, Instant};
+
+use crate::rig::scenario::Scenario;
+
+const AFTER_MS: u64 = 6_000; // milliseconds of load that follow the last fault
+
+/// The scenario with as few faults as still make it fail, and how many plays that took. `fails` plays one; what is
+/// found when the time is over stands, though it may not be the smallest.
+pub fn smallest(
+    scenario: &Scenario,
+    within: Duration,
+    mut fails: impl FnMut(&Scenario) -> bool,
+) -> (Scenario, usize) {
+    let began = Instant::now();
+    let (mut least, mut plays) = (scenario.clone(), 0);
+    let mut tries = |tried: &Scenario| {
+        plays += 1;
+        fails(tried)
+    };
+    let mut many = least.faults.len();
+    while many > 0 && !least.faults.is_empty() {
+        many = many.min(least.faults.len());
+        let mut at = 0;
+        while at < least.faults.len() && began.elapsed() < within {
+            let end = (at + many).min(least.faults.len());
+            let mut tried = least.clone();
+            tried.faults.drain(at..end);
+            if tries(&tried) {
+                least = tried;
+            } else {
+                at = end;
+            }
+        }
+        if many == 1 || began.elapsed() >= within {
+            break;
+        }
+        many = many.div_ceil(2);
+    }
+    // The day need not go on for long after the last of them.
+    let last = least.faults.iter().map(|f| f.at_ms + f.for_ms).max().unwrap_or(0);
+    let short = Scenario { seconds: (last + AFTER_MS).div_ceil(1000), ..least.clone() };
+    if short.seconds < least.seconds && began.elapsed() < within && tries(&short) {
+        least = short;
+    }
+    (least, plays)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::prove::promises::{draw, Way};
+    use crate::rig::scenario::What;
+
+    #[test]
+    fn only_the_faults_that_a_failure_needs_are_left() {
+        let way = Way { small: false, simulated: true, fronts: Some(5), copies: 3, ..Way::default() };
+        let day = draw(4, way);
+        let has = |s: &Scenario, what| s.faults.iter().any(|f| f.what == what);
+        let needs = |s: &Scenario| has(s, What::Stall) && has(s, What::PostLossy);
+        let (least, plays) = smallest(&day, Duration::from_secs(10), needs);
+        assert_eq!(least.faults.len(), 2);
+        assert!(needs(&least) && least.seconds <= day.seconds && plays < 40, "{plays}");
+        let (none, _) = smallest(&day, Duration::from_secs(10), |_| true);
+        assert!(none.faults.is_empty());
+    }
+}
--- a/crates/lab/src/simulated/ledger.rs
+++ b/crates/lab/src/simulated/ledger.rs
@@ -45,14 +45,16 @@
 
 impl Play<'_> {
     /// Switches on the ledger of a front that starts, on the disk that it has.
-    pub(super) fn promises(&self, n: usize, exchange: &mut Exchange) -> Result<(), String> {
+    pub(super) fn promises(&mut self, n: usize, exchange: &mut Exchange) -> Result<(), String> {
         let Some(copies) = self.scenario.fleet.copies else { return Ok(()) };
         let (members, heard) = &self.keepers;
         let at = self.moment(n);
         let disk = &self.members[n].disk;
         let own = id(&exchange.public());
         let setup = Setup { copies, ..Setup::new("lab", own, at.wall_ms, disk.identity, members.clone()) };
-        exchange.promise(at, setup, heard.clone(), disk.found()).map_err(|e| e.to_string())
+        let found = disk.found();
+        self.shards = setup.shards;
+        exchange.promise(at, setup, heard.clone(), found).map_err(|e| e.to_string())
     }
 
     /// What promises let go of, or can't be had for.
--- a/crates/lab/src/simulated/mod.rs
+++ b/crates/lab/src/simulated/mod.rs
@@ -5,10 +5,15 @@
 mod engines;
 mod faults;
 mod fronts;
+mod grows;
+mod least;
 mod ledger;
 mod play;
 mod steps;
+#[cfg(test)]
+mod tests;
 mod words;
 
+pub use least::smallest;
 pub use play::Spoil;
 pub use play::{run, run_with};
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -17,6 +17,7 @@
 
 use super::clients::Client;
 use super::disk::Disk;
+use super::grows::Grows;
 use super::steps::Armed;
 use crate::engine::lines::Warmth;
 use crate::record::account::{judge, warmth, Account, Offered, Run};
@@ -57,6 +58,9 @@
     /// A step of a promise is reached at a front; and the time for that is over.
     Reached(Step, usize),
     Unarmed(usize),
+    /// Time to look at what fronts hold; and at whether all copies stand.
+    Looks,
+    Copies,
     Begins(usize),
     Ends(usize),
 }
@@ -148,6 +152,9 @@
     pub(super) keepers: (Vec<hallmux_ledger::Member>, BTreeMap<hallmux_gossip::PeerId, SocketAddr>),
     pub(super) armed: Option<Armed>,
     pub(super) spoil: Spoil,
+    pub(super) grows: Grows,
+    /// Of the ledger.
+    pub(super) shards: u16,
     /// Faults that are played now, by their place in the scenario.
     pub(super) playing: BTreeMap<usize, Fault>,
 }
@@ -213,6 +220,8 @@
         keepers: super::ledger::members(fronts, scenario.fleet.zones),
         armed: None,
         spoil,
+        grows: Grows::default(),
+        shards: 0,
         playing: BTreeMap::new(),
     };
     let apart = scenario.fleet.clocks_apart_ms as i64 * 1000;
@@ -234,13 +243,16 @@
     }
     let began = play.began;
     play.at(began, Event::Offered);
+    if scenario.fleet.copies.is_some() {
+        play.at(began, Event::Looks);
+    }
     for (n, fault) in scenario.faults.iter().enumerate() {
         play.at(began + fault.at_ms as i64 * 1000, Event::Begins(n));
         play.at(began + (fault.at_ms + fault.for_ms) as i64 * 1000, Event::Ends(n));
     }
     let over = began + scenario.seconds as i64 * 1_000_000 + scenario.load.timeout_ms as i64 * 1000 + AFTER;
     play.play(over);
-    let Play { engines, mut account, members, .. } = play;
+    let Play { engines, mut account, members, grows, .. } = play;
     account.turned_away = engines.iter().map(|e| e.turned_away).sum();
     account.peak = engines.iter().map(|e| e.peak).fold(0.0, f64::max);
     account.peaks_since_start = engines.iter().map(|e| e.peak_since_start).collect();
@@ -251,7 +263,11 @@
             (asked.may_be_lost, asked.timeout) = (true, asked.timeout + 70_000_000);
         }
     }
-    Ok(judge(scenario, &account, Vec::new()))
+    let mut run = judge(scenario, &account, Vec::new());
+    if scenario.fleet.copies.is_some() {
+        grows.tell(&mut run.tallies);
+    }
+    Ok(run)
 }
 
 impl Play<'_> {
@@ -284,6 +300,8 @@
             Event::Again(client) => self.asks(client),
             Event::Reached(step, front) => _ = self.reached(step, front),
             Event::Unarmed(fault) => self.unarmed(fault),
+            Event::Looks => self.looks(),
+            Event::Copies => self.copies(),
             Event::Lasting(front, life) => {
                 let member = &mut self.members[front];
                 if member.lives != life || member.life.is_none() {
--- a/crates/lab/src/simulated/steps.rs
+++ b/crates/lab/src/simulated/steps.rs
@@ -4,7 +4,7 @@
 
 use super::play::{Event, Play};
 use crate::check::Outcome;
-use crate::rig::scenario::Step;
+use crate::rig::scenario::{Fault, Step, What};
 
 const WITHIN: i64 = 1_500_000; // microseconds for a front to come to a step
 const GONE: i64 = 300_000; // microseconds that it is gone at least
@@ -69,6 +69,10 @@
         (member.stopped, member.due) = (false, i64::MAX);
         member.waits.clear();
         member.troubled.push((self.now, i64::MAX));
+        let loses = |fault: &Fault| fault.what == What::LoseDisk && fault.front == front;
+        if self.playing.values().any(loses) {
+            self.copies_lost();
+        }
         let written = self.chance.random();
         self.members[front].disk.crash(written);
         let out = |(_, o): &(usize, &crate::record::account::Offered)| {
