--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -190,10 +190,10 @@
         );
     }
     if file.moves_percent > 100 {
-        return refuse("moves_percent", "is over 100: it is a part of the shards, 0 for none");
+        return refuse("moves_percent", "is over 100: it is a part of the shards, 0 for none".into());
     }
     if !(file.repair_after_ms..=86_400_000.0).contains(&file.zone_after_ms) {
-        return refuse("zone_after_ms", "is not from repair_after_ms to 86400000");
+        return refuse("zone_after_ms", "is not from repair_after_ms to 86400000".into());
     }
     if file.clocks_apart_ms > 60_000 {
         return refuse("clocks_apart_ms", "is over 60000; set the clocks instead".into());
