--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -122,6 +122,8 @@
     Fleet,
     /// What a promise costs, and a decision of the access rules.
     Promises,
+    /// Of promises, the part in simulated time: fleets of 5 to 300 fronts.
+    Grown,
     /// The same under overload, from half of what the engines bear to three times.
     Overload,
 }
@@ -145,6 +147,7 @@
             let measured = match subject {
                 Measured::Postgres => measure::portal::postgres(),
                 Measured::Promises => measure::promises::measure(),
+                Measured::Grown => measure::grown::measure(),
                 Measured::Overload => measure::fleet::overload(),
                 Measured::Fleet => measure::fleet::measure(),
                 Measured::Gossip => measure::gossip::spread(&[20, 100, 1_000]),
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod gossip;
+pub mod grown;
 pub mod portal;
 pub mod promises;
 mod spread;
--- a/crates/lab/src/measure/promises.rs
+++ b/crates/lab/src/measure/promises.rs
@@ -21,7 +21,8 @@
 /// Prints all tables; an error is a run that could not be made.
 pub fn measure() -> Result<(), String> {
     rules();
-    added()
+    added()?;
+    super::grown::measure()
 }
 
 /// The same fleet with as many copies, no faults, and statements that take no time on an engine.
--- a/crates/lab/src/prove/promises.rs
+++ b/crates/lab/src/prove/promises.rs
@@ -36,7 +36,7 @@
 /// The kinds of trouble that a run takes its turn of; each of them comes in a whole run.
 const KINDS: [&str; 6] = ["loss", "loss_again", "cut_two", "cut_three", "stall", "words"];
 
-pub(super) fn fault(what: What, at_ms: u64, for_ms: u64) -> Fault {
+pub fn fault(what: What, at_ms: u64, for_ms: u64) -> Fault {
     let (zone, front, delay_ms, percent) = (0, 0, 0, 0);
     Fault { what, at_ms, for_ms, zone, front, second: None, step: None, delay_ms, percent, told: true }
 }
--- a/crates/lab/src/simulated/engines.rs
+++ b/crates/lab/src/simulated/engines.rs
@@ -3,6 +3,7 @@
 use hallmux_dispatcher::Ending;
 
 use super::play::{Event, Play, Ran, Sent};
+use crate::check::Repeat;
 use crate::engine::{Deed, Kind};
 use crate::record::account::Offered;
 use crate::rig::relay::{Relayed, State as LinkState};
@@ -37,6 +38,11 @@
             engine.turned_away += 1;
             return self.goes_back(front, life, sent, e, Ending::TurnedAway);
         }
+        // Repeats of a deduplicated statement are dropped: whoever sends one is told what became of the first.
+        if let Some(ends) = self.drops(front, life, sent) {
+            return self.at(ends.max(self.now + 1), Event::Dropped(front, life, sent, e));
+        }
+        let engine = &mut self.engines[e];
         engine.running += 1;
         let resets = engine.resets;
         let mut work_ms = self.scenario.load.work_ms;
@@ -59,6 +65,24 @@
         }
     }
 
+    /// Until when the first of a deduplicated statement runs, where this is a repeat in its window; else notes it as the
+    /// first. All engines are one group here.
+    fn drops(&mut self, front: usize, life: u32, sent: Sent) -> Option<i64> {
+        let Offered { asked, class, .. } = &self.account.asked[*self.named.get(&(front, life, sent.0))?];
+        let class = &self.scenario.classes[*class];
+        if class.repeat() != Repeat::Deduplicated {
+            return None;
+        }
+        let ends = self.now + class.work_ms.unwrap_or(self.scenario.load.work_ms) as i64 * 1000;
+        match self.firsts.get(&asked.id) {
+            Some((began, ends)) if self.now < began + class.window_ms as i64 * 1000 => Some(*ends),
+            _ => {
+                self.firsts.insert(asked.id.clone(), (self.now, ends));
+                None
+            }
+        }
+    }
+
     fn promised_of(&self, front: usize, life: u32, sent: Sent) -> bool {
         let number = self.named.get(&(front, life, sent.0));
         let class = number.map(|number| self.account.asked[*number].class);
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -45,6 +45,8 @@
     /// An execution has come to an engine, or its answer back to the front of that life.
     Arrives(usize, u32, Sent, usize),
     Ran(Ran),
+    /// A repeat that an engine drops is answered.
+    Dropped(usize, u32, Sent, usize),
     /// The last is its report of the statements in hand.
     Answers(usize, u32, Sent, Ending, Option<usize>),
     /// A probe likewise; its number tells which.
@@ -148,6 +150,8 @@
     /// Whoever asked, beside what the record has of it.
     pub(super) clients: Vec<Client>,
     pub(super) links: u32,
+    /// When the first of each deduplicated statement began and ends.
+    pub(super) firsts: HashMap<String, (i64, i64)>,
     /// The fronts that keep copies, and where each is heard.
     pub(super) keepers: (Vec<hallmux_ledger::Member>, BTreeMap<hallmux_gossip::PeerId, SocketAddr>),
     pub(super) armed: Option<Armed>,
@@ -217,6 +221,7 @@
         named: HashMap::new(),
         clients: Vec::new(),
         links: 0,
+        firsts: HashMap::new(),
         keepers: super::ledger::members(fronts, scenario.fleet.zones),
         armed: None,
         spoil,
@@ -297,6 +302,7 @@
             Event::Due(_) => {}
             Event::Arrives(front, life, sent, engine) => self.arrives(front, life, sent, engine),
             Event::Ran(ran) => self.ran(ran),
+            Event::Dropped(front, life, sent, e) => self.goes_back(front, life, sent, e, Ending::Answered),
             Event::Again(client) => self.asks(client),
             Event::Reached(step, front) => _ = self.reached(step, front),
             Event::Unarmed(fault) => self.unarmed(fault),
