--- a/crates/agreement/src/operator/ledger.rs
+++ b/crates/agreement/src/operator/ledger.rs
@@ -190,10 +190,10 @@
         );
     }
     if file.moves_percent > 100 {
-        return refuse("moves_percent", "is over 100: it is a part of the shards, 0 for none".into());
+        return refuse("moves_percent", What::range(0, 100));
     }
     if !(file.repair_after_ms..=86_400_000.0).contains(&file.zone_after_ms) {
-        return refuse("zone_after_ms", "is not from repair_after_ms to 86400000".into());
+        return refuse("zone_after_ms", What::range(file.repair_after_ms, 86_400_000));
     }
     if file.clocks_apart_ms > 60_000 {
         return refuse("clocks_apart_ms", "is over 60000; set the clocks instead".into());
@@ -267,11 +267,11 @@
             ("fleet:", "shards: 0, fleet:", "gossip.ledger.shards: is not from 1 to 1024"),
             ("fleet:", "patience_ms: 20, fleet:", "gossip.ledger.patience_ms: is not from 50 to 10000"),
             ("fleet:", "repair_after_ms: 1, fleet:", "gossip.ledger.repair_after_ms: is not from 1000"),
-            ("fleet:", "moves_percent: 101, fleet:", "gossip.ledger.moves_percent: is over 100"),
+            ("fleet:", "moves_percent: 101, fleet:", "gossip.ledger.moves_percent: is not from 0 to 100"),
             (
                 "fleet:",
                 "zone_after_ms: 7, fleet:",
-                "gossip.ledger.zone_after_ms: is not from repair_after_ms",
+                "gossip.ledger.zone_after_ms: is not from 30000 to 86400000",
             ),
             ("fleet:", "repair_bytes: 7, fleet:", "gossip.ledger.repair_bytes: is under 1024"),
             ("fleet:", "most_bytes: 7, fleet:", "gossip.ledger.most_bytes: is not from 4096"),
--- a/crates/fleet/src/gate/guard.rs
+++ b/crates/fleet/src/gate/guard.rs
@@ -25,9 +25,9 @@
 
 impl Guard {
     /// Where there is a ledger; `now` is the Unix clock: this life's name.
-    pub fn new(contract: &Contract, now: Micros, dispatcher: &mut Dispatcher) -> Guard {
+    pub fn new(contract: &Contract, now: Micros, shards: u16, dispatcher: &mut Dispatcher) -> Guard {
         dispatcher.watch();
-        Guard { gate: Gate::new(contract, (now / 1000) as u64), noted: 0 }
+        Guard { gate: Gate::new(contract, (now / 1000) as u64, shards), noted: 0 }
     }
 
     /// When something is due though nothing happens.
--- a/crates/front/src/fleet/gate.rs
+++ b/crates/front/src/fleet/gate.rs
@@ -31,8 +31,8 @@
 
 impl Guard {
     /// Where there is a ledger; `now` is the Unix clock: this life's name.
-    pub fn new(contract: &Contract, now: Micros, dispatcher: &mut Dispatcher) -> Guard {
-        let guard = gate::Guard::new(contract, now, dispatcher);
+    pub fn new(contract: &Contract, now: Micros, shards: u16, dispatcher: &mut Dispatcher) -> Guard {
+        let guard = gate::Guard::new(contract, now, shards, dispatcher);
         Guard { guard, said: 0, refused: BTreeMap::new() }
     }
 
--- a/crates/lab/src/simulated/clients.rs
+++ b/crates/lab/src/simulated/clients.rs
@@ -75,7 +75,7 @@
         }
         let again = !client.before.is_empty();
         let place = client.class;
-        self.account.asked.push(Offered { front, class: place, asked, barred: false, again });
+        self.account.asked.push(Offered { front, class: place, asked, barred: false, again, starved: 0 });
         self.clients.push(Client { before: [client.before, vec![front]].concat(), ..client });
         if class.needs_promise() && self.armed.is_some() {
             let at = now + self.chance.random_range(TAKEN);
--- a/crates/lab/src/simulated/fronts.rs
+++ b/crates/lab/src/simulated/fronts.rs
@@ -48,7 +48,7 @@
         dispatcher.list(true, &list);
         let own = self.own(n);
         let guards = self.scenario.fleet.copies.is_some();
-        let guard = guards.then(|| Guard::new(&self.contract, own, &mut dispatcher));
+        let guard = guards.then(|| Guard::new(&self.contract, own, self.shards, &mut dispatcher));
         let member = &mut self.members[n];
         member.lives += 1;
         member.life = Some(Life { dispatcher, exchange, guard, done: Vec::new(), probes: HashMap::new() });
--- a/crates/lab/src/simulated/ledger.rs
+++ b/crates/lab/src/simulated/ledger.rs
@@ -45,7 +45,7 @@
 
 impl Play<'_> {
     /// Switches on the ledger of a front that starts, on the disk that it has.
-    pub(super) fn promises(&mut self, n: usize, exchange: &mut Exchange) -> Result<(), String> {
+    pub(super) fn promises(&self, n: usize, exchange: &mut Exchange) -> Result<(), String> {
         let Some(copies) = self.scenario.fleet.copies else { return Ok(()) };
         let (members, heard) = &self.keepers;
         let at = self.moment(n);
@@ -53,7 +53,6 @@
         let own = id(&exchange.public());
         let setup = Setup { copies, ..Setup::new("lab", own, at.wall_ms, disk.identity, members.clone()) };
         let found = disk.found();
-        self.shards = setup.shards;
         exchange.promise(at, setup, heard.clone(), found).map_err(|e| e.to_string())
     }
 
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -226,7 +226,7 @@
         armed: None,
         spoil,
         grows: Grows::default(),
-        shards: 0,
+        shards: hallmux_ledger::Setup::new("lab", 0, 0, 1, Vec::new()).shards,
         playing: BTreeMap::new(),
     };
     let apart = scenario.fleet.clocks_apart_ms as i64 * 1000;
