--- a/crates/lab/src/simulated/engines.rs
+++ b/crates/lab/src/simulated/engines.rs
@@ -65,8 +65,8 @@
         }
     }
 
-    /// Until when the first of a deduplicated statement runs, where this is a repeat in its window; else notes it as the
-    /// first. All engines are one group here.
+    /// Until when the first of a deduplicated statement runs, where this is the same front's repeat in its window; else
+    /// notes it as the first. All engines are one group here.
     fn drops(&mut self, front: usize, life: u32, sent: Sent) -> Option<i64> {
         let Offered { asked, class, .. } = &self.account.asked[*self.named.get(&(front, life, sent.0))?];
         let class = &self.scenario.classes[*class];
@@ -74,10 +74,10 @@
             return None;
         }
         let ends = self.now + class.work_ms.unwrap_or(self.scenario.load.work_ms) as i64 * 1000;
-        match self.firsts.get(&asked.id) {
+        match self.firsts.get(&(front, asked.id.clone())) {
             Some((began, ends)) if self.now < began + class.window_ms as i64 * 1000 => Some(*ends),
             _ => {
-                self.firsts.insert(asked.id.clone(), (self.now, ends));
+                self.firsts.insert((front, asked.id.clone()), (self.now, ends));
                 None
             }
         }
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -150,8 +150,8 @@
     /// Whoever asked, beside what the record has of it.
     pub(super) clients: Vec<Client>,
     pub(super) links: u32,
-    /// When the first of each deduplicated statement began and ends.
-    pub(super) firsts: HashMap<String, (i64, i64)>,
+    /// When the first of each deduplicated statement of a front began and ends.
+    pub(super) firsts: HashMap<(usize, String), (i64, i64)>,
     /// The fronts that keep copies, and where each is heard.
     pub(super) keepers: (Vec<hallmux_ledger::Member>, BTreeMap<hallmux_gossip::PeerId, SocketAddr>),
     pub(super) armed: Option<Armed>,
