--- a/crates/lab/src/measure/promises.rs
+++ b/crates/lab/src/measure/promises.rs
@@ -21,12 +21,14 @@
 /// Prints all tables; an error is a run that could not be made.
 pub fn measure() -> Result<(), String> {
     rules();
-    added()
+    added()?;
+    super::grown::measure()
 }
 
 /// The same fleet with as many copies, no faults, and statements that take no time on an engine.
 fn quiet(copies: usize) -> Scenario {
-    let mut scenario = draw(7, Way { small: true, simulated: false, fronts: Some(FRONTS), copies });
+    let mut scenario =
+        draw(7, Way { small: true, simulated: false, fronts: Some(FRONTS), copies, ..Way::default() });
     scenario.faults.clear();
     scenario.fleet.clocks_apart_ms = 0;
     scenario
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -5,6 +5,7 @@
 pub mod disks;
 mod faults;
 mod keys;
+pub mod long;
 mod looks;
 mod played;
 pub mod promises;
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -228,7 +228,7 @@
         for fault in beside.turn(&fleet, now) {
             let fault = Fault { at_ms: now as u64 / 1000, ..fault };
             stage.begin(&fault);
-            ends.push((now + fault.for_ms as i64 * 1000, fault));
+            ends.push((now + fault.for_ms as i64 * 1000, fleet.records.now(), fault));
         }
         std::thread::sleep(Duration::from_millis(5));
     }
--- a/crates/lab/src/simulated/mod.rs
+++ b/crates/lab/src/simulated/mod.rs
@@ -1,8 +1,19 @@
 //! The fleet rig in simulated time, for fleets beyond what one machine holds as processes.
 
+mod clients;
+mod disk;
 mod engines;
 mod faults;
 mod fronts;
+mod grows;
+mod least;
+mod ledger;
 mod play;
+mod steps;
+#[cfg(test)]
+mod tests;
+mod words;
 
-pub use play::run;
+pub use least::smallest;
+pub use play::Spoil;
+pub use play::{run, run_with};
