An engine's silence is told by all that waits there, and what it holds is tried elsewhere

A lookup's client waits 0.5 to 1 s there and its end by that time was charged to nobody, as its own patience (a second and four usual runs) was longer; a report beside it on the same engine kept its own patience of ten seconds and more, though it knew from the lookups; after a rest of a second the engine was tried again with whatever came, a report too.

Cause: Front::listen judged each execution alone where no notes of progress are agreed, and Front::ended forgot what a statement that ran out of time had waited for.

Change: where no notes are agreed, what waits at an engine since its last word (an answer, an error, a refusal as full, a note) is added up in usual runs, with what has ended there meanwhile by its client's time or from here; over four runs, and a second of silence, the engine is silent: it rests, one second more each time in a row, and all that it holds is tried elsewhere where that is allowed. Short statements try it again first: others wait their own usual run more. Where no run is known the client's time stands for it.

Also: a deduplicated statement that may have run waits for no engine outside the group that drops its repeats and not beyond the time that group remembers it, but ends at once (may_repeat became harmless and goes_on). What an engine protocol or a pinned transaction bars is in Statement::allows.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -103,8 +103,8 @@
         let guess = Mean { value: 1.0, seen: GUESSED };
         let fresh = Learned { memory_bias: guess, ..Learned::default() };
         let mut chance = Chance::new(seed);
-        let narrowest = agreed.workloads.iter().map(|w| w.threads).fold(f64::INFINITY, f64::min);
-        let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
+        let narrowest = least(agreed.workloads.iter().map(|w| w.threads));
+        let smallest = least(agreed.cores.iter().copied());
         Front {
             first_look: chance.next(),
             asks_next: (chance.next() * 256.0) as usize,
@@ -153,8 +153,7 @@
         self.sweep();
         self.release();
         let window = self.agreed.further.map_or(0, |budget| budget.window);
-        self.taken.forget(now - window);
-        self.further.forget(now - window);
+        [&mut self.taken, &mut self.further].into_iter().for_each(|times| times.forget(now - window));
         if self.wake <= now {
             self.wake = now + SWEEP;
             self.actions.push(Action::Wake { at: self.wake });
@@ -172,14 +171,13 @@
             let known = self.engines.listed[e].as_ref();
             let restarted = known.is_none_or(|k| k.started != entry.started);
             if known.is_none() {
-                let of = |list: &[f64], other| list.get(entry.kind).copied().unwrap_or(other);
-                let (threads, memory) = (of(&self.agreed.cores, 1.0), of(&self.agreed.memory_mb, f64::MAX));
-                self.engines.size[e] = Load { threads, memory };
-                self.engines.bound[e] = THREADS_PER_CORE * threads / self.agreed.fronts;
+                self.engines.size[e] = Load::of_kind(entry.kind, &self.agreed);
+                self.engines.bound[e] = THREADS_PER_CORE * self.engines.size[e].threads / self.agreed.fronts;
             }
             if let Some(start) = entry.started.filter(|_| restarted) {
                 (self.engines.credit[e], self.engines.rests_until[e]) = (TRUSTED, 0);
                 self.engines.others[e] = Load::default();
+                self.engines.hears(e, self.now);
                 self.words.forget(e); // of an earlier start
                 self.found_well(e, true);
                 self.found_cold(e, start + self.agreed.warm_within);
@@ -210,9 +208,8 @@
         if a.work > 0.0 {
             learned.work.take(LEARNING, a.work);
         }
-        let memory = a.memory_mb * learned.memory_bias.value;
-        let least_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
-        let memory = memory.min(least_mb * self.agreed.largest_grant);
+        let most_mb = least(self.agreed.memory_mb.iter().copied()) * self.agreed.largest_grant;
+        let memory = (a.memory_mb * learned.memory_bias.value).min(most_mb);
         self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
         self.taken.0.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
@@ -234,7 +231,8 @@
         let has_turn = self.has_turn(id, s);
         // Once it is to be given up it is due now; till then at the next turn of its standing.
         let ends = if self.hopeless(s) { self.now } else { s.ends - LAST_CALL };
-        let next = [timely, latest, rests_until].into_iter().filter(|t| *t > self.now).min();
+        let forgotten = s.executions.first().map_or(0, |x| x.sent + self.workload(s).dedup_window);
+        let next = [timely, latest, rests_until, forgotten].into_iter().filter(|t| *t > self.now).min();
         self.due.insert((next.map_or(ends, |t| t.min(ends)), id));
         self.unhold(id);
         if !has_turn {
--- a/src/decide/give_up.rs
+++ b/src/decide/give_up.rs
@@ -8,13 +8,13 @@
         s.asked.pinned.is_some_and(|e| !self.engines.open.get(e).is_some_and(|open| *open))
     }
 
-    /// Whether a statement that must be late is given up at once: its late answer is worth little, or others
-    /// wait behind it in the line of its order key, where running it would make them late too.
+    /// Whether a statement is given up at once: no engine may have it, or it must be late, and that is worth
+    /// little or others wait behind it in the line of its order key: running it would make them late too.
     pub(super) fn hopeless(&self, s: &Statement) -> bool {
         let turn = s.asked.key.and_then(|key| self.turns.get(&key));
         let blocks = turn.is_some_and(|t| t.line.len() > 1);
         let late = self.now >= self.last_timely_start(s);
-        self.stranded(s) || late && (blocks || self.workload(s).late_share < LATE_WORTH)
+        self.stranded(s) || !self.goes_on(s) || late && (blocks || self.workload(s).late_share < LATE_WORTH)
     }
 
     pub(super) fn stop(&mut self, id: StatementId, n: usize) {
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -8,36 +8,36 @@
         let s = &self.statements[&id];
         let workload = self.workload(s);
         let Some(entry) = self.engines.entry(e) else { return false };
-        let open = !s.over && !s.is_out() && s.allows(workload, entry) && entry.speaks & s.asked.speech != 0;
-        let open = open && s.asked.pinned.is_none_or(|pinned| pinned == e);
+        let open = !s.over && !s.is_out() && s.allows(workload, entry);
         let (pushed, most) = self.pushed(e);
         let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
         let bears = self.now >= self.engines.cold_until[e] || pushed <= 0.0 || pushed + work <= most;
         let open = open && self.now < s.ends && self.has_turn(id, s);
-        open && bears && (s.executions.is_empty() || self.may_repeat(s, Some(entry)))
+        open && bears && (s.executions.is_empty() || self.harmless(s, entry) && self.tries_left(s))
     }
 
-    pub(super) fn may_repeat(&self, s: &Statement, at: Option<&Listed>) -> bool {
+    /// Whether no harm comes of sending it there, whatever earlier executions of it may have done.
+    fn harmless(&self, s: &Statement, at: &Listed) -> bool {
         let workload = self.workload(s);
         let dropped = |x: &Execution| {
             let earlier = self.engines.listed[x.engine].as_ref();
-            let same = at.zip(earlier).is_none_or(|(at, x)| at.drops_repeats_of(x, workload.dedup_group));
-            same && self.now - x.sent < workload.dedup_window
+            let same = earlier.is_some_and(|x| at.drops_repeats_of(x, workload.dedup_group));
+            same && at.mode == Mode::Ready && self.now - x.sent < workload.dedup_window
         };
-        let harmless = s.may_have_run().all(|x| match workload.effect {
+        s.may_have_run().all(|x| match workload.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
             Effect::Deduplicated => dropped(x),
-        });
-        harmless && self.tries_left(s)
+        })
+    }
+
+    /// Whether any engine may have it by what earlier executions of it may have done: else it waits in vain.
+    pub(super) fn goes_on(&self, s: &Statement) -> bool {
+        s.executions.is_empty() || self.engines.listed.iter().flatten().any(|at| self.harmless(s, at))
     }
 
     pub(super) fn tries_left(&self, s: &Statement) -> bool {
-        let within = self.agreed.further.is_none_or(|budget| {
-            let since = self.now - budget.window;
-            let used = self.further.after(since - 1);
-            used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
-        });
+        let within = self.agreed.further.is_none_or(|b| b.leaves(self.now, &self.further, &self.taken));
         within && s.executions.len() < self.agreed.most_executions && s.asked.pinned.is_none()
     }
 
@@ -52,6 +52,7 @@
         let workload = self.workload(s);
         let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
+        let run = self.learned[s.asked.workload].usual_run(workload) as Micros;
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
         // Where all that it may use are spoken ill of, nothing is said.
         let may = |e: &EngineId| self.engines.entry(*e).is_some_and(|l| s.allows(workload, l));
@@ -69,18 +70,15 @@
         let (guessed, mut drawn) = (self.many && !self.agreed.report.tells_load(), Vec::new());
         for e in (0..count).map(|i| (i + first) % count) {
             let trusted = s.executions.is_empty() || self.engines.credit[e] >= TRUSTED;
-            let away = self.engines.rests_until[e] > self.now || leaves && self.engines.is_left(e);
+            // An engine that was silent is tried with short statements first: long ones wait their run more.
+            let rests = self.engines.rests_until[e] + if self.engines.hushed[e] > 0 { run } else { 0 };
+            let away = rests > self.now || leaves && self.engines.is_left(e);
             if !trusted || away || !self.may_execute(id, e) {
                 continue;
             }
-            let locked = |(other, _): &(StatementId, usize)| {
-                let other = &self.statements[other];
-                self.workload(other).holds_data && other.asked.data_set == s.asked.data_set
-            };
-            if stands
-                && (self.engines.holds(e, s.asked.data_set, self.now)
-                    || self.engines.out[e].iter().any(locked))
-            {
+            let holds = |o: &Statement| self.workload(o).holds_data && o.asked.data_set == s.asked.data_set;
+            let locked = || self.engines.out[e].iter().any(|(other, _)| holds(&self.statements[other]));
+            if stands && (self.engines.holds(e, s.asked.data_set, self.now) || locked()) {
                 continue;
             }
             let Some(entry) = &self.engines.listed[e] else { continue };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod chance;
 pub mod decide;
+mod engines;
 pub mod interface;
 mod state;
 
