--- a/src/chance.rs
+++ b/src/chance.rs
@@ -38,8 +38,3 @@
         second
     }
 }
-
-/// The least of some figures, or none at all: without end.
-pub fn least(of: impl Iterator<Item = f64>) -> f64 {
-    of.fold(f64::INFINITY, f64::min)
-}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -103,8 +103,8 @@
         let guess = Mean { value: 1.0, seen: GUESSED };
         let fresh = Learned { memory_bias: guess, ..Learned::default() };
         let mut chance = Chance::new(seed);
-        let narrowest = least(agreed.workloads.iter().map(|w| w.threads));
-        let smallest = least(agreed.cores.iter().copied());
+        let narrowest = agreed.workloads.iter().map(|w| w.threads).fold(f64::INFINITY, f64::min);
+        let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
         Front {
             first_look: chance.next(),
             asks_next: (chance.next() * 256.0) as usize,
@@ -153,7 +153,8 @@
         self.sweep();
         self.release();
         let window = self.agreed.further.map_or(0, |budget| budget.window);
-        [&mut self.taken, &mut self.further].into_iter().for_each(|times| times.forget(now - window));
+        self.taken.forget(now - window);
+        self.further.forget(now - window);
         if self.wake <= now {
             self.wake = now + SWEEP;
             self.actions.push(Action::Wake { at: self.wake });
@@ -171,13 +172,14 @@
             let known = self.engines.listed[e].as_ref();
             let restarted = known.is_none_or(|k| k.started != entry.started);
             if known.is_none() {
-                self.engines.size[e] = Load::of_kind(entry.kind, &self.agreed);
-                self.engines.bound[e] = THREADS_PER_CORE * self.engines.size[e].threads / self.agreed.fronts;
+                let of = |list: &[f64], other| list.get(entry.kind).copied().unwrap_or(other);
+                let (threads, memory) = (of(&self.agreed.cores, 1.0), of(&self.agreed.memory_mb, f64::MAX));
+                self.engines.size[e] = Load { threads, memory };
+                self.engines.bound[e] = THREADS_PER_CORE * threads / self.agreed.fronts;
             }
             if let Some(start) = entry.started.filter(|_| restarted) {
                 (self.engines.credit[e], self.engines.rests_until[e]) = (TRUSTED, 0);
                 self.engines.others[e] = Load::default();
-                self.engines.hears(e, self.now);
                 self.words.forget(e); // of an earlier start
                 self.found_well(e, true);
                 self.found_cold(e, start + self.agreed.warm_within);
@@ -208,8 +210,9 @@
         if a.work > 0.0 {
             learned.work.take(LEARNING, a.work);
         }
-        let most_mb = least(self.agreed.memory_mb.iter().copied()) * self.agreed.largest_grant;
-        let memory = (a.memory_mb * learned.memory_bias.value).min(most_mb);
+        let memory = a.memory_mb * learned.memory_bias.value;
+        let least_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
+        let memory = memory.min(least_mb * self.agreed.largest_grant);
         self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
         self.taken.0.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -34,7 +34,10 @@
         let (own, size) = (self.engines.own[e], self.engines.size[e]);
         let count = self.engines.out[e].len() as f64;
         let each = if self.many { self.ran.threads } else { either(own.threads, 1.0) / count.max(1.0) };
-        let in_hand = self.agreed.report.in_hand(report, size.threads / each.max(0.01));
+        // Where statements in hand are not told, busy cores and those that wait for memory stand in for them.
+        let (places, busy) = (&self.agreed.report, |b: f64| b * size.threads / each.max(0.01));
+        let in_hand =
+            read(places.active).or(read(places.busy).map(|b| busy(b) + read(places.waiting).unwrap_or(0.0)));
         let active = in_hand.map_or(0.0, |active| (active - count).max(0.0));
         let need = if self.many { self.ran.memory } else { 0.0 };
         let granted = read(self.agreed.report.memory_granted).map(|x| x * size.memory - own.memory);
@@ -50,31 +53,23 @@
 
     /// Guards against executions that are taken and never answered, whatever the cause: a hung engine,
     /// answers lost on the way, a statement stuck in a sound engine. Where notes of progress are agreed, each
-    /// execution must be heard of; else its engine, by all that has waited there since its last word: it is
-    /// left at once, for longer each time in a row. It could stop executions whose notes alone are lost.
+    /// execution must be heard of; else its engine. It could stop executions whose notes alone are lost.
     pub(super) fn listen(&mut self, e: EngineId) {
-        let tells = self.engines.listed[e].as_ref().is_some_and(|entry| entry.tells);
-        let patience = (SILENT_NOTES * self.agreed.progress_every as f64) as Micros * Micros::from(tells);
-        let out =
-            |(id, n): &(StatementId, usize)| (&self.statements[id], &self.statements[id].executions[*n]);
-        let open = || self.engines.out[e].iter().filter(|at| !out(at).1.quiet);
-        let runs = |(s, x): (&Statement, &Execution)| {
-            let usual = self.learned[s.asked.workload].usual_run(self.workload(s));
-            self.engines.waited(x, self.now, self.awake) / usual
+        let quiet = |(id, n): &&(StatementId, usize)| {
+            let s = &self.statements[id];
+            let x = &s.executions[*n];
+            let tells = self.engines.listed[e].as_ref().is_some_and(|entry| entry.tells);
+            let usual = SECOND as f64 + SILENCE_RUNS * self.learned[s.asked.workload].run.value;
+            let (heard, patience) = match self.agreed.progress_every * Micros::from(tells) {
+                0 => (x.sent.max(self.engines.heard[e]), usual),
+                every => (x.heard, SILENT_NOTES * every as f64),
+            };
+            !x.quiet && (self.now - heard.max(self.awake)) as f64 > patience
         };
-        let waited = open().map(out).map(runs).sum::<f64>() + self.engines.unanswered[e];
-        let long = self.now - self.engines.asked[e].max(self.awake) > SECOND;
-        let silent = patience == 0 && long && waited > SILENCE_RUNS;
-        let quiet = |x: &Execution| patience > 0 && self.now - x.heard.max(self.awake) > patience;
-        let stuck: Vec<_> = open().filter(|at| silent || quiet(out(at).1)).copied().collect();
-        if silent {
-            self.engines.hushes(e);
-            self.spend(e, SPENT_LOST);
-        }
+        let stuck: Vec<_> = self.engines.out[e].iter().filter(quiet).copied().collect();
         for (id, n) in stuck {
             let all_quiet = self.engines.heard[e] <= self.statements[&id].executions[n].heard;
-            let left = if all_quiet { SPENT_LOST } else { SPENT_ERROR };
-            self.spend(e, if silent { 1.0 } else { left });
+            self.spend(e, if all_quiet { SPENT_LOST } else { SPENT_ERROR });
             self.stop(id, n);
             self.statements.entry(id).and_modify(|s| s.executions[n].quiet = true);
         }
@@ -84,7 +79,7 @@
         let Some(s) = self.statements.get_mut(&id) else { return };
         let Some(execution) = s.executions.get_mut(n).filter(|x| x.outcome.is_none()) else { return };
         let tells = execution.hears(self.now, note);
-        _ = tells.then(|| self.engines.hears(e, self.now));
+        self.engines.heard[e] = if tells { self.now } else { self.engines.heard[e] };
         if let Note::SpillsMb(missing) = note {
             execution.spilled = true;
             let need = (s.load.memory * GRANTED + missing) / s.asked.memory_mb.max(1.0);
@@ -115,8 +110,6 @@
         let Some(s) = self.statements.get_mut(&x.statement) else { return };
         let Some(sent) = s.executions.get_mut(x.execution).filter(|x| x.outcome.is_none()) else { return };
         sent.outcome = Some(x.outcome);
-        let usual = self.learned[s.asked.workload].usual_run(&self.agreed.workloads[s.asked.workload]);
-        let waited = self.engines.waited(sent, now, self.awake) / usual;
         let (quiet, key, was_over, ends, load) = (sent.quiet, s.asked.key, s.over, s.ends, s.load);
         self.engines.took_back(e, (x.statement, x.execution), load);
         if let Some(turn) = key.and_then(|key| self.turns.get_mut(&key)) {
@@ -126,9 +119,8 @@
             }
             turn.astray += usize::from(x.holds && x.settled && !was_over);
         }
-        self.engines.unanswered[e] += if x.outcome.is_mute() && !quiet { waited } else { 0.0 };
-        // One connection late to come up tells little of its engine; two in a row tell that it is gone.
-        let (before, unreached) = self.engines.tried(e, x.outcome, now, LOST_REST);
+        // One connection that is late to come up tells little of its engine; two in a row tell that it is gone.
+        let (before, unreached) = self.engines.tried(e, x.outcome, now + LOST_REST);
         if unreached == 0 && before > 1 {
             // Back after it could not be reached: it may have restarted before the list says so.
             self.found_cold(e, now + self.agreed.warm_within);
@@ -176,21 +168,24 @@
     fn spend(&mut self, e: EngineId, left: f64) {
         self.engines.credit[e] *= left;
         if left <= SPENT_LOST {
-            // The longer it was silent, the longer it rests.
-            self.engines.rests_until[e] = self.now + LOST_REST * self.engines.hushed[e].max(1) as Micros;
+            self.engines.rests_until[e] = self.now + LOST_REST;
         }
     }
 
     fn completed(&mut self, x: &Ended, threads: f64) {
-        let (e, took) = (x.engine, x.took as f64);
+        let (now, e, took) = (self.now, x.engine, x.took as f64);
         let s = &self.statements[&x.statement];
         let (w, spilled, basis) = (s.asked.workload, s.executions[x.execution].spilled, self.basis(s));
         let slo = self.slo_time(s) as f64;
+        self.engines.heard[e] = now;
         self.engines.credit[e] = (self.engines.credit[e] + EARNED).min(1.0);
         let seconds = took / SECOND as f64;
         self.ran.blend(Load { threads, memory: s.load.memory }, LEARNING * seconds.min(1.0));
-        let alone = (self.engines.bound[e], self.engines.own[e].threads);
-        let (bound, held) = if self.many { self.engines.open_totals() } else { alone };
+        let (bound, held) = if self.many {
+            self.engines.open_totals()
+        } else {
+            (self.engines.bound[e], self.engines.own[e].threads)
+        };
         if took <= slo * QUICK && held + 2.0 * threads >= bound {
             let growth = if self.many { GROWTH } else { 1.0 / bound.max(1.0) };
             self.sway(e, threads * seconds * growth);
--- a/src/decide/penalty.rs
+++ b/src/decide/penalty.rs
@@ -79,7 +79,7 @@
         self.actions.push(Action::Execute { statement: id, engine: e });
         let Some(s) = self.statements.get_mut(&id) else { return };
         self.further.0.extend((!s.executions.is_empty()).then_some(now));
-        self.engines.sent(e, (id, s.executions.len()), load, now);
+        self.engines.sent(e, (id, s.executions.len()), load);
         s.priority = priority;
         s.executions.push(Execution { engine: e, sent: now, heard: now, ..Execution::default() });
         self.classes[class].out.insert(id);
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -8,7 +8,8 @@
         let s = &self.statements[&id];
         let workload = self.workload(s);
         let Some(entry) = self.engines.entry(e) else { return false };
-        let open = !s.over && !s.is_out() && s.allows(workload, entry);
+        let open = !s.over && !s.is_out() && s.allows(workload, entry) && entry.speaks & s.asked.speech != 0;
+        let open = open && s.asked.pinned.is_none_or(|pinned| pinned == e);
         let (pushed, most) = self.pushed(e);
         let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
         let bears = self.now >= self.engines.cold_until[e] || pushed <= 0.0 || pushed + work <= most;
@@ -37,7 +38,11 @@
     }
 
     pub(super) fn tries_left(&self, s: &Statement) -> bool {
-        let within = self.agreed.further.is_none_or(|b| b.leaves(self.now, &self.further, &self.taken));
+        let within = self.agreed.further.is_none_or(|budget| {
+            let since = self.now - budget.window;
+            let used = self.further.after(since - 1);
+            used + 1.0 <= (budget.spare + budget.ratio * self.taken.after(since)).floor()
+        });
         within && s.executions.len() < self.agreed.most_executions && s.asked.pinned.is_none()
     }
 
@@ -52,7 +57,6 @@
         let workload = self.workload(s);
         let stands = (workload.waits_for_data || workload.holds_data) && s.asked.data_set.is_some();
         let is_bound = |w: &Workload| w.kinds.is_some() || w.locations.is_some();
-        let run = self.learned[s.asked.workload].usual_run(workload) as Micros;
         let (mut best, mut best_room) = (None, f64::NEG_INFINITY);
         // Where all that it may use are spoken ill of, nothing is said.
         let may = |e: &EngineId| self.engines.entry(*e).is_some_and(|l| s.allows(workload, l));
@@ -70,9 +74,7 @@
         let (guessed, mut drawn) = (self.many && !self.agreed.report.tells_load(), Vec::new());
         for e in (0..count).map(|i| (i + first) % count) {
             let trusted = s.executions.is_empty() || self.engines.credit[e] >= TRUSTED;
-            // An engine that was silent is tried with short statements first: long ones wait their run more.
-            let rests = self.engines.rests_until[e] + if self.engines.hushed[e] > 0 { run } else { 0 };
-            let away = rests > self.now || leaves && self.engines.is_left(e);
+            let away = self.engines.rests_until[e] > self.now || leaves && self.engines.is_left(e);
             if !trusted || away || !self.may_execute(id, e) {
                 continue;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,14 +66,6 @@
 }
 
 impl ReportPlaces {
-    /// Statements in hand. Where they are not told, busy cores, at so many statements for all of them, and those
-    /// that wait for memory stand in for them.
-    pub fn in_hand(&self, report: &Report, all_busy: f64) -> Option<f64> {
-        let read = |place: Option<usize>| place.and_then(|p| report.get(p)).copied();
-        let waiting = read(self.waiting).unwrap_or(0.0);
-        read(self.active).or(read(self.busy).map(|b| b * all_busy + waiting))
-    }
-
     /// Whether reports tell what an engine holds: statements in hand, or its busy cores.
     pub fn tells_load(&self) -> bool {
         self.active.is_some() || self.busy.is_some()
@@ -169,13 +161,6 @@
     NotSent,
 }
 
-impl Outcome {
-    /// It was ended from here, with no word of its engine.
-    pub fn is_mute(self) -> bool {
-        matches!(self, Outcome::TimedOut | Outcome::Cancelled)
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Note {
     ShareDone(f64),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,6 @@
 
 mod chance;
 pub mod decide;
-mod engines;
 pub mod interface;
 mod state;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub use crate::chance::*;
-pub use crate::engines::*;
 use crate::interface::*;
 
 pub const SECOND: Micros = 1_000_000; // microseconds
@@ -86,14 +85,6 @@
     }
 }
 
-impl FurtherBudget {
-    /// Whether one more fits, by those of the window before now and what was taken in it.
-    pub fn leaves(&self, now: Micros, further: &Times, taken: &Times) -> bool {
-        let (since, used) = (now - self.window, further.after(now - self.window - 1));
-        used + 1.0 <= (self.spare + self.ratio * taken.after(since)).floor()
-    }
-}
-
 /// What has been learned of a workload.
 #[derive(Default, Clone)]
 pub struct Learned {
@@ -105,13 +96,6 @@
     pub first_try: Micros, // the most time that a statement had left on arrival: what a first try gets
 }
 
-impl Learned {
-    /// How long a statement usually runs; its client's time where nothing is known.
-    pub fn usual_run(&self, workload: &Workload) -> f64 {
-        either(self.run.value, workload.statement_timeout.max(1) as f64)
-    }
-}
-
 #[derive(Default)]
 pub struct Execution {
     pub engine: EngineId,
@@ -147,14 +131,9 @@
         Statement { asked, class, first_asked, ends, load, priority: 1, executions: Vec::new(), over: false }
     }
 
-    /// Whether it may be sent to an engine at all: its workload, its protocol, its transaction and what is
-    /// allowed to it agree.
+    /// Whether it may be sent to an engine at all: its workload and what is allowed to it agree.
     pub fn allows(&self, workload: &Workload, at: &Listed) -> bool {
-        let there = self.asked.pinned.is_none_or(|pinned| pinned == at.engine);
-        there
-            && at.speaks & self.asked.speech != 0
-            && workload.allows(at)
-            && self.asked.allowed.as_ref().is_none_or(|l| l.contains(&at.location))
+        workload.allows(at) && self.asked.allowed.as_ref().is_none_or(|l| l.contains(&at.location))
     }
 
     /// Executions that their outcomes do not prove to have been without effect.
@@ -188,6 +167,29 @@
     }
 }
 
+/// What statements hold of an engine.
+#[derive(Default, Clone, Copy)]
+pub struct Load {
+    pub threads: f64,
+    pub memory: f64,
+}
+
+impl Load {
+    pub fn times(self, factor: f64) -> Load {
+        Load { threads: self.threads * factor, memory: self.memory * factor }
+    }
+
+    pub fn blend(&mut self, other: Load, share: f64) {
+        self.threads += (other.threads - self.threads) * share;
+        self.memory += (other.memory - self.memory) * share;
+    }
+
+    pub fn add(&mut self, other: Load, times: f64) {
+        self.threads = (self.threads + other.threads * times).max(0.0);
+        self.memory = (self.memory + other.memory * times).max(0.0);
+    }
+}
+
 /// Ill words of other fronts on engines, each until it is worth nothing, and the credit of those fronts.
 #[derive(Default)]
 pub struct Words {
@@ -232,3 +234,137 @@
         self.said.retain(|(at, _), _| *at != e);
     }
 }
+
+/// Figures about engines, under their index.
+#[derive(Default)]
+pub struct Engines {
+    pub open: Vec<bool>,
+    pub listed: Vec<Option<Listed>>,
+    pub size: Vec<Load>,  // cores and memory
+    pub usual: Vec<Load>, // what other fronts hold for each core, by kind
+    pub cold_until: Vec<Micros>,
+    pub pushed: Vec<(f64, Micros)>, // work counted against a cold engine's budget, and when
+    pub own: Vec<Load>,
+    pub seen: Vec<Load>,   // what was own at the last report
+    pub others: Vec<Load>, // of other fronts, and of work given up here that may run on
+    pub out: Vec<BTreeSet<(StatementId, usize)>>,
+    pub held: Vec<Vec<(u32, Micros)>>, // data sets that loads of other fronts hold there, and until when
+    pub bound: Vec<f64>,
+    pub credit: Vec<f64>,
+    pub unreached: Vec<usize>, // times in a row that it could not be reached
+    pub rests_until: Vec<Micros>,
+    pub heard: Vec<Micros>,
+    pub probed: Vec<Micros>,
+    pub told: Vec<Micros>, // when its last report came
+    /// Ill in zones that the fleet has left; other fronts that have found each well since.
+    pub left: BTreeMap<EngineId, BTreeSet<usize>>,
+}
+
+impl Engines {
+    /// The engines listed in the zone of this one, itself too, but for those that are gone.
+    pub fn near(&self, e: EngineId) -> Vec<EngineId> {
+        let zone = |e: EngineId| self.listed.get(e).and_then(|l| l.as_ref()).map(|l| l.location);
+        let listed = |o: &EngineId| self.listed[*o].as_ref().is_some_and(|l| l.mode != Mode::Gone);
+        (0..self.listed.len()).filter(listed).filter(|o| zone(*o) == zone(e)).collect()
+    }
+
+    /// Whether a load of another front holds the data set there.
+    pub fn holds(&self, e: EngineId, data_set: Option<u32>, now: Micros) -> bool {
+        self.held[e].iter().any(|(held, until)| data_set == Some(*held) && *until > now)
+    }
+
+    /// What the list says of an engine that is open.
+    pub fn entry(&self, e: EngineId) -> Option<&Listed> {
+        self.listed[e].as_ref().filter(|_| self.open[e])
+    }
+
+    /// Work an engine can do by now, as a share of what it can do when warm.
+    pub fn warmth(&self, e: EngineId, now: Micros, agreed: &Agreement) -> f64 {
+        let left = (self.cold_until[e] - now) as f64 / agreed.warm_within.max(1) as f64;
+        1.0 - (1.0 - agreed.cold_from) * left.clamp(0.0, 1.0)
+    }
+
+    /// Whether the fleet has left the zone of this engine.
+    pub fn is_left(&self, e: EngineId) -> bool {
+        !self.left.is_empty() && self.near(e).iter().any(|o| self.left.contains_key(o))
+    }
+
+    /// One of those that the fleet has left, by a share of their count.
+    pub fn one_left(&self, share: f64) -> Option<EngineId> {
+        let listed = |o: &&EngineId| self.listed[**o].as_ref().is_some_and(|l| l.mode != Mode::Gone);
+        let all: Vec<EngineId> = self.left.keys().filter(listed).copied().collect();
+        all.get((share * all.len() as f64) as usize).copied()
+    }
+
+    /// The bounds of all open engines added up, and the threads that this front has out there.
+    pub fn open_totals(&self) -> (f64, f64) {
+        let open = (0..self.open.len()).filter(|e| self.open[*e]);
+        open.fold((0.0, 0.0), |(bound, own), e| (bound + self.bound[e], own + self.own[e].threads))
+    }
+
+    /// The memory of open engines that the bounds stand for, at a share a thread, and what this front holds.
+    pub fn open_memory(&self, used_per_thread: f64) -> (f64, f64) {
+        let open = (0..self.open.len()).filter(|e| self.open[*e]);
+        let share = |e: usize| {
+            self.size[e].memory * (self.bound[e] * used_per_thread / self.size[e].threads).min(1.0)
+        };
+        open.fold((0.0, 0.0), |(pool, own), e| (pool + share(e), own + self.own[e].memory))
+    }
+
+    /// An execution is out there, and what it counts for.
+    pub fn sent(&mut self, e: EngineId, execution: (StatementId, usize), load: Load) {
+        self.out[e].insert(execution);
+        self.own[e].add(load, 1.0);
+    }
+
+    /// It is out no more.
+    pub fn took_back(&mut self, e: EngineId, execution: (StatementId, usize), load: Load) {
+        self.out[e].remove(&execution);
+        self.own[e].add(load, -1.0);
+    }
+
+    /// How often in a row it could not be reached, before and now; then it rests.
+    pub fn tried(&mut self, e: EngineId, outcome: Outcome, rests_until: Micros) -> (usize, usize) {
+        let before = self.unreached[e];
+        match outcome {
+            Outcome::NoRoute => (self.unreached[e], self.rests_until[e]) = (before + 1, rests_until),
+            Outcome::Completed | Outcome::NoRoom | Outcome::Error => self.unreached[e] = 0,
+            _ => {} // nothing has come from there
+        }
+        (before, self.unreached[e])
+    }
+
+    /// What other fronts usually hold of an engine like this one.
+    pub fn usual(&self, e: EngineId) -> Load {
+        let each = self.listed[e].as_ref().and_then(|entry| self.usual.get(entry.kind));
+        each.copied().unwrap_or_default().times(self.size[e].threads)
+    }
+
+    /// The same for each core, to be learned from its reports.
+    pub fn usual_of_kind(&mut self, e: EngineId) -> Option<&mut Load> {
+        let kind = self.listed[e].as_ref()?.kind;
+        self.usual.get_mut(kind)
+    }
+
+    /// Makes room for an engine; one that is new starts with the credit given.
+    pub fn know(&mut self, engine: EngineId, credit: f64) {
+        let count = self.open.len().max(engine + 1);
+        self.open.resize(count, false);
+        self.listed.resize(count, None);
+        self.size.resize(count, Load { threads: 1.0, memory: f64::INFINITY });
+        self.cold_until.resize(count, 0);
+        self.pushed.resize(count, (0.0, 0));
+        self.own.resize(count, Load::default());
+        self.seen.resize(count, Load::default());
+        self.others.resize(count, Load::default());
+        self.out.resize(count, BTreeSet::new());
+        self.held.resize(count, Vec::new());
+        self.bound.resize(count, 0.0);
+        self.credit.resize(count, credit);
+        self.unreached.resize(count, 0);
+        self.rests_until.resize(count, 0);
+        self.heard.resize(count, 0);
+        self.probed.resize(count, 0);
+        self.told.resize(count, 0);
+    }
+}
