--- a/crates/access/src/rule.rs
+++ b/crates/access/src/rule.rs
@@ -2,6 +2,8 @@
 
 use std::cmp::Reverse;
 
+use crate::Micros;
+
 /// Groups of tables, both ends within.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Tables {
@@ -34,7 +36,7 @@
 }
 
 impl Then {
-    pub fn narrows(&self) -> bool {
+    fn narrows(&self) -> bool {
         !matches!(self, Then::Allow { places: None } | Then::Count)
     }
 
@@ -59,10 +61,14 @@
     /// The region of the front that was asked.
     pub front: Option<String>,
     pub then: Then,
+    /// At most so many statements that it lets through begin in any window of so many microseconds, in the fleet.
+    pub limit: Option<(u32, Micros)>,
     pub priority: i32,
     /// Unix milliseconds: from the first on, before the second.
     pub from_ms: u64,
     pub until_ms: u64,
+    /// A time of a move: a statement goes by the time at which it was judged first, at every try.
+    pub moves: bool,
     /// Its place in the file, for faults.
     pub place: usize,
 }
@@ -84,9 +90,16 @@
     /// Without a group: it surely reads none.
     pub told: bool,
     pub front: &'a str,
+    /// When it was judged first, where that was before.
+    pub asked_ms: Option<u64>,
 }
 
 impl Rule {
+    /// Whether it holds for a statement now.
+    pub fn holds(&self, asking: &Asking, wall_ms: u64) -> bool {
+        self.active(asking.asked_ms.filter(|_| self.moves).unwrap_or(wall_ms))
+    }
+
     /// Whether it holds at a time.
     pub fn active(&self, wall_ms: u64) -> bool {
         self.from_ms <= wall_ms && wall_ms < self.until_ms
@@ -97,6 +110,11 @@
         self.from_ms == 0 && self.until_ms == u64::MAX
     }
 
+    /// Whether it lets less through than if it were not there.
+    pub fn narrows(&self) -> bool {
+        self.then.narrows() || self.limit.is_some()
+    }
+
     /// Whether it holds whenever the other does.
     pub fn spans(&self, other: &Rule) -> bool {
         self.from_ms <= other.from_ms && other.until_ms <= self.until_ms
@@ -111,7 +129,7 @@
             && named(&self.front, asking.front)
             && self.tables.is_none_or(|t| match asking.group {
                 Some(group) => t.holds(group),
-                None => !asking.told && self.then.narrows(),
+                None => !asking.told && self.narrows(),
             })
     }
 
@@ -134,7 +152,7 @@
     pub fn agrees(&self, other: &Rule) -> bool {
         match (&self.then, &other.then) {
             (Then::Deny { .. }, Then::Deny { .. }) => true,
-            (ours, theirs) => ours == theirs,
+            (ours, theirs) => ours == theirs && self.limit == other.limit,
         }
     }
 }
@@ -165,7 +183,8 @@
     /// The rule that decides and the one that only counts, by going through all in order: what the index must equal.
     pub fn walk(&self, asking: &Asking, wall_ms: u64) -> (Option<usize>, Option<usize>) {
         let first = |counts: bool| {
-            let fits = |r: &Rule| (r.then == Then::Count) == counts && r.active(wall_ms) && r.matches(asking);
+            let fits =
+                |r: &Rule| (r.then == Then::Count) == counts && r.holds(asking, wall_ms) && r.matches(asking);
             self.rules.iter().position(fits)
         };
         (first(false), first(true))
--- a/crates/agreement/src/operator/gossip.rs
+++ b/crates/agreement/src/operator/gossip.rs
@@ -6,8 +6,10 @@
 use serde::Deserialize;
 
 use super::ledger::{ledger, Ledger, LedgerFile};
+use super::overload::{overload, Overload, OverloadFile};
 use super::ownership::{owned, Ownership, OwnershipFile};
 use super::places::fault;
+use crate::error::{Error, What};
 
 const MOST_QUORUM: usize = 64; // vantages; more fronts than that never agree in time
 
@@ -24,6 +26,7 @@
     zone_quorum: usize,
     ownership: Option<OwnershipFile>,
     ledger: Option<LedgerFile>,
+    overload: Option<OverloadFile>,
 }
 
 fn zone_quorum() -> usize {
@@ -47,26 +50,30 @@
     pub ownership: Option<Ownership>,
     /// What outlives a machine, where copies of it are kept.
     pub ledger: Option<Ledger>,
+    /// Overload shed by the fleet as one, where that is asked for.
+    pub overload: Option<Overload>,
 }
 
-pub fn gossip(text: &str, mut file: GossipFile) -> Result<Gossip, String> {
+pub fn gossip(text: &str, mut file: GossipFile) -> Result<Gossip, Error> {
     let mut peers = Vec::new();
     for (name, key) in std::mem::take(&mut file.peers) {
         match hexadecimal(&key) {
             Some(key) => peers.push((name, key)),
             None => {
                 let path = format!("gossip.peers.{name}");
-                return Err(fault(text, &path, "is no key: 64 hexadecimal digits"));
+                return Err(fault(text, &path, What::NoKey));
             }
         }
     }
     if file.zone_quorum > MOST_QUORUM {
-        return Err(fault(text, "gossip.zone_quorum", &format!("is over {MOST_QUORUM}")));
+        return Err(fault(text, "gossip.zone_quorum", What::over(MOST_QUORUM)));
     }
+    let shed = file.overload.take();
     let GossipFile { listen, advertise, secret_file, seeds, zone_quorum, ownership, ledger: kept, .. } = file;
     let ownership = ownership.map(|o| owned(text, o, &peers)).transpose()?;
+    let overload = shed.map(|o| overload(text, o)).transpose()?;
     let ledger = kept.map(|l| ledger(text, l, &peers)).transpose()?;
-    Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum, ownership, ledger })
+    Ok(Gossip { listen, advertise, secret_file, peers, seeds, zone_quorum, ownership, ledger, overload })
 }
 
 /// Thirty-two bytes, as 64 hexadecimal digits.
--- a/crates/agreement/src/operator/mod.rs
+++ b/crates/agreement/src/operator/mod.rs
@@ -4,6 +4,7 @@
 
 mod gossip;
 mod ledger;
+mod overload;
 mod ownership;
 mod places;
 mod postgres;
@@ -13,9 +14,10 @@
 
 pub use gossip::{hexadecimal, Gossip};
 pub use ledger::{Ledger, LedgerMember, OnDiskFailure};
+pub use overload::Overload;
 pub use ownership::Ownership;
 pub use places::line_of;
 pub use postgres::{Postgres, SessionLimits, SpeakingEngines, User};
 pub use rules::Rules;
-pub use scatter::Scatter;
+pub use scatter::{Audits, Keep, Scatter};
 pub use whole::{LoadSignal, Operator};
--- a/crates/agreement/src/operator/scatter.rs
+++ b/crates/agreement/src/operator/scatter.rs
@@ -9,6 +9,7 @@
 
 use super::gossip::hexadecimal;
 use super::places::fault;
+use crate::error::{Error, What};
 
 const OLDEST_MS: u64 = 600_000; // milliseconds: a site that has written nothing for so long may have lost its way
 const MOST_OLDEST_MS: u64 = 604_800_000; // milliseconds: a week
@@ -42,6 +43,23 @@
     at_once: usize,
     #[serde(default = "answer_bytes")]
     answer_bytes: usize,
+    keep: Option<KeepFile>,
+    audits: Option<AuditsFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AuditsFile {
+    one_in: u64,
+    a_minute: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeepFile {
+    memory_kb: u64,
+    bytes_a_second: u64,
+    file: Option<String>,
 }
 
 fn oldest_ms() -> u64 {
@@ -87,64 +105,96 @@
     pub most: usize,
     pub at_once: usize,
     pub answer_bytes: usize,
+    /// Summaries are held as far as they earn their bytes; None: all that come.
+    pub keep: Option<Keep>,
+    /// Sites that their summaries rule out are asked now and then all the same; None: never.
+    pub audits: Option<Audits>,
+}
+
+/// How often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Audits {
+    /// One scatter of so many.
+    pub one_in: u64,
+    /// By the whole fleet.
+    pub a_minute: u64,
 }
 
-pub fn scatter(text: &str, file: ScatterFile, contract: &Contract) -> Result<Scatter, String> {
-    let refuse = |key: &str, why: &str| Err(fault(text, &format!("scatter.{key}"), why));
+/// Under which budget summaries are held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keep {
+    pub memory_bytes: u64,
+    pub bytes_a_second: u64,
+    /// Where what was learned outlives the front.
+    pub file: Option<String>,
+}
+
+pub fn scatter(text: &str, file: ScatterFile, contract: &Contract) -> Result<Scatter, Error> {
+    let refuse = |key: &str, what: What| Err(fault(text, &format!("scatter.{key}"), what));
     let names = &contract.names;
     for (n, name) in file.workloads.iter().enumerate() {
         let path = format!("workloads[{n}]");
         let Some(at) = names.workloads.iter().position(|known| known == name) else {
-            return refuse(&path, &format!("'{name}' is not among the settings' {:?}", names.workloads));
+            return refuse(&path, What::stranger(name, "the settings' workloads", &names.workloads));
         };
         let effect = contract.agreement.workloads.get(at).map(|w| w.effect);
         if effect != Some(Effect::Idempotent) {
             return refuse(
                 &path,
-                &format!("'{name}' is not idempotent: only what reads is asked of several sites"),
+                format!("'{name}' is not idempotent; name workloads that only read").into(),
             );
         }
     }
     let mut sites = BTreeMap::new();
     for (name, key) in &file.sites {
         if !names.locations.contains(name) {
-            let why = format!("'{name}' is not among the settings' areas {:?}", names.locations);
-            return refuse(&format!("sites.{name}"), &why);
+            let what = What::stranger(name, "the settings' areas", &names.locations);
+            return refuse(&format!("sites.{name}"), what);
         }
         match hexadecimal(key) {
             Some(key) => _ = sites.insert(name.clone(), key),
-            None => return refuse(&format!("sites.{name}"), "is no key: 64 hexadecimal digits"),
+            None => return refuse(&format!("sites.{name}"), What::NoKey),
         }
     }
     if file.workloads.is_empty() || sites.is_empty() {
-        return refuse("sites", "names none, or no workloads: leave 'scatter' out to switch it off");
+        return refuse("sites", "names none, or no workloads; leave 'scatter' out to switch it off".into());
     }
     let mut schemas = BTreeMap::new();
     for (group, schema) in &file.schemas {
         match group.parse() {
             Ok(number) => _ = schemas.insert(number, *schema),
-            Err(_) => return refuse(&format!("schemas.{group}"), "is no number of a table group"),
+            Err(_) => {
+                return refuse(&format!("schemas.{group}"), "is no number of a table group; give one".into())
+            }
         }
     }
     if let Some(site) = file.whole_site.as_ref().filter(|site| !sites.contains_key(*site)) {
-        return refuse("whole_site", &format!("'{site}' is not among scatter.sites"));
+        return refuse(
+            "whole_site",
+            What::stranger(site, "scatter.sites", &sites.keys().cloned().collect::<Vec<_>>()),
+        );
     }
     for (n, name) in file.partial.iter().enumerate() {
         if !names.customers.contains(name) {
-            let why = format!("'{name}' is not among the settings' customers");
-            return refuse(&format!("partial[{n}]"), &why);
+            let what = What::stranger(name, "the settings' customers", &names.customers);
+            return refuse(&format!("partial[{n}]"), what);
         }
     }
     for (n, name) in file.writes.iter().enumerate() {
         if !names.workloads.contains(name) {
-            let why = format!("'{name}' is not among the settings' {:?}", names.workloads);
-            return refuse(&format!("writes[{n}]"), &why);
+            let what = What::stranger(name, "the settings' workloads", &names.workloads);
+            return refuse(&format!("writes[{n}]"), what);
         }
     }
     let marked = match file.loads.as_deref() {
         None | Some("marked") => true,
         Some("none") => false,
-        Some(other) => return refuse("loads", &format!("'{other}' is neither 'marked' nor 'none'")),
+        Some(other) => {
+            return refuse(
+                "loads",
+                format!("'{other}' is neither 'marked' nor 'none'; give one of them").into(),
+            )
+        }
     };
     for (key, value, least, most) in [
         ("oldest_ms", file.oldest_ms, 1_000, MOST_OLDEST_MS),
@@ -154,9 +204,27 @@
         ("answer_bytes", file.answer_bytes as u64, 1_000, 1 << 26),
     ] {
         if !(least..=most).contains(&value) {
-            return refuse(key, &format!("is not from {least} to {most}"));
+            return refuse(key, What::range(least, most));
         }
     }
+    let range = |key: &str, value: u64, least: u64, most: u64| match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => refuse(key, What::range(least, most)).map(|_: Scatter| ()),
+    };
+    if let Some(keep) = &file.keep {
+        range("keep.memory_kb", keep.memory_kb, 16, 1 << 24)?;
+        range("keep.bytes_a_second", keep.bytes_a_second, 100, 1 << 24)?;
+    }
+    if let Some(audits) = &file.audits {
+        range("audits.one_in", audits.one_in, 1, 1_000_000)?;
+        range("audits.a_minute", audits.a_minute, 1, 60_000)?;
+    }
+    let keep = file.keep.map(|KeepFile { memory_kb, bytes_a_second, file }| Keep {
+        memory_bytes: memory_kb * 1024,
+        bytes_a_second,
+        file,
+    });
+    let audits = file.audits.map(|AuditsFile { one_in, a_minute }| Audits { one_in, a_minute });
     let ScatterFile { workloads, directory, whole_site, partial, writes, .. } = file;
     let effects = names.workloads.iter().zip(&contract.agreement.workloads);
     let may_write = effects.filter(|(name, w)| w.effect != Effect::Idempotent || writes.contains(name));
@@ -177,6 +245,8 @@
         most,
         at_once,
         answer_bytes,
+        keep,
+        audits,
     })
 }
 
@@ -203,6 +273,26 @@
             ("schemas:", "writes: ['x'], schemas:", "line 4: scatter.writes[0]: 'x' is not among"),
             ("schemas:", "oldest_ms: 1, schemas:", "line 4: scatter.oldest_ms: is not from"),
             ("schemas:", "partial: ['x'], schemas:", "line 4: scatter.partial[0]: 'x' is not among"),
+            (
+                "schemas:",
+                "keep: { memory_kb: 1, bytes_a_second: 1000 }, schemas:",
+                "line 4: scatter.keep.memory_kb: is not",
+            ),
+            (
+                "schemas:",
+                "keep: { memory_kb: 16, bytes_a_second: 1 }, schemas:",
+                "line 4: scatter.keep.bytes_a_second: is",
+            ),
+            (
+                "schemas:",
+                "audits: { one_in: 0, a_minute: 6 }, schemas:",
+                "line 4: scatter.audits.one_in: is not",
+            ),
+            (
+                "schemas:",
+                "audits: { one_in: 9, a_minute: 0 }, schemas:",
+                "line 4: scatter.audits.a_minute: is",
+            ),
             ("'lookup'", "", "line 3: scatter.sites: names none"),
         ] {
             let refused = read(&good.replace(from, to)).unwrap_err();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! No sockets, no clock, no chance of its own; nothing is decided here.
 
 pub mod gate;
+mod load;
 mod owning;
 mod promises;
 
@@ -63,6 +64,8 @@
     owning: Option<owning::Owning>,
     /// The ledger of promises, where it is switched on.
     promises: Option<promises::Promises>,
+    /// What the fleet is asked, where it sheds as one.
+    load: Option<load::Load>,
     /// Whether the dispatcher was told last that the fleet's probes are this front's.
     probes: Option<bool>,
 }
@@ -100,16 +103,23 @@
             came: Vec::new(),
             owning: None,
             promises: None,
+            load: None,
             probes: None,
         }
     }
 
     /// Switches on one owner at a time. An error says why what was saved can't be used.
-    pub fn own(&mut self, at: Moment, ownership: Ownership) -> Result<(), String> {
+    pub fn own(&mut self, at: Moment, ownership: Ownership) -> Result<(), hallmux_lease::disk::Spoilt> {
         self.owning = Some(owning::Owning::new(at, self.node.id(), ownership)?);
         Ok(())
     }
 
+    /// Switches on that the fleet sheds as one.
+    pub fn tells_load(&mut self) {
+        self.node.tells_load();
+        self.load.get_or_insert_default();
+    }
+
     /// Under which token this front owns the fleet's work now.
     pub fn owns(&self, steady: Micros) -> Option<Owns> {
         self.owning.as_ref().and_then(|owning| owning.owns(steady))
@@ -147,13 +157,14 @@
 
     /// When `tick` is next due.
     pub fn due(&self, at: Moment) -> Micros {
+        let promises =
+            self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
         if self.left {
-            Micros::MAX
+            promises
         } else {
             let owning = self.owning.as_ref().map_or(Micros::MAX, owning::Owning::due);
-            let promises =
-                self.promises.as_ref().map_or(Micros::MAX, |p| at.now.saturating_add(p.due(at.steady)));
-            self.node.due().min(self.look).min(owning).min(promises)
+            let load = self.load.as_ref().map_or(Micros::MAX, load::Load::due);
+            self.node.due().min(self.look).min(owning).min(promises).min(load)
         }
     }
 
@@ -190,6 +201,16 @@
         Ok(())
     }
 
+    /// Other fronts keep copies from now on, as the operator says; nothing changes where the list can't be used.
+    pub fn members(
+        &mut self,
+        at: Moment,
+        members: Vec<hallmux_ledger::Member>,
+        addresses: BTreeMap<PeerId, SocketAddr>,
+    ) -> Result<(), hallmux_ledger::Error> {
+        self.promises.as_mut().map_or(Ok(()), |promises| promises.members(at, members, addresses))
+    }
+
     /// Asks the ledger; what is to go out for it. The answer comes with `promised`, maybe at once.
     pub fn ask(&mut self, at: Moment, ask: hallmux_ledger::Ask) -> Out {
         let mut out = Out::default();
@@ -219,6 +240,11 @@
         out
     }
 
+    /// Copies of the ledger that were found to differ by this front, and that were mended here.
+    pub fn differed(&self) -> (u64, u64) {
+        self.promises.as_ref().map_or((0, 0), promises::Promises::differed)
+    }
+
     pub fn ledger_tallies(&self) -> Option<hallmux_ledger::Tallies> {
         self.promises.as_ref().map(promises::Promises::tallies)
     }
@@ -248,14 +274,22 @@
         chance: &mut impl Chance,
     ) -> (Out, Vec<News>) {
         let (mut out, mut new) = (Out::default(), Vec::new());
-        if self.left || at.now < self.due(at) {
+        if at.now < self.due(at) {
+            return (out, new);
+        }
+        if self.left {
+            // What it has yet to answer still rests on promises.
+            let node = &self.node;
+            self.promises.iter_mut().for_each(|promises| promises.tick(at, node));
+            self.send_promises(at, &mut out);
             return (out, new);
         }
         if let Some(owning) = &mut self.owning {
             owning.tick(at, self.fleet.1, dispatcher, chance);
             owning.send(at, &mut self.node, &mut out);
         }
-        self.promises.iter_mut().for_each(|promises| promises.tick(at));
+        let node = &self.node;
+        self.promises.iter_mut().for_each(|promises| promises.tick(at, node));
         self.send_promises(at, &mut out);
         if self.look <= at.now {
             self.look = at.now + LOOK;
@@ -268,6 +302,9 @@
             }
             new = self.tell(at.now, dispatcher);
         }
+        if let Some(load) = &mut self.load {
+            load.tick(at, &mut self.node, dispatcher);
+        }
         self.share(at, dispatcher);
         out.datagrams.extend(self.node.tick(at.now, at.wall_ms, chance));
         (out, new)
@@ -288,6 +325,19 @@
         }
     }
 
+    /// This front is to end: what it owns of the ledger is handed over.
+    pub fn hand_over(&mut self, at: Moment) -> Out {
+        let mut out = Out::default();
+        self.promises.iter_mut().for_each(|promises| promises.hand_over(at));
+        self.send_promises(at, &mut out);
+        out
+    }
+
+    /// Whether it still owns a part of the ledger that others could own.
+    pub fn hands_over(&self) -> bool {
+        self.promises.as_ref().is_some_and(promises::Promises::hands_over)
+    }
+
     /// This front ends: some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros, wall_ms: u64, chance: &mut impl Chance) -> Vec<Datagram> {
         if std::mem::replace(&mut self.left, true) {
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -3,7 +3,9 @@
 //! not there. What the words mean is decided in `crates/fleet` and the minds behind it.
 
 mod copies;
+mod disk;
 mod gate;
+mod members;
 mod peers;
 pub mod rules;
 mod votes;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -4,13 +4,13 @@
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
 use std::io::ErrorKind;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::time::Instant;
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
-use hallmux_agreement::{hexadecimal, Gossip, Ledger, OnDiskFailure};
+use hallmux_agreement::{hexadecimal, Gossip, OnDiskFailure};
 use hallmux_dispatcher::{Dispatcher, Micros};
 use hallmux_fleet::{Exchange, Kept, Moment, Out, Ownership, Owns};
 use hallmux_gossip::evidence::News;
@@ -20,9 +20,10 @@
 use hallmux_gossip::seal::{id, Keys, Refused};
 use hallmux_gossip::PeerId;
 use hallmux_lease::Terms;
-use hallmux_ledger::{Ask, Done, Member, Setup};
+use hallmux_ledger::{Ask, Done};
 
 use super::copies::{drawn, Copies, Found, Unfit, Write};
+use super::members::{members, setup};
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
 
@@ -47,6 +48,8 @@
     spares_disk: bool,
     owns: Option<Owns>,
     refused_acts: BTreeMap<&'static str, u64>,
+    /// Copies of promises that differed, and that were mended here.
+    differed: (u64, u64),
     letters: BTreeMap<Channel, Vec<(PeerId, Vec<u8>)>>,
     /// Answers of the ledger that their part of this front has not taken yet.
     done: Vec<Done>,
@@ -88,6 +91,10 @@
         let told = gossip.advertise.unwrap_or(at);
         let start = Start { secret, keys: keys(gossip), at: told, seeds: gossip.seeds.clone() };
         let mut exchange = Exchange::new(start, (now / 1000) as u64);
+        if gossip.overload.is_some() {
+            exchange.tells_load();
+            log::info!("sheds overload as one with the fleet");
+        }
         let steady = Instant::now();
         let mut votes = None;
         if let Some(ownership) = &gossip.ownership {
@@ -117,7 +124,8 @@
             spares_disk = ledger.on_disk_failure == OnDiskFailure::Memory;
             let mut saved = None;
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
-                match Copies::open(directory, socket.try_clone()?, wakes(handle)?) {
+                let drill = ledger.drill.as_deref();
+                match Copies::open(directory, drill, socket.try_clone()?, wakes(handle)?) {
                     Ok((opened, Found { disk, saved: found })) => {
                         (copies, setup.disk, saved) = (Some(opened), disk, found);
                     }
@@ -159,6 +167,7 @@
             spares_disk,
             owns: None,
             refused_acts: BTreeMap::new(),
+            differed: (0, 0),
             done: Vec::new(),
             keeps: gossip.ledger.is_some(),
             letters: BTreeMap::new(),
@@ -166,9 +175,15 @@
     }
 
     /// The file was read again: its keys count from now on.
-    pub fn reload(&mut self, gossip: &Gossip) {
+    pub fn reload(&mut self, now: Micros, gossip: &Gossip) {
         self.names = names(gossip);
         self.exchange.keys(keys(gossip));
+        if let Some(ledger) = gossip.ledger.as_ref().filter(|_| self.keeps) {
+            let (members, addresses) = members(ledger);
+            if let Err(e) = self.exchange.members(self.moment(now), members, addresses) {
+                log::error!("gossip.ledger.members is left as it was: {e}");
+            }
+        }
         log::info!("{} keys of other fronts count", gossip.peers.len());
     }
 
@@ -329,6 +344,14 @@
             self.refused_acts = self.exchange.refused_acts();
             log::warn!("words on the fleet's work that count for nothing so far: {:?}", self.refused_acts);
         }
+        let differed = self.exchange.differed();
+        if differed != self.differed {
+            self.differed = differed;
+            let (others, here) = differed;
+            log::warn!(
+                "ledger: {others} copies differed from the majority so far, {here} mended here; look at the disks"
+            );
+        }
         if self.exchange.refused() != &self.refused && self.said + SAID <= now {
             self.said = now;
             self.refused = self.exchange.refused().clone();
@@ -339,34 +362,21 @@
         }
     }
 
-    /// This front ends: some peers hear so, and tell the others.
+    /// Whether it still owns promises that others could own.
+    pub fn hands_over(&self) -> bool {
+        self.exchange.hands_over()
+    }
+
+    /// This front ends: what it owns of promises is handed over, and some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros) {
+        let out = self.exchange.hand_over(self.moment(now));
+        self.send(now, out);
         let wall = (now / 1000) as u64;
         let datagrams = self.exchange.leave(now, wall, &mut draws(&self.chance, &mut self.drawn));
         self.send(now, Out { datagrams, ..Out::default() });
     }
 }
 
-/// What the operator says of the ledger, as its mind has it, and where its members are heard.
-fn setup(ledger: &Ledger, own: PeerId, life: u64) -> (Setup, BTreeMap<PeerId, SocketAddr>) {
-    let members = ledger.members.iter().map(|m| Member { front: id(&m.key), zone: m.zone.clone() }).collect();
-    // In memory each life is a disk of its own.
-    let disk = RandomState::new().hash_one(life).max(1);
-    let (copies, shards) = (ledger.copies, ledger.shards);
-    let setup = Setup {
-        copies,
-        shards,
-        most_entries: ledger.most_entries,
-        most_bytes: ledger.most_bytes,
-        patience: ledger.patience,
-        repair_after: ledger.repair_after,
-        repair_bytes: ledger.repair_bytes,
-        apart_ms: ledger.clocks_apart_ms,
-        ..Setup::new(&ledger.fleet, own, life, disk, members)
-    };
-    (setup, ledger.members.iter().map(|m| (id(&m.key), m.at)).collect())
-}
-
 /// What wakes the loop from the thread that writes copies.
 fn wakes(handle: &LoopHandle<'static, Changes>) -> std::io::Result<impl Fn() + Send + 'static> {
     let (ping, source) = calloop::ping::make_ping()?;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -73,9 +73,12 @@
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
         let rules = rules::start(station, clock.now, peers.as_ref())?;
         let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
-        let portal = portal.map(open).transpose()?;
+        let mut portal = portal.map(open).transpose()?;
         let turn = peers.as_ref().map_or(0, Peers::turn);
         let scatter = station.operator.scatter.as_ref();
+        if let Some((portal, scatter)) = portal.as_mut().zip(scatter.filter(|scatter| scatter.marked)) {
+            portal.writes = scatter.writes.clone();
+        }
         let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn, contract)).transpose()?;
         let mut front = Front {
             entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
@@ -98,9 +101,9 @@
             unfinished: Vec::new(),
             handle,
         };
-        if station.operator.gossip.as_ref().is_some_and(|gossip| gossip.ledger.is_some()) {
+        if let Some(ledger) = station.operator.gossip.as_ref().and_then(|gossip| gossip.ledger.as_ref()) {
             let now = front.clock.now;
-            front.guard = Some(Guard::new(contract, now, &mut front.dispatcher));
+            front.guard = Some(Guard::new(contract, now, ledger.shards, &mut front.dispatcher));
         }
         front.limit(&station.limits);
         front.follow(known, 0);
@@ -227,7 +230,8 @@
         for client in self.clients.caught_up() {
             self.unfinished.push(Door::Client.party(client));
         }
-        if self.shutdown.closes(self.clock.now) {
+        let hands_over = self.peers.as_ref().is_some_and(Peers::hands_over);
+        if self.shutdown.closes(self.clock.now, hands_over) {
             if self.entrance.close() {
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
             }
@@ -244,17 +248,18 @@
         self.clock.look();
         self.shutdown.ask(self.clock.now);
         self.peers.iter_mut().for_each(|peers| peers.leave(self.clock.now));
+        self.scatter.iter().for_each(|scatter| scatter.summaries.save());
     }
 
     /// The configuration was read again: what may change while a front runs holds from now on. One that
     /// can't be used changes nothing.
-    pub fn reload(&mut self, read: Result<Station, String>) {
+    pub fn reload(&mut self, read: Result<Station, hallmux_agreement::Error>) {
         self.clock.look();
         match read {
             Ok(station) => {
                 self.limit(&station.limits);
                 if let Some((peers, gossip)) = self.peers.as_mut().zip(station.operator.gossip.as_ref()) {
-                    peers.reload(gossip);
+                    peers.reload(self.clock.now, gossip);
                 }
                 if let Some((rules, read)) = self.rules.as_ref().zip(station.operator.rules.as_ref()) {
                     rules.borrow_mut().reload(self.clock.now, read);
--- a/crates/lab/src/load/offer.rs
+++ b/crates/lab/src/load/offer.rs
@@ -13,8 +13,8 @@
 use crate::record::account::Offered;
 use crate::rig::member::{Member, Record};
 use crate::rig::scenario::{Scenario, Step};
+use crate::rig::starved::own_wait;
 
-const CLIENT_WAIT: Duration = Duration::from_secs(70); // the longest a client waits for any answer
 const AGAIN_MS: std::ops::Range<u64> = 20..400; // milliseconds until a client asks again
 
 /// Offers the load: statements at the agreed rate, each to a front drawn among those that take statements.
@@ -99,7 +99,7 @@
         let unique = format!("u{}", self.number);
         let mut fields = vec![
             ("verb", class.name.as_str()),
-            ("team", "acme"),
+            ("team", class.customer.as_str()),
             ("limit", limit.as_str()),
             ("cpu", work.as_str()),
             ("heap_mb", memory.as_str()),
@@ -121,19 +121,18 @@
                 records.reached(Step::Taken, front);
             });
         }
-        asked.outcome = lines::ask(address, self.number, &fields, &statement);
+        let before = own_wait();
+        let (outcome, later) = lines::ask_told(address, self.number, &fields, &statement);
+        asked.outcome = outcome;
         asked.answered = now();
-        // A front that was stopped or killed while the statement was out answers late or never, by its own fault.
-        let troubled = member.troubled.lock().map(|t| t.clone()).unwrap_or_default();
-        let excused = troubled.iter().any(|(from, to)| asked.sent <= *to && asked.answered >= *from);
-        asked.may_be_lost = excused;
-        if excused {
-            asked.timeout += CLIENT_WAIT.as_micros() as i64;
-        }
+        let starved = own_wait() - before;
         let outcome = asked.outcome.clone();
+        // Turned away for good, well within its time: by a rule, not for want of an engine or of a promise.
+        let soon = asked.answered - asked.sent < asked.timeout / 2;
+        let barred = !later && soon && matches!(&outcome, Outcome::Error(code) if code == "53000");
         let (front, class) = (member.number, self.class);
         if let Ok(mut all) = record.asked.lock() {
-            all.push(Offered { front, class, asked, barred: false, again });
+            all.push(Offered { front, class, asked, barred, again, starved });
         }
         outcome
     }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -4,11 +4,14 @@
 
 use crate::asks::{self, Asks};
 use crate::birth::Birth;
+use crate::handover::Leaving;
+use crate::moves::Away;
 use crate::placement::ranked;
 use crate::post::{Pace, Post};
 use crate::records::{self, Meta};
 use crate::repair::{Peer, Repair};
 use crate::replica::{size, Replica};
+use crate::scrub::Scrub;
 use crate::state::{Command, Keeper, State};
 use crate::words::{fingerprint, Base, Word};
 use crate::{
@@ -25,6 +28,8 @@
 pub(crate) struct Place {
     /// All that could keep it, in the order in which they are wanted.
     pub ranked: Vec<FrontId>,
+    /// Who is to keep it, in the order in which they are to own it; empty where shards do not move.
+    pub wanted: Vec<FrontId>,
     pub replica: Option<Replica>,
     /// Who keeps it, by the latest that was heard.
     pub known: Option<(u32, Vec<Keeper>)>,
@@ -34,6 +39,7 @@
     /// A copy that was given to this front before it became a member: of which log, up to which entry.
     pub learned: Option<(u32, u64, State)>,
     pub repair: Option<Repair>,
+    pub scrub: Scrub,
     /// Since when this front owns it.
     pub leads: Option<Micros>,
     /// Who owns it, as was heard last.
@@ -47,6 +53,12 @@
         self.known.as_ref().map_or(&[], |(_, keepers)| keepers)
     }
 
+    /// Which of its members is to own it.
+    pub fn first(&self, keepers: &[Keeper]) -> Option<FrontId> {
+        let mut order = self.wanted.iter().chain(&self.ranked);
+        order.find(|front| keepers.iter().any(|keeper| keeper.front == **front)).copied()
+    }
+
     pub fn config(&self) -> u32 {
         self.known.as_ref().map_or(0, |(config, _)| *config)
     }
@@ -57,6 +69,8 @@
     pub(crate) own: Keeper,
     pub(crate) places: Vec<Place>,
     pub(crate) peers: BTreeMap<FrontId, Peer>,
+    pub(crate) away: Away,
+    pub(crate) leaving: Option<Leaving>,
     asks: Asks,
     pub(crate) post: Post,
     /// What must be lasting before anything more is told, beside the logs.
@@ -72,7 +86,7 @@
     pub(crate) tallies: Tallies,
 }
 
-fn check(setup: &Setup) -> Result<(), Error> {
+pub(crate) fn check(setup: &Setup) -> Result<(), Error> {
     let mut seen = BTreeSet::new();
     if setup.members.is_empty() {
         return Err(Error::NoMembers);
@@ -101,8 +115,10 @@
             own,
             places: (0..setup.shards).map(place).collect(),
             peers: BTreeMap::new(),
+            away: Away::default(),
+            leaving: None,
             asks: Asks::default(),
-            post: Post::new(fleet, setup.disk, setup.incarnation, setup.repair_bytes),
+            post: Post::new(&setup, fleet),
             records: Vec::new(),
             next_save: 1,
             unsaved: VecDeque::new(),
@@ -117,6 +133,7 @@
         if kept.is_empty() {
             ledger.records.push(records::mark(fleet, own.disk));
         }
+        ledger.place_first(at.steady);
         for (shard, kept) in kept {
             ledger.reopen(shard, kept)?;
         }
@@ -134,7 +151,7 @@
         place.birth = None;
         place.barred = config;
         if mine {
-            let first = place.ranked.first() == Some(&own.front);
+            let first = place.first(&keepers) == Some(own.front);
             let replica = Replica::open(shard, config, &keepers, own, first, kept.held);
             let damaged = || Error::Damaged { record: format!("members of shard {shard}") };
             place.replica = Some(replica.ok_or_else(damaged)?);
@@ -261,6 +278,7 @@
             }
             self.look(at);
         }
+        self.hand_on(at);
         self.settle(at);
     }
 
@@ -268,7 +286,7 @@
     pub fn due(&self) -> Micros {
         let keeps = self.places.iter().any(|place| place.replica.is_some() || place.birth.is_some());
         let tick = if keeps { self.tick_at } else { Micros::MAX };
-        tick.min(self.asks.due()).min(self.post.due())
+        tick.min(self.asks.due()).min(self.post.due()).min(self.hands_on_at())
     }
 
     /// What is to be done for it since it was last asked. What `letters` holds may leave at once.
@@ -356,28 +374,6 @@
     pub(crate) fn refuse(&mut self, why: &'static str) {
         *self.tallies.refused.entry(why).or_default() += 1;
     }
-
-    /// What it has counted, and what it keeps now.
-    pub fn tallies(&self) -> Tallies {
-        let mut tallies = self.tallies.clone();
-        for place in &self.places {
-            let Some(replica) = &place.replica else { continue };
-            tallies.copies += 1;
-            tallies.entries += replica.state.len();
-            tallies.bytes += replica.state.bytes();
-            if place.leads.is_some() {
-                tallies.owned += 1;
-                tallies.missing += usize::from(place.repair.is_some());
-            }
-        }
-        tallies
-    }
-
-    /// The shards that this front keeps, each with the number of its members' change and whether this front owns it.
-    pub fn kept(&self) -> impl Iterator<Item = (u16, u32, bool)> + '_ {
-        let replicas = self.places.iter().filter_map(|place| place.replica.as_ref());
-        replicas.map(|replica| (replica.shard, replica.config, replica.leads()))
-    }
 }
 
 /// The state that a base tells, where the copy that this front has been given bears it.
--- a/crates/ledger/src/words.rs
+++ b/crates/ledger/src/words.rs
@@ -6,9 +6,6 @@
 use crate::state::{Batch, Command, Keeper};
 use crate::{DiskId, FrontId, Outcome};
 
-/// The form of letters: another is another number.
-pub(crate) const FORM: u8 = 1;
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Word {
     /// Among the members of a shard, as the log's library words it.
@@ -76,6 +73,25 @@
         keepers: Vec<Keeper>,
         base: Base,
     },
+    /// The owner leaves, and leaves the shard to the receiver. Of form 2.
+    Heir {
+        shard: u16,
+        config: u32,
+    },
+    /// The hashes of a copy as of an entry: the owner tells them, and members answer with theirs. Of form 2.
+    Sums {
+        shard: u16,
+        config: u32,
+        index: u64,
+        sums: Vec<u64>,
+    },
+    /// What a copy that differs should hold as of an entry. Of form 2.
+    Mend {
+        shard: u16,
+        config: u32,
+        index: u64,
+        state: Vec<u8>,
+    },
 }
 
 /// A front that has yet to begin a shard.
