--- a/src/decide.rs
+++ b/src/decide.rs
@@ -239,7 +239,8 @@
         let has_turn = self.has_turn(id, s);
         // Once it is to be given up it is due now; till then at the next turn of its standing.
         let ends = if self.hopeless(s) { self.now } else { s.ends - LAST_CALL };
-        let next = [timely, latest, rests_until].into_iter().filter(|t| *t > self.now).min();
+        let forgotten = s.executions.first().map_or(0, |x| x.sent + self.workload(s).dedup_window);
+        let next = [timely, latest, rests_until, forgotten].into_iter().filter(|t| *t > self.now).min();
         self.due.insert((next.map_or(ends, |t| t.min(ends)), id));
         self.unhold(id);
         if !has_turn {
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -144,14 +144,14 @@
             }
             Outcome::Cancelled | Outcome::NotSent => {}
         }
+        let s = &self.statements[&x.statement];
         if was_over {
             self.forget(x.statement);
             key.into_iter().for_each(|key| self.next_in_line(key));
         } else if x.settled {
-            let s = &self.statements[&x.statement];
             let slo = self.slo_time(s);
             self.close(x.statement, x.outcome == Outcome::Completed && now - s.first_asked <= slo);
-        } else if self.may_repeat(&self.statements[&x.statement], None) && now < ends - LAST_CALL {
+        } else if self.goes_on(s) && self.tries_left(s) && now < ends - LAST_CALL {
             self.hold(x.statement);
         } else {
             self.give_up(x.statement);
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -14,22 +14,27 @@
         let work = either(self.learned[s.asked.workload].work.value, SECOND as f64);
         let bears = self.now >= self.engines.cold_until[e] || pushed <= 0.0 || pushed + work <= most;
         let open = open && self.now < s.ends && self.has_turn(id, s);
-        open && bears && (s.executions.is_empty() || self.may_repeat(s, Some(entry)))
+        open && bears && (s.executions.is_empty() || self.harmless(s, entry) && self.tries_left(s))
     }
 
-    pub(super) fn may_repeat(&self, s: &Statement, at: Option<&Listed>) -> bool {
+    /// Whether no harm comes of sending it there, whatever earlier executions of it may have done.
+    fn harmless(&self, s: &Statement, at: &Listed) -> bool {
         let workload = self.workload(s);
         let dropped = |x: &Execution| {
             let earlier = self.engines.listed[x.engine].as_ref();
-            let same = at.zip(earlier).is_none_or(|(at, x)| at.drops_repeats_of(x, workload.dedup_group));
-            same && self.now - x.sent < workload.dedup_window
+            let same = earlier.is_some_and(|x| at.drops_repeats_of(x, workload.dedup_group));
+            same && at.mode == Mode::Ready && self.now - x.sent < workload.dedup_window
         };
-        let harmless = s.may_have_run().all(|x| match workload.effect {
+        s.may_have_run().all(|x| match workload.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
             Effect::Deduplicated => dropped(x),
-        });
-        harmless && self.tries_left(s)
+        })
+    }
+
+    /// Whether any engine may have it by what earlier executions of it may have done: else it waits in vain.
+    pub(super) fn goes_on(&self, s: &Statement) -> bool {
+        s.executions.is_empty() || self.engines.listed.iter().flatten().any(|at| self.harmless(s, at))
     }
 
     pub(super) fn tries_left(&self, s: &Statement) -> bool {
@@ -71,14 +76,9 @@
             if !trusted || away || !self.may_execute(id, e) {
                 continue;
             }
-            let locked = |(other, _): &(StatementId, usize)| {
-                let other = &self.statements[other];
-                self.workload(other).holds_data && other.asked.data_set == s.asked.data_set
-            };
-            if stands
-                && (self.engines.holds(e, s.asked.data_set, self.now)
-                    || self.engines.out[e].iter().any(locked))
-            {
+            let holds = |o: &Statement| self.workload(o).holds_data && o.asked.data_set == s.asked.data_set;
+            let locked = || self.engines.out[e].iter().any(|(other, _)| holds(&self.statements[other]));
+            if stands && (self.engines.holds(e, s.asked.data_set, self.now) || locked()) {
                 continue;
             }
             let Some(entry) = &self.engines.listed[e] else { continue };
