--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -319,6 +319,12 @@
         place.known = Some((config, next.clone()));
         if next.contains(&own) {
             self.open(at, shard, config, next, (FIRST, state));
+            if leads {
+                // Until who is wanted most takes over: asks wait for a round trip, and no election is needed.
+                let replica =
+                    self.places.get_mut(usize::from(shard)).and_then(|place| place.replica.as_mut());
+                replica.into_iter().for_each(Replica::takes_over);
+            }
         } else {
             self.leave(shard);
         }
