crates/lab/tests/fleet.rs: three fleets of processes at once, not one for each core

Need: the eighteen tests of this file played up to eight fleets of processes at once (some sixty processes and their clients); verdicts that go by seconds then hang on the machine. Each play in processes takes one of three places now; runs in simulated time take none.

--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -2,10 +2,35 @@
 
 use std::collections::HashMap;
 use std::process::Command;
+use std::sync::{Condvar, Mutex, PoisonError};
+
+/// Fleets of processes that may be played at once: each is three to twelve fronts, with engines and clients.
+const AT_ONCE: usize = 3;
+static PLAYED: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+/// Holds one of the places for fleets of processes.
+struct Place;
+
+impl Place {
+    fn take() -> Place {
+        let played = PLAYED.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let full = |played: &mut usize| *played >= AT_ONCE;
+        *PLAYED.1.wait_while(played, full).unwrap_or_else(PoisonError::into_inner) += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *PLAYED.0.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        PLAYED.1.notify_one();
+    }
+}
 
 /// Plays a scenario of `crates/lab/fleet` and gives the tallies of its last line, after asserting that it passed
 /// and left no process behind.
 fn play(name: &str, seed: u64) -> HashMap<String, i64> {
+    let _place = Place::take();
     play_with(name, seed, &[])
 }
 
