crates/front: what keeps a front from the fleet is told by types that say what to do

Change: PeersFault, VotesFault and RulesFault (thiserror, crates/front/src/fleet/fault.rs), each text with its key and a remedy; Front::new answers with the start's own Fault, so that nothing of the fleet goes through io::Error any more. A directory held by another front and one that cannot be locked at all are two faults now.

--- /dev/null
+++ b/crates/front/src/fleet/fault.rs
@@ -0,0 +1,97 @@
+//! Why a front can't take part in the fleet as its operator's file says; each text names the key and what can be done.
+
+use std::net::SocketAddr;
+
+/// Why words with other fronts can't begin.
+#[derive(Debug, thiserror::Error)]
+pub enum PeersFault {
+    #[error("gossip: secret_file: {file}: {why}; name a file that this front may read")]
+    SecretFile { file: String, why: std::io::Error },
+    #[error("gossip: secret_file: {0}: holds no 64 hexadecimal digits; write this front's secret there")]
+    Secret(String),
+    #[error("gossip: listen: {at}: {why}; give the address of a free UDP port of this machine")]
+    Listen { at: SocketAddr, why: std::io::Error },
+    #[error("gossip: {0}; see whether this user may open more files (ulimit -n)")]
+    System(String),
+    #[error("gossip: ownership.{0}")]
+    Votes(#[from] VotesFault),
+    #[error("gossip: ownership.directory: {0}")]
+    Voted(#[from] hallmux_lease::disk::Spoilt),
+    #[error("gossip: {0}")]
+    Copies(#[from] super::copies::Unfit),
+    #[error("gossip: {0}")]
+    Ledger(#[from] hallmux_ledger::Error),
+}
+
+impl PeersFault {
+    pub fn system(why: impl std::fmt::Display) -> PeersFault {
+        PeersFault::System(why.to_string())
+    }
+}
+
+/// Why a voter can't keep what it must not forget.
+#[derive(Debug, thiserror::Error)]
+pub enum VotesFault {
+    #[error(
+        "directory: {directory}: {what}: {why}; give the front a directory that it may write, with room"
+    )]
+    Disk { directory: String, what: &'static str, why: std::io::Error },
+    #[error("directory: {0}: another front has it; give each front one of its own")]
+    Taken(String),
+    #[error(
+        "directory: {directory}: can't be locked: {why}; give the front a directory on a disk of its own"
+    )]
+    Unlocked { directory: String, why: std::io::Error },
+    #[error("a thread for votes can't be started: {0}; see how many this user may have (ulimit -u)")]
+    Thread(std::io::Error),
+}
+
+/// Why rules of customers can't hold.
+#[derive(Debug, thiserror::Error)]
+pub enum RulesFault {
+    #[error("rules.file: {file}: {why}; name a file that can be read")]
+    File { file: String, why: std::io::Error },
+    #[error(transparent)]
+    Wrong(#[from] hallmux_access::Faults),
+    #[error("{0}: what_if: asks a question, and gives no rules to begin with; take it out")]
+    Question(String),
+    #[error("rules: this front has others, but no `gossip.ledger` that keeps rules; name its members")]
+    NoLedger,
+    #[error("rules: {0}")]
+    Ledger(#[from] hallmux_ledger::Error),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_fault_says_where_what_and_what_to_do() {
+        let io = || std::io::Error::other("gone");
+        let (file, directory) = (|| "/f".to_string(), || "/d".to_string());
+        let at = SocketAddr::from(([127, 0, 0, 1], 9));
+        let taken = || VotesFault::Taken(directory());
+        let texts = [
+            (PeersFault::SecretFile { file: file(), why: io() }.to_string(), "gossip: secret_file: /f: "),
+            (PeersFault::Secret(file()).to_string(), "gossip: secret_file: /f: "),
+            (PeersFault::Listen { at, why: io() }.to_string(), "gossip: listen: 127.0.0.1:9: "),
+            (PeersFault::system("too many").to_string(), "gossip: too many"),
+            (PeersFault::from(taken()).to_string(), "gossip: ownership.directory: /d: "),
+            (PeersFault::from(hallmux_ledger::Error::NoMembers).to_string(), "gossip: ledger: "),
+            (
+                VotesFault::Disk { directory: directory(), what: "w", why: io() }.to_string(),
+                "directory: /d: w: ",
+            ),
+            (VotesFault::Unlocked { directory: directory(), why: io() }.to_string(), "directory: /d: "),
+            (VotesFault::Thread(io()).to_string(), "a thread for votes "),
+            (RulesFault::File { file: file(), why: io() }.to_string(), "rules.file: /f: "),
+            (RulesFault::Question(file()).to_string(), "/f: what_if: "),
+            (RulesFault::NoLedger.to_string(), "rules: "),
+        ];
+        for (text, place) in texts {
+            let (wrong, remedy) = text.rsplit_once("; ").unwrap();
+            assert!(wrong.starts_with(place) && wrong.len() >= place.len() && remedy.len() > 8, "{text}");
+            assert!(text.matches("; ").count() == 1 && !text.contains('\n'), "{text}");
+        }
+    }
+}
--- a/crates/front/src/fleet/mod.rs
+++ b/crates/front/src/fleet/mod.rs
@@ -4,11 +4,13 @@
 
 mod copies;
 mod disk;
+mod fault;
 mod gate;
 mod members;
 mod peers;
 pub mod rules;
 mod votes;
 
+pub use fault::{PeersFault, RulesFault};
 pub use gate::Guard;
 pub use peers::Peers;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -23,6 +23,7 @@
 use hallmux_ledger::{Ask, Done};
 
 use super::copies::{drawn, Copies, Found, Unfit, Write};
+use super::fault::PeersFault;
 use super::members::{members, setup};
 use super::votes::Votes;
 use crate::doors::{Changes, Door};
@@ -71,23 +72,22 @@
         gossip: &Gossip,
         now: Micros,
         handle: &LoopHandle<'static, Changes>,
-    ) -> std::io::Result<Peers> {
-        let why = |what: String| std::io::Error::other(format!("gossip: {what}"));
+    ) -> Result<Peers, PeersFault> {
+        let file = || gossip.secret_file.clone();
         let secret = std::fs::read_to_string(&gossip.secret_file);
-        let secret = secret.map_err(|e| why(format!("secret_file: {}: {e}", gossip.secret_file)))?;
-        let secret = hexadecimal(&secret);
-        let secret = secret.ok_or_else(|| why("secret_file: holds no 64 hexadecimal digits".to_string()))?;
-        let socket =
-            UdpSocket::bind(gossip.listen).map_err(|e| why(format!("listen: {}: {e}", gossip.listen)))?;
-        socket.set_nonblocking(true)?;
+        let secret = secret.map_err(|why| PeersFault::SecretFile { file: file(), why })?;
+        let secret = hexadecimal(&secret).ok_or_else(|| PeersFault::Secret(file()))?;
+        let unheard = |why| PeersFault::Listen { at: gossip.listen, why };
+        let socket = UdpSocket::bind(gossip.listen).map_err(unheard)?;
+        socket.set_nonblocking(true).map_err(unheard)?;
         let socket = Rc::new(socket);
-        let at = socket.local_addr()?;
+        let at = socket.local_addr().map_err(unheard)?;
         let source = Generic::new(socket.clone(), Interest::READ, Mode::Edge);
         let told = handle.insert_source(source, |_, _, changes: &mut Changes| {
             changes.parties.push(Door::Peers.party(0));
             Ok(PostAction::Continue)
         });
-        told.map_err(|e| why(e.error.to_string()))?;
+        told.map_err(|e| PeersFault::system(e.error))?;
         let told = gossip.advertise.unwrap_or(at);
         let start = Start { secret, keys: keys(gossip), at: told, seeds: gossip.seeds.clone() };
         let mut exchange = Exchange::new(start, (now / 1000) as u64);
@@ -102,14 +102,14 @@
             let own = id(&exchange.public());
             let mut saved = None;
             if voters.iter().any(|(voter, _)| *voter == own) {
-                let opened = Votes::open(&ownership.directory, socket.try_clone()?);
-                let (opened, kept) = opened.map_err(|e| why(format!("ownership.{e}")))?;
+                let socket = socket.try_clone().map_err(PeersFault::system)?;
+                let (opened, kept) = Votes::open(&ownership.directory, socket)?;
                 (votes, saved) = (Some(opened), kept);
             }
             let terms = Terms { length: ownership.lease, drift_ppm: ownership.drift_ppm };
             let ownership = Ownership { fleet: ownership.fleet.clone(), voters, terms, saved };
             let moment = Moment { now, steady: 0, wall_ms: (now / 1000) as u64 };
-            exchange.own(moment, ownership).map_err(|e| why(format!("ownership.directory: {e}")))?;
+            exchange.own(moment, ownership)?;
             log::info!(
                 "takes part in ownership of the fleet's work{}",
                 if votes.is_some() { ", and votes" } else { "" }
@@ -125,18 +125,20 @@
             let mut saved = None;
             if let Some(directory) = ledger.directory.as_ref().filter(|_| keeps) {
                 let drill = ledger.drill.as_deref();
-                match Copies::open(directory, drill, socket.try_clone()?, wakes(handle)?) {
+                let socket = socket.try_clone().map_err(PeersFault::system)?;
+                let wakes = wakes(handle).map_err(PeersFault::system)?;
+                match Copies::open(directory, drill, socket, wakes) {
                     Ok((opened, Found { disk, saved: found })) => {
                         (copies, setup.disk, saved) = (Some(opened), disk, found);
                     }
                     Err(e @ Unfit::Disk { .. }) if spares_disk => {
                         log::error!("{e}; copies are in memory alone")
                     }
-                    Err(e) => return Err(why(e.to_string())),
+                    Err(e) => return Err(e.into()),
                 }
             }
             let (on_disk, remembers) = (copies.is_some(), saved.is_some());
-            exchange.promise(moment, setup, members, saved).map_err(|e| why(e.to_string()))?;
+            exchange.promise(moment, setup, members, saved)?;
             log::info!(
                 "asks {} fronts for promises{}",
                 ledger.members.len(),
--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -17,7 +17,7 @@
 use hallmux_dispatcher::{Dispatcher, Ending, Micros, Place, Terms, Ticket};
 use hallmux_ledger::{self as ledger, Ledger, Member, Moment};
 
-use super::Peers;
+use super::{Peers, RulesFault};
 use file::{known, read};
 
 pub use file::start;
@@ -82,12 +82,11 @@
         own: Owner,
         fronts: Vec<u64>,
         alone: bool,
-    ) -> Result<Rules, String> {
+    ) -> Result<Rules, RulesFault> {
         let known = known(rules, contract);
         let (text, wish) = read(&rules.file, &known)?;
         if matches!(wish, Wish::WhatIf(_)) {
-            let why = "what_if: asks a question, and gives no rules to begin with; take it out";
-            return Err(format!("{}: {why}", rules.file));
+            return Err(RulesFault::Question(rules.file.clone()));
         }
         let setup = Setup {
             own,
@@ -105,8 +104,7 @@
             ..ledger::Setup::new("alone", own.front, own.incarnation, own.incarnation | 1, vec![member])
         };
         let at = Moment { steady: 0, wall_ms: own.incarnation };
-        let alone =
-            alone.then(|| Ledger::new(at, setup_alone, None)).transpose().map_err(|e| e.to_string())?;
+        let alone = alone.then(|| Ledger::new(at, setup_alone, None)).transpose()?;
         let mut access = Access::new(setup);
         access.offer(&rules.file, &text, wish);
         log::info!("rules of customers hold; this front stands in {}", rules.region);
--- a/crates/front/src/fleet/votes.rs
+++ b/crates/front/src/fleet/votes.rs
@@ -1,7 +1,7 @@
 //! What a voter must not forget, in a file of its own: written by a thread that then sends what waited for it, so
 //! that neither a slow disk holds up decisions nor a letter leaves before what it promises is lasting.
 
-use std::fs::File;
+use std::fs::{File, TryLockError};
 use std::io::{ErrorKind, Write};
 use std::net::UdpSocket;
 use std::path::{Path, PathBuf};
@@ -9,6 +9,8 @@
 
 use hallmux_fleet::Saved;
 
+use super::fault::VotesFault;
+
 const WAITING: usize = 1_024; // writes that wait for the disk: some ten seconds' worth
 const FILE: &str = "votes";
 
@@ -22,18 +24,23 @@
 
 impl Votes {
     /// Opens the directory: what was saved there, if anything.
-    pub fn open(directory: &str, socket: UdpSocket) -> Result<(Votes, Option<Vec<u8>>), String> {
+    pub fn open(directory: &str, socket: UdpSocket) -> Result<(Votes, Option<Vec<u8>>), VotesFault> {
+        let name = directory.to_string();
         let directory = PathBuf::from(directory);
-        let why = |what: &str, e: &dyn std::fmt::Display| {
-            format!("directory: {}: {what}: {e}", directory.display())
+        let unfit = |what| {
+            let directory = name.clone();
+            move |why| VotesFault::Disk { directory, what, why }
         };
-        std::fs::create_dir_all(&directory).map_err(|e| why("can't be made", &e))?;
-        let lock = File::create(directory.join("lock")).map_err(|e| why("can't be written", &e))?;
-        lock.try_lock().map_err(|e| why("another front has it", &e))?;
+        std::fs::create_dir_all(&directory).map_err(unfit("can't be made"))?;
+        let lock = File::create(directory.join("lock")).map_err(unfit("can't be written"))?;
+        lock.try_lock().map_err(|why| match why {
+            TryLockError::WouldBlock => VotesFault::Taken(name.clone()),
+            TryLockError::Error(why) => VotesFault::Unlocked { directory: name.clone(), why },
+        })?;
         let saved = match std::fs::read(directory.join(FILE)) {
             Ok(saved) => Some(saved),
             Err(e) if e.kind() == ErrorKind::NotFound => None,
-            Err(e) => return Err(why("can't be read", &e)),
+            Err(e) => return Err(unfit("can't be read")(e)),
         };
         let (writes, to_write) = sync_channel::<Saved>(WAITING);
         std::thread::Builder::new()
@@ -48,7 +55,7 @@
                     datagrams.iter().for_each(|d| _ = socket.send_to(&d.bytes, d.to));
                 }
             })
-            .map_err(|e| e.to_string())?;
+            .map_err(VotesFault::Thread)?;
         Ok((Votes { writes, silent: false, _lock: lock }, saved))
     }
 
@@ -90,7 +97,8 @@
         hears.set_read_timeout(Some(std::time::Duration::from_secs(10))).unwrap();
         let (mut votes, before) = Votes::open(&directory, socket()).unwrap();
         assert_eq!(before, None);
-        assert!(Votes::open(&directory, socket()).err().unwrap().contains("another front has it"));
+        let second = Votes::open(&directory, socket()).err().unwrap();
+        assert!(matches!(&second, VotesFault::Taken(at) if *at == directory), "{second}");
         let datagrams = vec![Datagram { to: hears.local_addr().unwrap(), bytes: b"word".to_vec() }];
         votes.save(Saved { bytes: Some(b"state".to_vec()), datagrams });
         let mut word = [0; 8];
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -25,6 +25,7 @@
 use crate::postgres::portal::Portal;
 use crate::scatter::Scatters;
 use crate::shutdown::Shutdown;
+use crate::start::Fault;
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
 const MEMORY_PART: u64 = 4; // statements held may take one part of so many, untaken answers another
@@ -64,24 +65,27 @@
         known: &Stream,
         listener: TcpListener,
         handle: LoopHandle<'static, Changes>,
-    ) -> std::io::Result<Front> {
+    ) -> Result<Front, Fault> {
         let contract = &station.contract;
         let portal = station.operator.postgres.as_ref();
-        let mut clock = Clock::new(station.operator.clock_ahead, station.drill_clock.as_deref())?;
+        let part = |why: std::io::Error| Fault::part(&why);
+        let clock = Clock::new(station.operator.clock_ahead, station.drill_clock.as_deref());
+        let mut clock = clock.map_err(part)?;
         clock.look();
         let gossip = station.operator.gossip.as_ref();
         let peers = gossip.map(|gossip| Peers::new(gossip, clock.now, &handle)).transpose()?;
         let rules = rules::start(station, clock.now, peers.as_ref())?;
         let open = |postgres| Portal::new(postgres, contract, handle.clone(), rules.clone());
-        let mut portal = portal.map(open).transpose()?;
+        let mut portal = portal.map(open).transpose().map_err(part)?;
         let turn = peers.as_ref().map_or(0, Peers::turn);
         let scatter = station.operator.scatter.as_ref();
         if let Some((portal, scatter)) = portal.as_mut().zip(scatter.filter(|scatter| scatter.marked)) {
             portal.writes = scatter.writes.clone();
         }
-        let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn, contract)).transpose()?;
+        let scatter = scatter.map(|scatter| Scatters::new(scatter, clock.now, turn, contract));
+        let scatter = scatter.transpose().map_err(part)?;
         let mut front = Front {
-            entrance: Entrance::new(listener, &handle, Door::Listener.party(0))?,
+            entrance: Entrance::new(listener, &handle, Door::Listener.party(0)).map_err(part)?,
             dispatcher: Dispatcher::new(contract, station.seed),
             answer_slack: contract.allowance.answer_slack,
             most_held: contract.allowance.most_held,
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -55,8 +55,7 @@
     let unfit = |why| Fault::Listen { at: station.listen, why };
     let listener = TcpListener::bind(station.listen).map_err(unfit)?;
     let address = listener.local_addr().map_err(unfit)?;
-    let front = Front::new(&station, &known, listener, event_loop.handle());
-    let mut front = front.map_err(|why| Fault::part(&why))?;
+    let mut front = Front::new(&station, &known, listener, event_loop.handle())?;
     log::info!("takes statements at {address}");
     let mut changes = Changes::default();
     while !front.is_done() {
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -10,7 +10,11 @@
     Known(String),
     #[error("listen: {at}: {why}; give the address of a free port of this machine")]
     Listen { at: SocketAddr, why: std::io::Error },
-    /// What the operator's file switches on, or a drill's clock: the text names the key.
+    #[error(transparent)]
+    Peers(#[from] crate::fleet::PeersFault),
+    #[error(transparent)]
+    Rules(#[from] crate::fleet::RulesFault),
+    /// What else the operator's file switches on, or a drill's clock: the text names the key.
     #[error("{0}; mend that key or file, or leave it out")]
     Part(String),
     /// The same, where the part itself says what can be done.
@@ -54,6 +58,8 @@
         ] {
             match &fault {
                 Fault::Configuration(_) | Fault::Known(_) | Fault::Listen { .. } => {}
+                // Each has a test of its own.
+                Fault::Peers(_) | Fault::Rules(_) => {}
                 Fault::Part(_) | Fault::Said(_) | Fault::System { .. } => {}
             }
             let text = fault.to_string();
