FNV-1a by the fnv crate in lease, ledger, fleet and scatter

It stood written by hand in all four. What travels and is stored stays the same: each has a test with values that the published formula gives, worked out beside the code. crates/access still has its own.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 mod promises;
 
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -73,9 +74,9 @@
 /// An engine's id as it goes out: the same on every front.
 pub fn named(engine: &str) -> u64 {
     // FNV-1a, as published: it has to come to the same in every build.
-    engine
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+    let mut hash = fnv::FnvHasher::default();
+    hash.write(engine.as_bytes());
+    hash.finish()
 }
 
 fn sighting(seen: &Sighted) -> Sighting {
@@ -373,3 +374,12 @@
         news.into_iter().filter(|n| !before.contains_key(&(n.maker, n.sighting.engine))).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn an_engines_name_is_the_same_in_every_build() {
+        assert_eq!(super::named("e0"), 0x088e_7a07_b539_b6d0);
+        assert_eq!(super::named(""), 0xcbf2_9ce4_8422_2325);
+    }
+}
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod leases;
 pub mod voter;
 
+use std::hash::Hasher;
+
 use serde::{Deserialize, Serialize};
 
 pub type Micros = i64;
@@ -114,6 +116,17 @@
     // FNV-1a, as published: it has to come to the same in every build.
     let mut voters = voters.to_vec();
     voters.sort_unstable();
-    let all = name.bytes().chain([0]).chain(voters.into_iter().flat_map(u64::to_be_bytes));
-    all.fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+    let mut hash = fnv::FnvHasher::default();
+    hash.write(name.as_bytes());
+    hash.write(&[0]);
+    voters.into_iter().for_each(|voter| hash.write(&voter.to_be_bytes()));
+    hash.finish()
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn a_fingerprint_is_the_same_in_every_build() {
+        assert_eq!(super::fingerprint("lab", &[3, 1, 2]), 0x6814_55d0_a5bb_cadc);
+    }
 }
--- a/crates/ledger/src/placement.rs
+++ b/crates/ledger/src/placement.rs
@@ -1,12 +1,14 @@
 //! Which shard a key is of, and which fronts keep a shard's copies.
 
+use std::hash::Hasher;
+
 use crate::{FrontId, Key, Member};
 
 /// FNV-1a, as published: it has to come to the same in every build. Finished by a mixer, as FNV's high bits are poor.
 pub(crate) fn hash(bytes: impl Iterator<Item = u8>) -> u64 {
-    let fnv = bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
+    let mut fnv = fnv::FnvHasher::default();
+    bytes.for_each(|byte| fnv.write(&[byte]));
+    let fnv = fnv.finish();
     let mixed = (fnv ^ (fnv >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     mixed ^ (mixed >> 33)
 }
@@ -73,6 +75,11 @@
         }
     }
 
+    #[test]
+    fn a_hash_is_the_same_in_every_build() {
+        assert_eq!(hash(b"abc".iter().copied()), 0xf120_aee0_1df3_0dab);
+    }
+
     #[test]
     fn keys_are_spread_over_shards_by_kind_and_name() {
         let mut held = [0; 16];
--- a/crates/scatter/src/value.rs
+++ b/crates/scatter/src/value.rs
@@ -1,6 +1,8 @@
 //! Values of columns as summaries keep them, literals as statements write them, and how the two compare: where engines
 //! may differ, a comparison answers for each of them.
 
+use std::hash::Hasher;
+
 use serde::{Deserialize, Serialize};
 
 pub const MOST_SCALE: u8 = 18; // digits behind the point: with 18 before it they fit 128 bits by far
@@ -69,9 +71,9 @@
 
 /// FNV-1a, as published; the filter mixes it further.
 pub fn fnv(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+    let mut hash = fnv::FnvHasher::default();
+    hash.write(bytes);
+    hash.finish()
 }
 
 /// A constant of a statement.
@@ -166,6 +168,13 @@
         }
     }
 
+    #[test]
+    fn hashes_are_the_same_in_every_build() {
+        assert_eq!(fnv(b"abc"), 0xe71f_a219_0541_574b);
+        assert_eq!(Value::Number(7).hash(), 0x9b25_de61_27c0_1ba2);
+        assert_eq!(crate::book::name("ash", 17), 0xf563_fdf5_1c9a_ffbc);
+    }
+
     #[test]
     fn numbers_lie_on_a_value_or_between_two() {
         for (text, scale, found) in [
