hallmux-lab measure sites: sites asked beside all and the true ones, and why without rows

Need: nobody could say why needless sites were asked. Each part now has its reason; fronts count those whose answer had no row and log the counts each minute and at SIGHUP.

--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -8,7 +8,7 @@
 use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Ticket, Unfit};
 use hallmux_gossip::PeerId;
 use hallmux_scatter::marks::{numbers, Marks};
-use hallmux_scatter::plan::{plan, Word};
+use hallmux_scatter::plan::{plan, Why, Word};
 use hallmux_scatter::sql::{self, Query};
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
 
@@ -57,6 +57,8 @@
     said: Vec<(Ticket, Said)>,
     /// Sites asked, left out, and of how many in all.
     counts: (u64, u64),
+    /// Of those asked, how many had no row, by why they were asked.
+    needless: BTreeMap<Why, u64>,
     told: Micros,
 }
 
@@ -81,12 +83,14 @@
             parts: HashMap::new(),
             said: Vec::new(),
             counts: (0, 0),
+            needless: BTreeMap::new(),
             told: 0,
         })
     }
 
     /// The operator's file was read again. One whose keys can't be used changes nothing.
     pub fn reload(&mut self, settings: &Scatter, now: Micros) {
+        self.tell();
         match self.summaries.reload(settings, now) {
             Ok(()) => {
                 self.sites = settings.sites.keys().cloned().collect();
@@ -164,6 +168,13 @@
     }
 
     fn go(&mut self, now: Micros, ticket: Ticket, word: &Word, dispatcher: &mut Dispatcher) {
+        if self.told + SAID <= now {
+            self.told = now;
+            if matches!(word, Word::Nothing) {
+                log::info!("the ledger gives no word on loads, so all sites are asked");
+            }
+            self.tell();
+        }
         let Some(one) = self.open.get_mut(&ticket).filter(|one| one.whole.is_none()) else { return };
         let allowed: Option<Vec<&str>> =
             one.allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
@@ -185,16 +196,6 @@
         plan.left_out.iter().for_each(|site| book.learn(wall_ms, &one.query, site, false));
         self.counts.0 += plan.parts.len() as u64;
         self.counts.1 += plan.left_out.len() as u64;
-        if self.told + SAID <= now {
-            self.told = now;
-            let (asked, left_out) = self.counts;
-            let why = if matches!(word, Word::Nothing) {
-                "; the ledger gives no word on loads, so all are asked"
-            } else {
-                ""
-            };
-            log::info!("sites asked so far {asked}, left out by their summaries {left_out}{why}");
-        }
         let rules = Rules {
             limit: one.query.limit,
             partial: self.settings.partial.contains(&one.call.customer),
@@ -208,6 +209,17 @@
         self.awaits(now, ticket);
     }
 
+    /// Says what was asked and what for.
+    fn tell(&self) {
+        let (asked, left_out) = self.counts;
+        let of = |(why, count): (&Why, &u64)| format!(", {}: {count}", why.name());
+        let needless: String = self.needless.iter().map(of).collect();
+        log::info!(
+            "sites asked so far {asked}, left out by their summaries {left_out}; asked and without rows{}",
+            if needless.is_empty() { ", none" } else { &needless }
+        );
+    }
+
     /// Notes a whole that waits for audits alone.
     fn awaits(&mut self, now: Micros, ticket: Ticket) {
         let whole = self.open.get(&ticket).and_then(|one| one.whole.as_ref());
@@ -310,6 +322,9 @@
             Ok(rows) => {
                 let site = whole.site(place).unwrap_or_default();
                 if rows.is_empty() {
+                    if let Some(part) = whole.part(place) {
+                        *self.needless.entry(part.why).or_default() += 1;
+                    }
                     self.summaries.book.learn((now / 1000) as u64, &one.query, site, true);
                 }
                 let of = one.ruled_out.iter().find(|of| of.site == site).cloned();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -135,6 +135,8 @@
     Fleet,
     /// What a promise costs, and a decision of the access rules.
     Promises,
+    /// Of promises, the part about statements over several sites: sites asked with loads at several rates.
+    Sites,
     /// Of promises, the part in simulated time: fleets of 5 to 300 fronts.
     Grown,
     /// The same under overload, from half of what the engines bear to three times.
@@ -168,6 +170,7 @@
             let measured = match subject {
                 Measured::Postgres => measure::portal::postgres(),
                 Measured::Promises => measure::promises::measure(),
+                Measured::Sites => measure::sites::measure(),
                 Measured::Grown => measure::grown::measure(),
                 Measured::Overload => measure::fleet::overload(),
                 Measured::Fleet => measure::fleet::measure(),
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -5,6 +5,7 @@
 pub mod grown;
 pub mod portal;
 pub mod promises;
+pub mod sites;
 mod spread;
 
 pub use spread::{spread, Spread};
--- a/crates/lab/src/measure/promises.rs
+++ b/crates/lab/src/measure/promises.rs
@@ -22,6 +22,7 @@
 pub fn measure() -> Result<(), String> {
     rules();
     added()?;
+    super::sites::measure()?;
     super::grown::measure()
 }
 
--- a/crates/lab/src/prove/sites.rs
+++ b/crates/lab/src/prove/sites.rs
@@ -1,9 +1,11 @@
 //! `prove promises --only sites`: statements over several sites, whose true rows are known, beside loads at any front,
 //! among a cut of the fleet, a front killed, and summaries that must count for nothing.
 
+mod seen;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -11,10 +13,11 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::played::{end, fault};
+use seen::{asked, held, read, Loaded, Seen};
 use crate::engine::lines::{self, Holds};
-use crate::engine::{Kind, Records};
+use crate::engine::Records;
 use crate::record::account::{judge, Account, Run};
-use crate::record::rows::{self, Row, Scatter};
+use crate::record::rows::{self, Scatter};
 use crate::rig::fleet::{play, Fleet, Plays};
 use crate::rig::member::Member;
 use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Warm, What};
@@ -24,29 +27,16 @@
 const RANGE: i64 = 1_000; // values of a site lie in a range of its own, loads' anywhere
 const FIRST_ROWS: usize = 40; // of each site
 const TELL: Duration = Duration::from_millis(1_200); // between summaries of a site
-const GAP: Duration = Duration::from_millis(40); // between statements
-const LOADS: f64 = 0.12; // of the statements
+const SCATTERS: f64 = 22.0; // a second
+const LOADS: f64 = 3.0; // a second
+const WARM_US: i64 = 4_000_000; // microseconds at the beginning of what is measured that do not count
 const NUMBERS: u64 = 1 << 40; // statements of the plain load have lower ones
 const MOST_SECONDS: u64 = 60;
+const NEEDLESS: &str = "asked and without rows"; // in fronts' logs, behind how many they asked
 const LEAST_WHOLE: usize = 100; // scatters answered in whole; with fewer a run proves nothing
 
 const LEAST_ROWS: i64 = 100; // told in answers
 
-/// A load as its client saw it: its value, when it was sent and acknowledged, and at which front.
-struct Loaded {
-    id: String,
-    value: i64,
-    sent: i64,
-    acknowledged: i64,
-    front: usize,
-}
-
-#[derive(Default)]
-struct Seen {
-    scatters: Mutex<Vec<(usize, Scatter)>>,
-    loads: Mutex<Vec<Loaded>>,
-}
-
 struct Plan {
     sites: Arc<Sites>,
     seen: Arc<Seen>,
@@ -56,20 +46,32 @@
     chance: Pcg64Mcg,
     told: Instant,
     turns: usize,
+    /// Loads a second, and whether summaries that must count for nothing come too.
+    loads: f64,
+    spoils: bool,
     /// What was wrong with summaries that fronts have refused, and how often.
     refused: BTreeMap<&'static str, usize>,
+    /// The last word of each front on sites that it asked for nothing.
+    needless: Vec<String>,
 }
 
 /// Statements until the run ends, each by a client of its own.
-fn clients(seed: u64, members: &[Arc<Member>], records: &Arc<Records>, seen: &Arc<Seen>, stop: &AtomicBool) {
+fn clients(
+    (seed, loads): (u64, f64),
+    members: &[Arc<Member>],
+    records: &Arc<Records>,
+    seen: &Arc<Seen>,
+    stop: &AtomicBool,
+) {
+    let (gap, loads) = (Duration::from_secs_f64(1.0 / (SCATTERS + loads)), loads / (SCATTERS + loads));
     let (mut chance, mut number, mut waits) = (Pcg64Mcg::seed_from_u64(seed), NUMBERS, Vec::new());
     while !stop.load(SeqCst) {
-        std::thread::sleep(GAP);
+        std::thread::sleep(gap);
         number += 1;
         let here: Vec<&Arc<Member>> = members.iter().filter(|m| !m.away.load(SeqCst)).collect();
         let Some(member) = here.get(chance.random_range(0..here.len().max(1))) else { continue };
         let Some(at) = member.front.lock().ok().and_then(|f| f.as_ref().map(|f| f.lines)) else { continue };
-        let (front, loads) = (member.number, chance.random_bool(LOADS));
+        let (front, loads) = (member.number, chance.random_bool(loads));
         let from = chance.random_range(0..SITES as i64 * RANGE);
         let to = if chance.random_bool(0.6) { from } else { from + chance.random_range(0..RANGE / 4) };
         let (records, seen) = (records.clone(), seen.clone());
@@ -102,15 +104,6 @@
     waits.into_iter().for_each(|wait| _ = wait.join());
 }
 
-/// Rows of an answer: site and value in each line.
-fn read(body: &str) -> Vec<(usize, i64)> {
-    let row = |line: &str| {
-        let mut columns = line.split('\t');
-        Some((columns.next()?.parse().ok()?, columns.next()?.parse().ok()?))
-    };
-    body.lines().filter_map(row).collect()
-}
-
 impl Plan {
     /// Every site's summary at two fronts, from which others hear of it; and one that must count for nothing.
     fn tell(&mut self, fleet: &Fleet) {
@@ -121,11 +114,13 @@
             self.sites.tell(site, front);
             told.insert(front);
         }
-        let (what, _) = BAD[self.turns % BAD.len()];
-        let (site, front) = (self.chance.random_range(0..SITES), self.chance.random_range(0..fronts));
-        self.sites.tell_badly(site, front, what);
-        told.insert(front);
-        self.turns += 1;
+        if self.spoils {
+            let (what, _) = BAD[self.turns % BAD.len()];
+            let (site, front) = (self.chance.random_range(0..SITES), self.chance.random_range(0..fronts));
+            self.sites.tell_badly(site, front, what);
+            told.insert(front);
+            self.turns += 1;
+        }
         let here = told.iter().map(|front| &fleet.members[*front]).filter(|m| !m.away.load(SeqCst));
         here.for_each(|member| member.signal(Signal::SIGHUP));
     }
@@ -134,7 +129,7 @@
 impl Plays for Plan {
     fn ready(&mut self, fleet: &Fleet) -> Result<(), String> {
         self.tell(fleet);
-        let (seed, members, records) = (self.seed, fleet.members.clone(), fleet.records.clone());
+        let (seed, members, records) = ((self.seed, self.loads), fleet.members.clone(), fleet.records.clone());
         let (seen, stop) = (self.seen.clone(), self.stop.clone());
         self.clients = Some(std::thread::spawn(move || clients(seed, &members, &records, &seen, &stop)));
         Ok(())
@@ -158,6 +153,15 @@
             };
             self.refused.insert(what, fleet.members.iter().map(said).sum());
         }
+        for member in &fleet.members {
+            let before = member.said(NEEDLESS).len();
+            member.signal(Signal::SIGHUP);
+            let since = Instant::now();
+            while member.said(NEEDLESS).len() == before && since.elapsed() < TELL {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            self.needless.extend(member.said(NEEDLESS).pop().map(|(_, line)| line));
+        }
     }
 }
 
@@ -199,20 +203,26 @@
     }
 }
 
-/// Plays the run of a seed: whether it passed, and the tallies of its line.
-pub fn run(seed: u64, small: bool) -> Result<(bool, String), String> {
-    let began = Instant::now();
-    let scenario = draw(seed, small);
+/// The values that each site holds at first.
+fn first(seed: u64) -> Vec<Vec<i64>> {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
     let mut values = |site: i64| -> Vec<i64> {
         (0..FIRST_ROWS).map(|_| site * RANGE + chance.random_range(0..RANGE)).collect()
     };
-    let first: Vec<Vec<i64>> = (0..SITES as i64).map(&mut values).collect();
+    (0..SITES as i64).map(&mut values).collect()
+}
+
+/// Plays a scenario among sites, with so many loads a second.
+fn played(
+    scenario: &Scenario,
+    seed: u64,
+    loads: f64,
+    spoils: bool,
+) -> Result<(Plan, Account, Vec<u32>), String> {
     let fronts = scenario.fleet.fronts;
-    let sites = Sites::new(first.clone(), 1, fronts, seed).map_err(|e| e.to_string())?;
-    let sites = Arc::new(sites);
+    let sites = Arc::new(Sites::new(first(seed), 1, fronts, seed).map_err(|e| e.to_string())?);
     let holds: Arc<dyn Holds> = sites.clone();
-    let fleet = Fleet::start_with(&scenario, seed, sites.beside(fronts), Some(holds))?;
+    let fleet = Fleet::start_with(scenario, seed, sites.beside(fronts), Some(holds))?;
     let mut plan = Plan {
         sites,
         seen: Arc::default(),
@@ -222,58 +232,86 @@
         chance: Pcg64Mcg::seed_from_u64(seed ^ 0x7465_6c6c),
         told: Instant::now(),
         turns: 0,
+        loads,
+        spoils,
         refused: BTreeMap::new(),
+        needless: Vec::new(),
     };
-    let (account, pids) = play(fleet, &scenario, seed, &mut plan)?;
+    let (account, pids) = play(fleet, scenario, seed, &mut plan)?;
+    Ok((plan, account, pids))
+}
+
+/// What a run without faults shows of sites asked.
+#[derive(Debug, Default)]
+pub struct Asked {
+    pub scatters: usize,
+    pub loads: usize,
+    pub all: i64,
+    pub asked: i64,
+    /// Those with a row that matches.
+    pub with_rows: i64,
+    pub missing: usize,
+    /// Asked and without rows, by why.
+    pub needless: BTreeMap<String, u64>,
+}
+
+/// Plays a quiet fleet with so many loads a second.
+pub fn measured(seed: u64, loads: f64, seconds: u64) -> Result<Asked, String> {
+    let mut scenario = draw(seed, true);
+    (scenario.seconds, scenario.faults) = (seconds, Vec::new());
+    let (plan, account, _) = played(&scenario, seed, loads, false)?;
+    let (held, mut violations) = held((&plan.sites, &plan.seen), &first(seed));
+    let lock = |_| "a client's thread broke".to_string();
+    let scatters = plan.seen.scatters.lock().map_err(|e| lock(e.to_string()))?;
+    let loads = plan.seen.loads.lock().map_err(|e| lock(e.to_string()))?.len();
+    let began = scatters.iter().map(|(_, scatter)| scatter.sent).min().unwrap_or(0);
+    let all: Vec<Scatter> = scatters.iter().map(|(_, scatter)| scatter.clone()).collect();
+    rows::check(&mut violations, &all, &held);
+    let whole: Vec<&Scatter> = (all.iter())
+        .filter(|scatter| scatter.rows.is_some() && scatter.sent > began + WARM_US)
+        .collect();
+    let (asked, with_rows) = asked(&whole, &held, &account);
+    let mut needless = BTreeMap::new();
+    for line in &plan.needless {
+        let of = line.rsplit_once("without rows, ").map_or("", |(_, of)| of);
+        for (why, count) in of.split(", ").filter_map(|one| one.rsplit_once(": ")) {
+            *needless.entry(why.to_string()).or_default() += count.parse::<u64>().unwrap_or(0);
+        }
+    }
+    let missing = violations.values().map(Vec::len).sum();
+    let all = (whole.len() * SITES) as i64;
+    Ok(Asked { scatters: whole.len(), loads, all, asked, with_rows, missing, needless })
+}
+
+/// Plays the run of a seed: whether it passed, and the tallies of its line.
+pub fn run(seed: u64, small: bool) -> Result<(bool, String), String> {
+    let began = Instant::now();
+    let scenario = draw(seed, small);
+    let (plan, account, pids) = played(&scenario, seed, LOADS, true)?;
+    let first = &first(seed);
     let mut run = judge(&scenario, &account, pids);
-    checked(&mut run, &plan, &first, &account);
+    checked(&mut run, &plan, first, &account);
     let seconds = began.elapsed().as_secs();
     if seconds >= MOST_SECONDS {
         run.violations.entry("run").or_default().push(format!("took {seconds} s"));
     }
-    Ok(end(&run, &format!("fronts={fronts} seconds={seconds}")))
+    Ok(end(&run, &format!("fronts={} seconds={seconds}", scenario.fleet.fronts)))
 }
 
 fn checked(run: &mut Run, plan: &Plan, first: &[Vec<i64>], account: &Account) {
-    let (Ok(scatters), Ok(loads), Ok(landed)) =
-        (plan.seen.scatters.lock(), plan.seen.loads.lock(), plan.sites.landed.lock())
-    else {
+    let (held, violations) = held((&plan.sites, &plan.seen), first);
+    for (what, all) in violations {
+        run.violations.entry(what).or_default().extend(all);
+    }
+    let (Ok(scatters), Ok(loads)) = (plan.seen.scatters.lock(), plan.seen.loads.lock()) else {
         return;
     };
-    let there = |site: usize| {
-        first[site].iter().map(move |value| Row { site, value: *value, asked: 0, acknowledged: 0 })
-    };
-    let mut held: Vec<Row> = (0..first.len()).flat_map(there).collect();
-    for load in loads.iter() {
-        let (value, asked, acknowledged) = (load.value, load.sent, load.acknowledged);
-        match landed.get(&load.id) {
-            Some(site) => held.push(Row { site: *site, value, asked, acknowledged }),
-            None if acknowledged < i64::MAX => {
-                let said = format!("{}: acknowledged, and its row is nowhere", load.id);
-                run.violations.entry("row_missing").or_default().push(said);
-            }
-            None => {}
-        }
-    }
     let all: Vec<Scatter> = scatters.iter().map(|(_, scatter)| scatter.clone()).collect();
     rows::check(&mut run.violations, &all, &held);
     let whole = scatters.iter().filter(|(_, scatter)| scatter.rows.is_some());
     let whole: Vec<&(usize, Scatter)> = whole.collect();
-    // Sites that were asked for each, by the engines' records, beside all and beside those with a row that matches.
-    let mut asked: BTreeMap<&str, BTreeSet<usize>> = BTreeMap::new();
-    for deed in &account.deeds {
-        if let Kind::Began { id, .. } = &deed.kind {
-            asked.entry(id).or_default().insert(deed.engine);
-        }
-    }
-    let (mut of, mut least) = (0, 0);
-    for (_, scatter) in &whole {
-        of += asked.get(scatter.id.as_str()).map_or(0, BTreeSet::len) as i64;
-        let matches = |row: &&Row| {
-            (scatter.between.0..=scatter.between.1).contains(&row.value) && row.acknowledged < scatter.sent
-        };
-        least += held.iter().filter(matches).map(|row| row.site).collect::<BTreeSet<_>>().len() as i64;
-    }
+    let answered: Vec<&Scatter> = whole.iter().map(|(_, scatter)| scatter).collect();
+    let (of, least) = asked(&answered, &held, account);
     // Loads acknowledged on one side of a cut, and scatters asked on the other after that while it lasted.
     let mut across = 0;
     for (fault, from, to) in account.played.iter().filter(|(fault, ..)| fault.what == What::FrontsSplit) {
--- a/crates/scatter/src/condition.rs
+++ b/crates/scatter/src/condition.rs
@@ -115,6 +115,20 @@
         }
     }
 
+    /// Whether all of it is understood, and over columns that the table's summary tells of.
+    pub fn is_told(&self, table: &Table) -> bool {
+        let told = |name: &String| table.columns.iter().any(|c| c.name == *name && c.bounds.is_some());
+        match self {
+            Condition::All(all) | Condition::Any(all) => all.iter().all(|c| c.is_told(table)),
+            Condition::Not(inner) => inner.is_told(table),
+            Condition::Compare { column, .. } | Condition::Holds { column } => told(column),
+            Condition::Begins { column, .. } => told(column),
+            Condition::Null { column } => table.columns.iter().any(|c| c.name == *column),
+            Condition::Constant(_) => true,
+            Condition::Other => false,
+        }
+    }
+
     /// How many comparisons it is made of.
     pub fn leaves(&self) -> usize {
         match self {
--- a/crates/scatter/src/marks.rs
+++ b/crates/scatter/src/marks.rs
@@ -7,6 +7,7 @@
 use sqlparser::ast::{Expr, Insert, SetExpr, Statement, TableObject, Value as Word};
 
 use crate::condition::Condition;
+use crate::plan::Why;
 use crate::sql::{self, literal, plain_name};
 use crate::summary::{Column, Summary, Table};
 use crate::value::Literal;
@@ -134,9 +135,18 @@
 
     /// Surely none of the site's rows makes the condition TRUE, as far as loads go that were marked.
     pub fn prove(&self, summary: &Summary, table: &Table, condition: &Condition) -> bool {
-        let Some(site) = self.sites.get(&summary.site) else { return true };
-        let open = || site.marks.iter().filter(|mark| !mark.is_lifted(summary));
-        summary.version >= site.needs && open().all(|mark| mark.touched.never_true(table, condition))
+        self.stands(summary, table, condition).is_none()
+    }
+
+    /// What of loads stands against that.
+    pub fn stands(&self, summary: &Summary, table: &Table, condition: &Condition) -> Option<Why> {
+        let site = self.sites.get(&summary.site)?;
+        if summary.version < site.needs {
+            return Some(Why::Behind);
+        }
+        let mut open = site.marks.iter().filter(|mark| !mark.is_lifted(summary));
+        let fits = open.find(|mark| !mark.touched.never_true(table, condition))?;
+        Some(if fits.touched == Touched::Anything { Why::Load } else { Why::LoadRows })
     }
 
     /// How many marks stand, of all sites.
--- a/crates/scatter/src/plan.rs
+++ b/crates/scatter/src/plan.rs
@@ -3,6 +3,7 @@
 use crate::book::Book;
 use crate::marks::Marks;
 use crate::sql::Query;
+use crate::summary::{Summary, Table};
 
 /// What is known of loads on the group.
 pub enum Word<'a> {
@@ -14,6 +15,52 @@
     Nothing,
 }
 
+/// Why a site is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Nothing that may count is held of it: none came, or it is too old, or of another schema.
+    NoSummary,
+    NoTable,
+    /// The ledger gives no word on loads.
+    NoWord,
+    /// Marks were lifted by a later summary than the one that is held.
+    Behind,
+    /// A load that its summary does not speak of may have touched anything.
+    Load,
+    /// Rows that such a load names fit.
+    LoadRows,
+    /// The condition is not understood, or over what its summary does not tell.
+    Untold,
+    /// Its summary does not rule it out: an equality by its filter, anything else by its bounds and runs.
+    Filter,
+    Bounds,
+    /// Its word counts for nothing for now.
+    Doubted,
+    Audit,
+    /// One is asked that says in the engines' own way that there is nothing.
+    One,
+}
+
+impl Why {
+    /// For counts by reason.
+    pub fn name(self) -> &'static str {
+        match self {
+            Why::NoSummary => "no summary",
+            Why::NoTable => "no table",
+            Why::NoWord => "no word on loads",
+            Why::Behind => "summary behind",
+            Why::Load => "unknown load",
+            Why::LoadRows => "rows of a load",
+            Why::Untold => "not told",
+            Why::Filter => "filter",
+            Why::Bounds => "bounds",
+            Why::Doubted => "doubted",
+            Why::Audit => "audit",
+            Why::One => "one for all",
+        }
+    }
+}
+
 /// A site to ask.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Part {
@@ -24,6 +71,7 @@
     pub ruled_out: bool,
     /// The whole does not hang on it.
     pub audit: bool,
+    pub why: Why,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -51,26 +99,42 @@
     for site in sites {
         let summary = book.look(wall_ms, site, query.group);
         let table = summary.and_then(|summary| Some((summary, summary.table(&query.table)?)));
-        let proved = table.is_some_and(|(summary, table)| {
-            let of_loads = match word {
-                Word::Marks(marks) => marks.prove(summary, table, &query.condition),
-                Word::NoLoads => true,
-                Word::Nothing => false,
-            };
-            of_loads && query.condition.never_true(table)
-        });
+        let why = match (summary, table) {
+            (None, _) => Some(Why::NoSummary),
+            (_, None) => Some(Why::NoTable),
+            (_, Some((summary, table))) => stands(query, summary, table, word),
+        };
+        let proved = why.is_none();
         if proved && !doubted(site) || query.limit == Some(0) {
             plan.left_out.push(site.clone());
         } else if allowed.is_some_and(|allowed| !allowed.contains(&site.as_str())) {
             plan.barred.push(site.clone());
         } else {
             let rows = table.map_or(f64::INFINITY, |(_, t)| t.rows as f64 * query.condition.share(t));
-            plan.parts.push(Part { site: site.clone(), rows, ruled_out: proved, audit: false });
+            let why = why.unwrap_or(Why::Doubted);
+            plan.parts.push(Part { site: site.clone(), rows, ruled_out: proved, audit: false, why });
         }
     }
     plan
 }
 
+/// What stands against leaving a site out; None: surely no row of it is asked for.
+fn stands(query: &Query, summary: &Summary, table: &Table, word: &Word) -> Option<Why> {
+    let condition = &query.condition;
+    if !condition.never_true(table) {
+        return Some(match () {
+            () if !condition.is_told(table) => Why::Untold,
+            () if condition.has_equality() => Why::Filter,
+            () => Why::Bounds,
+        });
+    }
+    match word {
+        Word::Marks(marks) => marks.stands(summary, table, condition),
+        Word::NoLoads => None,
+        Word::Nothing => Some(Why::NoWord),
+    }
+}
+
 impl Plan {
     /// What each site answers even without rows is asked of one of them at least.
     pub fn ask_one(&mut self, sites: &[String], allowed: Option<&[&str]>) {
@@ -78,6 +142,9 @@
             self.audit(0, sites, allowed);
         }
         for part in &mut self.parts {
+            if part.audit {
+                part.why = Why::One;
+            }
             (part.audit, part.ruled_out) = (false, false);
         }
     }
@@ -91,7 +158,7 @@
         if allowed.is_none_or(|allowed| allowed.contains(&site.as_str())) {
             let place = |name: &String| sites.iter().position(|site| site == name);
             let at = self.parts.partition_point(|part| place(&part.site) < place(&site));
-            self.parts.insert(at, Part { site, rows: 0.0, ruled_out: true, audit: true });
+            self.parts.insert(at, Part { site, rows: 0.0, ruled_out: true, audit: true, why: Why::Audit });
         }
     }
 }
--- a/crates/scatter/src/whole.rs
+++ b/crates/scatter/src/whole.rs
@@ -282,7 +282,10 @@
     fn parts(rows: &[f64]) -> Vec<Part> {
         rows.iter()
             .enumerate()
-            .map(|(n, rows)| Part { site: format!("s{n}"), rows: *rows, ruled_out: false, audit: false })
+            .map(|(n, rows)| {
+                let (site, why) = (format!("s{n}"), crate::plan::Why::Bounds);
+                Part { site, rows: *rows, ruled_out: false, audit: false, why }
+            })
             .collect()
     }
 
