--- a/crates/agreement/src/operator/scatter.rs
+++ b/crates/agreement/src/operator/scatter.rs
@@ -17,6 +17,7 @@
 const MOST: usize = 4_096; // summaries: 256 MiB if each were as long as can be; the usual take a tenth
 const MOST_OF_ALL: usize = 65_536;
 const AT_ONCE: usize = 4; // parts: the likeliest sites mostly fill a limit
+const MOST_ERROR: f64 = 0.5; // of a number of distinct values: beyond that it says nothing
 const ANSWER_BYTES: usize = 1 << 20; // bytes of an answer: a hundred times what an engine's page holds
 
 #[derive(Deserialize)]
@@ -33,6 +34,8 @@
     whole_site: Option<String>,
     #[serde(default)]
     partial: Vec<String>,
+    #[serde(default)]
+    distinct_error: BTreeMap<String, f64>,
     #[serde(default = "oldest_ms")]
     oldest_ms: u64,
     #[serde(default = "ahead_ms")]
@@ -100,6 +103,9 @@
     pub whole_site: Option<String>,
     /// Customers that take an answer which says what is missing in it.
     pub partial: Vec<String>,
+    /// Customers that take a number of distinct values by sketches, and how far it may be wrong, in
+    /// millionths of it.
+    pub distinct_error: BTreeMap<String, u32>,
     pub oldest_ms: u64,
     pub ahead_ms: u64,
     pub most: usize,
@@ -180,6 +186,15 @@
             return refuse(&format!("partial[{n}]"), what);
         }
     }
+    for (name, error) in &file.distinct_error {
+        let key = format!("distinct_error.{name}");
+        if !names.customers.contains(name) {
+            return refuse(&key, What::stranger(name, "the settings' customers", &names.customers));
+        }
+        if !(0.0..=MOST_ERROR).contains(error) {
+            return refuse(&key, format!("is not from 0 to {MOST_ERROR}, a part of the number").into());
+        }
+    }
     for (n, name) in file.writes.iter().enumerate() {
         if !names.workloads.contains(name) {
             let what = What::stranger(name, "the settings' workloads", &names.workloads);
@@ -219,6 +234,8 @@
         range("audits.one_in", audits.one_in, 1, 1_000_000)?;
         range("audits.a_minute", audits.a_minute, 1, 60_000)?;
     }
+    let millionths = |(name, error): (&String, &f64)| (name.clone(), (error * 1e6) as u32);
+    let distinct_error = file.distinct_error.iter().map(millionths).collect();
     let keep = file.keep.map(|KeepFile { memory_kb, bytes_a_second, file }| Keep {
         memory_bytes: memory_kb * 1024,
         bytes_a_second,
@@ -240,6 +257,7 @@
         writes,
         whole_site,
         partial,
+        distinct_error,
         oldest_ms,
         ahead_ms,
         most,
--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -29,7 +29,7 @@
         let Some(scatter) = self.scatter.as_mut().filter(|scatter| scatter.takes(&call.workload)) else {
             return Some((call, None));
         };
-        match scatter.read(&call.statement) {
+        match scatter.read(&call) {
             Ok(Some(query)) => {
                 let ticket = self.dispatcher.number();
                 let ends = self.clock.now + time_left;
@@ -170,6 +170,18 @@
             Answer::Barred(sites) => {
                 self.clients.answer(now, ticket, &Reply::Refused(&[("barred", &sites.join(","))]));
             }
+            Answer::About { distinct, error } => {
+                // Engines' rows have three columns.
+                let (row, error) = (format!("{distinct}\t\t\n"), format!("{error:.4}"));
+                let reply = Reply::Partly { body: row.as_bytes(), fields: &[("error", &error)] };
+                self.clients.answer(now, ticket, &reply);
+            }
+            Answer::Untold => {
+                let why =
+                    "sites' summaries do not tell distinct values now as scatter.distinct_error has it: \
+                           ask later, or name a scatter.whole_site";
+                self.clients.answer(now, ticket, &Reply::Refused(&[("reason", why)]));
+            }
             Answer::Unlike { site } => {
                 let why =
                     format!("site '{site}' answers aggregates in another form: name a scatter.whole_site");
--- a/crates/front/src/scatter/doubts.rs
+++ b/crates/front/src/scatter/doubts.rs
@@ -8,12 +8,14 @@
 use hallmux_scatter::audit::{Audits, Terms, Verdict};
 use hallmux_scatter::book::Book;
 use hallmux_scatter::plan::{Plan, Word};
+use hallmux_scatter::spread::FalseWord;
 use hallmux_scatter::sql::Query;
 
 /// A site that is asked though its summary rules it out, and the version of that.
 #[derive(Clone, Debug)]
 pub struct RuledOut {
     pub site: String,
+    pub group: u32,
     pub version: u64,
 }
 
@@ -28,6 +30,8 @@
     audits: Audits,
     checks: HashMap<Ticket, Check>,
     chance: RandomState,
+    /// False words found here, which other fronts are to hear of.
+    pub found: Vec<FalseWord>,
     /// Fronts that share the budget.
     pub fronts: usize,
 }
@@ -39,13 +43,23 @@
 impl Doubts {
     pub fn new(settings: hallmux_agreement::Audits) -> Doubts {
         let (checks, chance) = (HashMap::new(), RandomState::new());
-        Doubts { audits: Audits::new(terms(settings)), checks, chance, fronts: 1 }
+        Doubts { audits: Audits::new(terms(settings)), checks, chance, found: Vec::new(), fronts: 1 }
     }
 
     pub fn turn_to(&mut self, settings: hallmux_agreement::Audits) {
         self.audits.turn_to(terms(settings));
     }
 
+    /// Another front has found a false word.
+    pub fn told(&mut self, word: &FalseWord) {
+        let FalseWord { site, group, version } = word;
+        log::warn!(
+            "site '{site}': another front has found its summary of group {group}, version {version}, false; \
+             it is asked always until its answers bear it out"
+        );
+        self.audits.told(site);
+    }
+
     pub fn doubts(&self, site: &str) -> bool {
         self.audits.doubts(site)
     }
@@ -90,10 +104,11 @@
     }
 
     fn conclude(&mut self, of: &RuledOut, rows: u64, sure: bool) {
-        let RuledOut { site, version } = of;
+        let RuledOut { site, group, version } = of;
         match self.audits.answered(site, rows, sure) {
             Verdict::False => {
                 let counts = self.audits.counts;
+                self.found.push(FalseWord { site: site.clone(), group: *group, version: *version });
                 log::error!(
                     "site '{site}': its summary, version {version}, says that it has no row for a statement, and it has \
                      {rows}; it is asked always until its answers bear it out. Mend what makes its summaries. {} false \
--- a/crates/front/src/scatter/loads.rs
+++ b/crates/front/src/scatter/loads.rs
@@ -165,7 +165,7 @@
     /// What is to be asked of the ledger now.
     pub fn asks(&mut self, now: Micros, book: &Book) -> (Vec<Ask>, Vec<Word>) {
         let wall_ms = (now / 1000) as u64;
-        let (asks, follows) = self.marker.asks(wall_ms, |site, group| book.look(wall_ms, site, group));
+        let (asks, follows) = self.marker.asks(wall_ms, |site, group| book.spoken(wall_ms, site, group));
         let mut words: Vec<Word> = follows.into_iter().map(|f| self.word(f)).collect();
         words.extend(self.unmarked.drain(..).map(Word::TurnAway));
         (asks.into_iter().map(ask).collect(), words)
--- a/crates/front/src/scatter/summaries.rs
+++ b/crates/front/src/scatter/summaries.rs
@@ -12,7 +12,7 @@
 use hallmux_scatter::book::{Book, Terms};
 use hallmux_scatter::keep::{Budget, Keep};
 use hallmux_scatter::sheets::Fineness;
-use hallmux_scatter::spread::{Out, Spread};
+use hallmux_scatter::spread::{FalseWord, Out, Spread};
 use hallmux_scatter::summary::{Refused, MOST_BYTES};
 
 const SAID: Micros = 60_000_000; // microseconds between lines of the log on what other fronts sent that was refused
@@ -23,6 +23,8 @@
 pub struct Summaries {
     pub book: Book,
     spread: Spread,
+    /// False words of sites that other fronts have told of.
+    pub found: Vec<FalseWord>,
     said: Micros,
     /// Files of this front's directory, by the names of what they hold; where that may be held in part.
     home: BTreeMap<u64, PathBuf>,
@@ -55,6 +57,7 @@
         let mut summaries = Summaries {
             book: Book::new(terms(settings)?),
             spread: Spread::new(turn),
+            found: Vec::new(),
             said: 0,
             home: BTreeMap::new(),
             file: None,
@@ -135,11 +138,14 @@
             {
                 Ok(taken) => {
                     new += usize::from(taken);
-                    if let Some((name, version)) =
-                        self.book.named(&bytes).filter(|_| self.book.keep.is_some())
-                    {
-                        self.home.insert(name, path);
-                        self.spread.home.insert(name, version);
+                    if let Some((name, version)) = self.book.named(&bytes) {
+                        if taken {
+                            self.spread.news(name);
+                        }
+                        if self.book.keep.is_some() {
+                            self.home.insert(name, path);
+                            self.spread.home.insert(name, version);
+                        }
                     }
                 }
                 Err(why) => log::warn!("scatter.directory: {}: {why}", path.display()),
@@ -201,7 +207,13 @@
         }
     }
 
+    /// A false word was found here: others are told.
+    pub fn finds(&mut self, now: Micros, word: &FalseWord) {
+        self.spread.finds(now, word);
+    }
+
     fn take(&mut self, now: Micros, mut out: Out) -> Vec<(PeerId, Vec<u8>)> {
+        self.found.append(&mut out.found);
         self.lend(now, &mut out);
         let refused: Vec<Refused> = out.taken.into_iter().filter_map(Result::err).collect();
         if let Some(why) = refused.first().filter(|_| self.said + SAID <= now) {
--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -1,5 +1,7 @@
 //! Statements that are asked of several sites, from their reading to their final answer.
 
+mod told;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -8,7 +10,7 @@
 use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Ticket, Unfit};
 use hallmux_gossip::PeerId;
 use hallmux_scatter::marks::{numbers, Marks};
-use hallmux_scatter::plan::{plan, Why, Word};
+use hallmux_scatter::plan::{plan, Plan, Why, Word};
 use hallmux_scatter::sql::{self, Query};
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
 
@@ -114,10 +116,16 @@
     }
 
     /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be answered.
-    pub fn read(&self, statement: &[u8]) -> Result<Option<Query>, String> {
-        let read = sql::read(statement).and_then(|query| {
-            let kind = |column: &str| self.summaries.book.kind(query.group, &query.table, column);
-            query.combine.iter().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
+    pub fn read(&self, call: &Call) -> Result<Option<Query>, String> {
+        if self.settings.distinct_error.contains_key(&call.customer) {
+            if let Some(query) = sql::read_distinct(&call.statement) {
+                return Ok(Some(query));
+            }
+        }
+        let read = sql::read(&call.statement).and_then(|mut query| {
+            let (group, table) = (query.group, &query.table);
+            let kind = |column: &str| self.summaries.book.kind(group, table, column);
+            query.combine.iter_mut().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
             Ok(query)
         });
         match read {
@@ -175,7 +183,13 @@
             }
             self.tell();
         }
-        let Some(one) = self.open.get_mut(&ticket).filter(|one| one.whole.is_none()) else { return };
+        let Some(one) = self.open.get(&ticket).filter(|one| one.whole.is_none()) else { return };
+        let distinct = one.query.distinct.is_some();
+        if let Some(answer) = distinct.then(|| self.by_sketch(now, one, word)).flatten() {
+            self.open.remove(&ticket);
+            return self.said.push((ticket, Said::Answer(answer)));
+        }
+        let Some(one) = self.open.get_mut(&ticket) else { return };
         let allowed: Option<Vec<&str>> =
             one.allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
         let wall_ms = (now / 1000) as u64;
@@ -183,15 +197,22 @@
         let doubts = self.doubts.as_ref();
         let doubted = |site: &str| doubts.is_some_and(|doubts| doubts.doubts(site));
         let (sites, allowed) = (&self.sites, allowed.as_deref());
-        let mut plan = plan(&one.query, sites, allowed, book, wall_ms, word, &doubted);
-        if one.query.combine.is_some() {
+        let mut plan = match self.settings.whole_site.as_ref().filter(|_| distinct) {
+            Some(site) => Plan::whole(site, allowed),
+            None => plan(&one.query, sites, allowed, book, wall_ms, word, &doubted),
+        };
+        if distinct {
+            // The one site has all rows.
+        } else if one.query.combine.is_some() {
             plan.ask_one(sites, allowed);
         } else if let Some(doubts) = &mut self.doubts {
             doubts.audit(now, ticket, &mut plan, sites, allowed);
         }
         let version = |site: &str| book.look(wall_ms, site, one.query.group).map_or(0, |s| s.version);
         let asked = plan.parts.iter().filter(|part| part.ruled_out);
-        one.ruled_out = asked.map(|p| RuledOut { site: p.site.clone(), version: version(&p.site) }).collect();
+        one.ruled_out = asked
+            .map(|p| RuledOut { site: p.site.clone(), group: one.query.group, version: version(&p.site) })
+            .collect();
         let book = &mut self.summaries.book;
         plan.left_out.iter().for_each(|site| book.learn(wall_ms, &one.query, site, false));
         self.counts.0 += plan.parts.len() as u64;
@@ -209,17 +230,6 @@
         self.awaits(now, ticket);
     }
 
-    /// Says what was asked and what for.
-    fn tell(&self) {
-        let (asked, left_out) = self.counts;
-        let of = |(why, count): (&Why, &u64)| format!(", {}: {count}", why.name());
-        let needless: String = self.needless.iter().map(of).collect();
-        log::info!(
-            "sites asked so far {asked}, left out by their summaries {left_out}; asked and without rows{}",
-            if needless.is_empty() { ", none" } else { &needless }
-        );
-    }
-
     /// Notes a whole that waits for audits alone.
     fn awaits(&mut self, now: Micros, ticket: Ticket) {
         let whole = self.open.get(&ticket).and_then(|one| one.whole.as_ref());
@@ -371,7 +381,12 @@
     }
 
     pub fn tick(&mut self, now: Micros, others: &[PeerId]) -> Vec<(PeerId, Vec<u8>)> {
-        self.doubts.iter_mut().for_each(|doubts| doubts.fronts = others.len() + 1);
+        let heard = std::mem::take(&mut self.summaries.found);
+        if let Some(doubts) = &mut self.doubts {
+            doubts.fronts = others.len() + 1;
+            heard.iter().for_each(|word| doubts.told(word));
+            doubts.found.drain(..).for_each(|word| self.summaries.finds(now, &word));
+        }
         self.summaries.tick(now, others)
     }
 }
--- a/crates/front/tests/scatter/main.rs
+++ b/crates/front/tests/scatter/main.rs
@@ -31,7 +31,12 @@
         [Site::new("ash", &[1, 2, 3, 20]), Site::new("elm", &[11, 12]), Site::new("oak", &[21, 22, 3])];
     let summaries = room("sites-summaries");
     sites.iter().for_each(|site| site.writes(&summaries, 1));
-    let file = operator(&sites, &summaries, "loads: 'none', partial: ['lax'], at_once: 1", "");
+    let file = operator(
+        &sites,
+        &summaries,
+        "loads: 'none', partial: ['lax'], distinct_error: { acme: 0.05 }, at_once: 1",
+        "",
+    );
     let mut front = Front::start("n1", &folder, &sites, &file);
     let select = "select id, a, b from sales_17.orders";
     for (condition, rows, of) in [
@@ -58,6 +63,12 @@
         assert!(says(&held, row), "{condition}: {:?}", String::from_utf8_lossy(&held));
         assert_eq!(asked(&sites), of, "{condition}");
     }
+    // Distinct values are told by sketches, with the error, to a customer that takes it.
+    let distinct = "select count(distinct id) from sales_17.orders";
+    let held = front.asks("acme", distinct);
+    assert!(says(&held, "8\t\t\n") && says(&held, "error"), "{:?}", String::from_utf8_lossy(&held));
+    assert!(says(&front.asks("lax", distinct), "DISTINCT"));
+    assert_eq!(asked(&sites), Vec::<&str>::new());
     // What parts can't make up is refused with its reason, and nothing is asked.
     let held = front.asks("acme", "select avg(id) from sales_17.orders");
     assert!(held.starts_with(&[12, 0, 1]) && says(&held, "function 'avg'"));
@@ -91,6 +102,16 @@
     fleet_beside(name, sites, directories, marked, None)
 }
 
+/// The same, each with settings of its own.
+fn fleet_set(
+    name: &str,
+    sites: &[Site],
+    directories: &[PathBuf],
+    set: &dyn Fn(usize) -> String,
+) -> Vec<Front> {
+    fleet_whole(name, sites, directories, (false, None), set)
+}
+
 /// The same with an engine that speaks PostgreSQL, and sessions.
 fn fleet_beside(
     name: &str,
@@ -98,6 +119,16 @@
     directories: &[PathBuf],
     marked: bool,
     portal: Option<SocketAddr>,
+) -> Vec<Front> {
+    fleet_whole(name, sites, directories, (marked, portal), &|_| String::new())
+}
+
+fn fleet_whole(
+    name: &str,
+    sites: &[Site],
+    directories: &[PathBuf],
+    (marked, portal): (bool, Option<SocketAddr>),
+    set: &dyn Fn(usize) -> String,
 ) -> Vec<Front> {
     let folder = room(name);
     // The ports are the system's: bound once to learn them, then left to the fronts.
@@ -125,7 +156,7 @@
         let sessions = "postgres: { listen: '127.0.0.1:0', engines: [{ kinds: ['pg'] }], users: { loader: \
                         { trust: true, member: 'acme', workload: 'pay' } } }";
         let more = if portal.is_some() { format!("{gossip}, {sessions}") } else { gossip };
-        let file = operator(sites, &directories[n], &format!("loads: '{loads}'"), &more);
+        let file = operator(sites, &directories[n], &format!("loads: '{loads}'{}", set(n)), &more);
         Front::start_beside(&format!("n{n}"), &folder, sites, &file, portal)
     };
     (0..3).map(front).collect()
@@ -266,3 +297,41 @@
     }
     front.logs("site 'oak': its summaries count again");
 }
+
+#[test]
+fn a_false_word_that_one_front_finds_counts_for_nothing_at_the_others() {
+    let sites = [Site::new("ash", &[1, 2]), Site::new("oak", &[21, 22])];
+    let directories: Vec<PathBuf> = (0..3).map(|n| room(&format!("false-{n}"))).collect();
+    sites[0].writes(&directories[0], 1);
+    Site::new("oak", &[21]).writes(&directories[0], 1);
+    // Only the first one audits at all.
+    let set =
+        |n: usize| format!(", audits: {{ one_in: {}, a_minute: 60000 }}", if n == 0 { 1 } else { 1_000_000 });
+    let mut fronts = fleet_set("false", &sites, &directories, &set);
+    let until = Instant::now() + PATIENCE;
+    let text = format!("{SELECT}22");
+    for (at, rows) in [(1, &[][..]), (2, &[]), (0, &[22])] {
+        // The first two come to hold the false summary, then the third finds it out.
+        while fronts[at].rows("acme", &text) != rows {
+            assert!(Instant::now() < until, "front {at}");
+        }
+    }
+    for at in [1, 2] {
+        fronts[at].logs("another front has found its summary of group 17, version 1, false");
+        assert_eq!(fronts[at].rows("acme", &format!("{SELECT}22")), [22]);
+    }
+}
+
+#[test]
+fn under_a_budget_a_front_fetches_from_another_what_it_has_found_to_spare_sites() {
+    // Neither bounds nor runs tell the two apart, filters do.
+    let rows = |odd: i64| (0..400).map(|n| 2 * n + odd).collect::<Vec<i64>>();
+    let sites = [Site::new("ash", &rows(0)), Site::new("oak", &rows(1))];
+    let directories: Vec<PathBuf> = (0..3).map(|n| room(&format!("keep-{n}"))).collect();
+    sites.iter().for_each(|site| site.writes_in_sheets(&directories[0], 1));
+    let set = |_| ", keep: { memory_kb: 64, bytes_a_second: 10000 }".to_string();
+    let mut fronts = fleet_set("keep", &sites, &directories, &set);
+    settles(&mut fronts[1], &sites, 5_000, &[], &[]);
+    settles(&mut fronts[1], &sites, 633, &[633], &["oak"]);
+    settles(&mut fronts[1], &sites, 634, &[634], &["ash"]);
+}
--- a/crates/lab/src/prove/sites.rs
+++ b/crates/lab/src/prove/sites.rs
@@ -13,7 +13,6 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::played::{end, fault};
-use seen::{asked, held, read, Loaded, Seen};
 use crate::engine::lines::{self, Holds};
 use crate::engine::Records;
 use crate::record::account::{judge, Account, Run};
@@ -22,6 +21,7 @@
 use crate::rig::member::Member;
 use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Warm, What};
 use crate::rig::sites::{Sites, BAD};
+use seen::{asked, counted, held, read, Loaded, Seen};
 
 const SITES: usize = 5;
 const RANGE: i64 = 1_000; // values of a site lie in a range of its own, loads' anywhere
@@ -129,7 +129,8 @@
 impl Plays for Plan {
     fn ready(&mut self, fleet: &Fleet) -> Result<(), String> {
         self.tell(fleet);
-        let (seed, members, records) = ((self.seed, self.loads), fleet.members.clone(), fleet.records.clone());
+        let (seed, members, records) =
+            ((self.seed, self.loads), fleet.members.clone(), fleet.records.clone());
         let (seen, stop) = (self.seen.clone(), self.stop.clone());
         self.clients = Some(std::thread::spawn(move || clients(seed, &members, &records, &seen, &stop)));
         Ok(())
@@ -267,17 +268,10 @@
     let began = scatters.iter().map(|(_, scatter)| scatter.sent).min().unwrap_or(0);
     let all: Vec<Scatter> = scatters.iter().map(|(_, scatter)| scatter.clone()).collect();
     rows::check(&mut violations, &all, &held);
-    let whole: Vec<&Scatter> = (all.iter())
-        .filter(|scatter| scatter.rows.is_some() && scatter.sent > began + WARM_US)
-        .collect();
+    let whole: Vec<&Scatter> =
+        (all.iter()).filter(|scatter| scatter.rows.is_some() && scatter.sent > began + WARM_US).collect();
     let (asked, with_rows) = asked(&whole, &held, &account);
-    let mut needless = BTreeMap::new();
-    for line in &plan.needless {
-        let of = line.rsplit_once("without rows, ").map_or("", |(_, of)| of);
-        for (why, count) in of.split(", ").filter_map(|one| one.rsplit_once(": ")) {
-            *needless.entry(why.to_string()).or_default() += count.parse::<u64>().unwrap_or(0);
-        }
-    }
+    let needless = counted(&plan.needless);
     let missing = violations.values().map(Vec::len).sum();
     let all = (whole.len() * SITES) as i64;
     Ok(Asked { scatters: whole.len(), loads, all, asked, with_rows, missing, needless })
@@ -327,7 +321,13 @@
     }
     let told = whole.iter().flat_map(|(_, scatter)| &scatter.rows).map(Vec::len).sum::<usize>() as i64;
     let acknowledged = loads.iter().filter(|load| load.acknowledged < i64::MAX).count() as i64;
+    let needless = counted(&plan.needless);
+    let without = |why: &str| needless.get(why).map_or(0, |count| *count as i64);
     for (key, value) in [
+        ("needless_bounds", without("bounds")),
+        ("needless_no_summary", without("no summary")),
+        ("needless_no_word", without("no word on loads")),
+        ("needless_summary_behind", without("summary behind")),
         ("scatters", scatters.len() as i64),
         ("scatters_whole", whole.len() as i64),
         ("loads", loads.len() as i64),
--- a/crates/lab/src/prove/sites/seen.rs
+++ b/crates/lab/src/prove/sites/seen.rs
@@ -76,3 +76,15 @@
     }
     (of, least)
 }
+
+/// Sites that fronts asked for nothing, by why, from the last word of each on them.
+pub(super) fn counted(said: &[String]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for line in said {
+        let of = line.rsplit_once("without rows, ").map_or("", |(_, of)| of);
+        for (why, count) in of.split(", ").filter_map(|one| one.rsplit_once(": ")) {
+            *counts.entry(why.to_string()).or_default() += count.parse::<u64>().unwrap_or(0);
+        }
+    }
+    counts
+}
--- a/crates/lab/src/rig/sites.rs
+++ b/crates/lab/src/rig/sites.rs
@@ -164,6 +164,8 @@
         distinct: 0,
         bounds: None,
         tight: true,
+        runs: Vec::new(),
+        sketch: None,
         members: None,
     };
     Table { name: "t".to_string(), rows: 0, columns: vec![column] }
--- a/crates/scatter/src/audit.rs
+++ b/crates/scatter/src/audit.rs
@@ -90,6 +90,14 @@
         self.sites.get(site).is_some_and(|site| site.owes > 0)
     }
 
+    /// Another front has found a site's word false: it loses credit here too, as much as for one that was
+    /// found here first.
+    pub fn told(&mut self, site: &str) {
+        let site = self.sites.entry(site.to_string()).or_default();
+        site.costs = site.costs.max(EARNS);
+        site.owes = site.owes.max(EARNS);
+    }
+
     /// A site that its summary rules out has answered with so many rows. `sure`: no load can have brought them.
     pub fn answered(&mut self, site: &str, rows: u64, sure: bool) -> Verdict {
         if rows > 0 && !sure {
--- a/crates/scatter/src/book.rs
+++ b/crates/scatter/src/book.rs
@@ -1,14 +1,15 @@
 //! The summaries that a front holds: one for each site and group, the highest version that was found good.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use ed25519_dalek::VerifyingKey;
 
 use crate::keep::{Keep, Shown};
+use crate::marks::Spoken;
 use crate::sheets::{self, Fineness};
 use crate::sql::Query;
-use crate::summary::{Refused, Summary};
+use crate::summary::{Loads, Refused, Summary};
 use crate::value::{fnv, Kind};
 use crate::Micros;
 
@@ -26,9 +27,37 @@
     pub most: usize,
 }
 
+const SETTLES_MS: u64 = 5_000; // milliseconds after which others hold what is held here
+const MOST_NOTED: usize = 8; // versions of one summary that are not settled yet
+
+/// A version, and which loads were in it.
+struct Noted {
+    came_ms: u64,
+    version: u64,
+    loads: Loads,
+}
+
 struct Held {
     summary: Summary,
     bytes: Rc<[u8]>,
+    /// In the order in which they came; the first is the settled one, where one is.
+    noted: VecDeque<Noted>,
+}
+
+/// Notes a version that has come.
+fn note(mut noted: VecDeque<Noted>, wall_ms: u64, summary: &Summary) -> VecDeque<Noted> {
+    while noted.get(1).is_some_and(|next| next.came_ms + SETTLES_MS <= wall_ms) {
+        noted.pop_front();
+    }
+    let latest = noted.back();
+    let new = latest.is_none_or(|n| {
+        n.version < summary.version && n.came_ms + SETTLES_MS / (MOST_NOTED as u64 - 2) <= wall_ms
+    });
+    if new && noted.len() < MOST_NOTED {
+        let (version, loads) = (summary.version, summary.loads.clone());
+        noted.push_back(Noted { came_ms: wall_ms, version, loads });
+    }
+    noted
 }
 
 pub struct Book {
@@ -101,7 +130,9 @@
             self.held.remove(&of);
             return Ok(false);
         }
-        self.held.insert(of.clone(), Held { summary, bytes: bytes.into() });
+        let noted = self.held.remove(&of).map_or(VecDeque::new(), |held| held.noted);
+        let noted = note(noted, wall_ms, &summary);
+        self.held.insert(of.clone(), Held { summary, bytes: bytes.into(), noted });
         self.cut(&of, wanted);
         Ok(true)
     }
@@ -139,7 +170,7 @@
         let less =
             held.bytes.get(..end).and_then(|b| Some((b, Summary::read(b, |s| sites.get(s).copied()).ok()?)));
         match less {
-            Some((bytes, summary)) => *held = Held { summary, bytes: bytes.into() },
+            Some((bytes, summary)) => (held.bytes, held.summary) = (bytes.into(), summary),
             None => _ = self.held.remove(of),
         }
     }
@@ -174,6 +205,10 @@
         Some((name(&summary.site, summary.group), summary.version))
     }
 
+    pub fn knows(&self, site: &str) -> bool {
+        self.terms.sites.contains_key(site)
+    }
+
     /// Lets go of one.
     pub fn drop(&mut self, site: &str, group: u32) {
         self.held.remove(&(site.to_string(), group));
@@ -221,6 +256,14 @@
         self.fits(wall_ms, &held.summary).is_ok().then_some(&held.summary)
     }
 
+    /// What a site has said of loads into a group.
+    pub fn spoken(&self, wall_ms: u64, site: &str, group: u32) -> Spoken<'_> {
+        let Some(held) = self.held.get(&(site.to_string(), group)) else { return Spoken::default() };
+        let newest = self.look(wall_ms, site, group).map(|summary| (summary.version, &summary.loads));
+        let settled = held.noted.iter().rev().find(|noted| noted.came_ms + SETTLES_MS <= wall_ms);
+        Spoken { newest, settled: settled.map(|noted| (noted.version, &noted.loads)) }
+    }
+
     pub fn len(&self) -> usize {
         self.held.len()
     }
--- a/crates/scatter/src/build.rs
+++ b/crates/scatter/src/build.rs
@@ -8,6 +8,7 @@
 use crate::sheets;
 use crate::summary::{Column, Loads, Summary, Table, MOST_BYTES};
 use crate::value::{less, Kind, Value};
+use crate::{runs, sketch};
 
 const LONGEST_TEXT: usize = 64; // bytes of text that bounds keep
 const MOST_HASHES: usize = MOST_BYTES; // of a column: a filter of more would not fit
@@ -38,6 +39,8 @@
     bounds: Option<(Value, Value)>,
     /// A value came that has no place in any order, or is not of the kind: nothing is told of the column.
     unruly: bool,
+    runs: runs::Growing,
+    sketch: Option<sketch::Growing>,
     hashes: BTreeSet<u64>,
 }
 
@@ -50,6 +53,8 @@
             nulls: 0,
             bounds: None,
             unruly: false,
+            runs: runs::Growing::default(),
+            sketch: None,
             hashes: BTreeSet::new(),
         };
         TableBuilder {
@@ -59,6 +64,14 @@
         }
     }
 
+    /// Sketches of the distinct values of these columns are made too, where their kind has them.
+    pub fn sketched(mut self, columns: &[&str]) -> TableBuilder {
+        for column in self.columns.iter_mut().filter(|column| columns.contains(&column.name.as_str())) {
+            column.sketch = sketch::Growing::new(column.kind);
+        }
+        self
+    }
+
     /// One row, its values in the order of the columns; None and what is missing are null.
     pub fn row(&mut self, values: &[Option<Value>]) {
         self.rows += 1;
@@ -87,6 +100,10 @@
             self.unruly = true;
             return;
         }
+        self.sketch.iter_mut().for_each(|sketch| sketch.value(value));
+        if let Value::Number(number) = value {
+            self.runs.value(*number);
+        }
         match &mut self.bounds {
             None => self.bounds = Some((value.clone(), value.clone())),
             Some((least, greatest)) => {
@@ -115,13 +132,15 @@
                 }
             }
         }
+        let runs = if told { self.runs.runs() } else { Vec::new() };
+        let sketch = self.sketch.as_ref().filter(|_| told).map(sketch::Growing::bytes);
         // Engines round floats in ways of their own: their equality proves nothing.
         let whole = self.hashes.len() < MOST_HASHES && told && self.kind != Kind::Float;
         let hashes: Vec<u64> = self.hashes.into_iter().filter(|_| whole).collect();
         let small = whole.then(|| Members::small(hashes.clone()));
         let members = whole.then(|| Members::new(hashes)).flatten();
         let (name, kind, nulls) = (self.name, self.kind, self.nulls);
-        (Column { name, kind, nulls, distinct, bounds, tight, members }, small)
+        (Column { name, kind, nulls, distinct, bounds, tight, runs, sketch, members }, small)
     }
 }
 
@@ -152,13 +171,14 @@
     let tables = tables.into_iter().map(|table| table.table().0).collect();
     let mut summary = Summary { schema, version, made_ms, loads, tables, ..Summary::empty(&site, group) };
     let most = most_bytes.min(MOST_BYTES).saturating_sub(SEALS);
-    while postcard::to_stdvec(&summary).map_or(0, |bytes| bytes.len()) > most {
+    while summary.size() > most {
         let columns = summary.tables.iter_mut().flat_map(|t| &mut t.columns);
         let largest = columns.max_by_key(|c| c.members.as_ref().map_or(0, Members::size));
         if largest.and_then(|c| c.members.take()).is_none() {
             break;
         }
     }
+    summary.cut(most, summary.format, summary.format);
     summary
 }
 
--- a/crates/scatter/src/combine.rs
+++ b/crates/scatter/src/combine.rs
@@ -1,5 +1,6 @@
-//! Aggregates that are put together from those of the sites, exactly: counts and sums of decimals of any length, the least and
-//! the greatest of numbers. What depends on the order in which it is added, or on a collation, is not taken.
+//! Aggregates that are put together from those of the sites: counts and sums of decimals of any length, the
+//! least and the greatest of numbers, exactly; sums of floats as doubles in the order of sites. What depends
+//! on a collation is not taken.
 
 use bigdecimal::BigDecimal;
 use sqlparser::ast::{Expr, Function, FunctionArg, FunctionArgExpr, FunctionArguments, SelectItem};
@@ -25,6 +26,8 @@
     pub way: Way,
     /// Of which column; None: of rows.
     pub column: Option<String>,
+    /// The column holds floats: they are added as doubles, in the order of sites.
+    pub float: bool,
 }
 
 /// Takes a select list of aggregates; None: it has none.
@@ -60,7 +63,7 @@
             },
             _ => return whole("an aggregate with DISTINCT, OVER, FILTER or other arguments"),
         };
-        aggregates.push(Aggregate { way, column });
+        aggregates.push(Aggregate { way, column, float: false });
     }
     Ok(Some(aggregates))
 }
@@ -80,16 +83,18 @@
 }
 
 impl Aggregate {
-    /// Whether it can be put together, by what its column holds at every site. Sums of floats depend on their order, text on a
-    /// collation.
-    pub fn fits(&self, kind: impl Fn(&str) -> Option<Kind>) -> Result<(), Unfit> {
+    /// Whether it can be put together, by what its column holds at every site. Text depends on a collation.
+    pub fn fits(&mut self, kind: impl Fn(&str) -> Option<Kind>) -> Result<(), Unfit> {
         let Some(column) = &self.column else { return Ok(()) };
         match (self.way, kind(column)) {
             (Way::Count, _) | (_, Some(Kind::Number { .. })) => Ok(()),
             (_, None) => Err(Unfit::Whole(format!(
                 "column '{column}', of whose kind no two summaries speak alike, or none,"
             ))),
-            (Way::Sum, Some(Kind::Float)) => Err(Unfit::Whole(format!("a sum of floats ('{column}')"))),
+            (_, Some(Kind::Float)) => {
+                self.float = true;
+                Ok(())
+            }
             _ => Err(Unfit::Whole(format!(
                 "the least or greatest of '{column}', which is no column of numbers,"
             ))),
@@ -98,6 +103,9 @@
 
     fn join(&self, fields: &[&str]) -> Option<String> {
         let null = fields.iter().find(|field| NULLS.contains(field));
+        if self.float && self.way != Way::Count {
+            return self.join_floats(fields, null.copied());
+        }
         let values = fields.iter().filter(|field| !NULLS.contains(field));
         let values: Vec<(BigDecimal, &str)> =
             values.map(|field| Some((number(field)?, *field))).collect::<Option<_>>()?;
@@ -115,6 +123,33 @@
             }
         }
     }
+
+    /// The sum of doubles in the order of sites, which is the same at each try; or the one that is least or
+    /// greatest, as it came.
+    fn join_floats(&self, fields: &[&str], null: Option<&str>) -> Option<String> {
+        let values = fields.iter().filter(|field| !NULLS.contains(field));
+        let values: Vec<(f64, &str)> =
+            values.map(|field| Some((float(field)?, *field))).collect::<Option<_>>()?;
+        if values.is_empty() {
+            return null.map(str::to_string);
+        }
+        match self.way {
+            Way::Least => values.iter().min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, f)| (*f).to_string()),
+            Way::Greatest => values.iter().max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, f)| (*f).to_string()),
+            // One site's own sum stays as it wrote it.
+            _ if values.len() == 1 => Some(values[0].1.to_string()),
+            _ => Some(values.iter().map(|(number, _)| number).sum::<f64>())
+                .filter(|sum| sum.is_finite())
+                .map(|sum| sum.to_string()),
+        }
+    }
+}
+
+/// A finite one: of others engines make this or that.
+fn float(field: &str) -> Option<f64> {
+    let plain = |c: u8| c.is_ascii_digit() || b"+-.eE".contains(&c);
+    let short = field.len() <= LONGEST && field.bytes().all(plain);
+    field.parse().ok().filter(|number: &f64| short && number.is_finite())
 }
 
 fn number(field: &str) -> Option<BigDecimal> {
@@ -154,7 +189,21 @@
     use super::*;
 
     fn of(way: Way) -> Aggregate {
-        Aggregate { way, column: None }
+        Aggregate { way, column: None, float: false }
+    }
+
+    #[test]
+    fn floats_are_added_in_the_order_of_sites_and_compared_as_numbers() {
+        let float = |way| Aggregate { float: true, ..of(way) };
+        let all = [float(Way::Sum), float(Way::Least), float(Way::Greatest)];
+        let parts: [&[u8]; 3] = [b"1e16\t-2.5e0\t1e3\n", b"1\t\\N\t0.5\n", b"-1e16\t-10\t9\n"];
+        assert_eq!(join(&all, &parts).unwrap(), b"0\t-10\t1e3\n");
+        let turned: [&[u8]; 3] = [b"1e16\n", b"-1e16\n", b"1\n"];
+        assert_eq!(join(&all[..1], &turned).unwrap(), b"1\n");
+        assert_eq!(join(&all, &[b"0.1\t\\N\t\\N\n"]).unwrap(), b"0.1\t\\N\t\\N\n");
+        for wrong in [&b"NaN\t1\t1\n"[..], b"inf\t1\t1\n", b"1e999\t1\t1\n", b"x\t1\t1\n"] {
+            assert_eq!(join(&all, &[parts[0], wrong]), Err(1), "{wrong:?}");
+        }
     }
 
     #[test]
--- a/crates/scatter/src/condition.rs
+++ b/crates/scatter/src/condition.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::build::above;
+use crate::filter::Members;
+use crate::runs;
 use crate::summary::{Column, Table};
 use crate::value::{less, Collation, Kind, Literal, Value};
 
@@ -177,7 +179,10 @@
             let Some(point) = literal.point(column.kind) else { return false };
             // A row of that constant alone: what else is asked of the column may rule it out.
             let bounds = Some((point.below, point.above));
-            let of = Column { nulls: 0, bounds, tight: point.exact, members: None, ..column.clone() };
+            let (name, tight) = (column.name.clone(), point.exact);
+            let (kind, distinct, runs) = (column.kind, 1, Vec::new());
+            let of =
+                Column { name, kind, nulls: 0, distinct, bounds, tight, runs, sketch: None, members: None };
             let row = Table { name: String::new(), rows: 1, columns: vec![of] };
             column.excludes(By::Equal, literal) || all.iter().any(|c| c.never(&row, true, false))
         })
@@ -185,10 +190,11 @@
     all.iter().any(refuted)
 }
 
-/// Bounds on one column of numbers that leave few values, none of which the column has.
+/// Bounds on one column of numbers between which it has no value: by its runs, or each of the few by its
+/// filter.
 fn narrows(all: &[Condition], table: &Table) -> bool {
     table.columns.iter().any(|column| {
-        let (Kind::Number { .. }, Some(members)) = (column.kind, &column.members) else { return false };
+        let Kind::Number { .. } = column.kind else { return false };
         let Some((Value::Number(mut low), Value::Number(mut high))) = column.bounds else { return false };
         let mut bound = false;
         for condition in all {
@@ -198,18 +204,27 @@
                 continue;
             };
             match by {
-                By::AtLeast | By::Greater => low = low.max(below),
-                By::AtMost | By::Less => high = high.min(above),
+                By::AtLeast => low = low.max(below),
+                By::AtMost => high = high.min(above),
+                // However an engine rounds the literal: the next value at least.
+                By::Greater => low = low.max(below.saturating_add(1)),
+                By::Less => high = high.min(above.saturating_sub(1)),
                 By::Equal | By::Unequal => continue,
             }
             bound = true;
         }
         let few = high.checked_sub(low).is_some_and(|span| span < MOST_POINTS);
-        bound && few && (low..=high).all(|n| !members.may_have(Value::Number(n).hash()))
+        let none = |members: &Members| (low..=high).all(|n| !members.may_have(Value::Number(n).hash()));
+        bound && (column.has_none(low, high) || few && column.members.as_ref().is_some_and(none))
     })
 }
 
 impl Column {
+    /// Surely no value from the one to the other, by its runs.
+    fn has_none(&self, low: i128, high: i128) -> bool {
+        !self.runs.is_empty() && !runs::meet(&self.runs, low, high)
+    }
+
     /// Which part of the range between its bounds lies so to the literal.
     fn part(&self, by: By, literal: &Literal) -> Option<f64> {
         let (least, greatest) = self.bounds.as_ref()?;
@@ -238,6 +253,9 @@
         match by {
             By::Equal => {
                 let outside = less(&point.above, least) || less(greatest, &point.below);
+                let outside = outside
+                    || matches!((&point.below, &point.above),
+                        (Value::Number(low), Value::Number(high)) if self.has_none(*low, *high));
                 let absent = |v: &Value| self.members.as_ref().is_some_and(|m| !m.may_have(v.hash()));
                 outside || self.kind != Kind::Float && absent(&point.below) && absent(&point.above)
             }
--- a/crates/scatter/src/marker.rs
+++ b/crates/scatter/src/marker.rs
@@ -3,8 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::marks::{Marks, Touched};
-use crate::summary::Summary;
+use crate::marks::{Marks, Spoken, Touched};
 
 const APART_MS: u64 = 10_000; // milliseconds that fronts' clocks may be apart, as gossip has it
 const MOST_TRIES: u32 = 16; // changes of one batch that others' got before; then its loads are turned away
@@ -123,7 +122,7 @@
     pub fn asks<'a>(
         &mut self,
         wall_ms: u64,
-        summary: impl Fn(&str, u32) -> Option<&'a Summary>,
+        spoken: impl Fn(&str, u32) -> Spoken<'a>,
     ) -> (Vec<Ask>, Vec<Follows>) {
         let (mut asks, mut follows) = (Vec::new(), Vec::new());
         for (&number, group) in &mut self.groups {
@@ -138,13 +137,14 @@
                 continue;
             }
             let mut marks = group.marks.clone();
-            marks.tidy(wall_ms.saturating_sub(APART_MS), |site| summary(site, number));
+            marks.tidy(wall_ms.saturating_sub(APART_MS), |site| spoken(site, number));
             let mut batch = Vec::new();
             for waiter in std::mem::take(&mut group.queue) {
                 let Some(load) = self.loads.get(&waiter) else { continue };
                 let Some(touched) = load.left.get(&number) else { continue };
                 batch.push((waiter, marks.add(&load.site, load.ends_ms, touched.clone())));
             }
+            marks.fit(|site| spoken(site, number));
             match marks.bytes() {
                 _ if batch.is_empty() => {}
                 None => turn_away(&mut self.loads, batch, &mut follows),
@@ -236,7 +236,7 @@
     }
 
     fn asks(marker: &mut Marker) -> Vec<Ask> {
-        marker.asks(0, |_, _| None).0
+        marker.asks(0, |_, _| Spoken::default()).0
     }
 
     #[test]
--- a/crates/scatter/src/marks.rs
+++ b/crates/scatter/src/marks.rs
@@ -9,11 +9,14 @@
 use crate::condition::Condition;
 use crate::plan::Why;
 use crate::sql::{self, literal, plain_name};
-use crate::summary::{Column, Summary, Table};
+use crate::summary::{Column, Loads, Summary, Table};
 use crate::value::Literal;
 
-const MOST_MARKS: usize = 16; // of a site that are kept apart; more make one
+const MOST_MARKS: usize = 64; // of a site that are kept apart; more make one
+const CROWDED: usize = 32; // of a site: from here on what any summary lifts is taken out
+const FEWER: [usize; 3] = [16, 4, 1]; // of a site, where all sites' together are too long
 const MOST_ROWS_BYTES: usize = 256; // bytes of a load's rows that a mark keeps; of more nothing is known
+const MOST_ROWS: usize = 64; // of a load that a mark keeps
 /// Bytes of a group's marks: a thousand sites with two each.
 pub const MOST_BYTES: usize = 64 << 10;
 
@@ -101,22 +104,15 @@
         let site = self.sites.entry(site.to_string()).or_default();
         site.last += 1;
         site.marks.push(Mark { from: site.last, to: site.last, ends_ms, over: None, touched });
-        if site.marks.len() > MOST_MARKS {
-            let first = site.marks.remove(0);
-            if let Some(second) = site.marks.first_mut() {
-                second.from = first.from;
-                second.ends_ms = second.ends_ms.max(first.ends_ms);
-                // None where either is not over.
-                second.over = second.over.zip(first.over).map(|(a, b)| a.max(b));
-                second.touched = Touched::Anything;
-            }
-        }
+        site.fold(MOST_MARKS);
         site.last
     }
 
-    /// Takes out what the summaries given lift, and notes what can't be running any more by `wall_ms`, the clock of the front
-    /// less what fronts' clocks may differ by.
-    pub fn tidy<'a>(&mut self, wall_ms: u64, summary: impl Fn(&str) -> Option<&'a Summary>) {
+    /// Takes out what summaries lift that other fronts hold by now, and notes what can't be running any more
+    /// by `wall_ms`, the clock of the front less what fronts' clocks may differ by. A mark that is out asks
+    /// for a summary that lifted it: until one is held everywhere, fronts without it would have to ask the
+    /// site.
+    pub fn tidy<'a>(&mut self, wall_ms: u64, spoken: impl Fn(&str) -> Spoken<'a>) {
         for (name, site) in &mut self.sites {
             let next = site.last + 1;
             for mark in &mut site.marks {
@@ -124,27 +120,47 @@
                     mark.over = Some(next);
                 }
             }
-            let Some(summary) = summary(name).filter(|s| s.version >= site.needs) else { continue };
-            let before = site.marks.len();
-            site.marks.retain(|mark| !mark.is_lifted(summary));
-            if site.marks.len() < before {
-                site.needs = summary.version;
+            let spoken = spoken(name);
+            site.lift(spoken.settled);
+            if site.marks.len() >= CROWDED {
+                site.lift(spoken.newest);
             }
         }
     }
 
+    /// Makes room where all marks together are too long: what any summary lifts goes, then marks are folded.
+    pub fn fit<'a>(&mut self, spoken: impl Fn(&str) -> Spoken<'a>) {
+        let mut fewer = FEWER.iter();
+        let mut lifted = false;
+        while self.bytes().is_none() {
+            if !std::mem::replace(&mut lifted, true) {
+                self.sites.iter_mut().for_each(|(name, site)| site.lift(spoken(name).newest));
+                continue;
+            }
+            let Some(most) = fewer.next() else { return };
+            self.sites.values_mut().for_each(|site| site.fold(*most));
+        }
+    }
+
     /// Surely none of the site's rows makes the condition TRUE, as far as loads go that were marked.
     pub fn prove(&self, summary: &Summary, table: &Table, condition: &Condition) -> bool {
         self.stands(summary, table, condition).is_none()
     }
 
+    /// What loads may have touched that a summary does not speak of. None: it is too old to say.
+    pub fn open(&self, summary: &Summary) -> Option<Vec<&Touched>> {
+        let Some(site) = self.sites.get(&summary.site) else { return Some(Vec::new()) };
+        let open = site.marks.iter().filter(|mark| !mark.is_lifted(&summary.loads));
+        (summary.version >= site.needs).then(|| open.map(|mark| &mark.touched).collect())
+    }
+
     /// What of loads stands against that.
     pub fn stands(&self, summary: &Summary, table: &Table, condition: &Condition) -> Option<Why> {
         let site = self.sites.get(&summary.site)?;
         if summary.version < site.needs {
             return Some(Why::Behind);
         }
-        let mut open = site.marks.iter().filter(|mark| !mark.is_lifted(summary));
+        let mut open = site.marks.iter().filter(|mark| !mark.is_lifted(&summary.loads));
         let fits = open.find(|mark| !mark.touched.never_true(table, condition))?;
         Some(if fits.touched == Touched::Anything { Why::Load } else { Why::LoadRows })
     }
@@ -159,9 +175,53 @@
     }
 }
 
+/// The loads that a version of a site's summary speaks of.
+pub type Version<'a> = Option<(u64, &'a Loads)>;
+
+/// What a front holds of a site's word on loads.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spoken<'a> {
+    pub newest: Version<'a>,
+    /// The newest that has been here long enough for other fronts to hold it too.
+    pub settled: Version<'a>,
+}
+
+impl<'a> Spoken<'a> {
+    /// All that is held counts as held by others.
+    pub fn at_once(summary: Option<&'a Summary>) -> Spoken<'a> {
+        let of = summary.map(|s| (s.version, &s.loads));
+        Spoken { newest: of, settled: of }
+    }
+}
+
+impl Site {
+    /// Takes out what a version lifts. Older ones prove nothing from then on.
+    fn lift(&mut self, by: Version) {
+        let Some((version, loads)) = by else { return };
+        let before = self.marks.len();
+        self.marks.retain(|mark| !mark.is_lifted(loads));
+        if self.marks.len() < before {
+            self.needs = self.needs.max(version);
+        }
+    }
+
+    /// Makes one of the first ones until there are no more than that.
+    fn fold(&mut self, most: usize) {
+        while self.marks.len() > most.max(1) {
+            let first = self.marks.remove(0);
+            let Some(second) = self.marks.first_mut() else { return };
+            second.from = first.from;
+            second.ends_ms = second.ends_ms.max(first.ends_ms);
+            // None where either is not over.
+            second.over = second.over.zip(first.over).map(|(a, b)| a.max(b));
+            second.touched = Touched::Anything;
+        }
+    }
+}
+
 impl Mark {
-    fn is_lifted(&self, summary: &Summary) -> bool {
-        summary.loads.has(self.from, self.to) || self.over.is_some_and(|over| summary.loads.last() >= over)
+    fn is_lifted(&self, loads: &Loads) -> bool {
+        loads.has(self.from, self.to) || self.over.is_some_and(|over| loads.last() >= over)
     }
 }
 
@@ -186,7 +246,21 @@
 fn one(table: &Table, columns: &[String], row: &[Cell]) -> Table {
     let known = |column: &Column| {
         let place = columns.iter().position(|name| *name == column.name)?;
-        let of = |nulls, bounds, tight| Column { nulls, bounds, tight, members: None, ..column.clone() };
+        let of = |nulls, bounds, tight| {
+            let (name, kind, distinct) = (column.name.clone(), column.kind, column.distinct);
+            // Nothing that the summary tells holds for this row.
+            Column {
+                name,
+                kind,
+                nulls,
+                distinct,
+                bounds,
+                tight,
+                runs: Vec::new(),
+                sketch: None,
+                members: None,
+            }
+        };
         match row.get(place)? {
             Cell::Null => Some(of(1, None, true)),
             Cell::Is(literal) => {
@@ -231,7 +305,45 @@
         e => literal(e).map_or(Cell::Unknown, Cell::Is),
     };
     let rows: Vec<Vec<Cell>> = values.rows.iter().map(|row| row.content.iter().map(cell).collect()).collect();
-    let touched = Touched::Rows { table, columns, rows };
-    let short = postcard::to_stdvec(&touched).is_ok_and(|bytes| bytes.len() <= MOST_ROWS_BYTES);
-    short.then_some(touched)
+    short(table, &columns, &rows)
+}
+
+/// As much of the rows as a mark keeps. Of too many the columns with the fewest values stay: a load of a
+/// day's rows is known by its day.
+fn short(table: String, columns: &[String], rows: &[Vec<Cell>]) -> Option<Touched> {
+    let of = |kept: &[usize]| {
+        let project = |row: &Vec<Cell>| kept.iter().filter_map(|at| row.get(*at).cloned()).collect();
+        let mut all: Vec<Vec<Cell>> = Vec::new();
+        for row in rows.iter().map(project) {
+            if !all.contains(&row) {
+                all.push(row);
+            }
+            if all.len() > MOST_ROWS {
+                return None;
+            }
+        }
+        let columns = kept.iter().filter_map(|at| columns.get(*at).cloned()).collect();
+        let touched = Touched::Rows { table: table.clone(), columns, rows: all };
+        let short = postcard::to_stdvec(&touched).is_ok_and(|bytes| bytes.len() <= MOST_ROWS_BYTES);
+        short.then_some(touched)
+    };
+    if rows.iter().any(|row| row.len() != columns.len()) {
+        return None;
+    }
+    let mut order: Vec<usize> = (0..columns.len()).collect();
+    let touched = of(&order);
+    if touched.is_some() {
+        return touched;
+    }
+    let distinct = |at: &usize| {
+        let mut seen: Vec<&Cell> = Vec::new();
+        for cell in rows.iter().filter_map(|row| row.get(*at)) {
+            if !seen.contains(&cell) && seen.len() <= MOST_ROWS {
+                seen.push(cell);
+            }
+        }
+        seen.len()
+    };
+    order.sort_by_cached_key(distinct);
+    (1..order.len()).rev().find_map(|most| of(&order[..most]))
 }
--- a/crates/scatter/src/plan.rs
+++ b/crates/scatter/src/plan.rs
@@ -136,6 +136,16 @@
 }
 
 impl Plan {
+    /// Of the one site that has all rows.
+    pub fn whole(site: &str, allowed: Option<&[&str]>) -> Plan {
+        let site = site.to_string();
+        if allowed.is_some_and(|allowed| !allowed.contains(&site.as_str())) {
+            return Plan { barred: vec![site], ..Plan::default() };
+        }
+        let part = Part { site, rows: f64::INFINITY, ruled_out: false, audit: false, why: Why::One };
+        Plan { parts: vec![part], ..Plan::default() }
+    }
+
     /// What each site answers even without rows is asked of one of them at least.
     pub fn ask_one(&mut self, sites: &[String], allowed: Option<&[&str]>) {
         while self.parts.is_empty() && self.barred.is_empty() && !self.left_out.is_empty() {
--- /dev/null
+++ b/crates/scatter/src/runs.rs
@@ -0,0 +1,129 @@
+//! Where the values of a column of numbers lie: runs from one value to another, with none between them. What
+//! bounds leave open once a few values lie far from the others, runs rule out.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+pub const MOST: usize = 256; // runs of a column: some 1,500 bytes
+pub(crate) const FEWER: usize = 64; // of a column that is told in sheets, where all fronts hold them
+const GROWING: usize = 4_096; // runs of a column as its rows come
+
+/// First and last value of each, in order.
+pub type Runs = Vec<(i128, i128)>;
+
+/// The same as bytes hold it: the first value, then how far each run begins behind the last one's end, and
+/// how long it is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Told {
+    first: i128,
+    steps: Vec<(u128, u128)>,
+}
+
+impl Told {
+    pub fn of(runs: &[(i128, i128)]) -> Option<Told> {
+        let first = runs.first()?.0;
+        let mut end = first;
+        let step = |(from, to): &(i128, i128)| {
+            let step = (from.abs_diff(end), to.abs_diff(*from));
+            end = *to;
+            step
+        };
+        Some(Told { first, steps: runs.iter().map(step).collect() })
+    }
+
+    /// None: it is of no runs.
+    pub fn runs(&self) -> Option<Runs> {
+        let (mut end, mut runs) = (self.first, Runs::new());
+        for (at, (gap, length)) in self.steps.iter().enumerate() {
+            let from = end.checked_add_unsigned(*gap).filter(|_| at == 0 || *gap > 0)?;
+            end = from.checked_add_unsigned(*length)?;
+            runs.push((from, end));
+        }
+        (runs.len() <= MOST).then_some(runs)
+    }
+}
+
+/// Whether a run has a value from the one to the other.
+pub fn meet(runs: &[(i128, i128)], low: i128, high: i128) -> bool {
+    let at = runs.partition_point(|(_, end)| *end < low);
+    runs.get(at).is_some_and(|(from, _)| *from <= high)
+}
+
+/// Joins those with the least between them until there are no more than that.
+pub fn coarser(runs: Runs, most: usize) -> Runs {
+    if runs.len() <= most.max(1) {
+        return runs;
+    }
+    let gap = |at: usize| runs[at].0.abs_diff(runs[at - 1].1);
+    let mut order: Vec<usize> = (1..runs.len()).collect();
+    order.sort_by_key(|at| (std::cmp::Reverse(gap(*at)), *at));
+    order.truncate(most.max(1) - 1);
+    order.sort_unstable();
+    let begins = std::iter::once(0).chain(order.iter().copied());
+    let ends = order.iter().copied().chain([runs.len()]);
+    begins.zip(ends).map(|(from, to)| (runs[from].0, runs[to - 1].1)).collect()
+}
+
+/// Runs as values come, in any order.
+#[derive(Default)]
+pub(crate) struct Growing(BTreeMap<i128, i128>);
+
+impl Growing {
+    pub fn value(&mut self, value: i128) {
+        let before = self.0.range(..=value).next_back().map(|(from, end)| (*from, *end));
+        if before.is_some_and(|(_, end)| value <= end) {
+            return;
+        }
+        // What stands next to one is of it: there is no value between.
+        let from = match before {
+            Some((from, end)) if end.checked_add(1) == Some(value) => from,
+            _ => value,
+        };
+        let end = value.checked_add(1).and_then(|next| self.0.remove(&next)).unwrap_or(value);
+        self.0.insert(from, end);
+        if self.0.len() > GROWING {
+            let all = std::mem::take(&mut self.0).into_iter().collect();
+            self.0 = coarser(all, GROWING / 2).into_iter().collect();
+        }
+    }
+
+    pub fn runs(self) -> Runs {
+        coarser(self.0.into_iter().collect(), MOST)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn runs_are_joined_over_the_least_gaps() {
+        let mut growing = Growing::default();
+        [5, 1, 2, 9, 3, 90, 7, i128::MIN, i128::MAX].into_iter().for_each(|v| growing.value(v));
+        let runs = growing.runs();
+        assert_eq!(runs[1..7], [(1, 3), (5, 5), (7, 7), (9, 9), (90, 90), (i128::MAX, i128::MAX)]);
+        assert_eq!(coarser(runs.clone(), 4)[1..3], [(1, 9), (90, 90)]);
+        assert_eq!(Told::of(&runs).unwrap().runs().unwrap(), runs);
+        assert!(meet(&runs, 4, 5) && meet(&runs, 3, 4) && !meet(&runs, 4, 4) && !meet(&runs, 10, 89));
+    }
+
+    proptest! {
+        #[test]
+        fn every_value_lies_in_a_run(values in prop::collection::vec(-500i128..500, 1..300), most in 1usize..40) {
+            let mut growing = Growing::default();
+            values.iter().for_each(|value| growing.value(*value));
+            let runs = coarser(growing.runs(), most);
+            prop_assert!(runs.len() <= most && runs.windows(2).all(|w| w[0].1 < w[1].0));
+            prop_assert!(values.iter().all(|value| meet(&runs, *value, *value)));
+        }
+
+        #[test]
+        fn what_is_read_is_in_order(first in any::<i128>(), steps in prop::collection::vec(any::<(u128, u128)>(), 0..4)) {
+            if let Some(runs) = (Told { first, steps }).runs() {
+                prop_assert!(runs.windows(2).all(|w| w[0].1 < w[1].0) && runs.iter().all(|run| run.0 <= run.1));
+            }
+        }
+    }
+}
--- a/crates/scatter/src/sheets.rs
+++ b/crates/scatter/src/sheets.rs
@@ -6,9 +6,11 @@
 use sha2::{Digest, Sha256};
 
 use crate::filter::Members;
-use crate::summary::{signed, Signed, Summary, Table, MOST_BYTES};
+use crate::runs;
+use crate::summary::{signed, More, Signed, Summary, Table, MOST_BYTES};
 
 pub(crate) const IN_SHEETS: u16 = 2; // the format of summaries in sheets; a front of an earlier version refuses them
+pub(crate) const IN_SHEETS_WITH_MORE: u16 = 4;
 const SEALS: usize = 256; // bytes for the signature, the hashes and lengths
 
 /// How much of a summary there is.
@@ -48,9 +50,12 @@
     most: usize,
     key: &SigningKey,
 ) -> Vec<u8> {
-    summary.format = IN_SHEETS;
+    for column in summary.tables.iter_mut().flat_map(|table| &mut table.columns) {
+        column.runs = runs::coarser(std::mem::take(&mut column.runs), runs::FEWER);
+    }
+    summary.cut(most.min(MOST_BYTES) / 2, IN_SHEETS, IN_SHEETS_WITH_MORE);
     let size = |sheet: &Sheet| sheet.iter().map(|(_, _, members)| members.size() + 8).sum::<usize>();
-    let core = postcard::to_stdvec(&summary).unwrap_or_default();
+    let core = summary.encoded(IN_SHEETS, IN_SHEETS_WITH_MORE);
     let most = most.min(MOST_BYTES).saturating_sub(core.len() + SEALS);
     while size(&small) + size(&full) > most {
         let sheet = if full.is_empty() { &mut small } else { &mut full };
@@ -96,10 +101,12 @@
 pub fn ends(bytes: &[u8]) -> Option<[usize; 3]> {
     let (signed, rest) = postcard::take_from_bytes::<Signed>(bytes).ok()?;
     let (format, _) = postcard::take_from_bytes::<u16>(&signed.summary).ok()?;
-    if format != IN_SHEETS {
-        return None;
+    let (_, mut seals) = postcard::take_from_bytes::<Summary>(&signed.summary).ok()?;
+    match format {
+        IN_SHEETS => {}
+        IN_SHEETS_WITH_MORE => seals = postcard::take_from_bytes::<More>(seals).ok()?.1,
+        _ => return None,
     }
-    let (_, seals) = postcard::take_from_bytes::<Summary>(&signed.summary).ok()?;
     let ((small, full), _) = postcard::take_from_bytes::<(Seal, Seal)>(seals).ok()?;
     let core = bytes.len() - rest.len();
     let small = core + small.bytes as usize;
--- /dev/null
+++ b/crates/scatter/src/sketch.rs
@@ -0,0 +1,106 @@
+//! How many distinct values columns have, within an error that is stated: sketches (HyperLogLog) that sites
+//! make of the columns that they are told to, joined at a front without asking any site.
+
+use datasketches::common::NumStdDev;
+use datasketches::hll::{HllSketch, HllType, HllUnion};
+
+use crate::book::Book;
+use crate::marks::{Cell, Touched};
+use crate::plan::Word;
+use crate::sql::Query;
+use crate::value::{Collation, Kind, Value};
+
+const LG_K: u8 = 12; // 4,096 registers: 3.3 % at two standard deviations, some 2,100 bytes a column
+const LONGEST: usize = 8 << 10; // bytes of one
+
+/// Whether values of this kind that are equal for an engine are so here.
+fn tells(kind: Kind) -> bool {
+    matches!(kind, Kind::Number { .. } | Kind::Text(Collation::C | Collation::Exact) | Kind::Bool)
+}
+
+/// A column's sketch as its rows come.
+pub(crate) struct Growing(HllSketch);
+
+impl Growing {
+    pub fn new(kind: Kind) -> Option<Growing> {
+        HllSketch::new(LG_K, HllType::Hll4).ok().filter(|_| tells(kind)).map(Growing)
+    }
+
+    pub fn value(&mut self, value: &Value) {
+        self.0.update(value.hash());
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        self.0.serialize()
+    }
+}
+
+fn read(bytes: &[u8]) -> Option<HllSketch> {
+    let short = Some(bytes).filter(|bytes| bytes.len() <= LONGEST)?;
+    HllSketch::deserialize(short).ok().filter(|sketch| sketch.lg_config_k() == LG_K)
+}
+
+pub(crate) fn is_sound(bytes: &[u8]) -> bool {
+    read(bytes).is_some()
+}
+
+/// Distinct values, and by which part of them that may be wrong at two standard deviations.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    pub distinct: u64,
+    pub error: f64,
+}
+
+/// How many distinct values a column has at all of the sites. None: a site says nothing of it that counts, or
+/// a load may have brought values that are not known.
+pub fn distinct(
+    query: &Query,
+    sites: &[String],
+    allowed: Option<&[&str]>,
+    book: &Book,
+    wall_ms: u64,
+    word: &Word,
+    doubted: &dyn Fn(&str) -> bool,
+) -> Option<Estimate> {
+    let name = query.distinct.as_ref()?;
+    let mut all = HllUnion::new(LG_K).ok()?;
+    let mut alike = None;
+    for site in sites {
+        if doubted(site) || allowed.is_some_and(|allowed| !allowed.contains(&site.as_str())) {
+            return None;
+        }
+        let summary = book.look(wall_ms, site, query.group)?;
+        let column = summary.table(&query.table)?.columns.iter().find(|column| column.name == *name)?;
+        // Values of two kinds may be equal and are not known to be.
+        if *alike.get_or_insert(column.kind) != column.kind {
+            return None;
+        }
+        all.update(&read(column.sketch.as_ref()?)?);
+        let loads = match word {
+            Word::Marks(marks) => marks.open(summary)?,
+            Word::NoLoads => Vec::new(),
+            Word::Nothing => return None,
+        };
+        for touched in loads {
+            let Touched::Rows { table, columns, rows } = touched else { return None };
+            if *table != query.table {
+                continue;
+            }
+            let place = columns.iter().position(|column| column == name)?;
+            for row in rows {
+                match row.get(place)? {
+                    Cell::Null => {}
+                    Cell::Is(literal) => {
+                        let point = literal.point(column.kind).filter(|point| point.exact)?;
+                        all.update_value(point.below.hash());
+                    }
+                    Cell::Unknown => return None,
+                }
+            }
+        }
+    }
+    let of = all.estimate();
+    let wide = (all.upper_bound(NumStdDev::Two) - of).max(of - all.lower_bound(NumStdDev::Two));
+    let error = if of > 0.0 { wide / of } else { 0.0 };
+    Some(Estimate { distinct: of.round().max(0.0) as u64, error })
+}
--- a/crates/scatter/src/spread.rs
+++ b/crates/scatter/src/spread.rs
@@ -1,5 +1,6 @@
 //! Summaries between fronts: each round tells two others some names and versions in turn; whoever lacks a version asks for
-//! it piece by piece. What leaves a second is bounded, whatever the number of fronts and sites.
+//! it piece by piece. A version that is new at a front is told on at once. What leaves a second is bounded,
+//! whatever the number of fronts and sites.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,11 +16,14 @@
 
 const ROUND: Micros = 1_000_000; // microseconds between rounds
 const TOLD: usize = 2; // fronts that a round is told to
+const NEWS: usize = 3; // fronts that a new version is told to, each of which tells it on
 const WINDOW: usize = 32; // names and versions of a round: some 600 bytes
 const PIECE: usize = 800; // bytes: with what seals it, it fits a datagram
 const BYTES_A_SECOND: f64 = 12_000.0; // of letters, answers included: a whole summary in some six seconds
 const MOST_PARTS: usize = 8; // summaries that come in at once
 const PATIENCE: Micros = 1_500_000; // microseconds for a piece, then another front may be asked
+const TOLD_FOR: Micros = 60_000_000; // microseconds for which a false word is told, each round to two
+const MOST_FOUND: usize = 1_024; // sites and groups whose false words are known
 const MOST_REFUSED: usize = 256; // words of others that were refused and are not asked for again
 
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -39,6 +43,16 @@
     },
     /// The same as `Have`, with how fine it is: between fronts that hold parts of summaries.
     Holds(Vec<(u64, u64, Fineness)>),
+    /// False words of sites that fronts have found lately.
+    False(Vec<FalseWord>),
+}
+
+/// A site's summary of a group said that it has no row for a statement, and it had.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct FalseWord {
+    pub site: String,
+    pub group: u32,
+    pub version: u64,
 }
 
 struct Coming {
@@ -58,6 +72,10 @@
     left: f64,
     filled: Micros,
     coming: BTreeMap<u64, Coming>,
+    /// New here, to be told on.
+    fresh: BTreeSet<u64>,
+    /// By site and group the highest version found false, and when this front came to know of it.
+    found: BTreeMap<(String, u32), (u64, Micros)>,
     /// Refused words: name, version, whose.
     refused: BTreeSet<(u64, u64, FrontId)>,
     /// Names and versions that this front can read whole at home, whatever it holds of them.
@@ -80,6 +98,8 @@
     pub taken: Vec<Result<bool, Refused>>,
     /// What is to be read at home and handed to `lend`.
     pub loans: Vec<Loan>,
+    /// False words that others have found and this front had not heard of.
+    pub found: Vec<FalseWord>,
 }
 
 impl Spread {
@@ -92,23 +112,67 @@
             left: BYTES_A_SECOND,
             filled: 0,
             coming: BTreeMap::new(),
+            fresh: BTreeSet::new(),
+            found: BTreeMap::new(),
             refused: BTreeSet::new(),
             home: BTreeMap::new(),
         }
     }
 
     pub fn due(&self) -> Micros {
-        self.due
+        if self.fresh.is_empty() {
+            self.due
+        } else {
+            0
+        }
+    }
+
+    /// A version of this name is new here.
+    pub fn news(&mut self, name: u64) {
+        self.fresh.insert(name);
+    }
+
+    /// A site's word was found false here, or was heard to be: false where that was known already.
+    pub fn finds(&mut self, now: Micros, word: &FalseWord) -> bool {
+        let of = (word.site.clone(), word.group);
+        let known = self.found.get(&of).is_some_and(|(version, _)| *version >= word.version);
+        let room = self.found.len() < MOST_FOUND || self.found.contains_key(&of);
+        if known || !room {
+            return false;
+        }
+        self.found.insert(of, (word.version, now));
+        true
+    }
+
+    /// The false words that are told in this round, those found last first.
+    fn told_false(&self, now: Micros) -> Option<Letter> {
+        let mut all: Vec<_> = self.found.iter().filter(|(_, (_, at))| now - at < TOLD_FOR).collect();
+        all.sort_by_key(|(_, (_, at))| std::cmp::Reverse(*at));
+        let word = |((site, group), (version, _)): (&(String, u32), &(u64, Micros))| FalseWord {
+            site: site.clone(),
+            group: *group,
+            version: *version,
+        };
+        let words: Vec<FalseWord> = all.into_iter().take(MOST_PARTS).map(word).collect();
+        (!words.is_empty()).then_some(Letter::False(words))
     }
 
     /// Tells some of what is held to some others, where it is time.
     pub fn tick(&mut self, now: Micros, others: &[FrontId], book: &Book) -> Out {
         let mut out = Out::default();
+        self.tell_news(now, others, book, &mut out);
         if now < self.due {
             return out;
         }
         self.due = now + ROUND;
         self.coming.retain(|_, coming| now - coming.asked < PATIENCE);
+        let found = self.told_false(now);
+        for _ in 0..TOLD.min(others.len()) {
+            let Some(letter) = &found else { break };
+            self.turn = self.turn.wrapping_add(1);
+            let to = others.get(self.turn % others.len()).copied().unwrap_or_default();
+            self.say(now, to, letter, &mut out);
+        }
         let mut all = self.known(book);
         if all.is_empty() || others.is_empty() {
             return out;
@@ -126,6 +190,21 @@
         out
     }
 
+    fn tell_news(&mut self, now: Micros, others: &[FrontId], book: &Book, out: &mut Out) {
+        let fresh = std::mem::take(&mut self.fresh);
+        if fresh.is_empty() || others.is_empty() {
+            return;
+        }
+        let all: Vec<_> = self.known(book).into_iter().filter(|(name, ..)| fresh.contains(name)).collect();
+        for window in all.chunks(WINDOW) {
+            for _ in 0..NEWS.min(others.len()) {
+                self.turn = self.turn.wrapping_add(1);
+                let to = others.get(self.turn % others.len()).copied().unwrap_or_default();
+                self.say(now, to, &list(window.to_vec(), book), out);
+            }
+        }
+    }
+
     /// What can be had here: what is held, and what lies at home.
     fn known(&self, book: &Book) -> Vec<(u64, u64, Fineness)> {
         let mut all: BTreeMap<u64, (u64, Fineness)> =
@@ -153,12 +232,20 @@
                 let whole = self.piece(now, from, (name, version), (piece, pieces), &bytes, &mut out);
                 if let Some(whole) = whole {
                     let taken = book.take(wall_ms, &whole);
+                    if taken == Ok(true) {
+                        self.fresh.insert(name);
+                    }
                     if taken.is_err() && self.refused.len() < MOST_REFUSED {
                         self.refused.insert((name, version, from));
                     }
                     out.taken.push(taken);
                 }
             }
+            Ok((Letter::False(words), [])) => {
+                let known = |word: &FalseWord| book.knows(&word.site);
+                let words = words.into_iter().take(MOST_PARTS).filter(known);
+                out.found = words.filter(|word| self.finds(now, word)).collect();
+            }
             _ => out.taken.push(Err(Refused::Form)),
         }
         out
--- a/crates/scatter/src/sql.rs
+++ b/crates/scatter/src/sql.rs
@@ -2,8 +2,9 @@
 //! in two ways; such text is not understood here, so that no reading of an engine's is missed.
 
 use sqlparser::ast::{
-    Distinct, Expr, GroupByExpr, Ident, LimitClause, ObjectName, Query as Parsed, Select, SelectFlavor,
-    SelectItem, SetExpr, Statement, TableFactor, UnaryOperator, Value as Word,
+    Distinct, DuplicateTreatment, Expr, FunctionArguments, GroupByExpr, Ident, LimitClause, ObjectName,
+    Query as Parsed, Select, SelectFlavor, SelectItem, SetExpr, Statement, TableFactor, UnaryOperator,
+    Value as Word,
 };
 use sqlparser::dialect::GenericDialect;
 use sqlparser::parser::Parser;
@@ -24,6 +25,8 @@
     pub limit: Option<u64>,
     /// Its answer is one row of aggregates, put together from those of the parts.
     pub combine: Option<Vec<Aggregate>>,
+    /// It asks for the number of distinct values of this column in all rows, and for nothing else.
+    pub distinct: Option<String>,
 }
 
 /// Why the rows of a statement can't be put together from parts.
@@ -111,7 +114,37 @@
 
 /// Takes a statement apart, if its rows can be put together from parts.
 pub fn read(statement: &[u8]) -> Result<Query, Unfit> {
-    let Statement::Query(query) = parse(statement)? else { return whole("what is no SELECT") };
+    of(parse(statement)?)
+}
+
+/// The same of `SELECT COUNT(DISTINCT column)` over all rows of a table, which sketches may answer. None: it
+/// is another.
+pub fn read_distinct(statement: &[u8]) -> Option<Query> {
+    let mut statement = parse(statement).ok()?;
+    let Statement::Query(query) = &mut statement else { return None };
+    let SetExpr::Select(select) = &mut *query.body else { return None };
+    let (SelectItem::UnnamedExpr(Expr::Function(f))
+    | SelectItem::ExprWithAlias { expr: Expr::Function(f), .. }) = select.projection.first_mut()?
+    else {
+        return None;
+    };
+    let FunctionArguments::List(list) = &mut f.args else { return None };
+    let counts = f.name.to_string().eq_ignore_ascii_case("count");
+    if !counts || list.duplicate_treatment.take() != Some(DuplicateTreatment::Distinct) {
+        return None;
+    }
+    // What holds for the greatest of a column's values holds for this: one column by its name, nothing beside
+    // it.
+    f.name = ObjectName::from(vec![Ident::new("max")]);
+    let query = of(statement).ok()?;
+    let [Aggregate { column: Some(column), .. }] = &query.combine.as_ref()?[..] else { return None };
+    let all = query.condition == Condition::Constant(true);
+    let distinct = Some(column.clone()).filter(|_| all)?;
+    Some(Query { combine: None, distinct: Some(distinct), ..query })
+}
+
+fn of(statement: Statement) -> Result<Query, Unfit> {
+    let Statement::Query(query) = statement else { return whole("what is no SELECT") };
     // Named one by one: a clause that a later version of the crate knows of must be looked at here.
     let Parsed {
         with,
@@ -253,7 +286,7 @@
         Some(e) if !is_of_one_reading(e) => Condition::Other,
         Some(e) => crate::of::of(e, &names),
     };
-    Ok(Query { group, table, condition, limit, combine })
+    Ok(Query { group, table, condition, limit, combine, distinct: None })
 }
 
 fn given_name(item: &SelectItem) -> Option<String> {
--- a/crates/scatter/src/summary.rs
+++ b/crates/scatter/src/summary.rs
@@ -4,11 +4,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::filter::Members;
-use crate::sheets::{self, Fineness, IN_SHEETS};
+use crate::runs::{Runs, Told};
+use crate::sheets::{self, Fineness, IN_SHEETS, IN_SHEETS_WITH_MORE};
+use crate::sketch;
 use crate::value::{less, Kind, Value, MOST_SCALE};
 
 pub const MOST_BYTES: usize = 64 << 10; // bytes of a summary: 50,000 values in filters, and 60 pieces on their way
 const FORMAT: u16 = 1;
+const WITH_MORE: u16 = 3; // 2 and 4 are in sheets
+const RUN_BYTES: usize = 6; // bytes of a run, about
 const MARK: &[u8] = b"hallmux summary\0"; // what is signed says what it is: no other word passes for it
 pub const MOST_TABLES: usize = 64; // of a group
 pub const MOST_COLUMNS: usize = 256; // of a table
@@ -34,6 +38,14 @@
     pub fineness: Fineness,
 }
 
+/// What stands behind a summary and tells more of its columns, by the places of their tables and of
+/// themselves.
+#[derive(Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct More {
+    runs: Vec<(u16, u16, Told)>,
+    sketches: Vec<(u16, u16, Vec<u8>)>,
+}
+
 /// Numbers of the loads that are in it, as runs from the first to the last of each, in order.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Loads(pub Vec<(u64, u64)>);
@@ -87,6 +99,12 @@
     pub bounds: Option<(Value, Value)>,
     /// Whether the bounds are values of the column themselves; long text is cut.
     pub tight: bool,
+    /// Of numbers: all values lie in these. None: nothing is told beyond the bounds.
+    #[serde(skip)]
+    pub runs: Runs,
+    /// Of its distinct values, where the site was told to make one.
+    #[serde(skip)]
+    pub sketch: Option<Vec<u8>>,
     pub members: Option<Members>,
 }
 
@@ -175,7 +193,59 @@
 
     /// Its bytes with the site's signature over them.
     pub fn sign(&self, key: &SigningKey) -> Vec<u8> {
-        signed(postcard::to_stdvec(self).unwrap_or_default(), key)
+        signed(self.encoded(FORMAT, WITH_MORE), key)
+    }
+
+    pub(crate) fn size(&self) -> usize {
+        self.encoded(FORMAT, WITH_MORE).len()
+    }
+
+    /// Its bytes: of the one format as they always were, of the other with what tells more. One that says
+    /// that it is of another is left so.
+    pub(crate) fn encoded(&self, plain: u16, with_more: u16) -> Vec<u8> {
+        if self.format != FORMAT {
+            return postcard::to_stdvec(self).unwrap_or_default();
+        }
+        let mut more = More::default();
+        for (at, table) in self.tables.iter().enumerate() {
+            for (place, column) in table.columns.iter().enumerate() {
+                let name = (at as u16, place as u16);
+                more.runs.extend(Told::of(&column.runs).map(|told| (name.0, name.1, told)));
+                more.sketches.extend(column.sketch.clone().map(|sketch| (name.0, name.1, sketch)));
+            }
+        }
+        let none = more == More::default();
+        let format = if none { plain } else { with_more };
+        let mut bytes = postcard::to_stdvec(&Summary { format, ..self.clone() }).unwrap_or_default();
+        if !none {
+            bytes.extend(postcard::to_stdvec(&more).unwrap_or_default());
+        }
+        bytes
+    }
+
+    /// Lets go of what tells more, of the columns where it is longest first, until it is not longer than
+    /// that.
+    pub(crate) fn cut(&mut self, most: usize, plain: u16, with_more: u16) {
+        while self.encoded(plain, with_more).len() > most {
+            let columns = self.tables.iter_mut().flat_map(|t| &mut t.columns);
+            let more = |c: &Column| c.runs.len() * RUN_BYTES + c.sketch.as_ref().map_or(0, Vec::len);
+            let Some(largest) = columns.max_by_key(|c| more(c)).filter(|c| more(c) > 0) else { return };
+            (largest.runs, largest.sketch) = (Runs::new(), None);
+        }
+    }
+
+    /// Takes what stands behind it and tells more; what is left behind that. None: it is none.
+    fn take_more<'a>(&mut self, behind: &'a [u8]) -> Option<&'a [u8]> {
+        let (more, rest) = postcard::take_from_bytes::<More>(behind).ok()?;
+        for (table, column, told) in more.runs {
+            let table = self.tables.get_mut(usize::from(table))?;
+            table.columns.get_mut(usize::from(column))?.runs = told.runs()?;
+        }
+        for (table, column, sketch) in more.sketches {
+            let table = self.tables.get_mut(usize::from(table))?;
+            table.columns.get_mut(usize::from(column))?.sketch = Some(sketch);
+        }
+        Some(rest)
     }
 
     /// Reads one whose site's key is known; what it says of time and version is not looked at yet.
@@ -187,12 +257,17 @@
         let signature = Signature::from_slice(&signed.signature).map_err(|_| Refused::Form)?;
         // The format comes first in every format there will be.
         let (format, _) = postcard::take_from_bytes::<u16>(&signed.summary).map_err(|_| Refused::Form)?;
-        if !matches!(format, FORMAT | IN_SHEETS) {
+        if !matches!(format, FORMAT | IN_SHEETS | WITH_MORE | IN_SHEETS_WITH_MORE) {
             return Err(Refused::Format(format));
         }
-        let (mut summary, behind) =
+        let (mut summary, mut behind) =
             postcard::take_from_bytes::<Summary>(&signed.summary).map_err(|_| Refused::Form)?;
-        if format == IN_SHEETS {
+        if matches!(format, WITH_MORE | IN_SHEETS_WITH_MORE) {
+            behind = summary.take_more(behind).ok_or(Refused::Form)?;
+        }
+        // What it is made of says the rest.
+        summary.format = FORMAT;
+        if matches!(format, IN_SHEETS | IN_SHEETS_WITH_MORE) {
             summary.fineness = sheets::lay(&mut summary.tables, behind, rest).ok_or(Refused::Form)?;
         } else if !rest.is_empty() || !behind.is_empty() {
             return Err(Refused::Form);
@@ -249,6 +324,8 @@
             distinct: c.distinct,
             bounds: c.bounds.clone(),
             tight: c.tight,
+            runs: c.runs.clone(),
+            sketch: None,
             members: None,
         };
         Table { name: self.name.clone(), rows: self.rows, columns: self.columns.iter().map(bare).collect() }
@@ -269,6 +346,15 @@
                 return Some("a column's least and greatest value");
             }
         }
+        if let (Some((from, _)), Some((_, to))) = (self.runs.first(), self.runs.last()) {
+            let ends = Some((Value::Number(*from), Value::Number(*to)));
+            if !matches!(self.kind, Kind::Number { .. }) || self.bounds != ends {
+                return Some("a column's runs");
+            }
+        }
+        if self.sketch.as_ref().is_some_and(|sketch| !sketch::is_sound(sketch)) {
+            return Some("a column's sketch");
+        }
         let members = self.members.as_ref();
         members.is_some_and(|m| !m.is_sound()).then_some("a column's filter")
     }
--- a/crates/scatter/src/whole.rs
+++ b/crates/scatter/src/whole.rs
@@ -35,6 +35,13 @@
     Barred(Vec<String>),
     /// More rows than an answer holds.
     Long,
+    /// So many distinct values, and by which part of them that may be wrong at two standard deviations.
+    About {
+        distinct: u64,
+        error: f64,
+    },
+    /// Sketches do not tell it now as well as its customer wants it.
+    Untold,
     /// A site's answer can't be joined with the others: it is of another form.
     Unlike {
         site: String,
--- a/crates/scatter/tests/audit.rs
+++ b/crates/scatter/tests/audit.rs
@@ -76,3 +76,19 @@
     }
     assert_eq!((audits.counts.found, audits.counts.rows), (3, 9));
 }
+
+#[test]
+fn a_word_that_another_front_found_false_counts_for_nothing_until_it_is_earned_back() {
+    let mut audits = Audits::new(Terms { one_in: 1, a_second: 1.0 });
+    audits.told(FALSE);
+    for _ in 1..20 {
+        assert_eq!(audits.answered(FALSE, 0, true), Verdict::Holds);
+        assert!(audits.doubts(FALSE));
+    }
+    assert_eq!(audits.answered(FALSE, 0, true), Verdict::Earned);
+    assert!(!audits.doubts(FALSE) && audits.counts.found == 0);
+    // Found false here after that it costs twice as much.
+    assert_eq!(audits.answered(FALSE, 1, true), Verdict::False);
+    let earned = (0..100).position(|_| audits.answered(FALSE, 0, true) == Verdict::Earned);
+    assert_eq!(earned, Some(39));
+}
--- a/crates/scatter/tests/book.rs
+++ b/crates/scatter/tests/book.rs
@@ -47,7 +47,7 @@
         (good[..good.len() - 1].to_vec(), "form"),
         ([good.clone(), vec![0]].concat(), "form"),
         (vec![0; MOST_BYTES + 1], "long"),
-        (of(&|s| s.format = 3), "format"),
+        (of(&|s| s.format = 5), "format"),
         (word(0, 6, 5).sign(&key(1)), "forged"),
         (of(&|s| s.site = "elsewhere".into()), "unknown site"),
         (of(&|s| s.schema = 2), "schema"),
@@ -222,3 +222,61 @@
         assert!(!proved(text), "{text}");
     }
 }
+
+#[test]
+fn a_new_version_is_told_on_at_once_and_not_with_the_next_round() {
+    const FRONTS: usize = 40;
+    let mut books: Vec<Book> = (0..FRONTS).map(|_| Book::new(terms(1))).collect();
+    let mut spreads: Vec<Spread> = (0..FRONTS).map(|n| Spread::new(n * 7)).collect();
+    let others = |front: usize| -> Vec<u64> { (0..FRONTS as u64).filter(|f| *f != front as u64).collect() };
+    for front in 0..FRONTS {
+        assert_eq!(books[front].take(NOW, &word(0, 1, 300).sign(&key(0))), Ok(true));
+        let _ = spreads[front].tick(1_000_000, &others(front), &books[front]);
+    }
+    assert_eq!(books[3].take(NOW, &word(0, 2, 300).sign(&key(0))), Ok(true));
+    spreads[3].news(hallmux_scatter::book::name("s0", 17));
+    // Half a second: no front's round is due.
+    let now = 1_500_000;
+    while let Some(front) = (0..FRONTS).find(|front| spreads[*front].due() <= now) {
+        let told = spreads[front].tick(now, &others(front), &books[front]);
+        let mut letters: Vec<_> = told.letters.into_iter().map(|(to, l)| (front as u64, to, l)).collect();
+        while let Some((from, to, letter)) = letters.pop() {
+            let at = to as usize;
+            let out = spreads[at].heard(now, NOW, from, &letter, &mut books[at]);
+            letters.extend(out.letters.into_iter().map(|(next, l)| (to, next, l)));
+        }
+    }
+    let held = books.iter().filter(|book| book.look(NOW, "s0", 17).is_some_and(|s| s.version == 2)).count();
+    println!("{held} of {FRONTS} fronts hold it before any round");
+    assert!(held >= FRONTS * 3 / 4, "{held} of {FRONTS}");
+}
+
+#[test]
+fn a_false_word_found_at_one_front_is_known_at_all() {
+    use hallmux_scatter::spread::FalseWord;
+    const FRONTS: usize = 40;
+    let mut books: Vec<Book> = (0..FRONTS).map(|_| Book::new(terms(1))).collect();
+    let mut spreads: Vec<Spread> = (0..FRONTS).map(|n| Spread::new(n * 7)).collect();
+    let word = |site: &str, version| FalseWord { site: site.to_string(), group: 17, version };
+    assert!(spreads[0].finds(0, &word("s0", 4)) && !spreads[0].finds(0, &word("s0", 3)));
+    // One of no site that is known is no front's matter.
+    assert!(spreads[0].finds(0, &word("elsewhere", 1)));
+    let (mut knows, mut seconds) = (vec![0; FRONTS], 0);
+    while knows[1..].contains(&0) && seconds < 60 {
+        seconds += 1;
+        let mut letters = Vec::new();
+        for front in 0..FRONTS {
+            let others: Vec<u64> = (0..FRONTS as u64).filter(|f| *f != front as u64).collect();
+            let out = spreads[front].tick(seconds * 1_000_000, &others, &books[front]);
+            letters.extend(out.letters.into_iter().map(|(to, l)| (front as u64, to, l)));
+        }
+        for (from, to, letter) in letters {
+            let at = to as usize;
+            let out = spreads[at].heard(seconds * 1_000_000, NOW, from, &letter, &mut books[at]);
+            assert!(out.found.iter().all(|found| *found == word("s0", 4)), "{:?}", out.found);
+            knows[at] += out.found.len();
+        }
+    }
+    println!("all of {FRONTS} fronts know after {seconds} s");
+    assert!(seconds < 20 && knows[1..].iter().all(|heard| *heard == 1), "{seconds} s: {knows:?}");
+}
--- /dev/null
+++ b/crates/scatter/tests/distinct.rs
@@ -0,0 +1,138 @@
+//! Numbers of distinct values from sites' sketches: within the error that is stated, with the rows of loads
+//! that no summary speaks of; none where anything is not known.
+
+use std::collections::BTreeMap;
+
+use ed25519_dalek::SigningKey;
+use hallmux_scatter::book::{Book, Terms};
+use hallmux_scatter::build::{in_sheets, summary, About, TableBuilder};
+use hallmux_scatter::marks::{Marks, Touched};
+use hallmux_scatter::plan::Word;
+use hallmux_scatter::sketch::{distinct, Estimate};
+use hallmux_scatter::sql;
+use hallmux_scatter::summary::{Loads, MOST_BYTES};
+use hallmux_scatter::value::{Kind, Value};
+
+const SITES: [&str; 3] = ["ash", "elm", "oak"];
+
+fn key(site: &str) -> SigningKey {
+    SigningKey::from_bytes(&[site.as_bytes()[0]; 32])
+}
+
+fn book() -> Book {
+    let sites = SITES.iter().map(|s| (s.to_string(), key(s).verifying_key())).collect();
+    Book::new(Terms { sites, schemas: BTreeMap::new(), oldest_ms: u64::MAX, ahead_ms: u64::MAX, most: 10 })
+}
+
+fn told(site: &str, values: std::ops::Range<i128>, kind: Kind, sketched: bool, sheets: bool) -> Vec<u8> {
+    let columns = [("id", kind)];
+    let mut table = TableBuilder::new("orders", &columns);
+    if sketched {
+        table = table.sketched(&["id"]);
+    }
+    values.for_each(|value| table.row(&[Some(Value::Number(value))]));
+    let loads = Loads::default();
+    let about = About { site: site.into(), group: 17, schema: 1, version: 1, made_ms: 0, loads };
+    match sheets {
+        true => in_sheets(about, vec![table], MOST_BYTES, &key(site)),
+        false => summary(about, vec![table], MOST_BYTES).sign(&key(site)),
+    }
+}
+
+const WHOLE: Kind = Kind::Number { scale: 0 };
+
+fn asked(book: &Book, word: &Word) -> Option<Estimate> {
+    let query = sql::read_distinct(b"select count(distinct id) as n from sales_17.orders").unwrap();
+    distinct(&query, &SITES.map(str::to_string), None, book, 0, word, &|_| false)
+}
+
+#[test]
+fn distinct_values_of_all_sites_are_told_within_the_error_that_is_stated() {
+    for (each, apart) in [(10, 5), (1_000, 500), (60_000, 30_000)] {
+        let mut book = book();
+        for (n, site) in (0..).zip(SITES) {
+            let bytes = told(site, n * apart..n * apart + each, WHOLE, true, n == 1);
+            assert_eq!(book.take(0, &bytes), Ok(true));
+        }
+        let truth = (2 * apart + each) as f64;
+        let found = asked(&book, &Word::NoLoads).unwrap();
+        println!("{truth} distinct: {} told, within {:.2} %", found.distinct, found.error * 100.0);
+        assert!((found.distinct as f64 - truth).abs() <= truth * found.error + 0.5, "{truth}: {found:?}");
+        assert!(found.error < 0.04);
+    }
+}
+
+#[test]
+fn loads_that_no_summary_speaks_of_count_by_their_rows_and_what_is_not_known_tells_nothing() {
+    let mut all = book();
+    SITES.iter().for_each(|site| _ = all.take(0, &told(site, 0..10, WHOLE, true, false)));
+    let mut marks = Marks::default();
+    let rows = |text: &str| Touched::by(text.as_bytes(), 17);
+    marks.add("elm", 9, rows("insert into sales_17.orders (id) values (3), (50), (51), (null)"));
+    marks.add("elm", 9, rows("insert into sales_17.others (id) values (70)"));
+    assert_eq!(asked(&all, &Word::Marks(&marks)).map(|e| e.distinct), Some(12));
+    for unknown in [
+        "insert into sales_17.orders (id) select 1 from sales_17.others",
+        "insert into sales_17.orders (name) values ('x')",
+        "insert into sales_17.orders (id) values (1.5)",
+    ] {
+        let mut marks = marks.clone();
+        marks.add("oak", 9, rows(unknown));
+        assert_eq!(asked(&all, &Word::Marks(&marks)), None, "{unknown}");
+    }
+    assert_eq!(asked(&all, &Word::Nothing), None);
+    // A site without a sketch, of another kind, or barred.
+    for other in
+        [told("oak", 0..10, WHOLE, false, false), told("oak", 0..10, Kind::Number { scale: 2 }, true, false)]
+    {
+        let mut two = book();
+        SITES[..2].iter().for_each(|site| _ = two.take(0, &told(site, 0..10, WHOLE, true, false)));
+        two.take(0, &other).unwrap();
+        assert_eq!(asked(&two, &Word::NoLoads), None);
+    }
+    let query = sql::read_distinct(b"select count(distinct id) from sales_17.orders").unwrap();
+    let sites = SITES.map(str::to_string);
+    assert_eq!(distinct(&query, &sites, Some(&["ash", "elm"]), &all, 0, &Word::NoLoads, &|_| false), None);
+    assert_eq!(distinct(&query, &sites, None, &all, 0, &Word::NoLoads, &|site| site == "ash"), None);
+}
+
+#[test]
+fn only_distinct_values_of_one_column_in_all_rows_are_taken() {
+    for text in [
+        "select count(distinct id) from sales_17.orders where id > 5",
+        "select count(distinct id), count(*) from sales_17.orders",
+        "select count(distinct id, name) from sales_17.orders",
+        "select count(distinct id + 1) from sales_17.orders",
+        "select count(id) from sales_17.orders",
+        "select sum(distinct id) from sales_17.orders",
+        "select count(distinct id) from sales_17.orders group by name",
+        "select count(distinct id) from sales_17.orders limit 1",
+        "select count(distinct id) filter (where id > 5) from sales_17.orders",
+        "select max(id) from sales_17.orders",
+    ] {
+        assert_eq!(sql::read_distinct(text.as_bytes()), None, "{text}");
+    }
+    assert!(sql::read(b"select count(distinct id) from sales_17.orders").is_err());
+}
+
+#[test]
+fn a_damaged_sketch_is_refused() {
+    let about =
+        About { site: "ash".into(), group: 17, schema: 1, version: 1, made_ms: 0, loads: Loads::default() };
+    let mut table = TableBuilder::new("orders", &[("id", WHOLE)]).sketched(&["id"]);
+    (0..9_000).for_each(|n| table.row(&[Some(Value::Number(n))]));
+    let good = summary(about, vec![table], MOST_BYTES);
+    let mut read = 0;
+    for at in 0..400 {
+        let mut whole = good.clone();
+        whole.tables[0].columns[0].members = None;
+        let sketch = whole.tables[0].columns[0].sketch.as_mut().unwrap();
+        let (place, flip) = (at % 200 * sketch.len() / 200, [0xff, 0x11][at / 200]);
+        sketch[place] ^= flip;
+        let mut all = book();
+        // Taken or refused; never a panic, here or when it is asked.
+        read += usize::from(all.take(0, &whole.sign(&key("ash"))).is_ok());
+        let _ = asked(&all, &Word::NoLoads);
+    }
+    println!("{read} of 400 altered sketches can be read");
+}
--- a/crates/scatter/tests/loads.rs
+++ b/crates/scatter/tests/loads.rs
@@ -7,7 +7,7 @@
 use ed25519_dalek::SigningKey;
 use hallmux_scatter::book::{Book, Terms};
 use hallmux_scatter::build::{summary, About, TableBuilder};
-use hallmux_scatter::marks::{numbered, numbers, Marks, Touched};
+use hallmux_scatter::marks::{numbered, numbers, Marks, Spoken, Touched};
 use hallmux_scatter::plan::{plan, Word};
 use hallmux_scatter::sql;
 use hallmux_scatter::summary::{Loads, MOST_BYTES};
@@ -96,7 +96,7 @@
                     true => format!("insert into sales_17.orders (id) values ({value})"),
                     false => format!("insert into sales_17.orders (id) select {value} from sales_17.new"),
                 };
-                marks.tidy(now, |name| books[front].look(now, name, 17));
+                marks.tidy(now, |name| Spoken::at_once(books[front].look(now, name, 17)));
                 let n = marks.add(SITES[site], now + LIFE_MS, Touched::by(text.as_bytes(), 17));
                 entry = marks.bytes().unwrap();
                 under_way.push((now + LIFE_MS, site, value, numbered(&[(17, n)], text.as_bytes())));
@@ -176,22 +176,89 @@
     marks.add("ash", 50, Touched::Anything);
     marks.add("ash", 50, Touched::Anything);
     both.take(0, &spoken(1, &[2])).unwrap();
-    marks.tidy(100, |name| both.look(0, name, 17));
+    marks.tidy(100, |name| Spoken::at_once(both.look(0, name, 17)));
     assert!(!proved(&marks, &both));
     let (mut marks, mut book) = (Marks::default(), book());
     marks.add("ash", 50, Touched::Anything);
     for version in 1..4 {
         book.take(0, &spoken(version, &[])).unwrap();
-        marks.tidy(100 * version, |name| book.look(0, name, 17));
+        marks.tidy(100 * version, |name| Spoken::at_once(book.look(0, name, 17)));
         assert!(!proved(&marks, &book));
     }
     assert_eq!(marks.add("ash", 500, Touched::Anything), 2);
     book.take(0, &spoken(4, &[2])).unwrap();
     assert!(proved(&marks, &book));
     // Whoever tidies leaves behind what others need: an older summary proves nothing any more.
-    marks.tidy(600, |name| book.look(0, name, 17));
+    marks.tidy(600, |name| Spoken::at_once(book.look(0, name, 17)));
     assert!(marks.is_empty());
     let mut behind = self::book();
     behind.take(0, &spoken(3, &[])).unwrap();
     assert!(!proved(&marks, &behind));
 }
+
+/// A site's word that speaks of loads up to a number.
+fn spoken(site: &str, version: u64, to: u64) -> Vec<u8> {
+    let loads = Loads(if to > 0 { vec![(1, to)] } else { Vec::new() });
+    let about = About { site: site.into(), group: 17, schema: 1, version, made_ms: 0, loads };
+    let table = TableBuilder::new("orders", &[("id", Kind::Number { scale: 0 })]);
+    summary(about, vec![table], MOST_BYTES).sign(&key(site))
+}
+
+#[test]
+fn a_front_whose_summary_is_a_little_behind_need_not_ask_for_what_another_has_lifted() {
+    let query = sql::read(b"select * from sales_17.orders where id = 5").unwrap();
+    let left_out = |marks: &Marks, book: &Book, now| {
+        let word = Word::Marks(marks);
+        !plan(&query, &["ash".to_string()], None, book, now, &word, &|_| false).left_out.is_empty()
+    };
+    let (mut near, mut far, mut marks) = (book(), book(), Marks::default());
+    for book in [&mut near, &mut far] {
+        book.take(0, &spoken("ash", 1, 0)).unwrap();
+    }
+    marks.add("ash", 60_000, Touched::by(b"insert into sales_17.orders (id) values (7)", 17));
+    // The new summary is at the front where the next load comes, and on its way to the other.
+    near.take(1_000, &spoken("ash", 2, 1)).unwrap();
+    marks.tidy(1_100, |name| near.spoken(1_100, name, 17));
+    assert!(left_out(&marks, &near, 1_100) && left_out(&marks, &far, 1_100));
+    // Once it has been there for a while the mark goes, and what is older proves nothing.
+    marks.tidy(6_100, |name| near.spoken(6_100, name, 17));
+    assert!(marks.is_empty() && left_out(&marks, &near, 6_100) && !left_out(&marks, &far, 6_100));
+    // Versions that come every second settle too, one after the other.
+    for version in 3..60 {
+        near.take(version * 1_000, &spoken("ash", version, version)).unwrap();
+    }
+    let now = near.spoken(60_000, "ash", 17);
+    assert_eq!(now.newest.map(|(version, _)| version), Some(59));
+    assert!(now.settled.is_some_and(|(version, _)| (53..=55).contains(&version)), "{now:?}");
+}
+
+#[test]
+fn marks_of_a_thousand_sites_find_room() {
+    let (mut marks, mut all) = (Marks::default(), 0);
+    let sites: Vec<String> = (0..1_000).map(|n| format!("site-{n:04}")).collect();
+    for round in 0..20 {
+        for site in &sites {
+            let text = format!("insert into sales_17.orders (id) values ({round})");
+            marks.add(site, 60_000, Touched::by(text.as_bytes(), 17));
+        }
+        marks.fit(|_| Spoken::default());
+        assert!(marks.bytes().is_some(), "round {round}: {} marks", marks.len());
+        all = marks.len();
+    }
+    assert!(all >= sites.len(), "{all}: each site's loads are still marked");
+}
+
+#[test]
+fn a_load_of_many_rows_is_known_by_the_columns_with_few_values() {
+    let rows: Vec<String> = (0..200).map(|n| format!("(20260401, {n}, 'x{n}')")).collect();
+    let text = format!("insert into sales_17.orders (day, id, name) values {}", rows.join(", "));
+    let touched = Touched::by(text.as_bytes(), 17);
+    let Touched::Rows { columns, rows, .. } = &touched else { panic!("{touched:?}") };
+    assert_eq!((&columns[..], rows.len()), (&["day".to_string()][..], 1));
+    let wide = format!("insert into sales_17.orders (id) values {}", ["(1)", "(2)"].repeat(400).join(", "));
+    assert!(matches!(Touched::by(wide.as_bytes(), 17), Touched::Rows { rows, .. } if rows.len() == 2));
+    let all: Vec<String> = (0..400).map(|n| format!("({n})")).collect();
+    let text = format!("insert into sales_17.orders (id) values {}", all.join(", "));
+    assert_eq!(Touched::by(text.as_bytes(), 17), Touched::Anything);
+    assert_eq!(Touched::by(b"insert into sales_17.orders (id) values (1, 2)", 17), Touched::Anything);
+}
--- a/crates/scatter/tests/proof.rs
+++ b/crates/scatter/tests/proof.rs
@@ -245,3 +245,33 @@
     );
     assert!(asked < all * 9 / 10, "{asked} of {all}: nothing much is proved");
 }
+
+#[test]
+fn a_few_values_far_from_the_others_do_not_have_a_site_asked_for_all_between() {
+    use ed25519_dalek::SigningKey;
+    let key = SigningKey::from_bytes(&[7; 32]);
+    let mut table = TableBuilder::new("orders", &[("id", Kind::Number { scale: 0 })]);
+    let values = (0..400).map(|n| n * 3).chain([50_000, 90_000]);
+    values.for_each(|value| table.row(&[Some(Value::Number(value))]));
+    let about =
+        About { site: "s".into(), group: 17, schema: 1, version: 1, made_ms: 0, loads: Loads::default() };
+    let mut told = summary(about, vec![table], MOST_BYTES);
+    let out = |told: &Summary, text: &str| {
+        let read = Summary::read(&told.sign(&key), |_| Some(key.verifying_key())).unwrap();
+        let query = sql::read(format!("select id from s_17.orders where {text}").as_bytes()).unwrap();
+        query.condition.never_true(&read.tables[0])
+    };
+    for text in ["id between 2000 and 49000", "id > 1200 and id < 50000", "id >= 60000 and id <= 80000"] {
+        assert!(out(&told, text), "{text}");
+    }
+    for text in ["id between 1197 and 1300", "id between 40000 and 50000", "id > 50000", "id <> 3"] {
+        assert!(!out(&told, text), "{text}");
+    }
+    // As a site of an earlier version tells it: read as ever, and proves less.
+    told.tables[0].columns[0].runs.clear();
+    assert!(!out(&told, "id between 2000 and 49000") && out(&told, "id > 90000"));
+    // Runs that contradict the bounds are no word to go by.
+    told.tables[0].columns[0].runs = vec![(0, 5)];
+    let refused = Summary::read(&told.sign(&key), |_| Some(key.verifying_key())).unwrap_err();
+    assert_eq!(refused.why(), "content");
+}
