--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -1,5 +1,7 @@
 //! Statements that are asked of several sites, from their reading to their final answer.
 
+mod told;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -8,7 +10,7 @@
 use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Ticket, Unfit};
 use hallmux_gossip::PeerId;
 use hallmux_scatter::marks::{numbers, Marks};
-use hallmux_scatter::plan::{plan, Word};
+use hallmux_scatter::plan::{plan, Plan, Why, Word};
 use hallmux_scatter::sql::{self, Query};
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
 
@@ -57,6 +59,8 @@
     said: Vec<(Ticket, Said)>,
     /// Sites asked, left out, and of how many in all.
     counts: (u64, u64),
+    /// Of those asked, how many had no row, by why they were asked.
+    needless: BTreeMap<Why, u64>,
     told: Micros,
 }
 
@@ -81,12 +85,14 @@
             parts: HashMap::new(),
             said: Vec::new(),
             counts: (0, 0),
+            needless: BTreeMap::new(),
             told: 0,
         })
     }
 
     /// The operator's file was read again. One whose keys can't be used changes nothing.
     pub fn reload(&mut self, settings: &Scatter, now: Micros) {
+        self.tell();
         match self.summaries.reload(settings, now) {
             Ok(()) => {
                 self.sites = settings.sites.keys().cloned().collect();
@@ -110,10 +116,16 @@
     }
 
     /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be answered.
-    pub fn read(&self, statement: &[u8]) -> Result<Option<Query>, String> {
-        let read = sql::read(statement).and_then(|query| {
-            let kind = |column: &str| self.summaries.book.kind(query.group, &query.table, column);
-            query.combine.iter().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
+    pub fn read(&self, call: &Call) -> Result<Option<Query>, String> {
+        if self.settings.distinct_error.contains_key(&call.customer) {
+            if let Some(query) = sql::read_distinct(&call.statement) {
+                return Ok(Some(query));
+            }
+        }
+        let read = sql::read(&call.statement).and_then(|mut query| {
+            let (group, table) = (query.group, &query.table);
+            let kind = |column: &str| self.summaries.book.kind(group, table, column);
+            query.combine.iter_mut().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
             Ok(query)
         });
         match read {
@@ -164,7 +176,20 @@
     }
 
     fn go(&mut self, now: Micros, ticket: Ticket, word: &Word, dispatcher: &mut Dispatcher) {
-        let Some(one) = self.open.get_mut(&ticket).filter(|one| one.whole.is_none()) else { return };
+        if self.told + SAID <= now {
+            self.told = now;
+            if matches!(word, Word::Nothing) {
+                log::info!("the ledger gives no word on loads, so all sites are asked");
+            }
+            self.tell();
+        }
+        let Some(one) = self.open.get(&ticket).filter(|one| one.whole.is_none()) else { return };
+        let distinct = one.query.distinct.is_some();
+        if let Some(answer) = distinct.then(|| self.by_sketch(now, one, word)).flatten() {
+            self.open.remove(&ticket);
+            return self.said.push((ticket, Said::Answer(answer)));
+        }
+        let Some(one) = self.open.get_mut(&ticket) else { return };
         let allowed: Option<Vec<&str>> =
             one.allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
         let wall_ms = (now / 1000) as u64;
@@ -172,29 +197,26 @@
         let doubts = self.doubts.as_ref();
         let doubted = |site: &str| doubts.is_some_and(|doubts| doubts.doubts(site));
         let (sites, allowed) = (&self.sites, allowed.as_deref());
-        let mut plan = plan(&one.query, sites, allowed, book, wall_ms, word, &doubted);
-        if one.query.combine.is_some() {
+        let mut plan = match self.settings.whole_site.as_ref().filter(|_| distinct) {
+            Some(site) => Plan::whole(site, allowed),
+            None => plan(&one.query, sites, allowed, book, wall_ms, word, &doubted),
+        };
+        if distinct {
+            // The one site has all rows.
+        } else if one.query.combine.is_some() {
             plan.ask_one(sites, allowed);
         } else if let Some(doubts) = &mut self.doubts {
             doubts.audit(now, ticket, &mut plan, sites, allowed);
         }
         let version = |site: &str| book.look(wall_ms, site, one.query.group).map_or(0, |s| s.version);
         let asked = plan.parts.iter().filter(|part| part.ruled_out);
-        one.ruled_out = asked.map(|p| RuledOut { site: p.site.clone(), version: version(&p.site) }).collect();
+        one.ruled_out = asked
+            .map(|p| RuledOut { site: p.site.clone(), group: one.query.group, version: version(&p.site) })
+            .collect();
         let book = &mut self.summaries.book;
         plan.left_out.iter().for_each(|site| book.learn(wall_ms, &one.query, site, false));
         self.counts.0 += plan.parts.len() as u64;
         self.counts.1 += plan.left_out.len() as u64;
-        if self.told + SAID <= now {
-            self.told = now;
-            let (asked, left_out) = self.counts;
-            let why = if matches!(word, Word::Nothing) {
-                "; the ledger gives no word on loads, so all are asked"
-            } else {
-                ""
-            };
-            log::info!("sites asked so far {asked}, left out by their summaries {left_out}{why}");
-        }
         let rules = Rules {
             limit: one.query.limit,
             partial: self.settings.partial.contains(&one.call.customer),
@@ -310,6 +332,9 @@
             Ok(rows) => {
                 let site = whole.site(place).unwrap_or_default();
                 if rows.is_empty() {
+                    if let Some(part) = whole.part(place) {
+                        *self.needless.entry(part.why).or_default() += 1;
+                    }
                     self.summaries.book.learn((now / 1000) as u64, &one.query, site, true);
                 }
                 let of = one.ruled_out.iter().find(|of| of.site == site).cloned();
@@ -356,7 +381,12 @@
     }
 
     pub fn tick(&mut self, now: Micros, others: &[PeerId]) -> Vec<(PeerId, Vec<u8>)> {
-        self.doubts.iter_mut().for_each(|doubts| doubts.fronts = others.len() + 1);
+        let heard = std::mem::take(&mut self.summaries.found);
+        if let Some(doubts) = &mut self.doubts {
+            doubts.fronts = others.len() + 1;
+            heard.iter().for_each(|word| doubts.told(word));
+            doubts.found.drain(..).for_each(|word| self.summaries.finds(now, &word));
+        }
         self.summaries.tick(now, others)
     }
 }
