A held statement's latest start goes by its own estimate, not by its workload's mean run

Clients give each try a short time (lookups 0.3 to 1 s, reports 0.5 to 4 s) and come again at once, up to six times, the last with all that is left. 777 of 3,786 executions of lookups and 141 of 607 of reports ran into their client's time: 1,044 of 4,680 thread-seconds out. 1,464 tries of lookups in which one would have fitted or not were rejected as overdue, as the mean run (0.3 to 0.5 s) was more than all the time they had; reports of 2 to 6 s were held some 2 s in each of five tries of 2.5 s and then rejected, and had no time left in the last.

Cause: Front::latest_start took the mean run of the workload (Learned::run) for each statement, though estimates tell short from long and Learned::pace how far answers bear them out, as last_timely_start uses it. Long ones started in tries that could not hold them, short ones were turned away.

Change: the usual run by the statement's own estimate stands there. What cannot end in its client's time is rejected at once where no engine has room, what is short waits for its turn.

Ruled out as the main cause: engines that hang (82 lookups and 26 reports stopped there, 383 thread-seconds); a later try told by its time left (wrong where tries are short, but such a rejection only brings the next try at once).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -317,7 +317,7 @@
     }
 
     fn latest_start(&self, s: &Statement) -> Micros {
-        s.ends - self.learned[s.asked.workload].run.value as Micros
+        s.ends - (self.learned[s.asked.workload].pace.value * self.basis(s)) as Micros
     }
 
     fn freed(&mut self, key: KeyId, rests: bool) {
