Scatter: inner joins of two groups that lie together, narrowed by the smaller side's keys

Need: a join went to whole_site or was refused. scatter.together names groups of which rows with equal keys lie at one site; tables of one group count so. A site is left out where a side has no row that is asked for, or where the sides have no key in common: bounds and runs apart, or each of the few values of one side (kept hashes, up to 4,096 numbers) not in the other's filter. The marks of both groups are awaited; a load into either table leaves keys unproved. Aggregates and LIMIT go as before. Seen: 300 drawn joins of four sites with loads, held against a plain join: no row missing.

--- a/crates/agreement/src/operator/scatter.rs
+++ b/crates/agreement/src/operator/scatter.rs
@@ -36,6 +36,8 @@
     partial: Vec<String>,
     #[serde(default)]
     distinct_error: BTreeMap<String, f64>,
+    #[serde(default)]
+    together: Vec<Vec<u32>>,
     #[serde(default = "oldest_ms")]
     oldest_ms: u64,
     #[serde(default = "ahead_ms")]
@@ -106,6 +108,8 @@
     /// Customers that take a number of distinct values by sketches, and how far it may be wrong, in
     /// millionths of it.
     pub distinct_error: BTreeMap<String, u32>,
+    /// Groups whose rows with equal keys lie at one site, so that they may be joined there.
+    pub together: Vec<Vec<u32>>,
     pub oldest_ms: u64,
     pub ahead_ms: u64,
     pub most: usize,
@@ -242,7 +246,7 @@
         file,
     });
     let audits = file.audits.map(|AuditsFile { one_in, a_minute }| Audits { one_in, a_minute });
-    let ScatterFile { workloads, directory, whole_site, partial, writes, .. } = file;
+    let ScatterFile { workloads, directory, whole_site, partial, writes, together, .. } = file;
     let effects = names.workloads.iter().zip(&contract.agreement.workloads);
     let may_write = effects.filter(|(name, w)| w.effect != Effect::Idempotent || writes.contains(name));
     let writes = may_write.map(|(name, _)| name.clone()).collect();
@@ -258,6 +262,7 @@
         whole_site,
         partial,
         distinct_error,
+        together,
         oldest_ms,
         ahead_ms,
         most,
--- a/crates/front/src/front/scattered.rs
+++ b/crates/front/src/front/scattered.rs
@@ -117,10 +117,10 @@
                         let retry_after = self.dispatcher.turn_away(now, ticket);
                         self.obey(Order::Reject { ticket, retry_after });
                     }
-                    Word::Other(Follows::Marks { scatters, marks }) => {
+                    Word::Other(Follows::Marks { group, scatters, marks }) => {
                         let waiting: Vec<Ticket> = scatters.iter().map(|ticket| *ticket as Ticket).collect();
                         if let Some(scatter) = &mut self.scatter {
-                            scatter.marks(now, &waiting, marks.as_ref(), &mut self.dispatcher);
+                            scatter.marks(now, (group, &waiting), marks.as_ref(), &mut self.dispatcher);
                         }
                     }
                     Word::Other(_) => {}
--- a/crates/front/src/scatter/doubts.rs
+++ b/crates/front/src/scatter/doubts.rs
@@ -97,7 +97,7 @@
         let sure = table.is_some_and(|(summary, table)| match word {
             Word::Marks(marks) => marks.prove(summary, table, &query.condition),
             Word::NoLoads => true,
-            Word::Nothing => false,
+            Word::Both(..) | Word::Nothing => false,
         });
         self.conclude(&of, rows, sure);
         true
--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -2,7 +2,7 @@
 
 mod told;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 use hallmux_agreement::{Contract, Scatter};
@@ -11,7 +11,7 @@
 use hallmux_gossip::PeerId;
 use hallmux_scatter::marks::{numbers, Marks};
 use hallmux_scatter::plan::{plan, Plan, Why, Word};
-use hallmux_scatter::sql::{self, Query};
+use hallmux_scatter::sql::Query;
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
 
 use super::doubts::{Doubts, RuledOut};
@@ -36,6 +36,8 @@
     ends: Micros,
     /// Sites that may be asked; None: all.
     allowed: Option<Vec<String>>,
+    /// Of a join: the marks of its groups that are there.
+    words: BTreeMap<u32, Option<Marks>>,
     /// None while the marks of its group are awaited.
     whole: Option<Whole>,
     /// Parts that are out: place and ticket.
@@ -115,26 +117,6 @@
         self.loads.is_some() && !numbers(&call.statement).is_empty()
     }
 
-    /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be answered.
-    pub fn read(&self, call: &Call) -> Result<Option<Query>, String> {
-        if self.settings.distinct_error.contains_key(&call.customer) {
-            if let Some(query) = sql::read_distinct(&call.statement) {
-                return Ok(Some(query));
-            }
-        }
-        let read = sql::read(&call.statement).and_then(|mut query| {
-            let (group, table) = (query.group, &query.table);
-            let kind = |column: &str| self.summaries.book.kind(group, table, column);
-            query.combine.iter_mut().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
-            Ok(query)
-        });
-        match read {
-            Ok(query) => Ok(Some(query)),
-            Err(_) if self.settings.whole_site.is_some() => Ok(None),
-            Err(why) => Err(why.to_string()),
-        }
-    }
-
     pub fn whole_site(&self) -> Option<&str> {
         self.settings.whole_site.as_deref()
     }
@@ -148,12 +130,13 @@
         allowed: Option<Vec<String>>,
         dispatcher: &mut Dispatcher,
     ) {
-        let group = query.group;
-        let one =
-            One { call, query, ends, allowed, whole: None, tickets: BTreeMap::new(), ruled_out: Vec::new() };
+        let mut groups = BTreeSet::from([query.group]);
+        groups.extend(query.join.as_ref().map(|join| join.group));
+        let (words, tickets, ruled_out) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        let one = One { call, query, ends, allowed, words, whole: None, tickets, ruled_out };
         self.open.insert(ticket, one);
         match &mut self.loads {
-            Some(loads) => loads.scatter(ticket, group),
+            Some(loads) => groups.into_iter().for_each(|group| loads.scatter(ticket, group)),
             None => self.go(now, ticket, &Word::NoLoads, dispatcher),
         }
     }
@@ -162,12 +145,16 @@
     pub fn marks(
         &mut self,
         now: Micros,
-        waiting: &[Ticket],
+        (group, waiting): (u32, &[Ticket]),
         marks: Option<&Marks>,
         dispatcher: &mut Dispatcher,
     ) {
         let word = marks.map_or(Word::Nothing, Word::Marks);
         for ticket in waiting {
+            if self.open.get(ticket).is_some_and(|one| one.query.join.is_some()) {
+                self.marks_of_join(now, *ticket, (group, marks), dispatcher);
+                continue;
+            }
             let (wall_ms, book) = ((now / 1000) as u64, &self.summaries.book);
             if !self.doubts.as_mut().is_some_and(|doubts| doubts.word(wall_ms, *ticket, &word, book)) {
                 self.go(now, *ticket, &word, dispatcher);
@@ -205,16 +192,18 @@
             // The one site has all rows.
         } else if one.query.combine.is_some() {
             plan.ask_one(sites, allowed);
-        } else if let Some(doubts) = &mut self.doubts {
+        } else if let Some(doubts) = self.doubts.as_mut().filter(|_| one.query.join.is_none()) {
+            // A join may be ruled out by either side, which no audit tells apart.
             doubts.audit(now, ticket, &mut plan, sites, allowed);
         }
         let version = |site: &str| book.look(wall_ms, site, one.query.group).map_or(0, |s| s.version);
-        let asked = plan.parts.iter().filter(|part| part.ruled_out);
+        let asked = plan.parts.iter().filter(|part| part.ruled_out && one.query.join.is_none());
         one.ruled_out = asked
             .map(|p| RuledOut { site: p.site.clone(), group: one.query.group, version: version(&p.site) })
             .collect();
         let book = &mut self.summaries.book;
-        plan.left_out.iter().for_each(|site| book.learn(wall_ms, &one.query, site, false));
+        let left_out = plan.left_out.iter().filter(|_| one.query.join.is_none());
+        left_out.for_each(|site| book.learn(wall_ms, &one.query, site, false));
         self.counts.0 += plan.parts.len() as u64;
         self.counts.1 += plan.left_out.len() as u64;
         let rules = Rules {
--- a/crates/front/src/scatter/wholes/told.rs
+++ b/crates/front/src/scatter/wholes/told.rs
@@ -1,14 +1,64 @@
 //! What is told without asking a site: numbers of distinct values by sketches; and what the log says of sites
 //! asked.
 
-use hallmux_dispatcher::Micros;
+use hallmux_codec::statement::Call;
+use hallmux_dispatcher::{Dispatcher, Micros, Ticket};
+use hallmux_scatter::join::Join;
+use hallmux_scatter::marks::Marks;
 use hallmux_scatter::plan::{Why, Word};
 use hallmux_scatter::sketch;
+use hallmux_scatter::sql::{self, Query};
 use hallmux_scatter::whole::Answer;
 
 use super::{One, Scatters};
 
 impl Scatters {
+    /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be
+    /// answered.
+    pub fn read(&self, call: &Call) -> Result<Option<Query>, String> {
+        if self.settings.distinct_error.contains_key(&call.customer) {
+            if let Some(query) = sql::read_distinct(&call.statement) {
+                return Ok(Some(query));
+            }
+        }
+        let read = sql::read(&call.statement).and_then(|mut query| {
+            let (group, table) = (query.group, &query.table);
+            let kind = |column: &str| self.summaries.book.kind(group, table, column);
+            query.combine.iter_mut().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
+            let of = |join: &Join| [group, join.group];
+            let there = |both: [u32; 2]| {
+                let together = |groups: &Vec<u32>| both.iter().all(|group| groups.contains(group));
+                both[0] == both[1] || self.settings.together.iter().any(together)
+            };
+            if let Some([a, b]) = query.join.as_ref().map(of).filter(|both| !there(*both)) {
+                return Err(sql::Unfit::Apart(a, b));
+            }
+            Ok(query)
+        });
+        match read {
+            Ok(query) => Ok(Some(query)),
+            Err(_) if self.settings.whole_site.is_some() => Ok(None),
+            Err(why) => Err(why.to_string()),
+        }
+    }
+
+    /// The word on one group of a join: its sites are asked once both are there.
+    pub(super) fn marks_of_join(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        (group, marks): (u32, Option<&Marks>),
+        dispatcher: &mut Dispatcher,
+    ) {
+        let Some(one) = self.open.get_mut(&ticket) else { return };
+        one.words.insert(group, marks.cloned());
+        let second = one.query.join.as_ref().map_or(one.query.group, |join| join.group);
+        let (Some(a), Some(b)) = (one.words.get(&one.query.group), one.words.get(&second)) else { return };
+        let both = a.clone().zip(b.clone());
+        let word = both.as_ref().map_or(Word::Nothing, |(a, b)| Word::Both(a, b));
+        self.go(now, ticket, &word, dispatcher);
+    }
+
     /// The answer to a statement for distinct values, where sketches tell it as well as its customer wants
     /// it, or where there is no other way to one. None: the site that has all rows is asked.
     pub(super) fn by_sketch(&self, now: Micros, one: &One, word: &Word) -> Option<Answer> {
--- /dev/null
+++ b/crates/scatter/src/join.rs
@@ -0,0 +1,165 @@
+//! Joins of two tables whose groups lie at the same sites: rows with equal keys are at one site, as the
+//! operator says. A site is left out where one side has no row that is asked for, or the two have no key in
+//! common.
+
+use sqlparser::ast::{BinaryOperator, Expr, Join as Joined, JoinConstraint, JoinOperator};
+
+use crate::book::Book;
+use crate::condition::Condition;
+use crate::filter::Members;
+use crate::marks::Touched;
+use crate::of::chain;
+use crate::plan::{stands, Why, Word};
+use crate::row::{beyond_one_row, is_of_one_reading};
+use crate::runs;
+use crate::sql::{condition, named, whole, Names, Query, Unfit};
+use crate::summary::{Column, Summary, Table};
+use crate::value::{less, Kind, Value};
+
+const MOST_KEYS: i128 = 4_096; // values of the smaller side that are each asked of the other's filter
+
+/// The other table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Join {
+    pub group: u32,
+    pub table: String,
+    /// What is asked of its rows.
+    pub condition: Condition,
+    /// Columns that are equal: of the first table and of this one.
+    pub keys: Vec<(String, String)>,
+}
+
+/// The names of the first table, what the join asks of its rows, and the other table.
+pub(crate) type Read = (Names, (Condition, Join));
+
+/// Takes an inner join apart.
+pub(crate) fn read(joined: &Joined, first: Names, selection: Option<&Expr>) -> Result<Read, Unfit> {
+    let Joined { relation, global: false, join_operator } = joined else { return whole("GLOBAL JOIN") };
+    let (JoinOperator::Join(JoinConstraint::On(on)) | JoinOperator::Inner(JoinConstraint::On(on))) =
+        join_operator
+    else {
+        return whole("a join that is no JOIN ... ON");
+    };
+    if let Some(what) = beyond_one_row(on) {
+        return whole(what);
+    }
+    let mut on = on;
+    while let Expr::Nested(inner) = on {
+        on = inner;
+    }
+    let other = named(relation)?;
+    if other.alias == first.table {
+        return whole("a join of two tables by one name");
+    }
+    let second = Names { table: other.alias, ..first.clone() };
+    let both = |names: &Names| Condition::All(vec![condition(selection, names), condition(Some(on), names)]);
+    let equal = |e: &Expr| {
+        let Expr::BinaryOp { left, op: BinaryOperator::Eq, right } = e else { return None };
+        match (first.column(left), second.column(right)) {
+            (Some(a), Some(b)) => Some((a, b)),
+            _ => Some((first.column(right)?, second.column(left)?)),
+        }
+    };
+    let all = chain(on, &BinaryOperator::And);
+    let keys = all.into_iter().filter(|_| is_of_one_reading(on)).filter_map(equal).collect();
+    let join = Join { group: other.group, table: other.table, condition: both(&second), keys };
+    let of_first = condition(Some(on), &first);
+    Ok((first, (of_first, join)))
+}
+
+/// What of a site's summary of one side there is to go by.
+type Side<'a> = Option<(&'a Summary, &'a Table)>;
+
+/// What stands against leaving a site out of a join; None: surely no row of it is asked for.
+pub(crate) fn stands_joined(
+    query: &Query,
+    join: &Join,
+    book: &Book,
+    wall_ms: u64,
+    site: &str,
+    word: &Word,
+) -> Option<Why> {
+    let side = |group: u32, table: &str| -> Side {
+        let summary = book.look(wall_ms, site, group)?;
+        Some((summary, summary.table(table)?))
+    };
+    let (first, second) = (side(query.group, &query.table), side(join.group, &join.table));
+    let (of_first, of_second) = word.sides();
+    let why = |side: Side, condition: &Condition, word: &Word| match side {
+        None => Some(Why::NoSummary),
+        Some((summary, table)) => stands(condition, summary, table, word),
+    };
+    let by_first = why(first, &query.condition, &of_first)?;
+    why(second, &join.condition, &of_second)?;
+    let (Some(first), Some(second)) = (first, second) else { return Some(by_first) };
+    let settled = untouched(first, &of_first) && untouched(second, &of_second);
+    let column = |table: &Table, name: &str| table.columns.iter().position(|c| c.name == *name);
+    let apart = |(a, b): &(String, String)| {
+        let (a, b) = (column(first.1, a), column(second.1, b));
+        let of = a.zip(b).and_then(|(a, b)| Some((first.1.columns.get(a)?, second.1.columns.get(b)?)));
+        of.is_some_and(|(a, b)| have_none_in_common((a, first.1.rows), (b, second.1.rows)))
+    };
+    (!settled || !join.keys.iter().any(apart)).then_some(by_first)
+}
+
+/// No load that the summary does not speak of has touched the table.
+fn untouched((summary, table): (&Summary, &Table), word: &Word) -> bool {
+    let elsewhere =
+        |touched: &Touched| matches!(touched, Touched::Rows { table: of, .. } if *of != table.name);
+    match word {
+        Word::Marks(marks) => marks.open(summary).is_some_and(|open| open.into_iter().all(elsewhere)),
+        Word::NoLoads => true,
+        Word::Both(..) | Word::Nothing => false,
+    }
+}
+
+/// Surely no value of the one column equals one of the other.
+fn have_none_in_common((a, rows_a): (&Column, u64), (b, rows_b): (&Column, u64)) -> bool {
+    // Null equals nothing.
+    if a.nulls == rows_a || b.nulls == rows_b {
+        return true;
+    }
+    // Values of two kinds may be equal in ways of an engine's own.
+    if a.kind != b.kind || !a.kind.is_equal_by_value() {
+        return false;
+    }
+    if let (Some((from_a, to_a)), Some((from_b, to_b))) = (&a.bounds, &b.bounds) {
+        if less(to_a, from_b) || less(to_b, from_a) {
+            return true;
+        }
+    }
+    let (runs_a, runs_b) = (runs_of(a), runs_of(b));
+    if let (Some(all), Some(others)) = (&runs_a, &runs_b) {
+        if !all.iter().any(|(from, to)| runs::meet(others, *from, *to)) {
+            return true;
+        }
+    }
+    none_of(a, runs_a, b) || none_of(b, runs_b, a)
+}
+
+/// Where the numbers of a column lie, as far as is told.
+fn runs_of(column: &Column) -> Option<runs::Runs> {
+    match (&column.bounds, column.runs.is_empty()) {
+        (Some((Value::Number(from), Value::Number(to))), true) => Some(vec![(*from, *to)]),
+        (_, false) => Some(column.runs.clone()),
+        _ => None,
+    }
+}
+
+/// None of the few values that a column can have is in the other.
+fn none_of(few: &Column, runs: Option<runs::Runs>, other: &Column) -> bool {
+    let Some(members) = &other.members else { return false };
+    if let Some(Members::All(hashes)) = &few.members {
+        return hashes.iter().all(|hash| !members.may_have(*hash));
+    }
+    let (Kind::Number { .. }, Some(runs)) = (few.kind, runs) else { return false };
+    let count = runs
+        .iter()
+        .try_fold(0_i128, |sum, (from, to)| sum.checked_add(to.checked_sub(*from)?.checked_add(1)?));
+    let own = |hash: u64| few.members.as_ref().is_none_or(|members| members.may_have(hash));
+    let in_both = |value: i128| {
+        let hash = Value::Number(value).hash();
+        own(hash) && members.may_have(hash)
+    };
+    count.is_some_and(|count| count <= MOST_KEYS) && !runs.iter().any(|(from, to)| (*from..=*to).any(in_both))
+}
--- a/crates/scatter/src/lib.rs
+++ b/crates/scatter/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod combine;
 pub mod condition;
 pub mod filter;
+pub mod join;
 pub mod keep;
 pub mod marker;
 pub mod marks;
--- a/crates/scatter/src/of.rs
+++ b/crates/scatter/src/of.rs
@@ -103,7 +103,7 @@
 }
 
 /// The members of a chain of one operator, which may be as long as the statement.
-fn chain<'a>(e: &'a Expr, of: &BinaryOperator) -> Vec<&'a Expr> {
+pub(crate) fn chain<'a>(e: &'a Expr, of: &BinaryOperator) -> Vec<&'a Expr> {
     let (mut members, mut rest) = (Vec::new(), e);
     while let Expr::BinaryOp { left, op, right } = rest {
         if op != of {
--- a/crates/scatter/src/plan.rs
+++ b/crates/scatter/src/plan.rs
@@ -1,6 +1,8 @@
 //! Which sites a statement is asked of, and in which order.
 
 use crate::book::Book;
+use crate::condition::Condition;
+use crate::join::stands_joined;
 use crate::marks::Marks;
 use crate::sql::Query;
 use crate::summary::{Summary, Table};
@@ -9,12 +11,26 @@
 pub enum Word<'a> {
     /// The marks, as the ledger said after the statement came.
     Marks(&'a Marks),
+    /// The marks of the two groups of a join.
+    Both(&'a Marks, &'a Marks),
     /// The operator says that no load goes through a front.
     NoLoads,
     /// Nothing: the ledger does not answer.
     Nothing,
 }
 
+impl<'a> Word<'a> {
+    /// What is known of each side of a join.
+    pub(crate) fn sides(&self) -> (Word<'a>, Word<'a>) {
+        match self {
+            Word::Both(first, second) => (Word::Marks(first), Word::Marks(second)),
+            Word::NoLoads => (Word::NoLoads, Word::NoLoads),
+            // Of one group alone the other's loads are not known.
+            Word::Marks(_) | Word::Nothing => (Word::Nothing, Word::Nothing),
+        }
+    }
+}
+
 /// Why a site is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Why {
@@ -99,10 +115,11 @@
     for site in sites {
         let summary = book.look(wall_ms, site, query.group);
         let table = summary.and_then(|summary| Some((summary, summary.table(&query.table)?)));
-        let why = match (summary, table) {
-            (None, _) => Some(Why::NoSummary),
-            (_, None) => Some(Why::NoTable),
-            (_, Some((summary, table))) => stands(query, summary, table, word),
+        let why = match (&query.join, summary, table) {
+            (Some(join), ..) => stands_joined(query, join, book, wall_ms, site, word),
+            (None, None, _) => Some(Why::NoSummary),
+            (None, _, None) => Some(Why::NoTable),
+            (None, _, Some((summary, table))) => stands(&query.condition, summary, table, word),
         };
         let proved = why.is_none();
         if proved && !doubted(site) || query.limit == Some(0) {
@@ -119,8 +136,7 @@
 }
 
 /// What stands against leaving a site out; None: surely no row of it is asked for.
-fn stands(query: &Query, summary: &Summary, table: &Table, word: &Word) -> Option<Why> {
-    let condition = &query.condition;
+pub(crate) fn stands(condition: &Condition, summary: &Summary, table: &Table, word: &Word) -> Option<Why> {
     if !condition.never_true(table) {
         return Some(match () {
             () if !condition.is_told(table) => Why::Untold,
@@ -131,7 +147,7 @@
     match word {
         Word::Marks(marks) => marks.stands(summary, table, condition),
         Word::NoLoads => None,
-        Word::Nothing => Some(Why::NoWord),
+        Word::Both(..) | Word::Nothing => Some(Why::NoWord),
     }
 }
 
--- a/crates/scatter/src/runs.rs
+++ b/crates/scatter/src/runs.rs
@@ -111,7 +111,10 @@
 
     proptest! {
         #[test]
-        fn every_value_lies_in_a_run(values in prop::collection::vec(-500i128..500, 1..300), most in 1usize..40) {
+        fn every_value_lies_in_a_run(
+            values in prop::collection::vec(-500i128..500, 1..300),
+            most in 1usize..40,
+        ) {
             let mut growing = Growing::default();
             values.iter().for_each(|value| growing.value(*value));
             let runs = coarser(growing.runs(), most);
@@ -120,9 +123,13 @@
         }
 
         #[test]
-        fn what_is_read_is_in_order(first in any::<i128>(), steps in prop::collection::vec(any::<(u128, u128)>(), 0..4)) {
+        fn what_is_read_is_in_order(
+            first in any::<i128>(),
+            steps in prop::collection::vec(any::<(u128, u128)>(), 0..4),
+        ) {
             if let Some(runs) = (Told { first, steps }).runs() {
-                prop_assert!(runs.windows(2).all(|w| w[0].1 < w[1].0) && runs.iter().all(|run| run.0 <= run.1));
+                prop_assert!(runs.windows(2).all(|w| w[0].1 < w[1].0));
+                prop_assert!(runs.iter().all(|run| run.0 <= run.1));
             }
         }
     }
--- a/crates/scatter/src/sketch.rs
+++ b/crates/scatter/src/sketch.rs
@@ -8,22 +8,17 @@
 use crate::marks::{Cell, Touched};
 use crate::plan::Word;
 use crate::sql::Query;
-use crate::value::{Collation, Kind, Value};
+use crate::value::{Kind, Value};
 
 const LG_K: u8 = 12; // 4,096 registers: 3.3 % at two standard deviations, some 2,100 bytes a column
 const LONGEST: usize = 8 << 10; // bytes of one
 
-/// Whether values of this kind that are equal for an engine are so here.
-fn tells(kind: Kind) -> bool {
-    matches!(kind, Kind::Number { .. } | Kind::Text(Collation::C | Collation::Exact) | Kind::Bool)
-}
-
 /// A column's sketch as its rows come.
 pub(crate) struct Growing(HllSketch);
 
 impl Growing {
     pub fn new(kind: Kind) -> Option<Growing> {
-        HllSketch::new(LG_K, HllType::Hll4).ok().filter(|_| tells(kind)).map(Growing)
+        HllSketch::new(LG_K, HllType::Hll4).ok().filter(|_| kind.is_equal_by_value()).map(Growing)
     }
 
     pub fn value(&mut self, value: &Value) {
@@ -79,7 +74,7 @@
         let loads = match word {
             Word::Marks(marks) => marks.open(summary)?,
             Word::NoLoads => Vec::new(),
-            Word::Nothing => return None,
+            Word::Both(..) | Word::Nothing => return None,
         };
         for touched in loads {
             let Touched::Rows { table, columns, rows } = touched else { return None };
--- a/crates/scatter/src/sql.rs
+++ b/crates/scatter/src/sql.rs
@@ -11,6 +11,7 @@
 
 use crate::combine::{self, Aggregate};
 use crate::condition::Condition;
+use crate::join::{self, Join};
 use crate::row::{beyond_one_row, is_of_one_reading, selects_beyond_one_row};
 use crate::value::Literal;
 
@@ -27,6 +28,8 @@
     pub combine: Option<Vec<Aggregate>>,
     /// It asks for the number of distinct values of this column in all rows, and for nothing else.
     pub distinct: Option<String>,
+    /// The rows are joined with those of another table at the same site.
+    pub join: Option<Join>,
 }
 
 /// Why the rows of a statement can't be put together from parts.
@@ -42,11 +45,16 @@
     Syntax(String),
     #[error("{0} can't be put together from the sites' parts: leave it out, or name a scatter.whole_site")]
     Whole(String),
+    #[error(
+        "a join of groups {0} and {1}, which scatter.together does not name: name them where equal keys lie \
+         at one site, or name a scatter.whole_site"
+    )]
+    Apart(u32, u32),
     #[error("names no table as SCHEMA_NUMBER.TABLE: name the group's schema, or name a scatter.whole_site")]
     NoGroup,
 }
 
-fn whole<T>(what: impl Into<String>) -> Result<T, Unfit> {
+pub(crate) fn whole<T>(what: impl Into<String>) -> Result<T, Unfit> {
     Err(Unfit::Whole(what.into()))
 }
 
@@ -244,9 +252,49 @@
         }
     }
     let [from] = &from[..] else { return whole("a list of tables") };
-    if !from.joins.is_empty() {
-        return whole("a join");
+    let Named { group, table, alias } = named(&from.relation)?;
+    let taken: Vec<String> = projection.iter().filter_map(given_name).collect();
+    let (first, other) = (Names { table: alias, taken, qualified: !from.joins.is_empty() }, &from.joins[..]);
+    let (names, joined) = match other {
+        [] => (first, None),
+        [other] => join::read(other, first, selection.as_ref()).map(|(names, join)| (names, Some(join)))?,
+        _ => return whole("a join of more than two tables"),
+    };
+    let combine = combine::read(&projection, &names)?;
+    if combine.is_some() && limit.is_some() {
+        return whole("LIMIT beside aggregates");
+    }
+    let beyond = projection.iter().filter(|_| combine.is_none()).find_map(selects_beyond_one_row);
+    if let Some(what) = beyond.or_else(|| selection.as_ref().and_then(beyond_one_row)) {
+        return whole(what);
     }
+    let condition = condition(selection.as_ref(), &names);
+    let (condition, join) = match joined {
+        None => (condition, None),
+        Some((on, join)) => (Condition::All(vec![condition, on]), Some(join)),
+    };
+    Ok(Query { group, table, condition, limit, combine, distinct: None, join })
+}
+
+/// What a row of a table is asked for.
+pub(crate) fn condition(selection: Option<&Expr>, names: &Names) -> Condition {
+    match selection {
+        None => Condition::Constant(true),
+        // MySQL reads some operators as AND and OR: then the whole falls apart otherwise.
+        Some(e) if !is_of_one_reading(e) => Condition::Other,
+        Some(e) => crate::of::of(e, names),
+    }
+}
+
+/// A table as a statement names it.
+pub(crate) struct Named {
+    pub group: u32,
+    pub table: String,
+    /// What its columns are named by.
+    pub alias: String,
+}
+
+pub(crate) fn named(relation: &TableFactor) -> Result<Named, Unfit> {
     let TableFactor::Table {
         name,
         alias,
@@ -259,34 +307,17 @@
         sample: None,
         index_directives,
         inheritance: None,
-    } = &from.relation
+    } = relation
     else {
-        return whole("anything but one table");
+        return whole("anything but a table");
     };
     let aliased = alias.as_ref().is_some_and(|a| !a.columns.is_empty());
     if !with_hints.is_empty() || !partitions.is_empty() || !index_directives.is_empty() || aliased {
         return whole("a table with hints, partitions or other names");
     }
     let (group, table) = table(name).ok_or(Unfit::NoGroup)?;
-    let names = Names {
-        table: alias.as_ref().map_or_else(|| table.clone(), |a| plain_name(&a.name)),
-        taken: projection.iter().filter_map(given_name).collect(),
-    };
-    let combine = combine::read(&projection, &names)?;
-    if combine.is_some() && limit.is_some() {
-        return whole("LIMIT beside aggregates");
-    }
-    let beyond = projection.iter().filter(|_| combine.is_none()).find_map(selects_beyond_one_row);
-    if let Some(what) = beyond.or_else(|| selection.as_ref().and_then(beyond_one_row)) {
-        return whole(what);
-    }
-    let condition = match &selection {
-        None => Condition::Constant(true),
-        // MySQL reads some operators as AND and OR: then the whole falls apart otherwise.
-        Some(e) if !is_of_one_reading(e) => Condition::Other,
-        Some(e) => crate::of::of(e, &names),
-    };
-    Ok(Query { group, table, condition, limit, combine, distinct: None })
+    let alias = alias.as_ref().map_or_else(|| table.clone(), |a| plain_name(&a.name));
+    Ok(Named { group, table, alias })
 }
 
 fn given_name(item: &SelectItem) -> Option<String> {
@@ -297,16 +328,19 @@
 }
 
 /// Which names stand for columns of the table.
+#[derive(Clone)]
 pub(crate) struct Names {
-    table: String,
+    pub table: String,
     /// Given to what is selected: dialects differ in what they stand for in a condition.
-    taken: Vec<String>,
+    pub taken: Vec<String>,
+    /// Beside another table: a name by itself may be a column of either.
+    pub qualified: bool,
 }
 
 impl Names {
     pub fn column(&self, e: &Expr) -> Option<String> {
         let name = match e {
-            Expr::Identifier(name) => name,
+            Expr::Identifier(name) if !self.qualified => name,
             Expr::CompoundIdentifier(parts) => match &parts[..] {
                 [table, name] if plain_name(table) == self.table => name,
                 _ => return None,
--- a/crates/scatter/src/value.rs
+++ b/crates/scatter/src/value.rs
@@ -23,6 +23,13 @@
     Other,
 }
 
+impl Kind {
+    /// Whether two values are equal for an engine exactly where they are so here.
+    pub fn is_equal_by_value(self) -> bool {
+        matches!(self, Kind::Number { .. } | Kind::Text(Collation::C | Collation::Exact) | Kind::Bool)
+    }
+}
+
 /// What is known of how a column of text compares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Collation {
--- /dev/null
+++ b/crates/scatter/tests/join.rs
@@ -0,0 +1,168 @@
+//! Joins of two tables whose equal keys lie at one site: drawn rows, conditions and loads, held against a
+//! plain join over the rows. Never a row missing; how many sites are asked beside those that have a row.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+use ed25519_dalek::SigningKey;
+use hallmux_scatter::book::{Book, Terms};
+use hallmux_scatter::build::{summary, About, TableBuilder};
+use hallmux_scatter::marks::{Marks, Touched};
+use hallmux_scatter::plan::{plan, Why, Word};
+use hallmux_scatter::sql::{self, Query};
+use hallmux_scatter::summary::{Loads, MOST_BYTES};
+use hallmux_scatter::value::{Kind, Value};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestRunner};
+
+const SITES: [&str; 4] = ["ash", "elm", "oak", "yew"];
+const WHOLE: Kind = Kind::Number { scale: 0 };
+const PARTS: i128 = 4;
+
+/// Rows of one table at one site: key, and a value.
+type Rows = Vec<(Option<i128>, i128)>;
+
+fn key(site: &str) -> SigningKey {
+    SigningKey::from_bytes(&[site.as_bytes()[0]; 32])
+}
+
+fn told(site: &str, group: u32, table: &str, rows: &Rows) -> Vec<u8> {
+    let mut builder = TableBuilder::new(table, &[("k", WHOLE), ("v", WHOLE)]);
+    rows.iter().for_each(|(k, v)| builder.row(&[k.map(Value::Number), Some(Value::Number(*v))]));
+    let loads = Loads::default();
+    let about = About { site: site.into(), group, schema: 1, version: 1, made_ms: 0, loads };
+    summary(about, vec![builder], MOST_BYTES).sign(&key(site))
+}
+
+fn book(sites: &[(Rows, Rows)]) -> Book {
+    let keys = SITES.iter().map(|s| (s.to_string(), key(s).verifying_key())).collect();
+    let mut book = Book::new(Terms {
+        sites: keys,
+        schemas: BTreeMap::new(),
+        oldest_ms: u64::MAX,
+        ahead_ms: u64::MAX,
+        most: 100,
+    });
+    for (site, (first, second)) in SITES.iter().zip(sites) {
+        assert_eq!(book.take(0, &told(site, 17, "a", first)), Ok(true));
+        assert_eq!(book.take(0, &told(site, 18, "b", second)), Ok(true));
+    }
+    book
+}
+
+fn asked(query: &Query, book: &Book, word: &Word) -> Vec<(String, Why)> {
+    let plan = plan(query, &SITES.map(str::to_string), None, book, 0, word, &|_| false);
+    plan.parts.into_iter().map(|part| (part.site, part.why)).collect()
+}
+
+fn joined(rest: &str) -> Query {
+    let text = format!("select x.v, y.v from s_17.a as x join s_18.b y on x.k = y.k {rest}");
+    sql::read(text.as_bytes()).unwrap()
+}
+
+/// Rows of a table whose keys are of one site; the second table has few of them, in a place of its own.
+fn rows(most: usize, spread: i128) -> impl Strategy<Value = Rows> {
+    let row = (prop::option::weighted(0.9, 0..spread), 0i128..50);
+    prop::collection::vec(row, 0..most)
+}
+
+fn lies(at: usize, rows: &Rows, from: i128) -> Rows {
+    rows.iter().map(|(k, v)| (k.map(|k| (from + k) * PARTS + at as i128), *v)).collect()
+}
+
+#[test]
+fn a_site_is_left_out_of_a_join_only_where_no_two_rows_match() {
+    let (all, wanted, truth) = (Cell::new(0u32), Cell::new(0u32), Cell::new(0u32));
+    let mut runner = TestRunner::new(Config { cases: 300, failure_persistence: None, ..Config::default() });
+    let site = (rows(40, 60), rows(6, 20), 0i128..60);
+    let load = (0..SITES.len(), any::<bool>(), 0i128..60, 0i128..50);
+    let ends = (0i128..50, 0i128..50);
+    let drawn = (prop::collection::vec(site, SITES.len()), prop::collection::vec(load, 0..3), ends);
+    let outcome = runner.run(&drawn, |(sites, loads, (low, high))| {
+        let place = |(at, (a, b, from)): (usize, &(Rows, Rows, i128))| (lies(at, a, 0), lies(at, b, *from));
+        let mut sites: Vec<(Rows, Rows)> = sites.iter().enumerate().map(place).collect();
+        let book = book(&sites);
+        let (mut first, mut second) = (Marks::default(), Marks::default());
+        for (at, is_first, k, v) in loads {
+            let k = k * PARTS + at as i128;
+            let (group, table) = if is_first { (17, "a") } else { (18, "b") };
+            let text = format!("insert into s_{group}.{table} (k, v) values ({k}, {v})");
+            let marks = if is_first { &mut first } else { &mut second };
+            marks.add(SITES[at], 9, Touched::by(text.as_bytes(), group));
+            if is_first { &mut sites[at].0 } else { &mut sites[at].1 }.push((Some(k), v));
+        }
+        let query = joined(&format!("where x.v < {low} and (y.v >= {high} or x.v = 3)"));
+        let parts = asked(&query, &book, &Word::Both(&first, &second));
+        for (site, (a, b)) in SITES.iter().zip(&sites) {
+            let fits = |x: i128, y: i128| x < low && (y >= high || x == 3);
+            let pairs = |(k, x): &(Option<i128>, i128)| {
+                k.is_some() && b.iter().any(|(other, y)| other == k && fits(*x, *y))
+            };
+            let (has, is_asked) = (a.iter().any(pairs), parts.iter().any(|(name, _)| name == site));
+            prop_assert!(is_asked || !has, "{site} has rows and is left out");
+            all.set(all.get() + 1);
+            wanted.set(wanted.get() + u32::from(is_asked));
+            truth.set(truth.get() + u32::from(has));
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+    println!("sites {}, asked {}, with rows {}", all.get(), wanted.get(), truth.get());
+    assert!(wanted.get() < all.get() * 2 / 3);
+}
+
+#[test]
+fn keys_of_the_smaller_side_narrow_the_sites_of_the_larger() {
+    let large = |at: i128| -> Rows { (0..2_000).map(|n| (Some(n * 20 + at), 1)).collect() };
+    // The last has more than are kept as they are, each to be looked for between keys of the other side.
+    let forty = (0..40).map(|n| 10_005 + n * 20).collect();
+    let sites: Vec<(Rows, Rows)> = [vec![40, 80], vec![41], vec![], forty]
+        .into_iter()
+        .enumerate()
+        .map(|(at, few)| (large(at as i128), few.into_iter().map(|k| (Some(k), 1)).collect()))
+        .collect();
+    let book = book(&sites);
+    let names = |query: &Query, word: &Word| -> Vec<String> {
+        asked(query, &book, word).into_iter().map(|(site, _)| site).collect()
+    };
+    let (none, query) = (Marks::default(), joined(""));
+    assert_eq!(names(&query, &Word::Both(&none, &none)), ["ash", "elm"]);
+    assert_eq!(names(&query, &Word::NoLoads), ["ash", "elm"]);
+    // One side's own condition, aggregates, keys the other way round.
+    assert_eq!(names(&joined("where y.v > 1"), &Word::NoLoads), Vec::<String>::new());
+    let text = "select count(*), max(x.v) from s_17.a x inner join s_18.b y on (y.k = x.k and y.v = 1)";
+    let other = sql::read(text.as_bytes()).unwrap();
+    assert!(other.combine.is_some());
+    assert_eq!(names(&other, &Word::NoLoads), ["ash", "elm"]);
+    // A load that the summaries do not speak of, of either side; of one group alone nothing is known of the
+    // other.
+    let mut touched = Marks::default();
+    touched.add("yew", 9, Touched::by(b"insert into s_18.b (k, v) values (3, 1)", 18));
+    assert_eq!(names(&query, &Word::Both(&none, &touched)), ["ash", "elm", "yew"]);
+    assert_eq!(names(&query, &Word::Marks(&none)).len(), 4);
+    assert_eq!(names(&query, &Word::Nothing).len(), 4);
+}
+
+#[test]
+fn other_joins_are_refused_with_a_way_out() {
+    for text in [
+        "select x.v from s_17.a x left join s_18.b y on x.k = y.k",
+        "select x.v from s_17.a x join s_18.b y using (k)",
+        "select x.v from s_17.a x natural join s_18.b y",
+        "select x.v from s_17.a x cross join s_18.b y",
+        "select x.v from s_17.a x join s_18.b y on x.k = y.k join s_19.c z on z.k = y.k",
+        "select x.v from s_17.a x join s_18.b x on x.k = x.k",
+        "select x.v from s_17.a x join (select 1) y on x.k = y.k",
+        "select x.v from s_17.a x join s_18.b y on x.k = random()",
+        "select x.v from s_17.a x join b y on x.k = y.k",
+        "select sum(y.v) from s_17.a x join s_18.b y on x.k = y.k",
+    ] {
+        let why = sql::read(text.as_bytes()).unwrap_err();
+        assert!(why.to_string().contains("whole_site"), "{text}: {why}");
+    }
+    // A name by itself may be a column of either side: it proves nothing.
+    let query = joined("where v = 5 and k = 9");
+    assert!(query.join.is_some());
+    let sites: Vec<(Rows, Rows)> = SITES.iter().map(|_| (vec![(Some(1), 1)], vec![(Some(1), 1)])).collect();
+    assert_eq!(asked(&query, &book(&sites), &Word::NoLoads).len(), 4);
+}
