Scatter: loads with ON CONFLICT are known by the columns that they surely leave so

Such a load had its site asked for everything until its summary spoke of it. Rows that may be there already keep other columns as they were: known are those of the conflict's target and those set to what the row brings. What reads a load's text moved out of marks.rs (load.rs). Any other form stays unknown.

--- a/crates/scatter/src/lib.rs
+++ b/crates/scatter/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod filter;
 pub mod join;
 pub mod keep;
+mod load;
 pub mod marker;
 pub mod marks;
 mod of;
--- a/crates/scatter/src/marks.rs
+++ b/crates/scatter/src/marks.rs
@@ -4,19 +4,17 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sqlparser::ast::{Expr, Insert, SetExpr, Statement, TableObject, Value as Word};
 
 use crate::condition::Condition;
+use crate::load;
 use crate::plan::Why;
-use crate::sql::{self, literal, plain_name};
+use crate::sql;
 use crate::summary::{Column, Loads, Summary, Table};
 use crate::value::Literal;
 
 const MOST_MARKS: usize = 64; // of a site that are kept apart; more make one
 const CROWDED: usize = 32; // of a site: from here on what any summary lifts is taken out
 const FEWER: [usize; 3] = [16, 4, 1]; // of a site, where all sites' together are too long
-const MOST_ROWS_BYTES: usize = 256; // bytes of a load's rows that a mark keeps; of more nothing is known
-const MOST_ROWS: usize = 64; // of a load that a mark keeps
 /// Bytes of a group's marks: a thousand sites with two each.
 pub const MOST_BYTES: usize = 64 << 10;
 
@@ -228,7 +226,10 @@
 impl Touched {
     /// What a load says of itself, for the group that it names.
     pub fn by(statement: &[u8], group: u32) -> Touched {
-        sql::parse(statement).ok().and_then(|statement| rows(statement, group)).unwrap_or(Touched::Anything)
+        sql::parse(statement)
+            .ok()
+            .and_then(|statement| load::rows(statement, group))
+            .unwrap_or(Touched::Anything)
     }
 
     fn never_true(&self, table: &Table, condition: &Condition) -> bool {
@@ -273,77 +274,3 @@
     let columns = table.columns.iter().filter_map(known).collect();
     Table { name: table.name.clone(), rows: 1, columns }
 }
-
-/// The rows of an `INSERT ... VALUES` into a table of the group that does nothing else.
-fn rows(statement: Statement, group: u32) -> Option<Touched> {
-    let Statement::Insert(insert) = statement else { return None };
-    let Insert { or: None, ignore: false, table, columns, overwrite: false, source, on: None, .. } = insert
-    else {
-        return None;
-    };
-    if insert.replace_into || insert.by_name || insert.partitioned.is_some() || !insert.assignments.is_empty()
-    {
-        return None;
-    }
-    if insert.multi_table_insert_type.is_some() || columns.is_empty() {
-        return None;
-    }
-    let TableObject::TableName(name) = table else { return None };
-    let (_, table) = sql::table(&name).filter(|(named, _)| *named == group)?;
-    let source = *source?;
-    let SetExpr::Values(values) = *source.body else { return None };
-    if source.with.is_some() || source.limit_clause.is_some() || !source.pipe_operators.is_empty() {
-        return None;
-    }
-    let name = |name: &sqlparser::ast::ObjectName| match &name.0[..] {
-        [part] => part.as_ident().map(plain_name),
-        _ => None,
-    };
-    let columns: Vec<String> = columns.iter().map(name).collect::<Option<_>>()?;
-    let cell = |e: &Expr| match e {
-        Expr::Value(value) if value.value == Word::Null => Cell::Null,
-        e => literal(e).map_or(Cell::Unknown, Cell::Is),
-    };
-    let rows: Vec<Vec<Cell>> = values.rows.iter().map(|row| row.content.iter().map(cell).collect()).collect();
-    short(table, &columns, &rows)
-}
-
-/// As much of the rows as a mark keeps. Of too many the columns with the fewest values stay: a load of a
-/// day's rows is known by its day.
-fn short(table: String, columns: &[String], rows: &[Vec<Cell>]) -> Option<Touched> {
-    let of = |kept: &[usize]| {
-        let project = |row: &Vec<Cell>| kept.iter().filter_map(|at| row.get(*at).cloned()).collect();
-        let mut all: Vec<Vec<Cell>> = Vec::new();
-        for row in rows.iter().map(project) {
-            if !all.contains(&row) {
-                all.push(row);
-            }
-            if all.len() > MOST_ROWS {
-                return None;
-            }
-        }
-        let columns = kept.iter().filter_map(|at| columns.get(*at).cloned()).collect();
-        let touched = Touched::Rows { table: table.clone(), columns, rows: all };
-        let short = postcard::to_stdvec(&touched).is_ok_and(|bytes| bytes.len() <= MOST_ROWS_BYTES);
-        short.then_some(touched)
-    };
-    if rows.iter().any(|row| row.len() != columns.len()) {
-        return None;
-    }
-    let mut order: Vec<usize> = (0..columns.len()).collect();
-    let touched = of(&order);
-    if touched.is_some() {
-        return touched;
-    }
-    let distinct = |at: &usize| {
-        let mut seen: Vec<&Cell> = Vec::new();
-        for cell in rows.iter().filter_map(|row| row.get(*at)) {
-            if !seen.contains(&cell) && seen.len() <= MOST_ROWS {
-                seen.push(cell);
-            }
-        }
-        seen.len()
-    };
-    order.sort_by_cached_key(distinct);
-    (1..order.len()).rev().find_map(|most| of(&order[..most]))
-}
--- a/crates/scatter/tests/loads.rs
+++ b/crates/scatter/tests/loads.rs
@@ -262,3 +262,30 @@
     assert_eq!(Touched::by(text.as_bytes(), 17), Touched::Anything);
     assert_eq!(Touched::by(b"insert into sales_17.orders (id) values (1, 2)", 17), Touched::Anything);
 }
+
+#[test]
+fn a_load_that_writes_over_rows_is_known_by_what_it_sets_and_by_what_tells_them_apart() {
+    let by = |rest: &str| {
+        let text = format!("insert into sales_17.orders (id, day, price) values (1, 2, 3), (4, 2, 5) {rest}");
+        match Touched::by(text.as_bytes(), 17) {
+            Touched::Rows { columns, .. } => columns.join(" "),
+            Touched::Anything => "anything".to_string(),
+        }
+    };
+    for (rest, known) in [
+        ("", "id day price"),
+        ("on conflict do nothing", "id day price"),
+        ("on conflict (id) do nothing", "id day price"),
+        ("on conflict (id) do update set price = excluded.price", "id price"),
+        ("on conflict (id) do update set price = excluded.price, day = excluded.day", "id day price"),
+        ("on conflict (id, day) do update set price = 9 where orders.day > 1", "id day"),
+        ("on conflict (id) do update set id = orders.id + 1, day = excluded.day", "day"),
+        ("on conflict (id) do update set id = excluded.day", "anything"),
+        ("on conflict (name) do update set price = excluded.price", "anything"),
+        ("on conflict on constraint pk do update set price = excluded.price", "anything"),
+        ("on conflict (id) do update set (price, day) = (excluded.price, excluded.day)", "anything"),
+        ("on duplicate key update price = values(price)", "anything"),
+    ] {
+        assert_eq!(by(rest), known, "{rest}");
+    }
+}
