Ledger: a lost word of a long one's arrival no longer keeps a member deaf; order keys last

Its sender now sends the last piece again each 250 ms, and a receiver that has the word says so again. Second: a front asked for a statement's order key and dedup key at once and kept the order key while the dedup key was another front's; the order key is now the last of a statement's promises, so it is given back.

Each new test fails without its mend (tried).

--- a/crates/fleet/src/gate/needs.rs
+++ b/crates/fleet/src/gate/needs.rs
@@ -100,11 +100,6 @@
         let Some(workload) = self.workloads.get(&taken.workload) else { return Vec::new() };
         let mut needs = Vec::new();
         let gap = self.turn_gap;
-        if let Some(key) = taken.key.as_ref().filter(|_| workload.in_order) {
-            // As in one front, the order of a key is the same for all workloads.
-            let key = Key { kind: Kind::Order, name: key.clone() };
-            needs.push(Need { key, beyond: gap, after: gap, groups: Groups::All, gap });
-        }
         if let Some(((window, groups), dedup)) = workload.dedup.zip(taken.dedup_key.as_ref()) {
             let key = Key { kind: Kind::Dedup, name: format!("{}/{dedup}", taken.workload) };
             needs.push(Need { key, beyond: window.max(gap), after: window, groups, gap });
@@ -113,6 +108,12 @@
             let key = Key { kind: Kind::Begun, name: format!("{}/{id}", taken.customer) };
             needs.push(Need { key, beyond: BEGUN_KEPT, after: BEGUN_KEPT, groups: Groups::All, gap });
         }
+        // Last: many statements want an order key, and none is to keep it while it waits for what is its own alone.
+        if let Some(key) = taken.key.as_ref().filter(|_| workload.in_order) {
+            // As in one front, the order of a key is the same for all workloads.
+            let key = Key { kind: Kind::Order, name: key.clone() };
+            needs.push(Need { key, beyond: gap, after: gap, groups: Groups::All, gap });
+        }
         needs
     }
 }
--- a/crates/fleet/src/gate/tests.rs
+++ b/crates/fleet/src/gate/tests.rs
@@ -242,6 +242,29 @@
     assert!(ruled.contains(&Ruling::Go(ordered(2, 0, MS, 0))), "{ruled:?}");
 }
 
+#[test]
+fn an_order_key_is_not_kept_while_the_statements_dedup_key_is_anothers() {
+    let (mut one, mut other, mut third, mut book) = (gate(1), gate(2), gate(3), Book::default());
+    open(&mut one, 1, ("load", None, Some("d")), None);
+    one.order(0, ordered(1, 0, 0, 0));
+    assert_eq!(settle(&mut one, &mut book, 0, 1).len(), 1);
+    // Asked again at another front while it may be running.
+    open(&mut other, 1, ("load", Some("k"), Some("d")), None);
+    other.order(MS, ordered(1, 0, MS, 0));
+    assert_eq!(settle(&mut other, &mut book, MS, 2), []);
+    assert!(book.entries.keys().all(|key| key.kind != Kind::Order), "{:?}", book.entries);
+    open(&mut third, 1, ("load", Some("k"), Some("e")), None);
+    third.order(2 * MS, ordered(1, 0, 2 * MS, 0));
+    assert_eq!(settle(&mut third, &mut book, 2 * MS, 3).len(), 1);
+    third.gone(3 * MS, over(1, true, false));
+    settle(&mut third, &mut book, 3 * MS, 3);
+    // Once nothing runs any more, the repeat has both.
+    one.gone(3 * MS, over(1, true, false));
+    settle(&mut one, &mut book, 3 * MS, 1);
+    let ruled = (4..700).map(|at| settle(&mut other, &mut book, at * MS, 2)).find(|ruled| !ruled.is_empty());
+    assert_eq!(ruled, Some(vec![Ruling::Go(ordered(1, 0, MS, 0))]));
+}
+
 #[test]
 fn a_transaction_keeps_its_key_by_word_that_is_renewed() {
     let (mut one, mut other, mut book) = (gate(1), gate(2), Book::default());
--- a/crates/lab/src/record/promises.rs
+++ b/crates/lab/src/record/promises.rs
@@ -59,8 +59,8 @@
     ways
 }
 
-/// How long after the end of a cut, until the next fault, the last statement was sent that needed a promise and was
-/// refused for want of it, in milliseconds: soon, so not for having waited for its key.
+/// How long after the end of a cut the last statement was sent that needed a promise and was refused for want of it,
+/// in milliseconds: soon, so not for having waited for its key, and before the next fault began.
 fn after_cuts(account: &Account) -> i64 {
     let cuts = account.played.iter().filter(|(fault, ..)| fault.what == What::FrontsSplit);
     let last = |end: i64| {
@@ -68,9 +68,9 @@
         let soon = |o: &&Offered| o.asked.answered - o.asked.sent < WANT;
         let refused = account.asked.iter().filter(|o| unpromised::needs(o) && soon(o) && !o.barred);
         let refused = refused.filter(|o| matches!(&o.asked.outcome, Outcome::Error(code) if code == "53000"));
-        let after =
-            refused.map(|o| o.asked.sent).filter(|sent| (end..next.unwrap_or(i64::MAX)).contains(sent));
-        after.max().map_or(0, |sent| (sent - end) / 1000)
+        let next = next.unwrap_or(i64::MAX);
+        let after = refused.filter(|o| o.asked.sent >= end && o.asked.answered < next);
+        after.map(|o| o.asked.sent).max().map_or(0, |sent| (sent - end) / 1000)
     };
     cuts.map(|(.., end)| last(*end)).max().unwrap_or(0)
 }
--- a/crates/ledger/src/post.rs
+++ b/crates/ledger/src/post.rs
@@ -17,7 +17,9 @@
 const MOST_HELD: usize = 32 * 1_024 * 1_024; // bytes of pieces that wait for others
 const STALLED: Micros = 60_000; // microseconds without a piece until gaps are asked for
 const TAIL: Micros = 400_000; // microseconds until pieces count as lost that may yet have to be sent
+const REMINDED: Micros = 250_000; // microseconds without a sign until its receiver is sent the last piece again
 const GIVEN_UP: Micros = 10_000_000; // microseconds without a sign until a long word is forgotten
+const MOST_WHOLE: usize = 4_096; // words that are whole and remembered as such
 const MOST_MISSING: usize = 256; // pieces asked for at once
 const QUICK: f64 = 2_000_000.0; // bytes a second of long words of the log: a follower waits for them
 
@@ -63,6 +65,18 @@
     /// Pieces that are to be sent, the next last.
     to_send: Vec<u16>,
     touched: Micros,
+    reminded: Micros,
+}
+
+impl Long {
+    /// When its receiver is to be reminded.
+    fn reminds(&self) -> Micros {
+        if self.to_send.is_empty() {
+            self.touched.max(self.reminded) + REMINDED
+        } else {
+            Micros::MAX
+        }
+    }
 }
 
 struct Part {
@@ -82,6 +96,8 @@
     long: BTreeMap<u64, Long>,
     next_long: u64,
     parts: BTreeMap<(FrontId, u64), Part>,
+    /// Words that became whole, and when: the word of that may be lost, and is said again to a sender that reminds.
+    whole: BTreeMap<(FrontId, u64), Micros>,
     held: usize,
     quick: Tokens,
     repair: Tokens,
@@ -101,6 +117,7 @@
             long: BTreeMap::new(),
             next_long: incarnation << 20, // an earlier life's are not this one's
             parts: BTreeMap::new(),
+            whole: BTreeMap::new(),
             held: 0,
             quick: Tokens::new(QUICK),
             repair: Tokens::new(f64::from(setup.repair_bytes)),
@@ -124,7 +141,8 @@
             return; // bounds of a shard keep it below
         }
         let to_send = (0..count as u16).rev().collect();
-        self.long.insert(self.next_long, Long { to, pace, bytes, to_send, touched: at.steady });
+        let (touched, reminded) = (at.steady, at.steady);
+        self.long.insert(self.next_long, Long { to, pace, bytes, to_send, touched, reminded });
         self.next_long += 1;
     }
 
@@ -189,6 +207,10 @@
         count: u16,
         bytes: Vec<u8>,
     ) -> Result<Option<Vec<u8>>, &'static str> {
+        if self.whole.contains_key(&of) {
+            self.sheets.push((of.0, Sheet::Whole { id: of.1 }));
+            return Ok(None);
+        }
         let many = self.parts.range((of.0, 0)..=(of.0, u64::MAX)).count() >= MOST_PARTS;
         if index >= count || usize::from(count) > MOST_PIECES || bytes.len() > PIECE {
             return Err("form");
@@ -210,6 +232,9 @@
         }
         let part = self.parts.remove(&of).ok_or("form")?;
         self.held -= part.held;
+        if self.whole.len() < MOST_WHOLE {
+            self.whole.insert(of, at.steady);
+        }
         self.sheets.push((of.0, Sheet::Whole { id: of.1 }));
         Ok(Some(part.pieces.into_iter().flatten().flatten().collect()))
     }
@@ -226,7 +251,7 @@
             }
         };
         let parts = self.parts.values().map(|part| part.touched.max(part.asked) + STALLED);
-        let long = self.long.values().map(|long| long.touched + GIVEN_UP);
+        let long = self.long.values().map(|long| long.reminds().min(long.touched + GIVEN_UP));
         let quick = paced(false, &self.quick).min(paced(true, &self.repair));
         parts.chain(long).min().unwrap_or(Micros::MAX).min(quick)
     }
@@ -234,6 +259,7 @@
     /// The letters that may leave now.
     pub fn letters(&mut self, at: Moment) -> Vec<(FrontId, Vec<u8>)> {
         self.ask_again(at.steady);
+        self.remind(at.steady);
         let mut sheets = std::mem::take(&mut self.sheets);
         for (to, mut words) in std::mem::take(&mut self.small) {
             let first = self.forms.introduces(at.steady, self.form, to);
@@ -258,7 +284,6 @@
     fn pieces(&mut self, now: Micros, sheets: &mut Vec<(FrontId, Sheet)>) {
         self.quick.fill(now);
         self.repair.fill(now);
-        self.long.retain(|_, long| now - long.touched < GIVEN_UP);
         for (id, long) in &mut self.long {
             let tokens = if long.pace == Pace::Repair { &mut self.repair } else { &mut self.quick };
             let count = long.bytes.len().div_ceil(PIECE) as u16;
@@ -272,7 +297,21 @@
         }
     }
 
+    /// Of a word that is sent and not known to be whole, its last piece again: until one knows that it is, nothing else
+    /// of the same log goes to its receiver.
+    fn remind(&mut self, now: Micros) {
+        self.long.retain(|_, long| now - long.touched < GIVEN_UP);
+        for (id, long) in self.long.iter_mut().filter(|(_, long)| long.reminds() <= now) {
+            long.reminded = now;
+            let count = long.bytes.len().div_ceil(PIECE) as u16;
+            let Some(bytes) = long.bytes.chunks(PIECE).next_back() else { continue };
+            let (index, bytes) = (count - 1, bytes.to_vec());
+            self.sheets.push((long.to, Sheet::Piece { id: *id, index, count, bytes }));
+        }
+    }
+
     fn ask_again(&mut self, now: Micros) {
+        self.whole.retain(|_, at| now - *at < 2 * GIVEN_UP);
         let held = &mut self.held;
         self.parts.retain(|_, part| {
             let stays = now - part.touched < GIVEN_UP;
--- a/crates/ledger/src/post_tests.rs
+++ b/crates/ledger/src/post_tests.rs
@@ -57,6 +57,28 @@
     assert!(state.iter().enumerate().all(|(n, byte)| *byte == (n % 251) as u8));
 }
 
+#[test]
+fn a_long_word_is_known_to_be_whole_though_the_word_of_that_or_all_its_pieces_were_lost() {
+    for (pieces_lost, whole_lost) in [(true, false), (false, true)] {
+        let (mut one, mut other, mut heard) = (post(1), post(2), 0);
+        one.say(at(0), 2, &long(3_000), Pace::Log(3));
+        for now in (0..80).map(|n| n * 10_000) {
+            for (_, letter) in one.letters(at(now)).into_iter().filter(|_| !(pieces_lost && now < 100_000)) {
+                heard += other.heard(at(now), 1, &letter).unwrap().1.len();
+            }
+            for (_, letter) in other.letters(at(now)).into_iter().filter(|_| !(whole_lost && now < 100_000)) {
+                one.heard(at(now), 2, &letter).unwrap();
+            }
+        }
+        assert_eq!((heard, one.is_busy(2, Pace::Log(3))), (1, false), "{pieces_lost}");
+    }
+    // One that never hears it is reminded for a while, then the word is forgotten.
+    let mut one = post(1);
+    one.say(at(0), 2, &long(3_000), Pace::Log(3));
+    let sent: usize = (0..1_200).map(|n| one.letters(at(n * 10_000)).len()).sum();
+    assert!((30..50).contains(&sent) && !one.is_busy(2, Pace::Log(3)), "{sent}");
+}
+
 #[test]
 fn making_copies_again_keeps_to_its_budget() {
     let mut one = post(1);
