gossip.overload: budgets of new connections and probes into an engine, over all fronts

- The module hands out this front's pace of connections and probes by its part of what the fleet is asked (a fifth to four fifths of an even part: the sum stays under the budget whatever is told); what fades leaves the fifth, silence raises no share.
`Dials` keeps the pace: turns not taken are lost.
- Fronts tell the module how many executions can leave for each engine (`Event::Room`), for both protocols; none is sent where none can leave, so nothing waits while a connection rests elsewhere.
- Shares tell what customers asked; what is beyond a customer's share over the fleet is let in last.

--- a/crates/agreement/src/contract.rs
+++ b/crates/agreement/src/contract.rs
@@ -234,6 +234,7 @@
     };
     let further = read.rules.further_ratio.zip(read.rules.budget_span_ms);
     let agreement = Agreement {
+        budgets: None,
         zone_quorum: ZONE_QUORUM,
         workloads,
         customers: read.customers.iter().map(|c| c.allowance_per_s.unwrap_or(f64::INFINITY)).collect(),
--- a/crates/dispatcher/src/engines.rs
+++ b/crates/dispatcher/src/engines.rs
@@ -81,6 +81,18 @@
         own.or_else(|| self.engines.iter().position(|e| follows && like(e))).unwrap_or(self.engines.len())
     }
 
+    /// All engines that statements may be sent to.
+    pub fn places(&self) -> impl Iterator<Item = Place> {
+        let open: Vec<Place> =
+            (0..self.engines.len()).filter(|e| self.engines[*e].entry.mode == Mode::Ready).collect();
+        open.into_iter()
+    }
+
+    /// How many executions can leave for an engine now, over connections that are there or may be made.
+    pub fn has_room(&mut self, place: Place, room: usize) {
+        self.told.push(Event::Room { engine: place, room });
+    }
+
     pub fn probed(&mut self, now: Micros, place: Place, alive: bool, report: Option<Report>) {
         if let Some(engine) = self.engines.get_mut(place).filter(|_| alive) {
             engine.seen.fade(now);
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -2,6 +2,7 @@
 //! `report` says how an execution ended, `tick` decides on all that was told since and returns what the
 //! network is to do. Whoever calls it knows neither the module's events nor its actions.
 
+mod dials;
 mod ended;
 mod ending;
 mod engines;
@@ -24,9 +25,11 @@
 use promised::Depends;
 use taken::{Key, Statement};
 
+pub use dials::Dials;
 pub use ending::Ending;
 pub use engines::Listing;
-pub use hallmux::interface::{Cost, DedupGroup, Effect, Micros, Mode, Note, Offer};
+pub use hallmux::interface::{Asked, Cost, DedupGroup, Effect, Micros, Mode, Note, Offer};
+pub use offered::SPAN;
 pub use out::{Order, Terms};
 pub use promised::{Gone, Site, Taken, Word};
 pub use seen::Sighted;
@@ -64,9 +67,10 @@
     resting: BTreeSet<(Micros, String)>,
     engines: Vec<Engine>,
     watches: bool,
-    depends: Vec<Depends>,       // by workload
-    offered: Vec<Offered>,       // likewise
-    threads: Vec<f64>,           // that a statement takes, likewise
+    depends: Vec<Depends>,           // by workload
+    offered: Vec<Offered>,           // likewise
+    customers: Vec<(bool, Offered)>, // likewise by customer, and whether a share is agreed
+    threads: Vec<f64>,               // that a statement takes, likewise
     in_time: Vec<(Micros, f64)>, // the SLO time, and by how much it is longer for each microsecond of work
     words: Vec<Word>,
     followed: Vec<Ticket>,
@@ -96,6 +100,9 @@
             watches: false,
             depends: contract.agreement.workloads.iter().map(depends).collect(),
             offered: vec![Offered::default(); contract.agreement.workloads.len()],
+            customers: (contract.agreement.customers.iter())
+                .map(|share| (share.is_finite(), Offered::default()))
+                .collect(),
             threads: contract.agreement.workloads.iter().map(|w| w.threads).collect(),
             in_time: (contract.agreement.workloads.iter())
                 .map(|w| (w.slo_time, w.slo_stretch / w.threads))
--- a/crates/dispatcher/src/offered.rs
+++ b/crates/dispatcher/src/offered.rs
@@ -1,11 +1,13 @@
 //! What this front is asked, by workload, as it is told to other fronts; and what they were asked, as the module hears it.
 
-use hallmux::interface::{Event, Micros, Offer};
+use hallmux::interface::{Asked, Event, Micros};
 
 use crate::taken::Statement;
 use crate::{Dispatcher, Ticket};
 
 const HALVES: Micros = 2_000_000; // microseconds until a count is worth half: the load of some seconds
+/// Seconds of an even load that its count comes to.
+pub const SPAN: f64 = HALVES as f64 / 1e6 / std::f64::consts::LN_2;
 const NEWEST: f64 = 0.05; // weight of the newest sample in the mean work
 
 /// What was asked of a workload lately; counts halve with time.
@@ -50,10 +52,17 @@
         self.names.workloads.iter().map(String::as_str).zip(&self.offered)
     }
 
-    /// What the fronts that tell were asked, in the order of workloads, and the share of those let in that were not
-    /// in time.
-    pub fn fleet_offered(&mut self, missed: f64, offers: Vec<Offer>) {
-        self.told.push(Event::Offered { missed, offers });
+    /// The same of customers, where any has an agreed share; None: without one.
+    pub fn by_customers(&mut self, now: Micros) -> impl Iterator<Item = (&str, Option<&Offered>)> {
+        self.customers.iter_mut().for_each(|(_, o)| o.fade(now));
+        let any = self.customers.iter().any(|(shared, _)| *shared);
+        let all = self.names.customers.iter().map(String::as_str).zip(&self.customers).filter(move |_| any);
+        all.map(|(name, (shared, asked))| (name, Some(asked).filter(|_| *shared)))
+    }
+
+    /// What the fronts that tell were asked, in the order of workloads and customers.
+    pub fn fleet_offered(&mut self, asked: Asked) {
+        self.told.push(Event::Offered(asked));
     }
 
     /// An execution has answered its statement.
@@ -98,7 +107,7 @@
         assert_eq!(counts(&mut d, 2_000_000)[0], (0.5, 0.52, 0.52));
         // The fleet bears no lookup: it ends when it comes.
         let none = Offer { asked: 100.0, ended: 0.0, timely: 0.0, work: 1.0 };
-        d.fleet_offered(1.0, vec![none; 3]);
+        d.fleet_offered(Asked { missed: 1.0, offers: vec![none; 3], ..Asked::default() });
         d.pick(2_000_000, &ask("lookup", None)).unwrap();
         let orders = d.tick(2_000_000);
         assert!(matches!(orders[..], [Order::Reject { retry_after: Some(_), .. }]), "{orders:?}");
--- a/crates/dispatcher/src/out.rs
+++ b/crates/dispatcher/src/out.rs
@@ -49,6 +49,10 @@
         /// On behalf of the fleet: only whoever owns that work may send it.
         for_fleet: bool,
     },
+    /// From now on so many new connections a second to each engine at most.
+    Pace {
+        connections: f64,
+    },
 }
 
 impl Dispatcher {
@@ -129,6 +133,7 @@
             }
             Action::Probe { engine: place } => orders.push(Order::Probe { place, for_fleet: false }),
             Action::ProbeLeft { engine: place } => orders.push(Order::Probe { place, for_fleet: true }),
+            Action::Pace { connections } => orders.push(Order::Pace { connections }),
             Action::Wake { at } => self.wake = at,
             // The coordinator is followed all the time, asked for or not.
             Action::Subscribe => {}
--- a/crates/dispatcher/src/taken.rs
+++ b/crates/dispatcher/src/taken.rs
@@ -125,6 +125,7 @@
         let terms = Terms { ends, grant_mb: 0.0, priority: 1 };
         let executions = Vec::new();
         self.offered[workload].asks(now);
+        self.customers.get_mut(customer).into_iter().for_each(|(_, asked)| asked.asks(now));
         let (slo_time, stretch) = self.in_time[workload];
         let in_time_until = now + slo_time + (stretch * ask.work) as Micros;
         let statement = Statement {
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -104,6 +104,8 @@
         Action::Probe { engine } | Action::ProbeLeft { engine } => {
             writeln!(out, "PROBE who={who} engine={}", engines[*engine])
         }
+        // The settings name no such budget here.
+        Action::Pace { .. } => Ok(()),
         Action::Subscribe => writeln!(out, "SUBSCRIBE who={who} enable=1"),
         Action::Wake { at } => writeln!(out, "SET_ALARM who={who} fireAtMs={} ref=wake", ms(*at)),
     };
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use hallmux_dispatcher::{Dispatcher, Micros, Offer};
+use hallmux_dispatcher::{Asked, Dispatcher, Micros, Offer, SPAN};
 use hallmux_gossip::node::Node;
 use hallmux_gossip::shares::{Offered, MOST_OFFERED};
 
@@ -12,6 +12,7 @@
 const LOOK: Micros = 1_000_000; // microseconds between what the module hears: shares are renewed every second and a half
 const UNIT: f64 = 16.0; // parts of a statement that counts are told in
 const MOST_OF_MEDIAN: f64 = 4.0; // times the median that one front's count may be: some see several times the mean
+const MOST_CUSTOMERS: usize = 8; // told of in a share: those that ask most
 const LEAST_ENDED: f64 = 2.0; // statements from which a front's share that missed says anything
 
 /// A workload as shares name it.
@@ -19,9 +20,16 @@
     named(name) as u32
 }
 
+/// A customer likewise: no workload has such a name.
+fn customer(name: &str) -> u32 {
+    named(&format!("customer\0{name}")) as u32
+}
+
 #[derive(Default)]
 pub(crate) struct Load {
     look: Micros,
+    /// The module goes by what was told.
+    told: bool,
 }
 
 impl Load {
@@ -45,35 +53,73 @@
             });
             let mut all: Vec<Offered> = all.filter(|o| o.asked > 0 || o.ended > 0).collect();
             all.sort_by_key(|o| std::cmp::Reverse(u64::from(o.asked) * u64::from(o.work_us.max(1))));
-            all.truncate(MOST_OFFERED);
+            let shared = dispatcher.by_customers(at.now).filter_map(|(name, asked)| Some((name, asked?)));
+            let shared = shared.map(|(name, o)| Offered {
+                workload: customer(name),
+                asked: counts(o.asked),
+                ..Offered::default()
+            });
+            let mut shared: Vec<Offered> = shared.filter(|o| o.asked > 0).collect();
+            shared.sort_by_key(|o| std::cmp::Reverse(o.asked));
+            shared.truncate(MOST_CUSTOMERS);
+            all.truncate(MOST_OFFERED - shared.len());
+            all.extend(shared);
             all
         });
         let told: Vec<&[Offered]> = node.offered(at.now).collect();
-        let names: Vec<u32> = dispatcher.offered(at.now).map(|(name, _)| workload(name)).collect();
-        if !told.is_empty() {
-            let (missed, offers) = merged(&told, &names);
-            dispatcher.fleet_offered(missed, offers);
+        // What was told counts for nothing once nobody tells any more.
+        if told.is_empty() {
+            if std::mem::take(&mut self.told) {
+                dispatcher.fleet_offered(Asked::default());
+            }
+            return;
         }
+        self.told = true;
+        let names: Vec<u32> = dispatcher.offered(at.now).map(|(name, _)| workload(name)).collect();
+        let (missed, offers) = merged(&told, &names);
+        let own = dispatcher.offered(at.now).zip(&offers).map(|((_, own), offer)| own.asked * offer.work);
+        let part = part_of(own.sum(), &offers, told.len());
+        let shared = dispatcher.by_customers(at.now);
+        let shared: Vec<Option<u32>> = shared.map(|(name, asked)| asked.map(|_| customer(name))).collect();
+        // Some tell; the others that are up are asked as they are.
+        let each = node.fleet().1 as f64 / told.len() as f64 / SPAN;
+        let rate = |of: &Option<u32>| of.map_or(0.0, |of| sum_of(&told, of, |o| o.asked) * each);
+        let customers = shared.iter().map(rate).collect();
+        let part = if node.hears_load(at.now) { part } else { 0.0 };
+        dispatcher.fleet_offered(Asked { missed, part, offers, customers });
+    }
+}
+
+/// What a front is asked, in work, against the mean of those that tell; 0 where they were asked nothing.
+fn part_of(own: f64, offers: &[Offer], fronts: usize) -> f64 {
+    let mean = offers.iter().map(|o| o.work * o.asked).sum::<f64>() / fronts.max(1) as f64;
+    if mean > 0.0 {
+        own / mean
+    } else {
+        0.0
     }
 }
 
+/// What all tell of one count. No front counts for more than some times the one in the middle, whatever it says.
+fn sum_of(told: &[&[Offered]], name: u32, field: fn(&Offered) -> u32) -> f64 {
+    let of = |all: &&[Offered]| all.iter().find(|o| o.workload == name).map_or(0, field);
+    let counts: Vec<f64> = told.iter().map(|all| f64::from(of(all)) / UNIT).collect();
+    let most = MOST_OF_MEDIAN * median(counts.clone()).max(1.0);
+    counts.into_iter().map(|count| count.min(most)).sum()
+}
+
 fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or(0.0)
 }
 
-/// What all were asked, by the workloads named, and the share that the front in the middle missed. No front counts
-/// for more than some times the one in the middle, whatever it says.
+/// What all were asked, by the workloads named, and the share that the front in the middle missed.
 fn merged(told: &[&[Offered]], names: &[u32]) -> (f64, Vec<Offer>) {
     let of: Vec<BTreeMap<u32, Offered>> =
         told.iter().map(|all| all.iter().map(|o| (o.workload, *o)).collect()).collect();
     let offers = names.iter().map(|name| {
         let all: Vec<Offered> = of.iter().map(|all| all.get(name).copied().unwrap_or_default()).collect();
-        let sum = |field: fn(&Offered) -> u32| {
-            let counts: Vec<f64> = all.iter().map(|o| f64::from(field(o)) / UNIT).collect();
-            let most = MOST_OF_MEDIAN * median(counts.clone()).max(1.0);
-            counts.into_iter().map(|count| count.min(most)).sum::<f64>()
-        };
+        let sum = |field: fn(&Offered) -> u32| sum_of(told, *name, field);
         let work = median(all.iter().filter(|o| o.work_us > 0).map(|o| f64::from(o.work_us)).collect());
         let (asked, ended) = (sum(|o| o.asked), sum(|o| o.ended));
         Offer { asked, ended, timely: sum(|o| o.timely).min(ended), work }
@@ -105,6 +151,20 @@
         assert_eq!(merged(&[&c, &a, &b], &[1, 2, 3]), (missed, offers));
     }
 
+    #[test]
+    fn a_front_takes_its_part_of_what_all_are_asked_and_none_where_nothing_is_told() {
+        let (a, b) = ([of(1, 10, 0, 0)], [of(1, 30, 0, 0)]);
+        let (_, offers) = merged(&[&a, &b], &[1]);
+        assert_eq!(part_of(10.0 * 100.0, &offers, 2), 0.5);
+        assert_eq!((part_of(5.0, &[], 0), part_of(5.0, &offers[..0], 3)), (0.0, 0.0));
+        // Absurd load of one front makes nobody's part small: it counts for four times the middle at most.
+        let liar = [Offered { asked: u32::MAX, ..of(1, 0, 0, 0) }];
+        let sane: Vec<[Offered; 1]> = (0..9).map(|_| [of(1, 10, 10, 10)]).collect();
+        let told: Vec<&[Offered]> = sane.iter().map(|o| &o[..]).chain([&liar[..]]).collect();
+        let (_, offers) = merged(&told, &[1]);
+        assert!((0.7..1.0).contains(&part_of(10.0 * 100.0, &offers, 10)));
+    }
+
     #[test]
     fn absurd_load_of_one_front_moves_little() {
         let sane: Vec<[Offered; 1]> = (0..9).map(|_| [of(1, 10, 10, 10)]).collect();
--- a/crates/front/src/engines/mod.rs
+++ b/crates/front/src/engines/mod.rs
@@ -2,6 +2,7 @@
 
 mod heard;
 mod left;
+mod room;
 mod sent;
 mod waited;
 
@@ -14,9 +15,10 @@
 use hallmux_agreement::{Allowance, Names};
 use hallmux_codec::engine::{self, Command, Line, Said, Want};
 use hallmux_codec::statement::Call;
-use hallmux_dispatcher::{Cost, Ending, Micros, Note, Place, Terms, Ticket};
+use hallmux_dispatcher::{Cost, Dials, Ending, Micros, Note, Place, Terms, Ticket};
 
 use crate::doors::{Changes, Door};
+use crate::front::Pacer;
 use crate::link::{Broken, Link};
 use crate::reuse::Reuse;
 
@@ -114,6 +116,8 @@
     executions: HashMap<Sent, Execution>,
     next: u64,
     most_links: usize,
+    /// When connections may be made; any time where nothing else is set.
+    pub dials: Pacer,
     reuse: Reuse,
     /// Given up, but engines may not know yet; in the order in which they were.
     lagging: VecDeque<(Micros, Sent, Ending)>,
@@ -132,6 +136,7 @@
             executions: HashMap::new(),
             next: 0,
             most_links: 0,
+            dials: Pacer::new(Dials::new(false, 0, 0).into()),
             lagging: VecDeque::new(),
             told: Vec::new(),
         }
--- a/crates/front/src/engines/sent.rs
+++ b/crates/front/src/engines/sent.rs
@@ -40,10 +40,10 @@
             return Ok(*link);
         }
         let least = engine.links.iter().filter(fits).min_by_key(|link| rank(link).1).copied();
-        let listed = self.engines.values().filter(|e| e.listed).count().max(1);
-        let more = engine.links.len() < self.most_links / listed && self.links.len() < self.most_links;
         match least {
-            Some(link) if !more => Ok(link),
+            Some(link) if !self.may_have_more(engine) => Ok(link),
+            // Not its turn: what is there is used, else it stays here.
+            _ if !self.dials.borrow_mut().take(now, place) => least.ok_or(Ending::Withdrawn),
             _ => self.dial(now, place).or_else(|ending| least.ok_or(ending)),
         }
     }
@@ -130,7 +130,11 @@
     pub fn probe(&mut self, now: Micros, place: Place) {
         self.next += 1;
         let tag = format!("p{}", self.next);
-        let Some(link) = self.link_for(now, place, &tag).ok().and_then(|id| self.links.get_mut(&id)) else {
+        let link = match self.link_for(now, place, &tag) {
+            Err(Ending::Withdrawn) => return, // for want of a turn to dial: that says nothing of the engine
+            other => other.ok().and_then(|id| self.links.get_mut(&id)),
+        };
+        let Some(link) = link else {
             return self.told.push(Told::Probed { place, alive: false, report: None });
         };
         if link.up {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,6 +3,7 @@
 mod asked;
 mod listed;
 mod orders;
+mod rooms;
 mod scattered;
 
 use std::net::TcpListener;
@@ -27,6 +28,8 @@
 use crate::shutdown::Shutdown;
 use crate::start::Fault;
 
+pub use rooms::Pacer;
+
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
 const MEMORY_PART: u64 = 4; // statements held may take one part of so many, untaken answers another
 const CLIENTS_PART: usize = 2; // of the descriptors; clients hold a third, the rest is for engines
@@ -53,6 +56,8 @@
     guard: Option<Guard>,
     /// Statements that are asked of several sites, likewise.
     scatter: Option<Scatters>,
+    /// What the module knows of connections that are there.
+    rooms: rooms::Rooms,
     shutdown: Shutdown,
     clock: Clock,
     /// Connections with more to read than one turn takes.
@@ -100,11 +105,16 @@
             rules,
             guard: None,
             scatter,
+            rooms: rooms::Rooms::default(),
             shutdown: Shutdown::default(),
             clock,
             unfinished: Vec::new(),
             handle,
         };
+        front.engines.dials = rooms::pacer(station, front.clock.now);
+        if let Some(portal) = &mut front.portal {
+            portal.servers().dials = front.engines.dials.clone();
+        }
         if let Some(ledger) = station.operator.gossip.as_ref().and_then(|gossip| gossip.ledger.as_ref()) {
             let now = front.clock.now;
             front.guard = Some(Guard::new(contract, now, ledger.shards, &mut front.dispatcher));
@@ -199,6 +209,7 @@
             self.heard();
             self.guarded();
             self.marked();
+            self.tell_rooms();
             let orders = self.dispatcher.tick(self.clock.now);
             if orders.is_empty() {
                 break;
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -168,6 +168,7 @@
         }
         let Ordered { ticket, execution, place, terms, .. } = ordered;
         let (now, sent) = (self.clock.now, (ticket, execution));
+        self.took_room(place);
         if self.owns(ticket) {
             return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place, None));
         }
@@ -237,6 +238,7 @@
             Order::Abort { ticket } => self.refuse(ticket, false, None),
             // Between the decision and now the work may have become another's: then the probe stays here.
             Order::Probe { for_fleet: true, .. } if !self.peers.as_ref().is_none_or(Peers::may_probe) => {}
+            Order::Pace { connections } => self.engines.dials.borrow_mut().pace(now, connections),
             Order::Probe { place, .. } => self.engines.probe(self.clock.now, place),
         }
     }
--- a/crates/front/src/postgres/servers.rs
+++ b/crates/front/src/postgres/servers.rs
@@ -10,13 +10,14 @@
 
 use calloop::LoopHandle;
 use hallmux_agreement::{Allowance, SessionLimits};
-use hallmux_dispatcher::{Ending, Micros, Place, Ticket};
+use hallmux_dispatcher::{Dials, Ending, Micros, Place, Ticket};
 use hallmux_postgres::engine::{Account, Done, Engine};
 use hallmux_postgres::pool::{self, Pools};
 use hallmux_postgres::prepared::Settings;
 use hallmux_postgres::session::Part;
 
 use crate::doors::Changes;
+use crate::front::Pacer;
 use crate::link::Link;
 
 const LOOK: Micros = 100_000; // microseconds between looks at connections that have rested for long
@@ -147,6 +148,8 @@
     dirty: BTreeSet<ServerId>,
     next: u64,
     most_links: usize,
+    /// When connections may be made; any time where nothing else is set.
+    pub dials: Pacer,
     look: Micros,
     /// What engines tell of themselves, for the welcome of clients.
     pub parameters: Vec<(String, String)>,
@@ -174,6 +177,7 @@
             dirty: BTreeSet::new(),
             next: 0,
             most_links: usize::MAX,
+            dials: Pacer::new(Dials::new(false, 0, 0).into()),
             look: 0,
             parameters: Vec::new(),
             told: Vec::new(),
@@ -185,6 +189,12 @@
         self.most_links = descriptors.max(1);
     }
 
+    /// Units that can leave for an engine over connections at rest or on their way, or one that may be made now.
+    pub fn room(&self, now: Micros, place: Place) -> usize {
+        let dials = self.pools.takes_more(place) && self.dials.borrow().next(now, place) <= now;
+        self.pools.free(place) + usize::from(dials && self.engines.get(&place).is_some_and(|e| e.up))
+    }
+
     /// The number of an account at the engines.
     pub fn account(&mut self, account: Account) -> Option<pool::Account> {
         let known = self.accounts.iter().position(|a| *a == account);
--- a/crates/front/src/postgres/servers/coming.rs
+++ b/crates/front/src/postgres/servers/coming.rs
@@ -180,7 +180,9 @@
                     }
                 }
                 // A login is an answer as well.
-                None if self.pools.may_dial(place) => _ = self.dial(now, place, account),
+                None if self.pools.may_dial(place) && self.dials.borrow_mut().take(now, place) => {
+                    _ = self.dial(now, place, account)
+                }
                 None => {}
             }
         }
--- a/crates/front/src/postgres/servers/leaving.rs
+++ b/crates/front/src/postgres/servers/leaving.rs
@@ -56,6 +56,8 @@
         while let Some(next) = step.take() {
             match next {
                 Step::Use { unit, link } => self.start(unit, link),
+                // What waits is served as connections come free, or at the next look when it is its turn.
+                Step::Dial { .. } if !self.dials.borrow_mut().take(now, place) => return,
                 Step::Dial { account, instead_of } => {
                     instead_of.into_iter().for_each(|id| self.close(id));
                     if self.links.len() + self.cancels.len() >= self.most_links {
--- a/crates/gossip/src/node/load.rs
+++ b/crates/gossip/src/node/load.rs
@@ -36,6 +36,11 @@
         self.shares.iter().flat_map(move |shares| shares.all(now))
     }
 
+    /// Whether any other front that counts is heard.
+    pub fn hears_load(&self, now: Micros) -> bool {
+        self.shares.iter().flat_map(|shares| shares.makers(now)).any(|maker| maker != self.own.id)
+    }
+
     pub(super) fn pass_shares(&mut self, now: Micros, wall_ms: u64, to: SocketAddr) -> Option<Datagram> {
         let room = LETTER_ROOM - 8; // the count of them
         let shares = self.shares.as_mut()?.pass_on(now, room);
--- a/crates/gossip/src/shares.rs
+++ b/crates/gossip/src/shares.rs
@@ -88,6 +88,11 @@
         self.held.values().filter(move |held| now - held.made < FADES).map(|held| &held.offered[..])
     }
 
+    /// Whose counts now.
+    pub fn makers(&self, now: Micros) -> impl Iterator<Item = PeerId> + '_ {
+        self.held.iter().filter(move |(_, held)| now - held.made < FADES).map(|(maker, _)| *maker)
+    }
+
     /// Shares to be passed on within so many bytes: those passed on least, of them the latest.
     pub fn pass_on(&mut self, now: Micros, mut room: usize) -> Vec<Signed> {
         let counts = |held: &&mut Held| now - held.made < FADES && held.sent < MOST_SENT;
--- a/crates/postgres/src/pool.rs
+++ b/crates/postgres/src/pool.rs
@@ -237,7 +237,18 @@
     /// Whether an engine takes another connection, and none is on its way.
     pub fn may_dial(&self, place: Place) -> bool {
         let coming = self.of(place).any(|(_, m)| m.state == State::Coming);
-        !coming && self.of(place).count() < self.bounds.each_engine
+        !coming && self.takes_more(place)
+    }
+
+    /// Whether an engine takes another connection.
+    pub fn takes_more(&self, place: Place) -> bool {
+        self.of(place).count() < self.bounds.each_engine
+    }
+
+    /// Connections to an engine that rest or are on their way, beyond those that units wait for.
+    pub fn free(&self, place: Place) -> usize {
+        let free = self.of(place).filter(|(_, m)| m.state != State::Taken && !m.old).count();
+        free.saturating_sub(self.waiting.get(&place).map_or(0, VecDeque::len))
     }
 
     /// A connection that rests, longest of all, to make room for others.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -84,19 +84,23 @@
     due: BTreeSet<(Micros, StatementId)>, // when a statement's standing changes by time alone
     overdue: BTreeSet<StatementId>,
     late: BTreeSet<StatementId>,
-    turns: BTreeMap<KeyId, Turn>,
+    turns: Turns,
     shares: Vec<Bucket>, // of each customer
     taken: Times,
     further: Times,
-    many: bool,       // so many fronts that a share of one engine's bound holds no statement
-    asked_work: Mean, // work of a statement taken, in microseconds on one thread
-    ran: Load,        // what a statement usually holds while it runs
-    may_probe: f64,   // probes that statements have paid for
-    asks_next: usize, // engine whose turn it is to be probed
-    words: Words,     // of other fronts, with their credit by whether what they said came true
-    known: f64,       // fronts that may share a returning zone: silent ones too, no fewer than agreed
-    up: f64,          // of them those that are heard of, this one too
-    let_in: Vec<f64>, // share of each workload that the fleet lets in; none: all
+    many: bool,         // so many fronts that a share of one engine's bound holds no statement
+    asked_work: Mean,   // work of a statement taken, in microseconds on one thread
+    ran: Load,          // what a statement usually holds while it runs
+    may_probe: f64,     // probes that statements have paid for
+    asks_next: usize,   // engine whose turn it is to be probed
+    words: Words,       // of other fronts, with their credit by whether what they said came true
+    known: f64,         // fronts that may share a returning zone: silent ones too, no fewer than agreed
+    up: f64,            // of them those that are heard of, this one too
+    let_in: Vec<f64>, // share of each workload within customers' shares, and beyond, that is let in; none: all
+    beyond: Vec<f64>, // share of what each customer asks the fleet that is beyond its own; none: not known
+    part: f64,        // what this front is asked, against the mean; 0 where it hears of no others
+    probes: Bucket,   // of the fleet's budget
+    paced: Option<f64>, // new connections a second to each engine, as it was told last
     first_look: f64,  // where in the list of engines the next choice looks first
 }
 
@@ -108,9 +112,11 @@
         let fresh = Learned { memory_bias: guess, ..Learned::default() };
         let mut chance = Chance::new(seed);
         let narrowest = agreed.workloads.iter().map(|w| w.threads).fold(f64::INFINITY, f64::min);
+        let first_look = chance.next();
         let smallest = agreed.cores.iter().copied().fold(f64::INFINITY, f64::min);
         Front {
-            first_look: chance.next(),
+            first_look,
+            probes: Bucket { left: first_look, at: 0 }, // fronts that start at once do not probe at once
             asks_next: (chance.next() * 256.0) as usize,
             many: THREADS_PER_CORE * smallest / agreed.fronts < narrowest,
             engines: Engines { usual: vec![Load::default(); agreed.cores.len()], ..Engines::default() },
@@ -145,7 +151,8 @@
                 Event::Left(id) => self.close(id, false),
                 Event::Freed { key, rests } => self.freed(key, rests),
                 Event::Hearsay(said) => self.hear(said),
-                Event::Offered { missed, offers } => self.bears(missed, &offers),
+                Event::Offered(asked) => self.bears(&asked),
+                Event::Room { engine, room } => self.engines.has_room(engine, room),
                 Event::Fleet { known, up } => (self.known, self.up) = (known.max(self.agreed.fronts), up),
                 Event::Probed { engine, alive, report } => {
                     self.engines.know(engine, TRUSTED);
@@ -157,6 +164,11 @@
         }
         self.sweep();
         self.release();
+        let pace = self.agreed.budgets.map(|b| share_of(b.connections, self.part, self.known));
+        if self.paced != pace {
+            self.paced = pace;
+            self.actions.extend(pace.map(|connections| Action::Pace { connections }));
+        }
         let window = self.agreed.further.map_or(0, |budget| budget.window);
         self.taken.forget(now - window);
         self.further.forget(now - window);
@@ -200,9 +212,13 @@
         let class = (a.workload * customers + a.customer.min(customers - 1)) * 2;
         let rate = self.agreed.customers.get(a.customer).map_or(f64::INFINITY, |r| r / self.agreed.fronts);
         let bucket = self.shares.get_mut(a.customer);
-        let class = class + usize::from(bucket.is_some_and(|bucket| !bucket.take(rate, self.now)));
+        let alone = bucket.is_some_and(|bucket| !bucket.take(rate, self.now));
+        // Where the fleet's figures are known they say how much is beyond, whichever fronts a customer asks.
+        let over = self.beyond.get(a.customer).map_or(alone, |beyond| self.chance.next() < *beyond);
+        let class = class + usize::from(over);
         let workload = &self.agreed.workloads[a.workload];
         let learned = &mut self.learned[a.workload];
+        learned.beyond.take(LEARNING, f64::from(u8::from(over)));
         learned.first_try = learned.first_try.max(a.time_left);
         // What a front that stood still finds has waited; what first tries have left tells how long.
         let missing = learned.first_try - a.time_left;
@@ -217,12 +233,10 @@
         self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
         self.taken.0.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
-        if let Some(key) = a.key {
-            self.turns.entry(key).or_default().line.push_back(a.statement);
-        }
+        self.turns.joins(a.key, a.statement);
         let (id, ends) = (a.statement, self.now + a.time_left);
         let load = Load { threads: workload.threads, memory };
-        let let_in = self.lets_in(&a);
+        let let_in = self.lets_in(&a, over);
         let s = Statement::new(a, class, self.now - spent, ends, load);
         self.asked_work.take(LEARNING, either(self.expected_work(&s), SECOND as f64));
         self.statements.insert(id, s);
@@ -235,7 +249,7 @@
     fn hold(&mut self, id: StatementId) {
         let Some(s) = self.statements.get(&id).filter(|s| !s.over && !s.is_out()) else { return };
         let (class, timely, latest) = (s.class, self.last_timely_start(s), self.latest_start(s));
-        let rests_until = s.asked.key.and_then(|key| self.turns.get(&key)).map_or(0, |t| t.rests_until);
+        let rests_until = self.turns.of(s.asked.key).map_or(0, |t| t.rests_until);
         let has_turn = self.has_turn(id, s);
         // Once it is to be given up it is due now; till then at the next turn of its standing.
         let ends = if self.hopeless(s) { self.now } else { s.ends - LAST_CALL };
@@ -280,12 +294,8 @@
             self.sweeps += 1;
             self.probe();
             if self.sweeps.is_multiple_of(SWEEPS_PER_LOOK) {
-                self.engines.usual.iter_mut().for_each(|usual| usual.blend(Load::default(), FORGOTTEN));
-                for e in 0..self.engines.open.len() {
-                    let usual = if self.many { self.engines.usual(e) } else { Load::default() };
-                    self.engines.others[e].blend(usual, if self.many { OUTDATED } else { FORGOTTEN });
-                    self.listen(e);
-                }
+                self.engines.grow_old(FORGOTTEN, self.many.then_some(OUTDATED));
+                (0..self.engines.open.len()).for_each(|e| self.listen(e));
             }
         }
     }
@@ -321,19 +331,12 @@
     }
 
     fn freed(&mut self, key: KeyId, rests: bool) {
-        let Some(turn) = self.turns.get_mut(&key) else { return };
-        turn.found(true);
-        turn.rests_until = if rests { self.now + self.agreed.turn_gap } else { turn.rests_until };
-        self.next_in_line(key);
+        self.turns.found(Some(key), true, rests.then_some(self.now + self.agreed.turn_gap));
+        self.next_in_line(Some(key));
     }
 
-    fn next_in_line(&mut self, key: KeyId) {
-        let Some(turn) = self.turns.get(&key) else { return };
-        if let Some(next) = turn.line.front().copied() {
-            self.hold(next);
-        } else if turn.astray == 0 && turn.rests_until <= self.now {
-            self.turns.remove(&key);
-        }
+    fn next_in_line(&mut self, key: Option<KeyId>) {
+        self.turns.next(key, self.now).into_iter().for_each(|next| self.hold(next));
     }
 
     fn forget(&mut self, id: StatementId) {
--- a/src/decide/give_up.rs
+++ b/src/decide/give_up.rs
@@ -11,26 +11,30 @@
     /// Whether a statement is given up at once: no engine may have it, or it must be late, and that is worth
     /// little or others wait behind it in the line of its order key: running it would make them late too.
     pub(super) fn hopeless(&self, s: &Statement) -> bool {
-        let turn = s.asked.key.and_then(|key| self.turns.get(&key));
-        let blocks = turn.is_some_and(|t| t.line.len() > 1);
+        let blocks = self.turns.of(s.asked.key).is_some_and(|t| t.line.len() > 1);
         let late = self.now >= self.last_timely_start(s);
         self.stranded(s) || !self.goes_on(s) || late && (blocks || self.workload(s).late_share < LATE_WORTH)
     }
 
     /// The fleet as one lets in what its engines bear, first of all where the penalty is highest by what all
-    /// fronts have kept together: each front turns away the same, before it asks an engine.
-    pub(super) fn bears(&mut self, missed: f64, offers: &[Offer]) {
-        let customers = self.agreed.customers.len().max(1);
-        let rank = |w: usize| penalty(offers[w].conformance(UNSEEN), self.delta(w * customers * 2));
-        let borne = |o: &Offer| o.work * LET_IN * if missed > MISSED { o.timely } else { o.ended };
+    /// fronts have kept together: each front turns away the same, before it asks an engine. What is beyond
+    /// customers' shares weighs as the paper has it.
+    pub(super) fn bears(&mut self, told: &Asked) {
+        let (customers, offers) = (self.agreed.customers.len().max(1), &told.offers);
+        let each = beyond(&told.customers, &self.agreed.customers);
+        let apart = |(o, learned): (&Offer, &Learned)| o.apart(learned.beyond.value);
+        let lines: Vec<Offer> = offers.iter().zip(&self.learned).flat_map(apart).collect();
+        let delta = |n: usize| self.delta(n / 2 * customers * 2 + n % 2);
+        let rank = |n: usize| penalty(lines[n].conformance(UNSEEN), delta(n));
+        let borne = |o: &Offer| o.work * LET_IN * if told.missed > MISSED { o.timely } else { o.ended };
         let asked: f64 = offers.iter().map(Offer::work_asked).sum();
         let most = offers.iter().map(borne).sum::<f64>().max(LEAST_LET_IN * asked);
-        self.let_in = share_out(most, offers, rank);
+        (self.let_in, self.beyond, self.part) = (share_out(most, &lines, rank), each, told.part);
     }
 
     /// Whether the fleet lets a statement in; what an open transaction waits for always.
-    pub(super) fn lets_in(&mut self, s: &Arrival) -> bool {
-        let share = self.let_in.get(s.workload).copied().unwrap_or(1.0);
+    pub(super) fn lets_in(&mut self, s: &Arrival, over: bool) -> bool {
+        let share = self.let_in.get(s.workload * 2 + usize::from(over)).copied().unwrap_or(1.0);
         share >= 1.0 || s.pinned.is_some() || self.chance.next() < share
     }
 
@@ -82,13 +86,8 @@
                 self.prioritise(other);
             }
         }
-        if let Some(key) = key {
-            if let Some(turn) = self.turns.get_mut(&key) {
-                turn.line.retain(|other| *other != id);
-                turn.astray += astray.len();
-            }
-            self.next_in_line(key);
-        }
+        self.turns.leaves(key, id, astray.len());
+        self.next_in_line(key);
         self.forget(id);
     }
 }
--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -14,6 +14,7 @@
                 other => other.into_iter().for_each(|e| self.found_well(e, true)),
             }
         }
+        let budget = self.agreed.budgets.map_or(f64::INFINITY, |b| share_of(b.probes, self.part, self.known));
         let (count, asks) = (self.engines.open.len(), self.agreed.report_on_probe && self.agreed.probes);
         for _ in 0..count {
             let e = self.asks_next % count;
@@ -21,7 +22,7 @@
                 return;
             }
             self.asks_next = e + 1;
-            if self.engines.open[e] {
+            if self.engines.open[e] && self.probes.take(budget * count as f64, self.now) {
                 self.may_probe -= 1.0;
                 self.engines.probed[e] = self.now;
                 self.actions.push(Action::Probe { engine: e });
@@ -105,13 +106,9 @@
         sent.outcome = Some(x.outcome);
         let (quiet, key, was_over, ends, load) = (sent.quiet, s.asked.key, s.over, s.ends, s.load);
         self.engines.took_back(e, (x.statement, x.execution), load);
-        if let Some(turn) = key.and_then(|key| self.turns.get_mut(&key)) {
-            turn.found(was_over);
-            if matches!(x.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
-                turn.rests_until = now + self.agreed.turn_gap;
-            }
-            turn.astray += usize::from(x.holds && x.settled && !was_over);
-        }
+        let lost = matches!(x.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        self.turns.found(key, was_over, lost.then_some(now + self.agreed.turn_gap));
+        self.turns.keeps(key, x.holds && x.settled && !was_over);
         // One connection late to come up tells little of its engine; two in a row tell that it is gone.
         let (before, unreached) = self.engines.tried(e, x.outcome, now + LOST_REST);
         if unreached == 0 && before > 1 {
@@ -147,7 +144,7 @@
         let s = &self.statements[&x.statement];
         if was_over {
             self.forget(x.statement);
-            key.into_iter().for_each(|key| self.next_in_line(key));
+            self.next_in_line(key);
         } else if x.settled {
             let slo = self.slo_time(s);
             self.close(x.statement, x.outcome == Outcome::Completed && now - s.first_asked <= slo);
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -46,8 +46,7 @@
 
     pub(super) fn has_turn(&self, id: StatementId, s: &Statement) -> bool {
         let rested = |t: &Turn| t.rests_until <= self.now || !s.executions.is_empty();
-        let turn = s.asked.key.and_then(|key| self.turns.get(&key));
-        turn.is_none_or(|t| t.line.front() == Some(&id) && t.astray == 0 && rested(t))
+        self.turns.of(s.asked.key).is_none_or(|t| t.line.front() == Some(&id) && t.astray == 0 && rested(t))
     }
 
     pub(super) fn place(&self, id: StatementId) -> Option<EngineId> {
@@ -72,7 +71,9 @@
         let (guessed, mut drawn) = (self.many && !self.agreed.report.tells_load(), Vec::new());
         for e in (0..count).map(|i| (i + first) % count) {
             let trusted = s.executions.is_empty() || self.engines.credit[e] >= TRUSTED;
-            let away = self.engines.rests_until[e] > self.now || leaves && self.engines.is_left(e);
+            let reached = self.engines.room[e] > 0 || s.asked.pinned.is_some();
+            let away =
+                !reached || self.engines.rests_until[e] > self.now || leaves && self.engines.is_left(e);
             if !trusted || away || !self.may_execute(id, e) {
                 continue;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,6 +97,13 @@
     pub window: Micros,
 }
 
+/// What all fronts together may put on one engine a second: connections, and probes for its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineBudgets {
+    pub connections: f64,
+    pub probes: f64,
+}
+
 /// All that a front is handed at start: what was agreed with the clients and what the site allows.
 #[derive(Clone, Debug, Default)]
 pub struct Agreement {
@@ -125,6 +132,8 @@
     pub overload_factor: f64,
     pub fall_window: Micros,
     pub further: Option<FurtherBudget>,
+    /// None: each front connects and probes as it needs.
+    pub budgets: Option<EngineBudgets>,
     /// Believed fronts of as many vantages whose ill word of most of a zone leads every front out of it; 0: never.
     pub zone_quorum: usize,
 }
@@ -261,6 +270,19 @@
     pub work: f64,
 }
 
+/// What the fleet was asked lately, as those of its fronts that tell of it say.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    /// The share of what was let in that was not in time.
+    pub missed: f64,
+    /// What this front was asked, against the mean of those that tell; 0 where it hears of none.
+    pub part: f64,
+    /// By workload.
+    pub offers: Vec<Offer>,
+    /// Statements a second over all fronts, by customer; none where no shares are agreed.
+    pub customers: Vec<f64>,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The engine list: whole, or only what changed.
@@ -296,10 +318,11 @@
         known: f64,
         up: f64,
     },
-    /// What the fleet was asked, by workload, and the share of what was let in that was not in time.
-    Offered {
-        missed: f64,
-        offers: Vec<Offer>,
+    Offered(Asked),
+    /// Executions that can leave for an engine now, over connections that are there or may be made.
+    Room {
+        engine: EngineId,
+        room: usize,
     },
     Woken,
 }
@@ -337,6 +360,10 @@
         engine: EngineId,
     },
     Subscribe,
+    /// From now on this front may make so many connections a second to each engine.
+    Pace {
+        connections: f64,
+    },
     Wake {
         at: Micros,
     },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 mod learned;
 mod offers;
 mod state;
+mod turns;
 mod words;
 
 pub use decide::Front;
--- a/src/offers.rs
+++ b/src/offers.rs
@@ -1,9 +1,31 @@
 //! What the fleet was asked, as plain figures: nothing is decided here.
 
+use crate::chance::either;
 use crate::interface::*;
 use crate::state::Load;
 
+/// A front's share of a budget of all fronts, by what it is asked against the mean of them. Where it knows nothing
+/// that is a fifth of an even part, at the mean two fifths, at three times the mean and more four fifths: the sum stays
+/// under the budget whatever is told, and what is left is for budgets that are saved up for a moment.
+pub fn share_of(budget: f64, part: f64, fronts: f64) -> f64 {
+    budget * (1.0 + either(part, 0.0).min(3.0)) / (5.0 * fronts.max(1.0))
+}
+
+/// Of each customer the share of what it asks a second that is beyond its own.
+pub fn beyond(asked: &[f64], agreed: &[f64]) -> Vec<f64> {
+    let of = |(asked, own): (&f64, &f64)| (asked - own).max(0.0) / asked.max(f64::MIN_POSITIVE);
+    asked.iter().zip(agreed).map(of).collect()
+}
+
 impl Offer {
+    /// What of it is within customers' shares and what beyond: of those within more came in time.
+    pub fn apart(&self, beyond: f64) -> [Offer; 2] {
+        let asked = [self.asked * (1.0 - beyond), self.asked * beyond];
+        let timely = self.timely.min(asked[0]);
+        let of = |n: usize, timely| Offer { asked: asked[n], timely, ..*self };
+        [of(0, timely), of(1, self.timely - timely)]
+    }
+
     /// The share of what was asked that was answered in time, with so many timely ones on top.
     pub fn conformance(&self, on_top: f64) -> f64 {
         (self.timely + on_top) / (self.asked + on_top)
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 use crate::interface::*;
 pub use crate::learned::*;
 pub use crate::offers::*;
+pub use crate::turns::*;
 pub use crate::words::*;
 
 pub const SECOND: Micros = 1_000_000; // microseconds
@@ -44,6 +45,8 @@
 
 impl Bucket {
     pub fn take(&mut self, rate: f64, now: Micros) -> bool {
+        // One that was not asked before is as full as it was made.
+        self.at = if self.at == 0 { now } else { self.at };
         self.left = (self.left + rate * (now - self.at) as f64 / 1e6).min(rate.max(1.0));
         self.at = now;
         let had = self.left >= 1.0;
@@ -128,22 +131,6 @@
     }
 }
 
-/// Statements of one order key, in the order in which they were taken.
-#[derive(Default)]
-pub struct Turn {
-    pub line: VecDeque<StatementId>,
-    /// Executions still out of statements that are over.
-    pub astray: usize,
-    pub rests_until: Micros,
-}
-
-impl Turn {
-    /// One that was astray has ended, where it was.
-    pub fn found(&mut self, astray: bool) {
-        self.astray -= usize::from(astray && self.astray > 0);
-    }
-}
-
 /// What statements hold of an engine.
 #[derive(Default, Clone, Copy)]
 pub struct Load {
@@ -188,6 +175,7 @@
     pub heard: Vec<Micros>,
     pub probed: Vec<Micros>,
     pub told: Vec<Micros>, // when its last report came
+    pub room: Vec<usize>,  // executions that can leave now, over connections that are there or may be made
     /// Ill in zones that the fleet has left; other fronts that have found each well since.
     pub left: BTreeMap<EngineId, BTreeSet<usize>>,
 }
@@ -258,6 +246,21 @@
     pub fn sent(&mut self, e: EngineId, execution: (StatementId, usize), load: Load) {
         self.out[e].insert(execution);
         self.own[e].add(load, 1.0);
+        self.room[e] = self.room[e].saturating_sub(1);
+    }
+
+    /// How many executions can leave for it now.
+    pub fn has_room(&mut self, e: EngineId, room: usize) {
+        self.room.get_mut(e).into_iter().for_each(|known| *known = room);
+    }
+
+    /// What others hold of each is half known and grows old: with reports of many, towards what is usual.
+    pub fn grow_old(&mut self, forgotten: f64, outdated: Option<f64>) {
+        self.usual.iter_mut().for_each(|usual| usual.blend(Load::default(), forgotten));
+        for e in 0..self.open.len() {
+            let usual = outdated.map_or(Load::default(), |_| self.usual(e));
+            self.others[e].blend(usual, outdated.unwrap_or(forgotten));
+        }
     }
 
     /// It is out no more.
@@ -315,5 +318,6 @@
         self.heard.resize(count, 0);
         self.probed.resize(count, 0);
         self.told.resize(count, 0);
+        self.room.resize(count, usize::MAX);
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -109,6 +109,11 @@
                 "overload" => self.agreed.overload_factor = number(value),
                 "fall" => self.agreed.fall_window = micros(value),
                 "zone-quorum" => self.agreed.zone_quorum = number(value) as usize,
+                "on-probe" => self.agreed.report_on_probe = true,
+                "budgets" => {
+                    let each: Vec<f64> = value.split(',').map(number).collect();
+                    self.agreed.budgets = Some(EngineBudgets { connections: each[0], probes: each[1] });
+                }
                 "customers" => self.agreed.customers = value.split(',').map(number).collect(),
                 "spare" => {
                     let window = 10_000 * MS;
@@ -159,6 +164,7 @@
                 Action::Abort { statement: s } => format!("abort {}", statement(s)),
                 Action::Probe { engine } => format!("probe {}", self.engine_names[*engine]),
                 Action::ProbeLeft { engine } => format!("probe-left {}", self.engine_names[*engine]),
+                Action::Pace { connections } => format!("pace {connections:.2}"),
                 Action::Subscribe => "subscribe".to_string(),
             };
             self.done.push(format!("{} at {}", said, self.now / MS));
@@ -192,7 +198,7 @@
     fn happens(&mut self, words: &[&str]) -> Option<Event> {
         let said = options(&words[if ["fleet", "asked"].contains(&words[0]) { 1 } else { 2 }..]);
         let statement = match words[0] {
-            "hear" | "fleet" | "asked" | "probed" => 0,
+            "hear" | "fleet" | "asked" | "probed" | "room" => 0,
             _ => index(&mut self.statements, words[1]) as StatementId,
         };
         let value = |name: &str| said.get(name).map_or(0.0, |v| number(v));
@@ -252,7 +258,16 @@
                 silent: micros(said.get("silent").copied().unwrap_or("0")),
                 age: micros(said.get("age").copied().unwrap_or("0")),
             }),
-            "asked" => Event::Offered { missed: value("missed"), offers: self.offers(&said) },
+            "asked" => Event::Offered(Asked {
+                missed: value("missed"),
+                part: value("part"),
+                offers: self.offers(&said),
+                customers: said.get("customers").map_or(vec![], |v| v.split(',').map(number).collect()),
+            }),
+            "room" => Event::Room {
+                engine: self.engine_names.iter().position(|e| e == words[1])?,
+                room: number(words[2]) as usize,
+            },
             "fleet" => Event::Fleet { known: value("known"), up: value("up") },
             "probed" => Event::Probed {
                 engine: self.engine_names.iter().position(|e| e == words[1])?,
