hallmux-lab: releases of many fronts, connections in simulated time, first tries in processes

- `release` kills a share of the fronts at once and starts them anew at once; the run tells the most connections and probes within a second into any engine after it, and what was in time.
- Simulated fronts have connections; the rig in processes counts connections and first tries.
- `measure overload` (its own file) plays offered load, releases and customers, the fleet as one off and on side by side, and prints a plot.

--- a/crates/lab/src/engine/record.rs
+++ b/crates/lab/src/engine/record.rs
@@ -1,6 +1,6 @@
 //! What engines did, written down as it happens.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
@@ -42,6 +42,8 @@
     peers: Mutex<HashMap<(SocketAddr, SocketAddr), usize>>,
     /// The front that sent what an engine wrote down under this link.
     pub sent_by: Mutex<HashMap<(usize, u32), usize>>,
+    /// Statements that were sent to any engine, by their front and the client's name for them.
+    firsts: Mutex<HashSet<(usize, Vec<u8>)>>,
     armed: Mutex<Option<Armed>>,
     /// Fronts killed at a step of a promise, with the step and when.
     pub steps: Mutex<Vec<(Step, usize, i64)>>,
@@ -65,11 +67,29 @@
             deeds: Mutex::default(),
             peers: Mutex::default(),
             sent_by: Mutex::default(),
+            firsts: Mutex::default(),
             armed: Mutex::default(),
             steps: Mutex::default(),
         })
     }
 
+    /// What a front sends towards an engine. One that is cut between two chunks counts as an attempt alone.
+    pub fn sends(&self, front: usize, chunk: &[u8]) {
+        const WORD: &[u8] = b"want ";
+        let Ok(mut firsts) = self.firsts.lock() else { return };
+        for at in chunk.windows(WORD.len()).enumerate().filter(|(_, w)| *w == WORD).map(|(at, _)| at) {
+            let rest = &chunk[at + WORD.len()..];
+            if let Some(end) = rest.iter().position(|byte| *byte == b' ') {
+                firsts.insert((front, rest[..end].to_vec()));
+            }
+        }
+    }
+
+    /// Statements that were sent to any engine at least once, at each front.
+    pub fn first_tries(&self) -> i64 {
+        self.firsts.lock().map_or(0, |firsts| firsts.len() as i64)
+    }
+
     pub fn now(&self) -> i64 {
         self.since.elapsed().as_micros() as i64
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -177,7 +177,7 @@
                 Measured::Postgres => measure::portal::postgres(),
                 Measured::Promises => measure::promises::measure(),
                 Measured::Grown => measure::grown::measure(),
-                Measured::Overload => measure::fleet::overload(),
+                Measured::Overload => measure::overload::measure(),
                 Measured::Fleet => measure::fleet::measure(),
                 Measured::Gossip => measure::gossip::spread(&[20, 100, 1_000]),
             };
--- a/crates/lab/src/measure/fleet.rs
+++ b/crates/lab/src/measure/fleet.rs
@@ -32,7 +32,7 @@
 const RETURN: &str = include_str!("../../fleet/zone-return.toml");
 const AWAY: &str = include_str!("../../fleet/zone-away.toml");
 
-fn median(mut values: Vec<i64>) -> i64 {
+pub fn median(mut values: Vec<i64>) -> i64 {
     values.sort_unstable();
     values[values.len() / 2]
 }
@@ -63,39 +63,8 @@
     Ok(())
 }
 
-const OVERLOAD: &str = include_str!("../../fleet/overload.toml");
-const BORNE: u64 = 640; // statements a second that the engines of that day bear
-/// Of a day on which more is offered than the engines bear.
-const SHED: [&str; 7] = [
-    "in_time_per_s",
-    "worth_per_s",
-    "attempts_over_first_pct",
-    "shed_order_agreed_pct",
-    "turned_away_by_engines",
-    "refused",
-    "unanswered",
-];
-
-/// `measure overload`: what is served, attempted and refused from half of what the engines bear to three times.
-pub fn overload() -> Result<(), String> {
-    println!("| offered, % of what is borne | fronts | way | {} |", SHED.join(" | "));
-    println!("| --- | --- | --- |{}", " --- |".repeat(SHED.len()));
-    for size in SIZES {
-        for percent in [50, 100, 150, 200, 300] {
-            let mut scenario = Scenario::parse(OVERLOAD, true, Some(size))?;
-            scenario.load.per_second = BORNE * percent / 100;
-            for (way, as_one) in [("each by itself", false), ("as one", true)] {
-                scenario.fleet.sheds_as_one = as_one;
-                row(&scenario, (&percent.to_string(), way), &SHED)?;
-            }
-        }
-    }
-    Ok(())
-}
-
-/// Plays a scenario on each seed at once and prints its row.
-fn row(scenario: &Scenario, (day, way): (&str, &str), figures: &[&str]) -> Result<(), String> {
-    let size = scenario.fleet.fronts;
+/// Plays a scenario on each seed at once; an error where a rule is broken.
+pub fn runs(scenario: &Scenario, what: &str) -> Result<Vec<Run>, String> {
     let runs: Vec<Result<Run, String>> = std::thread::scope(|scope| {
         let started: Vec<_> =
             SEEDS.iter().map(|seed| scope.spawn(move || simulated::run(scenario, *seed))).collect();
@@ -103,9 +72,16 @@
         ended.map(|run| run.unwrap_or_else(|_| Err("a run panicked".to_string()))).collect()
     });
     let runs: Vec<Run> = runs.into_iter().collect::<Result<_, _>>()?;
-    if let Some(failed) = runs.iter().find(|run| !run.passed()) {
-        return Err(format!("{day}, {size} fronts, {way}: a rule is broken: {}", failed.line()));
+    match runs.iter().find(|run| !run.passed()) {
+        Some(failed) => Err(format!("{what}: a rule is broken: {}", failed.line())),
+        None => Ok(runs),
     }
+}
+
+/// Plays a scenario and prints its row.
+fn row(scenario: &Scenario, (day, way): (&str, &str), figures: &[&str]) -> Result<(), String> {
+    let size = scenario.fleet.fronts;
+    let runs = runs(scenario, &format!("{day}, {size} fronts, {way}"))?;
     let cell = |figure: &&str| {
         let values: Vec<i64> = runs.iter().filter_map(|run| run.tallies.get(*figure).copied()).collect();
         match (values.iter().min(), values.iter().max()) {
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -3,6 +3,7 @@
 pub mod fleet;
 pub mod gossip;
 pub mod grown;
+pub mod overload;
 pub mod portal;
 pub mod promises;
 mod spread;
--- /dev/null
+++ b/crates/lab/src/measure/overload.rs
@@ -0,0 +1,128 @@
+//! `measure overload`: what is served, attempted and refused from half of what the engines bear to three times, and what
+//! fronts put on engines after seven in ten of them were killed and started anew; what the operator's file switches on
+//! for the fleet as one off and on side by side, on the same seeds, in simulated time.
+
+use super::fleet::{median, runs};
+use crate::check::Outcome;
+use crate::record::account::Run;
+use crate::rig::scenario::{Budgets, Scenario};
+
+const SIZES: [usize; 4] = [5, 20, 40, 300];
+const OFFERED: [u64; 5] = [50, 100, 150, 200, 300]; // percent of what the engines bear
+const BORNE: u64 = 640; // statements a second that the engines of the day bear
+const DAY: &str = include_str!("../../fleet/overload.toml");
+const RELEASE: &str = include_str!("../../fleet/release.toml");
+const CUSTOMERS: &str = include_str!("../../fleet/overload-customers.toml");
+const WAYS: [(&str, bool); 2] = [("off", false), ("on", true)];
+const SHED: [&str; 7] = [
+    "in_time_per_s",
+    "worth_per_s",
+    "attempts_over_first_pct",
+    "shed_order_agreed_pct",
+    "turned_away_by_engines",
+    "refused",
+    "unanswered",
+];
+const RELEASED: [&str; 4] =
+    ["released_connections_most_s", "released_probes_most_s", "released_connections", "released_in_time_pct"];
+const BAR: i64 = 20; // statements a second that one sign of the plot stands for
+
+/// The middle, least and most of a figure over the runs.
+fn cell(runs: &[Run], figure: &str) -> (i64, String) {
+    let values: Vec<i64> = runs.iter().filter_map(|run| run.tallies.get(figure).copied()).collect();
+    match (values.iter().min(), values.iter().max()) {
+        (Some(least), Some(most)) => {
+            let middle = median(values.clone());
+            (middle, format!("{middle} ({least}-{most})"))
+        }
+        _ => (0, "-".to_string()),
+    }
+}
+
+fn row(head: &str, runs: &[Run], figures: &[&str]) {
+    let cells: Vec<String> = figures.iter().map(|figure| cell(runs, figure).1).collect();
+    println!("| {head} | {} |", cells.join(" | "));
+}
+
+fn heads(first: &str, figures: &[&str]) {
+    println!("| {first} | {} |", figures.join(" | "));
+    println!("|{}", " --- |".repeat(first.split('|').count() + figures.len()));
+}
+
+/// Prints the tables and the plot.
+pub fn measure() -> Result<(), String> {
+    heads("offered, % of what is borne | fronts | the fleet as one", &SHED);
+    let mut plot = Vec::new();
+    let mut held = Vec::new();
+    for size in SIZES {
+        let mut goodput = [Vec::new(), Vec::new()];
+        for percent in OFFERED {
+            for (n, (way, as_one)) in WAYS.into_iter().enumerate() {
+                let mut scenario = Scenario::parse(DAY, true, Some(size))?;
+                scenario.load.per_second = BORNE * percent / 100;
+                scenario.fleet.sheds_as_one = as_one;
+                let runs = runs(&scenario, &format!("{size} fronts, {percent} %, {way}"))?;
+                row(&format!("{percent} | {size} | {way}"), &runs, &SHED);
+                goodput[n].push(cell(&runs, "in_time_per_s").0);
+            }
+        }
+        for ((way, _), goodput) in WAYS.iter().zip(&goodput) {
+            let peak = goodput.iter().max().copied().unwrap_or(0).max(1);
+            held.push(format!("| {size} | {way} | {} |", goodput.last().unwrap_or(&0) * 100 / peak));
+            let bars = OFFERED.iter().zip(goodput).map(|(percent, good)| {
+                let bar = "#".repeat((good / BAR) as usize);
+                format!("{size:>4} {way:>4} {percent:>4} %  {bar} {good}")
+            });
+            plot.extend(bars);
+        }
+    }
+    println!(
+        "\n| fronts | the fleet as one | goodput at three times over its peak, % |\n| --- | --- | --- |"
+    );
+    held.iter().for_each(|line| println!("{line}"));
+    println!("\n```\nfronts, as one, offered: goodput, answers in time a second ({BAR} a sign)");
+    plot.iter().for_each(|line| println!("{line}"));
+    println!("```\n");
+    released()?;
+    customers()
+}
+
+/// Seven fronts in ten killed at once and started anew, with the budgets and without.
+fn released() -> Result<(), String> {
+    heads("fronts | budgets, a second into each engine", &RELEASED);
+    for size in SIZES.into_iter().chain([12]) {
+        for most in [0, 10, 100] {
+            let mut scenario = Scenario::parse(RELEASE, true, Some(size))?;
+            scenario.fleet.budgets = Budgets { connections_per_second: most, probes_per_second: most };
+            let runs = runs(&scenario, &format!("release, {size} fronts, {most}"))?;
+            let way = if most == 0 { "off".to_string() } else { most.to_string() };
+            row(&format!("{size} | {way}"), &runs, &RELEASED);
+        }
+    }
+    println!();
+    Ok(())
+}
+
+/// What of each customer's statements came in time, where one asks for more than its share.
+fn customers() -> Result<(), String> {
+    println!("| fronts | the fleet as one | customer, workload | asked | in time, % |\n| --- | --- | --- | --- | --- |");
+    for size in SIZES {
+        for (way, as_one) in WAYS {
+            let mut scenario = Scenario::parse(CUSTOMERS, true, Some(size))?;
+            scenario.fleet.sheds_as_one = as_one;
+            let runs = runs(&scenario, &format!("customers, {size} fronts, {way}"))?;
+            for (n, class) in scenario.classes.iter().enumerate() {
+                let asked: Vec<_> = runs.iter().flat_map(|run| &run.asked).filter(|o| o.class == n).collect();
+                let slo = class.slo_ms as i64 * 1000;
+                let in_time = asked.iter().filter(|o| {
+                    let took = o.asked.answered.saturating_sub(o.asked.sent);
+                    matches!(o.asked.outcome, Outcome::Completed { .. }) && took <= slo
+                });
+                let share = in_time.count() * 100 / asked.len().max(1);
+                let (customer, workload) = (&class.customer, &class.name);
+                println!("| {size} | {way} | {customer}, {workload} | {} | {share} |", asked.len());
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/lab/src/prove/disks.rs
+++ b/crates/lab/src/prove/disks.rs
@@ -112,6 +112,7 @@
             copies: Some(3),
             zone_quorum: None,
             sheds_as_one: false,
+            budgets: Default::default(),
         },
         load: Load { per_second: 50, work_ms: 10, timeout_ms: 4_000, memory_mb: 0 },
         engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
--- a/crates/lab/src/prove/promises.rs
+++ b/crates/lab/src/prove/promises.rs
@@ -133,6 +133,7 @@
             copies: (way.copies > 0).then_some(way.copies),
             zone_quorum: None,
             sheds_as_one: false,
+            budgets: Default::default(),
         },
         load: Load { per_second: 60, work_ms: 10, timeout_ms: 4_000, memory_mb: 0 },
         engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
--- a/crates/lab/src/prove/shape.rs
+++ b/crates/lab/src/prove/shape.rs
@@ -15,6 +15,7 @@
         copies: Some(3),
         zone_quorum: None,
         sheds_as_one: false,
+        budgets: Default::default(),
     }
 }
 
--- a/crates/lab/src/record/account.rs
+++ b/crates/lab/src/record/account.rs
@@ -6,7 +6,7 @@
 #[cfg(test)]
 pub use super::offered::offered;
 pub use super::offered::Offered;
-use super::promises;
+use super::{herd, promises};
 use crate::check::{self, Agreed, Asked, Outcome};
 use crate::engine::lines::Warmth;
 use crate::engine::Deed;
@@ -133,11 +133,12 @@
     for (fault, from, to) in played {
         match fault.what {
             What::ZoneLost => zone_lost(scenario, account, (fault, *from, *to), &mut tallies),
+            What::Release => herd::released(scenario, account, (fault, *from), &mut tallies),
             What::LinkCut => link_cut(account, (fault, *from, *to), &mut tallies),
             _ => {}
         }
     }
-    shed(scenario, asked, &mut tallies);
+    shed(scenario, account.began, asked, &mut tallies);
     if let Some(first) = account.first_tries {
         let all: i64 = relayed.iter().map(|r| r.statements as i64).sum();
         tallies.insert("attempts_over_first_pct", all * 100 / first.max(1));
@@ -204,16 +205,16 @@
 
 /// What came in time, and which classes were refused: of each front its order by the share refused, held against the
 /// fleet's by Spearman's rank correlation; the mean over fronts that refused anything.
-fn shed(scenario: &Scenario, asked: &[Offered], tallies: &mut Tallies) {
+fn shed(scenario: &Scenario, began: i64, asked: &[Offered], tallies: &mut Tallies) {
     let in_time = |o: &Offered| {
         let slo = scenario.classes[o.class].slo_ms as i64 * 1000;
         matches!(o.asked.outcome, Outcome::Completed { .. }) && o.asked.answered - o.asked.sent <= slo
     };
-    let worth: f64 = asked.iter().filter(|o| in_time(o)).map(|o| scenario.classes[o.class].importance).sum();
-    tallies.insert(
-        "in_time_per_s",
-        asked.iter().filter(|o| in_time(o)).count() as i64 / scenario.seconds as i64,
-    );
+    // While the load was on: what waits when it ends is served after it by engines that have nothing else.
+    let over = began + scenario.seconds as i64 * SECOND;
+    let served = || asked.iter().filter(|o| o.asked.answered < over && in_time(o));
+    let worth: f64 = served().map(|o| scenario.classes[o.class].importance).sum();
+    tallies.insert("in_time_per_s", served().count() as i64 / scenario.seconds as i64);
     tallies.insert("worth_per_s", (worth / scenario.seconds as f64) as i64);
     let classes = scenario.classes.len();
     if classes < 2 {
@@ -346,7 +347,7 @@
     }
 
     fn sent(at: i64, statements: usize, passed: bool) -> Relayed {
-        Relayed { at, front: 0, engine: 2, zone: 1, statements, probes: 0, passed }
+        Relayed { at, front: 0, engine: 2, zone: 1, statements, probes: 0, dials: 0, passed }
     }
 
     #[test]
--- a/crates/lab/src/record/mod.rs
+++ b/crates/lab/src/record/mod.rs
@@ -4,6 +4,7 @@
 pub mod barred;
 pub mod cuts;
 pub mod executions;
+pub mod herd;
 pub mod hits;
 pub mod offered;
 mod order;
--- a/crates/lab/src/rig/agreed.rs
+++ b/crates/lab/src/rig/agreed.rs
@@ -19,8 +19,16 @@
     };
     let customers: std::collections::BTreeSet<&str> =
         scenario.classes.iter().map(|c| c.customer.as_str()).collect();
-    let customers: Vec<_> = customers.into_iter().map(|name| json!({"name": name})).collect();
-    let classes: Vec<serde_json::Value> = scenario.classes.iter().map(class).collect();
+    let share = |name: &str| {
+        scenario.classes.iter().filter(|c| c.customer == name).find_map(|c| c.customer_per_second)
+    };
+    let customers: Vec<_> =
+        customers.into_iter().map(|name| json!({"name": name, "allowancePerS": share(name)})).collect();
+    // Classes of one name are one workload, which several customers ask for.
+    let first = |(n, c): &(usize, &Class)| !scenario.classes[..*n].iter().any(|before| before.name == c.name);
+    let classes: Vec<serde_json::Value> =
+        scenario.classes.iter().enumerate().filter(first).map(|(_, c)| class(c)).collect();
+    let source = if scenario.engine.load_on_probe { "on_probe" } else { "inline" };
     // What goes on though its connection ended is over within its own time, and some for a busy machine.
     let goes_on = scenario.classes.iter().filter(|c| c.goes_on);
     let longest = goes_on.map(|c| c.work_ms.unwrap_or(scenario.load.work_ms)).max();
@@ -30,7 +38,7 @@
             "coldFrom": scenario.engine.cold_slots as f64 / scenario.engine.slots as f64,
             "warmWithinMs": scenario.engine.warm_ms, "overloadFactor": scenario.engine.overload,
             "fallMs": scenario.engine.fall_ms},
-        "customers": customers, "report": {"names": ["active"], "source": "inline"},
+        "customers": customers, "report": {"names": ["active"], "source": source},
         "bounds": {"cancelling": true, "probes": true, "mostTries": 3, "retryAfter": true, "maxRetryAfterMs": 200},
         "extra": {"sizeCores": [scenario.engine.slots], "memoryByKindMb": [scenario.engine.memory_mb]},
         "requestClasses": classes})
--- a/crates/lab/src/rig/class.rs
+++ b/crates/lab/src/rig/class.rs
@@ -28,6 +28,8 @@
     /// Whose statements they are.
     #[serde(default = "customer")]
     pub customer: String,
+    /// Statements a second over all fronts that are within that customer's share; without, all are.
+    pub customer_per_second: Option<f64>,
     /// An engine goes on with it though its connection ended.
     #[serde(default)]
     pub goes_on: bool,
@@ -73,6 +75,7 @@
             timeout_ms: None,
             window_ms: window_ms(),
             customer: customer(),
+            customer_per_second: None,
             goes_on: false,
             asks_again: 0,
         }
--- a/crates/lab/src/rig/fault.rs
+++ b/crates/lab/src/rig/fault.rs
@@ -43,6 +43,8 @@
     DiskFull,
     /// Each sync of the disk of the front's copies takes `delay_ms` longer.
     DiskSlow,
+    /// Of the fronts `percent` in a hundred are killed (SIGKILL) at once, and all started anew at once after `for_ms`.
+    Release,
     /// The front that probed for the fleet last is stopped, or killed: the owner of that work.
     StallOwner,
     KillOwner,
@@ -93,6 +95,11 @@
 }
 
 impl Fault {
+    /// Of so many fronts, how many are released.
+    pub fn released(&self, fronts: usize) -> usize {
+        fronts * self.percent.min(100) as usize / 100
+    }
+
     pub fn split(&self) -> Split {
         let one_way = self.what == What::FrontsSplitOut;
         Split { below: self.front, second: self.second, one_way }
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -162,7 +162,7 @@
             peak: self.engines.iter().map(|e| e.peak()).fold(0.0, f64::max),
             peaks_since_start: self.engines.iter().map(|e| e.peak_since_start()).collect(),
             read_again,
-            first_tries: None,
+            first_tries: Some(self.records.first_tries()),
             slack: SLACK_US,
             starved,
         }
--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -106,7 +106,7 @@
                 });
                 let ownership = ownership.unwrap_or_default()
                     + &keys.ledger(self.number, &post.at, &beside.ledger)
-                    + keys.overload;
+                    + &keys.overload;
                 let quorum = keys.zone_quorum.map(|q| format!("zone_quorum: {q}, ")).unwrap_or_default();
                 format!(
                     "{{ {ahead}, gossip: {{ listen: '127.0.0.1:0', advertise: '{}', secret_file: '{}', {quorum}peers: {{ {} }}, \
@@ -139,6 +139,22 @@
         Ok(pid)
     }
 
+    /// It takes no statements from now on, and what it had out then may be lost.
+    pub(crate) fn goes_away(&self, at: i64) {
+        self.away.store(true, SeqCst);
+        if let Ok(mut troubled) = self.troubled.lock() {
+            troubled.push((at, i64::MAX));
+        }
+    }
+
+    /// It takes statements again.
+    pub(crate) fn is_back(&self, at: i64) {
+        if let Ok(mut troubled) = self.troubled.lock() {
+            troubled.iter_mut().filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = at);
+        }
+        self.away.store(false, SeqCst);
+    }
+
     /// Lines of its log that hold the text, of all its lives, each with when it was read.
     pub(crate) fn said(&self, text: &str) -> Vec<(Instant, String)> {
         let logs = self.logs.lock().map(|logs| logs.clone()).unwrap_or_default();
@@ -191,7 +207,7 @@
     /// How many vote on who owns the fleet's work, and how long a lease lasts.
     voters: Option<(usize, u64)>,
     /// That part of the operator's file.
-    overload: &'static str,
+    overload: String,
 }
 
 impl Keys {
@@ -208,7 +224,12 @@
             peers.push(format!("f{n}: '{}'", hex(&public)));
         }
         let copies = shape.copies.map(|copies| (copies, shape.zones));
-        let overload = if shape.sheds_as_one { ", overload: {}" } else { "" };
+        let o = shape.overload();
+        let overload = format!(
+            ", overload: {{ connections_per_second: {}, probes_per_second: {} }}",
+            o.connections_per_second, o.probes_per_second
+        );
+        let overload = Some(overload).filter(|_| shape.sheds_as_one).unwrap_or_default();
         let voters = shape.voters.map(|voters| (voters, shape.lease_ms));
         Ok(Keys { folder, peers: peers.join(", "), zone_quorum: shape.zone_quorum, copies, voters, overload })
     }
--- a/crates/lab/src/rig/relay.rs
+++ b/crates/lab/src/rig/relay.rs
@@ -32,6 +32,8 @@
     pub zone: usize,
     pub statements: usize,
     pub probes: usize,
+    /// Connections that were made.
+    pub dials: usize,
     pub passed: bool,
 }
 
@@ -63,6 +65,7 @@
         let takes = link.clone();
         std::thread::spawn(move || {
             for near in listener.incoming().flatten() {
+                takes.notes((0, 0, 1), !takes.state().out_lost);
                 let Ok(far) = TcpStream::connect(to) else {
                     continue;
                 };
@@ -105,6 +108,15 @@
         }
     }
 
+    fn notes(&self, (statements, probes, dials): (usize, usize, usize), passed: bool) {
+        let Link { front, engine, zone, .. } = *self;
+        let at = self.records.now();
+        let relayed = Relayed { at, front, engine, zone, statements, probes, dials, passed };
+        if let (true, Ok(mut all)) = (statements + probes + dials > 0, self.relayed.lock()) {
+            all.push(relayed);
+        }
+    }
+
     fn pass(&self, mut from: TcpStream, mut to: TcpStream, out: bool) {
         let mut chunk = vec![0; CHUNK];
         loop {
@@ -116,19 +128,8 @@
             let lost = if out { state.out_lost } else { state.back_lost };
             if out {
                 let count = |word: &[u8]| chunk[..read].windows(5).filter(|w| *w == word).count();
-                let (statements, probes) = (count(b"want "), count(b"busy "));
-                let relayed = Relayed {
-                    at: self.records.now(),
-                    front: self.front,
-                    engine: self.engine,
-                    zone: self.zone,
-                    statements,
-                    probes,
-                    passed: !lost,
-                };
-                if let (true, Ok(mut all)) = (statements + probes > 0, self.relayed.lock()) {
-                    all.push(relayed);
-                }
+                self.notes((count(b"want "), count(b"busy "), 0), !lost);
+                self.records.sends(self.front, &chunk[..read]);
             }
             if lost {
                 continue;
@@ -183,8 +184,8 @@
         assert!(s.read(&mut b).is_err(), "nothing may come back through a lost link");
         let all = relayed.lock().unwrap().clone();
         assert_eq!(
-            all.iter().map(|r| (r.statements, r.passed, r.zone)).collect::<Vec<_>>(),
-            [(1, true, 2), (1, false, 2)]
+            all.iter().map(|r| (r.dials, r.statements, r.passed, r.zone)).collect::<Vec<_>>(),
+            [(1, 0, true, 2), (0, 1, true, 2), (0, 1, false, 2)]
         );
         link.reset();
         assert!(matches!(s.read(&mut b), Ok(0) | Err(_)));
--- a/crates/lab/src/rig/scenario.rs
+++ b/crates/lab/src/rig/scenario.rs
@@ -1,6 +1,7 @@
 //! A fleet scenario: the fleet's shape, its load, its engines' warmth and a schedule of faults, from one TOML
 //! file. What is unknown or out of range is refused naming its key and line.
 
+use hallmux_agreement::Overload;
 use serde::Deserialize;
 
 pub use super::class::{Class, Effect};
@@ -52,6 +53,31 @@
     /// Overload is shed by the fleet as one (`gossip.overload` of the operator's file).
     #[serde(default)]
     pub sheds_as_one: bool,
+    /// New connections and probes into one engine a second over all fronts, where it is; 0: no bound.
+    #[serde(default)]
+    pub budgets: Budgets,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Budgets {
+    pub connections_per_second: u32,
+    pub probes_per_second: u32,
+}
+
+impl Default for Budgets {
+    fn default() -> Budgets {
+        let Overload { connections_per_second, probes_per_second, .. } = Overload::default();
+        Budgets { connections_per_second, probes_per_second }
+    }
+}
+
+impl Shape {
+    /// That part of the operator's file.
+    pub fn overload(&self) -> Overload {
+        let Budgets { connections_per_second, probes_per_second } = self.budgets;
+        Overload { connections_per_second, probes_per_second, ..Overload::default() }
+    }
 }
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -81,11 +107,21 @@
     /// What is agreed of a cold engine: work over any `fall_ms` at so many times what it bears makes it fall over.
     pub overload: f64,
     pub fall_ms: u64,
+    /// Engines tell their load only when they are probed.
+    pub load_on_probe: bool,
 }
 
 impl Default for Warm {
     fn default() -> Warm {
-        Warm { slots: 16, cold_slots: 16, warm_ms: 0, memory_mb: 16_384, overload: 2.0, fall_ms: 1_000 }
+        Warm {
+            slots: 16,
+            cold_slots: 16,
+            warm_ms: 0,
+            memory_mb: 16_384,
+            overload: 2.0,
+            fall_ms: 1_000,
+            load_on_probe: false,
+        }
     }
 }
 
--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -84,6 +84,10 @@
                 }
             }
             What::StallOwner | What::KillOwner => {} // played as what it is on the owner
+            What::Release => self.released(fault).for_each(|member| {
+                member.goes_away(self.records.now());
+                member.signal(Signal::SIGKILL);
+            }),
             What::DiskFull => self.ground.drill(fault.front, "full"),
             What::DiskSlow => self.ground.drill(fault.front, &format!("slow {}", fault.delay_ms)),
             What::Term => {
@@ -93,26 +97,40 @@
             }
             What::Stall | What::Kill | What::LoseDisk => {
                 let died = self.dies_at(fault, member);
-                member.away.store(true, SeqCst);
-                if let Ok(mut troubled) = member.troubled.lock() {
-                    // What it had out is lost from its death on, however late this hears of it.
-                    troubled.push((died.unwrap_or_else(|| self.records.now()), i64::MAX));
-                }
+                // What it had out is lost from its death on, however late this hears of it.
+                member.goes_away(died.unwrap_or_else(|| self.records.now()));
                 member.signal(if fault.what == What::Stall { Signal::SIGSTOP } else { Signal::SIGKILL });
             }
         }
     }
 
-    /// Ends a fault; a front started anew gives its process id.
-    pub(super) fn end(&self, fault: &Fault) -> Result<Option<u32>, String> {
+    fn released(&self, fault: &Fault) -> impl Iterator<Item = &Arc<Member>> {
+        self.members.iter().take(fault.released(self.members.len()))
+    }
+
+    /// Starts fronts anew, all at once: it is the herd that is wanted.
+    fn start_all(&self, fault: &Fault) -> Result<Vec<u32>, String> {
+        std::thread::scope(|scope| {
+            let start = |member: &'_ Arc<Member>| {
+                let member = member.clone();
+                scope.spawn(move || {
+                    let old = member.front.lock().map(|mut f| f.take());
+                    old.ok().flatten().into_iter().for_each(|mut old| _ = old.ended());
+                    let pid = member.start(self.ground)?;
+                    member.is_back(self.records.now());
+                    Ok(pid)
+                })
+            };
+            let started: Vec<_> = self.released(fault).map(start).collect();
+            let failed = |_| Err("a start panicked".to_string());
+            started.into_iter().map(|start| start.join().unwrap_or_else(failed)).collect()
+        })
+    }
+
+    /// Ends a fault; gives the process ids of fronts that were started anew.
+    pub(super) fn end(&self, fault: &Fault) -> Result<Vec<u32>, String> {
         let member = &self.members[fault.front];
-        let mended = || {
-            if let Ok(mut troubled) = member.troubled.lock() {
-                let now = self.records.now();
-                troubled.iter_mut().filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = now);
-            }
-            member.away.store(false, SeqCst);
-        };
+        let mended = || member.is_back(self.records.now());
         match fault.what {
             What::ZoneLost => {
                 // The zone comes back cold; discovery tells each front of the engines' new start, or does not.
@@ -143,6 +161,7 @@
                 mended();
             }
             What::DiskSlow => self.ground.drill(fault.front, ""),
+            What::Release => return self.start_all(fault),
             What::Kill | What::Term | What::LoseDisk | What::DiskFull => {
                 if fault.what == What::DiskFull {
                     self.ground.drill(fault.front, "");
@@ -158,10 +177,10 @@
                 }
                 let pid = member.start(self.ground)?;
                 mended();
-                return Ok(Some(pid));
+                return Ok(vec![pid]);
             }
         }
-        Ok(None)
+        Ok(Vec::new())
     }
 
     /// Tells every front that the zone's engines have started now.
--- a/crates/lab/src/simulated/clients.rs
+++ b/crates/lab/src/simulated/clients.rs
@@ -61,7 +61,7 @@
         let unique = format!("u{}", client.number);
         let ask = Ask {
             workload: &class.name,
-            customer: "acme",
+            customer: &class.customer,
             key: (!asked.key.is_empty()).then_some(&asked.key),
             dedup_key: (class.repeat() == Repeat::Deduplicated).then_some(&unique),
             time_left: timeout,
--- a/crates/lab/src/simulated/engines.rs
+++ b/crates/lab/src/simulated/engines.rs
@@ -10,10 +10,14 @@
 use crate::rig::scenario::Step;
 
 impl Play<'_> {
-    pub(super) fn relays(&mut self, front: usize, engine: usize, statements: usize, probes: usize) {
+    pub(super) fn relays(
+        &mut self,
+        (front, engine): (usize, usize),
+        (statements, probes, dials): (usize, usize, usize),
+    ) {
         let (at, zone) = (self.now, self.engines[engine].zone);
         let passed = self.passes(front, engine, true);
-        self.account.relayed.push(Relayed { at, front, engine, zone, statements, probes, passed });
+        self.account.relayed.push(Relayed { at, front, engine, zone, statements, probes, dials, passed });
     }
 
     pub(super) fn link(&self, front: usize, engine: usize) -> LinkState {
--- a/crates/lab/src/simulated/faults.rs
+++ b/crates/lab/src/simulated/faults.rs
@@ -32,6 +32,8 @@
             if all {
                 self.engines[e].resets += 1;
             }
+            let lives = self.members.iter_mut().enumerate().filter(|(n, _)| all || *n == fault.front);
+            lives.filter_map(|(_, m)| m.life.as_mut()).for_each(|life| life.connections.lost(e));
             for (front, life, sent) in ended {
                 self.at(self.now, Event::Answers(front, life, sent, Ending::Reset, None));
             }
@@ -63,6 +65,7 @@
                 }
             }
             What::Term => self.asked_to_end(fault.front),
+            What::Release => (0..fault.released(self.members.len())).for_each(|n| self.dies(n)),
             What::Kill | What::LoseDisk => self.dooms(place, fault.front, fault.step, fault.at_ms),
         }
     }
@@ -92,6 +95,15 @@
             What::PostDoubled => self.post.doubled_ms = None,
             What::PostSlow => self.post.delay_ms = 0,
             What::PostShuffled => self.post.shuffled_ms = 0,
+            What::Release => {
+                for n in 0..fault.released(self.members.len()) {
+                    let troubled = self.members[n].troubled.iter_mut();
+                    troubled.filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = now);
+                    if self.members[n].life.is_none() {
+                        self.start(n);
+                    }
+                }
+            }
             What::Stall | What::Kill | What::Term | What::LoseDisk => {
                 let member = &mut self.members[fault.front];
                 member.troubled.iter_mut().filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = now);
--- a/crates/lab/src/simulated/fronts.rs
+++ b/crates/lab/src/simulated/fronts.rs
@@ -10,6 +10,7 @@
 use hallmux_lease::Terms;
 use rand::Rng;
 
+use super::connections::Connections;
 use super::play::{address, secret, Event, Life, Play, Sent};
 use super::play::{DRIFT_PPM, MOST_SEEDS, PROBED_WITHIN};
 use crate::check::Outcome;
@@ -43,7 +44,10 @@
             debug_assert!(promises.is_ok(), "what was kept is whole: {promises:?}");
             exchange
         });
-        let mut dispatcher = Dispatcher::new(&self.contract, self.chance.random());
+        let seed = self.chance.random();
+        let mut dispatcher = Dispatcher::new(&self.contract, seed);
+        let paced = self.contract.agreement.budgets.is_some();
+        let connections = Connections::new(paced, self.own(n), seed);
         let zones: Vec<String> = (0..self.scenario.fleet.zones).map(zone_name).collect();
         let ids: Vec<String> = (0..self.engines.len()).map(|e| format!("e{e}")).collect();
         let list: Vec<Listing> =
@@ -54,7 +58,8 @@
         let guard = guards.then(|| Guard::new(&self.contract, own, self.shards, &mut dispatcher));
         let member = &mut self.members[n];
         member.lives += 1;
-        member.life = Some(Life { dispatcher, exchange, guard, done: Vec::new(), probes: HashMap::new() });
+        member.life =
+            Some(Life { dispatcher, exchange, guard, done: Vec::new(), probes: HashMap::new(), connections });
         self.turn(n);
     }
 
@@ -72,6 +77,7 @@
         for _ in 0..ROUNDS {
             self.guarded(n);
             let Some(life) = &mut self.members[n].life else { return };
+            life.connections.tell(own, &mut life.dispatcher);
             let next = life.dispatcher.tick(own);
             if next.is_empty() {
                 break;
@@ -114,7 +120,10 @@
                 if for_fleet && exchange.is_some_and(|x| !x.may_probe(steady)) {
                     return;
                 }
-                self.relays(n, place, 0, 1);
+                if !self.reaches(n, place, None) {
+                    return;
+                }
+                self.relays((n, place), (0, 1, 0));
                 self.number += 1;
                 let probe = self.number;
                 if let Some(life) = &mut self.members[n].life {
@@ -124,7 +133,7 @@
                     let at = self.now + self.way() + self.delay(n, place);
                     self.at(at, Event::ProbeArrives(n, lives, place, probe));
                 }
-                self.at(self.now + PROBED_WITHIN, Event::ProbeAnswers(n, lives, place, probe, false));
+                self.at(self.now + PROBED_WITHIN, Event::ProbeAnswers(n, lives, place, probe, None));
             }
             Order::Reject { ticket, .. } => self.answer(n, ticket, Outcome::Error("53000".into())),
             Order::Abort { ticket } => self.answer(n, ticket, Outcome::Error("08007".into())),
@@ -134,8 +143,14 @@
                 let Some(life) = &mut self.members[n].life else { return };
                 let held = life.guard.as_mut().is_some_and(|guard| guard.stops(own, (ticket, execution)));
                 let ending = if held { Ending::Withdrawn } else { ending };
+                life.connections.ended((ticket, execution), ending);
                 life.dispatcher.report(own, ticket, execution, ending, None, None);
             }
+            Order::Pace { connections } => {
+                let own = self.own(n);
+                let life = self.members[n].life.iter_mut();
+                life.for_each(|life| life.connections.dials.pace(own, connections));
+            }
             Order::Hurry { .. } => {}
         }
     }
@@ -143,11 +158,20 @@
     /// An execution leaves for its engine.
     pub(super) fn leaves(&mut self, n: usize, sent: Sent, place: usize) {
         let lives = self.members[n].lives;
-        self.relays(n, place, 1, 0);
+        let dials = self.account.relayed.len();
+        if !self.reaches(n, place, Some(sent)) {
+            let own = self.own(n);
+            let Some(life) = &mut self.members[n].life else { return };
+            life.dispatcher.report(own, sent.0, sent.1, Ending::Withdrawn, None, None);
+            return;
+        }
+        let dialled = self.account.relayed.len() > dials;
+        self.relays((n, place), (1, 0, 0));
         *self.account.first_tries.get_or_insert(0) += i64::from(sent.1 == 0);
         if self.passes(n, place, true) {
             self.out.entry(place).or_default().push((n, lives, sent));
-            let at = self.now + self.way() + self.delay(n, place);
+            let there = if dialled { self.way() + self.way() } else { 0 };
+            let at = self.now + there + self.way() + self.delay(n, place);
             self.at(at, Event::Arrives(n, lives, sent, place));
         }
     }
@@ -157,13 +181,16 @@
         let now = self.own(n);
         let Some(life) = &mut self.members[n].life else { return };
         if let Event::Answers(_, _, (ticket, execution), ending, active) = event {
-            let report = active.map(|active| vec![active as f64]);
+            life.connections.ended((ticket, execution), ending);
+            let inline = !self.scenario.engine.load_on_probe;
+            let report = active.filter(|_| inline).map(|active| vec![active as f64]);
             if life.dispatcher.report(now, ticket, execution, ending, report, None) {
                 self.answer(n, ticket, Outcome::Completed { rows: 1 });
             }
-        } else if let Event::ProbeAnswers(_, _, place, probe, alive) = event {
+        } else if let Event::ProbeAnswers(_, _, place, probe, active) = event {
             if life.probes.remove(&probe).is_some() {
-                life.dispatcher.probed(now, place, alive, None);
+                let report = active.map(|active| vec![active as f64]);
+                life.dispatcher.probed(now, place, active.is_some(), report);
             }
         }
         self.turn(n);
--- a/crates/lab/src/simulated/mod.rs
+++ b/crates/lab/src/simulated/mod.rs
@@ -1,6 +1,7 @@
 //! The fleet rig in simulated time, for fleets beyond what one machine holds as processes.
 
 mod clients;
+mod connections;
 mod disk;
 mod ends;
 mod engines;
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -16,6 +16,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::clients::Client;
+use super::connections::Connections;
 use super::disk::Disk;
 use super::grows::Grows;
 use super::steps::Armed;
@@ -51,7 +52,7 @@
     Answers(usize, u32, Sent, Ending, Option<usize>),
     /// A probe likewise; its number tells which.
     ProbeArrives(usize, u32, usize, u64),
-    ProbeAnswers(usize, u32, Place, u64, bool),
+    ProbeAnswers(usize, u32, Place, u64, Option<usize>),
     Datagram(usize, usize, Vec<u8>),
     /// What the front of that life has written is lasting.
     Lasting(usize, u32),
@@ -99,6 +100,7 @@
     /// Answers of the ledger that have yet to be taken.
     pub(super) done: Vec<Done>,
     pub(super) probes: HashMap<u64, Place>,
+    pub(super) connections: Connections,
 }
 
 pub(super) struct Member {
@@ -195,7 +197,7 @@
         contract.agreement.zone_quorum = quorum;
     }
     if scenario.fleet.sheds_as_one {
-        hallmux_agreement::Overload::default().apply(&mut contract.agreement);
+        scenario.fleet.overload().apply(&mut contract.agreement);
     }
     let fronts = scenario.fleet.fronts;
     let keys: Vec<[u8; 32]> = (0..fronts).map(|n| Own::new(&secret(n), 0).public()).collect();
@@ -329,7 +331,8 @@
             Event::ProbeArrives(front, life, engine, probe) => {
                 if self.passes(front, engine, false) {
                     let at = self.now + self.way();
-                    self.at(at, Event::ProbeAnswers(front, life, engine, probe, true));
+                    let active = self.engines[engine].running;
+                    self.at(at, Event::ProbeAnswers(front, life, engine, probe, Some(active)));
                 }
             }
             Event::Answers(front, life, ..) | Event::ProbeAnswers(front, life, ..) => {
