--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -180,7 +180,7 @@
                 Measured::Promises => measure::promises::measure(),
                 Measured::Sites => measure::sites::measure(),
                 Measured::Grown => measure::grown::measure(),
-                Measured::Overload => measure::fleet::overload(),
+                Measured::Overload => measure::overload::measure(),
                 Measured::Fleet => measure::fleet::measure(),
                 Measured::Gossip => measure::gossip::spread(&[20, 100, 1_000]),
             };
