The patience with a silent engine goes by each statement's own estimate, not by its workload's mean run

Cause: Front::listen waits a second and four mean runs of the workload (Learned::run, of answers alone) for each statement. A short one on an engine that hangs waits as long as the mean says, a report of several times that mean is stopped on an engine that runs it.

Change: four usual runs by the statement's own estimate stand there (Learned::pace times the estimate).

--- a/src/decide/learn.rs
+++ b/src/decide/learn.rs
@@ -53,9 +53,9 @@
             let s = &self.statements[id];
             let x = &s.executions[*n];
             let tells = self.engines.listed[e].as_ref().is_some_and(|entry| entry.tells);
-            let usual = SECOND as f64 + SILENCE_RUNS * self.learned[s.asked.workload].run.value;
+            let run = self.learned[s.asked.workload].pace.value * self.basis(s);
             let (heard, patience) = match self.agreed.progress_every * Micros::from(tells) {
-                0 => (x.sent.max(self.engines.heard[e]), usual),
+                0 => (x.sent.max(self.engines.heard[e]), SECOND as f64 + SILENCE_RUNS * run),
                 every => (x.heard, SILENT_NOTES * every as f64),
             };
             !x.quiet && (self.now - heard.max(self.awake)) as f64 > patience
