src/decide.rs: statements turned away as they come pay for no further executions

Cause: the budget of further executions is a share of what a front takes, and counted also what the fleet turned away as it came. At three times what is borne attempts came to 1.24 of first tries at 20 fronts and 1.16 at 300, where 1.1 is the aim.

The scenario fleet-further fails without it (tried).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -231,12 +231,12 @@
         let least_mb = self.agreed.memory_mb.iter().copied().fold(f64::INFINITY, f64::min);
         let memory = memory.min(least_mb * self.agreed.largest_grant);
         self.may_probe = (self.may_probe + PROBES).min(MOST_PROBES);
-        self.taken.0.extend(self.agreed.further.map(|_| self.now));
         a.key = a.key.filter(|_| workload.in_order);
         self.turns.joins(a.key, a.statement);
         let (id, ends) = (a.statement, self.now + a.time_left);
         let load = Load { threads: workload.threads, memory };
         let let_in = self.lets_in(&a, over);
+        self.taken.0.extend(self.agreed.further.filter(|_| let_in).map(|_| self.now));
         let s = Statement::new(a, class, self.now - spent, ends, load);
         self.asked_work.take(LEARNING, either(self.expected_work(&s), SECOND as f64));
         self.statements.insert(id, s);
