What the ledger keeps says its form; owners are spread; an end waits for a shard's majority

A later form is kept once all on the list read it and the build before does: this build reads 3 and keeps 1. A front that ends tells its fellows (a word of form 3), and its door stays open for 10 s at most while a shard would have no majority.

Tried without effect and left out: asks that wait at an owner just elected.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -338,6 +338,11 @@
         self.promises.as_ref().is_some_and(promises::Promises::hands_over)
     }
 
+    /// Whether a part of the ledger would have no majority without this front, as others are away.
+    pub fn is_needed(&self, at: Moment) -> bool {
+        self.promises.as_ref().is_some_and(|promises| promises.is_needed(at))
+    }
+
     /// This front ends: some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros, wall_ms: u64, chance: &mut impl Chance) -> Vec<Datagram> {
         if std::mem::replace(&mut self.left, true) {
--- a/crates/fleet/src/promises.rs
+++ b/crates/fleet/src/promises.rs
@@ -78,6 +78,10 @@
         self.ledger.hands_over()
     }
 
+    pub fn is_needed(&self, at: Moment) -> bool {
+        self.ledger.is_needed(moment(at))
+    }
+
     /// Who of the members is up and who is not, as far as gossip knows them.
     fn health(&mut self, at: Moment, node: &Node) {
         self.health_at = at.steady + HEALTH;
--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -367,6 +367,11 @@
         self.exchange.hands_over()
     }
 
+    /// Whether promises would have no majority without this front, as others are away.
+    pub fn is_needed(&self, now: Micros) -> bool {
+        self.exchange.is_needed(self.moment(now))
+    }
+
     /// This front ends: what it owns of promises is handed over, and some peers hear so, and tell the others.
     pub fn leave(&mut self, now: Micros) {
         let out = self.exchange.hand_over(self.moment(now));
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -24,7 +24,7 @@
 use crate::link::Link;
 use crate::postgres::portal::Portal;
 use crate::scatter::Scatters;
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Keeps, Shutdown};
 
 const ROUNDS: usize = 8; // decisions in a turn: what the first one stops is told to the next at once
 const MEMORY_PART: u64 = 4; // statements held may take one part of so many, untaken answers another
@@ -230,8 +230,13 @@
         for client in self.clients.caught_up() {
             self.unfinished.push(Door::Client.party(client));
         }
-        let hands_over = self.peers.as_ref().is_some_and(Peers::hands_over);
-        if self.shutdown.closes(self.clock.now, hands_over) {
+        let peers = self.peers.as_ref().filter(|_| self.shutdown.asked());
+        let keeps = peers.map_or(Keeps::Nothing, |peers| match peers.hands_over() {
+            _ if peers.is_needed(self.clock.now) => Keeps::Majority,
+            true => Keeps::Shards,
+            false => Keeps::Nothing,
+        });
+        if self.shutdown.closes(self.clock.now, keeps) {
             if self.entrance.close() {
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
             }
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -240,7 +240,8 @@
             ends.push((now + fault.for_ms as i64 * 1000, fleet.records.now(), fault));
             next += 1;
         }
-        let (due, later): (Vec<_>, Vec<_>) = ends.drain(..).partition(|(at, ..)| *at <= now);
+        let over = |(at, _, fault): &(i64, i64, Fault)| *at <= now && !stage.still_ends(fault);
+        let (due, later): (Vec<_>, Vec<_>) = ends.drain(..).partition(over);
         ends = later;
         for (_, from, fault) in due {
             started.extend(stage.end(&fault)?);
--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -18,6 +18,7 @@
 
 /// Microseconds for which clients still come to a front that was asked to end: half of what its door stays open.
 const STILL_COME: i64 = 300_000;
+const LONGEST_END: i64 = 30_000_000; // microseconds until an end is no longer waited for
 const MOST_SEEDS: usize = 3; // fronts that each asks first, drawn: a few for all would be slow to answer them
 pub(crate) const SOCKETS: usize = 256; // descriptors each front may hold
 
@@ -75,6 +76,12 @@
         }
     }
 
+    /// When its end that was asked for last should long be over.
+    pub(crate) fn ends_by(&self) -> i64 {
+        let asked = self.ends.lock().ok().and_then(|ends| ends.last().map(|end| end.asked));
+        asked.map_or(0, |asked| asked + LONGEST_END)
+    }
+
     /// Its process is gone, after an end that it was asked for where one is open.
     pub(crate) fn has_ended(&self, now: i64, well: bool) {
         if let Ok(mut ends) = self.ends.lock() {
--- a/crates/lab/src/rig/stage.rs
+++ b/crates/lab/src/rig/stage.rs
@@ -103,6 +103,13 @@
         }
     }
 
+    /// Whether the front of a fault was asked to end and has yet to.
+    pub(super) fn still_ends(&self, fault: &Fault) -> bool {
+        let member = &self.members[fault.front];
+        let runs = || member.front.lock().is_ok_and(|mut front| front.as_mut().is_some_and(|f| f.is_up()));
+        fault.what == What::Term && self.records.now() < member.ends_by() && runs()
+    }
+
     /// Ends a fault; a front started anew gives its process id.
     pub(super) fn end(&self, fault: &Fault) -> Result<Option<u32>, String> {
         let member = &self.members[fault.front];
--- a/crates/lab/src/simulated/ends.rs
+++ b/crates/lab/src/simulated/ends.rs
@@ -9,6 +9,7 @@
 pub(super) const STILL_COME: i64 = 300_000;
 const DOOR: i64 = 800_000; // microseconds that its door stays open, as the front's own does
 const HANDED_OVER: i64 = 3_000_000; // microseconds at most while it still owns promises that others could own
+const NEEDED: i64 = 10_000_000; // microseconds at most while a shard would have no majority without it
 const LOOK: i64 = 10_000; // microseconds between looks at whether all is answered
 
 impl Play<'_> {
@@ -36,8 +37,13 @@
         else {
             return;
         };
-        let hands_over = runs.exchange.as_ref().is_some_and(|exchange| exchange.hands_over());
-        let door = asked + if hands_over { HANDED_OVER } else { DOOR };
+        let at = self.moment(n);
+        let door = asked
+            + match &runs.exchange {
+                Some(exchange) if exchange.is_needed(at) => NEEDED,
+                Some(exchange) if exchange.hands_over() => HANDED_OVER,
+                _ => DOOR,
+            };
         let mut own = self.account.asked.iter().rev().filter(|o| o.front == n);
         let waits = own.any(|o| o.asked.answered == i64::MAX);
         if self.now < door || waits || member.stopped {
--- a/crates/ledger/src/forms.rs
+++ b/crates/ledger/src/forms.rs
@@ -1,15 +1,24 @@
 //! Forms of letters: a fleet is of two builds while a release goes through it. A front writes to another in the latest
 //! form that both read, and in the first until it knows: what only later ones know waits until its reader has shown
-//! that it can read it. Records and entries of the log are of the first form still, so that going back a build loses
-//! nothing; a word that changes what is kept needs a form of its own, and all members that read it.
+//! that it can read it.
+//!
+//! What is kept (entries of the log, states, records) says its form from the third on; what says none is of the first.
+//! It is kept in a later form only once all members read that, and never in a later one than the build before this
+//! one reads: so a release can go back a build and lose nothing. A build that finds a later form than it reads says so
+//! and changes nothing.
 
 use std::collections::BTreeMap;
 
 use crate::words::Word;
 use crate::{FrontId, Micros};
 
-/// The form that this build writes where it can: 1, the first; 2, with words of handing over and of comparing copies.
-pub const FORM: u8 = 2;
+/// The form that this build writes where it can: 1, the first; 2, with words of handing over and of comparing copies;
+/// 3, with entries, states and records that say their form, and a word of fronts that are to end.
+pub const FORM: u8 = 3;
+/// The latest form in which this build keeps anything: what the build before it reads. The next one's is 3.
+pub const KEEPS: u8 = 1;
+/// The form from which on what is kept says its own.
+pub(crate) const FORMED: u8 = 3;
 /// The earliest form that this build reads.
 pub const OLDEST: u8 = 1;
 
@@ -31,6 +40,11 @@
         self.known.get(&front).map_or(OLDEST, |(_, form)| own.min(*form))
     }
 
+    /// What all of them read, in which entries and records may be kept.
+    pub fn of_all(&self, own: u8, fronts: impl Iterator<Item = FrontId>) -> u8 {
+        fronts.map(|front| self.of(own, front)).min().unwrap_or(own)
+    }
+
     /// A letter has come in a form, in a life of its front.
     pub fn heard(&mut self, front: FrontId, incarnation: u64, form: u8) {
         let known = self.known.entry(front).or_insert((incarnation, form));
@@ -57,6 +71,7 @@
     /// The earliest form that has it.
     pub fn form(&self) -> u8 {
         match self {
+            Word::Leaves => FORMED,
             Word::Heir { .. } | Word::Sums { .. } | Word::Mend { .. } => 2,
             _ => OLDEST,
         }
--- a/crates/ledger/src/handover.rs
+++ b/crates/ledger/src/handover.rs
@@ -1,15 +1,30 @@
 //! A front that leaves hands over what it owns before it goes: it names an heir, which takes over the log at once with
 //! a ballot of its own, as after an election but without the wait for one. What waits here is asked again there.
 
+use std::collections::BTreeSet;
+
+use crate::forms::FORMED;
 use crate::ledger::Ledger;
 use crate::post::Pace;
 use crate::repair::Peer;
+use crate::replica::Replica;
+use crate::state::Keeper;
 use crate::words::Word;
 use crate::{FrontId, Micros, Moment};
 
 const AGAIN: Micros = 150_000; // microseconds until another is named: some round trips and a sync
 const FRESH: Micros = 1_000_000; // microseconds since a member was heard for it to be an heir: three heartbeats
 
+const STAYS: u64 = 2_000_000; // microseconds that a front is there, and a shard has one owner, before that one yields
+const APART: Micros = 500_000; // microseconds between shards that a front yields
+
+impl Peer {
+    /// It has been there for a while, by its Unix clock and this one's.
+    fn stays(&self, at: Moment) -> bool {
+        at.wall_ms.saturating_sub(self.incarnation) >= STAYS / 1_000
+    }
+}
+
 /// A front that is to end.
 pub(crate) struct Leaving {
     look_at: Micros,
@@ -45,15 +60,72 @@
             let here = |front: &FrontId| self.peers.get(front).is_some_and(fresh);
             let others = replica.keepers.iter().map(|keeper| keeper.front);
             let mut heirs: Vec<FrontId> = others
-                .filter(|front| *front != self.own.front && here(front) && !self.away.is_away(*front))
+                .filter(|front| {
+                    *front != self.own.front
+                        && here(front)
+                        && !self.away.is_away(*front)
+                        && !self.is_leaving(*front)
+                })
                 .filter(|front| self.post.reads(*front) >= 2)
                 .collect();
             // Who is wanted most first; the next where that one does not take it, as it may leave itself.
-            heirs.sort_by_key(|front| place.wanted.iter().position(|wanted| wanted == front));
+            let wanted = |front: &FrontId| place.wanted.iter().position(|wanted| wanted == front);
+            // One that has just come may not know yet who owns the shard.
+            let young = |front: &FrontId| self.peers.get(front).is_none_or(|peer| !peer.stays(at));
+            heirs.sort_by_key(|front| (young(front), place.owner != Some(*front), wanted(front)));
             let Some(heir) = heirs.get(turn % heirs.len().max(1)) else { continue };
             let word = Word::Heir { shard: replica.shard, config: replica.config };
             self.post.say(at, *heir, &word, Pace::Quick);
         }
+        let members = self.places.iter().filter_map(|place| place.replica.as_ref());
+        let members = members.flat_map(|replica| replica.keepers.iter().map(|keeper| keeper.front));
+        let members: BTreeSet<FrontId> = members.filter(|front| *front != self.own.front).collect();
+        for to in members.into_iter().filter(|to| self.post.reads(*to) >= FORMED).collect::<Vec<_>>() {
+            self.post.say(at, to, &Word::Leaves, Pace::Quick);
+        }
+    }
+
+    /// Another has said in this life of its that it is to end.
+    fn is_leaving(&self, front: FrontId) -> bool {
+        let peer = self.peers.get(&front).map(|peer| peer.incarnation);
+        self.leavers.get(&front).is_some_and(|life| Some(*life) == peer)
+    }
+
+    /// Leaves a shard to the member that is to own it, once that one has been there for a while: a front that ended and
+    /// came back gets its part again.
+    pub(crate) fn yields(&mut self, at: Moment, shard: u16) {
+        let (now, own) = (at.steady, self.own.front);
+        let Some(place) = self.places.get(usize::from(shard)) else { return };
+        let Some((replica, since)) = place.replica.as_ref().zip(place.leads) else { return };
+        let busy = place.repair.is_some() || self.leaving.is_some() || now < self.yields_at;
+        let Some(to) = place.first(&replica.keepers).filter(|to| *to != own && !busy) else { return };
+        let there = |peer: &Peer| {
+            let keeper = Keeper { front: to, disk: peer.disk };
+            peer.stays(at) && now - peer.at < FRESH && replica.keepers.contains(&keeper)
+        };
+        let there = self.peers.get(&to).is_some_and(there) && !self.away.is_away(to) && !self.is_leaving(to);
+        if there && now - since >= STAYS as Micros && self.post.reads(to) >= 2 {
+            self.yields_at = now + APART;
+            let word = Word::Heir { shard, config: replica.config };
+            self.post.say(at, to, &word, Pace::Quick);
+        }
+    }
+
+    /// Whether a shard that this front keeps would have no majority without it, as others of its members are away: an
+    /// end had better wait for them. Of two that leave at once the one with the lower id does not wait for the other.
+    pub fn is_needed(&self, at: Moment) -> bool {
+        let here = |keeper: &Keeper| {
+            let peer = self.peers.get(&keeper.front).filter(|peer| peer.disk == keeper.disk);
+            let fresh = peer.is_some_and(|peer| at.steady - peer.at < FRESH);
+            fresh && (!self.is_leaving(keeper.front) || keeper.front > self.own.front)
+        };
+        let needed = |replica: &Replica| {
+            let (majority, others) = (replica.keepers.len() / 2 + 1, replica.keepers.len() - 1);
+            let there =
+                replica.keepers.iter().filter(|keeper| keeper.front != self.own.front && here(keeper));
+            majority <= others && there.count() < majority
+        };
+        self.places.iter().filter_map(|place| place.replica.as_ref()).any(needed)
     }
 
     /// The owner of a shard leaves it to this front.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -4,6 +4,7 @@
 
 use crate::asks::{self, Asks};
 use crate::birth::Birth;
+use crate::forms::OLDEST;
 use crate::handover::Leaving;
 use crate::moves::Away;
 use crate::placement::ranked;
@@ -13,7 +14,7 @@
 use crate::replica::{size, Replica};
 use crate::scrub::Scrub;
 use crate::state::{Command, Keeper, State};
-use crate::words::{fingerprint, Base, Word};
+use crate::words::{fingerprint, Word};
 use crate::{
     shard_of, Act, Ask, Done, Error, FrontId, Micros, Moment, Out, Outcome, Owner, Record, Save, Saved,
 };
@@ -28,8 +29,10 @@
 pub(crate) struct Place {
     /// All that could keep it, in the order in which they are wanted.
     pub ranked: Vec<FrontId>,
-    /// Who is to keep it, in the order in which they are to own it; empty where shards do not move.
+    /// Who is to keep it, in the order in which they are wanted; empty where shards do not move.
     pub wanted: Vec<FrontId>,
+    /// Who of them is to own it.
+    pub owner: Option<FrontId>,
     pub replica: Option<Replica>,
     /// Who keeps it, by the latest that was heard.
     pub known: Option<(u32, Vec<Keeper>)>,
@@ -55,7 +58,7 @@
 
     /// Which of its members is to own it.
     pub fn first(&self, keepers: &[Keeper]) -> Option<FrontId> {
-        let mut order = self.wanted.iter().chain(&self.ranked);
+        let mut order = self.owner.iter().chain(&self.wanted).chain(&self.ranked);
         order.find(|front| keepers.iter().any(|keeper| keeper.front == **front)).copied()
     }
 
@@ -71,6 +74,10 @@
     pub(crate) peers: BTreeMap<FrontId, Peer>,
     pub(crate) away: Away,
     pub(crate) leaving: Option<Leaving>,
+    /// Others that are to end, in which of their lives.
+    pub(crate) leavers: BTreeMap<FrontId, u64>,
+    /// When this front may next leave a shard to the one that is to own it.
+    pub(crate) yields_at: Micros,
     asks: Asks,
     pub(crate) post: Post,
     /// What must be lasting before anything more is told, beside the logs.
@@ -84,6 +91,9 @@
     /// Shards in which something may have happened.
     pub(crate) touched: BTreeSet<u16>,
     pub(crate) tallies: Tallies,
+    /// The latest form of what is kept, and the form in which more is proposed.
+    kept_form: u8,
+    pub(crate) form: u8,
 }
 
 pub(crate) fn check(setup: &Setup) -> Result<(), Error> {
@@ -109,7 +119,8 @@
         check(&setup)?;
         let fleet = fingerprint(&setup.fleet, setup.shards);
         let own = Keeper { front: setup.own, disk: setup.disk };
-        let kept = saved.as_ref().map_or(Ok(BTreeMap::new()), |saved| records::read(&setup, fleet, saved))?;
+        let none = Ok((OLDEST, BTreeMap::new()));
+        let (kept_form, kept) = saved.as_ref().map_or(none, |saved| records::read(&setup, fleet, saved))?;
         let place = |shard| Place { ranked: ranked(&setup.members, shard), ..Place::default() };
         let mut ledger = Ledger {
             own,
@@ -117,6 +128,8 @@
             peers: BTreeMap::new(),
             away: Away::default(),
             leaving: None,
+            leavers: BTreeMap::new(),
+            yields_at: at.steady,
             asks: Asks::default(),
             post: Post::new(&setup, fleet),
             records: Vec::new(),
@@ -128,10 +141,12 @@
             look_at: at.steady,
             touched: BTreeSet::new(),
             tallies: Tallies::default(),
+            kept_form,
+            form: OLDEST,
             setup,
         };
         if kept.is_empty() {
-            ledger.records.push(records::mark(fleet, own.disk));
+            ledger.records.push(records::mark(OLDEST, fleet, own.disk));
         }
         ledger.place_first(at.steady);
         for (shard, kept) in kept {
@@ -332,7 +347,8 @@
         self.own.disk = disk;
         self.post.disk = disk;
         self.post.incarnation = at.wall_ms.max(self.post.incarnation + 1);
-        self.records.push(records::mark(fingerprint(&self.setup.fleet, self.setup.shards), disk));
+        self.kept_form = OLDEST;
+        self.records.push(records::mark(OLDEST, self.post.fleet, disk));
         self.places.iter_mut().for_each(|place| place.barred = 0);
         self.conceive();
         self.settle(at);
@@ -350,9 +366,14 @@
         }
         let done = std::mem::take(&mut self.done);
         if must {
-            let mut records = std::mem::take(&mut self.records);
+            let (mut records, mut form) = (std::mem::take(&mut self.records), self.kept_form);
             for replica in self.places.iter_mut().filter_map(|place| place.replica.as_mut()) {
-                replica.records(&mut records);
+                form = form.max(replica.records(&mut records));
+            }
+            if form > self.kept_form {
+                // With the first of them, so that a build that can't read them finds that said.
+                self.kept_form = form;
+                records.push(records::mark(form, self.post.fleet, self.own.disk));
             }
             return self.save(records, letters, done);
         }
@@ -375,18 +396,3 @@
         *self.tallies.refused.entry(why).or_default() += 1;
     }
 }
-
-/// The state that a base tells, where the copy that this front has been given bears it.
-pub(crate) fn state_of(base: &Base, learned: Option<(u32, u64, State)>, config: u32) -> Option<(u64, State)> {
-    match base {
-        Base::Whole { index, state } => Some((*index, crate::words::read(state)?)),
-        Base::After { index, batches } => {
-            let (of, at, mut state) = learned?;
-            if (of.checked_add(1), at) != (Some(config), *index) {
-                return None;
-            }
-            batches.iter().for_each(|batch| _ = state.apply(batch));
-            state.next().is_some().then(|| (crate::replica::FIRST, state.handed_over()))
-        }
-    }
-}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -15,6 +15,7 @@
 mod ledger;
 mod log;
 mod moves;
+mod owners;
 mod placement;
 mod post;
 mod records;
@@ -23,6 +24,7 @@
 mod scrub;
 mod shards;
 mod state;
+mod tail;
 mod tallies;
 mod upkeep;
 mod words;
@@ -30,7 +32,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use error::Error;
-pub use forms::{FORM, OLDEST};
+pub use forms::{FORM, KEEPS, OLDEST};
 pub use ledger::Ledger;
 pub use placement::shard_of;
 
@@ -212,6 +214,8 @@
     pub zone_after: Micros,
     /// The form of letters that it reads and writes, with all before it: an earlier one is for plays of mixed fleets.
     pub form: u8,
+    /// The latest form in which it keeps entries and records, once all members read it: see `KEEPS`.
+    pub keeps: u8,
     /// Milliseconds that fronts' Unix clocks are apart at most: an ended entry is kept from others for so much longer.
     pub apart_ms: u64,
 }
@@ -235,6 +239,7 @@
             moves_percent: 0,
             zone_after: 600_000_000,
             form: FORM,
+            keeps: KEEPS,
             apart_ms: 500,
         }
     }
--- a/crates/ledger/src/moves.rs
+++ b/crates/ledger/src/moves.rs
@@ -6,7 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::balance::placed;
-use crate::ledger::{check, Ledger};
+use crate::ledger::{check, Ledger, Place};
+use crate::owners::owners;
 use crate::placement::ranked;
 use crate::repair::{Repair, HEARD, PATIENCE};
 use crate::state::Keeper;
@@ -109,10 +110,9 @@
 
     /// Places all shards anew where that has to be: on all that are there or waited for.
     pub(crate) fn place(&mut self, now: Micros) {
-        if self.setup.moves_percent == 0 {
-            return;
-        }
-        let due = |front: &FrontId, since: &Micros| self.away.waits(&self.setup, *front, *since) <= now;
+        let moves = self.setup.moves_percent > 0;
+        let due =
+            |front: &FrontId, since: &Micros| moves && self.away.waits(&self.setup, *front, *since) <= now;
         let since = self.away.since.iter();
         let gone: BTreeSet<FrontId> = since.filter(|(front, at)| due(front, at)).map(|(f, _)| *f).collect();
         if gone == self.away.gone && !std::mem::take(&mut self.away.stale) {
@@ -120,8 +120,16 @@
         }
         let here = self.setup.members.iter().filter(|member| !gone.contains(&member.front));
         let here: Vec<Member> = here.cloned().collect();
-        let placed = placed(&here, self.setup.copies, self.setup.shards);
-        self.places.iter_mut().zip(placed).for_each(|(place, wanted)| place.wanted = wanted);
+        let first = |place: &Place| place.ranked.iter().take(self.setup.copies).copied().collect();
+        let placed = match moves {
+            true => placed(&here, self.setup.copies, self.setup.shards),
+            false => self.places.iter().map(first).collect(),
+        };
+        let owners = owners(&placed, here.len());
+        for (place, (wanted, owner)) in self.places.iter_mut().zip(placed.into_iter().zip(owners)) {
+            place.owner = owner;
+            place.wanted = if moves { wanted } else { Vec::new() };
+        }
         self.away.gone = gone;
     }
 
--- a/crates/ledger/src/post.rs
+++ b/crates/ledger/src/post.rs
@@ -73,7 +73,7 @@
 }
 
 pub(crate) struct Post {
-    fleet: u64,
+    pub fleet: u64,
     pub disk: DiskId,
     pub incarnation: u64,
     form: u8,
@@ -113,6 +113,11 @@
         self.forms.of(self.form, front)
     }
 
+    /// The latest form that all of them and this one read.
+    pub fn all_read(&self, fronts: impl Iterator<Item = FrontId>) -> u8 {
+        self.forms.of_all(self.form, fronts)
+    }
+
     pub fn say(&mut self, at: Moment, to: FrontId, word: &Word, pace: Pace) {
         let bytes = words::bytes(word);
         if bytes.len() + 3 <= PIECE {
--- a/crates/ledger/src/records.rs
+++ b/crates/ledger/src/records.rs
@@ -6,15 +6,16 @@
 use omnipaxos::ballot_leader_election::Ballot;
 use serde::{Deserialize, Serialize};
 
+use crate::forms::{FORM, FORMED, OLDEST};
 use crate::state::{Batch, Folded, Keeper};
 use crate::words::{self, Born};
 use crate::{Error, Record, Saved, Setup};
 
-/// The form of records: another is another number.
-const FORM: u8 = 1;
+/// In the checksum of records that say their form: those of the first say none.
+const SAYS: u32 = 0x464f_524d;
 const SUM: usize = 4; // bytes of the checksum before a record
 
-/// Whose records these are.
+/// Whose records these are, and the latest form of any of them. It is itself of the first.
 #[derive(Serialize, Deserialize)]
 struct Mark {
     form: u8,
@@ -48,9 +49,15 @@
     [&[kind], &shard.to_be_bytes()[..], rest].concat()
 }
 
-fn record<T: Serialize>(name: Vec<u8>, value: &T) -> Record {
-    let body = words::bytes(value);
-    let sum = sum(&name, &body).to_be_bytes();
+/// A record in a form.
+fn record<T: Serialize>(form: u8, name: Vec<u8>, value: &T) -> Record {
+    let mut body = words::bytes(value);
+    let mut says = 0;
+    if form >= FORMED {
+        body.insert(0, form);
+        says = SAYS;
+    }
+    let sum = (sum(&name, &body) ^ says).to_be_bytes();
     Record { name, bytes: Some([&sum[..], &body].concat()) }
 }
 
@@ -68,10 +75,17 @@
 /// What a record holds, if it is what was written under its name.
 fn checked<'a>(name: &[u8], bytes: &'a [u8]) -> Result<&'a [u8], Error> {
     let (given, body) = bytes.split_at_checked(SUM).ok_or_else(|| damaged(name))?;
-    if given == sum(name, body).to_be_bytes() {
-        Ok(body)
-    } else {
-        Err(damaged(name))
+    let sum = sum(name, body);
+    if given == sum.to_be_bytes() {
+        return Ok(body);
+    }
+    if given != (sum ^ SAYS).to_be_bytes() {
+        return Err(damaged(name));
+    }
+    match body.split_first() {
+        Some((FORMED..=FORM, body)) => Ok(body),
+        Some((form, _)) => Err(Error::Version { found: *form, reads: FORM }),
+        None => Err(damaged(name)),
     }
 }
 
@@ -79,16 +93,16 @@
     words::read(checked(name, bytes)?).ok_or_else(|| damaged(name))
 }
 
-pub(crate) fn mark(fleet: u64, disk: u64) -> Record {
-    record(vec![MARK], &Mark { form: FORM, fleet, disk })
+pub(crate) fn mark(form: u8, fleet: u64, disk: u64) -> Record {
+    record(OLDEST, vec![MARK], &Mark { form, fleet, disk })
 }
 
-pub(crate) fn meta(shard: u16, meta: &Meta) -> Record {
-    record(name(META, shard, &[]), meta)
+pub(crate) fn meta(form: u8, shard: u16, meta: &Meta) -> Record {
+    record(form, name(META, shard, &[]), meta)
 }
 
 pub(crate) fn entry(shard: u16, index: usize, batch: &Batch) -> Record {
-    record(name(LOG, shard, &(index as u64).to_be_bytes()), batch)
+    record(batch.tail.form(), name(LOG, shard, &(index as u64).to_be_bytes()), batch)
 }
 
 pub(crate) fn no_entry(shard: u16, index: usize) -> Record {
@@ -96,7 +110,7 @@
 }
 
 pub(crate) fn snapshot(shard: u16, folded: &Folded) -> Record {
-    record(name(SNAPSHOT, shard, &[]), folded)
+    record(folded.form(), name(SNAPSHOT, shard, &[]), folded)
 }
 
 pub(crate) fn no_snapshot(shard: u16) -> Record {
@@ -104,7 +118,7 @@
 }
 
 pub(crate) fn birth(shard: u16, with: &[Born]) -> Record {
-    record(name(BIRTH, shard, &[]), &with.to_vec())
+    record(OLDEST, name(BIRTH, shard, &[]), &with.to_vec())
 }
 
 pub(crate) fn no_birth(shard: u16) -> Record {
@@ -119,18 +133,18 @@
     pub birth: Vec<Born>,
 }
 
-/// Reads what was saved in an earlier life.
-pub(crate) fn read(setup: &Setup, fleet: u64, saved: &Saved) -> Result<BTreeMap<u16, Kept>, Error> {
+/// Reads what was saved in an earlier life, with the latest form that it is of.
+pub(crate) fn read(setup: &Setup, fleet: u64, saved: &Saved) -> Result<(u8, BTreeMap<u16, Kept>), Error> {
     let records: BTreeMap<&[u8], &[u8]> =
         saved.0.iter().map(|(name, bytes)| (name.as_slice(), bytes.as_slice())).collect();
     let mut kept: BTreeMap<u16, Kept> = BTreeMap::new();
     let Some(bytes) = records.get(&[MARK][..]) else {
-        return records.keys().next().map_or(Ok(kept), |name| Err(damaged(name)));
+        return records.keys().next().map_or(Ok((OLDEST, kept)), |name| Err(damaged(name)));
     };
     // The form goes first in every version: an unknown one may have anything behind it.
     let form = checked(&[MARK], bytes)?.first().copied().unwrap_or_default();
-    if form != FORM {
-        return Err(Error::Version { found: form, reads: FORM });
+    if !(OLDEST..=setup.form).contains(&form) {
+        return Err(Error::Version { found: form, reads: setup.form });
     }
     let mark: Mark = open(&[MARK], bytes)?;
     if mark.fleet != fleet {
@@ -171,5 +185,5 @@
             of.held.log = log.into_values().collect();
         }
     }
-    Ok(kept)
+    Ok((form, kept))
 }
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -6,9 +6,11 @@
 use hallmux_replica::{Changes, Held, Order, Store};
 use omnipaxos::messages::Message;
 
+use crate::forms::OLDEST;
 use crate::log::{Heard, Log};
 use crate::records::{self, Meta};
 use crate::state::{Batch, Command, Folded, Keeper, State};
+use crate::tail::Tail;
 use crate::words::{Base, Word};
 use crate::{FrontId, Micros, Outcome, Owner, Record};
 
@@ -44,6 +46,8 @@
     order: Order,
     /// Members are to change: nothing more is proposed here.
     changing: bool,
+    /// The form of what it proposes.
+    pub form: u8,
 }
 
 /// What has become of asks since it was last looked at.
@@ -99,6 +103,7 @@
             kept,
             order: Order::default(),
             changing: false,
+            form: OLDEST,
         };
         replica.apply();
         Some(replica)
@@ -162,7 +167,7 @@
         if self.changing || !self.leads() || self.log.is_under_way() {
             return self.changing;
         }
-        self.changing = self.log.append(Batch { wall_ms, commands: Vec::new(), next: Some(next) });
+        self.changing = self.log.append(Batch::change(self.form, wall_ms, next));
         self.changing
     }
 
@@ -190,7 +195,9 @@
                     self.queue.push(waiting);
                 }
             }
-            if !commands.is_empty() && self.log.append(Batch { wall_ms, commands, next: None }) {
+            if !commands.is_empty()
+                && self.log.append(Batch { wall_ms, commands, tail: Tail::of(self.form, None) })
+            {
                 settled.rounds = 1;
             }
             settled.told.extend(self.apply());
@@ -278,10 +285,11 @@
         omnipaxos::storage::Storage::set_snapshot(&mut self.store, Some(Folded::of(state))).is_ok()
     }
 
-    /// What has changed since it was last saved, as records.
-    pub fn records(&mut self, records: &mut Vec<Record>) {
+    /// What has changed since it was last saved, as records; the latest form that they are of.
+    pub fn records(&mut self, records: &mut Vec<Record>) -> u8 {
+        let mut form = self.state.form();
         if !std::mem::take(&mut self.dirty) {
-            return;
+            return form;
         }
         let changes = std::mem::take(&mut self.changes);
         let (shard, config, keepers, before) = (self.shard, self.config, self.keepers.clone(), self.kept);
@@ -289,18 +297,21 @@
             let (compacted, end) = (held.compacted, held.end());
             let (promise, accepted_round, decided) = (held.promise, held.accepted_round, held.decided);
             let meta = Meta { config, keepers, mine: true, promise, accepted_round, decided, compacted, end };
-            records.push(records::meta(shard, &meta));
+            records.push(records::meta(form, shard, &meta));
             if let Some(snapshot) = held.snapshot.as_ref().filter(|_| changes.snapshot) {
+                form = form.max(snapshot.form());
                 records.push(records::snapshot(shard, snapshot));
             }
             let from = changes.log_from.unwrap_or(end).max(compacted);
             for (index, batch) in (compacted..end).zip(&held.log).skip(from - compacted) {
+                form = form.max(batch.tail.form());
                 records.push(records::entry(shard, index, batch));
             }
             let gone = (before.0..compacted.min(before.1)).chain(end.max(before.0)..before.1);
             records.extend(gone.map(|index| records::no_entry(shard, index)));
             (compacted, end)
         });
+        form
     }
 
     /// Nothing is kept of its log any more; what follows says what is.
--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -1,7 +1,8 @@
 //! What comes in of shards, and how their members change.
 
 use crate::birth::Birth;
-use crate::ledger::{state_of, Ledger};
+use crate::forms::OLDEST;
+use crate::ledger::Ledger;
 use crate::log::Heard;
 use crate::post::Pace;
 use crate::records::{self, Meta};
@@ -70,9 +71,8 @@
             Word::Offer { shard } => self.is_here(at, from, shard),
             Word::Copy { shard, config, index, state } => {
                 let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
-                let state =
-                    words::read::<State>(&state).filter(|_| place.replica.is_none() && self.own.disk != 0);
-                if let Some(state) = state {
+                let Some(state) = words::read::<State>(&state) else { return self.refuse("form") };
+                if place.replica.is_none() && self.own.disk != 0 {
                     place.learned = Some((config, index, state));
                     self.post.say(at, from, &Word::Caught { shard, config, index }, Pace::Quick);
                 }
@@ -90,6 +90,7 @@
             Word::Mend { shard, config, index, state } => {
                 self.mended(sender.keeper, (shard, config), index, &state);
             }
+            Word::Leaves => _ = self.leavers.insert(from, sender.incarnation),
             Word::Heir { shard, config } => self.inherits(from, shard, config),
             Word::Begin { shard, config, keepers, base } => self.begin(at, shard, config, keepers, &base),
         }
@@ -209,7 +210,7 @@
         place.barred = config;
         (place.leads, place.repair) = (None, None);
         replica.forgotten(&mut self.records);
-        self.records.push(records::meta(shard, &gone(config, keepers)));
+        self.records.push(records::meta(OLDEST, shard, &gone(config, keepers)));
         self.records.push(records::no_snapshot(shard));
     }
 
@@ -261,6 +262,7 @@
         let wall_ms = self.wall_ms(at, shard);
         let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
         let Some(replica) = &mut place.replica else { return };
+        replica.form = self.form;
         let settled = replica.settle(at.steady, wall_ms);
         place.leads = if replica.leads() { place.leads.or(Some(at.steady)) } else { None };
         if place.leads.is_none() {
@@ -344,3 +346,18 @@
         end: 0,
     }
 }
+
+/// The state that a base tells, where the copy that this front has been given bears it.
+fn state_of(base: &Base, learned: Option<(u32, u64, State)>, config: u32) -> Option<(u64, State)> {
+    match base {
+        Base::Whole { index, state } => Some((*index, words::read(state)?)),
+        Base::After { index, batches } => {
+            let (of, at, mut state) = learned?;
+            if (of.checked_add(1), at) != (Some(config), *index) {
+                return None;
+            }
+            batches.iter().for_each(|batch| _ = state.apply(batch));
+            state.next().is_some().then(|| (FIRST, state.handed_over()))
+        }
+    }
+}
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -6,6 +6,7 @@
 use omnipaxos::storage::{Entry as Logged, Snapshot};
 use serde::{Deserialize, Serialize};
 
+use crate::tail::Tail;
 use crate::{Act, DiskId, Entry, FrontId, Key, Outcome, Owner, Setup, REMEMBERED_MS};
 
 const OVERHEAD: usize = 64; // bytes that an entry counts beside its name and value
@@ -34,8 +35,15 @@
 pub(crate) struct Batch {
     pub wall_ms: u64,
     pub commands: Vec<Command>,
-    /// Who keeps the shard from here on: nothing that follows in this log counts.
-    pub next: Option<Vec<Keeper>>,
+    /// Who keeps the shard from here on: nothing that follows in this log counts. Behind the batch's form, if it says one.
+    pub tail: Tail,
+}
+
+impl Batch {
+    /// One that names who keeps the shard from here on.
+    pub fn change(form: u8, wall_ms: u64, next: Vec<Keeper>) -> Batch {
+        Batch { wall_ms, commands: Vec::new(), tail: Tail::of(form, Some(next)) }
+    }
 }
 
 /// What was answered, without what the ask itself says.
@@ -78,8 +86,8 @@
     entries: BTreeMap<Key, (Entry, u64)>,
     bytes: usize,
     answers: BTreeMap<(Owner, u64), Remembered>,
-    /// Who keeps the shard after this log, once that is decided.
-    next: Option<Vec<Keeper>>,
+    /// Who keeps the shard after this log, once that is decided, behind the latest form of its batches.
+    tail: Tail,
     /// What ends and is forgotten when; made anew from the rest where it is not there.
     #[serde(skip)]
     index: Option<Index>,
@@ -107,8 +115,8 @@
     /// Each entry, and all else that copies agree on, as bytes.
     pub fn parts(&self) -> (impl Iterator<Item = (&Key, Vec<u8>)>, Vec<u8>) {
         let entries = self.entries.iter().map(|(key, entry)| (key, crate::words::bytes(entry)));
-        let State { limits, now_ms, last, bytes, answers, next, .. } = self;
-        (entries, crate::words::bytes(&(limits, now_ms, last, bytes, answers, next)))
+        let State { limits, now_ms, last, bytes, answers, tail, .. } = self;
+        (entries, crate::words::bytes(&(limits, now_ms, last, bytes, answers, tail)))
     }
 
     fn of(&self, key: &Key) -> Option<&Entry> {
@@ -116,24 +124,30 @@
     }
 
     pub fn next(&self) -> Option<&[Keeper]> {
-        self.next.as_deref()
+        self.tail.next()
+    }
+
+    /// The latest form of the batches that it came from.
+    pub fn form(&self) -> u8 {
+        self.tail.form()
     }
 
     /// The same entries under the log of the next members.
     pub fn handed_over(&self) -> State {
-        State { next: None, ..self.clone() }
+        State { tail: Tail::of(self.form(), None), ..self.clone() }
     }
 
     /// Applies a batch; what each of its commands comes to. Empty where the shard has been handed over: nobody may
     /// be told anything of what came after.
     pub fn apply(&mut self, batch: &Batch) -> Vec<Outcome> {
-        if self.next.is_some() {
+        if self.next().is_some() {
             return Vec::new();
         }
         self.now_ms = self.now_ms.max(batch.wall_ms);
         self.end();
         let outcomes = batch.commands.iter().map(|command| self.command(command)).collect();
-        self.next.clone_from(&batch.next);
+        let next = batch.tail.next().map(<[Keeper]>::to_vec);
+        self.tail = Tail::of(self.form().max(batch.tail.form()), next);
         outcomes
     }
 
@@ -292,6 +306,11 @@
         Folded { base, since: Vec::new() }
     }
 
+    /// The latest form of what it holds.
+    pub fn form(&self) -> u8 {
+        self.since.iter().map(|batch| batch.tail.form()).fold(self.base.form(), u8::max)
+    }
+
     pub fn state(&self) -> State {
         let mut state = self.base.clone();
         self.since.iter().for_each(|batch| _ = state.apply(batch));
--- a/crates/ledger/src/upkeep.rs
+++ b/crates/ledger/src/upkeep.rs
@@ -65,6 +65,9 @@
         }
         self.look_at = at.steady + LOOK;
         self.place(at.steady);
+        // Whoever is on the list may have to read what is kept, and may be a build back by then.
+        let others = self.setup.members.iter().map(|member| member.front).filter(|f| *f != self.own.front);
+        self.form = self.setup.keeps.min(self.post.all_read(others));
         for shard in 0..self.setup.shards {
             let Some(place) = self.places.get(usize::from(shard)) else { continue };
             if place.birth.is_some() {
@@ -83,6 +86,7 @@
             } else if place.replica.as_ref().is_some_and(Replica::leads) {
                 self.mend(at, shard);
                 self.scrub(at, shard);
+                self.yields(at, shard);
             }
         }
     }
--- a/crates/ledger/src/words.rs
+++ b/crates/ledger/src/words.rs
@@ -92,6 +92,8 @@
         index: u64,
         state: Vec<u8>,
     },
+    /// The sender is to end. Of form 3.
+    Leaves,
 }
 
 /// A front that has yet to begin a shard.
--- a/crates/ledger/tests/roll.rs
+++ b/crates/ledger/tests/roll.rs
@@ -2,8 +2,8 @@
 
 mod sim;
 
-use hallmux_ledger::{Act, Ledger, Outcome};
-use sim::{Fleet, SECOND};
+use hallmux_ledger::{Act, Error, Ledger, Outcome, Saved, Setup};
+use sim::{id, Fleet, SECOND};
 
 const FRONTS: usize = 18;
 
@@ -123,3 +123,51 @@
     }
     sound(&fleet);
 }
+
+/// The latest form of what any front keeps: behind the checksum of its mark.
+fn kept(fleet: &Fleet) -> u8 {
+    let mark = |disk: &std::collections::BTreeMap<Vec<u8>, Vec<u8>>| disk.get(&b"m"[..]).map(|mark| mark[4]);
+    fleet.fronts.iter().filter_map(|front| mark(&front.disk)).max().unwrap_or(0)
+}
+
+#[test]
+fn what_is_kept_takes_a_later_form_with_the_next_build_and_going_back_one_loses_nothing() {
+    // The build before this one, this one, and the next: the form that each reads, and the one in which it keeps.
+    let builds = [(2, 1), (hallmux_ledger::FORM, hallmux_ledger::KEEPS), (3, 3)];
+    let mut fleet = begun(|_| 2, 4);
+    for (build, form) in [(1, 1), (0, 1), (1, 1), (2, 3), (1, 3)] {
+        fleet.setup.keeps = builds[build].1;
+        roll(&mut fleet, true, |fleet, n| fleet.fronts[n].form = builds[build].0);
+        sound(&fleet);
+        println!("to build {build}: {} letters not read", unread(&fleet));
+        assert_eq!(kept(&fleet), form, "to build {build}");
+    }
+    for k in 0..64 {
+        assert!(matches!(fleet.surely(k % FRONTS, &format!("r{k}"), Act::Read), Outcome::Stands(_)));
+    }
+}
+
+#[test]
+fn one_front_that_reads_no_later_form_holds_it_up_and_what_it_can_not_read_it_leaves_as_it_is() {
+    let mut fleet = Fleet::new(FRONTS, 3, 16, 5);
+    fleet.setup.keeps = 3;
+    fleet.fronts[7].form = 2;
+    fleet.start_anew(FRONTS);
+    assert!(fleet.run_until(20 * SECOND, Fleet::is_whole));
+    load(&mut fleet, 12 * SECOND, &[]);
+    assert_eq!(kept(&fleet), 1);
+    fleet.kill(7);
+    load(&mut fleet, SECOND, &[7]);
+    assert_eq!(kept(&fleet), 1);
+    fleet.fronts[7].form = 3;
+    fleet.start(7);
+    load(&mut fleet, 12 * SECOND, &[]);
+    assert_eq!(kept(&fleet), 3);
+    sound(&fleet);
+    fleet.kill(7);
+    let setup = Setup { own: id(7), disk: fleet.fronts[7].disk_id, form: 2, ..fleet.setup.clone() };
+    let disk = &fleet.fronts[7].disk;
+    let saved = Saved(disk.clone().into_iter().collect());
+    let found = Ledger::new(fleet.at(7), setup, Some(saved)).err();
+    assert_eq!(found, Some(Error::Version { found: 3, reads: 2 }));
+}
