--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -22,6 +22,16 @@
     Majority,
 }
 
+impl Keeps {
+    pub fn of(needed: bool, hands_over: bool) -> Keeps {
+        match (needed, hands_over) {
+            (true, _) => Keeps::Majority,
+            (false, true) => Keeps::Shards,
+            (false, false) => Keeps::Nothing,
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Shutdown {
     since: Option<Micros>,
