--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -25,7 +25,7 @@
 use crate::link::Link;
 use crate::postgres::portal::Portal;
 use crate::scatter::Scatters;
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Keeps, Shutdown};
 use crate::start::Fault;
 
 pub use rooms::Pacer;
@@ -245,8 +245,9 @@
         for client in self.clients.caught_up() {
             self.unfinished.push(Door::Client.party(client));
         }
-        let hands_over = self.peers.as_ref().is_some_and(Peers::hands_over);
-        if self.shutdown.closes(self.clock.now, hands_over) {
+        let peers = self.peers.as_ref().filter(|_| self.shutdown.asked());
+        let keeps = peers.map_or(Keeps::Nothing, |peers| peers.keeps(self.clock.now));
+        if self.shutdown.closes(self.clock.now, keeps) {
             if self.entrance.close() {
                 log::info!("no more connections are taken; {} clients are connected", self.clients.len());
             }
