--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -6,6 +6,7 @@
 pub mod overload;
 pub mod portal;
 pub mod promises;
+pub mod sites;
 mod spread;
 
 pub use spread::{spread, Spread};
