--- a/crates/front/src/scatter/wholes.rs
+++ b/crates/front/src/scatter/wholes.rs
@@ -1,6 +1,8 @@
 //! Statements that are asked of several sites, from their reading to their final answer.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+mod told;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 use hallmux_agreement::{Contract, Scatter};
@@ -8,8 +10,8 @@
 use hallmux_dispatcher::{Ask, Dispatcher, Micros, Speech, Ticket, Unfit};
 use hallmux_gossip::PeerId;
 use hallmux_scatter::marks::{numbers, Marks};
-use hallmux_scatter::plan::{plan, Word};
-use hallmux_scatter::sql::{self, Query};
+use hallmux_scatter::plan::{plan, Plan, Why, Word};
+use hallmux_scatter::sql::Query;
 use hallmux_scatter::whole::{Act, Answer, Failed, Rules, Whole};
 
 use super::doubts::{Doubts, RuledOut};
@@ -34,6 +36,8 @@
     ends: Micros,
     /// Sites that may be asked; None: all.
     allowed: Option<Vec<String>>,
+    /// Of a join: the marks of its groups that are there.
+    words: BTreeMap<u32, Option<Marks>>,
     /// None while the marks of its group are awaited.
     whole: Option<Whole>,
     /// Parts that are out: place and ticket.
@@ -57,6 +61,8 @@
     said: Vec<(Ticket, Said)>,
     /// Sites asked, left out, and of how many in all.
     counts: (u64, u64),
+    /// Of those asked, how many had no row, by why they were asked.
+    needless: BTreeMap<Why, u64>,
     told: Micros,
 }
 
@@ -81,12 +87,14 @@
             parts: HashMap::new(),
             said: Vec::new(),
             counts: (0, 0),
+            needless: BTreeMap::new(),
             told: 0,
         })
     }
 
     /// The operator's file was read again. One whose keys can't be used changes nothing.
     pub fn reload(&mut self, settings: &Scatter, now: Micros) {
+        self.tell();
         match self.summaries.reload(settings, now) {
             Ok(()) => {
                 self.sites = settings.sites.keys().cloned().collect();
@@ -109,20 +117,6 @@
         self.loads.is_some() && !numbers(&call.statement).is_empty()
     }
 
-    /// Reads a statement. None: it goes to the site that has all rows. An error says why it can't be answered.
-    pub fn read(&self, statement: &[u8]) -> Result<Option<Query>, String> {
-        let read = sql::read(statement).and_then(|query| {
-            let kind = |column: &str| self.summaries.book.kind(query.group, &query.table, column);
-            query.combine.iter().flatten().try_for_each(|aggregate| aggregate.fits(kind))?;
-            Ok(query)
-        });
-        match read {
-            Ok(query) => Ok(Some(query)),
-            Err(_) if self.settings.whole_site.is_some() => Ok(None),
-            Err(why) => Err(why.to_string()),
-        }
-    }
-
     pub fn whole_site(&self) -> Option<&str> {
         self.settings.whole_site.as_deref()
     }
@@ -136,12 +130,13 @@
         allowed: Option<Vec<String>>,
         dispatcher: &mut Dispatcher,
     ) {
-        let group = query.group;
-        let one =
-            One { call, query, ends, allowed, whole: None, tickets: BTreeMap::new(), ruled_out: Vec::new() };
+        let mut groups = BTreeSet::from([query.group]);
+        groups.extend(query.join.as_ref().map(|join| join.group));
+        let (words, tickets, ruled_out) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        let one = One { call, query, ends, allowed, words, whole: None, tickets, ruled_out };
         self.open.insert(ticket, one);
         match &mut self.loads {
-            Some(loads) => loads.scatter(ticket, group),
+            Some(loads) => groups.into_iter().for_each(|group| loads.scatter(ticket, group)),
             None => self.go(now, ticket, &Word::NoLoads, dispatcher),
         }
     }
@@ -150,12 +145,16 @@
     pub fn marks(
         &mut self,
         now: Micros,
-        waiting: &[Ticket],
+        (group, waiting): (u32, &[Ticket]),
         marks: Option<&Marks>,
         dispatcher: &mut Dispatcher,
     ) {
         let word = marks.map_or(Word::Nothing, Word::Marks);
         for ticket in waiting {
+            if self.open.get(ticket).is_some_and(|one| one.query.join.is_some()) {
+                self.marks_of_join(now, *ticket, (group, marks), dispatcher);
+                continue;
+            }
             let (wall_ms, book) = ((now / 1000) as u64, &self.summaries.book);
             if !self.doubts.as_mut().is_some_and(|doubts| doubts.word(wall_ms, *ticket, &word, book)) {
                 self.go(now, *ticket, &word, dispatcher);
@@ -164,7 +163,20 @@
     }
 
     fn go(&mut self, now: Micros, ticket: Ticket, word: &Word, dispatcher: &mut Dispatcher) {
-        let Some(one) = self.open.get_mut(&ticket).filter(|one| one.whole.is_none()) else { return };
+        if self.told + SAID <= now {
+            self.told = now;
+            if matches!(word, Word::Nothing) {
+                log::info!("the ledger gives no word on loads, so all sites are asked");
+            }
+            self.tell();
+        }
+        let Some(one) = self.open.get(&ticket).filter(|one| one.whole.is_none()) else { return };
+        let distinct = one.query.distinct.is_some();
+        if let Some(answer) = distinct.then(|| self.by_sketch(now, one, word)).flatten() {
+            self.open.remove(&ticket);
+            return self.said.push((ticket, Said::Answer(answer)));
+        }
+        let Some(one) = self.open.get_mut(&ticket) else { return };
         let allowed: Option<Vec<&str>> =
             one.allowed.as_ref().map(|names| names.iter().map(String::as_str).collect());
         let wall_ms = (now / 1000) as u64;
@@ -172,29 +184,28 @@
         let doubts = self.doubts.as_ref();
         let doubted = |site: &str| doubts.is_some_and(|doubts| doubts.doubts(site));
         let (sites, allowed) = (&self.sites, allowed.as_deref());
-        let mut plan = plan(&one.query, sites, allowed, book, wall_ms, word, &doubted);
-        if one.query.combine.is_some() {
+        let mut plan = match self.settings.whole_site.as_ref().filter(|_| distinct) {
+            Some(site) => Plan::whole(site, allowed),
+            None => plan(&one.query, sites, allowed, book, wall_ms, word, &doubted),
+        };
+        if distinct {
+            // The one site has all rows.
+        } else if one.query.combine.is_some() {
             plan.ask_one(sites, allowed);
-        } else if let Some(doubts) = &mut self.doubts {
+        } else if let Some(doubts) = self.doubts.as_mut().filter(|_| one.query.join.is_none()) {
+            // A join may be ruled out by either side, which no audit tells apart.
             doubts.audit(now, ticket, &mut plan, sites, allowed);
         }
         let version = |site: &str| book.look(wall_ms, site, one.query.group).map_or(0, |s| s.version);
-        let asked = plan.parts.iter().filter(|part| part.ruled_out);
-        one.ruled_out = asked.map(|p| RuledOut { site: p.site.clone(), version: version(&p.site) }).collect();
+        let asked = plan.parts.iter().filter(|part| part.ruled_out && one.query.join.is_none());
+        one.ruled_out = asked
+            .map(|p| RuledOut { site: p.site.clone(), group: one.query.group, version: version(&p.site) })
+            .collect();
         let book = &mut self.summaries.book;
-        plan.left_out.iter().for_each(|site| book.learn(wall_ms, &one.query, site, false));
+        let left_out = plan.left_out.iter().filter(|_| one.query.join.is_none());
+        left_out.for_each(|site| book.learn(wall_ms, &one.query, site, false));
         self.counts.0 += plan.parts.len() as u64;
         self.counts.1 += plan.left_out.len() as u64;
-        if self.told + SAID <= now {
-            self.told = now;
-            let (asked, left_out) = self.counts;
-            let why = if matches!(word, Word::Nothing) {
-                "; the ledger gives no word on loads, so all are asked"
-            } else {
-                ""
-            };
-            log::info!("sites asked so far {asked}, left out by their summaries {left_out}{why}");
-        }
         let rules = Rules {
             limit: one.query.limit,
             partial: self.settings.partial.contains(&one.call.customer),
@@ -310,6 +321,9 @@
             Ok(rows) => {
                 let site = whole.site(place).unwrap_or_default();
                 if rows.is_empty() {
+                    if let Some(part) = whole.part(place) {
+                        *self.needless.entry(part.why).or_default() += 1;
+                    }
                     self.summaries.book.learn((now / 1000) as u64, &one.query, site, true);
                 }
                 let of = one.ruled_out.iter().find(|of| of.site == site).cloned();
@@ -356,7 +370,12 @@
     }
 
     pub fn tick(&mut self, now: Micros, others: &[PeerId]) -> Vec<(PeerId, Vec<u8>)> {
-        self.doubts.iter_mut().for_each(|doubts| doubts.fronts = others.len() + 1);
+        let heard = std::mem::take(&mut self.summaries.found);
+        if let Some(doubts) = &mut self.doubts {
+            doubts.fronts = others.len() + 1;
+            heard.iter().for_each(|word| doubts.told(word));
+            doubts.found.drain(..).for_each(|word| self.summaries.finds(now, &word));
+        }
         self.summaries.tick(now, others)
     }
 }
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -3,8 +3,10 @@
 pub mod fleet;
 pub mod gossip;
 pub mod grown;
+pub mod overload;
 pub mod portal;
 pub mod promises;
+pub mod sites;
 mod spread;
 
 pub use spread::{spread, Spread};
