Ledger: who waits for a key is told in order of arrival; a change of members takes its turn

Need: fronts that waited for another's order or dedup key asked again each 20 to 320 ms, and a front that had a key much of the time kept others out for seconds. And a change of members gave way to any round under way: among rounds back to back it never came, and repairs ended after 10 s caught up and not taken in.

Change: the shard's owner keeps a bounded line for each such key in memory, tells the first when the key is free (word Turn, form 3) and lets asks of others stand back, 200 ms at most. Fronts go on asking by themselves, as the line may be lost. A change of members that is wanted is proposed at the end of the round under way, before the next.

--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/gate.rs
@@ -167,7 +167,7 @@
 
     /// The ledger has answered an ask.
     pub fn done(&mut self, now: Micros, done: Done) {
-        let Some(key) = self.asked.remove(&done.number) else { return };
+        let Some(key) = self.asked.remove(&done.number) else { return self.turn(now, done.number) };
         let shard = usize::from(ledger::shard_of(&key, self.spoke.len() as u16));
         let spoke = self.spoke.get_mut(shard).is_none_or(|spoke| {
             *spoke |= done.outcome != ledger::Outcome::Unreachable;
@@ -179,6 +179,12 @@
         self.ruled(now, &key, verdict);
     }
 
+    /// A key that another had is free, and it is this front's turn: known by the latest ask for it.
+    fn turn(&mut self, now: Micros, number: u64) {
+        let next = self.holds.iter_mut().find_map(|(key, hold)| hold.turn(now, number).then(|| key.clone()));
+        next.into_iter().for_each(|key| self.advance(now, &key));
+    }
+
     /// Asks again what is due.
     pub fn tick(&mut self, now: Micros) {
         if now < self.due {
--- a/crates/fleet/src/gate/hold.rs
+++ b/crates/fleet/src/gate/hold.rs
@@ -7,7 +7,9 @@
 
 use super::needs::{Group, Out};
 
-const AGAIN: Micros = 20_000; // microseconds until what another has is asked for again; twice as long each time
+/// Microseconds until what another has is asked for again; twice as long each time. The ledger says when it is free:
+/// this is for where that word is lost, or is of an earlier build.
+const AGAIN: Micros = 40_000;
 const AGAIN_MOST: Micros = 320_000; // microseconds; a key that is free stays unused so long at most
 const FIRST_AGAIN: Micros = 100_000; // microseconds until a shard that never spoke is asked again
 const ASK: Micros = 600_000; // microseconds that an ask may take until it is known to have found no majority
@@ -65,6 +67,8 @@
     mark: (u64, u64),
     unsure: bool,
     asked: Option<Aim>,
+    /// Of the latest ask for it.
+    number: u64,
     again: Micros,
     free_again: Micros,
     tries: u32,
@@ -92,6 +96,7 @@
             mark: (0, 0),
             unsure: false,
             asked: None,
+            number: 0,
             again: 0,
             free_again: 0,
             tries: 0,
@@ -187,6 +192,15 @@
         }
     }
 
+    /// It is free, and this front is next: true where it was asked for by that number last, and is wanted still.
+    pub fn turn(&mut self, now: Micros, number: u64) -> bool {
+        let next = self.blocked && self.number == number && self.asked.is_none();
+        if next {
+            (self.again, self.tries) = (now, 0);
+        }
+        next
+    }
+
     /// What is to be asked now, if anything; under that mark.
     pub fn ask(&mut self, now: Micros, mark: (u64, u64)) -> Option<Act> {
         if self.asked.is_some() {
@@ -198,7 +212,7 @@
             if !self.unsure && self.version == 0 {
                 self.mark = mark;
             }
-            self.asked = Some(Aim::Hold(until_ms, wanted.group));
+            (self.asked, self.number) = (Some(Aim::Hold(until_ms, wanted.group)), mark.1);
             self.may_stand_ms = self.may_stand_ms.max(until_ms);
             return Some(self.act(until_ms, wanted.group, wanted.runs_ms.max(self.runs_ms)));
         }
--- a/crates/ledger/src/forms.rs
+++ b/crates/ledger/src/forms.rs
@@ -8,8 +8,9 @@
 use crate::words::Word;
 use crate::{FrontId, Micros};
 
-/// The form that this build writes where it can: 1, the first; 2, with words of handing over and of comparing copies.
-pub const FORM: u8 = 2;
+/// The form that this build writes where it can: 1, the first; 2, with words of handing over and of comparing copies;
+/// 3, with the word that a key is free.
+pub const FORM: u8 = 3;
 /// The earliest form that this build reads.
 pub const OLDEST: u8 = 1;
 
@@ -57,6 +58,7 @@
     /// The earliest form that has it.
     pub fn form(&self) -> u8 {
         match self {
+            Word::Turn { .. } => 3,
             Word::Heir { .. } | Word::Sums { .. } | Word::Mend { .. } => 2,
             _ => OLDEST,
         }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -71,13 +71,13 @@
     pub(crate) peers: BTreeMap<FrontId, Peer>,
     pub(crate) away: Away,
     pub(crate) leaving: Option<Leaving>,
-    asks: Asks,
+    pub(crate) asks: Asks,
     pub(crate) post: Post,
     /// What must be lasting before anything more is told, beside the logs.
     pub(crate) records: Vec<Record>,
     next_save: u64,
     unsaved: VecDeque<(u64, Vec<Done>)>,
-    done: Vec<Done>,
+    pub(crate) done: Vec<Done>,
     out: Out,
     pub(crate) tick_at: Micros,
     pub(crate) look_at: Micros,
@@ -195,7 +195,7 @@
         let Some(place) = self.places.get_mut(usize::from(waiting.shard)) else { return };
         let shard = waiting.shard;
         if let Some(replica) = place.replica.as_mut().filter(|replica| replica.leads()) {
-            replica.ask(waiting.command.clone(), waiting.ends);
+            replica.ask(waiting.command.clone(), at.steady, waiting.ends);
             self.touched.insert(shard);
             return;
         }
@@ -242,7 +242,7 @@
         let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
         let owner = match &mut place.replica {
             Some(replica) if replica.leads() => {
-                if !replica.ask(command, ends) {
+                if !replica.ask(command, at.steady, ends) {
                     self.refuse("too many asks");
                 }
                 return;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -13,6 +13,7 @@
 mod forms;
 mod handover;
 mod ledger;
+mod lines;
 mod log;
 mod moves;
 mod placement;
@@ -169,7 +170,8 @@
     /// May leave at once.
     pub letters: Vec<(FrontId, Vec<u8>)>,
     pub saves: Vec<Save>,
-    /// Answers to this front's own asks; each ask gets one.
+    /// Answers to this front's own asks; each ask gets one. One for an order or dedup key that was `Held` may be told
+    /// `Absent` later: the key is free now, and this front's turn.
     pub done: Vec<Done>,
 }
 
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -6,6 +6,7 @@
 use hallmux_replica::{Changes, Held, Order, Store};
 use omnipaxos::messages::Message;
 
+use crate::lines::Lines;
 use crate::log::{Heard, Log};
 use crate::records::{self, Meta};
 use crate::state::{Batch, Command, Folded, Keeper, State};
@@ -14,6 +15,7 @@
 
 const MOST_QUEUED: usize = 4_096; // asks that wait for a round
 const MOST_BATCH: usize = 8_192; // bytes of asks in a round: some datagrams to each member
+const CHANGE_WAITS: Micros = 250_000; // microseconds for which a change of members goes before the next round
 const ASK_OVERHEAD: usize = 48; // bytes that an ask counts beside its name and value
 
 /// Entries that the log starts with: the state that was handed over stands for one.
@@ -21,6 +23,7 @@
 
 struct Waiting {
     command: Command,
+    came: Micros,
     /// Microseconds on this clock from which its asker no longer waits.
     ends: Micros,
 }
@@ -36,6 +39,8 @@
     queue: Vec<Waiting>,
     /// Of the asks that wait or are under way here.
     known: BTreeSet<(Owner, u64)>,
+    /// Who waits for keys that others have, where it owns the shard.
+    pub lines: Lines,
     changes: Changes,
     dirty: bool,
     /// Log records that are kept, by the numbers of the first and of the next after the last.
@@ -44,6 +49,8 @@
     order: Order,
     /// Members are to change: nothing more is proposed here.
     changing: bool,
+    /// Who they are to be once the round under way has ended, and until when that goes before the next round.
+    to_change: Option<(Vec<Keeper>, Micros)>,
 }
 
 /// What has become of asks since it was last looked at.
@@ -94,11 +101,13 @@
             applied: 0,
             queue: Vec::new(),
             known: BTreeSet::new(),
+            lines: Lines::default(),
             changes: Changes::default(),
             dirty: false,
             kept,
             order: Order::default(),
             changing: false,
+            to_change: None,
         };
         replica.apply();
         Some(replica)
@@ -147,23 +156,30 @@
     }
 
     /// An ask of the owner; false where it can't wait here.
-    pub fn ask(&mut self, command: Command, ends: Micros) -> bool {
+    pub fn ask(&mut self, command: Command, came: Micros, ends: Micros) -> bool {
         if self.queue.len() >= MOST_QUEUED {
             return false;
         }
         if self.known.insert((command.owner, command.number)) {
-            self.queue.push(Waiting { command, ends });
+            self.queue.push(Waiting { command, came, ends });
         }
         true
     }
 
-    /// Proposes other members; true where that is under way.
-    pub fn change(&mut self, wall_ms: u64, next: Vec<Keeper>) -> bool {
-        if self.changing || !self.leads() || self.log.is_under_way() {
-            return self.changing;
+    /// Proposes other members, after the round that is under way: rounds back to back would keep it waiting for good.
+    pub fn change(&mut self, now: Micros, next: Vec<Keeper>) {
+        if !self.changing && self.leads() {
+            self.to_change = Some((next, now + CHANGE_WAITS));
+        }
+    }
+
+    fn changes(&mut self, now: Micros, wall_ms: u64) {
+        if self.log.is_under_way() {
+            return;
+        }
+        if let Some((next, _)) = self.to_change.take().filter(|(_, until)| now < *until) {
+            self.changing = self.log.append(Batch { wall_ms, commands: Vec::new(), next: Some(next) });
         }
-        self.changing = self.log.append(Batch { wall_ms, commands: Vec::new(), next: Some(next) });
-        self.changing
     }
 
     /// Proposes what waits, once the round before has ended; takes in what is decided.
@@ -173,9 +189,11 @@
             // Whoever owns it now is asked again.
             self.queue.clear();
             self.known.clear();
-            self.changing = false;
+            self.lines.clear();
+            (self.changing, self.to_change) = (false, None);
             return settled;
         }
+        self.changes(now, wall_ms);
         if !self.queue.is_empty() && !self.log.is_under_way() && !self.changing {
             let (mut commands, mut bytes) = (Vec::new(), 0);
             let waiting = std::mem::take(&mut self.queue);
@@ -183,7 +201,7 @@
                 let command = &waiting.command;
                 if waiting.ends <= now {
                     self.known.remove(&(command.owner, command.number));
-                } else if bytes < MOST_BATCH {
+                } else if bytes < MOST_BATCH && !self.lines.defers(now, command, waiting.came) {
                     bytes += size(command);
                     commands.push(waiting.command);
                 } else {
@@ -199,6 +217,11 @@
         settled
     }
 
+    /// Who is to be told that a key is free.
+    pub fn turns(&mut self, now: Micros, wall_ms: u64) -> Vec<(Owner, u64)> {
+        self.lines.turns(now, |key| self.state.is_free(key, wall_ms))
+    }
+
     fn apply(&mut self) -> Vec<(Command, Outcome)> {
         let decided = self.log.decided();
         let mut told = Vec::new();
--- a/crates/ledger/src/shards.rs
+++ b/crates/ledger/src/shards.rs
@@ -10,7 +10,7 @@
 use crate::state::{Keeper, State};
 use crate::upkeep::LOOK;
 use crate::words::{self, Base, Born, Word};
-use crate::{FrontId, Micros, Moment};
+use crate::{Done, FrontId, Micros, Moment, Outcome, Owner};
 
 const TOLD_AGAIN: Micros = 500_000; // microseconds until a member that is behind is told again
 
@@ -90,6 +90,9 @@
             Word::Mend { shard, config, index, state } => {
                 self.mended(sender.keeper, (shard, config), index, &state);
             }
+            Word::Turn { incarnation, number } => {
+                self.turn(Owner { front: self.own.front, incarnation }, number);
+            }
             Word::Heir { shard, config } => self.inherits(from, shard, config),
             Word::Begin { shard, config, keepers, base } => self.begin(at, shard, config, keepers, &base),
         }
@@ -262,6 +265,13 @@
         let Some(place) = self.places.get_mut(usize::from(shard)) else { return };
         let Some(replica) = &mut place.replica else { return };
         let settled = replica.settle(at.steady, wall_ms);
+        for (command, outcome) in &settled.told {
+            let front = command.owner.front;
+            if front == self.own.front || self.post.reads(front) >= 3 {
+                replica.lines.heard(at.steady, command, outcome);
+            }
+        }
+        let turns = replica.turns(at.steady, wall_ms);
         place.leads = if replica.leads() { place.leads.or(Some(at.steady)) } else { None };
         if place.leads.is_none() {
             place.repair = None;
@@ -284,10 +294,25 @@
                 self.answered(None, number, outcome);
             }
         }
+        for (owner, number) in turns {
+            if owner.front == self.own.front {
+                self.turn(owner, number);
+            } else {
+                let word = Word::Turn { incarnation: owner.incarnation, number };
+                self.post.say(at, owner.front, &word, Pace::Quick);
+            }
+        }
         self.answers_sums(at, shard);
         self.hand_over(at, shard);
     }
 
+    /// A key that this front asked for is free, and it is its turn.
+    fn turn(&mut self, owner: Owner, number: u64) {
+        if owner.incarnation == self.setup.incarnation && !self.asks.is_waiting(number) {
+            self.done.push(Done { number, outcome: Outcome::Absent });
+        }
+    }
+
     /// Goes on under the next members, once the log has decided on them.
     fn hand_over(&mut self, at: Moment, shard: u16) {
         let own = self.own;
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -115,6 +115,12 @@
         self.entries.get(key).map(|(entry, _)| entry)
     }
 
+    /// Whether nobody has it any more, at that time.
+    pub fn is_free(&self, key: &Key, wall_ms: u64) -> bool {
+        let ends = |entry: &Entry| entry.ends_ms.saturating_add(self.limits.apart_ms);
+        self.of(key).is_none_or(|entry| entry.ends_ms > 0 && ends(entry) <= wall_ms)
+    }
+
     pub fn next(&self) -> Option<&[Keeper]> {
         self.next.as_deref()
     }
--- a/crates/ledger/src/upkeep.rs
+++ b/crates/ledger/src/upkeep.rs
@@ -98,7 +98,8 @@
             let into = peer(repair.into.front);
             if repair.is_over(now, config, into.as_ref()) {
                 place.repair = None;
-            } else if repair.caught.is_some() && replica.change(at.wall_ms, repair.next(&replica.keepers)) {
+            } else if repair.caught.is_some() {
+                replica.change(now, repair.next(&replica.keepers));
                 self.touched.insert(shard);
             }
             return;
--- a/crates/ledger/src/words.rs
+++ b/crates/ledger/src/words.rs
@@ -92,6 +92,11 @@
         index: u64,
         state: Vec<u8>,
     },
+    /// A key that the receiver asked for by this number is free, and it is its turn. Of form 3.
+    Turn {
+        incarnation: u64,
+        number: u64,
+    },
 }
 
 /// A front that has yet to begin a shard.
