--- a/crates/lab/src/rig/member.rs
+++ b/crates/lab/src/rig/member.rs
@@ -1,6 +1,7 @@
 //! A front of the fleet while it runs and anew, and what all fronts of a run share.
 
-use std::sync::atomic::AtomicBool;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -15,6 +16,8 @@
 use crate::engine::Records;
 use crate::record::account::Offered;
 
+/// Microseconds for which clients still come to a front that was asked to end: half of what its door stays open.
+const STILL_COME: i64 = 300_000;
 const MOST_SEEDS: usize = 3; // fronts that each asks first, drawn: a few for all would be slow to answer them
 pub(crate) const SOCKETS: usize = 256; // descriptors each front may hold
 
@@ -27,6 +30,12 @@
     pub(crate) ahead_ms: i64,
     /// It takes no statements from clients: stopped, killed or ending.
     pub(crate) away: AtomicBool,
+    /// Until then clients come to it all the same.
+    pub(crate) until: AtomicI64,
+    /// The program that its next life is; none: the one beside the lab.
+    pub(crate) program: Mutex<Option<PathBuf>>,
+    /// Its ends that were asked for.
+    pub(crate) ends: Mutex<Vec<End>>,
     /// Spans, in microseconds since the rig began, in which it was stopped, killed or ending: a statement out at
     /// it then may be late or lost by a fault of its own.
     pub(crate) troubled: Mutex<Vec<(i64, i64)>>,
@@ -34,7 +43,46 @@
     pub(crate) logs: Mutex<Vec<Log>>,
 }
 
+/// An end that a front was asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    pub front: usize,
+    /// When it was asked, and when its process was gone.
+    pub asked: i64,
+    pub gone: i64,
+    /// It ended by itself, without an error.
+    pub well: bool,
+}
+
 impl Member {
+    /// Whether clients come to it now.
+    pub(crate) fn takes(&self, now: i64) -> bool {
+        !self.away.load(SeqCst) || now < self.until.load(SeqCst)
+    }
+
+    /// Its next life is of this program; none: the one beside the lab.
+    pub(crate) fn becomes(&self, next: Option<PathBuf>) {
+        if let Ok(mut program) = self.program.lock() {
+            *program = next;
+        }
+    }
+
+    /// It is asked to end.
+    pub(crate) fn asked_to_end(&self, now: i64) {
+        self.until.store(now + STILL_COME, SeqCst);
+        if let Ok(mut ends) = self.ends.lock() {
+            ends.push(End { front: self.number, asked: now, gone: i64::MAX, well: false });
+        }
+    }
+
+    /// Its process is gone, after an end that it was asked for where one is open.
+    pub(crate) fn has_ended(&self, now: i64, well: bool) {
+        if let Ok(mut ends) = self.ends.lock() {
+            let open = ends.iter_mut().filter(|end| end.gone == i64::MAX);
+            open.for_each(|end| (end.gone, end.well) = (now, well));
+        }
+    }
+
     /// Starts its front, anew where it ran before; with gossip, the others it knows of are its seeds.
     pub(crate) fn start(&self, ground: &Ground) -> Result<u32, String> {
         let beside = ground.beside.get(self.number).cloned().unwrap_or_default();
@@ -58,7 +106,7 @@
                 });
                 let ownership = ownership.unwrap_or_default()
                     + &keys.ledger(self.number, &post.at, &beside.ledger)
-                    + keys.overload;
+                    + &keys.overload;
                 let quorum = keys.zone_quorum.map(|q| format!("zone_quorum: {q}, ")).unwrap_or_default();
                 format!(
                     "{{ {ahead}, gossip: {{ listen: '127.0.0.1:0', advertise: '{}', secret_file: '{}', {quorum}peers: {{ {} }}, \
@@ -73,7 +121,9 @@
         let name = format!("f{}", self.number);
         let seed = Pcg64Mcg::seed_from_u64(ground.seed ^ (self.number as u64) << 32).random();
         let own = (operator.as_str(), beside.environment.as_slice());
-        let started = Front::named((&name, seed), &ground.settings, own, &self.coordinator, SOCKETS)?;
+        let program = self.program.lock().ok().and_then(|program| program.clone());
+        let started =
+            Front::named((&name, seed), &ground.settings, own, &self.coordinator, (SOCKETS, program))?;
         if let Ok(mut logs) = self.logs.lock() {
             logs.push(started.log());
         }
@@ -89,6 +139,22 @@
         Ok(pid)
     }
 
+    /// It takes no statements from now on, and what it had out then may be lost.
+    pub(crate) fn goes_away(&self, at: i64) {
+        self.away.store(true, SeqCst);
+        if let Ok(mut troubled) = self.troubled.lock() {
+            troubled.push((at, i64::MAX));
+        }
+    }
+
+    /// It takes statements again.
+    pub(crate) fn is_back(&self, at: i64) {
+        if let Ok(mut troubled) = self.troubled.lock() {
+            troubled.iter_mut().filter(|(_, to)| *to == i64::MAX).for_each(|(_, to)| *to = at);
+        }
+        self.away.store(false, SeqCst);
+    }
+
     /// Lines of its log that hold the text, of all its lives, each with when it was read.
     pub(crate) fn said(&self, text: &str) -> Vec<(Instant, String)> {
         let logs = self.logs.lock().map(|logs| logs.clone()).unwrap_or_default();
@@ -115,7 +181,9 @@
     pub(crate) ledger: String,
     pub(crate) environment: Vec<(String, String)>,
     /// The file that says what befalls the disk of its copies, where the operator's file names one.
-    pub(crate) drill: Option<std::path::PathBuf>,
+    pub(crate) drill: Option<PathBuf>,
+    /// The program of its first life, where it is another build's.
+    pub(crate) program: Option<PathBuf>,
 }
 
 /// What all fronts of a run share.
@@ -130,7 +198,7 @@
 
 /// The fronts' keys for gossip: secrets in files of a folder of the run's, public halves known to all.
 pub(crate) struct Keys {
-    folder: std::path::PathBuf,
+    folder: PathBuf,
     /// `name: 'public key', ...` for the operator's file.
     peers: String,
     zone_quorum: Option<usize>,
@@ -139,7 +207,7 @@
     /// How many vote on who owns the fleet's work, and how long a lease lasts.
     voters: Option<(usize, u64)>,
     /// That part of the operator's file.
-    overload: &'static str,
+    overload: String,
 }
 
 impl Keys {
@@ -156,14 +224,19 @@
             peers.push(format!("f{n}: '{}'", hex(&public)));
         }
         let copies = shape.copies.map(|copies| (copies, shape.zones));
-        let overload = if shape.sheds_as_one { ", overload: {}" } else { "" };
+        let o = shape.overload();
+        let overload = format!(
+            ", overload: {{ connections_per_second: {}, probes_per_second: {} }}",
+            o.connections_per_second, o.probes_per_second
+        );
+        let overload = Some(overload).filter(|_| shape.sheds_as_one).unwrap_or_default();
         let voters = shape.voters.map(|voters| (voters, shape.lease_ms));
         Ok(Keys { folder, peers: peers.join(", "), zone_quorum: shape.zone_quorum, copies, voters, overload })
     }
 }
 
 impl Keys {
-    fn disk(&self, front: usize) -> std::path::PathBuf {
+    fn disk(&self, front: usize) -> PathBuf {
         self.folder.join(format!("ledger{front}"))
     }
 
--- a/crates/lab/src/simulated/mod.rs
+++ b/crates/lab/src/simulated/mod.rs
@@ -1,7 +1,9 @@
 //! The fleet rig in simulated time, for fleets beyond what one machine holds as processes.
 
 mod clients;
+mod connections;
 mod disk;
+mod ends;
 mod engines;
 mod faults;
 mod fronts;
--- a/crates/lab/src/simulated/play.rs
+++ b/crates/lab/src/simulated/play.rs
@@ -16,6 +16,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::clients::Client;
+use super::connections::Connections;
 use super::disk::Disk;
 use super::grows::Grows;
 use super::steps::Armed;
@@ -51,7 +52,7 @@
     Answers(usize, u32, Sent, Ending, Option<usize>),
     /// A probe likewise; its number tells which.
     ProbeArrives(usize, u32, usize, u64),
-    ProbeAnswers(usize, u32, Place, u64, bool),
+    ProbeAnswers(usize, u32, Place, u64, Option<usize>),
     Datagram(usize, usize, Vec<u8>),
     /// What the front of that life has written is lasting.
     Lasting(usize, u32),
@@ -60,6 +61,8 @@
     /// A step of a promise is reached at a front; and the time for that is over.
     Reached(Step, usize),
     Unarmed(usize),
+    /// A front of that life that is to end may close its door.
+    Closes(usize, u32),
     /// Time to look at what fronts hold; and at whether all copies stand.
     Looks,
     Copies,
@@ -97,6 +100,7 @@
     /// Answers of the ledger that have yet to be taken.
     pub(super) done: Vec<Done>,
     pub(super) probes: HashMap<u64, Place>,
+    pub(super) connections: Connections,
 }
 
 pub(super) struct Member {
@@ -104,6 +108,8 @@
     /// Counts its lives: what was meant for an earlier one means nothing.
     pub(super) lives: u32,
     pub(super) stopped: bool,
+    /// When it was asked to end.
+    pub(super) ending: Option<i64>,
     /// What came while it was stopped, in order.
     pub(super) waits: Vec<Event>,
     pub(super) due: i64,
@@ -191,7 +197,7 @@
         contract.agreement.zone_quorum = quorum;
     }
     if scenario.fleet.sheds_as_one {
-        hallmux_agreement::Overload::default().apply(&mut contract.agreement);
+        scenario.fleet.overload().apply(&mut contract.agreement);
     }
     let fronts = scenario.fleet.fronts;
     let keys: Vec<[u8; 32]> = (0..fronts).map(|n| Own::new(&secret(n), 0).public()).collect();
@@ -239,6 +245,7 @@
             life: None,
             lives: 0,
             stopped: false,
+            ending: None,
             waits: Vec::new(),
             due: i64::MAX,
             ahead,
@@ -309,6 +316,7 @@
             Event::Again(client) => self.asks(client),
             Event::Reached(step, front) => _ = self.reached(step, front),
             Event::Unarmed(fault) => self.unarmed(fault),
+            Event::Closes(front, life) => self.closes(front, life),
             Event::Looks => self.looks(),
             Event::Copies => self.copies(),
             Event::Lasting(front, life) => {
@@ -323,7 +331,8 @@
             Event::ProbeArrives(front, life, engine, probe) => {
                 if self.passes(front, engine, false) {
                     let at = self.now + self.way();
-                    self.at(at, Event::ProbeAnswers(front, life, engine, probe, true));
+                    let active = self.engines[engine].running;
+                    self.at(at, Event::ProbeAnswers(front, life, engine, probe, Some(active)));
                 }
             }
             Event::Answers(front, life, ..) | Event::ProbeAnswers(front, life, ..) => {
@@ -353,7 +362,7 @@
                 self.begin(n, &fault);
             }
             Event::Ends(n) => {
-                if let Some(later) = self.is_armed(n) {
+                if let Some(later) = self.is_armed(n).or_else(|| self.still_ends(n)) {
                     return self.at(later, Event::Ends(n));
                 }
                 let Some(fault) = self.playing.remove(&n) else { return };
--- a/crates/scatter/src/marker.rs
+++ b/crates/scatter/src/marker.rs
@@ -3,8 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::marks::{Marks, Touched};
-use crate::summary::Summary;
+use crate::marks::{Marks, Spoken, Touched};
 
 const APART_MS: u64 = 10_000; // milliseconds that fronts' clocks may be apart, as gossip has it
 const MOST_TRIES: u32 = 16; // changes of one batch that others' got before; then its loads are turned away
@@ -57,7 +56,7 @@
     /// A load can't be marked: it must not leave.
     TurnAway { load: Waiter },
     /// The word on a group, for scatters. None: there is none to have.
-    Marks { scatters: Vec<u64>, marks: Option<Marks> },
+    Marks { group: u32, scatters: Vec<u64>, marks: Option<Marks> },
 }
 
 struct Load {
@@ -123,7 +122,7 @@
     pub fn asks<'a>(
         &mut self,
         wall_ms: u64,
-        summary: impl Fn(&str, u32) -> Option<&'a Summary>,
+        spoken: impl Fn(&str, u32) -> Spoken<'a>,
     ) -> (Vec<Ask>, Vec<Follows>) {
         let (mut asks, mut follows) = (Vec::new(), Vec::new());
         for (&number, group) in &mut self.groups {
@@ -138,13 +137,14 @@
                 continue;
             }
             let mut marks = group.marks.clone();
-            marks.tidy(wall_ms.saturating_sub(APART_MS), |site| summary(site, number));
+            marks.tidy(wall_ms.saturating_sub(APART_MS), |site| spoken(site, number));
             let mut batch = Vec::new();
             for waiter in std::mem::take(&mut group.queue) {
                 let Some(load) = self.loads.get(&waiter) else { continue };
                 let Some(touched) = load.left.get(&number) else { continue };
                 batch.push((waiter, marks.add(&load.site, load.ends_ms, touched.clone())));
             }
+            marks.fit(|site| spoken(site, number));
             match marks.bytes() {
                 _ if batch.is_empty() => {}
                 None => turn_away(&mut self.loads, batch, &mut follows),
@@ -172,7 +172,7 @@
                 Said::Absent => Some(Marks::default()),
                 Said::Unreachable => None,
             };
-            follows.push(Follows::Marks { scatters, marks });
+            follows.push(Follows::Marks { group: place, scatters, marks });
             return follows;
         }
         let Some((_, batch, marks)) = group.put.take() else { return follows };
@@ -236,7 +236,7 @@
     }
 
     fn asks(marker: &mut Marker) -> Vec<Ask> {
-        marker.asks(0, |_, _| None).0
+        marker.asks(0, |_, _| Spoken::default()).0
     }
 
     #[test]
@@ -269,7 +269,7 @@
         let asked = asks(&mut marker);
         let follows: Vec<Follows> =
             asked.iter().flat_map(|a| marker.said(a.number, Said::Unreachable)).collect();
-        let none = Follows::Marks { scatters: vec![9], marks: None };
+        let none = Follows::Marks { group: 17, scatters: vec![9], marks: None };
         assert_eq!(follows, [none, Follows::TurnAway { load: (1, 0) }]);
         // One that was stopped meanwhile goes nowhere.
         load(&mut marker, 2);
@@ -285,10 +285,10 @@
         let first = asks(&mut marker);
         marker.scatter(2, 17);
         assert_eq!(asks(&mut marker), []);
-        let word = Follows::Marks { scatters: vec![1], marks: Some(Marks::default()) };
+        let word = Follows::Marks { group: 17, scatters: vec![1], marks: Some(Marks::default()) };
         assert_eq!(marker.said(first[0].number, Said::Absent), [word]);
         assert_eq!(asks(&mut marker).len(), 1);
         let damaged = Said::Stands { version: 1, value: vec![9; 3] };
-        assert_eq!(marker.said(1, damaged), [Follows::Marks { scatters: vec![2], marks: None }]);
+        assert_eq!(marker.said(1, damaged), [Follows::Marks { group: 17, scatters: vec![2], marks: None }]);
     }
 }
