--- a/crates/ledger/src/forms.rs
+++ b/crates/ledger/src/forms.rs
@@ -13,12 +13,14 @@
 use crate::{FrontId, Micros};
 
 /// The form that this build writes where it can: 1, the first; 2, with words of handing over and of comparing copies;
-/// 3, with entries, states and records that say their form, and a word of fronts that are to end.
+/// 3, with entries, states and records that say their form, and words of fronts that are to end and of keys that are free.
 pub const FORM: u8 = 3;
 /// The latest form in which this build keeps anything: what the build before it reads. The next one's is 3.
 pub const KEEPS: u8 = 1;
 /// The form from which on what is kept says its own.
 pub(crate) const FORMED: u8 = 3;
+/// The form from which on fronts read that a key is free.
+pub(crate) const TURNS: u8 = 3;
 /// The earliest form that this build reads.
 pub const OLDEST: u8 = 1;
 
@@ -72,6 +74,7 @@
     pub fn form(&self) -> u8 {
         match self {
             Word::Leaves => FORMED,
+            Word::Turn { .. } => TURNS,
             Word::Heir { .. } | Word::Sums { .. } | Word::Mend { .. } => 2,
             _ => OLDEST,
         }
