One mind of room at engines, one play of fleets in the lab's tests; a bound put back

What the front and the simulated fronts each wrote of telling the module its room is Rooms in crates/dispatcher now; tests/fleet.rs and tests/overload.rs play by tests/played (overload's left no check of processes left behind); prove disks and promises take their fleets' shape from shape.rs. The roll test's name says what it asks.

--- a/crates/dispatcher/src/engines.rs
+++ b/crates/dispatcher/src/engines.rs
@@ -82,14 +82,12 @@
     }
 
     /// All engines that statements may be sent to.
-    pub fn places(&self) -> impl Iterator<Item = Place> {
-        let open: Vec<Place> =
-            (0..self.engines.len()).filter(|e| self.engines[*e].entry.mode == Mode::Ready).collect();
-        open.into_iter()
+    pub(crate) fn places(&self) -> Vec<Place> {
+        (0..self.engines.len()).filter(|e| self.engines[*e].entry.mode == Mode::Ready).collect()
     }
 
     /// How many executions can leave for an engine now, over connections that are there or may be made.
-    pub fn has_room(&mut self, place: Place, room: usize) {
+    pub(crate) fn has_room(&mut self, place: Place, room: usize) {
         self.told.push(Event::Room { engine: place, room });
     }
 
--- a/crates/dispatcher/src/lib.rs
+++ b/crates/dispatcher/src/lib.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod played;
 mod promised;
+mod rooms;
 mod seen;
 mod taken;
 
@@ -32,6 +33,7 @@
 pub use offered::SPAN;
 pub use out::{Order, Terms};
 pub use promised::{Gone, Site, Taken, Word};
+pub use rooms::Rooms;
 pub use seen::Sighted;
 pub use taken::{Ask, Speech, Unfit};
 
--- a/crates/front/src/front/orders.rs
+++ b/crates/front/src/front/orders.rs
@@ -168,7 +168,7 @@
         }
         let Ordered { ticket, execution, place, terms, .. } = ordered;
         let (now, sent) = (self.clock.now, (ticket, execution));
-        self.took_room(place);
+        self.rooms.took(place);
         if self.owns(ticket) {
             return self.portal.iter_mut().for_each(|portal| portal.send(now, sent, place, None));
         }
--- a/crates/lab/src/prove/disks.rs
+++ b/crates/lab/src/prove/disks.rs
@@ -10,10 +10,11 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::played::{end, fault};
+use super::shape;
 use crate::record::account::{judge, Run};
 use crate::rig::fleet::{play, Fleet, Plays};
 use crate::rig::member::Beside;
-use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Step, Warm, What};
+use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Step, What};
 
 const FIRST_MS: u64 = 2_500; // milliseconds of load before the first loss
 const SLOT_MS: u64 = 7_000; // milliseconds from one loss to the next: the repair lies between
@@ -101,21 +102,9 @@
     let scenario = Scenario {
         seed: Some(seed),
         seconds: end_ms.div_ceil(1_000),
-        fleet: Shape {
-            fronts,
-            zones: 3,
-            engines_per_zone: 2,
-            gossip: true,
-            clocks_apart_ms: 400,
-            voters: None,
-            lease_ms: 2_000,
-            copies: Some(3),
-            zone_quorum: None,
-            sheds_as_one: false,
-            budgets: Default::default(),
-        },
+        fleet: Shape { clocks_apart_ms: 400, ..shape::fleet(fronts) },
         load: Load { per_second: 50, work_ms: 10, timeout_ms: 4_000, memory_mb: 0 },
-        engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
+        engine: shape::engines(),
         faults,
         classes: vec![Class { share: 3.0, ..Class::plain("lookup", 500) }, keyed, once],
     };
--- a/crates/lab/src/prove/promises.rs
+++ b/crates/lab/src/prove/promises.rs
@@ -8,8 +8,9 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::shape;
 use crate::rig;
-use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Step, Warm, What};
+use crate::rig::scenario::{Class, Effect, Fault, Load, Scenario, Shape, Step, What};
 use crate::simulated::{self, Spoil};
 
 const SLOT_MS: u64 = 5_000; // milliseconds from one fault to the next: its own time, and the repair after it
@@ -123,20 +124,12 @@
         seed: Some(seed),
         seconds: (FIRST_MS + kinds.len() as u64 * SLOT_MS + AFTER_MS) / 1000,
         fleet: Shape {
-            fronts,
-            zones: 3,
-            engines_per_zone: 2,
-            gossip: true,
             clocks_apart_ms: APART_MS / 2, // of the machine's, either way
-            voters: None,
-            lease_ms: 2_000,
             copies: (way.copies > 0).then_some(way.copies),
-            zone_quorum: None,
-            sheds_as_one: false,
-            budgets: Default::default(),
+            ..shape::fleet(fronts)
         },
         load: Load { per_second: 60, work_ms: 10, timeout_ms: 4_000, memory_mb: 0 },
-        engine: Warm { slots: 64, cold_slots: 64, ..Warm::default() },
+        engine: shape::engines(),
         faults,
         classes: vec![Class { share: 4.0, ..Class::plain("lookup", 500) }, keyed, once],
     }
--- a/crates/lab/src/simulated/connections.rs
+++ b/crates/lab/src/simulated/connections.rs
@@ -3,24 +3,21 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use hallmux_dispatcher::{Dials, Dispatcher, Ending, Place};
+use hallmux_dispatcher::{Dials, Dispatcher, Ending, Place, Rooms};
 
 use super::play::{Play, Sent};
 
-const TOLD_AGAIN: i64 = 1_000_000; // microseconds, as in the front
-
 pub(super) struct Connections {
     pub(super) dials: Dials,
     idle: BTreeMap<Place, usize>,
     busy: HashMap<Sent, Place>,
-    told: BTreeMap<Place, usize>,
-    again: i64,
+    rooms: Rooms,
 }
 
 impl Connections {
     pub(super) fn new(paced: bool, now: i64, seed: u64) -> Connections {
-        let (idle, busy, told) = (BTreeMap::new(), HashMap::new(), BTreeMap::new());
-        Connections { dials: Dials::new(paced, now, seed), idle, busy, told, again: 0 }
+        let (idle, busy, rooms) = (BTreeMap::new(), HashMap::new(), Rooms::default());
+        Connections { dials: Dials::new(paced, now, seed), idle, busy, rooms }
     }
 
     /// Tells the module how many executions can leave for each engine, as it changes.
@@ -28,17 +25,9 @@
         if !self.dials.is_paced() {
             return;
         }
-        if self.again <= now {
-            self.again = now + TOLD_AGAIN;
-            self.told.clear();
-        }
-        for place in dispatcher.places() {
-            let idle = self.idle.get(&place).copied().unwrap_or(0);
-            let room = idle + usize::from(self.dials.next(now, place) <= now);
-            if self.told.insert(place, room) != Some(room) {
-                dispatcher.has_room(place, room);
-            }
-        }
+        self.rooms.tell(now, dispatcher, |place| {
+            self.idle.get(&place).copied().unwrap_or(0) + usize::from(self.dials.next(now, place) <= now)
+        });
     }
 
     /// An execution has ended; its connection is used again, unless it is gone.
@@ -61,7 +50,7 @@
         let own = self.own(n);
         let Some(life) = &mut self.members[n].life else { return false };
         let connections = &mut life.connections;
-        connections.told.remove(&place);
+        connections.rooms.took(place);
         let idle = connections.idle.entry(place).or_default();
         let dials = *idle == 0;
         if dials && !connections.dials.take(own, place) {
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -1,68 +1,15 @@
 //! Several front processes through the rig, with faults between them; each run is checked on its record.
 
 use std::collections::HashMap;
-use std::process::Command;
-use std::sync::{Condvar, Mutex, PoisonError};
 
-/// Fleets of processes that may be played at once: each is three to twelve fronts, with engines and clients.
-const AT_ONCE: usize = 3;
-static PLAYED: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+mod played;
 
-/// Holds one of the places for fleets of processes.
-struct Place;
-
-impl Place {
-    fn take() -> Place {
-        let played = PLAYED.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let full = |played: &mut usize| *played >= AT_ONCE;
-        *PLAYED.1.wait_while(played, full).unwrap_or_else(PoisonError::into_inner) += 1;
-        Place
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        *PLAYED.0.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        PLAYED.1.notify_one();
-    }
-}
-
-/// Plays a scenario of `crates/lab/fleet` and gives the tallies of its last line, after asserting that it passed
-/// and left no process behind.
 fn play(name: &str, seed: u64) -> HashMap<String, i64> {
-    let _place = Place::take();
-    play_with(name, seed, &[])
+    played::play(name, seed, &[])
 }
 
-/// The same with so many fronts in simulated time.
 fn simulated(name: &str, seed: u64, fronts: usize) -> HashMap<String, i64> {
-    play_with(name, seed, &["--simulated", "--fronts", &fronts.to_string()])
-}
-
-fn play_with(name: &str, seed: u64, more: &[&str]) -> HashMap<String, i64> {
-    let scenario = format!("{}/fleet/{name}.toml", env!("CARGO_MANIFEST_DIR"));
-    let out = Command::new(env!("CARGO_BIN_EXE_hallmux-lab"))
-        .args(["fleet", &scenario, "--seed", &seed.to_string()])
-        .args(more)
-        .output()
-        .expect("the lab runs");
-    let text = String::from_utf8_lossy(&out.stdout).to_string();
-    let last = text.lines().last().unwrap_or_default().to_string();
-    assert!(
-        out.status.success() && last.contains(": pass "),
-        "{name}: {text}\n{}",
-        String::from_utf8_lossy(&out.stderr)
-    );
-    let pids = text.lines().find_map(|l| l.strip_prefix("pids ")).expect("the fronts' ids are told");
-    for pid in pids.split(',').filter(|pid| !pid.is_empty()) {
-        let program = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
-        assert!(
-            !String::from_utf8_lossy(&program).contains("hallmux-front"),
-            "{name}: front {pid} was left behind"
-        );
-    }
-    let pairs = last.split(' ').filter_map(|word| word.split_once('='));
-    pairs.map(|(k, v)| (k.to_string(), v.parse().unwrap_or(-1))).collect()
+    played::simulated(name, seed, &[], fronts)
 }
 
 #[test]
@@ -222,31 +169,18 @@
 #[test]
 fn a_hundred_fronts_turn_away_the_same_workloads_and_ask_engines_for_little_that_they_refuse() {
     let by_itself = simulated("overload", 1, 100);
-    let scenario =
-        include_str!("../fleet/overload.toml").replace("gossip = true", "gossip = true\nsheds_as_one = true");
-    let folder = std::env::temp_dir().join(format!("hallmux-as-one-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    std::fs::write(folder.join("overload.toml"), scenario).expect("a file");
-    let path = folder.join("overload.toml");
-    let out = Command::new(env!("CARGO_BIN_EXE_hallmux-lab"))
-        .args(["fleet", &path.to_string_lossy(), "--seed", "1", "--simulated", "--fronts", "100"])
-        .output()
-        .expect("the lab runs");
-    let _ = std::fs::remove_dir_all(&folder);
-    let text = String::from_utf8_lossy(&out.stdout).to_string();
-    let last = text.lines().last().unwrap_or_default();
-    assert!(last.contains(": pass "), "{last}");
-    let of = |key: &str| -> i64 {
-        let word = last.split(' ').find_map(|word| word.strip_prefix(&format!("{key}=")));
-        word.and_then(|word| word.parse().ok()).unwrap_or(-1)
-    };
+    let one = [("gossip = true", "gossip = true\nsheds_as_one = true")];
+    let as_one = played::simulated("overload", 1, &one, 100);
+    assert!(
+        as_one["shed_order_agreed_pct"] >= 90 && by_itself["shed_order_agreed_pct"] < 85,
+        "{by_itself:?}\n{as_one:?}"
+    );
     assert!(
-        of("shed_order_agreed_pct") >= 90 && by_itself["shed_order_agreed_pct"] < 85,
-        "{by_itself:?}\n{last}"
+        as_one["attempts_over_first_pct"] <= 115 && by_itself["attempts_over_first_pct"] > 120,
+        "{as_one:?}"
     );
-    assert!(of("attempts_over_first_pct") <= 115 && by_itself["attempts_over_first_pct"] > 120, "{last}");
-    assert!(of("worth_per_s") > by_itself["worth_per_s"], "{by_itself:?}\n{last}");
-    assert_eq!(of("unanswered"), 0);
+    assert!(as_one["worth_per_s"] > by_itself["worth_per_s"], "{by_itself:?}\n{as_one:?}");
+    assert_eq!(as_one["unanswered"], 0);
 }
 
 #[test]
--- a/crates/lab/tests/promises.rs
+++ b/crates/lab/tests/promises.rs
@@ -40,8 +40,9 @@
 }
 
 #[test]
-fn a_fleet_that_is_rolled_refuses_nothing_loses_nothing_and_runs_nothing_twice() {
-    // Whether all came in time is not asked here: the machine may be busy with others.
+fn a_fleet_that_is_rolled_loses_no_promise_and_runs_nothing_twice_or_out_of_order() {
+    // That nothing is refused or late for it is not asked here: the machine may be busy with others. `prove promises
+    // --only roll` asks it.
     let (_, text, tally) = play(&["prove", "promises", "--only", "roll", "--small", "--seed", "1"]);
     for rule in
         ["order", "second_run", "promise_lost", "without_promise", "effects", "aborted_by_a_roll", "end"]
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -187,11 +187,12 @@
     sound(&fleet);
 }
 
-#[test]
-fn a_change_of_members_holds_up_no_ask_for_an_election() {
+/// How long asks took while members changed, in milliseconds, longest last.
+fn asks_during_changes(late: f64) -> Vec<i64> {
     let mut longest = Vec::new();
     for seed in 20..60 {
         let mut fleet = whole(4, 3, 1, seed);
+        fleet.late = late;
         let owner = fleet.owner("r").unwrap();
         let others: Vec<usize> = (0..4).filter(|n| *n != owner).collect();
         for n in &others {
@@ -208,12 +209,22 @@
         sound(&fleet);
     }
     longest.sort_unstable();
-    // A letter of the change that is very late counts as lost, and is sent again after 200 ms.
+    longest
+}
+
+#[test]
+fn a_change_of_members_holds_up_no_ask_for_an_election() {
+    // An election takes 300 ms without a word of an owner and some round trips.
+    let longest = asks_during_changes(0.0);
     assert!(
-        longest[longest.len() * 99 / 100] < 300 && longest.last().is_some_and(|ms| *ms < 400),
+        longest.last().is_some_and(|ms| *ms < 150),
         "{:?}",
         longest.iter().rev().take(9).collect::<Vec<_>>()
     );
+    // One letter in fifty comes up to 200 ms late: an ask that meets two of them takes as long without any.
+    let longest = asks_during_changes(0.02);
+    let over = longest.iter().filter(|ms| **ms >= 300).count();
+    assert!(over <= 1, "{:?}", longest.iter().rev().take(9).collect::<Vec<_>>());
 }
 
 #[test]
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -43,6 +43,7 @@
     posted: u64,
     pub lost: f64,
     pub doubled: f64,
+    pub late: f64,
     /// Letters from the first to the second do not come.
     pub cut: Vec<(usize, usize)>,
     pub record: Record,
@@ -71,6 +72,7 @@
             posted: 0,
             lost: 0.0,
             doubled: 0.0,
+            late: 0.02,
             cut: Vec::new(),
             record: Record::default(),
             bytes: 0,
@@ -268,15 +270,13 @@
             let to = (to - 100) as usize;
             assert!(bytes.len() <= 1_040);
             self.bytes += bytes.len() as u64;
-            let times = 1 + usize::from(self.chance.random_bool(self.doubled));
-            for _ in 0..times {
+            for _ in 0..1 + usize::from(self.chance.random_bool(self.doubled)) {
                 if self.cut.contains(&(from, to)) || self.chance.random_bool(self.lost) {
                     continue;
                 }
-                // Some come late, and so out of order.
-                let late = if self.chance.random_bool(0.02) { 200_000 } else { 8_000 };
-                let at = self.now + self.chance.random_range(500..late);
+                let late = if self.chance.random_bool(self.late) { 200_000 } else { 8_000 }; // out of order
                 self.posted += 1;
+                let at = self.now + self.chance.random_range(500..late);
                 self.mail.insert((at, self.posted), (from, to, bytes.clone()));
             }
         }
