Log: steps of the wall clock, and at debug how each execution of a statement begins and ends

Cause: a step of the wall clock left no line of its own; a step forward read as a standstill, a step back as nothing at all. Which executions were further ones, and how the ones before had ended, was in no log.

Change: the front compares wall and monotonic clock once an iteration and says by how much the first was stepped. At debug level executions have a line when they are sent and when they end, refusals one.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -6,6 +6,7 @@
 use hallmux_dispatcher::Micros;
 
 use crate::test_clock::TestClock;
+use crate::wall_clock::StepDetector;
 
 const LOGGED_DELAY: Micros = 250_000; // microseconds late that are worth a line in the log
 const FRESH_FOR: Micros = 20_000; // microseconds that a read of the sockets stays good; a fifth of what is allowed
@@ -17,6 +18,8 @@
     offset: Micros,
     /// Where the time comes from in place of the machine's clock, in tests.
     test_clock: Option<TestClock>,
+    /// Steps of the machine's wall clock, for the log.
+    steps: Option<StepDetector>,
     /// The Unix clock at the last `refresh`, but never back.
     pub now: Micros,
     /// All that had come by then has been decided on.
@@ -35,7 +38,8 @@
     /// `test_clock` names the file of a test's clock, in place of the machine's.
     pub fn new(offset: Micros, test_clock: Option<&Path>) -> std::io::Result<Clock> {
         let test_clock = test_clock.map(TestClock::open).transpose()?;
-        Ok(Clock { offset, test_clock, ..Clock::default() })
+        let steps = test_clock.is_none().then(StepDetector::new);
+        Ok(Clock { offset, test_clock, steps, ..Clock::default() })
     }
 
     /// Reads the time.
@@ -54,6 +58,9 @@
 
     /// An iteration is over and nothing is due until the time given: how long the front may sleep.
     pub fn sleep(&mut self, until: Micros) -> Duration {
+        if let Some(step) = self.steps.as_mut().and_then(StepDetector::step) {
+            log::warn!("the wall clock was stepped by {:+} ms", step / 1000);
+        }
         if self.waiting_since.is_some() && self.now - self.woke_at > LOGGED_DELAY {
             log::warn!("a turn took {} ms", (self.now - self.woke_at) / 1000);
         }
--- a/crates/front/src/engines/mod.rs
+++ b/crates/front/src/engines/mod.rs
@@ -153,6 +153,7 @@
     }
 
     fn report_end(&mut self, sent: ExecutionId, ending: Ending) {
+        log::debug!("statement {}: execution {} ended: {ending:?}", sent.ticket, sent.number);
         self.executions.remove(&sent);
         self.events.push(Event::Ended { sent, ending, report: None, result: Vec::new() });
     }
--- a/crates/front/src/engines/replies.rs
+++ b/crates/front/src/engines/replies.rs
@@ -134,6 +134,7 @@
         if ending == Ending::Answered {
             self.reuse.answered();
         }
+        log::debug!("statement {}: execution {} ended: {ending:?}", sent.ticket, sent.number);
         let report = line.report.or(pages.report);
         let result = match ending {
             Ending::Answered => pages.bytes.into_iter().flatten().flatten().collect(),
--- a/crates/front/src/front/dispatch.rs
+++ b/crates/front/src/front/dispatch.rs
@@ -129,6 +129,7 @@
     /// A statement's final answer without a result.
     fn answer_without_result(&mut self, ticket: Ticket, rejects: bool, retry_after: Option<Micros>) {
         let now = self.clock.now;
+        log::debug!("statement {ticket}: {}", if rejects { "rejected" } else { "aborted" });
         if self.is_of_session(ticket) {
             self.gateway.iter_mut().for_each(|gateway| gateway.refuse(now, ticket, rejects, retry_after));
         } else if rejects {
@@ -186,7 +187,10 @@
             return self.gateway.iter_mut().for_each(|gateway| gateway.send(now, sent, place, None));
         }
         match self.call(ticket) {
-            Some(call) => self.engines.send(now, sent, place, call, terms),
+            Some(call) => {
+                log::debug!("statement {ticket}: execution {execution} of id {} is sent", call.id);
+                self.engines.send(now, sent, place, call, terms)
+            }
             None => _ = self.dispatcher.report(now, ticket, execution, Ending::Withdrawn, None),
         }
     }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 mod start_error;
 mod test_clock;
+mod wall_clock;
 
 use std::collections::HashMap;
 use std::ffi::OsString;
