Failing tests: retry budget, repeat window and deadlines across steps of the wall clock

Cause: see the head of wall_clock.rs; a front's process sees its wall clock stepped by a shim loaded into it alone, its monotonic clock as the machine's.

--- a/crates/front/tests/scripted/main.rs
+++ b/crates/front/tests/scripted/main.rs
@@ -91,6 +91,7 @@
 mod outcomes;
 mod process;
 mod resources;
+mod wall_clock;
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
@@ -107,6 +108,7 @@
 use coordinator::CoordinatorState;
 use engine::Engine;
 use resources::Resources;
+use wall_clock::SteppedClock;
 
 const PATIENCE: Duration = Duration::from_secs(20); // for any one wait; a busy machine takes some of it
 
@@ -133,6 +135,8 @@
     config: PathBuf,
     time: PathBuf,
     clock: Option<Clock>,
+    /// The front's own wall clock, where a test steps it.
+    stepped_clock: Option<SteppedClock>,
     operator: Option<PathBuf>,
     rules: Option<PathBuf>,
     /// Updates that the configuration holds; the first one where none is named.
--- a/crates/front/tests/scripted/process.rs
+++ b/crates/front/tests/scripted/process.rs
@@ -49,6 +49,9 @@
         if !self.resources.real_time {
             command.env("HALLMUX_CLOCK", &self.time);
         }
+        if let Some(clock) = &self.stepped_clock {
+            clock.load(&mut command);
+        }
         if let Some(operator) = &self.operator {
             command.env("HALLMUX_OPERATOR", operator);
         }
--- /dev/null
+++ b/crates/front/tests/scripted/wall_clock.rs
@@ -0,0 +1,145 @@
+//! Steps of the wall clock under a front that runs in real time.
+//!
+//! What happened: on machines whose wall clock was stepped, a front made 20 to 22 further executions within 10 s where
+//! its budget allowed some 20 with all slack, and another sent a deduplicated statement again 8.4 s after a first
+//! execution that engines had forgotten by then; statements there were not answered when their time was up.
+//! The sequence: the wall clock was set an hour forward and later back again, or an hour back at once; from then on the
+//! front counted all that it did as done at one moment. The cause: the front took its time from the wall clock, and
+//! only kept it from going back, so a step back stopped its time until the wall clock had caught up, and a step forward
+//! ended all that was under way. What settled it: log stamps that lost 3,600 s between two lines 4 s apart (no line
+//! said so), `stood still for 3600016 ms` from a front that had served all along, and faults on those fronts alone.
+
+use std::fs::File;
+use std::os::unix::fs::FileExt;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use crate::{usual_settings, Scenario};
+
+const SHIM: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scripted/wall_clock_shim.c");
+const HOUR_MS: i64 = 3_600_000;
+const SLACK: Duration = Duration::from_secs(5); // beyond a client's time, for a busy machine
+const SHORT_WINDOW: Duration = Duration::from_secs(1); // of the settings below
+
+/// A front's wall clock, which a test steps while the front runs.
+pub struct SteppedClock {
+    shim: PathBuf,
+    step: PathBuf,
+}
+
+impl SteppedClock {
+    /// Compiles the shim with the C toolchain that Rust links with.
+    fn new(scenario: &mut Scenario) -> SteppedClock {
+        let clock = SteppedClock { shim: scenario.file("so"), step: scenario.file("step") };
+        let compiler = std::env::var("CC").unwrap_or_else(|_| "cc".to_string());
+        let mut compile = Command::new(compiler);
+        compile.args(["-shared", "-fPIC", "-O1", "-Wall", "-Werror", "-o"]).arg(&clock.shim).arg(SHIM);
+        assert!(compile.status().unwrap().success());
+        clock.set(0);
+        clock
+    }
+
+    /// How far the wall clock is from the machine's.
+    fn set(&self, ms: i64) {
+        let file = File::options().write(true).create(true).truncate(false).open(&self.step).unwrap();
+        file.write_all_at(&(ms * 1000).to_le_bytes(), 0).unwrap();
+    }
+
+    /// Loads the shim into a process that is about to be started.
+    pub fn load(&self, command: &mut Command) {
+        command.env("LD_PRELOAD", &self.shim).env("WALL_CLOCK_STEP", &self.step);
+    }
+}
+
+impl Scenario {
+    /// One front and one engine in real time, and a client; statements may be tried again by a budget of this window.
+    fn with_stepped_clock(budget: &[&str]) -> Scenario {
+        let mut scenario = Scenario::default();
+        scenario.settings = usual_settings();
+        budget.iter().for_each(|line| scenario.line(line));
+        scenario.line("runs in real time");
+        scenario.stepped_clock = Some(SteppedClock::new(&mut scenario));
+        ["engine a", "start", "c connects"].iter().for_each(|line| scenario.line(line));
+        scenario
+    }
+
+    /// Steps the front's wall clock to so far from the machine's, and waits until the front has had a turn by it.
+    fn steps_wall_clock(&mut self, ms: i64) {
+        self.stepped_clock.as_ref().unwrap().set(ms);
+        self.line("logs the wall clock was stepped by");
+    }
+
+    fn lines(&mut self, lines: &[&str]) {
+        lines.iter().for_each(|line| self.line(line));
+    }
+
+    /// A statement that its engine answers at once.
+    fn is_completed(&mut self, number: usize) {
+        self.lines(&[
+            &format!("c asks {number} select {number}"),
+            &format!("a hears want {number}"),
+            &format!("a says {number} ACK batches=1 x"),
+            &format!("c hears {number} completed x"),
+        ]);
+    }
+
+    /// A statement that its engine turns away, so that it takes a further execution, if the budget has one.
+    fn is_turned_away(&mut self, number: usize) {
+        self.lines(&[
+            &format!("c asks {number} select {number}"),
+            &format!("a hears want {number}"),
+            &format!("a says {number} AGAIN - "),
+        ]);
+    }
+}
+
+#[test]
+fn a_step_forward_does_not_renew_the_retry_budget_nor_end_what_is_out() {
+    let mut scenario = Scenario::with_stepped_clock(&[
+        "agreed rules.budgetSpanMs 60000",
+        "agreed rules.furtherRatio 0.001",
+        "agreed rules.spareAttempts 1",
+    ]);
+    scenario.is_turned_away(1);
+    scenario.lines(&["a hears want 1", "c asks 2 select 2", "a hears want 2"]);
+    scenario.steps_wall_clock(HOUR_MS);
+    // Both are still out, and their client still waits.
+    scenario.lines(&["a says 1 ACK batches=1 x", "c hears 1 completed x"]);
+    scenario.lines(&["a says 2 ACK batches=1 x", "c hears 2 completed x"]);
+    // The one further execution of this minute is spent.
+    scenario.is_turned_away(3);
+    scenario.line("c hears 3 rejected");
+    scenario.nothing_else_came();
+}
+
+#[test]
+fn the_window_of_the_retry_budget_goes_on_after_a_step_back() {
+    let mut scenario = Scenario::with_stepped_clock(&[
+        "agreed rules.budgetSpanMs 1000",
+        "agreed rules.furtherRatio 0.5",
+        "agreed rules.spareAttempts 0",
+    ]);
+    scenario.steps_wall_clock(HOUR_MS);
+    scenario.steps_wall_clock(0);
+    (1..=8).for_each(|number| scenario.is_completed(number));
+    std::thread::sleep(SHORT_WINDOW);
+    // Of those statements none is in the window any more: one statement alone earns no further execution.
+    scenario.is_turned_away(9);
+    scenario.line("c hears 9 rejected");
+    scenario.nothing_else_came();
+}
+
+#[test]
+fn a_statement_ends_with_its_time_and_is_not_repeated_beyond_its_window_after_a_step_back() {
+    let mut scenario = Scenario::with_stepped_clock(&["agreed requestClasses.1.dedupWindowMs 1000"]);
+    scenario.steps_wall_clock(-HOUR_MS);
+    scenario.lines(&["c asks 1 verb=load unique=u1 insert 1", "a hears want 1"]);
+    std::thread::sleep(SHORT_WINDOW);
+    scenario.lines(&["a says 1 EIO - ", "c hears 1 rejected"]);
+    let asked = Instant::now();
+    scenario.lines(&["c asks 2 limit=1500 select 2", "a hears want 2 wait<1501", "c hears 2 rejected"]);
+    assert!(asked.elapsed() < Duration::from_millis(1500) + SLACK, "{:?}", asked.elapsed());
+    scenario.line("a hears never_mind 2");
+    scenario.nothing_else_came();
+}
