Front: time is the wall clock at the start, run on by the monotonic clock

Cause: all deadlines, windows, budgets and waits were taken from the wall clock, kept only from going back (Clock::refresh, Clock::set). A step back stopped the front's time until the wall clock had caught up: the window of the retry budget held all statements since, engines' windows for repeats never ended, no deadline came. A step forward ended all of them at once. Class: spans of time measured on a clock that can be set.

Change: MachineClock reads the wall clock once and goes on by the monotonic clock; steps are logged and change nothing.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -1,12 +1,12 @@
 //! The time, and how long what is found now may have waited for a front that had no CPU or was stopped.
 
 use std::path::Path;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use hallmux_dispatcher::Micros;
 
+use crate::machine_clock::MachineClock;
 use crate::test_clock::TestClock;
-use crate::wall_clock::StepDetector;
 
 const LOGGED_DELAY: Micros = 250_000; // microseconds late that are worth a line in the log
 const FRESH_FOR: Micros = 20_000; // microseconds that a read of the sockets stays good; a fifth of what is allowed
@@ -16,11 +16,10 @@
 pub struct Clock {
     /// How much more it reads than its source: for tests of clocks that are apart.
     offset: Micros,
+    machine: MachineClock,
     /// Where the time comes from in place of the machine's clock, in tests.
     test_clock: Option<TestClock>,
-    /// Steps of the machine's wall clock, for the log.
-    steps: Option<StepDetector>,
-    /// The Unix clock at the last `refresh`, but never back.
+    /// The time at the last `refresh`: Unix microseconds that run on evenly from the start, never back.
     pub now: Micros,
     /// All that had come by then has been decided on.
     decided: Option<Micros>,
@@ -38,29 +37,34 @@
     /// `test_clock` names the file of a test's clock, in place of the machine's.
     pub fn new(offset: Micros, test_clock: Option<&Path>) -> std::io::Result<Clock> {
         let test_clock = test_clock.map(TestClock::open).transpose()?;
-        let steps = test_clock.is_none().then(StepDetector::new);
-        Ok(Clock { offset, test_clock, steps, ..Clock::default() })
+        Ok(Clock { offset, test_clock, ..Clock::default() })
     }
 
     /// Reads the time.
     pub fn refresh(&mut self) {
-        if let Some(test_clock) = &mut self.test_clock {
-            let time = test_clock.now();
-            return self.set(time.saturating_add(self.offset));
-        }
-        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        self.set(since.as_micros() as Micros + self.offset);
+        let time = match &mut self.test_clock {
+            Some(test_clock) => test_clock.now(),
+            None => self.machine.now(),
+        };
+        self.set(time.saturating_add(self.offset));
     }
 
     fn set(&mut self, time: Micros) {
         self.now = self.now.max(time);
     }
 
-    /// An iteration is over and nothing is due until the time given: how long the front may sleep.
-    pub fn sleep(&mut self, until: Micros) -> Duration {
-        if let Some(step) = self.steps.as_mut().and_then(StepDetector::step) {
+    fn compare_wall_clock(&mut self) {
+        if self.test_clock.is_some() {
+            return;
+        }
+        if let Some(step) = self.machine.step() {
             log::warn!("the wall clock was stepped by {:+} ms", step / 1000);
         }
+    }
+
+    /// An iteration is over and nothing is due until the time given: how long the front may sleep.
+    pub fn sleep(&mut self, until: Micros) -> Duration {
+        self.compare_wall_clock();
         if self.waiting_since.is_some() && self.now - self.woke_at > LOGGED_DELAY {
             log::warn!("a turn took {} ms", (self.now - self.woke_at) / 1000);
         }
--- /dev/null
+++ b/crates/front/src/machine_clock.rs
@@ -0,0 +1,56 @@
+//! The front's time on a real machine: Unix time that no step of the wall clock moves.
+
+use std::time::{Instant, SystemTime};
+
+use hallmux_dispatcher::Micros;
+
+const LEAST_STEP: Micros = 100_000; // microseconds; a clock that is slewed drifts by less between two readings
+
+/// The wall clock's time at the start, run on by the monotonic clock. Guards against a wall clock that is set while
+/// the front runs: deadlines, windows, budgets and waits are spans of real time.
+pub struct MachineClock {
+    started: Instant,
+    unix_at_start: Micros,
+    /// How far the wall clock was ahead of `now` when the two were last compared.
+    wall_lead: Micros,
+}
+
+impl Default for MachineClock {
+    fn default() -> MachineClock {
+        MachineClock { started: Instant::now(), unix_at_start: wall_clock(), wall_lead: 0 }
+    }
+}
+
+/// The Unix time of the machine's wall clock, in microseconds.
+fn wall_clock() -> Micros {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as Micros
+}
+
+impl MachineClock {
+    /// Microseconds of Unix time by the wall clock as it was at the start.
+    pub fn now(&self) -> Micros {
+        self.unix_at_start + self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Compares the two clocks: by how many microseconds the wall clock was stepped since the last call, if it was.
+    pub fn step(&mut self) -> Option<Micros> {
+        let now = self.now();
+        let wall = wall_clock();
+        // Guards against a front that is stopped between the two readings: the next call compares.
+        (self.now() - now < LEAST_STEP).then(|| self.step_to(wall - now)).flatten()
+    }
+
+    fn step_to(&mut self, wall_lead: Micros) -> Option<Micros> {
+        let step = wall_lead - self.wall_lead;
+        if step.abs() < LEAST_STEP {
+            return None;
+        }
+        self.wall_lead = wall_lead;
+        Some(step)
+    }
+}
+
+#[cfg(test)]
+#[path = "machine_clock_tests.rs"]
+mod tests;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -12,13 +12,13 @@
 mod link;
 mod listener;
 mod logger;
+mod machine_clock;
 mod postgres;
 mod reuse;
 mod scatter;
 mod shutdown;
 mod start_error;
 mod test_clock;
-mod wall_clock;
 
 use std::collections::HashMap;
 use std::ffi::OsString;
