Engine starts: read against the wall clock as it was and as it is, and kept while listed

Starts of engines are told in Unix time and were held against the front's time as they came. On a machine whose wall clock had been stepped, a cold engine passed for one started an hour ago, so as warm, or for one to start in an hour, and stayed cold that long.

Change: EngineStarts turns a start into the front's time: of the readings by the wall clock at the front's start and by the present one the later that is not to come. A start keeps its time while its engine is listed with it, as another time would be another start.

Not covered: a wall clock that was wrong at the front's start and still is.

--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -53,6 +53,12 @@
         self.now = self.now.max(time);
     }
 
+    /// How many microseconds the wall clock is ahead of `now`, by its steps since the start.
+    pub fn wall_lead(&mut self) -> Micros {
+        self.compare_wall_clock();
+        self.machine.wall_lead()
+    }
+
     fn compare_wall_clock(&mut self) {
         if self.test_clock.is_some() {
             return;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -18,6 +18,7 @@
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::coordinator::Coordinator;
+use crate::engine_starts::EngineStarts;
 use crate::engines::Engines;
 use crate::events::{LoopEvents, SocketId, SocketKind};
 use crate::fleet::rules::{self, Shared};
@@ -45,6 +46,7 @@
     clients: Clients,
     engines: Engines,
     coordinator: Coordinator,
+    engine_starts: EngineStarts,
     /// PostgreSQL sessions, where the operator's file switches them on.
     gateway: Option<Gateway>,
     /// Messages with other fronts, likewise.
@@ -106,6 +108,7 @@
             memory_full: false,
             clients: Clients::new(settings.agreement.longest_retry_after, longest_timeout(settings)),
             engines: Engines::new(handle.clone(), settings.network.clone(), &settings.names),
+            engine_starts: EngineStarts::default(),
             coordinator: Coordinator::new(handle.clone(), config.coordinator, known.index),
             gateway,
             peers,
--- a/crates/front/src/machine_clock.rs
+++ b/crates/front/src/machine_clock.rs
@@ -33,6 +33,11 @@
         self.unix_at_start + self.started.elapsed().as_micros() as Micros
     }
 
+    /// How many microseconds the wall clock is ahead of `now`, by its steps since the start.
+    pub fn wall_lead(&self) -> Micros {
+        self.wall_lead
+    }
+
     /// Compares the two clocks: by how many microseconds the wall clock was stepped since the last call, if it was.
     pub fn step(&mut self) -> Option<Micros> {
         let now = self.now();
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod clock;
 mod coordinator;
+mod engine_starts;
 mod engines;
 mod events;
 mod execution;
