Machine faults: the shim of the wall clock is a crate, and system calls fail in it too

Cause: the incident's tests could step the wall clock alone; relatives of its cause are in what else the system does to a process.

Change: crates/machine-faults compiles a library that a test loads into one process: steps of its wall clock; accept, socket, connect that fail, short reads and writes, connections that break, by rates that can be changed while it runs, each counted. In C, as the workspace forbids unsafe Rust. Waits can't be led through it: the event loop calls the system without the C library.

--- a/crates/front/tests/scripted/main.rs
+++ b/crates/front/tests/scripted/main.rs
@@ -87,6 +87,7 @@
 mod garbage;
 mod limits;
 mod line;
+mod machine;
 mod ordering;
 mod outcomes;
 mod process;
@@ -102,13 +103,13 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
+use hallmux_machine_faults::MachineFaults;
 use serde_json::{json, Value};
 
 use clock::Clock;
 use coordinator::CoordinatorState;
 use engine::Engine;
 use resources::Resources;
-use wall_clock::SteppedClock;
 
 const PATIENCE: Duration = Duration::from_secs(20); // for any one wait; a busy machine takes some of it
 
@@ -135,8 +136,8 @@
     config: PathBuf,
     time: PathBuf,
     clock: Option<Clock>,
-    /// The front's own wall clock, where a test steps it.
-    stepped_clock: Option<SteppedClock>,
+    /// Faults of the machine that the front alone has.
+    machine_faults: Option<MachineFaults>,
     operator: Option<PathBuf>,
     rules: Option<PathBuf>,
     /// Updates that the configuration holds; the first one where none is named.
--- a/crates/front/tests/scripted/process.rs
+++ b/crates/front/tests/scripted/process.rs
@@ -49,8 +49,8 @@
         if !self.resources.real_time {
             command.env("HALLMUX_CLOCK", &self.time);
         }
-        if let Some(clock) = &self.stepped_clock {
-            clock.load(&mut command);
+        if let Some(faults) = &self.machine_faults {
+            command.envs(faults.environment());
         }
         if let Some(operator) = &self.operator {
             command.env("HALLMUX_OPERATOR", operator);
--- a/crates/front/tests/scripted/wall_clock.rs
+++ b/crates/front/tests/scripted/wall_clock.rs
@@ -9,64 +9,26 @@
 //! ended all that was under way. What settled it: log stamps that lost 3,600 s between two lines 4 s apart (no line
 //! said so), `stood still for 3600016 ms` from a front that had served all along, and faults on those fronts alone.
 
-use std::fs::File;
-use std::os::unix::fs::FileExt;
-use std::path::PathBuf;
-use std::process::Command;
 use std::time::{Duration, Instant};
 
-use crate::{usual_settings, Scenario};
+use crate::Scenario;
 
-const SHIM: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scripted/wall_clock_shim.c");
 const HOUR_MS: i64 = 3_600_000;
 const SLACK: Duration = Duration::from_secs(5); // beyond a client's time, for a busy machine
 const SHORT_WINDOW: Duration = Duration::from_secs(1); // of the settings below
 
-/// A front's wall clock, which a test steps while the front runs.
-pub struct SteppedClock {
-    shim: PathBuf,
-    step: PathBuf,
-}
-
-impl SteppedClock {
-    /// Compiles the shim with the C toolchain that Rust links with.
-    fn new(scenario: &mut Scenario) -> SteppedClock {
-        let clock = SteppedClock { shim: scenario.file("so"), step: scenario.file("step") };
-        let compiler = std::env::var("CC").unwrap_or_else(|_| "cc".to_string());
-        let mut compile = Command::new(compiler);
-        compile.args(["-shared", "-fPIC", "-O1", "-Wall", "-Werror", "-o"]).arg(&clock.shim).arg(SHIM);
-        assert!(compile.status().unwrap().success());
-        clock.set(0);
-        clock
-    }
-
-    /// How far the wall clock is from the machine's.
-    fn set(&self, ms: i64) {
-        let file = File::options().write(true).create(true).truncate(false).open(&self.step).unwrap();
-        file.write_all_at(&(ms * 1000).to_le_bytes(), 0).unwrap();
-    }
-
-    /// Loads the shim into a process that is about to be started.
-    pub fn load(&self, command: &mut Command) {
-        command.env("LD_PRELOAD", &self.shim).env("WALL_CLOCK_STEP", &self.step);
-    }
-}
-
 impl Scenario {
     /// One front and one engine in real time, and a client; statements may be tried again by a budget of this window.
     fn with_stepped_clock(budget: &[&str]) -> Scenario {
-        let mut scenario = Scenario::default();
-        scenario.settings = usual_settings();
+        let mut scenario = Scenario::under_machine_faults();
         budget.iter().for_each(|line| scenario.line(line));
-        scenario.line("runs in real time");
-        scenario.stepped_clock = Some(SteppedClock::new(&mut scenario));
         ["engine a", "start", "c connects"].iter().for_each(|line| scenario.line(line));
         scenario
     }
 
     /// Steps the front's wall clock to so far from the machine's, and waits until the front has had a turn by it.
     fn steps_wall_clock(&mut self, ms: i64) {
-        self.stepped_clock.as_ref().unwrap().set(ms);
+        self.machine_faults().set_wall_clock_ahead(ms * 1000).unwrap();
         self.line("logs the wall clock was stepped by");
     }
 
--- /dev/null
+++ b/crates/machine-faults/src/lib.rs
@@ -0,0 +1,115 @@
+//! Faults of the operating system for one process, as tests and the laboratory play them: its wall clock is stepped, and
+//! system calls fail in the ways that Linux documents. A library that is loaded into that process alone answers in place
+//! of the system; the fronts themselves know nothing of it.
+
+#![warn(missing_docs)]
+
+use std::fs::File;
+use std::io::{Error, Result};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+const SOURCE: &str = include_str!("shim.c");
+const NUMBER_SIZE: u64 = 8; // bytes of a number of the control file
+const STEP: u64 = 0; // place of the wall clock's step, in microseconds
+const SEED: u64 = 1;
+const FIRST_RATE: u64 = 2; // of calls that fail, out of a thousand, by call; behind these how many did
+
+/// What fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `accept`: no descriptor or buffer, a connection aborted, a signal.
+    Accept,
+    /// `socket`: no descriptor or buffer.
+    Socket,
+    /// `connect`: no address, no buffer, no route.
+    Connect,
+    /// A read of a connection gives less than there is.
+    ShortRead,
+    /// A write to a connection takes less than it could.
+    ShortWrite,
+    /// A read finds that its connection is broken; it is, from then on.
+    BrokenRead,
+}
+
+impl Call {
+    /// All of them.
+    pub const ALL: [Call; 6] =
+        [Call::Accept, Call::Socket, Call::Connect, Call::ShortRead, Call::ShortWrite, Call::BrokenRead];
+
+    fn place(self) -> u64 {
+        self as u64
+    }
+}
+
+/// The library, compiled.
+#[derive(Clone, Debug)]
+pub struct Library {
+    path: PathBuf,
+}
+
+impl Library {
+    /// Compiles it to a file, with the C toolchain that Rust links with.
+    pub fn compile(path: &Path) -> Result<Library> {
+        let source = path.with_extension("c");
+        std::fs::write(&source, SOURCE)?;
+        let mut compiler = Command::new(std::env::var_os("CC").unwrap_or_else(|| "cc".into()));
+        compiler.args(["-shared", "-fPIC", "-O1", "-Wall", "-Werror", "-o"]).arg(path).arg(&source);
+        let compiled = compiler.status();
+        std::fs::remove_file(source)?;
+        match compiled?.success() {
+            true => Ok(Library { path: path.to_path_buf() }),
+            false => Err(Error::other("the C compiler does not take the library of machine faults")),
+        }
+    }
+}
+
+/// The faults of one process, before it starts and while it runs.
+#[derive(Debug)]
+pub struct MachineFaults {
+    library: PathBuf,
+    control: PathBuf,
+    file: File,
+}
+
+impl MachineFaults {
+    /// None yet; `control` is a file of their own, and the seed draws which calls fail.
+    pub fn new(library: &Library, control: &Path, seed: u64) -> Result<MachineFaults> {
+        let file = File::options().read(true).write(true).create(true).truncate(true).open(control)?;
+        file.set_len((FIRST_RATE + 2 * Call::ALL.len() as u64) * NUMBER_SIZE)?;
+        let faults = MachineFaults { library: library.path.clone(), control: control.to_path_buf(), file };
+        faults.write(SEED, seed as i64)?;
+        Ok(faults)
+    }
+
+    /// The variables of the environment under which a process has these faults.
+    pub fn environment(&self) -> [(&'static str, &Path); 2] {
+        [("LD_PRELOAD", &self.library), ("MACHINE_FAULTS", &self.control)]
+    }
+
+    /// Sets how many microseconds the process's wall clock is ahead of the machine's.
+    pub fn set_wall_clock_ahead(&self, micros: i64) -> Result<()> {
+        self.write(STEP, micros)
+    }
+
+    /// From now on so many of a thousand of these calls fail.
+    pub fn fail(&self, call: Call, permille: u16) -> Result<()> {
+        self.write(FIRST_RATE + call.place(), i64::from(permille))
+    }
+
+    /// How many of these calls have failed so far.
+    pub fn played(&self, call: Call) -> Result<i64> {
+        self.read(FIRST_RATE + Call::ALL.len() as u64 + call.place())
+    }
+
+    fn write(&self, place: u64, number: i64) -> Result<()> {
+        self.file.write_all_at(&number.to_le_bytes(), place * NUMBER_SIZE)
+    }
+
+    fn read(&self, place: u64) -> Result<i64> {
+        let mut bytes = [0; NUMBER_SIZE as usize];
+        self.file.read_exact_at(&mut bytes, place * NUMBER_SIZE)?;
+        Ok(i64::from_le_bytes(bytes))
+    }
+}
