Front: a start waits out a want of descriptors, buffers or memory

Cause: a single socket that the system refused for a moment (ENFILE, EMFILE, ENOBUFS, ENOMEM) ended a start: TcpListener::bind in main.rs gave up at the first error, as the event loop, its signals and the other listeners did.

--- a/crates/front/src/fleet/peers.rs
+++ b/crates/front/src/fleet/peers.rs
@@ -29,6 +29,7 @@
 use super::votes::Votes;
 use crate::events::{LoopEvents, SocketKind};
 use crate::shutdown::LedgerDuty;
+use crate::transient;
 
 const DATAGRAMS_PER_ITERATION: usize = 64; // datagrams taken before others are served
 const PART_SHIFT: u32 = 56; // bits of a number that a part of the front counts in
@@ -80,7 +81,7 @@
         let secret = secret.map_err(|why| PeersError::SecretFile { file: file(), why })?;
         let secret = parse_key(&secret).ok_or_else(|| PeersError::Secret(file()))?;
         let unheard = |why| PeersError::Listen { at: gossip.listen, why };
-        let socket = UdpSocket::bind(gossip.listen).map_err(unheard)?;
+        let socket = transient::retry(|| UdpSocket::bind(gossip.listen)).map_err(unheard)?;
         socket.set_nonblocking(true).map_err(unheard)?;
         let socket = Rc::new(socket);
         let at = socket.local_addr().map_err(unheard)?;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod start_error;
 mod test_clock;
+mod transient;
 
 use std::collections::HashMap;
 use std::ffi::OsString;
@@ -60,12 +61,14 @@
     let known = hallmux_codec::coordinator::events(config.known_events.as_bytes());
     let known = known.map_err(|what| StartError::known(&variables, &what.to_string()))?;
     let polls = StartError::system("polling");
-    let mut event_loop: EventLoop<'static, LoopEvents> = EventLoop::try_new().map_err(|e| polls(e.into()))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]).map_err(|e| polls(e.into()))?;
+    let event_loop = transient::retry(|| Ok(EventLoop::try_new()?));
+    let mut event_loop: EventLoop<'static, LoopEvents> = event_loop.map_err(&polls)?;
+    let signals =
+        transient::retry(|| Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGHUP])?)).map_err(&polls)?;
     let queue = |event: Event, _: &mut (), events: &mut LoopEvents| events.signals.push(event.signal());
     event_loop.handle().insert_source(signals, queue).map_err(|e| polls(e.error.into()))?;
     let unfit = |why| StartError::listen(&variables, config.listen, why);
-    let listener = TcpListener::bind(config.listen).map_err(unfit)?;
+    let listener = transient::retry(|| TcpListener::bind(config.listen)).map_err(unfit)?;
     let address = listener.local_addr().map_err(unfit)?;
     let mut front = Front::new(&config, &known, listener, event_loop.handle())?;
     log::info!("takes statements at {address}");
--- a/crates/front/src/postgres/gateway.rs
+++ b/crates/front/src/postgres/gateway.rs
@@ -22,6 +22,7 @@
 use crate::execution::ExecutionId;
 use crate::fleet::rules::Shared;
 use crate::listener::Listener;
+use crate::transient;
 
 /// What admission of a unit depends on beyond its session.
 #[derive(Clone, Copy)]
@@ -58,7 +59,7 @@
         handle: LoopHandle<'static, LoopEvents>,
         rules: Option<Shared>,
     ) -> std::io::Result<Gateway> {
-        let listener = TcpListener::bind(postgres.listen)
+        let listener = transient::retry(|| TcpListener::bind(postgres.listen))
             .map_err(|why| ListenError::Listen { at: postgres.listen, why })?;
         let address = listener.local_addr()?;
         let workloads = settings.names.workloads.iter().zip(&settings.agreement.workloads);
