Clients: what lay unaccepted has so much less time, as what lay unread has

While accept failed, statements lay on connections in the kernel's queue; once accepted their time counted from the accept, so an answer came up to that much too late and engines were given a deadline beyond the client's (Clients::accept). Class: a span that counts from when the front came to know of it, as with its standstills.

Change: the listener knows since when connections may wait there, from its first try without capacity until the queue is empty; a client's first read counts as unread since then.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -80,7 +80,7 @@
 
 /// What clients have sent, and how statements were abandoned.
 pub enum Event {
-    /// `waited`: for how long it may have lain unread, as its client took no answers.
+    /// `unread_for`: for how long it may have lain unread, as its client took no answers or was not accepted.
     Statement {
         client: ClientId,
         number: i32,
@@ -105,7 +105,9 @@
         self.next
     }
 
-    pub fn accept(&mut self, now: Micros, id: ClientId, link: Link) {
+    /// A connection was accepted that may have waited for that. Guards against a deadline beyond its client's: what it
+    /// has sent lay unread meanwhile.
+    pub fn accept(&mut self, now: Micros, id: ClientId, link: Link, waited: Micros) {
         let open = HashMap::new();
         let client = Client {
             link,
@@ -115,7 +117,7 @@
             has_sent_message: false,
             unusable_statements: 0,
             refused: false,
-            unread_since: None,
+            unread_since: (waited > 0).then_some(now - waited),
         };
         self.clients.insert(id, client);
     }
--- a/crates/front/src/clients_tests.rs
+++ b/crates/front/src/clients_tests.rs
@@ -55,7 +55,7 @@
         assert!(begun.elapsed() < PATIENCE, "a receive buffer that holds {} bytes", frames.len());
     }
     let mut clients = Clients::new(None, SECOND);
-    clients.accept(0, 1, Link::new(stream, &events.handle(), SocketKind::Client.id(1)).unwrap());
+    clients.accept(0, 1, Link::new(stream, &events.handle(), SocketKind::Client.id(1)).unwrap(), 0);
     let (mut now, mut reported) = (SECOND, Vec::new());
     while clients.read(now, 1, true, &mut reported) && reported.len() < 2 {
         now += SECOND;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -354,7 +354,7 @@
             let id = self.clients.next_id();
             match Link::new(stream, &self.handle, SocketKind::Client.id(id)) {
                 Ok(link) => {
-                    self.clients.accept(now, id, link);
+                    self.clients.accept(now, id, link, self.listener.waited(now));
                     self.ready(SocketKind::Client.id(id));
                 }
                 Err(e) => log::warn!("a client's connection can't be served: {e}"),
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -27,6 +27,8 @@
     at_capacity: bool,
     /// Microseconds from the last try that failed to the next; 0 where it did not fail.
     backoff: Micros,
+    /// Since when connections may wait in the kernel's queue; none while it is known to be empty.
+    waiting_since: Option<Micros>,
     /// The last try failed in the system: connections may wait that could not be asked for.
     failed: bool,
 }
@@ -54,6 +56,7 @@
             accepted: None,
             at_capacity: false,
             backoff: 0,
+            waiting_since: None,
             failed: false,
         })
     }
@@ -88,6 +91,11 @@
         socket.is_some()
     }
 
+    /// Microseconds for which a connection that is accepted now may have waited, with what its client has sent.
+    pub fn waited(&self, now: Micros) -> Micros {
+        self.waiting_since.map_or(0, |since| now - since)
+    }
+
     /// Whether connections may wait that the system did not give when it was asked last.
     pub fn may_have_more(&self) -> bool {
         self.failed && self.is_open()
@@ -121,6 +129,7 @@
                 },
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     (self.accept_at, self.at_capacity, self.backoff) = (None, false, 0);
+                    self.waiting_since = None;
                     return None;
                 }
                 Err(e) if !transient::is_shortage(&e) && errors < MOST_ERRORS => errors += 1,
@@ -138,6 +147,7 @@
         if !std::mem::replace(&mut self.at_capacity, true) {
             log::warn!("no connection can be taken for now: {why}");
         }
+        self.waiting_since.get_or_insert(now);
         self.backoff = (2 * self.backoff).clamp(FIRST_BACKOFF, LONGEST_BACKOFF);
         self.accept_at = Some(now + self.backoff);
     }
--- a/crates/front/tests/scripted/machine.rs
+++ b/crates/front/tests/scripted/machine.rs
@@ -10,6 +10,7 @@
 const MOSTLY: u16 = 700; // of a thousand calls
 const ALWAYS: u16 = 1000;
 const CLIENTS: usize = 20;
+const UNACCEPTED: Duration = Duration::from_millis(500);
 const PAST_CLOSE: Duration = Duration::from_millis(800); // after SIGTERM, when the front would have closed its listener
 const IN_TIME: Duration = Duration::from_millis(1_200); // after SIGTERM; from 1.65 s on the listener is closed in any case
 
@@ -51,6 +52,22 @@
     assert!(scenario.machine_faults().played(Call::Accept).unwrap() > 0);
 }
 
+#[test]
+fn a_statement_that_lay_unaccepted_has_so_much_less_time_at_its_engine() {
+    let mut scenario = Scenario::under_machine_faults();
+    ["engine a", "start"].iter().for_each(|line| scenario.line(line));
+    scenario.machine_faults().fail(Call::Accept, ALWAYS).unwrap();
+    scenario.line("b connects");
+    // The front knows by now that it can't accept: what comes from here on waits.
+    scenario.line("logs no connection can be taken for now");
+    ["c connects", "c asks 1 limit=3000 select 1"].iter().for_each(|line| scenario.line(line));
+    std::thread::sleep(UNACCEPTED);
+    scenario.machine_faults().fail(Call::Accept, 0).unwrap();
+    ["a hears want 1 wait<2501", "a says 1 ACK batches=1 x", "c hears 1 completed x"]
+        .iter()
+        .for_each(|line| scenario.line(line));
+}
+
 /// A connection that the system gives late, as the front ends, is served; whether this was played in time.
 fn is_served_at_the_end() -> bool {
     let mut scenario = Scenario::under_machine_faults();
