Links: a connection that this system gives up is closed from here, its engine may run on

A read or write that fails with ETIMEDOUT or EHOSTUNREACH counted as a reset by the engine (Link::read_some, Link::flush), which proves that its side is over. It is not: the engine runs on until it reads the close, and the next execution left at once.

Measured: unit tests for the errors and for the wait; without the change the execution ends at once.

--- a/crates/front/src/engines/engines_tests.rs
+++ b/crates/front/src/engines/engines_tests.rs
@@ -283,3 +283,14 @@
     deaf.engines.expire(CANCEL_LAG);
     assert_eq!(deaf.ended(), [(1, Ending::ClosedHere)]);
 }
+
+#[test]
+fn what_was_out_on_a_connection_that_this_system_gave_up_ends_once_its_engine_can_have_read_so() {
+    let mut deaf = Deaf::new();
+    deaf.engines.close(0, 1, replies::ending_of(Broken::Lost));
+    deaf.engines.flush(0);
+    deaf.engines.expire(CANCEL_LAG - 1);
+    assert_eq!(deaf.ended(), [], "its engine may run it still");
+    deaf.engines.expire(CANCEL_LAG);
+    assert_eq!(deaf.ended(), [(1, Ending::ClosedHere)]);
+}
--- a/crates/front/src/engines/replies.rs
+++ b/crates/front/src/engines/replies.rs
@@ -59,10 +59,8 @@
             link.partial_line_since =
                 partial.then(|| link.partial_line_since.filter(|_| at == 0).unwrap_or(now));
         }
-        match broken {
-            Some(Broken::Closed) => self.close(now, id, Ending::Closed),
-            Some(Broken::Reset) => self.close(now, id, Ending::Reset),
-            None => {}
+        if let Some(broken) = broken {
+            self.close(now, id, ending_of(broken));
         }
         more
     }
@@ -148,6 +146,16 @@
     }
 }
 
+/// How executions end that are out on a connection which broke. One that this system gave up is closed from here: its
+/// engine may run them until it has read so.
+pub(super) fn ending_of(broken: Broken) -> Ending {
+    match broken {
+        Broken::Closed => Ending::Closed,
+        Broken::Reset => Ending::Reset,
+        Broken::Lost => Ending::ClosedHere,
+    }
+}
+
 impl Execution {
     /// Takes a page; the last one missing answers the execution. A second copy is passed over. What is not
     /// agreed, or other than the first copy, spoils the whole: never a part or a wrong one for the whole.
--- a/crates/front/src/engines/writes.rs
+++ b/crates/front/src/engines/writes.rs
@@ -66,7 +66,7 @@
     /// Begins what is queued as far as the network takes it. An error is how the connection ends.
     pub(super) fn write_queue(&mut self, now: Micros, id: LinkId) -> Result<(), Ending> {
         loop {
-            self.flush_link(id).map_err(|_| Ending::Reset)?;
+            self.flush_link(id).map_err(replies::ending_of)?;
             let Some(link) = self.links.get_mut(&id).filter(|l| l.up) else { return Ok(()) };
             if link.link.unsent() > MOST_UNSENT {
                 // Closed from here: its engine has yet to read so, as of anything that is given up.
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -25,6 +25,20 @@
 pub enum Broken {
     Closed,
     Reset,
+    /// This system has given it up (no answers, no route); the other side may not know yet.
+    Lost,
+}
+
+impl Broken {
+    /// What an error of a connection that was up tells of its other side.
+    fn by(error: &std::io::Error) -> Broken {
+        match error.kind() {
+            ErrorKind::ConnectionReset | ErrorKind::BrokenPipe | ErrorKind::ConnectionAborted => {
+                Broken::Reset
+            }
+            _ => Broken::Lost,
+        }
+    }
 }
 
 pub struct Link {
@@ -105,7 +119,7 @@
                     }
                     Err(e) if e.kind() == ErrorKind::WouldBlock => return (false, None),
                     Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                    Err(_) => return (false, Some(Broken::Reset)),
+                    Err(e) => return (false, Some(Broken::by(&e))),
                 }
             }
             (true, None)
@@ -152,7 +166,7 @@
                 Ok(n) => self.sent_bytes += n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Err(Broken::Reset),
+                Err(e) => return Err(Broken::by(&e)),
             }
         }
         self.cleared_bytes += self.output.len();
--- a/crates/front/src/link_tests.rs
+++ b/crates/front/src/link_tests.rs
@@ -20,3 +20,11 @@
     }
     assert!(link.has_sent(1) && !link.has_sent(MORE));
 }
+
+#[test]
+fn a_connection_that_this_system_gives_up_is_not_known_to_be_over_at_its_other_side() {
+    let by = |kind: ErrorKind| Broken::by(&kind.into());
+    assert_eq!([ErrorKind::ConnectionReset, ErrorKind::BrokenPipe].map(by), [Broken::Reset; 2]);
+    let given_up = [ErrorKind::TimedOut, ErrorKind::HostUnreachable, ErrorKind::NetworkUnreachable];
+    assert_eq!(given_up.map(by), [Broken::Lost; 3]);
+}
--- a/crates/front/src/postgres/servers/replies.rs
+++ b/crates/front/src/postgres/servers/replies.rs
@@ -113,7 +113,7 @@
         }
         match broken {
             Some(Broken::Closed) => self.connection_lost(now, id, Ending::Closed),
-            Some(Broken::Reset) => self.connection_lost(now, id, Ending::Reset),
+            Some(Broken::Reset | Broken::Lost) => self.connection_lost(now, id, Ending::Reset),
             None => return more,
         }
         false
