prove soak: fleets of drawn settings on machines whose clocks and system calls fail

Cause: no test of ours let the machine under a front misbehave, so neither the incident nor its relatives could show before an operator's run.

Change: the fleet rig plays resets, cuts, stops, kills, ends and reloads on one to four fronts that share nothing, while each front's wall clock is stepped by up to an hour and accept, socket, connect, reads and writes fail in short bursts; order keys belong to one front; further executions are held against the budget, by each front's own life.

--- a/crates/lab/src/load/offer.rs
+++ b/crates/lab/src/load/offer.rs
@@ -92,7 +92,9 @@
         let id = format!("s{}", self.number);
         let timeout_ms = class.timeout_ms.unwrap_or(load.timeout_ms);
         let work_ms = class.work_ms.unwrap_or(load.work_ms);
-        let key = self.key.map(|key| format!("{}-{key}", class.name)).unwrap_or_default();
+        let owner =
+            if self.scenario.fleet.keys_by_front { format!("-f{}", member.number) } else { String::new() };
+        let key = self.key.map(|key| format!("{}-{key}{owner}", class.name)).unwrap_or_default();
         let now = || record.records.now();
         let mut asked = StatementRecord::new(id.clone(), now(), timeout_ms as i64 * 1000, class.repeat());
         (asked.rows, asked.key) = (1, key.clone());
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -63,7 +63,8 @@
         /// Of a long day: how long, in simulated minutes.
         #[arg(long, default_value_t = 20)]
         minutes: u64,
-        /// Of a roll: the front's program of another build; half of the fleet is of it, then none, all, and half again.
+        /// The front's program of another build. Of a roll: half of the fleet is of it, then none, all, and half again; of
+        /// a soak: all are.
         #[arg(long)]
         other: Option<std::path::PathBuf>,
         /// Of promises, in simulated time: a rule is taken out, and the run is to fail.
@@ -96,6 +97,8 @@
     Postgres,
     /// What fronts keep for each other, among faults between them.
     Promises,
+    /// Fronts that share nothing, of drawn settings, on machines whose clocks and system calls fail.
+    Soak,
 }
 
 /// A rule that promises rest on.
@@ -153,6 +156,10 @@
 
 fn main() -> ExitCode {
     let (seed, units, rounds) = match Lab::parse().what {
+        What::Prove { subject: Subject::Soak, seed, other, .. } => {
+            let seed = seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+            return proof_result("soak", seed, prove::soak::run(seed, other.as_deref()));
+        }
         What::Prove { subject: Subject::Postgres, seed, units, rounds, .. } => (seed, units, rounds),
         What::Prove {
             seed, small, simulated, fronts, copies, only, long, minutes, other, without, ..
--- a/crates/lab/src/prove.rs
+++ b/crates/lab/src/prove.rs
@@ -11,3 +11,4 @@
 pub mod rules;
 mod shape;
 pub mod sites;
+pub mod soak;
--- a/crates/lab/src/prove/shape.rs
+++ b/crates/lab/src/prove/shape.rs
@@ -34,9 +34,11 @@
         voters: None,
         lease_ms: 2_000,
         copies: Some(3),
+        keys_by_front: false,
         zone_quorum: None,
         sheds_as_one: false,
         budgets: Default::default(),
+        further: Default::default(),
     }
 }
 
--- a/crates/lab/src/record/mod.rs
+++ b/crates/lab/src/record/mod.rs
@@ -5,6 +5,7 @@
 #[cfg(test)]
 mod attempts_tests;
 pub mod barred;
+pub mod budget;
 pub mod cuts;
 pub mod executions;
 mod given_up;
--- a/crates/lab/src/rig/agreed.rs
+++ b/crates/lab/src/rig/agreed.rs
@@ -34,7 +34,8 @@
     let longest = goes_on.map(|c| c.work_ms.unwrap_or(scenario.load.work_ms)).max();
     let rest_ms = longest.map_or(100, |work| work + 400);
     json!({"instances": scenario.fleet.fronts, "areas": zones, "kinds": ["lines"],
-        "rules": {"turnGapMs": rest_ms, "furtherRatio": 0.2, "spareAttempts": 10, "budgetSpanMs": 10000, "answerSlackMs": 20,
+        "rules": {"turnGapMs": rest_ms, "furtherRatio": scenario.fleet.further.share,
+            "spareAttempts": scenario.fleet.further.spare, "budgetSpanMs": 10000, "answerSlackMs": 20,
             "coldFrom": scenario.engine.cold_slots as f64 / scenario.engine.slots as f64,
             "warmWithinMs": scenario.engine.warm_ms, "overloadFactor": scenario.engine.overload,
             "fallMs": scenario.engine.fall_ms},
--- a/crates/lab/src/rig/scenario.rs
+++ b/crates/lab/src/rig/scenario.rs
@@ -50,6 +50,9 @@
     pub lease_ms: u64,
     /// Promises stand on so many fronts; without, each keeps its own.
     pub copies: Option<usize>,
+    /// Each front has order keys of its own, as where clients of one key go to one front.
+    #[serde(default)]
+    pub keys_by_front: bool,
     /// Vantages whose word of a zone leads the fleet out (`gossip.zone_quorum` of the operator's file); 0: never.
     pub zone_quorum: Option<usize>,
     /// Overload is shed by the fleet as one (`gossip.overload` of the operator's file).
@@ -58,6 +61,23 @@
     /// New connections and probes into one engine a second over all fronts, where it is; 0: no bound.
     #[serde(default)]
     pub budgets: Budgets,
+    /// What each front may execute beyond the first time, in any ten seconds.
+    #[serde(default)]
+    pub further: Further,
+}
+
+/// Further executions: so many, and this share of the statements taken.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Further {
+    pub spare: u32,
+    pub share: f64,
+}
+
+impl Default for Further {
+    fn default() -> Further {
+        Further { spare: 10, share: 0.2 }
+    }
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
--- a/crates/machine-faults/src/lib.rs
+++ b/crates/machine-faults/src/lib.rs
@@ -14,7 +14,11 @@
 const NUMBER_SIZE: u64 = 8; // bytes of a number of the control file
 const STEP: u64 = 0; // place of the wall clock's step, in microseconds
 const SEED: u64 = 1;
-const FIRST_RATE: u64 = 2; // of calls that fail, out of a thousand, by call; behind these how many did
+const FIRST_RATE: u64 = 2; // of calls that fail, out of a thousand, by call
+const FIRST_PLAYED: u64 = FIRST_RATE + CALLS; // how many did
+const FIRST_LEFT: u64 = FIRST_PLAYED + CALLS; // how many more may
+const NUMBERS: u64 = FIRST_LEFT + CALLS;
+const CALLS: u64 = Call::ALL.len() as u64;
 
 /// What fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +33,7 @@
     ShortRead,
     /// A write to a connection takes less than it could.
     ShortWrite,
-    /// A read finds that its connection is broken; it is, from then on.
+    /// A read finds that a connection which the process began is broken; it is, from then on.
     BrokenRead,
 }
 
@@ -44,7 +48,7 @@
 }
 
 /// The library, compiled.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Library {
     path: PathBuf,
 }
@@ -77,7 +81,7 @@
     /// None yet; `control` is a file of their own, and the seed draws which calls fail.
     pub fn new(library: &Library, control: &Path, seed: u64) -> Result<MachineFaults> {
         let file = File::options().read(true).write(true).create(true).truncate(true).open(control)?;
-        file.set_len((FIRST_RATE + 2 * Call::ALL.len() as u64) * NUMBER_SIZE)?;
+        file.set_len(NUMBERS * NUMBER_SIZE)?;
         let faults = MachineFaults { library: library.path.clone(), control: control.to_path_buf(), file };
         faults.write(SEED, seed as i64)?;
         Ok(faults)
@@ -95,12 +99,18 @@
 
     /// From now on so many of a thousand of these calls fail.
     pub fn fail(&self, call: Call, permille: u16) -> Result<()> {
+        self.fail_at_most(call, permille, i64::MAX)
+    }
+
+    /// The same, until so many have failed.
+    pub fn fail_at_most(&self, call: Call, permille: u16, most: i64) -> Result<()> {
+        self.write(FIRST_LEFT + call.place(), most)?;
         self.write(FIRST_RATE + call.place(), i64::from(permille))
     }
 
     /// How many of these calls have failed so far.
     pub fn played(&self, call: Call) -> Result<i64> {
-        self.read(FIRST_RATE + Call::ALL.len() as u64 + call.place())
+        self.read(FIRST_PLAYED + call.place())
     }
 
     fn write(&self, place: u64, number: i64) -> Result<()> {
--- a/crates/machine-faults/src/shim.c
+++ b/crates/machine-faults/src/shim.c
@@ -26,11 +26,15 @@
     int64_t seed;             /* of what is drawn */
     int64_t permille[CALLS];  /* how many of a thousand calls fail */
     int64_t played[CALLS];    /* how many did */
+    int64_t left[CALLS];      /* how many more may */
 };
 
 static volatile struct control *control;
 static uint64_t draws;
 
+#define MOST_FILES 4096
+static unsigned char dialled[MOST_FILES]; /* connections that the process began: those that break */
+
 __attribute__((constructor)) static void map_control(void) {
     const char *path = getenv("MACHINE_FAULTS");
     int file = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
@@ -52,8 +56,11 @@
 
 /* Whether this call fails; then it is counted. */
 static int fails(enum call call) {
-    if (!control || control->permille[call] == 0 || (int64_t)(draw() % PERMILLE) >= control->permille[call])
+    if (!control || control->permille[call] == 0 || control->left[call] <= 0)
+        return 0;
+    if ((int64_t)(draw() % PERMILLE) >= control->permille[call])
         return 0;
+    control->left[call]--;
     control->played[call]++;
     return 1;
 }
@@ -99,7 +106,10 @@
 int accept4(int listener, struct sockaddr *restrict address, socklen_t *restrict length, int flags) {
     if (fails(ACCEPT))
         FAIL(ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EINTR, EPROTO);
-    return syscall(SYS_accept4, listener, address, length, flags);
+    int file = syscall(SYS_accept4, listener, address, length, flags);
+    if (file >= 0 && file < MOST_FILES)
+        dialled[file] = 0;
+    return file;
 }
 
 int socket(int domain, int type, int protocol) {
@@ -111,6 +121,8 @@
 int connect(int socket, const struct sockaddr *address, socklen_t length) {
     if (fails(CONNECT))
         FAIL(EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR, EHOSTUNREACH);
+    if (socket >= 0 && socket < MOST_FILES)
+        dialled[socket] = 1;
     return syscall(SYS_connect, socket, address, length);
 }
 
@@ -125,9 +137,9 @@
 }
 
 ssize_t recv(int file, void *buffer, size_t length, int flags) {
-    if (is_stream(file) && fails(BROKEN_READ)) {
+    if (file >= 0 && file < MOST_FILES && dialled[file] && fails(BROKEN_READ)) {
         shutdown(file, SHUT_RDWR);
-        FAIL(ETIMEDOUT, EHOSTUNREACH, ECONNRESET);
+        FAIL(ETIMEDOUT, EHOSTUNREACH);
     }
     return syscall(SYS_recvfrom, file, buffer, shortened(SHORT_READ, file, length), flags, NULL, NULL);
 }
