--- a/crates/lab/src/prove/soak.rs
+++ b/crates/lab/src/prove/soak.rs
@@ -18,13 +18,18 @@
 use crate::record::executions::executions;
 use crate::rig::agreed::settings;
 use crate::rig::fleet::{play, Fleet};
+use crate::rig::member::SOCKETS;
 use crate::rig::scenario::{Class, Effect, Fault, Further, Load, Scenario, Shape, Warm, What};
 
 const SECONDS: u64 = 20; // of load
 const FIRST_MS: u64 = 1_500; // milliseconds of load before the first fault, and after the last
 const LEAST_COMPLETED: i64 = 200; // statements; with fewer a run proves nothing
-const MOST_RATE: u64 = 250; // statements a second; more are too many for a machine that plays several runs
+/// Statements a second for each front. Clients hold a third of its descriptors at most, and each statement has a
+/// connection of its own for three seconds at most.
+const MOST_RATE: u64 = SOCKETS as u64 / 3 / 3;
+const LEAST_RATE: u64 = 20; // statements a second over the fleet
 const RESETS_MS: std::ops::RangeInclusive<u64> = 200..=1_200; // milliseconds between resets of connections
+const LONGEST_END_MS: u64 = 4_000; // milliseconds from a SIGTERM until a front has answered all and is gone
 const KINDS: [What; 8] = [
     What::Stall,
     What::Kill,
@@ -79,7 +84,8 @@
     };
     // From what the engines bear easily to what they turn away, so that there is much to try again.
     let bear = (fleet.zones * fleet.engines_per_zone * slots) as u64 * 1000 / work_ms;
-    let per_second = (bear * chance.random_range(50..=110) / 100).clamp(20, MOST_RATE);
+    let per_second =
+        (bear * chance.random_range(50..=110) / 100).clamp(LEAST_RATE, MOST_RATE * fronts as u64);
     Scenario {
         seed: Some(seed),
         seconds: SECONDS,
@@ -99,6 +105,8 @@
 /// Faults that take a front away or cut it off come one after the other; connections are reset at any time.
 fn faults(chance: &mut Pcg64Mcg, fleet: &Shape) -> Vec<Fault> {
     let mut faults = Vec::new();
+    // A front that was asked to end has nothing else played on it until it can be there again.
+    let mut busy_until = vec![0; fleet.fronts];
     let mut at = FIRST_MS;
     loop {
         let what = *KINDS.choose(chance).unwrap_or(&What::Stall);
@@ -107,6 +115,13 @@
             break;
         }
         let (front, zone) = (chance.random_range(0..fleet.fronts), chance.random_range(0..fleet.zones));
+        if at < busy_until[front] {
+            at = busy_until[front];
+            continue;
+        }
+        if what == What::Term {
+            busy_until[front] = at + for_ms + LONGEST_END_MS;
+        }
         faults.push(Fault { front, zone, ..fault(what, at, for_ms) });
         at += for_ms + chance.random_range(500..2_500);
     }
--- a/crates/lab/src/prove/soak/machine.rs
+++ b/crates/lab/src/prove/soak/machine.rs
@@ -1,6 +1,7 @@
 //! The machines of a soak's fronts: when which one's wall clock is stepped, and which of its system calls fail.
 
 use std::io::Result;
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 
 use hallmux_machine_faults::{Call, Library, MachineFaults};
@@ -9,7 +10,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::rig::fleet::{Fleet, FleetHooks};
-use crate::rig::member::MemberOptions;
+use crate::rig::member::{MemberOptions, SOCKETS};
 use crate::rig::scenario::Fault;
 
 const SECOND_US: i64 = 1_000_000;
@@ -32,6 +33,8 @@
 const RATES: [u16; 4] = [20, 150, 500, 1_000];
 /// Connections that break are lost to all that is out on them: few.
 const BROKEN_RATES: [u16; 2] = [5, 30];
+const CROWDED: f64 = 0.25; // share of runs in which idle clients hold all the descriptors that clients may
+const CROWD: usize = SOCKETS / 2; // connections to each front: so many are clients' share
 const TALLIES: [&str; Call::ALL.len()] =
     ["failed_accepts", "failed_sockets", "failed_connects", "short_reads", "short_writes", "broken_reads"];
 
@@ -51,6 +54,8 @@
     next_shortage: i64,
     shortages: Vec<Shortage>,
     steps: i64,
+    /// Connections of idle clients.
+    crowd: Vec<TcpStream>,
     /// What was played, and when, in microseconds since the load began.
     played: Vec<(i64, String)>,
 }
@@ -75,6 +80,7 @@
             next_shortage: 0,
             shortages: Vec::new(),
             steps: 0,
+            crowd: Vec::new(),
             played: Vec::new(),
         })
     }
@@ -130,6 +136,17 @@
         Ok(())
     }
 
+    /// Idle clients connect to each front, as many as it may hold.
+    fn gather_crowd(&mut self, fleet: &Fleet) -> Result<()> {
+        for member in &fleet.members {
+            let address = member.front.lock().ok().and_then(|front| front.as_ref().map(|front| front.lines));
+            for address in std::iter::repeat_n(address, CROWD).flatten() {
+                self.crowd.push(TcpStream::connect(address)?);
+            }
+        }
+        Ok(())
+    }
+
     fn advance(&mut self, since: i64) -> Result<()> {
         if since >= self.next_step {
             self.step_a_clock(since)?;
@@ -145,7 +162,7 @@
 
     /// How often each was played, over all fronts.
     pub(super) fn played(&self) -> Result<Vec<(&'static str, i64)>> {
-        let mut all = vec![("clock_steps", self.steps)];
+        let mut all = vec![("clock_steps", self.steps), ("crowd", self.crowd.len() as i64)];
         for (call, name) in Call::ALL.into_iter().zip(TALLIES) {
             let counts = self.faults.iter().map(|faults| faults.played(call));
             all.push((name, counts.sum::<Result<i64>>()?));
@@ -160,6 +177,13 @@
 }
 
 impl FleetHooks for Machines {
+    fn ready(&mut self, fleet: &Fleet) -> std::result::Result<(), String> {
+        match self.chance.random_bool(CROWDED) {
+            true => self.gather_crowd(fleet).map_err(|e| e.to_string()),
+            false => Ok(()),
+        }
+    }
+
     fn turn(&mut self, _fleet: &Fleet, since: i64) -> Vec<Fault> {
         if let Err(why) = self.advance(since) {
             self.played.push((since, format!("not played: {why}")));
