--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -10,6 +10,7 @@
 
 const LOGGED_DELAY: Micros = 250_000; // microseconds late that are worth a line in the log
 const FRESH_FOR: Micros = 20_000; // microseconds that a read of the sockets stays good; a fifth of what is allowed
+const COMPARE_INTERVAL: Micros = 100_000; // microseconds between looks for steps of the wall clock, for the log
 const ON_TIME: Micros = 50_000; // microseconds late that count as on time; less than an answer's slack
 
 #[derive(Default)]
@@ -17,6 +18,8 @@
     /// How much more it reads than its source: for tests of clocks that are apart.
     offset: Micros,
     machine: MachineClock,
+    /// When it is next compared with the wall clock.
+    compare_at: Micros,
     /// Where the time comes from in place of the machine's clock, in tests.
     test_clock: Option<TestClock>,
     /// The time at the last `refresh`: Unix microseconds that run on evenly from the start, never back.
@@ -60,6 +63,7 @@
     }
 
     fn compare_wall_clock(&mut self) {
+        self.compare_at = self.now + COMPARE_INTERVAL;
         if self.test_clock.is_some() {
             return;
         }
@@ -70,7 +74,9 @@
 
     /// An iteration is over and nothing is due until the time given: how long the front may sleep.
     pub fn sleep(&mut self, until: Micros) -> Duration {
-        self.compare_wall_clock();
+        if self.now >= self.compare_at {
+            self.compare_wall_clock();
+        }
         if self.waiting_since.is_some() && self.now - self.woke_at > LOGGED_DELAY {
             log::warn!("a turn took {} ms", (self.now - self.woke_at) / 1000);
         }
