Review, case 1: a commit behind a Flush is forgotten too, and the unit is run twice

Cause: the part of a unit that comes behind a Flush is appended without looking whether it commits; when the engine dies before that part has left whole, the unit counts as never run. Change: case 1 plays this second unit as well, which needs no label; a stand-in engine that dies closes its listener, so that connections are refused. No code of the project is changed.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
 export ROOT=$root
 RUN_COMMAND=$(sed -n 's/^run = "\([^"]*\)".*/\1/p' "$root/deploy/balancer.toml")
 export RUN_COMMAND
-exec "$root/target/review/standins" label record.txt
+exec "$root/target/review/standins" parts record.txt
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -226,6 +226,8 @@
 pub fn operator(listen: u16) -> String {
     format!(
         r#"{{ postgres: {{ listen: '127.0.0.1:{listen}', engines: [{{ kinds: ['std-8core'] }}],
-  users: {{ portal: {{ trust: true, member: 'counter', workload: 'status-check', engine_user: 'front' }} }} }} }}"#
+  users: {{
+    portal: {{ trust: true, member: 'counter', workload: 'status-check', engine_user: 'front' }},
+    loader: {{ trust: true, member: 'counter', workload: 'payout-load', engine_user: 'front' }} }} }} }}"#
     )
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,9 +2,9 @@
 //! rule was broken, 0 if it held, 2 if the case could not run.
 
 mod common;
-mod label;
 mod lines;
 mod order;
+mod parts;
 mod postgres;
 mod shutdown;
 
@@ -36,7 +36,7 @@
         std::process::exit(2);
     });
     let verdict = match case.as_str() {
-        "label" => label::run(&record),
+        "parts" => parts::run(&record),
         "shutdown" => shutdown::run(&record),
         "order" => order::run(&record),
         other => Err(format!("no case '{other}'")),
--- a/review/standins/postgres.rs
+++ b/review/standins/postgres.rs
@@ -30,6 +30,15 @@
     };
 }
 
+/// Gives the connections of a listener a small receive buffer: what an engine has not read yet
+/// stays with its sender.
+fn set_receive_buffer(listener: &TcpListener) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let bytes = 4096i32;
+    unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+}
+
 /// One message: its tag and its body.
 pub struct Message {
     pub tag: u8,
@@ -79,8 +88,7 @@
 /// word `INSERT`, on any engine of the world; then it is over.
 #[derive(Default)]
 pub struct Faults {
-    /// The engine's answers are lost from the unit's start, and its process dies right after the
-    /// unit took effect.
+    /// The engine's answers are lost, and its process dies right after the first lasting effect.
     pub answers_lost_then_death: AtomicU32,
 }
 
@@ -119,14 +127,18 @@
 pub fn start_engine(world: &World, id: &str) -> Result<u16, Failure> {
     let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
     let port = listener.local_addr().map_err(|e| e.to_string())?.port();
+    set_receive_buffer(&listener);
     let (world, id) = (world.clone(), id.to_string());
     let down = Arc::new(AtomicU32::new(0));
+    listener.set_nonblocking(true).map_err(|e| e.to_string())?;
     std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            if down.load(Ordering::SeqCst) > 0 {
-                reset_at_close(&stream);
+        // Once the process is dead its listener is closed, and connections are refused.
+        while down.load(Ordering::SeqCst) == 0 {
+            let Ok((stream, _)) = listener.accept() else {
+                sleep_ms(1);
                 continue;
-            }
+            };
+            let _ = stream.set_nonblocking(false);
             let _ = stream.set_nodelay(true);
             let (world, id, down) = (world.clone(), id.clone(), down.clone());
             std::thread::spawn(move || {
@@ -142,6 +154,7 @@
                     failed: false,
                     out: Vec::new(),
                     mute: false,
+                    dead: false,
                 };
                 let _ = session.serve();
             });
@@ -167,6 +180,8 @@
     out: Vec<u8>,
     /// The answers do not reach the front.
     mute: bool,
+    /// The process has died.
+    dead: bool,
 }
 
 impl EngineSession {
@@ -179,7 +194,8 @@
             if message.tag == b'X' {
                 return Ok(());
             }
-            if !self.handle(message)? {
+            self.handle(message)?;
+            if self.dead {
                 return Ok(());
             }
         }
@@ -222,11 +238,10 @@
         Ok(true)
     }
 
-    /// Handles one message; false once the process has died.
-    fn handle(&mut self, message: Message) -> std::io::Result<bool> {
+    fn handle(&mut self, message: Message) -> std::io::Result<()> {
         let Message { tag, body } = message;
         if self.failed && !matches!(tag, b'S') {
-            return Ok(true);
+            return Ok(());
         }
         match tag {
             b'Q' => {
@@ -272,7 +287,7 @@
             b'S' => return self.sync(),
             _ => {}
         }
-        Ok(true)
+        Ok(())
     }
 
     fn note(&self, text: &str) {
@@ -340,14 +355,24 @@
 
     /// Makes lasting what the transaction has done.
     fn keep(&mut self) {
-        for text in std::mem::take(&mut self.pending) {
+        let kept = std::mem::take(&mut self.pending);
+        let dies = self.mute && !kept.is_empty();
+        for text in kept {
             self.note(&format!("has lasting effect: {text}"));
             self.world.effects.lock().unwrap().push(text);
         }
+        if dies {
+            sleep_ms(100);
+            self.note("its process dies: connections are reset, new ones refused");
+            self.down.store(1, Ordering::SeqCst);
+            sleep_ms(20);
+            self.dead = true;
+            reset_at_close(&self.stream);
+        }
     }
 
     /// Ends a unit: outside BEGIN it takes effect now.
-    fn sync(&mut self) -> std::io::Result<bool> {
+    fn sync(&mut self) -> std::io::Result<()> {
         if self.failed {
             self.pending.clear();
         } else if !self.in_block {
@@ -360,14 +385,7 @@
         };
         self.failed = false;
         put(&mut self.out, b'Z', status);
-        if self.mute {
-            self.note("its process dies: connections are reset, new ones refused");
-            self.down.store(1, Ordering::SeqCst);
-            reset_at_close(&self.stream);
-            return Ok(false);
-        }
-        self.send()?;
-        Ok(true)
+        self.send()
     }
 
     fn send(&mut self) -> std::io::Result<()> {
@@ -400,13 +418,8 @@
 }
 
 impl Client {
-    /// Opens a session as the user `portal`, trying for 10 s.
-    pub fn connect(
-        record: &Record,
-        name: &str,
-        port: u16,
-        more: &[(&str, &str)],
-    ) -> Result<Client, Failure> {
+    /// Opens a session, trying for 10 s.
+    pub fn connect(record: &Record, name: &str, port: u16, user: &str) -> Result<Client, Failure> {
         let by = Instant::now() + Duration::from_secs(10);
         let stream = loop {
             match TcpStream::connect(("127.0.0.1", port)) {
@@ -419,10 +432,7 @@
         };
         let _ = stream.set_nodelay(true);
         let mut body = 196608u32.to_be_bytes().to_vec();
-        for (name, value) in [("user", "portal"), ("database", "ledger")]
-            .iter()
-            .chain(more)
-        {
+        for (name, value) in [("user", user), ("database", "ledger")] {
             body.extend(string(name));
             body.extend(string(value));
         }
@@ -547,6 +557,21 @@
     out
 }
 
+/// Bind the unnamed portal to a prepared statement with one parameter, and execute it.
+pub fn bind_and_execute_with(name: &str, parameter: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    let values = [
+        &[0, 0, 0, 1][..],
+        &(parameter.len() as u32).to_be_bytes(),
+        parameter,
+        &[0, 0],
+    ];
+    let bind = [string(""), string(name), values.concat()];
+    put(&mut out, b'B', &bind.concat());
+    put(&mut out, b'E', &[string(""), vec![0; 4]].concat());
+    out
+}
+
 /// Bind the unnamed portal to a prepared statement without parameters, and execute it.
 pub fn bind_and_execute(name: &str) -> Vec<u8> {
     let mut out = Vec::new();
--- a/review/standins/shutdown.rs
+++ b/review/standins/shutdown.rs
@@ -30,7 +30,7 @@
     }
     let (listen, sessions) = (free_port()?, free_port()?);
     let mut front = Front::start(&config(listen, &engines), Some(&operator(sessions)))?;
-    let mut client = Client::connect(record, "client", sessions, &[])?;
+    let mut client = Client::connect(record, "client", sessions, "portal")?;
     client.send("BEGIN", &query("/*hallmux.workload='payout-load'*/ BEGIN"));
     let begun = client.answer(5_000);
     if !begun.whole || begun.error.is_some() {
