Review, case 3: the next load of a key runs beside one whose time is up

Cause: where executions can't be cancelled, one whose client's time is up counts as over although its engine has not written its end, and the next load of its key is sent in the same moment. No code of the project is changed.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -181,12 +181,12 @@
 }
 
 /// The events of the coordinator at the start: the whole list.
-pub fn known(engines: &[Listed]) -> String {
+fn known(engines: &[Listed], zone: &str, kind: &str) -> String {
     let servers: Vec<String> = engines
         .iter()
         .map(|e| {
             format!(
-                r#"{{"id":"{}","addr":"127.0.0.1:{}","zone":"taoyuan-dc1","kind":"std-8core","cell":0,"state":"up","weight":8,"started_ms":0}}"#,
+                r#"{{"id":"{}","addr":"127.0.0.1:{}","zone":"{zone}","kind":"{kind}","cell":0,"state":"up","weight":8,"started_ms":0}}"#,
                 e.id, e.port
             )
         })
@@ -197,28 +197,65 @@
     )
 }
 
-/// The configuration of a front of a small deployment with the figures of `taoyuan-main`.
-pub fn config(listen: u16, engines: &[Listed]) -> String {
-    let known = known(engines);
+/// The settings of a small deployment, with the figures of one of the sites.
+pub struct Settings {
+    zone: &'static str,
+    kind: &'static str,
+    text: &'static str,
+}
+
+/// `taoyuan-main`: executions may be cancelled, and keys rest for 300 ms.
+pub const TAOYUAN: Settings = Settings {
+    zone: "taoyuan-dc1",
+    kind: "std-8core",
+    text: r#"{"instances":1,"areas":["taoyuan-dc1"],"kinds":["std-8core"],"family":"queries",
+"bounds":{"cancelling":true,"dialTimeoutMs":250,"keepaliveMs":30000,"maxRetryAfterMs":500,"mostHeld":20000,
+ "mostTries":5,"peers":false,"probes":true,"retryAfter":true,"secondCopies":false,"streamsPerConn":32},
+"customers":[{"name":"counter","allowancePerS":1000}],
+"discovery":"automatic",
+"extra":{"classWaits":[false,false,false],"costInAnswers":false,"grantsCount":true,"largestShare":0.4,
+ "memoryByKindMb":[16384],"parallelism":[1,4,2],"reportX0":"share of memory granted","sizeCores":[8],
+ "takesPriority":true,"tellsEveryMs":2000,"whenShort":"line_up","writesTables":[false,false,false]},
+"report":{"names":["cpu","active","x0"],"source":"on_probe"},
+"requestClasses":[
+ {"name":"status-check","aimMs":1000,"aimStretch":1.5,"deadlineMs":5000,"lateShare":0.2,"repeat":"repeatable","worth":1},
+ {"name":"settle-report","aimMs":2000,"aimStretch":2.5,"deadlineMs":20000,"lateShare":0.4,"repeat":"repeatable","worth":6},
+ {"name":"payout-load","aimMs":3000,"aimStretch":2.5,"deadlineMs":20000,"lateShare":0.5,"inTurn":true,"repeat":"once","worth":4}],
+"rules":{"answerSlackMs":20,"askWithinMs":10000,"budgetSpanMs":10000,"coldFrom":0.31,"drainGraceMs":1000,"fallMs":2000,
+ "furtherRatio":0.1,"overloadFactor":4,"spareAttempts":3,"turnGapMs":300,"warmWithinMs":15000}}"#,
+};
+
+/// `bijenweeg-wageningen`: executions can't be cancelled, and keys need no rest.
+pub const BIJENWEEG: Settings = Settings {
+    zone: "ams-1",
+    kind: "node-8c",
+    text: r#"{"instances":1,"areas":["ams-1"],"kinds":["node-8c"],"family":"queries",
+"bounds":{"cancelling":false,"dialTimeoutMs":250,"keepaliveMs":15000,"mostHeld":20000,
+ "mostTries":3,"peers":false,"probes":true,"retryAfter":false,"secondCopies":false,"streamsPerConn":32},
+"customers":[{"name":"imkers-gelderland","allowancePerS":1000}],
+"discovery":"automatic",
+"extra":{"classWaits":[false,false,false],"costInAnswers":false,"grantsCount":false,"largestShare":0.4,
+ "memoryByKindMb":[16384],"parallelism":[1,3,2],"sizeCores":[8],
+ "takesPriority":true,"tellsEveryMs":1000,"whenShort":"overcommit","writesTables":[false,false,false]},
+"report":{"names":["active","waiting"],"source":"on_probe"},
+"requestClasses":[
+ {"name":"kort","aimMs":1000,"aimStretch":2,"deadlineMs":5000,"lateShare":0.1,"repeat":"repeatable","worth":1},
+ {"name":"rapport","aimMs":1500,"aimStretch":2.5,"deadlineMs":15000,"lateShare":0.4,"repeat":"repeatable","worth":8},
+ {"name":"inlees","aimMs":4000,"aimStretch":3,"deadlineMs":25000,"dedupWindowMs":15000,"group":"all","inTurn":true,
+  "lateShare":0.6,"repeat":"by_key","worth":5}],
+"rules":{"answerSlackMs":20,"askWithinMs":10000,"coldFrom":0.34,"drainGraceMs":250,"fallMs":1500,
+ "overloadFactor":3,"turnGapMs":0,"warmWithinMs":14000}}"#,
+};
+
+/// The configuration of a front.
+pub fn config(listen: u16, engines: &[Listed], settings: &Settings) -> String {
+    let known = known(engines, settings.zone, settings.kind);
     format!(
         r#"{{"name":"n1","listen":"127.0.0.1:{listen}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
 "known":{known},
-"settings":{{"instances":1,"areas":["taoyuan-dc1"],"kinds":["std-8core"],"family":"queries",
-"bounds":{{"cancelling":true,"dialTimeoutMs":250,"keepaliveMs":30000,"maxRetryAfterMs":500,"mostHeld":20000,
- "mostTries":5,"peers":false,"probes":true,"retryAfter":true,"secondCopies":false,"streamsPerConn":32}},
-"customers":[{{"name":"counter","allowancePerS":1000}}],
-"discovery":"automatic",
-"extra":{{"classWaits":[false,false,false],"costInAnswers":false,"grantsCount":true,"largestShare":0.4,
- "memoryByKindMb":[16384],"parallelism":[1,4,2],"reportX0":"share of memory granted","sizeCores":[8],
- "takesPriority":true,"tellsEveryMs":2000,"whenShort":"line_up","writesTables":[false,false,false]}},
-"report":{{"names":["cpu","active","x0"],"source":"on_probe"}},
-"requestClasses":[
- {{"name":"status-check","aimMs":1000,"aimStretch":1.5,"deadlineMs":5000,"lateShare":0.2,"repeat":"repeatable","worth":1}},
- {{"name":"settle-report","aimMs":2000,"aimStretch":2.5,"deadlineMs":20000,"lateShare":0.4,"repeat":"repeatable","worth":6}},
- {{"name":"payout-load","aimMs":3000,"aimStretch":2.5,"deadlineMs":20000,"lateShare":0.5,"inTurn":true,"repeat":"once","worth":4}}],
-"rules":{{"answerSlackMs":20,"askWithinMs":10000,"budgetSpanMs":10000,"coldFrom":0.31,"drainGraceMs":1000,"fallMs":2000,
- "furtherRatio":0.1,"overloadFactor":4,"spareAttempts":3,"turnGapMs":300,"warmWithinMs":15000}}}}}}"#
+"settings":{}}}"#,
+        settings.text
     )
 }
 
--- a/review/standins/lines.rs
+++ b/review/standins/lines.rs
@@ -25,7 +25,11 @@
     pub id: String,
     pub key: String,
     pub arrived: f64,
+    /// When the engine reset its connection.
     pub reset: Option<f64>,
+    /// When the front gave it up: by its command, or by closing the connection.
+    pub given_up: Option<f64>,
+    /// When it had run to its end.
     pub ended: Option<f64>,
 }
 
@@ -35,6 +39,8 @@
     pub record: Record,
     /// Plans by the statement's id; others run for 20 ms.
     pub plans: Arc<Mutex<HashMap<String, Plan>>>,
+    /// The engine that is slow, and how many times.
+    pub slow: Arc<Mutex<Option<(String, u64)>>>,
     /// The order keys by the statement's id, as the clients gave them.
     pub keys: Arc<Mutex<HashMap<String, String>>>,
     pub executions: Arc<Mutex<Vec<Execution>>>,
@@ -47,6 +53,7 @@
         World {
             record: record.clone(),
             plans: Arc::default(),
+            slow: Arc::default(),
             keys: Arc::default(),
             executions: Arc::default(),
             data: Arc::default(),
@@ -87,6 +94,7 @@
         return;
     };
     let writer = Arc::new(Mutex::new(Some(writer)));
+    let mut here = Vec::new();
     while let Ok(line) = read_line(&mut stream) {
         let words: Vec<&str> = line.split(' ').collect();
         match words[..] {
@@ -95,16 +103,24 @@
                 if stream.read_exact(&mut statement).is_err() {
                     return;
                 }
-                let (world, name, id) = (world.clone(), name.to_string(), id.to_string());
-                let writer = writer.clone();
-                std::thread::spawn(move || run(&world, &name, &id, &writer));
+                let at = begin(world, name, id);
+                here.push(at);
+                let (world, writer) = (world.clone(), writer.clone());
+                std::thread::spawn(move || run(&world, at, &writer));
             }
             ["busy" | "there", tag] => {
                 let answer = format!("{tag} READY stats=util:0.10;inflight:0;x0:0.05\r\n");
                 send(&writer, answer.as_bytes());
             }
             ["never_mind", id] => {
-                world.record.line(&format!("{name}: {id} is given up"));
+                let mut executions = world.executions.lock().unwrap();
+                for at in &here {
+                    let execution = &mut executions[*at];
+                    if execution.id == id {
+                        let ms = world.record.line(&format!("{name}: {id} is given up"));
+                        execution.given_up.get_or_insert(ms);
+                    }
+                }
             }
             _ => {}
         }
@@ -112,6 +128,14 @@
             return;
         }
     }
+    // The front has closed the connection: what is open on it is given up.
+    if writer.lock().unwrap().is_some() {
+        let ms = world.record.ms();
+        let mut executions = world.executions.lock().unwrap();
+        for at in here {
+            executions[at].given_up.get_or_insert(ms);
+        }
+    }
 }
 
 fn send(writer: &Mutex<Option<TcpStream>>, bytes: &[u8]) {
@@ -120,8 +144,8 @@
     }
 }
 
-/// Runs one statement.
-fn run(world: &World, name: &str, id: &str, writer: &Mutex<Option<TcpStream>>) {
+/// Records that a statement has come whole; returns its place among the executions.
+fn begin(world: &World, name: &str, id: &str) -> usize {
     let key = world
         .keys
         .lock()
@@ -129,31 +153,42 @@
         .get(id)
         .cloned()
         .unwrap_or_default();
-    let plan = world
+    let arrived = world
+        .record
+        .line(&format!("{name}: {id} of key {key} begins"));
+    let mut executions = world.executions.lock().unwrap();
+    executions.push(Execution {
+        engine: name.to_string(),
+        id: id.to_string(),
+        key,
+        arrived,
+        ..Execution::default()
+    });
+    executions.len() - 1
+}
+
+/// Runs one statement.
+fn run(world: &World, at: usize, writer: &Mutex<Option<TcpStream>>) {
+    let Execution {
+        engine: name,
+        id,
+        key,
+        ..
+    } = world.executions.lock().unwrap()[at].clone();
+    let start = Instant::now();
+    let mut plan = world
         .plans
         .lock()
         .unwrap()
-        .get(id)
+        .get(&id)
         .copied()
         .unwrap_or(Plan {
             run_ms: 20,
             reset_ms: None,
         });
-    let arrived = world
-        .record
-        .line(&format!("{name}: {id} of key {key} begins"));
-    let at = {
-        let mut executions = world.executions.lock().unwrap();
-        executions.push(Execution {
-            engine: name.to_string(),
-            id: id.to_string(),
-            key: key.clone(),
-            arrived,
-            ..Execution::default()
-        });
-        executions.len() - 1
-    };
-    let start = Instant::now();
+    if let Some((slow, times)) = &*world.slow.lock().unwrap() {
+        plan.run_ms *= if *slow == name { *times } else { 1 };
+    }
     if let Some(reset_ms) = plan.reset_ms {
         sleep_ms(reset_ms);
         let reset = world.record.line(&format!(
--- a/review/standins/parts.rs
+++ b/review/standins/parts.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use crate::common::{
-    config, free_port, operator, record_log, sleep_ms, trouble, Front, Listed, Record,
+    config, free_port, operator, record_log, sleep_ms, trouble, Front, Listed, Record, TAOYUAN,
 };
 use crate::postgres::{
     bind_and_execute, bind_and_execute_with, describe, flush, parse, start_engine, sync, Client,
@@ -105,7 +105,10 @@
         });
     }
     let (listen, sessions) = (free_port()?, free_port()?);
-    let mut front = Front::start(&config(listen, &engines), Some(&operator(sessions)))?;
+    let mut front = Front::start(
+        &config(listen, &engines, &TAOYUAN),
+        Some(&operator(sessions)),
+    )?;
     let mut client = Client::connect(record, "client", sessions, unit.user)?;
     if trouble() {
         let faults = &world.faults;
--- a/review/standins/shutdown.rs
+++ b/review/standins/shutdown.rs
@@ -4,7 +4,7 @@
 
 use crate::common::{
     config, free_port, operator, record_log, sleep_ms, trouble, Front, Listed, Record, SIGKILL,
-    SIGTERM,
+    SIGTERM, TAOYUAN,
 };
 use crate::postgres::{query, start_engine, Client, World};
 use crate::Verdict;
@@ -29,7 +29,10 @@
         });
     }
     let (listen, sessions) = (free_port()?, free_port()?);
-    let mut front = Front::start(&config(listen, &engines), Some(&operator(sessions)))?;
+    let mut front = Front::start(
+        &config(listen, &engines, &TAOYUAN),
+        Some(&operator(sessions)),
+    )?;
     let mut client = Client::connect(record, "client", sessions, "portal")?;
     client.send("BEGIN", &query("/*hallmux.workload='payout-load'*/ BEGIN"));
     let begun = client.answer(5_000);
