--- a/review/standins/order.rs
+++ b/review/standins/order.rs
@@ -13,7 +13,7 @@
 /// Rounds of the loads that are cut off.
 const ROUNDS: usize = 8;
 /// Keys of the loads that run into their clients' time.
-const KEYS: usize = 6;
+const KEYS: usize = 12;
 /// Milliseconds that a client of such a load waits: 80 in 100 of the agreed 25 s.
 const PATIENCE_MS: u64 = 20_000;
 /// Milliseconds from the first loads to the second ones.
@@ -29,7 +29,7 @@
     Ok(late && cut)
 }
 
-/// A front of a deployment with two engines, and a client.
+/// A front of a deployment with four engines, and a client.
 struct Stage {
     world: World,
     front: Front,
@@ -43,7 +43,7 @@
     fn set(record: &Record, settings: &Settings) -> Result<Stage, String> {
         let world = World::new(record);
         let mut engines = Vec::new();
-        for id in ["e1", "e2"] {
+        for id in ["e1", "e2", "e3", "e4"] {
             let port = start_engine(&world, id)?;
             engines.push(Listed {
                 id: id.to_string(),
--- a/review/standins/parts.rs
+++ b/review/standins/parts.rs
@@ -97,7 +97,7 @@
     record.line(&format!("--- {}: {}", unit.payout, unit.what));
     let world = World::new(record);
     let mut engines = Vec::new();
-    for id in ["e1", "e2", "e3"] {
+    for id in ["e1", "e2", "e3", "e4"] {
         let port = start_engine(&world, id)?;
         engines.push(Listed {
             id: id.to_string(),
