front: debug lines say what a session's unit is admitted as and how it ends

Change: debug lines for the admission of a unit (workload, order key), for each further part behind a Flush, and for the ending under which an execution goes to the dispatcher.

--- a/crates/front/src/postgres/gateway/admission.rs
+++ b/crates/front/src/postgres/gateway/admission.rs
@@ -95,6 +95,11 @@
                 .record_admission(dispatcher, &decision, submitted.ok());
         }
         let ticket = submitted.map_err(invalid_request)?;
+        log::debug!(
+            "statement {ticket}: a session's unit is admitted, workload {}, order key {:?}",
+            terms.workload,
+            label.order_key
+        );
         let key = request.order_key.map(str::to_string);
         Ok(AdmittedUnit { ticket, key })
     }
--- a/crates/front/src/postgres/gateway/server_events.rs
+++ b/crates/front/src/postgres/gateway/server_events.rs
@@ -150,6 +150,7 @@
         ending: Ending,
     ) {
         let ExecutionId { ticket, number } = execution_id;
+        log::debug!("statement {ticket}: execution {number} ended: {ending:?}");
         let is_cancelled = self.record_ending(ticket, ending);
         let is_over = dispatcher.execution_ended(now, ticket, number, ending, None);
         if is_over || is_cancelled {
--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -274,6 +274,10 @@
         };
         let since = arrival_time(&connection.arrivals, used).unwrap_or(now);
         if let Some(running) = &mut open_session.running {
+            log::debug!(
+                "statement {}: a further part of its unit, {used} bytes",
+                running.ticket
+            );
             running.parts.push(part.clone());
             running.commits |= part.commits_transaction;
             self.events.push(Event::UnitPart {
