postgres: a COMMIT behind a Flush counts as soon as part of it has left

Its unit is BEGIN, INSERT, Flush, COMMIT, a second file, Sync; the engine committed the payout and died before it had read the second file, and the front sent the unit to another engine and answered "completed".

Cause: whether a unit must not be retried was copied into the execution when its first part was sent, and a part that came behind a Flush did not update the copy. A connection lost while that part was half written then ended the execution as HalfWritten, "surely never ran".

The new test commit_after_flush_may_have_run_once_part_of_it_has_left failed before with left: HalfWritten, right: Reset.

Change: no copy any more. Servers, sessions and final answers all derive it from the parts that are known, so that a further part can't be left out. Related: in a transaction the same copy made the front answer 40001 "rolled back" for a COMMIT that may have been carried out; it is 08007 now. The one test that set the copy by hand now has a part with a commit in its place.

--- a/crates/front/src/postgres/gateway.rs
+++ b/crates/front/src/postgres/gateway.rs
@@ -301,7 +301,7 @@
             return;
         };
         running.execution_id = Some(execution_id);
-        let (mut parts, once) = (running.parts.clone(), running.commits);
+        let mut parts = running.parts.clone();
         if let (Some(text), [part]) = (text, &mut parts[..]) {
             *part = part.with_text(&text).map_or_else(|| part.clone(), Rc::new);
         }
@@ -322,7 +322,6 @@
                 settings,
                 account,
                 pin,
-                no_retry: once,
             },
         );
     }
--- a/crates/front/src/postgres/gateway/admission.rs
+++ b/crates/front/src/postgres/gateway/admission.rs
@@ -274,7 +274,7 @@
         return ClientError::ResultLost;
     };
     let in_transaction = open_session.session.transaction != Transaction::None;
-    if running.commits && running.may_have_run {
+    if running.commits() && running.may_have_run {
         return ClientError::Unresolved;
     }
     if running.cancelled {
--- a/crates/front/src/postgres/servers.rs
+++ b/crates/front/src/postgres/servers.rs
@@ -15,7 +15,7 @@
 use hallmux_postgres::engine::{Account, EngineConnection, UnitOutcome};
 use hallmux_postgres::pool::{self, Pools};
 use hallmux_postgres::prepared::SessionSettings;
-use hallmux_postgres::session::UnitPart;
+use hallmux_postgres::session::{commits_transaction, UnitPart};
 
 use super::ids::{ServerId, SessionId};
 use crate::dial_pacer::{self, DialPacer};
@@ -73,8 +73,14 @@
     pub account: pool::AccountId,
     /// The connection that holds the session's transaction, if one is open.
     pub pin: Option<ServerId>,
-    /// The unit must not be retried once it has been sent.
-    pub no_retry: bool,
+}
+
+impl Unit {
+    /// Whether the unit must not be retried once it has been sent. Derived from the parts: any of
+    /// them may contain the commit, also one that comes after a Flush.
+    fn is_sent_once(&self) -> bool {
+        self.pin.is_some() || commits_transaction(&self.parts)
+    }
 }
 
 #[derive(PartialEq, Clone, Copy)]
--- a/crates/front/src/postgres/servers/close.rs
+++ b/crates/front/src/postgres/servers/close.rs
@@ -2,6 +2,7 @@
 
 use hallmux_dispatcher::{Ending, EngineIndex, Micros, Ticket};
 use hallmux_postgres::pool::Released;
+use hallmux_postgres::session::commits_transaction;
 use hallmux_postgres::wire;
 
 use super::{Cancel, EngineEntry, Event, Execution, PendingEnd, Server, Servers, Stage};
@@ -344,7 +345,9 @@
         _ if server.engine.is_applying_settings() => Ending::HalfWritten,
         // Without its Sync an engine keeps nothing of a unit, unless the unit contains a commit of
         // its own.
-        Stage::Writing if !has_left && !execution.unit.no_retry => Ending::HalfWritten,
+        Stage::Writing if !has_left && !commits_transaction(&execution.unit.parts) => {
+            Ending::HalfWritten
+        }
         Stage::Writing | Stage::Sent => lost,
     }
 }
--- a/crates/front/src/postgres/servers/send.rs
+++ b/crates/front/src/postgres/servers/send.rs
@@ -255,7 +255,7 @@
                     && !server.engine.is_applying_settings()
                 {
                     execution.stage = Stage::Sent;
-                    let once = execution.unit.no_retry || execution.unit.pin.is_some();
+                    let once = execution.unit.is_sent_once();
                     self.events
                         .extend(execution_id.filter(|_| once).map(Event::Irrevocable));
                 }
--- a/crates/front/src/postgres/servers_tests.rs
+++ b/crates/front/src/postgres/servers_tests.rs
@@ -19,6 +19,8 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 const DIAL_TIMEOUT: Micros = 250_000; // microseconds
 const ENGINE_INDEX: EngineIndex = 0;
+/// Bytes of a part that does not fit into the buffers of a connection whose engine stops reading.
+const OVERSIZED_PART_BYTES: usize = 3 << 20;
 const KEY: wire::CancelKey = wire::CancelKey {
     process: 7,
     secret: 8,
@@ -73,7 +75,6 @@
             settings,
             account,
             pin,
-            no_retry: false,
         };
         self.servers.send(now, execution_id, ENGINE_INDEX, unit);
     }
@@ -185,6 +186,14 @@
     Rc::new(part)
 }
 
+/// A part of a unit that sends `bytes` to the engine.
+fn part(bytes: Vec<u8>) -> UnitPart {
+    let mut part = UnitPart::default();
+    part.ops.push(Operation::Execute(0..bytes.len()));
+    part.raw = bytes;
+    part
+}
+
 fn accept_login(engine: &mut TcpStream) {
     let mut out = Vec::new();
     wire::write(&mut out, b'R', |out| out.extend_from_slice(&[0; 4]));
@@ -329,7 +338,9 @@
         "search_path".to_string(),
         "SET search_path = 'own'".to_string(),
     )]);
-    let (settings, parts) = (Rc::new(SessionSettings(set)), vec![query("select 1")]);
+    let mut part = part(b"select 1".to_vec());
+    (part.commits_transaction, part.ends_unit) = (true, true);
+    let (settings, parts) = (Rc::new(SessionSettings(set)), vec![Rc::new(part)]);
     let account = harness.servers.account(Account::default()).unwrap();
     let unit = Unit {
         session: 1,
@@ -337,7 +348,6 @@
         settings,
         account,
         pin: None,
-        no_retry: true,
     };
     harness.servers.send(0, FIRST_EXECUTION, ENGINE_INDEX, unit);
     let mut link = engine.accept().unwrap().0;
@@ -359,3 +369,43 @@
         "{received:?}"
     );
 }
+
+/// Guards against a repeat of a non-idempotent unit whose COMMIT comes after a Flush: it was taken
+/// for one that never ran until the last byte of its last part had left.
+#[test]
+fn commit_after_flush_may_have_run_once_part_of_it_has_left() {
+    let (engine, at) = listener();
+    let mut harness = ServersHarness::new(at);
+    let account = harness.servers.account(Account::default()).unwrap();
+    let unit = Unit {
+        session: 1,
+        parts: vec![Rc::new(part(b"insert".to_vec()))],
+        settings: Rc::default(),
+        account,
+        pin: None,
+    };
+    harness.servers.send(0, FIRST_EXECUTION, ENGINE_INDEX, unit);
+    let mut link = engine.accept().unwrap().0;
+    harness.receive_until(0, &mut link, b"user");
+    accept_login(&mut link);
+    harness.receive_until(0, &mut link, b"insert");
+    let mut bytes = b"commit".to_vec();
+    bytes.resize(OVERSIZED_PART_BYTES, b'x');
+    let mut last_part = part(bytes);
+    (last_part.commits_transaction, last_part.ends_unit) = (true, true);
+    harness
+        .servers
+        .append_part(FIRST_EXECUTION, Rc::new(last_part));
+    harness.receive_until(0, &mut link, b"commit");
+    let left = |event: &Event| matches!(event, Event::Irrevocable(_));
+    assert!(
+        !harness.servers.events.iter().any(left),
+        "the whole unit fits into the buffers"
+    );
+    drop(link);
+    harness.run_until(0, "the end of the execution", |servers| {
+        let is_end = |event: &Event| matches!(event, Event::Ended { .. });
+        servers.events.iter().any(is_end).then_some(())
+    });
+    assert_eq!(harness.take_endings(), [(FIRST_EXECUTION, Ending::Reset)]);
+}
--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -11,7 +11,7 @@
 use hallmux_dispatcher::{Micros, Ticket};
 use hallmux_postgres::pool::AccountId;
 use hallmux_postgres::prepared::Catalogue;
-use hallmux_postgres::session::{Bounds, Session, UnitPart};
+use hallmux_postgres::session::{commits_transaction, Bounds, Session, UnitPart};
 use hallmux_postgres::startup::{Authentication, Startup};
 
 use super::ids::{Pin, ServerId, SessionId};
@@ -50,7 +50,6 @@
 pub struct RunningUnit {
     pub ticket: Ticket,
     pub parts: Vec<Rc<UnitPart>>,
-    pub commits: bool,
     /// An execution of the unit may have run.
     pub may_have_run: bool,
     pub time_up: bool,
@@ -63,6 +62,13 @@
     pub order_key: Option<String>,
 }
 
+impl RunningUnit {
+    /// Whether the unit commits a transaction, as far as its parts are known.
+    pub fn commits(&self) -> bool {
+        commits_transaction(&self.parts)
+    }
+}
+
 /// The state of a session after its login.
 pub struct OpenSession {
     pub session: Session,
--- a/crates/front/src/postgres/sessions/answers.rs
+++ b/crates/front/src/postgres/sessions/answers.rs
@@ -26,7 +26,6 @@
         let bytes = part.raw.len();
         open_session.running = Some(RunningUnit {
             ticket,
-            commits: part.commits_transaction,
             parts: vec![part],
             may_have_run: false,
             time_up: false,
--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -279,7 +279,6 @@
                 running.ticket
             );
             running.parts.push(part.clone());
-            running.commits |= part.commits_transaction;
             self.events.push(Event::UnitPart {
                 ticket: running.ticket,
                 part,
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -11,7 +11,7 @@
 use crate::prepared::{Catalogue, Prepared, SessionSettings};
 use crate::sql::{self, quoted_identifier, Change, Label};
 use crate::startup::Client;
-pub use crate::unit::{Operation, UnitPart};
+pub use crate::unit::{commits_transaction, Operation, UnitPart};
 
 /// Limits of a session.
 #[derive(Clone, Copy, Debug)]
--- a/crates/postgres/src/unit.rs
+++ b/crates/postgres/src/unit.rs
@@ -155,6 +155,11 @@
     }
 }
 
+/// Whether a unit commits a transaction, as far as its parts are known.
+pub fn commits_transaction(parts: &[Rc<UnitPart>]) -> bool {
+    parts.iter().any(|part| part.commits_transaction)
+}
+
 /// The outcome of a unit at an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnitOutcome {
