postgres: a unit whose first part has left is not withdrawn as unsent

Callers would see: the next load of an order key beside one that still runs, without the key's rest. A client that sends a further part of its unit and leaves in the same turn ended the execution as Withdrawn, "surely never ran", though its first part had left and may run.

Cause: Servers::abandon asked whether the first byte of the connection's current output had left.

Evidence: the new test abandoned_unit_is_not_withdrawn_once_its_first_part_has_left failed before with left: [Withdrawn], right: [].

Change: the connection knows where its unit begins, as an offset in all bytes that it ever sent.

--- a/crates/front/src/postgres/servers.rs
+++ b/crates/front/src/postgres/servers.rs
@@ -112,6 +112,8 @@
     serving: Option<ExecutionId>,
     /// The session whose transaction is open on this connection.
     transaction_of: Option<SessionId>,
+    /// Where the unit being sent begins, as an offset in all bytes of the connection.
+    write_start: usize,
     /// Position in the output at which the unit being sent ends.
     write_end: usize,
     /// Requests to cancel in flight for this connection.
--- a/crates/front/src/postgres/servers/close.rs
+++ b/crates/front/src/postgres/servers/close.rs
@@ -116,8 +116,10 @@
             };
             // Output that was written but not sent is dropped with its connection, as is a unit
             // that waits for its settings.
-            let is_unsent =
-                |server: &Server| !server.link.has_sent(1) || server.engine.is_applying_settings();
+            let is_unsent = |server: &Server| {
+                !server.link.has_sent_up_to(server.write_start + 1)
+                    || server.engine.is_applying_settings()
+            };
             let unsent = self
                 .connections
                 .get(&id)
--- a/crates/front/src/postgres/servers/replies.rs
+++ b/crates/front/src/postgres/servers/replies.rs
@@ -158,12 +158,14 @@
                 execution.map_or(&mut dropped, |execution| &mut execution.unsent_answer);
             let most_held = self.limits.buffer_bytes;
             let was_setting = server.engine.is_applying_settings();
+            let start = server.link.end_of_output();
             let output = server.link.output();
             let read = server
                 .engine
                 .read(&input[taken..], output, unsent_answer, most_held);
             if was_setting && !server.engine.is_applying_settings() {
                 // The unit that waited for the settings is sent now.
+                server.write_start = start;
                 server.write_end = server.link.output().len();
             }
             let (used, reply) = match read {
--- a/crates/front/src/postgres/servers/send.rs
+++ b/crates/front/src/postgres/servers/send.rs
@@ -177,6 +177,7 @@
             up: false,
             serving: None,
             transaction_of: None,
+            write_start: 0,
             write_end: 0,
             cancels: 0,
             closes_after_unit: false,
@@ -197,6 +198,7 @@
         server.serving = Some(execution_id);
         (execution.connection, execution.stage) = (Some(id), Stage::Writing);
         let is_pinned = execution.unit.pin.is_some();
+        server.write_start = server.link.end_of_output();
         for (n, part) in execution.unit.parts.iter().enumerate() {
             server.engine.send(
                 part,
--- a/crates/front/src/postgres/servers_tests.rs
+++ b/crates/front/src/postgres/servers_tests.rs
@@ -162,6 +162,24 @@
         link
     }
 
+    /// Sends the first part of a unit and returns the engine connection that has received it.
+    fn start_first_part(&mut self, engine: &TcpListener) -> TcpStream {
+        let account = self.servers.account(Account::default()).unwrap();
+        let unit = Unit {
+            session: 1,
+            parts: vec![Rc::new(part(b"insert".to_vec()))],
+            settings: Rc::default(),
+            account,
+            pin: None,
+        };
+        self.servers.send(0, FIRST_EXECUTION, ENGINE_INDEX, unit);
+        let mut link = engine.accept().unwrap().0;
+        self.receive_until(0, &mut link, b"user");
+        accept_login(&mut link);
+        self.receive_until(0, &mut link, b"insert");
+        link
+    }
+
     /// The endings of executions since the last call.
     fn take_endings(&mut self) -> Vec<(ExecutionId, Ending)> {
         let ended = |event: Event| match event {
@@ -376,19 +394,7 @@
 fn commit_after_flush_may_have_run_once_part_of_it_has_left() {
     let (engine, at) = listener();
     let mut harness = ServersHarness::new(at);
-    let account = harness.servers.account(Account::default()).unwrap();
-    let unit = Unit {
-        session: 1,
-        parts: vec![Rc::new(part(b"insert".to_vec()))],
-        settings: Rc::default(),
-        account,
-        pin: None,
-    };
-    harness.servers.send(0, FIRST_EXECUTION, ENGINE_INDEX, unit);
-    let mut link = engine.accept().unwrap().0;
-    harness.receive_until(0, &mut link, b"user");
-    accept_login(&mut link);
-    harness.receive_until(0, &mut link, b"insert");
+    let mut link = harness.start_first_part(&engine);
     let mut bytes = b"commit".to_vec();
     bytes.resize(OVERSIZED_PART_BYTES, b'x');
     let mut last_part = part(bytes);
@@ -409,3 +415,20 @@
     });
     assert_eq!(harness.take_endings(), [(FIRST_EXECUTION, Ending::Reset)]);
 }
+
+/// Guards against a next load of the same order key beside a unit that may still run: its first part
+/// had left, and it was withdrawn as unsent because a further part of it had not.
+#[test]
+fn abandoned_unit_is_not_withdrawn_once_its_first_part_has_left() {
+    let (engine, at) = listener();
+    let mut harness = ServersHarness::new(at);
+    let _link = harness.start_first_part(&engine);
+    let mut last_part = part(b"sync".to_vec());
+    last_part.ends_unit = true;
+    harness
+        .servers
+        .append_part(FIRST_EXECUTION, Rc::new(last_part));
+    harness.servers.abandon(0, FIRST_EXECUTION.ticket);
+    assert_eq!(harness.take_endings(), []);
+    assert!(harness.servers.has_execution(FIRST_EXECUTION));
+}
