postgres: what comes behind a Flush keeps to what its unit was admitted as

Cause: a unit's workload, customer, order key and time are read once, from its first part, and labels were taken from bound texts alone. The part up to the Flush binds nothing, so the unit was judged by the user's default workload, status-check, which is idempotent; the labels of the part behind the Flush were never looked at.

The new tests in unit_parts_tests.rs failed before: statement_prepared_before_flush_is_judged_by_its_label (dialled the other engine), another_workload_after_flush.., order_key_after_flush.., shorter_time_limit_after_flush..

Change: a part that executes nothing and is followed by more has the labels of the texts that it prepares or describes. A further part is held against what the unit was admitted as; one with another workload, customer or order key, or a shorter time, becomes a part that fails at the engine (22023, one answer, connection and session stay usable), so that nothing of it runs. A label that was only prepared does not hold for another text that is executed. The terms are no second copy: they are what was submitted to the dispatcher.

--- a/crates/front/src/event_loop_tests.rs
+++ b/crates/front/src/event_loop_tests.rs
@@ -21,6 +21,8 @@
 mod session_close;
 #[path = "postgres/session_units_tests.rs"]
 mod session_units;
+#[path = "postgres/unit_parts_tests.rs"]
+mod unit_parts;
 
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 const START: Micros = 1_800_000_000_000_000; // Unix microseconds
--- a/crates/front/src/postgres/engine_endings_tests.rs
+++ b/crates/front/src/postgres/engine_endings_tests.rs
@@ -34,7 +34,7 @@
 
     /// Accepts the front's next connection to one of the engines, and receives its startup message.
     /// Returns the engine's index and the connection.
-    fn accept_dial_from_any(&mut self, engines: &[&TcpListener]) -> (usize, TcpStream) {
+    pub(super) fn accept_dial_from_any(&mut self, engines: &[&TcpListener]) -> (usize, TcpStream) {
         engines
             .iter()
             .for_each(|engine| engine.set_nonblocking(true).unwrap());
@@ -115,7 +115,7 @@
     }
 
     /// Checks that a client receives one error with the code, then ReadyForQuery, and nothing else.
-    fn assert_error(&mut self, session: &mut TcpStream, code: &str) {
+    pub(super) fn assert_error(&mut self, session: &mut TcpStream, code: &str) {
         let messages = self.receive_messages(session);
         let kinds: Vec<u8> = messages.iter().map(|message| message[0]).collect();
         assert_eq!(kinds, [b'E', b'Z'], "{messages:?}");
--- a/crates/front/src/postgres/gateway/admission.rs
+++ b/crates/front/src/postgres/gateway/admission.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use hallmux_access::Decision;
-use hallmux_config::User;
 use hallmux_dispatcher::{Dispatcher, InvalidRequest, Micros, Protocol, StatementRequest, Ticket};
 use hallmux_native_codec::tables;
 use hallmux_postgres::client_error::ClientError;
@@ -15,7 +14,7 @@
 use crate::fleet::rules::SharedRules;
 use crate::postgres::admission_state::AdmissionState;
 use crate::postgres::ids::SessionId;
-use crate::postgres::sessions::OpenSession;
+use crate::postgres::sessions::{AdmittedTerms, OpenSession};
 use crate::refusal::Refusal;
 
 /// Upper limit of an estimate of a unit, in any unit of measure; no engine can do more.
@@ -36,6 +35,7 @@
 /// A unit that the dispatcher has accepted.
 struct AdmittedUnit {
     ticket: Ticket,
+    terms: AdmittedTerms,
     /// The order key whose queue the unit waits in.
     key: Option<String>,
 }
@@ -51,8 +51,8 @@
         part: &UnitPart,
         since: Micros,
     ) -> Result<AdmittedUnit, ClientError> {
-        let label = open_session.session.label(part);
-        let terms = unit_terms(&label, &open_session.user, self.timeouts)?;
+        let label = open_session.unit_label(part);
+        let terms = unit_terms(&label, self.timeouts)?;
         if loads::has_reserved_prefix(self.writing_workloads, part) {
             return Err(loads::RESERVED_PREFIX);
         }
@@ -101,7 +101,8 @@
             label.order_key
         );
         let key = request.order_key.map(str::to_string);
-        Ok(AdmittedUnit { ticket, key })
+        let terms = AdmittedTerms { label, timeout };
+        Ok(AdmittedUnit { ticket, terms, key })
     }
 
     /// The decision of the access rules on a unit; unrestricted if they are switched off.
@@ -162,7 +163,9 @@
         };
         let admitted = policy.submit(now, admission, dispatcher, open_session, &part, since);
         match admitted {
-            Ok(AdmittedUnit { ticket, key }) => self.sessions.open_unit(id, ticket, part, key),
+            Ok(AdmittedUnit { ticket, terms, key }) => {
+                self.sessions.open_unit(id, ticket, part, terms, key)
+            }
             Err(why) => self.sessions.reject_unit(id, part, &why),
         }
     }
@@ -225,27 +228,19 @@
     memory_mb: f64,
 }
 
-/// Reads the labels of a unit and the defaults of its user. The error names the first field that
-/// can't be used.
+/// Reads the labels that apply to a unit. The error names the first field that can't be used.
 fn unit_terms<'a>(
     label: &'a Label,
-    user: &'a User,
     timeouts: &[(String, Micros)],
 ) -> Result<UnitTerms<'a>, ClientError> {
-    let workload = label.workload.as_deref().or(user.workload.as_deref());
-    let workload = workload.ok_or_else(|| {
+    let workload = label.workload.as_deref().ok_or_else(|| {
         invalid_setting("hallmux.workload", "is not set, and there is no default")
     })?;
     let timeout = timeouts.iter().find(|(name, _)| name == workload);
     let timeout = timeout
         .ok_or_else(|| invalid_setting("hallmux.workload", "no such workload was agreed"))?
         .1;
-    // The operator's assignment of a user to a customer takes precedence over the label.
-    let member = user
-        .customer
-        .as_deref()
-        .or(label.customer.as_deref())
-        .unwrap_or_default();
+    let member = label.customer.as_deref().unwrap_or_default();
     let number =
         |field: &'static str, text: &Option<String>| match text.as_deref().map(str::parse::<f64>) {
             None => Ok(0.0),
--- a/crates/front/src/postgres/gateway/loads.rs
+++ b/crates/front/src/postgres/gateway/loads.rs
@@ -96,12 +96,8 @@
 }
 
 fn may_write(workloads: &[String], open_session: &OpenSession, part: &UnitPart) -> bool {
-    let label = open_session.session.label(part);
-    let workload = label
-        .workload
-        .as_ref()
-        .or(open_session.user.workload.as_ref());
-    workload.is_some_and(|workload| workloads.contains(workload))
+    let workload = open_session.unit_label(part).workload;
+    workload.is_some_and(|workload| workloads.contains(&workload))
 }
 
 fn groups(text: &[u8]) -> Vec<u32> {
--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod close;
+mod further_parts;
 mod input;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -12,6 +13,7 @@
 use hallmux_postgres::pool::AccountId;
 use hallmux_postgres::prepared::Catalogue;
 use hallmux_postgres::session::{commits_transaction, Bounds, Session, UnitPart};
+use hallmux_postgres::sql::Label;
 use hallmux_postgres::startup::{Authentication, Startup};
 
 use super::ids::{Pin, ServerId, SessionId};
@@ -46,9 +48,18 @@
     Cancel(SessionId),
 }
 
+/// What a unit was admitted as, by its first part. Its further parts can't change it.
+pub struct AdmittedTerms {
+    /// The labels that apply to the unit.
+    pub label: Label,
+    /// Microseconds that the client waits for the unit.
+    pub timeout: Micros,
+}
+
 /// A unit that was admitted and not yet answered.
 pub struct RunningUnit {
     pub ticket: Ticket,
+    pub terms: AdmittedTerms,
     pub parts: Vec<Rc<UnitPart>>,
     /// An execution of the unit may have run.
     pub may_have_run: bool,
@@ -85,6 +96,19 @@
     skipping_to_sync: bool,
 }
 
+impl OpenSession {
+    /// The labels that apply to a unit: its own, else the session's, else the user's defaults. The
+    /// operator's assignment of a user to a customer takes precedence over the label.
+    pub fn unit_label(&self, part: &UnitPart) -> Label {
+        let label = self.session.label(part);
+        Label {
+            workload: label.workload.or_else(|| self.user.workload.clone()),
+            customer: self.user.customer.clone().or(label.customer),
+            ..label
+        }
+    }
+}
+
 enum Stage {
     LoggingIn(Box<Startup>),
     Open(Box<OpenSession>),
--- a/crates/front/src/postgres/sessions/answers.rs
+++ b/crates/front/src/postgres/sessions/answers.rs
@@ -8,7 +8,7 @@
 use hallmux_postgres::session::UnitPart;
 use hallmux_postgres::wire;
 
-use super::{Event, RunningUnit, Sessions, Stage};
+use super::{AdmittedTerms, Event, RunningUnit, Sessions, Stage};
 use crate::postgres::ids::{Pin, SessionId};
 
 impl Sessions {
@@ -18,6 +18,7 @@
         id: SessionId,
         ticket: Ticket,
         part: Rc<UnitPart>,
+        terms: AdmittedTerms,
         order_key: Option<String>,
     ) {
         let Some(open_session) = self.open_session(id) else {
@@ -26,6 +27,7 @@
         let bytes = part.raw.len();
         open_session.running = Some(RunningUnit {
             ticket,
+            terms,
             parts: vec![part],
             may_have_run: false,
             time_up: false,
--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -273,16 +273,8 @@
             return Consumed::NOTHING;
         };
         let since = arrival_time(&connection.arrivals, used).unwrap_or(now);
-        if let Some(running) = &mut open_session.running {
-            log::debug!(
-                "statement {}: a further part of its unit, {used} bytes",
-                running.ticket
-            );
-            running.parts.push(part.clone());
-            self.events.push(Event::UnitPart {
-                ticket: running.ticket,
-                part,
-            });
+        if let Some(event) = open_session.add_further_part(&part) {
+            self.events.push(event);
             return Consumed::with_more_to_read(used);
         }
         let output = connection.link.output();
--- /dev/null
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -0,0 +1,229 @@
+//! Tests of units that come in several parts, with a Flush between them: the whole unit is judged,
+//! not its first part alone.
+
+use super::*;
+
+const PAYOUT_LABEL: &str = "/*hallmux.workload='payout'*/ ";
+const KEY_LABEL: &str = "/*hallmux.key='file-7'*/ ";
+/// The name of the statement by which the front makes a unit fail at its engine.
+const MISSING_STATEMENT: &str = "hm:none";
+
+/// A client's messages of the extended query protocol.
+#[derive(Default)]
+struct Messages(Vec<u8>);
+
+impl Messages {
+    fn named(mut self, tag: u8, names: &[&str], rest: &[u8]) -> Messages {
+        wire::write(&mut self.0, tag, |out| {
+            names
+                .iter()
+                .for_each(|name| wire::write_string(out, name.as_bytes()));
+            out.extend_from_slice(rest);
+        });
+        self
+    }
+
+    fn prepare(self, name: &str, text: &str) -> Messages {
+        let describe = format!("S{name}");
+        self.named(b'P', &[name, text], &[0; 2])
+            .named(b'D', &[&describe], b"")
+    }
+
+    fn execute(self, name: &str) -> Messages {
+        self.named(b'B', &["", name], &[0; 6])
+            .named(b'E', &[""], &[0; 4])
+    }
+
+    fn flush(mut self) -> Messages {
+        self.0.extend_from_slice(wire::FLUSH);
+        self
+    }
+
+    fn sync(mut self) -> Messages {
+        self.0.extend_from_slice(wire::SYNC);
+        self
+    }
+
+    fn send(self, session: &mut TcpStream) {
+        session.write_all(&self.0).unwrap();
+    }
+}
+
+impl FrontHarness {
+    /// Starts a front with an idempotent workload, the default, and a non-idempotent one.
+    fn with_payouts(name: &str, engines: &[SocketAddr]) -> FrontHarness {
+        let workload = |name: &str, repeat: &str| {
+            json!({"name": name, "aimMs": 8000, "deadlineMs": 8000, "repeat": repeat,
+                "inTurn": true})
+        };
+        let workloads = json!([workload("lookup", "repeatable"), workload("payout", "once")]);
+        let bounds = json!({"cancelling": true, "mostTries": 3});
+        FrontHarness::start(name, engines, &operator_file(""), (bounds, workloads)).unwrap()
+    }
+
+    /// Starts a unit whose first part is an idempotent statement, and returns the engine connection
+    /// that has received the part.
+    fn start_first_part(&mut self, session: &mut TcpStream, engine: &TcpListener) -> TcpStream {
+        Messages::default()
+            .prepare("a", "select 1")
+            .execute("a")
+            .flush()
+            .send(session);
+        let mut link = self.accept_dial(engine);
+        accept_login(&mut link);
+        self.receive_until(&mut link, "select 1");
+        link
+    }
+
+    /// Sends the last part of a unit: one statement.
+    fn send_last_part(&mut self, session: &mut TcpStream, text: &str) {
+        Messages::default()
+            .prepare("b", text)
+            .execute("b")
+            .sync()
+            .send(session);
+    }
+
+    /// Answers a unit that the front makes fail, as its engine does: the statement that it binds
+    /// does not exist. Checks that the engine has received nothing of the unit's last part.
+    fn answer_failed_unit(&mut self, link: &mut TcpStream) {
+        let received = self.receive_until(link, "S\0\0\0\x04");
+        assert!(
+            received.contains(MISSING_STATEMENT) && !received.contains("insert"),
+            "{received:?}"
+        );
+        let mut out = [
+            wire::PARSE_COMPLETE,
+            wire::NO_PARAMETERS,
+            wire::NO_DATA,
+            wire::BIND_COMPLETE,
+        ]
+        .concat();
+        wire::write_complete(&mut out, "SELECT 1");
+        wire::write(&mut out, b'E', |out| {
+            out.extend_from_slice(b"SERROR\0C26000\0Mno such statement\0\0");
+        });
+        wire::write_ready(&mut out, b'I');
+        link.write_all(&out).unwrap();
+    }
+
+    /// Receives the answer to a unit that has failed, and checks that its only error is that of a
+    /// setting.
+    fn assert_invalid_setting(&mut self, session: &mut TcpStream, name: &str) {
+        let received = self.receive_until(session, "Z\0\0\0\x05");
+        assert!(
+            received.contains("C22023") && received.contains(&format!("M{name}: ")),
+            "{received:?}"
+        );
+        assert_eq!(received.matches("SERROR").count(), 1, "{received:?}");
+    }
+}
+
+/// Guards against a second effect of a payout that is labelled in a text prepared before a Flush and
+/// executed after it: it was judged by the user's default workload, and repeated.
+#[test]
+fn statement_prepared_before_flush_is_judged_by_its_label() {
+    let ((one, at_one), (other, at_other)) = (listener(), listener());
+    let mut harness = FrontHarness::with_payouts("flushed-label", &[at_one, at_other]);
+    let mut session = harness.open_session();
+    let text = format!("{PAYOUT_LABEL}insert into entries values (1)");
+    Messages::default()
+        .prepare("s", &text)
+        .flush()
+        .send(&mut session);
+    let (_, mut link) = harness.accept_dial_from_any(&[&one, &other]);
+    accept_login(&mut link);
+    harness.receive_until(&mut link, "insert");
+    Messages::default().execute("s").sync().send(&mut session);
+    harness.receive_until(&mut link, "S\0\0\0\x04");
+    // The answers are lost, and the engine dies once the payout has taken effect.
+    drop(link);
+    harness.assert_error(&mut session, "08007");
+    for engine in [&one, &other] {
+        assert_eq!(engine.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+    }
+}
+
+/// Guards against a repeat of a payout that comes after a Flush in a unit that was admitted as
+/// idempotent.
+#[test]
+fn another_workload_after_flush_fails_the_unit_before_it_runs() {
+    let (engine, at) = listener();
+    let mut harness = FrontHarness::with_payouts("workload-after-flush", &[at]);
+    let mut session = harness.open_session();
+    let mut link = harness.start_first_part(&mut session, &engine);
+    let payout = format!("{PAYOUT_LABEL}insert into entries values (1)");
+    harness.send_last_part(&mut session, &payout);
+    harness.answer_failed_unit(&mut link);
+    harness.assert_invalid_setting(&mut session, "hallmux.workload");
+    // The session and its engine connection stay usable, and the failed statement is not prepared.
+    Messages::default().execute("b").sync().send(&mut session);
+    harness.receive_until(&mut link, MISSING_STATEMENT);
+    assert_eq!(engine.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+}
+
+/// Guards against two statements of one order key at once: the unit was admitted without the key.
+#[test]
+fn order_key_after_flush_fails_the_unit_before_it_runs() {
+    let (engine, at) = listener();
+    let mut harness = FrontHarness::with_payouts("key-after-flush", &[at]);
+    let mut session = harness.open_session();
+    let mut link = harness.start_first_part(&mut session, &engine);
+    let keyed = format!("{KEY_LABEL}insert into entries values (1)");
+    harness.send_last_part(&mut session, &keyed);
+    harness.answer_failed_unit(&mut link);
+    harness.assert_invalid_setting(&mut session, "hallmux.key");
+}
+
+/// Guards against an answer after the client's time: the unit was admitted with more.
+#[test]
+fn shorter_time_limit_after_flush_fails_the_unit() {
+    let (engine, at) = listener();
+    let mut harness = FrontHarness::with_payouts("time-after-flush", &[at]);
+    let mut session = harness.open_session();
+    let mut link = harness.start_first_part(&mut session, &engine);
+    let limited = "/*hallmux.statement_timeout='200'*/ insert into entries values (1)";
+    harness.send_last_part(&mut session, limited);
+    harness.answer_failed_unit(&mut link);
+    harness.assert_invalid_setting(&mut session, "hallmux.statement_timeout");
+}
+
+/// A label after a Flush that says what holds already changes nothing.
+#[test]
+fn same_labels_after_flush_go_on() {
+    let (engine, at) = listener();
+    let mut harness = FrontHarness::with_payouts("same-after-flush", &[at]);
+    let mut session = harness.open_session();
+    let text = "/*hallmux.workload='lookup',hallmux.member='any',hallmux.statement_timeout='9s'*/ select 2";
+    let mut link = harness.start_first_part(&mut session, &engine);
+    harness.send_last_part(&mut session, text);
+    let received = harness.receive_until(&mut link, "S\0\0\0\x04");
+    assert!(
+        received.contains("select 2") && !received.contains(MISSING_STATEMENT),
+        "{received:?}"
+    );
+}
+
+/// Guards against a repeat of a payout by the label of another statement, which was prepared before a
+/// Flush and never executed.
+#[test]
+fn label_of_statement_that_is_only_prepared_does_not_hold_for_others() {
+    let (engine, at) = listener();
+    let mut harness = FrontHarness::with_payouts("only-prepared", &[at]);
+    let mut session = harness.open_session();
+    send_query(&mut session, "SET hallmux.workload = 'payout'");
+    harness.receive_until(&mut session, "Z\0\0\0\x05I");
+    Messages::default()
+        .prepare("a", "/*hallmux.workload='lookup'*/ select 1")
+        .flush()
+        .send(&mut session);
+    let mut link = harness.accept_dial(&engine);
+    accept_login(&mut link);
+    harness.receive_until(&mut link, "select 1");
+    harness.send_last_part(&mut session, "insert into entries values (1)");
+    let received = harness.receive_until(&mut link, "S\0\0\0\x04");
+    assert!(
+        received.contains(MISSING_STATEMENT) && !received.contains("insert"),
+        "{received:?}"
+    );
+}
--- a/crates/postgres/src/client_error.rs
+++ b/crates/postgres/src/client_error.rs
@@ -95,6 +95,14 @@
 }
 
 impl ClientError {
+    /// The error of a unit whose texts give different values of one label, by its name.
+    pub fn contradictory_label(field: &'static str) -> ClientError {
+        ClientError::InvalidSetting {
+            field,
+            why: "a unit, all up to its Sync, can have only one",
+        }
+    }
+
     /// Returns the SQLSTATE, from PostgreSQL's table of error codes.
     pub fn code(&self) -> &'static str {
         match self {
--- a/crates/postgres/src/session/reading.rs
+++ b/crates/postgres/src/session/reading.rs
@@ -126,6 +126,11 @@
         }
         reader.reject_mixed_commands();
         let mut part = reader.part;
+        part.executes_text = part.query.is_some() || !reader.bound.is_empty();
+        if !part.executes_text && !part.ends_unit {
+            // The unit goes on to execute what it has prepared so far, and is admitted before.
+            part.label = std::mem::take(&mut part.prepared_label);
+        }
         part.is_local &= !self.in_unit;
         self.in_unit = !part.ends_unit;
         Ok((end, SessionEvent::Part(Rc::new(part))))
@@ -194,6 +199,7 @@
             } => match self.find_prepared(name) {
                 Some(prepared) => {
                     reader.part.is_local &= prepared.scan.local_command.is_some();
+                    reader.part.add_prepared_label(&prepared.scan.label);
                     reader.part.ops.push(Operation::Describe {
                         prepared,
                         named: !name.is_empty(),
@@ -244,6 +250,7 @@
         let prepared = reader.catalogue.prepare(body);
         let part = &mut reader.part;
         part.is_local &= prepared.scan.local_command.is_some();
+        part.add_prepared_label(&prepared.scan.label);
         let error = self.register(name, &prepared, reader.bounds);
         let unsupported = prepared
             .scan
--- a/crates/postgres/src/sql/labels.rs
+++ b/crates/postgres/src/sql/labels.rs
@@ -39,6 +39,20 @@
         true
     }
 
+    /// Returns the name of the first setting that decides how a unit may run and that `other` sets
+    /// to another value than `self`: the workload, the customer or the order key.
+    pub fn first_difference(&self, other: &Label) -> Option<&'static str> {
+        let pairs = [
+            ("hallmux.workload", &self.workload, &other.workload),
+            ("hallmux.member", &self.customer, &other.customer),
+            ("hallmux.key", &self.order_key, &other.order_key),
+        ];
+        let differs = |(_, own, other): &(_, &Option<String>, &Option<String>)| {
+            other.is_some() && own != other
+        };
+        pairs.into_iter().find(differs).map(|(name, ..)| name)
+    }
+
     /// Returns the labels of `other`, and those of `self` where `other` has none.
     pub fn overridden_by(&self, other: &Label) -> Label {
         let overridden = |a: &Option<String>, b: &Option<String>| b.clone().or_else(|| a.clone());
--- a/crates/postgres/src/unit.rs
+++ b/crates/postgres/src/unit.rs
@@ -66,7 +66,10 @@
     pub raw: Vec<u8>,
     /// Whether the unit ends with this part.
     pub ends_unit: bool,
-    /// The labels in the texts that the part executes.
+    /// Whether the part executes a text: a simple query, or a statement that it binds.
+    pub executes_text: bool,
+    /// The labels in the texts that the part executes, or, if it executes none and the unit goes on
+    /// after it, in those that it prepares or describes.
     pub label: Label,
     /// Whether the part begins a transaction.
     pub begins_transaction: bool,
@@ -79,6 +82,8 @@
     /// The text of a simple query, as a range of the bytes.
     pub(crate) query: Option<Range<usize>>,
     pub(crate) first_prepared: Option<Rc<Prepared>>,
+    /// The labels in the texts that the part prepares or describes; the first one counts.
+    pub(crate) prepared_label: Label,
     /// Names of the statements that the part parses, in order.
     pub(crate) parsed_names: Vec<Vec<u8>>,
     pub(crate) is_local: bool,
@@ -122,6 +127,7 @@
             ops: vec![Operation::Query(0..raw.len())],
             raw,
             ends_unit: self.ends_unit,
+            executes_text: true,
             label: self.label.clone(),
             begins_transaction: self.begins_transaction,
             commits_transaction: self.commits_transaction,
@@ -133,6 +139,28 @@
         })
     }
 
+    /// Returns a part that fails with this error, at an engine as well, and has no effect.
+    pub fn failed(&self, why: ClientError) -> UnitPart {
+        let end = if self.ends_unit {
+            Operation::Sync
+        } else {
+            Operation::Flush
+        };
+        UnitPart {
+            ops: vec![Operation::Fail(why), end],
+            ends_unit: self.ends_unit,
+            label: self.label.clone(),
+            parsed_names: self.parsed_names.clone(),
+            is_local: self.ends_unit,
+            ..UnitPart::default()
+        }
+    }
+
+    /// Adds the label of a text that the part prepares or describes.
+    pub(crate) fn add_prepared_label(&mut self, label: &Label) {
+        self.prepared_label = label.overridden_by(&self.prepared_label);
+    }
+
     /// Adds the labels, transaction commands and setting changes of an executed text.
     pub(crate) fn add_scan(&mut self, scan: &Scan) {
         self.label = self.label.overridden_by(&scan.label);
