postgres: a unit whose texts name two workloads, members or keys fails unsent

Callers would see: a payout twice, or two loads of a key at once. A unit of a text labelled payout-load and one labelled status-check, without a Flush between, was judged by the last label alone: idempotent, and in no queue of the first key.

Change: the labels of what a part executes are compared as they are collected; a part with two values of the workload, the member (unless the operator assigns it) or the order key gets 22023 and none of it is sent.

--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -2,8 +2,8 @@
 
 mod answers;
 mod close;
-mod further_parts;
 mod input;
+mod unit_checks;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -273,6 +273,7 @@
             return Consumed::NOTHING;
         };
         let since = arrival_time(&connection.arrivals, used).unwrap_or(now);
+        let part = open_session.checked_part(part);
         if let Some(event) = open_session.add_further_part(&part) {
             self.events.push(event);
             return Consumed::with_more_to_read(used);
--- a/crates/front/src/postgres/sessions/further_parts.rs
+++ b/crates/front/src/postgres/sessions/unit_checks.rs
@@ -1,15 +1,24 @@
-//! The parts of a unit behind a Flush. The unit is admitted when its first part arrives, so what
-//! comes later has to keep to what it was admitted as.
+//! Checks on the labels of units. A unit has one workload, customer and order key; it is admitted
+//! when its first part arrives, so what comes behind a Flush has to keep to what it was admitted as.
 
 use std::rc::Rc;
 
 use hallmux_postgres::client_error::ClientError;
 use hallmux_postgres::session::UnitPart;
-use hallmux_postgres::sql::Label;
+use hallmux_postgres::sql::{Contradictions, Label};
 
 use super::{Event, OpenSession, RunningUnit};
 
 impl OpenSession {
+    /// The part as it may run: one whose texts have different workloads, customers or order keys
+    /// fails before any of it runs.
+    pub(super) fn checked_part(&self, part: Rc<UnitPart>) -> Rc<UnitPart> {
+        match part.contradictory_label(self.user.customer.is_some()) {
+            Some(field) => Rc::new(part.failed(ClientError::contradictory_label(field))),
+            None => part,
+        }
+    }
+
     /// Adds a further part to the unit in flight, and returns the event that sends it. None if no
     /// unit is in flight. A part that contradicts what the unit was admitted as fails with its
     /// unit, and none of it runs.
@@ -37,7 +46,8 @@
         label.order_key = label
             .order_key
             .filter(|key| !self.held_order_keys.contains(key));
-        if let Some(field) = running.terms.label.first_difference(&label) {
+        let contradictions = Contradictions::between(&running.terms.label, &label);
+        if let Some(field) = contradictions.first(self.user.customer.is_some()) {
             return Some(ClientError::contradictory_label(field));
         }
         let timeout = self.session.statement_timeout(&label);
@@ -57,9 +67,6 @@
         if part.executes_text && executes_first {
             return self.unit_label(part);
         }
-        Label {
-            customer: self.user.customer.clone().or(part.label.customer.clone()),
-            ..part.label.clone()
-        }
+        part.label.clone()
     }
 }
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -227,3 +227,26 @@
         "{received:?}"
     );
 }
+
+/// Guards against a repeat of a payout that shares its unit with a statement labelled as idempotent:
+/// the last label was taken for the whole unit.
+#[test]
+fn two_workloads_in_one_part_fail_it_before_it_is_sent() {
+    let (engine, at) = listener();
+    let mut harness = FrontHarness::with_payouts("two-workloads", &[at]);
+    let mut session = harness.open_session();
+    Messages::default()
+        .prepare(
+            "a",
+            &format!("{PAYOUT_LABEL}insert into entries values (1)"),
+        )
+        .execute("a")
+        .prepare("b", "/*hallmux.workload='lookup'*/ select 1")
+        .execute("b")
+        .sync()
+        .send(&mut session);
+    harness.assert_invalid_setting(&mut session, "hallmux.workload");
+    engine.set_nonblocking(true).unwrap();
+    harness.run_iteration();
+    assert_eq!(engine.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+}
--- a/crates/postgres/src/sql.rs
+++ b/crates/postgres/src/sql.rs
@@ -9,7 +9,7 @@
 
 pub use self::findings::{Change, LocalCommand, Scan};
 use self::labels::leading_labels;
-pub use self::labels::{parse_duration_us, Label};
+pub use self::labels::{parse_duration_us, Contradictions, Label};
 use self::settings::scan_setting;
 use self::tokens::{Kind, Token, Tokens};
 
--- a/crates/postgres/src/sql/labels.rs
+++ b/crates/postgres/src/sql/labels.rs
@@ -39,20 +39,6 @@
         true
     }
 
-    /// Returns the name of the first setting that decides how a unit may run and that `other` sets
-    /// to another value than `self`: the workload, the customer or the order key.
-    pub fn first_difference(&self, other: &Label) -> Option<&'static str> {
-        let pairs = [
-            ("hallmux.workload", &self.workload, &other.workload),
-            ("hallmux.member", &self.customer, &other.customer),
-            ("hallmux.key", &self.order_key, &other.order_key),
-        ];
-        let differs = |(_, own, other): &(_, &Option<String>, &Option<String>)| {
-            other.is_some() && own != other
-        };
-        pairs.into_iter().find(differs).map(|(name, ..)| name)
-    }
-
     /// Returns the labels of `other`, and those of `self` where `other` has none.
     pub fn overridden_by(&self, other: &Label) -> Label {
         let overridden = |a: &Option<String>, b: &Option<String>| b.clone().or_else(|| a.clone());
@@ -68,6 +54,51 @@
     }
 }
 
+/// Which of the labels that decide how a unit may run have different values for its texts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Contradictions {
+    workload: bool,
+    customer: bool,
+    order_key: bool,
+}
+
+impl Contradictions {
+    /// The labels that a further text gives and that a unit with the labels `admitted` does not have.
+    pub fn between(admitted: &Label, further: &Label) -> Contradictions {
+        let differs = |admitted: &Option<String>, further: &Option<String>| {
+            further.is_some() && admitted != further
+        };
+        Contradictions {
+            workload: differs(&admitted.workload, &further.workload),
+            customer: differs(&admitted.customer, &further.customer),
+            order_key: differs(&admitted.order_key, &further.order_key),
+        }
+    }
+
+    /// Adds those between two texts of a unit that is not admitted yet: a label that only one of them
+    /// gives holds for both.
+    pub(crate) fn add(&mut self, earlier: &Label, later: &Label) {
+        let both = Contradictions::between(&later.overridden_by(earlier), later);
+        self.workload |= both.workload;
+        self.customer |= both.customer;
+        self.order_key |= both.order_key;
+    }
+
+    /// Returns the name of the first such label. `ignores_customer`: that of the customer does not
+    /// count.
+    pub fn first(self, ignores_customer: bool) -> Option<&'static str> {
+        if self.workload {
+            Some("hallmux.workload")
+        } else if self.customer && !ignores_customer {
+            Some("hallmux.member")
+        } else if self.order_key {
+            Some("hallmux.key")
+        } else {
+            None
+        }
+    }
+}
+
 /// Parses the labels of the leading comments: `/*hallmux.workload='report',hallmux.key='k%201'*/`,
 /// in the format of sqlcommenter: values in quotes, URL-encoded. Unknown names belong to other
 /// tools and are ignored.
--- a/crates/postgres/src/unit.rs
+++ b/crates/postgres/src/unit.rs
@@ -6,7 +6,7 @@
 
 use crate::client_error::ClientError;
 use crate::prepared::Prepared;
-use crate::sql::{Change, Label, LocalCommand, Scan};
+use crate::sql::{Change, Contradictions, Label, LocalCommand, Scan};
 use crate::wire;
 
 /// One operation of a unit. Ranges refer to the part's bytes; `named` is whether the prepared
@@ -82,6 +82,8 @@
     /// The text of a simple query, as a range of the bytes.
     pub(crate) query: Option<Range<usize>>,
     pub(crate) first_prepared: Option<Rc<Prepared>>,
+    /// Whether the texts that the part executes have different values of a label.
+    pub(crate) contradictions: Contradictions,
     /// The labels in the texts that the part prepares or describes; the first one counts.
     pub(crate) prepared_label: Label,
     /// Names of the statements that the part parses, in order.
@@ -156,6 +158,22 @@
         }
     }
 
+    /// Adds the labels of a text that the part executes. All that a part executes is one unit, so
+    /// two workloads, customers or order keys contradict each other.
+    fn add_label(&mut self, label: &Label) {
+        self.contradictions.add(&self.label, label);
+        self.label = self.label.overridden_by(label);
+    }
+
+    /// Returns the name of a label that the texts of the part give different values of; None for a
+    /// part that needs no engine. `ignores_customer`: the label of the customer does not count.
+    pub fn contradictory_label(&self, ignores_customer: bool) -> Option<&'static str> {
+        let contradictions = self.contradictions;
+        contradictions
+            .first(ignores_customer)
+            .filter(|_| !self.is_local)
+    }
+
     /// Adds the label of a text that the part prepares or describes.
     pub(crate) fn add_prepared_label(&mut self, label: &Label) {
         self.prepared_label = label.overridden_by(&self.prepared_label);
@@ -163,7 +181,7 @@
 
     /// Adds the labels, transaction commands and setting changes of an executed text.
     pub(crate) fn add_scan(&mut self, scan: &Scan) {
-        self.label = self.label.overridden_by(&scan.label);
+        self.add_label(&scan.label);
         self.begins_transaction |= scan.begins_transaction;
         self.commits_transaction |= scan.commits_transaction;
         self.rolls_back_transaction |= scan.rolls_back_transaction;
