postgres: a label set within a unit holds for the unit

Callers would see: a payout twice.

Found by looking for the cause on related paths.

Change: the labels of a unit are collected in the order in which it executes its texts, over all its parts, in one place (session/labels.rs) instead of in UnitPart. A SET among other statements of one query is remembered for later units, as an only one is.

--- a/crates/front/src/postgres/sessions/unit_checks.rs
+++ b/crates/front/src/postgres/sessions/unit_checks.rs
@@ -63,8 +63,8 @@
     /// prepared does not, so without a label of its own the first text that is executed has those of
     /// the session.
     fn further_label(&self, running: &RunningUnit, part: &UnitPart) -> Label {
-        let executes_first = !running.parts.iter().any(|part| part.executes_text);
-        if part.executes_text && executes_first {
+        let executes_first = !running.parts.iter().any(|part| part.executes);
+        if part.executes && executes_first {
             return self.unit_label(part);
         }
         part.label.clone()
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -228,6 +228,33 @@
     );
 }
 
+/// Guards against a repeat of a payout whose workload is set within its own unit: the setting was
+/// taken into account for later units alone, or, in a simple query, for none.
+#[test]
+fn workload_set_within_a_unit_holds_for_it() {
+    let set = "SET hallmux.workload = 'payout'";
+    let insert = "insert into entries values (1)";
+    let extended = Messages::default()
+        .prepare("set", set)
+        .execute("set")
+        .prepare("s", insert)
+        .execute("s")
+        .sync();
+    let mut simple = Messages::default();
+    wire::write_query(&mut simple.0, format!("{set}; {insert}").as_bytes());
+    for (name, unit) in [("set-extended", extended), ("set-simple", simple)] {
+        let ((one, at_one), (other, at_other)) = (listener(), listener());
+        let mut harness = FrontHarness::with_payouts(name, &[at_one, at_other]);
+        let mut session = harness.open_session();
+        unit.send(&mut session);
+        let (_, mut link) = harness.accept_dial_from_any(&[&one, &other]);
+        accept_login(&mut link);
+        harness.receive_until(&mut link, insert);
+        drop(link);
+        harness.assert_error(&mut session, "08007");
+    }
+}
+
 /// Guards against a repeat of a payout that shares its unit with a statement labelled as idempotent:
 /// the last label was taken for the whole unit.
 #[test]
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -3,11 +3,13 @@
 //! query.
 
 mod answering;
+mod labels;
 mod reading;
 
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+use self::labels::UnitLabels;
 use crate::prepared::{Catalogue, Prepared, SessionSettings};
 use crate::sql::{self, quoted_identifier, Change, Label};
 use crate::startup::Client;
@@ -90,6 +92,8 @@
     pending_changes: Vec<Change>,
     /// A unit has started and its Sync has not yet arrived.
     in_unit: bool,
+    /// The labels of the parts of that unit so far.
+    unit_labels: UnitLabels,
     /// Bytes of the input that were scanned before for the end of a unit.
     scanned: usize,
 }
--- a/crates/postgres/src/session/answering.rs
+++ b/crates/postgres/src/session/answering.rs
@@ -209,10 +209,8 @@
             }
         } else {
             for part in parts {
-                for command in &part.local_commands {
-                    if let LocalCommand::Label(name, value) = command {
-                        self.label.set(name, value);
-                    }
+                for change in &part.label_changes {
+                    self.label.set(&change.name, &change.value);
                 }
                 self.pending_changes.extend(part.changes.iter().cloned());
             }
--- a/crates/postgres/src/session/reading.rs
+++ b/crates/postgres/src/session/reading.rs
@@ -4,6 +4,7 @@
 use std::ops::Range;
 use std::rc::Rc;
 
+use super::labels::{PartLabels, UnitLabels};
 use super::{Bounds, Session, SessionEvent};
 use crate::client_error::ClientError;
 use crate::prepared::{Catalogue, Prepared};
@@ -18,6 +19,7 @@
     catalogue: &'a mut Catalogue,
     bounds: &'a Bounds,
     part: UnitPart,
+    labels: PartLabels,
     /// Names of the portals that the part has opened.
     bound: HashSet<Vec<u8>>,
 }
@@ -42,12 +44,14 @@
         }
         self.part.is_local = scan.unsupported.is_some() || scan.local_command.is_some();
         self.part.query = Some(self.range(text));
+        self.labels.add_executed(&scan);
         self.part.add_scan(&scan);
         self.part.ends_unit = true;
     }
 
     fn bind(&mut self, prepared: Rc<Prepared>, portal: &[u8], statement: &[u8], rest: &[u8]) {
         self.part.is_local &= prepared.scan.local_command.is_some();
+        self.labels.add_executed(&prepared.scan);
         self.part.add_scan(&prepared.scan);
         self.part.first_prepared = Some(prepared.clone());
         self.bound.insert(portal.to_vec());
@@ -105,6 +109,7 @@
             catalogue,
             bounds,
             part,
+            labels: PartLabels::after(std::mem::take(&mut self.unit_labels)),
             bound: HashSet::new(),
         };
         let mut at = 0;
@@ -126,10 +131,11 @@
         }
         reader.reject_mixed_commands();
         let mut part = reader.part;
-        part.executes_text = part.query.is_some() || !reader.bound.is_empty();
-        if !part.executes_text && !part.ends_unit {
-            // The unit goes on to execute what it has prepared so far, and is admitted before.
-            part.label = std::mem::take(&mut part.prepared_label);
+        part.executes = reader.labels.executes();
+        part.label = reader.labels.label(part.ends_unit);
+        part.contradictions = reader.labels.contradictions();
+        if !part.ends_unit {
+            self.unit_labels = reader.labels.into_unit();
         }
         part.is_local &= !self.in_unit;
         self.in_unit = !part.ends_unit;
@@ -199,7 +205,7 @@
             } => match self.find_prepared(name) {
                 Some(prepared) => {
                     reader.part.is_local &= prepared.scan.local_command.is_some();
-                    reader.part.add_prepared_label(&prepared.scan.label);
+                    reader.labels.add_prepared(&prepared.scan);
                     reader.part.ops.push(Operation::Describe {
                         prepared,
                         named: !name.is_empty(),
@@ -248,9 +254,9 @@
 
     fn read_parse(&mut self, reader: &mut PartReader, name: &[u8], body: &[u8]) {
         let prepared = reader.catalogue.prepare(body);
+        reader.labels.add_prepared(&prepared.scan);
         let part = &mut reader.part;
         part.is_local &= prepared.scan.local_command.is_some();
-        part.add_prepared_label(&prepared.scan.label);
         let error = self.register(name, &prepared, reader.bounds);
         let unsupported = prepared
             .scan
@@ -345,6 +351,7 @@
             at += len;
             if tag == b'S' {
                 self.in_unit = false;
+                self.unit_labels = UnitLabels::default();
                 return Ok((at, true));
             }
         }
--- a/crates/postgres/src/sql.rs
+++ b/crates/postgres/src/sql.rs
@@ -7,7 +7,7 @@
 mod settings;
 mod tokens;
 
-pub use self::findings::{Change, LocalCommand, Scan};
+pub use self::findings::{Change, LabelChange, LocalCommand, Scan};
 use self::labels::leading_labels;
 pub use self::labels::{parse_duration_us, Contradictions, Label};
 use self::settings::scan_setting;
--- a/crates/postgres/src/sql/findings.rs
+++ b/crates/postgres/src/sql/findings.rs
@@ -18,6 +18,17 @@
     ResetAll,
 }
 
+/// A change of a session's labels by SET or RESET.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LabelChange {
+    /// Which statement of its text it is, counted from 1.
+    pub statement: usize,
+    /// The label's name without the prefix `hallmux.`.
+    pub name: String,
+    /// The value; empty to remove the label.
+    pub value: String,
+}
+
 /// A statement that the front answers without an engine, if it is the only one of its text.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LocalCommand {
@@ -55,6 +66,8 @@
     pub rolls_back_transaction: bool,
     /// Changes of the session's settings, in order.
     pub changes: Vec<Change>,
+    /// Changes of the session's labels, in order.
+    pub label_changes: Vec<LabelChange>,
     /// The statement, if it is the only one and needs no engine.
     pub local_command: Option<LocalCommand>,
     /// A feature in the text that is not possible over shared connections.
--- a/crates/postgres/src/sql/labels.rs
+++ b/crates/postgres/src/sql/labels.rs
@@ -75,13 +75,20 @@
         }
     }
 
-    /// Adds those between two texts of a unit that is not admitted yet: a label that only one of them
-    /// gives holds for both.
-    pub(crate) fn add(&mut self, earlier: &Label, later: &Label) {
-        let both = Contradictions::between(&later.overridden_by(earlier), later);
-        self.workload |= both.workload;
-        self.customer |= both.customer;
-        self.order_key |= both.order_key;
+    /// The label of this name, without the prefix `hallmux.`, if it decides how a unit may run.
+    pub(crate) fn of(name: &str) -> Contradictions {
+        Contradictions {
+            workload: name == "workload",
+            customer: name == "member",
+            order_key: name == "key",
+        }
+    }
+
+    /// Adds further labels.
+    pub(crate) fn add(&mut self, further: Contradictions) {
+        self.workload |= further.workload;
+        self.customer |= further.customer;
+        self.order_key |= further.order_key;
     }
 
     /// Returns the name of the first such label. `ignores_customer`: that of the customer does not
--- a/crates/postgres/src/sql/settings.rs
+++ b/crates/postgres/src/sql/settings.rs
@@ -1,6 +1,6 @@
 //! Scans the statements that change session settings: SET and RESET.
 
-use super::findings::{Change, LocalCommand, Scan};
+use super::findings::{Change, LabelChange, LocalCommand, Scan};
 use super::tokens::{Kind, Token};
 
 /// Returns a value as text without its quotes.
@@ -61,7 +61,7 @@
         // SET TRANSACTION applies to one transaction only.
     } else if let Some(label) = label {
         let value = label_value(text, rest, end);
-        scan.local_command = Some(LocalCommand::Label(label, value));
+        change_label(scan, label, value);
     } else if name == "standard_conforming_strings" && !is_set_to_true(text, rest, end) {
         scan.unsupported = Some("backslashes in plain strings");
     } else {
@@ -76,10 +76,19 @@
         _ => Change::Reset(name),
     });
     if let Some(label) = label {
-        scan.local_command = Some(LocalCommand::Label(label, String::new()));
+        change_label(scan, label, String::new());
     }
 }
 
+fn change_label(scan: &mut Scan, name: String, value: String) {
+    scan.label_changes.push(LabelChange {
+        statement: scan.statements,
+        name: name.clone(),
+        value: value.clone(),
+    });
+    scan.local_command = Some(LocalCommand::Label(name, value));
+}
+
 /// Returns the text after a token, up to the end of the statement.
 fn text_after<'a>(text: &'a [u8], token: &Token, end: usize) -> &'a [u8] {
     &text[token.at + token.text.len()..end]
--- a/crates/postgres/src/unit.rs
+++ b/crates/postgres/src/unit.rs
@@ -6,7 +6,7 @@
 
 use crate::client_error::ClientError;
 use crate::prepared::Prepared;
-use crate::sql::{Change, Contradictions, Label, LocalCommand, Scan};
+use crate::sql::{Change, Contradictions, Label, LabelChange, LocalCommand, Scan};
 use crate::wire;
 
 /// One operation of a unit. Ranges refer to the part's bytes; `named` is whether the prepared
@@ -66,10 +66,9 @@
     pub raw: Vec<u8>,
     /// Whether the unit ends with this part.
     pub ends_unit: bool,
-    /// Whether the part executes a text: a simple query, or a statement that it binds.
-    pub executes_text: bool,
-    /// The labels in the texts that the part executes, or, if it executes none and the unit goes on
-    /// after it, in those that it prepares or describes.
+    /// Whether the part executes anything but settings of labels.
+    pub executes: bool,
+    /// The labels that the part itself gives its unit.
     pub label: Label,
     /// Whether the part begins a transaction.
     pub begins_transaction: bool,
@@ -79,13 +78,13 @@
     pub rolls_back_transaction: bool,
     /// Changes of the session's settings.
     pub changes: Vec<Change>,
+    /// Changes of the session's labels.
+    pub(crate) label_changes: Vec<LabelChange>,
     /// The text of a simple query, as a range of the bytes.
     pub(crate) query: Option<Range<usize>>,
     pub(crate) first_prepared: Option<Rc<Prepared>>,
     /// Whether the texts that the part executes have different values of a label.
     pub(crate) contradictions: Contradictions,
-    /// The labels in the texts that the part prepares or describes; the first one counts.
-    pub(crate) prepared_label: Label,
     /// Names of the statements that the part parses, in order.
     pub(crate) parsed_names: Vec<Vec<u8>>,
     pub(crate) is_local: bool,
@@ -129,12 +128,13 @@
             ops: vec![Operation::Query(0..raw.len())],
             raw,
             ends_unit: self.ends_unit,
-            executes_text: true,
+            executes: true,
             label: self.label.clone(),
             begins_transaction: self.begins_transaction,
             commits_transaction: self.commits_transaction,
             rolls_back_transaction: self.rolls_back_transaction,
             changes: self.changes.clone(),
+            label_changes: self.label_changes.clone(),
             query: Some(query),
             local_commands: self.local_commands.clone(),
             ..UnitPart::default()
@@ -158,13 +158,6 @@
         }
     }
 
-    /// Adds the labels of a text that the part executes. All that a part executes is one unit, so
-    /// two workloads, customers or order keys contradict each other.
-    fn add_label(&mut self, label: &Label) {
-        self.contradictions.add(&self.label, label);
-        self.label = self.label.overridden_by(label);
-    }
-
     /// Returns the name of a label that the texts of the part give different values of; None for a
     /// part that needs no engine. `ignores_customer`: the label of the customer does not count.
     pub fn contradictory_label(&self, ignores_customer: bool) -> Option<&'static str> {
@@ -174,18 +167,14 @@
             .filter(|_| !self.is_local)
     }
 
-    /// Adds the label of a text that the part prepares or describes.
-    pub(crate) fn add_prepared_label(&mut self, label: &Label) {
-        self.prepared_label = label.overridden_by(&self.prepared_label);
-    }
-
-    /// Adds the labels, transaction commands and setting changes of an executed text.
+    /// Adds the transaction commands and setting changes of an executed text.
     pub(crate) fn add_scan(&mut self, scan: &Scan) {
-        self.add_label(&scan.label);
         self.begins_transaction |= scan.begins_transaction;
         self.commits_transaction |= scan.commits_transaction;
         self.rolls_back_transaction |= scan.rolls_back_transaction;
         self.changes.extend(scan.changes.iter().cloned());
+        self.label_changes
+            .extend(scan.label_changes.iter().cloned());
         self.local_commands.extend(scan.local_command.clone());
     }
 
