postgres: a unit that comes after the grace period of a shutdown is refused at once

A session in a transaction sent a statement 1.0 s after SIGTERM; the front took it, sent it, and had nothing to say when SIGKILL came at 4.0 s.

Cause: the grace period of a shutdown was known to the admission of Thrift statements alone. The gateway closed sessions that stood idle outside a transaction, and left those in a transaction, in the middle of a message, in the middle of a unit or with a unit in flight open, to be closed 2 s after they had become idle; whatever they sent until then was admitted with its full time.

Change: sessions know since when units are refused (sessions/shutdown.rs), from the same turn on as Thrift clients do, also while accepting fails. What arrived later, by its last byte, gets 57P01 and the end of its connection, which rolls back its transaction; a further part of a unit in flight fails with its unit, and none of it runs. Behind a unit in flight a late one can be answered only after it, so that one is ended 2 s after the grace period (08007 where it may have run): only where its client has sent more, and where it would not end by itself before the earliest SIGKILL.

--- a/crates/front/src/event_loop/graceful_shutdown.rs
+++ b/crates/front/src/event_loop/graceful_shutdown.rs
@@ -36,6 +36,9 @@
         {
             return;
         }
+        if let Some(gateway) = &mut self.gateway {
+            gateway.refuse_units(self.clock.now);
+        }
         // Clients that have connected by now are served, as closing the listener resets the connections in its queue.
         // The event loop may not have reported them yet.
         self.listener.mark_readable();
--- a/crates/front/src/postgres/gateway.rs
+++ b/crates/front/src/postgres/gateway.rs
@@ -42,7 +42,6 @@
     rules: Option<SharedRules>,
     /// Workloads whose units may write; empty unless loads are marked.
     pub writing_workloads: Vec<String>,
-    shutdown_since: Option<Micros>,
     /// Connections that hold more input than one iteration reads, and that the event loop does not
     /// report again.
     unfinished_reads: Vec<SocketId>,
@@ -84,7 +83,6 @@
                 .map(|(name, w)| (name.clone(), w.statement_timeout))
                 .collect(),
             retry_after_ms: settings.agreement.max_retry_after.map(|time| time / 1000),
-            shutdown_since: None,
             rules,
             writing_workloads: Vec::new(),
             unfinished_reads: Vec::new(),
@@ -373,13 +371,21 @@
 
     /// Ends the sessions and engine connections whose time limits have passed.
     pub fn expire(&mut self, now: Micros, admission: AdmissionState, dispatcher: &mut Dispatcher) {
-        self.sessions.expire(now, self.shutdown_since);
+        for ticket in self.sessions.units_before_late_input(now) {
+            self.end_unit(now, dispatcher, ticket);
+        }
+        self.sessions.expire(now);
         let unfinished = self.servers.expire(now);
         self.unfinished_reads
             .extend(unfinished.into_iter().map(|id| SocketKind::Server.id(id)));
         self.handle_session_events(now, admission, dispatcher);
     }
 
+    /// Refuses units that arrive from now on, as the front shuts down.
+    pub fn refuse_units(&mut self, now: Micros) {
+        self.sessions.refuse_units(now);
+    }
+
     /// Shuts the gateway down: accepts the connections that wait, closes the listener and closes
     /// idle sessions. `sessions_left` is how many more sessions may be connected.
     pub fn close(
@@ -389,7 +395,6 @@
         sessions_left: usize,
         dispatcher: &mut Dispatcher,
     ) {
-        self.shutdown_since.get_or_insert(now);
         // Clients that are connected by now receive the shutdown error: closing the listener resets
         // connections that wait in its queue.
         self.listener.mark_readable();
--- a/crates/front/src/postgres/gateway/admission.rs
+++ b/crates/front/src/postgres/gateway/admission.rs
@@ -179,6 +179,17 @@
         self.sessions.fail(now, ticket, &why, None);
     }
 
+    /// Ends a unit in flight, as the front shuts down.
+    pub(super) fn end_unit(&mut self, now: Micros, dispatcher: &mut Dispatcher, ticket: Ticket) {
+        let session = self.sessions.by_ticket(ticket);
+        let running = session.and_then(|(_, open_session)| open_session.running.as_mut());
+        running
+            .into_iter()
+            .for_each(|running| running.may_have_run |= running.execution_id.is_some());
+        self.refuse(now, ticket, Refusal::Aborted);
+        self.abandon_statement(now, dispatcher, ticket);
+    }
+
     /// Drops a statement whose client no longer waits for it.
     pub(super) fn abandon_statement(
         &mut self,
--- a/crates/front/src/postgres/session_units_tests.rs
+++ b/crates/front/src/postgres/session_units_tests.rs
@@ -77,7 +77,7 @@
     }
 
     /// Sends a session's unit and returns the engine connection on which it is in flight.
-    fn start_unit_on(
+    pub(super) fn start_unit_on(
         &mut self,
         session: &mut TcpStream,
         engine: &TcpListener,
--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod close;
 mod input;
+mod shutdown;
 mod unit_checks;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -16,6 +17,7 @@
 use hallmux_postgres::sql::Label;
 use hallmux_postgres::startup::{Authentication, Startup};
 
+use self::shutdown::Shutdown;
 use super::ids::{Pin, ServerId, SessionId};
 use crate::execution::ExecutionId;
 use crate::lingering::Lingering;
@@ -23,7 +25,7 @@
 use crate::unsent_answers::UnsentAnswers;
 
 /// Upper limit of the arrival times kept of a session's input; later input counts as received at
-/// the last one kept.
+/// the last one kept. One more is kept when the front stops taking units.
 const MAX_ARRIVALS: usize = 32;
 
 /// Events of sessions that need the dispatcher or an engine.
@@ -127,6 +129,8 @@
     secret: u32,
     /// When the connection was last used.
     last_active: Micros,
+    /// When the last bytes were received, whether or not they were used.
+    last_received: Micros,
     /// When the bytes of the input were received, in order.
     arrivals: VecDeque<Arrival>,
     /// The connection closes once its output is sent.
@@ -146,6 +150,7 @@
     last_id: SessionId,
     random_state: std::hash::RandomState,
     next_idle_check: Micros,
+    shutdown: Shutdown,
     changed: BTreeSet<SessionId>,
     /// Sessions that have not read all of their output.
     with_unsent: BTreeSet<SessionId>,
@@ -200,6 +205,7 @@
             last_id: 0,
             random_state: std::hash::RandomState::new(),
             next_idle_check: 0,
+            shutdown: Shutdown::default(),
             changed: BTreeSet::new(),
             with_unsent: BTreeSet::new(),
             paused: BTreeSet::new(),
@@ -257,6 +263,7 @@
             stage: Stage::LoggingIn(Box::default()),
             secret,
             last_active: now,
+            last_received: now,
             arrivals: VecDeque::new(),
             closing: false,
         };
@@ -323,8 +330,13 @@
         let received = connection.link.input.len() - before;
         if received > 0 {
             self.held_bytes += received;
+            connection.last_received = now;
             let many = connection.arrivals.len() >= MAX_ARRIVALS;
-            match connection.arrivals.back_mut().filter(|_| many) {
+            let shutdown = self.shutdown;
+            // Late input never counts as input that came in time.
+            let may_join =
+                |last: &&mut Arrival| many && shutdown.is_late(last.at) == shutdown.is_late(now);
+            match connection.arrivals.back_mut().filter(may_join) {
                 Some(arrival) => arrival.bytes += received,
                 None => connection.arrivals.push_back(Arrival {
                     bytes: received,
--- a/crates/front/src/postgres/sessions/close.rs
+++ b/crates/front/src/postgres/sessions/close.rs
@@ -1,7 +1,7 @@
 //! How sessions end: closed by the client, for exceeding a time limit, to make room, or by the
 //! shutdown of the front.
 
-use hallmux_dispatcher::Micros;
+use hallmux_dispatcher::{Micros, Ticket};
 use hallmux_postgres::client_error::ClientError;
 use hallmux_postgres::session::Transaction;
 
@@ -10,11 +10,6 @@
 
 /// Microseconds after which an idle session releases its buffers.
 const IDLE_AFTER: Micros = 1_000_000;
-/// Microseconds for which a session without a unit in flight may stay during shutdown.
-const GRACE_PERIOD: Micros = 2_000_000;
-/// Microseconds by which the linger time is shorter during shutdown, so that the process ends
-/// within 4 s.
-const SHUTDOWN_LINGER_REDUCTION: Micros = 500_000;
 /// Microseconds between checks for idle sessions.
 const IDLE_CHECK_INTERVAL: Micros = 200_000;
 
@@ -86,15 +81,36 @@
         }
     }
 
-    /// Ends sessions that have exceeded a time limit. `shutdown_since` is when the shutdown of the
-    /// front started.
-    pub fn expire(&mut self, now: Micros, shutdown_since: Option<Micros>) {
+    /// Refuses units that arrive from now on, as the front shuts down.
+    pub fn refuse_units(&mut self, now: Micros) {
+        self.shutdown.refuse_units(now);
+    }
+
+    /// The units in flight that are ended because their clients have sent more after the front had
+    /// stopped taking units: what they sent is answered after the unit in flight, and the process
+    /// may be killed before that ends by itself.
+    pub fn units_before_late_input(&self, now: Micros) -> Vec<Ticket> {
+        if !self.shutdown.is_grace_period_over(now) {
+            return Vec::new();
+        }
+        let ticket = |connection: &Connection| match &connection.stage {
+            Stage::Open(open_session) if self.shutdown.is_late(connection.last_received) => {
+                Some(open_session.running.as_ref()?.ticket)
+            }
+            _ => None,
+        };
+        self.connections.values().filter_map(ticket).collect()
+    }
+
+    /// Ends sessions that have exceeded a time limit.
+    pub fn expire(&mut self, now: Micros) {
         self.lingering
-            .expire(now + shutdown_since.map_or(0, |_| SHUTDOWN_LINGER_REDUCTION));
+            .expire(now + self.shutdown.linger_reduction());
         if now < self.next_idle_check {
             return;
         }
         self.next_idle_check = now + IDLE_CHECK_INTERVAL;
+        let is_grace_period_over = self.shutdown.is_grace_period_over(now);
         let mut expired: Vec<(SessionId, Option<ClientError>)> = Vec::new();
         for (id, connection) in &mut self.connections {
             match &connection.stage {
@@ -108,9 +124,7 @@
                     let idle_for = now - connection.last_active;
                     if idle && open && idle_for >= self.transaction_idle_timeout {
                         expired.push((*id, Some(ClientError::IdleTransactionTimeout)));
-                    } else if idle
-                        && shutdown_since.is_some_and(|since| since + GRACE_PERIOD <= now)
-                    {
+                    } else if idle && is_grace_period_over {
                         // Also a session that has sent part of a message, or has not sent the Sync
                         // of a unit that failed.
                         expired.push((*id, Some(ClientError::ShuttingDown)));
--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -266,6 +266,7 @@
         used: usize,
         part: Rc<UnitPart>,
     ) -> Consumed {
+        let shutdown = self.shutdown;
         let Some(connection) = self.connections.get_mut(&id) else {
             return Consumed::NOTHING;
         };
@@ -273,8 +274,9 @@
             return Consumed::NOTHING;
         };
         let since = arrival_time(&connection.arrivals, used).unwrap_or(now);
+        let is_late = shutdown.is_late(since);
         let part = open_session.checked_part(part);
-        if let Some(event) = open_session.add_further_part(&part) {
+        if let Some(event) = open_session.add_further_part(&part, is_late) {
             self.events.push(event);
             return Consumed::with_more_to_read(used);
         }
@@ -291,6 +293,11 @@
             open_session.skipping_to_sync = true;
             return Consumed::with_more_to_read(used);
         }
+        if is_late {
+            ClientError::ShuttingDown.write(output, true);
+            connection.closing = true;
+            return Consumed::awaiting_input(used);
+        }
         self.events.push(Event::Unit {
             session: id,
             part,
--- a/crates/front/src/postgres/sessions/unit_checks.rs
+++ b/crates/front/src/postgres/sessions/unit_checks.rs
@@ -20,11 +20,12 @@
     }
 
     /// Adds a further part to the unit in flight, and returns the event that sends it. None if no
-    /// unit is in flight. A part that contradicts what the unit was admitted as fails with its
-    /// unit, and none of it runs.
-    pub(super) fn add_further_part(&mut self, part: &Rc<UnitPart>) -> Option<Event> {
+    /// unit is in flight. A part that contradicts what the unit was admitted as, or that comes when
+    /// the front takes no more units, fails with its unit, and none of it runs.
+    pub(super) fn add_further_part(&mut self, part: &Rc<UnitPart>, is_late: bool) -> Option<Event> {
         let running = self.running.as_ref()?;
-        let part = match self.contradiction(running, part) {
+        let shutting_down = is_late.then_some(ClientError::ShuttingDown);
+        let part = match shutting_down.or_else(|| self.contradiction(running, part)) {
             Some(why) => Rc::new(part.failed(why)),
             None => part.clone(),
         };
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -10,7 +10,7 @@
 
 /// A client's messages of the extended query protocol.
 #[derive(Default)]
-struct Messages(Vec<u8>);
+pub(super) struct Messages(Vec<u8>);
 
 impl Messages {
     fn named(mut self, tag: u8, names: &[&str], rest: &[u8]) -> Messages {
@@ -23,28 +23,28 @@
         self
     }
 
-    fn prepare(self, name: &str, text: &str) -> Messages {
+    pub(super) fn prepare(self, name: &str, text: &str) -> Messages {
         let describe = format!("S{name}");
         self.named(b'P', &[name, text], &[0; 2])
             .named(b'D', &[&describe], b"")
     }
 
-    fn execute(self, name: &str) -> Messages {
+    pub(super) fn execute(self, name: &str) -> Messages {
         self.named(b'B', &["", name], &[0; 6])
             .named(b'E', &[""], &[0; 4])
     }
 
-    fn flush(mut self) -> Messages {
+    pub(super) fn flush(mut self) -> Messages {
         self.0.extend_from_slice(wire::FLUSH);
         self
     }
 
-    fn sync(mut self) -> Messages {
+    pub(super) fn sync(mut self) -> Messages {
         self.0.extend_from_slice(wire::SYNC);
         self
     }
 
-    fn send(self, session: &mut TcpStream) {
+    pub(super) fn send(self, session: &mut TcpStream) {
         session.write_all(&self.0).unwrap();
     }
 }
@@ -84,9 +84,22 @@
             .send(session);
     }
 
-    /// Answers a unit that the front makes fail, as its engine does: the statement that it binds
-    /// does not exist. Checks that the engine has received nothing of the unit's last part.
+    /// Answers a unit of one executed statement that the front makes fail, as its engine does.
     fn answer_failed_unit(&mut self, link: &mut TcpStream) {
+        let mut executed = wire::BIND_COMPLETE.to_vec();
+        wire::write_complete(&mut executed, "SELECT 1");
+        self.answer_then_fail(link, &executed);
+    }
+
+    /// Answers a unit of one prepared statement that the front makes fail, as its engine does.
+    pub(super) fn answer_prepared_and_failed(&mut self, link: &mut TcpStream) {
+        self.answer_then_fail(link, b"");
+    }
+
+    /// Answers that a statement is prepared and described, then `executed`, then that the statement
+    /// that the front binds does not exist. Checks that the engine has received nothing of the
+    /// unit's last part.
+    fn answer_then_fail(&mut self, link: &mut TcpStream, executed: &[u8]) {
         let received = self.receive_until(link, "S\0\0\0\x04");
         assert!(
             received.contains(MISSING_STATEMENT) && !received.contains("insert"),
@@ -96,10 +109,9 @@
             wire::PARSE_COMPLETE,
             wire::NO_PARAMETERS,
             wire::NO_DATA,
-            wire::BIND_COMPLETE,
+            executed,
         ]
         .concat();
-        wire::write_complete(&mut out, "SELECT 1");
         wire::write(&mut out, b'E', |out| {
             out.extend_from_slice(b"SERROR\0C26000\0Mno such statement\0\0");
         });
