access: a unit of a session is judged by all its texts, also behind a Flush

Callers would see: a read of tables that a rule bars at this place. The access rules were asked about one text of a unit, the one bound last; a unit that reads barred tables first and others last, or reads barred ones behind a Flush, was let through.

A part behind a Flush that reads other groups fails at the engine (0A000), as does now one that writes groups without a load marker, which before ended the unit by a cancel and left the engine's connection in use where engines can't be asked to cancel.

--- a/crates/front/src/event_loop/admission.rs
+++ b/crates/front/src/event_loop/admission.rs
@@ -9,6 +9,7 @@
 use super::EventLoopState;
 use crate::clients::{self, ClientId, ServingStatus};
 use crate::execution::ExecutionId;
+use crate::fleet::rules::table_groups;
 
 /// A statement of a client with the decision of the access rules.
 pub(super) struct CheckedRequest {
@@ -222,7 +223,8 @@
         };
         let now = self.clock.now;
         let mut rules = rules.borrow_mut();
-        rules.check_statement(now, &call.customer, &call.workload, &call.statement)
+        let groups = table_groups([call.statement.as_slice()]);
+        rules.check_statement(now, &call.customer, &call.workload, groups)
     }
 
     /// Whether no more statements can be admitted: too many are held, or they take too much memory.
--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -25,7 +25,7 @@
 /// First number of the access rules' ledger requests. Its highest byte identifies them among the
 /// front's components.
 const REQUEST_NUMBER_BASE: u64 = 2 << 56;
-/// Maximum number of table groups by which a statement is checked.
+/// Maximum number of table groups by which a text is checked.
 const MAX_TABLE_GROUPS: usize = 16;
 /// Microseconds between reports to the dispatcher that executions are still held.
 const REPORT_INTERVAL: Micros = 100_000;
@@ -96,6 +96,24 @@
     logged_limits: BTreeMap<String, u64>,
 }
 
+/// Returns the table groups that the texts of one statement read. `None` if they cannot be told, for
+/// one of the texts or because there is none.
+pub fn table_groups<'a>(texts: impl IntoIterator<Item = &'a [u8]>) -> Option<Vec<u32>> {
+    let mut texts = texts.into_iter().peekable();
+    texts.peek()?;
+    let mut all = Vec::new();
+    for text in texts {
+        let groups = tables::groups(text, MAX_TABLE_GROUPS);
+        if groups.is_empty() && !session_control::reads_no_table(text) {
+            return None;
+        }
+        all.extend(groups);
+        all.sort_unstable();
+        all.dedup();
+    }
+    Some(all)
+}
+
 impl Rules {
     /// Reads the file of rules again, after SIGHUP. A file that can't be used is logged and changes
     /// nothing.
@@ -120,15 +138,14 @@
     }
 
     /// Checks a statement against the rules. Called once for a statement, before its first attempt.
+    /// `groups`: the table groups that it reads, from `table_groups`.
     pub fn check_statement(
         &mut self,
         now: Micros,
         customer: &str,
         workload: &str,
-        text: &[u8],
+        groups: Option<Vec<u32>>,
     ) -> Decision {
-        let groups = Some(tables::groups(text, MAX_TABLE_GROUPS)).filter(|all| !all.is_empty());
-        let groups = groups.or_else(|| session_control::reads_no_table(text).then(Vec::new));
         let request = Request {
             customer: customer.to_string(),
             workload: workload.to_string(),
--- a/crates/front/src/held_tests.rs
+++ b/crates/front/src/held_tests.rs
@@ -13,6 +13,7 @@
 use super::tests::{listener, FrontHarness};
 use super::*;
 use crate::clients::tests::frame;
+use crate::fleet::rules::table_groups;
 use crate::start_error::StartError;
 
 const MAX_START_ATTEMPTS: usize = 10; // retries if other processes take the fronts' ports
@@ -203,7 +204,7 @@
                 front.clock.now,
                 "acme",
                 "lookup",
-                SELECT.as_bytes(),
+                table_groups([SELECT.as_bytes()]),
             );
             rules
                 .borrow_mut()
--- a/crates/front/src/postgres/gateway.rs
+++ b/crates/front/src/postgres/gateway.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod admission;
+mod further_parts;
 mod loads;
 mod server_events;
 
@@ -243,21 +244,7 @@
                     } => {
                         self.admit(now, admission, dispatcher, session, part, since);
                     }
-                    sessions::Event::UnitPart { ticket, part }
-                        if self.names_unmarked_groups(ticket, &part) =>
-                    {
-                        self.sessions
-                            .fail(now, ticket, &loads::UNMARKED_GROUPS, None);
-                        self.abandon_statement(now, dispatcher, ticket);
-                    }
-                    sessions::Event::UnitPart { ticket, part } => {
-                        let execution_id = self.sessions.by_ticket(ticket);
-                        let execution_id =
-                            execution_id.and_then(|(_, i)| i.running.as_ref()?.execution_id);
-                        execution_id.into_iter().for_each(|execution_id| {
-                            self.servers.append_part(execution_id, part.clone())
-                        });
-                    }
+                    sessions::Event::UnitPart { ticket, part } => self.append_part(ticket, part),
                     sessions::Event::Abandoned(ticket) => {
                         self.abandon_statement(now, dispatcher, ticket)
                     }
--- a/crates/front/src/postgres/gateway/admission.rs
+++ b/crates/front/src/postgres/gateway/admission.rs
@@ -11,7 +11,7 @@
 use hallmux_postgres::sql::Label;
 
 use super::{loads, Gateway};
-use crate::fleet::rules::SharedRules;
+use crate::fleet::rules::{table_groups, SharedRules};
 use crate::postgres::admission_state::AdmissionState;
 use crate::postgres::ids::SessionId;
 use crate::postgres::sessions::{AdmittedTerms, OpenSession};
@@ -111,7 +111,8 @@
             return Decision::Unrestricted;
         };
         let mut rules = rules.borrow_mut();
-        rules.check_statement(now, terms.member, terms.workload, part.text())
+        let groups = table_groups(part.texts());
+        rules.check_statement(now, terms.member, terms.workload, groups)
     }
 
     fn rejected(&self) -> ClientError {
--- a/crates/front/src/postgres/gateway/loads.rs
+++ b/crates/front/src/postgres/gateway/loads.rs
@@ -73,12 +73,8 @@
         {
             return false;
         }
-        // The last part is `part` itself.
-        let before = running
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, before)| before);
-        let named: Vec<u32> = before
+        let named: Vec<u32> = running
+            .earlier_parts()
             .iter()
             .flat_map(|part| part.texts())
             .flat_map(groups)
--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -11,6 +11,7 @@
 
 use hallmux_config::User;
 use hallmux_dispatcher::{Micros, Ticket};
+use hallmux_postgres::client_error::ClientError;
 use hallmux_postgres::pool::AccountId;
 use hallmux_postgres::prepared::Catalogue;
 use hallmux_postgres::session::{commits_transaction, Bounds, Session, UnitPart};
@@ -80,6 +81,20 @@
     pub fn commits(&self) -> bool {
         commits_transaction(&self.parts)
     }
+
+    /// The parts before the last one.
+    pub fn earlier_parts(&self) -> &[Rc<UnitPart>] {
+        self.parts.split_last().map_or(&[], |(_, earlier)| earlier)
+    }
+
+    /// Replaces the last part, which was not sent yet, by one that fails with an error and has no
+    /// effect. Returns the new part.
+    pub fn fail_last_part(&mut self, why: ClientError) -> Rc<UnitPart> {
+        let last = self.parts.pop().unwrap_or_default();
+        let failed = Rc::new(last.failed(why));
+        self.parts.push(failed.clone());
+        failed
+    }
 }
 
 /// The state of a session after its login.
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -2,9 +2,12 @@
 //! not its first part alone.
 
 use super::*;
+use crate::fleet::rules::table_groups;
 
 const PAYOUT_LABEL: &str = "/*hallmux.workload='payout'*/ ";
 const KEY_LABEL: &str = "/*hallmux.key='file-7'*/ ";
+/// A statement that reads tables of a group that an access rule bars.
+const BARRED: &str = "select a from sales_17.orders";
 /// The name of the statement by which the front makes a unit fail at its engine.
 const MISSING_STATEMENT: &str = "hm:none";
 
@@ -289,3 +292,80 @@
     harness.run_iteration();
     assert_eq!(engine.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
 }
+
+/// Whether the access rules deny a statement.
+fn denies(front: &mut EventLoopState, text: &str) -> bool {
+    let rules = front.rules.clone().unwrap();
+    let mut rules = rules.borrow_mut();
+    let groups = table_groups([text.as_bytes()]);
+    let decision = rules.check_statement(front.clock.now, "acme", "lookup", groups);
+    rules.record_admission(&mut front.dispatcher, &decision, None);
+    decision.is_denied()
+}
+
+/// Starts a front with an access rule that denies the tables of group 17, and waits until the rule is
+/// in force. Returns the path of the file of rules as well.
+fn front_with_denied_tables(name: &str, engine: SocketAddr) -> (FrontHarness, PathBuf) {
+    let file = std::env::temp_dir().join(format!("hallmux-{name}-{}.rules", std::process::id()));
+    let rules = "{ version: 1, default: 'allow', rules: [\
+        { name: 'bar', tables: 17, then: 'deny', reason: 'barred' } ] }";
+    std::fs::write(&file, rules).unwrap();
+    let section = format!(
+        "{{ rules: {{ file: '{}', region: 'here' }},",
+        file.display()
+    );
+    let operator = operator_file("").replacen('{', &section, 1);
+    let settings = (
+        json!({"cancelling": true, "mostTries": 3}),
+        lookup_workload(8000),
+    );
+    let mut harness = FrontHarness::start(name, &[engine], &operator, settings).unwrap();
+    let started = Instant::now();
+    while !denies(&mut harness.front, BARRED) {
+        assert!(started.elapsed() < WAIT_LIMIT, "the rule is not in force");
+        harness.run_iteration();
+    }
+    (harness, file)
+}
+
+/// Guards against a read of barred tables by a unit that also reads others: the access rules were
+/// asked about one of its texts.
+#[test]
+fn access_rules_are_asked_about_all_texts_of_a_unit() {
+    let (engine, at) = listener();
+    let (mut harness, file) = front_with_denied_tables("rules-all-texts", at);
+    let mut session = harness.open_session();
+    Messages::default()
+        .prepare("a", BARRED)
+        .execute("a")
+        .prepare("b", "select a from sales_5.orders")
+        .execute("b")
+        .sync()
+        .send(&mut session);
+    harness.assert_error(&mut session, "53000");
+    engine.set_nonblocking(true).unwrap();
+    assert_eq!(engine.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+    std::fs::remove_file(file).unwrap();
+}
+
+/// Guards against a read of barred tables behind a Flush: the access rules were asked about the first
+/// part alone.
+#[test]
+fn tables_behind_flush_that_access_rules_were_not_asked_about_fail_the_unit() {
+    let (engine, at) = listener();
+    let (mut harness, file) = front_with_denied_tables("rules-after-flush", at);
+    let mut session = harness.open_session();
+    let statement = "select a from sales_5.orders";
+    Messages::default()
+        .prepare("a", statement)
+        .execute("a")
+        .flush()
+        .send(&mut session);
+    let mut link = harness.accept_dial(&engine);
+    accept_login(&mut link);
+    harness.receive_until(&mut link, statement);
+    harness.send_last_part(&mut session, "insert into sales_17.orders values (1)");
+    harness.answer_failed_unit(&mut link);
+    harness.receive_until(&mut session, "C0A000");
+    std::fs::remove_file(file).unwrap();
+}
