postgres: a procedure counts as run before the end of its unit has left

Callers would see: a payout twice. A unit with CALL, DO, VACUUM or the like, whose engine carries that out and dies before the rest of the unit has left, was taken for one of which the engine keeps nothing, and repeated.

Cause: "without its Sync an engine keeps nothing of a unit, unless it contains a commit of its own" looked for the word COMMIT alone; a procedure may commit by itself, and so do statements that can't stand in a transaction. Found by asking what else the assumption lets through.

Evidence: the new test procedure_may_have_run_although_the_end_of_its_unit_has_not_left failed before: no 08007.

Change: the scanner tells statements whose effects last only by a commit, by a list of first words; whatever is not on it may commit. A unit that has such a statement ends as one that may have run once part of it has left. Functions that write elsewhere from within a SELECT are not seen, as before.

--- a/crates/front/src/postgres/servers/close.rs
+++ b/crates/front/src/postgres/servers/close.rs
@@ -2,7 +2,7 @@
 
 use hallmux_dispatcher::{Ending, EngineIndex, Micros, Ticket};
 use hallmux_postgres::pool::Released;
-use hallmux_postgres::session::commits_transaction;
+use hallmux_postgres::session::may_commit;
 use hallmux_postgres::wire;
 
 use super::{Cancel, EngineEntry, Event, Execution, PendingEnd, Server, Servers, Stage};
@@ -346,10 +346,8 @@
         // The unit waits here until its settings are transferred.
         _ if server.engine.is_applying_settings() => Ending::HalfWritten,
         // Without its Sync an engine keeps nothing of a unit, unless the unit contains a commit of
-        // its own.
-        Stage::Writing if !has_left && !commits_transaction(&execution.unit.parts) => {
-            Ending::HalfWritten
-        }
+        // its own or a statement that can commit by itself.
+        Stage::Writing if !has_left && !may_commit(&execution.unit.parts) => Ending::HalfWritten,
         Stage::Writing | Stage::Sent => lost,
     }
 }
--- a/crates/front/src/postgres/servers_tests.rs
+++ b/crates/front/src/postgres/servers_tests.rs
@@ -398,7 +398,8 @@
     let mut bytes = b"commit".to_vec();
     bytes.resize(OVERSIZED_PART_BYTES, b'x');
     let mut last_part = part(bytes);
-    (last_part.commits_transaction, last_part.ends_unit) = (true, true);
+    (last_part.commits_transaction, last_part.may_commit) = (true, true);
+    last_part.ends_unit = true;
     harness
         .servers
         .append_part(FIRST_EXECUTION, Rc::new(last_part));
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -6,6 +6,8 @@
 
 const PAYOUT_LABEL: &str = "/*hallmux.workload='payout'*/ ";
 const KEY_LABEL: &str = "/*hallmux.key='file-7'*/ ";
+/// Bytes of a text that does not fit into the buffers of a connection whose engine stops reading.
+const UNREAD_BYTES: usize = 900_000;
 /// A statement that reads tables of a group that an access rule bars.
 const BARRED: &str = "select a from sales_17.orders";
 /// The name of the statement by which the front makes a unit fail at its engine.
@@ -293,6 +295,28 @@
     assert_eq!(engine.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
 }
 
+/// Guards against a repeat of a procedure that commits by itself: without its Sync its unit was taken
+/// for one of which the engine keeps nothing.
+#[test]
+fn procedure_may_have_run_although_the_end_of_its_unit_has_not_left() {
+    let ((one, at_one), (other, at_other)) = (listener(), listener());
+    let mut harness = FrontHarness::with_payouts("procedure", &[at_one, at_other]);
+    let mut session = harness.open_session();
+    let text = format!("{PAYOUT_LABEL}call pay(1)");
+    let unit = Messages::default()
+        .prepare("s", &text)
+        .execute("s")
+        .prepare("t", &"x".repeat(UNREAD_BYTES))
+        .sync();
+    harness.write_all_bytes(&mut session, &unit.0);
+    let (_, mut link) = harness.accept_dial_from_any(&[&one, &other]);
+    accept_login(&mut link);
+    harness.receive_until(&mut link, "call pay(1)");
+    // The engine carries the procedure out and dies before it has read the rest.
+    drop(link);
+    harness.assert_error(&mut session, "08007");
+}
+
 /// Whether the access rules deny a statement.
 fn denies(front: &mut EventLoopState, text: &str) -> bool {
     let rules = front.rules.clone().unwrap();
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -13,7 +13,7 @@
 use crate::prepared::{Catalogue, Prepared, SessionSettings};
 use crate::sql::{self, quoted_identifier, Change, Label};
 use crate::startup::Client;
-pub use crate::unit::{commits_transaction, Operation, UnitPart};
+pub use crate::unit::{commits_transaction, may_commit, Operation, UnitPart};
 
 /// Limits of a session.
 #[derive(Clone, Copy, Debug)]
--- a/crates/postgres/src/sql.rs
+++ b/crates/postgres/src/sql.rs
@@ -15,6 +15,36 @@
 
 const MAX_HEAD_TOKENS: usize = 8; // of a statement's beginning; enough for every form below
 
+/// The first words of statements whose effects last only once their transaction commits. Others, such
+/// as CALL, DO or VACUUM, can commit by themselves.
+const KEPT_BY_COMMIT_ONLY: [&str; 25] = [
+    "abort",
+    "begin",
+    "close",
+    "copy",
+    "declare",
+    "delete",
+    "explain",
+    "fetch",
+    "insert",
+    "lock",
+    "merge",
+    "move",
+    "release",
+    "reset",
+    "rollback",
+    "savepoint",
+    "select",
+    "set",
+    "show",
+    "start",
+    "table",
+    "truncate",
+    "update",
+    "values",
+    "with",
+];
+
 /// Scans a text of one or more statements. Whatever the scanner does not understand counts as
 /// supported.
 pub fn scan(text: &[u8]) -> Scan {
@@ -98,6 +128,12 @@
 /// Classifies a complete statement by its first tokens; it ends at `end` in `text`.
 fn check_statement(scan: &mut Scan, text: &[u8], head: &[Token], end: usize) {
     scan.statements += 1;
+    // A query may stand in parentheses.
+    let first_word = head.iter().find(|token| token.kind == Kind::Word);
+    scan.may_commit |= !first_word.is_some_and(|token| {
+        let is_word = |word: &&str| token.is(word);
+        KEPT_BY_COMMIT_ONLY.iter().any(is_word)
+    });
     let second = |word: &str| head.get(1).is_some_and(|t| t.is(word));
     let first = |word: &str| head[0].is(word);
     if first("begin") || first("start") && second("transaction") {
--- a/crates/postgres/src/sql/findings.rs
+++ b/crates/postgres/src/sql/findings.rs
@@ -62,6 +62,9 @@
     pub begins_transaction: bool,
     /// Whether a statement commits a transaction.
     pub commits_transaction: bool,
+    /// Whether a statement can have lasting effect before the unit's Sync: it commits, or is of a
+    /// kind that can commit by itself.
+    pub may_commit: bool,
     /// Whether a statement rolls a transaction back.
     pub rolls_back_transaction: bool,
     /// Changes of the session's settings, in order.
--- a/crates/postgres/src/sql_tests.rs
+++ b/crates/postgres/src/sql_tests.rs
@@ -118,6 +118,22 @@
     assert_eq!(scanned(""), (0, false, false, false));
 }
 
+#[test]
+fn statements_that_can_commit_by_themselves_are_told_from_others() {
+    for text in ["commit", "END", "call p()", "do $$ $$", "select 1; vacuum"] {
+        assert!(scan(text.as_bytes()).may_commit, "{text}");
+    }
+    for text in [
+        "",
+        "BEGIN",
+        "insert into t values (1)",
+        "(select 1)",
+        "rollback",
+    ] {
+        assert!(!scan(text.as_bytes()).may_commit, "{text}");
+    }
+}
+
 #[test]
 fn labels_are_read_from_set_statements_and_leading_comments() {
     let local = |text: &str| scan(text.as_bytes()).local_command;
--- a/crates/postgres/src/unit.rs
+++ b/crates/postgres/src/unit.rs
@@ -74,6 +74,8 @@
     pub begins_transaction: bool,
     /// Whether the part commits a transaction.
     pub commits_transaction: bool,
+    /// Whether the part can have lasting effect before the unit's Sync.
+    pub may_commit: bool,
     /// Whether the part rolls a transaction back.
     pub rolls_back_transaction: bool,
     /// Changes of the session's settings.
@@ -132,6 +134,7 @@
             label: self.label.clone(),
             begins_transaction: self.begins_transaction,
             commits_transaction: self.commits_transaction,
+            may_commit: self.may_commit,
             rolls_back_transaction: self.rolls_back_transaction,
             changes: self.changes.clone(),
             label_changes: self.label_changes.clone(),
@@ -171,6 +174,7 @@
     pub(crate) fn add_scan(&mut self, scan: &Scan) {
         self.begins_transaction |= scan.begins_transaction;
         self.commits_transaction |= scan.commits_transaction;
+        self.may_commit |= scan.may_commit;
         self.rolls_back_transaction |= scan.rolls_back_transaction;
         self.changes.extend(scan.changes.iter().cloned());
         self.label_changes
@@ -195,6 +199,12 @@
     parts.iter().any(|part| part.commits_transaction)
 }
 
+/// Whether an engine may keep effects of a unit whose Sync it has not received, as far as the unit's
+/// parts are known.
+pub fn may_commit(parts: &[Rc<UnitPart>]) -> bool {
+    parts.iter().any(|part| part.may_commit)
+}
+
 /// The outcome of a unit at an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnitOutcome {
