postgres: a text of another workload may be prepared behind a Flush

Change: only parts that execute something are compared. A text that is executed later is compared then.

--- a/crates/front/src/postgres/sessions/unit_checks.rs
+++ b/crates/front/src/postgres/sessions/unit_checks.rs
@@ -39,10 +39,13 @@
         Some(Event::UnitPart { ticket, part })
     }
 
-    /// The error of a further part that is labelled otherwise than its unit was admitted. The unit
-    /// waited for no other order key, may be at an engine that another workload must not use, and
-    /// may be repeated although another workload must not.
+    /// The error of a further part that executes something labelled otherwise than its unit was
+    /// admitted. The unit waited for no other order key, may be at an engine that another workload
+    /// must not use, and may be repeated although another workload must not.
     fn contradiction(&self, running: &RunningUnit, part: &UnitPart) -> Option<ClientError> {
+        if !part.executes {
+            return None;
+        }
         let mut label = self.further_label(running, part);
         label.order_key = label
             .order_key
@@ -65,7 +68,7 @@
     /// the session.
     fn further_label(&self, running: &RunningUnit, part: &UnitPart) -> Label {
         let executes_first = !running.parts.iter().any(|part| part.executes);
-        if part.executes && executes_first {
+        if executes_first {
             return self.unit_label(part);
         }
         part.label.clone()
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -205,6 +205,22 @@
     harness.assert_invalid_setting(&mut session, "hallmux.statement_timeout");
 }
 
+/// A statement of another workload may be prepared behind a Flush, as long as the unit does not
+/// execute it.
+#[test]
+fn another_workload_may_be_prepared_after_flush() {
+    let (engine, at) = listener();
+    let mut harness = FrontHarness::with_payouts("prepared-after-flush", &[at]);
+    let mut session = harness.open_session();
+    let mut link = harness.start_first_part(&mut session, &engine);
+    let payout = format!("{PAYOUT_LABEL}insert into entries values (1)");
+    Messages::default()
+        .prepare("b", &payout)
+        .flush()
+        .send(&mut session);
+    harness.receive_until(&mut link, "insert");
+}
+
 /// A label after a Flush that says what holds already changes nothing.
 #[test]
 fn same_labels_after_flush_go_on() {
