postgres: a session after its login moves to a file of its own

Change: OpenSession, RunningUnit and AdmittedTerms move as they are to sessions/open_session.rs; two of their fields are now visible to the sessions' modules by name.

--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod close;
 mod input;
+mod open_session;
 mod shutdown;
 mod unit_checks;
 
@@ -11,15 +12,13 @@
 
 use hallmux_config::User;
 use hallmux_dispatcher::{Micros, Ticket};
-use hallmux_postgres::client_error::ClientError;
-use hallmux_postgres::pool::AccountId;
 use hallmux_postgres::prepared::Catalogue;
-use hallmux_postgres::session::{commits_transaction, Bounds, Session, UnitPart};
-use hallmux_postgres::sql::Label;
+use hallmux_postgres::session::{Bounds, UnitPart};
 use hallmux_postgres::startup::{Authentication, Startup};
 
+pub use self::open_session::{AdmittedTerms, OpenSession, RunningUnit};
 use self::shutdown::Shutdown;
-use super::ids::{Pin, ServerId, SessionId};
+use super::ids::{ServerId, SessionId};
 use crate::execution::ExecutionId;
 use crate::lingering::Lingering;
 use crate::link::{Link, ReadOutcome};
@@ -51,81 +50,6 @@
     Cancel(SessionId),
 }
 
-/// What a unit was admitted as, by its first part. Its further parts can't change it.
-pub struct AdmittedTerms {
-    /// The labels that apply to the unit.
-    pub label: Label,
-    /// Microseconds that the client waits for the unit.
-    pub timeout: Micros,
-}
-
-/// A unit that was admitted and not yet answered.
-pub struct RunningUnit {
-    pub ticket: Ticket,
-    pub terms: AdmittedTerms,
-    pub parts: Vec<Rc<UnitPart>>,
-    /// An execution of the unit may have run.
-    pub may_have_run: bool,
-    pub time_up: bool,
-    pub cancelled: bool,
-    /// Part of the answer was forwarded.
-    pub answer_started: bool,
-    /// The forwarded part of the answer ends within a message.
-    cut_within_message: bool,
-    pub execution_id: Option<ExecutionId>,
-    pub order_key: Option<String>,
-}
-
-impl RunningUnit {
-    /// Whether the unit commits a transaction, as far as its parts are known.
-    pub fn commits(&self) -> bool {
-        commits_transaction(&self.parts)
-    }
-
-    /// The parts before the last one.
-    pub fn earlier_parts(&self) -> &[Rc<UnitPart>] {
-        self.parts.split_last().map_or(&[], |(_, earlier)| earlier)
-    }
-
-    /// Replaces the last part, which was not sent yet, by one that fails with an error and has no
-    /// effect. Returns the new part.
-    pub fn fail_last_part(&mut self, why: ClientError) -> Rc<UnitPart> {
-        let last = self.parts.pop().unwrap_or_default();
-        let failed = Rc::new(last.failed(why));
-        self.parts.push(failed.clone());
-        failed
-    }
-}
-
-/// The state of a session after its login.
-pub struct OpenSession {
-    pub session: Session,
-    pub user: Rc<User>,
-    pub account: AccountId,
-    pub running: Option<RunningUnit>,
-    /// The engine's connection that holds the session's transaction.
-    pub pin: Option<Pin>,
-    /// Order keys that the session's transaction holds.
-    pub held_order_keys: Vec<String>,
-    /// Groups of tables that the session's transaction may have written to, if loads are marked.
-    pub touched_groups: BTreeSet<u32>,
-    /// The current unit has its answer: its input is skipped up to its Sync.
-    skipping_to_sync: bool,
-}
-
-impl OpenSession {
-    /// The labels that apply to a unit: its own, else the session's, else the user's defaults. The
-    /// operator's assignment of a user to a customer takes precedence over the label.
-    pub fn unit_label(&self, part: &UnitPart) -> Label {
-        let label = self.session.label(part);
-        Label {
-            workload: label.workload.or_else(|| self.user.workload.clone()),
-            customer: self.user.customer.clone().or(label.customer),
-            ..label
-        }
-    }
-}
-
 enum Stage {
     LoggingIn(Box<Startup>),
     Open(Box<OpenSession>),
