--- a/crates/front/src/fleet/rules.rs
+++ b/crates/front/src/fleet/rules.rs
@@ -7,6 +7,7 @@
 mod log_lines;
 mod session_control;
 mod start;
+mod table_groups;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -16,17 +17,15 @@
 use hallmux_access::{self as access, Access, Decision, FleetHits, Request, RulesCommand};
 use hallmux_dispatcher::{Dispatcher, Ending, EngineIndex, Micros, Terms, Ticket};
 use hallmux_ledger::{self as ledger, ClockReading, Ledger};
-use hallmux_native_codec::tables;
 
 use super::peers::Peers;
 use crate::execution::ExecutionId;
 use file::read_rules;
+pub use table_groups::table_groups;
 
 /// First number of the access rules' ledger requests. Its highest byte identifies them among the
 /// front's components.
 const REQUEST_NUMBER_BASE: u64 = 2 << 56;
-/// Maximum number of table groups by which a text is checked.
-const MAX_TABLE_GROUPS: usize = 16;
 /// Microseconds between reports to the dispatcher that executions are still held.
 const REPORT_INTERVAL: Micros = 100_000;
 
@@ -96,24 +95,6 @@
     logged_limits: BTreeMap<String, u64>,
 }
 
-/// Returns the table groups that the texts of one statement read. `None` if they cannot be told, for
-/// one of the texts or because there is none.
-pub fn table_groups<'a>(texts: impl IntoIterator<Item = &'a [u8]>) -> Option<Vec<u32>> {
-    let mut texts = texts.into_iter().peekable();
-    texts.peek()?;
-    let mut all = Vec::new();
-    for text in texts {
-        let groups = tables::groups(text, MAX_TABLE_GROUPS);
-        if groups.is_empty() && !session_control::reads_no_table(text) {
-            return None;
-        }
-        all.extend(groups);
-        all.sort_unstable();
-        all.dedup();
-    }
-    Some(all)
-}
-
 impl Rules {
     /// Reads the file of rules again, after SIGHUP. A file that can't be used is logged and changes
     /// nothing.
