--- a/crates/front/src/postgres/servers_tests.rs
+++ b/crates/front/src/postgres/servers_tests.rs
@@ -12,6 +12,7 @@
 use super::replies::LOGIN_TIMEOUT;
 use super::*;
 use crate::events::{SocketId, SocketKind};
+use crate::listed_engine::ListedEngine;
 
 #[path = "servers_cancel_tests.rs"]
 mod cancel;
