--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,12 +1,13 @@
-//! The cases, and what several of them share.
+//! The cases, further plays that the report names, and what several of them share.
 
-mod order_rest;
 mod order_stall;
 mod pg_crash;
 mod pg_flush;
 mod pg_mark;
 mod pg_memory;
+mod pg_reset;
 mod pg_rollback;
+mod pg_tenant;
 mod pg_window;
 mod slow_list;
 
@@ -19,13 +20,14 @@
 
 pub fn play(name: &str, case: &Case) -> Outcome {
     match name {
-        "order-rest" => order_rest::play(case),
         "order-stall" => order_stall::play(case),
         "pg-crash" => pg_crash::play(case),
         "pg-flush" => pg_flush::play(case),
         "pg-mark" => pg_mark::play(case),
         "pg-memory" => pg_memory::play(case),
+        "pg-reset" => pg_reset::play(case),
         "pg-rollback" => pg_rollback::play(case),
+        "pg-tenant" => pg_tenant::play(case),
         "pg-window" => pg_window::play(case),
         "slow-list" => slow_list::play(case),
         _ => Err("no such case".into()),
--- a/review/standins-2/src/lines.rs
+++ b/review/standins-2/src/lines.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 
 use crate::net;
@@ -21,9 +21,6 @@
 pub enum Plan {
     /// Runs it for so many milliseconds, then answers.
     Answer(f64),
-    /// Runs it; after so many milliseconds its connection is reset, and some time later what was
-    /// running is applied all the same.
-    Reset { after: f64, runs_on: f64 },
 }
 
 /// A statement at an engine, from its arrival to its end.
@@ -34,8 +31,6 @@
     pub from: f64,
     /// When it was answered, given up, or its connection ended.
     pub to: Option<f64>,
-    pub was_reset: bool,
-    pub applied: Option<f64>,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
@@ -53,8 +48,7 @@
 }
 
 struct Connection {
-    /// None once the connection was reset.
-    output: Mutex<Option<TcpStream>>,
+    output: Mutex<TcpStream>,
     given_up: Mutex<HashSet<String>>,
     in_hand: Mutex<usize>,
 }
@@ -92,7 +86,7 @@
             return;
         };
         let connection = Arc::new(Connection {
-            output: Mutex::new(Some(output)),
+            output: Mutex::new(output),
             given_up: Mutex::default(),
             in_hand: Mutex::default(),
         });
@@ -127,7 +121,7 @@
                 ["never_mind", id] => {
                     self.record
                         .line(&format!("engine {}: {id} is given up", self.name));
-                    self.end(id, false);
+                    self.end(id);
                     connection
                         .given_up
                         .lock()
@@ -165,8 +159,6 @@
                 want: want.clone(),
                 from,
                 to: None,
-                was_reset: false,
-                applied: None,
             });
         *connection.in_hand.lock().unwrap_or_else(|e| e.into_inner()) += 1;
         let plan = (self.behaviour)(&want);
@@ -191,8 +183,7 @@
                     self.record
                         .line(&format!("engine {}: answers {}", self.name, want.id));
                 }
-                self.apply(&want.id);
-                self.end(&want.id, false);
+                self.end(&want.id);
                 let rows = "a\tb\tc\n";
                 let answer = format!(
                     "{} ACK batches=1,{} {}\r\n{rows}\r\n",
@@ -202,46 +193,10 @@
                 );
                 write(connection, &answer);
             }
-            Plan::Reset { after, runs_on } => {
-                sleep_ms(after);
-                self.record.line(&format!(
-                    "engine {}: the connection of {} is reset",
-                    self.name, want.id
-                ));
-                self.end(&want.id, true);
-                let output = connection
-                    .output
-                    .lock()
-                    .unwrap_or_else(|e| e.into_inner())
-                    .take();
-                if let Some(output) = output {
-                    net::reset_on_close(&output);
-                    // Ends the reading thread; the last close resets the connection.
-                    let _ = output.shutdown(Shutdown::Read);
-                }
-                sleep_ms(runs_on);
-                self.apply(&want.id);
-            }
-        }
-    }
-
-    /// What the statement writes is there from now on.
-    fn apply(&self, id: &str) {
-        let at = self.record.now();
-        let mut runs = self.runs.lock().unwrap_or_else(|e| e.into_inner());
-        let run = runs
-            .iter_mut()
-            .find(|run| run.want.id == id && run.engine == self.name);
-        if let Some(run) = run {
-            run.applied = Some(at);
-            if !self.quiet.contains(&run.want.class) {
-                self.record
-                    .line(&format!("engine {}: {id} is applied", self.name));
-            }
         }
     }
 
-    fn end(&self, id: &str, was_reset: bool) {
+    fn end(&self, id: &str) {
         let at = self.record.now();
         let mut runs = self.runs.lock().unwrap_or_else(|e| e.into_inner());
         let run = runs
@@ -249,14 +204,11 @@
             .find(|run| run.want.id == id && run.engine == self.name && run.to.is_none());
         if let Some(run) = run {
             run.to = Some(at);
-            run.was_reset = was_reset;
         }
     }
 }
 
 fn write(connection: &Connection, answer: &str) {
     let mut output = connection.output.lock().unwrap_or_else(|e| e.into_inner());
-    if let Some(output) = &mut *output {
-        let _ = output.write_all(answer.as_bytes());
-    }
+    let _ = output.write_all(answer.as_bytes());
 }
--- a/review/standins-2/src/pg.rs
+++ b/review/standins-2/src/pg.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Complete(String),
+    /// A row with one column.
+    Row(String),
     /// SQLSTATE and message.
     Error(String, String),
     /// The connection ended, or nothing came in time.
@@ -177,7 +179,10 @@
                         let (code, words) = error_of(&body);
                         answer = Answer::Error(code, words);
                     }
-                    Some((b'C', body)) if !matches!(answer, Answer::Error(..)) => {
+                    Some((b'D', body)) => {
+                        answer = Answer::Row(String::from_utf8_lossy(&body[6..]).into_owned())
+                    }
+                    Some((b'C', body)) if !matches!(answer, Answer::Error(..) | Answer::Row(_)) => {
                         answer = Answer::Complete(text(&body))
                     }
                     Some(_) => {}
@@ -196,6 +201,8 @@
 pub enum Plan {
     /// Runs it, which takes so many milliseconds, and answers.
     Answer(f64),
+    /// Fails it at once with an error of the engine's own, and goes on.
+    Fail,
     /// Runs it at once; its answer never leaves, and after so many milliseconds its connection is
     /// reset.
     RunAndReset(f64),
@@ -207,6 +214,47 @@
     pub text: String,
 }
 
+/// The state of one connection.
+struct Backend {
+    /// `I`, `T` or `E`, as in ReadyForQuery.
+    status: u8,
+    pending: Vec<Effect>,
+    mark: Option<String>,
+    /// The setting `search_path`, and what it was as the transaction began and at its savepoint.
+    path: String,
+    path_before: String,
+    path_at_savepoint: String,
+}
+
+impl Default for Backend {
+    fn default() -> Backend {
+        Backend {
+            status: b'I',
+            pending: Vec::new(),
+            mark: None,
+            path: "public".into(),
+            path_before: "public".into(),
+            path_at_savepoint: "public".into(),
+        }
+    }
+}
+
+impl Backend {
+    /// An error: within a transaction that has failed.
+    fn fail(&mut self) {
+        if self.status == b'T' {
+            self.status = b'E';
+        }
+    }
+}
+
+fn error(code: &str, words: &str) -> Vec<u8> {
+    message(
+        b'E',
+        format!("SERROR\0VERROR\0C{code}\0M{words}\0\0").as_bytes(),
+    )
+}
+
 /// The mark that a text names, in whatever form.
 fn mark_in(text: &str) -> Option<String> {
     let (_, rest) = text.split_once("dedup_key")?;
@@ -312,10 +360,12 @@
         out.extend(message(b'K', &[0, 0, 0, 1, 0, 0, 0, 2]));
         out.extend(message(b'Z', b"I"));
         stream.write_all(&out).ok()?;
-        let (mut in_transaction, mut pending) = (false, Vec::new());
         let mut parsed = String::new();
         // A mark would also be known from the session's settings, had they brought it here.
-        let mut session_mark = mark_in(&String::from_utf8_lossy(&rest));
+        let mut backend = Backend {
+            mark: mark_in(&String::from_utf8_lossy(&rest)),
+            ..Backend::default()
+        };
         loop {
             let (tag, body) = read_message(&mut stream)?;
             match tag {
@@ -329,18 +379,16 @@
                         sleep_ms(ms);
                     }
                     let mut out = Vec::new();
-                    for statement in sql.split(';').map(str::trim).filter(|s| !s.is_empty()) {
-                        let tag = self.execute(
-                            statement,
-                            got,
-                            &mut in_transaction,
-                            &mut pending,
-                            &mut session_mark,
-                        );
-                        out.extend(message(b'C', format!("{tag}\0").as_bytes()));
+                    if let Plan::Fail = plan {
+                        backend.fail();
+                        out.extend(error("58030", "could not read the file: I/O error"));
+                    } else {
+                        for statement in sql.split(';').map(str::trim).filter(|s| !s.is_empty()) {
+                            out.extend(self.execute(statement, got, &mut backend));
+                        }
                     }
-                    if !in_transaction {
-                        self.commit(&mut pending);
+                    if backend.status == b'I' {
+                        self.commit(&mut backend.pending);
                     }
                     if let Plan::RunAndReset(ms) = plan {
                         sleep_ms(ms);
@@ -356,7 +404,7 @@
                         net::reset_on_close(&stream);
                         return None;
                     }
-                    out.extend(message(b'Z', if in_transaction { b"T" } else { b"I" }));
+                    out.extend(message(b'Z', &[backend.status]));
                     stream.write_all(&out).ok()?;
                     self.record
                         .line(&format!("engine {}: answers {sql}", self.name));
@@ -379,24 +427,15 @@
                     let got = self
                         .record
                         .line(&format!("engine {}: got Execute of {parsed}", self.name));
-                    let tag = self.execute(
-                        &parsed,
-                        got,
-                        &mut in_transaction,
-                        &mut pending,
-                        &mut session_mark,
-                    );
-                    stream
-                        .write_all(&message(b'C', format!("{tag}\0").as_bytes()))
-                        .ok()?;
+                    let out = self.execute(&parsed, got, &mut backend);
+                    stream.write_all(&out).ok()?;
                 }
                 b'H' => {}
                 b'S' => {
-                    if !in_transaction {
-                        self.commit(&mut pending);
+                    if backend.status == b'I' {
+                        self.commit(&mut backend.pending);
                     }
-                    let status: &[u8] = if in_transaction { b"T" } else { b"I" };
-                    stream.write_all(&message(b'Z', status)).ok()?;
+                    stream.write_all(&message(b'Z', &[backend.status])).ok()?;
                 }
                 b'X' => return None,
                 _ => {
@@ -410,60 +449,94 @@
         }
     }
 
-    /// Executes one statement and returns its command tag.
-    fn execute(
-        &self,
-        statement: &str,
-        got: f64,
-        in_transaction: &mut bool,
-        pending: &mut Vec<Effect>,
-        session_mark: &mut Option<String>,
-    ) -> &'static str {
+    /// Executes one statement and returns the messages of its answer, without ReadyForQuery.
+    fn execute(&self, statement: &str, got: f64, backend: &mut Backend) -> Vec<u8> {
         let words = match statement.split_once("*/") {
             Some((_, words)) => words.trim(),
             None => statement,
         };
-        let first = words
-            .split_whitespace()
-            .next()
-            .unwrap_or_default()
-            .to_ascii_uppercase();
-        match first.as_str() {
+        let upper = words.to_ascii_uppercase();
+        let first = upper.split_whitespace().next().unwrap_or_default();
+        let is_end = matches!(first, "COMMIT" | "ROLLBACK");
+        if backend.status == b'E' && !is_end {
+            return error("25P02", "current transaction is aborted");
+        }
+        let complete = |tag: &str| message(b'C', format!("{tag}\0").as_bytes());
+        match first {
             "BEGIN" => {
-                *in_transaction = true;
-                "BEGIN"
+                backend.status = b'T';
+                backend.path_before = backend.path.clone();
+                complete("BEGIN")
+            }
+            "SAVEPOINT" => {
+                backend.path_at_savepoint = backend.path.clone();
+                complete("SAVEPOINT")
             }
-            "COMMIT" => {
-                *in_transaction = false;
-                self.commit(pending);
-                "COMMIT"
+            "ROLLBACK" if upper.contains(" TO ") => {
+                backend.status = b'T';
+                backend.path = backend.path_at_savepoint.clone();
+                complete("ROLLBACK")
             }
-            "ROLLBACK" => {
-                *in_transaction = false;
-                pending.clear();
-                "ROLLBACK"
+            "COMMIT" if backend.status != b'E' => {
+                backend.status = b'I';
+                self.commit(&mut backend.pending);
+                complete("COMMIT")
+            }
+            "COMMIT" | "ROLLBACK" => {
+                if backend.status != b'I' {
+                    backend.path = backend.path_before.clone();
+                }
+                backend.status = b'I';
+                backend.pending.clear();
+                complete("ROLLBACK")
             }
             "UPDATE" | "INSERT" => {
-                let mark = mark_in(statement).or_else(|| session_mark.clone());
+                let mark = mark_in(statement).or_else(|| backend.mark.clone());
                 if !mark.is_some_and(|mark| self.is_repeat(mark, got)) {
-                    pending.push(Effect {
+                    backend.pending.push(Effect {
                         text: words.to_string(),
                     });
                 }
-                if first == "UPDATE" {
+                complete(if first == "UPDATE" {
                     "UPDATE 1"
                 } else {
                     "INSERT 0 1"
-                }
+                })
             }
-            "SELECT" => "SELECT 0",
+            "SELECT" if upper.contains("FROM VIEWS") => {
+                // The table is that of the schema that the session's path names.
+                self.record.line(&format!(
+                    "engine {}: reads {}.views",
+                    self.name, backend.path
+                ));
+                let value = backend.path.as_bytes();
+                let mut row = 1u16.to_be_bytes().to_vec();
+                row.extend((value.len() as u32).to_be_bytes());
+                row.extend(value);
+                let mut column = 1u16.to_be_bytes().to_vec();
+                column.extend(b"owner\0");
+                column.extend([
+                    0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 255, 255, 255, 255, 255, 255, 0, 0,
+                ]);
+                [
+                    message(b'T', &column),
+                    message(b'D', &row),
+                    complete("SELECT 1"),
+                ]
+                .concat()
+            }
+            "SELECT" => complete("SELECT 0"),
             "RESET" => {
-                *session_mark = None;
-                "RESET"
+                (backend.mark, backend.path) = (None, "public".into());
+                complete("RESET")
             }
             _ => {
-                *session_mark = mark_in(statement).or_else(|| session_mark.clone());
-                "SET"
+                if let Some((_, path)) = words.split_once("search_path") {
+                    let path = path.trim_start_matches([' ', '=']).trim();
+                    backend.path = path.trim_start_matches("TO ").to_string();
+                }
+                backend.mark = mark_in(statement).or_else(|| backend.mark.take());
+                complete("SET")
             }
         }
     }
