postgres: a unit that fails while it is sent no longer ends the front by a panic

Callers saw: the process ended (exit status 101) when a session that pipelines behind a Flush lost its engine and then sent its Sync; all clients of the front lost their answers.

Cause: Session::scanned counts bytes of the unconsumed input that were searched for a unit's end. skip_to_sync consumes input and left the count as it was, so the next read began behind the end of the input, or within a message.

Change: skipping sets the count back; a skipped message over the limit ends the session instead of waiting for input that is never read. The random test lets units fail while they are sent.

--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -104,7 +104,7 @@
             Stage::LoggingIn(_) if input.is_empty() => Consumed::NOTHING,
             Stage::LoggingIn(_) => self.advance_login(now, id, input, users, servers),
             Stage::Open(open_session) if open_session.skipping_to_sync => {
-                match open_session.session.skip_to_sync(input) {
+                match open_session.session.skip_to_sync(input, &self.bounds) {
                     Err(why) => {
                         why.write(connection.link.output(), true);
                         connection.closing = true;
--- a/crates/postgres/fuzz/drive.rs
+++ b/crates/postgres/fuzz/drive.rs
@@ -17,15 +17,19 @@
     bytes: 4096,
 };
 
+/// The number of pieces in which the units arrive that fail.
+const PIECES: usize = 16;
+
 /// The first byte selects the reader; the others are its input.
 pub fn drive(bytes: &[u8]) {
     let Some((reader, input)) = bytes.split_first() else {
         return;
     };
-    match reader % 4 {
+    match reader % 5 {
         0 => startup(input),
         1 => _ = session(input),
         2 => engine(input),
+        3 => failing_units(input),
         _ => _ = sql::scan(input),
     }
 }
@@ -68,6 +72,33 @@
     parts
 }
 
+/// Reads units that arrive in pieces and fail as soon as their first part was read.
+fn failing_units(input: &[u8]) {
+    let mut catalogue = Catalogue::default();
+    let mut session = Session::new(&Default::default(), &mut catalogue);
+    let mut offset = 0;
+    for piece in 1..=PIECES {
+        let end = input.len() * piece / PIECES;
+        loop {
+            let rest = &input[offset..end];
+            let read = session
+                .read(rest, &mut catalogue, &BOUNDS)
+                .map(|(used, read)| (used, matches!(read, SessionEvent::Part(_))));
+            let Ok((used, is_part)) = read else { return };
+            offset += used;
+            if !is_part {
+                break;
+            }
+        }
+        if session.is_in_unit() {
+            let skipped = session.skip_to_sync(&input[offset..end], &BOUNDS);
+            let Ok((used, _)) = skipped else { return };
+            assert!(used <= end - offset);
+            offset += used;
+        }
+    }
+}
+
 /// Sends the units of the first half of the bytes to an engine, whose answers are the second half.
 fn engine(input: &[u8]) {
     let half = input.len() / 2;
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -94,7 +94,7 @@
     in_unit: bool,
     /// The labels of the parts of that unit so far.
     unit_labels: UnitLabels,
-    /// Bytes of the input that were scanned before for the end of a unit.
+    /// Bytes at the start of the unconsumed input that were scanned before for the end of a unit.
     scanned: usize,
 }
 
--- a/crates/postgres/src/session/reading.rs
+++ b/crates/postgres/src/session/reading.rs
@@ -13,6 +13,11 @@
 use crate::wire::{self, ClientMessage, Header, Message};
 use crate::ProtocolError;
 
+/// A message, or the part of a unit that it belongs to, is longer than the limit of the session.
+const UNIT_TOO_LONG: ClientError = ClientError::LimitExceeded {
+    why: "the bytes of a unit",
+};
+
 /// The state of reading one part of a unit.
 struct PartReader<'a> {
     input: &'a [u8],
@@ -149,9 +154,7 @@
         loop {
             match wire::header(&input[at..]).map_err(protocol_violation)? {
                 Some(Header { len, .. }) if len > bounds.bytes || at + len > bounds.bytes => {
-                    return Err(ClientError::LimitExceeded {
-                        why: "the bytes of a unit",
-                    });
+                    return Err(UNIT_TOO_LONG);
                 }
                 Some(Header { tag, len }) if at + len <= input.len() => {
                     at += len;
@@ -339,12 +342,21 @@
     }
 
     /// Skips the messages of a unit that was already answered with an error. Returns the number of
-    /// bytes consumed, and whether the Sync was among them.
-    pub fn skip_to_sync(&mut self, input: &[u8]) -> Result<(usize, bool), ClientError> {
+    /// bytes consumed, and whether the Sync was among them. An error ends the session.
+    pub fn skip_to_sync(
+        &mut self,
+        input: &[u8],
+        bounds: &Bounds,
+    ) -> Result<(usize, bool), ClientError> {
+        // The scanned bytes are among those that are skipped, so the next unit starts at 0 again.
+        self.scanned = 0;
         let mut at = 0;
         while let Some(Header { tag, len }) =
             wire::header(&input[at..]).map_err(protocol_violation)?
         {
+            if len > bounds.bytes {
+                return Err(UNIT_TOO_LONG);
+            }
             if at + len > input.len() {
                 break;
             }
