postgres: a unit that waits in the front leaves within its terms or not at all

Callers saw: a deduplicated load of a session took effect twice, the second time 2.5 s after the engines had forgotten its mark, and was told "completed".

Cause: the dispatcher names for each execution the time until which it may be sent (Terms::send_by, deadline). The native path keeps to it; the gateway of sessions was not given the terms, though its units wait for connections, logins, settings and requests to cancel.

Change: a unit carries its terms, and every wait asks one function, shared with the native path, before the unit leaves. Applied settings are an event of the engine connection now, so that the front decides whether the waiting unit is still sent. Units that wait are withdrawn when their window ends.

--- a/crates/front/src/engines/writes.rs
+++ b/crates/front/src/engines/writes.rs
@@ -6,7 +6,7 @@
 use super::connection::{ConnectionId, EngineConnection, PendingWrite};
 use super::execution::Stage;
 use super::{replies, Engine, Engines, Event};
-use crate::execution::ExecutionId;
+use crate::execution::{reason_expired, ExecutionId};
 use crate::link::Broken;
 
 /// Maximum unsent output of a connection in bytes: about a thousand small statements.
@@ -193,9 +193,5 @@
         );
         return Some("its engine drains or was removed");
     };
-    if now >= terms.deadline {
-        return Some("its client's deadline has passed");
-    }
-    // From `send_by` on engines may no longer deduplicate a repeat of the first execution.
-    (now >= terms.send_by).then_some("engines may no longer deduplicate it")
+    reason_expired(now, terms)
 }
--- a/crates/front/src/event_loop/dispatch.rs
+++ b/crates/front/src/event_loop/dispatch.rs
@@ -272,7 +272,7 @@
             return self
                 .gateway
                 .iter_mut()
-                .for_each(|gateway| gateway.send(now, execution_id, place, None));
+                .for_each(|gateway| gateway.send(now, execution_id, place, terms, None));
         }
         match self.call(ticket) {
             Some(call) => {
--- a/crates/front/src/event_loop/scatter.rs
+++ b/crates/front/src/event_loop/scatter.rs
@@ -212,7 +212,9 @@
         let now = self.clock.now;
         match (outgoing, &mut self.gateway) {
             (Outgoing::Call(call), _) => self.engines.send(now, ordered.id(), place, call, terms),
-            (Outgoing::Unit(text), Some(gateway)) => gateway.send(now, ordered.id(), place, text),
+            (Outgoing::Unit(text), Some(gateway)) => {
+                gateway.send(now, ordered.id(), place, terms, text)
+            }
             (Outgoing::Unit(_), None) => {}
         }
     }
--- a/crates/front/src/postgres/gateway.rs
+++ b/crates/front/src/postgres/gateway.rs
@@ -13,7 +13,7 @@
 
 use calloop::LoopHandle;
 use hallmux_config::{Postgres, Settings};
-use hallmux_dispatcher::{Dispatcher, Ending, EngineIndex, Micros, Ticket};
+use hallmux_dispatcher::{Dispatcher, Ending, EngineIndex, Micros, Terms, Ticket};
 use hallmux_postgres::session::Transaction;
 
 use super::admission_state::AdmissionState;
@@ -182,7 +182,7 @@
             SocketKind::SessionListener => self.listener.mark_readable(),
             SocketKind::Session => return self.sessions.read(now, socket.number),
             SocketKind::Server => return self.servers.read(now, socket.number),
-            SocketKind::Cancel => self.servers.read_cancel(socket.number),
+            SocketKind::Cancel => self.servers.read_cancel(now, socket.number),
             SocketKind::Listener
             | SocketKind::Client
             | SocketKind::Engine
@@ -264,13 +264,14 @@
         }
     }
 
-    /// Sends an execution to an engine. `text` replaces the text of a unit that is one simple
-    /// query.
+    /// Sends an execution to an engine, unless it can't leave within its terms. `text` replaces the
+    /// text of a unit that is one simple query.
     pub fn send(
         &mut self,
         now: Micros,
         execution_id: ExecutionId,
         engine_index: EngineIndex,
+        terms: Terms,
         text: Option<Vec<u8>>,
     ) {
         let Some((session, open_session)) = self.sessions.by_ticket(execution_id.ticket) else {
@@ -307,6 +308,7 @@
                 settings,
                 account,
                 pin,
+                terms,
             },
         );
     }
--- a/crates/front/src/postgres/servers.rs
+++ b/crates/front/src/postgres/servers.rs
@@ -12,7 +12,7 @@
 
 use calloop::LoopHandle;
 use hallmux_config::{NetworkSettings, SessionLimits};
-use hallmux_dispatcher::{Ending, EngineIndex, Micros};
+use hallmux_dispatcher::{Ending, EngineIndex, Micros, Terms};
 use hallmux_postgres::engine::{Account, EngineConnection, UnitOutcome};
 use hallmux_postgres::pool::{self, Pools};
 use hallmux_postgres::prepared::SessionSettings;
@@ -73,6 +73,8 @@
     pub account: pool::AccountId,
     /// The connection that holds the session's transaction, if one is open.
     pub pin: Option<ServerId>,
+    /// Until when the unit may be sent.
+    pub terms: Terms,
 }
 
 impl Unit {
@@ -310,6 +312,7 @@
             for id in self.pools.expired(now) {
                 self.close(id);
             }
+            self.withdraw_expired(now);
             // Serves executions that wait for descriptors which other pools have released.
             for engine_index in self.engines.keys().copied().collect::<Vec<_>>() {
                 let action = self.pools.next_action(engine_index);
--- a/crates/front/src/postgres/servers/close.rs
+++ b/crates/front/src/postgres/servers/close.rs
@@ -190,19 +190,19 @@
     }
 
     /// Handles an event of a connection that carries a request to cancel.
-    pub fn read_cancel(&mut self, number: u64) {
+    pub fn read_cancel(&mut self, now: Micros, number: u64) {
         let Some(cancel) = self.cancels.get_mut(&number) else {
             return;
         };
         match cancel.link.is_up() {
             Ok(false) => return,
             Ok(true) => {}
-            Err(_) => return self.finish_cancel(number),
+            Err(_) => return self.finish_cancel(now, number),
         }
         let execution_id = cancel.link.flush();
         let broken = cancel.link.read().broken;
         if execution_id.is_err() || broken.is_some() || !cancel.link.input.is_empty() {
-            self.finish_cancel(number);
+            self.finish_cancel(now, number);
         }
     }
 
@@ -214,17 +214,17 @@
             .cancels
             .get(&number)
             .is_some_and(|cancel| cancel.link.unsent() > 0);
-        self.read_cancel(number);
+        self.read_cancel(now, number);
         match self.cancels.get_mut(&number) {
             Some(cancel) if was_unsent && cancel.link.unsent() == 0 => {
                 cancel.deadline = now + self.network.dial_timeout
             }
-            _ => self.finish_cancel(number),
+            _ => self.finish_cancel(now, number),
         }
     }
 
     /// Ends a cancel request that the engine has accepted, or never will accept.
-    pub(super) fn finish_cancel(&mut self, number: u64) {
+    pub(super) fn finish_cancel(&mut self, now: Micros, number: u64) {
         let Some(cancel) = self.cancels.remove(&number) else {
             return;
         };
@@ -247,7 +247,7 @@
             };
             if let Some(execution_id) = server.serving.filter(waits).filter(|_| server.cancels == 0)
             {
-                self.start(execution_id, cancel.server);
+                self.start_pinned(now, execution_id, cancel.server);
             }
         }
     }
--- a/crates/front/src/postgres/servers/replies.rs
+++ b/crates/front/src/postgres/servers/replies.rs
@@ -157,17 +157,10 @@
             let unsent_answer =
                 execution.map_or(&mut dropped, |execution| &mut execution.unsent_answer);
             let most_held = self.limits.buffer_bytes;
-            let was_setting = server.engine.is_applying_settings();
-            let start = server.link.end_of_output();
             let output = server.link.output();
             let read = server
                 .engine
                 .read(&input[taken..], output, unsent_answer, most_held);
-            if was_setting && !server.engine.is_applying_settings() {
-                // The unit that waited for the settings is sent now.
-                server.write_start = start;
-                server.write_end = server.link.output().len();
-            }
             let (used, reply) = match read {
                 Ok(read) => read,
                 Err(what) => return ReplyProgress::Unreadable(what),
@@ -239,6 +232,7 @@
                 let action = self.pools.next_action(engine_index);
                 self.run_pool_action(now, engine_index, action);
             }
+            EngineEvent::SettingsApplied => self.start_with_settings(now, id),
             EngineEvent::SettingsRefused { error } => {
                 let execution_id = server.serving.take();
                 self.close(id);
--- a/crates/front/src/postgres/servers/send.rs
+++ b/crates/front/src/postgres/servers/send.rs
@@ -5,12 +5,12 @@
 
 use hallmux_dispatcher::{Ending, EngineIndex, Micros};
 use hallmux_postgres::engine::EngineConnection;
-use hallmux_postgres::pool::{self, PoolAction};
+use hallmux_postgres::pool::{self, PoolAction, Released};
 use hallmux_postgres::session::UnitPart;
 
 use super::{Event, Execution, Server, Servers, Stage, Unit};
 use crate::events::SocketKind;
-use crate::execution::ExecutionId;
+use crate::execution::{reason_expired, ExecutionId};
 use crate::link::Link;
 use crate::postgres::ids::ServerId;
 
@@ -56,7 +56,7 @@
                     self.executions.insert(execution_id, execution);
                     server.serving = Some(execution_id);
                     if server.cancels == 0 {
-                        self.start(execution_id, id);
+                        self.start_pinned(now, execution_id, id);
                     }
                 }
                 None => self.events.push(Event::Ended {
@@ -89,6 +89,10 @@
         let mut action = action;
         while let Some(next) = action.take() {
             match next {
+                PoolAction::Use { unit, connection } if self.has_expired(now, unit) => {
+                    self.report_end(unit, Ending::Withdrawn);
+                    action = self.release_unused(now, connection);
+                }
                 PoolAction::Use { unit, connection } => self.start(unit, connection),
                 // Waiting units are served when a connection is released, or at the next check when
                 // one may be opened.
@@ -187,8 +191,62 @@
         Ok(())
     }
 
+    /// Whether an execution may no longer be sent: its client's time is over, or engines may have
+    /// forgotten its first execution.
+    pub(super) fn has_expired(&self, now: Micros, execution_id: ExecutionId) -> bool {
+        let execution = self.executions.get(&execution_id);
+        let reason = execution.and_then(|execution| reason_expired(now, &execution.unit.terms));
+        if let Some(reason) = reason {
+            let ticket = execution_id.ticket;
+            log::debug!("statement {ticket}: its execution is withdrawn unsent: {reason}");
+        }
+        reason.is_some()
+    }
+
+    /// Withdraws the executions that wait for a connection and may no longer be sent, so that their
+    /// statements end without waiting for one.
+    pub(super) fn withdraw_expired(&mut self, now: Micros) {
+        let waiting = |execution: &Execution| {
+            execution.stage == Stage::Waiting && execution.unit.pin.is_none()
+        };
+        let waiting: Vec<ExecutionId> = self
+            .executions
+            .iter()
+            .filter(|(_, execution)| waiting(execution))
+            .map(|(execution_id, _)| *execution_id)
+            .collect();
+        for execution_id in waiting {
+            if self.has_expired(now, execution_id) {
+                self.cancel_execution(now, execution_id, Ending::Withdrawn);
+            }
+        }
+    }
+
+    /// Returns a connection to its pool that was assigned to a unit and not used. Returns the action
+    /// for the next waiting unit.
+    fn release_unused(&mut self, now: Micros, id: ServerId) -> Option<PoolAction<ExecutionId>> {
+        let engine_index = self.engine_index(id)?;
+        match self.pools.release(now, id) {
+            Released::Idle => None,
+            Released::Action(action) => Some(action),
+            Released::Close => {
+                self.close(id);
+                self.pools.next_action(engine_index)
+            }
+        }
+    }
+
+    /// Writes a unit to the connection that holds its transaction. If the unit may no longer be sent
+    /// the connection is closed, which rolls the transaction back.
+    pub(super) fn start_pinned(&mut self, now: Micros, execution_id: ExecutionId, id: ServerId) {
+        if self.has_expired(now, execution_id) {
+            return self.cancel_execution(now, execution_id, Ending::Withdrawn);
+        }
+        self.start(execution_id, id);
+    }
+
     /// Writes a unit to a connection.
-    pub(super) fn start(&mut self, execution_id: ExecutionId, id: ServerId) {
+    fn start(&mut self, execution_id: ExecutionId, id: ServerId) {
         let (Some(execution), Some(server)) = (
             self.executions.get_mut(&execution_id),
             self.connections.get_mut(&id),
@@ -212,6 +270,32 @@
         self.flush_pending.insert(id);
     }
 
+    /// Writes the unit that waited for its settings, which are applied now. If it may no longer be
+    /// sent its connection is closed.
+    pub(super) fn start_with_settings(&mut self, now: Micros, id: ServerId) {
+        let Some(server) = self.connections.get(&id) else {
+            return;
+        };
+        let (execution_id, engine_index) = (server.serving, server.engine_index);
+        if let Some(execution_id) = execution_id.filter(|id| self.has_expired(now, *id)) {
+            self.report_end(execution_id, Ending::Withdrawn);
+            return self.close_and_refill(now, id, engine_index);
+        }
+        let Some(server) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let execution = execution_id.and_then(|id| self.executions.get_mut(&id));
+        let mut dropped = Vec::new();
+        let unsent_answer =
+            execution.map_or(&mut dropped, |execution| &mut execution.unsent_answer);
+        server.write_start = server.link.end_of_output();
+        server
+            .engine
+            .send_waiting(server.link.output(), unsent_answer);
+        server.write_end = server.link.output().len();
+        self.flush_pending.insert(id);
+    }
+
     /// Writes a further part of a unit that is in flight.
     pub fn append_part(&mut self, execution_id: ExecutionId, part: Rc<UnitPart>) {
         let Some(execution) = self.executions.get_mut(&execution_id) else {
--- a/crates/front/src/postgres/servers_tests.rs
+++ b/crates/front/src/postgres/servers_tests.rs
@@ -16,10 +16,19 @@
 
 #[path = "servers_cancel_tests.rs"]
 mod cancel;
+#[path = "servers_terms_tests.rs"]
+mod terms;
 
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 const DIAL_TIMEOUT: Micros = 250_000; // microseconds
 const ENGINE_INDEX: EngineIndex = 0;
+/// Terms of a unit that may be sent at any time.
+const UNLIMITED: Terms = Terms {
+    deadline: Micros::MAX,
+    send_by: Micros::MAX,
+    grant_mb: 0.0,
+    priority: 1,
+};
 /// Bytes of a part that does not fit into the buffers of a connection whose engine stops reading.
 const OVERSIZED_PART_BYTES: usize = 3 << 20;
 const KEY: wire::CancelKey = wire::CancelKey {
@@ -76,6 +85,7 @@
             settings,
             account,
             pin,
+            terms: UNLIMITED,
         };
         self.servers.send(now, execution_id, ENGINE_INDEX, unit);
     }
@@ -100,7 +110,7 @@
     fn handle_ready_sockets(&mut self, now: Micros) {
         for socket in self.ready_sockets() {
             match socket.kind {
-                SocketKind::Cancel => self.servers.read_cancel(socket.number),
+                SocketKind::Cancel => self.servers.read_cancel(now, socket.number),
                 _ => _ = self.servers.read(now, socket.number),
             }
         }
@@ -172,6 +182,7 @@
             settings: Rc::default(),
             account,
             pin: None,
+            terms: UNLIMITED,
         };
         self.servers.send(0, FIRST_EXECUTION, ENGINE_INDEX, unit);
         let mut link = engine.accept().unwrap().0;
@@ -367,6 +378,7 @@
         settings,
         account,
         pin: None,
+        terms: UNLIMITED,
     };
     harness.servers.send(0, FIRST_EXECUTION, ENGINE_INDEX, unit);
     let mut link = engine.accept().unwrap().0;
--- a/crates/postgres/fuzz/drive.rs
+++ b/crates/postgres/fuzz/drive.rs
@@ -120,6 +120,9 @@
     {
         assert!(used <= answers.len() - offset);
         offset += used;
+        if event == Some(EngineEvent::SettingsApplied) {
+            engine.send_waiting(&mut out, &mut to_client);
+        }
         if used == 0 && event.is_none() {
             break;
         }
--- a/crates/postgres/src/engine.rs
+++ b/crates/postgres/src/engine.rs
@@ -30,6 +30,9 @@
         /// The complete ErrorResponse message, for the client.
         error: Vec<u8>,
     },
+    /// A session's settings are applied. The unit that waited for them is not sent yet:
+    /// `send_waiting` sends it, or its connection is closed.
+    SettingsApplied,
     /// The engine refused to apply a session's settings.
     SettingsRefused {
         /// The complete ErrorResponse message, for the client.
@@ -111,7 +114,7 @@
     unnamed: Option<u64>,
     /// The settings applied on the connection; None if they are unknown.
     settings: Option<Rc<SessionSettings>>,
-    /// Parts that were submitted while settings are being applied.
+    /// Parts that were submitted while settings are being applied, and that are not sent yet.
     waiting_for_settings: Vec<WaitingPart>,
     /// The engine's first error message while settings are being applied.
     settings_error: Option<Vec<u8>>,
@@ -174,10 +177,9 @@
         self.stage != Stage::Login
     }
 
-    /// Whether a session's settings are being applied; the units that wait for them have not been
-    /// sent.
+    /// Whether a unit waits for its session's settings to be applied: nothing of it has been sent.
     pub fn is_applying_settings(&self) -> bool {
-        self.stage == Stage::ApplyingSettings
+        self.stage == Stage::ApplyingSettings || !self.waiting_for_settings.is_empty()
     }
 
     /// Whether the bytes forwarded to the client so far end at a message boundary.
--- a/crates/postgres/src/engine/receiving.rs
+++ b/crates/postgres/src/engine/receiving.rs
@@ -1,7 +1,7 @@
 //! Reads an engine's messages: each answer is matched with the operation it belongs to, and
 //! forwarded to the client or dropped.
 
-use super::{EngineConnection, EngineEvent, Expected, Stage, WaitingPart};
+use super::{EngineConnection, EngineEvent, Expected, Stage};
 use crate::client_error::is_engine_fault;
 use crate::unit::UnitOutcome;
 use crate::wire::{self, Header};
@@ -66,7 +66,7 @@
             at += len;
             let event = match self.stage {
                 Stage::Login => self.login(tag, &message[5..], message, out)?,
-                Stage::ApplyingSettings => self.settings_answer(tag, message, out, to_client),
+                Stage::ApplyingSettings => self.settings_answer(tag, message),
                 Stage::Ready => self.unit_answer(tag, message, to_client)?,
             };
             if event.is_some() {
@@ -78,13 +78,7 @@
 
     /// Handles an answer while settings are being applied. Nothing is forwarded to the client; only
     /// an error is kept, for the event.
-    fn settings_answer(
-        &mut self,
-        tag: u8,
-        message: &[u8],
-        out: &mut Vec<u8>,
-        to_client: &mut Vec<u8>,
-    ) -> Option<EngineEvent> {
+    fn settings_answer(&mut self, tag: u8, message: &[u8]) -> Option<EngineEvent> {
         match tag {
             b'E' => _ = self.settings_error.get_or_insert(message.to_vec()),
             b'Z' if matches!(self.expected.front(), Some(Expected::Ping)) => {
@@ -93,14 +87,13 @@
             }
             b'Z' => {
                 self.stage = Stage::Ready;
-                let waiting = std::mem::take(&mut self.waiting_for_settings);
                 if let Some(error) = self.settings_error.take() {
+                    self.waiting_for_settings.clear();
                     return Some(EngineEvent::SettingsRefused { error });
                 }
-                self.settings = waiting.first().map(|first| first.settings.clone());
-                for WaitingPart { part, settings } in waiting {
-                    self.send(&part, &settings, true, out, to_client);
-                }
+                let applied = self.waiting_for_settings.first();
+                self.settings = applied.map(|first| first.settings.clone());
+                return Some(EngineEvent::SettingsApplied);
             }
             _ => {}
         }
--- a/crates/postgres/src/engine/sending.rs
+++ b/crates/postgres/src/engine/sending.rs
@@ -40,7 +40,7 @@
         out: &mut Vec<u8>,
         to_client: &mut Vec<u8>,
     ) {
-        if self.stage == Stage::ApplyingSettings {
+        if self.is_applying_settings() {
             return self.wait_for_settings(part, settings);
         }
         if !in_transaction && !self.has_settings(settings) {
@@ -62,6 +62,14 @@
         self.write_local_answers(to_client);
     }
 
+    /// Writes to `out` the parts that waited for their session's settings, which are applied now.
+    /// Answers that the front gives itself are appended to `to_client`.
+    pub fn send_waiting(&mut self, out: &mut Vec<u8>, to_client: &mut Vec<u8>) {
+        for WaitingPart { part, settings } in std::mem::take(&mut self.waiting_for_settings) {
+            self.send(&part, &settings, true, out, to_client);
+        }
+    }
+
     fn wait_for_settings(&mut self, part: &Rc<UnitPart>, settings: &Rc<SessionSettings>) {
         self.waiting_for_settings.push(WaitingPart {
             part: part.clone(),
