--- a/crates/front/src/postgres/servers.rs
+++ b/crates/front/src/postgres/servers.rs
@@ -312,7 +312,7 @@
             for id in self.pools.expired(now) {
                 self.close(id);
             }
-            self.withdraw_expired(now);
+            self.withdraw_late_repeats(now);
             // Serves executions that wait for descriptors which other pools have released.
             for engine_index in self.engines.keys().copied().collect::<Vec<_>>() {
                 let action = self.pools.next_action(engine_index);
--- a/crates/front/src/postgres/servers/send.rs
+++ b/crates/front/src/postgres/servers/send.rs
@@ -203,22 +203,22 @@
         reason.is_some()
     }
 
-    /// Withdraws the executions that wait for a connection and may no longer be sent, so that their
-    /// statements end without waiting for one.
-    pub(super) fn withdraw_expired(&mut self, now: Micros) {
-        let waiting = |execution: &Execution| {
-            execution.stage == Stage::Waiting && execution.unit.pin.is_none()
+    /// Withdraws the repeats that wait for a connection after their deduplication window, so that
+    /// their statements end without waiting for one. The dispatcher ends those past their deadline.
+    pub(super) fn withdraw_late_repeats(&mut self, now: Micros) {
+        let is_late = |execution: &Execution| {
+            execution.stage == Stage::Waiting
+                && execution.unit.pin.is_none()
+                && now >= execution.unit.terms.send_by
         };
-        let waiting: Vec<ExecutionId> = self
+        let late: Vec<ExecutionId> = self
             .executions
             .iter()
-            .filter(|(_, execution)| waiting(execution))
+            .filter(|(_, execution)| is_late(execution))
             .map(|(execution_id, _)| *execution_id)
             .collect();
-        for execution_id in waiting {
-            if self.has_expired(now, execution_id) {
-                self.cancel_execution(now, execution_id, Ending::Withdrawn);
-            }
+        for execution_id in late {
+            self.cancel_execution(now, execution_id, Ending::Withdrawn);
         }
     }
 
