postgres: settings and labels follow the rollbacks of their session, also to savepoints

Callers saw: after ROLLBACK TO SAVEPOINT and COMMIT the session's next statement ran under a search_path that the rollback had taken back: rows of another member's schema.

Cause: the front kept one list of SETs for a transaction and applied all or none of it, by how the last unit ended. Savepoints, statements that never ran and transactions that end within a query were not known to it; labels were not taken back at all.

--- a/crates/front/src/event_loop_tests.rs
+++ b/crates/front/src/event_loop_tests.rs
@@ -19,6 +19,8 @@
 mod engine_endings;
 #[path = "postgres/session_close_tests.rs"]
 mod session_close;
+#[path = "postgres/session_settings_tests.rs"]
+mod session_settings;
 #[path = "postgres/session_shutdown_tests.rs"]
 mod session_shutdown;
 #[path = "postgres/session_units_tests.rs"]
--- a/crates/postgres/src/engine/receiving.rs
+++ b/crates/postgres/src/engine/receiving.rs
@@ -157,12 +157,18 @@
             (b'D' | b'H' | b'd' | b'c', Some(Expected::Executed | Expected::Query)) => {}
             (b'T' | b'I', Some(Expected::Query)) => {}
             (b'C', Some(Expected::Executed | Expected::Query)) => {
-                self.outcome.rolled_back |= message.starts_with(b"C\0\0\0\x0dROLLBACK\0");
+                self.outcome.completed += 1;
+                if message.get(5..) == Some(b"ROLLBACK\0") {
+                    self.outcome.rolled_back.push(self.outcome.completed);
+                }
                 if !matches!(self.expected.front(), Some(Expected::Query)) {
                     self.expected.pop_front();
                 }
             }
-            (b'I' | b's', Some(Expected::Executed)) => _ = self.expected.pop_front(),
+            (b'I' | b's', Some(Expected::Executed)) => {
+                self.outcome.completed += 1;
+                self.expected.pop_front();
+            }
             (b'Z', Some(Expected::Ping)) => {
                 self.expected.pop_front();
                 self.write_local_answers(to_client);
--- a/crates/postgres/src/engine/sending.rs
+++ b/crates/postgres/src/engine/sending.rs
@@ -56,7 +56,7 @@
         }
         // The unit changes settings of the connection, so the next unit applies its session's own
         // again.
-        if !part.changes.is_empty() {
+        if part.changes_settings() {
             self.settings = None;
         }
         self.write_local_answers(to_client);
--- a/crates/postgres/src/prepared.rs
+++ b/crates/postgres/src/prepared.rs
@@ -87,19 +87,18 @@
     }
 
     /// Returns the stored settings equal to these; new ones are stored.
-    pub fn intern_settings(&mut self, settings: SessionSettings) -> Rc<SessionSettings> {
+    pub fn intern_settings(&mut self, settings: Rc<SessionSettings>) -> Rc<SessionSettings> {
         let hash = self.hasher.hash_one(&settings);
         let known = self.settings.get(&hash).into_iter().flatten();
-        if let Some(found) = known.filter_map(Weak::upgrade).find(|s| **s == settings) {
+        if let Some(found) = known.filter_map(Weak::upgrade).find(|s| *s == settings) {
             return found;
         }
-        let interned = Rc::new(settings);
         self.settings
             .entry(hash)
             .or_default()
-            .push(Rc::downgrade(&interned));
+            .push(Rc::downgrade(&settings));
         self.sweep();
-        interned
+        settings
     }
 
     /// Drops unreferenced entries each time the number of entries has doubled since the last sweep.
--- a/crates/postgres/src/prepared_tests.rs
+++ b/crates/postgres/src/prepared_tests.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the `prepared` module.
 
 use super::*;
+use crate::sql::SessionEffect;
 
 #[test]
 fn equal_statements_are_stored_once_and_dropped_when_unreferenced() {
@@ -23,9 +24,12 @@
 fn settings_apply_changes_and_can_be_restored() {
     let mut settings = SessionSettings::default();
     let scan = sql::scan(b"SET a = 1; SET b = 2; SET a = 3; RESET b; SET c TO 'x'");
-    scan.changes
-        .iter()
-        .for_each(|change| settings.apply(change));
+    for effect in &scan.effects {
+        match &effect.effect {
+            SessionEffect::Setting(change) => settings.apply(change),
+            other => panic!("{other:?}"),
+        }
+    }
     assert_eq!(
         settings.restoring_sql(),
         "RESET ALL; SET a = 3; SET c TO 'x'"
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -5,13 +5,15 @@
 mod answering;
 mod labels;
 mod reading;
+mod transaction_state;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use self::labels::UnitLabels;
+use self::transaction_state::TransactionState;
 use crate::prepared::{Catalogue, Prepared, SessionSettings};
-use crate::sql::{self, quoted_identifier, Change, Label};
+use crate::sql::{self, quoted_identifier, Label};
 use crate::startup::Client;
 pub use crate::unit::{commits_transaction, may_commit, Operation, UnitPart};
 
@@ -80,16 +82,18 @@
     pub transaction: Transaction,
     /// The settings made by transactions that are over.
     pub settings: Rc<SessionSettings>,
+    /// The labels set outside transactions, and by transactions that are over.
     label: Label,
     statements: HashMap<Vec<u8>, Rc<Prepared>>,
     unnamed: Option<Rc<Prepared>>,
-    /// Names of the portals opened by the current unit or transaction.
-    portals: HashSet<Vec<u8>>,
+    /// The statements of the portals opened by the current unit or transaction, by the portals'
+    /// names; the unnamed one is among them.
+    portals: HashMap<Vec<u8>, Rc<Prepared>>,
     held_bytes: usize,
     /// Why the transaction was lost, until the client has been sent the reason.
     unreported_loss: Option<&'static str>,
-    /// Setting changes of the open transaction, dropped if it is rolled back.
-    pending_changes: Vec<Change>,
+    /// The settings and labels within the open transaction.
+    transaction_state: Option<TransactionState>,
     /// A unit has started and its Sync has not yet arrived.
     in_unit: bool,
     /// The labels of the parts of that unit so far.
@@ -119,7 +123,7 @@
         Session {
             user: client.user.clone(),
             database: client.database.clone(),
-            settings: catalogue.intern_settings(settings),
+            settings: catalogue.intern_settings(Rc::new(settings)),
             label,
             ..Session::default()
         }
@@ -127,7 +131,9 @@
 
     /// Returns the labels that apply to a unit: its own override the session's.
     pub fn label(&self, part: &UnitPart) -> Label {
-        self.label.overridden_by(&part.label)
+        let open = self.transaction_state.as_ref();
+        let label = open.map_or(&self.label, TransactionState::label);
+        label.overridden_by(&part.label)
     }
 
     /// Returns the time limit of a statement in microseconds: the lower of the session's setting
--- a/crates/postgres/src/session/answering.rs
+++ b/crates/postgres/src/session/answering.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
+use super::transaction_state::TransactionState;
 use super::{Bounds, Session, Transaction};
 use crate::client_error::ClientError;
-use crate::prepared::{Catalogue, Prepared, SessionSettings};
+use crate::prepared::{Catalogue, Prepared};
 use crate::sql::{self, LocalCommand, Scan};
 use crate::unit::{Operation, UnitOutcome, UnitPart};
 use crate::wire;
@@ -143,7 +144,9 @@
         };
         match command {
             LocalCommand::Label(name, value) => {
-                if !self.label.set(name, value) {
+                let open = self.transaction_state.as_mut();
+                let label = open.map_or(&mut self.label, TransactionState::label_mut);
+                if !label.set(name, value) {
                     let why = "no such setting; see the page on PostgreSQL sessions";
                     let field = "hallmux";
                     ClientError::InvalidSetting { field, why }.write(out, false);
@@ -153,7 +156,7 @@
             LocalCommand::Deallocate => self.forget_all_prepared(),
             LocalCommand::Discard => {
                 self.forget_all_prepared();
-                self.settings = catalogue.intern_settings(SessionSettings::default());
+                self.settings = catalogue.intern_settings(Rc::default());
             }
         }
         wire::write_complete(out, command.tag());
@@ -207,13 +210,6 @@
             for name in named.into_iter().skip(outcome.parsed_count) {
                 self.forget(name);
             }
-        } else {
-            for part in parts {
-                for change in &part.label_changes {
-                    self.label.set(&change.name, &change.value);
-                }
-                self.pending_changes.extend(part.changes.iter().cloned());
-            }
         }
         self.transaction = match outcome.status {
             b'T' => Transaction::Open,
@@ -222,20 +218,35 @@
         };
         if self.transaction == Transaction::None {
             self.portals.clear();
-            let pending_changes = std::mem::take(&mut self.pending_changes);
-            if !failed && !outcome.rolled_back && !pending_changes.is_empty() {
-                let mut settings = (*self.settings).clone();
-                pending_changes
-                    .iter()
-                    .for_each(|change| settings.apply(change));
-                // The number of settings kept is bounded, so that a session can't grow without
-                // limit.
-                while settings.0.len() > bounds.settings {
-                    settings.0.pop_last();
-                }
-                self.settings = catalogue.intern_settings(settings);
-            }
         }
+        let has_effects = parts.iter().any(|part| !part.effects.is_empty());
+        if has_effects || self.transaction_state.is_some() || self.transaction.is_held() {
+            self.apply_effects(parts, outcome, catalogue, bounds);
+        }
+    }
+
+    /// Applies what a unit has done to the settings and labels of its session.
+    fn apply_effects(
+        &mut self,
+        parts: &[Rc<UnitPart>],
+        outcome: &UnitOutcome,
+        catalogue: &mut Catalogue,
+        bounds: &Bounds,
+    ) {
+        let mut state = self
+            .transaction_state
+            .take()
+            .unwrap_or_else(|| TransactionState::new(self.settings.clone(), self.label.clone()));
+        state.apply_unit(parts, outcome, bounds);
+        if self.transaction == Transaction::None && outcome.error.is_none() {
+            state.commit();
+        }
+        let settings = state.committed_settings();
+        if !Rc::ptr_eq(&settings, &self.settings) {
+            self.settings = catalogue.intern_settings(settings);
+        }
+        self.label = state.committed_label();
+        self.transaction_state = self.transaction.is_held().then_some(state);
     }
 
     /// Ends a unit with an error of the front. A transaction that is open is lost by it.
@@ -273,7 +284,7 @@
             self.transaction = Transaction::Lost;
         }
         self.portals.clear();
-        self.pending_changes.clear();
+        self.transaction_state = None;
     }
 
     fn forget_unparsed(&mut self, parts: &[UnitPart], parsed: usize) {
--- a/crates/postgres/src/session/labels.rs
+++ b/crates/postgres/src/session/labels.rs
@@ -48,10 +48,10 @@
             &scan.label,
         ));
         self.executed = self.executed.overridden_by(&scan.label);
-        let mut changes = scan.label_changes.iter().peekable();
+        let mut changes = scan.label_changes().peekable();
         for statement in 1..=scan.statements {
-            match changes.next_if(|change| change.statement == statement) {
-                Some(change) => self.change_label(change),
+            match changes.next_if(|(of, _)| *of == statement) {
+                Some((_, change)) => self.change_label(change),
                 None => self.execute_statement(),
             }
         }
--- a/crates/postgres/src/session/reading.rs
+++ b/crates/postgres/src/session/reading.rs
@@ -50,14 +50,16 @@
         self.part.is_local = scan.unsupported.is_some() || scan.local_command.is_some();
         self.part.query = Some(self.range(text));
         self.labels.add_executed(&scan);
-        self.part.add_scan(&scan);
+        self.part.add_executed(&scan, scan.statements);
+        self.part.local_commands.extend(scan.local_command.clone());
         self.part.ends_unit = true;
     }
 
     fn bind(&mut self, prepared: Rc<Prepared>, portal: &[u8], statement: &[u8], rest: &[u8]) {
         self.part.is_local &= prepared.scan.local_command.is_some();
         self.labels.add_executed(&prepared.scan);
-        self.part.add_scan(&prepared.scan);
+        let local_command = prepared.scan.local_command.clone();
+        self.part.local_commands.extend(local_command);
         self.part.first_prepared = Some(prepared.clone());
         self.bound.insert(portal.to_vec());
         let (portal, rest) = (self.range(portal), self.range(rest));
@@ -190,16 +192,18 @@
             }
             ClientMessage::Query(text) => reader.query(text, message_range),
             ClientMessage::Parse { name, body, .. } => self.read_parse(reader, name, body),
-            ClientMessage::Bind { portal, .. } if !self.open_portal(portal, reader.bounds) => {
-                let why = ClientError::LimitExceeded { why: "portals" };
-                reader.part.ops.push(Operation::Fail(why));
-            }
             ClientMessage::Bind {
                 portal,
                 statement,
                 rest,
             } => match self.find_prepared(statement) {
-                Some(prepared) => reader.bind(prepared, portal, statement, rest),
+                Some(prepared) if self.open_portal(portal, &prepared, reader.bounds) => {
+                    reader.bind(prepared, portal, statement, rest)
+                }
+                Some(_) => {
+                    let why = ClientError::LimitExceeded { why: "portals" };
+                    reader.part.ops.push(Operation::Fail(why));
+                }
                 None => reader.part.ops.push(no_such_statement(statement)),
             },
             ClientMessage::Describe {
@@ -229,6 +233,12 @@
             ClientMessage::Execute { portal, .. } => {
                 reader.part.is_local &= reader.bound.contains(portal);
                 reader.part.ops.push(Operation::Execute(message_range));
+                // The portal may have been bound by an earlier unit of the transaction. One that
+                // the front does not know is a cursor: it only returns rows.
+                match self.portals.get(portal) {
+                    Some(prepared) => reader.part.add_executed(&prepared.scan, 1),
+                    None => reader.part.statements += 1,
+                }
             }
             ClientMessage::Close {
                 statement: true,
@@ -295,14 +305,14 @@
         found.cloned()
     }
 
-    /// Opens a portal under this name. False if the limit of portals is reached.
-    fn open_portal(&mut self, name: &[u8], bounds: &Bounds) -> bool {
-        if name.is_empty() || self.portals.contains(name) {
-            return true;
-        }
-        let has_capacity = self.portals.len() < bounds.portals;
+    /// Opens a portal on a statement under this name. False if the limit of portals is reached.
+    fn open_portal(&mut self, name: &[u8], prepared: &Rc<Prepared>, bounds: &Bounds) -> bool {
+        let unnamed = usize::from(self.portals.contains_key(&b""[..]));
+        let has_capacity = name.is_empty()
+            || self.portals.contains_key(name)
+            || self.portals.len() - unnamed < bounds.portals;
         if has_capacity {
-            self.portals.insert(name.to_vec());
+            self.portals.insert(name.to_vec(), prepared.clone());
         }
         has_capacity
     }
--- a/crates/postgres/src/sql.rs
+++ b/crates/postgres/src/sql.rs
@@ -4,12 +4,14 @@
 
 mod findings;
 mod labels;
+mod savepoints;
 mod settings;
 mod tokens;
 
-pub use self::findings::{Change, LabelChange, LocalCommand, Scan};
+pub use self::findings::{Change, LabelChange, LocalCommand, Scan, SessionEffect, StatementEffect};
 use self::labels::leading_labels;
 pub use self::labels::{parse_duration_us, Contradictions, Label};
+use self::savepoints::{rollback_effect, scan_savepoint};
 use self::settings::scan_setting;
 use self::tokens::{Kind, Token, Tokens};
 
@@ -140,6 +142,7 @@
         scan.begins_transaction = true;
     } else if first("commit") || first("end") {
         scan.commits_transaction = true;
+        scan.add_effect(SessionEffect::Commit);
         if second("prepared") {
             scan.unsupported = Some("a transaction in two phases");
         }
@@ -147,8 +150,11 @@
         if second("prepared") {
             scan.unsupported = Some("a transaction in two phases");
         }
-        let to = |t: &Token| t.is("to");
-        scan.rolls_back_transaction |= !head.iter().any(to);
+        let effect = rollback_effect(&head[1..]);
+        scan.rolls_back_transaction |= effect == SessionEffect::Rollback;
+        scan.add_effect(effect);
+    } else if first("savepoint") || first("release") {
+        scan_savepoint(scan, head);
     } else if first("prepare") {
         let is_two_phase = second("transaction");
         scan.unsupported = Some(if is_two_phase {
--- a/crates/postgres/src/sql/findings.rs
+++ b/crates/postgres/src/sql/findings.rs
@@ -21,14 +21,40 @@
 /// A change of a session's labels by SET or RESET.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LabelChange {
-    /// Which statement of its text it is, counted from 1.
-    pub statement: usize,
     /// The label's name without the prefix `hallmux.`.
     pub name: String,
     /// The value; empty to remove the label.
     pub value: String,
 }
 
+/// The effect of a statement on the settings, labels and transaction of its session.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SessionEffect {
+    /// Changes a setting.
+    Setting(Change),
+    /// Changes a label.
+    Label(LabelChange),
+    /// Commits the transaction; one that has failed is rolled back.
+    Commit,
+    /// Rolls the transaction back.
+    Rollback,
+    /// Sets a savepoint of this name.
+    Savepoint(String),
+    /// Rolls the transaction back to the last savepoint of this name.
+    RollbackToSavepoint(String),
+    /// Removes the last savepoint of this name and those after it; what came after it stays.
+    ReleaseSavepoint(String),
+}
+
+/// An effect of one statement among several.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatementEffect {
+    /// Which of the statements it is, counted from 1.
+    pub statement: usize,
+    /// The effect.
+    pub effect: SessionEffect,
+}
+
 /// A statement that the front answers without an engine, if it is the only one of its text.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LocalCommand {
@@ -67,10 +93,8 @@
     pub may_commit: bool,
     /// Whether a statement rolls a transaction back.
     pub rolls_back_transaction: bool,
-    /// Changes of the session's settings, in order.
-    pub changes: Vec<Change>,
-    /// Changes of the session's labels, in order.
-    pub label_changes: Vec<LabelChange>,
+    /// The effects of the statements on their session, in order.
+    pub effects: Vec<StatementEffect>,
     /// The statement, if it is the only one and needs no engine.
     pub local_command: Option<LocalCommand>,
     /// A feature in the text that is not possible over shared connections.
@@ -78,6 +102,25 @@
 }
 
 impl Scan {
+    /// Adds an effect of the statement that is being scanned.
+    pub(super) fn add_effect(&mut self, effect: SessionEffect) {
+        self.effects.push(StatementEffect {
+            statement: self.statements,
+            effect,
+        });
+    }
+
+    /// Returns the changes of labels, in order, each with the number of its statement, counted from
+    /// 1; a statement changes one label at most.
+    pub(crate) fn label_changes(&self) -> impl Iterator<Item = (usize, &LabelChange)> {
+        self.effects
+            .iter()
+            .filter_map(|effect| match &effect.effect {
+                SessionEffect::Label(change) => Some((effect.statement, change)),
+                _ => None,
+            })
+    }
+
     /// Whether the text is a single statement that ends a transaction.
     pub fn only_ends_transaction(&self) -> bool {
         self.statements == 1 && (self.commits_transaction || self.rolls_back_transaction)
--- a/crates/postgres/src/sql/settings.rs
+++ b/crates/postgres/src/sql/settings.rs
@@ -1,6 +1,6 @@
 //! Scans the statements that change session settings: SET and RESET.
 
-use super::findings::{Change, LabelChange, LocalCommand, Scan};
+use super::findings::{Change, LabelChange, LocalCommand, Scan, SessionEffect};
 use super::tokens::{Kind, Token};
 
 /// Returns a value as text without its quotes.
@@ -66,26 +66,28 @@
         scan.unsupported = Some("backslashes in plain strings");
     } else {
         let assignment = String::from_utf8_lossy(&text[first.at..end]);
-        scan.changes.push(change(name, rest, assignment.trim()));
+        let change = change(name, rest, assignment.trim());
+        scan.add_effect(SessionEffect::Setting(change));
     }
 }
 
 fn scan_reset(scan: &mut Scan, name: String, label: Option<String>) {
-    scan.changes.push(match name.as_str() {
+    let change = match name.as_str() {
         "all" => Change::ResetAll,
         _ => Change::Reset(name),
-    });
+    };
+    scan.add_effect(SessionEffect::Setting(change));
     if let Some(label) = label {
         change_label(scan, label, String::new());
     }
 }
 
 fn change_label(scan: &mut Scan, name: String, value: String) {
-    scan.label_changes.push(LabelChange {
-        statement: scan.statements,
-        name: name.clone(),
-        value: value.clone(),
-    });
+    let (changed_name, changed_value) = (name.clone(), value.clone());
+    scan.add_effect(SessionEffect::Label(LabelChange {
+        name: changed_name,
+        value: changed_value,
+    }));
     scan.local_command = Some(LocalCommand::Label(name, value));
 }
 
--- a/crates/postgres/src/sql_tests.rs
+++ b/crates/postgres/src/sql_tests.rs
@@ -9,6 +9,15 @@
     }
 }
 
+/// The changes of settings in a scanned text, in order.
+fn setting_changes(scan: &Scan) -> Vec<Change> {
+    let of_setting = |effect: &StatementEffect| match &effect.effect {
+        SessionEffect::Setting(change) => Some(change.clone()),
+        _ => None,
+    };
+    scan.effects.iter().filter_map(of_setting).collect()
+}
+
 #[test]
 fn setting_changes_are_found_with_a_statement_that_restores_them() {
     for (text, changes) in [
@@ -44,7 +53,7 @@
         ),
         ("select 'SET a = 1'; -- set b = 2\n/* set c = 3; */", vec![]),
     ] {
-        assert_eq!(scan(text.as_bytes()).changes, changes, "{text}");
+        assert_eq!(setting_changes(&scan(text.as_bytes())), changes, "{text}");
     }
 }
 
@@ -118,6 +127,47 @@
     assert_eq!(scanned(""), (0, false, false, false));
 }
 
+#[test]
+fn savepoints_are_named_as_engines_compare_them() {
+    use SessionEffect::{ReleaseSavepoint, RollbackToSavepoint, Savepoint};
+    let long = "a".repeat(70);
+    for (text, effect) in [
+        ("SAVEPOINT One".to_string(), Savepoint("one".into())),
+        ("savepoint \"O\"\"ne\"".into(), Savepoint("O\"ne".into())),
+        ("rollback to one".into(), RollbackToSavepoint("one".into())),
+        (
+            "ROLLBACK /* c */ WORK TO SAVEPOINT \"One\"".into(),
+            RollbackToSavepoint("One".into()),
+        ),
+        (
+            "ABORT TRANSACTION TO one".into(),
+            RollbackToSavepoint("one".into()),
+        ),
+        ("RELEASE one".into(), ReleaseSavepoint("one".into())),
+        (
+            "release savepoint one".into(),
+            ReleaseSavepoint("one".into()),
+        ),
+        (
+            "release savepoint".into(),
+            ReleaseSavepoint("savepoint".into()),
+        ),
+        (
+            format!("SAVEPOINT {long}"),
+            Savepoint(long[..63].to_string()),
+        ),
+        ("COMMIT".into(), SessionEffect::Commit),
+        ("ROLLBACK AND CHAIN".into(), SessionEffect::Rollback),
+    ] {
+        let effects = scan(text.as_bytes()).effects;
+        let expected = StatementEffect {
+            statement: 1,
+            effect,
+        };
+        assert_eq!(effects, [expected], "{text}");
+    }
+}
+
 #[test]
 fn statements_that_can_commit_by_themselves_are_told_from_others() {
     for text in ["commit", "END", "call p()", "do $$ $$", "select 1; vacuum"] {
--- a/crates/postgres/src/unit.rs
+++ b/crates/postgres/src/unit.rs
@@ -6,7 +6,7 @@
 
 use crate::client_error::ClientError;
 use crate::prepared::Prepared;
-use crate::sql::{Change, Contradictions, Label, LabelChange, LocalCommand, Scan};
+use crate::sql::{Contradictions, Label, LocalCommand, Scan, SessionEffect, StatementEffect};
 use crate::wire;
 
 /// One operation of a unit. Ranges refer to the part's bytes; `named` is whether the prepared
@@ -78,10 +78,10 @@
     pub may_commit: bool,
     /// Whether the part rolls a transaction back.
     pub rolls_back_transaction: bool,
-    /// Changes of the session's settings.
-    pub changes: Vec<Change>,
-    /// Changes of the session's labels.
-    pub(crate) label_changes: Vec<LabelChange>,
+    /// The number of statements that the part executes.
+    pub statements: usize,
+    /// The effects of these statements on the session, in order.
+    pub effects: Vec<StatementEffect>,
     /// The text of a simple query, as a range of the bytes.
     pub(crate) query: Option<Range<usize>>,
     pub(crate) first_prepared: Option<Rc<Prepared>>,
@@ -136,8 +136,8 @@
             commits_transaction: self.commits_transaction,
             may_commit: self.may_commit,
             rolls_back_transaction: self.rolls_back_transaction,
-            changes: self.changes.clone(),
-            label_changes: self.label_changes.clone(),
+            statements: self.statements,
+            effects: self.effects.clone(),
             query: Some(query),
             local_commands: self.local_commands.clone(),
             ..UnitPart::default()
@@ -170,16 +170,26 @@
             .filter(|_| !self.is_local)
     }
 
-    /// Adds the transaction commands and setting changes of an executed text.
-    pub(crate) fn add_scan(&mut self, scan: &Scan) {
+    /// Adds the effects of an executed text on the session and its transaction. `statements` is how
+    /// many statements the engine completes for it.
+    pub(crate) fn add_executed(&mut self, scan: &Scan, statements: usize) {
         self.begins_transaction |= scan.begins_transaction;
         self.commits_transaction |= scan.commits_transaction;
         self.may_commit |= scan.may_commit;
         self.rolls_back_transaction |= scan.rolls_back_transaction;
-        self.changes.extend(scan.changes.iter().cloned());
-        self.label_changes
-            .extend(scan.label_changes.iter().cloned());
-        self.local_commands.extend(scan.local_command.clone());
+        let earlier = self.statements;
+        self.effects
+            .extend(scan.effects.iter().map(|effect| StatementEffect {
+                statement: earlier + effect.statement,
+                effect: effect.effect.clone(),
+            }));
+        self.statements += statements;
+    }
+
+    /// Whether the part changes settings of the engine's connection.
+    pub(crate) fn changes_settings(&self) -> bool {
+        let is_setting = |e: &StatementEffect| matches!(e.effect, SessionEffect::Setting(_));
+        self.effects.iter().any(is_setting)
     }
 
     /// Returns the number of statements parsed before the first operation that fails.
@@ -214,8 +224,10 @@
     pub error: Option<String>,
     /// Whether the error is the engine's fault, not the statement's.
     pub engine_fault: bool,
-    /// Whether a transaction was rolled back.
-    pub rolled_back: bool,
+    /// The number of statements that were completed.
+    pub completed: usize,
+    /// Which of the completed statements, counted from 1, were answered with ROLLBACK, in order.
+    pub rolled_back: Vec<usize>,
     /// The number of statements parsed before the error.
     pub parsed_count: usize,
 }
