postgres: a unit that goes on behind its ROLLBACK is in doubt when its engine is lost

Callers saw: 40001, "the transaction was rolled back", for `ROLLBACK; UPDATE ...` whose UPDATE had taken effect; tried again, as that says, it took effect twice.

Cause: in a transaction only a unit with a COMMIT counted as one that may have taken effect. What comes behind a ROLLBACK in the same unit commits with it. Units that the front aborts at their engine were told 53000, as nobody had noted that they had left.

Change: may_outlast_transaction tells from the unit's statements in order whether an effect may stay without the transaction; an abort is 08007, and a unit that is refused while it is at its engine may have run.

--- a/crates/front/src/event_loop_tests.rs
+++ b/crates/front/src/event_loop_tests.rs
@@ -17,6 +17,8 @@
 
 #[path = "postgres/engine_endings_tests.rs"]
 mod engine_endings;
+#[path = "postgres/in_doubt_tests.rs"]
+mod in_doubt;
 #[path = "postgres/session_close_tests.rs"]
 mod session_close;
 #[path = "postgres/session_settings_tests.rs"]
--- a/crates/front/src/postgres/gateway/admission.rs
+++ b/crates/front/src/postgres/gateway/admission.rs
@@ -176,6 +176,10 @@
         let Some((_, open_session)) = self.sessions.by_ticket(ticket) else {
             return;
         };
+        if let Some(running) = &mut open_session.running {
+            let in_flight = running.execution_id;
+            running.may_have_run |= in_flight.is_some_and(|id| self.servers.may_have_left(id));
+        }
         let why = final_answer(open_session, refusal);
         self.sessions.fail(now, ticket, &why, None);
     }
@@ -281,7 +285,7 @@
         return ClientError::ResultLost;
     };
     let in_transaction = open_session.session.transaction != Transaction::None;
-    if running.commits() && running.may_have_run {
+    if running.may_outlast_transaction() && running.may_have_run {
         return ClientError::Unresolved;
     }
     if running.cancelled {
@@ -303,9 +307,7 @@
             retry_after_ms: retry_after.map(|time| time / 1000),
         },
         Refusal::Aborted if running.answer_started => ClientError::ResultLost,
-        Refusal::Aborted if running.may_have_run => ClientError::Unresolved,
-        Refusal::Aborted => ClientError::Rejected {
-            retry_after_ms: None,
-        },
+        // An abort says nothing of whether the unit has run, also at other fronts.
+        Refusal::Aborted => ClientError::Unresolved,
     }
 }
--- a/crates/front/src/postgres/servers.rs
+++ b/crates/front/src/postgres/servers.rs
@@ -126,6 +126,14 @@
     discards_replies: bool,
 }
 
+impl Server {
+    /// Whether nothing has left of the unit that was written to the connection: its output was not
+    /// sent, or it waits for its settings.
+    fn is_unit_unsent(&self) -> bool {
+        !self.link.has_sent_up_to(self.write_start + 1) || self.engine.is_applying_settings()
+    }
+}
+
 /// A connection that carries one request to cancel.
 struct Cancel {
     link: Link,
@@ -251,6 +259,18 @@
         self.executions.contains_key(&execution_id) || self.cancels.values().any(ends)
     }
 
+    /// Whether some of an execution that has not ended may have left for its engine.
+    pub fn may_have_left(&self, execution_id: ExecutionId) -> bool {
+        let Some(execution) = self.executions.get(&execution_id) else {
+            // An execution that is being cancelled was sent.
+            return self.has_execution(execution_id);
+        };
+        execution
+            .connection
+            .and_then(|id| self.connections.get(&id))
+            .is_some_and(|server| !server.is_unit_unsent())
+    }
+
     /// The engine of a connection.
     pub fn engine_index(&self, id: ServerId) -> Option<EngineIndex> {
         self.connections.get(&id).map(|server| server.engine_index)
--- a/crates/front/src/postgres/servers/close.rs
+++ b/crates/front/src/postgres/servers/close.rs
@@ -116,14 +116,9 @@
             };
             // Output that was written but not sent is dropped with its connection, as is a unit
             // that waits for its settings.
-            let is_unsent = |server: &Server| {
-                !server.link.has_sent_up_to(server.write_start + 1)
-                    || server.engine.is_applying_settings()
-            };
-            let unsent = self
-                .connections
-                .get(&id)
-                .is_some_and(|server| server.serving == Some(execution_id) && is_unsent(server));
+            let unsent = self.connections.get(&id).is_some_and(|server| {
+                server.serving == Some(execution_id) && server.is_unit_unsent()
+            });
             if let Some(engine_index) = self.engine_index(id).filter(|_| unsent) {
                 self.report_end(execution_id, Ending::Withdrawn);
                 self.close_and_refill(now, id, engine_index);
--- a/crates/front/src/postgres/session_shutdown_tests.rs
+++ b/crates/front/src/postgres/session_shutdown_tests.rs
@@ -25,7 +25,11 @@
     }
 
     /// Opens a transaction and returns the engine connection that holds it.
-    fn open_transaction(&mut self, session: &mut TcpStream, engine: &TcpListener) -> TcpStream {
+    pub(super) fn open_transaction(
+        &mut self,
+        session: &mut TcpStream,
+        engine: &TcpListener,
+    ) -> TcpStream {
         send_query(session, "BEGIN");
         let mut link = self.accept_dial(engine);
         accept_login(&mut link);
--- a/crates/front/src/postgres/sessions/open_session.rs
+++ b/crates/front/src/postgres/sessions/open_session.rs
@@ -7,7 +7,7 @@
 use hallmux_dispatcher::{Micros, Ticket};
 use hallmux_postgres::client_error::ClientError;
 use hallmux_postgres::pool::AccountId;
-use hallmux_postgres::session::{commits_transaction, Session, UnitPart};
+use hallmux_postgres::session::{may_outlast_transaction, Session, UnitPart};
 use hallmux_postgres::sql::Label;
 
 use crate::execution::ExecutionId;
@@ -39,9 +39,10 @@
 }
 
 impl RunningUnit {
-    /// Whether the unit commits a transaction, as far as its parts are known.
-    pub fn commits(&self) -> bool {
-        commits_transaction(&self.parts)
+    /// Whether the unit may have an effect that outlasts the transaction it was executed in, as far as
+    /// its parts are known.
+    pub fn may_outlast_transaction(&self) -> bool {
+        may_outlast_transaction(&self.parts)
     }
 
     /// The parts before the last one.
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -34,9 +34,16 @@
             .named(b'D', &[&describe], b"")
     }
 
+    pub(super) fn bind(self, portal: &str, name: &str) -> Messages {
+        self.named(b'B', &[portal, name], &[0; 6])
+    }
+
+    pub(super) fn execute_portal(self, portal: &str) -> Messages {
+        self.named(b'E', &[portal], &[0; 4])
+    }
+
     pub(super) fn execute(self, name: &str) -> Messages {
-        self.named(b'B', &["", name], &[0; 6])
-            .named(b'E', &[""], &[0; 4])
+        self.bind("", name).execute_portal("")
     }
 
     pub(super) fn flush(mut self) -> Messages {
@@ -56,7 +63,7 @@
 
 impl FrontHarness {
     /// Starts a front with an idempotent workload, the default, and a non-idempotent one.
-    fn with_payouts(name: &str, engines: &[SocketAddr]) -> FrontHarness {
+    pub(super) fn with_payouts(name: &str, engines: &[SocketAddr]) -> FrontHarness {
         let workload = |name: &str, repeat: &str| {
             json!({"name": name, "aimMs": 8000, "deadlineMs": 8000, "repeat": repeat,
                 "inTurn": true})
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -15,7 +15,9 @@
 use crate::prepared::{Catalogue, Prepared, SessionSettings};
 use crate::sql::{self, quoted_identifier, Label};
 use crate::startup::Client;
-pub use crate::unit::{commits_transaction, may_commit, Operation, UnitPart};
+pub use crate::unit::{
+    commits_transaction, may_commit, may_outlast_transaction, Operation, UnitPart,
+};
 
 /// Limits of a session.
 #[derive(Clone, Copy, Debug)]
--- a/crates/postgres/src/unit.rs
+++ b/crates/postgres/src/unit.rs
@@ -215,6 +215,25 @@
     parts.iter().any(|part| part.may_commit)
 }
 
+/// Whether a unit that is executed in an open transaction may have an effect that stays although the
+/// transaction does not, as far as the unit's parts are known: it commits, or goes on after it has
+/// rolled the transaction back.
+pub fn may_outlast_transaction(parts: &[Rc<UnitPart>]) -> bool {
+    if commits_transaction(parts) {
+        return true;
+    }
+    let total: usize = parts.iter().map(|part| part.statements).sum();
+    let mut earlier = 0;
+    parts.iter().any(|part| {
+        let rolls_back_before_last = |e: &StatementEffect| {
+            e.effect == SessionEffect::Rollback && earlier + e.statement < total
+        };
+        let goes_on = part.effects.iter().any(rolls_back_before_last);
+        earlier += part.statements;
+        goes_on
+    })
+}
+
 /// The outcome of a unit at an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnitOutcome {
