front: a client that sends without pause is read once an iteration, within a share

Callers saw: beside eight clients at full speed (new names, each taken back at once) a sound client's answers came late, a fifth of its reports were rejected or failed.

Cause: a connection with more input was listed for the next iteration, and again for each event of new input. It was read as often as it was listed, and the list grew with every iteration (one took 303 ms). A read took up to four times what was meant, and a session's input was moved once for each unit.

--- a/crates/front/src/clients/idle.rs
+++ b/crates/front/src/clients/idle.rs
@@ -3,9 +3,10 @@
 use hallmux_dispatcher::Micros;
 
 use super::connection::Client;
-use super::input::READ_SIZE;
 use super::{ClientId, Clients, Event};
 
+/// Limit of the bytes of the last read of a connection that is to be closed.
+const LAST_READ_BYTES: usize = 16 << 10;
 /// Microseconds between checks for idle connections.
 const IDLE_CHECK_INTERVAL: Micros = 200_000;
 /// Microseconds; clients close idle connections after 4 s, so one that is idle for longer is abandoned.
@@ -115,7 +116,7 @@
             return true;
         };
         let before = client.link.input.len();
-        let has_more = client.link.read_some(READ_SIZE).has_more;
+        let has_more = client.link.read_some(LAST_READ_BYTES).has_more;
         let nothing = !has_more && client.link.input.len() == before;
         if !nothing {
             self.found_unread.insert(id);
--- a/crates/front/src/clients/input.rs
+++ b/crates/front/src/clients/input.rs
@@ -8,10 +8,6 @@
 use super::{ClientId, Clients, Event, MAX_UNSENT_BYTES};
 use crate::link::ReadOutcome;
 
-/// Bytes read from a client in an iteration of the event loop: enough for all statements that the
-/// client may have open. The last read may exceed this by less than one chunk.
-pub(super) const READ_SIZE: usize = 16 << 10;
-
 /// The context that the messages of one read share.
 struct ReadContext {
     client: ClientId,
@@ -21,13 +17,14 @@
 }
 
 impl Clients {
-    /// Reads from a connection that the event loop reported, and marks it for flushing, as it may have become writable.
+    /// Reads up to `limit` bytes from a connection that the event loop reported, and marks it for flushing, as it may have become writable.
     /// Returns true if there is more to read in another iteration.
     pub fn read(
         &mut self,
         now: Micros,
         id: ClientId,
         status: ServingStatus,
+        limit: usize,
         events: &mut Vec<Event>,
     ) -> bool {
         if let Some(has_more) = self.lingering.read(id) {
@@ -44,7 +41,7 @@
             return false;
         }
         let unread_for = client.unread_since.take().map_or(0, |since| now - since);
-        let ReadOutcome { has_more, broken } = client.link.read_some(READ_SIZE);
+        let ReadOutcome { has_more, broken } = client.link.read_some(limit);
         if client.is_closing {
             client.link.input.clear();
             if broken.is_some() {
--- a/crates/front/src/clients_tests.rs
+++ b/crates/front/src/clients_tests.rs
@@ -13,6 +13,8 @@
 const SECOND: Micros = 1_000_000;
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 const RECEIVE_BUFFER: usize = 400 << 10; // bytes requested for the receive buffer; half of that must be granted
+/// Bytes of one read: the long statement takes two.
+const READ_LIMIT: usize = 64 << 10;
 const SHORT_STATEMENT: usize = 60 << 10; // bytes; one read covers this statement and the start of the next
 const LONG_STATEMENT: usize = 120 << 10; // bytes; the third read covers the end of this statement
 
@@ -77,7 +79,9 @@
         0,
     );
     let (mut now, mut reported) = (SECOND, Vec::new());
-    while clients.read(now, 1, ServingStatus::Serving, &mut reported) && reported.len() < 2 {
+    while clients.read(now, 1, ServingStatus::Serving, READ_LIMIT, &mut reported)
+        && reported.len() < 2
+    {
         now += SECOND;
     }
     let has_waited = |event: &Event| matches!(event, Event::Statement { unread_for, .. } if *unread_for == now - SECOND);
--- a/crates/front/src/event_loop.rs
+++ b/crates/front/src/event_loop.rs
@@ -27,6 +27,7 @@
 use crate::link::Link;
 use crate::listener::Listener;
 use crate::postgres::gateway::Gateway;
+use crate::read_queue::{read_share, ReadQueue};
 use crate::scatter::ScatteredStatements;
 use crate::shutdown::Shutdown;
 
@@ -68,7 +69,7 @@
     shutdown: Shutdown,
     clock: Clock,
     /// Connections that had more to read than one iteration reads.
-    unfinished_reads: Vec<SocketId>,
+    unfinished_reads: ReadQueue,
     /// Decided commands have not been sent to engines yet, because the connections have to be read first.
     flush_deferred: bool,
 }
@@ -109,8 +110,16 @@
             .unwrap_or(now)
     }
 
-    /// Reads from a socket that the event loop reported as ready.
+    /// Reads from a socket that the event loop reported as ready, unless it is to be read in this iteration anyway.
     pub fn handle_ready_socket(&mut self, socket: SocketId) {
+        if !self.unfinished_reads.contains(socket) {
+            let share = read_share(self.unfinished_reads.len() + 1);
+            self.read_socket(socket, share);
+        }
+    }
+
+    /// Reads from a socket, `share` bytes at most if it is a client's.
+    fn read_socket(&mut self, socket: SocketId, share: usize) {
         self.clock.refresh();
         self.clock.start_iteration();
         let number = socket.number;
@@ -121,7 +130,7 @@
                 self.accept();
                 false
             }
-            SocketKind::Client => self.read_client(number),
+            SocketKind::Client => self.read_client(number, share),
             SocketKind::Engine => self.engines.read(self.clock.now, number),
             SocketKind::Coordinator => {
                 let last_index = self.coordinator.last_index;
@@ -141,6 +150,7 @@
                 let (now, admission) = (self.clock.now, self.admission_state());
                 let gateway = self.gateway.as_mut();
                 gateway.is_some_and(|gateway| {
+                    gateway.set_read_share(share);
                     gateway.socket_ready(now, socket, admission, &mut self.dispatcher)
                 })
             }
@@ -167,8 +177,10 @@
     fn read_remaining(&mut self) {
         self.clock.refresh();
         self.clock.start_iteration();
-        for socket in std::mem::take(&mut self.unfinished_reads) {
-            self.handle_ready_socket(socket);
+        let unfinished = self.unfinished_reads.take();
+        let share = read_share(unfinished.len());
+        for socket in unfinished {
+            self.read_socket(socket, share);
         }
         self.accept();
         let admission = self.admission_state();
--- a/crates/front/src/event_loop/admission.rs
+++ b/crates/front/src/event_loop/admission.rs
@@ -48,15 +48,17 @@
 }
 
 impl EventLoopState {
-    /// Reads from a client. Returns true if there is more to read in another iteration.
-    pub(super) fn read_client(&mut self, id: ClientId) -> bool {
+    /// Reads up to `limit` bytes from a client. Returns true if there is more to read in another iteration.
+    pub(super) fn read_client(&mut self, id: ClientId, limit: usize) -> bool {
         let status = if self.shutdown.is_requested() {
             ServingStatus::ShuttingDown
         } else {
             ServingStatus::Serving
         };
         let mut events = Vec::new();
-        let has_more = self.clients.read(self.clock.now, id, status, &mut events);
+        let has_more = self
+            .clients
+            .read(self.clock.now, id, status, limit, &mut events);
         self.handle_client_events(events);
         has_more
     }
--- a/crates/front/src/event_loop/start.rs
+++ b/crates/front/src/event_loop/start.rs
@@ -19,6 +19,7 @@
 use crate::fleet::{LoggedBarrier, Peers};
 use crate::listener::Listener;
 use crate::postgres::gateway::Gateway;
+use crate::read_queue::ReadQueue;
 use crate::scatter::ScatteredStatements;
 use crate::shutdown::Shutdown;
 use crate::start_error::StartError;
@@ -62,7 +63,7 @@
             send_capacity: SendCapacity::default(),
             shutdown: Shutdown::default(),
             clock,
-            unfinished_reads: Vec::new(),
+            unfinished_reads: ReadQueue::default(),
             flush_deferred: false,
             handle,
         };
--- a/crates/front/src/event_loop_tests.rs
+++ b/crates/front/src/event_loop_tests.rs
@@ -15,6 +15,8 @@
 use crate::clients::tests::frame;
 use crate::start_error::StartError;
 
+#[path = "busy_clients_tests.rs"]
+mod busy_clients;
 #[path = "postgres/engine_endings_tests.rs"]
 mod engine_endings;
 #[path = "postgres/in_doubt_tests.rs"]
--- a/crates/front/src/events.rs
+++ b/crates/front/src/events.rs
@@ -3,7 +3,7 @@
 use calloop::signals::Signal;
 
 /// The purpose of a socket. Each kind is served by a separate module.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum SocketKind {
     /// The listener for clients that speak Thrift.
     Listener,
@@ -26,7 +26,7 @@
 }
 
 /// A socket: its kind, and its number among the sockets of that kind.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct SocketId {
     pub kind: SocketKind,
     pub number: u64,
--- a/crates/front/src/held_tests.rs
+++ b/crates/front/src/held_tests.rs
@@ -222,7 +222,7 @@
 }
 
 /// A client's message that cancels a statement.
-fn cancel_message(number: u32) -> Vec<u8> {
+pub(super) fn cancel_message(number: u32) -> Vec<u8> {
     let mut message = vec![0x80, 1, 0, 4, 0, 0, 0, 6];
     message.extend(b"forget");
     message.extend(number.to_be_bytes());
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -160,12 +160,13 @@
         self.read_some(MAX_BYTES_PER_ITERATION)
     }
 
-    /// Reads what is available until at least `limit` bytes were read; exceeds the limit by less than one chunk.
+    /// Reads what is available, up to `limit` bytes.
     pub fn read_some(&mut self, limit: usize) -> ReadOutcome {
         READ_BUFFER.with_borrow_mut(|chunk| {
             let mut read = 0;
             while read < limit {
-                match (&*self.stream).read(chunk) {
+                let len = chunk.len().min(limit - read);
+                match (&*self.stream).read(&mut chunk[..len]) {
                     Ok(0) => return ReadOutcome::broken(Broken::Closed),
                     Ok(n) => {
                         self.input.extend_from_slice(&chunk[..n]);
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -18,6 +18,7 @@
 mod logger;
 mod machine_clock;
 mod postgres;
+mod read_queue;
 mod refusal;
 mod reuse;
 mod scatter;
--- a/crates/front/src/postgres/gateway.rs
+++ b/crates/front/src/postgres/gateway.rs
@@ -25,6 +25,7 @@
 use crate::execution::ExecutionId;
 use crate::fleet::rules::SharedRules;
 use crate::listener::Listener;
+use crate::read_queue::ReadQueue;
 use crate::transient;
 use crate::unsent_answers::UnsentAnswers;
 
@@ -45,7 +46,7 @@
     pub writing_workloads: Vec<String>,
     /// Connections that hold more input than one iteration reads, and that the event loop does not
     /// report again.
-    unfinished_reads: Vec<SocketId>,
+    unfinished_reads: ReadQueue,
 }
 
 impl Gateway {
@@ -86,7 +87,7 @@
             retry_after_ms: settings.agreement.max_retry_after.map(|time| time / 1000),
             rules,
             writing_workloads: Vec::new(),
-            unfinished_reads: Vec::new(),
+            unfinished_reads: ReadQueue::default(),
             handle,
         };
         log::info!("takes PostgreSQL sessions at {address}");
@@ -161,6 +162,11 @@
             .min(ready)
     }
 
+    /// Sets how many bytes one read of a session's connection may take.
+    pub fn set_read_share(&mut self, bytes: usize) {
+        self.sessions.set_read_share(bytes);
+    }
+
     /// Reads a connection that is ready, and admits the units received. Returns true if there is
     /// more to read in another iteration.
     pub fn socket_ready(
@@ -208,7 +214,7 @@
         admission: AdmissionState,
         dispatcher: &mut Dispatcher,
     ) {
-        for socket in std::mem::take(&mut self.unfinished_reads) {
+        for socket in self.unfinished_reads.take() {
             self.read_deferring_rest(now, socket);
         }
         self.advance_sessions(now, admission, dispatcher);
@@ -365,8 +371,9 @@
         }
         self.sessions.expire(now);
         let unfinished = self.servers.expire(now);
-        self.unfinished_reads
-            .extend(unfinished.into_iter().map(|id| SocketKind::Server.id(id)));
+        for server in unfinished {
+            self.unfinished_reads.push(SocketKind::Server.id(server));
+        }
         self.handle_session_events(now, admission, dispatcher);
     }
 
--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -22,6 +22,7 @@
 use crate::execution::ExecutionId;
 use crate::lingering::Lingering;
 use crate::link::{Link, ReadOutcome};
+use crate::read_queue::read_share;
 use crate::unsent_answers::UnsentAnswers;
 
 /// Upper limit of the arrival times kept of a session's input; later input counts as received at
@@ -85,6 +86,8 @@
     login_timeout: Micros,
     transaction_idle_timeout: Micros,
     buffer_bytes: usize,
+    /// Bytes that one read of a connection may take.
+    read_share: usize,
     held_bytes: usize,
     last_id: SessionId,
     random_state: std::hash::RandomState,
@@ -140,6 +143,7 @@
             login_timeout: limits.login_timeout,
             transaction_idle_timeout: limits.transaction_idle_timeout,
             buffer_bytes: limits.buffer_bytes,
+            read_share: read_share(1),
             held_bytes: 0,
             last_id: 0,
             random_state: std::hash::RandomState::new(),
@@ -246,6 +250,11 @@
         }
     }
 
+    /// Sets how many bytes one read of a connection may take.
+    pub fn set_read_share(&mut self, bytes: usize) {
+        self.read_share = bytes;
+    }
+
     /// Reads a connection that is ready. Returns true if there is more for another iteration.
     pub fn read(&mut self, now: Micros, id: SessionId) -> bool {
         if let Some(more) = self.lingering.read(id) {
@@ -265,7 +274,7 @@
         let ReadOutcome {
             has_more: more,
             broken,
-        } = connection.link.read();
+        } = connection.link.read_some(self.read_share);
         let received = connection.link.input.len() - before;
         if received > 0 {
             self.held_bytes += received;
--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -52,40 +52,58 @@
 impl Sessions {
     /// Handles the units in a session's input, as far as that is possible now.
     pub fn advance(&mut self, now: Micros, id: SessionId, users: &Users, servers: &mut Servers) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if connection.closing {
+            return;
+        }
+        let input = std::mem::take(&mut connection.link.input);
+        let Consumed { bytes, has_more } = self.consume_units(now, id, &input, users, servers);
+        self.changed.insert(id);
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.link.input = input;
+        connection.link.consume(bytes);
+        self.held_bytes -= bytes;
+        if bytes > 0 {
+            connection.last_active = now;
+        }
+        if connection.closing {
+            let left = connection.link.input.len();
+            self.held_bytes -= left;
+            connection.link.input = Vec::new();
+            self.abandon(id);
+        } else if has_more {
+            // There may be more; other sessions are served first.
+            self.ready.push(id);
+        }
+    }
+
+    /// Consumes the units at the start of the input, as far as that is possible now and fits into an
+    /// iteration.
+    fn consume_units(
+        &mut self,
+        now: Micros,
+        id: SessionId,
+        input: &[u8],
+        users: &Users,
+        servers: &mut Servers,
+    ) -> Consumed {
+        let mut offset = 0;
         for _ in 0..UNITS_PER_ITERATION {
+            let consumed = self.consume(now, id, &input[offset..], users, servers);
+            offset += consumed.bytes;
             let Some(connection) = self.connections.get_mut(&id) else {
-                return;
+                return Consumed::NOTHING;
             };
-            if connection.closing {
-                return;
-            }
-            let input = std::mem::take(&mut connection.link.input);
-            let consumed = self.consume(now, id, &input, users, servers);
-            let used = consumed.bytes;
-            self.changed.insert(id);
-            let Some(connection) = self.connections.get_mut(&id) else {
-                return;
-            };
-            connection.link.input = input;
-            connection.link.consume(used);
-            self.held_bytes -= used;
-            consume_arrivals(&mut connection.arrivals, used);
-            if used > 0 {
-                connection.last_active = now;
-            }
-            if connection.closing {
-                let left = connection.link.input.len();
-                self.held_bytes -= left;
-                connection.link.input = Vec::new();
-                self.abandon(id);
-                return;
-            }
-            if !consumed.has_more {
-                return;
+            consume_arrivals(&mut connection.arrivals, consumed.bytes);
+            if connection.closing || !consumed.has_more {
+                return Consumed::awaiting_input(offset);
             }
         }
-        // There may be more; other sessions are served first.
-        self.ready.push(id);
+        Consumed::with_more_to_read(offset)
     }
 
     /// Consumes as much of the input as is possible now.
