front: the input of all clients has one bound, and who exceeds it is told so

Cause: each connection's input was bounded, the sum of them was not. Buffers doubled and were kept; open statements took some 1.45 KB more than they counted; parts of a session's unit behind a Flush were kept and not counted; both protocols had a quarter of the memory for untaken answers.

Change: input takes an eighth of the memory; of the clients over an equal share those that have been sending longest are rejected, the rest of the statement is dropped, and the connection stays usable. The other sums count what is held. session_units_tests.rs compares held bytes with their exact sum, as each unit counts more now.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -22,6 +22,10 @@
 /// Unsent bytes of answers beyond which a client is not read.
 const MAX_UNSENT_BYTES: usize = 64 << 10;
 
+/// Bytes of memory that an open statement takes besides its own: its entries in the collections of the front, the
+/// dispatcher and the scheduler.
+pub const STATEMENT_OVERHEAD_BYTES: usize = 1_536;
+
 /// The number of a client's connection, in order of acceptance.
 pub type ClientId = u64;
 
@@ -73,6 +77,11 @@
     Abandoned(Ticket),
 }
 
+/// Bytes of memory that an open statement takes.
+fn statement_memory(call: &Call) -> usize {
+    STATEMENT_OVERHEAD_BYTES + call.size()
+}
+
 impl Clients {
     /// No connections yet. `retry_after` is sent with rejections; `longest_timeout` is the longest time that any client
     /// waits for an answer. Both are in microseconds.
@@ -208,7 +217,7 @@
 
     fn remove_statement(&mut self, ticket: Ticket) -> Option<OpenStatement> {
         let open = self.open.remove(&ticket)?;
-        self.held_bytes -= open.call.size();
+        self.held_bytes -= statement_memory(&open.call);
         self.statement_ids.remove(&open.call.id);
         Some(open)
     }
@@ -221,17 +230,14 @@
     /// The answers that clients have not read yet.
     pub fn unsent(&self) -> UnsentAnswers {
         let unsent = |id: &ClientId| self.clients.get(id).map_or(0, |c| c.link.unsent());
-        UnsentAnswers {
-            bytes: self.with_unsent.iter().map(unsent).sum(),
-            slowest: self.with_unsent.iter().copied().max_by_key(unsent),
-        }
+        UnsentAnswers::new(self.with_unsent.iter().map(|id| (*id, unsent(id))))
     }
 
     /// Records an admitted statement under its ticket.
     pub fn open_statement(&mut self, client: ClientId, number: i32, ticket: Ticket, call: Call) {
         if let Some(c) = self.clients.get_mut(&client) {
             c.open.insert(number, ticket);
-            self.held_bytes += call.size();
+            self.held_bytes += statement_memory(&call);
             self.statement_ids.insert(call.id.clone());
             self.open.insert(
                 ticket,
--- a/crates/front/src/clients/connection.rs
+++ b/crates/front/src/clients/connection.rs
@@ -34,6 +34,8 @@
     pub(super) is_closing: bool,
     /// Since when input may be waiting that was not read.
     pub(super) unread_since: Option<Micros>,
+    /// Bytes still to come of a message that was answered before it was complete; they are dropped.
+    pub(super) bytes_to_drop: usize,
 }
 
 impl Client {
@@ -48,12 +50,20 @@
             unusable_statements: 0,
             is_closing: false,
             unread_since: (waited > 0).then_some(now - waited),
+            bytes_to_drop: 0,
         }
     }
 
     /// Whether the connection can be closed without losing an answer or received input.
     pub(super) fn is_idle(&self) -> bool {
-        !self.has_pending_answers() && self.link.input.is_empty()
+        !self.has_pending_answers() && self.link.input.is_empty() && self.bytes_to_drop == 0
+    }
+
+    /// Drops what was received of a message that was answered before it was complete.
+    pub(super) fn drop_answered_input(&mut self) {
+        let dropped = self.bytes_to_drop.min(self.link.input.len());
+        self.bytes_to_drop -= dropped;
+        self.link.consume(dropped);
     }
 
     /// Whether the client waits for an answer or has not read all of one.
--- a/crates/front/src/clients/input.rs
+++ b/crates/front/src/clients/input.rs
@@ -6,6 +6,8 @@
 
 use super::connection::{Client, ServingStatus};
 use super::{ClientId, Clients, Event, MAX_UNSENT_BYTES};
+use crate::events::SocketKind;
+use crate::input_memory::HeldInput;
 use crate::link::ReadOutcome;
 
 /// The context that the messages of one read share.
@@ -54,6 +56,7 @@
             status,
             unread_for,
         };
+        client.drop_answered_input();
         client.handle_messages(now, &context, events);
         self.close_if_faulty(id);
         if broken.is_some() {
@@ -65,6 +68,42 @@
     }
 }
 
+impl Clients {
+    /// The input that connections hold: messages that are not complete.
+    pub fn held_input(&self) -> impl Iterator<Item = HeldInput> + '_ {
+        self.clients.iter().map(|(id, client)| HeldInput {
+            socket: SocketKind::Client.id(*id),
+            bytes: client.link.input_memory(),
+            since: client.message_incomplete_since.unwrap_or(Micros::MAX),
+        })
+    }
+
+    /// Rejects the statement that a client is sending, as input takes too much memory; what is still to come of it is
+    /// dropped. A connection whose message can't be answered yet is closed.
+    pub fn shed_input(&mut self, id: ClientId) {
+        let Some(client) = self.clients.get_mut(&id) else {
+            return;
+        };
+        let incomplete = statement::read_incomplete(&client.link.input);
+        client.link.drop_input();
+        let Some(message) = incomplete else {
+            log::info!("client {id}: input takes too much memory; its connection is closed");
+            client.is_closing = true;
+            self.flush_pending.insert(id);
+            return;
+        };
+        client.bytes_to_drop = message.missing_bytes;
+        log::info!("client {id}: input takes too much memory; its statement is rejected");
+        match message.statement_number {
+            Some(number) if client.open.contains_key(&number) => {
+                self.answer_unusable(id, number, statement::SEQUENCE_NUMBER_FIELD)
+            }
+            Some(number) => self.reject(id, number),
+            None => {}
+        }
+    }
+}
+
 impl Client {
     /// Handles all complete messages. After an unreadable one no more are handled, and the
     /// connection is closed.
@@ -84,7 +123,8 @@
         self.has_sent_message |= consumed > 0;
         // Guards against messages that never end: the first message, and the rest of a started one, is awaited for a
         // limited time.
-        let is_incomplete = !self.has_sent_message || !self.link.input.is_empty();
+        let is_incomplete =
+            !self.has_sent_message || !self.link.input.is_empty() || self.bytes_to_drop > 0;
         let incomplete_before = self.message_incomplete_since.filter(|_| consumed == 0);
         self.message_incomplete_since = is_incomplete.then(|| incomplete_before.unwrap_or(now));
         if let Some(error) = &unreadable {
--- a/crates/front/src/event_loop.rs
+++ b/crates/front/src/event_loop.rs
@@ -16,7 +16,7 @@
 use calloop::LoopHandle;
 use hallmux_dispatcher::{Dispatcher, Micros, SendCapacity};
 
-use crate::clients::Clients;
+use crate::clients::{self, Clients};
 use crate::clock::Clock;
 use crate::coordinator::Coordinator;
 use crate::engine_starts::EngineStarts;
@@ -24,6 +24,7 @@
 use crate::events::{LoopEvents, SocketId, SocketKind};
 use crate::fleet::rules::SharedRules;
 use crate::fleet::{LoggedBarrier, Peers};
+use crate::input_memory::connections_to_shed;
 use crate::link::Link;
 use crate::listener::Listener;
 use crate::postgres::gateway::Gateway;
@@ -46,6 +47,8 @@
     max_statements: usize,
     /// Limit in bytes of the statements held, and separately of the unsent answers.
     max_bytes: usize,
+    /// Limit in bytes of the memory that the input of clients and sessions takes.
+    max_input_bytes: usize,
     /// Limit of the connections of clients and sessions together.
     max_clients: usize,
     /// Whether memory was full when the last statement arrived. Changes are logged.
@@ -164,6 +167,7 @@
     /// reads the remaining input, decides on all that was read, and sends the results.
     pub fn run_iteration(&mut self) {
         self.read_remaining();
+        self.shed_input();
         self.decide();
         self.answer_clients();
         self.close_if_due();
@@ -201,6 +205,21 @@
         self.coordinator.expire(self.clock.now);
     }
 
+    /// Rejects what the slowest clients are sending, if the input of all takes too much memory.
+    fn shed_input(&mut self) {
+        let sessions = self.gateway.iter().flat_map(Gateway::held_input);
+        let held = self.clients.held_input().chain(sessions).collect();
+        for socket in connections_to_shed(held, self.max_input_bytes) {
+            match socket.kind {
+                SocketKind::Client => self.clients.shed_input(socket.number),
+                _ => self
+                    .gateway
+                    .iter_mut()
+                    .for_each(|gateway| gateway.shed_input(self.clock.now, socket.number)),
+            }
+        }
+    }
+
     /// Lets the dispatcher decide on all that was read, and executes its commands until it has no more.
     fn decide(&mut self) {
         self.clock.refresh();
@@ -231,28 +250,48 @@
     fn answer_clients(&mut self) {
         let admission = self.admission_state();
         if let Some(gateway) = &mut self.gateway {
-            gateway.flush(
-                self.clock.now,
-                admission,
-                self.max_bytes,
-                &mut self.dispatcher,
-            );
+            gateway.flush(self.clock.now, admission, &mut self.dispatcher);
         }
         self.coordinator.flush(self.clock.now);
         let mut events = Vec::new();
         self.answer_scattered();
         self.clients.flush(self.clock.now, &mut events);
-        let unsent = self.clients.unsent();
-        if let Some(client) = unsent.slowest.filter(|_| unsent.bytes > self.max_bytes) {
-            let bytes = unsent.bytes;
-            log::warn!(
-                "client {client}: does not read its answers, {bytes} bytes are unsent in total; its connection is closed"
-            );
-            self.clients.disconnect(client, &mut events);
-        }
+        self.close_slowest_reader(&mut events);
         self.handle_client_events(events);
     }
 
+    /// Closes the connection with most unsent answers, of either protocol, if those of all take too much memory.
+    fn close_slowest_reader(&mut self, events: &mut Vec<clients::Event>) {
+        let of_clients = self.clients.unsent();
+        let of_sessions = self.gateway.as_ref().map(Gateway::unsent);
+        let session_bytes = of_sessions.as_ref().map_or(0, |unsent| unsent.bytes);
+        let bytes = of_clients.bytes + session_bytes;
+        if bytes <= self.max_bytes {
+            return;
+        }
+        log::warn!(
+            "{bytes} bytes of answers are unsent; the connection with most of them is closed"
+        );
+        let slowest_session = of_sessions
+            .filter(|unsent| unsent.most() > of_clients.most())
+            .and_then(|unsent| unsent.slowest);
+        let admission = self.admission_state();
+        match (slowest_session, of_clients.slowest, &mut self.gateway) {
+            (Some(session), _, Some(gateway)) => gateway.close_slow_reader(
+                self.clock.now,
+                admission,
+                session.id,
+                &mut self.dispatcher,
+            ),
+            (_, Some(client), _) => {
+                let id = client.id;
+                log::warn!("client {id}: does not read its answers; its connection is closed");
+                self.clients.disconnect(id, events);
+            }
+            _ => {}
+        }
+    }
+
     /// Sends the decided commands to engines, unless this iteration's read is stale. Guards against a front that was
     /// stalled or busy for long since it last read its connections: a client may have disconnected meanwhile, or an
     /// engine been listed as draining. The front then reads first, and sends in the next iteration.
--- a/crates/front/src/event_loop/start.rs
+++ b/crates/front/src/event_loop/start.rs
@@ -46,6 +46,7 @@
             answer_slack: settings.network.answer_slack,
             max_statements: settings.network.max_held_statements,
             max_bytes: 0,
+            max_input_bytes: 0,
             max_clients: 0,
             is_memory_full: false,
             clients: Clients::new(
--- a/crates/front/src/event_loop_tests.rs
+++ b/crates/front/src/event_loop_tests.rs
@@ -21,6 +21,8 @@
 mod engine_endings;
 #[path = "postgres/in_doubt_tests.rs"]
 mod in_doubt;
+#[path = "input_limit_tests.rs"]
+mod input_limit;
 #[path = "postgres/session_close_tests.rs"]
 mod session_close;
 #[path = "postgres/session_settings_tests.rs"]
--- a/crates/front/src/link.rs
+++ b/crates/front/src/link.rs
@@ -13,6 +13,10 @@
 
 /// Bytes per call of `read`.
 const READ_CHUNK_BYTES: usize = 64 << 10;
+/// Limit of the unused memory that a connection keeps of its input, and of its output once all of it is sent.
+const SPARE_BUFFER_BYTES: usize = 4 << 10;
+/// A full input buffer grows by this part of its length at least.
+const GROWTH_DIVISOR: usize = 8;
 /// Size of the socket's send buffer: some hundred statements. Bytes in it can't be withdrawn any more.
 const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Bytes read from one connection before other connections are served.
@@ -169,7 +173,7 @@
                 match (&*self.stream).read(&mut chunk[..len]) {
                     Ok(0) => return ReadOutcome::broken(Broken::Closed),
                     Ok(n) => {
-                        self.input.extend_from_slice(&chunk[..n]);
+                        extend_tightly(&mut self.input, &chunk[..n]);
                         read += n;
                     }
                     Err(e) if e.kind() == ErrorKind::WouldBlock => return ReadOutcome::DRAINED,
@@ -227,7 +231,7 @@
         }
         self.flushed_bytes += self.output.len();
         self.output.clear();
-        self.output.shrink_to(READ_CHUNK_BYTES);
+        self.output.shrink_to(SPARE_BUFFER_BYTES);
         self.sent_bytes = 0;
         Ok(())
     }
@@ -237,15 +241,35 @@
         self.stream.shutdown(Shutdown::Write)
     }
 
+    /// Bytes of memory that the input takes.
+    pub fn input_memory(&self) -> usize {
+        self.input.capacity()
+    }
+
+    /// Drops the input and the memory that it takes.
+    pub fn drop_input(&mut self) {
+        self.input = Vec::new();
+    }
+
     /// Removes the first `len` bytes of the input.
     pub fn consume(&mut self, len: usize) {
         self.input.drain(..len);
-        if self.input.capacity() > self.input.len() + 2 * READ_CHUNK_BYTES {
-            self.input.shrink_to(self.input.len() + READ_CHUNK_BYTES);
+        if self.input.is_empty() {
+            self.drop_input();
+        } else if self.input.capacity() > self.input.len() + 2 * SPARE_BUFFER_BYTES {
+            self.input.shrink_to(self.input.len() + SPARE_BUFFER_BYTES);
         }
     }
 }
 
+/// Appends to a buffer that takes hardly more memory than its bytes: many connections hold part of a long message.
+fn extend_tightly(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    if buffer.capacity() - buffer.len() < bytes.len() {
+        buffer.reserve_exact(bytes.len().max(buffer.len() / GROWTH_DIVISOR));
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.handle.remove(self.token);
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -11,6 +11,7 @@
 mod events;
 mod execution;
 mod fleet;
+mod input_memory;
 mod lingering;
 mod link;
 mod listed_engine;
--- a/crates/front/src/postgres/gateway.rs
+++ b/crates/front/src/postgres/gateway.rs
@@ -18,12 +18,14 @@
 
 use super::admission_state::AdmissionState;
 use super::error::ListenError;
+use super::ids::SessionId;
 use super::servers::{self, Servers, Unit};
 use super::sessions::{self, Sessions, Users};
 use crate::engine_protocols::EngineProtocols;
 use crate::events::{LoopEvents, SocketId, SocketKind};
 use crate::execution::ExecutionId;
 use crate::fleet::rules::SharedRules;
+use crate::input_memory::HeldInput;
 use crate::listener::Listener;
 use crate::read_queue::ReadQueue;
 use crate::transient;
@@ -117,6 +119,16 @@
         self.sessions.held_bytes()
     }
 
+    /// The input that sessions hold.
+    pub fn held_input(&self) -> impl Iterator<Item = HeldInput> + '_ {
+        self.sessions.held_input()
+    }
+
+    /// Rejects the unit that a session is sending, as input takes too much memory.
+    pub fn shed_input(&mut self, now: Micros, session: SessionId) {
+        self.sessions.shed_input(now, session);
+    }
+
     /// The answers that clients have not read yet.
     pub fn unsent(&self) -> UnsentAnswers {
         self.sessions.unsent()
@@ -336,34 +348,32 @@
         self.servers.flush(now);
     }
 
-    /// Flushes the output to clients. If all answers together leave more than `max_unsent_bytes`
-    /// unsent, closes the session with the most unsent bytes.
-    pub fn flush(
-        &mut self,
-        now: Micros,
-        admission: AdmissionState,
-        max_unsent_bytes: usize,
-        dispatcher: &mut Dispatcher,
-    ) {
+    /// Flushes the output to clients.
+    pub fn flush(&mut self, now: Micros, admission: AdmissionState, dispatcher: &mut Dispatcher) {
         for execution_id in self.sessions.flush(now) {
             if let Some(server) = self.servers.resume(execution_id) {
                 self.read_deferring_rest(now, SocketKind::Server.id(server));
             }
         }
-        let unsent = self.unsent();
-        if let Some(id) = unsent.slowest.filter(|_| unsent.bytes > max_unsent_bytes) {
-            let bytes = unsent.bytes;
-            log::warn!(
-                "session {id}: does not read its answers, {bytes} bytes are unsent in total; its connection is closed"
-            );
-            self.sessions.disconnect(id);
-        }
         for id in self.sessions.take_readable() {
             self.read_deferring_rest(now, SocketKind::Session.id(id));
         }
         self.handle_session_events(now, admission, dispatcher);
     }
 
+    /// Closes a session that does not read its answers.
+    pub fn close_slow_reader(
+        &mut self,
+        now: Micros,
+        admission: AdmissionState,
+        session: SessionId,
+        dispatcher: &mut Dispatcher,
+    ) {
+        log::warn!("session {session}: does not read its answers; its connection is closed");
+        self.sessions.disconnect(session);
+        self.handle_session_events(now, admission, dispatcher);
+    }
+
     /// Ends the sessions and engine connections whose time limits have passed.
     pub fn expire(&mut self, now: Micros, admission: AdmissionState, dispatcher: &mut Dispatcher) {
         for ticket in self.sessions.units_before_late_input(now) {
--- a/crates/front/src/postgres/mod.rs
+++ b/crates/front/src/postgres/mod.rs
@@ -7,4 +7,4 @@
 pub mod gateway;
 mod ids;
 mod servers;
-mod sessions;
+pub mod sessions;
--- a/crates/front/src/postgres/session_units_tests.rs
+++ b/crates/front/src/postgres/session_units_tests.rs
@@ -5,6 +5,8 @@
 use socket2::{Domain, SockRef, Socket, Type};
 
 use super::*;
+use crate::clients::STATEMENT_OVERHEAD_BYTES;
+use crate::postgres::sessions::PART_OVERHEAD_BYTES;
 
 const CANCEL_REQUEST: [u8; 8] = [0, 0, 0, 16, 4, 210, 22, 46]; // its first bytes
 const READY_FOR_QUERY: &[u8] = b"Z\0\0\0\x05I"; // ReadyForQuery, which ends a unit
@@ -149,7 +151,8 @@
         // The garbage is read and has no effect yet.
         harness.run_until("the garbage to be read", |front| {
             let gateway = front.gateway.as_ref()?;
-            (gateway.held_bytes() > garbage.len()).then_some(())
+            let expected = unit_memory("select 1") + garbage.len();
+            (gateway.held_bytes() == expected).then_some(())
         });
         harness.run_iteration();
         session.set_nonblocking(true).unwrap();
@@ -220,7 +223,7 @@
     let tag = format!("SELECT {rows}");
     send_completion(&mut link_of_little, &tag, b'I');
     harness.run_until("the end of the answer", |front| {
-        (front.gateway.as_ref()?.held_bytes() == slowest_query_bytes()).then_some(())
+        (front.gateway.as_ref()?.held_bytes() == unit_memory("select 'most'")).then_some(())
     });
     // The answer of the other client is endless: rows are sent until the front no longer reads
     // them.
@@ -263,9 +266,9 @@
     assert!(received.starts_with("C\0\0\0\x08SET\0"), "{received:?}");
 }
 
-/// Bytes held of the query of the client that does not read.
-fn slowest_query_bytes() -> usize {
+/// Bytes of memory that a unit of one query takes.
+fn unit_memory(text: &str) -> usize {
     let mut out = Vec::new();
-    wire::write_query(&mut out, b"select 'most'");
-    out.len()
+    wire::write_query(&mut out, text.as_bytes());
+    STATEMENT_OVERHEAD_BYTES + PART_OVERHEAD_BYTES + out.len()
 }
--- a/crates/front/src/postgres/sessions.rs
+++ b/crates/front/src/postgres/sessions.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod close;
 mod input;
+mod input_memory;
 mod open_session;
 mod shutdown;
 mod unit_checks;
@@ -16,6 +17,8 @@
 use hallmux_postgres::session::{Bounds, UnitPart};
 use hallmux_postgres::startup::{Authentication, Startup};
 
+#[cfg(test)]
+pub use self::open_session::PART_OVERHEAD_BYTES;
 pub use self::open_session::{AdmittedTerms, OpenSession, RunningUnit};
 use self::shutdown::Shutdown;
 use super::ids::{ServerId, SessionId};
@@ -75,6 +78,8 @@
     arrivals: VecDeque<Arrival>,
     /// The connection closes once its output is sent.
     closing: bool,
+    /// Bytes still to come of a message that was answered before it was complete; they are dropped.
+    bytes_to_drop: usize,
 }
 
 /// All connections of PostgreSQL clients.
@@ -209,6 +214,7 @@
             last_received: now,
             arrivals: VecDeque::new(),
             closing: false,
+            bytes_to_drop: 0,
         };
         self.connections.insert(id, connection);
     }
@@ -244,10 +250,7 @@
                 .get(id)
                 .map_or(0, |connection| connection.link.unsent())
         };
-        UnsentAnswers {
-            bytes: self.with_unsent.iter().map(unsent).sum(),
-            slowest: self.with_unsent.iter().copied().max_by_key(unsent),
-        }
+        UnsentAnswers::new(self.with_unsent.iter().map(|id| (*id, unsent(id))))
     }
 
     /// Sets how many bytes one read of a connection may take.
@@ -275,6 +278,11 @@
             has_more: more,
             broken,
         } = connection.link.read_some(self.read_share);
+        let dropped = connection
+            .bytes_to_drop
+            .min(connection.link.input.len() - before);
+        connection.bytes_to_drop -= dropped;
+        connection.link.consume(dropped);
         let received = connection.link.input.len() - before;
         if received > 0 {
             self.held_bytes += received;
--- a/crates/front/src/postgres/sessions/answers.rs
+++ b/crates/front/src/postgres/sessions/answers.rs
@@ -8,7 +8,9 @@
 use hallmux_postgres::session::UnitPart;
 use hallmux_postgres::wire;
 
+use super::open_session::part_memory;
 use super::{AdmittedTerms, Event, RunningUnit, Sessions, Stage};
+use crate::clients::STATEMENT_OVERHEAD_BYTES;
 use crate::postgres::ids::{Pin, SessionId};
 
 impl Sessions {
@@ -24,11 +26,12 @@
         let Some(open_session) = self.open_session(id) else {
             return;
         };
-        let bytes = part.raw.len();
+        let held_bytes = STATEMENT_OVERHEAD_BYTES + part_memory(&part);
         open_session.running = Some(RunningUnit {
             ticket,
             terms,
             parts: vec![part],
+            held_bytes,
             may_have_run: false,
             time_up: false,
             cancelled: false,
@@ -37,7 +40,7 @@
             execution_id: None,
             order_key,
         });
-        self.held_bytes += bytes;
+        self.held_bytes += held_bytes;
         self.tickets.insert(ticket, id);
         // Further parts of the unit may already be in the input.
         self.ready.push(id);
@@ -45,6 +48,16 @@
 
     /// Answers a unit that was not admitted.
     pub fn reject_unit(&mut self, id: SessionId, part: Rc<UnitPart>, why: &ClientError) {
+        self.reject_parts(id, &[part], why);
+    }
+
+    /// Answers a unit that was not admitted, given the parts of it that were read.
+    pub(super) fn reject_parts(
+        &mut self,
+        id: SessionId,
+        parts: &[Rc<UnitPart>],
+        why: &ClientError,
+    ) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
@@ -53,7 +66,7 @@
         };
         open_session
             .session
-            .fail_unit(&[part], why, connection.link.output());
+            .fail_unit(parts, why, connection.link.output());
         open_session.skipping_to_sync = open_session.session.is_in_unit();
         self.release_transaction(id, false);
         self.changed.insert(id);
@@ -101,7 +114,7 @@
     pub(super) fn remove_running(&mut self, ticket: Ticket) -> Option<(SessionId, RunningUnit)> {
         let id = self.tickets.remove(&ticket)?;
         let running = self.open_session(id)?.running.take()?;
-        self.held_bytes -= running.parts.first().map_or(0, |part| part.raw.len());
+        self.held_bytes -= running.held_bytes;
         Some((id, running))
     }
 
--- a/crates/front/src/postgres/sessions/close.rs
+++ b/crates/front/src/postgres/sessions/close.rs
@@ -72,7 +72,7 @@
     }
 
     /// Ends a session with a last error message.
-    fn close_with_error(&mut self, id: SessionId, why: &ClientError) {
+    pub(super) fn close_with_error(&mut self, id: SessionId, why: &ClientError) {
         if let Some(connection) = self.connections.get_mut(&id) {
             why.write(connection.link.output(), true);
             connection.closing = true;
--- a/crates/front/src/postgres/sessions/input.rs
+++ b/crates/front/src/postgres/sessions/input.rs
@@ -8,11 +8,13 @@
 use hallmux_postgres::client_error::ClientError;
 use hallmux_postgres::engine;
 use hallmux_postgres::pool::AccountId;
-use hallmux_postgres::session::{Session, SessionEvent, Transaction, UnitPart};
+use hallmux_postgres::session::{Session, SessionEvent, Transaction, UnitPart, UNIT_TOO_LONG};
 use hallmux_postgres::startup::{Client, StartupStep};
 use hallmux_postgres::wire::{self, CancelKey};
 
+use super::open_session::part_memory;
 use super::{Arrival, Event, OpenSession, Sessions, Stage, Users};
+use crate::clients::STATEMENT_OVERHEAD_BYTES;
 use crate::postgres::ids::SessionId;
 use crate::postgres::servers::Servers;
 
@@ -294,6 +296,16 @@
         let since = arrival_time(&connection.arrivals, used).unwrap_or(now);
         let is_late = shutdown.is_late(since);
         let part = open_session.checked_part(part);
+        if let Some(running) = &mut open_session.running {
+            // Guards against a unit that grows without end, as all of its parts are kept to be sent again.
+            let bytes = part_memory(&part);
+            if running.held_bytes + bytes > self.bounds.bytes + STATEMENT_OVERHEAD_BYTES {
+                self.close_with_error(id, &UNIT_TOO_LONG);
+                return Consumed::awaiting_input(used);
+            }
+            running.held_bytes += bytes;
+            self.held_bytes += bytes;
+        }
         if let Some(event) = open_session.add_further_part(&part, is_late) {
             self.events.push(event);
             return Consumed::with_more_to_read(used);
--- a/crates/front/src/postgres/sessions/open_session.rs
+++ b/crates/front/src/postgres/sessions/open_session.rs
@@ -13,6 +13,9 @@
 use crate::execution::ExecutionId;
 use crate::postgres::ids::Pin;
 
+/// Bytes of memory that a part of a unit takes besides its messages.
+pub const PART_OVERHEAD_BYTES: usize = 512;
+
 /// What a unit was admitted as, by its first part. Its further parts can't change it.
 pub struct AdmittedTerms {
     /// The labels that apply to the unit.
@@ -26,6 +29,8 @@
     pub ticket: Ticket,
     pub terms: AdmittedTerms,
     pub parts: Vec<Rc<UnitPart>>,
+    /// Bytes of memory that the unit takes.
+    pub(super) held_bytes: usize,
     /// An execution of the unit may have run.
     pub may_have_run: bool,
     pub time_up: bool,
@@ -38,6 +43,11 @@
     pub order_key: Option<String>,
 }
 
+/// Bytes of memory that a part of a unit takes.
+pub(super) fn part_memory(part: &UnitPart) -> usize {
+    PART_OVERHEAD_BYTES + part.raw.len()
+}
+
 impl RunningUnit {
     /// Whether the unit may have an effect that outlasts the transaction it was executed in, as far as
     /// its parts are known.
--- a/crates/front/src/postgres/unit_parts_tests.rs
+++ b/crates/front/src/postgres/unit_parts_tests.rs
@@ -56,6 +56,10 @@
         self
     }
 
+    pub(super) fn bytes(self) -> Vec<u8> {
+        self.0
+    }
+
     pub(super) fn send(self, session: &mut TcpStream) {
         session.write_all(&self.0).unwrap();
     }
--- a/crates/native-codec/src/statement.rs
+++ b/crates/native-codec/src/statement.rs
@@ -6,7 +6,7 @@
 mod write;
 
 pub use crate::wire_names::client::{CUSTOMER, DEDUP_KEY, STATEMENT_ID as ID, WORKLOAD};
-pub use read::read;
+pub use read::{read, read_incomplete};
 pub use write::write;
 
 /// The length of the prefix that holds a frame's length, in bytes.
@@ -25,6 +25,15 @@
     pub request: Request,
 }
 
+/// What is known of a message that is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IncompleteMessage {
+    /// The number of bytes of the message that were not received yet.
+    pub missing_bytes: usize,
+    /// The sequence number, if the message is the call of a statement.
+    pub statement_number: Option<i32>,
+}
+
 /// A request of a client.
 #[derive(Debug, PartialEq)]
 pub enum Request {
@@ -64,9 +73,12 @@
 }
 
 impl Call {
-    /// Returns the approximate memory used by the statement, in bytes; keys are not counted.
+    /// Returns the approximate memory used by the statement, in bytes.
     pub fn size(&self) -> usize {
-        std::mem::size_of::<Call>() + self.statement.len() + self.id.len() + self.workload.len()
+        let keys = [&self.dedup_key, &self.order_key];
+        let key_bytes: usize = keys.into_iter().flatten().map(String::len).sum();
+        let words = self.id.len() + self.workload.len() + self.customer.len();
+        std::mem::size_of::<Call>() + self.statement.len() + words + key_bytes
     }
 }
 
--- a/crates/native-codec/src/statement/read.rs
+++ b/crates/native-codec/src/statement/read.rs
@@ -7,7 +7,7 @@
 };
 use thrift::TConfiguration;
 
-use super::{Call, Message, Request, LENGTH_PREFIX_BYTES};
+use super::{Call, IncompleteMessage, Message, Request, LENGTH_PREFIX_BYTES};
 use crate::wire_names::client;
 use crate::{Decoded, ParseError};
 
@@ -46,7 +46,22 @@
     }))
 }
 
-fn message(frame: &[u8]) -> thrift::Result<Message> {
+/// Decodes what is known of the incomplete message at the start of `input`; None if its head is not complete, or if it
+/// is not a message of a client.
+pub fn read_incomplete(input: &[u8]) -> Option<IncompleteMessage> {
+    let prefix = input.first_chunk::<LENGTH_PREFIX_BYTES>()?;
+    let len = usize::try_from(i32::from_be_bytes(*prefix)).ok()?;
+    let received = &input[LENGTH_PREFIX_BYTES..];
+    let missing_bytes = len.checked_sub(received.len())?;
+    let head = protocol(received).ok()?.read_message_begin().ok()?;
+    let is_statement = head.name == client::EXECUTE && head.message_type == TMessageType::Call;
+    Some(IncompleteMessage {
+        missing_bytes,
+        statement_number: is_statement.then_some(head.sequence_number),
+    })
+}
+
+fn protocol(frame: &[u8]) -> thrift::Result<TBinaryInputProtocol<&[u8]>> {
     let limits = TConfiguration::builder()
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES))
@@ -54,7 +69,11 @@
         .max_container_size(Some(MAX_FIELDS))
         .max_recursion_depth(Some(MAX_DEPTH))
         .build()?;
-    let mut input = TBinaryInputProtocol::with_config(frame, true, limits);
+    Ok(TBinaryInputProtocol::with_config(frame, true, limits))
+}
+
+fn message(frame: &[u8]) -> thrift::Result<Message> {
+    let mut input = protocol(frame)?;
     let head = input.read_message_begin()?;
     let arguments = Arguments::read(&mut input, &head.name)?;
     // Bytes left after the message mean that the frame's length is wrong; they belong to no other
--- a/crates/postgres/src/client_error.rs
+++ b/crates/postgres/src/client_error.rs
@@ -89,6 +89,9 @@
     /// The front has reached its limit of sessions.
     #[error("no more sessions are taken for now")]
     TooManySessions,
+    /// The session's input is dropped, as that of all sessions takes too much memory.
+    #[error("the input of this session takes too much memory")]
+    OutOfMemory,
     /// The engine's connection ended before the result was complete.
     #[error("the engine was lost in the middle of a result")]
     ResultLost,
@@ -122,6 +125,7 @@
             ClientError::UnsupportedVersion { .. } => "0A000",
             ClientError::ShuttingDown => "57P01",
             ClientError::TooManySessions => "53300",
+            ClientError::OutOfMemory => "53200",
             ClientError::ResultLost => "08006",
         }
     }
--- a/crates/postgres/src/session.rs
+++ b/crates/postgres/src/session.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 
 use self::labels::UnitLabels;
+pub use self::reading::UNIT_TOO_LONG;
 use self::transaction_state::TransactionState;
 use crate::prepared::{Catalogue, Prepared, SessionSettings};
 use crate::sql::{self, quoted_identifier, Label};
@@ -73,6 +74,12 @@
     Terminated,
 }
 
+/// What is known of a unit that is given up before it is complete.
+pub struct IncompleteUnit {
+    /// The number of bytes that were not received yet of the message that is incomplete.
+    pub missing_bytes: usize,
+}
+
 /// The state of a session between a client and a front.
 #[derive(Default)]
 pub struct Session {
--- a/crates/postgres/src/session/reading.rs
+++ b/crates/postgres/src/session/reading.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use super::labels::{PartLabels, UnitLabels};
-use super::{Bounds, Session, SessionEvent};
+use super::{Bounds, IncompleteUnit, Session, SessionEvent};
 use crate::client_error::ClientError;
 use crate::prepared::{Catalogue, Prepared};
 use crate::sql::{self, LocalCommand};
@@ -14,7 +14,7 @@
 use crate::ProtocolError;
 
 /// A message, or the part of a unit that it belongs to, is longer than the limit of the session.
-const UNIT_TOO_LONG: ClientError = ClientError::LimitExceeded {
+pub const UNIT_TOO_LONG: ClientError = ClientError::LimitExceeded {
     why: "the bytes of a unit",
 };
 
@@ -351,6 +351,31 @@
         }
     }
 
+    /// Gives up the incomplete unit whose bytes so far are `input`, which are dropped. With `is_skipping` it was answered
+    /// with an error before. An error ends the session.
+    pub fn give_up_unit(
+        &mut self,
+        input: &[u8],
+        is_skipping: bool,
+    ) -> Result<IncompleteUnit, ClientError> {
+        self.scanned = 0;
+        let mut end = 0;
+        while let Some(Header { tag, len }) =
+            wire::header(input.get(end..).unwrap_or_default()).map_err(protocol_violation)?
+        {
+            // A simple query is a unit by itself; other messages are followed by a Sync.
+            self.in_unit |= !is_skipping && tag != b'Q';
+            end += len;
+        }
+        let has_partial_header = end < input.len();
+        if has_partial_header {
+            return Err(ClientError::OutOfMemory);
+        }
+        Ok(IncompleteUnit {
+            missing_bytes: end - input.len(),
+        })
+    }
+
     /// Skips the messages of a unit that was already answered with an error. Returns the number of
     /// bytes consumed, and whether the Sync was among them. An error ends the session.
     pub fn skip_to_sync(
